Lay out the workspace and the vocabulary of messages and actions

Cause: parts are to be built side by side, so what they say to one another comes first. Weighed: one type set generated from protobuf against plain Go values; plain values keep the decision machines free of the protocol layer.

--- /dev/null
+++ b/coordination/coordination.go
@@ -0,0 +1,102 @@
+// Package coordination defines what the decision machines in its subpackages
+// ask of whoever drives them. A machine takes an event, the present time and
+// (where it draws lots) a seed, changes its state and returns actions. It opens
+// no socket, reads no clock and starts no goroutine, so a daemon, a test or
+// another program can drive it alike, and the same events give the same run.
+//
+// Every machine is safe for concurrent use: its state stands in shards, each
+// under its own lock. Actions are carried out by the driver after the machine
+// has let go of its locks. A machine learns of passing time by Tick, which the
+// driver calls every TickInterval.
+package coordination
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// TickInterval is how often a driver calls each machine's Tick. It bounds how
+// late a deadline is noticed.
+const TickInterval = 5 * time.Millisecond
+
+// Action is something a machine wants done.
+type Action interface{ action() }
+
+// Send delivers a message to a node, or loses it.
+type Send struct {
+	To  state.NodeID
+	Msg message.Message
+}
+
+// Stream names a stream of the platform's log.
+type Stream string
+
+// The streams the system keeps.
+const (
+	StreamDeclarations Stream = "declarations"
+	StreamRoster       Stream = "roster"
+)
+
+// Append asks for a record at the end of a stream. The reply may be lost after
+// the record is in; the machine learns what became of it by reading the log.
+type Append struct {
+	Stream Stream
+	Data   []byte
+}
+
+// StartTask asks the backend server beside the agent to run a task. The driver
+// reports the end with the admission machine's Finished.
+type StartTask struct {
+	Task state.TaskKey
+	Spec state.Task
+	// Deadline is how long from now the result is of use. Zero means always.
+	Deadline time.Duration
+}
+
+// Control asks the backend server to do something with a running task.
+type Control struct {
+	Task state.TaskKey
+	Verb Verb
+}
+
+// Verb is what can be done with a running task.
+type Verb string
+
+// The verbs backend servers know.
+const (
+	VerbStop       Verb = "stop"
+	VerbThrottle   Verb = "throttle"
+	VerbCheckpoint Verb = "checkpoint"
+)
+
+// Granted tells the job machine that the pair has recorded the claim: the
+// caller of the guard is the job's home and may start it.
+type Granted struct {
+	Key     state.JobKey
+	Attempt message.Attempt
+}
+
+// Denied tells the job machine that the claim was not granted.
+type Denied struct {
+	Key     state.JobKey
+	Attempt message.Attempt
+	// Outcome is NotRun when the attempt certainly never was and never will
+	// be granted, Unknown when another holder may have run the id.
+	Outcome    state.Outcome
+	Reason     state.Reason
+	RetryAfter time.Duration
+	Epoch      state.Epoch
+	// Holder is who holds the id, if the pair's records say so.
+	Holder state.NodeID
+	// Digest is the holder's content digest, valid when Holder is set.
+	Digest state.Digest
+}
+
+func (Send) action()      {}
+func (Append) action()    {}
+func (StartTask) action() {}
+func (Control) action()   {}
+func (Granted) action()   {}
+func (Denied) action()    {}
--- /dev/null
+++ b/coordination/message/message.go
@@ -0,0 +1,277 @@
+// Package message defines what nodes say to one another. Messages are plain
+// values: the protocol layer turns them into wire form and back, and any
+// harness can hand them to a node directly.
+//
+// Messages may be lost, repeated, late and out of order. Every machine that
+// takes one must be safe under all four. Durations are relative, because no
+// node trusts another's clock.
+package message
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// Message is any value that one node sends to another.
+type Message interface{ message() }
+
+// Attempt names one try of one entry to have a submission accepted. An attempt
+// is bound to one epoch: it can be granted at that epoch only, so that either
+// member of the pair can rule it out for good.
+type Attempt string
+
+// Submit asks the home of a job to accept it. Entry to home.
+type Submit struct {
+	Job     state.Job
+	Digest  state.Digest
+	Attempt Attempt
+	// Epoch is the share's epoch as the entry knows it.
+	Epoch state.Epoch
+	// Deadline is how long from now the caller waits. Zero means no deadline.
+	Deadline time.Duration
+	// Query asks for the state of a known job and never starts anything. Job
+	// carries no tasks and Digest is not compared.
+	Query bool
+}
+
+// Answer is the home's final answer to one attempt. Home to entry.
+type Answer struct {
+	Key     state.JobKey
+	Attempt Attempt
+	Outcome state.Outcome
+	Reason  state.Reason
+	// Detail is a sentence for a person; it may be empty.
+	Detail string
+	// RetryAfter is when coming back makes sense. Zero means it doesn't help.
+	RetryAfter time.Duration
+	// Epoch is the share's epoch as the answerer knows it, so that a stale
+	// entry learns that it must catch up.
+	Epoch state.Epoch
+	// Holder, when set, names the node that holds the job: ask there.
+	Holder state.NodeID
+	// Results stand in task order. Set only when Outcome is Complete.
+	Results []state.TaskResult
+	// Stats counts what the answer cost.
+	Stats Stats
+}
+
+// Stats is what a job cost, for response time against the ideal and for
+// wasted messages.
+type Stats struct {
+	// Messages is how many messages were sent on the job's behalf.
+	Messages int
+	// Wasted is how many of them led to no first start and no first result.
+	Wasted int
+	// Longest and Total are the longest and the summed run time of its tasks.
+	Longest time.Duration
+	Total   time.Duration
+	// Elapsed is from the home's first sight of the job to its answer.
+	Elapsed time.Duration
+}
+
+// Cancel asks the home to stop a job. Entry to home.
+type Cancel struct {
+	Key     state.JobKey
+	Attempt Attempt
+}
+
+// Bar asks a member of the pair to rule out an attempt for good. Entry to the
+// member that it can reach when the other one is silent.
+type Bar struct {
+	Key     state.JobKey
+	Attempt Attempt
+	Epoch   state.Epoch
+}
+
+// BarReply answers a Bar. Barred means that the attempt was never granted and
+// never will be. Otherwise Holder names who may have been granted the id.
+type BarReply struct {
+	Key     state.JobKey
+	Attempt Attempt
+	Barred  bool
+	Reason  state.Reason
+	Epoch   state.Epoch
+	Holder  state.NodeID
+}
+
+// ClaimAsk asks the witness to record a claim. Home to witness.
+type ClaimAsk struct {
+	Key     state.JobKey
+	Region  string
+	Digest  state.Digest
+	Attempt Attempt
+	// Token identifies the home's try, so that a repeated ask after a lost
+	// reply gets the same yes.
+	Token string
+	// Epoch is the share's epoch at the home.
+	Epoch state.Epoch
+	// Knows says that the home's record holds every claim granted below Epoch.
+	Knows bool
+}
+
+// ClaimReply answers a ClaimAsk. Witness to home.
+type ClaimReply struct {
+	Key   state.JobKey
+	Token string
+	Epoch state.Epoch
+	// Granted says that the witness has recorded the claim for this token.
+	Granted bool
+	// Reason says why not.
+	Reason state.Reason
+	// Holder and Digest describe the record that stands in the way, if one does.
+	Holder state.NodeID
+	Digest state.Digest
+}
+
+// Record is one claim as pairs exchange it.
+type Record struct {
+	Key    state.JobKey
+	Digest state.Digest
+	// Holder is the home that asked for the claim.
+	Holder state.NodeID
+	Token  string
+	// Age is how long ago the claim was recorded.
+	Age time.Duration
+}
+
+// PullAsk asks for every claim of one share. Any agent to any agent.
+type PullAsk struct {
+	Region string
+	Share  uint32
+	// Need is the watermark that makes the reply useful.
+	Need state.Epoch
+	// After continues a reply that was too large for one message.
+	After string
+}
+
+// PullReply carries the claims of one share. Knows is the sender's watermark
+// when it read the records.
+type PullReply struct {
+	Region  string
+	Share   uint32
+	Knows   state.Epoch
+	Records []Record
+	// Next is the After of the following page; empty on the last page.
+	Next string
+}
+
+// RosterAsk asks a peer for roster records after an offset, when the log is
+// out of service or slow. Any node to any node.
+type RosterAsk struct {
+	After state.Epoch
+}
+
+// RosterReply carries roster records as they stand in the log.
+type RosterReply struct {
+	Records []RosterRecord
+}
+
+// RosterRecord is one record of the roster stream with its offset.
+type RosterRecord struct {
+	Offset int64
+	Data   []byte
+}
+
+// Assign hands tasks of one job to an agent. Home (or entry, for a repeatable
+// request) to agent. Sending it again is safe: an agent starts each task of a
+// job at most once, however often it is told to.
+type Assign struct {
+	Key      state.JobKey
+	Operator string
+	// Indexes and Tasks stand side by side.
+	Indexes []int
+	Tasks   []state.Task
+	// Deadline is how long from now the result is of use. Zero means always.
+	Deadline time.Duration
+	// Backlog is how many more tasks of the job wait at the sender. An agent
+	// that has room says so with Report.Credit.
+	Backlog int
+	// Repeatable lets the agent start a task that ran elsewhere before.
+	Repeatable bool
+}
+
+// Report tells the sender of an Assign what became of its tasks: results as
+// they come, and refusals. Agent to home.
+type Report struct {
+	Key state.JobKey
+	// Results are tasks that ran, well or not.
+	Results []state.TaskResult
+	// Refused are tasks that were not started and never will be by this Assign.
+	Refused []int
+	// Reason says why, for all of Refused.
+	Reason     state.Reason
+	RetryAfter time.Duration
+	// Running are the indexes that the agent holds, in answer to a repeated
+	// Assign or a TaskQuery.
+	Running []int
+	// Credit is how many more tasks of this job the agent would take now.
+	Credit int
+	// Load is the agent's own load, piggy-backed.
+	Load state.AgentLoad
+}
+
+// TaskQuery asks an agent what it knows of tasks it was assigned. An index
+// that it has never seen is refused for good and so reported as not run.
+type TaskQuery struct {
+	Key     state.JobKey
+	Indexes []int
+}
+
+// Drop tells an agent that the tasks of a job it still holds are of no use:
+// queued ones are forgotten, running ones are stopped. One message per agent.
+type Drop struct {
+	Key state.JobKey
+}
+
+// LoadNews spreads what agents say of themselves. Any node to any node.
+type LoadNews struct {
+	Loads []LoadItem
+	// Pull asks for the receiver's news in return.
+	Pull bool
+}
+
+// LoadItem is one agent's load and how long ago its originator said it.
+type LoadItem struct {
+	Load state.AgentLoad
+	Age  time.Duration
+}
+
+// DeclarationAsk asks a peer for the accepted declarations it has, when the
+// log is out of service or no longer keeps them.
+type DeclarationAsk struct {
+	// Have maps operators to the versions the asker already has.
+	Have map[string]state.Version
+}
+
+// DeclarationReply carries accepted declarations newer than asked.
+type DeclarationReply struct {
+	Records []DeclarationRecord
+}
+
+// DeclarationRecord is one operator's accepted declaration.
+type DeclarationRecord struct {
+	Operator string
+	Version  state.Version
+	ApplyID  string
+	File     []byte
+}
+
+func (Submit) message()           {}
+func (Answer) message()           {}
+func (Cancel) message()           {}
+func (Bar) message()              {}
+func (BarReply) message()         {}
+func (ClaimAsk) message()         {}
+func (ClaimReply) message()       {}
+func (PullAsk) message()          {}
+func (PullReply) message()        {}
+func (RosterAsk) message()        {}
+func (RosterReply) message()      {}
+func (Assign) message()           {}
+func (Report) message()           {}
+func (TaskQuery) message()        {}
+func (Drop) message()             {}
+func (LoadNews) message()         {}
+func (DeclarationAsk) message()   {}
+func (DeclarationReply) message() {}
--- /dev/null
+++ b/state/outcome.go
@@ -0,0 +1,139 @@
+package state
+
+import "net/http"
+
+// Outcome says how far a submission came. Only one who holds the authority to
+// know may say NotRun.
+type Outcome uint8
+
+const (
+	// Pending means that the job is still being worked on.
+	Pending Outcome = iota
+	// Complete means that every task has a result.
+	Complete
+	// NotRun means that nobody has started any part and nobody will.
+	NotRun
+	// Failed means that it or part of it ran, or was stopped.
+	Failed
+	// Unknown means that it may have run.
+	Unknown
+)
+
+var outcomeNames = [...]string{"pending", "complete", "not_run", "failed", "unknown"}
+
+// String returns the outcome as it stands in answers and metrics.
+func (o Outcome) String() string {
+	if int(o) >= len(outcomeNames) {
+		return "unknown"
+	}
+	return outcomeNames[o]
+}
+
+// Reason is a documented code for a refusal or a failure. The same word stands
+// in problem documents, metric labels and logs; docs/OPERATIONS.md lists what
+// to do about each.
+type Reason string
+
+// The reasons. Each has an entry in reasonStatus.
+const (
+	ReasonNone Reason = ""
+
+	// The submission itself.
+	ReasonMalformed      Reason = "malformed"
+	ReasonTooLarge       Reason = "too_large"
+	ReasonTooManyTasks   Reason = "too_many_tasks"
+	ReasonUnauthorized   Reason = "unauthorized"
+	ReasonForbidden      Reason = "forbidden"
+	ReasonUnknownService Reason = "unknown_service"
+	ReasonUnknownJob     Reason = "unknown_job"
+	ReasonIDConflict     Reason = "id_conflict"
+	ReasonNeverRunnable  Reason = "never_runnable"
+
+	// Limits.
+	ReasonQuota       Reason = "quota"
+	ReasonQueueFull   Reason = "queue_full"
+	ReasonOverload    Reason = "overload"
+	ReasonRetryBudget Reason = "retry_budget"
+	ReasonBusy        Reason = "busy"
+
+	// Time.
+	ReasonDeadlineUnreachable Reason = "deadline_unreachable"
+	ReasonDeadline            Reason = "deadline"
+	ReasonCancelled           Reason = "cancelled"
+
+	// Who guards the claim.
+	ReasonNoPair          Reason = "no_pair"
+	ReasonStaleEpoch      Reason = "stale_epoch"
+	ReasonClaimsUnknown   Reason = "claims_unknown"
+	ReasonHomeUnreachable Reason = "home_unreachable"
+	ReasonHomeLost        Reason = "home_lost"
+	ReasonBarred          Reason = "barred"
+
+	// Where tasks run.
+	ReasonNoBackend   Reason = "no_backend"
+	ReasonAgentLost   Reason = "agent_lost"
+	ReasonTaskFailed  Reason = "task_failed"
+	ReasonDraining    Reason = "draining"
+	ReasonLeaseLapsed Reason = "lease_lapsed"
+	ReasonEjected     Reason = "ejected"
+
+	// Declarations and the platform's log.
+	ReasonLostRace       Reason = "lost_race"
+	ReasonLogUnavailable Reason = "log_unavailable"
+	ReasonApplyUnknown   Reason = "apply_unknown"
+	ReasonNotReady       Reason = "not_ready"
+)
+
+var reasonStatus = map[Reason]int{
+	ReasonMalformed:           http.StatusBadRequest,
+	ReasonTooLarge:            http.StatusRequestEntityTooLarge,
+	ReasonTooManyTasks:        http.StatusRequestEntityTooLarge,
+	ReasonUnauthorized:        http.StatusUnauthorized,
+	ReasonForbidden:           http.StatusForbidden,
+	ReasonUnknownService:      http.StatusNotFound,
+	ReasonUnknownJob:          http.StatusNotFound,
+	ReasonIDConflict:          http.StatusConflict,
+	ReasonNeverRunnable:       http.StatusUnprocessableEntity,
+	ReasonQuota:               http.StatusTooManyRequests,
+	ReasonQueueFull:           http.StatusTooManyRequests,
+	ReasonOverload:            http.StatusServiceUnavailable,
+	ReasonRetryBudget:         http.StatusServiceUnavailable,
+	ReasonBusy:                http.StatusServiceUnavailable,
+	ReasonDeadlineUnreachable: http.StatusGatewayTimeout,
+	ReasonDeadline:            http.StatusGatewayTimeout,
+	ReasonCancelled:           http.StatusConflict,
+	ReasonNoPair:              http.StatusServiceUnavailable,
+	ReasonStaleEpoch:          http.StatusServiceUnavailable,
+	ReasonClaimsUnknown:       http.StatusServiceUnavailable,
+	ReasonHomeUnreachable:     http.StatusServiceUnavailable,
+	ReasonHomeLost:            http.StatusBadGateway,
+	ReasonBarred:              http.StatusServiceUnavailable,
+	ReasonNoBackend:           http.StatusServiceUnavailable,
+	ReasonAgentLost:           http.StatusBadGateway,
+	ReasonTaskFailed:          http.StatusBadGateway,
+	ReasonDraining:            http.StatusServiceUnavailable,
+	ReasonLeaseLapsed:         http.StatusBadGateway,
+	ReasonEjected:             http.StatusServiceUnavailable,
+	ReasonLostRace:            http.StatusConflict,
+	ReasonLogUnavailable:      http.StatusServiceUnavailable,
+	ReasonApplyUnknown:        http.StatusServiceUnavailable,
+	ReasonNotReady:            http.StatusServiceUnavailable,
+}
+
+// HTTPStatus returns the status code that answers a request refused or failed
+// for this reason.
+func (r Reason) HTTPStatus() int {
+	if s, ok := reasonStatus[r]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// Reasons returns every documented reason, in no particular order.
+func Reasons() []Reason {
+	out := make([]Reason, 0, len(reasonStatus))
+	for r := range reasonStatus {
+		out = append(out, r)
+	}
+	return out
+}
