--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -100,3 +100,26 @@
 func (Control) action()   {}
 func (Granted) action()   {}
 func (Denied) action()    {}
+
+// Deliver hands the final answer of a submission to the caller that waits for
+// it under this ticket. Each ticket is delivered exactly once.
+type Deliver struct {
+	Ticket uint64
+	Answer message.Answer
+}
+
+// Applied tells an operator's request what became of its declaration.
+type Applied struct {
+	Ticket uint64
+	// Version is the accepted version when Reason is empty; otherwise the
+	// version in force.
+	Version state.Version
+	// Outcome is Complete when accepted, NotRun when refused for certain and
+	// Unknown when the record may be in the log.
+	Outcome state.Outcome
+	Reason  state.Reason
+	Detail  string
+}
+
+func (Deliver) action() {}
+func (Applied) action() {}
