Decode JSON with comments strictly, with the place of each fault

Settings and declarations are written by hand. The standard decoder lets unknown keys, keys in another case and repeated keys pass or reports only the first fault without its line, so that an operator believes in a setting which is not in force. hujson parses but does not decode with positions.

The decoder walks hujson's tree beside the Go struct and collects every fault with file, line and key.

--- /dev/null
+++ b/state/strictjson/decoder.go
@@ -0,0 +1,178 @@
+package strictjson
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+var (
+	durationType    = reflect.TypeFor[time.Duration]()
+	rawType         = reflect.TypeFor[json.RawMessage]()
+	unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
+)
+
+// decoder walks the parsed file and the target side by side.
+type decoder struct {
+	doc  *Document
+	errs Errors
+}
+
+func (d *decoder) fail(key string, at *hujson.Value, format string, args ...any) {
+	fault := d.doc.fault(at.StartOffset, fmt.Sprintf(format, args...))
+	fault.Key = key
+	d.errs = append(d.errs, fault)
+}
+
+func (d *decoder) value(key string, v *hujson.Value, target reflect.Value) {
+	d.doc.lines[key] = d.doc.lineAt(v.StartOffset)
+	switch {
+	case target.Type() == rawType:
+		target.SetBytes(standard(v))
+	case v.Value.Kind() == 'n':
+		d.fail(key, v, "null is not a value: leave the key out instead")
+	case target.Kind() == reflect.Pointer:
+		if target.IsNil() {
+			target.Set(reflect.New(target.Type().Elem()))
+		}
+		d.value(key, v, target.Elem())
+	case target.Type() == durationType:
+		d.duration(key, v, target)
+	case target.Addr().Type().Implements(unmarshalerType):
+		if err := json.Unmarshal(standard(v), target.Addr().Interface()); err != nil {
+			d.fail(key, v, "%v", err)
+		}
+	default:
+		d.byKind(key, v, target)
+	}
+}
+
+func (d *decoder) byKind(key string, v *hujson.Value, target reflect.Value) {
+	switch target.Kind() {
+	case reflect.Struct:
+		if obj, ok := v.Value.(*hujson.Object); ok {
+			d.object(key, obj, target)
+			return
+		}
+	case reflect.Map:
+		if obj, ok := v.Value.(*hujson.Object); ok {
+			d.mapping(key, obj, target)
+			return
+		}
+	case reflect.Slice:
+		if arr, ok := v.Value.(*hujson.Array); ok {
+			d.array(key, arr, target)
+			return
+		}
+	default:
+		if lit, ok := v.Value.(hujson.Literal); ok && json.Unmarshal(lit, target.Addr().Interface()) == nil {
+			return
+		}
+	}
+	d.fail(key, v, "must be %s, is %s", wanted(target.Type()), found(v))
+}
+
+func (d *decoder) object(key string, obj *hujson.Object, target reflect.Value) {
+	fields := fieldsOf(target.Type())
+	d.members(key, obj, func(name, path string, m *hujson.ObjectMember) {
+		index, ok := fields[name]
+		if !ok {
+			d.fail(path, &m.Name, "unknown key%s", suggestion(name, fields))
+			return
+		}
+		d.value(path, &m.Value, target.Field(index))
+	})
+}
+
+func (d *decoder) mapping(key string, obj *hujson.Object, target reflect.Value) {
+	out := reflect.MakeMapWithSize(target.Type(), len(obj.Members))
+	d.members(key, obj, func(name, path string, m *hujson.ObjectMember) {
+		elem := reflect.New(target.Type().Elem()).Elem()
+		d.value(path, &m.Value, elem)
+		out.SetMapIndex(reflect.ValueOf(name).Convert(target.Type().Key()), elem)
+	})
+	target.Set(out)
+}
+
+// members visits each member once. Of two members with one name the standard
+// decoder silently keeps the last, so that a reader who sees the first one is
+// misled: here the second is a fault.
+func (d *decoder) members(key string, obj *hujson.Object, visit func(name, path string, m *hujson.ObjectMember)) {
+	seen := make(map[string]int, len(obj.Members))
+	for i := range obj.Members {
+		m := &obj.Members[i]
+		name := m.Name.Value.(hujson.Literal).String()
+		path := join(key, name)
+		line := d.doc.lineAt(m.Name.StartOffset)
+		if first, twice := seen[name]; twice {
+			d.fail(path, &m.Name, "key stands twice, first in line %d", first)
+			continue
+		}
+		seen[name] = line
+		visit(name, path, m)
+	}
+}
+
+func (d *decoder) array(key string, arr *hujson.Array, target reflect.Value) {
+	out := reflect.MakeSlice(target.Type(), len(arr.Elements), len(arr.Elements))
+	for i := range arr.Elements {
+		d.value(fmt.Sprintf("%s[%d]", key, i), &arr.Elements[i], out.Index(i))
+	}
+	target.Set(out)
+}
+
+func (d *decoder) duration(key string, v *hujson.Value, target reflect.Value) {
+	if v.Value.Kind() == '"' {
+		length, err := time.ParseDuration(v.Value.(hujson.Literal).String())
+		if err == nil {
+			target.SetInt(int64(length))
+			return
+		}
+	}
+	d.fail(key, v, `must be a duration such as "250ms" or "5s", is %s`, found(v))
+}
+
+// standard returns the value as plain JSON, without comments.
+func standard(v *hujson.Value) []byte {
+	plain := v.Clone()
+	plain.Minimize()
+	return plain.Pack()
+}
+
+func join(key, name string) string {
+	if key == "" {
+		return name
+	}
+	return key + "." + name
+}
+
+// fieldsOf maps the JSON names of a struct to its field indexes.
+func fieldsOf(t reflect.Type) map[string]int {
+	fields := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if !f.IsExported() || name == "-" {
+			continue
+		}
+		if name == "" {
+			name = f.Name
+		}
+		fields[name] = i
+	}
+	return fields
+}
+
+// suggestion names a known key that differs in case only.
+func suggestion(name string, fields map[string]int) string {
+	for known := range fields {
+		if strings.EqualFold(known, name) {
+			return fmt.Sprintf(", write %q", known)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/state/strictjson/errors.go
@@ -0,0 +1,49 @@
+package strictjson
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+)
+
+// FieldError is one fault in a file, with the place where a person can mend it.
+type FieldError struct {
+	// File is the name given to Decode.
+	File string
+	// Line counts from 1.
+	Line int
+	// Key is the path of the value, such as tls.cert or services[2].name. It is
+	// empty for a fault of the file as a whole.
+	Key string
+	// Msg says what is wrong and what would be right.
+	Msg string
+}
+
+// Error returns the fault in the form file:line: key: message.
+func (e *FieldError) Error() string {
+	if e.Key == "" {
+		return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Msg)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Key, e.Msg)
+}
+
+// Errors is every fault found in one file, by line.
+type Errors []*FieldError
+
+// Error returns one line per fault.
+func (es Errors) Error() string {
+	lines := make([]string, len(es))
+	for i, e := range es {
+		lines[i] = e.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the faults in the order of their lines, or nil if there are none.
+func (es Errors) Err() error {
+	if len(es) == 0 {
+		return nil
+	}
+	sort.SliceStable(es, func(i, j int) bool { return es[i].Line < es[j].Line })
+	return es
+}
