Number the tries of a task's placement

A refused task may be placed again at the same agent. Without a number a late copy of the first Assign, or of its refusal, can't be told from the second, and the task could start at two agents. Drop may name tasks whose start is in doubt, so that one message both drops and settles them.

--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -189,6 +189,14 @@
 	Backlog int
 	// Repeatable lets the agent start a task that ran elsewhere before.
 	Repeatable bool
+	// Tries stand beside Indexes: how often the sender has placed each task
+	// before. A refusal holds for its try and every lower one, so that a late
+	// copy of an Assign can't start a task that has since moved on. Nil means
+	// zero for all.
+	Tries []uint32
+	// Override asks a backend server that is held to be failing to take the
+	// tasks all the same, because too much of its service is ejected.
+	Override bool
 }
 
 // Report tells the sender of an Assign what became of its tasks: results as
@@ -199,6 +207,9 @@
 	Results []state.TaskResult
 	// Refused are tasks that were not started and never will be by this Assign.
 	Refused []int
+	// Tries stand beside Refused: the highest try that the refusal rules out.
+	// Nil means zero for all.
+	Tries []uint32
 	// Reason says why, for all of Refused.
 	Reason     state.Reason
 	RetryAfter time.Duration
@@ -216,12 +227,20 @@
 type TaskQuery struct {
 	Key     state.JobKey
 	Indexes []int
+	// Tries stand beside Indexes, as in Assign.
+	Tries []uint32
 }
 
 // Drop tells an agent that the tasks of a job it still holds are of no use:
 // queued ones are forgotten, running ones are stopped. One message per agent.
 type Drop struct {
 	Key state.JobKey
+	// Indexes are tasks of which the sender must know whether they started.
+	// The agent rules out those that have not and reports on all of them:
+	// Refused, Results, or Running for a task that was started.
+	Indexes []int
+	// Tries stand beside Indexes, as in Assign.
+	Tries []uint32
 }
 
 // LoadNews spreads what agents say of themselves. Any node to any node.
