--- a/state/outcome.go
+++ b/state/outcome.go
@@ -82,6 +82,12 @@
 	ReasonLogUnavailable Reason = "log_unavailable"
 	ReasonApplyUnknown   Reason = "apply_unknown"
 	ReasonNotReady       Reason = "not_ready"
+
+	// The HTTP interface itself.
+	ReasonUnknownRoute     Reason = "unknown_route"
+	ReasonMethodNotAllowed Reason = "method_not_allowed"
+	// ReasonInternal says that a check on an answer failed before it went out.
+	ReasonInternal Reason = "internal"
 )
 
 var reasonStatus = map[Reason]int{
@@ -118,6 +124,9 @@
 	ReasonLogUnavailable:      http.StatusServiceUnavailable,
 	ReasonApplyUnknown:        http.StatusServiceUnavailable,
 	ReasonNotReady:            http.StatusServiceUnavailable,
+	ReasonUnknownRoute:        http.StatusNotFound,
+	ReasonMethodNotAllowed:    http.StatusMethodNotAllowed,
+	ReasonInternal:            http.StatusInternalServerError,
 }
 
 // HTTPStatus returns the status code that answers a request refused or failed
