Let load news tell a repeated load and pages of the table

A repeated load must count as a newer sign of life without a new Seq, which belongs to changes of the load. Ages alone can't tell: a relayed age leaves out the time in flight, so an echo of old news would look younger at each hop and a dead agent would seem alive. A pull needs to say where its page begins.

--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -246,13 +246,20 @@
 // LoadNews spreads what agents say of themselves. Any node to any node.
 type LoadNews struct {
 	Loads []LoadItem
-	// Pull asks for the receiver's news in return.
-	Pull bool
+	// Pull asks for the receiver's news in return: the page of its table, in
+	// the order of ids, that follows After.
+	Pull  bool
+	After state.NodeID
+	// Page says that Loads is such a page, asked for with this After.
+	Page bool
 }
 
 // LoadItem is one agent's load and how long ago its originator said it.
 type LoadItem struct {
 	Load state.AgentLoad
+	// Beat counts how often the originator has said the same Load.Seq again. A
+	// higher Beat of one Seq is newer news that the originator lives.
+	Beat uint32
 	Age  time.Duration
 }
 
