--- a/state/outcome.go
+++ b/state/outcome.go
@@ -81,6 +81,7 @@
 	ReasonLostRace       Reason = "lost_race"
 	ReasonLogUnavailable Reason = "log_unavailable"
 	ReasonApplyUnknown   Reason = "apply_unknown"
+	ReasonNoDeclaration  Reason = "no_declaration"
 	ReasonNotReady       Reason = "not_ready"
 
 	// The HTTP interface itself.
@@ -123,6 +124,7 @@
 	ReasonLostRace:            http.StatusConflict,
 	ReasonLogUnavailable:      http.StatusServiceUnavailable,
 	ReasonApplyUnknown:        http.StatusServiceUnavailable,
+	ReasonNoDeclaration:       http.StatusNotFound,
 	ReasonNotReady:            http.StatusServiceUnavailable,
 	ReasonUnknownRoute:        http.StatusNotFound,
 	ReasonMethodNotAllowed:    http.StatusMethodNotAllowed,
