Let pull replies repeat their cursor and roster replies their freshness

Cause: a late last page of an earlier pull can't be told from a share that fits one page, and a member cut off from the log can't tell from a peer's reply how old the peer's view is.

--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -152,6 +152,9 @@
 	Share   uint32
 	Knows   state.Epoch
 	Records []Record
+	// After repeats the After of the ask: pages are matched by it, so that a
+	// late last page of another pull isn't taken for the whole share.
+	After string
 	// Next is the After of the following page; empty on the last page.
 	Next string
 }
@@ -160,11 +163,19 @@
 // out of service or slow. Any node to any node.
 type RosterAsk struct {
 	After state.Epoch
+	// Seq numbers the asker's asks. The reply repeats it.
+	Seq uint64
 }
 
 // RosterReply carries roster records as they stand in the log.
 type RosterReply struct {
 	Records []RosterRecord
+	// Seq repeats the Seq of the ask.
+	Seq uint64
+	// Fresh says that Records reach to the sender's last offset, and that the
+	// sender knows that no later record stood in the log Age ago.
+	Fresh bool
+	Age   time.Duration
 }
 
 // RosterRecord is one record of the roster stream with its offset.
