Add the wire form of messages between nodes

Cause: nodes talk over gRPC and the decision machines know plain values only. Weighed: generated types in the machines themselves; rejected, the machines would depend on the protocol layer. Both directions check the same bounds, so a fault shows at the sender. Nothing is measured.

--- /dev/null
+++ b/protocol/wire/claim.go
@@ -0,0 +1,152 @@
+package wire
+
+import (
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/protocol/wire/nodepb"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+func (c *checker) encodeBar(m *message.Bar) *nodepb.Bar {
+	return &nodepb.Bar{
+		Key:     c.encodeKey(m.Key),
+		Attempt: c.name("attempt", string(m.Attempt)),
+		Epoch:   int64(m.Epoch),
+	}
+}
+
+func (c *checker) decodeBar(p *nodepb.Bar) message.Bar {
+	return message.Bar{
+		Key:     c.decodeKey(p.GetKey()),
+		Attempt: message.Attempt(c.name("attempt", p.GetAttempt())),
+		Epoch:   state.Epoch(p.GetEpoch()),
+	}
+}
+
+func (c *checker) encodeBarReply(m *message.BarReply) *nodepb.BarReply {
+	return &nodepb.BarReply{
+		Key:     c.encodeKey(m.Key),
+		Attempt: c.name("attempt", string(m.Attempt)),
+		Barred:  m.Barred,
+		Reason:  c.reason(m.Reason),
+		Epoch:   int64(m.Epoch),
+		Holder:  c.node("holder", m.Holder),
+	}
+}
+
+func (c *checker) decodeBarReply(p *nodepb.BarReply) message.BarReply {
+	return message.BarReply{
+		Key:     c.decodeKey(p.GetKey()),
+		Attempt: message.Attempt(c.name("attempt", p.GetAttempt())),
+		Barred:  p.GetBarred(),
+		Reason:  state.Reason(c.id("reason", p.GetReason())),
+		Epoch:   state.Epoch(p.GetEpoch()),
+		Holder:  state.NodeID(c.name("holder", p.GetHolder())),
+	}
+}
+
+func (c *checker) encodeClaimAsk(m *message.ClaimAsk) *nodepb.ClaimAsk {
+	return &nodepb.ClaimAsk{
+		Key:     c.encodeKey(m.Key),
+		Region:  c.name("region", m.Region),
+		Digest:  encodeDigest(m.Digest),
+		Attempt: c.name("attempt", string(m.Attempt)),
+		Token:   c.name("token", m.Token),
+		Epoch:   int64(m.Epoch),
+		Knows:   m.Knows,
+	}
+}
+
+func (c *checker) decodeClaimAsk(p *nodepb.ClaimAsk) message.ClaimAsk {
+	return message.ClaimAsk{
+		Key:     c.decodeKey(p.GetKey()),
+		Region:  c.name("region", p.GetRegion()),
+		Digest:  c.decodeDigest(p.GetDigest()),
+		Attempt: message.Attempt(c.name("attempt", p.GetAttempt())),
+		Token:   c.name("token", p.GetToken()),
+		Epoch:   state.Epoch(p.GetEpoch()),
+		Knows:   p.GetKnows(),
+	}
+}
+
+func (c *checker) encodeClaimReply(m *message.ClaimReply) *nodepb.ClaimReply {
+	return &nodepb.ClaimReply{
+		Key:     c.encodeKey(m.Key),
+		Token:   c.name("token", m.Token),
+		Epoch:   int64(m.Epoch),
+		Granted: m.Granted,
+		Reason:  c.reason(m.Reason),
+		Holder:  c.node("holder", m.Holder),
+		Digest:  encodeDigest(m.Digest),
+	}
+}
+
+func (c *checker) decodeClaimReply(p *nodepb.ClaimReply) message.ClaimReply {
+	return message.ClaimReply{
+		Key:     c.decodeKey(p.GetKey()),
+		Token:   c.name("token", p.GetToken()),
+		Epoch:   state.Epoch(p.GetEpoch()),
+		Granted: p.GetGranted(),
+		Reason:  state.Reason(c.id("reason", p.GetReason())),
+		Holder:  state.NodeID(c.name("holder", p.GetHolder())),
+		Digest:  c.decodeDigest(p.GetDigest()),
+	}
+}
+
+func (c *checker) encodePullAsk(m *message.PullAsk) *nodepb.PullAsk {
+	return &nodepb.PullAsk{
+		Region: c.name("region", m.Region),
+		Share:  m.Share,
+		Need:   int64(m.Need),
+		After:  c.text("after", m.After, MaxCursorLength),
+	}
+}
+
+func (c *checker) decodePullAsk(p *nodepb.PullAsk) message.PullAsk {
+	return message.PullAsk{
+		Region: c.name("region", p.GetRegion()),
+		Share:  p.GetShare(),
+		Need:   state.Epoch(p.GetNeed()),
+		After:  c.text("after", p.GetAfter(), MaxCursorLength),
+	}
+}
+
+func (c *checker) encodePullReply(m *message.PullReply) *nodepb.PullReply {
+	out := &nodepb.PullReply{
+		Region: c.name("region", m.Region),
+		Share:  m.Share,
+		Knows:  int64(m.Knows),
+		After:  c.text("after", m.After, MaxCursorLength),
+		Next:   c.text("next", m.Next, MaxCursorLength),
+	}
+	for i := range m.Records {
+		r := &m.Records[i]
+		out.Records = append(out.Records, &nodepb.Record{
+			Key:    c.encodeKey(r.Key),
+			Digest: encodeDigest(r.Digest),
+			Holder: c.node("holder", r.Holder),
+			Token:  c.name("token", r.Token),
+			AgeNs:  c.nanos("age", r.Age),
+		})
+	}
+	return out
+}
+
+func (c *checker) decodePullReply(p *nodepb.PullReply) message.PullReply {
+	out := message.PullReply{
+		Region: c.name("region", p.GetRegion()),
+		Share:  p.GetShare(),
+		Knows:  state.Epoch(p.GetKnows()),
+		After:  c.text("after", p.GetAfter(), MaxCursorLength),
+		Next:   c.text("next", p.GetNext(), MaxCursorLength),
+	}
+	for _, r := range p.GetRecords() {
+		out.Records = append(out.Records, message.Record{
+			Key:    c.decodeKey(r.GetKey()),
+			Digest: c.decodeDigest(r.GetDigest()),
+			Holder: state.NodeID(c.name("holder", r.GetHolder())),
+			Token:  c.name("token", r.GetToken()),
+			Age:    c.duration("age", r.GetAgeNs()),
+		})
+	}
+	return out
+}
