Route submissions at the entry and limit what is let in

Cause: an entry needs one machine that sees to exactly one final answer for each submission, and a check that refuses at once what the fleet can't carry.

Ruled out: a queue at the entry (it hides work from the homes and delays the refusal); a flight per ticket (a resubmission could be told 'not run' while an earlier attempt of this entry is still open).

--- /dev/null
+++ b/coordination/route/agents.go
@@ -0,0 +1,143 @@
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// downFor is how long an agent with a lost link is passed over, unless it is
+// heard of before.
+const downFor = time.Second
+
+// maxDraws bounds the random draws before all candidates are looked through.
+const maxDraws = 8
+
+// agent is what this entry knows of one agent beside its load report.
+type agent struct {
+	inFlight int
+	// seq is the latest report seen; unseen counts tries sent since, which no
+	// report can show yet.
+	seq    uint64
+	unseen int
+	downAt time.Time
+}
+
+type agents struct {
+	shards [shardCount]agentShard
+}
+
+type agentShard struct {
+	mu sync.Mutex
+	m  map[state.NodeID]*agent // guarded by mu
+}
+
+func (a *agents) init() {
+	for i := range a.shards {
+		a.shards[i].m = make(map[state.NodeID]*agent)
+	}
+}
+
+// with runs fn on an agent's record under its lock.
+func (a *agents) with(id state.NodeID, fn func(*agent)) {
+	s := &a.shards[xxhash.Sum64String(string(id))%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.m[id] == nil {
+		s.m[id] = &agent{}
+	}
+	fn(s.m[id])
+}
+
+func (a *agents) forget(id state.NodeID) {
+	s := &a.shards[xxhash.Sum64String(string(id))%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.m, id)
+}
+
+func (a *agents) sent(id state.NodeID) {
+	a.with(id, func(g *agent) { g.inFlight++; g.unseen++ })
+}
+
+func (a *agents) ended(id state.NodeID) {
+	a.with(id, func(g *agent) { g.inFlight = max(0, g.inFlight-1) })
+}
+
+func (a *agents) setDown(id state.NodeID, at time.Time) {
+	a.with(id, func(g *agent) { g.downAt = at })
+}
+
+// score is the load per slot: what the agent reported and what was sent since,
+// or what this entry alone has there if that is more.
+func (a *agents) score(now time.Time, l *state.AgentLoad) (score float64, down bool) {
+	a.with(l.ID, func(g *agent) {
+		if g.seq != l.Seq {
+			g.seq, g.unseen = l.Seq, 0
+		}
+		known := l.Slots - l.Free + l.Queued + g.unseen
+		score = float64(max(known, g.inFlight)) / float64(max(1, l.Slots))
+		down = !g.downAt.IsZero() && now.Sub(g.downAt) < downFor
+	})
+	return score, down
+}
+
+// fits reports whether a task's declared size fits an agent's worker at all.
+func fits(t *state.Task, l *state.AgentLoad) bool {
+	return t.Cores <= l.Cores && t.MemoryMB <= l.MemoryMB && t.Accelerators <= l.Accelerators
+}
+
+// pick chooses the better of two eligible agents by known load. Of all
+// candidates the least loaded would draw every entry at once until its next
+// report; the better of two random ones spreads them. Without an eligible one
+// it returns the reason.
+func (r *Router) pick(now time.Time, rng *rand.Rand, service string, t *state.Task, tried []try) (state.NodeID, state.Reason) {
+	all := r.opts.View.Candidates(service)
+	best, bestScore, found := state.NodeID(""), 0.0, 0
+	consider := func(l *state.AgentLoad) {
+		if !eligible(t, l, tried) || l.ID == best {
+			return
+		}
+		score, down := r.agents.score(now, l)
+		if down {
+			return
+		}
+		if found++; best == "" || score < bestScore {
+			best, bestScore = l.ID, score
+		}
+	}
+	for draw := 0; draw < maxDraws && found < 2 && len(all) > 0; draw++ {
+		consider(&all[rng.IntN(len(all))])
+	}
+	for i := 0; i < len(all) && found < 2; i++ {
+		consider(&all[i])
+	}
+	if best != "" {
+		return best, state.ReasonNone
+	}
+	return "", whyNone(t, all)
+}
+
+func eligible(t *state.Task, l *state.AgentLoad, tried []try) bool {
+	if l.Draining || l.Ejected || !fits(t, l) {
+		return false
+	}
+	return !slices.ContainsFunc(tried, func(o try) bool { return o.agent == l.ID })
+}
+
+func whyNone(t *state.Task, all []state.AgentLoad) state.Reason {
+	for i := range all {
+		if fits(t, &all[i]) {
+			return state.ReasonNoBackend
+		}
+	}
+	if len(all) > 0 {
+		return state.ReasonNeverRunnable
+	}
+	return state.ReasonNoBackend
+}
--- /dev/null
+++ b/coordination/route/answer.go
@@ -0,0 +1,191 @@
+package route
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// onAnswer takes the answer to the current attempt, from whom it was asked of.
+func (r *Router) onAnswer(now time.Time, f *flight, from state.NodeID, m *message.Answer) {
+	if m.Attempt != f.cur.id || from != f.target {
+		r.stats.add(&r.stats.late)
+		return
+	}
+	if f.kind != kindSubmit {
+		r.onQueryAnswer(now, f, from, m)
+		return
+	}
+	switch m.Outcome {
+	case state.Pending:
+		r.heard(now, f)
+	case state.Complete:
+		r.onComplete(now, f, m)
+	case state.NotRun:
+		r.onNotRun(now, f, from, m)
+	case state.Unknown:
+		r.onUnknown(now, f, from, m)
+	default:
+		r.settle(now, f, m)
+	}
+}
+
+// onComplete checks that the answer is whole. The failure it is for: a peer of
+// another version that cuts an answer short, which the caller would take for
+// the whole.
+func (r *Router) onComplete(now time.Time, f *flight, m *message.Answer) {
+	if len(m.Results) == len(f.job.Tasks) {
+		r.settle(now, f, m)
+		return
+	}
+	r.settle(now, f, &message.Answer{
+		Outcome: state.Failed, Reason: state.ReasonTaskFailed,
+		Detail: "the answer did not hold a result for each task", Stats: m.Stats,
+	})
+}
+
+// settle ends the flight with an answer that says what became of the job, and
+// so of every attempt: none of them can be granted beside it.
+func (r *Router) settle(now time.Time, f *flight, m *message.Answer) {
+	for len(f.open) > 0 {
+		id := f.open[0].id
+		delete(r.shardOf(f.key).attempts, id)
+		f.ruleOut(id)
+	}
+	r.finish(now, f, *m)
+}
+
+// onNotRun takes a home's or holder's word that this attempt is ruled out.
+func (r *Router) onNotRun(now time.Time, f *flight, from state.NodeID, m *message.Answer) {
+	tried := f.cur
+	delete(r.shardOf(f.key).attempts, tried.id)
+	f.ruleOut(tried.id)
+	v := verdict{reason: m.Reason, detail: m.Detail, retryAfter: m.RetryAfter}
+	switch {
+	case m.Reason == state.ReasonIDConflict:
+		r.giveUp(now, f, v)
+	case r.elsewhere(m, from):
+		r.askHolder(now, f, m.Holder)
+	case notReady(m.Reason):
+		r.wait(now, f, m.Reason, tried.epoch)
+	case m.Reason == state.ReasonBarred:
+		r.ruledOut(now, f)
+	case isDeadline(m.Reason) && r.waitsLonger(f):
+		r.tryHome(now, f)
+	default:
+		r.giveUp(now, f, v)
+	}
+}
+
+// onUnknown takes an answer that leaves the attempt open.
+func (r *Router) onUnknown(now time.Time, f *flight, from state.NodeID, m *message.Answer) {
+	switch {
+	case r.elsewhere(m, from):
+		r.askHolder(now, f, m.Holder)
+	case notReady(m.Reason):
+		r.wait(now, f, m.Reason, f.cur.epoch)
+	default:
+		r.finish(now, f, *m)
+	}
+}
+
+// onQueryAnswer relays what the home or the holder says of a job.
+func (r *Router) onQueryAnswer(now time.Time, f *flight, from state.NodeID, m *message.Answer) {
+	switch {
+	case r.elsewhere(m, from):
+		r.askHolder(now, f, m.Holder)
+		return
+	case notReady(m.Reason):
+		r.wait(now, f, m.Reason, f.cur.epoch)
+		return
+	}
+	answer := *m
+	if answer.Outcome == state.NotRun && r.shardOf(f.key).openLocked(f.key) {
+		answer.Outcome = state.Unknown
+	}
+	r.finish(now, f, answer)
+}
+
+// elsewhere reports whether an answer names another node to ask.
+func (r *Router) elsewhere(m *message.Answer, from state.NodeID) bool {
+	final := m.Outcome == state.Complete || m.Outcome == state.Failed
+	return !final && m.Holder != "" && m.Holder != from
+}
+
+// notReady reports whether a reason passes by itself once the roster has moved
+// or a member has caught up.
+func notReady(reason state.Reason) bool {
+	switch reason {
+	case state.ReasonStaleEpoch, state.ReasonClaimsUnknown, state.ReasonNotReady, state.ReasonDraining:
+		return true
+	}
+	return false
+}
+
+func isDeadline(reason state.Reason) bool {
+	return reason == state.ReasonDeadline || reason == state.ReasonDeadlineUnreachable
+}
+
+// waitsLonger reports whether somebody waits longer than the home was told.
+func (r *Router) waitsLonger(f *flight) bool {
+	if f.until.IsZero() {
+		return false
+	}
+	latest, ok := f.latest()
+	return !ok || latest.After(f.until)
+}
+
+// heard notes that the target is at work on the attempt.
+func (r *Router) heard(now time.Time, f *flight) {
+	f.phase = asking
+	f.cutAt = time.Time{}
+	f.held = true
+	f.probes = 0
+	f.probe = min(f.probe*2, probeMax)
+	f.resendAt = now.Add(f.probe)
+}
+
+// askHolder joins the job at the node that holds it. The content digest goes
+// along, so a holder of other content refuses.
+func (r *Router) askHolder(now time.Time, f *flight, holder state.NodeID) {
+	f.redirects++
+	r.stats.add(&r.stats.redirects)
+	if f.redirects > maxRedirects || !r.opts.Roster.Alive(holder) {
+		r.unknown(now, f, state.ReasonHomeLost)
+		return
+	}
+	_, _, epoch, _ := r.opts.Roster.Pair(f.key.Service, f.key)
+	r.begin(now, f, holder, attempt{id: r.newAttempt(), digest: f.digest, epoch: epoch, home: holder})
+	f.held = true
+}
+
+// unknown ends the flight without knowing what became of the job.
+func (r *Router) unknown(now time.Time, f *flight, reason state.Reason) {
+	r.finish(now, f, message.Answer{Outcome: state.Unknown, Reason: reason, RetryAfter: retryPair})
+}
+
+// wait lets the pair become ready, for pairWait in all.
+func (r *Router) wait(now time.Time, f *flight, reason state.Reason, tried state.Epoch) {
+	if f.waitUntil.IsZero() {
+		f.waitUntil = now.Add(pairWait)
+		f.catchUp = catchUpMin
+	}
+	f.waitReason, f.tried = reason, tried
+	if r.moved(f, tried) {
+		r.tryHome(now, f)
+		return
+	}
+	f.phase = waiting
+	if f.cur.id == "" {
+		r.shardOf(f.key).aimLocked(f, "")
+	}
+	f.wakeAt = now.Add(f.catchUp)
+	f.catchUp = min(f.catchUp*2, catchUpMax)
+}
+
+// moved reports whether the share has another pair than at an epoch.
+func (r *Router) moved(f *flight, tried state.Epoch) bool {
+	_, _, epoch, ok := r.opts.Roster.Pair(f.key.Service, f.key)
+	return ok && epoch > tried
+}
--- /dev/null
+++ b/coordination/route/drive.go
@@ -0,0 +1,130 @@
+package route
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// withFlight runs fn on the flight that owns an attempt. An answer for an
+// attempt that nobody has open is late or repeated, and dropped.
+func (r *Router) withFlight(now time.Time, key state.JobKey, id message.Attempt, fn func(*flight)) []coordination.Action {
+	s := r.shardOf(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.attempts[id]
+	if f == nil || f.key != key {
+		r.stats.add(&r.stats.late)
+		return nil
+	}
+	fn(f)
+	s.scheduleLocked(f)
+	return s.takeLocked()
+}
+
+// eachTarget runs fn on every flight that id owes an answer.
+func (r *Router) eachTarget(now time.Time, id state.NodeID, fn func(*flight)) []coordination.Action {
+	var acts []coordination.Action
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		for _, f := range sorted(s.targets[id]) {
+			fn(f)
+			s.scheduleLocked(f)
+		}
+		acts = append(acts, s.takeLocked()...)
+		s.mu.Unlock()
+	}
+	return acts
+}
+
+// eachFlight runs fn on every flight.
+func (r *Router) eachFlight(now time.Time, fn func(*flight)) []coordination.Action {
+	var acts []coordination.Action
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		for _, f := range sorted(s.all) {
+			fn(f)
+			s.scheduleLocked(f)
+		}
+		acts = append(acts, s.takeLocked()...)
+		s.mu.Unlock()
+	}
+	return acts
+}
+
+func (r *Router) tickShard(now time.Time, s *shard, look bool) []coordination.Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for f := s.popDueLocked(now); f != nil; f = s.popDueLocked(now) {
+		r.onDue(now, f)
+		s.scheduleLocked(f)
+	}
+	if look {
+		r.lookAliveLocked(now, s)
+	}
+	s.forgetLeftLocked(now)
+	return s.takeLocked()
+}
+
+// lookAliveLocked treats a target that nobody hears of like one whose link is
+// lost. A paused home keeps its link, so that alone would not tell.
+func (r *Router) lookAliveLocked(now time.Time, s *shard) {
+	for _, f := range sorted(s.all) {
+		if f.target != "" && f.cutAt.IsZero() && !r.opts.Roster.Alive(f.target) {
+			r.onSilent(now, f)
+			s.scheduleLocked(f)
+		}
+	}
+}
+
+// send hands a message of f to the driver.
+func (r *Router) send(f *flight, to state.NodeID, msg message.Message) {
+	s := r.shardOf(f.key)
+	s.acts = append(s.acts, coordination.Send{To: to, Msg: msg})
+	r.stats.add(&r.stats.messages)
+}
+
+// sendExtra is send for a message that leads to no first start.
+func (r *Router) sendExtra(f *flight, to state.NodeID, msg message.Message) {
+	r.send(f, to, msg)
+	r.stats.add(&r.stats.wasted)
+	f.extra++
+}
+
+// finish gives the flight's answer to everybody who waits for it.
+func (r *Router) finish(now time.Time, f *flight, a message.Answer) {
+	s := r.shardOf(f.key)
+	a.Key = f.key
+	a.Stats.Messages += f.extra
+	a.Stats.Wasted += f.extra
+	for _, w := range f.waiters {
+		r.finishTicket(s, w.ticket, a)
+	}
+	f.waiters = nil
+	r.account(now, f, a.Outcome)
+	s.removeLocked(now, f)
+}
+
+// finishTicket delivers unless the ticket has been delivered or abandoned: who
+// takes the ticket out of the table answers it.
+func (r *Router) finishTicket(s *shard, ticket uint64, a message.Answer) {
+	if _, ok := r.tickets.remove(ticket); ok {
+		s.acts = append(s.acts, r.deliver(ticket, a))
+	}
+}
+
+// account tells the limits and the service's response times of the end.
+func (r *Router) account(now time.Time, f *flight, outcome state.Outcome) {
+	ok := outcome == state.Complete
+	elapsed := now.Sub(f.began)
+	if ok && f.kind == kindSubmit {
+		f.service.jobDone(elapsed)
+	}
+	if f.admitted {
+		r.opts.Limits.Done(now, f.job.Operator, f.key.Service, len(f.job.Tasks), elapsed, ok)
+	}
+}
