Run jobs at their home and admit tasks beside the backend server

The home claims, places, gathers and answers; the admission machine beside the backend server decides what fits and starts each task at most once. Both are plain machines of (event, now) that return actions.

A task moves only after a refusal that names its try, so that a late copy of a refusal or an Assign can't start it twice. 'Not run' waits for the agents to rule out what they were given. Placement keeps two policies, push and late binding, until they have been measured against each other.

--- /dev/null
+++ b/coordination/admit/credit.go
@@ -0,0 +1,143 @@
+package admit
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// interest is a home's word that more tasks of an operator wait there.
+type interest struct {
+	home     state.NodeID
+	operator string
+	key      state.JobKey // the job last named
+	backlog  int
+	until    time.Time
+}
+
+// interests holds what waits elsewhere, the longest unserved first.
+type interests struct {
+	list []interest
+}
+
+// credit is a slot kept for a home that was offered it.
+type credit struct {
+	home  state.NodeID
+	key   state.JobKey
+	count int
+	until time.Time
+}
+
+func (in *interests) clear() { in.list = nil }
+
+// note takes in the newest backlog of a home for an operator and a service.
+func (in *interests) note(n interest) {
+	for i := range in.list {
+		x := &in.list[i]
+		if x.home != n.home || x.operator != n.operator || x.key.Service != n.key.Service {
+			continue
+		}
+		if n.backlog == 0 {
+			in.removeAt(i)
+			return
+		}
+		*x = n
+		return
+	}
+	if n.backlog > 0 {
+		in.list = append(in.list, n)
+	}
+}
+
+func (in *interests) removeAt(i int) {
+	in.list = append(in.list[:i], in.list[i+1:]...)
+}
+
+// drop forgets a job that its home has given up.
+func (in *interests) drop(home state.NodeID, key state.JobKey) {
+	for i := range in.list {
+		if in.list[i].home == home && in.list[i].key == key {
+			in.removeAt(i)
+			return
+		}
+	}
+}
+
+// dropHome forgets every interest of a home for a service.
+func (in *interests) dropHome(home state.NodeID, service string) {
+	kept := in.list[:0]
+	for _, x := range in.list {
+		if x.home != home || x.key.Service != service {
+			kept = append(kept, x)
+		}
+	}
+	in.list = kept
+}
+
+func (m *Machine) interestLocked(now time.Time, from state.NodeID, a *message.Assign) {
+	m.interests.note(interest{
+		home: from, operator: a.Operator, key: a.Key, backlog: a.Backlog,
+		until: now.Add(DefaultInterestTTL),
+	})
+}
+
+// offerLocked offers free slots to homes with a backlog, one each in turn. The
+// offer travels with a result to the same home if there is one.
+func (m *Machine) offerLocked(now time.Time) {
+	for m.freeLocked() > 0 && len(m.interests.list) > 0 && m.detector.admits(now, len(m.running)) {
+		in := m.interests.list[0]
+		m.interests.removeAt(0)
+		if now.After(in.until) {
+			continue
+		}
+		in.backlog--
+		if in.backlog > 0 {
+			m.interests.list = append(m.interests.list, in)
+		}
+		box := m.outboxLocked(in.home)
+		box.report(in.key).Credit++
+		box.urgent = true
+		m.credits = append(m.credits, credit{in.home, in.key, 1, now.Add(m.o.CreditTTL)})
+	}
+}
+
+// useCreditLocked gives back what was kept for the sender of n tasks.
+func (m *Machine) useCreditLocked(from state.NodeID, service string, n int) {
+	kept := m.credits[:0]
+	for _, c := range m.credits {
+		if c.home == from && c.key.Service == service && n > 0 {
+			used := min(c.count, n)
+			c.count -= used
+			n -= used
+		}
+		if c.count > 0 {
+			kept = append(kept, c)
+		}
+	}
+	m.credits = kept
+}
+
+// expireCreditsLocked frees slots that a home was offered and made no use of.
+// Such a home has nothing more to run; what it said of its backlog is forgotten
+// so that it isn't asked again and again.
+func (m *Machine) expireCreditsLocked(now time.Time) {
+	kept := m.credits[:0]
+	for _, c := range m.credits {
+		if now.Before(c.until) {
+			kept = append(kept, c)
+			continue
+		}
+		m.interests.dropHome(c.home, c.key.Service)
+		m.o.Metrics.creditUnused(c.count)
+	}
+	m.credits = kept
+}
+
+func (m *Machine) reservedLocked() int {
+	n := 0
+	for _, c := range m.credits {
+		n += c.count
+	}
+	return n
+}
--- /dev/null
+++ b/coordination/admit/metrics.go
@@ -0,0 +1,34 @@
+package admit
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// Metrics counts what the machine does with tasks.
+type Metrics struct {
+	starts  prometheus.Counter
+	refusal *prometheus.CounterVec
+	unused  prometheus.Counter
+}
+
+// NewMetrics returns the counters, registered with r unless it is nil.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		starts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallotstep_admit_starts_total", Help: "Tasks handed to the backend server."}),
+		refusal: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotstep_admit_refusals_total", Help: "Tasks refused before start, by reason."}, []string{"reason"}),
+		unused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallotstep_admit_credits_unused_total", Help: "Slots offered to a home that made no use of them."}),
+	}
+	if r != nil {
+		r.MustRegister(m.starts, m.refusal, m.unused)
+	}
+	return m
+}
+
+func (m *Metrics) started()               { m.starts.Inc() }
+func (m *Metrics) refused(r state.Reason) { m.refusal.WithLabelValues(string(r)).Inc() }
+func (m *Metrics) creditUnused(n int)     { m.unused.Add(float64(n)) }
--- /dev/null
+++ b/coordination/admit/start.go
@@ -0,0 +1,168 @@
+package admit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// resources is what running tasks hold of a worker.
+type resources struct {
+	cores        float64
+	memoryMB     int64
+	accelerators int64
+	connections  int
+}
+
+func (r *resources) add(o resources) {
+	r.cores += o.cores
+	r.memoryMB += o.memoryMB
+	r.accelerators += o.accelerators
+	r.connections += o.connections
+}
+
+func (r *resources) sub(o resources) {
+	r.cores -= o.cores
+	r.memoryMB -= o.memoryMB
+	r.accelerators -= o.accelerators
+	r.connections -= o.connections
+}
+
+// coreSlack absorbs rounding when fractions of cores are added up.
+const coreSlack = 1e-6
+
+// holdsLocked reports whether the worker is large enough for the task as
+// declared.
+func (m *Machine) holdsLocked(e *entry) bool {
+	size := state.AgentLoad{Cores: m.backend.Cores, MemoryMB: m.backend.MemoryMB, Accelerators: m.backend.Accelerators}
+	return size.Fits(&e.spec)
+}
+
+// fitsLocked reports whether the task may start now beside what runs. Workers
+// start whatever they are given, so a yes here that is wrong runs the worker
+// out of memory and takes every task on it down.
+func (m *Machine) fitsLocked(e *entry) bool {
+	b := m.backend
+	if len(m.running)+m.reservedLocked() >= m.slotsLocked() {
+		return false
+	}
+	need := m.needLocked(e)
+	if b.Connections > 0 && m.used.connections+need.connections > b.Connections {
+		return false
+	}
+	if m.used.accelerators+need.accelerators > b.Accelerators {
+		return false
+	}
+	if b.MemoryMB > 0 && m.used.memoryMB+need.memoryMB > b.MemoryMB {
+		return false
+	}
+	return b.Cores <= 0 || m.used.cores+need.cores <= b.Cores+coreSlack
+}
+
+func (m *Machine) slotsLocked() int {
+	if m.backend.Connections > 0 {
+		return min(m.backend.Slots, m.backend.Connections/connectionsPerTask)
+	}
+	return m.backend.Slots
+}
+
+// startLocked starts what waits and fits, in the queue's fair order.
+func (m *Machine) startLocked(now time.Time) []coordination.Action {
+	for m.startNextLocked(now) {
+	}
+	out := m.starts
+	m.starts = nil
+	return out
+}
+
+// startNextLocked starts one task if one fits, and reports whether it did.
+func (m *Machine) startNextLocked(now time.Time) bool {
+	e := m.queue.next(now, func(e *entry) verdict {
+		switch {
+		case !e.deadline.IsZero() && !now.Before(e.deadline):
+			return shed
+		case m.fitsLocked(e):
+			return take
+		}
+		return leave
+	})
+	if e == nil {
+		return false
+	}
+	m.seq++
+	if !e.deadline.IsZero() && !now.Before(e.deadline) {
+		m.refuseLocked(e, state.ReasonDeadline)
+		return true
+	}
+	e.phase = running
+	e.started = now
+	e.reserved = m.needLocked(e)
+	m.used.add(e.reserved)
+	m.running[e.key] = e
+	start := coordination.StartTask{Task: e.key, Spec: e.spec}
+	if !e.deadline.IsZero() {
+		start.Deadline = e.deadline.Sub(now)
+	}
+	m.starts = append(m.starts, start)
+	m.o.Metrics.started()
+	return true
+}
+
+func (m *Machine) releaseLocked(e *entry) {
+	delete(m.running, e.key)
+	m.used.sub(e.reserved)
+	e.reserved = resources{}
+	m.seq++
+}
+
+func (m *Machine) runningInOrderLocked() []*entry {
+	out := make([]*entry, 0, len(m.running))
+	for _, e := range m.running {
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b *entry) int {
+		return cmp.Or(a.started.Compare(b.started), cmp.Compare(a.key.Job.Service, b.key.Job.Service),
+			cmp.Compare(a.key.Job.ID, b.key.Job.ID), cmp.Compare(a.key.Index, b.key.Index))
+	})
+	return out
+}
+
+// Load says how the backend server stands now.
+func (m *Machine) Load() state.AgentLoad {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.loadLocked(m.lastSeen)
+}
+
+func (m *Machine) loadLocked(now time.Time) state.AgentLoad {
+	l := state.AgentLoad{
+		ID: m.o.Self.ID, Addr: m.o.Self.Addr, Seq: m.seq,
+		Region: m.o.Self.Region, Domain: m.o.Self.Domain, Rack: m.o.Self.Rack,
+		Queued: m.queue.len(),
+	}
+	reason := m.refusalLocked(now)
+	l.Draining = reason != state.ReasonNone
+	if m.backend == nil {
+		return l
+	}
+	b := m.backend
+	l.Services, l.Slots = b.Services, b.Slots
+	l.Cores, l.MemoryMB, l.Accelerators = b.Cores, b.MemoryMB, b.Accelerators
+	l.Ejected = m.detector.ejected(now)
+	if reason == state.ReasonNone {
+		l.Free = m.freeLocked()
+	}
+	if m.detector.probing(now) {
+		l.Free = max(0, min(l.Free, 1-len(m.running)-l.Queued))
+	}
+	return l
+}
+
+// freeLocked returns how many slots nobody has been promised.
+func (m *Machine) freeLocked() int {
+	free := m.slotsLocked() - len(m.running) - m.queue.len() - m.reservedLocked()
+	return max(0, free)
+}
--- /dev/null
+++ b/coordination/home/agents.go
@@ -0,0 +1,146 @@
+package home
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/place"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+const (
+	// unseenFor is how long a push may be missing from an agent's own load:
+	// about a round trip.
+	unseenFor = 5 * time.Millisecond
+	// toldFor is how long an agent is taken to remember a backlog.
+	toldFor = time.Second
+)
+
+// agent is what the home knows of one agent, for one service.
+type agent struct {
+	load state.AgentLoad
+	// free is how many slots are taken to be idle. Negative: tasks queue there.
+	free int
+	// pushed tasks since pushedAt may not be in load yet.
+	pushed   int
+	pushedAt time.Time
+	// told is how much backlog the agent was told of and has not offered slots for.
+	told   int
+	toldAt time.Time
+	// avoidUntil: it refused tasks, or the link to it broke.
+	avoidUntil time.Time
+	avoidFor   state.Reason
+	// usable: it is among the view's candidates and takes new work.
+	usable bool
+	// extra: brought in for a task that no candidate of the view could hold.
+	extra bool
+}
+
+// learn takes in a load if it is news. The same load again isn't: taking it in
+// would forget the tasks sent since.
+func (a *agent) learn(now time.Time, l state.AgentLoad) {
+	if a.load.ID != "" && l.Seq <= a.load.Seq {
+		return
+	}
+	a.load = l
+	a.free = l.Free - l.Queued
+	if now.Sub(a.pushedAt) < unseenFor {
+		a.free -= a.pushed
+	}
+}
+
+// push notes n tasks sent.
+func (a *agent) push(now time.Time, n int) {
+	if now.Sub(a.pushedAt) >= unseenFor {
+		a.pushed = 0
+		a.pushedAt = now
+	}
+	a.pushed += n
+	a.free -= n
+}
+
+func (a *agent) avoid(until time.Time, why state.Reason) {
+	if until.After(a.avoidUntil) {
+		a.avoidUntil = until
+		a.avoidFor = why
+	}
+}
+
+func (a *agent) open(now time.Time) bool {
+	return a.usable && !now.Before(a.avoidUntil)
+}
+
+// knowsBacklog reports whether the agent will offer slots by itself.
+func (a *agent) knowsBacklog(now time.Time) bool {
+	return a.told > 0 && now.Sub(a.toldAt) < toldFor
+}
+
+// refreshEvery is how often the view is read while tasks wait.
+const refreshEvery = 5 * time.Millisecond
+
+// refresh reads the view.
+func (p *pool) refresh(now time.Time, force bool) {
+	if !force && now.Before(p.refreshAt) {
+		return
+	}
+	p.refreshAt = now.Add(refreshEvery)
+	loads := p.o.View.Candidates(p.service)
+	for _, a := range p.list {
+		a.usable = a.extra
+	}
+	kept := p.list[:0]
+	for _, a := range p.list {
+		if a.extra {
+			kept = append(kept, a)
+		}
+	}
+	p.list = kept
+	for i := range loads {
+		a := p.agents[loads[i].ID]
+		if a == nil {
+			a = &agent{}
+			p.agents[loads[i].ID] = a
+		}
+		if !a.extra {
+			p.list = append(p.list, a)
+		}
+		a.learn(now, loads[i])
+	}
+	p.markUsable()
+}
+
+func (p *pool) markUsable() {
+	usable, override := place.Usable(p.loads())
+	p.override = override
+	for _, a := range p.list {
+		a.usable = false
+	}
+	for i := range usable {
+		p.agents[usable[i].ID].usable = true
+	}
+}
+
+// loads returns what is known of every agent in the list.
+func (p *pool) loads() []state.AgentLoad {
+	out := make([]state.AgentLoad, len(p.list))
+	for i, a := range p.list {
+		out[i] = a.load
+	}
+	return out
+}
+
+// addExtra brings in agents beyond the view's candidates.
+func (p *pool) addExtra(loads []state.AgentLoad) {
+	for i := range loads {
+		a := p.agents[loads[i].ID]
+		if a == nil {
+			a = &agent{}
+			p.agents[loads[i].ID] = a
+		}
+		if !a.extra {
+			a.extra = true
+			p.list = append(p.list, a)
+		}
+		a.learn(p.refreshAt, loads[i])
+	}
+	p.markUsable()
+}
--- /dev/null
+++ b/coordination/home/home.go
@@ -0,0 +1,270 @@
+// Package home is the job machine of a job's home agent: the first member of
+// the pair that guards the job's share. It has the claim recorded, places the
+// tasks at agents, gathers the results and answers whoever waits.
+//
+// It keeps three promises. A task is with one agent at a time and moves only
+// after that agent said that it did not start it and never will. An answer is
+// complete or a refusal or a failure, never partial. "Not run" is said only
+// when nothing was started and nothing will be.
+package home
+
+import (
+	"hash/maphash"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// Claimer has a claim recorded by both members of the pair. Its verdict comes
+// back through Home.Verdict.
+type Claimer interface {
+	Claim(now time.Time, key state.JobKey, digest state.Digest, attempt message.Attempt, epoch state.Epoch) []coordination.Action
+}
+
+// View knows how loaded the agents are that serve a service.
+type View interface {
+	Candidates(service string) []state.AgentLoad
+}
+
+// Fitter is a View that can also look beyond its candidates for a worker that
+// is large enough for a task.
+type Fitter interface {
+	CandidatesFor(service string, t *state.Task) []state.AgentLoad
+}
+
+// Policy says what becomes of tasks for which no free slot is known.
+type Policy uint8
+
+// The policies that are being compared.
+const (
+	// LateBinding keeps them at the home until an agent offers a slot.
+	LateBinding Policy = iota
+	// Push sends them to the better of two agents, to queue there.
+	Push
+)
+
+// Defaults of Options.
+const (
+	DefaultRetention   = 10 * time.Minute
+	DefaultStoredBytes = 16 << 20
+	DefaultMaxWaiting  = 20000
+	DefaultGrace       = 100 * time.Millisecond
+	DefaultResend      = time.Second
+	DefaultSettle      = 50 * time.Millisecond
+	DefaultAsk         = 2
+)
+
+// Options configure a Home. Zero values stand for the defaults above.
+type Options struct {
+	Self   state.NodeID
+	Claims Claimer
+	View   View
+	Seed   uint64
+	// Retention is how long answers stay for resubmission.
+	Retention time.Duration
+	// StoredBytes bounds the stored answers; beyond it the oldest lose their
+	// results.
+	StoredBytes int
+	// MaxWaiting bounds the tasks of one service that wait for a slot.
+	MaxWaiting int
+	// Grace is how long a job may wait for a first backend server to be known.
+	Grace time.Duration
+	// Resend is how long an agent may be silent about a task before it is
+	// asked; the pause doubles from there.
+	Resend time.Duration
+	// Settle is how long an answer may wait for word on whether something was
+	// started, before it is "unknown".
+	Settle time.Duration
+	// Ask is how many agents hear of a backlog at once.
+	Ask    int
+	Policy Policy
+	// Metrics may be nil.
+	Metrics *Metrics
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.Retention, DefaultRetention)
+	setDefault(&o.StoredBytes, DefaultStoredBytes)
+	setDefault(&o.MaxWaiting, DefaultMaxWaiting)
+	setDefault(&o.Grace, DefaultGrace)
+	setDefault(&o.Resend, DefaultResend)
+	setDefault(&o.Settle, DefaultSettle)
+	setDefault(&o.Ask, DefaultAsk)
+	if o.Metrics == nil {
+		o.Metrics = NewMetrics(nil)
+	}
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+const shardCount = 16
+
+// Home runs the jobs whose home this agent is. It is safe for concurrent use.
+// Services are spread over shards; a shard's lock guards everything about its
+// services' jobs.
+type Home struct {
+	o      Options
+	seed   maphash.Seed
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu       sync.Mutex
+	pools    map[string]*pool // by service, guarded by mu
+	order    []*pool          // in order of creation, guarded by mu
+	draining bool             // guarded by mu
+}
+
+// New returns a home without jobs.
+func New(o Options) *Home {
+	o.setDefaults()
+	h := &Home{o: o, seed: maphash.MakeSeed()}
+	for i := range h.shards {
+		h.shards[i].pools = make(map[string]*pool)
+	}
+	return h
+}
+
+func (h *Home) shard(service string) *shard {
+	return &h.shards[maphash.String(h.seed, service)%shardCount]
+}
+
+// poolLocked returns the service's pool, made if create is set.
+func (h *Home) poolLocked(s *shard, service string, create bool) *pool {
+	p := s.pools[service]
+	if p == nil && create {
+		p = newPool(&h.o, service, rand.New(rand.NewPCG(h.o.Seed, maphash64(service))))
+		s.pools[service] = p
+		s.order = append(s.order, p)
+	}
+	return p
+}
+
+// Handle takes a Submit, Cancel or Report.
+func (h *Home) Handle(now time.Time, from state.NodeID, msg message.Message) []coordination.Action {
+	switch msg := msg.(type) {
+	case message.Submit:
+		return h.in(msg.Job.Key.Service, !msg.Query, func(s *shard, p *pool) []coordination.Action {
+			return p.submit(now, from, &msg, s.draining)
+		}, func() []coordination.Action { return unknownJob(from, msg.Job.Key, msg.Attempt) })
+	case message.Cancel:
+		return h.in(msg.Key.Service, false, func(_ *shard, p *pool) []coordination.Action {
+			return p.cancel(now, from, &msg)
+		}, func() []coordination.Action { return unknownJob(from, msg.Key, msg.Attempt) })
+	case message.Report:
+		return h.in(msg.Key.Service, false, func(_ *shard, p *pool) []coordination.Action {
+			return p.report(now, from, &msg)
+		}, nil)
+	}
+	return nil
+}
+
+// in calls f with the service's pool under the shard's lock, or none if there
+// is no such pool.
+func (h *Home) in(service string, create bool, f func(*shard, *pool) []coordination.Action, none func() []coordination.Action) []coordination.Action {
+	s := h.shard(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := h.poolLocked(s, service, create)
+	if p != nil {
+		return f(s, p)
+	}
+	if none == nil {
+		return nil
+	}
+	return none()
+}
+
+// Verdict takes a claim's Granted or Denied.
+func (h *Home) Verdict(now time.Time, a coordination.Action) []coordination.Action {
+	switch a := a.(type) {
+	case coordination.Granted:
+		return h.in(a.Key.Service, false, func(_ *shard, p *pool) []coordination.Action {
+			return p.granted(now, a)
+		}, nil)
+	case coordination.Denied:
+		return h.in(a.Key.Service, false, func(_ *shard, p *pool) []coordination.Action {
+			return p.denied(now, a)
+		}, nil)
+	}
+	return nil
+}
+
+// each calls f for every pool in turn, each under its shard's lock.
+func (h *Home) each(f func(*pool) []coordination.Action) []coordination.Action {
+	var out []coordination.Action
+	for i := range h.shards {
+		s := &h.shards[i]
+		s.mu.Lock()
+		for _, p := range s.order {
+			out = append(out, f(p)...)
+		}
+		s.mu.Unlock()
+	}
+	return out
+}
+
+// PeerDown says that the link to an agent broke. What was in flight may be
+// lost; the agent may come back. It is asked again soon.
+func (h *Home) PeerDown(now time.Time, id state.NodeID) []coordination.Action {
+	return h.each(func(p *pool) []coordination.Action { return p.peerDown(now, id) })
+}
+
+// PeerGone says that an agent was evicted. Tasks that it may have started are
+// lost, and so are their jobs.
+func (h *Home) PeerGone(now time.Time, id state.NodeID) []coordination.Action {
+	return h.each(func(p *pool) []coordination.Action { return p.peerGone(now, id) })
+}
+
+// Tick notices passing time.
+func (h *Home) Tick(now time.Time) []coordination.Action {
+	return h.each(func(p *pool) []coordination.Action { return p.tick(now) })
+}
+
+// Drain refuses new submissions from now on; running jobs finish.
+func (h *Home) Drain(now time.Time) []coordination.Action {
+	for i := range h.shards {
+		s := &h.shards[i]
+		s.mu.Lock()
+		s.draining = true
+		s.mu.Unlock()
+	}
+	return nil
+}
+
+// Idle reports whether every job has been answered and settled.
+func (h *Home) Idle() bool {
+	return h.Stats().Running == 0
+}
+
+// Stats is a snapshot of what the home holds.
+type Stats struct {
+	// Running jobs have no final answer yet; Finished ones are kept for
+	// resubmission.
+	Running  int
+	Finished int
+	// Waiting tasks have no agent; Assigned ones are with an agent.
+	Waiting  int
+	Assigned int
+	// StoredBytes is the size of the stored answers.
+	StoredBytes int
+}
+
+// Stats counts jobs and tasks over all services.
+func (h *Home) Stats() Stats {
+	var st Stats
+	h.each(func(p *pool) []coordination.Action {
+		p.addStats(&st)
+		return nil
+	})
+	return st
+}
--- /dev/null
+++ b/coordination/home/home_test.go
@@ -0,0 +1,351 @@
+package home
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// grantAll grants each claim through the next Verdict.
+type grantAll struct{}
+
+func (grantAll) Claim(_ time.Time, key state.JobKey, _ state.Digest, attempt message.Attempt, _ state.Epoch) []coordination.Action {
+	return []coordination.Action{coordination.Granted{Key: key, Attempt: attempt}}
+}
+
+// fixedView always shows the same loads.
+type fixedView []state.AgentLoad
+
+func (v fixedView) Candidates(string) []state.AgentLoad { return v }
+
+// bench drives one home by hand.
+type bench struct {
+	h    *Home
+	now  time.Time
+	sent []coordination.Send
+}
+
+func newBench(view View, change func(*Options)) *bench {
+	o := Options{Self: "home", Claims: grantAll{}, View: view, Seed: 1}
+	if change != nil {
+		change(&o)
+	}
+	return &bench{h: New(o), now: time.Unix(1000, 0)}
+}
+
+func agents(free ...int) fixedView {
+	var v fixedView
+	for i, f := range free {
+		v = append(v, state.AgentLoad{
+			ID: state.NodeID(fmt.Sprintf("a%d", i)), Seq: 1, Services: []string{"s"},
+			Slots: 8, Free: f, Cores: 16, MemoryMB: 64000,
+		})
+	}
+	return v
+}
+
+func (b *bench) do(actions []coordination.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case coordination.Send:
+			b.sent = append(b.sent, a)
+		default:
+			b.do(b.h.Verdict(b.now, a))
+		}
+	}
+}
+
+func (b *bench) submit(id string, tasks int, deadline time.Duration, attempt message.Attempt) {
+	j := state.Job{Key: state.JobKey{Service: "s", ID: id}, Operator: "op"}
+	for i := range tasks {
+		j.Tasks = append(j.Tasks, state.Task{Payload: fmt.Appendf(nil, "%d", i), Cores: 1, MemoryMB: 100})
+	}
+	b.do(b.h.Handle(b.now, "entry", message.Submit{Job: j, Digest: j.Digest(), Attempt: attempt, Deadline: deadline}))
+}
+
+func (b *bench) pass(d time.Duration) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(coordination.TickInterval)
+		b.do(b.h.Tick(b.now))
+	}
+}
+
+// take removes and returns the sent messages of one type.
+func take[M message.Message](b *bench) (to []state.NodeID, out []M) {
+	var rest []coordination.Send
+	for _, s := range b.sent {
+		if m, ok := s.Msg.(M); ok {
+			to = append(to, s.To)
+			out = append(out, m)
+			continue
+		}
+		rest = append(rest, s)
+	}
+	b.sent = rest
+	return to, out
+}
+
+func (b *bench) report(from state.NodeID, r message.Report) { b.do(b.h.Handle(b.now, from, r)) }
+
+// succeed reports every task of an Assign as done.
+func (b *bench) succeed(from state.NodeID, a message.Assign) {
+	r := message.Report{Key: a.Key}
+	for _, i := range a.Indexes {
+		r.Results = append(r.Results, state.TaskResult{Index: i, Payload: fmt.Appendf(nil, "r%d", i), Ran: time.Millisecond})
+	}
+	b.report(from, r)
+}
+
+func (b *bench) refuse(from state.NodeID, a message.Assign, why state.Reason) {
+	b.report(from, message.Report{Key: a.Key, Refused: a.Indexes, Tries: a.Tries, Reason: why, RetryAfter: 20 * time.Millisecond})
+}
+
+func only(t *testing.T, b *bench) message.Answer {
+	t.Helper()
+	_, answers := take[message.Answer](b)
+	if len(answers) != 1 {
+		t.Fatalf("got %d answers, want one: %+v", len(answers), answers)
+	}
+	return answers[0]
+}
+
+func TestWholeAnswerInTaskOrder(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(8, 8, 8), nil)
+	b.submit("j", 10, 0, "1")
+	to, assigns := take[message.Assign](b)
+	is.True(len(assigns) >= 2)
+	for i := len(assigns) - 1; i >= 0; i-- {
+		_, early := take[message.Answer](b)
+		is.Equal(len(early), 0) // never partial
+		b.succeed(to[i], assigns[i])
+		b.succeed(to[i], assigns[i]) // a repeated report changes nothing
+	}
+	a := only(t, b)
+	is.Equal(a.Outcome, state.Complete)
+	is.Equal(len(a.Results), 10)
+	for i, r := range a.Results {
+		is.Equal(r.Index, i)
+	}
+	is.True(b.h.Idle())
+}
+
+// A desk clerk submits again while the job runs, and once more after it ended.
+// Both get the whole answer, and each task is placed once: the second
+// submission joins, the third is answered from what is stored. Another content
+// under the same id is refused and disturbs nothing.
+func TestResubmission(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(8), nil)
+	b.submit("j", 2, 0, "1")
+	to, assigns := take[message.Assign](b)
+	b.submit("j", 2, 0, "2")
+	b.submit("j", 3, 0, "3")
+	conflict := only(t, b)
+	is.Equal(conflict.Outcome, state.NotRun)
+	is.Equal(conflict.Reason, state.ReasonIDConflict)
+	for i := range assigns {
+		b.succeed(to[i], assigns[i])
+	}
+	_, answers := take[message.Answer](b)
+	is.Equal(len(answers), 2)
+	is.Equal(answers[1].Attempt, message.Attempt("2"))
+	is.Equal(len(answers[1].Results), 2)
+	b.submit("j", 2, 0, "4")
+	is.Equal(only(t, b).Outcome, state.Complete)
+	_, more := take[message.Assign](b)
+	is.Equal(len(more), 0)
+}
+
+// An agent refuses a task, which then goes to it again and is refused again.
+// The first refusal arrives a second time, late. Taken for the second placement's
+// it would move a task that may be running, and so start it twice.
+func TestRepeatedRefusalMovesNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(1), nil)
+	b.submit("j", 1, 0, "1")
+	_, first := take[message.Assign](b)
+	b.refuse("a0", first[0], state.ReasonBusy)
+	b.report("a0", message.Report{Key: first[0].Key, Credit: 1})
+	_, second := take[message.Assign](b)
+	second = withTasks(second)
+	is.Equal(len(second), 1)
+	is.True(second[0].Tries[0] > first[0].Tries[0])
+	b.refuse("a0", first[0], state.ReasonBusy)
+	b.report("a0", message.Report{Key: first[0].Key, Credit: 1})
+	_, third := take[message.Assign](b)
+	is.Equal(len(withTasks(third)), 0)
+	is.Equal(b.h.Stats().Assigned, 1)
+}
+
+func withTasks(in []message.Assign) (out []message.Assign) {
+	for _, a := range in {
+		if len(a.Tasks) > 0 {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// One task of a job fails while others run at two agents. The caller gets
+// "failed" at once, with nothing of the other results, and each agent that
+// still holds tasks is told once to give them up.
+func TestTaskFailureFailsTheJobAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(2, 2, 2), nil)
+	b.submit("j", 6, 0, "1")
+	to, assigns := take[message.Assign](b)
+	b.report(to[0], message.Report{Key: assigns[0].Key, Results: []state.TaskResult{{Index: assigns[0].Indexes[0], Err: "no glaze"}}})
+	a := only(t, b)
+	is.Equal(a.Outcome, state.Failed)
+	is.Equal(a.Reason, state.ReasonTaskFailed)
+	is.Equal(a.Detail, "no glaze")
+	is.Equal(len(a.Results), 0)
+	dropped, _ := take[message.Drop](b)
+	seen := map[state.NodeID]bool{}
+	for _, id := range dropped {
+		is.True(!seen[id])
+		seen[id] = true
+	}
+	is.True(len(dropped) >= 2)
+}
+
+// The deadline passes while a task is with an agent that has said nothing. It
+// may have started or not, so the home asks. Only the agent's "ruled out" makes
+// the answer "not run"; "it runs" makes it "failed"; silence makes it "unknown".
+func TestDeadlineSaysNotRunOnlyWhenCertain(t *testing.T) {
+	for name, c := range map[string]struct {
+		say  func(message.Drop) message.Report
+		want state.Outcome
+	}{
+		"ruled out": {func(d message.Drop) message.Report {
+			return message.Report{Key: d.Key, Refused: d.Indexes, Tries: d.Tries, Reason: state.ReasonBusy}
+		}, state.NotRun},
+		"runs":   {func(d message.Drop) message.Report { return message.Report{Key: d.Key, Running: d.Indexes} }, state.Failed},
+		"silent": {nil, state.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(agents(8), nil)
+			b.submit("j", 1, 50*time.Millisecond, "1")
+			b.pass(60 * time.Millisecond)
+			_, drops := take[message.Drop](b)
+			is.True(len(drops) >= 1)
+			_, early := take[message.Answer](b)
+			is.Equal(len(early), 0)
+			if c.say != nil {
+				b.report("a0", c.say(drops[0]))
+			}
+			b.pass(time.Second)
+			a := only(t, b)
+			is.Equal(a.Outcome, c.want)
+			is.Equal(a.Reason, state.ReasonDeadline)
+		})
+	}
+}
+
+// A job is refused as not run because every agent drains. The caller comes
+// back with the same id after a while: the claim is still ours, so the job runs.
+func TestRefusedJobRunsWhenItsCallerComesBack(t *testing.T) {
+	is := is.New(t)
+	view := agents(8)
+	b := newBench(view, nil)
+	b.submit("j", 1, 0, "1")
+	_, assigns := take[message.Assign](b)
+	b.report("a0", message.Report{Key: assigns[0].Key, Refused: []int{0}, Tries: assigns[0].Tries,
+		Reason: state.ReasonDraining, RetryAfter: time.Second})
+	b.pass(300 * time.Millisecond)
+	a := only(t, b)
+	is.Equal(a.Outcome, state.NotRun)
+	is.Equal(a.Reason, state.ReasonDraining)
+	is.True(a.RetryAfter > 0)
+	b.pass(time.Second)
+	b.submit("j", 1, 0, "2")
+	to, again := take[message.Assign](b)
+	is.Equal(len(again), 1)
+	is.True(again[0].Tries[0] > assigns[0].Tries[0])
+	b.succeed(to[0], again[0])
+	is.Equal(only(t, b).Outcome, state.Complete)
+}
+
+// An agent's report is lost. The home asks the same agent again, never another
+// one, because the tasks may be running there.
+func TestSilentAgentIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(8, 8), nil)
+	b.submit("j", 1, 0, "1")
+	to, first := take[message.Assign](b)
+	b.pass(10 * time.Second)
+	again, repeats := take[message.Assign](b)
+	is.True(len(repeats) >= 2)
+	for i := range again {
+		is.Equal(again[i], to[0])
+		is.Equal(repeats[i].Tries, first[0].Tries)
+	}
+	b.pass(time.Hour)
+	_, repeats = take[message.Assign](b)
+	is.True(len(repeats) < maxAsks) // bounded
+}
+
+// An agent is evicted. A job with a task there fails, one whose task it had
+// refused goes on elsewhere.
+func TestEvictedAgent(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(8, 0), nil)
+	b.submit("lost", 1, 0, "1")
+	b.submit("moved", 1, 0, "1")
+	_, assigns := take[message.Assign](b)
+	b.refuse("a0", assigns[1], state.ReasonNoBackend)
+	b.do(b.h.PeerGone(b.now, "a0"))
+	a := only(t, b)
+	is.Equal(a.Key.ID, "lost")
+	is.Equal(a.Outcome, state.Failed)
+	is.Equal(a.Reason, state.ReasonAgentLost)
+	b.report("a1", message.Report{Key: a.Key, Load: state.AgentLoad{ID: "a1", Seq: 2, Slots: 8, Free: 1, Services: []string{"s"}}})
+	to, _ := take[message.Assign](b)
+	is.Equal(to[len(to)-1], state.NodeID("a1"))
+}
+
+func TestNeverRunnableAndNoBackend(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(8), nil)
+	j := state.Job{Key: state.JobKey{Service: "s", ID: "big"}, Tasks: []state.Task{{MemoryMB: 1 << 20}}}
+	b.do(b.h.Handle(b.now, "entry", message.Submit{Job: j, Digest: j.Digest(), Attempt: "1"}))
+	a := only(t, b)
+	is.Equal(a.Outcome, state.NotRun)
+	is.Equal(a.Reason, state.ReasonNeverRunnable)
+	b = newBench(agents(), nil)
+	b.submit("j", 1, 0, "1")
+	b.pass(150 * time.Millisecond)
+	a = only(t, b)
+	is.Equal(a.Outcome, state.NotRun)
+	is.Equal(a.Reason, state.ReasonNoBackend)
+	is.True(a.RetryAfter > 0)
+}
+
+// A wave of stored answers exceeds the memory for them. The oldest lose their
+// results, but never the knowledge that the job has run.
+func TestStoredAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(100), func(o *Options) { o.StoredBytes = 60 * answerOverhead })
+	for i := range 50 {
+		b.submit(fmt.Sprint("j", i), 1, 0, "1")
+		to, assigns := take[message.Assign](b)
+		b.succeed(to[0], assigns[0])
+	}
+	take[message.Answer](b)
+	b.submit("j0", 1, 0, "2")
+	is.Equal(only(t, b).Outcome, state.Unknown)
+	_, assigns := take[message.Assign](b)
+	is.Equal(len(assigns), 0)
+	b.submit("j49", 1, 0, "2")
+	is.Equal(only(t, b).Outcome, state.Complete)
+	b.pass(DefaultRetention + time.Minute)
+	is.Equal(b.h.Stats(), Stats{})
+}
--- /dev/null
+++ b/coordination/home/job.go
@@ -0,0 +1,162 @@
+package home
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// phase is how far a job came.
+type phase uint8
+
+const (
+	// claiming: the pair has not yet recorded the claim.
+	claiming phase = iota
+	// running: the claim is ours, tasks are placed.
+	running
+	// settling: the job ends without having run as a whole, and it is being
+	// found out whether any part of it was started.
+	settling
+	// finished: answered; kept for resubmission.
+	finished
+)
+
+// taskPhase is where a task is.
+type taskPhase uint8
+
+const (
+	// waiting: with no agent; certainly not started.
+	waiting taskPhase = iota
+	// assigned: with an agent that has not said what became of it.
+	assigned
+	// done: has a result.
+	done
+)
+
+type task struct {
+	spec  state.Task
+	phase taskPhase
+	// agent and batch belong to the present assignment.
+	agent state.NodeID
+	batch int
+	// try counts placements; see message.Assign.Tries. A refusal of an older
+	// try, late or repeated, must not move the task a second time.
+	try uint32
+	// started: the agent said so.
+	started bool
+	result  state.TaskResult
+}
+
+// waiter is a submission that has had no answer yet.
+type waiter struct {
+	from    state.NodeID
+	attempt message.Attempt
+}
+
+// contact is the home's dealings with one agent about one job.
+type contact struct {
+	agent       state.NodeID
+	outstanding int
+	// askAt is when the agent is asked again if it stays silent.
+	askAt time.Time
+	asked int
+}
+
+// batch is one Assign: of use if it led to a first start.
+type batch struct{ useful bool }
+
+// job is one submission.
+type job struct {
+	key        state.JobKey
+	operator   string
+	digest     state.Digest
+	repeatable bool
+	phase      phase
+	attempt    message.Attempt // the one that is being claimed
+	epoch      state.Epoch
+	tasks      []task
+	// backlog holds the waiting tasks' indexes in the order to place them.
+	backlog []int
+	left    int // tasks without result
+	// failed is the result of the first task that failed.
+	failed *state.TaskResult
+	// lastRefusal is why an agent last refused a task.
+	lastRefusal state.Reason
+	arrived     time.Time
+	deadline    time.Time // zero means none
+	waiters     []waiter
+	contacts    []contact
+	batches     []batch
+	// graceUntil is when the job stops waiting for an agent that takes anything.
+	graceUntil time.Time
+	stats      message.Stats
+	// asks counts the messages that only told of the backlog; answered the
+	// offers that came of them and were used.
+	asks int
+
+	// verdict is what the job ends with once settled.
+	outcome    state.Outcome
+	reason     state.Reason
+	retryAfter time.Duration
+	detail     string
+	// settleBy is when waiters are told "unknown"; settled is set once told.
+	settleBy time.Time
+
+	// answer is the stored answer; size its bytes.
+	answer  message.Answer
+	size    int
+	expires time.Time
+	// cancelled: stop as soon as the claim's verdict is known.
+	cancelled bool
+	wake      time.Time
+}
+
+// started reports whether some task is known to have been started.
+func (j *job) started() bool {
+	for i := range j.tasks {
+		if j.tasks[i].phase == done || j.tasks[i].started {
+			return true
+		}
+	}
+	return false
+}
+
+// uncertain reports whether some task is with an agent.
+func (j *job) uncertain() bool {
+	for i := range j.contacts {
+		if j.contacts[i].outstanding > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *job) contact(agent state.NodeID) *contact {
+	for i := range j.contacts {
+		if j.contacts[i].agent == agent {
+			return &j.contacts[i]
+		}
+	}
+	j.contacts = append(j.contacts, contact{agent: agent})
+	return &j.contacts[len(j.contacts)-1]
+}
+
+// at returns the indexes and tries of the tasks that are with an agent.
+func (j *job) at(agent state.NodeID) (indexes []int, tries []uint32) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.phase == assigned && t.agent == agent {
+			indexes = append(indexes, i)
+			tries = append(tries, t.try)
+		}
+	}
+	return indexes, tries
+}
+
+func maphash64(s string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s))
+	return h.Sum64()
+}
--- /dev/null
+++ b/coordination/home/metrics.go
@@ -0,0 +1,42 @@
+package home
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// Metrics counts answers, refused placements and repeated messages by reason.
+type Metrics struct {
+	answers *prometheus.CounterVec
+	moves   *prometheus.CounterVec
+	resends prometheus.Counter
+	asks    prometheus.Counter
+}
+
+// NewMetrics returns the counters, registered with r unless it is nil.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotstep_home_answers_total", Help: "Jobs answered, by outcome and reason."},
+			[]string{"outcome", "reason"}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotstep_home_moves_total", Help: "Tasks that an agent refused and that went back to the backlog, by reason."},
+			[]string{"reason"}),
+		resends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallotstep_home_resends_total", Help: "Assigns repeated to an agent that was silent."}),
+		asks: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallotstep_home_asks_total", Help: "Messages that only told an agent of a backlog."}),
+	}
+	if r != nil {
+		r.MustRegister(m.answers, m.moves, m.resends, m.asks)
+	}
+	return m
+}
+
+func (m *Metrics) answered(o state.Outcome, r state.Reason) {
+	m.answers.WithLabelValues(o.String(), string(r)).Inc()
+}
+func (m *Metrics) moved(r state.Reason) { m.moves.WithLabelValues(string(r)).Inc() }
+func (m *Metrics) resent()              { m.resends.Inc() }
+func (m *Metrics) asked()               { m.asks.Inc() }
