Link nodes by one gRPC stream per pair

Cause: the daemons need a transport that never blocks the decision machines. Weighed: one unary call per message; rejected, an answer would need a second connection back. Strict order over a change of link is kept by waiting for the old link's Closing on both sides. Nothing is measured.

--- /dev/null
+++ b/transport/link/dial.go
@@ -0,0 +1,186 @@
+package link
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"github.com/shallotstep/shallotstep/protocol/wire"
+	"github.com/shallotstep/shallotstep/protocol/wire/nodepb"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// dial makes a session to p and runs it to its end.
+func (l *Links) dial(p *peer) {
+	addr, ok := p.awaitBackoff()
+	if !ok {
+		return
+	}
+	l.metrics.dials.Inc()
+	d, err := l.connect(p.id, addr)
+	if err != nil {
+		logDialFailed(p.id, addr, err)
+		p.dialFailed(dialReason(err))
+		return
+	}
+	defer d.close()
+	s := newSession(p, d.stream)
+	s.dialled = true
+	s.hangUp = d.cancel
+	s.closeSend = d.stream.CloseSend
+	if !p.attach(s) {
+		return
+	}
+	var writer conc.WaitGroup
+	writer.Go(func() {
+		defer crash()
+		s.write()
+	})
+	p.finish(s, s.read())
+	d.cancel()
+	writer.Wait()
+}
+
+func newSession(p *peer, stream frameStream) *session {
+	s := &session{
+		peer:   p,
+		stream: stream,
+		wake:   make(chan struct{}, 1),
+		done:   make(chan struct{}),
+	}
+	s.lastUsed.Store(time.Now().UnixNano())
+	return s
+}
+
+// awaitBackoff waits until the peer may be dialled. It returns false when there
+// is no need any more, because the peer has dialled us or was forgotten.
+func (p *peer) awaitBackoff() (string, bool) {
+	p.mu.Lock()
+	wait := time.Until(p.notBefore)
+	p.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-p.links.ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.links.ctx.Err() != nil {
+		p.dropLocked(ReasonClosed)
+	}
+	if len(p.sessions) > 0 || len(p.queue.items) == 0 || p.addr == "" {
+		p.dialing = false
+		p.activateLocked()
+		return "", false
+	}
+	return p.addr, true
+}
+
+// dialled is a stream to a peer that has greeted back, and all it stands on.
+type dialled struct {
+	conn   *grpc.ClientConn
+	stream grpc.BidiStreamingClient[nodepb.Frame, nodepb.Frame]
+	cancel context.CancelFunc
+}
+
+func (d *dialled) close() {
+	d.cancel()
+	// Nothing is lost with this error: the stream has ended.
+	_ = d.conn.Close()
+}
+
+func (l *Links) connect(id state.NodeID, addr string) (*dialled, error) {
+	conn, err := grpc.NewClient("passthrough:///"+addr, l.dialOptions(id)...)
+	if err != nil {
+		return nil, errors.Wrap(err, "client")
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	d := &dialled{conn: conn, cancel: cancel}
+	timer := time.AfterFunc(l.opt.DialTimeout, cancel)
+	err = d.greet(ctx, l.opt.Self, id, l.opt.Addr)
+	if !timer.Stop() && err == nil {
+		err = context.DeadlineExceeded
+	}
+	if err != nil {
+		d.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// greet opens the stream and waits for the other side's Hello. No message may
+// be sent before: after a restart another incarnation answers at the address.
+func (d *dialled) greet(ctx context.Context, self, id state.NodeID, addr string) error {
+	stream, err := nodepb.NewNodeClient(d.conn).Link(ctx)
+	if err != nil {
+		return errors.Wrap(err, "open stream")
+	}
+	d.stream = stream
+	hello := &nodepb.Hello{NodeId: string(self), Addr: addr, Version: wire.Version, To: string(id)}
+	// A failed Send is told by Recv, with the reason.
+	_ = stream.Send(&nodepb.Frame{Hello: hello})
+	f, err := stream.Recv()
+	if err != nil {
+		return errors.Wrap(err, "greet")
+	}
+	if got := f.GetHello().GetNodeId(); got != string(id) {
+		return errors.Wrapf(errWrongPeer, "expected %s, got %q", id, got)
+	}
+	if v := f.GetHello().GetVersion(); v != wire.Version {
+		return status.Errorf(codes.InvalidArgument, "protocol version %d, ours is %d", v, wire.Version)
+	}
+	return nil
+}
+
+func (l *Links) dialOptions(id state.NodeID) []grpc.DialOption {
+	creds := insecure.NewCredentials()
+	if l.opt.TLS != nil {
+		creds = credentials.NewTLS(l.opt.TLS.clientConfig(id))
+	}
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(creds),
+		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		}),
+		grpc.WithNoProxy(),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithIdleTimeout(0),
+		grpc.WithMaxHeaderListSize(maxHeaderBytes),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: clientPing, Timeout: pingTimeout}),
+		grpc.WithDefaultCallOptions(
+			grpc.MaxCallRecvMsgSize(l.maxFrameBytes()),
+			grpc.MaxCallSendMsgSize(l.maxFrameBytes()),
+		),
+	}
+}
+
+func (l *Links) maxFrameBytes() int {
+	return l.opt.MaxMessageBytes + maxBatchBytes + frameOverhead
+}
+
+func dialReason(err error) Reason {
+	if errors.Is(err, errWrongPeer) {
+		return ReasonWrongPeer
+	}
+	switch status.Code(errors.Cause(err)) {
+	case codes.FailedPrecondition:
+		return ReasonWrongPeer
+	case codes.PermissionDenied, codes.Unauthenticated:
+		return ReasonIdentity
+	case codes.InvalidArgument:
+		return ReasonBadHello
+	default:
+		return ReasonUnreachable
+	}
+}
--- /dev/null
+++ b/transport/link/doc.go
@@ -0,0 +1,31 @@
+// Package link carries messages between nodes over gRPC.
+//
+// Two nodes share one link: whoever has something to say first dials, and both
+// directions run over the same stream. A link that nobody uses is closed and
+// dialled again when needed, so that a node of a large fleet keeps links only
+// to the nodes it works with.
+//
+// What a caller may rely on:
+//
+//   - Send never blocks. It either accepts the message into a bounded queue or
+//     refuses it.
+//   - Messages to one peer are delivered in the order in which they were
+//     accepted, each at most once, as long as Down isn't called for the peer.
+//   - Down(id) settles every message to that peer that was accepted before:
+//     each has been delivered or never will be. It comes once for each break,
+//     and once for each failed dial that had messages waiting.
+//   - Handler, Up and Down are called by one goroutine at a time for one peer,
+//     and by several goroutines for several peers. They must return promptly:
+//     while Handler is busy, the peer's messages wait at the sender, which cuts
+//     the link after WriteTimeout.
+//
+// A link is closed in good order by a Closing frame from each side. The side
+// that dialled ends its half of the stream when it has seen the other's
+// Closing, the side that accepted ends the stream after that, so both know that
+// all was handled. Until then no other link to the peer is used: a message
+// could overtake an earlier one.
+//
+// Lock order: peer.deliver, then peer.mu, then Links.life. A shard's lock is
+// never held together with a peer's, but for the removal of an expired peer,
+// which takes the shard's lock first.
+package link
