Serve callers and operators over HTTP, with a client and a command line

Ruled out: encoding/json alone for submissions (takes the last of two equal keys, matches names in any case, reads null as nothing); state/strictjson for them (takes comments, keeps no payload byte for byte, and walks a whole tree); redirects and path cleaning in the router (would send a submission twice or name another job); a timeout on whole exchanges (would cut off an answer).

Change: protocol/api holds the documents, the strict decoder, problem documents and the last check that an answer is whole. transport/httpapi has the handlers, tokens by role, limits and counters by reason. transport/httpclient never claims more than it knows; a lost apply is settled by reading the history. transport/cli has the commands.

An attempt that is turned away before its job is known (token, unknown service, memory) is answered "unknown" on the routes of jobs: an earlier attempt under the same id may have run through another entry.

--- /dev/null
+++ b/cmd/shallotstep/main.go
@@ -0,0 +1,32 @@
+// Shallotstep is the operator's command line: it applies declarations, submits
+// and cancels jobs and shows what the system knows.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/shallotstep/shallotstep/transport/cli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := cli.Run(ctx, os.Args[1:], cli.Env{
+		Stdout:  os.Stdout,
+		Stderr:  os.Stderr,
+		Version: version(),
+	})
+	stop()
+	os.Exit(code)
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/protocol/api/problem.go
@@ -0,0 +1,160 @@
+// Package api holds the JSON documents that callers and operators exchange
+// with an entry over HTTP: submissions, answers, problem documents (RFC 9457),
+// declarations and the status. Decoding is strict, because a field that is
+// silently ignored or read twice may start the wrong work.
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// Media types of the bodies.
+const (
+	ContentTypeJSON    = "application/json"
+	ContentTypeProblem = "application/problem+json"
+)
+
+// problemTypePrefix begins every problem's type URI; the reason ends it.
+const problemTypePrefix = "urn:shallotstep:problem:"
+
+// Problem is a refusal or a failure as the caller sees it.
+type Problem struct {
+	// Type is a URI that names the reason; Title says the same to a person.
+	Type   string
+	Title  string
+	Status int
+	Detail string
+	// ID is the caller's id of the submission, where it is known.
+	ID      string
+	Outcome state.Outcome
+	Reason  state.Reason
+	// RetryAfter is when coming back makes sense. Zero means it doesn't help.
+	RetryAfter time.Duration
+	// Version is the declaration in force, on a refused declaration.
+	Version state.Version
+}
+
+// NewProblem returns the problem document for a reason.
+func NewProblem(reason state.Reason, outcome state.Outcome, format string, args ...any) *Problem {
+	return &Problem{
+		Type:    problemTypePrefix + string(reason),
+		Title:   Title(reason),
+		Status:  reason.HTTPStatus(),
+		Detail:  fmt.Sprintf(format, args...),
+		Outcome: outcome,
+		Reason:  reason,
+	}
+}
+
+// malformed refuses a submission that no entry would ever accept, so that "not
+// run" is certain.
+func malformed(format string, args ...any) *Problem {
+	return NewProblem(state.ReasonMalformed, state.NotRun, format, args...)
+}
+
+// ProblemOf returns the problem that an answer stands for, or nil for an
+// answer that is complete or still pending.
+func ProblemOf(a message.Answer) *Problem {
+	if a.Outcome == state.Complete || a.Outcome == state.Pending {
+		return nil
+	}
+	p := NewProblem(a.Reason, a.Outcome, "%s", a.Detail)
+	if a.Reason == state.ReasonNone {
+		p = NewProblem(state.ReasonInternal, a.Outcome, "%s", a.Detail)
+	}
+	p.ID = a.Key.ID
+	p.RetryAfter = a.RetryAfter
+	return p
+}
+
+// RetryAfterSeconds returns the value of the Retry-After header, rounded up
+// because the header knows whole seconds only. It is empty where coming back
+// doesn't help.
+func (p *Problem) RetryAfterSeconds() string {
+	if p.RetryAfter <= 0 {
+		return ""
+	}
+	seconds := (p.RetryAfter + time.Second - 1) / time.Second
+	return strconv.FormatInt(int64(seconds), 10)
+}
+
+// String returns the problem on one line.
+func (p *Problem) String() string {
+	s := fmt.Sprintf("%s (%s): %s", p.Outcome, p.Reason, p.Title)
+	if p.Detail != "" {
+		s += ": " + p.Detail
+	}
+	return s
+}
+
+// problemWire is the problem as it stands in JSON.
+type problemWire struct {
+	Type         string        `json:"type"`
+	Title        string        `json:"title"`
+	Status       int           `json:"status"`
+	Detail       string        `json:"detail,omitempty"`
+	ID           string        `json:"id,omitempty"`
+	Outcome      Outcome       `json:"outcome"`
+	Reason       state.Reason  `json:"reason"`
+	RetryAfterMS int64         `json:"retry_after_ms,omitempty"`
+	Version      state.Version `json:"version,omitempty"`
+}
+
+// MarshalJSON writes the problem with its extension members.
+func (p *Problem) MarshalJSON() ([]byte, error) {
+	return marshal(problemWire{
+		Type:         p.Type,
+		Title:        p.Title,
+		Status:       p.Status,
+		Detail:       p.Detail,
+		ID:           p.ID,
+		Outcome:      Outcome(p.Outcome),
+		Reason:       p.Reason,
+		RetryAfterMS: wholeMS(p.RetryAfter),
+		Version:      p.Version,
+	})
+}
+
+// UnmarshalJSON reads a problem. A problem without an outcome counts as
+// unknown: whoever wrote it knows nothing of this contract.
+func (p *Problem) UnmarshalJSON(data []byte) error {
+	w := problemWire{Outcome: Outcome(state.Unknown)}
+	if err := json.Unmarshal(data, &w); err != nil {
+		return err
+	}
+	*p = Problem{
+		Type:       w.Type,
+		Title:      w.Title,
+		Status:     w.Status,
+		Detail:     w.Detail,
+		ID:         w.ID,
+		Outcome:    state.Outcome(w.Outcome),
+		Reason:     w.Reason,
+		RetryAfter: time.Duration(w.RetryAfterMS) * time.Millisecond,
+		Version:    w.Version,
+	}
+	return nil
+}
+
+// wholeMS returns d in milliseconds, rounded up so that a short wait doesn't
+// become none.
+func wholeMS(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
+
+// marshal is json.Marshal without escaping for HTML pages, and ends with a
+// newline.
+func marshal(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := json.NewEncoder(&buf)
+	enc.SetEscapeHTML(false)
+	err := enc.Encode(v)
+	return buf.Bytes(), err
+}
--- /dev/null
+++ b/protocol/api/read.go
@@ -0,0 +1,213 @@
+package api
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"unicode/utf8"
+
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// reader walks one JSON text field by field. The standard decoder alone takes
+// the last of two equal keys, matches names in any case and reads null as
+// nothing; each of these would let two programs read two different jobs from
+// the same bytes.
+type reader struct {
+	dec *json.Decoder
+	// scratch is the raw text of the latest scalar.
+	scratch json.RawMessage
+}
+
+// maxFields is more than any document here has. It keeps the search for
+// duplicates short.
+const maxFields = 16
+
+// newReader refuses bodies that are too large or no UTF-8.
+func newReader(body []byte) (*reader, *Problem) {
+	if len(body) > state.MaxBodyBytes {
+		return nil, TooLarge()
+	}
+	if !utf8.Valid(body) {
+		return nil, malformed("the body is not valid UTF-8")
+	}
+	return &reader{dec: json.NewDecoder(bytes.NewReader(body))}, nil
+}
+
+// TooLarge is the refusal of a body over state.MaxBodyBytes.
+func TooLarge() *Problem {
+	return NewProblem(state.ReasonTooLarge, state.NotRun, "the body is over %d bytes", state.MaxBodyBytes)
+}
+
+func syntax(err error) *Problem {
+	if err == io.EOF || err == io.ErrUnexpectedEOF {
+		return malformed("the body is not JSON: it ends too early")
+	}
+	return malformed("the body is not JSON: %v", err)
+}
+
+// object reads an object and calls field for each name, which must read the
+// value. at names the object in errors; it is empty for the whole body.
+func (r *reader) object(at string, field func(name string) *Problem) *Problem {
+	if p := r.open(at, '{', "an object"); p != nil {
+		return p
+	}
+	var seen []string
+	for r.dec.More() {
+		tok, err := r.dec.Token()
+		if err != nil {
+			return syntax(err)
+		}
+		name, ok := tok.(string)
+		if !ok {
+			return malformed("the body is not JSON: a name is missing")
+		}
+		if slices.Contains(seen, name) {
+			return malformed("duplicate field %q", join(at, name))
+		}
+		if len(seen) == maxFields {
+			return malformed("%s has more than %d fields", bodyOr(at), maxFields)
+		}
+		seen = append(seen, name)
+		if p := field(name); p != nil {
+			return p
+		}
+	}
+	return r.close()
+}
+
+// array reads an array and calls element for each index, which must read the
+// value.
+func (r *reader) array(at string, element func(i int) *Problem) *Problem {
+	if p := r.open(at, '[', "an array"); p != nil {
+		return p
+	}
+	for i := 0; r.dec.More(); i++ {
+		if p := element(i); p != nil {
+			return p
+		}
+	}
+	return r.close()
+}
+
+func (r *reader) open(at string, want json.Delim, kind string) *Problem {
+	tok, err := r.dec.Token()
+	if err != nil {
+		return syntax(err)
+	}
+	if tok != want {
+		return malformed("%s must be %s", bodyOr(at), kind)
+	}
+	return nil
+}
+
+func bodyOr(at string) string {
+	if at == "" {
+		return "the body"
+	}
+	return at
+}
+
+func (r *reader) close() *Problem {
+	if _, err := r.dec.Token(); err != nil {
+		return syntax(err)
+	}
+	return nil
+}
+
+// end refuses anything after the value.
+func (r *reader) end() *Problem {
+	if _, err := r.dec.Token(); err != io.EOF {
+		return malformed("the body holds more than one JSON value")
+	}
+	return nil
+}
+
+// scalar reads one value into the scratch space.
+func (r *reader) scalar() *Problem {
+	if err := r.dec.Decode(&r.scratch); err != nil {
+		return syntax(err)
+	}
+	return nil
+}
+
+func (r *reader) text(at string, out *string) *Problem {
+	if p := r.scalar(); p != nil {
+		return p
+	}
+	if r.scratch[0] != '"' {
+		return malformed("%s must be a string", at)
+	}
+	if err := json.Unmarshal(r.scratch, out); err != nil {
+		return syntax(err)
+	}
+	return nil
+}
+
+func (r *reader) flag(at string, out *bool) *Problem {
+	if p := r.scalar(); p != nil {
+		return p
+	}
+	switch string(r.scratch) {
+	case "true":
+		*out = true
+	case "false":
+		*out = false
+	default:
+		return malformed("%s must be true or false", at)
+	}
+	return nil
+}
+
+// whole reads a whole number from 0 to limit.
+func (r *reader) whole(at string, limit int64, out *int64) *Problem {
+	if p := r.scalar(); p != nil {
+		return p
+	}
+	n, err := strconv.ParseInt(string(r.scratch), 10, 64)
+	if err != nil || n < 0 || n > limit {
+		return malformed("%s must be a whole number from 0 to %d", at, limit)
+	}
+	*out = n
+	return nil
+}
+
+// number reads a number from 0 to limit.
+func (r *reader) number(at string, limit float64, out *float64) *Problem {
+	if p := r.scalar(); p != nil {
+		return p
+	}
+	// ParseFloat also knows NaN, Inf and hexadecimal, but no JSON decoder has
+	// let one of these come so far. Strings and null fail here.
+	f, err := strconv.ParseFloat(string(r.scratch), 64)
+	if err != nil || math.IsNaN(f) || f < 0 || f > limit {
+		return malformed("%s must be a number from 0 to %g", at, limit)
+	}
+	// Adding zero turns -0 into 0, which has another bit pattern and would
+	// give the same job another digest.
+	*out = f + 0
+	return nil
+}
+
+// value reads any value but null, as it came.
+func (r *reader) value(at string, out *[]byte) *Problem {
+	var raw json.RawMessage
+	if err := r.dec.Decode(&raw); err != nil {
+		return syntax(err)
+	}
+	if string(raw) == "null" {
+		return malformed("%s must not be null", at)
+	}
+	*out = raw
+	return nil
+}
+
+func join(at, name string) string {
+	if at == "" {
+		return name
+	}
+	return at + "." + name
+}
--- /dev/null
+++ b/transport/cli/cli_test.go
@@ -0,0 +1,295 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// entry is a fake entry: it answers "METHOD path" in turn, the last one for
+// good, and keeps what it was asked.
+type entry struct {
+	mu      sync.Mutex
+	answers map[string][]answer // guarded by mu
+	asked   []string            // guarded by mu
+	bodies  []string            // guarded by mu
+}
+
+// answer is one reply. A status of zero breaks the connection off.
+type answer struct {
+	status int
+	etag   string
+	body   string
+}
+
+func (e *entry) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	body, _ := io.ReadAll(req.Body)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	what := req.Method + " " + req.URL.EscapedPath()
+	e.asked = append(e.asked, strings.TrimSpace(what+" "+req.Header.Get("If-Match")+req.Header.Get("If-None-Match")))
+	e.bodies = append(e.bodies, string(body))
+	queue := e.answers[what]
+	if len(queue) == 0 || queue[0].status == 0 {
+		if len(queue) > 1 {
+			e.answers[what] = queue[1:]
+		}
+		panic(http.ErrAbortHandler)
+	}
+	a := queue[0]
+	if len(queue) > 1 {
+		e.answers[what] = queue[1:]
+	}
+	if a.etag != "" {
+		w.Header().Set("ETag", a.etag)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if a.status >= 400 {
+		w.Header().Set("Content-Type", "application/problem+json")
+	}
+	w.WriteHeader(a.status)
+	io.WriteString(w, a.body)
+}
+
+// desk runs command lines against an entry.
+type desk struct {
+	is     *is.I
+	dir    string
+	url    string
+	out    bytes.Buffer
+	err    bytes.Buffer
+	sleeps []time.Duration
+}
+
+func (e *entry) requests() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.asked
+}
+
+func newDesk(t *testing.T, e *entry) *desk {
+	srv := httptest.NewServer(e)
+	t.Cleanup(srv.Close)
+	return &desk{is: is.New(t), dir: t.TempDir(), url: srv.URL}
+}
+
+func (d *desk) file(name, content string) string {
+	path := filepath.Join(d.dir, name)
+	d.is.NoErr(os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+// patience is how often the desk waits before its timeout.
+const patience = 5
+
+func (d *desk) run(args ...string) int {
+	d.out.Reset()
+	d.err.Reset()
+	d.sleeps = nil
+	return Run(context.Background(), append(args, "-addr", d.url), Env{
+		Stdout: &d.out, Stderr: &d.err, Version: "test",
+		Sleep: func(_ context.Context, wait time.Duration) error {
+			d.sleeps = append(d.sleeps, wait)
+			if len(d.sleeps) > patience {
+				return context.DeadlineExceeded
+			}
+			return nil
+		},
+	})
+}
+
+const (
+	jobFile    = `{"service":"bench-desk","kind":"job","id":"j1","tasks":[{"payload": {"a": 1}}]}`
+	postJob    = "POST /v1/services/bench-desk/jobs"
+	complete   = `{"id":"j1","outcome":"complete","results":["mended"]}`
+	getHaneul  = "GET /v1/declarations/haneul"
+	putHaneul  = "PUT /v1/declarations/haneul"
+	histHaneul = "GET /v1/declarations/haneul/history"
+)
+
+func problem(outcome, reason string, extra string) string {
+	return fmt.Sprintf(`{"title":"T","status":503,"outcome":%q,"reason":%q%s}`, outcome, reason, extra)
+}
+
+func TestSubmit(t *testing.T) {
+	e := &entry{answers: map[string][]answer{postJob: {{200, "", complete}}}}
+	d := newDesk(t, e)
+	d.is.Equal(d.run("submit", d.file("j.json", jobFile)), ExitDone)
+	d.is.Equal(d.out.String(), "j1: complete\n0\t\"mended\"\n")
+	// The payload goes out as it stands in the file.
+	d.is.Equal(e.bodies[0], `{"id":"j1","tasks":[{"payload":{"a": 1}}]}`)
+
+	d.is.Equal(d.run("submit", "-output", "json", d.file("j.json", jobFile)), ExitDone)
+	d.is.Equal(d.out.String(), complete+"\n")
+}
+
+// Each outcome has its exit code, and what is certain stays apart from what
+// isn't: a script that resubmits under a new id on 1 must never do so on 3.
+func TestSubmitExitCodes(t *testing.T) {
+	cases := []struct {
+		name  string
+		reply []answer
+		code  int
+		asked int
+	}{
+		{"not run", []answer{{503, "", problem("not_run", "never_runnable", "")}}, ExitRefused, 1},
+		{"failed", []answer{{502, "", problem("failed", "task_failed", `,"retry_after_ms":5`)}}, ExitRefused, 1},
+		{"unknown", []answer{{503, "", problem("unknown", "claims_unknown", "")}}, ExitUnknown, 1},
+		{"lost for good", []answer{{}}, ExitUnknown, defaultTries},
+		{"lost once", []answer{{}, {200, "", complete}}, ExitDone, 2},
+		{"busy once", []answer{{429, "", problem("not_run", "quota", `,"retry_after_ms":700`)}, {200, "", complete}}, ExitDone, 2},
+		// The lost try may still be granted after the second one was refused.
+		{"lost, then not run", []answer{{}, {429, "", problem("not_run", "quota", "")}}, ExitUnknown, 2},
+		{"another job's answer", []answer{{200, "", `{"id":"j2","outcome":"complete","results":[1]}`}}, ExitUnknown, defaultTries},
+		{"short answer", []answer{{200, "", `{"id":"j1","outcome":"complete","results":[]}`}}, ExitUnknown, defaultTries},
+		{"pending answer", []answer{{200, "", `{"id":"j1","outcome":"pending"}`}}, ExitUnknown, defaultTries},
+		{"garbage", []answer{{200, "", `<html>`}}, ExitUnknown, defaultTries},
+		{"unknown outcome word", []answer{{503, "", `{"outcome":"maybe"}`}}, ExitUnknown, defaultTries},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := &entry{answers: map[string][]answer{postJob: c.reply}}
+			d := newDesk(t, e)
+			d.is.Equal(d.run("submit", d.file("j.json", jobFile)), c.code)
+			d.is.Equal(len(e.requests()), c.asked)
+		})
+	}
+}
+
+func TestSubmitWaitsAsTold(t *testing.T) {
+	e := &entry{answers: map[string][]answer{postJob: {{429, "", problem("not_run", "quota", `,"retry_after_ms":700`)}, {200, "", complete}}}}
+	d := newDesk(t, e)
+	d.is.Equal(d.run("submit", d.file("j.json", jobFile)), ExitDone)
+	d.is.Equal(d.sleeps, []time.Duration{700 * time.Millisecond})
+}
+
+func TestNothingSent(t *testing.T) {
+	d := newDesk(t, &entry{})
+	d.url = "127.0.0.1:1"
+	d.is.Equal(d.run("submit", "-tries", "1", d.file("j.json", jobFile)), ExitRefused)
+	d.is.True(strings.Contains(d.err.String(), "not sent"))
+}
+
+func TestApplyReadsTheBase(t *testing.T) {
+	e := &entry{answers: map[string][]answer{
+		getHaneul: {{200, `"17"`, "{}"}},
+		putHaneul: {{200, `"18"`, `{"operator":"haneul","version":18,"outcome":"complete"}`}},
+	}}
+	d := newDesk(t, e)
+	d.is.Equal(d.run("apply", d.file("d.json", declarationFile)), ExitDone)
+	d.is.Equal(d.out.String(), "haneul is at version 18\n")
+	d.is.Equal(e.requests(), []string{getHaneul, putHaneul + ` "17"`})
+	d.is.Equal(e.bodies[1], declarationFile)
+
+	e = &entry{answers: map[string][]answer{
+		getHaneul: {{404, "", problem("not_run", "no_declaration", "")}},
+		putHaneul: {{200, `"18"`, `{"operator":"haneul","version":18,"outcome":"complete"}`}},
+	}}
+	d = newDesk(t, e)
+	d.is.Equal(d.run("apply", d.file("d.json", declarationFile)), ExitDone)
+	d.is.Equal(e.requests(), []string{getHaneul, putHaneul + ` *`})
+}
+
+// The reply to an apply is lost after the record went into the log. The
+// command reads the history until it finds who replaced the base: it never
+// applies twice, and never claims either way without having read it.
+func TestApplySettlesALostReply(t *testing.T) {
+	const none = `{"operator":"haneul","entries":[{"version":17,"base":3,"digest":"x"}]}`
+	history := func(digest string) string {
+		return fmt.Sprintf(`{"entries":[{"version":17,"base":3},{"version":21,"base":17,"digest":%q},{"version":22,"base":21}]}`, digest)
+	}
+	cases := []struct {
+		name    string
+		put     answer
+		history []answer
+		code    int
+		out     string
+	}{
+		{"won", answer{}, []answer{{}, {200, "", none}, {200, "", history(declarationDigest)}}, ExitDone, "haneul is at version 21\n"},
+		{"won, by the entry's word", answer{503, "", problem("unknown", "apply_unknown", "")}, []answer{{200, "", history(declarationDigest)}}, ExitDone, "haneul is at version 21\n"},
+		{"lost the race", answer{}, []answer{{200, "", history("other")}}, ExitRefused, ""},
+		{"no news", answer{}, []answer{{200, "", none}}, ExitUnknown, ""},
+		{"refused for certain", answer{409, "", problem("not_run", "lost_race", "")}, nil, ExitRefused, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := &entry{answers: map[string][]answer{putHaneul: {c.put}, histHaneul: c.history}}
+			d := newDesk(t, e)
+			d.is.Equal(d.run("apply", "-base", "17", d.file("d.json", declarationFile)), c.code)
+			d.is.Equal(d.out.String(), c.out)
+			d.is.Equal(strings.Count(strings.Join(e.requests(), "\n"), "PUT"), 1)
+		})
+	}
+}
+
+func TestStatus(t *testing.T) {
+	e := &entry{answers: map[string][]answer{"GET /v1/status": {{200, "", `{"node":"entry-1","role":"entry","software":"v1","ready":true,"epoch":9,
+		"log":{"reachable":true,"streams":[{"stream":"roster","next":10,"silent_ms":40}]},
+		"roster":[{"id":"a1","addr":"127.0.0.1:7501","region":"jeonbuk","domain":"jeonju","rack":"r1"}],
+		"agents":[{"id":"a1","slots":8,"free":3,"queued":1,"services":["bench-desk"],"age_ms":12}],
+		"declarations":[{"operator":"haneul","version":17,"services":["bench-desk"]}]}`}}}}
+	d := newDesk(t, e)
+	d.is.Equal(d.run("status"), ExitDone)
+	d.is.Equal(d.out.String(), `entry-1 (entry, v1): ready true, draining false, epoch 9
+log: reachable true
+  roster: next offset 10, last read 40 ms ago
+roster: 1
+  a1  127.0.0.1:7501  jeonbuk/jeonju/r1
+agents: 1
+  a1  slots 8  free 3  queued 1  bench-desk  serving  12 ms old
+declarations: 1
+  haneul  version 17  bench-desk
+`)
+}
+
+func TestCancel(t *testing.T) {
+	const path = "DELETE /v1/services/bench-desk/jobs/a%2Fb"
+	e := &entry{answers: map[string][]answer{path: {
+		{200, "", `{"id":"a/b","outcome":"failed","reason":"cancelled"}`},
+		{200, "", `{"id":"a/b","outcome":"complete","results":[1]}`},
+	}}}
+	d := newDesk(t, e)
+	d.is.Equal(d.run("cancel", "bench-desk", "a/b"), ExitDone)
+	d.is.Equal(d.out.String(), "a/b: cancelled (failed)\n")
+	d.is.Equal(d.run("cancel", "bench-desk", "a/b"), ExitRefused)
+	d.is.Equal(d.out.String(), "a/b: too late, it is complete\n")
+}
+
+func TestDiff(t *testing.T) {
+	e := &entry{answers: map[string][]answer{getHaneul: {{200, `"17"`, declarationFile}}}}
+	d := newDesk(t, e)
+	d.is.Equal(d.run("diff", d.file("d.json", declarationFile)), ExitDone)
+	d.is.Equal(diffLines([]string{"a", "b", "c", "d"}, []string{"a", "x", "c", "d", "e"}), []string{"- b", "+ x", "+ e"})
+	d.is.Equal(diffLines(nil, []string{"a"}), []string{"+ a"})
+}
+
+func TestUsage(t *testing.T) {
+	d := newDesk(t, &entry{})
+	for _, args := range [][]string{
+		{"fly"}, {"apply"}, {"apply", "a", "b"}, {"status", "-output", "xml"}, {"status", "-nope"}, {"submit", "no-such-file"},
+		{"cancel", "bench-desk"}, {"cancel", "bench-desk", "a\nb"}, {"apply", d.file("d.json", "{}")},
+		{"submit", d.file("j.json", `{"kind":"job"}`)}, {"status", "-ca", d.file("ca.pem", "none")},
+	} {
+		d.is.Equal(d.run(args...), ExitUsage) // args
+	}
+	d.is.Equal(Run(context.Background(), nil, Env{Stdout: &d.out, Stderr: &d.err}), ExitUsage)
+}
+
+func TestCheck(t *testing.T) {
+	d := newDesk(t, &entry{})
+	good, bad := d.file("good.json", jobFile), d.file("bad.json", `{"kind":"job","service":"s","id":"j","tasks":[{"payload":1,"gpu":2}]}`)
+	d.is.Equal(d.run("check", good), ExitDone)
+	d.is.Equal(d.run("check", good, bad), ExitRefused)
+	d.is.True(strings.Contains(d.out.String(), `bad.json: unknown field "tasks[0].gpu"`))
+}
--- /dev/null
+++ b/transport/httpapi/fakes_test.go
@@ -0,0 +1,232 @@
+package httpapi
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// fakeDispatcher answers each job by its id, or echoes its payloads.
+type fakeDispatcher struct {
+	answers map[string]message.Answer
+	// gate, when set, holds every Submit until something comes or it closes.
+	gate chan struct{}
+	// entered takes the id of every Submit.
+	entered chan string
+
+	mu       sync.Mutex
+	jobs     []state.Job // guarded by mu
+	deadline time.Duration
+	ctxErr   error
+}
+
+func (f *fakeDispatcher) Submit(ctx context.Context, job state.Job, _ state.Digest, deadline time.Duration) message.Answer {
+	if f.entered != nil {
+		f.entered <- job.Key.ID
+	}
+	if f.gate != nil {
+		<-f.gate
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.jobs = append(f.jobs, job)
+	f.deadline = deadline
+	f.ctxErr = ctx.Err()
+	if a, ok := f.answers[job.Key.ID]; ok {
+		a.Key = job.Key
+		return a
+	}
+	return echo(job)
+}
+
+func echo(job state.Job) message.Answer {
+	a := message.Answer{Key: job.Key, Outcome: state.Complete}
+	for i, t := range job.Tasks {
+		a.Results = append(a.Results, state.TaskResult{Index: i, Payload: t.Payload})
+	}
+	return a
+}
+
+func (f *fakeDispatcher) Query(_ context.Context, key state.JobKey) message.Answer {
+	a, ok := f.answers[key.ID]
+	if !ok {
+		a = message.Answer{Outcome: state.NotRun, Reason: state.ReasonUnknownJob}
+	}
+	a.Key = key
+	return a
+}
+
+func (f *fakeDispatcher) Cancel(ctx context.Context, key state.JobKey) message.Answer {
+	return f.Query(ctx, key)
+}
+
+func (f *fakeDispatcher) submitted() []state.Job {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.jobs
+}
+
+// fakeDeclarer keeps one line of versions per operator.
+type fakeDeclarer struct {
+	services map[string]string
+	next     state.Version
+	// fault, when set, answers every apply.
+	fault *coordination.Applied
+
+	mu       sync.Mutex
+	inForce  map[string]Declaration    // guarded by mu
+	accepted map[string][]HistoryEntry // guarded by mu
+}
+
+func (f *fakeDeclarer) Apply(_ context.Context, operator string, base state.Version, raw []byte) coordination.Applied {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fault != nil {
+		return *f.fault
+	}
+	current := f.inForce[operator].Version
+	if base != current {
+		return coordination.Applied{Version: current, Outcome: state.NotRun, Reason: state.ReasonLostRace}
+	}
+	f.next++
+	f.inForce[operator] = Declaration{Version: f.next, Raw: raw}
+	f.accepted[operator] = append(f.accepted[operator], HistoryEntry{Version: f.next, Base: base, Digest: "d", Bytes: len(raw)})
+	return coordination.Applied{Version: f.next, Outcome: state.Complete}
+}
+
+func (f *fakeDeclarer) Get(operator string) (Declaration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d, ok := f.inForce[operator]
+	return d, ok
+}
+
+func (f *fakeDeclarer) History(operator string) []HistoryEntry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.accepted[operator]
+}
+
+func (f *fakeDeclarer) Operators() []OperatorVersion { return nil }
+
+func (f *fakeDeclarer) Service(name string) (string, bool) {
+	operator, ok := f.services[name]
+	return operator, ok
+}
+
+type fakeStatus struct{}
+
+func (fakeStatus) Status() StatusDocument { return StatusDocument{Node: "entry-1", Role: "entry"} }
+
+type fakeDrainer struct{}
+
+func (fakeDrainer) Drain(_ context.Context, node state.NodeID) message.Answer {
+	if node != "agent-1" {
+		return message.Answer{Outcome: state.NotRun, Reason: state.ReasonHomeUnreachable, Detail: "no such node is known"}
+	}
+	return message.Answer{Outcome: state.Complete}
+}
+
+// bench is a running server over fakes.
+type bench struct {
+	is         *is.I
+	url        string
+	dispatcher *fakeDispatcher
+	declarer   *fakeDeclarer
+	registry   *prometheus.Registry
+	ready      bool
+	// wrap, when set, stands before the handler.
+	wrap func(http.Handler) http.Handler
+}
+
+func newBench(t *testing.T, tokens ...Token) *bench {
+	b := &bench{
+		is:         is.New(t),
+		dispatcher: &fakeDispatcher{answers: map[string]message.Answer{}},
+		declarer: &fakeDeclarer{
+			services: map[string]string{"bench-desk": "haneul", "yard-logbook": "gridlog"},
+			next:     16,
+			inForce:  map[string]Declaration{},
+			accepted: map[string][]HistoryEntry{},
+		},
+		ready: true,
+	}
+	b.start(t, Options{Tokens: tokens})
+	return b
+}
+
+// start starts the server anew.
+func (b *bench) start(t *testing.T, o Options) {
+	b.registry = prometheus.NewRegistry()
+	o.Dispatcher, o.Declarer, o.Status, o.Drainer = b.dispatcher, b.declarer, fakeStatus{}, fakeDrainer{}
+	o.Registry = b.registry
+	o.Ready = func() bool { return b.ready }
+	srv := httptest.NewUnstartedServer(nil)
+	handler := New(o)
+	if b.wrap != nil {
+		handler = b.wrap(handler)
+	}
+	srv.Config = NewServer(handler, nil)
+	srv.Start()
+	t.Cleanup(srv.Close)
+	b.url = srv.URL
+}
+
+// refusals returns how often a reason was counted.
+func (b *bench) refusals(route string, reason state.Reason, o state.Outcome) float64 {
+	return counter(b, "shallotstep_http_refusals_total", route, string(reason), o.String())
+}
+
+func counter(b *bench, name string, values ...string) float64 {
+	families, err := b.registry.Gather()
+	b.is.NoErr(err)
+	for _, f := range families {
+		if f.GetName() != name {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			var have []string
+			for _, l := range m.GetLabel() {
+				have = append(have, l.GetValue())
+			}
+			if sameSet(have, values) {
+				return m.GetCounter().GetValue()
+			}
+		}
+	}
+	return 0
+}
+
+func sameSet(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, v := range a {
+		if !strings.Contains("\x00"+strings.Join(b, "\x00")+"\x00", "\x00"+v+"\x00") {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *bench) do(method, path, body string, header ...string) *http.Response {
+	req, err := http.NewRequest(method, b.url+path, strings.NewReader(body))
+	b.is.NoErr(err)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	res, err := http.DefaultClient.Do(req)
+	b.is.NoErr(err)
+	return res
+}
--- /dev/null
+++ b/transport/httpapi/handler_test.go
@@ -0,0 +1,237 @@
+package httpapi
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/protocol/api"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+const jobsRoute = "/v1/services/:service/jobs"
+
+func (b *bench) problem(res *http.Response) api.Problem {
+	defer res.Body.Close()
+	b.is.Equal(res.Header.Get("Content-Type"), api.ContentTypeProblem)
+	var p api.Problem
+	b.is.NoErr(json.NewDecoder(res.Body).Decode(&p))
+	b.is.Equal(p.Status, res.StatusCode)
+	return p
+}
+
+// A caller sends a body that must not be accepted. It sees a problem document
+// with status, reason and outcome, the refusal is counted once by its reason,
+// and no job reaches the dispatcher.
+func TestBadBodiesReachNoDispatcher(t *testing.T) {
+	many := `{"id":"j","tasks":[` + strings.Repeat(`{"payload":1},`, state.MaxTasksPerJob) + `{"payload":1}]}`
+	cases := []struct {
+		name, body string
+		status     int
+		reason     state.Reason
+	}{
+		{"empty", "", 400, state.ReasonMalformed},
+		{"not json", "<job/>", 400, state.ReasonMalformed},
+		{"unknown field", `{"id":"j","prio":1}`, 400, state.ReasonMalformed},
+		{"duplicate field", `{"id":"j","id":"k"}`, 400, state.ReasonMalformed},
+		{"trailing data", withID("j") + "x", 400, state.ReasonMalformed},
+		{"no tasks", `{"id":"j","tasks":[]}`, 400, state.ReasonMalformed},
+		{"no payload", `{"id":"j","tasks":[{}]}`, 400, state.ReasonMalformed},
+		{"1001 tasks", many, 413, state.ReasonTooManyTasks},
+		{"large body", withID("j") + strings.Repeat(" ", state.MaxBodyBytes), 413, state.ReasonTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t)
+			p := b.problem(b.do("POST", jobs, c.body))
+			b.is.Equal(p.Status, c.status)
+			b.is.Equal(p.Reason, c.reason)
+			b.is.Equal(p.Outcome, state.NotRun)
+			b.is.Equal(b.refusals(jobsRoute, c.reason, state.NotRun), 1.0)
+			b.is.Equal(len(b.dispatcher.submitted()), 0)
+		})
+	}
+}
+
+// A body states no length and goes on past the limit. The caller is refused
+// without the rest being read into memory.
+func TestBodyWithoutLengthIsBounded(t *testing.T) {
+	b := newBench(t)
+	req, err := http.NewRequest("POST", b.url+jobs, io.LimitReader(endless{}, state.MaxBodyBytes+1))
+	b.is.NoErr(err)
+	req.ContentLength = -1
+	res, err := http.DefaultClient.Do(req)
+	b.is.NoErr(err)
+	b.is.Equal(b.problem(res).Reason, state.ReasonTooLarge)
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = ' '
+	}
+	return len(p), nil
+}
+
+// Two callers wait at the same time, and the later one is answered first. Each
+// must see the results of its own job.
+func TestCallersGetTheirOwnAnswers(t *testing.T) {
+	b := newBench(t)
+	b.dispatcher.gate = make(chan struct{})
+	b.dispatcher.entered = make(chan string)
+	const callers = 20
+	var wg conc.WaitGroup
+	bodies := make([]string, callers)
+	for i := range callers {
+		wg.Go(func() {
+			body := fmt.Sprintf(`{"id":"job-%d","tasks":[{"payload":"%d-a"},{"payload":"%d-b"}]}`, i, i, i)
+			res := b.do("POST", jobs, body)
+			defer res.Body.Close()
+			got, err := io.ReadAll(res.Body)
+			b.is.NoErr(err)
+			bodies[i] = string(got)
+		})
+	}
+	for range callers {
+		<-b.dispatcher.entered
+	}
+	close(b.dispatcher.gate)
+	wg.Wait()
+	for i, body := range bodies {
+		want := fmt.Sprintf(`{"id":"job-%d","outcome":"complete","results":["%d-a","%d-b"],`, i, i, i)
+		b.is.True(strings.HasPrefix(body, want)) // its own answer
+	}
+}
+
+// The layer below hands over another caller's answer. Nobody may see it: the
+// caller learns that its own outcome is unknown.
+func TestAnswerOfAnotherJobIsWithheld(t *testing.T) {
+	b := newBench(t)
+	other := message.Answer{Key: state.JobKey{Service: "bench-desk", ID: "other"}, Outcome: state.Complete, Results: []state.TaskResult{{Payload: []byte(`"secret"`)}}}
+	h := New(Options{Dispatcher: mixedUp{other}, Declarer: b.declarer, Status: fakeStatus{}})
+	req := httptest.NewRequest("POST", jobs, strings.NewReader(oneTask))
+	req.RemoteAddr = "127.0.0.1:9"
+	rec := httptest.NewRecorder()
+	h.ServeHTTP(rec, req)
+	p := b.problem(rec.Result())
+	b.is.Equal(p.Outcome, state.Unknown)
+	b.is.Equal(p.Reason, state.ReasonInternal)
+	b.is.True(!strings.Contains(rec.Body.String(), "secret"))
+}
+
+// A clerk's browser goes away while the job runs. The job must go on with a
+// context that is still good, because the clerk will submit again and join it.
+func TestDisconnectKeepsTheJob(t *testing.T) {
+	b := newBench(t)
+	b.dispatcher.gate = make(chan struct{})
+	b.dispatcher.entered = make(chan string, 1)
+	answered := make(chan struct{})
+	b.wrap = func(h http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			// The job ends only after the server has seen the caller go.
+			context.AfterFunc(req.Context(), func() { close(b.dispatcher.gate) })
+			h.ServeHTTP(w, req)
+			close(answered)
+		})
+	}
+	b.start(t, Options{})
+	ctx, disconnect := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "POST", b.url+jobs, strings.NewReader(oneTask))
+	b.is.NoErr(err)
+	var caller conc.WaitGroup
+	caller.Go(func() {
+		_, err := http.DefaultClient.Do(req)
+		b.is.True(err != nil) // the caller has gone
+	})
+	<-b.dispatcher.entered
+	disconnect()
+	caller.Wait()
+	<-answered
+	b.is.Equal(len(b.dispatcher.submitted()), 1)
+	b.is.NoErr(b.dispatcher.ctxErr)
+	b.is.Equal(counter(b, "shallotstep_http_disconnects_total", jobsRoute), 1.0)
+}
+
+// More bodies are on their way than the entry has memory for. The next caller
+// is told at once to come back, and once the others are through it is served.
+func TestHeldBodiesAreBounded(t *testing.T) {
+	b := newBench(t)
+	b.start(t, Options{MaxHeldBytes: int64(len(oneTask))})
+	b.dispatcher.gate = make(chan struct{})
+	b.dispatcher.entered = make(chan string, 2)
+	var first conc.WaitGroup
+	first.Go(func() { b.is.Equal(b.do("POST", jobs, oneTask).StatusCode, 200) })
+	<-b.dispatcher.entered
+	res := b.do("POST", jobs, oneTask)
+	b.is.Equal(res.Header.Get("Retry-After"), "1")
+	p := b.problem(res)
+	b.is.Equal(p.Reason, state.ReasonOverload)
+	b.is.Equal(p.Outcome, state.Unknown)
+	close(b.dispatcher.gate)
+	first.Wait()
+	b.is.Equal(b.do("POST", jobs, oneTask).StatusCode, 200)
+}
+
+// An entry without tokens listens on an outward address by mistake. A caller
+// from elsewhere must not get in.
+func TestWithoutTokensOnlyLoopback(t *testing.T) {
+	is := is.New(t)
+	h := New(Options{Dispatcher: &fakeDispatcher{}, Declarer: &fakeDeclarer{}, Status: fakeStatus{}})
+	for addr, want := range map[string]int{
+		"192.0.2.1:1234": 401, "[2001:db8::1]:1": 401, "": 401,
+		"127.0.0.1:1": 200, "[::1]:1": 200,
+	} {
+		req := httptest.NewRequest("GET", "/v1/status", nil)
+		req.RemoteAddr = addr
+		rec := httptest.NewRecorder()
+		h.ServeHTTP(rec, req)
+		is.Equal(rec.Code, want) // addr
+	}
+}
+
+func TestIDsWithSlashes(t *testing.T) {
+	b := newBench(t)
+	b.dispatcher.answers["JJ/2026/17"] = message.Answer{Outcome: state.Pending}
+	res := b.do("GET", jobs+"/JJ%2F2026%2F17", "")
+	b.is.Equal(res.StatusCode, 200)
+}
+
+// The server must have bounds on everything but the wait for an answer.
+func TestServerLimits(t *testing.T) {
+	is := is.New(t)
+	srv := NewServer(http.NotFoundHandler(), &tls.Config{})
+	is.True(srv.ReadHeaderTimeout > 0)
+	is.True(srv.IdleTimeout > 0)
+	is.True(srv.MaxHeaderBytes > 0)
+	is.Equal(srv.WriteTimeout, time.Duration(0))
+}
+
+func TestMetricsAreServed(t *testing.T) {
+	b := newBench(t)
+	b.do("GET", "/nowhere", "")
+	res := b.do("GET", "/metrics", "")
+	body, err := io.ReadAll(res.Body)
+	b.is.NoErr(err)
+	b.is.True(strings.Contains(string(body), `shallotstep_http_refusals_total{outcome="not_run",reason="unknown_route",route="none"} 1`))
+}
+
+// mixedUp answers everything with one job's answer.
+type mixedUp struct{ answer message.Answer }
+
+func (m mixedUp) Submit(context.Context, state.Job, state.Digest, time.Duration) message.Answer {
+	return m.answer
+}
+func (m mixedUp) Query(context.Context, state.JobKey) message.Answer  { return m.answer }
+func (m mixedUp) Cancel(context.Context, state.JobKey) message.Answer { return m.answer }
--- /dev/null
+++ b/transport/httpapi/jobs.go
@@ -0,0 +1,141 @@
+package httpapi
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/protocol/api"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// anyCount is for answers whose number of tasks the asker doesn't know.
+const anyCount = -1
+
+type decodeFunc func(service, headerKey string, body []byte) (state.Job, time.Duration, *api.Problem)
+
+func (s *server) submitJob(x *exchange)     { s.submit(x, api.DecodeJob) }
+func (s *server) submitRequest(x *exchange) { s.submit(x, api.DecodeRequest) }
+
+func (s *server) submit(x *exchange, decode decodeFunc) {
+	operator, p := s.serviceOperator(x)
+	if p != nil {
+		x.refuse(p)
+		return
+	}
+	key, p := idempotencyKey(x)
+	if p != nil {
+		x.refuse(p)
+		return
+	}
+	body, release, p := s.readBody(x)
+	if p != nil {
+		x.refuse(p)
+		return
+	}
+	defer release()
+	job, deadline, p := decode(x.params.ByName("service"), key, body)
+	if p != nil {
+		x.refuse(p)
+		return
+	}
+	job.Operator = operator
+	a := s.Dispatcher.Submit(x.detached(), job, job.Digest(), deadline)
+	x.answerJob(a, job.Key, len(job.Tasks))
+}
+
+func (s *server) queryJob(x *exchange) {
+	key, p := s.jobKey(x)
+	if p != nil {
+		x.refuse(p)
+		return
+	}
+	x.answerJob(s.Dispatcher.Query(x.detached(), key), key, anyCount)
+}
+
+func (s *server) cancelJob(x *exchange) {
+	key, p := s.jobKey(x)
+	if p != nil {
+		x.refuse(p)
+		return
+	}
+	a := s.Dispatcher.Cancel(x.detached(), key)
+	// To the caller of a cancellation a cancelled job is the success.
+	if a.Reason == state.ReasonCancelled && a.Key == key && a.Outcome != state.Unknown {
+		x.answer(api.Answer{ID: key.ID, Outcome: api.Outcome(a.Outcome), Reason: a.Reason})
+		return
+	}
+	x.answerJob(a, key, anyCount)
+}
+
+// answerJob writes the answer to one job. An answer to another job, a partial
+// one, or one that is still pending where the final one is due, is withheld:
+// the caller would take it for its own. The job may well have run.
+func (x *exchange) answerJob(a message.Answer, key state.JobKey, tasks int) {
+	if a.Key != key {
+		x.internal(key.ID, state.Unknown, errOtherJob)
+		return
+	}
+	if p := api.ProblemOf(a); p != nil {
+		x.refuse(p)
+		return
+	}
+	if a.Outcome == state.Pending && tasks != anyCount {
+		x.internal(key.ID, state.Unknown, errNotFinal)
+		return
+	}
+	doc, err := api.AnswerOf(a, tasks)
+	if err != nil {
+		x.internal(key.ID, state.Failed, err)
+		return
+	}
+	x.answer(doc)
+}
+
+// detached returns a context that a caller's disconnect doesn't end.
+func (x *exchange) detached() context.Context {
+	return context.WithoutCancel(x.req.Context())
+}
+
+// serviceOperator returns who has declared the service that is asked for, if
+// the asker may act for it.
+func (s *server) serviceOperator(x *exchange) (string, *api.Problem) {
+	service := x.params.ByName("service")
+	if p := api.CheckService(service); p != nil {
+		return "", p
+	}
+	operator, ok := s.Declarer.Service(service)
+	if !ok {
+		// "Unknown" and not "not run": the news of a new service takes seconds,
+		// and another entry may have accepted the same id already.
+		return "", api.NewProblem(state.ReasonUnknownService, x.turnedAway, "this attempt was not accepted: no declaration known here has the service %q", service)
+	}
+	if !x.who.actsFor(operator) {
+		return "", x.forbidden("the token is not for the operator of service %q", service)
+	}
+	return operator, nil
+}
+
+func (s *server) jobKey(x *exchange) (state.JobKey, *api.Problem) {
+	if _, p := s.serviceOperator(x); p != nil {
+		return state.JobKey{}, p
+	}
+	id := strings.TrimPrefix(x.params.ByName("id"), "/")
+	if p := api.CheckID(id); p != nil {
+		return state.JobKey{}, p
+	}
+	return state.JobKey{Service: x.params.ByName("service"), ID: id}, nil
+}
+
+// idempotencyKey returns the header that stands for an id.
+func idempotencyKey(x *exchange) (string, *api.Problem) {
+	values := x.req.Header.Values("Idempotency-Key")
+	switch len(values) {
+	case 0:
+		return "", nil
+	case 1:
+		return values[0], nil
+	}
+	return "", api.NewProblem(state.ReasonMalformed, state.NotRun, "there is more than one Idempotency-Key header")
+}
--- /dev/null
+++ b/transport/httpapi/metrics.go
@@ -0,0 +1,60 @@
+package httpapi
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// metrics counts exchanges. Routes and reasons are fixed sets, so that no
+// caller can make the number of series grow.
+type metrics struct {
+	requests    *prometheus.CounterVec
+	refusals    *prometheus.CounterVec
+	disconnects *prometheus.CounterVec
+	seconds     *prometheus.HistogramVec
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotstep_http_requests_total",
+			Help: "HTTP requests answered, by route and status code.",
+		}, []string{"route", "status"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotstep_http_refusals_total",
+			Help: "Problem documents sent, by route, reason and outcome.",
+		}, []string{"route", "reason", "outcome"}),
+		disconnects: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "shallotstep_http_disconnects_total",
+			Help: "Callers that went away before their answer, by route.",
+		}, []string{"route"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "shallotstep_http_request_seconds",
+			Help:    "Time from a request's header to its answer, by route.",
+			Buckets: prometheus.ExponentialBuckets(firstBucket, bucketFactor, buckets),
+		}, []string{"route"}),
+	}
+	r.MustRegister(m.requests, m.refusals, m.disconnects, m.seconds)
+	return m
+}
+
+// The histogram reaches from 1 ms to 32 s, which holds the shortest status
+// question and the longest ordinary job.
+const (
+	firstBucket  = 0.001
+	bucketFactor = 2
+	buckets      = 16
+)
+
+func (m *metrics) answered(route string, status int, took time.Duration) {
+	m.requests.WithLabelValues(route, strconv.Itoa(status)).Inc()
+	m.seconds.WithLabelValues(route).Observe(took.Seconds())
+}
+
+func (m *metrics) refused(route string, reason state.Reason, outcome state.Outcome) {
+	m.refusals.WithLabelValues(route, string(reason), outcome.String()).Inc()
+}
--- /dev/null
+++ b/transport/httpapi/options.go
@@ -0,0 +1,83 @@
+// Package httpapi serves an entry's HTTP interface: submissions, declarations,
+// the status, metrics and health. It decodes strictly, asks the layers below,
+// and writes each answer whole or not at all.
+package httpapi
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/protocol/api"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// The documents that the interfaces below exchange.
+type (
+	Declaration     = api.Declaration
+	HistoryEntry    = api.HistoryEntry
+	OperatorVersion = api.OperatorVersion
+	StatusDocument  = api.Status
+)
+
+// Dispatcher carries submissions. Its methods return the final answer. The
+// contexts they get don't end when the caller goes away: a job outlives its
+// caller, who may submit it again and join it.
+type Dispatcher interface {
+	// Submit has a job run and waits for its answer. deadline is how long the
+	// caller waits; zero means not stated.
+	Submit(ctx context.Context, job state.Job, digest state.Digest, deadline time.Duration) message.Answer
+	// Query returns the state of a job and starts nothing.
+	Query(ctx context.Context, key state.JobKey) message.Answer
+	// Cancel stops a job. The answer is the job's own: cancelled, or what it
+	// came to before.
+	Cancel(ctx context.Context, key state.JobKey) message.Answer
+}
+
+// Declarer carries declarations.
+type Declarer interface {
+	// Apply has raw replace the operator's declaration if base is still the
+	// version in force.
+	Apply(ctx context.Context, operator string, base state.Version, raw []byte) coordination.Applied
+	Get(operator string) (Declaration, bool)
+	// History returns the accepted declarations that are still known, newest
+	// last.
+	History(operator string) []HistoryEntry
+	Operators() []OperatorVersion
+	// Service returns the operator that has declared a service.
+	Service(name string) (operator string, ok bool)
+}
+
+// Status tells what the node knows of the system.
+type Status interface {
+	Status() StatusDocument
+}
+
+// Drainer has a node stop taking work. Outcome is Complete when the node has
+// said that it drains.
+type Drainer interface {
+	Drain(ctx context.Context, node state.NodeID) message.Answer
+}
+
+// Options are what the handler works with.
+type Options struct {
+	Dispatcher Dispatcher
+	Declarer   Declarer
+	Status     Status
+	// Drainer may be nil: the node then has no drain resource.
+	Drainer Drainer
+	// Tokens are the bearer tokens. With none, everybody on the loopback
+	// interface may do everything, and nobody else anything.
+	Tokens []Token
+	// Ready says whether the balancer may send work here. Nil means always.
+	Ready func() bool
+	// Registry takes the handler's metrics and is served at /metrics. Nil
+	// means a registry of its own.
+	Registry *prometheus.Registry
+	// MaxHeldBytes bounds the bodies of all submissions being answered. Zero
+	// means DefaultMaxHeldBytes.
+	MaxHeldBytes int64
+}
--- /dev/null
+++ b/transport/httpapi/status.go
@@ -0,0 +1,58 @@
+package httpapi
+
+import (
+	"net/http"
+
+	"github.com/shallotstep/shallotstep/protocol/api"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// ok is the body of a passed health check.
+const ok = "ok\n"
+
+const contentTypeText = "text/plain; charset=utf-8"
+
+func (s *server) getStatus(x *exchange) {
+	doc := s.Status.Status()
+	doc.Log.Streams = orEmpty(doc.Log.Streams)
+	doc.Roster = orEmpty(doc.Roster)
+	doc.Agents = orEmpty(doc.Agents)
+	doc.Declarations = orEmpty(doc.Declarations)
+	x.answer(doc)
+}
+
+// orEmpty makes a list that stands as [] in JSON and never as null.
+func orEmpty[T any](list []T) []T {
+	if list == nil {
+		return []T{}
+	}
+	return list
+}
+
+func (s *server) drainNode(x *exchange) {
+	node := x.params.ByName("id")
+	if p := api.CheckNode(node); p != nil {
+		x.refuse(p)
+		return
+	}
+	a := s.Drainer.Drain(x.detached(), state.NodeID(node))
+	if p := api.ProblemOf(a); p != nil {
+		x.refuse(p)
+		return
+	}
+	x.answer(api.Drained{Node: state.NodeID(node), Outcome: api.Outcome(a.Outcome)})
+}
+
+// healthz says that the process runs.
+func (s *server) healthz(x *exchange) {
+	x.write(http.StatusOK, contentTypeText, []byte(ok))
+}
+
+// readyz says whether the balancer may send work here.
+func (s *server) readyz(x *exchange) {
+	if !s.Ready() {
+		x.refuse(api.NewProblem(state.ReasonNotReady, state.NotRun, "this node takes no new work"))
+		return
+	}
+	x.write(http.StatusOK, contentTypeText, []byte(ok))
+}
