Judge declarations in log order and settle operators' applies

Operators' files must become the truth everywhere, with one winner of a race and no reverting, though the log loses replies and forgets old records.

Every node judges apply records in log order; the record's offset becomes the version. Nodes that start at a truncated log take refresh records as the state at the offset their writer had read, and judge applies only once every operator is known. Service names stay with their first operator and region, also while undeclared, because claims are scoped by service and region.

Ruled out: a validity rule that needs records below the truncation point, and clocks in records. New reasons: service_owned, region_fixed.

--- /dev/null
+++ b/coordination/declare/metrics.go
@@ -0,0 +1,77 @@
+package declare
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/declaration"
+)
+
+// metrics counts outcomes and what the upkeep of declarations costs.
+type metrics struct {
+	applies  *prometheus.CounterVec
+	records  *prometheus.CounterVec
+	failures *prometheus.CounterVec
+	upkeep   *prometheus.CounterVec
+	peers    *prometheus.CounterVec
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		applies:  counter("applies_total", "Applies answered, by reason; accepted ones have the reason none.", "reason"),
+		records:  counter("records_total", "Records of the declaration stream read, by verdict.", "verdict"),
+		failures: counter("append_failures_total", "Failed appends, by kind of record and certainty.", "kind", "failure"),
+		upkeep:   counter("refreshes_total", "Refreshes asked for, by result.", "result"),
+		peers:    counter("peers_total", "Questions to peers, and what peers' declarations did.", "event"),
+	}
+	if r != nil {
+		r.MustRegister(m.applies, m.records, m.failures, m.upkeep, m.peers)
+	}
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	opts := prometheus.CounterOpts{
+		Namespace: "shallotstep",
+		Subsystem: "declare",
+		Name:      name,
+		Help:      help,
+	}
+	return prometheus.NewCounterVec(opts, labels)
+}
+
+func (m *metrics) settled(reason state.Reason) {
+	if reason == state.ReasonNone {
+		reason = "none"
+	}
+	m.applies.WithLabelValues(string(reason)).Inc()
+}
+
+func (m *metrics) read(v declaration.Verdict) { m.records.WithLabelValues(v.String()).Inc() }
+
+func (m *metrics) undecodable() { m.records.WithLabelValues("undecodable").Inc() }
+
+func (m *metrics) appendFailed(kind declaration.Kind, f Failure) {
+	failure := "refused"
+	if f == FailureUnknown {
+		failure = "unknown"
+	}
+	m.failures.WithLabelValues(string(kind), failure).Inc()
+}
+
+func (m *metrics) refreshed() { m.upkeep.WithLabelValues("appended").Inc() }
+
+func (m *metrics) refreshTooLarge() { m.upkeep.WithLabelValues("too_large").Inc() }
+
+func (m *metrics) asked(n int) { m.peers.WithLabelValues("asked").Add(float64(n)) }
+
+func (m *metrics) merged(merged bool, err error) {
+	event := "known"
+	switch {
+	case err != nil:
+		event = "invalid"
+	case merged:
+		event = "newer"
+	}
+	m.peers.WithLabelValues(event).Inc()
+}
--- /dev/null
+++ b/state/declaration/parse_test.go
@@ -0,0 +1,77 @@
+package declaration
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestParseExamples(t *testing.T) {
+	is := is.New(t)
+	src, err := os.ReadFile("../../examples/haneul/declaration.json")
+	is.NoErr(err)
+	f, err := Parse("haneul.json", src)
+	is.NoErr(err)
+	is.Equal(f.Operator, "haneul")
+	is.Equal(f.Services[0].Name, "bench-desk")
+	is.Equal(f.Services[0].ClaimRetention, 48*time.Hour)
+	is.True(f.Services[0].Placement.Allows("iksan", "r1"))
+	is.True(!f.Services[0].Placement.Allows("seoul", "r1"))
+
+	src, err = os.ReadFile("../../examples/gridlog/declaration.json")
+	is.NoErr(err)
+	f, err = Parse("gridlog.json", src)
+	is.NoErr(err)
+	is.Equal(f.Services[0].Region, "kigali")
+	is.Equal(f.Services[0].Task.Expected, 150*time.Millisecond)
+}
+
+// The operator sees every fault of the file in one run, each with its line and
+// key: a misspelt quota that was skipped would leave the team without a limit.
+func TestParseReportsEveryFault(t *testing.T) {
+	is := is.New(t)
+	src := `// a comment
+{
+  "operator": "grid log",
+  "priority": "high",
+  "quota": {"tasks_in_flight": 10.5, "tasks_per_second": 0},
+  "services": [
+    {
+      "name": "yard-logbook",
+      "region": "kigali",
+      "quoat": 3,
+      "name": "again",
+      "placement": {"racks": ["r1"]},
+    },
+    {"name": "yard-logbook"},
+  ],
+}`
+	_, err := Parse("gridlog.json", []byte(src))
+	is.True(err != nil)
+	want := []string{
+		`gridlog.json:3: operator: "grid log" is not a name`,
+		`gridlog.json:4: priority: want a whole number, have a string`,
+		`gridlog.json:5: quota.tasks_in_flight: want a whole number, have 10.5`,
+		`gridlog.json:5: quota.tasks_per_second: 0 is outside 1 to 1000000`,
+		`gridlog.json:10: services[0].quoat: unknown key`,
+		`gridlog.json:11: services[0].name: key stands twice`,
+		`gridlog.json:12: services[0].placement.racks[0]: want "domain/rack", have "r1"`,
+		`gridlog.json:14: services[1].region: key is missing`,
+		`gridlog.json:14: services[1].name: service "yard-logbook" stands twice`,
+	}
+	got := strings.Split(err.Error(), "\n")
+	is.Equal(len(got), len(want))
+	for i := range want {
+		is.True(strings.HasPrefix(got[i], want[i])) // same fault at the same place
+	}
+}
+
+func TestParseSyntaxErrorHasLine(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse("f.json", []byte("{\n  \"operator\": \"a\"\n  \"quota\": 1\n}"))
+	is.True(err != nil)
+	is.True(strings.HasPrefix(err.Error(), "f.json:3: syntax: "))
+}
--- a/state/outcome.go
+++ b/state/outcome.go
@@ -79,6 +79,8 @@
 
 	// Declarations and the platform's log.
 	ReasonLostRace       Reason = "lost_race"
+	ReasonServiceOwned   Reason = "service_owned"
+	ReasonRegionFixed    Reason = "region_fixed"
 	ReasonLogUnavailable Reason = "log_unavailable"
 	ReasonApplyUnknown   Reason = "apply_unknown"
 	ReasonNoDeclaration  Reason = "no_declaration"
@@ -122,6 +124,8 @@
 	ReasonLeaseLapsed:         http.StatusBadGateway,
 	ReasonEjected:             http.StatusServiceUnavailable,
 	ReasonLostRace:            http.StatusConflict,
+	ReasonServiceOwned:        http.StatusConflict,
+	ReasonRegionFixed:         http.StatusUnprocessableEntity,
 	ReasonLogUnavailable:      http.StatusServiceUnavailable,
 	ReasonApplyUnknown:        http.StatusServiceUnavailable,
 	ReasonNoDeclaration:       http.StatusNotFound,
