Guard claims by pairs: grants, refusals, pulls, bars and handover

Cause: a task may start at most once whoever resubmits, with no consensus and no clock that is trusted. Change: the pair protocol as a machine, with the roster walked one record at a time and a watermark for each share.

--- /dev/null
+++ b/coordination/guard/bar.go
@@ -0,0 +1,87 @@
+package guard
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/roster"
+)
+
+func (g *Guard) onBar(now time.Time, from state.NodeID, m message.Bar, acts *actions) {
+	index := roster.ShareOf(m.Key)
+	s := &g.shares[index]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := g.barLocked(s, index, now, m, acts)
+	if m.Epoch > s.pair.Epoch {
+		g.askRoster(now, from, acts)
+	}
+	acts.send(from, reply)
+}
+
+// barLocked rules the attempt out, if this agent can.
+//
+// A grant of the attempt needs both members of the pair at the attempt's epoch,
+// and each of them records the id. So one that was there, has no record of the
+// id and refuses the attempt from now on knows for certain that it was never
+// granted and never will be, whatever the other one did.
+func (g *Guard) barLocked(s *share, index uint32, now time.Time, m message.Bar, acts *actions) message.BarReply {
+	reply := message.BarReply{Key: m.Key, Attempt: m.Attempt, Epoch: s.pair.Epoch}
+	if g.opts.RegionOf(m.Key.Service) != g.opts.Self.Region {
+		reply.Reason = state.ReasonStaleEpoch
+		return reply
+	}
+	if found := g.claims.Find(now, index, m.Key); len(found) > 0 {
+		reply.Reason = state.ReasonHomeLost
+		reply.Holder = found[0].Holder
+		return reply
+	}
+	if m.Epoch < s.pair.Epoch {
+		reply.Barred = s.wasThere(m.Epoch)
+		reply.Reason = barReason(reply.Barred)
+		return reply
+	}
+	if m.Epoch > s.pair.Epoch || !s.guards(g.self) {
+		reply.Reason = state.ReasonStaleEpoch
+		return reply
+	}
+	g.barNowLocked(s, index, now, m, acts)
+	reply.Barred = true
+	reply.Reason = state.ReasonBarred
+	return reply
+}
+
+func barReason(barred bool) state.Reason {
+	if barred {
+		return state.ReasonBarred
+	}
+	return state.ReasonStaleEpoch
+}
+
+// wasThere reports whether the record holds every claim granted at the epoch,
+// which is over.
+func (s *share) wasThere(epoch state.Epoch) bool {
+	return epoch < s.knows || epoch >= s.since
+}
+
+func (g *Guard) barNowLocked(s *share, index uint32, now time.Time, m message.Bar, acts *actions) {
+	v := refuse(state.ReasonBarred)
+	g.closeLocked(s, now, m.Attempt, m.Epoch, v)
+	g.metrics.bars.Inc()
+	a, ok := s.asks[m.Key]
+	if !ok {
+		return
+	}
+	if a.attempt == m.Attempt {
+		g.endLocked(s, index, now, a, v, acts)
+		return
+	}
+	for i, w := range a.waiters {
+		if w.attempt == m.Attempt {
+			a.waiters = append(a.waiters[:i:i], a.waiters[i+1:]...)
+			g.denyLocked(s, now, w, v, acts)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/coordination/guard/pull.go
@@ -0,0 +1,198 @@
+package guard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/claim"
+	"github.com/shallotstep/shallotstep/state/roster"
+)
+
+const (
+	// pageRecords is how many claims go into one PullReply, about.
+	pageRecords = 2048
+	// maxBackoff bounds how much longer than AskRetry a pull waits between
+	// rounds when nobody can help.
+	maxBackoff = 64
+)
+
+// pull fetches a share's claims from one that holds them all.
+type pull struct {
+	active bool
+	// source is asked at present; candidate is its place in the list.
+	source    state.NodeID
+	candidate int
+	// after is the cursor that was asked for.
+	after string
+	// least is the lowest watermark on the pages so far.
+	least   state.Epoch
+	next    time.Time
+	backoff int
+}
+
+// needPullLocked begins a pull if this agent guards the share and lacks claims.
+func (g *Guard) needPullLocked(s *share, index uint32, now time.Time, acts *actions) {
+	if !s.guards(g.self) || s.complete() {
+		s.pull = pull{}
+		return
+	}
+	s.pull = pull{active: true, backoff: 1}
+	g.active.add(index)
+	g.askPageLocked(s, index, now, acts)
+}
+
+// sourcesLocked lists who may hold the claims that are missing, the most likely
+// first: the other member, then those of the epochs the agent wasn't there for.
+func (g *Guard) sourcesLocked(s *share) []state.NodeID {
+	out := []state.NodeID{s.pair.Other(g.self)}
+	for i := len(s.gaps) - 1; i >= 0; i-- {
+		for _, id := range s.gaps[i].members {
+			if id != "" && id != g.self && !slices.Contains(out, id) {
+				out = append(out, id)
+			}
+		}
+	}
+	return out
+}
+
+// askPageLocked asks the present candidate for the first page.
+func (g *Guard) askPageLocked(s *share, index uint32, now time.Time, acts *actions) {
+	sources := g.sourcesLocked(s)
+	p := &s.pull
+	p.source = sources[p.candidate%len(sources)]
+	p.after = ""
+	p.least = 0
+	g.sendPageAskLocked(s, index, now, acts)
+}
+
+func (g *Guard) sendPageAskLocked(s *share, index uint32, now time.Time, acts *actions) {
+	s.pull.next = now.Add(time.Duration(s.pull.backoff) * g.opts.AskRetry)
+	acts.send(s.pull.source, message.PullAsk{
+		Region: g.opts.Self.Region,
+		Share:  index,
+		Need:   s.since,
+		After:  s.pull.after,
+	})
+}
+
+// nextSourceLocked goes on to the next candidate, more slowly after each round.
+func (g *Guard) nextSourceLocked(s *share, index uint32, now time.Time, acts *actions) {
+	s.pull.candidate++
+	if s.pull.candidate%len(g.sourcesLocked(s)) == 0 {
+		s.pull.backoff = min(2*s.pull.backoff, maxBackoff)
+	}
+	g.metrics.pullRetries.Inc()
+	g.askPageLocked(s, index, now, acts)
+}
+
+func (g *Guard) onPullAsk(now time.Time, from state.NodeID, m message.PullAsk, acts *actions) {
+	if m.Region != g.opts.Self.Region || m.Share >= roster.Shares {
+		return
+	}
+	s := &g.shares[m.Share]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m.Need > s.pair.Epoch {
+		g.askRoster(now, from, acts)
+	}
+	reply := message.PullReply{Region: m.Region, Share: m.Share, Knows: s.knows, After: m.After}
+	if s.knows < m.Need && !g.disabled.pullFence {
+		acts.send(from, reply)
+		return
+	}
+	records, next, err := g.claims.Page(now, m.Share, m.After, pageRecords)
+	if err != nil {
+		return
+	}
+	for _, r := range records {
+		reply.Records = append(reply.Records, toMessage(now, r))
+	}
+	reply.Next = next
+	acts.send(from, reply)
+}
+
+func (g *Guard) onPullReply(now time.Time, from state.NodeID, m message.PullReply, acts *actions) {
+	if m.Region != g.opts.Self.Region || m.Share >= roster.Shares {
+		return
+	}
+	s := &g.shares[m.Share]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g.confirmHandoverLocked(s, m.Share, from, m.Knows)
+	if m.Knows > s.pair.Epoch {
+		g.askRoster(now, from, acts)
+	}
+	if !s.pull.active || s.pull.source != from {
+		return
+	}
+	// A page is taken only as the answer to the cursor asked for. The last page
+	// of an earlier pull would otherwise pass for a share that fits one page.
+	if s.pull.after != m.After && !g.disabled.pageOrder {
+		return
+	}
+	g.pageLocked(s, now, m, acts)
+}
+
+// pageLocked takes in a page, if its sender holds what is missing.
+//
+// A sender that hasn't left the epoch before may still take part in a grant
+// there, after it has sent the page. Only a watermark that has reached since
+// shows that it holds all of them and that no more will come.
+func (g *Guard) pageLocked(s *share, now time.Time, m message.PullReply, acts *actions) {
+	if m.Knows < g.pullNeed(s) {
+		if s.pull.next.After(now) && s.pull.backoff > 1 {
+			return // every candidate was asked lately: wait for Tick
+		}
+		g.nextSourceLocked(s, m.Share, now, acts)
+		return
+	}
+	for _, r := range m.Records {
+		if validKey(r.Key) && roster.ShareOf(r.Key) == m.Share {
+			g.claims.Add(now, m.Share, fromMessage(now, r))
+		}
+	}
+	if s.pull.after == "" || m.Knows < s.pull.least {
+		s.pull.least = m.Knows
+	}
+	if m.Next != "" {
+		s.pull.after = m.Next
+		g.sendPageAskLocked(s, m.Share, now, acts)
+		return
+	}
+	g.pulledLocked(s, m.Share, now, acts)
+}
+
+// pullNeed is the watermark a source must have.
+func (g *Guard) pullNeed(s *share) state.Epoch {
+	if g.disabled.pullFence && len(s.gaps) > 0 {
+		return s.gaps[len(s.gaps)-1].epoch
+	}
+	return s.since
+}
+
+func (g *Guard) pulledLocked(s *share, index uint32, now time.Time, acts *actions) {
+	if s.pull.least < g.pullNeed(s) {
+		g.nextSourceLocked(s, index, now, acts) // the pair changed between pages
+		return
+	}
+	s.knows = max(s.knows, s.pull.least)
+	if g.disabled.pullFence {
+		s.knows = max(s.knows, s.since)
+	}
+	s.settle()
+	s.pull = pull{}
+	g.metrics.pulls.Inc()
+	g.completedLocked(s, now)
+}
+
+// completedLocked has the claims that waited for the record asked again.
+func (g *Guard) completedLocked(s *share, now time.Time) {
+	for _, a := range s.asks {
+		a.next = now
+	}
+}
+
+// probeCursor asks for a watermark without claims.
+const probeCursor = claim.ProbeCursor
--- /dev/null
+++ b/coordination/guard/share.go
@@ -0,0 +1,146 @@
+package guard
+
+import (
+	"sync"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/roster"
+)
+
+// noKnowledge is the watermark of one that may lack any claim.
+const noKnowledge state.Epoch = -1
+
+// share is what the agent knows of one share of its region's ids. Its mu guards
+// all fields.
+type share struct {
+	mu   sync.Mutex
+	pair roster.Pair // with the share's epoch
+	// knows is the watermark: the record holds every claim granted at epochs
+	// below it. It never falls.
+	knows state.Epoch
+	// since begins the present run of epochs at which nothing could be granted
+	// without this agent: the record holds every claim granted from since on.
+	since state.Epoch
+	// gaps are the epochs below since, and not below knows, that the agent
+	// wasn't there for.
+	gaps []gap
+	pull pull
+	asks map[state.JobKey]*ask
+	// closed holds the attempts that were told "no" or barred.
+	closed map[message.Attempt]verdict
+	// handover is set while a leaving agent waits for its successors.
+	handover *handover
+}
+
+// gap is one epoch whose claims the agent lacks.
+type gap struct {
+	epoch   state.Epoch
+	members [2]state.NodeID
+	dead    [2]bool
+	// unknown marks the time before a roster snapshot: members aren't known.
+	unknown bool
+	// harmless is when every claim granted at the epoch has expired, and no
+	// more can be granted. The zero time means never.
+	harmless time.Time
+}
+
+// complete reports whether the record holds every claim granted before the
+// present epoch.
+func (s *share) complete() bool {
+	return s.knows >= s.pair.Epoch
+}
+
+// guards reports whether the node is of the present pair.
+func (s *share) guards(id state.NodeID) bool {
+	return s.pair.Has(id)
+}
+
+// walk goes on to the next pair. What was granted at the epoch that ends is
+// known to its members, for nothing could be granted there without them.
+func (s *share) walk(self state.NodeID, next roster.Pair, harmless time.Time) {
+	old := s.pair
+	s.pair = next
+	if old.OK && !old.Has(self) {
+		s.since = next.Epoch
+		s.gaps = append(s.gaps, gap{
+			epoch:    old.Epoch,
+			members:  [2]state.NodeID{old.Home, old.Witness},
+			harmless: harmless,
+		})
+	}
+	s.settle()
+}
+
+// settle raises the watermark when nothing is missing below since.
+func (s *share) settle() {
+	if s.knows < s.since {
+		return
+	}
+	s.knows = max(s.knows, s.pair.Epoch)
+	s.gaps = nil
+}
+
+// dropHarmless closes the gaps whose claims have all expired. No member of such
+// an epoch grants any more, as all of them have been without news of the log
+// for too long; so the record lacks nothing that still counts.
+func (s *share) dropHarmless(now time.Time) {
+	kept := s.gaps[:0]
+	for _, g := range s.gaps {
+		if g.harmless.IsZero() || now.Before(g.harmless) {
+			kept = append(kept, g)
+		}
+	}
+	if len(kept) == 0 && len(s.gaps) > 0 {
+		s.knows = max(s.knows, s.since)
+	}
+	s.gaps = kept
+	s.settle()
+}
+
+// confirmLost takes the operator's word that nodes are dead. A gap whose members
+// are all dead grants nothing more. Its claims still count until they expire,
+// unless the operator accepts that their ids run again.
+func (s *share) confirmLost(now, expired time.Time, rec roster.Change, anyIsEnough bool) {
+	for i := range s.gaps {
+		g := &s.gaps[i]
+		if g.unknown {
+			continue
+		}
+		g.markDead(rec.Lost)
+		dead := g.dead[0] && g.dead[1]
+		if !dead && !(anyIsEnough && (g.dead[0] || g.dead[1])) {
+			continue
+		}
+		switch {
+		case rec.AcceptRerun:
+			g.harmless = now
+		case g.harmless.IsZero() || expired.Before(g.harmless):
+			g.harmless = expired
+		}
+	}
+	s.dropHarmless(now)
+}
+
+func (g *gap) markDead(lost []state.NodeID) {
+	for _, id := range lost {
+		for i, m := range g.members {
+			if m == id {
+				g.dead[i] = true
+			}
+		}
+	}
+}
+
+// adopt starts from a pair in a snapshot. What was granted before is unknown,
+// unless the share never had a pair.
+func (s *share) adopt(p roster.Pair, harmless time.Time) {
+	s.pair = p
+	s.since = p.Epoch
+	if p.Epoch == 0 {
+		return
+	}
+	s.knows = noKnowledge
+	s.gaps = []gap{{unknown: true, harmless: harmless}}
+}
--- /dev/null
+++ b/coordination/guard/verdict.go
@@ -0,0 +1,125 @@
+package guard
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/claim"
+	"github.com/shallotstep/shallotstep/state/roster"
+)
+
+// verdict is a "no" that was said of an attempt. It is kept while the attempt
+// could still come again, so that the attempt is never granted later.
+type verdict struct {
+	epoch   state.Epoch // the attempt's epoch
+	at      time.Time
+	outcome state.Outcome
+	reason  state.Reason
+	holder  state.NodeID
+	digest  state.Digest
+}
+
+// refuse is a verdict that nothing was started by the attempt.
+func refuse(reason state.Reason) verdict {
+	return verdict{outcome: state.NotRun, reason: reason}
+}
+
+// closeLocked rules the attempt out for good.
+//
+// A repeated or late submission of an attempt that was answered "not run" would
+// otherwise start it after the caller was told that nobody will.
+func (g *Guard) closeLocked(s *share, now time.Time, attempt message.Attempt, epoch state.Epoch, v verdict) {
+	if epoch < s.pair.Epoch {
+		return // the attempt's epoch is over: it can't be granted anyway
+	}
+	v.epoch, v.at = epoch, now
+	if s.closed == nil {
+		s.closed = make(map[message.Attempt]verdict)
+	}
+	s.closed[attempt] = v
+}
+
+// denyLocked closes the attempt and tells the job machine.
+func (g *Guard) denyLocked(s *share, now time.Time, c candidate, v verdict, acts *actions) {
+	if !g.disabled.closed {
+		g.closeLocked(s, now, c.attempt, c.epoch, v)
+	}
+	g.metrics.refused(roleHome, v.reason)
+	*acts = append(*acts, g.denied(s, c, v))
+}
+
+func (g *Guard) denied(s *share, c candidate, v verdict) coordination.Denied {
+	epoch := s.pair.Epoch
+	if region := g.opts.RegionOf(c.key.Service); region != g.opts.Self.Region {
+		epoch = g.Roster().Pair(region, roster.ShareOf(c.key)).Epoch
+	}
+	return coordination.Denied{
+		Key:        c.key,
+		Attempt:    c.attempt,
+		Outcome:    v.outcome,
+		Reason:     v.reason,
+		RetryAfter: g.retryAfter(v.reason),
+		Epoch:      epoch,
+		Holder:     v.holder,
+		Digest:     v.digest,
+	}
+}
+
+// retryAfter is when coming back helps, zero when it doesn't.
+func (g *Guard) retryAfter(reason state.Reason) time.Duration {
+	switch reason {
+	case state.ReasonStaleEpoch, state.ReasonBusy:
+		return g.opts.AskRetry
+	case state.ReasonClaimsUnknown, state.ReasonNoPair, state.ReasonHomeUnreachable, state.ReasonLogUnavailable:
+		return g.giveUpAfter()
+	}
+	return 0
+}
+
+// heldVerdict says why an id with records isn't granted again. other holds the
+// records of the id; certain says that no claim granted before is missing.
+//
+// One of the records may have run, and the pair can't tell which. So with the
+// same content the outcome is unknown. Other content was not run and won't be,
+// if the records hold all there is and none of them has this content.
+func (g *Guard) heldVerdict(records []claim.Record, digest state.Digest, certain bool) verdict {
+	best := records[0]
+	for _, r := range records {
+		if r.Holder == g.self || r.Digest == digest && best.Holder != g.self {
+			best = r
+		}
+	}
+	v := verdict{outcome: state.Unknown, reason: state.ReasonHomeLost, holder: best.Holder, digest: best.Digest}
+	if hasDigest(records, digest) {
+		if best.Holder == g.self {
+			v.reason = state.ReasonNone
+		}
+		return v
+	}
+	v.reason = state.ReasonIDConflict
+	if certain || best.Holder == g.self {
+		v.outcome = state.NotRun
+	}
+	return v
+}
+
+func hasDigest(records []claim.Record, digest state.Digest) bool {
+	for _, r := range records {
+		if r.Digest == digest {
+			return true
+		}
+	}
+	return false
+}
+
+// hasOther reports whether a record has another holder than the node.
+func hasOther(records []claim.Record, holder state.NodeID) bool {
+	for _, r := range records {
+		if r.Holder != holder {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coordination/guard/witness.go
@@ -0,0 +1,107 @@
+package guard
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/claim"
+	"github.com/shallotstep/shallotstep/state/roster"
+)
+
+func (g *Guard) onClaimAsk(now time.Time, from state.NodeID, m message.ClaimAsk, acts *actions) {
+	index := roster.ShareOf(m.Key)
+	s := &g.shares[index]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reply := g.witnessLocked(s, index, now, from, m, acts)
+	if !reply.Granted {
+		g.metrics.refused(roleWitness, reply.Reason)
+	}
+	acts.send(from, reply)
+}
+
+// witnessLocked records the claim and says yes, or says why not.
+func (g *Guard) witnessLocked(s *share, index uint32, now time.Time, from state.NodeID, m message.ClaimAsk, acts *actions) message.ClaimReply {
+	reply := message.ClaimReply{Key: m.Key, Token: m.Token, Epoch: s.pair.Epoch}
+	if reason := g.witnessRefusal(s, now, from, m, acts); reason != state.ReasonNone {
+		reply.Reason = reason
+		return reply
+	}
+	complete := m.Knows || s.complete()
+	found := g.claims.Find(now, index, m.Key)
+	if conflicts(found, from, m.Digest) && !g.disabled.holder {
+		return refuseHeld(reply, found, m.Digest, complete)
+	}
+	// The asker alone can grant what it holds, and asks only for what it hasn't
+	// granted: the same holder gets the same yes. Otherwise one of the two must
+	// know every claim granted before, or the id may have been granted already
+	// by a pair of which neither has heard.
+	if len(found) == 0 && !complete && !g.disabled.watermark {
+		reply.Reason = state.ReasonClaimsUnknown
+		return reply
+	}
+	g.claims.Add(now, index, claim.Record{
+		Key: m.Key, Digest: m.Digest, Holder: from, Token: m.Token, At: now,
+	})
+	reply.Granted = true
+	return reply
+}
+
+// witnessRefusal says why this agent can't act as witness for the ask.
+//
+// A home that was evicted while it was paused or cut off still believes in its
+// epoch. It can't act, because one of its pair has gone on and refuses here.
+func (g *Guard) witnessRefusal(s *share, now time.Time, from state.NodeID, m message.ClaimAsk, acts *actions) state.Reason {
+	if m.Epoch > s.pair.Epoch {
+		g.askRoster(now, from, acts)
+	}
+	switch {
+	case !validKey(m.Key):
+		return state.ReasonMalformed
+	case m.Region != g.opts.Self.Region:
+		return state.ReasonStaleEpoch
+	case m.Epoch != s.pair.Epoch && !g.disabled.witnessEpoch:
+		return state.ReasonStaleEpoch
+	case (s.pair.Home != from || s.pair.Witness != g.self) && !g.disabled.witnessEpoch:
+		return state.ReasonStaleEpoch
+	case g.blind(now):
+		return state.ReasonLogUnavailable
+	case g.barredLocked(s, m.Attempt):
+		return state.ReasonBarred
+	}
+	return state.ReasonNone
+}
+
+// barredLocked reports whether the attempt was barred here.
+func (g *Guard) barredLocked(s *share, attempt message.Attempt) bool {
+	_, closed := s.closed[attempt]
+	return closed && !g.disabled.bars
+}
+
+func conflicts(found []claim.Record, holder state.NodeID, digest state.Digest) bool {
+	for _, r := range found {
+		if r.Holder != holder || r.Digest != digest {
+			return true
+		}
+	}
+	return false
+}
+
+// refuseHeld names the record that stands in the way. Another content is called
+// a conflict only if it is certain that this content was never granted.
+func refuseHeld(reply message.ClaimReply, found []claim.Record, digest state.Digest, certain bool) message.ClaimReply {
+	reply.Reason = state.ReasonHomeLost
+	best := found[0]
+	for _, r := range found {
+		if r.Digest == digest {
+			best = r
+		}
+	}
+	if certain && best.Digest != digest {
+		reply.Reason = state.ReasonIDConflict
+	}
+	reply.Holder = best.Holder
+	reply.Digest = best.Digest
+	return reply
+}
