--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -37,7 +37,7 @@
 const (
 	DefaultEvictAfter      = 15 * time.Second
 	DefaultTakeoverStep    = 2 * time.Second
-	DefaultAppendTimeout   = 5 * time.Second
+	DefaultAppendTimeout   = 10 * time.Second
 	DefaultSnapshotEvery   = 15 * time.Minute
 	DefaultSnapshotRecords = 2000
 )
