--- a/coordination/route/agents.go
+++ b/coordination/route/agents.go
@@ -87,11 +87,6 @@
 	return score, down
 }
 
-// fits reports whether a task's declared size fits an agent's worker at all.
-func fits(t *state.Task, l *state.AgentLoad) bool {
-	return t.Cores <= l.Cores && t.MemoryMB <= l.MemoryMB && t.Accelerators <= l.Accelerators
-}
-
 // pick chooses the better of two eligible agents by known load. Of all
 // candidates the least loaded would draw every entry at once until its next
 // report; the better of two random ones spreads them. Without an eligible one
@@ -124,7 +119,7 @@
 }
 
 func eligible(t *state.Task, l *state.AgentLoad, tried []try) bool {
-	if l.Draining || l.Ejected || !fits(t, l) {
+	if l.Draining || l.Ejected || !l.Fits(t) {
 		return false
 	}
 	return !slices.ContainsFunc(tried, func(o try) bool { return o.agent == l.ID })
@@ -132,7 +127,7 @@
 
 func whyNone(t *state.Task, all []state.AgentLoad) state.Reason {
 	for i := range all {
-		if fits(t, &all[i]) {
+		if all[i].Fits(t) {
 			return state.ReasonNoBackend
 		}
 	}
--- a/coordination/route/answer.go
+++ b/coordination/route/answer.go
@@ -19,7 +19,7 @@
 	}
 	switch m.Outcome {
 	case state.Pending:
-		r.heard(now, f)
+		r.atWork(now, f)
 	case state.Complete:
 		r.onComplete(now, f, m)
 	case state.NotRun:
@@ -46,9 +46,11 @@
 }
 
 // settle ends the flight with an answer that says what became of the job, and
-// so of every attempt: none of them can be granted beside it.
+// so of every attempt: none of them can be granted beside it. If nobody is
+// left to hear it, they stay open, so that a resubmission is not told NotRun
+// by a home that hasn't heard of the job yet.
 func (r *Router) settle(now time.Time, f *flight, m *message.Answer) {
-	for len(f.open) > 0 {
+	for f.heard() && len(f.open) > 0 {
 		id := f.open[0].id
 		delete(r.shardOf(f.key).attempts, id)
 		f.ruleOut(id)
@@ -136,12 +138,12 @@
 	return !ok || latest.After(f.until)
 }
 
-// heard notes that the target is at work on the attempt.
-func (r *Router) heard(now time.Time, f *flight) {
+// atWork notes that the target is at work on the attempt.
+func (r *Router) atWork(now time.Time, f *flight) {
 	f.phase = asking
 	f.cutAt = time.Time{}
 	f.held = true
-	f.probes = 0
+	f.probed = false
 	f.probe = min(f.probe*2, probeMax)
 	f.resendAt = now.Add(f.probe)
 }
--- a/coordination/route/bar.go
+++ b/coordination/route/bar.go
@@ -126,12 +126,13 @@
 func (r *Router) keepAsking(now time.Time, f *flight) {
 	f.phase = asking
 	f.held = true
-	f.probes = 0
-	f.probe = min(f.probe*2, probeMax)
+	f.probed = false
 	f.resendAt = now.Add(f.probe)
 	if !f.cutAt.IsZero() {
 		f.resendAt = now.Add(cutResend)
+		return
 	}
+	r.resend(now, f)
 }
 
 // onBarDue repeats Bars, or gives up when nobody of the pair was reachable for
--- a/coordination/route/flight.go
+++ b/coordination/route/flight.go
@@ -85,7 +85,7 @@
 	held     bool
 	resendAt time.Time
 	probe    time.Duration
-	probes   int
+	probed   bool // asked again since the target was last heard of
 
 	waitReason state.Reason
 	tried      state.Epoch // of the latest attempt that wasn't ready
@@ -146,6 +146,11 @@
 	}
 }
 
+// heard reports whether a caller is there to hear the answer.
+func (f *flight) heard() bool {
+	return slices.ContainsFunc(f.waiters, func(w waiter) bool { return !w.gone })
+}
+
 // ruleOut removes an attempt from the open ones.
 func (f *flight) ruleOut(id message.Attempt) {
 	f.open = slices.DeleteFunc(f.open, func(a attempt) bool { return a.id == id })
--- a/coordination/route/request.go
+++ b/coordination/route/request.go
@@ -47,6 +47,7 @@
 	admitted bool
 	hedged   bool
 	hedgeAt  time.Time // zero means no hedge
+	probe    time.Duration
 	probeAt  time.Time
 	lostAt   time.Time // when the last open try was lost; zero while one is open
 	refused  verdict   // the latest refusal
@@ -144,7 +145,8 @@
 	t := try{key: r.tryKey(q), agent: id, sent: now}
 	q.tries = append(q.tries, t)
 	q.lostAt = time.Time{}
-	q.probeAt = now.Add(q.service.probeAfter())
+	q.probe = q.service.probeAfter()
+	q.probeAt = now.Add(q.probe)
 	if after, ok := q.service.hedgeAfter(); ok && len(q.tries) == 1 {
 		q.hedgeAt = now.Add(after)
 	}
--- a/coordination/route/retry.go
+++ b/coordination/route/retry.go
@@ -85,7 +85,6 @@
 		q.lostAt = time.Time{}
 		r.agents.sent(t.agent)
 	}
-	q.probeAt = now.Add(q.service.probeAfter())
 }
 
 // retryOr tries elsewhere when nothing is under way any more, or refuses.
@@ -249,9 +248,10 @@
 // probeTries asks silent agents what became of their tries: an Assign or a
 // Report may be lost on a link that stayed up.
 func (r *Router) probeTries(now time.Time, s *requestShard, q *request) {
-	q.probeAt = now.Add(q.service.probeAfter())
+	q.probe = min(2*q.probe, probeMax)
+	q.probeAt = now.Add(q.probe)
 	for _, t := range q.tries {
-		if t.state == tryOpen && q.service.budget.Take() {
+		if t.state == tryOpen {
 			r.sendRequest(s, q, t.agent, message.TaskQuery{Key: t.key, Indexes: []int{0}})
 		}
 	}
--- a/coordination/route/silence.go
+++ b/coordination/route/silence.go
@@ -148,19 +148,21 @@
 }
 
 // probeTarget asks a silent target again. The failure it is for: a lost Submit
-// or Answer on a link that stayed up. Slow homes must not be asked over and
-// over, so it counts against the retry budget.
+// or Answer on a link that stayed up. A slow home must not be asked over and
+// over, so it is asked once and within the retry budget; then the witness is
+// asked. A target that is known to hold the job is asked ever more seldom, but
+// always, or a caller without a deadline would wait for a lost answer for ever.
 func (r *Router) probeTarget(now time.Time, f *flight) {
-	if f.probes >= probesBeforeBar && !f.held {
+	if !f.held && (f.probed || !f.service.budget.Take()) {
 		r.homeSilent(now, f)
 		return
 	}
-	f.probes++
-	f.probe = min(f.probe*2, probeMax)
-	f.resendAt = now.Add(f.probe)
-	if f.service.budget.Take() {
-		r.resend(now, f)
+	f.probed = true
+	if f.held {
+		f.probe = min(f.probe*2, probeMax)
 	}
+	f.resendAt = now.Add(f.probe)
+	r.resend(now, f)
 }
 
 // onWaitDue tries again, or gives up on the pair.
--- a/coordination/route/submit.go
+++ b/coordination/route/submit.go
@@ -115,21 +115,38 @@
 		r.giveUp(now, f, verdict{reason: state.ReasonNoPair, retryAfter: retryPair})
 		return
 	}
+	f.attempts++
+	f.lastHome, f.lastEpoch = home, epoch
+	a := attempt{id: r.newAttempt(), digest: f.digest, epoch: epoch, home: home, witness: witness}
 	if !r.opts.Roster.Alive(home) {
-		r.giveUp(now, f, verdict{reason: state.ReasonHomeUnreachable, retryAfter: retryPair})
+		r.skipHome(now, f, a)
 		return
 	}
-	f.attempts++
-	f.lastHome, f.lastEpoch = home, epoch
-	r.begin(now, f, home, attempt{
-		id: r.newAttempt(), digest: f.digest, epoch: epoch, home: home, witness: witness,
-	})
+	r.begin(now, f, home, a)
 }
 
-// begin sends a fresh attempt to target. It is open from here on.
+// skipHome asks the witness straight away when nobody hears of the home. The
+// attempt was never sent, but this may be a resubmission of an id that has
+// run: the witness's word covers that, the entry's own would not.
+func (r *Router) skipHome(now time.Time, f *flight, a attempt) {
+	r.open(now, f, a.home, a)
+	r.homeSilent(now, f)
+}
+
+// begin sends a fresh attempt to target.
 func (r *Router) begin(now time.Time, f *flight, target state.NodeID, a attempt) {
+	first := f.attempts <= 1 && f.cur.id == "" && f.extra == 0 && len(f.open) == 0
+	r.open(now, f, target, a)
+	if first {
+		r.send(f, target, r.question(now, f))
+		return
+	}
+	r.sendExtra(f, target, r.question(now, f))
+}
+
+// open makes an attempt the current one. It counts as open from here on.
+func (r *Router) open(now time.Time, f *flight, target state.NodeID, a attempt) {
 	s := r.shardOf(f.key)
-	first := f.cur.id == "" && f.extra == 0 && len(f.open) == 0
 	if f.cur.id != "" && !f.isOpen(f.cur.id) {
 		delete(s.attempts, f.cur.id)
 	}
@@ -140,14 +157,9 @@
 	s.attempts[a.id] = f
 	s.aimLocked(f, target)
 	f.phase = asking
-	f.cutAt, f.held, f.probes = time.Time{}, false, 0
+	f.cutAt, f.held, f.probed = time.Time{}, false, false
 	f.probe = f.service.probeAfter()
 	f.resendAt = now.Add(f.probe)
-	if first && f.attempts <= 1 {
-		r.send(f, target, r.question(now, f))
-		return
-	}
-	r.sendExtra(f, target, r.question(now, f))
 }
 
 // resend repeats the current attempt. The home answers each attempt alike
--- a/coordination/route/timing.go
+++ b/coordination/route/timing.go
@@ -25,8 +25,6 @@
 	probeMin    = time.Second
 	probeMax    = 10 * time.Second
 	probeFactor = 2
-	// probesBeforeBar is how many repeats may go unanswered before a Bar.
-	probesBeforeBar = 2
 	// pairWait is how long a flight waits for the pair to become ready: for
 	// the roster to move, or for a member to catch up.
 	pairWait = time.Second
