--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -106,6 +106,8 @@
 	// the last pull. Guarded by mu.
 	listeners map[state.NodeID]time.Time
 	rounds    rounds // guarded by mu
+	messages  int    // guarded by mu
+	items     int    // guarded by mu
 }
 
 // own is what this agent says of itself.
@@ -169,6 +171,12 @@
 	return g.view.Candidates(service)
 }
 
+// CandidatesFor returns agents whose worker is large enough for the task, also
+// from beyond the candidates.
+func (g *Gossip) CandidatesFor(service string, t *state.Task) []state.AgentLoad {
+	return g.view.CandidatesFor(service, t)
+}
+
 // All returns every fresh load with its age, in no particular order.
 func (g *Gossip) All(now time.Time) []loadview.Aged {
 	return g.view.All(now)
--- a/coordination/gossip/merge.go
+++ b/coordination/gossip/merge.go
@@ -38,7 +38,9 @@
 	default:
 		return nil
 	}
-	return []coordination.Action{coordination.Send{To: from, Msg: reply}}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.countLocked([]coordination.Action{coordination.Send{To: from, Msg: reply}})
 }
 
 func (g *Gossip) handleItem(now time.Time, item *message.LoadItem, page bool) {
--- a/coordination/gossip/round.go
+++ b/coordination/gossip/round.go
@@ -57,7 +57,7 @@
 		r.nextUrgent = now.Add(g.o.UrgentInterval)
 		out = append(out, g.urgentRoundLocked(now)...)
 	}
-	return out
+	return g.countLocked(out)
 }
 
 // readRosterLocked finds the nodes that this one sends to. It returns how many
