Wire the machines into daemons and run a whole system with -dev

Cause: the parts exist; a request is to be served end to end. package node composes the machines of one daemon and stays free of sockets, so a harness can drive whole nodes; package runner drives it with clock, log and links. Found on the way: a follower's first read waited a whole long poll (20 s) on an empty stream, so nobody joined before it ended. The first read and the first after a failure now return at once.

--- /dev/null
+++ b/daemon/agent/agent.go
@@ -0,0 +1,229 @@
+// Package agent runs an agent: the process beside one backend server. It wires
+// the agent's machine to its links, to the platform's log and to the backend
+// server; every decision is the machine's.
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/node"
+	"github.com/shallotstep/shallotstep/daemon/runner"
+	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/transport/agentapi"
+	"github.com/shallotstep/shallotstep/transport/backendclient"
+	"github.com/shallotstep/shallotstep/transport/httpapi"
+	"github.com/shallotstep/shallotstep/transport/link"
+	"github.com/shallotstep/shallotstep/transport/platformlog"
+)
+
+const (
+	// usageEvery is between two requests for a backend server's usage report.
+	usageEvery = time.Second
+	// renewalsPerLease is how many times a lease is renewed before it ends.
+	renewalsPerLease = 3
+	// lapsedTTLs is how many times to live after its last announcement a
+	// backend server is taken to be gone, and waits for its answers end.
+	lapsedTTLs = 3
+	// doneEvery is how often a draining agent looks whether it may exit.
+	doneEvery = 5 * time.Millisecond
+	// closeLimit bounds the flushing of links at the end.
+	closeLimit = 2 * time.Second
+)
+
+// Options are what an agent runs with.
+type Options struct {
+	// Node holds the machine's settings. Node.Self.Addr is where peers dial.
+	Node node.AgentOptions
+	// Peers accepts links from other nodes, HTTP the agent's own interface.
+	Peers net.Listener
+	HTTP  net.Listener
+	Log   platformlog.Options
+	// TLS proves nodes to one another; nil on loopback only.
+	TLS     *link.TLS
+	API     agentapi.Options
+	Backend backendclient.Options
+	// StopLimit bounds a planned stop. Zero means DefaultStopLimit.
+	StopLimit time.Duration
+	Registry  *prometheus.Registry
+}
+
+// DefaultStopLimit is how long a planned stop may take: the longest tasks take
+// several seconds, and a job of 1,000 of them many times that.
+const DefaultStopLimit = 2 * time.Minute
+
+// ErrEvicted says that the roster dropped this incarnation. It must end: the
+// next one joins under another id.
+var ErrEvicted = errors.New("evicted from the roster")
+
+// ErrStopLimit says that a planned stop was cut short by its limit.
+var ErrStopLimit = errors.New("the planned stop took too long")
+
+// Agent is one agent process.
+type Agent struct {
+	opts    Options
+	machine *node.Agent
+	runner  *runner.Runner
+	links   *link.Links
+	log     *platformlog.Client
+	client  *backendclient.Client
+	http    *http.Server
+	// tasks holds the goroutines that wait for the backend server.
+	tasks conc.WaitGroup
+	// taskCtx ends when waiting for the backend server is of no more use.
+	taskCtx context.Context
+	cancel  context.CancelFunc
+	drain   chan struct{}
+	once    sync.Once
+	running atomic.Int64
+
+	mu sync.Mutex
+	// backend, lastSeen and withdrawn are guarded by mu.
+	backend   state.Backend
+	lastSeen  time.Time
+	withdrawn bool
+	// runs holds the ends of the waits for tasks of the backend server at
+	// hand; guarded by mu.
+	runs map[state.TaskKey]context.CancelFunc
+}
+
+// New returns an agent that has opened its links but serves nothing yet.
+func New(o Options) (*Agent, error) {
+	if o.StopLimit <= 0 {
+		o.StopLimit = DefaultStopLimit
+	}
+	a := &Agent{
+		opts:  o,
+		drain: make(chan struct{}),
+		runs:  make(map[state.TaskKey]context.CancelFunc),
+	}
+	a.taskCtx, a.cancel = context.WithCancel(context.Background())
+	a.machine = node.NewAgent(o.Node)
+	a.log = platformlog.New(o.Log)
+	a.client = backendclient.New(o.Backend)
+	a.runner = runner.New(runner.Options{
+		Self:    o.Node.Self.ID,
+		Machine: a.machine,
+		Log:     a.log,
+		Perform: a.perform,
+	})
+	links, err := link.New(link.Options{
+		Self:     o.Node.Self.ID,
+		Addr:     o.Node.Self.Addr,
+		Listener: o.Peers,
+		TLS:      o.TLS,
+		Handler:  a.runner.Receive,
+		Up:       a.runner.Up,
+		Down:     a.runner.Down,
+		Registry: registerer(o.Registry),
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "links")
+	}
+	a.links = links
+	a.runner.Bind(links)
+	o.API.Registerer = registerer(o.Registry)
+	if o.Registry != nil {
+		o.API.Gatherer = o.Registry
+	}
+	a.http = httpapi.NewServer(agentapi.New(a, o.API), nil)
+	return a, nil
+}
+
+// registerer keeps a nil registry from becoming an interface that is not nil.
+func registerer(r *prometheus.Registry) prometheus.Registerer {
+	if r == nil {
+		return nil
+	}
+	return r
+}
+
+// Run serves until the context ends, which cuts everything off, or until a
+// planned stop that Drain began is over. It returns nil after a planned stop.
+func (a *Agent) Run(ctx context.Context) error {
+	runCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() { a.runner.Run(runCtx) })
+	wg.Go(func() { a.serveHTTP() })
+	wg.Go(func() { a.renewLeases(runCtx) })
+	wg.Go(func() { a.pollUsage(runCtx) })
+	klog.InfoS("Agent serves", "node", a.opts.Node.Self.ID, "peers", a.opts.Node.Self.Addr, "http", a.opts.HTTP.Addr().String())
+	err := a.await(ctx)
+	a.close(err)
+	stop()
+	wg.Wait()
+	return err
+}
+
+func (a *Agent) serveHTTP() {
+	if err := a.http.Serve(a.opts.HTTP); !errors.Is(err, http.ErrServerClosed) {
+		klog.ErrorS(err, "The agent's HTTP interface ended")
+	}
+}
+
+// await returns when the agent has to end.
+func (a *Agent) await(ctx context.Context) error {
+	t := time.NewTicker(doneEvery)
+	defer t.Stop()
+	var limit <-chan time.Time
+	drain := a.drain
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-drain:
+			drain = nil
+			limit = time.After(a.opts.StopLimit)
+		case <-limit:
+			return ErrStopLimit
+		case <-t.C:
+			if a.machine.Done() {
+				return nil
+			}
+			if a.machine.Evicted() && a.machine.Idle() {
+				return ErrEvicted
+			}
+		}
+	}
+}
+
+func (a *Agent) close(cause error) {
+	limit := closeLimit
+	if cause != nil && !errors.Is(cause, ErrEvicted) {
+		a.cancel()
+		limit = 0
+	}
+	a.tasks.Wait()
+	a.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	if err := a.links.Close(ctx); err != nil {
+		klog.InfoS("Links were cut", "err", err)
+	}
+	if err := a.http.Shutdown(ctx); err != nil {
+		_ = a.http.Close()
+	}
+	a.client.Close()
+	a.log.Close()
+}
+
+// perform carries out what only an agent does.
+func (a *Agent) perform(act coordination.Action) {
+	switch act := act.(type) {
+	case coordination.StartTask:
+		a.start(act)
+	case coordination.Control:
+		a.control(act)
+	}
+}
--- /dev/null
+++ b/daemon/entry/entry.go
@@ -0,0 +1,263 @@
+// Package entry runs an entry: the process that callers and operators talk to.
+// It wires the entry's machine to HTTP, to its links and to the platform's log;
+// every decision is the machine's.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+	"k8s.io/klog/v2"
+
+	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/coordination/node"
+	"github.com/shallotstep/shallotstep/daemon/runner"
+	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/transport/httpapi"
+	"github.com/shallotstep/shallotstep/transport/link"
+	"github.com/shallotstep/shallotstep/transport/platformlog"
+)
+
+const (
+	// idleEvery is how often a draining entry looks whether callers wait.
+	idleEvery = 5 * time.Millisecond
+	// closeLimit bounds the flushing of links at the end.
+	closeLimit = 2 * time.Second
+)
+
+// DefaultStopLimit is how long a planned stop may take.
+const DefaultStopLimit = 2 * time.Minute
+
+// ErrStopLimit says that a planned stop was cut short by its limit.
+var ErrStopLimit = errors.New("the planned stop took too long")
+
+// Options are what an entry runs with.
+type Options struct {
+	Node node.EntryOptions
+	// HTTP is where callers and operators connect; HTTPTLS is nil on loopback.
+	HTTP    net.Listener
+	HTTPTLS *tls.Config
+	Log     platformlog.Options
+	// TLS proves nodes to one another; nil on loopback only.
+	TLS    *link.TLS
+	Tokens []httpapi.Token
+	// StopLimit bounds a planned stop. Zero means DefaultStopLimit.
+	StopLimit time.Duration
+	Registry  *prometheus.Registry
+	// Software is the program's version, for the status.
+	Software string
+}
+
+// Entry is one entry process.
+type Entry struct {
+	opts     Options
+	machine  *node.Entry
+	runner   *runner.Runner
+	links    *link.Links
+	log      *platformlog.Client
+	http     *http.Server
+	draining atomic.Bool
+	drain    chan struct{}
+	once     sync.Once
+	tickets  tickets
+}
+
+// New returns an entry that has opened its links but serves nothing yet.
+func New(o Options) (*Entry, error) {
+	if o.StopLimit <= 0 {
+		o.StopLimit = DefaultStopLimit
+	}
+	e := &Entry{opts: o, drain: make(chan struct{})}
+	e.tickets.init()
+	e.machine = node.NewEntry(o.Node)
+	e.log = platformlog.New(o.Log)
+	e.runner = runner.New(runner.Options{
+		Self:    o.Node.Self.ID,
+		Machine: e.machine,
+		Log:     e.log,
+		Perform: e.perform,
+	})
+	lo := link.Options{
+		Self:    o.Node.Self.ID,
+		TLS:     o.TLS,
+		Handler: e.runner.Receive,
+		Up:      e.runner.Up,
+		Down:    e.runner.Down,
+	}
+	if o.Registry != nil {
+		lo.Registry = o.Registry
+	}
+	links, err := link.New(lo)
+	if err != nil {
+		return nil, errors.Wrap(err, "links")
+	}
+	e.links = links
+	e.runner.Bind(links)
+	handler := httpapi.New(httpapi.Options{
+		Dispatcher: (*dispatcher)(e),
+		Declarer:   (*declarer)(e),
+		Status:     (*status)(e),
+		Tokens:     o.Tokens,
+		Ready:      e.Ready,
+		Registry:   o.Registry,
+	})
+	e.http = httpapi.NewServer(handler, o.HTTPTLS)
+	return e, nil
+}
+
+// Ready reports whether the balancer may send work here.
+func (e *Entry) Ready() bool { return !e.draining.Load() && e.machine.Ready() }
+
+// Run serves until the context ends, which cuts everything off, or until a
+// planned stop that Drain began is over. It returns nil after a planned stop.
+func (e *Entry) Run(ctx context.Context) error {
+	runCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() { e.runner.Run(runCtx) })
+	wg.Go(func() { e.serveHTTP() })
+	klog.InfoS("Entry serves", "node", e.opts.Node.Self.ID, "http", e.opts.HTTP.Addr().String())
+	err := e.await(ctx)
+	e.close(err)
+	stop()
+	wg.Wait()
+	return err
+}
+
+func (e *Entry) serveHTTP() {
+	var err error
+	if e.opts.HTTPTLS != nil {
+		err = e.http.ServeTLS(e.opts.HTTP, "", "")
+	} else {
+		err = e.http.Serve(e.opts.HTTP)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		klog.ErrorS(err, "The entry's HTTP interface ended")
+	}
+}
+
+// Drain begins the planned stop: readiness goes off, new submissions are
+// refused as not run, and callers that wait get their answers.
+func (e *Entry) Drain() {
+	e.once.Do(func() {
+		klog.InfoS("Planned stop begins", "node", e.opts.Node.Self.ID)
+		e.draining.Store(true)
+		e.runner.Execute(e.machine.Drain(time.Now()))
+		close(e.drain)
+	})
+}
+
+func (e *Entry) await(ctx context.Context) error {
+	t := time.NewTicker(idleEvery)
+	defer t.Stop()
+	var limit <-chan time.Time
+	drain := e.drain
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-drain:
+			drain = nil
+			limit = time.After(e.opts.StopLimit)
+		case <-limit:
+			return ErrStopLimit
+		case <-t.C:
+			if drain == nil && e.machine.Idle() && e.tickets.idle() {
+				return nil
+			}
+		}
+	}
+}
+
+func (e *Entry) close(cause error) {
+	limit := closeLimit
+	if cause != nil {
+		limit = 0
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	// Answers that were just delivered are still being written: the server
+	// goes first and the links after it.
+	if err := e.http.Shutdown(ctx); err != nil {
+		_ = e.http.Close()
+	}
+	if err := e.links.Close(ctx); err != nil {
+		klog.InfoS("Links were cut", "err", err)
+	}
+	e.log.Close()
+}
+
+// perform carries out what only an entry does.
+func (e *Entry) perform(act coordination.Action) {
+	switch act := act.(type) {
+	case coordination.Deliver:
+		e.tickets.deliver(act.Ticket, act.Answer)
+	case coordination.Applied:
+		e.tickets.applied(act)
+	}
+}
+
+// dispatcher carries submissions for httpapi.
+type dispatcher Entry
+
+// Submit has a job run and waits for its answer.
+func (d *dispatcher) Submit(ctx context.Context, job state.Job, digest state.Digest, deadline time.Duration) message.Answer {
+	e := (*Entry)(d)
+	spec, operator, ok := e.machine.Declarations().Service(job.Key.Service)
+	if !ok {
+		return message.Answer{Key: job.Key, Outcome: state.NotRun, Reason: state.ReasonUnknownService}
+	}
+	if len(job.Tasks) > spec.MaxTasks {
+		detail := fmt.Sprintf("%d tasks; the service takes %d in one job", len(job.Tasks), spec.MaxTasks)
+		return message.Answer{Key: job.Key, Outcome: state.NotRun, Reason: state.ReasonTooManyTasks, Detail: detail}
+	}
+	job.Operator = operator
+	for i := range job.Tasks {
+		spec.Task.Apply(&job.Tasks[i])
+	}
+	if deadline == 0 {
+		deadline = spec.Deadline
+	}
+	return e.ask(ctx, func(now time.Time, ticket uint64) []coordination.Action {
+		return e.machine.Submit(now, ticket, job, digest, deadline)
+	})
+}
+
+// Query returns the state of a job and starts nothing.
+func (d *dispatcher) Query(ctx context.Context, key state.JobKey) message.Answer {
+	e := (*Entry)(d)
+	return e.ask(ctx, func(now time.Time, ticket uint64) []coordination.Action {
+		return e.machine.Query(now, ticket, key)
+	})
+}
+
+// Cancel stops a job.
+func (d *dispatcher) Cancel(ctx context.Context, key state.JobKey) message.Answer {
+	e := (*Entry)(d)
+	return e.ask(ctx, func(now time.Time, ticket uint64) []coordination.Action {
+		return e.machine.Cancel(now, ticket, key)
+	})
+}
+
+func (e *Entry) ask(ctx context.Context, f func(now time.Time, ticket uint64) []coordination.Action) message.Answer {
+	ticket, answer := e.tickets.open()
+	defer e.tickets.drop(ticket)
+	e.runner.Execute(f(time.Now(), ticket))
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		e.runner.Execute(e.machine.Abandon(time.Now(), ticket))
+		return message.Answer{Outcome: state.Unknown, Reason: state.ReasonDeadline, Detail: "the caller went away"}
+	}
+}
--- a/transport/platformlog/client_test.go
+++ b/transport/platformlog/client_test.go
@@ -73,7 +73,7 @@
 	got := make(chan Batch, 16)
 	done := make(chan error)
 	go func() {
-		done <- client.Follow(ctx, stream, 1, func(b Batch) { got <- b }, func(Gone) {})
+		done <- client.Follow(ctx, stream, 1, Events{OnBatch: func(b Batch, _ time.Time) { got <- b }, OnGone: func(Gone) {}})
 	}()
 	for want := int64(1); want <= 3; want++ {
 		_, err := client.Append(ctx, stream, []byte("x"))
--- a/transport/platformlog/follow.go
+++ b/transport/platformlog/follow.go
@@ -35,33 +35,53 @@
 	First int64
 }
 
+// Events are what a follower is told, one call at a time. OnFailure may be nil.
+type Events struct {
+	// OnBatch gets each read, also an empty one, and when the read began.
+	OnBatch func(b Batch, began time.Time)
+	// OnGone says that records were missed.
+	OnGone func(Gone)
+	// OnFailure says that a read failed; it is tried again.
+	OnFailure func(error)
+}
+
 // Follow reads a stream from an offset on until the context ends, and returns
-// the context's error. It calls onBatch for each read, also for an empty one,
-// and onGone when records were missed, one call at a time.
+// the context's error.
+//
+// The first read, and the first after a failure, do not wait for a record: a
+// node that has just come up, or that has lost a reply, needs to know at once
+// what the log holds, and an empty or quiet stream would keep it waiting for a
+// whole long poll.
 //
 // A stream that ends before the offset (the service lost records that it had
 // confirmed) is retried for ever and counted as "beyond_end": starting over by
 // itself would let a wrong service revert what is in force.
-func (c *Client) Follow(ctx context.Context, stream coordination.Stream, from int64, onBatch func(Batch), onGone func(Gone)) error {
+func (c *Client) Follow(ctx context.Context, stream coordination.Stream, from int64, ev Events) error {
 	backoff := firstBackoff
+	wait := time.Duration(0)
 	for ctx.Err() == nil {
-		started := time.Now()
-		batch, err := c.Read(ctx, stream, from, pollWait)
+		began := time.Now()
+		batch, err := c.Read(ctx, stream, from, wait)
 		var gone *ErrGone
 		switch {
 		case err == nil:
 			backoff = firstBackoff
 			from = batch.Next
-			onBatch(batch)
-			if len(batch.Records) == 0 && time.Since(started) < quickPoll {
+			ev.OnBatch(batch, began)
+			if wait > 0 && len(batch.Records) == 0 && time.Since(began) < quickPoll {
 				pause(ctx, minPause)
 			}
+			wait = pollWait
 		case errors.As(err, &gone):
-			onGone(Gone{From: from, First: gone.First})
+			ev.OnGone(Gone{From: from, First: gone.First})
 			from = gone.First
 		case ctx.Err() == nil:
+			if ev.OnFailure != nil {
+				ev.OnFailure(err)
+			}
 			c.retry(ctx, stream, err, backoff)
 			backoff = min(2*backoff, maxBackoff)
+			wait = 0
 		}
 	}
 	return ctx.Err()
