Prove that newcomers judge declarations like those who read everything

A node that starts at a truncated log, misses records, reads some twice and hears from peers behind or ahead of it must end with the same declarations and never go back.

The parser now uses state/strictjson instead of a decoder of its own.

--- a/state/declaration/ledger.go
+++ b/state/declaration/ledger.go
@@ -57,10 +57,13 @@
 type safeguards struct {
 	baseCheck      bool // an apply's base must be the current version
 	replayCheck    bool // an offset that was read before changes nothing
-	refreshCurrent bool // a refresh older than the state in force changes nothing
+	gapCheck       bool // after a gap nothing is judged until refreshes were read
+	refreshCurrent bool // a refresh of a replaced version changes nothing
 	refreshReach   bool // a refresh counts only if all records since its Through were read
 	ownerCheck     bool // a service name belongs to one operator
+	regionCheck    bool // a service's region is fixed
 	operatorCount  bool // applies are judged only when every operator is known
+	forwardOnly    bool // a declaration in force is replaced by a newer one only
 }
 
 func newLedger() *ledger {
@@ -89,7 +92,7 @@
 	if offset <= l.through && !l.disabled.replayCheck {
 		return false
 	}
-	if offset > l.through+1 {
+	if offset > l.through+1 && !l.disabled.gapCheck {
 		l.restart(offset)
 	}
 	l.through = max(l.through, offset)
@@ -158,7 +161,7 @@
 			return state.ReasonServiceOwned, fmt.Sprintf("service %q belongs to another operator", s.Name)
 		}
 		owned, known := acc.owns(s.Name)
-		if known && owned.Region != s.Region {
+		if known && owned.Region != s.Region && !l.disabled.regionCheck {
 			detail := fmt.Sprintf("service %q was created in region %q, which is fixed", s.Name, owned.Region)
 			return state.ReasonRegionFixed, detail
 		}
--- a/state/declaration/parse.go
+++ b/state/declaration/parse.go
@@ -1,152 +1,140 @@
 package declaration
 
 import (
+	"fmt"
 	"strings"
 	"time"
 
-	"github.com/tailscale/hujson"
-
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/strictjson"
+)
+
+// The file as it is written. Optional numbers are checked only where the file
+// names them; otherwise their defaults stand.
+type (
+	fileJSON struct {
+		Operator string        `json:"operator"`
+		Priority int64         `json:"priority"`
+		Quota    quotaJSON     `json:"quota"`
+		Services []serviceJSON `json:"services"`
+	}
+	quotaJSON struct {
+		TasksInFlight  int64 `json:"tasks_in_flight"`
+		TasksPerSecond int64 `json:"tasks_per_second"`
+	}
+	serviceJSON struct {
+		Name             string        `json:"name"`
+		Region           string        `json:"region"`
+		TaskDefaults     taskJSON      `json:"task_defaults"`
+		MaxTasks         int64         `json:"max_tasks"`
+		ClaimRetentionMS int64         `json:"claim_retention_ms"`
+		DeadlineMS       int64         `json:"deadline_ms"`
+		Repeatable       bool          `json:"repeatable"`
+		Placement        placementJSON `json:"placement"`
+	}
+	taskJSON struct {
+		Cores        float64 `json:"cores"`
+		MemoryMB     int64   `json:"memory_mb"`
+		Accelerators int64   `json:"accelerators"`
+		ExpectedMS   int64   `json:"expected_ms"`
+	}
+	placementJSON struct {
+		Domains []string `json:"domains"`
+		Racks   []string `json:"racks"`
+	}
 )
 
 // Parse reads and checks one operator's file: JSON with comments and trailing
-// commas. The name stands in errors. The error is an ErrorList with every fault
-// found.
+// commas. The name stands in errors. The error is a strictjson.Errors with
+// every fault found.
+//
+// All nodes must find the same files valid, for they judge apply records by it:
+// a rule that gets stricter would make old and new nodes disagree on what is in
+// force while they are being replaced.
 func Parse(name string, src []byte) (*File, error) {
-	d := &decoder{name: name, src: src}
-	root, ok := d.parse()
-	if !ok {
-		return nil, d.errs
+	if len(src) > MaxFileBytes {
+		msg := fmt.Sprintf("file of %d bytes is larger than %d", len(src), MaxFileBytes)
+		return nil, strictjson.Errors{{File: name, Line: 1, Msg: msg}}
 	}
-	f := d.file(&root)
-	if len(d.errs) > 0 {
-		return nil, d.errs.sorted()
+	var in fileJSON
+	doc, err := strictjson.DecodeDocument(name, src, &in)
+	c := &checker{doc: doc}
+	if err != nil && !c.addDecoding(err) {
+		return nil, err
+	}
+	f := c.file(&in)
+	if len(c.errs) > 0 {
+		return nil, c.report()
 	}
 	return f, nil
 }
 
-func (d *decoder) file(root *hujson.Value) *File {
-	f := &File{Priority: DefaultPriority}
-	d.object(root, "", []field{
-		{"operator", true, func(v *hujson.Value, path string) { f.Operator = d.id(v, path) }},
-		{"priority", false, func(v *hujson.Value, path string) { f.Priority = int(d.int(v, path, 1, MaxPriority)) }},
-		{"quota", true, func(v *hujson.Value, path string) { f.Quota = d.quota(v, path) }},
-		{"services", true, func(v *hujson.Value, path string) { f.Services = d.services(v, path) }},
-	})
+func (c *checker) file(in *fileJSON) *File {
+	f := &File{
+		Operator: c.name("operator", in.Operator),
+		Priority: int(c.optional("priority", in.Priority, 1, MaxPriority, DefaultPriority)),
+		Quota: Quota{
+			TasksInFlight:  int(c.number("quota.tasks_in_flight", in.Quota.TasksInFlight, 1, MaxTasksInFlight)),
+			TasksPerSecond: int(c.number("quota.tasks_per_second", in.Quota.TasksPerSecond, 1, MaxTasksPerSecond)),
+		},
+	}
+	c.required("services")
+	if len(in.Services) > MaxServices {
+		c.failf("services", "%d services are more than %d", len(in.Services), MaxServices)
+		return f
+	}
+	f.Services = c.services(in.Services)
 	return f
 }
 
-func (d *decoder) quota(v *hujson.Value, path string) Quota {
-	var q Quota
-	d.object(v, path, []field{
-		{"tasks_in_flight", true, func(v *hujson.Value, path string) {
-			q.TasksInFlight = int(d.int(v, path, 1, MaxTasksInFlight))
-		}},
-		{"tasks_per_second", true, func(v *hujson.Value, path string) {
-			q.TasksPerSecond = int(d.int(v, path, 1, MaxTasksPerSecond))
-		}},
-	})
-	return q
-}
-
-func (d *decoder) services(v *hujson.Value, path string) []ServiceSpec {
-	var out []ServiceSpec
-	names := make(map[string]bool)
-	d.array(v, path, MaxServices, func(v *hujson.Value, path string) {
-		s := d.service(v, path)
-		if s.Name != "" && names[s.Name] {
-			d.failf(v.StartOffset, path+".name", "service %q stands twice", s.Name)
+func (c *checker) services(in []serviceJSON) []ServiceSpec {
+	out := make([]ServiceSpec, 0, len(in))
+	names := make(map[string]bool, len(in))
+	for i := range in {
+		key := fmt.Sprintf("services[%d]", i)
+		s := c.service(key, &in[i])
+		if names[s.Name] {
+			c.failf(key+".name", "service %q stands twice", s.Name)
 		}
 		names[s.Name] = true
 		out = append(out, s)
-	})
+	}
 	return out
 }
 
-func (d *decoder) service(v *hujson.Value, path string) ServiceSpec {
-	s := ServiceSpec{
-		Task:           defaultTask(),
-		MaxTasks:       state.MaxTasksPerJob,
-		ClaimRetention: DefaultClaimRetention,
-		Deadline:       DefaultDeadline,
-	}
-	d.object(v, path, []field{
-		{"name", true, func(v *hujson.Value, path string) { s.Name = d.id(v, path) }},
-		{"region", true, func(v *hujson.Value, path string) { s.Region = d.id(v, path) }},
-		{"task_defaults", false, func(v *hujson.Value, path string) { s.Task = d.taskDefaults(v, path) }},
-		{"max_tasks", false, func(v *hujson.Value, path string) {
-			s.MaxTasks = int(d.int(v, path, 1, state.MaxTasksPerJob))
-		}},
-		{"claim_retention_ms", false, func(v *hujson.Value, path string) {
-			s.ClaimRetention = d.millis(v, path, MinClaimRetention, MaxClaimRetention)
-		}},
-		{"deadline_ms", false, func(v *hujson.Value, path string) {
-			s.Deadline = d.millis(v, path, time.Millisecond, MaxDeadline)
-		}},
-		{"repeatable", false, func(v *hujson.Value, path string) { s.Repeatable = d.bool(v, path) }},
-		{"placement", false, func(v *hujson.Value, path string) { s.Placement = d.placement(v, path) }},
-	})
-	return s
-}
-
-func defaultTask() TaskDefaults {
-	return TaskDefaults{Cores: DefaultCores, MemoryMB: DefaultMemoryMB, Expected: DefaultExpected}
-}
-
-func (d *decoder) taskDefaults(v *hujson.Value, path string) TaskDefaults {
-	t := defaultTask()
-	d.object(v, path, []field{
-		{"cores", false, func(v *hujson.Value, path string) { t.Cores = d.float(v, path, MaxCores) }},
-		{"memory_mb", false, func(v *hujson.Value, path string) { t.MemoryMB = d.int(v, path, 1, MaxMemoryMB) }},
-		{"accelerators", false, func(v *hujson.Value, path string) { t.Accelerators = d.int(v, path, 0, MaxAccelerators) }},
-		{"expected_ms", false, func(v *hujson.Value, path string) {
-			t.Expected = d.millis(v, path, time.Millisecond, MaxExpected)
-		}},
-	})
-	return t
-}
-
-func (d *decoder) placement(v *hujson.Value, path string) Placement {
-	var p Placement
-	d.object(v, path, []field{
-		{"domains", false, func(v *hujson.Value, path string) {
-			d.array(v, path, MaxPlacementNames, func(v *hujson.Value, path string) {
-				p.Domains = append(p.Domains, d.id(v, path))
-			})
-		}},
-		{"racks", false, func(v *hujson.Value, path string) {
-			d.array(v, path, MaxPlacementNames, func(v *hujson.Value, path string) {
-				p.Racks = append(p.Racks, d.rack(v, path))
-			})
-		}},
-	})
-	return p
-}
-
-// rack decodes "domain/rack".
-func (d *decoder) rack(v *hujson.Value, path string) string {
-	before := len(d.errs)
-	s := d.string(v, path)
-	domain, rack, ok := strings.Cut(s, "/")
-	if len(d.errs) == before && (!ok || !ValidName(domain) || !ValidName(rack)) {
-		d.failf(v.StartOffset, path, "want \"domain/rack\", have %q", s)
+func (c *checker) service(key string, in *serviceJSON) ServiceSpec {
+	return ServiceSpec{
+		Name:     c.name(key+".name", in.Name),
+		Region:   c.name(key+".region", in.Region),
+		Task:     c.task(key+".task_defaults", &in.TaskDefaults),
+		MaxTasks: int(c.optional(key+".max_tasks", in.MaxTasks, 1, state.MaxTasksPerJob, state.MaxTasksPerJob)),
+		ClaimRetention: c.millis(key+".claim_retention_ms", in.ClaimRetentionMS,
+			MinClaimRetention, MaxClaimRetention, DefaultClaimRetention),
+		Deadline:   c.millis(key+".deadline_ms", in.DeadlineMS, time.Millisecond, MaxDeadline, DefaultDeadline),
+		Repeatable: in.Repeatable,
+		Placement:  c.placement(key+".placement", &in.Placement),
 	}
-	return s
 }
 
-// id decodes the name of an operator, service, region or domain.
-func (d *decoder) id(v *hujson.Value, path string) string {
-	before := len(d.errs)
-	s := d.string(v, path)
-	if len(d.errs) == before && !ValidName(s) {
-		d.failf(v.StartOffset, path,
-			"%q is not a name: want 1 to %d of a-z, 0-9, '-', '_', '.', the first a letter or digit", s, state.MaxIDLength)
-	}
-	return s
+func (c *checker) task(key string, in *taskJSON) TaskDefaults {
+	return TaskDefaults{
+		Cores:        c.cores(key+".cores", in.Cores),
+		MemoryMB:     c.optional(key+".memory_mb", in.MemoryMB, 1, MaxMemoryMB, DefaultMemoryMB),
+		Accelerators: c.optional(key+".accelerators", in.Accelerators, 0, MaxAccelerators, 0),
+		Expected:     c.millis(key+".expected_ms", in.ExpectedMS, time.Millisecond, MaxExpected, DefaultExpected),
+	}
 }
 
-func (d *decoder) millis(v *hujson.Value, path string, low, high time.Duration) time.Duration {
-	return time.Duration(d.int(v, path, low.Milliseconds(), high.Milliseconds())) * time.Millisecond
+func (c *checker) placement(key string, in *placementJSON) Placement {
+	c.atMost(key+".domains", len(in.Domains), MaxPlacementNames)
+	c.atMost(key+".racks", len(in.Racks), MaxPlacementNames)
+	for i, domain := range in.Domains {
+		c.name(fmt.Sprintf("%s.domains[%d]", key, i), domain)
+	}
+	for i, rack := range in.Racks {
+		c.rack(fmt.Sprintf("%s.racks[%d]", key, i), rack)
+	}
+	return Placement{Domains: in.Domains, Racks: in.Racks}
 }
 
 // ValidName reports whether s can name an operator, service, region, failure
@@ -164,3 +152,8 @@
 	}
 	return true
 }
+
+func validRack(s string) bool {
+	domain, rack, ok := strings.Cut(s, "/")
+	return ok && ValidName(domain) && ValidName(rack)
+}
--- a/state/declaration/refresh.go
+++ b/state/declaration/refresh.go
@@ -19,19 +19,15 @@
 func (l *ledger) refresh(offset int64, rec *Record) Event {
 	current := l.version(rec.Operator)
 	stale := newEvent(VerdictStale, offset, rec, current)
-	if rec.Version < current && !l.disabled.refreshCurrent {
-		return stale
-	}
 	if rec.Through >= offset || int64(rec.Version) > rec.Through {
 		return stale
 	}
-	if l.complete && rec.Version != current {
-		stale.Detail = "the refresh's version was never accepted here"
-		return stale
-	}
-	if l.complete {
+	if l.complete && rec.Version == current {
 		return newEvent(VerdictRefreshed, offset, rec, current)
 	}
+	if !l.mayReplace(rec, current) {
+		return stale
+	}
 	if !l.reaches(rec) {
 		return stale
 	}
@@ -40,13 +36,21 @@
 		return stale
 	}
 	ev := newEvent(VerdictRefreshed, offset, rec, rec.Version)
-	if l.knowsAll(rec) {
+	if !l.complete && l.knowsAll(rec) {
 		ev.Settled = l.settle(rec.Through)
 		ev.Version = l.version(rec.Operator)
 	}
 	return ev
 }
 
+// mayReplace reports whether a refresh may change what is known of an operator:
+// never to an older version, and not at all for a node that has judged every
+// apply itself. A refresh that was delayed on its way would otherwise put a
+// replaced declaration back in force.
+func (l *ledger) mayReplace(rec *Record, current state.Version) bool {
+	return l.disabled.refreshCurrent || !l.complete && rec.Version >= current
+}
+
 // reaches reports whether every record after the refresh's Through was read. If
 // not, an apply among the missing ones may have replaced the state, and taking
 // it would put an old declaration back in force.
--- a/state/declaration/set.go
+++ b/state/declaration/set.go
@@ -176,7 +176,7 @@
 	shard := s.operatorShard(a.Operator)
 	shard.mu.Lock()
 	old := shard.accepted[a.Operator]
-	if old != nil && old.Version >= a.Version && !s.ledger.disabled.refreshCurrent {
+	if old != nil && old.Version >= a.Version && !s.ledger.disabled.forwardOnly && !s.ledger.disabled.refreshCurrent {
 		shard.mu.Unlock()
 		return false
 	}
