--- a/coordination/route/agents.go
+++ b/coordination/route/agents.go
@@ -95,7 +95,7 @@
 	all := r.opts.View.Candidates(service)
 	best, bestScore, found := state.NodeID(""), 0.0, 0
 	consider := func(l *state.AgentLoad) {
-		if !eligible(t, l, tried) || l.ID == best {
+		if l.ID == best || !eligible(t, l, tried) || !r.opts.Roster.Alive(l.ID) {
 			return
 		}
 		score, down := r.agents.score(now, l)
--- a/coordination/route/retry.go
+++ b/coordination/route/retry.go
@@ -246,13 +246,23 @@
 const reasonHedge state.Reason = "hedge"
 
 // probeTries asks silent agents what became of their tries: an Assign or a
-// Report may be lost on a link that stayed up.
+// Report may be lost on a link that stayed up. A try at an agent that nobody
+// hears of any more is lost.
 func (r *Router) probeTries(now time.Time, s *requestShard, q *request) {
 	q.probe = min(2*q.probe, probeMax)
 	q.probeAt = now.Add(q.probe)
-	for _, t := range q.tries {
-		if t.state == tryOpen {
+	for n := range q.tries {
+		t := &q.tries[n]
+		switch {
+		case t.state != tryOpen:
+		case r.opts.Roster.Alive(t.agent):
 			r.sendRequest(s, q, t.agent, message.TaskQuery{Key: t.key, Indexes: []int{0}})
+		default:
+			r.agents.ended(t.agent)
+			t.state = tryLost
 		}
 	}
+	if !q.anyOpen() {
+		r.retryOr(now, s, q, verdict{reason: state.ReasonAgentLost, retryAfter: retryPair})
+	}
 }
--- /dev/null
+++ b/coordination/route/silence_test.go
@@ -0,0 +1,117 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// cutOffHome submits, loses the link to the home and returns the Bar.
+func cutOffHome(is *is.I, b *bench) message.Bar {
+	b.submit(1, false, 5*time.Second)
+	b.PeerDown(b.now, "h")
+	bars, to := sent[message.Bar](b.pass(barAfter))
+	is.Equal(to, []state.NodeID{"w"})
+	return bars[0]
+}
+
+// The museum's quote goes to a home that is cut off right after. The witness
+// rules the attempt out, so the desk is told "not run" at once, with when to
+// come back. The home's late answer for the attempt is dropped.
+func TestBarredIsNotRunAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	bar := cutOffHome(is, b)
+	acts := b.Handle(b.now, "w", message.BarReply{Key: quote, Attempt: bar.Attempt, Barred: true})
+	is.Equal(delivered(acts)[0].Answer.Outcome, state.NotRun)
+	is.Equal(delivered(acts)[0].Answer.Reason, state.ReasonHomeUnreachable)
+	is.True(delivered(acts)[0].Answer.RetryAfter > 0)
+	late := message.Answer{Key: quote, Attempt: bar.Attempt, Outcome: state.NotRun}
+	is.Equal(len(b.Handle(b.now, "h", late)), 0)
+}
+
+// As before, but the roster has given the share another home meanwhile, and
+// the deadline allows a new attempt there.
+func TestBarredGoesToTheNewHome(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	bar := cutOffHome(is, b)
+	b.roster.home, b.roster.witness, b.roster.epoch = "w", "x", 8
+	acts := b.Handle(b.now, "w", message.BarReply{Key: quote, Attempt: bar.Attempt, Barred: true})
+	subs, to := sent[message.Submit](acts)
+	is.Equal(to, []state.NodeID{"w"})
+	is.Equal(subs[0].Epoch, state.Epoch(8))
+	is.True(subs[0].Attempt != bar.Attempt)
+}
+
+// The witness has recorded the claim: the home holds the job. It is asked
+// again until it has been away too long, and then nobody can say.
+func TestHeldByALostHomeIsUnknown(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	bar := cutOffHome(is, b)
+	is.Equal(len(delivered(b.Handle(b.now, "w", message.BarReply{Key: quote, Attempt: bar.Attempt, Holder: "h"}))), 0)
+	again, _ := sent[message.Submit](b.PeerUp(b.now, "h"))
+	is.Equal(again[0].Attempt, bar.Attempt)
+	b.roster.dead["h"] = true
+	got := delivered(b.pass(unreachableAfter + barAfter))
+	is.Equal(got[0].Answer.Outcome, state.Unknown)
+	is.Equal(got[0].Answer.Reason, state.ReasonHomeLost)
+}
+
+// Neither member of the pair is reachable. The caller is told so when the time
+// limit has passed, long before its own deadline.
+func TestNobodyReachableIsUnknown(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	b.roster.dead["w"] = true
+	b.submit(1, false, time.Minute)
+	b.PeerDown(b.now, "h")
+	is.Equal(len(delivered(b.pass(unreachableAfter-2*coordination.TickInterval))), 0)
+	got := delivered(b.pass(4 * coordination.TickInterval))
+	is.Equal(got[0].Answer.Outcome, state.Unknown)
+	is.Equal(got[0].Answer.Reason, state.ReasonHomeUnreachable)
+}
+
+// The home knows that another node holds the job since before the roster
+// moved. The holder is asked with the same content, so that the caller joins.
+func TestHolderIsAsked(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	subs, _ := sent[message.Submit](b.submit(1, false, 5*time.Second))
+	at := message.Answer{Key: quote, Attempt: subs[0].Attempt, Outcome: state.Unknown, Reason: state.ReasonHomeLost, Holder: "old"}
+	joins, to := sent[message.Submit](b.Handle(b.now, "h", at))
+	is.Equal(to, []state.NodeID{"old"})
+	is.Equal(joins[0].Digest, subs[0].Digest)
+	is.True(!joins[0].Query)
+	b.roster.dead["old"] = true
+	got := delivered(b.pass(unreachableAfter + 2*aliveEvery))
+	is.Equal(got[0].Answer.Reason, state.ReasonHomeLost)
+}
+
+// The entry is behind: the home refuses the attempt's epoch. The entry waits
+// for the roster and tries anew; when it doesn't move, it says so in time.
+func TestStaleEpochWaitsForTheRoster(t *testing.T) {
+	is := is.New(t)
+	for _, moves := range []bool{true, false} {
+		b := newBench(nil)
+		subs, _ := sent[message.Submit](b.submit(1, false, 5*time.Second))
+		stale := message.Answer{Key: quote, Attempt: subs[0].Attempt, Outcome: state.NotRun, Reason: state.ReasonStaleEpoch, Epoch: 8}
+		is.Equal(len(b.Handle(b.now, "h", stale)), 0)
+		if moves {
+			b.roster.epoch = 8
+			again, _ := sent[message.Submit](b.RosterChanged(b.now))
+			is.Equal(again[0].Epoch, state.Epoch(8))
+			continue
+		}
+		b.roster.home = "" // nobody to try meanwhile
+		got := delivered(b.pass(pairWait))
+		is.Equal(got[0].Answer.Outcome, state.NotRun)
+		is.True(got[0].Answer.RetryAfter > 0)
+	}
+}
