Show how applies and refreshes fare under faults

Lost replies, races, outages, truncated logs, late refreshes and newcomers each get a test that fails without its safeguard, where the safeguard is in this package.

Two faults came out.

--- a/coordination/declare/machine.go
+++ b/coordination/declare/machine.go
@@ -18,7 +18,7 @@
 	DefaultSettleLimit     = 10 * time.Second
 	DefaultRetention       = 24 * time.Hour
 	DefaultRefreshInterval = time.Second
-	DefaultOverdueSpread   = 2 * time.Minute
+	DefaultOverdueSpread   = 20 * time.Minute
 )
 
 const (
@@ -69,9 +69,12 @@
 
 // safeguards are taken out by tests only, to show that a test notices.
 type safeguards struct {
-	appendOnce    bool // a lost reply is never answered by another append
-	overdueSpread bool // what came due in an outage is not refreshed by all at once
-	baseReplaced  bool // a base replaced by another apply rules ours out
+	appendOnce     bool // a lost reply is never answered by another append
+	baseReplaced   bool // a base replaced by another apply rules ours out
+	refresh        bool // operators' states are repeated before the log forgets them
+	overdueSpread  bool // what came due in an outage is not refreshed by all at once
+	oldHalfDue     bool // what a newcomer finds in the log's older half is due
+	silentIgnorant bool // a node that knows nothing doesn't answer newcomers
 }
 
 // pending is an apply of this node whose outcome is not known yet.
--- a/coordination/declare/peers.go
+++ b/coordination/declare/peers.go
@@ -105,7 +105,7 @@
 // itself keeps silent: its answer would make a newcomer believe that there are
 // no declarations.
 func (m *Machine) answerPeer(from state.NodeID, ask message.DeclarationAsk) []coordination.Action {
-	if !m.Ready() {
+	if !m.Ready() && !m.disabled.silentIgnorant {
 		return nil
 	}
 	var actions []coordination.Action
--- a/coordination/declare/refresh.go
+++ b/coordination/declare/refresh.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -88,6 +87,9 @@
 // when a record was written; but what stands in the older half of what is kept
 // may be near its end, so that is due now.
 func (r *refresher) firstRead(now time.Time, end int64, m *Machine) {
+	if m.disabled.oldHalfDue {
+		return
+	}
 	first := m.set.Start()
 	share := m.opts.Retention / refreshShare
 	for operator, s := range r.operators {
@@ -126,7 +128,7 @@
 // second from everybody together.
 func (m *Machine) refreshDueLocked(now time.Time) []coordination.Action {
 	r := &m.refreshes
-	if r.next.IsZero() || now.Before(r.next) || !m.log.readable(now) {
+	if r.next.IsZero() || now.Before(r.next) || !m.log.readable(now) || m.disabled.refresh {
 		return nil
 	}
 	if now.Before(r.lastAppend.Add(m.opts.RefreshInterval)) {
@@ -174,12 +176,18 @@
 	return found != nil, first
 }
 
-// draw returns this node's moment within a span, in [0, span).
+// draw returns this node's moment within a span, in [0, span). One half depends
+// on the operator only and keeps operators apart; the other on the node too and
+// keeps nodes apart.
 func (s *schedule) draw(opts Options, operator string, span time.Duration) time.Duration {
-	h := xxhash.New()
-	// Writing to a hash doesn't fail.
-	_, _ = fmt.Fprintf(h, "%s\x00%s\x00%d\x00%d", opts.Self, operator, s.offset, s.draws)
+	byOperator := fraction(operator)
+	byNode := fraction(fmt.Sprintf("%s\x00%s\x00%d\x00%d", opts.Self, operator, s.offset, s.draws))
 	s.draws++
-	share := float64(h.Sum64()>>1) / float64(math.MaxInt64)
-	return time.Duration(share * float64(span))
+	return time.Duration((byOperator + byNode) / 2 * float64(span))
+}
+
+// fraction maps a string to [0, 1).
+func fraction(s string) float64 {
+	const bits = 53 // of a float64's mantissa
+	return float64(xxhash.Sum64String(s)>>(64-bits)) / (1 << bits)
 }
