--- a/coordination/limit/expect.go
+++ b/coordination/limit/expect.go
@@ -5,15 +5,15 @@
 	"math/bits"
 	"sync"
 	"time"
+
+	"github.com/shallotstep/shallotstep/state"
 )
 
 const (
 	// learnSamples is how many samples a class needs before it is used.
 	learnSamples = 16
-	// noLoadDrift is how fast the no-load response may grow, per second. It
-	// lets a service that became slower for good be learned anew, and is slow
-	// enough that minutes of overload don't pass for the normal state.
-	noLoadDrift = 0.001
+	// waitGain is the weight of a new sample in the expected wait.
+	waitGain = 1.0 / 8
 	// waitHalfLife is how fast an expected wait is forgotten without samples.
 	// Without it a class that is shed wholly would never be tried again.
 	waitHalfLife = time.Second
@@ -30,38 +30,45 @@
 	return class{service: service, size: bits.Len(uint(tasks))}
 }
 
-// expectation is what a class's response times teach.
+// expectation is what the ends of a class's submissions teach.
 type expectation struct {
-	recent Window
-	noLoad time.Duration
-	last   time.Time // of the latest sample
+	run  Window
+	wait float64   // seconds
+	last time.Time // of the latest sample
 }
 
-func (e *expectation) add(now time.Time, elapsed time.Duration) {
-	e.recent.Add(elapsed)
-	if e.recent.Len() < learnSamples {
-		e.last = now
-		return
-	}
-	// The lower quartile, not the minimum: one lucky run must not make every
-	// ordinary one look congested.
-	low := e.recent.Quantile(0.25)
-	if e.noLoad == 0 {
-		e.noLoad = low
+func (e *expectation) add(now time.Time, elapsed, ran time.Duration) {
+	if ran <= 0 {
+		ran = elapsed
 	}
-	grown := float64(e.noLoad) * (1 + noLoadDrift*now.Sub(e.last).Seconds())
-	e.noLoad = min(low, time.Duration(grown))
+	wait := e.waitAt(now)
+	e.wait = wait + waitGain*(max(0, elapsed-ran).Seconds()-wait)
+	e.run.Add(ran)
 	e.last = now
 }
 
-// response is the response time to expect now, zero when not learned yet.
-func (e *expectation) response(now time.Time) time.Duration {
-	if e.noLoad == 0 {
-		return 0
-	}
-	wait := max(0, e.recent.Quantile(0.5)-e.noLoad)
+// waitAt is the expected wait now, in seconds.
+func (e *expectation) waitAt(now time.Time) float64 {
 	idle := now.Sub(e.last).Seconds() / waitHalfLife.Seconds()
-	return e.noLoad + time.Duration(float64(wait)*math.Exp2(-max(0, idle)))
+	return e.wait * math.Exp2(-max(0, idle))
+}
+
+// check refuses what would likely come too late.
+func (e *expectation) check(now time.Time, deadline time.Duration) Verdict {
+	if e.run.Len() < learnSamples {
+		return Verdict{OK: true}
+	}
+	run, wait := e.run.Quantile(0.5).Seconds(), e.waitAt(now)
+	spare := deadline.Seconds() - run
+	switch {
+	case spare >= wait:
+		return Verdict{OK: true}
+	case spare <= 0:
+		// Too short for the run alone: coming back doesn't help.
+		return Verdict{Reason: state.ReasonDeadlineUnreachable}
+	}
+	back := math.Log2(wait/spare) * waitHalfLife.Seconds()
+	return Verdict{Reason: state.ReasonDeadlineUnreachable, RetryAfter: clampRetry(back)}
 }
 
 // expectShard holds a part of the classes.
@@ -70,9 +77,7 @@
 	classes map[class]*expectation // guarded by mu
 }
 
-// learn records a response time and returns it over the no-load response time,
-// or 1 while that is not known.
-func (s *expectShard) learn(now time.Time, c class, elapsed time.Duration) float64 {
+func (s *expectShard) learn(now time.Time, c class, elapsed, ran time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.classes[c]
@@ -80,19 +85,15 @@
 		e = &expectation{}
 		s.classes[c] = e
 	}
-	e.add(now, elapsed)
-	if e.noLoad == 0 {
-		return 1
-	}
-	return float64(elapsed) / float64(e.noLoad)
+	e.add(now, elapsed, ran)
 }
 
-func (s *expectShard) response(now time.Time, c class) time.Duration {
+func (s *expectShard) check(now time.Time, c class, deadline time.Duration) Verdict {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.classes[c]
 	if e == nil {
-		return 0
+		return Verdict{OK: true}
 	}
-	return e.response(now)
+	return e.check(now, deadline)
 }
--- a/coordination/limit/limits.go
+++ b/coordination/limit/limits.go
@@ -29,8 +29,9 @@
 	shardCount = 16
 	// headRoom is how far above the adaptive limit an operator below its fair
 	// share may still start. Without it, one operator that filled the limit
-	// first keeps everybody else out until its tasks end.
-	headRoom = 1.25
+	// first keeps everybody else out until its tasks end. With 1.25 the test
+	// of a burst refuses 26 small submissions, with 1.5 none.
+	headRoom = 1.5
 	// shareEvery is how often the fair share is computed again when short.
 	shareEvery = 10 * time.Millisecond
 )
@@ -146,11 +147,7 @@
 		return Verdict{OK: true}
 	}
 	c := classOf(service, tasks)
-	response := l.expectShard(c).response(now, c)
-	if response <= deadline {
-		return Verdict{OK: true}
-	}
-	return Verdict{Reason: state.ReasonDeadlineUnreachable, RetryAfter: clampRetry((response - deadline).Seconds())}
+	return l.expectShard(c).check(now, c, deadline)
 }
 
 // claim adds tasks to those in flight, or returns by how many they are too
@@ -184,21 +181,46 @@
 	return share
 }
 
-// Done reports the end of an admitted submission. ok is false when the fleet
-// refused or lost it for want of capacity.
+// End is how an admitted submission ended.
+type End struct {
+	Operator string
+	Service  string
+	Tasks    int
+	// Elapsed is from Admit to the answer.
+	Elapsed time.Duration
+	// Ran is the run time of its longest task, zero when not known. It is what
+	// the adaptive limit measures the response against.
+	Ran time.Duration
+	// OK says that it was answered, so that its times teach something.
+	OK bool
+	// Short says that the fleet refused or lost it for want of capacity.
+	Short bool
+}
+
+// Done reports the end of an admitted submission whose run time isn't known.
+// ok is false when the fleet refused or lost it for want of capacity.
 func (l *Limits) Done(now time.Time, operator, service string, tasks int, elapsed time.Duration, ok bool) {
-	s := l.accountShard(operator)
+	l.Finish(now, End{Operator: operator, Service: service, Tasks: tasks, Elapsed: elapsed, OK: ok, Short: !ok})
+}
+
+// Finish reports the end of an admitted submission.
+func (l *Limits) Finish(now time.Time, e End) {
+	s := l.accountShard(e.Operator)
 	s.mu.Lock()
-	l.accountLocked(s, operator).inFlight -= int64(tasks)
+	l.accountLocked(s, e.Operator).inFlight -= int64(e.Tasks)
 	s.mu.Unlock()
-	before := l.inFlight.Add(-int64(tasks)) + int64(tasks)
-	l.drain.add(now, tasks)
-	ratio := 1.0
-	if ok {
-		c := classOf(service, tasks)
-		ratio = l.expectShard(c).learn(now, c, elapsed)
-	}
-	l.adaptive.observe(now, ratio, !ok, before)
+	before := l.inFlight.Add(-int64(e.Tasks)) + int64(e.Tasks)
+	if e.Tasks > smallJob {
+		e.Ran = 0
+	}
+	if e.OK {
+		l.drain.add(now, e.Tasks)
+		c := classOf(e.Service, e.Tasks)
+		l.expectShard(c).learn(now, c, e.Elapsed, e.Ran)
+	}
+	if e.OK || e.Short {
+		l.adaptive.observe(now, sample{elapsed: e.Elapsed, ran: e.Ran, failed: e.Short, inFlight: before})
+	}
 }
 
 func (l *Limits) accountLocked(s *accountShard, operator string) *account {
--- a/coordination/limit/limits_test.go
+++ b/coordination/limit/limits_test.go
@@ -1,6 +1,8 @@
 package limit
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -42,3 +44,103 @@
 	}
 	is.True(admitted >= 9_900 && admitted <= 10_400)
 }
+
+// One operator sends a burst that fills the fleet, the others go on as ever.
+// The small ones are let in at once, above the limit; the large one gets what
+// they leave, and all refused are told when to come back.
+func TestFairSharingUnderBurst(t *testing.T) {
+	is := is.New(t)
+	const operators = 280
+	l := New(Options{StartInFlight: 1000, MaxInFlight: 1000})
+	type job struct {
+		operator string
+		end      time.Time
+	}
+	var running []job
+	refused := map[string]int{}
+	inFlight := map[string]int{}
+	for ms := range 2000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		running = slices.DeleteFunc(running, func(j job) bool {
+			if j.end.After(now) {
+				return false
+			}
+			inFlight[j.operator]--
+			l.Finish(now, End{Operator: j.operator, Service: "s", Tasks: 1, Elapsed: 200 * time.Millisecond, Ran: 200 * time.Millisecond, OK: true})
+			return true
+		})
+		offer := func(operator string) {
+			v := l.Admit(now, operator, "s", 1, 0)
+			if v.OK {
+				running = append(running, job{operator, now.Add(200 * time.Millisecond)})
+				inFlight[operator]++
+				return
+			}
+			is.True(v.RetryAfter >= minRetry && v.RetryAfter <= maxRetry)
+			if operator != "large" || ms > 500 {
+				refused[operator]++
+			}
+		}
+		for range 20 { // 4000 in flight if all were let in
+			offer("large")
+		}
+		for n := ms % 100; ms > 300 && n < operators-1; n += 100 { // two in flight each
+			offer(fmt.Sprint("op", n))
+		}
+		is.True(len(running) <= 1500) // the head room bounds the excess
+	}
+	large := refused["large"]
+	delete(refused, "large")
+	t.Logf("large refused %d, others %v, large in flight at the end %d of %d", large, refused, inFlight["large"], len(running))
+	is.Equal(len(refused), 0)
+	is.True(large > 0)
+	is.True(inFlight["large"] >= 420 && inFlight["large"] <= 460) // 1000 less 2*279
+}
+
+// Responses have grown to a second of waiting. What can't be answered in time
+// is refused before it starts; once nothing was seen for a while it is tried
+// again, and what is too short for the run alone need not come back.
+func TestShedsByDeadline(t *testing.T) {
+	is := is.New(t)
+	l := New(Options{})
+	for range 64 {
+		is.True(l.Admit(start, "haneul", "bench", 1, time.Second).OK)
+		l.Finish(start, End{Operator: "haneul", Service: "bench", Tasks: 1, Elapsed: 1200 * time.Millisecond, Ran: 200 * time.Millisecond, OK: true})
+		if l.Admit(start, "gridlog", "bench", 1, time.Second).Reason == state.ReasonDeadlineUnreachable {
+			break
+		}
+		l.Done(start, "gridlog", "bench", 1, 200*time.Millisecond, false)
+	}
+	v := l.Admit(start, "haneul", "bench", 1, 700*time.Millisecond)
+	is.Equal(v.Reason, state.ReasonDeadlineUnreachable)
+	is.True(v.RetryAfter > 0 && v.RetryAfter < 3*time.Second)
+	is.True(l.Admit(start, "haneul", "bench", 1, 5*time.Second).OK)
+	is.True(l.Admit(start.Add(v.RetryAfter+time.Millisecond), "haneul", "bench", 1, 700*time.Millisecond).OK)
+	is.Equal(l.Admit(start, "haneul", "bench", 1, 100*time.Millisecond), Verdict{Reason: state.ReasonDeadlineUnreachable})
+}
+
+// A burst of ten seconds' work is refused. If everybody comes back when told,
+// they come back at the rate at which the fleet drains, not all at once.
+func TestRetryAfterSpreadsTheReturn(t *testing.T) {
+	is := is.New(t)
+	l := New(Options{StartInFlight: 20, MaxInFlight: 20})
+	now := start
+	for range 500 { // drains 100 tasks a second
+		now = now.Add(10 * time.Millisecond)
+		l.Admit(now, "haneul", "bench", 1, 0)
+		l.Done(now, "haneul", "bench", 1, 10*time.Millisecond, true)
+	}
+	is.True(l.Admit(now, "haneul", "bench", 20, 0).OK)
+	perSecond := map[int]int{}
+	for n := range 500 {
+		v := l.Admit(now, fmt.Sprint("op", n%5), "bench", 1, 0)
+		if !v.OK {
+			perSecond[int(v.RetryAfter.Seconds())]++
+		}
+	}
+	t.Log(perSecond)
+	for second, n := range perSecond {
+		is.True(n <= 120)   // about the drain rate
+		is.True(second < 6) // and no later than needed
+	}
+}
--- a/coordination/limit/window.go
+++ b/coordination/limit/window.go
@@ -8,7 +8,7 @@
 // windowSize is how many of the latest samples a window keeps. refreshEvery is
 // after how many new samples its order is computed again.
 const (
-	windowSize   = 64
+	windowSize   = 128
 	refreshEvery = 8
 )
 
--- a/coordination/route/drive.go
+++ b/coordination/route/drive.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/limit"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 )
@@ -105,7 +106,7 @@
 		r.finishTicket(s, w.ticket, a)
 	}
 	f.waiters = nil
-	r.account(now, f, a.Outcome)
+	r.account(now, f, &a)
 	s.removeLocked(now, f)
 }
 
@@ -118,13 +119,30 @@
 }
 
 // account tells the limits and the service's response times of the end.
-func (r *Router) account(now time.Time, f *flight, outcome state.Outcome) {
-	ok := outcome == state.Complete
+func (r *Router) account(now time.Time, f *flight, a *message.Answer) {
 	elapsed := now.Sub(f.began)
-	if ok && f.kind == kindSubmit {
+	if a.Outcome == state.Complete && f.kind == kindSubmit {
 		f.service.jobDone(elapsed)
 	}
 	if f.admitted {
-		r.opts.Limits.Done(now, f.job.Operator, f.key.Service, len(f.job.Tasks), elapsed, ok)
+		r.release(now, &f.job, elapsed, a)
 	}
 }
+
+// release reports the end of an admitted submission to the limits.
+func (r *Router) release(now time.Time, job *state.Job, elapsed time.Duration, a *message.Answer) {
+	r.opts.Limits.Finish(now, limit.End{
+		Operator: job.Operator, Service: job.Key.Service, Tasks: len(job.Tasks),
+		Elapsed: elapsed, Ran: a.Stats.Longest, OK: a.Outcome == state.Complete, Short: shortage(a.Reason),
+	})
+}
+
+// shortage reports whether a reason says that the fleet lacked capacity.
+func shortage(reason state.Reason) bool {
+	switch reason {
+	case state.ReasonBusy, state.ReasonQueueFull, state.ReasonOverload,
+		state.ReasonDeadline, state.ReasonDeadlineUnreachable:
+		return true
+	}
+	return false
+}
--- a/coordination/route/flight.go
+++ b/coordination/route/flight.go
@@ -137,11 +137,17 @@
 	return next
 }
 
-// drop marks a ticket's caller as gone.
-func (f *flight) drop(ticket uint64) {
+// drop marks a ticket's caller as gone. Without a deadline the flight would
+// stay for as long as the home is silent, so it gets one.
+func (f *flight) drop(now time.Time, ticket uint64) {
 	for i := range f.waiters {
-		if f.waiters[i].ticket == ticket {
-			f.waiters[i].gone = true
+		w := &f.waiters[i]
+		if w.ticket != ticket {
+			continue
+		}
+		w.gone = true
+		if w.deadline.IsZero() {
+			w.deadline = now.Add(orphanFor)
 		}
 	}
 }
--- a/coordination/route/random_test.go
+++ b/coordination/route/random_test.go
@@ -94,6 +94,17 @@
 	}
 }
 
+// underWay counts admitted submissions that are not over; callers may be gone.
+func (w *world) underWay() (n int) {
+	for i := range w.shards {
+		for f := range w.shards[i].all {
+			n += len(f.job.Tasks)
+		}
+		n += len(w.requests[i].byID)
+	}
+	return n
+}
+
 // runWorld plays one seed; mutate, if set, takes out a safeguard after each
 // millisecond.
 func runWorld(seed uint64, mutate func(*world)) *world {
@@ -122,6 +133,9 @@
 	if !w.Idle() || len(w.waiting) > 0 {
 		w.fail("tickets without an answer: %v", w.waiting)
 	}
+	if n := w.opts.Limits.Stats().InFlight; n != int64(w.underWay()) {
+		w.fail("the limits count %d in flight, and it is %d", n, w.underWay())
+	}
 	return w
 }
 
--- a/coordination/route/request.go
+++ b/coordination/route/request.go
@@ -224,8 +224,7 @@
 		s.acts = append(s.acts, r.deliver(q.ticket, a))
 	}
 	if q.admitted {
-		ok := a.Outcome == state.Complete
-		r.opts.Limits.Done(now, q.job.Operator, q.job.Key.Service, 1, a.Stats.Elapsed, ok)
+		r.release(now, &q.job, a.Stats.Elapsed, &a)
 	}
 	s.removeLocked(q)
 }
@@ -248,12 +247,16 @@
 	}
 }
 
-func (r *Router) abandonRequest(id uint64) []coordination.Action {
+func (r *Router) abandonRequest(now time.Time, id uint64) []coordination.Action {
 	s := &r.requests[id%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if q := s.byID[id]; q != nil {
 		q.gone = true
+		if q.deadline.IsZero() {
+			q.deadline = now.Add(orphanFor)
+		}
+		s.scheduleLocked(q)
 	}
 	return nil
 }
--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -116,13 +116,14 @@
 		return nil
 	}
 	if place.request != 0 {
-		return r.abandonRequest(place.request)
+		return r.abandonRequest(now, place.request)
 	}
 	s := r.shardOf(place.flight.key)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	place.flight.drop(ticket)
-	return nil
+	place.flight.drop(now, ticket)
+	s.scheduleLocked(place.flight)
+	return s.takeLocked()
 }
 
 // Handle takes an Answer, a BarReply or a Report. Others are none of the
--- a/coordination/route/silence.go
+++ b/coordination/route/silence.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 )
 
@@ -112,7 +113,7 @@
 	}
 	f.waiters = rest
 	if len(rest) == 0 {
-		r.account(now, f, state.Unknown)
+		r.account(now, f, &message.Answer{Outcome: state.Unknown, Reason: state.ReasonDeadline})
 		s.removeLocked(now, f)
 	}
 }
--- a/coordination/route/world_test.go
+++ b/coordination/route/world_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/limit"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 )
@@ -101,7 +102,7 @@
 	for _, n := range w.nodes {
 		ids = append(ids, n.id)
 	}
-	w.Router = New(Options{Self: entryID, Roster: w, View: agentLoads(ids...), Seed: seed, RetryRatio: 1})
+	w.Router = New(Options{Self: entryID, Roster: w, View: agentLoads(ids...), Seed: seed, RetryRatio: 1, Limits: limit.New(limit.Options{StartInFlight: 16})})
 	return w
 }
 
