--- a/coordination/route/answer.go
+++ b/coordination/route/answer.go
@@ -10,7 +10,7 @@
 // onAnswer takes the answer to the current attempt, from whom it was asked of.
 func (r *Router) onAnswer(now time.Time, f *flight, from state.NodeID, m *message.Answer) {
 	if m.Attempt != f.cur.id || from != f.target {
-		r.stats.add(&r.stats.late)
+		r.late()
 		return
 	}
 	if f.kind != kindSubmit {
@@ -19,6 +19,7 @@
 	}
 	switch m.Outcome {
 	case state.Pending:
+		r.received(f)
 		r.atWork(now, f)
 	case state.Complete:
 		r.onComplete(now, f, m)
@@ -70,7 +71,7 @@
 	case r.elsewhere(m, from):
 		r.askHolder(now, f, m.Holder)
 	case notReady(m.Reason):
-		r.wait(now, f, m.Reason, tried.epoch)
+		r.wait(now, f, m, tried.epoch)
 	case m.Reason == state.ReasonBarred:
 		r.ruledOut(now, f)
 	case isDeadline(m.Reason) && r.waitsLonger(f):
@@ -86,7 +87,10 @@
 	case r.elsewhere(m, from):
 		r.askHolder(now, f, m.Holder)
 	case notReady(m.Reason):
-		r.wait(now, f, m.Reason, f.cur.epoch)
+		r.wait(now, f, m, f.cur.epoch)
+	case isDeadline(m.Reason) && r.waitsLonger(f):
+		f.until, _ = f.latest()
+		r.resend(now, f)
 	default:
 		r.finish(now, f, *m)
 	}
@@ -99,7 +103,7 @@
 		r.askHolder(now, f, m.Holder)
 		return
 	case notReady(m.Reason):
-		r.wait(now, f, m.Reason, f.cur.epoch)
+		r.wait(now, f, m, f.cur.epoch)
 		return
 	}
 	answer := *m
@@ -167,21 +171,29 @@
 	r.finish(now, f, message.Answer{Outcome: state.Unknown, Reason: reason, RetryAfter: retryPair})
 }
 
-// wait lets the pair become ready, for pairWait in all.
-func (r *Router) wait(now time.Time, f *flight, reason state.Reason, tried state.Epoch) {
+// wait lets the pair become ready, for pairWait in all. A member that is behind
+// is asked again soon; if this entry is behind, or the home leaves, only a move
+// of the roster helps, and asking again before would be wasted.
+func (r *Router) wait(now time.Time, f *flight, m *message.Answer, tried state.Epoch) {
 	if f.waitUntil.IsZero() {
 		f.waitUntil = now.Add(pairWait)
 		f.catchUp = catchUpMin
 	}
-	f.waitReason, f.tried = reason, tried
+	f.waitReason, f.tried = m.Reason, tried
+	r.received(f)
 	if r.moved(f, tried) {
 		r.tryHome(now, f)
 		return
 	}
 	f.phase = waiting
+	f.cutAt = time.Time{}
 	if f.cur.id == "" {
 		r.shardOf(f.key).aimLocked(f, "")
 	}
+	if m.Reason == state.ReasonDraining || m.Epoch > tried {
+		f.wakeAt = f.waitUntil
+		return
+	}
 	f.wakeAt = now.Add(f.catchUp)
 	f.catchUp = min(f.catchUp*2, catchUpMax)
 }
--- a/coordination/route/bar.go
+++ b/coordination/route/bar.go
@@ -64,9 +64,10 @@
 func (r *Router) onBarReply(now time.Time, f *flight, from state.NodeID, m *message.BarReply) {
 	i := slices.IndexFunc(f.open, func(a attempt) bool { return a.id == m.Attempt && a.witness == from })
 	if i < 0 {
-		r.stats.add(&r.stats.late)
+		r.late()
 		return
 	}
+	r.received(f)
 	if !m.Barred {
 		r.onNotBarred(now, f, f.open[i], m)
 		return
@@ -92,10 +93,11 @@
 	r.giveUp(now, f, f.verdict)
 }
 
-// newHome reports whether there is another live home to try.
+// newHome reports whether there is another live home to try. A cancelled flight
+// has none: tryHome would only send it back to its witness, over and over.
 func (r *Router) newHome(f *flight) bool {
 	home, _, epoch, ok := r.opts.Roster.Pair(f.key.Service, f.key)
-	if !ok || f.attempts >= maxAttempts || !r.opts.Roster.Alive(home) {
+	if !ok || f.cancelled || f.attempts >= maxAttempts || !r.opts.Roster.Alive(home) {
 		return false
 	}
 	return home != f.lastHome || epoch > f.lastEpoch
--- a/coordination/route/doc.go
+++ b/coordination/route/doc.go
@@ -21,12 +21,17 @@
 // it becomes Unknown. Flights that end with open attempts leave them in
 // shard.left, so that the caller's next submission of the same id through this
 // entry counts them too. Submissions of one id and content share one flight
-// and so one set of attempts.
+// and so one set of attempts. An answer that tells a caller that its job ran
+// closes all of them: a NotRun that follows is of the caller's next submission.
+// Without a caller there to hear it, they stay open.
 //
 // What this doesn't cover: an id that the caller has submitted through another
 // entry. NotRun is said of what this entry has sent for the id; what others
 // have sent is known to the pair only, which answers with the holder if it has
-// granted any.
+// granted any. That is why a home that nobody hears of is not refused from here,
+// though nothing was sent: the witness is asked first. Refusals of the limits,
+// of a service without a pair and of a draining entry are of this submission
+// only.
 //
 // A repeatable request has no attempt. Each try has a key of its own at one
 // agent, and is closed by that agent's refusal only. request.refusal follows
--- a/coordination/route/drive.go
+++ b/coordination/route/drive.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination"
@@ -17,7 +19,7 @@
 	defer s.mu.Unlock()
 	f := s.attempts[id]
 	if f == nil || f.key != key {
-		r.stats.add(&r.stats.late)
+		r.late()
 		return nil
 	}
 	fn(f)
@@ -74,8 +76,11 @@
 // lookAliveLocked treats a target that nobody hears of like one whose link is
 // lost. A paused home keeps its link, so that alone would not tell.
 func (r *Router) lookAliveLocked(now time.Time, s *shard) {
-	for _, f := range sorted(s.all) {
-		if f.target != "" && f.cutAt.IsZero() && !r.opts.Roster.Alive(f.target) {
+	for _, target := range slices.Sorted(maps.Keys(s.targets)) {
+		if r.opts.Roster.Alive(target) {
+			continue
+		}
+		for _, f := range sorted(s.targets[target]) {
 			r.onSilent(now, f)
 			s.scheduleLocked(f)
 		}
@@ -96,6 +101,18 @@
 	f.extra++
 }
 
+// received counts a reply that leads nowhere by itself.
+func (r *Router) received(f *flight) {
+	r.stats.add(&r.stats.wasted)
+	f.extra++
+}
+
+// late counts a reply that nobody waits for any more.
+func (r *Router) late() {
+	r.stats.add(&r.stats.late)
+	r.stats.add(&r.stats.wasted)
+}
+
 // finish gives the flight's answer to everybody who waits for it.
 func (r *Router) finish(now time.Time, f *flight, a message.Answer) {
 	s := r.shardOf(f.key)
--- a/coordination/route/retry.go
+++ b/coordination/route/retry.go
@@ -15,7 +15,7 @@
 	r.agents.setDown(from, time.Time{})
 	id, n, ok := r.parseTry(m.Key)
 	if !ok {
-		r.stats.add(&r.stats.late)
+		r.late()
 		return nil
 	}
 	s := &r.requests[id%shardCount]
@@ -23,8 +23,7 @@
 	defer s.mu.Unlock()
 	q := s.byID[id]
 	if q == nil || n < 0 || n >= len(q.tries) || q.tries[n].agent != from {
-		r.stats.add(&r.stats.late)
-		r.stats.add(&r.stats.wasted)
+		r.late()
 		return nil
 	}
 	q.messages++
--- a/coordination/route/submit.go
+++ b/coordination/route/submit.go
@@ -14,7 +14,7 @@
 	defer s.mu.Unlock()
 	w := newWaiter(now, ticket, deadline)
 	if f := s.findLocked(job.Key, digest); f != nil {
-		r.join(now, f, w)
+		r.join(f, w)
 		s.scheduleLocked(f)
 		return s.takeLocked()
 	}
@@ -46,15 +46,12 @@
 }
 
 // join lets one more caller wait for a submission that is under way. It costs
-// no message, unless the home must learn that somebody waits longer.
-func (r *Router) join(now time.Time, f *flight, w waiter) {
+// no message: if the home gives up at the first caller's deadline, onNotRun and
+// onUnknown go on for those who wait longer.
+func (r *Router) join(f *flight, w waiter) {
 	r.stats.add(&r.stats.joined)
 	f.waiters = append(f.waiters, w)
 	r.tickets.put(w.ticket, place{flight: f})
-	longer := !f.until.IsZero() && (w.deadline.IsZero() || w.deadline.After(f.until))
-	if longer && f.phase == asking {
-		r.resend(now, f)
-	}
 }
 
 func (r *Router) ask(now time.Time, ticket uint64, key state.JobKey, k kind) []coordination.Action {
@@ -151,6 +148,7 @@
 		delete(s.attempts, f.cur.id)
 	}
 	f.cur = a
+	f.until, _ = f.latest()
 	if f.kind == kindSubmit {
 		f.open = append(f.open, a)
 	}
@@ -180,6 +178,5 @@
 		return m
 	}
 	m.Job = f.job
-	f.until, _ = f.latest()
 	return m
 }
