--- a/standin/backendserver/faults.go
+++ b/standin/backendserver/faults.go
@@ -75,7 +75,13 @@
 			return false
 		}
 		if !s.currentFaults().Freeze {
-			return ctx.Err() == nil
+			return ctx.Err() == nil && !s.isDead()
 		}
 	}
 }
+
+func (s *Server) isDead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dead
+}
--- a/standin/backendserver/tasks.go
+++ b/standin/backendserver/tasks.go
@@ -119,6 +119,7 @@
 // carryOut works on a task until it ends.
 func (s *Server) carryOut(r *run) {
 	for {
+		s.thaw(context.Background())
 		next, ended := s.step(r, time.Now())
 		if ended {
 			return
@@ -133,7 +134,6 @@
 			return
 		}
 		timer.Stop()
-		s.thaw(context.Background())
 	}
 }
 
@@ -177,8 +177,11 @@
 	s.endLocked(r, now, reason, detail)
 }
 
-// endLocked fixes the outcome of a task; an empty reason is success.
+// endLocked fixes the outcome of a task, once; an empty reason is success.
 func (s *Server) endLocked(r *run, now time.Time, reason wire.ProblemReason, detail string) {
+	if r.outcome.State == wire.TaskDone {
+		return
+	}
 	ranMS := float64(now.Sub(r.begun)) / float64(time.Millisecond)
 	r.outcome = wire.TaskState{BackendID: s.opts.ID, State: wire.TaskDone}
 	if reason == "" {
--- a/transport/agentapi/announce.go
+++ b/transport/agentapi/announce.go
@@ -24,7 +24,7 @@
 // lock keeps the check and the agent's step together.
 func (a *API) announce(r *http.Request, id string) reply {
 	if err := checkID(id); err != nil {
-		return refuse(state.ReasonMalformed, err.Error())
+		return refuse(state.ReasonMalformed, "%v", err)
 	}
 	var doc wire.Announcement
 	if answer, ok := decode(r, &doc); !ok {
@@ -32,7 +32,7 @@
 	}
 	b, err := backendFrom(id, doc)
 	if err != nil {
-		return refuse(state.ReasonMalformed, err.Error())
+		return refuse(state.ReasonMalformed, "%v", err)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -50,15 +50,15 @@
 func refusalOf(err error) reply {
 	var refusal *Refusal
 	if errors.As(err, &refusal) {
-		return refuse(refusal.Reason, refusal.Detail)
+		return refuse(refusal.Reason, "%s", refusal.Detail)
 	}
-	return refuse(state.ReasonNotReady, err.Error())
+	return refuse(state.ReasonNotReady, "%v", err)
 }
 
 // withdraw takes a planned leave. Repeating it is safe.
 func (a *API) withdraw(_ *http.Request, id string) reply {
 	if err := checkID(id); err != nil {
-		return refuse(state.ReasonMalformed, err.Error())
+		return refuse(state.ReasonMalformed, "%v", err)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/transport/agentapi/api.go
+++ b/transport/agentapi/api.go
@@ -5,14 +5,15 @@
 package agentapi
 
 import (
-	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/shallotstep/shallotstep/protocol/api"
 	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/transport/backendclient/wire"
 )
@@ -51,10 +52,10 @@
 
 // Options configures an API.
 type Options struct {
-	// Token, when set, must come as a bearer token with announcements.
-	Token string
-	// AdminToken, when set, must come as a bearer token with a drain. Without
-	// it a drain is taken from a loopback address only.
+	// Token, when set, must come as a bearer token with calls about backend
+	// servers, AdminToken with a drain. Without the token such calls are taken
+	// from the agent's own host only.
+	Token      string
 	AdminToken string
 	// Registerer takes the counters and Gatherer is what /metrics shows. Nil
 	// stands for no registry and for the library's default one.
@@ -65,7 +66,6 @@
 // API is the agent's HTTP handler. It is safe for concurrent use.
 type API struct {
 	agent   Agent
-	opts    Options
 	router  *httprouter.Router
 	metrics *metrics
 
@@ -85,22 +85,26 @@
 	routeOther    = "other"
 )
 
+// ReadHeaderTimeout is what a server of this handler should set, so that a
+// caller that never ends its header holds no connection for ever.
+const ReadHeaderTimeout = 5 * time.Second
+
 // New returns the handler for an agent.
 func New(agent Agent, opts Options) *API {
 	if opts.Gatherer == nil {
 		opts.Gatherer = prometheus.DefaultGatherer
 	}
-	a := &API{agent: agent, opts: opts, router: httprouter.New(), metrics: newMetrics(opts.Registerer)}
+	a := &API{agent: agent, router: httprouter.New(), metrics: newMetrics(opts.Registerer)}
 	backend := wire.BackendPath + ":id"
-	a.router.PUT(backend, a.route(routeAnnounce, a.authorized(a.announce)))
-	a.router.DELETE(backend, a.route(routeWithdraw, a.authorized(a.withdraw)))
-	a.router.GET(backend, a.route(routeBackend, a.authorized(a.show)))
-	a.router.POST("/v1/drain", a.route(routeDrain, a.admin(a.drain)))
+	a.router.PUT(backend, a.route(routeAnnounce, guarded(opts.Token, a.announce)))
+	a.router.DELETE(backend, a.route(routeWithdraw, guarded(opts.Token, a.withdraw)))
+	a.router.GET(backend, a.route(routeBackend, guarded(opts.Token, a.show)))
+	a.router.POST("/v1/drain", a.route(routeDrain, guarded(opts.AdminToken, a.drain)))
 	a.router.GET("/readyz", a.route(routeReady, a.ready))
 	a.router.GET("/healthz", healthy)
 	a.router.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(opts.Gatherer, promhttp.HandlerOpts{}))
-	a.router.NotFound = a.refuseAll(http.StatusNotFound, "there is nothing at this path")
-	a.router.MethodNotAllowed = a.refuseAll(http.StatusMethodNotAllowed, "the path does not take this method")
+	a.router.NotFound = a.refuseAll(state.ReasonUnknownRoute)
+	a.router.MethodNotAllowed = a.refuseAll(state.ReasonMethodNotAllowed)
 	a.router.RedirectTrailingSlash = false
 	a.router.RedirectFixedPath = false
 	return a
@@ -111,16 +115,17 @@
 	a.router.ServeHTTP(w, r)
 }
 
-// reply is what a route answers: a document, or a refusal when Reason is set.
+// reply is what a route answers: a document, or a problem when that is set.
 type reply struct {
-	status int
-	body   any
-	reason state.Reason
-	detail string
+	status  int
+	body    any
+	problem *api.Problem
 }
 
-func refuse(reason state.Reason, detail string) reply {
-	return reply{status: reason.HTTPStatus(), reason: reason, detail: detail}
+// refuse refuses a call. It has changed nothing, hence "not run".
+func refuse(reason state.Reason, format string, args ...any) reply {
+	p := api.NewProblem(reason, state.NotRun, format, args...)
+	return reply{status: p.Status, problem: p}
 }
 
 type handler func(r *http.Request, id string) reply
@@ -130,54 +135,34 @@
 	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 		r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 		answer := h(r, params.ByName("id"))
-		a.metrics.count(name, answer.reason)
+		a.metrics.count(name, answer)
 		writeReply(w, answer)
 	}
 }
 
-func (a *API) refuseAll(status int, detail string) http.Handler {
+func (a *API) refuseAll(reason state.Reason) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		answer := refuse(state.ReasonMalformed, detail)
-		answer.status = status
-		a.metrics.count(routeOther, answer.reason)
+		answer := refuse(reason, "")
+		a.metrics.count(routeOther, answer)
 		writeReply(w, answer)
 	})
 }
 
-// authorized lets h answer only requests that carry the token.
-func (a *API) authorized(h handler) handler {
-	return func(r *http.Request, id string) reply {
-		if a.opts.Token != "" && !carries(r, a.opts.Token) {
-			return refuse(state.ReasonUnauthorized, "a bearer token is needed")
-		}
-		return h(r, id)
-	}
-}
-
-// admin lets h answer only the person on call. Without an admin token only the
-// host itself may ask: otherwise any process of the network could take every
-// agent out of service.
-func (a *API) admin(h handler) handler {
+// guarded lets h answer only requests that carry the token. With no token set
+// only the agent's own host may ask: otherwise any process of the network
+// could have tasks sent to itself, or take every agent out of service.
+func guarded(token string, h handler) handler {
 	return func(r *http.Request, id string) reply {
 		switch {
-		case a.opts.AdminToken != "" && !carries(r, a.opts.AdminToken):
-			return refuse(state.ReasonUnauthorized, "the admin token is needed")
-		case a.opts.AdminToken == "" && !fromLoopback(r):
-			return refuse(state.ReasonForbidden, "no admin token is set: ask from the agent's own host")
+		case token != "" && !carries(r, token):
+			return refuse(state.ReasonUnauthorized, "")
+		case token == "" && !fromSameHost(r):
+			return refuse(state.ReasonForbidden, "no token is set: ask from the agent's own host")
 		}
 		return h(r, id)
 	}
 }
 
-func fromLoopback(r *http.Request) bool {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return false
-	}
-	ip := net.ParseIP(host)
-	return ip != nil && ip.IsLoopback()
-}
-
 func healthy(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	_, _ = w.Write([]byte("ok\n"))
--- a/transport/agentapi/decode.go
+++ b/transport/agentapi/decode.go
@@ -1,7 +1,6 @@
 package agentapi
 
 import (
-	"crypto/subtle"
 	"encoding/json"
 	"io"
 	"math"
@@ -51,7 +50,7 @@
 		return refuse(state.ReasonMalformed, "the body is not one JSON document"), false
 	}
 	if err := strictjson.Decode("body", data, doc); err != nil {
-		return refuse(state.ReasonMalformed, err.Error()), false
+		return refuse(state.ReasonMalformed, "%v", err), false
 	}
 	return reply{}, true
 }
@@ -150,10 +149,3 @@
 	}
 	return nil
 }
-
-// carries says whether the request has the bearer token. The comparison takes
-// the same time for every wrong token of one length.
-func carries(r *http.Request, token string) bool {
-	got, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	return ok && subtle.ConstantTimeCompare([]byte(got), []byte(token)) == 1
-}
--- a/transport/agentapi/reply.go
+++ b/transport/agentapi/reply.go
@@ -8,29 +8,14 @@
 	"github.com/prometheus/client_golang/prometheus/promauto"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/protocol/api"
 	"github.com/shallotstep/shallotstep/state"
-	"github.com/shallotstep/shallotstep/transport/backendclient/wire"
 )
 
-// problem is a refusal as RFC 9457 writes it. Nothing behind this interface
-// runs a task, so there is no outcome.
-type problem struct {
-	Title  string       `json:"title"`
-	Status int          `json:"status"`
-	Detail string       `json:"detail,omitempty"`
-	Reason state.Reason `json:"reason"`
-}
-
 func writeReply(w http.ResponseWriter, answer reply) {
-	body, contentType := answer.body, "application/json"
-	if answer.reason != state.ReasonNone {
-		contentType = wire.ProblemType
-		body = problem{
-			Title:  http.StatusText(answer.status),
-			Status: answer.status,
-			Detail: answer.detail,
-			Reason: answer.reason,
-		}
+	body, contentType := answer.body, api.ContentTypeJSON
+	if answer.problem != nil {
+		body, contentType = answer.problem, api.ContentTypeProblem
 	}
 	w.Header().Set("Content-Type", contentType)
 	w.WriteHeader(answer.status)
@@ -51,6 +36,10 @@
 	}, []string{"route", "reason"})}
 }
 
-func (m *metrics) count(route string, reason state.Reason) {
+func (m *metrics) count(route string, answer reply) {
+	reason := state.ReasonNone
+	if answer.problem != nil {
+		reason = answer.problem.Reason
+	}
 	m.requests.WithLabelValues(route, string(reason)).Inc()
 }
