Keep declared defaults out of digests and settle applies by what is kept

Cause: a request that doesn't say whether it is repeatable takes the service's declared default, which the decoded job alone can't tell; nodes keep no file digest in their history; check knew no settings.

Ruled out: defaults before the digest (a change of the declaration would refuse a resubmission as another job); a detached context for submissions (an entry would hold a body and a waiter for every caller that has left, most of them just when callers resubmit).

Change: the handler takes the digest of what the caller stated and fills in the defaults of Options.Spec afterwards. The end of Submit's context tells the dispatcher that the caller has gone; the job goes on.

--- a/protocol/api/document.go
+++ b/protocol/api/document.go
@@ -15,18 +15,24 @@
 	Raw []byte
 }
 
-// HistoryEntry is one accepted declaration.
+// HistoryEntry is one declaration that was applied.
 type HistoryEntry struct {
+	// Version is the log offset of the record.
 	Version state.Version `json:"version"`
-	// Base is the version that it replaced.
-	Base state.Version `json:"base"`
-	// Digest is the SHA-256 of the file, in hexadecimal.
-	Digest string `json:"digest"`
-	Bytes  int    `json:"bytes"`
+	// Base is the version that it was to replace.
+	Base     state.Version `json:"base"`
+	ApplyID  string        `json:"apply_id,omitempty"`
+	Accepted bool          `json:"accepted"`
+	// Reason and Detail say why it was refused.
+	Reason state.Reason `json:"reason,omitempty"`
+	Detail string       `json:"detail,omitempty"`
+	// Digest is the SHA-256 of the file, in hexadecimal; empty where the node
+	// has not kept it.
+	Digest string `json:"digest,omitempty"`
 }
 
 // History is the answer to a question for an operator's history, newest last.
-// Older entries go when the log's retention drops them.
+// A node knows only what it has read since it came up.
 type History struct {
 	Operator string         `json:"operator"`
 	Entries  []HistoryEntry `json:"entries"`
--- a/protocol/api/submission.go
+++ b/protocol/api/submission.go
@@ -34,25 +34,33 @@
 	Job  state.Job
 	// Deadline is how long the caller waits. Zero means not stated.
 	Deadline time.Duration
+	// RepeatableStated says that a request says itself whether it is
+	// repeatable.
+	RepeatableStated bool
 }
 
 // DecodeJob reads the body of a POST to a service's jobs. headerKey is the
 // Idempotency-Key header, which stands for the id where the body has none.
 // A problem means that nothing was accepted.
 func DecodeJob(service, headerKey string, body []byte) (state.Job, time.Duration, *Problem) {
-	s := Submission{Kind: KindJob}
-	p := s.decode(service, headerKey, body)
+	s, p := Decode(KindJob, service, headerKey, body)
 	return s.Job, s.Deadline, p
 }
 
 // DecodeRequest reads the body of a POST to a service's requests, which holds
 // one task.
 func DecodeRequest(service, headerKey string, body []byte) (state.Job, time.Duration, *Problem) {
-	s := Submission{Kind: KindRequest}
-	p := s.decode(service, headerKey, body)
+	s, p := Decode(KindRequest, service, headerKey, body)
 	return s.Job, s.Deadline, p
 }
 
+// Decode is DecodeJob or DecodeRequest, by kind.
+func Decode(kind Kind, service, headerKey string, body []byte) (Submission, *Problem) {
+	s := Submission{Kind: kind}
+	p := s.decode(service, headerKey, body)
+	return s, p
+}
+
 // DecodeFile reads a job file: the body of a POST with "service" and "kind"
 // beside its own fields. A service that isn't empty goes before the file's.
 func DecodeFile(service string, body []byte) (Submission, *Problem) {
@@ -174,6 +182,7 @@
 func (d *decoder) requestField(name string) *Problem {
 	switch name {
 	case "repeatable":
+		d.sub.RepeatableStated = true
 		return d.flag(name, &d.sub.Job.Repeatable)
 	case "task":
 		return d.task(name)
--- a/protocol/api/title.go
+++ b/protocol/api/title.go
@@ -35,6 +35,8 @@
 	state.ReasonLeaseLapsed:         "The lease lapsed",
 	state.ReasonEjected:             "The backend server is ejected",
 	state.ReasonLostRace:            "Another declaration came first",
+	state.ReasonServiceOwned:        "Another operator owns the service",
+	state.ReasonRegionFixed:         "A service can't change its region",
 	state.ReasonLogUnavailable:      "The platform's log is out of service",
 	state.ReasonApplyUnknown:        "The declaration may or may not be in the log",
 	state.ReasonNoDeclaration:       "The operator has declared nothing",
--- a/transport/cli/check.go
+++ b/transport/cli/check.go
@@ -5,10 +5,11 @@
 	"context"
 	"encoding/json"
 
-	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
 
 	"github.com/shallotstep/shallotstep/protocol/api"
+	"github.com/shallotstep/shallotstep/protocol/config"
+	"github.com/shallotstep/shallotstep/state/declaration"
 )
 
 // declaration reads a declaration's file and finds whose it is.
@@ -17,67 +18,87 @@
 	if code != ExitDone {
 		return nil, "", code
 	}
-	operator, err := operatorOf(raw)
+	f, err := declaration.Parse(name, raw)
 	if err != nil {
-		return nil, "", v.usageError("%s: %v", name, err)
+		return nil, "", v.usageError("%v", err)
 	}
-	return raw, operator, ExitDone
+	return raw, f.Operator, ExitDone
 }
 
-func operatorOf(raw []byte) (string, error) {
-	var head struct {
-		Operator string `json:"operator"`
-	}
-	plain, err := hujson.Standardize(bytes.Clone(raw))
-	if err != nil {
-		return "", err
-	}
-	if err := json.Unmarshal(plain, &head); err != nil {
-		return "", err
-	}
-	if p := api.CheckOperator(head.Operator); p != nil {
-		return "", errors.New(p.Detail)
-	}
-	return head.Operator, nil
+// checked is the finding on one file.
+type checked struct {
+	File  string `json:"file"`
+	Kind  string `json:"kind"`
+	Fault string `json:"fault,omitempty"`
 }
 
 func runCheck(_ context.Context, v *invocation) int {
 	code := ExitDone
+	findings := make([]checked, 0, len(v.args))
 	for _, name := range v.args {
 		raw, rc := v.readFile(name)
 		if rc != ExitDone {
 			return rc
 		}
-		if err := checkFile(name, raw); err != nil {
-			v.printf("%s: %v\n", name, err)
+		c := checkFile(name, raw)
+		if c.Fault != "" {
 			code = ExitRefused
-			continue
 		}
-		v.printf("%s: ok\n", name)
+		findings = append(findings, c)
 	}
+	v.print(findings, func() {
+		for _, c := range findings {
+			v.printf("%s\n", c)
+		}
+	})
 	return code
 }
 
-// checkFile tells the kinds of files apart by a field that only one has.
-func checkFile(name string, raw []byte) error {
-	var fields map[string]json.RawMessage
-	plain, err := hujson.Standardize(bytes.Clone(raw))
-	if err != nil {
-		return err
+// String returns the finding for a person.
+func (c checked) String() string {
+	if c.Fault == "" {
+		return c.File + ": ok, a " + c.Kind
 	}
-	if err := json.Unmarshal(plain, &fields); err != nil {
-		return err
+	return c.Fault
+}
+
+// checkFile tells the kinds of files apart by a field that only one of them
+// has: settings have a role, job files a kind.
+func checkFile(name string, raw []byte) checked {
+	fields := fieldsOf(raw)
+	switch {
+	case fields["kind"] != nil:
+		_, p := api.DecodeFile("", raw)
+		if p != nil {
+			return checked{File: name, Kind: "job file", Fault: name + ": " + p.Detail}
+		}
+		return checked{File: name, Kind: "job file"}
+	case fields["role"] != nil:
+		_, err := config.Parse(name, raw)
+		return finding(name, "settings file", err)
 	}
-	if _, ok := fields["kind"]; ok {
-		return checkJob(raw)
+	_, err := declaration.Parse(name, raw)
+	return finding(name, "declaration", err)
+}
+
+func finding(name, kind string, err error) checked {
+	c := checked{File: name, Kind: kind}
+	if err != nil {
+		c.Fault = err.Error()
 	}
-	_, err = operatorOf(raw)
-	return err
+	return c
 }
 
-func checkJob(raw []byte) error {
-	if _, p := api.DecodeFile("", raw); p != nil {
-		return errors.New(p.Detail)
+// fieldsOf returns the fields of a file, or none if it can't be read: the
+// parser of its kind then says what is wrong.
+func fieldsOf(raw []byte) map[string]json.RawMessage {
+	plain, err := hujson.Standardize(bytes.Clone(raw))
+	if err != nil {
+		return nil
+	}
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(plain, &fields) != nil {
+		return nil
 	}
-	return nil
+	return fields
 }
--- a/transport/cli/cli_test.go
+++ b/transport/cli/cli_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/pem"
 	"fmt"
 	"io"
 	"net/http"
@@ -110,6 +113,9 @@
 }
 
 const (
+	declarationFile = `{"operator":"haneul","quota":{"tasks_in_flight":9,"tasks_per_second":9},"services":[]} // ours
+`
+
 	jobFile    = `{"service":"bench-desk","kind":"job","id":"j1","tasks":[{"payload": {"a": 1}}]}`
 	postJob    = "POST /v1/services/bench-desk/jobs"
 	complete   = `{"id":"j1","outcome":"complete","results":["mended"]}`
@@ -202,29 +208,37 @@
 }
 
 // The reply to an apply is lost after the record went into the log. The
-// command reads the history until it finds who replaced the base: it never
-// applies twice, and never claims either way without having read it.
+// command reads until it finds who replaced the base: it never applies twice,
+// and never claims either way without having read it.
 func TestApplySettlesALostReply(t *testing.T) {
-	const none = `{"operator":"haneul","entries":[{"version":17,"base":3,"digest":"x"}]}`
-	history := func(digest string) string {
-		return fmt.Sprintf(`{"entries":[{"version":17,"base":3},{"version":21,"base":17,"digest":%q},{"version":22,"base":21}]}`, digest)
+	history := func(next string) []answer {
+		return []answer{{200, "", `{"entries":[{"version":17,"base":3,"accepted":true},{"version":19,"base":17,"accepted":false}` + next + `]}`}}
+	}
+	next := `,{"version":21,"base":17,"accepted":true},{"version":22,"base":21,"accepted":true}`
+	sum := sha256.Sum256([]byte(declarationFile))
+	digest := func(d string) string {
+		return strings.Replace(next, "}", fmt.Sprintf(`,"digest":%q}`, d), 1)
 	}
+	inForce := func(version, raw string) []answer { return []answer{{200, version, raw}} }
 	cases := []struct {
 		name    string
 		put     answer
 		history []answer
+		get     []answer
 		code    int
 		out     string
 	}{
-		{"won", answer{}, []answer{{}, {200, "", none}, {200, "", history(declarationDigest)}}, ExitDone, "haneul is at version 21\n"},
-		{"won, by the entry's word", answer{503, "", problem("unknown", "apply_unknown", "")}, []answer{{200, "", history(declarationDigest)}}, ExitDone, "haneul is at version 21\n"},
-		{"lost the race", answer{}, []answer{{200, "", history("other")}}, ExitRefused, ""},
-		{"no news", answer{}, []answer{{200, "", none}}, ExitUnknown, ""},
-		{"refused for certain", answer{409, "", problem("not_run", "lost_race", "")}, nil, ExitRefused, ""},
+		{"won", answer{}, append([]answer{{}, history("")[0]}, history(digest(hex.EncodeToString(sum[:])))...), inForce(`"17"`, "old"), ExitDone, "haneul is at version 21\n"},
+		{"won, by the entry's word unknown", answer{503, "", problem("unknown", "apply_unknown", "")}, history(next), inForce(`"21"`, declarationFile), ExitDone, "haneul is at version 21\n"},
+		{"lost the race", answer{}, history(digest("other")), nil, ExitRefused, ""},
+		{"lost the race, seen in force", answer{}, history(next), inForce(`"21"`, "other"), ExitRefused, ""},
+		{"replaced again since", answer{}, history(next), inForce(`"22"`, "other"), ExitUnknown, ""},
+		{"no news", answer{}, history(""), inForce(`"17"`, "old"), ExitUnknown, ""},
+		{"refused for certain", answer{409, "", problem("not_run", "lost_race", "")}, nil, nil, ExitRefused, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			e := &entry{answers: map[string][]answer{putHaneul: {c.put}, histHaneul: c.history}}
+			e := &entry{answers: map[string][]answer{putHaneul: {c.put}, histHaneul: c.history, getHaneul: c.get}}
 			d := newDesk(t, e)
 			d.is.Equal(d.run("apply", "-base", "17", d.file("d.json", declarationFile)), c.code)
 			d.is.Equal(d.out.String(), c.out)
@@ -286,10 +300,29 @@
 	d.is.Equal(Run(context.Background(), nil, Env{Stdout: &d.out, Stderr: &d.err}), ExitUsage)
 }
 
+// The files that the users start from must pass, and a fault must be named.
 func TestCheck(t *testing.T) {
 	d := newDesk(t, &entry{})
-	good, bad := d.file("good.json", jobFile), d.file("bad.json", `{"kind":"job","service":"s","id":"j","tasks":[{"payload":1,"gpu":2}]}`)
-	d.is.Equal(d.run("check", good), ExitDone)
-	d.is.Equal(d.run("check", good, bad), ExitRefused)
+	examples, err := filepath.Glob("../../examples/*/*.json")
+	d.is.NoErr(err)
+	d.is.True(len(examples) > 0)
+	d.is.Equal(d.run(append([]string{"check"}, examples...)...), ExitDone)
+
+	bad := d.file("bad.json", `{"kind":"job","service":"s","id":"j","tasks":[{"payload":1,"gpu":2}]}`)
+	worse := d.file("worse.json", "{\n\"operator\": \"haneul\", \"colour\": 1}")
+	d.is.Equal(d.run("check", bad, worse), ExitRefused)
 	d.is.True(strings.Contains(d.out.String(), `bad.json: unknown field "tasks[0].gpu"`))
+	d.is.True(strings.Contains(d.out.String(), `worse.json:2: colour`))
+}
+
+func TestTLSWithOwnAuthority(t *testing.T) {
+	e := &entry{answers: map[string][]answer{"GET /v1/status": {{200, "", `{"node":"entry-1"}`}}}}
+	d := newDesk(t, e)
+	srv := httptest.NewTLSServer(e)
+	t.Cleanup(srv.Close)
+	d.url = srv.Listener.Addr().String()
+	ca := d.file("ca.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: srv.Certificate().Raw})))
+	d.is.Equal(d.run("status", "-ca", ca, "-token-file", d.file("token", "t\n")), ExitDone)
+	d.url = "https://" + d.url
+	d.is.Equal(d.run("status"), ExitRefused) // an authority nobody knows
 }
--- a/transport/cli/declare.go
+++ b/transport/cli/declare.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/shallotstep/shallotstep/protocol/api"
 	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/transport/httpclient"
 )
@@ -82,7 +83,14 @@
 	}
 	return v.print(h, func() {
 		for _, e := range h.Entries {
-			v.printf("%d\treplaced %d\t%d bytes\tsha256 %s\n", e.Version, e.Base, e.Bytes, e.Digest)
+			v.printf("%d\ton %d\t%s\t%s\n", e.Version, e.Base, verdictOf(e), e.ApplyID)
 		}
 	})
 }
+
+func verdictOf(e api.HistoryEntry) string {
+	if e.Accepted {
+		return "accepted"
+	}
+	return "refused: " + string(e.Reason)
+}
--- a/transport/httpapi/fakes_test.go
+++ b/transport/httpapi/fakes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,39 +11,40 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 )
 
-// fakeDispatcher answers each job by its id, or echoes its payloads.
+// fakeDispatcher answers each job by its id, or echoes its payloads. A job that
+// is submitted again joins the one that runs.
 type fakeDispatcher struct {
 	answers map[string]message.Answer
-	// gate, when set, holds every Submit until something comes or it closes.
+	// gate, when set, keeps jobs running until it closes.
 	gate chan struct{}
-	// entered takes the id of every Submit.
-	entered chan string
+	// entered takes the id of every Submit, left of every caller that went.
+	entered, left chan string
 
-	mu       sync.Mutex
-	jobs     []state.Job // guarded by mu
-	deadline time.Duration
-	ctxErr   error
+	mu      sync.Mutex
+	started map[state.JobKey]state.Job // guarded by mu
+	digest  state.Digest               // guarded by mu
+	waits   time.Duration              // guarded by mu
 }
 
-func (f *fakeDispatcher) Submit(ctx context.Context, job state.Job, _ state.Digest, deadline time.Duration) message.Answer {
-	if f.entered != nil {
-		f.entered <- job.Key.ID
-	}
+func (f *fakeDispatcher) Submit(ctx context.Context, job state.Job, digest state.Digest, deadline time.Duration) message.Answer {
+	f.mu.Lock()
+	f.started[job.Key], f.digest, f.waits = job, digest, deadline
+	f.mu.Unlock()
 	if f.gate != nil {
-		<-f.gate
+		f.entered <- job.Key.ID
+		select {
+		case <-f.gate:
+		case <-ctx.Done():
+			f.left <- job.Key.ID
+			return message.Answer{Key: job.Key, Outcome: state.Unknown}
+		}
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.jobs = append(f.jobs, job)
-	f.deadline = deadline
-	f.ctxErr = ctx.Err()
 	if a, ok := f.answers[job.Key.ID]; ok {
 		a.Key = job.Key
 		return a
@@ -71,10 +73,10 @@
 	return f.Query(ctx, key)
 }
 
-func (f *fakeDispatcher) submitted() []state.Job {
+func (f *fakeDispatcher) runs() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.jobs
+	return len(f.started)
 }
 
 // fakeDeclarer keeps one line of versions per operator.
@@ -101,7 +103,7 @@
 	}
 	f.next++
 	f.inForce[operator] = Declaration{Version: f.next, Raw: raw}
-	f.accepted[operator] = append(f.accepted[operator], HistoryEntry{Version: f.next, Base: base, Digest: "d", Bytes: len(raw)})
+	f.accepted[operator] = append(f.accepted[operator], HistoryEntry{Version: f.next, Base: base, Accepted: true})
 	return coordination.Applied{Version: f.next, Outcome: state.Complete}
 }
 
@@ -144,16 +146,18 @@
 	url        string
 	dispatcher *fakeDispatcher
 	declarer   *fakeDeclarer
-	registry   *prometheus.Registry
 	ready      bool
-	// wrap, when set, stands before the handler.
-	wrap func(http.Handler) http.Handler
 }
 
 func newBench(t *testing.T, tokens ...Token) *bench {
 	b := &bench{
-		is:         is.New(t),
-		dispatcher: &fakeDispatcher{answers: map[string]message.Answer{}},
+		is: is.New(t),
+		dispatcher: &fakeDispatcher{
+			answers: map[string]message.Answer{},
+			started: map[state.JobKey]state.Job{},
+			entered: make(chan string),
+			left:    make(chan string, 1),
+		},
 		declarer: &fakeDeclarer{
 			services: map[string]string{"bench-desk": "haneul", "yard-logbook": "gridlog"},
 			next:     16,
@@ -168,56 +172,22 @@
 
 // start starts the server anew.
 func (b *bench) start(t *testing.T, o Options) {
-	b.registry = prometheus.NewRegistry()
 	o.Dispatcher, o.Declarer, o.Status, o.Drainer = b.dispatcher, b.declarer, fakeStatus{}, fakeDrainer{}
-	o.Registry = b.registry
 	o.Ready = func() bool { return b.ready }
 	srv := httptest.NewUnstartedServer(nil)
-	handler := New(o)
-	if b.wrap != nil {
-		handler = b.wrap(handler)
-	}
-	srv.Config = NewServer(handler, nil)
+	srv.Config = NewServer(New(o), nil)
 	srv.Start()
 	t.Cleanup(srv.Close)
 	b.url = srv.URL
 }
 
-// refusals returns how often a reason was counted.
-func (b *bench) refusals(route string, reason state.Reason, o state.Outcome) float64 {
-	return counter(b, "shallotstep_http_refusals_total", route, string(reason), o.String())
-}
-
-func counter(b *bench, name string, values ...string) float64 {
-	families, err := b.registry.Gather()
+// counted says whether /metrics has a line.
+func (b *bench) counted(line string) bool {
+	res := b.do("GET", "/metrics", "")
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
 	b.is.NoErr(err)
-	for _, f := range families {
-		if f.GetName() != name {
-			continue
-		}
-		for _, m := range f.GetMetric() {
-			var have []string
-			for _, l := range m.GetLabel() {
-				have = append(have, l.GetValue())
-			}
-			if sameSet(have, values) {
-				return m.GetCounter().GetValue()
-			}
-		}
-	}
-	return 0
-}
-
-func sameSet(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for _, v := range a {
-		if !strings.Contains("\x00"+strings.Join(b, "\x00")+"\x00", "\x00"+v+"\x00") {
-			return false
-		}
-	}
-	return true
+	return strings.Contains(string(body), line+"\n")
 }
 
 func (b *bench) do(method, path, body string, header ...string) *http.Response {
--- a/transport/httpapi/handler_test.go
+++ b/transport/httpapi/handler_test.go
@@ -18,10 +18,9 @@
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/protocol/api"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/declaration"
 )
 
-const jobsRoute = "/v1/services/:service/jobs"
-
 func (b *bench) problem(res *http.Response) api.Problem {
 	defer res.Body.Close()
 	b.is.Equal(res.Header.Get("Content-Type"), api.ContentTypeProblem)
@@ -58,8 +57,8 @@
 			b.is.Equal(p.Status, c.status)
 			b.is.Equal(p.Reason, c.reason)
 			b.is.Equal(p.Outcome, state.NotRun)
-			b.is.Equal(b.refusals(jobsRoute, c.reason, state.NotRun), 1.0)
-			b.is.Equal(len(b.dispatcher.submitted()), 0)
+			b.is.True(b.counted(fmt.Sprintf(`shallotstep_http_refusals_total{outcome="not_run",reason=%q,route="/v1/services/:service/jobs"} 1`, c.reason)))
+			b.is.Equal(b.dispatcher.runs(), 0)
 		})
 	}
 }
@@ -90,7 +89,6 @@
 func TestCallersGetTheirOwnAnswers(t *testing.T) {
 	b := newBench(t)
 	b.dispatcher.gate = make(chan struct{})
-	b.dispatcher.entered = make(chan string)
 	const callers = 20
 	var wg conc.WaitGroup
 	bodies := make([]string, callers)
@@ -131,37 +129,64 @@
 	b.is.True(!strings.Contains(rec.Body.String(), "secret"))
 }
 
-// A clerk's browser goes away while the job runs. The job must go on with a
-// context that is still good, because the clerk will submit again and join it.
+// A clerk's browser goes away while the job runs. The entry stops waiting, so
+// that it holds nothing for callers who have left, and the job goes on: the
+// clerk submits again, joins it and gets the whole answer.
 func TestDisconnectKeepsTheJob(t *testing.T) {
 	b := newBench(t)
 	b.dispatcher.gate = make(chan struct{})
-	b.dispatcher.entered = make(chan string, 1)
-	answered := make(chan struct{})
-	b.wrap = func(h http.Handler) http.Handler {
-		return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-			// The job ends only after the server has seen the caller go.
-			context.AfterFunc(req.Context(), func() { close(b.dispatcher.gate) })
-			h.ServeHTTP(w, req)
-			close(answered)
-		})
-	}
-	b.start(t, Options{})
 	ctx, disconnect := context.WithCancel(t.Context())
 	req, err := http.NewRequestWithContext(ctx, "POST", b.url+jobs, strings.NewReader(oneTask))
 	b.is.NoErr(err)
-	var caller conc.WaitGroup
-	caller.Go(func() {
+	var callers conc.WaitGroup
+	callers.Go(func() {
 		_, err := http.DefaultClient.Do(req)
 		b.is.True(err != nil) // the caller has gone
 	})
 	<-b.dispatcher.entered
 	disconnect()
-	caller.Wait()
-	<-answered
-	b.is.Equal(len(b.dispatcher.submitted()), 1)
-	b.is.NoErr(b.dispatcher.ctxErr)
-	b.is.Equal(counter(b, "shallotstep_http_disconnects_total", jobsRoute), 1.0)
+	b.is.Equal(<-b.dispatcher.left, "j1")
+
+	callers.Go(func() { b.is.Equal(b.do("POST", jobs, oneTask).StatusCode, 200) })
+	<-b.dispatcher.entered
+	close(b.dispatcher.gate)
+	callers.Wait()
+	b.is.Equal(b.dispatcher.runs(), 1)
+	b.is.True(b.counted(`shallotstep_http_disconnects_total{route="/v1/services/:service/jobs"} 1`))
+}
+
+// A caller leaves size, deadline and repeatability to the declaration, and the
+// declaration changes before it submits again. The job gets the defaults of the
+// day, but its digest stays, or the resubmission would be refused as another
+// job.
+func TestDeclaredDefaultsStayOutOfTheDigest(t *testing.T) {
+	b := newBench(t)
+	spec := declaration.ServiceSpec{MaxTasks: 2, Deadline: time.Second, Repeatable: true, Task: declaration.TaskDefaults{Cores: 2}}
+	b.start(t, Options{Spec: func(string) (declaration.ServiceSpec, bool) { return spec, true }})
+	key := state.JobKey{Service: "bench-desk", ID: "q"}
+	const body = `{"id":"q","task":{"payload":1}}`
+	b.do("POST", requests, body)
+	first := b.dispatcher.digest
+	b.is.Equal(b.dispatcher.started[key].Tasks[0].Cores, 2.0)
+	b.is.True(b.dispatcher.started[key].Repeatable)
+	b.is.Equal(b.dispatcher.waits, time.Second)
+
+	spec.Task.Cores, spec.Repeatable = 4, false
+	b.do("POST", requests, body)
+	b.is.Equal(b.dispatcher.started[key].Tasks[0].Cores, 4.0)
+	b.is.True(!b.dispatcher.started[key].Repeatable)
+	b.is.Equal(b.dispatcher.digest, first)
+
+	// What the caller states goes before the declaration.
+	spec.Repeatable = true
+	b.do("POST", requests, `{"id":"q","repeatable":false,"deadline_ms":5,"task":{"payload":1,"cores":1}}`)
+	b.is.Equal(b.dispatcher.started[key].Tasks[0].Cores, 1.0)
+	b.is.True(!b.dispatcher.started[key].Repeatable)
+	b.is.Equal(b.dispatcher.waits, 5*time.Millisecond)
+
+	p := b.problem(b.do("POST", jobs, `{"id":"m","tasks":[{"payload":1},{"payload":1},{"payload":1}]}`))
+	b.is.Equal(p.Reason, state.ReasonTooManyTasks)
+	b.is.Equal(p.Outcome, state.Unknown)
 }
 
 // More bodies are on their way than the entry has memory for. The next caller
@@ -170,7 +195,6 @@
 	b := newBench(t)
 	b.start(t, Options{MaxHeldBytes: int64(len(oneTask))})
 	b.dispatcher.gate = make(chan struct{})
-	b.dispatcher.entered = make(chan string, 2)
 	var first conc.WaitGroup
 	first.Go(func() { b.is.Equal(b.do("POST", jobs, oneTask).StatusCode, 200) })
 	<-b.dispatcher.entered
@@ -181,6 +205,7 @@
 	b.is.Equal(p.Outcome, state.Unknown)
 	close(b.dispatcher.gate)
 	first.Wait()
+	b.dispatcher.gate = nil
 	b.is.Equal(b.do("POST", jobs, oneTask).StatusCode, 200)
 }
 
@@ -218,15 +243,6 @@
 	is.Equal(srv.WriteTimeout, time.Duration(0))
 }
 
-func TestMetricsAreServed(t *testing.T) {
-	b := newBench(t)
-	b.do("GET", "/nowhere", "")
-	res := b.do("GET", "/metrics", "")
-	body, err := io.ReadAll(res.Body)
-	b.is.NoErr(err)
-	b.is.True(strings.Contains(string(body), `shallotstep_http_refusals_total{outcome="not_run",reason="unknown_route",route="none"} 1`))
-}
-
 // mixedUp answers everything with one job's answer.
 type mixedUp struct{ answer message.Answer }
 
--- a/transport/httpapi/jobs.go
+++ b/transport/httpapi/jobs.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/protocol/api"
@@ -13,12 +12,10 @@
 // anyCount is for answers whose number of tasks the asker doesn't know.
 const anyCount = -1
 
-type decodeFunc func(service, headerKey string, body []byte) (state.Job, time.Duration, *api.Problem)
+func (s *server) submitJob(x *exchange)     { s.submit(x, api.KindJob) }
+func (s *server) submitRequest(x *exchange) { s.submit(x, api.KindRequest) }
 
-func (s *server) submitJob(x *exchange)     { s.submit(x, api.DecodeJob) }
-func (s *server) submitRequest(x *exchange) { s.submit(x, api.DecodeRequest) }
-
-func (s *server) submit(x *exchange, decode decodeFunc) {
+func (s *server) submit(x *exchange, kind api.Kind) {
 	operator, p := s.serviceOperator(x)
 	if p != nil {
 		x.refuse(p)
@@ -35,14 +32,48 @@
 		return
 	}
 	defer release()
-	job, deadline, p := decode(x.params.ByName("service"), key, body)
+	sub, p := api.Decode(kind, x.params.ByName("service"), key, body)
 	if p != nil {
 		x.refuse(p)
 		return
 	}
-	job.Operator = operator
-	a := s.Dispatcher.Submit(x.detached(), job, job.Digest(), deadline)
-	x.answerJob(a, job.Key, len(job.Tasks))
+	sub.Job.Operator = operator
+	// The digest is of what the caller stated. With the declared defaults in
+	// it, a change of the declaration would turn a resubmission into another
+	// job under the same id.
+	digest := sub.Job.Digest()
+	if p := s.complete(x, &sub); p != nil {
+		x.refuse(p)
+		return
+	}
+	a := s.Dispatcher.Submit(x.req.Context(), sub.Job, digest, sub.Deadline)
+	x.answerJob(a, sub.Job.Key, len(sub.Job.Tasks))
+}
+
+// complete fills in what the submission leaves to the service's declaration.
+func (s *server) complete(x *exchange, sub *api.Submission) *api.Problem {
+	if s.Spec == nil {
+		return nil
+	}
+	spec, ok := s.Spec(sub.Job.Key.Service)
+	if !ok {
+		return nil
+	}
+	if len(sub.Job.Tasks) > spec.MaxTasks {
+		// An earlier declaration may have let the same job in.
+		return api.NewProblem(state.ReasonTooManyTasks, x.turnedAway,
+			"this attempt was not accepted: a job of this service has at most %d tasks", spec.MaxTasks)
+	}
+	for i := range sub.Job.Tasks {
+		spec.Task.Apply(&sub.Job.Tasks[i])
+	}
+	if sub.Deadline == 0 {
+		sub.Deadline = spec.Deadline
+	}
+	if sub.Kind == api.KindRequest && !sub.RepeatableStated {
+		sub.Job.Repeatable = spec.Repeatable
+	}
+	return nil
 }
 
 func (s *server) queryJob(x *exchange) {
@@ -51,7 +82,7 @@
 		x.refuse(p)
 		return
 	}
-	x.answerJob(s.Dispatcher.Query(x.detached(), key), key, anyCount)
+	x.answerJob(s.Dispatcher.Query(x.req.Context(), key), key, anyCount)
 }
 
 func (s *server) cancelJob(x *exchange) {
--- a/transport/httpapi/options.go
+++ b/transport/httpapi/options.go
@@ -13,6 +13,7 @@
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/protocol/api"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/declaration"
 )
 
 // The documents that the interfaces below exchange.
@@ -23,12 +24,12 @@
 	StatusDocument  = api.Status
 )
 
-// Dispatcher carries submissions. Its methods return the final answer. The
-// contexts they get don't end when the caller goes away: a job outlives its
-// caller, who may submit it again and join it.
+// Dispatcher carries submissions. Its methods return the final answer.
 type Dispatcher interface {
 	// Submit has a job run and waits for its answer. deadline is how long the
-	// caller waits; zero means not stated.
+	// caller waits; zero means not stated. The end of ctx says that the caller
+	// has gone: Submit then gives up waiting and must not stop the job, because
+	// the caller may submit it again and join it.
 	Submit(ctx context.Context, job state.Job, digest state.Digest, deadline time.Duration) message.Answer
 	// Query returns the state of a job and starts nothing.
 	Query(ctx context.Context, key state.JobKey) message.Answer
@@ -43,8 +44,7 @@
 	// version in force.
 	Apply(ctx context.Context, operator string, base state.Version, raw []byte) coordination.Applied
 	Get(operator string) (Declaration, bool)
-	// History returns the accepted declarations that are still known, newest
-	// last.
+	// History returns the applies that are still known, newest last.
 	History(operator string) []HistoryEntry
 	Operators() []OperatorVersion
 	// Service returns the operator that has declared a service.
@@ -67,6 +67,9 @@
 	Dispatcher Dispatcher
 	Declarer   Declarer
 	Status     Status
+	// Spec returns a service as declared, for what submissions leave out. Nil
+	// means that nothing is filled in.
+	Spec func(service string) (declaration.ServiceSpec, bool)
 	// Drainer may be nil: the node then has no drain resource.
 	Drainer Drainer
 	// Tokens are the bearer tokens. With none, everybody on the loopback
--- a/transport/httpclient/settle.go
+++ b/transport/httpclient/settle.go
@@ -1,6 +1,7 @@
 package httpclient
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -21,52 +22,87 @@
 )
 
 // ApplySettled sends a declaration once and, where its fate is unknown, reads
-// the history until it is known or ctx ends. It never sends the declaration
-// again: a second append behind another operator's change could take that
-// change back.
+// until it is known or ctx ends. It never sends the declaration again: a second
+// append behind another operator's change could take that change back.
 func (c *Client) ApplySettled(ctx context.Context, operator string, base state.Version, raw []byte) (api.Applied, *Failure) {
 	applied, f := c.Apply(ctx, operator, base, raw)
-	for f != nil && f.Outcome == state.Unknown && !f.NotSent {
-		h, hf := c.History(ctx, operator)
-		if hf == nil {
-			verdict, settled := judge(h.Entries, base, raw)
-			if settled {
-				return verdict.answer(operator)
-			}
+	if f == nil || f.Outcome != state.Unknown || f.NotSent {
+		return applied, f
+	}
+	for {
+		switch v := c.lookUp(ctx, operator, base, raw); v.fate {
+		case fateWon:
+			return api.Applied{Operator: operator, Version: v.version, Outcome: api.Outcome(state.Complete)}, nil
+		case fateLost:
+			return applied, lostRace(v.version)
+		case fateHidden:
+			return applied, f
 		}
 		if c.sleep(ctx, settleInterval) != nil {
-			break
+			return applied, f
 		}
 	}
-	return applied, f
 }
 
-// fate is what became of a declaration.
-type fate struct {
+// fate is what reading tells of a declaration whose reply was lost.
+type fate uint8
+
+const (
+	fateOpen   fate = iota // nothing has replaced the base yet
+	fateWon                // it replaced the base, or is in force
+	fateLost               // another one replaced the base
+	fateHidden             // the base was replaced, but no longer by whom
+)
+
+type verdict struct {
+	fate    fate
 	version state.Version
-	won     bool
 }
 
-// judge looks in the history for the declaration that replaced base. In log
-// order only one can, so that finding any settles the matter.
-func judge(entries []api.HistoryEntry, base state.Version, raw []byte) (fate, bool) {
-	sum := sha256.Sum256(raw)
-	digest := hex.EncodeToString(sum[:])
-	for _, e := range entries {
-		if e.Base == base && e.Version > base {
-			return fate{version: e.Version, won: e.Digest == digest}, true
+// lookUp reads what replaced base. In log order only one declaration can, so
+// that finding it settles the matter.
+func (c *Client) lookUp(ctx context.Context, operator string, base state.Version, raw []byte) verdict {
+	h, f := c.History(ctx, operator)
+	if f != nil {
+		return verdict{}
+	}
+	next, found := successor(h.Entries, base)
+	if found && next.Digest != "" {
+		if next.Digest == digestOf(raw) {
+			return verdict{fateWon, next.Version}
 		}
+		return verdict{fateLost, next.Version}
 	}
-	return fate{}, false
+	d, f := c.Declaration(ctx, operator)
+	switch {
+	case f != nil || d.Version <= base:
+		return verdict{}
+	case bytes.Equal(d.Raw, raw):
+		return verdict{fateWon, d.Version}
+	case found && next.Version == d.Version:
+		return verdict{fateLost, d.Version}
+	}
+	return verdict{fate: fateHidden}
 }
 
-func (v fate) answer(operator string) (api.Applied, *Failure) {
-	if v.won {
-		return api.Applied{Operator: operator, Version: v.version, Outcome: api.Outcome(state.Complete)}, nil
+func successor(entries []api.HistoryEntry, base state.Version) (api.HistoryEntry, bool) {
+	for _, e := range entries {
+		if e.Accepted && e.Base == base {
+			return e, true
+		}
 	}
-	p := api.NewProblem(state.ReasonLostRace, state.NotRun, "version %d replaced the base", v.version)
-	p.Version = v.version
-	return api.Applied{}, &Failure{Outcome: state.NotRun, Problem: p}
+	return api.HistoryEntry{}, false
+}
+
+func digestOf(raw []byte) string {
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:])
+}
+
+func lostRace(version state.Version) *Failure {
+	p := api.NewProblem(state.ReasonLostRace, state.NotRun, "version %d replaced the base", version)
+	p.Version = version
+	return &Failure{Outcome: state.NotRun, Problem: p}
 }
 
 // SubmitSettled submits until there is an answer, the entry refuses for good,
