Test the safeguards that the random world doesn't reach

Three have a test of their own now; the other two (an answer and a BarReply count only from whom they were asked of) are second checks behind attempts that have one addressee each, and no honest node trips them.

--- a/coordination/route/silence_test.go
+++ b/coordination/route/silence_test.go
@@ -117,3 +117,57 @@
 		is.True(got[0].Answer.RetryAfter > 0)
 	}
 }
+
+// Nobody hears of the home, so nothing is sent to it. The id may have run by a
+// submission through another entry all the same: the witness decides.
+func TestDeadHomeIsNotRefusedFromHere(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	b.roster.dead["h"] = true
+	acts := b.submit(1, false, 5*time.Second)
+	bars, _ := sent[message.Bar](acts)
+	is.Equal(len(delivered(acts)), 0)
+	got := delivered(b.Handle(b.now, "w", message.BarReply{Key: quote, Attempt: bars[0].Attempt, Holder: "h"}))
+	is.Equal(got[0].Answer.Outcome, state.Unknown)
+	is.Equal(got[0].Answer.Reason, state.ReasonHomeLost)
+}
+
+// A caller leaves, and its job's answer arrives with nobody to hear it. It
+// submits again, and the home, which has forgotten, refuses as not run. The
+// first attempt must be ruled out before that is passed on; it can't be.
+func TestUnheardAnswerStillCounts(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	first, _ := sent[message.Submit](b.submit(1, false, 5*time.Second))
+	b.Abandon(b.now, 1)
+	b.Handle(b.now, "h", message.Answer{Key: quote, Attempt: first[0].Attempt, Outcome: state.Complete, Results: make([]state.TaskResult, 1)})
+	second, _ := sent[message.Submit](b.submit(2, false, 5*time.Second))
+	acts := b.Handle(b.now, "h", message.Answer{Key: quote, Attempt: second[0].Attempt, Outcome: state.NotRun, Reason: state.ReasonOverload})
+	bars, _ := sent[message.Bar](acts)
+	is.Equal(bars[0].Attempt, first[0].Attempt)
+	is.Equal(delivered(b.pass(2 * settleFor))[0].Answer.Outcome, state.Unknown)
+}
+
+// The home is behind and can't say. It may catch up and grant the attempt from
+// a late copy, so the deadline's answer is Unknown; had it ruled the attempt
+// out, it would be NotRun. And if the roster moves and the next attempt is
+// refused, the first must be ruled out before that is passed on.
+func TestUnknownLeavesTheAttemptOpen(t *testing.T) {
+	is := is.New(t)
+	for _, outcome := range []state.Outcome{state.Unknown, state.NotRun} {
+		b := newBench(nil)
+		first, _ := sent[message.Submit](b.submit(1, false, 2*catchUpMin))
+		behind := message.Answer{Key: quote, Attempt: first[0].Attempt, Outcome: outcome, Reason: state.ReasonStaleEpoch, Epoch: 6}
+		b.Handle(b.now, "h", behind)
+		b.roster.epoch = 8
+		second, _ := sent[message.Submit](b.RosterChanged(b.now))
+		is.Equal(len(second), 1)
+		acts := b.Handle(b.now, "h", message.Answer{Key: quote, Attempt: second[0].Attempt, Outcome: state.NotRun, Reason: state.ReasonOverload})
+		bars, _ := sent[message.Bar](acts)
+		if outcome == state.Unknown {
+			is.Equal(bars[0].Attempt, first[0].Attempt)
+			acts = b.pass(3 * catchUpMin)
+		}
+		is.Equal(delivered(acts)[0].Answer.Outcome, outcome)
+	}
+}
