--- a/coordination/node/agent.go
+++ b/coordination/node/agent.go
@@ -330,3 +330,12 @@
 
 // Load returns the agent's own load.
 func (a *Agent) Load() state.AgentLoad { return a.admit.Load() }
+
+// Gossip returns what is known of agents' loads.
+func (a *Agent) Gossip() *gossip.Gossip { return a.gossip }
+
+// Member returns the machine of the roster's records.
+func (a *Agent) Member() *member.Machine { return a.member }
+
+// Guard returns the guard of claims.
+func (a *Agent) Guard() *guard.Guard { return a.guard }
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -12,7 +13,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
@@ -24,6 +24,7 @@
 	"github.com/shallotstep/shallotstep/transport/backendclient"
 	"github.com/shallotstep/shallotstep/transport/httpapi"
 	"github.com/shallotstep/shallotstep/transport/link"
+	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/platformlog"
 )
 
@@ -48,14 +49,16 @@
 	// Peers accepts links from other nodes, HTTP the agent's own interface.
 	Peers net.Listener
 	HTTP  net.Listener
-	Log   platformlog.Options
+	// HTTPTLS is nil on loopback.
+	HTTPTLS *tls.Config
+	Log     platformlog.Options
 	// TLS proves nodes to one another; nil on loopback only.
 	TLS     *link.TLS
 	API     agentapi.Options
 	Backend backendclient.Options
 	// StopLimit bounds a planned stop. Zero means DefaultStopLimit.
 	StopLimit time.Duration
-	Registry  *prometheus.Registry
+	Metrics   *metrics.Metrics
 }
 
 // DefaultStopLimit is how long a planned stop may take: the longest tasks take
@@ -117,6 +120,10 @@
 		Log:     a.log,
 		Perform: a.perform,
 	})
+	o.Metrics.WatchGossip(a.machine.Gossip())
+	o.Metrics.WatchMember(a.machine.Member())
+	o.Metrics.Registry.MustRegister(a.machine.Guard())
+	o.Metrics.Registry.MustRegister(a.log.Collectors()...)
 	links, err := link.New(link.Options{
 		Self:     o.Node.Self.ID,
 		Addr:     o.Node.Self.Addr,
@@ -125,29 +132,19 @@
 		Handler:  a.runner.Receive,
 		Up:       a.runner.Up,
 		Down:     a.runner.Down,
-		Registry: registerer(o.Registry),
+		Registry: o.Metrics.Registry,
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "links")
 	}
 	a.links = links
 	a.runner.Bind(links)
-	o.API.Registerer = registerer(o.Registry)
-	if o.Registry != nil {
-		o.API.Gatherer = o.Registry
-	}
-	a.http = httpapi.NewServer(agentapi.New(a, o.API), nil)
+	o.API.Registerer = o.Metrics.Registry
+	o.API.Gatherer = o.Metrics.Registry
+	a.http = httpapi.NewServer(agentapi.New(a, o.API), o.HTTPTLS)
 	return a, nil
 }
 
-// registerer keeps a nil registry from becoming an interface that is not nil.
-func registerer(r *prometheus.Registry) prometheus.Registerer {
-	if r == nil {
-		return nil
-	}
-	return r
-}
-
 // Run serves until the context ends, which cuts everything off, or until a
 // planned stop that Drain began is over. It returns nil after a planned stop.
 func (a *Agent) Run(ctx context.Context) error {
@@ -167,7 +164,13 @@
 }
 
 func (a *Agent) serveHTTP() {
-	if err := a.http.Serve(a.opts.HTTP); !errors.Is(err, http.ErrServerClosed) {
+	var err error
+	if a.opts.HTTPTLS != nil {
+		err = a.http.ServeTLS(a.opts.HTTP, "", "")
+	} else {
+		err = a.http.Serve(a.opts.HTTP)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
 		klog.ErrorS(err, "The agent's HTTP interface ended")
 	}
 }
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/xid"
 	"github.com/sourcegraph/conc"
 
@@ -25,6 +24,7 @@
 	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/state/declaration"
 	"github.com/shallotstep/shallotstep/transport/httpclient"
+	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/platformlog"
 )
 
@@ -146,7 +146,7 @@
 		HTTP:      web,
 		Log:       platformlog.Options{URL: s.logURL},
 		StopLimit: s.opts.StopLimit,
-		Registry:  prometheus.NewRegistry(),
+		Metrics:   metrics.New(),
 	})
 	if err != nil {
 		return err
@@ -193,7 +193,7 @@
 		HTTP:      s.opts.HTTP,
 		Log:       platformlog.Options{URL: s.logURL},
 		StopLimit: s.opts.StopLimit,
-		Registry:  prometheus.NewRegistry(),
+		Metrics:   metrics.New(),
 		Software:  s.opts.Software,
 	})
 	if err != nil {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
@@ -25,6 +24,7 @@
 	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/transport/httpapi"
 	"github.com/shallotstep/shallotstep/transport/link"
+	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/platformlog"
 )
 
@@ -51,9 +51,12 @@
 	// TLS proves nodes to one another; nil on loopback only.
 	TLS    *link.TLS
 	Tokens []httpapi.Token
+	// MaxHeldBytes bounds the bodies of submissions being answered. Zero means
+	// the default of package httpapi.
+	MaxHeldBytes int64
 	// StopLimit bounds a planned stop. Zero means DefaultStopLimit.
 	StopLimit time.Duration
-	Registry  *prometheus.Registry
+	Metrics   *metrics.Metrics
 	// Software is the program's version, for the status.
 	Software string
 }
@@ -88,15 +91,15 @@
 		Perform: e.perform,
 	})
 	lo := link.Options{
-		Self:    o.Node.Self.ID,
-		TLS:     o.TLS,
-		Handler: e.runner.Receive,
-		Up:      e.runner.Up,
-		Down:    e.runner.Down,
-	}
-	if o.Registry != nil {
-		lo.Registry = o.Registry
+		Self:     o.Node.Self.ID,
+		TLS:      o.TLS,
+		Handler:  e.runner.Receive,
+		Up:       e.runner.Up,
+		Down:     e.runner.Down,
+		Registry: o.Metrics.Registry,
 	}
+	o.Metrics.WatchGossip(e.machine.Gossip())
+	o.Metrics.Registry.MustRegister(e.log.Collectors()...)
 	links, err := link.New(lo)
 	if err != nil {
 		return nil, errors.Wrap(err, "links")
@@ -104,12 +107,13 @@
 	e.links = links
 	e.runner.Bind(links)
 	handler := httpapi.New(httpapi.Options{
-		Dispatcher: (*dispatcher)(e),
-		Declarer:   (*declarer)(e),
-		Status:     (*status)(e),
-		Tokens:     o.Tokens,
-		Ready:      e.Ready,
-		Registry:   o.Registry,
+		Dispatcher:   (*dispatcher)(e),
+		Declarer:     (*declarer)(e),
+		Status:       (*status)(e),
+		Tokens:       o.Tokens,
+		Ready:        e.Ready,
+		Registry:     o.Metrics.Registry,
+		MaxHeldBytes: o.MaxHeldBytes,
 	})
 	e.http = httpapi.NewServer(handler, o.HTTPTLS)
 	return e, nil
