Prove links against failures and wrong identities

Found: the doc promised that Down settles what was delivered; a frame that had been written may still be in the peer's hands, so the promise is now that nothing is written after Down. A failed TLS identity was counted as unreachable. Nothing is measured.

--- a/transport/link/dial.go
+++ b/transport/link/dial.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -100,7 +101,12 @@
 }
 
 func (l *Links) connect(id state.NodeID, addr string) (*dialled, error) {
-	conn, err := grpc.NewClient("passthrough:///"+addr, l.dialOptions(id)...)
+	var refused atomic.Bool
+	refuse := func(err error) {
+		refused.Store(true)
+		logIdentity(id, err)
+	}
+	conn, err := grpc.NewClient("passthrough:///"+addr, l.dialOptions(id, refuse)...)
 	if err != nil {
 		return nil, errors.Wrap(err, "client")
 	}
@@ -111,11 +117,14 @@
 	if !timer.Stop() && err == nil {
 		err = context.DeadlineExceeded
 	}
-	if err != nil {
-		d.close()
-		return nil, err
+	if err == nil {
+		return d, nil
 	}
-	return d, nil
+	d.close()
+	if refused.Load() {
+		err = errors.Wrap(errIdentity, err.Error())
+	}
+	return nil, err
 }
 
 // greet opens the stream and waits for the other side's Hello. No message may
@@ -142,10 +151,10 @@
 	return nil
 }
 
-func (l *Links) dialOptions(id state.NodeID) []grpc.DialOption {
+func (l *Links) dialOptions(id state.NodeID, refused func(error)) []grpc.DialOption {
 	creds := insecure.NewCredentials()
 	if l.opt.TLS != nil {
-		creds = credentials.NewTLS(l.opt.TLS.clientConfig(id))
+		creds = credentials.NewTLS(l.opt.TLS.clientConfig(id, refused))
 	}
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
@@ -170,8 +179,11 @@
 }
 
 func dialReason(err error) Reason {
-	if errors.Is(err, errWrongPeer) {
+	switch {
+	case errors.Is(err, errWrongPeer):
 		return ReasonWrongPeer
+	case errors.Is(err, errIdentity):
+		return ReasonIdentity
 	}
 	switch status.Code(errors.Cause(err)) {
 	case codes.FailedPrecondition:
--- a/transport/link/doc.go
+++ b/transport/link/doc.go
@@ -10,14 +10,16 @@
 //   - Send never blocks. It either accepts the message into a bounded queue or
 //     refuses it.
 //   - Messages to one peer are delivered in the order in which they were
-//     accepted, each at most once, as long as Down isn't called for the peer.
-//   - Down(id) settles every message to that peer that was accepted before:
-//     each has been delivered or never will be. It comes once for each break,
-//     and once for each failed dial that had messages waiting.
+//     accepted, each at most once. They are lost only where Down says so.
+//   - Down(id) settles what was accepted for the peer before: nothing of it is
+//     written any more. What had been written may have been delivered, or still
+//     be on its way; it comes before anything that is sent after Down. Down
+//     comes once for each break, and once for each failed dial that had
+//     messages waiting.
 //   - Handler, Up and Down are called by one goroutine at a time for one peer,
 //     and by several goroutines for several peers. They must return promptly:
 //     while Handler is busy, the peer's messages wait at the sender, which cuts
-//     the link after WriteTimeout.
+//     the link after WriteTimeout. Close waits for calls that are running.
 //
 // A link is closed in good order by a Closing frame from each side. The side
 // that dialled ends its half of the stream when it has seen the other's
--- a/transport/link/identity.go
+++ b/transport/link/identity.go
@@ -58,17 +58,24 @@
 }
 
 // clientConfig returns the configuration to dial id with. The name is checked
-// within the handshake, so nothing is sent to a wrong peer.
-func (t *TLS) clientConfig(id state.NodeID) *tls.Config {
+// within the handshake, so nothing is sent to a wrong peer. refused is called
+// with the reason when the peer doesn't pass, because the library reports any
+// failed handshake as an address that can't be reached.
+func (t *TLS) clientConfig(id state.NodeID, refused func(error)) *tls.Config {
 	cfg := t.Client.Clone()
 	verify := cfg.VerifyConnection
 	cfg.VerifyConnection = func(cs tls.ConnectionState) error {
+		var err error
 		if verify != nil {
-			if err := verify(cs); err != nil {
-				return err
-			}
+			err = verify(cs)
 		}
-		return t.checkCertificate(id, &cs)
+		if err == nil {
+			err = t.checkCertificate(id, &cs)
+		}
+		if err != nil {
+			refused(err)
+		}
+		return err
 	}
 	return cfg
 }
--- a/transport/link/log.go
+++ b/transport/link/log.go
@@ -36,3 +36,7 @@
 func logMalformed(from state.NodeID, err error) {
 	klog.V(verbose).InfoS("Message skipped", "peer", from, "err", err)
 }
+
+func logIdentity(id state.NodeID, err error) {
+	klog.ErrorS(err, "Peer doesn't prove who it is", "peer", id)
+}
