Ask again only over links that were lost, and try another pair

Cause: the first link to a home repeated each question that was on its way; a home whose witness was silent refused as not run though the pair had moved.

Change: questions are repeated over a link that broke since they were asked; a refusal for an unreachable pair goes on to a new pair if there is one.

--- a/coordination/route/answer.go
+++ b/coordination/route/answer.go
@@ -72,7 +72,10 @@
 		r.askHolder(now, f, m.Holder)
 	case notReady(m.Reason):
 		r.wait(now, f, m, tried.epoch)
-	case m.Reason == state.ReasonBarred:
+	case m.Reason == state.ReasonBarred || m.Reason == state.ReasonHomeUnreachable:
+		// The pair could not agree in time: that is no refusal of the job, and
+		// another pair may take it.
+		f.verdict = verdict{state.ReasonHomeUnreachable, m.Detail, max(m.RetryAfter, retryPair)}
 		r.ruledOut(now, f)
 	case isDeadline(m.Reason) && r.waitsLonger(f):
 		r.tryHome(now, f)
--- a/coordination/route/retry.go
+++ b/coordination/route/retry.go
@@ -158,7 +158,7 @@
 func (r *Router) requestsUp(now time.Time, id state.NodeID) []coordination.Action {
 	r.agents.setDown(id, time.Time{})
 	return r.eachTry(id, func(s *requestShard, q *request, t *try) {
-		if t.state != tryRefused {
+		if t.state == tryLost {
 			r.sendRequest(s, q, id, message.TaskQuery{Key: t.key, Indexes: []int{0}})
 		}
 	})
--- a/coordination/route/silence.go
+++ b/coordination/route/silence.go
@@ -16,16 +16,15 @@
 	f.resendAt = now.Add(cutResend)
 }
 
-// onLinkBack asks again, and gives the target the time of a fresh cut: a
-// reconnected home that stays silent is as good as one that is away.
+// onLinkBack asks again what was asked before the link was lost; on a first
+// link that would double every question. The target gets the time of a fresh
+// cut: a reconnected home that stays silent is as good as one that is away.
 func (r *Router) onLinkBack(now time.Time, f *flight) {
-	if f.phase == waiting || f.cur.id == "" {
+	if f.phase == waiting || f.cur.id == "" || f.cutAt.IsZero() {
 		return
 	}
-	if !f.cutAt.IsZero() {
-		f.cutAt = now
-		f.resendAt = now.Add(barAfter)
-	}
+	f.cutAt = now
+	f.resendAt = now.Add(barAfter)
 	r.resend(now, f)
 }
 
