Hand payloads to backend servers without rewriting them

Cause: the standard encoder escapes <, > and & for HTML pages, so a payload with them reached the backend server in another spelling, and a backend server's answer without a payload became a result that is no JSON.

Change: encode without escaping; an absent result is null.

Conclusion: TestRunReportsHowTheTaskEnded carries such a payload there and back; the golden session is unchanged.

--- a/standin/backendserver/handlers.go
+++ b/standin/backendserver/handlers.go
@@ -138,7 +138,9 @@
 
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	enc := json.NewEncoder(w)
+	enc.SetEscapeHTML(false)
+	_ = enc.Encode(v)
 }
 
 func writeProblem(w http.ResponseWriter, status int, p wire.Problem) {
--- a/standin/backendserver/session_test.go
+++ b/transport/agentapi/session_test.go
@@ -1,4 +1,4 @@
-package backendserver_test
+package agentapi_test
 
 import (
 	"bytes"
@@ -83,44 +83,13 @@
 	tr.out.WriteString(line)
 }
 
-// oneBackend is an agent that takes whatever is announced and runs nothing.
-type oneBackend struct {
-	mu      sync.Mutex
-	backend state.Backend
-	left    bool
-}
-
-func (a *oneBackend) Announce(b state.Backend) error {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.backend = b
-	return nil
-}
-
-func (a *oneBackend) Withdraw(string) int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.left = true
-	return 0
-}
-
-func (a *oneBackend) Backend() (state.Backend, int, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.backend, 0, a.backend.ID != "" && !a.left
-}
-
-func (a *oneBackend) Ready() bool    { return true }
-func (a *oneBackend) Drain()         {}
-func (a *oneBackend) Draining() bool { return false }
-
 func TestWholeSession(t *testing.T) {
 	// One backend server announces itself, runs tasks well and badly, refuses
 	// one, loses a reply and a request, reports usage and leaves. The golden
 	// file is what both sides put on the wire, as docs/BACKENDS.md has it.
 	is := is.New(t)
 	var tr transcript
-	agentSide := httptest.NewServer(tr.record("backend server:", "", agentapi.New(&oneBackend{}, agentapi.Options{})))
+	agentSide := httptest.NewServer(tr.record("backend server:", "", agentapi.New(&fakeAgent{}, agentapi.Options{})))
 	defer agentSide.Close()
 	s := backendserver.New(backendserver.Options{ID: "b1", Services: []string{"bench-desk"}, AgentURL: agentSide.URL, TTL: agentapi.MaxTTL})
 	is.NoErr(s.Start(t.Context()))
--- a/transport/backendclient/client_test.go
+++ b/transport/backendclient/client_test.go
@@ -50,9 +50,9 @@
 	reg := prometheus.NewRegistry()
 	c := newClient(t, backendclient.Options{Token: "secret", Registerer: reg})
 
-	good := c.Run(t.Context(), s.Backend(), key(0), task(`{"work_ms":1,"echo":{"quote":12}}`), time.Minute)
+	good := c.Run(t.Context(), s.Backend(), key(0), task(`{"work_ms":1,"echo":{"quote":"<12>"}}`), time.Minute)
 	is.Equal(good.Verdict, backendclient.Ran)
-	is.Equal(string(good.Task.Payload), `{"quote":12}`)
+	is.Equal(string(good.Task.Payload), `{"quote":"<12>"}`)
 	is.True(good.Task.Ran > 0)
 
 	bad := c.Run(t.Context(), s.Backend(), key(1), task(`{"fail":"out of glue"}`), 0)
--- a/transport/backendclient/link.go
+++ b/transport/backendclient/link.go
@@ -110,9 +110,9 @@
 func (c *Client) call(ctx context.Context, l *link, method, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
-		data, err := json.Marshal(in)
+		data, err := encode(in)
 		if err != nil {
-			return errors.Wrap(err, "encode request")
+			return err
 		}
 		body = bytes.NewReader(data)
 	}
--- a/transport/backendclient/run.go
+++ b/transport/backendclient/run.go
@@ -131,9 +131,9 @@
 // left. A connection that turns out broken counts as sent: the kernel may have
 // delivered what the library reports as an error.
 func (t *try) post(ctx context.Context, spec state.Task, deadline time.Duration) (resp *http.Response, sent bool, err error) {
-	data, err := json.Marshal(t.startRequest(spec, deadline))
+	data, err := encode(t.startRequest(spec, deadline))
 	if err != nil {
-		return nil, false, errors.Wrap(err, "encode task")
+		return nil, false, err
 	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
@@ -151,6 +151,16 @@
 	return resp, connected.Load(), errors.WithStack(err)
 }
 
+// encode is json.Marshal without escaping for HTML pages, which would rewrite
+// the caller's payload.
+func encode(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := json.NewEncoder(&buf)
+	enc.SetEscapeHTML(false)
+	err := enc.Encode(v)
+	return bytes.TrimSuffix(buf.Bytes(), []byte("\n")), errors.Wrap(err, "encode request")
+}
+
 func (t *try) startRequest(spec state.Task, deadline time.Duration) wire.StartRequest {
 	return wire.StartRequest{
 		Service:      t.task.Job.Service,
@@ -196,6 +206,9 @@
 }
 
 func (t *try) succeeded(reply wire.StartReply) Result {
+	if len(reply.Payload) == 0 {
+		reply.Payload = json.RawMessage("null")
+	}
 	return Result{Verdict: Ran, Task: state.TaskResult{
 		Index:   t.task.Index,
 		Payload: reply.Payload,
