Check the pair protocol with a random model

Cause: the protocol's safety rests on the order of rare events. Found and mended on the way: a late copy of a granted attempt was answered 'not run' after the epoch had moved (now the record is looked at first, and only a member of the attempt's epoch may vouch); attempts that queued behind a silent witness waited for it one after another (each one's time now runs from its arrival); an entry that is ahead no longer costs a refusal (the attempt waits for the missing roster records).

--- a/coordination/guard/cluster_test.go
+++ b/coordination/guard/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination"
@@ -17,22 +18,38 @@
 	askRetry  = 10 * time.Millisecond
 	retention = time.Hour
 	blindTime = 2 * time.Hour
+	// settling takes longer than a claim waits for its witness.
+	settleStep   = 4 * askRetry
+	settleRounds = 32
 )
 
 // envelope is a message on its way.
 type envelope struct {
 	from, to state.NodeID
 	msg      message.Message
+	sent     time.Time
 }
 
 // node is one agent of a cluster.
 type node struct {
 	*Guard
-	read  int  // records read of the log
-	cut   int  // only nodes with the same number reach each other
-	noLog bool // can't reach the log
-	held  bool // paused: takes and sends nothing
-	dead  bool
+	read    int  // records read of the log
+	cut     int  // only nodes with the same number reach each other
+	noLog   bool // can't reach the log
+	held    bool // paused: takes and sends nothing
+	leaving bool // exits once it has handed over
+	dead    bool
+}
+
+type step struct {
+	before *roster.Roster
+	offset int64
+}
+
+type result struct {
+	after  *roster.Roster
+	change roster.Change
+	err    error
 }
 
 // cluster is a set of real guards with a log, a network and a clock, all of them
@@ -45,6 +62,14 @@
 	net      []envelope
 	disabled safeguards
 	opts     Options
+	// applied shares the work of Apply among nodes, which all read one log.
+	applied map[step]result
+	root    *roster.Roster
+	// watch limits the shares that follow the roster, unless it is nil.
+	watch map[uint32]bool
+	calls func(state.NodeID, message.Submit)
+	// lost says that a message is too old to arrive.
+	lost func(envelope) bool
 	// verdicts and bars see what the guards say.
 	verdicts func(state.NodeID, coordination.Action)
 	bars     func(state.NodeID, message.BarReply)
@@ -55,6 +80,10 @@
 		now:      time.Unix(1_000_000, 0),
 		nodes:    make(map[state.NodeID]*node),
 		opts:     Options{Retention: retention, Blind: blindTime, AskRetry: askRetry},
+		applied:  make(map[step]result),
+		root:     roster.New(),
+		lost:     func(envelope) bool { return false },
+		calls:    func(state.NodeID, message.Submit) {},
 		verdicts: func(state.NodeID, coordination.Action) {},
 		bars:     func(state.NodeID, message.BarReply) {},
 	}
@@ -67,12 +96,37 @@
 	o.RegionOf = func(string) string { return region }
 	n := &node{Guard: New(o)}
 	n.disabled = c.disabled
+	n.applyTo = c.applyTo
+	n.page = 1 // every claim on a page of its own
+	n.roster.Store(c.root)
 	c.nodes[id] = n
 	c.order = append(c.order, id)
 	n.Tick(c.now)
 	return n
 }
 
+func (c *cluster) applyTo(r *roster.Roster, offset int64, data []byte) (*roster.Roster, roster.Change, error) {
+	at := step{r, offset}
+	got, ok := c.applied[at]
+	if !ok {
+		got.after, got.change, got.err = r.Apply(offset, data)
+		if c.watch != nil {
+			got.change.Shares = slices.DeleteFunc(got.change.Shares, func(s roster.ShareChange) bool { return !c.watch[s.Share] })
+		}
+		c.applied[at] = got
+	}
+	return got.after, got.change, got.err
+}
+
+// truth is the roster after the whole log.
+func (c *cluster) truth() *roster.Roster {
+	r := c.root
+	for i, data := range c.log {
+		r, _, _ = c.applyTo(r, int64(i+1), data)
+	}
+	return r
+}
+
 func (c *cluster) append(r roster.Record) {
 	data, err := roster.Encode(r)
 	if err != nil {
@@ -95,7 +149,10 @@
 func (c *cluster) readAll() {
 	for _, id := range c.order {
 		n := c.nodes[id]
-		for n.Roster().Offset() < int64(len(c.log)) && !n.dead {
+		if n.dead || n.held || n.noLog {
+			continue
+		}
+		for n.Roster().Offset() < int64(len(c.log)) {
 			c.readOne(n)
 		}
 		c.readOne(n)
@@ -107,7 +164,11 @@
 	for _, a := range acts {
 		switch a := a.(type) {
 		case coordination.Send:
-			c.net = append(c.net, envelope{n.self, a.To, a.Msg})
+			if r, ok := a.Msg.(message.BarReply); ok {
+				c.bars(n.self, r)
+				continue
+			}
+			c.net = append(c.net, envelope{n.self, a.To, a.Msg, c.now})
 		case coordination.Granted, coordination.Denied:
 			c.verdicts(n.self, a)
 		}
@@ -121,12 +182,13 @@
 
 // deliver hands over one message, or loses it where it can't arrive.
 func (c *cluster) deliver(e envelope) {
-	if r, ok := e.msg.(message.BarReply); ok {
-		c.bars(e.from, r)
+	n := c.nodes[e.to]
+	if n == nil || n.dead || n.held || !c.reach(e.from, e.to) || c.lost(e) {
 		return
 	}
-	n := c.nodes[e.to]
-	if n == nil || n.dead || n.held || !c.reach(e.from, e.to) {
+	if m, ok := e.msg.(message.Submit); ok {
+		c.calls(n.self, m)
+		c.do(n, n.Claim(c.now, m.Job.Key, m.Digest, m.Attempt, m.Epoch))
 		return
 	}
 	c.do(n, n.Handle(c.now, e.from, e.msg))
@@ -134,17 +196,29 @@
 
 // settle delivers everything and lets time go on until all is quiet.
 func (c *cluster) settle() {
-	for range 200 {
+	for range settleRounds {
 		for len(c.net) > 0 {
 			e := c.net[0]
 			c.net = c.net[1:]
 			c.deliver(e)
 		}
-		c.now = c.now.Add(askRetry)
+		if c.quiet() {
+			return
+		}
+		c.now = c.now.Add(settleStep)
 		c.tickAll()
 	}
 }
 
+func (c *cluster) quiet() bool {
+	for _, n := range c.nodes {
+		if !n.dead && !n.held && len(n.active.sorted()) > 0 {
+			return false
+		}
+	}
+	return len(c.net) == 0
+}
+
 func (c *cluster) tickAll() {
 	for _, id := range c.order {
 		if n := c.nodes[id]; !n.dead && !n.held {
@@ -168,11 +242,7 @@
 func (c *cluster) kill(id state.NodeID) { c.nodes[id].dead = true }
 
 func (c *cluster) pair(key state.JobKey) roster.Pair {
-	r := roster.New()
-	for i, data := range c.log {
-		r, _, _ = r.Apply(int64(i+1), data)
-	}
-	return r.Pair(region, roster.ShareOf(key))
+	return c.truth().Pair(region, roster.ShareOf(key))
 }
 
 func jobKey(i int) state.JobKey {
--- a/coordination/guard/doc.go
+++ b/coordination/guard/doc.go
@@ -15,6 +15,6 @@
 // member whose watermark has reached the epoch.
 //
 // What the machine relies on: a node id is never used by two processes; a
-// service's region never changes; no message is delivered later than a claim's
-// retention after it was sent; clocks of nodes run at about the same rate.
+// service's region never changes; nothing is heard of an attempt later than a
+// claim's retention after its entry made it; clocks of nodes run at about the same rate.
 package guard
--- a/coordination/guard/guard.go
+++ b/coordination/guard/guard.go
@@ -43,11 +43,15 @@
 	// apply admits one roster record at a time.
 	apply  sync.Mutex
 	roster atomic.Pointer[roster.Roster]
+	// applyTo is (*roster.Roster).Apply; tests of many nodes share its work.
+	applyTo func(*roster.Roster, int64, []byte) (*roster.Roster, roster.Change, error)
 
 	claims *claim.Table
 	// keep is how long a record is kept. A witness records a claim up to
 	// giveUpAfter before it is granted, so that much is added to Retention.
-	keep   time.Duration
+	keep time.Duration
+	// page is how many claims go into one PullReply, about.
+	page   int
 	shares [roster.Shares]share
 	active activeShares
 	news   news
@@ -63,17 +67,17 @@
 // safeguards lets tests take a safeguard out, to show that they would notice.
 // The zero value has all of them in place.
 type safeguards struct {
-	witnessEpoch  bool // the witness's check of the ask's epoch
-	watermark     bool // one member's record must be complete
-	pullFence     bool // a pull needs a source that has left the old epoch
-	homeRecheck   bool // the home's check of its epoch when the yes arrives
-	bars          bool // barred attempts are refused
-	boundAttempt  bool // an attempt is bound to the epoch its entry used
-	closed        bool // an attempt that was denied stays denied
-	freshness     bool // no grant without news of the log for too long
-	pageOrder     bool // pages of a pull are matched to their asks
-	confirmedDead bool // ConfirmLost must name every member that may know
-	holder        bool // the witness's check for another holder
+	witnessEpoch bool // the witness's check of the ask's epoch
+	watermark    bool // one member's record must be complete
+	pullFence    bool // a pull needs a source that has left the old epoch
+	homeRecheck  bool // the home's check of its epoch when the yes arrives
+	bars         bool // barred attempts are refused
+	boundAttempt bool // an attempt is bound to the epoch its entry used
+	closed       bool // an attempt that was denied stays denied
+	freshness    bool // no grant without news of the log for too long
+	pageOrder    bool // pages of a pull are matched to their asks
+	lostWait     bool // a share that ConfirmLost opens waits for its claims to expire
+	holder       bool // the witness's check for another holder
 }
 
 // New returns a guard that has applied no roster record yet.
@@ -82,6 +86,8 @@
 		opts:    o,
 		self:    o.Self.ID,
 		metrics: newMetrics(),
+		applyTo: (*roster.Roster).Apply,
+		page:    pageRecords,
 	}
 	g.keep = o.Retention + g.giveUpAfter()
 	g.claims = claim.New(g.keep)
--- a/coordination/guard/guard_test.go
+++ b/coordination/guard/guard_test.go
@@ -47,7 +47,7 @@
 }
 
 func (s *script) barAt(at state.NodeID, key state.JobKey, attempt message.Attempt, epoch state.Epoch) {
-	s.deliver(envelope{entry, at, message.Bar{Key: key, Attempt: attempt, Epoch: epoch}})
+	s.deliver(envelope{entry, at, message.Bar{Key: key, Attempt: attempt, Epoch: epoch}, s.now})
 }
 
 func (s *script) evict(id state.NodeID) {
--- a/coordination/guard/home.go
+++ b/coordination/guard/home.go
@@ -29,6 +29,13 @@
 	digest  state.Digest
 	attempt message.Attempt
 	epoch   state.Epoch
+	// began is when the attempt arrived, whatever it has waited for since.
+	began time.Time
+}
+
+// late reports whether the attempt has waited so long that it is given up.
+func (g *Guard) late(now time.Time, c candidate) bool {
+	return now.Sub(c.began) >= g.giveUpAfter()
 }
 
 // ask is a claim that waits for the witness. The share's lock guards it.
@@ -37,7 +44,6 @@
 	token   string
 	seq     uint64
 	witness state.NodeID
-	began   time.Time
 	next    time.Time
 	// reason is why the witness said no for the time being.
 	reason state.Reason
@@ -53,7 +59,7 @@
 func (g *Guard) Claim(now time.Time, key state.JobKey, digest state.Digest, attempt message.Attempt, epoch state.Epoch) []coordination.Action {
 	g.touch(now)
 	var acts actions
-	c := candidate{key: key, digest: digest, attempt: attempt, epoch: epoch}
+	c := candidate{key: key, digest: digest, attempt: attempt, epoch: epoch, began: now}
 	index := roster.ShareOf(key)
 	s := &g.shares[index]
 	s.mu.Lock()
@@ -71,18 +77,29 @@
 		g.waitLocked(s, a, now, c, acts)
 		return
 	}
-	if reason := g.homeRefusal(s, now, c, acts); reason != state.ReasonNone {
-		g.denyLocked(s, now, c, refuse(reason), acts)
-		return
-	}
+	// The record comes first: the attempt may be a late copy of one that this
+	// agent granted before it went on to another epoch.
 	if found := g.claims.Find(now, index, c.key); len(found) > 0 {
 		g.denyLocked(s, now, c, g.heldVerdict(found, c.digest, s.complete()), acts)
 		return
 	}
+	reason := g.homeRefusal(s, now, c)
+	if reason == state.ReasonStaleEpoch && c.epoch > s.pair.Epoch {
+		g.parkLocked(s, index, now, c, acts)
+		return
+	}
+	if reason != state.ReasonNone {
+		g.denyLocked(s, now, c, verdict{outcome: g.certainty(s, c), reason: reason}, acts)
+		return
+	}
+	if g.late(now, c) {
+		g.denyLocked(s, now, c, refuse(state.ReasonHomeUnreachable), acts)
+		return
+	}
 	if g.disabled.boundAttempt {
 		c.epoch = s.pair.Epoch
 	}
-	a := g.newAsk(s, now, c)
+	a := g.newAsk(s, c)
 	if s.asks == nil {
 		s.asks = make(map[state.JobKey]*ask)
 	}
@@ -96,7 +113,7 @@
 // An attempt is bound to the epoch its entry used. Granted at another one, it
 // could start after a member of its own epoch's pair has truthfully said that it
 // never will.
-func (g *Guard) homeRefusal(s *share, now time.Time, c candidate, acts *actions) state.Reason {
+func (g *Guard) homeRefusal(s *share, now time.Time, c candidate) state.Reason {
 	region := g.opts.RegionOf(c.key.Service)
 	switch {
 	case !validKey(c.key):
@@ -106,7 +123,6 @@
 	case region != g.opts.Self.Region:
 		return state.ReasonStaleEpoch
 	case c.epoch > s.pair.Epoch:
-		g.askPeers(now, s.pair, acts)
 		return state.ReasonStaleEpoch
 	case c.epoch < s.pair.Epoch && !g.disabled.boundAttempt:
 		return state.ReasonStaleEpoch
@@ -136,14 +152,13 @@
 	a.waiters = append(a.waiters, c)
 }
 
-func (g *Guard) newAsk(s *share, now time.Time, c candidate) *ask {
+func (g *Guard) newAsk(s *share, c candidate) *ask {
 	seq := g.tokens.Add(1)
 	return &ask{
 		candidate: c,
 		token:     strconv.FormatUint(seq, tokenBase),
 		seq:       seq,
 		witness:   s.pair.Witness,
-		began:     now,
 	}
 }
 
@@ -196,7 +211,7 @@
 		g.endLocked(s, index, now, a, refuse(state.ReasonLogUnavailable), acts)
 		return
 	}
-	if now.Sub(a.began) >= g.giveUpAfter() {
+	if g.late(now, a.candidate) {
 		g.endLocked(s, index, now, a, refuse(state.ReasonHomeUnreachable), acts)
 		return
 	}
@@ -246,7 +261,9 @@
 	g.releaseLocked(s, index, now, a, acts)
 }
 
-// releaseLocked lets the attempts that waited for this one have their turn.
+// releaseLocked lets the attempts that waited for this one have their turn. They
+// don't wait for a silent witness one after another: each one's time runs from
+// its arrival.
 func (g *Guard) releaseLocked(s *share, index uint32, now time.Time, a *ask, acts *actions) {
 	for _, w := range a.waiters {
 		g.claimLocked(s, index, now, w, acts)
--- /dev/null
+++ b/coordination/guard/model_test.go
@@ -0,0 +1,588 @@
+package guard
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc/pool"
+	"pgregory.net/rapid"
+
+	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/roster"
+)
+
+const (
+	modelSteps     = 220
+	modelRetention = 10 * time.Second
+	modelBlind     = 20 * time.Second
+	maxAgents      = 14
+)
+
+// chooser draws the steps: a seeded generator, or rapid, which can shrink.
+type chooser interface{ IntN(n int) int }
+
+type rapidChooser struct{ *rapid.T }
+
+func (c rapidChooser) IntN(n int) int { return rapid.IntRange(0, n-1).Draw(c.T, "n") }
+
+// try is what was asked and said of one attempt.
+type try struct {
+	submit   message.Submit
+	made     time.Time
+	pair     roster.Pair
+	calls    map[state.NodeID]int
+	verdicts map[state.NodeID]int
+	granted  bool
+	notRun   bool
+}
+
+type grant struct {
+	at     time.Time
+	digest state.Digest
+}
+
+// world drives real guards through random events and checks after each what was
+// said. fault holds the first thing that must never be said.
+type world struct {
+	*cluster
+	chooser
+	seed    uint64
+	outage  bool
+	tries   []*try
+	byID    map[message.Attempt]*try
+	grants  map[state.JobKey][]grant
+	granted int
+	fault   string
+}
+
+// modelKeys are ids of two shares; two of them share one.
+var modelKeys = sync.OnceValue(func() []state.JobKey {
+	keys := []state.JobKey{jobKey(0), jobKey(1)}
+	for i := 2; ; i++ {
+		if roster.ShareOf(jobKey(i)) == roster.ShareOf(keys[0]) {
+			return append(keys, jobKey(i))
+		}
+	}
+})
+
+func newWorld(seed uint64, c chooser, disabled safeguards) *world {
+	w := &world{
+		cluster: newCluster(),
+		chooser: c,
+		seed:    seed,
+		byID:    make(map[message.Attempt]*try),
+		grants:  make(map[state.JobKey][]grant),
+	}
+	w.disabled = disabled
+	w.opts.Retention = modelRetention
+	w.opts.Blind = modelBlind
+	w.watch = make(map[uint32]bool)
+	for _, k := range modelKeys() {
+		w.watch[roster.ShareOf(k)] = true
+	}
+	w.calls = func(at state.NodeID, m message.Submit) { w.byID[m.Attempt].calls[at]++ }
+	w.verdicts = w.onVerdict
+	w.lost = w.tooOld
+	w.bars = w.onBarReply
+	for range 5 {
+		w.join(0)
+	}
+	w.readAll()
+	w.settle()
+	return w
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.fault == "" {
+		w.fault = fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *world) onVerdict(at state.NodeID, a coordination.Action) {
+	switch a := a.(type) {
+	case coordination.Granted:
+		t := w.byID[a.Attempt]
+		t.verdicts[at]++
+		w.onGranted(t, at)
+	case coordination.Denied:
+		t := w.byID[a.Attempt]
+		t.verdicts[at]++
+		if t.verdicts[at] > t.calls[at] {
+			w.fail("%s: %s gave more verdicts than it was asked for", a.Attempt, at)
+		}
+		if a.Outcome == state.NotRun {
+			w.notRun(t, "denied "+string(a.Reason))
+		}
+		first := len(t.verdicts) == 1 && t.verdicts[at] == 1 // later ones repeat it
+		if a.Reason == state.ReasonIDConflict && a.Outcome == state.NotRun && first && w.wasGranted(t) {
+			w.fail("%s: other content was called a conflict, but this content was granted", a.Attempt)
+		}
+	}
+}
+
+func (w *world) wasGranted(t *try) bool {
+	return slices.ContainsFunc(w.grants[t.submit.Job.Key], func(g grant) bool {
+		return g.digest == t.submit.Digest && w.now.Sub(g.at) < modelRetention
+	})
+}
+
+func (w *world) onGranted(t *try, at state.NodeID) {
+	key := t.submit.Job.Key
+	w.granted++
+	if t.granted || t.notRun {
+		w.fail("%s granted by %s after granted=%v notRun=%v", t.submit.Attempt, at, t.granted, t.notRun)
+	}
+	for _, g := range w.grants[key] {
+		if w.now.Sub(g.at) < modelRetention {
+			w.fail("%v granted twice, by %s for %s", key, at, t.submit.Attempt)
+		}
+	}
+	t.granted = true
+	w.grants[key] = append(w.grants[key], grant{w.now, t.submit.Digest})
+}
+
+func (w *world) onBarReply(at state.NodeID, r message.BarReply) {
+	if r.Barred {
+		w.notRun(w.byID[r.Attempt], "barred by "+string(at))
+	}
+}
+
+func (w *world) notRun(t *try, why string) {
+	if t.granted {
+		w.fail("%s: %s, but it was granted", t.submit.Attempt, why)
+	}
+	t.notRun = true
+}
+
+func (w *world) send(to state.NodeID, m message.Message) {
+	w.net = append(w.net, envelope{entry, to, m, w.now})
+}
+
+// submit sends a new attempt to the home that some node's roster names.
+func (w *world) submit() {
+	view := w.pick().Roster()
+	key := modelKeys()[w.IntN(len(modelKeys()))]
+	w.submitAt(view.Pair(region, roster.ShareOf(key)), key, byte(w.IntN(8)/7))
+}
+
+func (w *world) submitAt(p roster.Pair, key state.JobKey, d byte) *try {
+	t := &try{made: w.now, pair: p, calls: make(map[state.NodeID]int), verdicts: make(map[state.NodeID]int)}
+	t.submit = message.Submit{
+		Job: state.Job{Key: key}, Digest: digest(d), Epoch: p.Epoch,
+		Attempt: message.Attempt(fmt.Sprint("try-", len(w.tries))),
+	}
+	w.tries = append(w.tries, t)
+	w.byID[t.submit.Attempt] = t
+	w.send(p.Home, t.submit)
+	return t
+}
+
+// again sends an attempt's submission once more, perhaps to the wrong node.
+func (w *world) again() {
+	if len(w.tries) == 0 {
+		return
+	}
+	t := w.recentTry()
+	to := t.pair.Home
+	if w.IntN(4) == 0 {
+		to = w.pick().self
+	}
+	w.send(to, t.submit)
+}
+
+func (w *world) recentTry() *try {
+	recent := w.tries[max(0, len(w.tries)-6):]
+	return recent[w.IntN(len(recent))]
+}
+
+func (w *world) bar() {
+	if len(w.tries) == 0 {
+		return
+	}
+	t := w.recentTry()
+	to := [2]state.NodeID{t.pair.Home, t.pair.Witness}[w.IntN(2)]
+	w.send(to, message.Bar{Key: t.submit.Job.Key, Attempt: t.submit.Attempt, Epoch: t.submit.Epoch})
+}
+
+// arrive delivers one message out of order; it may be lost or come twice.
+func (w *world) arrive() {
+	if len(w.net) == 0 {
+		return
+	}
+	i := w.IntN(len(w.net))
+	e := w.net[i]
+	if n := w.nodes[e.to]; n != nil && n.held && !n.dead {
+		return // it waits for the paused node
+	}
+	if w.IntN(5) > 0 {
+		w.net = slices.Delete(w.net, i, i+1)
+	}
+	if w.IntN(12) == 0 {
+		return
+	}
+	w.deliver(e)
+}
+
+// tooOld drops old messages, and what comes of an attempt that its entry gave
+// up long ago: the package relies on that.
+func (w *world) tooOld(e envelope) bool {
+	if w.now.Sub(e.sent) >= modelRetention {
+		return true
+	}
+	var a message.Attempt
+	switch m := e.msg.(type) {
+	case message.Submit:
+		a = m.Attempt
+	case message.Bar:
+		a = m.Attempt
+	}
+	t := w.byID[a]
+	return t != nil && w.now.Sub(t.made) >= modelRetention
+}
+
+func (w *world) alive() []*node {
+	var out []*node
+	for _, id := range w.order {
+		if n := w.nodes[id]; !n.dead {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func (w *world) pick() *node {
+	live := w.alive()
+	if len(live) == 0 {
+		w.join(0)
+		live = w.alive()
+	}
+	return live[w.IntN(len(live))]
+}
+
+// pickMember prefers a member of a pair that matters.
+func (w *world) pickMember() state.NodeID {
+	members := w.truth().Members()
+	if p := w.pair(modelKeys()[w.IntN(2)]); p.OK && w.IntN(4) > 0 {
+		return [2]state.NodeID{p.Home, p.Witness}[w.IntN(2)]
+	}
+	if len(members) == 0 {
+		return ""
+	}
+	return members[w.IntN(len(members))].ID
+}
+
+// join starts an agent that reads the log from the offset after read.
+func (w *world) join(read int) {
+	if len(w.order) >= maxAgents {
+		return
+	}
+	id := state.NodeID(fmt.Sprintf("n%d-%d", w.seed, len(w.order)))
+	w.start(id, w.IntN(3)).read = read
+	w.append(roster.Join{Member: w.nodes[id].opts.Self})
+}
+
+func (w *world) evict() {
+	if id := w.pickMember(); len(w.truth().Members()) > 2 {
+		w.append(roster.Evict{NodeID: id, By: "model"})
+	}
+}
+
+func (w *world) leave() {
+	if n := w.nodes[w.pickMember()]; n != nil && !n.dead {
+		n.leaving = true
+		w.append(roster.Leave{NodeID: n.self})
+	}
+}
+
+func (w *world) confirmLost() {
+	var dead []state.NodeID
+	for _, id := range w.order {
+		if w.nodes[id].dead && w.IntN(3) > 0 {
+			dead = append(dead, id)
+		}
+	}
+	if len(dead) > 0 {
+		w.append(roster.ConfirmLost{NodeIDs: dead})
+	}
+}
+
+// strand takes both members of a pair away at once: they are killed, which the
+// operator may confirm, or cut off from all others and the log. In time others
+// guard the share, and both pairs are asked for an id.
+func (w *world) strand() {
+	key := modelKeys()[w.IntN(2)]
+	p := w.pair(key)
+	if !p.OK || len(w.truth().Members()) < 4 {
+		return
+	}
+	kill := w.IntN(2) == 0
+	ids := []state.NodeID{p.Home, p.Witness}
+	for _, id := range ids {
+		w.nodes[id].cut, w.nodes[id].noLog, w.nodes[id].dead = 2, true, w.nodes[id].dead || kill
+		w.append(roster.Evict{NodeID: id, By: "model"})
+	}
+	if kill && w.IntN(2) == 0 {
+		w.append(roster.ConfirmLost{NodeIDs: ids})
+	}
+	for range w.IntN(6) {
+		w.pass(modelBlind / 3)
+		w.readAll()
+	}
+	w.submitAt(p, key, 0)
+	w.submitAt(w.pair(key), key, 0)
+}
+
+// overtake has a home go on to the next epoch while the witness's yes is on its
+// way, and then asks it to bar the attempt.
+func (w *world) overtake() {
+	key := modelKeys()[w.IntN(2)]
+	p := w.pair(key)
+	if !p.OK || len(w.truth().Members()) < 4 {
+		return
+	}
+	t := w.submitAt(p, key, 0)
+	w.hurry(func(m message.Message) bool { s, ok := m.(message.Submit); return ok && s.Attempt == t.submit.Attempt })
+	w.hurry(func(m message.Message) bool {
+		a, ok := m.(message.ClaimAsk)
+		return ok && a.Attempt == t.submit.Attempt
+	})
+	w.append(roster.Evict{NodeID: [2]state.NodeID{p.Home, p.Witness}[w.IntN(2)], By: "model"})
+	if n := w.nodes[p.Home]; !n.held && !n.noLog && !n.dead && w.IntN(2) == 0 {
+		w.readOne(n)
+	}
+	w.send(p.Home, message.Bar{Key: key, Attempt: t.submit.Attempt, Epoch: p.Epoch})
+}
+
+// hurry delivers the first message like this before all others.
+func (w *world) hurry(like func(message.Message) bool) {
+	i := slices.IndexFunc(w.net, func(e envelope) bool { return like(e.msg) })
+	if i < 0 {
+		return
+	}
+	e := w.net[i]
+	w.net = slices.Delete(w.net, i, i+1)
+	w.deliver(e)
+}
+
+func (w *world) pass(d time.Duration) {
+	w.now = w.now.Add(d)
+	w.tickAll()
+}
+
+func (w *world) read() {
+	if n := w.pick(); !w.outage && !n.noLog && !n.held {
+		w.readOne(n)
+	}
+}
+
+// step makes one thing happen.
+func (w *world) step() {
+	switch x := w.IntN(200); {
+	case x < 30:
+		w.submit()
+	case x < 42:
+		w.again()
+	case x < 56:
+		w.bar()
+	case x < 110:
+		w.arrive()
+	case x < 140:
+		w.read()
+	case x < 160:
+		w.pass(time.Duration(1+w.IntN(20)) * time.Millisecond)
+	case x < 164:
+		w.pass(time.Duration(1+w.IntN(4)*w.IntN(12)) * time.Second)
+	case x < 165:
+		n := w.pick()
+		w.do(n, n.PeerGone(w.now, w.pick().self))
+	case x < 170:
+		w.pick().cut = w.IntN(2)
+	case x < 173:
+		n := w.pick()
+		n.noLog = !n.noLog
+	case x < 174:
+		w.outage = !w.outage
+	case x < 177:
+		n := w.pick()
+		n.held = !n.held
+	case x < 183:
+		w.evict()
+	case x < 188:
+		w.join(0)
+	case x < 190:
+		if n := w.nodes[w.pickMember()]; n != nil {
+			n.dead = true
+		}
+	case x < 192:
+		w.leave()
+	case x < 193:
+		w.confirmLost()
+	case x < 194:
+		w.append(w.truth().Snapshot())
+		w.join(len(w.log) - 1)
+	case x < 198:
+		w.strand()
+	case x < 199:
+		w.overtake()
+	default:
+		w.readAll()
+	}
+	w.arrive()
+	w.arrive()
+	w.exitHandedOver()
+}
+
+func (w *world) exitHandedOver() {
+	for _, n := range w.alive() {
+		if n.leaving && n.HandedOver() {
+			n.dead = true
+		}
+	}
+}
+
+// heal mends everything and lets it come to rest.
+func (w *world) heal() {
+	w.outage = false
+	for _, n := range w.alive() {
+		n.cut, n.noLog, n.held = 0, false, false
+	}
+	for range 3 {
+		w.readAll()
+		w.settle()
+	}
+	for _, t := range w.tries {
+		for id, calls := range t.calls {
+			if !w.nodes[id].dead && (calls == 0) != (t.verdicts[id] == 0) {
+				w.fail("%s got no verdict from %s", t.submit.Attempt, id)
+			}
+		}
+	}
+}
+
+// expire lets every claim expire and checks that memory is given back and that
+// every share that has a living pair opens again.
+func (w *world) expire() {
+	for _, m := range w.truth().Members() {
+		if w.nodes[m.ID].dead {
+			w.append(roster.Evict{NodeID: m.ID, By: "model"})
+		}
+	}
+	for range 8 {
+		w.readAll()
+		w.settle()
+		w.pass(modelBlind / 2)
+	}
+	for _, n := range w.alive() {
+		for range roster.Shares / sweepShares {
+			n.sweep(w.now)
+		}
+		if st := n.Stats(); st.Claims.Bytes+st.Asks+st.Closed > 0 {
+			w.fail("%s still holds %+v", n.self, st)
+		}
+	}
+	for _, k := range modelKeys() {
+		t := w.submitAt(w.pair(k), k, 0)
+		w.settle()
+		if t.pair.OK && !t.granted {
+			w.fail("%v stays closed for %v", k, t.pair)
+		}
+	}
+}
+
+// run returns the first fault and how much was granted.
+func run(seed uint64, c chooser, disabled safeguards) (fault string, granted int) {
+	w := newWorld(seed, c, disabled)
+	for range modelSteps {
+		w.step()
+		if w.fault != "" {
+			return w.fault, w.granted
+		}
+	}
+	granted = w.granted
+	w.heal()
+	w.expire()
+	return w.fault, granted
+}
+
+func runSeed(seed uint64, disabled safeguards) (string, int) {
+	return run(seed, rand.New(rand.NewPCG(seed, 1)), disabled)
+}
+
+// modelSeeds is how many seeds every run of the tests goes through. A longer
+// trial takes others: go test -run 'TestModel$' -first 2000 -seeds 60000.
+const modelSeeds = 2000
+
+var (
+	firstSeed = flag.Uint64("first", 0, "first seed of TestModel")
+	seedCount = flag.Uint64("seeds", modelSeeds, "number of seeds of TestModel")
+)
+
+// Whatever is lost, repeated, late, cut off, paused, killed, evicted or
+// restarted: no id is granted twice within its retention, no attempt is granted
+// after it was called not run, each claim gets its verdict, memory is given back.
+func TestModel(t *testing.T) {
+	is := is.New(t)
+	defer debug.SetGCPercent(debug.SetGCPercent(400)) // each seed makes a dozen guards
+	var mu sync.Mutex
+	total := 0
+	p := pool.New().WithMaxGoroutines(4)
+	for seed := *firstSeed; seed < *firstSeed+*seedCount; seed++ {
+		p.Go(func() {
+			fault, granted := runSeed(seed, safeguards{})
+			mu.Lock()
+			defer mu.Unlock()
+			total += granted
+			if fault != "" {
+				t.Errorf("seed %d: %s", seed, fault)
+			}
+		})
+	}
+	p.Wait()
+	t.Logf("%d seeds, %d grants before healing", *seedCount, total)
+	is.True(uint64(total) > *seedCount) // the model isn't idle
+}
+
+func TestModelRapid(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if fault, _ := run(0, rapidChooser{t}, safeguards{}); fault != "" {
+			t.Fatal(fault)
+		}
+	})
+}
+
+// Each safeguard is taken out in turn: the model must notice, or the safeguard
+// is of no use or the model doesn't look.
+func TestModelNoticesEachMissingSafeguard(t *testing.T) {
+	for name, disabled := range map[string]safeguards{
+		"witness epoch":  {witnessEpoch: true},
+		"watermark":      {watermark: true},
+		"pull fence":     {pullFence: true},
+		"home recheck":   {homeRecheck: true},
+		"bars":           {bars: true},
+		"bound attempt":  {boundAttempt: true},
+		"closed attempt": {closed: true},
+		"freshness":      {freshness: true},
+		"lost wait":      {lostWait: true},
+		"other holder":   {holder: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(modelSeeds) {
+				if fault, _ := runSeed(seed, disabled); fault != "" {
+					t.Logf("seed %d: %s", seed, fault)
+					return
+				}
+			}
+			t.Errorf("not noticed in %d seeds", modelSeeds)
+		})
+	}
+}
--- a/coordination/guard/news.go
+++ b/coordination/guard/news.go
@@ -126,7 +126,7 @@
 	g.apply.Lock()
 	defer g.apply.Unlock()
 	old := g.roster.Load()
-	next, change, err := old.Apply(offset, data)
+	next, change, err := g.applyTo(old, offset, data)
 	if errors.Is(err, roster.ErrGap) {
 		g.metrics.gaps.Inc()
 		g.askPeers(now, roster.Pair{}, acts)
@@ -177,6 +177,7 @@
 	}
 	g.handoverLocked(s, c.Share, leaving && c.Before.Has(g.self))
 	g.needPullLocked(s, c.Share, now, acts)
+	g.unparkLocked(s, c.Share, now, acts)
 }
 
 // endStaleLocked ends the asks of an epoch that is over for this agent. None of
@@ -204,9 +205,9 @@
 	for i := range g.shares {
 		s := &g.shares[i]
 		s.mu.Lock()
-		s.confirmLost(now, expired, change, g.disabled.confirmedDead)
+		s.confirmLost(now, expired, change.Lost, change.AcceptRerun || g.disabled.lostWait)
 		if s.complete() {
-			s.pull = pull{}
+			s.pull = nil
 			g.completedLocked(s, now)
 		}
 		s.mu.Unlock()
--- a/coordination/guard/pull.go
+++ b/coordination/guard/pull.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// pageRecords is how many claims go into one PullReply, about.
+	// pageRecords claims make a PullReply of a few hundred kilobytes.
 	pageRecords = 2048
 	// maxBackoff bounds how much longer than AskRetry a pull waits between
 	// rounds when nobody can help.
@@ -20,7 +20,6 @@
 
 // pull fetches a share's claims from one that holds them all.
 type pull struct {
-	active bool
 	// source is asked at present; candidate is its place in the list.
 	source    state.NodeID
 	candidate int
@@ -35,10 +34,10 @@
 // needPullLocked begins a pull if this agent guards the share and lacks claims.
 func (g *Guard) needPullLocked(s *share, index uint32, now time.Time, acts *actions) {
 	if !s.guards(g.self) || s.complete() {
-		s.pull = pull{}
+		s.pull = nil
 		return
 	}
-	s.pull = pull{active: true, backoff: 1}
+	s.pull = &pull{backoff: 1}
 	g.active.add(index)
 	g.askPageLocked(s, index, now, acts)
 }
@@ -60,7 +59,7 @@
 // askPageLocked asks the present candidate for the first page.
 func (g *Guard) askPageLocked(s *share, index uint32, now time.Time, acts *actions) {
 	sources := g.sourcesLocked(s)
-	p := &s.pull
+	p := s.pull
 	p.source = sources[p.candidate%len(sources)]
 	p.after = ""
 	p.least = 0
@@ -102,7 +101,7 @@
 		acts.send(from, reply)
 		return
 	}
-	records, next, err := g.claims.Page(now, m.Share, m.After, pageRecords)
+	records, next, err := g.claims.Page(now, m.Share, m.After, g.page)
 	if err != nil {
 		return
 	}
@@ -124,7 +123,7 @@
 	if m.Knows > s.pair.Epoch {
 		g.askRoster(now, from, acts)
 	}
-	if !s.pull.active || s.pull.source != from {
+	if s.pull == nil || s.pull.source != from {
 		return
 	}
 	// A page is taken only as the answer to the cursor asked for. The last page
@@ -182,7 +181,7 @@
 		s.knows = max(s.knows, s.since)
 	}
 	s.settle()
-	s.pull = pull{}
+	s.pull = nil
 	g.metrics.pulls.Inc()
 	g.completedLocked(s, now)
 }
--- a/coordination/guard/share.go
+++ b/coordination/guard/share.go
@@ -26,8 +26,11 @@
 	// gaps are the epochs below since, and not below knows, that the agent
 	// wasn't there for.
 	gaps []gap
-	pull pull
+	// pull is nil unless claims are being fetched.
+	pull *pull
 	asks map[state.JobKey]*ask
+	// parked attempts wait for an epoch that the agent hasn't reached.
+	parked []candidate
 	// closed holds the attempts that were told "no" or barred.
 	closed map[message.Attempt]verdict
 	// handover is set while a leaving agent waits for its successors.
@@ -36,11 +39,10 @@
 
 // gap is one epoch whose claims the agent lacks.
 type gap struct {
-	epoch   state.Epoch
+	epoch state.Epoch
+	// members are empty for the time before a roster snapshot.
 	members [2]state.NodeID
 	dead    [2]bool
-	// unknown marks the time before a roster snapshot: members aren't known.
-	unknown bool
 	// harmless is when every claim granted at the epoch has expired, and no
 	// more can be granted. The zero time means never.
 	harmless time.Time
@@ -99,23 +101,18 @@
 	s.settle()
 }
 
-// confirmLost takes the operator's word that nodes are dead. A gap whose members
-// are all dead grants nothing more. Its claims still count until they expire,
-// unless the operator accepts that their ids run again.
-func (s *share) confirmLost(now, expired time.Time, rec roster.Change, anyIsEnough bool) {
+// confirmLost takes the operator's word that nodes are dead. An epoch that has
+// lost one member grants nothing more, but its claims count until they expire.
+// Only if it has lost both, so that nobody is left to pull from, may the
+// operator accept that their ids run again.
+func (s *share) confirmLost(now, expired time.Time, lost []state.NodeID, acceptRerun bool) {
 	for i := range s.gaps {
 		g := &s.gaps[i]
-		if g.unknown {
-			continue
-		}
-		g.markDead(rec.Lost)
-		dead := g.dead[0] && g.dead[1]
-		if !dead && !(anyIsEnough && (g.dead[0] || g.dead[1])) {
-			continue
-		}
+		g.markDead(lost)
 		switch {
-		case rec.AcceptRerun:
+		case g.dead[0] && g.dead[1] && acceptRerun:
 			g.harmless = now
+		case !g.dead[0] && !g.dead[1]:
 		case g.harmless.IsZero() || expired.Before(g.harmless):
 			g.harmless = expired
 		}
@@ -142,5 +139,5 @@
 		return
 	}
 	s.knows = noKnowledge
-	s.gaps = []gap{{unknown: true, harmless: harmless}}
+	s.gaps = []gap{{harmless: harmless}}
 }
--- a/coordination/guard/tick.go
+++ b/coordination/guard/tick.go
@@ -77,18 +77,19 @@
 	s.dropHarmless(now)
 	g.tickPullLocked(s, index, now, acts)
 	g.tickAsksLocked(s, index, now, acts)
+	g.tickParkedLocked(s, now, acts)
 	g.probeLocked(s, index, now, acts)
-	if len(s.asks) == 0 && !s.pull.active && s.handover == nil {
+	if len(s.asks)+len(s.parked) == 0 && s.pull == nil && s.handover == nil {
 		g.active.remove(index)
 	}
 }
 
 func (g *Guard) tickPullLocked(s *share, index uint32, now time.Time, acts *actions) {
-	if !s.pull.active {
+	if s.pull == nil {
 		return
 	}
 	if s.complete() {
-		s.pull = pull{}
+		s.pull = nil
 		g.completedLocked(s, now)
 		return
 	}
@@ -102,7 +103,7 @@
 		if s.asks[a.key] != a || now.Before(a.next) {
 			continue
 		}
-		if now.Sub(a.began) >= g.giveUpAfter() {
+		if g.late(now, a.candidate) {
 			g.endLocked(s, index, now, a, refuse(a.giveUpReason()), acts)
 			continue
 		}
@@ -163,12 +164,20 @@
 	s := &g.shares[index]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, a := range sortedAsks(s) {
-		if a.witness == id && s.asks[a.key] == a {
-			g.endLocked(s, index, now, a, refuse(state.ReasonHomeUnreachable), acts)
-		}
+	for a := askOf(s, id); a != nil; a = askOf(s, id) {
+		g.endLocked(s, index, now, a, refuse(state.ReasonHomeUnreachable), acts)
 	}
-	if s.pull.active && s.pull.source == id {
+	if s.pull != nil && s.pull.source == id {
 		g.nextSourceLocked(s, index, now, acts)
 	}
 }
+
+// askOf returns the oldest ask that waits for the witness.
+func askOf(s *share, witness state.NodeID) *ask {
+	for _, a := range sortedAsks(s) {
+		if a.witness == witness {
+			return a
+		}
+	}
+	return nil
+}
--- a/coordination/guard/verdict.go
+++ b/coordination/guard/verdict.go
@@ -67,6 +67,20 @@
 	}
 }
 
+// certainty is NotRun if this agent can vouch that the attempt, of whose id it
+// has no record, was never granted and won't be once it is closed here. That
+// takes a member of the pair at the attempt's epoch, or an epoch without a pair.
+// Anybody else may have been sent a copy of what the right home has granted.
+func (g *Guard) certainty(s *share, c candidate) state.Outcome {
+	ours := g.opts.RegionOf(c.key.Service) == g.opts.Self.Region
+	over := c.epoch < s.pair.Epoch && s.wasThere(c.epoch)
+	present := c.epoch == s.pair.Epoch && (s.guards(g.self) || !s.pair.OK)
+	if ours && (over || present) || !validKey(c.key) {
+		return state.NotRun
+	}
+	return state.Unknown
+}
+
 // retryAfter is when coming back helps, zero when it doesn't.
 func (g *Guard) retryAfter(reason state.Reason) time.Duration {
 	switch reason {
--- a/state/roster/roster.go
+++ b/state/roster/roster.go
@@ -224,8 +224,8 @@
 
 // update fills the slots from those of the region before the record.
 func (g *region) update(old *region, name string, epoch state.Epoch, next func(slot, uint32) (*agent, *agent)) []ShareChange {
-	var changes []ShareChange
 	slots := *old.slots
+	changed := 0
 	for i := range slots {
 		share := uint32(i)
 		before := slots[i]
@@ -240,10 +240,21 @@
 		}
 		after.epoch = epoch
 		slots[i] = after
-		changes = append(changes, ShareChange{Region: name, Share: share, Before: before.pair(), After: after.pair()})
+		changed++
 	}
 	g.slots = &slots
-	return changes
+	return g.changes(old, name, changed)
+}
+
+func (g *region) changes(old *region, name string, count int) []ShareChange {
+	out := make([]ShareChange, 0, count)
+	for i := range g.slots {
+		before, after := &old.slots[i], &g.slots[i]
+		if before.epoch != after.epoch {
+			out = append(out, ShareChange{Region: name, Share: uint32(i), Before: before.pair(), After: after.pair()})
+		}
+	}
+	return out
 }
 
 func (r *Roster) setRegion(name string, g *region) {
