--- a/transport/link/accept.go
+++ b/transport/link/accept.go
@@ -39,6 +39,7 @@
 		grpc.Creds(creds),
 		grpc.ConnectionTimeout(l.opt.DialTimeout),
 		grpc.MaxConcurrentStreams(1),
+		grpc.ReadBufferSize(readBuffer),
 		grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.MaxRecvMsgSize(l.maxFrameBytes()),
 		grpc.MaxSendMsgSize(math.MaxInt32),
--- a/transport/link/dial.go
+++ b/transport/link/dial.go
@@ -162,6 +162,7 @@
 			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 		}),
 		grpc.WithNoProxy(),
+		grpc.WithReadBufferSize(readBuffer),
 		grpc.WithDisableRetry(),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithIdleTimeout(0),
--- a/transport/link/options.go
+++ b/transport/link/options.go
@@ -47,6 +47,9 @@
 	minClientPing = 5 * time.Second
 	// unusedConnection closes connections on which no stream is open.
 	unusedConnection = time.Minute
+	// readBuffer is smaller than the library's default: with TLS the difference
+	// is a third of an idle link's memory, and bench/link shows no slower link.
+	readBuffer = 4 << 10
 	// maxHeaderBytes bounds the header list; ours is a few hundred bytes.
 	maxHeaderBytes = 8 << 10
 )
