Give a client's own failure no entry's status

Cause: with -output json a lost reply came out as a problem with status 500 and an empty reason, as if the entry had said so. Change: type about:blank, no status.

--- a/transport/cli/connect.go
+++ b/transport/cli/connect.go
@@ -6,7 +6,6 @@
 	"fmt"
 
 	"github.com/shallotstep/shallotstep/protocol/api"
-	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/transport/httpclient"
 )
 
@@ -53,7 +52,7 @@
 // scripts read one form only.
 func failureProblem(f *httpclient.Failure) *api.Problem {
 	if f.Problem == nil {
-		return api.NewProblem(state.ReasonNone, f.Outcome, "%s", f)
+		return &api.Problem{Type: "about:blank", Title: "The entry gave no answer", Detail: f.String(), Outcome: f.Outcome}
 	}
 	p := *f.Problem
 	// The client may know less than the latest reply says.
