--- a/coordination/guard/pull.go
+++ b/coordination/guard/pull.go
@@ -23,6 +23,8 @@
 	// source is asked at present; candidate is its place in the list.
 	source    state.NodeID
 	candidate int
+	// need is the watermark a source must have.
+	need state.Epoch
 	// after is the cursor that was asked for.
 	after string
 	// least is the lowest watermark on the pages so far.
@@ -61,6 +63,7 @@
 	sources := g.sourcesLocked(s)
 	p := s.pull
 	p.source = sources[p.candidate%len(sources)]
+	p.need = g.pullNeed(s)
 	p.after = ""
 	p.least = 0
 	g.sendPageAskLocked(s, index, now, acts)
@@ -71,7 +74,7 @@
 	acts.send(s.pull.source, message.PullAsk{
 		Region: g.opts.Self.Region,
 		Share:  index,
-		Need:   s.since,
+		Need:   s.pull.need,
 		After:  s.pull.after,
 	})
 }
@@ -140,7 +143,7 @@
 // there, after it has sent the page. Only a watermark that has reached since
 // shows that it holds all of them and that no more will come.
 func (g *Guard) pageLocked(s *share, now time.Time, m message.PullReply, acts *actions) {
-	if m.Knows < g.pullNeed(s) {
+	if m.Knows < s.pull.need {
 		if s.pull.next.After(now) && s.pull.backoff > 1 {
 			return // every candidate was asked lately: wait for Tick
 		}
@@ -163,24 +166,28 @@
 	g.pulledLocked(s, m.Share, now, acts)
 }
 
-// pullNeed is the watermark a source must have.
+// pullNeed is the watermark a source must have: all that is missing, or, when
+// nobody in a whole round had that, any part of it.
 func (g *Guard) pullNeed(s *share) state.Epoch {
 	if g.disabled.pullFence && len(s.gaps) > 0 {
 		return s.gaps[len(s.gaps)-1].epoch
 	}
+	if s.pull.backoff > 1 {
+		return s.knows + 1
+	}
 	return s.since
 }
 
+// pulledLocked has read a source's whole share.
 func (g *Guard) pulledLocked(s *share, index uint32, now time.Time, acts *actions) {
-	if s.pull.least < g.pullNeed(s) {
-		g.nextSourceLocked(s, index, now, acts) // the pair changed between pages
-		return
-	}
-	s.knows = max(s.knows, s.pull.least)
+	s.learn(s.pull.least)
 	if g.disabled.pullFence {
-		s.knows = max(s.knows, s.since)
+		s.learn(s.since)
+	}
+	if !s.complete() {
+		g.nextSourceLocked(s, index, now, acts)
+		return
 	}
-	s.settle()
 	s.pull = nil
 	g.metrics.pulls.Inc()
 	g.completedLocked(s, now)
--- a/coordination/guard/share.go
+++ b/coordination/guard/share.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -39,7 +40,7 @@
 
 // gap is one epoch whose claims the agent lacks.
 type gap struct {
-	epoch state.Epoch
+	epoch state.Epoch // of a snapshot: the last one before it
 	// members are empty for the time before a roster snapshot.
 	members [2]state.NodeID
 	dead    [2]bool
@@ -75,6 +76,22 @@
 	s.settle()
 }
 
+// learn takes in that the record holds every claim granted below the epoch.
+func (s *share) learn(epoch state.Epoch) {
+	s.knows = max(s.knows, epoch)
+	s.dropGaps(func(g gap) bool { return g.epoch < epoch })
+}
+
+// dropGaps closes gaps. With the last of them the record is complete up to since.
+func (s *share) dropGaps(closed func(gap) bool) {
+	had := len(s.gaps)
+	s.gaps = slices.DeleteFunc(s.gaps, closed)
+	if had > 0 && len(s.gaps) == 0 {
+		s.knows = max(s.knows, s.since)
+	}
+	s.settle()
+}
+
 // settle raises the watermark when nothing is missing below since.
 func (s *share) settle() {
 	if s.knows < s.since {
@@ -88,17 +105,7 @@
 // an epoch grants any more, as all of them have been without news of the log
 // for too long; so the record lacks nothing that still counts.
 func (s *share) dropHarmless(now time.Time) {
-	kept := s.gaps[:0]
-	for _, g := range s.gaps {
-		if g.harmless.IsZero() || now.Before(g.harmless) {
-			kept = append(kept, g)
-		}
-	}
-	if len(kept) == 0 && len(s.gaps) > 0 {
-		s.knows = max(s.knows, s.since)
-	}
-	s.gaps = kept
-	s.settle()
+	s.dropGaps(func(g gap) bool { return !g.harmless.IsZero() && !now.Before(g.harmless) })
 }
 
 // confirmLost takes the operator's word that nodes are dead. An epoch that has
@@ -139,5 +146,5 @@
 		return
 	}
 	s.knows = noKnowledge
-	s.gaps = []gap{{harmless: harmless}}
+	s.gaps = []gap{{epoch: p.Epoch - 1, harmless: harmless}}
 }
