--- /dev/null
+++ b/bench/placement/main.go
@@ -0,0 +1,52 @@
+// Command placement measures how tasks are placed. It drives real home and
+// admission machines over simulated time and links, in one process, and is
+// the same for the same seed. It prints response against two ideals (the job
+// alone on idle workers; an all-knowing queue), messages per start, and what
+// of them led to no first start and no first result.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/home"
+)
+
+func main() {
+	var (
+		agents    = flag.Int("agents", 11, "number of agents, with 8 slots each")
+		loads     = flag.String("loads", "30,60,80,95", "loads in percent of all slots")
+		scenarios = flag.String("scenarios", "plain", "plain, burst, wrong, straggler, broken")
+		length    = flag.Duration("length", 2*time.Minute, "simulated time in which jobs arrive")
+		seed      = flag.Uint64("seed", 1, "seed of the workload and of all lots drawn")
+		stale     = flag.Duration("stale", time.Second, "how often loads are spread among agents")
+		subset    = flag.Int("subset", 32, "how many agents a home places tasks on")
+		queue     = flag.Int("queue", 2, "tasks that may wait at an agent")
+		ask       = flag.Int("ask", home.DefaultAsk, "agents told of a backlog at once")
+		askPer    = flag.Int("askper", home.DefaultAskPer, "waiting tasks for which one more agent is told")
+	)
+	flag.Parse()
+	fmt.Println(header())
+	for _, scenario := range strings.Split(*scenarios, ",") {
+		for _, load := range strings.Split(*loads, ",") {
+			percent, err := strconv.Atoi(load)
+			if err != nil {
+				fmt.Println(err)
+				return
+			}
+			c := &config{
+				agents: *agents, load: float64(percent) / 100, length: *length, seed: *seed,
+				scenario: scenario, stale: *stale, subset: *subset,
+			}
+			c.home.Ask = *ask
+			c.home.AskPer = *askPer
+			c.admit.QueueLimit = *queue
+			began := time.Now()
+			r := newSim(c).run()
+			fmt.Println(r.line(fmt.Sprintf("%s %s%%", scenario, load)), time.Since(began).Round(time.Millisecond))
+		}
+	}
+}
--- /dev/null
+++ b/bench/placement/result.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+type answered struct {
+	at      time.Duration
+	outcome state.Outcome
+}
+
+// result is what a run came to.
+type result struct {
+	answers     []answered
+	messages    int
+	wasted      int
+	refused     int
+	asks        int
+	unused      int // offers that nothing came of
+	overcommits int
+	assigns     []*sentAssign
+	starts      int
+	failed      int
+
+	// slow is response over the ideal of the job alone on idle workers,
+	// packed is response over the ideal packing, lost is response minus it.
+	slow, packed []float64
+	lost         []time.Duration
+	// perOperator is the mean of slow.
+	perOperator [operators]float64
+}
+
+func (s *sim) answered(m *message.Answer) {
+	i, _ := strconv.Atoi(m.Key.ID)
+	s.res.answers[i] = answered{s.now, m.Outcome}
+	s.open--
+}
+
+func (r *result) finish(s *sim) {
+	ideal := packed(s.c, s.jobs)
+	var count [operators]int
+	r.starts = len(s.began)
+	for _, a := range r.assigns {
+		if !a.useful {
+			r.wasted++
+		}
+	}
+	for i := range s.jobs {
+		j := &s.jobs[i]
+		if r.answers[i].outcome != state.Complete {
+			r.failed++
+			continue
+		}
+		took := r.answers[i].at - j.at
+		slow := float64(took) / float64(j.longest+hops)
+		r.slow = append(r.slow, slow)
+		r.packed = append(r.packed, float64(took)/float64(ideal[i]))
+		r.lost = append(r.lost, took-ideal[i])
+		r.perOperator[j.operator] += slow
+		count[j.operator]++
+	}
+	for i := range r.perOperator {
+		r.perOperator[i] /= float64(max(1, count[i]))
+	}
+	slices.Sort(r.slow)
+	slices.Sort(r.packed)
+	slices.Sort(r.lost)
+}
+
+func quantile[T cmp.Ordered](sorted []T, q float64) T {
+	var zero T
+	if len(sorted) == 0 {
+		return zero
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+func header() string {
+	return fmt.Sprintf("%-30s %6s %7s | %-13s | %-13s | %-17s | %6s %6s %6s %6s %6s | %5s %4s | %s",
+		"run", "jobs", "starts", "over ideal", "over packing", "lost to packing", "msgs", "wasted", "refuse", "asks", "unused", "fail", "over", "per operator")
+}
+
+func (r *result) line(name string) string {
+	per := float64(max(1, r.starts))
+	return fmt.Sprintf("%-30s %6d %7d | %5.2f %7.2f | %5.3f %7.2f | %7.1fms %6.0fms | %6.2f %6.3f %6.3f %6.3f %6.3f | %5d %4d | %.2f",
+		name, len(r.answers), r.starts,
+		quantile(r.slow, 0.5), quantile(r.slow, 0.99),
+		quantile(r.packed, 0.5), quantile(r.packed, 0.99),
+		milliseconds(quantile(r.lost, 0.5)), milliseconds(quantile(r.lost, 0.99)),
+		float64(r.messages)/per, float64(r.wasted)/per, float64(r.refused)/per, float64(r.asks)/per, float64(r.unused)/per,
+		r.failed, r.overcommits, r.perOperator)
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func sortUsage(u []state.Usage) {
+	slices.SortFunc(u, func(a, b state.Usage) int {
+		return cmp.Or(cmp.Compare(a.Task.Job.ID, b.Task.Job.ID), cmp.Compare(a.Task.Index, b.Task.Index))
+	})
+}
--- /dev/null
+++ b/bench/placement/workload.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// plannedTask is a task and what it will really do.
+type plannedTask struct {
+	spec     state.Task
+	ran      time.Duration
+	memoryMB int64
+}
+
+// plannedJob is a job and when its caller submits it.
+type plannedJob struct {
+	at       time.Duration
+	operator int
+	home     int
+	tasks    []plannedTask
+	longest  time.Duration
+}
+
+// The workload of the users: most tasks take 50 ms to a second, one in a
+// hundred takes several seconds; most jobs are small, some are large.
+const (
+	shortMin   = 50 * time.Millisecond
+	shortMax   = time.Second
+	longShare  = 0.01
+	longMin    = 2 * time.Second
+	longMax    = 8 * time.Second
+	taskMB     = 2000
+	operators  = 4
+	heavyShare = 0.5 // of the jobs are the first operator's
+	burstEvery = 10 * time.Second
+	burstFor   = time.Second
+	burstBy    = 4.0
+	wrongBy    = 3
+)
+
+func drawRun(rng *rand.Rand) time.Duration {
+	if rng.Float64() < longShare {
+		return longMin + time.Duration(rng.Int64N(int64(longMax-longMin)))
+	}
+	return shortMin + time.Duration(rng.Int64N(int64(shortMax-shortMin)))
+}
+
+func meanRun() time.Duration {
+	short := float64(shortMin+shortMax) / 2
+	long := float64(longMin+longMax) / 2
+	return time.Duration((1-longShare)*short + longShare*long)
+}
+
+// drawSize returns a job's number of tasks; meanSize is its mean.
+func drawSize(rng *rand.Rand) int {
+	switch x := rng.Float64(); {
+	case x < 0.6:
+		return 1
+	case x < 0.9:
+		return 2 + rng.IntN(9)
+	}
+	return 20 + rng.IntN(41)
+}
+
+const meanSize = 0.6*1 + 0.3*6 + 0.1*40
+
+// plan draws the jobs of a run.
+func plan(c *config) []plannedJob {
+	rng := rand.New(rand.NewPCG(c.seed, 1))
+	rate := c.load * float64(c.agents*slots) / (meanRun().Seconds() * meanSize)
+	var jobs []plannedJob
+	for at := time.Duration(0); at < c.length; {
+		now := rate
+		if c.scenario == "burst" {
+			// The same mean rate, with a tenth of the time at several times the rest.
+			share := float64(burstFor) / float64(burstEvery)
+			now = rate / (1 - share + share*burstBy)
+			if at%burstEvery < burstFor {
+				now *= burstBy
+			}
+		}
+		at += time.Duration(rng.ExpFloat64() / now * float64(time.Second))
+		j := plannedJob{at: at, home: rng.IntN(c.agents)}
+		if rng.Float64() >= heavyShare {
+			j.operator = 1 + rng.IntN(operators-1)
+		}
+		for range drawSize(rng) {
+			j.tasks = append(j.tasks, drawTask(c, rng))
+			j.longest = max(j.longest, j.tasks[len(j.tasks)-1].ran)
+		}
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+func drawTask(c *config, rng *rand.Rand) plannedTask {
+	t := plannedTask{ran: drawRun(rng), memoryMB: taskMB + rng.Int64N(taskMB)}
+	t.spec = state.Task{Cores: 1, MemoryMB: t.memoryMB, Expected: t.ran}
+	if c.scenario == "wrong" {
+		// Every other task is declared too small and too short by a factor.
+		// All slots together need more memory than the worker has.
+		t.memoryMB *= wrongBy
+		t.spec.MemoryMB = t.memoryMB
+		if rng.IntN(2) == 0 {
+			t.spec.MemoryMB /= wrongBy
+			t.spec.Expected /= wrongBy
+		}
+	}
+	return t
+}
--- a/coordination/admit/credit.go
+++ b/coordination/admit/credit.go
@@ -75,9 +75,9 @@
 	in.list = kept
 }
 
-func (m *Machine) interestLocked(now time.Time, from state.NodeID, a *message.Assign) {
+func (m *Machine) interestLocked(now time.Time, from state.NodeID, a *message.Assign, backlog int) {
 	m.interests.note(interest{
-		home: from, operator: a.Operator, key: a.Key, backlog: a.Backlog,
+		home: from, operator: a.Operator, key: a.Key, backlog: backlog,
 		until: now.Add(DefaultInterestTTL),
 	})
 }
--- a/coordination/admit/learn.go
+++ b/coordination/admit/learn.go
@@ -16,21 +16,20 @@
 	cores  excess
 }
 
-// excess follows the upper end of observed over declared.
+// excess follows the upper end of what is seen, over what was declared and by
+// itself.
 type excess struct {
-	// ratio applies to tasks that declare a size, absolute to those that don't.
 	ratio    float64
 	absolute float64
 }
 
-// decay is how fast an excess that is no longer seen is forgotten, per finished
-// task. It rises at once: too high costs a slot for a while, too low the worker.
-const decay = 0.02
+// decay is how fast an excess that is no longer seen is forgotten, per usage
+// line. It rises at once: too high costs a slot for a while, too low the worker.
+const decay = 0.002
 
 func (x *excess) observe(declared, seen float64) {
 	if declared > 0 {
 		x.ratio = follow(x.ratio, seen/declared)
-		return
 	}
 	x.absolute = follow(x.absolute, seen)
 }
@@ -42,12 +41,16 @@
 	return old + decay*(seen-old)
 }
 
-// apply returns the worse of the declared and the learned size.
+// apply returns the worse of the declared and the learned size. The learned one
+// scales the declared one up, but not beyond the largest size seen: where only
+// some declarations are too low, scaling the right ones too would leave most of
+// the worker idle.
 func (x *excess) apply(declared float64) float64 {
+	learned := x.absolute
 	if declared > 0 {
-		return declared * math.Max(1, x.ratio)
+		learned = math.Min(learned, declared*x.ratio)
 	}
-	return x.absolute
+	return math.Max(declared, learned)
 }
 
 // needLocked returns what to reserve for a task. A learned size that exceeds
@@ -85,18 +88,23 @@
 }
 
 func (m *Machine) usageLocked(u *state.Usage) {
-	e := m.running[u.Task]
-	if e == nil {
+	// Reports lag: most short tasks have ended when theirs comes.
+	j := m.jobs[u.Task.Job]
+	if j == nil || j.entries[u.Task.Index] == nil {
 		return
 	}
+	e := j.entries[u.Task.Index]
 	service := u.Task.Job.Service
 	l := m.learned[service]
 	if l == nil {
 		l = &learned{}
 		m.learned[service] = l
 	}
-	l.memory.observe(float64(e.spec.MemoryMB), float64(u.MemoryMB))
-	l.cores.observe(e.spec.Cores, u.Cores)
+	l.memory.observe(float64(e.declared.memoryMB), float64(u.MemoryMB))
+	l.cores.observe(e.declared.cores, u.Cores)
+	if e.phase != running {
+		return
+	}
 	grown := e.reserved
 	grown.memoryMB = max(grown.memoryMB, u.MemoryMB)
 	grown.accelerators = max(grown.accelerators, u.Accelerators)
--- a/coordination/admit/start.go
+++ b/coordination/admit/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -161,8 +162,27 @@
 	return l
 }
 
-// freeLocked returns how many slots nobody has been promised.
+// freeLocked returns how many more tasks nobody has been promised a place for.
+// A task that waits, waits for room: as long as one does there is none, even if
+// slots are idle because memory is short. Offering those slots would bring tasks
+// that are refused, and offered for, again and again.
 func (m *Machine) freeLocked() int {
-	free := m.slotsLocked() - len(m.running) - m.queue.len() - m.reservedLocked()
-	return max(0, free)
+	if m.queue.len() > 0 {
+		return 0
+	}
+	free := m.slotsLocked() - len(m.running)
+	if n := len(m.running); n > 0 {
+		free = min(free, moreOf(float64(m.backend.MemoryMB), float64(m.used.memoryMB), n))
+		free = min(free, moreOf(m.backend.Cores, m.used.cores, n))
+	}
+	return max(0, free-m.reservedLocked())
+}
+
+// moreOf returns how many more tasks fit that use as much as the n present ones
+// do on average.
+func moreOf(total, used float64, n int) int {
+	if total <= 0 || used <= 0 {
+		return math.MaxInt
+	}
+	return int((total - used) / (used / float64(n)))
 }
--- a/coordination/admit/tasks.go
+++ b/coordination/admit/tasks.go
@@ -31,6 +31,7 @@
 	spec     state.Task
 	deadline time.Time // zero means none
 	queuedAt time.Time
+	declared resources
 	reserved resources
 	started  time.Time
 	// dropped: the home has no use for the result.
@@ -74,6 +75,7 @@
 	j := m.jobLocked(now, from, a.Key)
 	j.operator = a.Operator
 	m.useCreditLocked(from, a.Key.Service, len(a.Indexes))
+	busy := 0
 	for i, index := range a.Indexes {
 		try := tryAt(a.Tries, i)
 		e := j.entries[index]
@@ -83,14 +85,18 @@
 		}
 		e = m.entryLocked(j, index, try)
 		e.spec = a.Tasks[i]
+		e.declared = resources{cores: e.spec.Cores, memoryMB: e.spec.MemoryMB}
 		e.queuedAt = now
 		e.deadline = time.Time{}
 		if a.Deadline > 0 {
 			e.deadline = now.Add(a.Deadline)
 		}
-		m.takeLocked(now, e, a.Override)
+		if m.takeLocked(now, e, a.Override) == state.ReasonBusy {
+			busy++
+		}
 	}
-	m.interestLocked(now, from, a)
+	// Tasks refused for want of room are backlog of their home from now on.
+	m.interestLocked(now, from, a, a.Backlog+busy)
 }
 
 func (m *Machine) entryLocked(j *job, index int, try uint32) *entry {
@@ -99,8 +105,8 @@
 	return e
 }
 
-// takeLocked starts, queues or refuses a task.
-func (m *Machine) takeLocked(now time.Time, e *entry, override bool) {
+// takeLocked starts, queues or refuses a task, and says why it refused.
+func (m *Machine) takeLocked(now time.Time, e *entry, override bool) state.Reason {
 	reason := m.refusalLocked(now)
 	switch {
 	case reason != state.ReasonNone:
@@ -116,7 +122,7 @@
 	}
 	if reason != state.ReasonNone {
 		m.refuseLocked(e, reason)
-		return
+		return reason
 	}
 	e.phase = queued
 	m.queue.push(e)
@@ -125,6 +131,7 @@
 		// The queue may hold larger tasks that don't fit; turnLocked sorts out who goes.
 		m.startNextLocked(now)
 	}
+	return state.ReasonNone
 }
 
 // refuseLocked rules the task out for its try and reports so.
--- a/coordination/home/agents.go
+++ b/coordination/home/agents.go
@@ -11,6 +11,8 @@
 	// unseenFor is how long a push may be missing from an agent's own load:
 	// about a round trip.
 	unseenFor = 5 * time.Millisecond
+	// freshFor is how long an agent's own report is taken as it stands.
+	freshFor = 20 * time.Millisecond
 	// toldFor is how long an agent is taken to remember a backlog.
 	toldFor = time.Second
 )
@@ -26,6 +28,8 @@
 	// told is how much backlog the agent was told of and has not offered slots for.
 	told   int
 	toldAt time.Time
+	// heardAt is when the agent itself last reported its load.
+	heardAt time.Time
 	// avoidUntil: it refused tasks, or the link to it broke.
 	avoidUntil time.Time
 	avoidFor   state.Reason
@@ -69,6 +73,17 @@
 	return a.usable && !now.Before(a.avoidUntil)
 }
 
+// room is how many tasks to send on what is known. A load that came by way of
+// others is old. A task that was refused on such news isn't sent on it again:
+// near full load it would be refused over and over, two messages each time. It
+// waits for an agent's own word that it has room.
+func (a *agent) room(now time.Time, refusedBefore bool) int {
+	if refusedBefore && now.Sub(a.heardAt) >= freshFor {
+		return 0
+	}
+	return a.free
+}
+
 // knowsBacklog reports whether the agent will offer slots by itself.
 func (a *agent) knowsBacklog(now time.Time) bool {
 	return a.told > 0 && now.Sub(a.toldAt) < toldFor
--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -7,7 +7,6 @@
 	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/coordination/place"
-	"github.com/shallotstep/shallotstep/state"
 )
 
 // assignment is one Assign in the making.
@@ -42,9 +41,7 @@
 	out := p.send(now, &r)
 	if p.waiting.len() > 0 {
 		p.noteStuck(now)
-		if p.o.Policy == LateBinding {
-			out = append(out, p.askForRoom(now)...)
-		}
+		out = append(out, p.askForRoom(now)...)
 	}
 	return out
 }
@@ -52,8 +49,15 @@
 // placeOne places tasks of the first job that finds an agent.
 func (p *pool) placeOne(now time.Time, r *round) bool {
 	placed := false
+	if !p.anyRoom(now) {
+		return false
+	}
+	looked := 0
 	p.waiting.inTurn(func(j *job) bool {
-		a := p.choose(now, &j.tasks[j.backlog[0]].spec)
+		if looked++; looked > lookAhead {
+			return false
+		}
+		a := p.choose(now, &j.tasks[j.backlog[0]])
 		if a == nil {
 			return true
 		}
@@ -64,6 +68,18 @@
 	return placed
 }
 
+// lookAhead bounds how many jobs are considered when the first ones fit nowhere.
+const lookAhead = 16
+
+func (p *pool) anyRoom(now time.Time) bool {
+	for _, a := range p.list {
+		if a.open(now) && a.free > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // share is how many tasks of a job go to an agent in one go: up to half of its
 // free slots, because other homes see the same slots.
 func (p *pool) share(j *job, a *agent) int {
@@ -71,10 +87,10 @@
 }
 
 // choose returns the better of two agents with room for the task, or nil.
-func (p *pool) choose(now time.Time, t *state.Task) *agent {
+func (p *pool) choose(now time.Time, t *task) *agent {
 	p.eligible = p.eligible[:0]
 	for _, a := range p.list {
-		if a.open(now) && a.load.Fits(t) && (a.free > 0 || p.o.Policy == Push) {
+		if a.open(now) && a.load.Fits(&t.spec) && a.room(now, t.bounced) > 0 {
 			p.eligible = append(p.eligible, a)
 		}
 	}
@@ -124,18 +140,22 @@
 	return out
 }
 
-// operatorBacklog counts an operator's waiting tasks.
+// maxTold bounds the backlog that an agent is told of. The Assign that answers
+// its offer tells it anew, so little is lost by a low number, while a high one
+// draws offers long after the tasks went elsewhere.
+const maxTold = 2
+
+// operatorBacklog counts an operator's waiting tasks, up to maxTold.
 func (p *pool) operatorBacklog(operator string) int {
-	if p.o.Policy == Push {
-		return 0
-	}
 	n := 0
 	for i := range p.waiting.operators {
 		if p.waiting.operators[i].operator != operator {
 			continue
 		}
 		for _, j := range p.waiting.operators[i].jobs {
-			n += len(j.backlog)
+			if n += len(j.backlog); n >= maxTold {
+				return maxTold
+			}
 		}
 	}
 	return n
@@ -187,7 +207,7 @@
 
 // askCount is how many agents should know of the backlog.
 func (p *pool) askCount() int {
-	return max(p.o.Ask, p.backlog)
+	return max(p.o.Ask, (p.backlog+p.o.AskPer-1)/p.o.AskPer)
 }
 
 // credit places waiting tasks at an agent that offered slots.
@@ -209,7 +229,11 @@
 
 func (p *pool) firstFitting(a *agent) *job {
 	var found *job
+	looked := 0
 	p.waiting.inTurn(func(j *job) bool {
+		if looked++; looked > lookAhead {
+			return false
+		}
 		if a.load.Fits(&j.tasks[j.backlog[0]].spec) {
 			found = j
 		}
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -9,11 +9,12 @@
 package home
 
 import (
-	"hash/maphash"
 	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
@@ -36,17 +37,6 @@
 	CandidatesFor(service string, t *state.Task) []state.AgentLoad
 }
 
-// Policy says what becomes of tasks for which no free slot is known.
-type Policy uint8
-
-// The policies that are being compared.
-const (
-	// LateBinding keeps them at the home until an agent offers a slot.
-	LateBinding Policy = iota
-	// Push sends them to the better of two agents, to queue there.
-	Push
-)
-
 // Defaults of Options.
 const (
 	DefaultRetention   = 10 * time.Minute
@@ -56,6 +46,7 @@
 	DefaultResend      = time.Second
 	DefaultSettle      = 50 * time.Millisecond
 	DefaultAsk         = 2
+	DefaultAskPer      = 4
 )
 
 // Options configure a Home. Zero values stand for the defaults above.
@@ -80,8 +71,9 @@
 	// started, before it is "unknown".
 	Settle time.Duration
 	// Ask is how many agents hear of a backlog at once.
-	Ask    int
-	Policy Policy
+	Ask int
+	// AskPer is for how many waiting tasks one more agent hears of it.
+	AskPer int
 	// Metrics may be nil.
 	Metrics *Metrics
 }
@@ -94,6 +86,7 @@
 	setDefault(&o.Resend, DefaultResend)
 	setDefault(&o.Settle, DefaultSettle)
 	setDefault(&o.Ask, DefaultAsk)
+	setDefault(&o.AskPer, DefaultAskPer)
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
 	}
@@ -113,7 +106,6 @@
 // services' jobs.
 type Home struct {
 	o      Options
-	seed   maphash.Seed
 	shards [shardCount]shard
 }
 
@@ -127,7 +119,7 @@
 // New returns a home without jobs.
 func New(o Options) *Home {
 	o.setDefaults()
-	h := &Home{o: o, seed: maphash.MakeSeed()}
+	h := &Home{o: o}
 	for i := range h.shards {
 		h.shards[i].pools = make(map[string]*pool)
 	}
@@ -135,14 +127,14 @@
 }
 
 func (h *Home) shard(service string) *shard {
-	return &h.shards[maphash.String(h.seed, service)%shardCount]
+	return &h.shards[xxhash.Sum64String(service)%shardCount]
 }
 
 // poolLocked returns the service's pool, made if create is set.
 func (h *Home) poolLocked(s *shard, service string, create bool) *pool {
 	p := s.pools[service]
 	if p == nil && create {
-		p = newPool(&h.o, service, rand.New(rand.NewPCG(h.o.Seed, maphash64(service))))
+		p = newPool(&h.o, service, rand.New(rand.NewPCG(h.o.Seed, xxhash.Sum64String(service))))
 		s.pools[service] = p
 		s.order = append(s.order, p)
 	}
--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"hash/fnv"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/message"
@@ -44,6 +43,8 @@
 	// try counts placements; see message.Assign.Tries. A refusal of an older
 	// try, late or repeated, must not move the task a second time.
 	try uint32
+	// bounced: an agent that was taken to have room refused it as busy.
+	bounced bool
 	// started: the agent said so.
 	started bool
 	result  state.TaskResult
@@ -154,9 +155,3 @@
 	}
 	return indexes, tries
 }
-
-func maphash64(s string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(s))
-	return h.Sum64()
-}
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -13,6 +13,7 @@
 	a := p.agents[from]
 	if a != nil && m.Load.ID == from {
 		a.learn(now, m.Load)
+		a.heardAt = now
 	}
 	var out []coordination.Action
 	useful := false
@@ -100,6 +101,7 @@
 		t.agent = ""
 		t.try++
 		t.started = false
+		t.bounced = m.Reason == state.ReasonBusy
 		j.contact(from).outstanding--
 		j.backlog = append(j.backlog, index)
 		moved++
@@ -116,21 +118,18 @@
 		}
 	}
 	if a != nil {
-		p.shun(now, a, m, moved)
+		p.shun(now, a, m)
 	}
 }
 
 // shun keeps tasks from an agent that refused some.
-func (p *pool) shun(now time.Time, a *agent, m *message.Report, refused int) {
+func (p *pool) shun(now time.Time, a *agent, m *message.Report) {
 	switch m.Reason {
 	case state.ReasonBusy:
 		a.free = min(a.free, 0)
-		if p.o.Policy == LateBinding {
-			// The agent has noted the refused tasks as backlog.
-			a.told += refused
-			a.toldAt = now
-			return
-		}
+		// The agent has noted the refused tasks as backlog.
+		a.told, a.toldAt = max(1, a.told), now
+		return
 	case state.ReasonDeadline:
 		return
 	}
--- a/state/loadview/loadview.go
+++ b/state/loadview/loadview.go
@@ -7,10 +7,11 @@
 package loadview
 
 import (
-	"hash/maphash"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/shallotstep/shallotstep/state"
 )
 
@@ -38,7 +39,6 @@
 // View holds the newest load of each agent. It is safe for concurrent use.
 type View struct {
 	o      Options
-	seed   maphash.Seed
 	shards [shardCount]shard
 	index  serviceIndex
 }
@@ -70,7 +70,7 @@
 	if o.Subset <= 0 {
 		o.Subset = DefaultSubset
 	}
-	v := &View{o: o, seed: maphash.MakeSeed()}
+	v := &View{o: o}
 	for i := range v.shards {
 		v.shards[i].loads = make(map[state.NodeID]entry)
 		v.shards[i].gone = make(map[state.NodeID]time.Time)
@@ -80,7 +80,7 @@
 }
 
 func (v *View) shard(id state.NodeID) *shard {
-	return &v.shards[maphash.String(v.seed, string(id))%shardCount]
+	return &v.shards[xxhash.Sum64String(string(id))%shardCount]
 }
 
 // Merge takes in a load that its originator said age ago. It reports whether
