--- a/coordination/guard/model_test.go
+++ b/coordination/guard/model_test.go
@@ -324,6 +324,10 @@
 	if !p.OK || len(w.truth().Members()) < 4 {
 		return
 	}
+	if w.IntN(2) == 0 {
+		w.askNow(p, key)
+		w.hurry(func(m message.Message) bool { r, ok := m.(message.ClaimReply); return ok && r.Key == key })
+	}
 	kill := w.IntN(2) == 0
 	ids := []state.NodeID{p.Home, p.Witness}
 	for _, id := range ids {
@@ -349,17 +353,23 @@
 	if !p.OK || len(w.truth().Members()) < 4 {
 		return
 	}
+	t := w.askNow(p, key)
+	w.append(roster.Evict{NodeID: [2]state.NodeID{p.Home, p.Witness}[w.IntN(2)], By: "model"})
+	if n := w.nodes[p.Home]; !n.held && !n.noLog && !n.dead && w.IntN(2) == 0 {
+		w.readOne(n)
+	}
+	w.send(p.Home, message.Bar{Key: key, Attempt: t.submit.Attempt, Epoch: p.Epoch})
+}
+
+// askNow has an attempt reach the home, and the home's ask the witness.
+func (w *world) askNow(p roster.Pair, key state.JobKey) *try {
 	t := w.submitAt(p, key, 0)
 	w.hurry(func(m message.Message) bool { s, ok := m.(message.Submit); return ok && s.Attempt == t.submit.Attempt })
 	w.hurry(func(m message.Message) bool {
 		a, ok := m.(message.ClaimAsk)
 		return ok && a.Attempt == t.submit.Attempt
 	})
-	w.append(roster.Evict{NodeID: [2]state.NodeID{p.Home, p.Witness}[w.IntN(2)], By: "model"})
-	if n := w.nodes[p.Home]; !n.held && !n.noLog && !n.dead && w.IntN(2) == 0 {
-		w.readOne(n)
-	}
-	w.send(p.Home, message.Bar{Key: key, Attempt: t.submit.Attempt, Epoch: p.Epoch})
+	return t
 }
 
 // hurry delivers the first message like this before all others.
