--- a/coordination/declare/apply.go
+++ b/coordination/declare/apply.go
@@ -180,6 +180,7 @@
 func (m *Machine) ReadThrough(now time.Time, offset int64) []coordination.Action {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.set.ReadTo(offset)
 	m.refreshes.logBack(now, offset, m)
 	m.log.readAt = now
 	m.log.caughtUp = true
--- a/coordination/declare/failure_test.go
+++ b/coordination/declare/failure_test.go
@@ -184,6 +184,17 @@
 	is.Equal(cur.Version, state.Version(2))
 }
 
+// A node comes up when the log has forgotten everything. It must not hold that
+// nothing is declared, and must not say it is ready.
+func TestEmptiedLogIsNotAnEmptyOne(t *testing.T) {
+	is := is.New(t)
+	young, old := newNode("a", nil), newNode("b", nil)
+	young.read(t0, &fakeLog{first: 1})
+	is.True(young.Ready())
+	old.read(t0, &fakeLog{first: 501})
+	is.True(!old.Ready())
+}
+
 // All nodes are replaced while the log is down. None of them knows anything; if
 // they answered one another they would all hold that nothing is declared, and
 // refuse every caller's service as unknown.
--- a/coordination/declare/machine.go
+++ b/coordination/declare/machine.go
@@ -109,7 +109,7 @@
 	return &Machine{
 		opts:      opts,
 		set:       opts.Set,
-		metrics:   newMetrics(opts.Registerer),
+		metrics:   newMetrics(opts.Registerer, opts.Set),
 		pending:   make(map[string]*pending),
 		rng:       rand.New(rand.NewPCG(opts.Seed, 0)),
 		refreshes: refresher{operators: make(map[string]*schedule)},
--- a/coordination/declare/metrics.go
+++ b/coordination/declare/metrics.go
@@ -16,7 +16,7 @@
 	peers    *prometheus.CounterVec
 }
 
-func newMetrics(r prometheus.Registerer) *metrics {
+func newMetrics(r prometheus.Registerer, set *declaration.Set) *metrics {
 	m := &metrics{
 		applies:  counter("applies_total", "Applies answered, by reason; accepted ones have the reason none.", "reason"),
 		records:  counter("records_total", "Records of the declaration stream read, by verdict.", "verdict"),
@@ -25,11 +25,29 @@
 		peers:    counter("peers_total", "Questions to peers, and what peers' declarations did.", "event"),
 	}
 	if r != nil {
-		r.MustRegister(m.applies, m.records, m.failures, m.upkeep, m.peers)
+		r.MustRegister(m.applies, m.records, m.failures, m.upkeep, m.peers, completeness(set))
 	}
 	return m
 }
 
+// completeness is 0 while this node can't judge applies, because it has not seen
+// every operator's state in the log. If that lasts on all nodes, nobody writes
+// refreshes, and no change is accepted any more.
+func completeness(set *declaration.Set) prometheus.Collector {
+	opts := prometheus.GaugeOpts{
+		Namespace: "shallotstep",
+		Subsystem: "declare",
+		Name:      "complete",
+		Help:      "1 if this node knows every operator's state from the log and judges applies.",
+	}
+	return prometheus.NewGaugeFunc(opts, func() float64 {
+		if set.Complete() {
+			return 1
+		}
+		return 0
+	})
+}
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	opts := prometheus.CounterOpts{
 		Namespace: "shallotstep",
--- a/state/declaration/set.go
+++ b/state/declaration/set.go
@@ -106,6 +106,18 @@
 	return ev, nil
 }
 
+// ReadTo tells the set that the stream was read to an offset, which its present
+// end follows. Records that were not handed in up to there are missing. This
+// matters when nothing is left: a newcomer at an emptied stream would otherwise
+// believe that it had read everything and that nothing is declared.
+func (s *Set) ReadTo(offset int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if offset > s.ledger.through && !s.ledger.disabled.gapCheck {
+		s.ledger.restart(offset + 1)
+	}
+}
+
 func (s *Set) judgeLocked(offset int64, rec *Record) Event {
 	if rec.Kind == KindRefresh {
 		return s.ledger.refresh(offset, rec)
--- a/transport/platformlog/client.go
+++ b/transport/platformlog/client.go
@@ -63,7 +63,7 @@
 	}
 	dial := opts.Dial
 	if dial == nil {
-		dial = (&net.Dialer{Timeout: timeout}).DialContext
+		dial = (&net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive()}).DialContext
 	}
 	return &Client{
 		base:    strings.TrimRight(opts.URL, "/"),
@@ -86,6 +86,18 @@
 	}
 }
 
+// keepAlive finds out within four seconds that the other host is gone. A long
+// poll sends nothing for up to pollWait, and a host that vanishes closes no
+// connection: without probes a change would stay unseen here for that long.
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     2 * time.Second,
+		Interval: time.Second,
+		Count:    2,
+	}
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/transport/platformlog/client_test.go
+++ b/transport/platformlog/client_test.go
@@ -79,6 +79,9 @@
 		_, err := client.Append(ctx, stream, []byte("x"))
 		is.NoErr(err)
 		b := <-got
+		for len(b.Records) == 0 { // the first read doesn't wait for a record
+			b = <-got
+		}
 		is.Equal(b.Records[0].Offset, want)
 	}
 	cancel()
--- a/transport/platformlog/follow.go
+++ b/transport/platformlog/follow.go
@@ -54,7 +54,7 @@
 // whole long poll.
 //
 // A stream that ends before the offset (the service lost records that it had
-// confirmed) is retried for ever and counted as "beyond_end": starting over by
+// confirmed) is retried forever and counted as "beyond_end": starting over by
 // itself would let a wrong service revert what is in force.
 func (c *Client) Follow(ctx context.Context, stream coordination.Stream, from int64, ev Events) error {
 	backoff := firstBackoff
