--- a/coordination/home/finish.go
+++ b/coordination/home/finish.go
@@ -192,6 +192,9 @@
 	out := make([]coordination.Action, 0, len(j.waiters))
 	for _, w := range j.waiters {
 		a.Attempt = w.attempt
+		if a.Outcome == state.NotRun {
+			j.refused = append(j.refused, w.attempt)
+		}
 		out = append(out, coordination.Send{To: w.from, Msg: a})
 	}
 	j.waiters = nil
--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -274,6 +274,25 @@
 	is.Equal(only(t, b).Outcome, state.Complete)
 }
 
+// Two callers wait for a job that is refused as not run. Afterwards a copy of
+// the second one's submission arrives, late. Its caller has been told that the
+// job did not run, so the copy gets the same answer and starts nothing.
+func TestLateCopyOfARefusedSubmissionStartsNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(0), nil)
+	b.submit("j", 1, 50*time.Millisecond, "1")
+	b.submit("j", 1, 0, "2")
+	b.pass(100 * time.Millisecond)
+	_, answers := take[message.Answer](b)
+	is.Equal(len(answers), 2)
+	is.Equal(answers[1].Outcome, state.NotRun)
+	b.submit("j", 1, 0, "2")
+	is.Equal(only(t, b).Outcome, state.NotRun)
+	is.True(b.h.Idle())
+	b.submit("j", 1, 0, "3")
+	is.True(!b.h.Idle()) // a new attempt does run
+}
+
 // An agent's report is lost. The home asks the same agent again, never another
 // one, because the tasks may be running there.
 func TestSilentAgentIsAskedAgain(t *testing.T) {
--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -88,8 +88,11 @@
 	arrived     time.Time
 	deadline    time.Time // zero means none
 	waiters     []waiter
-	contacts    []contact
-	batches     []batch
+	// refused are the attempts that were told "not run". A late copy of one of
+	// them must not start what its caller was told did not run.
+	refused  []message.Attempt
+	contacts []contact
+	batches  []batch
 	// graceUntil is when the job stops waiting for an agent that takes anything.
 	graceUntil time.Time
 	stats      message.Stats
--- a/coordination/home/submit.go
+++ b/coordination/home/submit.go
@@ -102,12 +102,15 @@
 		}
 		return nil
 	}
-	if j.answer.Outcome == state.NotRun && j.answer.Attempt != m.Attempt {
+	if j.answer.Outcome == state.NotRun && !slices.Contains(j.refused, m.Attempt) && len(j.refused) < maxRefused {
 		return p.revive(now, m, j, w)
 	}
 	return reply(from, j.answerTo(m.Attempt))
 }
 
+// maxRefused bounds how often a job may be refused as not run and come back.
+const maxRefused = 100
+
 // revive runs a job that was claimed and refused as not run, now that its
 // caller comes back. The claim is still this home's. The tasks' tries go on
 // counting, so that what the agents ruled out stays ruled out.
@@ -118,6 +121,7 @@
 	}
 	p.unstore(j)
 	n := newJob(now, w.from, m)
+	n.refused = j.refused
 	for i := range n.tasks {
 		n.tasks[i].try = tries[i]
 	}
