Put bounded open-loop load on entries and check every answer

Cause: there was no way to measure response against the ideal and wasted messages through the real interface, nor to check what callers are told. Arrivals are drawn before the run and responses count from the intended start, so that a stall shows in every job that was due meanwhile (tested in virtual time). Checks: readable, whole, own, same, not_run, cancel; an entry that cuts, doubles, swaps or mixes up results is caught, over real HTTP as well. Weighed: taking httpclient's verdict alone; rejected, it calls an answer that isn't whole lost, and a lost reply is no fault of the entry's. Nothing is measured yet.

--- a/transport/cli/cli.go
+++ b/transport/cli/cli.go
@@ -63,6 +63,7 @@
 		{name: "cancel", args: "SERVICE ID", about: "stop a job", least: 2, most: 2, run: runCancel},
 		{name: "drain", args: "NODE", about: "have a node take no more work", least: 1, most: 1, run: runDrain},
 		{name: "check", args: "FILE...", about: "check files without sending them", least: 1, most: -1, run: runCheck},
+		{name: "load", args: "[FILE FILE]", about: "put load on entries, measure and check the answers", most: 2, flags: loadFlags, run: runLoad},
 		{name: "version", about: "print the software's version", run: runVersion},
 	}
 }
@@ -82,6 +83,7 @@
 	service string
 	base    int64
 	tries   int
+	load    loadOptions
 }
 
 // Run carries out one command line, without the program's name, and returns
--- /dev/null
+++ b/transport/loadgen/config.go
@@ -0,0 +1,99 @@
+// Package loadgen puts a bounded load on entries and measures what comes back.
+// Arrivals are open loop: when a job is due is drawn before the run and no
+// answer moves it, and a response counts from that time. A stalled entry so
+// shows in every job that was due meanwhile, and not in one only.
+//
+// Every answer is also checked: it is whole, it belongs to its request, and two
+// submissions under one id are told the same.
+package loadgen
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// MaxLength is the longest run.
+const MaxLength = 5 * time.Minute
+
+// Defaults of Config.
+const (
+	DefaultLength   = 30 * time.Second
+	DefaultPatience = 60 * time.Second
+	DefaultTasks    = "mix"
+	DefaultMix      = "haneul"
+	DefaultWork     = 200 * time.Millisecond
+)
+
+// maxJobs bounds the memory of a plan.
+const maxJobs = 1_000_000
+
+// Config says what load to put on the entries.
+type Config struct {
+	Service string `json:"service"`
+	// TasksPerSecond or JobsPerSecond is the mean rate of arrivals. One of
+	// them is set.
+	TasksPerSecond float64 `json:"tasks_per_second,omitempty"`
+	JobsPerSecond  float64 `json:"jobs_per_second,omitempty"`
+	// Sizes draws the number of tasks of a job, Mix what a task does.
+	Sizes Sizes `json:"tasks_per_job"`
+	Mix   Mix   `json:"mix"`
+	// Length is the time in which jobs arrive.
+	Length Duration `json:"length_ms"`
+	// Patience is how long after Length answers are waited for.
+	Patience Duration `json:"patience_ms"`
+	// Deadline is stated in each submission. Zero leaves it to the service.
+	Deadline Duration `json:"deadline_ms,omitempty"`
+	// Seed decides arrivals, sizes and work; the same seed is the same load.
+	Seed uint64 `json:"seed"`
+	// Resubmit is the share of jobs that are submitted twice under one id, the
+	// second time through another entry where there is one. Cancel is the
+	// share that is cancelled. No job is in both.
+	Resubmit float64 `json:"resubmit_share"`
+	Cancel   float64 `json:"cancel_share"`
+	// Run begins each id, so that two runs never meet in one.
+	Run string `json:"run"`
+}
+
+// Check returns what is wrong with the configuration, or nil.
+func (c *Config) Check() error {
+	switch {
+	case c.Service == "":
+		return errors.New("no service is named")
+	case c.Run == "" || len(c.Run) > state.MaxIDLength/2:
+		return errors.New("the run's name is empty or too long")
+	case (c.TasksPerSecond > 0) == (c.JobsPerSecond > 0):
+		return errors.New("either tasks or jobs per second must be above zero")
+	case c.TasksPerSecond < 0 || c.JobsPerSecond < 0:
+		return errors.New("a rate is below zero")
+	case c.Length.D() <= 0 || c.Length.D() > MaxLength:
+		return errors.Errorf("the length must be above zero and at most %v", MaxLength)
+	case c.Patience.D() < 0:
+		return errors.New("the patience is below zero")
+	case c.Deadline.D() < 0:
+		return errors.New("the deadline is below zero")
+	case c.Resubmit < 0 || c.Cancel < 0 || c.Resubmit+c.Cancel > 1:
+		return errors.New("the shares of resubmissions and cancellations must be from 0 to 1, and so must their sum")
+	case len(c.Sizes.ranges) == 0 || len(c.Mix.Kinds) == 0:
+		return errors.New("the tasks per job or the mix are missing")
+	case c.jobRate()*c.Length.D().Seconds() > maxJobs:
+		return errors.Errorf("more than %d jobs", maxJobs)
+	}
+	return nil
+}
+
+// jobRate returns the mean number of jobs per second.
+func (c *Config) jobRate() float64 {
+	if c.JobsPerSecond > 0 {
+		return c.JobsPerSecond
+	}
+	return c.TasksPerSecond / c.Sizes.Mean()
+}
+
+// Duration is a time.Duration that stands in JSON as milliseconds.
+type Duration time.Duration
+
+// D returns the duration.
+func (d Duration) D() time.Duration { return time.Duration(d) }
--- /dev/null
+++ b/transport/loadgen/plot.go
@@ -0,0 +1,150 @@
+package loadgen
+
+import (
+	"image/color"
+	"math"
+	"os"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgimg"
+
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// The look of the plots.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 24 * vg.Centimeter
+	dotRadius  = 1.5 * vg.Millimeter / 2
+	plotMargin = 4 * vg.Millimeter
+	// leastMS keeps zero off the logarithmic axes.
+	leastMS = 1
+)
+
+var (
+	completeColor = color.NRGBA{B: 200, A: 140}
+	otherColor    = color.NRGBA{R: 220, A: 200}
+	idealColor    = color.NRGBA{G: 130, A: 255}
+)
+
+// Plot writes two plots into one PNG file: each job's response against its
+// ideal, and the response over the time at which the job was due.
+func (r *Report) Plot(path string) error {
+	against, err := r.againstIdeal()
+	if err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	over, err := r.overTime()
+	if err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	canvas := vgimg.New(plotWidth, plotHeight)
+	tiles := draw.Tiles{
+		Rows: 2, Cols: 1,
+		PadTop: plotMargin, PadBottom: plotMargin, PadLeft: plotMargin, PadRight: plotMargin, PadY: plotMargin,
+	}
+	page := draw.New(canvas)
+	for row, p := range []*plot.Plot{against, over} {
+		p.Draw(tiles.At(page, 0, row))
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	_, err = vgimg.PngCanvas{Canvas: canvas}.WriteTo(file)
+	if shut := file.Close(); err == nil {
+		err = shut
+	}
+	return errors.Wrap(err, "plot")
+}
+
+// points returns x and the response of complete jobs and of the others.
+func (r *Report) points(x func(*Row) float64) (complete, other plotter.XYs) {
+	for i := range r.Rows {
+		row := &r.Rows[i]
+		at := plotter.XY{X: x(row), Y: max(leastMS, milliseconds(row.Response.D()))}
+		if row.Outcome == state.Complete.String() {
+			complete = append(complete, at)
+		} else {
+			other = append(other, at)
+		}
+	}
+	return complete, other
+}
+
+func scatter(p *plot.Plot, name string, points plotter.XYs, c color.Color) error {
+	if len(points) == 0 {
+		return nil
+	}
+	s, err := plotter.NewScatter(points)
+	if err != nil {
+		return err
+	}
+	s.GlyphStyle = draw.GlyphStyle{Color: c, Radius: dotRadius, Shape: draw.CircleGlyph{}}
+	p.Add(s)
+	p.Legend.Add(name, s)
+	return nil
+}
+
+func (r *Report) newPlot(title, x string, at func(*Row) float64) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = x
+	p.Y.Label.Text = "response, ms"
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{}
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
+	complete, other := r.points(at)
+	if err := scatter(p, "complete", complete, completeColor); err != nil {
+		return nil, err
+	}
+	if err := scatter(p, "refused, failed or unknown", other, otherColor); err != nil {
+		return nil, err
+	}
+	p.Y.Min, p.Y.Max = decades(p.Y.Min, p.Y.Max)
+	return p, nil
+}
+
+// decades widens a range to whole powers of ten, as a logarithmic axis needs.
+func decades(least, most float64) (float64, float64) {
+	if !(least > 0) || math.IsInf(least, 0) || math.IsInf(most, 0) {
+		least, most = leastMS, 10*leastMS
+	}
+	low := math.Pow(10, math.Floor(math.Log10(least)))
+	high := math.Pow(10, math.Ceil(math.Log10(most)))
+	return low, max(high, 10*low)
+}
+
+func (r *Report) againstIdeal() (*plot.Plot, error) {
+	x := func(row *Row) float64 { return max(leastMS, milliseconds(row.Ideal.D())) }
+	p, err := r.newPlot("Response against ideal", "ideal, ms", x)
+	if err != nil {
+		return nil, err
+	}
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{}
+	p.X.Min, p.X.Max = decades(p.X.Min, p.X.Max)
+	from, to := min(p.X.Min, p.Y.Min), min(p.X.Max, p.Y.Max)
+	l, err := plotter.NewLine(plotter.XYs{{X: from, Y: from}, {X: to, Y: to}})
+	if err != nil {
+		return nil, err
+	}
+	l.Color = idealColor
+	p.Add(l)
+	p.Legend.Add("ideal", l)
+	p.Y.Min = min(p.Y.Min, from)
+	return p, nil
+}
+
+func (r *Report) overTime() (*plot.Plot, error) {
+	x := func(row *Row) float64 { return row.Due.D().Seconds() }
+	p, err := r.newPlot("Response over time", "due, s", x)
+	if err != nil {
+		return nil, err
+	}
+	p.X.Min, p.X.Max = 0, r.Config.Length.D().Seconds()
+	return p, nil
+}
--- /dev/null
+++ b/transport/loadgen/size.go
@@ -0,0 +1,97 @@
+package loadgen
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// mixedSizes is what DefaultTasks stands for: most jobs are small, some large.
+const mixedSizes = "1=0.6,2-10=0.3,20-60=0.1"
+
+// Sizes draws the number of tasks of a job.
+type Sizes struct {
+	text   string
+	ranges []sizeRange
+}
+
+// sizeRange is from least to most, each alike often.
+type sizeRange struct {
+	least, most int
+	share       float64
+}
+
+// ParseSizes reads how many tasks a job has: "N", "N-M", a list of either with
+// shares such as "1=0.6,2-10=0.4", or "mix".
+func ParseSizes(text string) (Sizes, error) {
+	s := Sizes{text: text}
+	list := text
+	if list == DefaultTasks {
+		list = mixedSizes
+	}
+	total := 0.0
+	for _, item := range strings.Split(list, ",") {
+		r, err := parseSizeRange(item)
+		if err != nil {
+			return Sizes{}, errors.Wrapf(err, "tasks per job %q", text)
+		}
+		total += r.share
+		s.ranges = append(s.ranges, r)
+	}
+	for i := range s.ranges {
+		s.ranges[i].share /= total
+	}
+	return s, nil
+}
+
+func parseSizeRange(item string) (sizeRange, error) {
+	r := sizeRange{share: 1}
+	bounds, share, shared := strings.Cut(item, "=")
+	if shared {
+		var err error
+		if r.share, err = strconv.ParseFloat(share, 64); err != nil || !(r.share > 0) || r.share > 1 {
+			return r, errors.Errorf("%q is no share from 0 to 1", share)
+		}
+	}
+	least, most, ranged := strings.Cut(bounds, "-")
+	if !ranged {
+		most = least
+	}
+	var err error
+	if r.least, err = strconv.Atoi(least); err != nil {
+		return r, errors.Errorf("%q is no number", least)
+	}
+	if r.most, err = strconv.Atoi(most); err != nil {
+		return r, errors.Errorf("%q is no number", most)
+	}
+	if r.least < 1 || r.most < r.least || r.most > state.MaxTasksPerJob {
+		return r, errors.Errorf("a job has 1 to %d tasks", state.MaxTasksPerJob)
+	}
+	return r, nil
+}
+
+// Mean returns the mean number of tasks.
+func (s Sizes) Mean() float64 {
+	mean := 0.0
+	for _, r := range s.ranges {
+		mean += r.share * float64(r.least+r.most) / 2
+	}
+	return mean
+}
+
+func (s Sizes) draw(rng *rand.Rand) int {
+	x := rng.Float64()
+	r := s.ranges[len(s.ranges)-1]
+	for _, candidate := range s.ranges {
+		if x < candidate.share {
+			r = candidate
+			break
+		}
+		x -= candidate.share
+	}
+	return r.least + rng.IntN(r.most-r.least+1)
+}
