Hold every answer to an apply against what the log says in the end

A clerk who was told "not run" must not find the change in force, not even later. Random stories of three nodes lose replies, delay records past the waiting appender, replace nodes and truncate the log; each answer is checked against a reader of the whole log. Taking a lost reply for a refusal is noticed.

--- a/coordination/declare/apply.go
+++ b/coordination/declare/apply.go
@@ -104,7 +104,7 @@
 	if p == nil {
 		return nil
 	}
-	if failure == FailureRefused {
+	if failure == FailureRefused || m.disabled.unknownIsNot {
 		// The record is not in, and as nobody appends it again it never will be.
 		return m.settleLocked(rec.ApplyID, m.refusal(p.ticket, p.operator, state.ReasonLogUnavailable,
 			"the platform's log took no record"))
--- a/coordination/declare/machine.go
+++ b/coordination/declare/machine.go
@@ -70,6 +70,7 @@
 // safeguards are taken out by tests only, to show that a test notices.
 type safeguards struct {
 	appendOnce     bool // a lost reply is never answered by another append
+	unknownIsNot   bool // a lost reply is not a refusal
 	baseReplaced   bool // a base replaced by another apply rules ours out
 	refresh        bool // operators' states are repeated before the log forgets them
 	overdueSpread  bool // what came due in an outage is not refreshed by all at once
