Send no tasks over a broken link, and refuse truthfully while leaving

A dead agent's load stays in the view until it is evicted or its news expires (a minute; with the log out, nobody evicts). Each task sent to it was lost with its job. Now a node whose link broke gets only a probe with a doubling pause until it is heard again.

A leaving home said 'not run' of any id it didn't know. An earlier home may have run it, so the guard now rules the attempt out first; if it can't, the answer is 'unknown', with the holder if there is one.

--- a/coordination/home/agents.go
+++ b/coordination/home/agents.go
@@ -33,6 +33,9 @@
 	// avoidUntil: it refused tasks, or the link to it broke.
 	avoidUntil time.Time
 	avoidFor   state.Reason
+	// down: the link broke and nothing was heard of it since. probe: ask it.
+	down  bool
+	probe bool
 	// usable: it is among the view's candidates and takes new work.
 	usable bool
 	// extra: brought in for a task that no candidate of the view could hold.
@@ -70,7 +73,7 @@
 }
 
 func (a *agent) open(now time.Time) bool {
-	return a.usable && !now.Before(a.avoidUntil)
+	return a.usable && !a.down && !now.Before(a.avoidUntil)
 }
 
 // room is how many tasks to send on what is known. A load that came by way of
@@ -121,6 +124,10 @@
 		a.learn(now, loads[i])
 	}
 	p.markUsable()
+	for _, a := range p.list {
+		down, probe := p.links.isDown(now, a.load.ID)
+		a.down, a.probe = down, a.probe && down || probe
+	}
 }
 
 func (p *pool) markUsable() {
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -26,6 +26,12 @@
 	Claim(now time.Time, key state.JobKey, digest state.Digest, attempt message.Attempt, epoch state.Epoch) []coordination.Action
 }
 
+// Barrer is a Claimer that can rule an attempt out for good: it takes a Bar and
+// returns a Send of the BarReply among its actions.
+type Barrer interface {
+	Handle(now time.Time, from state.NodeID, msg message.Message) []coordination.Action
+}
+
 // View knows how loaded the agents are that serve a service.
 type View interface {
 	Candidates(service string) []state.AgentLoad
@@ -106,6 +112,7 @@
 // services' jobs.
 type Home struct {
 	o      Options
+	links  links
 	shards [shardCount]shard
 }
 
@@ -134,7 +141,7 @@
 func (h *Home) poolLocked(s *shard, service string, create bool) *pool {
 	p := s.pools[service]
 	if p == nil && create {
-		p = newPool(&h.o, service, rand.New(rand.NewPCG(h.o.Seed, xxhash.Sum64String(service))))
+		p = newPool(&h.o, &h.links, service, rand.New(rand.NewPCG(h.o.Seed, xxhash.Sum64String(service))))
 		s.pools[service] = p
 		s.order = append(s.order, p)
 	}
@@ -153,6 +160,7 @@
 			return p.cancel(now, from, &msg)
 		}, func() []coordination.Action { return unknownJob(from, msg.Key, msg.Attempt) })
 	case message.Report:
+		h.links.heard(from)
 		return h.in(msg.Key.Service, false, func(_ *shard, p *pool) []coordination.Action {
 			return p.report(now, from, &msg)
 		}, nil)
@@ -208,12 +216,14 @@
 // PeerDown says that the link to an agent broke. What was in flight may be
 // lost; the agent may come back. It is asked again soon.
 func (h *Home) PeerDown(now time.Time, id state.NodeID) []coordination.Action {
+	h.links.lost(now, id)
 	return h.each(func(p *pool) []coordination.Action { return p.peerDown(now, id) })
 }
 
 // PeerGone says that an agent was evicted. Tasks that it may have started are
 // lost, and so are their jobs.
 func (h *Home) PeerGone(now time.Time, id state.NodeID) []coordination.Action {
+	h.links.heard(id)
 	return h.each(func(p *pool) []coordination.Action { return p.peerGone(now, id) })
 }
 
--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -293,6 +294,68 @@
 	is.True(!b.h.Idle()) // a new attempt does run
 }
 
+// An agent dies, and with the log out of service nobody evicts it: its load
+// stays in the view and looks idle. The link to it is known to be broken, so it
+// gets no task, only a probe now and then, until it speaks.
+func TestAgentBehindABrokenLinkGetsNoTasks(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(100, 100), nil)
+	b.do(b.h.PeerDown(b.now, "a0"))
+	probes := 0
+	for i := range 20 {
+		b.submit(fmt.Sprint("j", i), 1, 0, "1")
+		to, assigns := take[message.Assign](b)
+		for k := range to {
+			is.True(to[k] == "a1" || len(assigns[k].Tasks) == 0)
+			if to[k] == "a0" {
+				probes++
+			}
+		}
+		b.pass(50 * time.Millisecond)
+	}
+	is.True(probes >= 2 && probes <= 4)
+	b.report("a0", message.Report{Key: state.JobKey{Service: "s", ID: "j0"}, Credit: 1})
+	for i := range 20 {
+		b.submit(fmt.Sprint("k", i), 1, 0, "1")
+	}
+	to, _ := take[message.Assign](b)
+	is.True(slices.Contains(to, "a0"))
+}
+
+// barring rules attempts out for jobs that it has no record of.
+type barring struct {
+	grantAll
+	holder state.NodeID
+}
+
+func (b barring) Handle(_ time.Time, from state.NodeID, msg message.Message) []coordination.Action {
+	m := msg.(message.Bar)
+	r := message.BarReply{Key: m.Key, Attempt: m.Attempt, Barred: b.holder == "", Reason: state.ReasonHomeLost, Holder: b.holder}
+	return []coordination.Action{coordination.Send{To: from, Msg: r}}
+}
+
+// A new submission reaches a home that is leaving. Its caller hears "not run"
+// only if the guard has ruled the attempt out: an earlier home may have run the
+// job, and "not run" would have the caller do it all again under another id.
+func TestDrainingHomeSaysNotRunOnlyWhenRuledOut(t *testing.T) {
+	is := is.New(t)
+	for holder, want := range map[state.NodeID]state.Outcome{"": state.NotRun, "earlier": state.Unknown} {
+		b := newBench(agents(8), func(o *Options) { o.Claims = barring{holder: holder} })
+		b.submit("running", 1, 0, "1")
+		to, assigns := take[message.Assign](b)
+		b.do(b.h.Drain(b.now))
+		b.submit("new", 1, 0, "1")
+		a := only(t, b)
+		is.Equal(a.Outcome, want)
+		is.Equal(a.Holder, holder)
+		b.submit("running", 1, 0, "2") // joins as before
+		b.succeed(to[0], assigns[0])
+		_, answers := take[message.Answer](b)
+		is.Equal(len(answers), 2)
+		is.True(b.h.Idle())
+	}
+}
+
 // An agent's report is lost. The home asks the same agent again, never another
 // one, because the tasks may be running there.
 func TestSilentAgentIsAskedAgain(t *testing.T) {
--- a/coordination/home/peer.go
+++ b/coordination/home/peer.go
@@ -18,7 +18,7 @@
 	if a == nil {
 		return nil
 	}
-	a.avoid(now.Add(retrySoon), state.ReasonBusy)
+	a.down = true
 	a.told = 0
 	for _, j := range p.jobsAt(id) {
 		j.contact(id).askAt = now.Add(reconnectPause)
@@ -27,6 +27,24 @@
 	return nil
 }
 
+// probeDown asks agents to which the link broke for a sign of life: it offers
+// them backlog, which they answer when they have room.
+func (p *pool) probeDown(now time.Time, j *job) []coordination.Action {
+	var out []coordination.Action
+	for _, a := range p.list {
+		if !a.probe {
+			continue
+		}
+		a.probe = false
+		a.told, a.toldAt = 1, now
+		j.stats.Messages++
+		j.asks++
+		p.o.Metrics.asked()
+		out = append(out, p.assign(now, j, a, nil, 1))
+	}
+	return out
+}
+
 // peerGone gives up on the agent. A task that it was given and has not refused
 // may have started there, and starting it elsewhere could run it twice, so its
 // job has failed.
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -15,6 +15,7 @@
 // Its shard's lock guards it.
 type pool struct {
 	o       *Options
+	links   *links
 	service string
 	rng     *rand.Rand
 	jobs    map[string]*job
@@ -35,9 +36,9 @@
 	override bool
 }
 
-func newPool(o *Options, service string, rng *rand.Rand) *pool {
+func newPool(o *Options, l *links, service string, rng *rand.Rand) *pool {
 	return &pool{
-		o: o, service: service, rng: rng,
+		o: o, links: l, service: service, rng: rng,
 		jobs:   make(map[string]*job),
 		agents: make(map[state.NodeID]*agent),
 	}
@@ -66,7 +67,8 @@
 	p.waiting.push(j)
 	p.backlog += len(j.backlog)
 	p.schedule(j, j.nextWake())
-	return p.dispatch(now)
+	probes := p.probeDown(now, j)
+	return append(probes, p.dispatch(now)...)
 }
 
 func (j *job) late(now time.Time) bool {
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -11,6 +11,9 @@
 // report takes an agent's word on tasks, and its load and offers beside it.
 func (p *pool) report(now time.Time, from state.NodeID, m *message.Report) []coordination.Action {
 	a := p.agents[from]
+	if a != nil {
+		a.down, a.probe = false, false
+	}
 	if a != nil && m.Load.ID == from {
 		a.learn(now, m.Load)
 		a.heardAt = now
--- a/coordination/home/submit.go
+++ b/coordination/home/submit.go
@@ -33,11 +33,7 @@
 		return p.again(now, from, m, j)
 	}
 	if draining {
-		p.o.Metrics.answered(state.NotRun, state.ReasonDraining)
-		return reply(from, message.Answer{
-			Key: m.Job.Key, Attempt: m.Attempt, Outcome: state.NotRun, Reason: state.ReasonDraining,
-			RetryAfter: retrySoon, Epoch: m.Epoch,
-		})
+		return p.turnAway(now, from, m)
 	}
 	j = newJob(now, from, m)
 	p.jobs[j.key.ID] = j
@@ -47,6 +43,38 @@
 	return out
 }
 
+// turnAway refuses a new submission because this home is leaving. That the job
+// is not known here doesn't make it "not run": an earlier home may have run it.
+// So the guard has to rule the attempt out first.
+func (p *pool) turnAway(now time.Time, from state.NodeID, m *message.Submit) []coordination.Action {
+	a := message.Answer{
+		Key: m.Job.Key, Attempt: m.Attempt, Outcome: state.Unknown, Reason: state.ReasonDraining,
+		RetryAfter: retrySoon, Epoch: m.Epoch,
+	}
+	var out []coordination.Action
+	if b, ok := p.o.Claims.(Barrer); ok {
+		for _, act := range b.Handle(now, p.o.Self, message.Bar{Key: m.Job.Key, Attempt: m.Attempt, Epoch: m.Epoch}) {
+			send, ok := act.(coordination.Send)
+			r, isReply := send.Msg.(message.BarReply)
+			if !ok || !isReply {
+				out = append(out, act)
+				continue
+			}
+			a.Epoch, a.Holder = r.Epoch, r.Holder
+			if r.Barred {
+				a.Outcome = state.NotRun
+			} else {
+				a.Reason = r.Reason
+			}
+		}
+	}
+	if a.Holder == p.o.Self {
+		a.Holder = ""
+	}
+	p.o.Metrics.answered(a.Outcome, a.Reason)
+	return append(out, reply(from, a)...)
+}
+
 // claimMessages counts what a claim costs: each ask has a reply.
 func claimMessages(actions []coordination.Action) int {
 	n := 0
