--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -54,6 +54,45 @@
 	Software string
 	// StopLimit bounds the planned stop of each part; zero means theirs.
 	StopLimit time.Duration
+	// Domains are the failure domains that the agents stand in, in turn; empty
+	// means the three of the example.
+	Domains []string
+	// Agents is how many agents there are; zero means one for each domain.
+	Agents int
+	// Slots is how many tasks each backend server runs at once; zero means 8.
+	Slots int
+	// Around, when set, is called with the start of each part, so that a
+	// measurement can label its goroutines. It calls start once.
+	Around func(part string, start func())
+}
+
+func (o *Options) setDefaults() {
+	if len(o.Domains) == 0 {
+		o.Domains = domains
+	}
+	if o.Agents <= 0 {
+		o.Agents = len(o.Domains)
+	}
+	if o.Slots <= 0 {
+		o.Slots = slots
+	}
+	if o.Around == nil {
+		o.Around = func(_ string, start func()) { start() }
+	}
+}
+
+// The parts that Options.Around is told of.
+const (
+	PartLog     = "log"
+	PartEntry   = "entry"
+	PartAgent   = "agent"
+	PartBackend = "backend"
+)
+
+// around starts a part and returns its error.
+func (o *Options) around(part string, start func() error) (err error) {
+	o.Around(part, func() { err = start() })
+	return err
 }
 
 // System is a whole system in one process.
@@ -75,6 +114,7 @@
 // Start brings the system up and applies the example declaration. It returns
 // when the entry is ready to take submissions.
 func Start(ctx context.Context, o Options) (*System, error) {
+	o.setDefaults()
 	s := &System{opts: o}
 	runCtx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
@@ -97,15 +137,29 @@
 }
 
 func (s *System) start(ctx context.Context) error {
-	if err := s.startLog(); err != nil {
+	if err := s.opts.around(PartLog, s.startLog); err != nil {
 		return err
 	}
-	for _, domain := range domains {
-		if err := s.startAgent(ctx, domain); err != nil {
+	for i := range s.opts.Agents {
+		domain := s.opts.Domains[i%len(s.opts.Domains)]
+		if err := s.startWorker(ctx, domain); err != nil {
 			return errors.Wrapf(err, "agent in %s", domain)
 		}
 	}
-	return s.startEntry(ctx)
+	return s.opts.around(PartEntry, func() error { return s.startEntry(ctx) })
+}
+
+// startWorker starts an agent and a stand-in backend server beside it.
+func (s *System) startWorker(ctx context.Context, domain string) error {
+	web, err := loopback()
+	if err != nil {
+		return err
+	}
+	err = s.opts.around(PartAgent, func() error { return s.startAgent(ctx, domain, web) })
+	if err != nil {
+		return err
+	}
+	return s.opts.around(PartBackend, func() error { return s.startBackend(ctx, web.Addr().String()) })
 }
 
 func (s *System) startLog() error {
@@ -124,15 +178,11 @@
 	return l, errors.Wrap(err, "listen on loopback")
 }
 
-func (s *System) startAgent(ctx context.Context, domain string) error {
+func (s *System) startAgent(ctx context.Context, domain string, web net.Listener) error {
 	peers, err := loopback()
 	if err != nil {
 		return err
 	}
-	web, err := loopback()
-	if err != nil {
-		return err
-	}
 	self := state.Member{
 		ID:     incarnation("agent-" + domain),
 		Addr:   peers.Addr().String(),
@@ -153,13 +203,17 @@
 	}
 	s.agents = append(s.agents, a)
 	s.agentsDone.Go(func() { _ = a.Run(ctx) })
+	return nil
+}
+
+func (s *System) startBackend(ctx context.Context, agentAddr string) error {
 	b := backendserver.New(backendserver.Options{
 		Services:    services(),
-		Slots:       slots,
+		Slots:       s.opts.Slots,
 		Connections: connections,
 		Cores:       cores,
 		MemoryMB:    memoryMB,
-		AgentURL:    "http://" + web.Addr().String(),
+		AgentURL:    "http://" + agentAddr,
 	})
 	if err := b.Start(ctx); err != nil {
 		return err
@@ -187,7 +241,7 @@
 }
 
 func (s *System) startEntry(ctx context.Context) error {
-	self := state.Member{ID: incarnation("entry"), Region: region, Domain: domains[0], Rack: rack}
+	self := state.Member{ID: incarnation("entry"), Region: region, Domain: s.opts.Domains[0], Rack: rack}
 	e, err := entry.New(entry.Options{
 		Node:      node.EntryOptions{Self: self},
 		HTTP:      s.opts.HTTP,
@@ -219,7 +273,7 @@
 			applied = s.apply(ctx, c)
 		}
 		doc, f := c.Status(ctx)
-		if f == nil && applied && len(doc.Roster) == len(domains) && len(doc.Agents) == len(domains) && doc.Ready {
+		if f == nil && applied && len(doc.Roster) == s.opts.Agents && len(doc.Agents) == s.opts.Agents && doc.Ready {
 			return nil
 		}
 		select {
--- a/transport/loadgen/plan.go
+++ b/transport/loadgen/plan.go
@@ -42,8 +42,10 @@
 	}
 }
 
+func jobID(run string, n int) string { return run + "-" + strconv.Itoa(n) }
+
 func (c *Config) drawJob(rng *rand.Rand, n int, at time.Duration) planned {
-	j := planned{id: c.Run + "-" + strconv.Itoa(n), at: at}
+	j := planned{id: jobID(c.Run, n), at: at}
 	for range c.Sizes.draw(rng) {
 		kind, run := c.Mix.draw(rng)
 		j.tasks = append(j.tasks, plannedTask{kind, run})
--- a/transport/loadgen/report.go
+++ b/transport/loadgen/report.go
@@ -125,3 +125,6 @@
 	}
 	return row
 }
+
+// JobID returns the id of the job that Rows[i] is about.
+func (r *Report) JobID(i int) string { return jobID(r.Config.Run, i) }
