--- a/bench/system/system.go
+++ b/bench/system/system.go
@@ -89,16 +89,16 @@
 // checks passed.
 func (sys *system) runLoad(ctx context.Context, s *settings, load int) (bool, error) {
 	c := loadgen.Config{
-		Service:        service,
-		TasksPerSecond: float64(load*s.agents*s.slots) / percent / s.mix.Mean().Seconds(),
-		Sizes:          s.sizes,
-		Mix:            s.mix,
-		Length:         loadgen.Duration(s.length),
-		Patience:       loadgen.Duration(loadgen.DefaultPatience),
-		Seed:           s.seed,
-		Resubmit:       s.resubmit,
-		Cancel:         s.cancel,
-		Run:            "system-" + xid.New().String(),
+		Service:  service,
+		Load:     float64(load) / percent,
+		Sizes:    s.sizes,
+		Mix:      s.mix,
+		Length:   loadgen.Duration(s.length),
+		Patience: loadgen.Duration(loadgen.DefaultPatience),
+		Seed:     s.seed,
+		Resubmit: s.resubmit,
+		Cancel:   s.cancel,
+		Run:      "system-" + xid.New().String(),
 	}
 	name := strconv.Itoa(load)
 	var r *loadgen.Report
--- a/transport/cli/load.go
+++ b/transport/cli/load.go
@@ -18,6 +18,7 @@
 	patience time.Duration
 	deadline time.Duration
 	work     time.Duration
+	load     float64
 	sizes    string
 	mix      string
 	report   string
@@ -34,6 +35,7 @@
 	f.StringVar(&v.service, "service", "", "the `name` of the service; empty is the one that the mix is for")
 	f.Float64Var(&o.config.TasksPerSecond, "rate", 0, "tasks per `second`, on average")
 	f.Float64Var(&o.config.JobsPerSecond, "jobs-per-second", 0, "jobs per `second`, on average, instead of -rate")
+	f.Float64Var(&o.load, "load", 0, "work per second in `percent` of all slots, instead of -rate")
 	f.StringVar(&o.sizes, "tasks-per-job", loadgen.DefaultTasks, "`N`, N-M, a list such as 1=0.6,2-10=0.4, or mix")
 	f.DurationVar(&o.length, "for", loadgen.DefaultLength, "how long jobs arrive, at most 5m")
 	f.DurationVar(&o.patience, "patience", loadgen.DefaultPatience, "how long to wait for answers after that")
@@ -96,6 +98,8 @@
 		c.Service = c.Mix.Service
 	}
 	c.Run = "load-" + xid.New().String()
+	const percent = 100
+	c.Load = o.load / percent
 	c.Length = loadgen.Duration(o.length)
 	c.Patience = loadgen.Duration(o.patience)
 	c.Deadline = loadgen.Duration(o.deadline)
--- a/transport/loadgen/compare.go
+++ b/transport/loadgen/compare.go
@@ -70,6 +70,7 @@
 	note("mix", b.Mix.text(), a.Mix.text())
 	note("tasks per job", b.Sizes.text, a.Sizes.text)
 	note("job rate", b.jobRate(), a.jobRate())
+	note("load", b.Load, a.Load)
 	note("length", b.Length.D(), a.Length.D())
 	note("deadline", b.Deadline.D(), a.Deadline.D())
 	note("seed", b.Seed, a.Seed)
--- a/transport/loadgen/config.go
+++ b/transport/loadgen/config.go
@@ -8,6 +8,7 @@
 package loadgen
 
 import (
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,13 +31,19 @@
 // maxJobs bounds the memory of a plan.
 const maxJobs = 1_000_000
 
+// maxLoad bounds Load, far beyond where anything is served in time.
+const maxLoad = 10
+
 // Config says what load to put on the entries.
 type Config struct {
 	Service string `json:"service"`
-	// TasksPerSecond or JobsPerSecond is the mean rate of arrivals. One of
-	// them is set.
+	// TasksPerSecond or JobsPerSecond is the mean rate of arrivals; Load is the
+	// work that arrives, as a share of what all slots do in Length. One of the
+	// three is set. The rates are means of a random number of jobs, Load is met
+	// to one job.
 	TasksPerSecond float64 `json:"tasks_per_second,omitempty"`
 	JobsPerSecond  float64 `json:"jobs_per_second,omitempty"`
+	Load           float64 `json:"load_share,omitempty"`
 	// Sizes draws the number of tasks of a job, Mix what a task does.
 	Sizes Sizes `json:"tasks_per_job"`
 	Mix   Mix   `json:"mix"`
@@ -64,10 +71,12 @@
 		return errors.New("no service is named")
 	case c.Run == "" || len(c.Run) > state.MaxIDLength/2:
 		return errors.New("the run's name is empty or too long")
-	case (c.TasksPerSecond > 0) == (c.JobsPerSecond > 0):
-		return errors.New("either tasks or jobs per second must be above zero")
-	case c.TasksPerSecond < 0 || c.JobsPerSecond < 0:
-		return errors.New("a rate is below zero")
+	case !c.oneRate():
+		return errors.New("one of tasks per second, jobs per second and load must be above zero, and the others not given")
+	case c.Load > maxLoad:
+		return errors.Errorf("the load is above %d times all slots", maxLoad)
+	case c.Load > 0 && c.Mix.Mean() <= 0:
+		return errors.New("a load needs tasks that take time")
 	case c.Length.D() <= 0 || c.Length.D() > MaxLength:
 		return errors.Errorf("the length must be above zero and at most %v", MaxLength)
 	case c.Patience.D() < 0:
@@ -84,7 +93,20 @@
 	return nil
 }
 
-// jobRate returns the mean number of jobs per second.
+func (c *Config) oneRate() bool {
+	set := 0
+	for _, v := range []float64{c.TasksPerSecond, c.JobsPerSecond, c.Load} {
+		if v < 0 || math.IsNaN(v) {
+			return false
+		}
+		if v > 0 {
+			set++
+		}
+	}
+	return set == 1
+}
+
+// jobRate returns the mean number of jobs per second where a rate is given.
 func (c *Config) jobRate() float64 {
 	if c.JobsPerSecond > 0 {
 		return c.JobsPerSecond
--- a/transport/loadgen/plan.go
+++ b/transport/loadgen/plan.go
@@ -1,8 +1,10 @@
 package loadgen
 
 import (
+	"cmp"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,9 +30,13 @@
 	run  time.Duration
 }
 
-// newPlan draws the jobs of a run. Arrivals are a Poisson process.
-func newPlan(c *Config) []planned {
+// newPlan draws the jobs of a run on a system with so many slots. Arrivals are
+// a Poisson process; with Load one whose work is what it happened to be.
+func newPlan(c *Config, slots int) []planned {
 	rng := rand.New(rand.NewPCG(c.Seed, 0))
+	if c.Load > 0 {
+		return c.planLoad(rng, slots)
+	}
 	rate := c.jobRate()
 	var jobs []planned
 	for at := time.Duration(0); ; {
@@ -42,6 +48,23 @@
 	}
 }
 
+// planLoad draws jobs until their work is the load, due at independent times:
+// that is a Poisson process of which the number of arrivals is known.
+func (c *Config) planLoad(rng *rand.Rand, slots int) []planned {
+	left := time.Duration(c.Load * float64(slots) * float64(c.Length.D()))
+	var jobs []planned
+	for left > 0 && len(jobs) < maxJobs {
+		at := time.Duration(rng.Int64N(int64(c.Length.D())))
+		jobs = append(jobs, c.drawJob(rng, len(jobs), at))
+		left -= jobs[len(jobs)-1].work()
+	}
+	slices.SortStableFunc(jobs, func(a, b planned) int { return cmp.Compare(a.at, b.at) })
+	for i := range jobs {
+		jobs[i].id = jobID(c.Run, i)
+	}
+	return jobs
+}
+
 func jobID(run string, n int) string { return run + "-" + strconv.Itoa(n) }
 
 func (c *Config) drawJob(rng *rand.Rand, n int, at time.Duration) planned {
--- a/transport/loadgen/plan_test.go
+++ b/transport/loadgen/plan_test.go
@@ -51,7 +51,7 @@
 		c.Sizes, err = ParseSizes(DefaultTasks)
 		is.NoErr(err)
 		is.NoErr(c.Check())
-		plan := newPlan(&c)
+		plan := newPlan(&c, 88)
 		var tasks, long, again, cancel int
 		var work time.Duration
 		for i := range plan {
@@ -77,9 +77,34 @@
 		close(float64(again)/float64(len(plan)), 0.2)
 		close(float64(cancel)/float64(len(plan)), 0.1)
 		is.True(long > 0 && long < tasks/50) // a few
-		is.Equal(len(newPlan(&c)), len(plan))
+		is.Equal(len(newPlan(&c, 88)), len(plan))
 		c.Seed++
-		is.True(len(newPlan(&c)) != len(plan))
+		is.True(len(newPlan(&c, 88)) != len(plan))
+	}
+}
+
+// A load in shares of the slots must be what arrives, whatever the lots give:
+// a run that is called 95 % and offers 89 % flatters the system.
+func TestLoadIsMet(t *testing.T) {
+	is := is.New(t)
+	const slots = 88
+	for seed := range uint64(20) {
+		c := testConfig(t)
+		c.JobsPerSecond, c.Load, c.Seed = 0, 0.95, seed
+		is.NoErr(c.Check())
+		var work, last time.Duration
+		ids := make(map[string]bool)
+		for _, j := range newPlan(&c, slots) {
+			work += j.work()
+			ids[j.id] = true
+			is.True(j.at >= last && j.at < c.Length.D())
+			last = j.at
+			for i := range j.tasks {
+				is.True(strings.HasPrefix(j.echo(i), j.id+"/"))
+			}
+		}
+		is.True(math.Abs(work.Seconds()/(slots*c.Length.D().Seconds())-0.95) < 0.01)
+		is.True(ids[jobID(c.Run, 0)] && ids[jobID(c.Run, len(ids)-1)])
 	}
 }
 
@@ -95,6 +120,9 @@
 		func(c *Config) { c.Service = "" },
 		func(c *Config) { c.TasksPerSecond = 1 },
 		func(c *Config) { c.JobsPerSecond = 0 },
+		func(c *Config) { c.Load = 0.5 },
+		func(c *Config) { c.JobsPerSecond, c.Load = 0, maxLoad+1 },
+		func(c *Config) { c.JobsPerSecond = math.NaN() },
 		func(c *Config) { c.Length = Duration(MaxLength + 1) },
 		func(c *Config) { c.Resubmit, c.Cancel = 0.6, 0.6 },
 		func(c *Config) { c.JobsPerSecond = 1e9 },
--- a/transport/loadgen/run.go
+++ b/transport/loadgen/run.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	jobs := newPlan(&c)
+	jobs := newPlan(&c, size.slots)
 	ctx, cancel := context.WithTimeout(ctx, c.Length.D()+c.Patience.D())
 	defer cancel()
 	records := make([]record, len(jobs))
