--- /dev/null
+++ b/docs/links_test.go
@@ -0,0 +1,131 @@
+package docs_test
+
+import (
+	"os"
+	"path"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const root = ".."
+
+// pages are the documents that are checked, as paths from the root.
+func pages(t *testing.T) []string {
+	t.Helper()
+	var out []string
+	for _, pattern := range []string{"*.md", "docs/*.md"} {
+		found, err := filepath.Glob(filepath.Join(root, pattern))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range found {
+			name, err := filepath.Rel(root, f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			out = append(out, filepath.ToSlash(name))
+		}
+	}
+	return out
+}
+
+// page is a document without its code blocks, whose brackets are no links.
+func page(t *testing.T, name string) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(root, name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return codeBlock.ReplaceAllString(string(text), "")
+}
+
+var (
+	codeBlock = regexp.MustCompile("(?ms)^```.*?^```$")
+	link      = regexp.MustCompile(`\]\(([^)\s]+)\)`)
+	heading   = regexp.MustCompile(`(?m)^#+ (.+)$`)
+	code      = regexp.MustCompile("`([^`\n]+)`")
+	// repositoryPath is one word that begins with a directory of the repository,
+	// or a file at its root.
+	repositoryPath = regexp.MustCompile(`^(?:\./)?((?:\.ci|bench|cmd|coordination|daemon|docs|examples|internal|protocol|standin|state|tools|transport)(?:/[\w.@-]+)*|[\w-]+\.(?:md|mod|sum|txt))$`)
+	notInAnchor    = regexp.MustCompile(`[^a-z0-9 _-]`)
+)
+
+// absent are files that a page names though they may be missing.
+var absent = map[string]string{
+	"KNOWN-RED.txt": "stands there only while a test is red",
+}
+
+// anchors are the ids that a reader of Markdown gives to a page's headings.
+func anchors(text string) map[string]bool {
+	out := make(map[string]bool)
+	for _, h := range heading.FindAllStringSubmatch(text, -1) {
+		id := notInAnchor.ReplaceAllString(strings.ToLower(h[1]), "")
+		out[strings.ReplaceAll(id, " ", "-")] = true
+	}
+	return out
+}
+
+func TestEveryRelativeLinkLeadsSomewhere(t *testing.T) {
+	// A reader follows a link, above all the person on call at night, and finds
+	// nothing: the file was moved or a heading was reworded after the link was
+	// written, and nothing else notices.
+	is := is.New(t)
+	checked := 0
+	for _, name := range pages(t) {
+		for _, l := range link.FindAllStringSubmatch(page(t, name), -1) {
+			if strings.Contains(l[1], "://") || strings.HasPrefix(l[1], "mailto:") {
+				continue
+			}
+			checked++
+			file, anchor, _ := strings.Cut(l[1], "#")
+			target := name
+			if file != "" {
+				target = path.Join(path.Dir(name), file)
+			}
+			if _, err := os.Stat(filepath.Join(root, target)); err != nil {
+				t.Errorf("%s links to %s, which is not there", name, l[1])
+				continue
+			}
+			if anchor != "" && !anchors(page(t, target))[anchor] {
+				t.Errorf("%s links to %s, which has no such heading", name, l[1])
+			}
+		}
+	}
+	is.True(checked > 0) // the pattern still finds links
+}
+
+func TestEveryNamedPathIsThere(t *testing.T) {
+	// A newcomer looks for the file that a page names. A package that was renamed
+	// leaves the old name in the text, and the reader doubts all the rest.
+	is := is.New(t)
+	checked := 0
+	for _, name := range pages(t) {
+		for _, c := range code.FindAllStringSubmatch(page(t, name), -1) {
+			for _, word := range strings.Fields(c[1]) {
+				m := repositoryPath.FindStringSubmatch(strings.TrimSuffix(word, "/..."))
+				if m == nil || absent[m[1]] != "" {
+					continue
+				}
+				checked++
+				if !there(name, m[1]) {
+					t.Errorf("%s names %s, which is not there", name, m[1])
+				}
+			}
+		}
+	}
+	is.True(checked > 0) // the pattern still finds paths
+}
+
+// there looks for a path from the root, or beside the page that names it.
+func there(page, name string) bool {
+	for _, p := range []string{name, path.Join(path.Dir(page), name)} {
+		if _, err := os.Stat(filepath.Join(root, p)); err == nil {
+			return true
+		}
+	}
+	return false
+}
