Offer slots fairly, shed hopeless jobs, learn sizes without fading

Fairness: an operator that floods many homes got most of an agent's offers, because homes took turns. Shares are equal; weights are not there yet.

Shedding: a job that by the measured pace can't end by its deadline is refused at once.

Sizes: a learned maximum that fades sinks below sizes that come again.

--- a/bench/placement/main.go
+++ b/bench/placement/main.go
@@ -19,10 +19,11 @@
 	var (
 		agents    = flag.Int("agents", 11, "number of agents, with 8 slots each")
 		loads     = flag.String("loads", "30,60,80,95", "loads in percent of all slots")
-		scenarios = flag.String("scenarios", "plain", "plain, burst, wrong, straggler, broken")
+		scenarios = flag.String("scenarios", "plain", "plain, burst, hog, wrong, straggler, broken")
 		length    = flag.Duration("length", 2*time.Minute, "simulated time in which jobs arrive")
 		seed      = flag.Uint64("seed", 1, "seed of the workload and of all lots drawn")
 		stale     = flag.Duration("stale", time.Second, "how often loads are spread among agents")
+		deadline  = flag.Duration("deadline", time.Minute, "how long callers wait")
 		subset    = flag.Int("subset", 32, "how many agents a home places tasks on")
 		queue     = flag.Int("queue", 2, "tasks that may wait at an agent")
 		ask       = flag.Int("ask", home.DefaultAsk, "agents told of a backlog at once")
@@ -39,7 +40,7 @@
 			}
 			c := &config{
 				agents: *agents, load: float64(percent) / 100, length: *length, seed: *seed,
-				scenario: scenario, stale: *stale, subset: *subset,
+				scenario: scenario, stale: *stale, deadline: *deadline, subset: *subset,
 			}
 			c.home.Ask = *ask
 			c.home.AskPer = *askPer
--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -93,33 +93,36 @@
 	draining bool
 	seq      uint64
 
-	jobs      map[state.JobKey]*job
-	queue     fairQueue
-	running   map[state.TaskKey]*entry
-	used      resources
-	outbox    map[state.NodeID]*outbox
-	outOrder  []state.NodeID
-	sentAt    map[state.NodeID]time.Time
-	interests interests
-	credits   []credit
-	learned   map[string]*learned
-	detector  detector
-	starts    []coordination.Action
-	kept      keptResults
-	sweepAt   time.Time
+	jobs    map[state.JobKey]*job
+	queue   fairQueue
+	running map[state.TaskKey]*entry
+	// byOperator counts running tasks.
+	byOperator map[string]int
+	used       resources
+	outbox     map[state.NodeID]*outbox
+	outOrder   []state.NodeID
+	sentAt     map[state.NodeID]time.Time
+	interests  interests
+	credits    []credit
+	learned    map[string]*learned
+	detector   detector
+	starts     []coordination.Action
+	kept       keptResults
+	sweepAt    time.Time
 }
 
 // New returns a machine that has no backend server yet and refuses everything.
 func New(o Options) *Machine {
 	o.setDefaults()
 	return &Machine{
-		o:       o,
-		jobs:    make(map[state.JobKey]*job),
-		running: make(map[state.TaskKey]*entry),
-		outbox:  make(map[state.NodeID]*outbox),
-		sentAt:  make(map[state.NodeID]time.Time),
-		learned: make(map[string]*learned),
-		kept:    keptResults{limit: o.ResultBytes},
+		o:          o,
+		jobs:       make(map[state.JobKey]*job),
+		running:    make(map[state.TaskKey]*entry),
+		byOperator: make(map[string]int),
+		outbox:     make(map[state.NodeID]*outbox),
+		sentAt:     make(map[state.NodeID]time.Time),
+		learned:    make(map[string]*learned),
+		kept:       keptResults{limit: o.ResultBytes},
 	}
 }
 
--- a/coordination/admit/credit.go
+++ b/coordination/admit/credit.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/message"
@@ -23,10 +24,11 @@
 
 // credit is a slot kept for a home that was offered it.
 type credit struct {
-	home  state.NodeID
-	key   state.JobKey
-	count int
-	until time.Time
+	home     state.NodeID
+	operator string
+	key      state.JobKey
+	count    int
+	until    time.Time
 }
 
 func (in *interests) clear() { in.list = nil }
@@ -82,12 +84,13 @@
 	})
 }
 
-// offerLocked offers free slots to homes with a backlog, one each in turn. The
-// offer travels with a result to the same home if there is one.
+// offerLocked offers free slots to homes with a backlog. The offer travels with
+// a result to the same home if there is one.
 func (m *Machine) offerLocked(now time.Time) {
 	for m.freeLocked() > 0 && len(m.interests.list) > 0 && m.detector.admits(now, len(m.running)) {
-		in := m.interests.list[0]
-		m.interests.removeAt(0)
+		i := m.nextInterestLocked()
+		in := m.interests.list[i]
+		m.interests.removeAt(i)
 		if now.After(in.until) {
 			continue
 		}
@@ -98,8 +101,32 @@
 		box := m.outboxLocked(in.home)
 		box.report(in.key).Credit++
 		box.urgent = true
-		m.credits = append(m.credits, credit{in.home, in.key, 1, now.Add(m.o.CreditTTL)})
+		m.credits = append(m.credits, credit{in.home, in.operator, in.key, 1, now.Add(m.o.CreditTTL)})
+	}
+}
+
+// nextInterestLocked picks the home to serve next: of the operator that has the
+// least here, the one that waits longest. Taking homes in turn would give most
+// to an operator that floods many homes with jobs.
+func (m *Machine) nextInterestLocked() int {
+	best, least := 0, math.MaxInt
+	for i := range m.interests.list {
+		if n := m.holdingLocked(m.interests.list[i].operator); n < least {
+			best, least = i, n
+		}
 	}
+	return best
+}
+
+// holdingLocked counts the slots that an operator's tasks have or are promised.
+func (m *Machine) holdingLocked(operator string) int {
+	n := m.byOperator[operator]
+	for _, c := range m.credits {
+		if c.operator == operator {
+			n += c.count
+		}
+	}
+	return n
 }
 
 // useCreditLocked gives back what was kept for the sender of n tasks.
--- a/coordination/admit/learn.go
+++ b/coordination/admit/learn.go
@@ -16,29 +16,36 @@
 	cores  excess
 }
 
-// excess follows the upper end of what is seen, over what was declared and by
-// itself.
+// excess is the largest seen of late, over what was declared and by itself.
 type excess struct {
-	ratio    float64
-	absolute float64
+	ratio    peak
+	absolute peak
 }
 
-// decay is how fast an excess that is no longer seen is forgotten, per usage
-// line. It rises at once: too high costs a slot for a while, too low the worker.
-const decay = 0.002
+// peak is the largest value of the present and the last period. A value that
+// fades instead would sink below sizes that come again, and each time the worker
+// would be given a little more than it holds.
+type peak struct {
+	present, last float64
+	turned        time.Time
+}
 
-func (x *excess) observe(declared, seen float64) {
-	if declared > 0 {
-		x.ratio = follow(x.ratio, seen/declared)
+const peakPeriod = 5 * time.Minute
+
+func (p *peak) see(now time.Time, v float64) {
+	if now.Sub(p.turned) >= peakPeriod {
+		p.last, p.present, p.turned = p.present, 0, now
 	}
-	x.absolute = follow(x.absolute, seen)
+	p.present = math.Max(p.present, v)
 }
 
-func follow(old, seen float64) float64 {
-	if seen >= old {
-		return seen
+func (p *peak) value() float64 { return math.Max(p.present, p.last) }
+
+func (x *excess) observe(now time.Time, declared, seen float64) {
+	if declared > 0 {
+		x.ratio.see(now, seen/declared)
 	}
-	return old + decay*(seen-old)
+	x.absolute.see(now, seen)
 }
 
 // apply returns the worse of the declared and the learned size. The learned one
@@ -46,9 +53,9 @@
 // some declarations are too low, scaling the right ones too would leave most of
 // the worker idle.
 func (x *excess) apply(declared float64) float64 {
-	learned := x.absolute
+	learned := x.absolute.value()
 	if declared > 0 {
-		learned = math.Min(learned, declared*x.ratio)
+		learned = math.Min(learned, declared*x.ratio.value())
 	}
 	return math.Max(declared, learned)
 }
@@ -82,12 +89,12 @@
 	defer m.mu.Unlock()
 	m.sawLocked(now)
 	for i := range report {
-		m.usageLocked(&report[i])
+		m.usageLocked(now, &report[i])
 	}
 	return m.turnLocked(now)
 }
 
-func (m *Machine) usageLocked(u *state.Usage) {
+func (m *Machine) usageLocked(now time.Time, u *state.Usage) {
 	// Reports lag: most short tasks have ended when theirs comes.
 	j := m.jobs[u.Task.Job]
 	if j == nil || j.entries[u.Task.Index] == nil {
@@ -100,8 +107,8 @@
 		l = &learned{}
 		m.learned[service] = l
 	}
-	l.memory.observe(float64(e.declared.memoryMB), float64(u.MemoryMB))
-	l.cores.observe(e.declared.cores, u.Cores)
+	l.memory.observe(now, float64(e.declared.memoryMB), float64(u.MemoryMB))
+	l.cores.observe(now, e.declared.cores, u.Cores)
 	if e.phase != running {
 		return
 	}
--- a/coordination/admit/start.go
+++ b/coordination/admit/start.go
@@ -103,6 +103,8 @@
 	e.reserved = m.needLocked(e)
 	m.used.add(e.reserved)
 	m.running[e.key] = e
+	e.operator = e.job.operator
+	m.byOperator[e.operator]++
 	start := coordination.StartTask{Task: e.key, Spec: e.spec}
 	if !e.deadline.IsZero() {
 		start.Deadline = e.deadline.Sub(now)
@@ -114,6 +116,9 @@
 
 func (m *Machine) releaseLocked(e *entry) {
 	delete(m.running, e.key)
+	if m.byOperator[e.operator]--; m.byOperator[e.operator] == 0 {
+		delete(m.byOperator, e.operator)
+	}
 	m.used.sub(e.reserved)
 	e.reserved = resources{}
 	m.seq++
--- a/coordination/admit/tasks.go
+++ b/coordination/admit/tasks.go
@@ -32,6 +32,7 @@
 	deadline time.Time // zero means none
 	queuedAt time.Time
 	declared resources
+	operator string // who runs it, set when it starts
 	reserved resources
 	started  time.Time
 	// dropped: the home has no use for the result.
--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -322,6 +322,30 @@
 	is.True(slices.Contains(to, "a0"))
 }
 
+// A backlog of a hundred tasks drains at two a second when a job with ten
+// seconds to wait arrives. It is told at once that this can't be done and when
+// to come back, and nothing of it starts; one with a minute to wait may wait.
+func TestHopelessJobIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(1), nil)
+	b.submit("flood", 100, 0, "1")
+	to, assigns := take[message.Assign](b)
+	for range 6 {
+		b.pass(500 * time.Millisecond)
+		b.succeed(to[0], withTasks(assigns)[0])
+		b.report("a0", message.Report{Key: assigns[0].Key, Credit: 1})
+		_, assigns = take[message.Assign](b)
+	}
+	b.submit("hopeless", 1, 10*time.Second, "1")
+	a := only(t, b)
+	is.Equal(a.Outcome, state.NotRun)
+	is.Equal(a.Reason, state.ReasonDeadlineUnreachable)
+	is.True(a.RetryAfter > 5*time.Second)
+	b.submit("patient", 1, 2*time.Minute, "1")
+	_, answers := take[message.Answer](b)
+	is.Equal(len(answers), 0)
+}
+
 // barring rules attempts out for jobs that it has no record of.
 type barring struct {
 	grantAll
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -32,7 +32,10 @@
 	list      []*agent // in the view's order
 	eligible  []*agent // scratch space of choose
 	// longest follows the longest run times seen of late.
-	longest  time.Duration
+	longest time.Duration
+	// typical is the smoothed run time.
+	typical  time.Duration
+	pace     pace
 	override bool
 }
 
@@ -64,6 +67,9 @@
 	} else if !p.runnable(j) {
 		return p.stop(now, j, state.ReasonNeverRunnable, 0)
 	}
+	if wait := p.expectedWait(now, j); j.unreachable(now, wait) {
+		return p.stop(now, j, state.ReasonDeadlineUnreachable, retryWhenDrained(wait))
+	}
 	p.waiting.push(j)
 	p.backlog += len(j.backlog)
 	p.schedule(j, j.nextWake())
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -24,6 +24,7 @@
 	if j != nil && (j.phase == running || j.phase == settling) {
 		j.stats.Messages++
 		useful = p.takeResults(j, from, m)
+		p.pace.add(now, len(m.Results), p.backlog > 0)
 		p.takeRefused(now, j, from, a, m)
 		p.takeRunning(now, j, from, m)
 		out = p.advance(now, j)
@@ -75,12 +76,14 @@
 	return first
 }
 
-// runDecay is the part by which the longest run is forgotten per result.
+// runDecay is the part by which the run times seen before count less with each
+// result.
 const runDecay = 200
 
 func (p *pool) sawRun(ran time.Duration) {
 	p.longest -= p.longest / runDecay
 	p.longest = max(p.longest, ran)
+	p.typical += (ran - p.typical) / runDecay
 }
 
 // takeRefused moves refused tasks back into the backlog. A refusal counts for
