Ask the witness before refusing a submission that is not let in

Cause: an entry that was over quota, overloaded or leaving said 'not run' of ids that were running through another entry. TestRefusalOfARunningJobJoinsIt failed: the resubmission was told not_run while 40 tasks of its job ran. Ruled out: asking the home with a Query (it knows its jobs but not an earlier home's claims); remembering ids at the entry (another entry took the first one). Change: such a refusal first has the witness look the id up (Bar with Unsent, which leaves nothing behind at the witness). With no record it is refused as before, one round trip later; otherwise the submission joins its job. Cost: two messages for each refusal, counted as wasted.

--- a/coordination/guard/bar.go
+++ b/coordination/guard/bar.go
@@ -46,7 +46,9 @@
 		reply.Reason = state.ReasonStaleEpoch
 		return reply
 	}
-	g.barNowLocked(s, index, now, m, acts)
+	if !m.Unsent {
+		g.barNowLocked(s, index, now, m, acts)
+	}
 	reply.Barred = true
 	reply.Reason = state.ReasonBarred
 	return reply
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -82,6 +82,9 @@
 	Key     state.JobKey
 	Attempt Attempt
 	Epoch   state.Epoch
+	// Unsent says that the attempt was sent to nobody and never will be. Then
+	// only the record of the id matters, and nothing has to be remembered.
+	Unsent bool
 }
 
 // BarReply answers a Bar. Barred means that the attempt was never granted and
@@ -268,8 +271,8 @@
 // LoadItem is one agent's load and how long ago its originator said it.
 type LoadItem struct {
 	Load state.AgentLoad
-	// Beat counts how often the originator has said the same Load.Seq again. A
-	// higher Beat of one Seq is newer news that the originator lives.
+	// Beat counts the rounds of news since the originator started. A higher Beat
+	// of one Load.Seq is newer news that the originator lives.
 	Beat uint32
 	Age  time.Duration
 }
@@ -294,6 +297,21 @@
 	File     []byte
 }
 
+// Stop asks an agent to begin its planned stop. Entry to agent. Sending it again
+// is safe: an agent stops once.
+type Stop struct {
+	// Ticket is the entry's, and names the request in the reply.
+	Ticket uint64
+}
+
+// StopReply answers a Stop. Agent to entry.
+type StopReply struct {
+	Ticket uint64
+	// Draining says that the agent's planned stop has begun, whoever asked for
+	// it. It never ends but with the process.
+	Draining bool
+}
+
 func (Submit) message()           {}
 func (Answer) message()           {}
 func (Cancel) message()           {}
@@ -312,3 +330,5 @@
 func (LoadNews) message()         {}
 func (DeclarationAsk) message()   {}
 func (DeclarationReply) message() {}
+func (Stop) message()             {}
+func (StopReply) message()        {}
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -56,6 +56,27 @@
 	is.Equal(len(w.starts), 40)
 }
 
+// A job runs when its caller submits it again through an entry that lets nothing
+// in any more. Saying "not run" there would be false, so the entry asks the
+// witness before it refuses: the resubmission joins, and only an id that nobody
+// knows is refused as not run.
+func TestRefusalOfARunningJobJoinsIt(t *testing.T) {
+	is := is.New(t)
+	w, entries, _ := settled(t, 6)
+	first := w.submit(entries[0], "intake", 40, 20*time.Second)
+	w.run(150 * time.Millisecond)
+	w.execute(entries[1], entries[1].node.(*Entry).Drain(w.now))
+	again := w.submit(entries[1], "intake", 40, 20*time.Second)
+	fresh := w.submit(entries[1], "other", 3, 20*time.Second)
+	w.run(10 * time.Second)
+	w.check()
+	is.Equal(w.tickets[first].answer.Outcome, state.Complete)
+	is.Equal(w.tickets[again].answer.Outcome, state.Complete)
+	is.Equal(w.tickets[fresh].answer.Outcome, state.NotRun)
+	is.Equal(w.tickets[fresh].answer.Reason, state.ReasonDraining)
+	is.Equal(len(w.starts), 40)
+}
+
 // The home dies while its job runs. The caller is told that the job may have
 // run, and a resubmission after the eviction is told the same: the witness has
 // the claim, so nothing is started again.
--- a/coordination/route/bar.go
+++ b/coordination/route/bar.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		r.stats.add(&r.stats.bars)
-		r.sendExtra(f, a.witness, message.Bar{Key: f.key, Attempt: a.id, Epoch: a.epoch})
+		r.sendExtra(f, a.witness, message.Bar{Key: f.key, Attempt: a.id, Epoch: a.epoch, Unsent: a.unsent})
 	}
 }
 
@@ -108,6 +108,10 @@
 	if f.phase != barring {
 		return
 	}
+	if a.unsent && m.Holder != "" {
+		delete(r.shardOf(f.key).attempts, a.id)
+		f.ruleOut(a.id)
+	}
 	switch {
 	case m.Holder != "" && !r.opts.Roster.Alive(m.Holder):
 		r.unknown(now, f, state.ReasonHomeLost)
--- a/coordination/route/flight.go
+++ b/coordination/route/flight.go
@@ -36,6 +36,10 @@
 	epoch   state.Epoch
 	home    state.NodeID
 	witness state.NodeID // empty when the attempt went to a holder
+	// unsent says that no Submit was sent for it, and none ever will be: the
+	// witness remembers nothing of its Bar, so a late Barred would otherwise
+	// rule out what has been sent since.
+	unsent bool
 }
 
 // waiter is a caller that waits for the flight's answer.
--- a/coordination/route/submit.go
+++ b/coordination/route/submit.go
@@ -23,7 +23,8 @@
 	s.addLocked(f)
 	r.tickets.put(ticket, place{flight: f})
 	if v, ok := r.admit(now, &job, deadline); !ok {
-		r.finish(now, f, f.refusal(v))
+		r.turnAway(now, f, v)
+		s.scheduleLocked(f)
 		return s.takeLocked()
 	}
 	f.admitted = r.opts.Limits != nil
@@ -33,6 +34,21 @@
 	return s.takeLocked()
 }
 
+// turnAway refuses a submission that this entry doesn't let in. An id that runs,
+// or has run, may be coming back through here after another entry took it: told
+// "not run", its caller could have it run again under a new id. So the witness
+// rules the attempt out first, which it does only for an id that the pair has no
+// record of; otherwise the submission joins its job at the holder. It costs one
+// round trip and two messages for each refusal.
+func (r *Router) turnAway(now time.Time, f *flight, v verdict) {
+	home, witness, epoch, ok := r.opts.Roster.Pair(f.key.Service, f.key)
+	if ok {
+		a := attempt{id: r.newAttempt(), digest: f.digest, epoch: epoch, home: home, witness: witness, unsent: true}
+		r.open(now, f, home, a)
+	}
+	r.giveUp(now, f, v)
+}
+
 // admit asks the limits; a verdict is returned with ok false.
 func (r *Router) admit(now time.Time, job *state.Job, deadline time.Duration) (v verdict, ok bool) {
 	if r.draining.Load() {
@@ -126,6 +142,7 @@
 // attempt was never sent, but this may be a resubmission of an id that has
 // run: the witness's word covers that, the entry's own would not.
 func (r *Router) skipHome(now time.Time, f *flight, a attempt) {
+	a.unsent = true
 	r.open(now, f, a.home, a)
 	r.homeSilent(now, f)
 }
@@ -163,6 +180,9 @@
 // resend repeats the current attempt. The home answers each attempt alike
 // however often it is asked, so this is safe; a new attempt would not be.
 func (r *Router) resend(now time.Time, f *flight) {
+	if f.cur.unsent {
+		return
+	}
 	r.stats.add(&r.stats.resent)
 	r.sendExtra(f, f.target, r.question(now, f))
 }
--- a/protocol/wire/claim.go
+++ b/protocol/wire/claim.go
@@ -11,6 +11,7 @@
 		Key:     c.encodeKey(m.Key),
 		Attempt: c.name("attempt", string(m.Attempt)),
 		Epoch:   int64(m.Epoch),
+		Unsent:  m.Unsent,
 	}
 }
 
@@ -19,6 +20,7 @@
 		Key:     c.decodeKey(p.GetKey()),
 		Attempt: message.Attempt(c.name("attempt", p.GetAttempt())),
 		Epoch:   state.Epoch(p.GetEpoch()),
+		Unsent:  p.GetUnsent(),
 	}
 }
 
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -67,6 +67,10 @@
 		e.Kind = &nodepb.Envelope_DeclarationAsk{DeclarationAsk: c.encodeDeclarationAsk(&m)}
 	case message.DeclarationReply:
 		e.Kind = &nodepb.Envelope_DeclarationReply{DeclarationReply: c.encodeDeclarationReply(&m)}
+	case message.Stop:
+		e.Kind = &nodepb.Envelope_Stop{Stop: encodeStop(&m)}
+	case message.StopReply:
+		e.Kind = &nodepb.Envelope_StopReply{StopReply: encodeStopReply(&m)}
 	default:
 		return nil, errors.Wrapf(ErrUnknownKind, "encode %T", m)
 	}
@@ -127,6 +131,10 @@
 		return c.decodeDeclarationAsk(k.DeclarationAsk)
 	case *nodepb.Envelope_DeclarationReply:
 		return c.decodeDeclarationReply(k.DeclarationReply)
+	case *nodepb.Envelope_Stop:
+		return decodeStop(k.Stop)
+	case *nodepb.Envelope_StopReply:
+		return decodeStopReply(k.StopReply)
 	default:
 		return nil
 	}
