--- a/coordination/limit/account.go
+++ b/coordination/limit/account.go
@@ -15,6 +15,16 @@
 	TasksInFlight int
 	// TasksPerSecond bounds the rate of accepted tasks, with a second's burst.
 	TasksPerSecond float64
+	// Weight is the operator's weight when the fleet is short: one of twice the
+	// weight gets twice the share. Zero means 1.
+	Weight float64
+}
+
+func (q *Quota) weight() float64 {
+	if q.Weight <= 0 {
+		return 1
+	}
+	return q.Weight
 }
 
 // account is one operator's use of this entry.
@@ -105,12 +115,12 @@
 }
 
 // appendDemands adds the demand of each active operator to out, in tasks.
-func (s *accountShard) appendDemands(now time.Time, out []int64) []int64 {
+func (s *accountShard) appendDemands(now time.Time, out []demand) []demand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range s.accounts {
 		if d := a.inFlight + int64(a.unmet(now)); d > 0 {
-			out = append(out, d)
+			out = append(out, demand{d, a.quota.weight()})
 		}
 	}
 	return out
--- a/coordination/limit/fair.go
+++ b/coordination/limit/fair.go
@@ -1,20 +1,37 @@
 package limit
 
-import "slices"
+import (
+	"cmp"
+	"math"
+	"slices"
+)
 
-// fairShare returns the max-min share of capacity between demands: the largest
-// amount such that giving everybody the lesser of it and its demand does not
-// exceed capacity. Who asks for less than the share gets all it asks for.
-// demands is sorted in place.
-func fairShare(capacity int64, demands []int64) int64 {
-	slices.Sort(demands)
-	left := capacity
-	for i, d := range demands {
-		equal := left / int64(len(demands)-i)
-		if d > equal {
-			return equal
+// demand is what one operator wants in flight, and how much its share weighs.
+type demand struct {
+	tasks  int64
+	weight float64
+}
+
+// fairShare returns the weighted max-min share of capacity: the largest amount
+// for each unit of weight such that giving everybody the lesser of its part and
+// its demand does not exceed capacity. Who asks for less than its part gets all
+// it asks for; if all do, the share has no bound. demands is sorted in place.
+func fairShare(capacity int64, demands []demand) float64 {
+	slices.SortFunc(demands, func(a, b demand) int {
+		return cmp.Compare(float64(a.tasks)/a.weight, float64(b.tasks)/b.weight)
+	})
+	weights := 0.0
+	for _, d := range demands {
+		weights += d.weight
+	}
+	left := float64(capacity)
+	for _, d := range demands {
+		share := left / weights
+		if float64(d.tasks) > share*d.weight {
+			return share
 		}
-		left -= d
+		left -= float64(d.tasks)
+		weights -= d.weight
 	}
-	return capacity
+	return math.Inf(1)
 }
--- a/coordination/limit/limits.go
+++ b/coordination/limit/limits.go
@@ -17,6 +17,7 @@
 package limit
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -72,8 +73,8 @@
 	drain    drainRate
 	inFlight atomic.Int64
 	entries  atomic.Int64
-	share    atomic.Int64 // fair share in tasks
-	shareAt  atomic.Int64 // when share was computed, in Unix nanoseconds
+	share    atomic.Uint64 // fair share in tasks per weight, as float64 bits
+	shareAt  atomic.Int64  // when share was computed, in Unix nanoseconds
 	stats    counters
 }
 
@@ -126,7 +127,7 @@
 	s.mu.Lock()
 	a := l.accountLocked(s, operator)
 	v := a.reserve(now, tasks, int(l.entries.Load()), drain)
-	mine := a.inFlight
+	mine := float64(a.inFlight) / a.quota.weight()
 	s.mu.Unlock()
 	if !v.OK {
 		return v
@@ -151,9 +152,9 @@
 }
 
 // claim adds tasks to those in flight, or returns by how many they are too
-// many. mine is what the operator has in flight, these included. A job larger
-// than the limit is let in when it is alone.
-func (l *Limits) claim(now time.Time, tasks int, mine int64) int64 {
+// many. mine is what the operator has in flight for each unit of its weight,
+// these included. A job larger than the limit is let in when it is alone.
+func (l *Limits) claim(now time.Time, tasks int, mine float64) int64 {
 	limit := l.adaptive.current()
 	total := l.inFlight.Add(int64(tasks))
 	if total <= limit || total == int64(tasks) {
@@ -167,17 +168,17 @@
 	return total - limit
 }
 
-func (l *Limits) fairShare(now time.Time, limit int64) int64 {
+func (l *Limits) fairShare(now time.Time, limit int64) float64 {
 	at := l.shareAt.Load()
 	if now.UnixNano()-at < int64(shareEvery) || !l.shareAt.CompareAndSwap(at, now.UnixNano()) {
-		return l.share.Load()
+		return math.Float64frombits(l.share.Load())
 	}
-	var demands []int64
+	var demands []demand
 	for i := range l.accounts {
 		demands = l.accounts[i].appendDemands(now, demands)
 	}
 	share := fairShare(limit, demands)
-	l.share.Store(share)
+	l.share.Store(math.Float64bits(share))
 	return share
 }
 
--- a/coordination/limit/limits_test.go
+++ b/coordination/limit/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -144,3 +145,12 @@
 		is.True(second < 6) // and no later than needed
 	}
 }
+
+// Two operators want more than the fleet has. The one of three times the weight
+// gets three times the share, a third that asks for little gets all it asks for.
+func TestFairShareByWeight(t *testing.T) {
+	is := is.New(t)
+	share := fairShare(100, []demand{{1000, 3}, {1000, 1}, {20, 1}})
+	is.Equal(share, 20.0) // 80 left for a weight of 4
+	is.True(math.IsInf(fairShare(100, []demand{{40, 3}, {20, 1}}), 1))
+}
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -213,3 +214,23 @@
 		h.side, h.noLog, h.paused = 0, false, time.Time{}
 	}
 }
+
+// A service may run in two of the three failure domains only, though backend
+// servers announce it in all of them. No task reaches the third.
+func TestPlacementIsTheDeclarations(t *testing.T) {
+	is := is.New(t)
+	w, entries, agents := settled(t, 7)
+	narrow := strings.Replace(string(examples.HaneulDeclaration), `["jeonju", "iksan", "gunsan"]`, `["jeonju", "iksan"]`, 1)
+	base, _ := entries[0].node.(*Entry).Declarations().Operator(examples.HaneulOperator)
+	w.execute(entries[0], entries[0].node.(*Entry).Apply(w.now, 1<<41, examples.HaneulOperator, base.Version, []byte(narrow)))
+	w.run(time.Second)
+	w.placedAt = make(map[state.NodeID]int)
+	for i := range 10 {
+		w.submit(entries[i%2], fmt.Sprintf("job-%d", i), 12, 30*time.Second)
+	}
+	w.run(20 * time.Second)
+	w.check()
+	is.Equal(w.outcomes(), map[string]int{"complete": 10})
+	is.Equal(w.placedAt[agents[2].id], 0)
+	is.Equal(len(w.placedAt), 4)
+}
--- a/coordination/node/world_test.go
+++ b/coordination/node/world_test.go
@@ -64,10 +64,12 @@
 	trace        func(from, to *host, m message.Message) // for finding causes
 	lateMax      time.Duration
 
-	starts  map[state.TaskKey]int
-	tickets map[uint64]*ticket
-	last    uint64
-	faults  []string
+	starts map[state.TaskKey]int
+	// placedAt counts the starts at each agent, if it is set.
+	placedAt map[state.NodeID]int
+	tickets  map[uint64]*ticket
+	last     uint64
+	faults   []string
 }
 
 // ticket is one submission of a caller and what it was told.
@@ -279,6 +281,9 @@
 
 func (w *world) start(h *host, s coordination.StartTask) {
 	w.starts[s.Task]++
+	if w.placedAt != nil {
+		w.placedAt[h.id]++
+	}
 	var wk work
 	if err := json.Unmarshal(s.Spec.Payload, &wk); err != nil {
 		w.fail("payload of %v: %v", s.Task, err)
--- a/state/declaration/file.go
+++ b/state/declaration/file.go
@@ -30,22 +30,17 @@
 	MaxAccelerators = 64
 	// MaxExpected is the longest run time a task may be declared with.
 	MaxExpected = 10 * time.Minute
-	// MinClaimRetention and MaxClaimRetention bound how long a claim is kept
-	// after its job ended.
-	MinClaimRetention = time.Minute
-	MaxClaimRetention = 7 * 24 * time.Hour
 	// MaxDeadline is the longest default deadline.
 	MaxDeadline = time.Hour
 )
 
 // Defaults of optional keys.
 const (
-	DefaultPriority       = 50
-	DefaultClaimRetention = 24 * time.Hour
-	DefaultDeadline       = 30 * time.Second
-	DefaultCores          = 1
-	DefaultMemoryMB       = 512
-	DefaultExpected       = 500 * time.Millisecond
+	DefaultPriority = 50
+	DefaultDeadline = 30 * time.Second
+	DefaultCores    = 1
+	DefaultMemoryMB = 512
+	DefaultExpected = 500 * time.Millisecond
 )
 
 // File is one operator's whole declaration.
@@ -74,9 +69,6 @@
 	Task TaskDefaults
 	// MaxTasks bounds the tasks of one job.
 	MaxTasks int
-	// ClaimRetention is how long an ended job's claim is kept: a resubmission
-	// within it gets the stored answer.
-	ClaimRetention time.Duration
 	// Deadline is assumed of a submission without one.
 	Deadline time.Duration
 	// Repeatable is assumed of a request that doesn't say.
@@ -100,6 +92,11 @@
 	Racks []string
 }
 
+// Unrestricted reports whether tasks may run anywhere in the region.
+func (p *Placement) Unrestricted() bool {
+	return len(p.Domains) == 0 && len(p.Racks) == 0
+}
+
 // Allows reports whether tasks may run in a rack of a domain.
 func (p *Placement) Allows(domain, rack string) bool {
 	if len(p.Domains) > 0 && !slices.Contains(p.Domains, domain) {
--- a/state/declaration/parse.go
+++ b/state/declaration/parse.go
@@ -23,14 +23,13 @@
 		TasksPerSecond int64 `json:"tasks_per_second"`
 	}
 	serviceJSON struct {
-		Name             string        `json:"name"`
-		Region           string        `json:"region"`
-		TaskDefaults     taskJSON      `json:"task_defaults"`
-		MaxTasks         int64         `json:"max_tasks"`
-		ClaimRetentionMS int64         `json:"claim_retention_ms"`
-		DeadlineMS       int64         `json:"deadline_ms"`
-		Repeatable       bool          `json:"repeatable"`
-		Placement        placementJSON `json:"placement"`
+		Name         string        `json:"name"`
+		Region       string        `json:"region"`
+		TaskDefaults taskJSON      `json:"task_defaults"`
+		MaxTasks     int64         `json:"max_tasks"`
+		DeadlineMS   int64         `json:"deadline_ms"`
+		Repeatable   bool          `json:"repeatable"`
+		Placement    placementJSON `json:"placement"`
 	}
 	taskJSON struct {
 		Cores        float64 `json:"cores"`
@@ -104,12 +103,10 @@
 
 func (c *checker) service(key string, in *serviceJSON) ServiceSpec {
 	return ServiceSpec{
-		Name:     c.name(key+".name", in.Name),
-		Region:   c.name(key+".region", in.Region),
-		Task:     c.task(key+".task_defaults", &in.TaskDefaults),
-		MaxTasks: int(c.optional(key+".max_tasks", in.MaxTasks, 1, state.MaxTasksPerJob, state.MaxTasksPerJob)),
-		ClaimRetention: c.millis(key+".claim_retention_ms", in.ClaimRetentionMS,
-			MinClaimRetention, MaxClaimRetention, DefaultClaimRetention),
+		Name:       c.name(key+".name", in.Name),
+		Region:     c.name(key+".region", in.Region),
+		Task:       c.task(key+".task_defaults", &in.TaskDefaults),
+		MaxTasks:   int(c.optional(key+".max_tasks", in.MaxTasks, 1, state.MaxTasksPerJob, state.MaxTasksPerJob)),
 		Deadline:   c.millis(key+".deadline_ms", in.DeadlineMS, time.Millisecond, MaxDeadline, DefaultDeadline),
 		Repeatable: in.Repeatable,
 		Placement:  c.placement(key+".placement", &in.Placement),
