--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -8,6 +8,7 @@
 package admit
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -168,6 +169,24 @@
 	return m.turnLocked(now)
 }
 
+// PeerGone says that a home was evicted. Nobody waits for its jobs any more:
+// what waits here is forgotten, what runs may end.
+func (m *Machine) PeerGone(now time.Time, id state.NodeID) []coordination.Action {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sawLocked(now)
+	for _, e := range m.queue.ofHome(id) {
+		m.queue.remove(e)
+		e.phase = refused
+		e.spec = state.Task{}
+		m.seq++
+	}
+	m.interests.dropGone(id)
+	delete(m.outbox, id)
+	m.outOrder = slices.DeleteFunc(m.outOrder, func(home state.NodeID) bool { return home == id })
+	return m.turnLocked(now)
+}
+
 // Idle reports whether nothing waits, runs or is still to be reported.
 func (m *Machine) Idle() bool {
 	m.mu.Lock()
--- a/coordination/admit/admit_test.go
+++ b/coordination/admit/admit_test.go
@@ -211,6 +211,19 @@
 	is.Equal(len(b.starts), 2)
 }
 
+// A home is evicted with one task running here and one waiting. Nobody is left
+// to take the answer: the waiting one doesn't start, the running one ends.
+func TestTasksOfAnEvictedHome(t *testing.T) {
+	is := is.New(t)
+	b := newBench(Options{}, backend(1))
+	b.handle(assign("j", 0, 10, 0, 1))
+	b.do(b.m.PeerGone(b.now, home))
+	b.finish(b.starts[0].Task, "")
+	is.Equal(len(b.starts), 1)
+	b.pass(coordination.TickInterval)
+	is.True(b.m.Idle())
+}
+
 // A restarted backend server announces another id. The tasks that ran under
 // the old one have started and are lost: they fail, and don't start again.
 func TestRestartedBackendFailsItsTasks(t *testing.T) {
@@ -304,6 +317,13 @@
 		b.finish(b.starts[i].Task, "")
 	}
 	is.True(b.m.kept.bytes <= 3*resultOverhead)
+	is.True(len(b.m.jobs[key("j")].entries) <= 3)
+	b.reports = nil
+	b.handle(assign("j", 7, 10, 0)) // its result is gone, but not that it ran
+	is.Equal(len(b.starts), 10)
+	for _, r := range b.reports[len(b.reports)-1].Results {
+		is.True(r.Index != 0 || r.Err != "")
+	}
 	b.pass(2 * time.Minute)
 	is.Equal(len(b.m.jobs), 0)
 }
--- a/coordination/admit/credit.go
+++ b/coordination/admit/credit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/message"
@@ -68,13 +69,14 @@
 
 // dropHome forgets every interest of a home for a service.
 func (in *interests) dropHome(home state.NodeID, service string) {
-	kept := in.list[:0]
-	for _, x := range in.list {
-		if x.home != home || x.key.Service != service {
-			kept = append(kept, x)
-		}
-	}
-	in.list = kept
+	in.list = slices.DeleteFunc(in.list, func(x interest) bool {
+		return x.home == home && x.key.Service == service
+	})
+}
+
+// dropGone forgets every interest of a home.
+func (in *interests) dropGone(home state.NodeID) {
+	in.list = slices.DeleteFunc(in.list, func(x interest) bool { return x.home == home })
 }
 
 func (m *Machine) interestLocked(now time.Time, from state.NodeID, a *message.Assign, backlog int) {
--- a/coordination/admit/outbox.go
+++ b/coordination/admit/outbox.go
@@ -124,7 +124,8 @@
 func (k *keptResults) trim(now time.Time) {
 	n := 0
 	for n < len(k.order) && (k.bytes > k.limit || now.After(k.order[n].until)) {
-		k.order[n].e.result = nil
+		e := k.order[n].e
+		e.job.forget(e)
 		k.bytes -= k.order[n].size
 		n++
 	}
--- a/coordination/admit/queue.go
+++ b/coordination/admit/queue.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/shallotstep/shallotstep/state"
 )
 
 // headPatience is how long the first task in the queue may be passed by
@@ -95,3 +97,15 @@
 		}
 	}
 }
+
+// ofHome returns the waiting tasks of one home.
+func (q *fairQueue) ofHome(id state.NodeID) (out []*entry) {
+	for i := range q.operators {
+		for _, e := range q.operators[i].tasks {
+			if e.job.home == id {
+				out = append(out, e)
+			}
+		}
+	}
+	return out
+}
--- a/coordination/admit/tasks.go
+++ b/coordination/admit/tasks.go
@@ -40,15 +40,6 @@
 	result  *state.TaskResult // nil once no longer kept
 }
 
-// job holds the entries of one job's tasks.
-type job struct {
-	key      state.JobKey
-	home     state.NodeID
-	operator string
-	entries  map[int]*entry
-	touched  time.Time
-}
-
 func (m *Machine) jobLocked(now time.Time, from state.NodeID, key state.JobKey) *job {
 	j := m.jobs[key]
 	if j == nil {
@@ -67,10 +58,20 @@
 	return 0
 }
 
+// validIndexes reports whether a job can have such tasks.
+func validIndexes(indexes []int) bool {
+	for _, i := range indexes {
+		if i < 0 || i >= state.MaxTasksPerJob {
+			return false
+		}
+	}
+	return true
+}
+
 // assignLocked takes each task that is new here, or was refused at a lower try.
 // For the others it says again what it knows.
 func (m *Machine) assignLocked(now time.Time, from state.NodeID, a *message.Assign) {
-	if len(a.Indexes) != len(a.Tasks) {
+	if len(a.Indexes) != len(a.Tasks) || !validIndexes(a.Indexes) {
 		return
 	}
 	j := m.jobLocked(now, from, a.Key)
@@ -79,7 +80,7 @@
 	busy := 0
 	for i, index := range a.Indexes {
 		try := tryAt(a.Tries, i)
-		e := j.entries[index]
+		e := j.find(index)
 		if e != nil && (e.phase != refused || e.try >= try) {
 			m.tellLocked(e)
 			continue
@@ -173,10 +174,13 @@
 }
 
 func (m *Machine) settleLocked(now time.Time, from state.NodeID, key state.JobKey, indexes []int, tries []uint32) {
+	if !validIndexes(indexes) {
+		return
+	}
 	j := m.jobLocked(now, from, key)
 	for i, index := range indexes {
 		try := tryAt(tries, i)
-		e := j.entries[index]
+		e := j.find(index)
 		if e == nil {
 			e = m.entryLocked(j, index, try)
 		}
@@ -213,16 +217,6 @@
 	return out
 }
 
-// indexes returns the job's known indexes in order.
-func (j *job) indexes() []int {
-	out := make([]int, 0, len(j.entries))
-	for i := range j.entries {
-		out = append(out, i)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // Finished takes the end of a task that the backend server ran.
 func (m *Machine) Finished(now time.Time, key state.TaskKey, r state.TaskResult) []coordination.Action {
 	m.mu.Lock()
--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -455,3 +455,23 @@
 	b.pass(DefaultRetention + time.Minute)
 	is.Equal(b.h.Stats(), Stats{})
 }
+
+// BenchmarkJob is a job of six tasks from submission to answer at one home with
+// 32 candidates, without the claim, the links and the admission.
+func BenchmarkJob(b *testing.B) {
+	free := make([]int, 32)
+	for i := range free {
+		free[i] = 1 << 30
+	}
+	t := newBench(agents(free...), nil)
+	n := 0
+	for b.Loop() {
+		t.submit(fmt.Sprint("j", n), 6, time.Second, "1")
+		to, assigns := take[message.Assign](t)
+		for i := range assigns {
+			t.succeed(to[i], assigns[i])
+		}
+		t.sent = t.sent[:0]
+		n++
+	}
+}
