Keep order between a left-over link and its successor

Cause: b broke a link that a had dialled and dialled a itself; a, which had not noticed, took the new link for one dialled at the same time, delivered from it, and then delivered the last messages of the old one. Ruled out: replacing every older link, it would cut one of two good ones when both nodes dial at once. Change: a Hello carries a generation that grows when its sender breaks a link to that peer; links greeted with a lower one are broken off before the new one delivers. The accepting side writes its Hello after it has attached, so that no break comes between the two. Also: closing counts as stuck only while nothing moves, so a long queue is flushed; a peer that stops reading is now tested on links of both directions.

--- a/transport/link/accept.go
+++ b/transport/link/accept.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -73,11 +72,7 @@
 	}
 	p := l.peer(state.NodeID(hello.GetNodeId()))
 	p.learn(hello.GetAddr())
-	reply := &nodepb.Hello{NodeId: string(l.opt.Self), Addr: l.opt.Addr, Version: wire.Version}
-	if err := stream.Send(&nodepb.Frame{Hello: reply}); err != nil {
-		return err
-	}
-	return l.runIncoming(p, stream)
+	return l.runIncoming(p, stream, hello.GetGeneration())
 }
 
 // awaitHello reads the first frame in a goroutine, because only the end of the
@@ -156,13 +151,13 @@
 	}
 }
 
-func (l *Links) runIncoming(p *peer, stream incoming) error {
-	p.replaceIncoming()
+func (l *Links) runIncoming(p *peer, stream incoming, generation uint64) error {
 	cut := make(chan struct{})
 	s := newSession(p, stream)
+	s.peerGeneration = generation
 	s.hangUp = sync.OnceFunc(func() { close(cut) })
 	if !p.attach(s) {
-		return status.Error(codes.Unavailable, "this node is leaving")
+		return status.Error(codes.Unavailable, "link is outdated")
 	}
 	ended := make(chan error, 1)
 	ok := l.spawn(func() { ended <- s.read() }) && l.spawn(s.write)
@@ -189,18 +184,3 @@
 	defer s.peer.deliver.Unlock()
 	return !s.gone
 }
-
-// replaceIncoming breaks off an older link that the peer has dialled: it dials
-// again only after the older one has ended on its side.
-func (p *peer) replaceIncoming() {
-	p.mu.Lock()
-	at := slices.IndexFunc(p.sessions, func(s *session) bool { return !s.dialled })
-	var old *session
-	if at >= 0 {
-		old = p.sessions[at]
-	}
-	p.mu.Unlock()
-	if old != nil {
-		p.breakOff(old, ReasonReplaced)
-	}
-}
--- a/transport/link/attach.go
+++ b/transport/link/attach.go
@@ -6,31 +6,63 @@
 	"time"
 )
 
-// attach makes s a session of its peer and false when the node is closing down
-// or the peer was forgotten.
+// attach makes s a session of its peer. It returns false when the node is
+// closing down, the peer was forgotten or the session is outdated already.
 func (p *peer) attach(s *session) bool {
+	for old := p.deadBeside(s); old != nil; old = p.deadBeside(s) {
+		reason := ReasonReplaced
+		if old.peerGeneration < s.peerGeneration {
+			reason = ReasonSuperseded
+		}
+		p.breakOff(old, reason)
+	}
 	p.deliver.Lock()
 	defer p.deliver.Unlock()
-	if !p.add(s) {
+	ok, first := p.add(s)
+	if !ok {
 		return false
 	}
 	p.links.metrics.sessionCount(s.dialled).Inc()
 	logUp(p.id, s.dialled)
+	if first {
+		p.links.opt.Up(p.id)
+	}
 	return true
 }
 
-// add does the part of attach under mu and calls Up for a first session.
-// deliver is held.
-func (p *peer) add(s *session) bool {
+// deadBeside returns a session that the peer must have given up, because it has
+// greeted again after a break or dialled again.
+func (p *peer) deadBeside(s *session) *session {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.deadBesideLocked(s)
+}
+
+func (p *peer) deadBesideLocked(s *session) *session {
+	for _, old := range p.sessions {
+		newer := old.peerGeneration < s.peerGeneration
+		again := old.peerGeneration == s.peerGeneration && !old.dialled && !s.dialled
+		if newer || again {
+			return old
+		}
+	}
+	return nil
+}
+
+// add does the part of attach under mu; deliver is held.
+func (p *peer) add(s *session) (ok, first bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if s.dialled {
 		p.dialing = false
+	} else {
+		s.generation = p.generation
 	}
-	if p.forgotten || p.links.ctx.Err() != nil {
-		p.mu.Unlock()
-		return false
+	if p.outdatedLocked(s) {
+		p.activateLocked()
+		return false, false
 	}
-	first := len(p.sessions) == 0
+	first = len(p.sessions) == 0
 	p.failures = 0
 	p.sessions = append(p.sessions, s)
 	p.settleLocked()
@@ -38,11 +70,17 @@
 	if p.links.closed.Load() {
 		p.beginCloseLocked(s, true)
 	}
-	p.mu.Unlock()
-	if first {
-		p.links.opt.Up(p.id)
+	return true, first
+}
+
+// outdatedLocked says whether s must not be used: things have changed since the
+// Hellos were written.
+func (p *peer) outdatedLocked(s *session) bool {
+	if p.forgotten || p.links.ctx.Err() != nil || s.generation != p.generation {
+		return true
 	}
-	return true
+	later := func(old *session) bool { return old.peerGeneration > s.peerGeneration }
+	return slices.ContainsFunc(p.sessions, later) || p.deadBesideLocked(s) != nil
 }
 
 // settleLocked picks one of two sessions that were dialled at the same time:
@@ -123,6 +161,10 @@
 		}
 		p.sessions = nil
 		p.dropLocked(reason)
+		if reason != ReasonSuperseded {
+			// A superseded link is known to be dead at the peer.
+			p.generation = p.links.generation.Add(1)
+		}
 	}
 	report := broken && !p.forgotten
 	p.mu.Unlock()
--- a/transport/link/dial.go
+++ b/transport/link/dial.go
@@ -27,7 +27,7 @@
 		return
 	}
 	l.metrics.dials.Inc()
-	d, err := l.connect(p.id, addr)
+	d, err := l.connect(p, addr)
 	if err != nil {
 		logDialFailed(p.id, addr, err)
 		p.dialFailed(dialReason(err))
@@ -38,6 +38,8 @@
 	s.dialled = true
 	s.hangUp = d.cancel
 	s.closeSend = d.stream.CloseSend
+	s.generation = d.generation
+	s.peerGeneration = d.peerGeneration
 	if !p.attach(s) {
 		return
 	}
@@ -92,6 +94,8 @@
 	conn   *grpc.ClientConn
 	stream grpc.BidiStreamingClient[nodepb.Frame, nodepb.Frame]
 	cancel context.CancelFunc
+	// generation and peerGeneration are those of the two Hellos.
+	generation, peerGeneration uint64
 }
 
 func (d *dialled) close() {
@@ -100,20 +104,20 @@
 	_ = d.conn.Close()
 }
 
-func (l *Links) connect(id state.NodeID, addr string) (*dialled, error) {
+func (l *Links) connect(p *peer, addr string) (*dialled, error) {
 	var refused atomic.Bool
 	refuse := func(err error) {
 		refused.Store(true)
-		logIdentity(id, err)
+		logIdentity(p.id, err)
 	}
-	conn, err := grpc.NewClient("passthrough:///"+addr, l.dialOptions(id, refuse)...)
+	conn, err := grpc.NewClient("passthrough:///"+addr, l.dialOptions(p.id, refuse)...)
 	if err != nil {
 		return nil, errors.Wrap(err, "client")
 	}
 	ctx, cancel := context.WithCancel(l.ctx)
 	d := &dialled{conn: conn, cancel: cancel}
 	timer := time.AfterFunc(l.opt.DialTimeout, cancel)
-	err = d.greet(ctx, l.opt.Self, id, l.opt.Addr)
+	err = d.greet(ctx, p)
 	if !timer.Stop() && err == nil {
 		err = context.DeadlineExceeded
 	}
@@ -129,21 +133,25 @@
 
 // greet opens the stream and waits for the other side's Hello. No message may
 // be sent before: after a restart another incarnation answers at the address.
-func (d *dialled) greet(ctx context.Context, self, id state.NodeID, addr string) error {
+func (d *dialled) greet(ctx context.Context, p *peer) error {
 	stream, err := nodepb.NewNodeClient(d.conn).Link(ctx)
 	if err != nil {
 		return errors.Wrap(err, "open stream")
 	}
 	d.stream = stream
-	hello := &nodepb.Hello{NodeId: string(self), Addr: addr, Version: wire.Version, To: string(id)}
+	d.generation = p.currentGeneration()
+	hello := p.links.hello()
+	hello.To = string(p.id)
+	hello.Generation = d.generation
 	// A failed Send is told by Recv, with the reason.
 	_ = stream.Send(&nodepb.Frame{Hello: hello})
 	f, err := stream.Recv()
 	if err != nil {
 		return errors.Wrap(err, "greet")
 	}
-	if got := f.GetHello().GetNodeId(); got != string(id) {
-		return errors.Wrapf(errWrongPeer, "expected %s, got %q", id, got)
+	d.peerGeneration = f.GetHello().GetGeneration()
+	if got := f.GetHello().GetNodeId(); got != string(p.id) {
+		return errors.Wrapf(errWrongPeer, "expected %s, got %q", p.id, got)
 	}
 	if v := f.GetHello().GetVersion(); v != wire.Version {
 		return status.Errorf(codes.InvalidArgument, "protocol version %d, ours is %d", v, wire.Version)
@@ -151,6 +159,17 @@
 	return nil
 }
 
+func (p *peer) currentGeneration() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.generation
+}
+
+// hello introduces this node.
+func (l *Links) hello() *nodepb.Hello {
+	return &nodepb.Hello{NodeId: string(l.opt.Self), Addr: l.opt.Addr, Version: wire.Version}
+}
+
 func (l *Links) dialOptions(id state.NodeID, refused func(error)) []grpc.DialOption {
 	creds := insecure.NewCredentials()
 	if l.opt.TLS != nil {
--- a/transport/link/failure_test.go
+++ b/transport/link/failure_test.go
@@ -17,11 +17,21 @@
 // go on returning at once, refuse when the bound is reached, and leave other
 // peers alone. After WriteTimeout the link is cut and Down tells the caller.
 func TestPeerThatStopsReading(t *testing.T) {
+	t.Run("dialled by the sender", func(t *testing.T) { testPeerThatStopsReading(t, true) })
+	t.Run("dialled by the peer", func(t *testing.T) { testPeerThatStopsReading(t, false) })
+}
+
+func testPeerThatStopsReading(t *testing.T, dialled bool) {
 	is := is.New(t)
-	const bound = 50
-	a := start(t, "a@1", func(o *Options) { o.MaxQueue = bound; o.WriteTimeout = 200 * time.Millisecond })
+	a := start(t, "a@1", func(o *Options) { o.MaxQueue = 50; o.WriteTimeout = 200 * time.Millisecond })
 	b, c := start(t, "b@1", nil), start(t, "c@1", nil)
-	a.SetPeer("b@1", b.addr)
+	if dialled {
+		a.SetPeer("b@1", b.addr)
+	} else {
+		b.SetPeer("a@1", a.addr)
+		is.True(b.Send("a@1", drop(0)))
+		await(t, "b's link", func() bool { return len(a.received()) == 1 })
+	}
 	a.SetPeer("c@1", c.addr)
 	release := make(chan struct{})
 	free := sync.OnceFunc(func() { close(release) })
--- a/transport/link/links.go
+++ b/transport/link/links.go
@@ -37,6 +37,8 @@
 	shards  [shardCount]shard
 	// queued counts the bytes that wait for all peers.
 	queued atomic.Int64
+	// generation numbers the peers' generations.
+	generation atomic.Uint64
 	// closed refuses new messages and new incoming links.
 	closed atomic.Bool
 	// ctx ends when everything has to end at once.
@@ -93,7 +95,8 @@
 }
 
 // Forget drops a peer: nothing more is sent to it, an open link is flushed and
-// closed, and Down isn't called for it. If the peer dials, it is known again.
+// closed, and Down isn't called for it. If the peer dials, it is known again, and
+// for as long as the old link takes to close it may be heard over both.
 func (l *Links) Forget(id state.NodeID) {
 	sh := l.shard(id)
 	sh.mu.Lock()
@@ -202,7 +205,7 @@
 	defer sh.mu.Unlock()
 	p := sh.peers[id]
 	if p == nil {
-		p = &peer{links: l, id: id, lastUsed: time.Now()}
+		p = &peer{links: l, id: id, lastUsed: time.Now(), generation: l.generation.Add(1)}
 		sh.peers[id] = p
 	}
 	return p
--- a/transport/link/metrics.go
+++ b/transport/link/metrics.go
@@ -26,6 +26,7 @@
 	ReasonBroken      Reason = "broken"
 	ReasonStalled     Reason = "stalled"
 	ReasonReplaced    Reason = "replaced"
+	ReasonSuperseded  Reason = "superseded"
 	ReasonLeaving     Reason = "leaving"
 	ReasonUnreachable Reason = "unreachable"
 	ReasonWrongPeer   Reason = "wrong_peer"
--- a/transport/link/peer.go
+++ b/transport/link/peer.go
@@ -37,6 +37,11 @@
 	failures  int
 	notBefore time.Time
 	lastUsed  time.Time
+	// generation grows with each break on this side. The peer learns it by the
+	// Hello and so tells a link that is left over from before a break, whose
+	// last messages must not come after newer ones, from one that was dialled at
+	// the same time.
+	generation uint64
 }
 
 // declare returns false when the peer was forgotten meanwhile.
--- a/transport/link/session.go
+++ b/transport/link/session.go
@@ -31,6 +31,8 @@
 	closeSend func() error
 	// hangUp cuts the stream; it may be called more than once.
 	hangUp func()
+	// peerGeneration is the peer's generation of its Hello.
+	peerGeneration uint64
 	// wake tells the writer that there may be something to do.
 	wake chan struct{}
 	// done is closed when the session has been taken from its peer.
@@ -42,6 +44,8 @@
 
 	// The fields below are guarded by peer.mu.
 
+	// generation is this side's generation of the Hello.
+	generation uint64
 	// closing says that nothing is queued for this session any more; final is
 	// what it still has to write before its Closing.
 	closing     bool
@@ -98,6 +102,10 @@
 // write writes until the session has closed its direction or is given up.
 // Whatever is queued while a frame is being written goes into the next one.
 func (s *session) write() {
+	if !s.dialled && s.writeFrame(&nodepb.Frame{Hello: s.helloBack()}) != nil {
+		s.hangUp()
+		return
+	}
 	for {
 		kind, batch := s.next()
 		var err error
@@ -125,6 +133,16 @@
 	}
 }
 
+// helloBack is written when the session is attached already, so that no break
+// can come between the generation in it and the first message.
+func (s *session) helloBack() *nodepb.Hello {
+	s.peer.mu.Lock()
+	defer s.peer.mu.Unlock()
+	h := s.peer.links.hello()
+	h.Generation = s.generation
+	return h
+}
+
 func (s *session) closingFrame() *nodepb.Closing {
 	s.peer.mu.Lock()
 	defer s.peer.mu.Unlock()
--- a/transport/link/sweep.go
+++ b/transport/link/sweep.go
@@ -49,11 +49,13 @@
 	return nil
 }
 
-// stuckLocked says whether the other side doesn't take a frame or doesn't
-// answer a Closing. Left alone, such a session would hold its queue full for
-// ever: the library's pings are answered as long as the process lives.
+// stuckLocked says whether the other side doesn't take a frame, or neither takes
+// nor sends one while a session is being closed. Left alone, such a session
+// would hold its queue full for ever: the library's pings are answered as long
+// as the process lives.
 func (s *session) stuckLocked(now time.Time, timeout time.Duration) bool {
-	if s.closing && now.Sub(s.closeBegan) > timeout {
+	moved := time.Unix(0, s.lastUsed.Load())
+	if s.closing && now.Sub(s.closeBegan) > timeout && now.Sub(moved) > timeout {
 		return true
 	}
 	began := s.writeBegan.Load()
