Vouch for no attempt that others may hold or that waited too long

An agent that held other content under the id said 'not run' of an attempt of a pair it wasn't in; a claim that waited in a paused process was looked up after its record had expired. Change: both answer 'unknown' now. A look-up for an unsent attempt is answered only by a member that holds every claim granted before.

--- a/coordination/guard/bar.go
+++ b/coordination/guard/bar.go
@@ -20,7 +20,9 @@
 	acts.send(from, reply)
 }
 
-// barLocked rules the attempt out, if this agent can.
+// barLocked rules the attempt out, if this agent can. An unsent attempt needs no
+// ruling out; the question is then whether the id was ever granted, and only a
+// member that holds every claim granted before may say no.
 //
 // A grant of the attempt needs both members of the pair at the attempt's epoch,
 // and each of them records the id. So one that was there, has no record of the
@@ -37,6 +39,10 @@
 		reply.Holder = found[0].Holder
 		return reply
 	}
+	if m.Unsent && !(s.guards(g.self) && s.complete()) {
+		reply.Reason = state.ReasonClaimsUnknown
+		return reply
+	}
 	if m.Epoch < s.pair.Epoch {
 		reply.Barred = s.wasThere(m.Epoch)
 		reply.Reason = barReason(reply.Barred)
--- a/coordination/guard/home.go
+++ b/coordination/guard/home.go
@@ -33,7 +33,9 @@
 	began time.Time
 }
 
-// late reports whether the attempt has waited so long that it is given up.
+// late reports whether the attempt has waited so long that it is given up. If it
+// waited in a process that was paused, a claim that it was granted before may
+// have expired, so that nothing is certain of it any more.
 func (g *Guard) late(now time.Time, c candidate) bool {
 	return now.Sub(c.began) >= g.giveUpAfter()
 }
@@ -80,7 +82,12 @@
 	// The record comes first: the attempt may be a late copy of one that this
 	// agent granted before it went on to another epoch.
 	if found := g.claims.Find(now, index, c.key); len(found) > 0 {
-		g.denyLocked(s, now, c, g.heldVerdict(found, c.digest, s.complete()), acts)
+		certain := s.complete() && g.certainty(s, c) == state.NotRun
+		g.denyLocked(s, now, c, g.heldVerdict(found, c.digest, certain), acts)
+		return
+	}
+	if g.late(now, c) {
+		g.denyLocked(s, now, c, verdict{outcome: state.Unknown, reason: state.ReasonHomeUnreachable}, acts)
 		return
 	}
 	reason := g.homeRefusal(s, now, c)
@@ -92,10 +99,6 @@
 		g.denyLocked(s, now, c, verdict{outcome: g.certainty(s, c), reason: reason}, acts)
 		return
 	}
-	if g.late(now, c) {
-		g.denyLocked(s, now, c, refuse(state.ReasonHomeUnreachable), acts)
-		return
-	}
 	if g.disabled.boundAttempt {
 		c.epoch = s.pair.Epoch
 	}
--- a/coordination/guard/verdict.go
+++ b/coordination/guard/verdict.go
@@ -92,8 +92,9 @@
 	return 0
 }
 
-// heldVerdict says why an id with records isn't granted again. other holds the
-// records of the id; certain says that no claim granted before is missing.
+// heldVerdict says why an id with records isn't granted again. certain says that
+// no claim granted before is missing and that the attempt is not, and won't be,
+// granted elsewhere.
 //
 // One of the records may have run, and the pair can't tell which. So with the
 // same content the outcome is unknown. Other content was not run and won't be,
@@ -113,7 +114,7 @@
 		return v
 	}
 	v.reason = state.ReasonIDConflict
-	if certain || best.Holder == g.self {
+	if certain {
 		v.outcome = state.NotRun
 	}
 	return v
