Drain agents and confirm lost hosts by command, end to end

Cause: shallotstep drain and POST /v1/nodes/{id}/drain had no daemon behind them, and a share that lost both its guards could be opened by a record that no command wrote. Drain: the entry sends Stop until the agent replies, for 10 s. The agent's leave record settles it as well, for only the agent writes it: lost replies then don't end as unknown. No word at all is unknown, never not run. An agent obeys nodes whose name is no agent's; what is trusted stands at isEntry. The process runs the same planned stop as with SIGTERM. An entry drains itself by its own id. Confirm-lost: one append, with an id of its own, then the roster's stream is read for it. The keeper tells of each record as it is applied, so that the answer says whom the record passed over. Ruled out: comparing members after the fact (a join behind the record would look like one before it) and matching by content (another entry's like record would settle ours). Bare names are refused: their record would be taken and open nothing. Reasons: unknown_node, no_reply, stop_refused, still_member. The client takes no answer to another drain for its own. Tried by hand on -dev. Not run: loads.

--- a/coordination/node/agent.go
+++ b/coordination/node/agent.go
@@ -140,6 +140,8 @@
 		return a.gossip.Handle(now, from, m)
 	case message.DeclarationAsk, message.DeclarationReply:
 		return a.declare.Handle(now, from, m)
+	case message.Stop:
+		return a.stop(now, from, m)
 	}
 	return nil
 }
--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -46,11 +46,14 @@
 	set     *declaration.Set
 
 	departures departures
+	commands   *commands
 }
 
 // NewEntry returns the machine of one entry.
 func NewEntry(o EntryOptions) *Entry {
 	e := &Entry{self: o.Self, keeper: newKeeper(), set: declaration.NewSet()}
+	e.commands = newCommands(o.Self.ID)
+	e.keeper.applied = e.commands.applied
 	o.Gossip.Self = o.Self
 	o.Gossip.Seed = o.Seed
 	o.Gossip.Peers = func() []state.Member { return e.keeper.Roster().Members() }
@@ -146,6 +149,8 @@
 		return e.gossip.Handle(now, from, m)
 	case message.DeclarationAsk, message.DeclarationReply:
 		return e.settle(e.declare.Handle(now, from, m))
+	case message.StopReply:
+		return e.commands.stopReply(from, m)
 	}
 	return nil
 }
@@ -161,7 +166,7 @@
 func (e *Entry) rosterRecord(now time.Time, offset int64, data []byte) []coordination.Action {
 	e.departures.note(data)
 	gone, moved := e.keeper.apply(offset, data)
-	var acts []coordination.Action
+	acts := e.commands.take()
 	for _, id := range gone {
 		e.gossip.Forget(now, id)
 		if !e.departures.leaving(id) {
@@ -214,7 +219,10 @@
 // AppendFailed says that an append had no confirmed effect. refused is true
 // when the record certainly isn't in the log.
 func (e *Entry) AppendFailed(now time.Time, a coordination.Append, refused bool) []coordination.Action {
-	if a.Stream == coordination.StreamDeclarations {
+	switch a.Stream {
+	case coordination.StreamRoster:
+		return e.commands.appendFailed(a.Data, refused)
+	case coordination.StreamDeclarations:
 		return e.declare.AppendFailed(now, a.Data, failureOf(refused))
 	}
 	return nil
@@ -261,7 +269,7 @@
 
 // Tick lets time pass.
 func (e *Entry) Tick(now time.Time) []coordination.Action {
-	return slices.Concat(e.route.Tick(now), e.gossip.Tick(now), e.declare.Tick(now))
+	return slices.Concat(e.route.Tick(now), e.gossip.Tick(now), e.declare.Tick(now), e.commands.tick(now))
 }
 
 // Drain refuses new submissions from now on; those under way are finished.
@@ -286,5 +294,5 @@
 
 // Collectors returns the metrics of the machines.
 func (e *Entry) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{e.route, e.limits}
+	return []prometheus.Collector{e.route, e.limits, e.commands.resends}
 }
--- a/coordination/node/keeper.go
+++ b/coordination/node/keeper.go
@@ -22,6 +22,10 @@
 // epoch, from that peer: during an outage of the log the entries would
 // otherwise go on naming homes that the agents have already replaced.
 type keeper struct {
+	// applied, unless nil, is told of each record that was applied to a known
+	// roster, once and in order. It is called with mu held.
+	applied func(offset int64, data []byte, change roster.Change)
+
 	mu sync.Mutex
 	// The rest is guarded by mu.
 	roster *roster.Roster
@@ -72,6 +76,9 @@
 	// A bad record has no effect and only advances the offset.
 	next, change, _ := k.roster.Apply(offset, data)
 	k.roster = next
+	if k.applied != nil && offset > at && next.Rooted() {
+		k.applied(offset, data, change)
+	}
 	if change.Kind == roster.KindLeave || change.Kind == roster.KindEvict {
 		gone = append(gone, change.Member.ID)
 	}
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -191,6 +191,12 @@
 		case <-limit:
 			return ErrStopLimit
 		case now := <-t.C:
+			if drain != nil && a.machine.Draining() {
+				// An entry asked for the planned stop. Without this a task that
+				// never ends would keep the process for ever: the limit of a
+				// planned stop runs from Drain.
+				a.Drain()
+			}
 			if a.machine.Done(now) {
 				return nil
 			}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -111,6 +111,8 @@
 		Dispatcher:   (*dispatcher)(e),
 		Declarer:     (*declarer)(e),
 		Status:       (*status)(e),
+		Drainer:      (*operations)(e),
+		Confirmer:    (*operations)(e),
 		Tokens:       o.Tokens,
 		Ready:        e.Ready,
 		Registry:     o.Metrics.Registry,
--- a/state/outcome.go
+++ b/state/outcome.go
@@ -86,6 +86,12 @@
 	ReasonNoDeclaration  Reason = "no_declaration"
 	ReasonNotReady       Reason = "not_ready"
 
+	// What operators ask of nodes.
+	ReasonUnknownNode Reason = "unknown_node"
+	ReasonNoReply     Reason = "no_reply"
+	ReasonStopRefused Reason = "stop_refused"
+	ReasonStillMember Reason = "still_member"
+
 	// The HTTP interface itself.
 	ReasonUnknownRoute     Reason = "unknown_route"
 	ReasonMethodNotAllowed Reason = "method_not_allowed"
@@ -130,6 +136,10 @@
 	ReasonApplyUnknown:        http.StatusServiceUnavailable,
 	ReasonNoDeclaration:       http.StatusNotFound,
 	ReasonNotReady:            http.StatusServiceUnavailable,
+	ReasonUnknownNode:         http.StatusNotFound,
+	ReasonNoReply:             http.StatusGatewayTimeout,
+	ReasonStopRefused:         http.StatusForbidden,
+	ReasonStillMember:         http.StatusConflict,
 	ReasonUnknownRoute:        http.StatusNotFound,
 	ReasonMethodNotAllowed:    http.StatusMethodNotAllowed,
 	ReasonInternal:            http.StatusInternalServerError,
--- a/state/roster/record.go
+++ b/state/roster/record.go
@@ -46,6 +46,9 @@
 // ConfirmLost is the operator's word that hosts which are no longer members are
 // dead and grant nothing any more. Members it names are passed over.
 type ConfirmLost struct {
+	// ID is the writer's own, by which it finds the record when the reply to
+	// the append was lost. It has no effect and may be empty.
+	ID      string
 	NodeIDs []state.NodeID
 	// AcceptRerun opens their shares at once: the operator accepts that a job
 	// which only the dead knew of runs again. Without it the shares open when
--- a/transport/cli/cli.go
+++ b/transport/cli/cli.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/shallotstep/shallotstep/protocol/api"
 	"github.com/shallotstep/shallotstep/state"
 )
 
@@ -62,6 +63,7 @@
 		{name: "submit", args: "FILE", about: "submit a job file and wait for the answer", least: 1, most: 1, flags: submitFlags, run: runSubmit},
 		{name: "cancel", args: "SERVICE ID", about: "stop a job", least: 2, most: 2, run: runCancel},
 		{name: "drain", args: "NODE", about: "have a node take no more work", least: 1, most: 1, run: runDrain},
+		{name: "confirm-lost", args: "NODE...", about: "say that hosts out of the roster are dead for good", least: 1, most: api.MaxConfirmed, flags: confirmFlags, run: runConfirmLost},
 		{name: "check", args: "FILE...", about: "check files without sending them", least: 1, most: -1, run: runCheck},
 		{name: "load", args: "[FILE FILE]", about: "put load on entries, measure and check the answers", most: 2, flags: loadFlags, run: runLoad},
 		{name: "version", about: "print the software's version", run: runVersion},
@@ -84,6 +86,8 @@
 	base    int64
 	tries   int
 	load    loadOptions
+	// acceptRerun is confirm-lost's.
+	acceptRerun bool
 }
 
 // Run carries out one command line, without the program's name, and returns
--- a/transport/cli/cli_test.go
+++ b/transport/cli/cli_test.go
@@ -78,6 +78,12 @@
 	return e.asked
 }
 
+func (e *entry) sent() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.bodies
+}
+
 func newDesk(t *testing.T, e *entry) *desk {
 	srv := httptest.NewServer(e)
 	t.Cleanup(srv.Close)
@@ -261,6 +267,72 @@
 	d.is.Equal(d.out.String(), "a/b: too late, it is complete\n")
 }
 
+// The person on call acts on the exit code: 1 means that the node was left
+// alone, 3 that it may be stopping. An answer for another node counts as none.
+func TestDrainExitCodes(t *testing.T) {
+	const path = "POST /v1/nodes/agent-1@x/drain"
+	for _, c := range []struct {
+		reply answer
+		code  int
+		out   string
+	}{
+		{answer{200, "", `{"node":"agent-1@x","outcome":"complete"}`}, ExitDone, "agent-1@x is draining\n"},
+		{answer{404, "", problem("not_run", "unknown_node", "")}, ExitRefused, ""},
+		{answer{504, "", problem("unknown", "no_reply", "")}, ExitUnknown, ""},
+		{answer{403, "", problem("unknown", "stop_refused", "")}, ExitUnknown, ""},
+		{answer{200, "", `{"node":"agent-2@x","outcome":"complete"}`}, ExitUnknown, ""},
+		{answer{200, "", `{}`}, ExitUnknown, ""},
+		{answer{}, ExitUnknown, ""},
+	} {
+		e := &entry{answers: map[string][]answer{path: {c.reply}}}
+		d := newDesk(t, e)
+		d.is.Equal(d.run("drain", "agent-1@x"), c.code)
+		d.is.Equal(d.out.String(), c.out)
+		d.is.Equal(len(e.requests()), 1)
+	}
+}
+
+// A confirmation is sent once, whatever comes back: a lost reply is unknown, and
+// the same word may be given again. A reply to another word counts as lost, or
+// a script would take a share for open that isn't.
+func TestConfirmLostExitCodes(t *testing.T) {
+	const (
+		path  = "POST /v1/roster/confirm-lost"
+		word  = `{"nodes":["a@1","b@2"],"accept_rerun":false`
+		rerun = `{"nodes":["a@1","b@2"],"accept_rerun":true`
+		done  = `,"version":21,"outcome":"complete"}`
+	)
+	for _, c := range []struct {
+		flags []string
+		reply answer
+		sent  string
+		code  int
+		out   string
+	}{
+		{nil, answer{200, "", word + done}, word, ExitDone, "confirmed lost at offset 21 of the roster: a@1 b@2\n"},
+		{[]string{"-accept-rerun", "-output", "json"}, answer{200, "", rerun + done}, rerun, ExitDone, rerun + done + "\n"},
+		{nil, answer{409, "", problem("not_run", "still_member", "")}, word, ExitRefused, ""},
+		{nil, answer{409, "", problem("failed", "still_member", "")}, word, ExitRefused, ""},
+		{nil, answer{503, "", problem("not_run", "log_unavailable", "")}, word, ExitRefused, ""},
+		{nil, answer{503, "", problem("unknown", "apply_unknown", "")}, word, ExitUnknown, ""},
+		{nil, answer{200, "", rerun + done}, word, ExitUnknown, ""},
+		{nil, answer{200, "", `{"nodes":["a@1"],"accept_rerun":false` + done}, word, ExitUnknown, ""},
+		{nil, answer{200, "", word + "}"}, word, ExitUnknown, ""},
+		{nil, answer{}, word, ExitUnknown, ""},
+	} {
+		e := &entry{answers: map[string][]answer{path: {c.reply}}}
+		d := newDesk(t, e)
+		d.is.Equal(d.run(append(append([]string{"confirm-lost"}, c.flags...), "a@1", "b@2")...), c.code)
+		d.is.Equal(d.out.String(), c.out)
+		d.is.Equal(e.sent(), []string{c.sent + "}\n"})
+	}
+	d := newDesk(t, &entry{})
+	d.is.Equal(d.run("confirm-lost"), ExitUsage)
+	d.is.Equal(d.run("confirm-lost", "a@1", "b"), ExitUsage) // no incarnation
+	d.url = "127.0.0.1:1"
+	d.is.Equal(d.run("confirm-lost", "a@1"), ExitRefused) // not sent
+}
+
 func TestDiff(t *testing.T) {
 	e := &entry{answers: map[string][]answer{getHaneul: {{200, `"17"`, declarationFile}}}}
 	d := newDesk(t, e)
--- a/transport/httpapi/auth.go
+++ b/transport/httpapi/auth.go
@@ -20,7 +20,7 @@
 	RoleCaller Role = "caller"
 	// RoleOperator also declares for its operator and reads the status.
 	RoleOperator Role = "operator"
-	// RoleAdmin acts for every operator and drains nodes.
+	// RoleAdmin acts for every operator, drains nodes and confirms lost ones.
 	RoleAdmin Role = "admin"
 )
 
--- a/transport/httpapi/fakes_test.go
+++ b/transport/httpapi/fakes_test.go
@@ -117,11 +117,28 @@
 
 func (fakeDrainer) Drain(_ context.Context, node state.NodeID) message.Answer {
 	if node != "agent-1" {
-		return message.Answer{Outcome: state.NotRun, Reason: state.ReasonHomeUnreachable, Detail: "no such node is known"}
+		return message.Answer{Outcome: state.NotRun, Reason: state.ReasonUnknownNode, Detail: "no such node is known"}
 	}
 	return message.Answer{Outcome: state.Complete}
 }
 
+// fakeConfirmer answers by the last node that is named.
+type fakeConfirmer struct{}
+
+func (fakeConfirmer) ConfirmLost(_ context.Context, nodes []state.NodeID, _ bool) coordination.Applied {
+	switch last := nodes[len(nodes)-1]; last {
+	case "lives@1":
+		return coordination.Applied{Outcome: state.NotRun, Reason: state.ReasonStillMember, Detail: "still in the roster: " + string(last)}
+	case "joined@1":
+		return coordination.Applied{Version: 21, Outcome: state.Failed, Reason: state.ReasonStillMember, Detail: "passed over: " + string(last)}
+	case "log-down@1":
+		return coordination.Applied{Outcome: state.NotRun, Reason: state.ReasonLogUnavailable, Detail: "the platform's log took no record"}
+	case "log-silent@1":
+		return coordination.Applied{Outcome: state.Unknown, Reason: state.ReasonApplyUnknown, Detail: "the log has not shown the record"}
+	}
+	return coordination.Applied{Version: 21, Outcome: state.Complete}
+}
+
 // The resources that the tests ask for.
 const (
 	jobs     = "/v1/services/bench-desk/jobs"
@@ -187,7 +204,8 @@
 
 // start starts the server anew.
 func (b *bench) start(t *testing.T, o Options) {
-	o.Dispatcher, o.Declarer, o.Status, o.Drainer = b.dispatcher, b.declarer, fakeStatus{}, fakeDrainer{}
+	o.Dispatcher, o.Declarer, o.Status = b.dispatcher, b.declarer, fakeStatus{}
+	o.Drainer, o.Confirmer = fakeDrainer{}, fakeConfirmer{}
 	o.Ready = func() bool { return b.ready }
 	srv := httptest.NewUnstartedServer(nil)
 	srv.Config = NewServer(New(o), nil)
--- a/transport/httpapi/handler.go
+++ b/transport/httpapi/handler.go
@@ -71,6 +71,10 @@
 		s.handle(r, http.MethodPost, "/v1/nodes/:id/drain", RoleAdmin, s.drainNode)
 	}
 
+	if s.Confirmer != nil {
+		s.handle(r, http.MethodPost, "/v1/roster/confirm-lost", RoleAdmin, s.confirmLost)
+	}
+
 	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{}))
 	for _, method := range []string{http.MethodGet, http.MethodHead} {
 		r.Handler(method, "/healthz", s.plain("/healthz", s.healthz))
--- a/transport/httpapi/options.go
+++ b/transport/httpapi/options.go
@@ -62,6 +62,13 @@
 	Drain(ctx context.Context, node state.NodeID) message.Answer
 }
 
+// Confirmer takes the word of the person on call that hosts are dead for good.
+type Confirmer interface {
+	// ConfirmLost has the word appended to the roster. The version of a Complete
+	// one is its record's offset.
+	ConfirmLost(ctx context.Context, nodes []state.NodeID, acceptRerun bool) coordination.Applied
+}
+
 // Options are what the handler works with.
 type Options struct {
 	Dispatcher Dispatcher
@@ -72,6 +79,8 @@
 	Spec func(service string) (declaration.ServiceSpec, bool)
 	// Drainer may be nil: the node then has no drain resource.
 	Drainer Drainer
+	// Confirmer may be nil: the node then has no resource for lost hosts.
+	Confirmer Confirmer
 	// Tokens are the bearer tokens. With none, everybody on the loopback
 	// interface may do everything, and nobody else anything.
 	Tokens []Token
--- a/transport/httpclient/calls.go
+++ b/transport/httpclient/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -97,5 +98,31 @@
 // Drain has a node take no more work.
 func (c *Client) Drain(ctx context.Context, node state.NodeID) (api.Drained, *Failure) {
 	k := call{method: http.MethodPost, path: []string{"v1", "nodes", string(node), "drain"}}
-	return document[api.Drained](ctx, c, k)
+	d, f := document[api.Drained](ctx, c, k)
+	if f != nil {
+		return d, f
+	}
+	if d.Node != node || state.Outcome(d.Outcome) != state.Complete {
+		return d, lost(errors.Errorf("the answer is %s for %q", state.Outcome(d.Outcome), d.Node))
+	}
+	return d, nil
+}
+
+// ConfirmLost gives the word that hosts are dead for good. It is sent once: a
+// lost reply leaves the outcome unknown, and giving the same word again is safe.
+func (c *Client) ConfirmLost(ctx context.Context, word api.ConfirmLost) (api.ConfirmedLost, *Failure) {
+	body, err := api.EncodeDocument(word)
+	if err != nil {
+		return api.ConfirmedLost{}, &Failure{Outcome: state.NotRun, Err: err, NotSent: true}
+	}
+	k := call{method: http.MethodPost, path: []string{"v1", "roster", "confirm-lost"}, body: body}
+	d, f := document[api.ConfirmedLost](ctx, c, k)
+	if f != nil {
+		return d, f
+	}
+	same := slices.Equal(d.Nodes, word.Nodes) && d.AcceptRerun == word.AcceptRerun
+	if !same || state.Outcome(d.Outcome) != state.Complete {
+		return d, lost(errors.Errorf("the answer is %s for %v", state.Outcome(d.Outcome), d.Nodes))
+	}
+	return d, nil
 }
