Place small jobs on few agents and large ones on many

News that others spread about an agent is old; an agent's own reports, beside results, are fresh. A home that works with 12 agents instead of 32 hears of each more often. The view's default stays 32. At 11 agents nothing changes.

--- a/bench/placement/main.go
+++ b/bench/placement/main.go
@@ -19,12 +19,13 @@
 	var (
 		agents    = flag.Int("agents", 11, "number of agents, with 8 slots each")
 		loads     = flag.String("loads", "30,60,80,95", "loads in percent of all slots")
-		scenarios = flag.String("scenarios", "plain", "plain, burst, hog, wrong, straggler, broken")
+		scenarios = flag.String("scenarios", "plain", "plain, big, burst, hog, wrong, straggler, broken")
 		length    = flag.Duration("length", 2*time.Minute, "simulated time in which jobs arrive")
 		seed      = flag.Uint64("seed", 1, "seed of the workload and of all lots drawn")
 		stale     = flag.Duration("stale", time.Second, "how often loads are spread among agents")
 		deadline  = flag.Duration("deadline", time.Minute, "how long callers wait")
 		subset    = flag.Int("subset", 32, "how many agents a home places tasks on")
+		narrow    = flag.Int("narrow", home.DefaultNarrow, "how many of them it uses for small jobs")
 		queue     = flag.Int("queue", 2, "tasks that may wait at an agent")
 		ask       = flag.Int("ask", home.DefaultAsk, "agents told of a backlog at once")
 		askPer    = flag.Int("askper", home.DefaultAskPer, "waiting tasks for which one more agent is told")
@@ -43,6 +44,7 @@
 				scenario: scenario, stale: *stale, deadline: *deadline, subset: *subset,
 			}
 			c.home.Ask = *ask
+			c.home.Narrow = *narrow
 			c.home.AskPer = *askPer
 			c.admit.QueueLimit = *queue
 			began := time.Now()
--- a/bench/placement/result.go
+++ b/bench/placement/result.go
@@ -36,6 +36,8 @@
 	// packed is response over the ideal packing, lost is response minus it.
 	slow, packed []float64
 	lost         []time.Duration
+	// largest is slow of the jobs of the largest size.
+	largest []float64
 	// perOperator is the mean of slow.
 	perOperator [operators]float64
 }
@@ -69,6 +71,9 @@
 		r.slow = append(r.slow, slow)
 		r.packed = append(r.packed, float64(took)/float64(ideal[i]))
 		r.lost = append(r.lost, took-ideal[i])
+		if len(j.tasks) == state.MaxTasksPerJob {
+			r.largest = append(r.largest, slow)
+		}
 		r.perOperator[j.operator] += slow
 		count[j.operator]++
 	}
@@ -77,6 +82,7 @@
 	}
 	slices.Sort(r.slow)
 	slices.Sort(r.packed)
+	slices.Sort(r.largest)
 	slices.Sort(r.lost)
 }
 
@@ -95,6 +101,9 @@
 
 func (r *result) line(name string) string {
 	per := float64(max(1, r.starts))
+	if len(r.largest) > 0 {
+		name = fmt.Sprintf("%s (largest %.2f)", name, quantile(r.largest, 0.5))
+	}
 	return fmt.Sprintf("%-30s %6d %7d | %5.2f %7.2f | %5.3f %7.2f | %7.1fms %6.0fms | %6.2f %6.3f %6.3f %6.3f %6.3f | %5d %7d %4d (last at %.1fs) | %.2f",
 		name, len(r.answers), r.starts,
 		quantile(r.slow, 0.5), quantile(r.slow, 0.99),
--- a/bench/placement/workload.go
+++ b/bench/placement/workload.go
@@ -38,6 +38,7 @@
 	burstFor   = time.Second
 	burstBy    = 8.0
 	wrongBy    = 3
+	bigShare   = 0.005 // of the jobs in the scenario with jobs of the largest size
 )
 
 func drawRun(rng *rand.Rand) time.Duration {
@@ -54,7 +55,10 @@
 }
 
 // drawSize returns a job's number of tasks; meanSize is its mean.
-func drawSize(rng *rand.Rand) int {
+func drawSize(c *config, rng *rand.Rand) int {
+	if c.scenario == "big" && rng.Float64() < bigShare {
+		return state.MaxTasksPerJob
+	}
 	switch x := rng.Float64(); {
 	case x < 0.6:
 		return 1
@@ -64,12 +68,18 @@
 	return 20 + rng.IntN(41)
 }
 
-const meanSize = 0.6*1 + 0.3*6 + 0.1*40
+func meanSize(c *config) float64 {
+	const usual = 0.6*1 + 0.3*6 + 0.1*40
+	if c.scenario == "big" {
+		return (1-bigShare)*usual + bigShare*state.MaxTasksPerJob
+	}
+	return usual
+}
 
 // plan draws the jobs of a run.
 func plan(c *config) []plannedJob {
 	rng := rand.New(rand.NewPCG(c.seed, 1))
-	rate := c.load * float64(c.agents*slots) / (meanRun().Seconds() * meanSize)
+	rate := c.load * float64(c.agents*slots) / (meanRun().Seconds() * meanSize(c))
 	var jobs []plannedJob
 	for at := time.Duration(0); at < c.length; {
 		now := rate
@@ -89,7 +99,7 @@
 		if rng.Float64() >= heavyShare && !hogs {
 			j.operator = 1 + rng.IntN(operators-1)
 		}
-		for range drawSize(rng) {
+		for range drawSize(c, rng) {
 			j.tasks = append(j.tasks, drawTask(c, rng))
 			j.longest = max(j.longest, j.tasks[len(j.tasks)-1].ran)
 		}
--- a/coordination/home/agents.go
+++ b/coordination/home/agents.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/place"
@@ -95,50 +96,66 @@
 // refreshEvery is how often the view is read while tasks wait.
 const refreshEvery = 5 * time.Millisecond
 
-// refresh reads the view.
-func (p *pool) refresh(now time.Time, force bool) {
+// refresh reads the view. need is how many tasks there are to place.
+func (p *pool) refresh(now time.Time, force bool, need int) {
 	if !force && now.Before(p.refreshAt) {
 		return
 	}
 	p.refreshAt = now.Add(refreshEvery)
 	loads := p.o.View.Candidates(p.service)
-	for _, a := range p.list {
-		a.usable = a.extra
-	}
-	kept := p.list[:0]
-	for _, a := range p.list {
-		if a.extra {
-			kept = append(kept, a)
-		}
+	usable, override := place.Usable(loads)
+	p.override = override
+	p.clearList()
+	for i := range usable[:min(len(usable), p.width(need))] {
+		p.list = append(p.list, p.listed(now, &usable[i]))
 	}
-	p.list = kept
-	for i := range loads {
-		a := p.agents[loads[i].ID]
-		if a == nil {
-			a = &agent{}
-			p.agents[loads[i].ID] = a
-		}
-		if !a.extra {
+	if len(usable) == 0 {
+		// Kept to tell why nothing can run.
+		for i := range loads {
+			a := p.listed(now, &loads[i])
+			a.usable = false
 			p.list = append(p.list, a)
 		}
-		a.learn(now, loads[i])
 	}
-	p.markUsable()
 	for _, a := range p.list {
 		down, probe := p.links.isDown(now, a.load.ID)
 		a.down, a.probe = down, a.probe && down || probe
 	}
 }
 
-func (p *pool) markUsable() {
-	usable, override := place.Usable(p.loads())
-	p.override = override
+// tasksPerCandidate is for how many tasks to place one more agent is used.
+const tasksPerCandidate = 4
+
+// width is how many of the view's candidates to use. A home that works with few
+// agents hears of each of them often, in the reports on its own tasks, while the
+// news that others spread is old. Large jobs need the slots of more.
+func (p *pool) width(need int) int {
+	return max(p.o.Narrow, need/tasksPerCandidate)
+}
+
+// clearList empties the list of agents but for the extra ones.
+func (p *pool) clearList() {
+	kept := p.list[:0]
 	for _, a := range p.list {
-		a.usable = false
+		if a.extra {
+			kept = append(kept, a)
+		} else {
+			a.usable = false
+		}
 	}
-	for i := range usable {
-		p.agents[usable[i].ID].usable = true
+	p.list = kept
+}
+
+// listed returns the agent of a load, made usable.
+func (p *pool) listed(now time.Time, l *state.AgentLoad) *agent {
+	a := p.agents[l.ID]
+	if a == nil {
+		a = &agent{}
+		p.agents[l.ID] = a
 	}
+	a.learn(now, *l)
+	a.usable = true
+	return a
 }
 
 // loads returns what is known of every agent in the list.
@@ -150,19 +167,14 @@
 	return out
 }
 
-// addExtra brings in agents beyond the view's candidates.
-func (p *pool) addExtra(loads []state.AgentLoad) {
+// addExtra brings in agents beyond those in use.
+func (p *pool) addExtra(now time.Time, loads []state.AgentLoad) {
 	for i := range loads {
-		a := p.agents[loads[i].ID]
-		if a == nil {
-			a = &agent{}
-			p.agents[loads[i].ID] = a
-		}
-		if !a.extra {
-			a.extra = true
+		a := p.listed(now, &loads[i])
+		a.usable = !loads[i].Draining && !loads[i].Ejected
+		if !a.extra && !slices.Contains(p.list, a) {
 			p.list = append(p.list, a)
 		}
-		a.learn(p.refreshAt, loads[i])
+		a.extra = true
 	}
-	p.markUsable()
 }
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -51,6 +51,7 @@
 	DefaultGrace       = 100 * time.Millisecond
 	DefaultResend      = time.Second
 	DefaultSettle      = 50 * time.Millisecond
+	DefaultNarrow      = 12
 	DefaultAsk         = 2
 	DefaultAskPer      = 4
 )
@@ -80,6 +81,9 @@
 	Ask int
 	// AskPer is for how many waiting tasks one more agent hears of it.
 	AskPer int
+	// Narrow is how many agents a service's small jobs are placed on; large ones
+	// use more of the view's candidates.
+	Narrow int
 	// Metrics may be nil.
 	Metrics *Metrics
 }
@@ -92,6 +96,7 @@
 	setDefault(&o.Resend, DefaultResend)
 	setDefault(&o.Settle, DefaultSettle)
 	setDefault(&o.Ask, DefaultAsk)
+	setDefault(&o.Narrow, DefaultNarrow)
 	setDefault(&o.AskPer, DefaultAskPer)
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -346,6 +346,38 @@
 	is.Equal(len(answers), 0)
 }
 
+// Of forty known agents a home uses few for small jobs and more for a large one,
+// and one further down when only its worker holds the task.
+func TestWidthGrowsWithTheWork(t *testing.T) {
+	is := is.New(t)
+	free := make([]int, 40)
+	for i := range free {
+		free[i] = 8
+	}
+	view := agents(free...)
+	view[39].Accelerators = 1
+	b := newBench(view, nil)
+	used := map[state.NodeID]bool{}
+	for i := range 30 {
+		b.submit(fmt.Sprint("j", i), 1, 0, "1")
+	}
+	to, _ := take[message.Assign](b)
+	for _, id := range to {
+		used[id] = true
+	}
+	is.True(len(used) <= DefaultNarrow)
+	b.submit("large", 200, 0, "1")
+	to, _ = take[message.Assign](b)
+	for _, id := range to {
+		used[id] = true
+	}
+	is.True(len(used) > 2*DefaultNarrow)
+	j := state.Job{Key: state.JobKey{Service: "s", ID: "rare"}, Tasks: []state.Task{{Accelerators: 1}}}
+	b.do(b.h.Handle(b.now, "entry", message.Submit{Job: j, Digest: j.Digest(), Attempt: "1"}))
+	_, answers := take[message.Answer](b)
+	is.Equal(len(answers), 0) // not called never runnable
+}
+
 // barring rules attempts out for jobs that it has no record of.
 type barring struct {
 	grantAll
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -58,13 +58,13 @@
 	case p.backlog+len(j.backlog) > p.o.MaxWaiting:
 		return p.stop(now, j, state.ReasonOverload, retryLater)
 	}
-	p.refresh(now, true)
+	p.refresh(now, true, p.backlog+len(j.backlog))
 	if len(p.list) == 0 {
 		j.graceUntil = now.Add(p.o.Grace)
 		if !j.deadline.IsZero() {
 			j.graceUntil = earlier(j.graceUntil, now.Add(j.deadline.Sub(now)/2))
 		}
-	} else if !p.runnable(j) {
+	} else if !p.runnable(now, j) {
 		return p.stop(now, j, state.ReasonNeverRunnable, 0)
 	}
 	if wait := p.expectedWait(now, j); j.unreachable(now, wait) {
@@ -90,27 +90,37 @@
 
 // runnable reports whether each task fits some known worker, and makes such
 // workers candidates if they weren't.
-func (p *pool) runnable(j *job) bool {
+func (p *pool) runnable(now time.Time, j *job) bool {
 	loads := p.loads()
 	for i := range j.tasks {
 		t := &j.tasks[i].spec
 		if place.Runnable(t, loads) {
 			continue
 		}
-		f, ok := p.o.View.(Fitter)
-		if !ok {
-			return false
-		}
-		more := f.CandidatesFor(p.service, t)
+		more := p.fitting(t)
 		if len(more) == 0 {
 			return false
 		}
-		p.addExtra(more)
+		p.addExtra(now, more)
 		loads = p.loads()
 	}
 	return true
 }
 
+// fitting returns agents beyond those in use whose worker holds the task.
+func (p *pool) fitting(t *state.Task) []state.AgentLoad {
+	if f, ok := p.o.View.(Fitter); ok {
+		return f.CandidatesFor(p.service, t)
+	}
+	var out []state.AgentLoad
+	for _, l := range p.o.View.Candidates(p.service) {
+		if l.Fits(t) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
 // tick wakes the jobs whose time has come.
 func (p *pool) tick(now time.Time) []coordination.Action {
 	var out []coordination.Action
@@ -125,7 +135,7 @@
 	}
 	p.expire(now)
 	if p.waiting.len() > 0 {
-		p.refresh(now, false)
+		p.refresh(now, false, p.backlog)
 		out = append(out, p.dispatch(now)...)
 	}
 	return out
@@ -172,11 +182,11 @@
 // wakeGrace ends the wait for a first backend server.
 func (p *pool) wakeGrace(now time.Time, j *job) []coordination.Action {
 	j.graceUntil = time.Time{}
-	p.refresh(now, true)
+	p.refresh(now, true, p.backlog)
 	if reason := p.closedFor(now); reason != state.ReasonNone {
 		return p.stop(now, j, reason, retryLater)
 	}
-	if !p.runnable(j) {
+	if !p.runnable(now, j) {
 		return p.stop(now, j, state.ReasonNeverRunnable, 0)
 	}
 	p.schedule(j, j.nextWake())
