Let a job run whose second submission came after the refusal

Cause: the check not_run and the starts check called it a contradiction when the first submission was refused as not run and a second one, sent after that refusal had come, ran. That is what a refusal invites the caller to do, so the check was wrong. It now compares when the second was sent with when the refusal came, and rows carry the outcome that holds in the end; a second submission that was under way when the refusal came still fails it, and the test has both cases side by side.

--- a/bench/system/starts.go
+++ b/bench/system/starts.go
@@ -42,9 +42,9 @@
 			switch {
 			case n > 1:
 				out.fault("task %d of job %s was started %d times", index, key.ID, n)
-			case n == 0 && row.Outcome == state.Complete.String():
+			case n == 0 && row.Settled == state.Complete.String():
 				out.fault("task %d of job %s is complete and was never started", index, key.ID)
-			case n > 0 && row.Outcome == state.NotRun.String():
+			case n > 0 && row.Settled == state.NotRun.String():
 				out.fault("task %d of job %s is not run (%s) and was started", index, key.ID, row.Reason)
 			}
 		}
--- /dev/null
+++ b/transport/loadgen/check_test.go
@@ -0,0 +1,179 @@
+package loadgen
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/protocol/api"
+	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/transport/httpclient"
+)
+
+func TestRightAnswersPass(t *testing.T) {
+	is := is.New(t)
+	c := testConfig(t)
+	c.Resubmit = 0.5
+	r := run(t, c, &fakeEntry{})
+	is.True(r.Passed())
+	is.True(r.Resubmissions.Sent > r.Jobs/3)
+	is.Equal(r.Resubmissions.Compared, r.Resubmissions.Sent)
+	is.Equal(r.check(CheckSame), Check{CheckSame, r.Resubmissions.Sent, 0})
+	is.Equal(r.check(CheckWhole).Made, r.Jobs+r.Resubmissions.Sent)
+	is.Equal(r.check(CheckCancel).Made, 0)
+	is.Equal([]int{r.Agents, r.Slots}, []int{1, 8}) // draining, ejected and foreign ones don't count
+	is.Equal(r.Messages.PerStart, 3.0)
+	is.Equal(r.Messages.WastedPerStart, 0.5)
+	is.Equal(r.Ratio.Max, 1.0)
+}
+
+// Entries that mix up, cut or double what they answer, each in its own way. The
+// client refuses some of these answers by itself; the report must still say
+// that the entry sent them, and the run must not pass.
+func TestBentAnswersAreCaught(t *testing.T) {
+	refused := func(outcome state.Outcome) *httpclient.Failure {
+		return &httpclient.Failure{Outcome: outcome, Problem: api.NewProblem(state.ReasonBusy, outcome, "")}
+	}
+	for name, bent := range map[string]struct {
+		check CheckName
+		bend  func(id string, n int, a *api.Answer) *httpclient.Failure
+	}{
+		"cut":     {CheckWhole, func(_ string, _ int, a *api.Answer) *httpclient.Failure { a.Results = a.Results[:1]; return nil }},
+		"pending": {CheckWhole, func(_ string, _ int, a *api.Answer) *httpclient.Failure { a.Outcome = 0; a.Results = nil; return nil }},
+		"more": {CheckWhole, func(_ string, _ int, a *api.Answer) *httpclient.Failure {
+			a.Results = append(a.Results, a.Results[0])
+			return nil
+		}},
+		"doubled": {CheckOwn, func(_ string, _ int, a *api.Answer) *httpclient.Failure { a.Results[1] = a.Results[0]; return nil }},
+		"swapped": {CheckOwn, func(_ string, _ int, a *api.Answer) *httpclient.Failure {
+			a.Results[0], a.Results[1] = a.Results[1], a.Results[0]
+			return nil
+		}},
+		"other job's": {CheckOwn, func(_ string, _ int, a *api.Answer) *httpclient.Failure { a.ID = "t-other"; return nil }},
+		"no result": {CheckOwn, func(_ string, _ int, a *api.Answer) *httpclient.Failure {
+			a.Results[1] = json.RawMessage("null")
+			return nil
+		}},
+		"second differs": {CheckSame, func(_ string, n int, a *api.Answer) *httpclient.Failure {
+			if n == 1 {
+				a.Results[0] = json.RawMessage(`"again"`)
+			}
+			return nil
+		}},
+		"second failed": {CheckSame, func(_ string, n int, a *api.Answer) *httpclient.Failure {
+			if n == 1 {
+				return refused(state.Failed)
+			}
+			return nil
+		}},
+		"second not run": {CheckNotRun, func(_ string, n int, a *api.Answer) *httpclient.Failure {
+			if n == 1 {
+				return refused(state.NotRun)
+			}
+			return nil
+		}},
+		"first not run": {CheckNotRun, func(_ string, n int, a *api.Answer) *httpclient.Failure {
+			if n == 0 {
+				return refused(state.NotRun)
+			}
+			return nil
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := testConfig(t)
+			c.Resubmit = 1
+			r := run(t, c, &fakeEntry{bend: bent.bend})
+			is.True(!r.Passed())
+			is.True(r.check(bent.check).Failed > 0)
+			is.Equal(len(r.Violations), maxViolations)
+		})
+	}
+}
+
+// An entry refuses every first submission as not run and runs every second one.
+// Where the second was sent after the refusal had come that is how it should be;
+// where it was on its way before, two callers are told two things of one id.
+func TestNotRunSpeaksOfWhatWasSentBefore(t *testing.T) {
+	is := is.New(t)
+	c := testConfig(t)
+	c.Resubmit = 1
+	e := &fakeEntry{bend: func(_ string, n int, a *api.Answer) *httpclient.Failure {
+		if n > 0 {
+			return nil
+		}
+		*a = api.Answer{}
+		return &httpclient.Failure{Outcome: state.NotRun, Problem: api.NewProblem(state.ReasonOverload, state.NotRun, "")}
+	}}
+	r := run(t, c, e)
+	anew := 0
+	for _, row := range r.Rows {
+		is.Equal(row.Outcome, "not_run")
+		if row.Settled == "complete" {
+			anew++
+		}
+	}
+	is.True(anew > 0 && anew < r.Jobs)
+	is.Equal(r.check(CheckNotRun), Check{CheckNotRun, r.Jobs, r.Jobs - anew})
+}
+
+// The entry tells one caller that the job is cancelled and the other that it is
+// complete.
+func TestCancelledAndCompleteIsCaught(t *testing.T) {
+	is := is.New(t)
+	c := testConfig(t)
+	c.Cancel = 0.3
+	r := run(t, c, &fakeEntry{})
+	is.True(r.Cancellations.Cancelled > 0)
+	is.Equal(r.check(CheckCancel).Failed, r.Cancellations.Cancelled)
+	is.True(!r.Passed())
+}
+
+// A second submission whose outcome the caller doesn't know agrees with any
+// first one, and a reply that broke off on the way is no fault of the entry's.
+func TestUnknownIsNoContradiction(t *testing.T) {
+	is := is.New(t)
+	c := testConfig(t)
+	c.Resubmit = 1
+	e := &fakeEntry{bend: func(_ string, n int, a *api.Answer) *httpclient.Failure {
+		if n == 0 {
+			return nil
+		}
+		*a = api.Answer{}
+		return &httpclient.Failure{Outcome: state.Unknown, Err: context.DeadlineExceeded}
+	}}
+	r := run(t, c, e)
+	is.True(r.Passed())
+	is.Equal(r.Resubmissions.Compared, 0)
+}
+
+// Over real HTTP, a reply with a status of 200 that is no JSON document was
+// truncated or mixed up by the entry.
+func TestUnreadableReplyIsCaught(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set("Content-Type", api.ContentTypeJSON)
+		if req.Method == http.MethodGet {
+			body, _ := api.EncodeDocument(status())
+			w.Write(body)
+			return
+		}
+		fmt.Fprint(w, `{"id":"t-0","outcome":"complete","results":["t-0/0"`)
+	}))
+	defer srv.Close()
+	client, err := httpclient.New(httpclient.Options{Addr: srv.URL})
+	is.NoErr(err)
+	c := testConfig(t)
+	c.Length = Duration(200 * time.Millisecond)
+	c.JobsPerSecond = 50
+	r, err := Run(context.Background(), c, []Caller{client})
+	is.NoErr(err)
+	is.True(r.Jobs > 0)
+	is.Equal(r.check(CheckReadable), Check{CheckReadable, r.Jobs, r.Jobs})
+}
--- a/transport/loadgen/report.go
+++ b/transport/loadgen/report.go
@@ -59,13 +59,17 @@
 
 // Row is one job.
 type Row struct {
-	Due      Duration     `json:"due_ms"`
-	Response Duration     `json:"response_ms"`
-	Ideal    Duration     `json:"ideal_ms"`
-	Packed   Duration     `json:"packed_ms"`
-	Tasks    int          `json:"tasks"`
+	Due      Duration `json:"due_ms"`
+	Response Duration `json:"response_ms"`
+	Ideal    Duration `json:"ideal_ms"`
+	Packed   Duration `json:"packed_ms"`
+	Tasks    int      `json:"tasks"`
+	// Outcome and Reason are the first submission's. Settled is what holds of
+	// the id in the end: the second one's outcome where that was sent after the
+	// first one was known to have not run.
 	Outcome  string       `json:"outcome"`
 	Reason   state.Reason `json:"reason,omitempty"`
+	Settled  string       `json:"settled"`
 	Messages int          `json:"messages,omitempty"`
 	Wasted   int          `json:"wasted,omitempty"`
 }
@@ -109,13 +113,14 @@
 func (r *record) row(slots int, packed time.Duration) Row {
 	row := Row{
 		Due: Duration(r.at), Ideal: Duration(r.ideal(slots)), Packed: Duration(packed),
-		Tasks: len(r.tasks), Outcome: state.NotRun.String(), Reason: reasonNotSent,
+		Tasks: len(r.tasks), Outcome: state.NotRun.String(), Reason: reasonNotSent, Settled: state.NotRun.String(),
 	}
 	if !r.first.made {
 		return row
 	}
 	row.Response = Duration(r.first.response())
 	row.Outcome, row.Reason = r.first.outcome().String(), r.first.reason()
+	row.Settled = r.settled().String()
 	if s := r.first.answer.Stats; s != nil && r.first.complete() {
 		row.Messages, row.Wasted = s.Messages, s.Wasted
 	}
