--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -19,18 +19,17 @@
 
 // Defaults of Options.
 const (
-	DefaultQueueLimit            = 2
-	DefaultLeaseTTL              = 5 * time.Second
-	DefaultRetention             = 15 * time.Minute
-	DefaultResultRetention       = time.Minute
-	DefaultResultBytes           = 8 << 20
-	DefaultHold                  = coordination.TickInterval
-	DefaultCreditTTL             = 10 * time.Millisecond
-	DefaultInterestTTL           = 2 * time.Second
-	busyRetry                    = 20 * time.Millisecond
-	elsewhereRetry               = time.Second
-	connectionsPerTask           = 1
-	unlimited              int64 = 1 << 62
+	DefaultQueueLimit      = 2
+	DefaultLeaseTTL        = 5 * time.Second
+	DefaultRetention       = 15 * time.Minute
+	DefaultResultRetention = time.Minute
+	DefaultResultBytes     = 8 << 20
+	DefaultHold            = coordination.TickInterval
+	DefaultCreditTTL       = 10 * time.Millisecond
+	DefaultInterestTTL     = 2 * time.Second
+	busyRetry              = 20 * time.Millisecond
+	elsewhereRetry         = time.Second
+	connectionsPerTask     = 1
 )
 
 // Options configure a Machine. Zero values stand for the defaults above.
--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -378,6 +378,37 @@
 	is.Equal(len(answers), 0) // not called never runnable
 }
 
+// A wave of cancellations meets jobs of which some tasks are done. Each job has
+// failed at once, whoever waits is told, and each agent gets one message a job.
+// A job whose claim is undecided waits for the verdict, and then has not run.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(8, 8), nil)
+	b.submit("j", 16, 0, "1")
+	to, assigns := take[message.Assign](b)
+	first := assigns[0].Indexes[0]
+	b.report(to[0], message.Report{Key: assigns[0].Key, Results: []state.TaskResult{{Index: first}}})
+	b.do(b.h.Handle(b.now, "entry", message.Cancel{Key: assigns[0].Key, Attempt: "c"}))
+	_, answers := take[message.Answer](b)
+	is.Equal(len(answers), 2) // the submitter and the canceller
+	is.Equal(answers[0].Outcome, state.Failed)
+	is.Equal(answers[0].Reason, state.ReasonCancelled)
+	dropped, _ := take[message.Drop](b)
+	is.Equal(len(dropped), 2)
+
+	j := state.Job{Key: state.JobKey{Service: "s", ID: "claiming"}, Tasks: make([]state.Task, 1)}
+	acts := b.h.Handle(b.now, "entry", message.Submit{Job: j, Digest: j.Digest(), Attempt: "1"})
+	b.do(b.h.Handle(b.now, "entry", message.Cancel{Key: j.Key, Attempt: "c"}))
+	_, early := take[message.Answer](b)
+	is.Equal(len(early), 0)
+	b.do(acts)
+	_, answers = take[message.Answer](b)
+	is.Equal(len(answers), 2)
+	is.Equal(answers[0].Outcome, state.NotRun)
+	_, assigns = take[message.Assign](b)
+	is.Equal(len(assigns), 0)
+}
+
 // barring rules attempts out for jobs that it has no record of.
 type barring struct {
 	grantAll
--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -82,12 +82,10 @@
 	backlog []int
 	left    int // tasks without result
 	// failed is the result of the first task that failed.
-	failed *state.TaskResult
-	// lastRefusal is why an agent last refused a task.
-	lastRefusal state.Reason
-	arrived     time.Time
-	deadline    time.Time // zero means none
-	waiters     []waiter
+	failed   *state.TaskResult
+	arrived  time.Time
+	deadline time.Time // zero means none
+	waiters  []waiter
 	// refused are the attempts that were told "not run". A late copy of one of
 	// them must not start what its caller was told did not run.
 	refused  []message.Attempt
@@ -96,8 +94,8 @@
 	// graceUntil is when the job stops waiting for an agent that takes anything.
 	graceUntil time.Time
 	stats      message.Stats
-	// asks counts the messages that only told of the backlog; answered the
-	// offers that came of them and were used.
+	// asks counts the messages that only told of the backlog. Stats count them as
+	// wasted, even where an offer came of them: which one did is not known.
 	asks int
 
 	// verdict is what the job ends with once settled.
@@ -105,7 +103,7 @@
 	reason     state.Reason
 	retryAfter time.Duration
 	detail     string
-	// settleBy is when waiters are told "unknown"; settled is set once told.
+	// settleBy is when waiters are told "unknown"; zero once they were.
 	settleBy time.Time
 
 	// answer is the stored answer; size its bytes.
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -116,7 +116,6 @@
 	if moved == 0 {
 		return
 	}
-	j.lastRefusal = m.Reason
 	if j.phase == running {
 		p.backlog += moved
 		if len(j.backlog) == moved {
