--- a/coordination/node/agent.go
+++ b/coordination/node/agent.go
@@ -95,7 +95,7 @@
 	a.admit = admit.New(o.Admit)
 	o.Home.Self = o.Self.ID
 	o.Home.Claims = a.guard
-	o.Home.View = a.gossip
+	o.Home.View = placed{a.gossip, a.set}
 	o.Home.Seed = o.Seed
 	a.home = home.New(o.Home)
 	o.Member.Self = o.Self
--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -67,7 +67,7 @@
 	e.route = route.New(route.Options{
 		Self:   o.Self.ID,
 		Roster: e,
-		View:   e.gossip,
+		View:   placed{e.gossip, e.set},
 		Limits: e.limits,
 		Seed:   o.Seed,
 	})
@@ -251,6 +251,7 @@
 	return limit.Quota{
 		TasksInFlight:  f.Quota.TasksInFlight,
 		TasksPerSecond: float64(f.Quota.TasksPerSecond),
+		Weight:         float64(f.Priority),
 	}
 }
 
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -36,8 +36,9 @@
 	// lapsedTTLs is how many times to live after its last announcement a
 	// backend server is taken to be gone, and waits for its answers end.
 	lapsedTTLs = 3
-	// doneEvery is how often a draining agent looks whether it may exit.
-	doneEvery = 5 * time.Millisecond
+	// doneEvery is how often an agent looks whether it may or must exit. Each
+	// look wakes the process, idle or not.
+	doneEvery = 250 * time.Millisecond
 	// closeLimit bounds the flushing of links at the end.
 	closeLimit = 2 * time.Second
 )
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -30,7 +30,7 @@
 
 const (
 	// idleEvery is how often a draining entry looks whether callers wait.
-	idleEvery = 5 * time.Millisecond
+	idleEvery = 100 * time.Millisecond
 	// closeLimit bounds the flushing of links at the end.
 	closeLimit = 2 * time.Second
 )
