--- a/bench/placement/sim.go
+++ b/bench/placement/sim.go
@@ -77,15 +77,10 @@
 	home   *home.Home
 	admit  *admit.Machine
 	subset []int
-	runs   map[state.TaskKey]*run
+	runs   map[state.TaskKey]*plannedTask
 	usedMB int64
 }
 
-type run struct {
-	task *plannedTask
-	rec  *sentAssign
-}
-
 // sentAssign tells at the end whether an Assign was of use: one of its tasks
 // started first by it, or it told of a backlog and an offer that came of it was
 // taken up.
@@ -139,7 +134,7 @@
 func (s *sim) newNode(i int, members []state.AgentLoad) *node {
 	m := members[i]
 	self := state.Member{ID: m.ID, Region: m.Region, Domain: m.Domain}
-	nd := &node{id: m.ID, runs: make(map[state.TaskKey]*run)}
+	nd := &node{id: m.ID, runs: make(map[state.TaskKey]*plannedTask)}
 	for _, l := range loadview.Subset(self, members, s.c.subset) {
 		nd.subset = append(nd.subset, s.byID[l.ID])
 	}
@@ -322,7 +317,7 @@
 		panic("task started twice: " + a.Task.Job.ID)
 	}
 	s.placed[placed{i, a.Task}].useful = true
-	nd.runs[a.Task] = &run{task: t}
+	nd.runs[a.Task] = t
 	nd.usedMB += t.memoryMB
 	if nd.usedMB > memoryMB {
 		s.res.overcommits++
@@ -346,8 +341,8 @@
 func (s *sim) usage() {
 	for i, nd := range s.nodes {
 		var u []state.Usage
-		for key, r := range nd.runs {
-			u = append(u, state.Usage{Task: key, Cores: 1, MemoryMB: r.task.memoryMB})
+		for key, t := range nd.runs {
+			u = append(u, state.Usage{Task: key, Cores: 1, MemoryMB: t.memoryMB})
 		}
 		if len(u) > 0 {
 			sortUsage(u)
--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -98,8 +98,7 @@
 	// wasted, even where an offer came of them: which one did is not known.
 	asks int
 
-	// verdict is what the job ends with once settled.
-	outcome    state.Outcome
+	// reason, retryAfter and detail go into the answer.
 	reason     state.Reason
 	retryAfter time.Duration
 	detail     string
--- a/coordination/home/world_test.go
+++ b/coordination/home/world_test.go
@@ -46,7 +46,6 @@
 	open     message.Attempt
 	sent     message.Submit
 	starts   map[int]int
-	evicted  bool // a task of it may have been lost with an agent
 	outcomes []state.Outcome
 	// refused: told "not run" and not submitted anew since.
 	refused bool
