--- a/coordination/admit/admit_test.go
+++ b/coordination/admit/admit_test.go
@@ -266,6 +266,33 @@
 	is.Equal(b.m.Load().Free, 8)
 }
 
+// Two operators' homes wait for the one slot. Offers alternate between them,
+// travel with results where they can, and lapse when nothing comes of them.
+func TestOffersTakeTurns(t *testing.T) {
+	is := is.New(t)
+	b := newBench(Options{QueueLimit: 1}, backend(1))
+	b.handle(assign("j", 0, 10, 0))
+	for _, h := range []state.NodeID{"h1", "h2"} {
+		b.do(b.m.Handle(b.now, h, message.Assign{Key: key(string(h)), Operator: string(h), Backlog: 5}))
+	}
+	var offered []string
+	task := b.starts[0].Task
+	for i := range 4 {
+		b.reports = nil
+		b.finish(task, "")
+		for _, r := range b.reports {
+			if r.Credit > 0 {
+				offered = append(offered, r.Key.ID)
+			}
+		}
+		h := state.NodeID(offered[len(offered)-1])
+		b.do(b.m.Handle(b.now, h, assign(string(h), 0, 10, i)))
+		task = b.starts[len(b.starts)-1].Task
+		b.now = b.now.Add(time.Second)
+	}
+	is.True(offered[0] != offered[1])
+}
+
 // One operator floods three homes with jobs, another waits at one home for the
 // single slot. Offers alternate between the operators, not between the homes.
 func TestOffersAreFairBetweenOperators(t *testing.T) {
