Keep the course of a process in one place, and hold messages until links are bound

Cause: reading as a newcomer. A peer that connected before the runner knew its links would have met a nil pointer. Change: package lifecycle; one Source for both kinds of listener; the runner's handlers wait for Bind. The linger of a stopped agent is an option, 1 ms with -dev, where nobody is left to send.

--- a/coordination/node/agent.go
+++ b/coordination/node/agent.go
@@ -27,9 +27,9 @@
 	// DefaultBlindLimit is how long a guard goes on granting while it can't
 	// know of newer roster records.
 	DefaultBlindLimit = 6 * time.Hour
-	// lingerFor is how long a stopped agent goes on refusing. News of a leave
-	// reaches everybody within this time; the users allow a few seconds.
-	lingerFor = 3 * time.Second
+	// DefaultLinger is how long a stopped agent goes on refusing. News of a
+	// leave reaches everybody within this time; the users allow a few seconds.
+	DefaultLinger = 3 * time.Second
 	// DefaultAskRetry is several round trips between failure domains.
 	DefaultAskRetry = 20 * time.Millisecond
 )
@@ -51,6 +51,9 @@
 	Gossip  gossip.Options
 	Member  member.Options
 	Declare declare.Options
+	// Linger is how long the agent goes on refusing after a planned stop has
+	// nothing left to do. Zero means DefaultLinger.
+	Linger time.Duration
 }
 
 // Agent is the machine of one agent daemon: the home of its share of jobs, the
@@ -65,6 +68,7 @@
 	declare *declare.Machine
 	set     *declaration.Set
 
+	linger     time.Duration
 	departures departures
 	draining   atomic.Bool
 	// doneSince is when the planned stop had nothing left to do.
@@ -79,7 +83,8 @@
 
 // NewAgent returns the machine of one agent.
 func NewAgent(o AgentOptions) *Agent {
-	a := &Agent{self: o.Self, set: declaration.NewSet(), seen: roster.New()}
+	setDefault(&o.Linger, DefaultLinger)
+	a := &Agent{linger: o.Linger, self: o.Self, set: declaration.NewSet(), seen: roster.New()}
 	o.Guard.Self = o.Self
 	setDefault(&o.Guard.Retention, DefaultClaimRetention)
 	setDefault(&o.Guard.Blind, DefaultBlindLimit)
@@ -97,6 +102,7 @@
 	o.Home.Claims = a.guard
 	o.Home.View = placed{a.gossip, a.set}
 	o.Home.Seed = o.Seed
+	o.Home.PriorityOf = a.priorityOf
 	a.home = home.New(o.Home)
 	o.Member.Self = o.Self
 	o.Member.Heard = a.gossip.LastHeard
@@ -117,6 +123,15 @@
 	return spec.Region
 }
 
+// priorityOf returns the priority that the operator has declared.
+func (a *Agent) priorityOf(operator string) int {
+	in, ok := a.set.Operator(operator)
+	if !ok {
+		return declaration.DefaultPriority
+	}
+	return in.File.Priority
+}
+
 // Handle takes a message from another node, or from this one.
 func (a *Agent) Handle(now time.Time, from state.NodeID, msg message.Message) []coordination.Action {
 	switch m := msg.(type) {
@@ -346,7 +361,7 @@
 		a.doneSince.CompareAndSwap(nil, &now)
 		return false
 	}
-	return now.Sub(*first) >= lingerFor
+	return now.Sub(*first) >= a.linger
 }
 
 // Idle reports whether no job and no task is under way.
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -18,6 +18,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/node"
+	"github.com/shallotstep/shallotstep/daemon/lifecycle"
 	"github.com/shallotstep/shallotstep/daemon/runner"
 	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/transport/agentapi"
@@ -57,22 +58,16 @@
 	TLS     *link.TLS
 	API     agentapi.Options
 	Backend backendclient.Options
-	// StopLimit bounds a planned stop. Zero means DefaultStopLimit.
+	// StopLimit bounds a planned stop. Zero means the default of
+	// package lifecycle.
 	StopLimit time.Duration
 	Metrics   *metrics.Metrics
 }
 
-// DefaultStopLimit is how long a planned stop may take: the longest tasks take
-// several seconds, and a job of 1,000 of them many times that.
-const DefaultStopLimit = 2 * time.Minute
-
 // ErrEvicted says that the roster dropped this incarnation. It must end: the
 // next one joins under another id.
 var ErrEvicted = errors.New("evicted from the roster")
 
-// ErrStopLimit says that a planned stop was cut short by its limit.
-var ErrStopLimit = errors.New("the planned stop took too long")
-
 // Agent is one agent process.
 type Agent struct {
 	opts    Options
@@ -87,8 +82,7 @@
 	// taskCtx ends when waiting for the backend server is of no more use.
 	taskCtx context.Context
 	cancel  context.CancelFunc
-	drain   chan struct{}
-	once    sync.Once
+	stop    *lifecycle.Stop
 	running atomic.Int64
 
 	mu sync.Mutex
@@ -103,13 +97,10 @@
 
 // New returns an agent that has opened its links but serves nothing yet.
 func New(o Options) (*Agent, error) {
-	if o.StopLimit <= 0 {
-		o.StopLimit = DefaultStopLimit
-	}
 	a := &Agent{
-		opts:  o,
-		drain: make(chan struct{}),
-		runs:  make(map[state.TaskKey]context.CancelFunc),
+		opts: o,
+		stop: lifecycle.NewStop(o.StopLimit),
+		runs: make(map[state.TaskKey]context.CancelFunc),
 	}
 	a.taskCtx, a.cancel = context.WithCancel(context.Background())
 	a.machine = node.NewAgent(o.Node)
@@ -153,59 +144,32 @@
 	defer stop()
 	var wg conc.WaitGroup
 	wg.Go(func() { a.runner.Run(runCtx) })
-	wg.Go(func() { a.serveHTTP() })
+	wg.Go(func() { lifecycle.ServeHTTP(a.http, a.opts.HTTP) })
 	wg.Go(func() { a.renewLeases(runCtx) })
 	wg.Go(func() { a.pollUsage(runCtx) })
 	klog.InfoS("Agent serves", "node", a.opts.Node.Self.ID, "peers", a.opts.Node.Self.Addr, "http", a.opts.HTTP.Addr().String())
-	err := a.await(ctx)
+	err := a.stop.Await(ctx, doneEvery, a.ended)
 	a.close(err)
 	stop()
 	wg.Wait()
 	return err
 }
 
-func (a *Agent) serveHTTP() {
-	var err error
-	if a.opts.HTTPTLS != nil {
-		err = a.http.ServeTLS(a.opts.HTTP, "", "")
-	} else {
-		err = a.http.Serve(a.opts.HTTP)
+// ended tells whether the agent may or must exit.
+func (a *Agent) ended(now time.Time) (bool, error) {
+	if a.machine.Draining() {
+		// An entry may have asked for the planned stop. Without this a task that
+		// never ends would keep the process for ever: the limit of a planned stop
+		// runs from Drain.
+		a.Drain()
 	}
-	if !errors.Is(err, http.ErrServerClosed) {
-		klog.ErrorS(err, "The agent's HTTP interface ended")
+	if a.machine.Done(now) {
+		return true, nil
 	}
-}
-
-// await returns when the agent has to end.
-func (a *Agent) await(ctx context.Context) error {
-	t := time.NewTicker(doneEvery)
-	defer t.Stop()
-	var limit <-chan time.Time
-	drain := a.drain
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-drain:
-			drain = nil
-			limit = time.After(a.opts.StopLimit)
-		case <-limit:
-			return ErrStopLimit
-		case now := <-t.C:
-			if drain != nil && a.machine.Draining() {
-				// An entry asked for the planned stop. Without this a task that
-				// never ends would keep the process for ever: the limit of a
-				// planned stop runs from Drain.
-				a.Drain()
-			}
-			if a.machine.Done(now) {
-				return nil
-			}
-			if a.machine.Evicted() && a.machine.Idle() {
-				return ErrEvicted
-			}
-		}
+	if a.machine.Evicted() && a.machine.Idle() {
+		return true, ErrEvicted
 	}
+	return false, nil
 }
 
 func (a *Agent) close(cause error) {
@@ -221,9 +185,7 @@
 	if err := a.links.Close(ctx); err != nil {
 		klog.InfoS("Links were cut", "err", err)
 	}
-	if err := a.http.Shutdown(ctx); err != nil {
-		_ = a.http.Close()
-	}
+	lifecycle.CloseHTTP(ctx, a.http)
 	a.client.Close()
 	a.log.Close()
 }
--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -70,10 +70,9 @@
 
 // Drain begins the planned stop.
 func (a *Agent) Drain() {
-	a.once.Do(func() {
+	a.stop.Begin(func() {
 		klog.InfoS("Planned stop begins", "node", a.opts.Node.Self.ID)
 		a.runner.Execute(a.machine.Drain(time.Now()))
-		close(a.drain)
 	})
 }
 
@@ -95,11 +94,11 @@
 		delete(a.runs, s.Task)
 		a.mu.Unlock()
 		a.running.Add(-1)
-		a.ended(s.Task, res)
+		a.taskEnded(s.Task, res)
 	})
 }
 
-func (a *Agent) ended(task state.TaskKey, res backendclient.Result) {
+func (a *Agent) taskEnded(task state.TaskKey, res backendclient.Result) {
 	now := time.Now()
 	switch res.Verdict {
 	case backendclient.Ran:
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -200,6 +200,8 @@
 			Seed:  uint64(len(s.agents) + 1),
 			Home:  home.Options{Metrics: home.NewMetrics(m.Registry)},
 			Admit: admit.Options{Metrics: admit.NewMetrics(m.Registry)},
+			// Nobody is left to send tasks: the entry has stopped before.
+			Linger: time.Millisecond,
 		},
 		Backend:   backendclient.Options{Registerer: m.Registry},
 		Peers:     peers,
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -8,7 +8,6 @@
 	"crypto/tls"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +18,7 @@
 	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/coordination/node"
+	"github.com/shallotstep/shallotstep/daemon/lifecycle"
 	"github.com/shallotstep/shallotstep/daemon/runner"
 	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/state/declaration"
@@ -35,12 +35,6 @@
 	closeLimit = 2 * time.Second
 )
 
-// DefaultStopLimit is how long a planned stop may take.
-const DefaultStopLimit = 2 * time.Minute
-
-// ErrStopLimit says that a planned stop was cut short by its limit.
-var ErrStopLimit = errors.New("the planned stop took too long")
-
 // Options are what an entry runs with.
 type Options struct {
 	Node node.EntryOptions
@@ -54,7 +48,8 @@
 	// MaxHeldBytes bounds the bodies of submissions being answered. Zero means
 	// the default of package httpapi.
 	MaxHeldBytes int64
-	// StopLimit bounds a planned stop. Zero means DefaultStopLimit.
+	// StopLimit bounds a planned stop. Zero means the default of
+	// package lifecycle.
 	StopLimit time.Duration
 	Metrics   *metrics.Metrics
 	// Software is the program's version, for the status.
@@ -70,17 +65,13 @@
 	log      *platformlog.Client
 	http     *http.Server
 	draining atomic.Bool
-	drain    chan struct{}
-	once     sync.Once
+	stop     *lifecycle.Stop
 	tickets  tickets
 }
 
 // New returns an entry that has opened its links but serves nothing yet.
 func New(o Options) (*Entry, error) {
-	if o.StopLimit <= 0 {
-		o.StopLimit = DefaultStopLimit
-	}
-	e := &Entry{opts: o, drain: make(chan struct{})}
+	e := &Entry{opts: o, stop: lifecycle.NewStop(o.StopLimit)}
 	e.tickets.init()
 	e.machine = node.NewEntry(o.Node)
 	e.log = platformlog.New(o.Log)
@@ -138,58 +129,28 @@
 	defer stop()
 	var wg conc.WaitGroup
 	wg.Go(func() { e.runner.Run(runCtx) })
-	wg.Go(func() { e.serveHTTP() })
+	wg.Go(func() { lifecycle.ServeHTTP(e.http, e.opts.HTTP) })
 	klog.InfoS("Entry serves", "node", e.opts.Node.Self.ID, "http", e.opts.HTTP.Addr().String())
-	err := e.await(ctx)
+	err := e.stop.Await(ctx, idleEvery, e.ended)
 	e.close(err)
 	stop()
 	wg.Wait()
 	return err
 }
 
-func (e *Entry) serveHTTP() {
-	var err error
-	if e.opts.HTTPTLS != nil {
-		err = e.http.ServeTLS(e.opts.HTTP, "", "")
-	} else {
-		err = e.http.Serve(e.opts.HTTP)
-	}
-	if !errors.Is(err, http.ErrServerClosed) {
-		klog.ErrorS(err, "The entry's HTTP interface ended")
-	}
-}
-
 // Drain begins the planned stop: readiness goes off, new submissions are
 // refused as not run, and callers that wait get their answers.
 func (e *Entry) Drain() {
-	e.once.Do(func() {
+	e.stop.Begin(func() {
 		klog.InfoS("Planned stop begins", "node", e.opts.Node.Self.ID)
 		e.draining.Store(true)
 		e.runner.Execute(e.machine.Drain(time.Now()))
-		close(e.drain)
 	})
 }
 
-func (e *Entry) await(ctx context.Context) error {
-	t := time.NewTicker(idleEvery)
-	defer t.Stop()
-	var limit <-chan time.Time
-	drain := e.drain
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-drain:
-			drain = nil
-			limit = time.After(e.opts.StopLimit)
-		case <-limit:
-			return ErrStopLimit
-		case <-t.C:
-			if drain == nil && e.machine.Idle() && e.tickets.idle() {
-				return nil
-			}
-		}
-	}
+// ended tells whether a stopping entry may exit: no caller waits any more.
+func (e *Entry) ended(time.Time) (bool, error) {
+	return e.stop.Begun() && e.machine.Idle() && e.tickets.idle(), nil
 }
 
 func (e *Entry) close(cause error) {
@@ -201,9 +162,7 @@
 	defer cancel()
 	// Answers that were just delivered are still being written: the server
 	// goes first and the links after it.
-	if err := e.http.Shutdown(ctx); err != nil {
-		_ = e.http.Close()
-	}
+	lifecycle.CloseHTTP(ctx, e.http)
 	if err := e.links.Close(ctx); err != nil {
 		klog.InfoS("Links were cut", "err", err)
 	}
--- a/daemon/role.go
+++ b/daemon/role.go
@@ -116,22 +116,34 @@
 	if !s.TLS.Enabled() {
 		return nil
 	}
-	src, err := tlsconf.Load(tlsconf.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA})
+	src, err := watched(ctx, tlsconf.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA})
 	if err != nil {
 		return err
 	}
-	go src.Watch(ctx, tlsconf.DefaultPoll)
 	t.links = &link.TLS{Server: src.Server(), Client: src.Client(), FleetNames: s.TLS.FleetNames}
 	return nil
 }
 
-func (t *trust) loadHTTP(_ context.Context, s *config.Settings) error {
+// watched loads certificates and takes up replaced files until the context ends.
+func watched(ctx context.Context, files tlsconf.Files) (*tlsconf.Source, error) {
+	src, err := tlsconf.Load(files)
+	if err != nil {
+		return nil, err
+	}
+	go src.Watch(ctx, tlsconf.DefaultPoll)
+	return src, nil
+}
+
+func (t *trust) loadHTTP(ctx context.Context, s *config.Settings) error {
 	if !s.HTTPTLS.Enabled() {
 		return nil
 	}
-	conf, err := tlsconf.HTTPServer(s.HTTPTLS.Cert, s.HTTPTLS.Key)
-	t.http = conf
-	return err
+	src, err := watched(ctx, tlsconf.Files{Cert: s.HTTPTLS.Cert, Key: s.HTTPTLS.Key})
+	if err != nil {
+		return err
+	}
+	t.http = src.HTTPServer()
+	return nil
 }
 
 func (t *trust) loadLog(_ context.Context, s *config.Settings) error {
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -71,6 +71,7 @@
 type Runner struct {
 	opts      Options
 	links     Links
+	bound     chan struct{} // closed once links is set
 	peers     *peers
 	appends   chan struct{}
 	positions positions
@@ -82,15 +83,20 @@
 
 // New returns a runner without links.
 func New(o Options) *Runner {
-	return &Runner{opts: o, peers: newPeers(o.Self), appends: make(chan struct{}, maxAppends)}
+	return &Runner{opts: o, bound: make(chan struct{}), peers: newPeers(o.Self), appends: make(chan struct{}, maxAppends)}
 }
 
 // Bind gives the runner its links. The links' handlers are the runner's
-// Receive, Up and Down, so one of the two has to be made first.
-func (r *Runner) Bind(links Links) { r.links = links }
+// Receive, Up and Down, so one of the two has to be made first. A peer may
+// connect before the links are bound; its messages wait.
+func (r *Runner) Bind(links Links) {
+	r.links = links
+	close(r.bound)
+}
 
 // Receive takes a message from a link.
 func (r *Runner) Receive(from state.NodeID, msg message.Message) {
+	<-r.bound
 	now := time.Now()
 	r.noteWork(now, msg)
 	r.peers.learn(r.links, msg)
@@ -98,10 +104,16 @@
 }
 
 // Up says that a link was made.
-func (r *Runner) Up(id state.NodeID) { r.Execute(r.opts.Machine.PeerUp(time.Now(), id)) }
+func (r *Runner) Up(id state.NodeID) {
+	<-r.bound
+	r.Execute(r.opts.Machine.PeerUp(time.Now(), id))
+}
 
 // Down says that a link broke.
-func (r *Runner) Down(id state.NodeID) { r.Execute(r.opts.Machine.PeerDown(time.Now(), id)) }
+func (r *Runner) Down(id state.NodeID) {
+	<-r.bound
+	r.Execute(r.opts.Machine.PeerDown(time.Now(), id))
+}
 
 // Execute carries out actions. Messages to the node itself are handled here and
 // now, one after the other, so that a deep exchange needs no deep stack.
--- a/transport/tlsconf/files.go
+++ b/transport/tlsconf/files.go
@@ -19,11 +19,15 @@
 	if err != nil {
 		return nil, err
 	}
-	roots, err := readRoots(files.CA)
+	m := &material{cert: cert, stat: stat}
+	if files.CA == "" {
+		return m, nil
+	}
+	m.roots, err = readRoots(files.CA)
 	if err != nil {
 		return nil, err
 	}
-	return &material{cert: cert, roots: roots, stat: stat}, nil
+	return m, nil
 }
 
 func readPair(files Files) (*tls.Certificate, error) {
@@ -56,6 +60,9 @@
 
 func statAll(files Files) (out [3]os.FileInfo, err error) {
 	for i, path := range files.paths() {
+		if path == "" {
+			continue
+		}
 		out[i], err = os.Stat(path)
 		if err != nil {
 			return out, errors.Wrap(err, "TLS file")
@@ -66,6 +73,9 @@
 
 func same(a, b [3]os.FileInfo) bool {
 	for i := range a {
+		if a[i] == nil && b[i] == nil {
+			continue
+		}
 		unchanged := os.SameFile(a[i], b[i]) && a[i].Size() == b[i].Size() && a[i].ModTime().Equal(b[i].ModTime())
 		if !unchanged {
 			return false
--- a/transport/tlsconf/tlsconf.go
+++ b/transport/tlsconf/tlsconf.go
@@ -29,7 +29,8 @@
 	Cert string
 	// Key is the private key of Cert.
 	Key string
-	// CA holds the certificates that peers' certificates must lead up to.
+	// CA holds the certificates that peers' certificates must lead up to. It is
+	// empty for a listener whose clients prove themselves otherwise.
 	CA string
 }
 
@@ -127,6 +128,17 @@
 	}
 }
 
+// HTTPServer returns the configuration of a listener whose clients prove
+// themselves with tokens.
+func (s *Source) HTTPServer() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return s.current.Load().cert, nil
+		},
+	}
+}
+
 // Client returns the configuration to dial with. It verifies that the server's
 // certificate leads up to the CA and leaves its name to the caller, who checks
 // it in VerifyConnection or after the handshake.
