Tell agents the operator's declared priority with its tasks

Cause: an agent that has to choose among tasks knows their operators and not what their declarations say of them. Zero means that none is known.

--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -165,6 +165,7 @@
 	m := message.Assign{
 		Key: j.key, Operator: j.operator, Repeatable: j.repeatable,
 		Indexes: indexes, Backlog: backlog, Override: p.override,
+		Priority: p.o.PriorityOf(j.operator),
 	}
 	for _, i := range indexes {
 		m.Tasks = append(m.Tasks, j.tasks[i].spec)
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -84,6 +84,9 @@
 	// Narrow is how many agents a service's small jobs are placed on; large ones
 	// use more of the view's candidates.
 	Narrow int
+	// PriorityOf returns an operator's declared priority, which agents are told
+	// with its tasks. Nil stands for no priorities.
+	PriorityOf func(operator string) int
 	// Metrics may be nil.
 	Metrics *Metrics
 }
@@ -98,6 +101,9 @@
 	setDefault(&o.Ask, DefaultAsk)
 	setDefault(&o.Narrow, DefaultNarrow)
 	setDefault(&o.AskPer, DefaultAskPer)
+	if o.PriorityOf == nil {
+		o.PriorityOf = func(string) int { return 0 }
+	}
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
 	}
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -211,6 +211,9 @@
 	// Override asks a backend server that is held to be failing to take the
 	// tasks all the same, because too much of its service is ejected.
 	Override bool
+	// Priority is the operator's, as declared: 1 is the lowest. Zero means that
+	// the sender knows none.
+	Priority int
 }
 
 // Report tells the sender of an Assign what became of its tasks: results as
--- a/protocol/wire/task.go
+++ b/protocol/wire/task.go
@@ -18,6 +18,7 @@
 		Repeatable: m.Repeatable,
 		Tries:      c.tries(m.Tries, len(m.Indexes)),
 		Override:   m.Override,
+		Priority:   c.small("priority", m.Priority),
 	}
 }
 
@@ -33,6 +34,7 @@
 		Repeatable: p.GetRepeatable(),
 		Tries:      c.tries(p.GetTries(), len(p.GetIndexes())),
 		Override:   p.GetOverride(),
+		Priority:   c.integer("priority", p.GetPriority()),
 	}
 }
 
