Hand stored answers over on a planned stop

A home's answers for resubmission died with it on a planned stop: the claim named a holder that was gone, so a caller that came back a minute later heard "unknown, home_lost".

Ruled out: moving the claim itself to the new home (two homes in turn could then each believe in it); keeping the answer at the witness too (every answer would travel twice, for a stop that is rare).

Once its leave is in force a home sends each stored answer, newest first, to the job's present home, again until acknowledged or for five seconds. That one takes it only if its claims name the holder and the content, and the sender is the holder or was the job's home; while the claim may still come with a pull it does not acknowledge. Handed-over answers move on when the home changes again. A job that was refused as not run can't be revived once its home leaves: it stays "not run" for good.

Also: a probe of a running job gets Pending as a sign of life, and the admission hears of homes that are gone.

coordination/node TestPlannedStopHandsAnswersOver, TestHandOverOnABadNetwork and TestTwoStopsInARow were red before (unknown) and are green.

--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -11,6 +11,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -87,6 +88,10 @@
 	// PriorityOf returns an operator's declared priority, which agents are told
 	// with its tasks. Nil stands for no priorities.
 	PriorityOf func(operator string) int
+	// HomeOf returns the present home of a job, or "" if it has none. Nil: stored
+	// answers are not handed over. It is called with locks held and must not call
+	// the home.
+	HomeOf func(state.JobKey) state.NodeID
 	// Metrics may be nil.
 	Metrics *Metrics
 }
@@ -124,6 +129,7 @@
 type Home struct {
 	o      Options
 	links  links
+	left   atomic.Bool // Leave was called
 	shards [shardCount]shard
 }
 
@@ -159,7 +165,7 @@
 	return p
 }
 
-// Handle takes a Submit, Cancel or Report.
+// Handle takes a Submit, Cancel, Report or HandOverReply.
 func (h *Home) Handle(now time.Time, from state.NodeID, msg message.Message) []coordination.Action {
 	switch msg := msg.(type) {
 	case message.Submit:
@@ -175,6 +181,13 @@
 		return h.in(msg.Key.Service, false, func(_ *shard, p *pool) []coordination.Action {
 			return p.report(now, from, &msg)
 		}, nil)
+	case message.HandOverReply:
+		for _, key := range msg.Settled {
+			h.in(key.Service, false, func(_ *shard, p *pool) []coordination.Action {
+				p.settledBy(from, key.ID)
+				return nil
+			}, nil)
+		}
 	}
 	return nil
 }
--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -105,6 +105,11 @@
 	// settleBy is when waiters are told "unknown"; zero once they were.
 	settleBy time.Time
 
+	// holder is the node that the claim names if this node was handed the answer;
+	// empty for its own jobs.
+	holder state.NodeID
+	// transfer is set while the answer is on its way to another home.
+	transfer *transfer
 	// answer is the stored answer; size its bytes.
 	answer  message.Answer
 	size    int
--- a/coordination/home/metrics.go
+++ b/coordination/home/metrics.go
@@ -12,8 +12,18 @@
 	moves   *prometheus.CounterVec
 	resends prometheus.Counter
 	asks    prometheus.Counter
+	// handOvers is labelled by what became of an answer.
+	handOvers *prometheus.CounterVec
 }
 
+// What becomes of stored answers when jobs change their home.
+const (
+	handOverSent    = "sent"
+	handOverGivenUp = "given_up"
+	handOverTaken   = "taken"
+	handOverRefused = "refused"
+)
+
 // NewMetrics returns the counters, registered with r unless it is nil.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -28,8 +38,11 @@
 		asks: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallotstep_home_asks_total", Help: "Messages that only told an agent of a backlog."}),
 	}
+	m.handOvers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "shallotstep_home_hand_overs_total", Help: "Stored answers sent to a job's new home, given up, and taken or refused from an earlier one."},
+		[]string{"event"})
 	if r != nil {
-		r.MustRegister(m.answers, m.moves, m.resends, m.asks)
+		r.MustRegister(m.answers, m.moves, m.resends, m.asks, m.handOvers)
 	}
 	return m
 }
@@ -40,3 +53,4 @@
 func (m *Metrics) moved(r state.Reason) { m.moves.WithLabelValues(string(r)).Inc() }
 func (m *Metrics) resent()              { m.resends.Inc() }
 func (m *Metrics) asked()               { m.asks.Inc() }
+func (m *Metrics) handedOver(e string)  { m.handOvers.WithLabelValues(e).Inc() }
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -26,6 +26,10 @@
 	// shrunk is how many of stored have given up their results.
 	shrunk int
 	bytes  int
+	// transfers are the answers on their way to other homes, the newest first.
+	transfers []*transfer
+	// leaving: this node's leave is in force.
+	leaving bool
 	// backlog counts the tasks of all waiting jobs that have no agent.
 	backlog   int
 	refreshAt time.Time
@@ -134,6 +138,7 @@
 		}
 	}
 	p.expire(now)
+	out = append(out, p.handOver(now)...)
 	if p.waiting.len() > 0 {
 		p.refresh(now, false, p.backlog)
 		out = append(out, p.dispatch(now)...)
--- a/coordination/home/store.go
+++ b/coordination/home/store.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 )
 
@@ -15,11 +16,7 @@
 // are no longer needed; the tries are, see revive.
 func (p *pool) store(now time.Time, j *job) {
 	j.expires = now.Add(p.o.Retention)
-	j.size = answerOverhead + len(j.answer.Detail)
-	for i := range j.answer.Results {
-		r := &j.answer.Results[i]
-		j.size += answerOverhead + len(r.Payload) + len(r.Err)
-	}
+	j.size = answerSize(&j.answer)
 	if j.answer.Outcome == state.NotRun {
 		for i := range j.tasks {
 			j.tasks[i] = task{try: j.tasks[i].try}
@@ -30,6 +27,24 @@
 	j.backlog, j.contacts, j.batches, j.failed = nil, nil, nil, nil
 	p.stored = append(p.stored, j)
 	p.bytes += j.size
+	p.shrinkOver()
+	if p.leaving {
+		p.queue(now, j)
+	}
+}
+
+func answerSize(a *message.Answer) int {
+	size := answerOverhead + len(a.Detail)
+	for i := range a.Results {
+		r := &a.Results[i]
+		size += answerOverhead + len(r.Payload) + len(r.Err)
+	}
+	return size
+}
+
+// shrinkOver has the oldest answers give up their results until the rest is
+// within its bound.
+func (p *pool) shrinkOver() {
 	for p.bytes > p.o.StoredBytes && p.shrunk < len(p.stored)-1 {
 		p.shrink(p.stored[p.shrunk])
 		p.shrunk++
@@ -52,6 +67,11 @@
 	j.answer.Detail = "the job completed, but its answer is no longer stored"
 }
 
+// lacksResults reports whether a finished job has given up its results.
+func (j *job) lacksResults() bool {
+	return j.answer.Reason == state.ReasonUnknownJob
+}
+
 // expire forgets jobs past their retention.
 func (p *pool) expire(now time.Time) {
 	n := 0
--- a/coordination/home/submit.go
+++ b/coordination/home/submit.go
@@ -127,15 +127,26 @@
 	if j.phase != finished {
 		if !slices.Contains(j.waiters, w) {
 			j.waiters = append(j.waiters, w)
+			return nil
 		}
-		return nil
+		return atWork(w, j)
 	}
-	if j.answer.Outcome == state.NotRun && !slices.Contains(j.refused, m.Attempt) && len(j.refused) < maxRefused {
+	if p.revivable(j) && !slices.Contains(j.refused, m.Attempt) && len(j.refused) < maxRefused {
 		return p.revive(now, m, j, w)
 	}
 	return reply(from, j.answerTo(m.Attempt))
 }
 
+// atWork is a sign of life for an entry that asks again. Without it the entry
+// can't tell a long job from a home that has stopped, and asks the witness. While
+// the claim is not granted there is nothing at work to vouch for.
+func atWork(w waiter, j *job) []coordination.Action {
+	if j.phase == claiming {
+		return nil
+	}
+	return reply(w.from, message.Answer{Key: j.key, Attempt: w.attempt, Outcome: state.Pending, Epoch: j.epoch})
+}
+
 // maxRefused bounds how often a job may be refused as not run and come back.
 const maxRefused = 100
 
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -315,6 +315,31 @@
 	Draining bool
 }
 
+// HandOver gives answers that the sender keeps for resubmission to the present
+// home of their jobs, because the sender leaves or is their home no more. Agent
+// to agent. Sending it again is safe: an answer is taken in once.
+type HandOver struct {
+	Answers []StoredAnswer
+}
+
+// StoredAnswer is the final answer to a job.
+type StoredAnswer struct {
+	// Holder is the node that the claim of the job names. It is not the sender
+	// when the sender was given the answer itself.
+	Holder state.NodeID
+	Digest state.Digest
+	// Answer belongs to no attempt.
+	Answer Answer
+	// Age is how long ago the job was answered.
+	Age time.Duration
+}
+
+// HandOverReply acknowledges a HandOver. What it leaves out is to be sent again.
+type HandOverReply struct {
+	// Settled are the jobs whose answer the receiver has taken, or never will.
+	Settled []state.JobKey
+}
+
 func (Submit) message()           {}
 func (Answer) message()           {}
 func (Cancel) message()           {}
@@ -335,3 +360,5 @@
 func (DeclarationReply) message() {}
 func (Stop) message()             {}
 func (StopReply) message()        {}
+func (HandOver) message()         {}
+func (HandOverReply) message()    {}
--- a/coordination/node/agent.go
+++ b/coordination/node/agent.go
@@ -70,6 +70,7 @@
 
 	linger     time.Duration
 	departures departures
+	former     formerHomes
 	draining   atomic.Bool
 	// doneSince is when the planned stop had nothing left to do.
 	doneSince atomic.Pointer[time.Time]
@@ -100,6 +101,7 @@
 	a.admit = admit.New(o.Admit)
 	o.Home.Self = o.Self.ID
 	o.Home.Claims = a.guard
+	o.Home.HomeOf = a.homeOf
 	o.Home.View = placed{a.gossip, a.set}
 	o.Home.Seed = o.Seed
 	o.Home.PriorityOf = a.priorityOf
@@ -135,7 +137,7 @@
 // Handle takes a message from another node, or from this one.
 func (a *Agent) Handle(now time.Time, from state.NodeID, msg message.Message) []coordination.Action {
 	switch m := msg.(type) {
-	case message.Submit, message.Cancel:
+	case message.Submit, message.Cancel, message.HandOverReply:
 		return a.settle(now, a.home.Handle(now, from, m))
 	case message.Report:
 		a.gossip.Observe(now, m.Load)
@@ -155,6 +157,8 @@
 		return a.gossip.Handle(now, from, m)
 	case message.DeclarationAsk, message.DeclarationReply:
 		return a.declare.Handle(now, from, m)
+	case message.HandOver:
+		return a.takeOver(now, from, m)
 	case message.Stop:
 		return a.stop(now, from, m)
 	}
@@ -206,6 +210,10 @@
 		return nil
 	}
 	gone := departed(a.seen, r)
+	if a.seen.Epoch() != r.Epoch() {
+		a.former.note(a.seen)
+		a.home.HomesMoved(now)
+	}
 	a.seen = r
 	a.declare.Peers(memberIDs(r, a.self.ID))
 	var acts []coordination.Action
@@ -221,7 +229,8 @@
 // peerGone tells the machines that a node is dead or has stopped.
 func (a *Agent) peerGone(now time.Time, id state.NodeID) []coordination.Action {
 	acts := a.settle(now, a.guard.PeerGone(now, id))
-	return append(acts, a.settle(now, a.home.PeerGone(now, id))...)
+	acts = append(acts, a.settle(now, a.home.PeerGone(now, id))...)
+	return append(acts, a.admitted(now, a.admit.PeerGone(now, id))...)
 }
 
 // departed lists the members of before that are not in after.
@@ -320,6 +329,7 @@
 
 // Tick lets time pass.
 func (a *Agent) Tick(now time.Time) []coordination.Action {
+	a.handOverOnceLeft(now)
 	acts := a.settle(now, a.guard.Tick(now))
 	acts = append(acts, a.settle(now, a.home.Tick(now))...)
 	acts = append(acts, a.admitted(now, a.admit.Tick(now))...)
@@ -345,15 +355,16 @@
 func (a *Agent) Draining() bool { return a.draining.Load() }
 
 // Done reports whether a draining agent may exit: its jobs and tasks are
-// finished, its claims are known to those that guard them now, and everybody has
-// had time to learn that it left.
+// finished, its claims are known to those that guard them now, its stored answers
+// are with the present homes of their jobs, and everybody has had time to learn
+// that it left.
 //
 // Without the linger, tasks that others sent before they heard of the leave
 // would meet a closed door, and their homes could not tell whether they had
 // been started: jobs would fail on a planned stop. While it lingers the agent
 // refuses them as not run, and they go elsewhere.
 func (a *Agent) Done(now time.Time) bool {
-	if !a.Draining() || !a.Idle() || !a.member.Left() || !a.guard.HandedOver() {
+	if !a.Draining() || !a.Idle() || !a.member.Left() || !a.guard.HandedOver() || !a.home.HandedOver() {
 		return false
 	}
 	first := a.doneSince.Load()
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -71,6 +71,10 @@
 		e.Kind = &nodepb.Envelope_Stop{Stop: encodeStop(&m)}
 	case message.StopReply:
 		e.Kind = &nodepb.Envelope_StopReply{StopReply: encodeStopReply(&m)}
+	case message.HandOver:
+		e.Kind = &nodepb.Envelope_HandOver{HandOver: c.encodeHandOver(&m)}
+	case message.HandOverReply:
+		e.Kind = &nodepb.Envelope_HandOverReply{HandOverReply: c.encodeHandOverReply(&m)}
 	default:
 		return nil, errors.Wrapf(ErrUnknownKind, "encode %T", m)
 	}
@@ -135,6 +139,10 @@
 		return decodeStop(k.Stop)
 	case *nodepb.Envelope_StopReply:
 		return decodeStopReply(k.StopReply)
+	case *nodepb.Envelope_HandOver:
+		return c.decodeHandOver(k.HandOver)
+	case *nodepb.Envelope_HandOverReply:
+		return c.decodeHandOverReply(k.HandOverReply)
 	default:
 		return nil
 	}
--- a/protocol/wire/wire_test.go
+++ b/protocol/wire/wire_test.go
@@ -30,6 +30,7 @@
 	message.RosterAsk{}, message.RosterReply{}, message.Assign{}, message.Report{},
 	message.TaskQuery{}, message.Drop{}, message.LoadNews{}, message.DeclarationAsk{},
 	message.DeclarationReply{}, message.Stop{}, message.StopReply{},
+	message.HandOver{}, message.HandOverReply{},
 }
 
 func TestEveryMessageHasAnEncoding(t *testing.T) {
