Let only the witness call other content not run

Ruled out: vouching only at the attempt's own epoch; a stale home with a stale entry would still be wrong. Change: the home alone answers 'unknown, id_conflict'; 'not run' needs the witness at the same epoch and one complete record.

--- a/coordination/guard/home.go
+++ b/coordination/guard/home.go
@@ -82,8 +82,7 @@
 	// The record comes first: the attempt may be a late copy of one that this
 	// agent granted before it went on to another epoch.
 	if found := g.claims.Find(now, index, c.key); len(found) > 0 {
-		certain := s.complete() && g.certainty(s, c) == state.NotRun
-		g.denyLocked(s, now, c, g.heldVerdict(found, c.digest, certain), acts)
+		g.denyLocked(s, now, c, g.heldVerdict(found, c.digest), acts)
 		return
 	}
 	if g.late(now, c) {
@@ -219,7 +218,7 @@
 		return
 	}
 	if found := g.claims.Find(now, index, a.key); hasOther(found, g.self) {
-		g.endLocked(s, index, now, a, g.heldVerdict(found, a.digest, s.complete()), acts)
+		g.endLocked(s, index, now, a, g.heldVerdict(found, a.digest), acts)
 		return
 	}
 	g.claims.Add(now, index, claim.Record{
--- a/coordination/guard/verdict.go
+++ b/coordination/guard/verdict.go
@@ -92,14 +92,13 @@
 	return 0
 }
 
-// heldVerdict says why an id with records isn't granted again. certain says that
-// no claim granted before is missing and that the attempt is not, and won't be,
-// granted elsewhere.
+// heldVerdict says why an id with records isn't granted again.
 //
-// One of the records may have run, and the pair can't tell which. So with the
-// same content the outcome is unknown. Other content was not run and won't be,
-// if the records hold all there is and none of them has this content.
-func (g *Guard) heldVerdict(records []claim.Record, digest state.Digest, certain bool) verdict {
+// One of the records may have run, and this agent can't tell which. With other
+// content it can't vouch that this content never ran either: it may be behind,
+// and the record may be of a claim that was never granted. Only the witness can,
+// at the same epoch as the home; see refuseHeld.
+func (g *Guard) heldVerdict(records []claim.Record, digest state.Digest) verdict {
 	best := records[0]
 	for _, r := range records {
 		if r.Holder == g.self || r.Digest == digest && best.Holder != g.self {
@@ -107,15 +106,11 @@
 		}
 	}
 	v := verdict{outcome: state.Unknown, reason: state.ReasonHomeLost, holder: best.Holder, digest: best.Digest}
-	if hasDigest(records, digest) {
-		if best.Holder == g.self {
-			v.reason = state.ReasonNone
-		}
-		return v
-	}
-	v.reason = state.ReasonIDConflict
-	if certain {
-		v.outcome = state.NotRun
+	switch {
+	case !hasDigest(records, digest):
+		v.reason = state.ReasonIDConflict
+	case best.Holder == g.self:
+		v.reason = state.ReasonNone
 	}
 	return v
 }
--- a/coordination/guard/witness.go
+++ b/coordination/guard/witness.go
@@ -89,7 +89,9 @@
 }
 
 // refuseHeld names the record that stands in the way. Another content is called
-// a conflict only if it is certain that this content was never granted.
+// a conflict only if it is certain that this content was never granted: home and
+// witness stand at one epoch, so no later pair has granted anything, and one of
+// them holds every claim granted before.
 func refuseHeld(reply message.ClaimReply, found []claim.Record, digest state.Digest, certain bool) message.ClaimReply {
 	reply.Reason = state.ReasonHomeLost
 	best := found[0]
