--- /dev/null
+++ b/test/session/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package session
+
+const raceEnabled = true
