--- a/test/session/stop_test.go
+++ b/test/session/stop_test.go
@@ -199,15 +199,6 @@
 	s.noDouble()
 }
 
-// running returns how many tasks run at all backend servers.
-func (s *system) running() int {
-	n := 0
-	for _, b := range s.backends {
-		n += b.Running()
-	}
-	return n
-}
-
 // TestStandinBackendProcessStops: the stand-in of a backend server as a process
 // of its own is stopped in the middle of a job. It leaves as planned: its tasks
 // are answered, the process exits with 0 and the job is complete.
