Test what may be handed over, to whom and until when

Answers that were handed over and acknowledged were offered again at each change of the roster; the home that has acknowledged last is remembered now.

--- a/coordination/home/handover.go
+++ b/coordination/home/handover.go
@@ -56,7 +56,9 @@
 // handed: they have to follow the job's home.
 func (h *Home) HomesMoved(now time.Time) {
 	h.each(func(p *pool) []coordination.Action {
-		p.queueStored(now, func(j *job) bool { return j.holder != "" && p.homeOf(j) != "" })
+		p.queueStored(now, func(j *job) bool {
+			return j.holder != "" && p.homeOf(j) != "" && p.homeOf(j) != j.movedTo
+		})
 		return nil
 	})
 }
@@ -151,6 +153,7 @@
 func (p *pool) settledBy(from state.NodeID, id string) {
 	if j := p.jobs[id]; j != nil && j.transfer != nil && j.transfer.to == from {
 		j.transfer.ended = true
+		j.movedTo = from
 	}
 }
 
--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -110,6 +110,8 @@
 	holder state.NodeID
 	// transfer is set while the answer is on its way to another home.
 	transfer *transfer
+	// movedTo is the home that has acknowledged the answer last.
+	movedTo state.NodeID
 	// answer is the stored answer; size its bytes.
 	answer  message.Answer
 	size    int
--- a/coordination/node/handover_test.go
+++ b/coordination/node/handover_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 )
@@ -36,6 +37,18 @@
 	return *w.tickets[ticket].answer
 }
 
+// idsOf returns ids of jobs that have the same home as the first.
+func idsOf(w *world, e *host, n int) (home *host, ids []string) {
+	home, _ = homeOf(w, e, "job-0")
+	for i := 0; len(ids) < n; i++ {
+		id := fmt.Sprintf("job-%d", i)
+		if h, _ := homeOf(w, e, id); h == home {
+			ids = append(ids, id)
+		}
+	}
+	return home, ids
+}
+
 // A caller has its answer, or lost it on the way. The job's home is stopped as
 // planned and exits. The caller submits again through another entry, and gets
 // the whole stored answer: the home sent it to the next one before it exited.
@@ -103,3 +116,185 @@
 	is.Equal(w.answered(again).Results, w.answered(first).Results)
 	is.Equal(len(w.starts), 20)
 }
+
+// deaf is an agent that loses some of the messages sent to it.
+type deaf struct {
+	*Agent
+	loses func(message.Message) bool
+}
+
+func (d *deaf) Handle(now time.Time, from state.NodeID, msg message.Message) []coordination.Action {
+	if d.loses(msg) {
+		return nil
+	}
+	return d.Agent.Handle(now, from, msg)
+}
+
+// The answer reaches the new home before the claims do: all pages of its pulls
+// are lost for a second. It must not refuse the answer then, because it can't
+// know yet whose the claim is; it gets it once more when it can.
+func TestAnswerArrivesBeforeTheClaim(t *testing.T) {
+	is := is.New(t)
+	w, entries, agents := settled(t, 33)
+	home, ids := idsOf(w, entries[0], 12)
+	for _, id := range ids {
+		w.submit(entries[0], id, 2, 20*time.Second)
+	}
+	w.run(5 * time.Second)
+	var early, all int
+	until := w.now.Add(time.Second)
+	for _, a := range agents {
+		a.node = &deaf{a.agent, func(m message.Message) bool {
+			if _, ok := m.(message.HandOver); ok {
+				all++
+				if w.now.Before(until) {
+					early++
+				}
+			}
+			_, page := m.(message.PullReply)
+			return page && w.now.Before(until)
+		}}
+	}
+	w.exits(home)
+	for _, id := range ids {
+		again := w.submit(entries[1], id, 2, 20*time.Second)
+		w.run(time.Second)
+		is.Equal(w.answered(again).Outcome, state.Complete)
+	}
+	w.check()
+	is.True(early > 0 && all > early)
+	is.Equal(len(w.starts), 2*len(ids))
+}
+
+// No answer that is handed over arrives. The planned stop ends all the same, and
+// the caller who comes back hears that its job may have run.
+func TestStopEndsWithoutAcknowledgement(t *testing.T) {
+	is := is.New(t)
+	w, entries, agents := settled(t, 34)
+	home, _ := homeOf(w, entries[0], "intake")
+	w.submit(entries[0], "intake", 5, 20*time.Second)
+	w.run(5 * time.Second)
+	for _, a := range agents {
+		a.node = &deaf{a.agent, func(m message.Message) bool { _, ok := m.(message.HandOver); return ok }}
+	}
+	w.exits(home)
+	again := w.submit(entries[1], "intake", 5, 20*time.Second)
+	w.run(5 * time.Second)
+	w.check()
+	is.Equal(w.answered(again).Outcome, state.Unknown)
+	is.Equal(w.answered(again).Reason, state.ReasonHomeLost)
+	is.Equal(len(w.starts), 5)
+}
+
+// One job is complete and one was cancelled while it ran when their homes stop,
+// and a new agent joins afterwards, which makes it the home of some. Whoever
+// asks, cancels or submits again hears what became of the job, wherever its
+// answer was handed.
+func TestAnswersFollowTheirHome(t *testing.T) {
+	is := is.New(t)
+	w, entries, _ := settled(t, 35)
+	entry := entries[1].node.(*Entry)
+	home, ids := idsOf(w, entries[0], 24)
+	for i, id := range ids {
+		w.submit(entries[0], id, 4, 20*time.Second)
+		w.run(80 * time.Millisecond)
+		if i%2 == 1 {
+			w.execute(entries[0], entries[0].node.(*Entry).Cancel(w.now, 1<<30+uint64(i), state.JobKey{Service: "bench-desk", ID: id}))
+		}
+	}
+	w.run(10 * time.Second)
+	started := len(w.starts)
+	w.exits(home)
+	newcomer := w.addAgent("agent-9", "gunsan", 4)
+	w.run(20 * time.Second)
+	moved := 0
+	for i, id := range ids {
+		want := state.Complete
+		if i%2 == 1 {
+			want = state.Failed
+		}
+		if h, _ := homeOf(w, entries[1], id); h == newcomer {
+			moved++
+		}
+		key := state.JobKey{Service: "bench-desk", ID: id}
+		job := w.tickets[uint64(i+1)].job
+		get, cancel := uint64(1<<31+i), uint64(1<<32+i)
+		w.tickets[get] = &ticket{job: job, begun: w.now}
+		w.tickets[cancel] = &ticket{job: job, begun: w.now}
+		w.execute(entries[1], entry.Query(w.now, get, key))
+		w.run(time.Second)
+		w.execute(entries[1], entry.Cancel(w.now, cancel, key))
+		w.run(time.Second)
+		again := w.submit(entries[1], id, 4, 20*time.Second)
+		w.run(time.Second)
+		for _, tk := range []uint64{get, cancel, again} {
+			is.Equal(w.answered(tk).Outcome, want)
+		}
+	}
+	w.check()
+	is.True(moved > 0)
+	is.Equal(len(w.starts), started)
+}
+
+// An agent makes up answers: to jobs whose claim another agent holds that is
+// there, and to jobs that nobody has claimed. A newcomer that has become their
+// home takes none, so the first are answered by their holder and the others run.
+func TestMadeUpAnswersAreRefused(t *testing.T) {
+	is := is.New(t)
+	w, entries, agents := settled(t, 36)
+	home, ids := idsOf(w, entries[0], 40)
+	claimed := ids[:len(ids)/2]
+	for _, id := range claimed {
+		w.submit(entries[0], id, 3, 20*time.Second)
+	}
+	w.run(10 * time.Second)
+	newcomer := w.addAgent("agent-9", "gunsan", 4)
+	w.run(20 * time.Second)
+	liar := agents[4]
+	is.True(liar != home)
+	asked := make(map[bool]int)
+	for i, id := range ids {
+		if h, _ := homeOf(w, entries[1], id); h != newcomer {
+			continue
+		}
+		job := w.tickets[1].job
+		job.Key.ID = id
+		if i < len(claimed) {
+			job = w.tickets[uint64(i+1)].job
+		}
+		for _, holder := range []state.NodeID{liar.id, home.id} {
+			w.send(liar, coordination.Send{To: newcomer.id, Msg: message.HandOver{Answers: []message.StoredAnswer{{
+				Holder: holder, Digest: job.Digest(), Answer: message.Answer{Key: job.Key, Outcome: state.Failed},
+			}}}})
+		}
+		w.run(100 * time.Millisecond)
+		again := w.submit(entries[1], id, 3, 20*time.Second)
+		w.run(2 * time.Second)
+		is.Equal(w.answered(again).Outcome, state.Complete)
+		asked[i < len(claimed)]++
+	}
+	w.check()
+	is.True(asked[true] > 0 && asked[false] > 0)
+}
+
+// A home is evicted while tasks of its jobs wait at an agent. Nobody waits for
+// them any more, so they are forgotten and don't take slots from others.
+func TestTasksOfAnEvictedHomeAreForgotten(t *testing.T) {
+	is := is.New(t)
+	w, _, agents := settled(t, 37)
+	a, home := agents[0], agents[1]
+	job := state.Job{Key: state.JobKey{Service: "bench-desk", ID: "orphan"}}
+	m := message.Assign{Key: job.Key, Operator: "haneul"}
+	for i := range 6 {
+		m.Indexes = append(m.Indexes, i)
+		m.Tasks = append(m.Tasks, state.Task{Payload: []byte(`{"ms":60000}`), Cores: 1, MemoryMB: 64})
+	}
+	w.send(home, coordination.Send{To: a.id, Msg: m})
+	w.run(100 * time.Millisecond)
+	is.True(a.agent.Load().Queued > 0)
+	home.dead = true
+	w.run(time.Minute)
+	_, member := a.agent.Roster().Member(home.id)
+	is.True(!member)
+	is.Equal(a.agent.Load().Queued, 0)
+}
