Throttle and stop running tasks when a worker runs out of memory

Cause: workers start whatever they are given, sizes are declared too low, and the learned ones come late. Nothing was done about tasks that run already and use more than the worker has; an out-of-memory kill takes all of them down. By what usage reports say of the tasks that still run: above 90 % of the memory nothing starts until it is below 85 %, above 97 % one task is throttled for each report, long ones are checkpointed if it lasts for 2 s of reports, above 100 % one is stopped. The lowest operator priority goes first, then the youngest. A step needs a report that speaks of the time after the last step and after the end of the last stopped task; it is never taken on a tick, so reports that stay away stop nobody. A stopped task keeps its slot until the backend server says that it ended, is a failed result that says why, and doesn't count for the ejection of the backend server. Ruled out: counting a guess for tasks that no report has named. Guesses are the largest sizes seen; tasks would be stopped for an excess that isn't there. Short tasks end before they are reported, so for them this does nothing.

--- a/bench/placement/main.go
+++ b/bench/placement/main.go
@@ -12,14 +12,18 @@
 	"strings"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/admit"
 	"github.com/shallotstep/shallotstep/coordination/home"
 )
 
+// never is a share of the memory that nothing reaches.
+const never = 1e9
+
 func main() {
 	var (
 		agents    = flag.Int("agents", 11, "number of agents, with 8 slots each")
 		loads     = flag.String("loads", "30,60,80,95", "loads in percent of all slots")
-		scenarios = flag.String("scenarios", "plain", "plain, big, burst, hog, wrong, straggler, broken")
+		scenarios = flag.String("scenarios", "plain", "plain, big, burst, hog, wrong, slow (wrong, and all tasks take seconds), straggler, broken")
 		length    = flag.Duration("length", 2*time.Minute, "simulated time in which jobs arrive")
 		seed      = flag.Uint64("seed", 1, "seed of the workload and of all lots drawn")
 		stale     = flag.Duration("stale", time.Second, "how often loads are spread among agents")
@@ -30,6 +34,7 @@
 		ask       = flag.Int("ask", home.DefaultAsk, "agents told of a backlog at once")
 		askPer    = flag.Int("askper", home.DefaultAskPer, "waiting tasks for which one more agent is told")
 	)
+	relief := flag.Bool("relief", true, "interfere with running tasks for want of memory")
 	flag.Parse()
 	fmt.Println(header())
 	for _, scenario := range strings.Split(*scenarios, ",") {
@@ -47,6 +52,9 @@
 			c.home.Narrow = *narrow
 			c.home.AskPer = *askPer
 			c.admit.QueueLimit = *queue
+			if !*relief {
+				c.admit.Marks = admit.Marks{Low: never, Hold: never, Throttle: never, Stop: never}
+			}
 			began := time.Now()
 			r := newSim(c).run()
 			fmt.Println(r.line(fmt.Sprintf("%s %s%%", scenario, load)), time.Since(began).Round(time.Millisecond))
--- a/bench/placement/result.go
+++ b/bench/placement/result.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 )
@@ -27,10 +28,14 @@
 	overcommits int
 	// lastOvercommit is when a worker was last given more than it holds.
 	lastOvercommit time.Duration
-	assigns        []*sentAssign
-	starts         int
-	failed         int
-	spoiled        int // starts of tasks whose job did not complete
+	// beyond is how long workers were in that state, added up.
+	beyond time.Duration
+	// controls counts what was done to running tasks for want of memory.
+	controls map[coordination.Verb]int
+	assigns  []*sentAssign
+	starts   int
+	failed   int
+	spoiled  int // starts of tasks whose job did not complete
 
 	// slow is response over the ideal of the job alone on idle workers,
 	// packed is response over the ideal packing, lost is response minus it.
@@ -104,13 +109,14 @@
 	if len(r.largest) > 0 {
 		name = fmt.Sprintf("%s (largest %.2f)", name, quantile(r.largest, 0.5))
 	}
-	return fmt.Sprintf("%-30s %6d %7d | %5.2f %7.2f | %5.3f %7.2f | %7.1fms %6.0fms | %6.2f %6.3f %6.3f %6.3f %6.3f | %5d %7d %4d (last at %.1fs) | %.2f",
+	return fmt.Sprintf("%-30s %6d %7d | %5.2f %7.2f | %5.3f %7.2f | %7.1fms %6.0fms | %6.2f %6.3f %6.3f %6.3f %6.3f | %5d %7d %4d (last at %.1fs, %.1fs in all) stopped %d throttled %d | %.2f",
 		name, len(r.answers), r.starts,
 		quantile(r.slow, 0.5), quantile(r.slow, 0.99),
 		quantile(r.packed, 0.5), quantile(r.packed, 0.99),
 		milliseconds(quantile(r.lost, 0.5)), milliseconds(quantile(r.lost, 0.99)),
 		float64(r.messages)/per, float64(r.wasted)/per, float64(r.refused)/per, float64(r.asks)/per, float64(r.unused)/per,
-		r.failed, r.spoiled, r.overcommits, r.lastOvercommit.Seconds(), r.perOperator)
+		r.failed, r.spoiled, r.overcommits, r.lastOvercommit.Seconds(), r.beyond.Seconds(),
+		r.controls[coordination.VerbStop], r.controls[coordination.VerbThrottle], r.perOperator)
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/bench/placement/sim.go
+++ b/bench/placement/sim.go
@@ -28,6 +28,7 @@
 	usageLag    = time.Second
 	failsAfter  = 5 * time.Millisecond
 	slowBy      = 5
+	throttledBy = 2
 )
 
 type config struct {
@@ -77,8 +78,19 @@
 	home   *home.Home
 	admit  *admit.Machine
 	subset []int
-	runs   map[state.TaskKey]*plannedTask
+	runs   map[state.TaskKey]*run
 	usedMB int64
+	// beyondSince is since when the tasks use more memory than there is.
+	beyondSince time.Duration
+}
+
+// run is one running task.
+type run struct {
+	task  *plannedTask
+	fault string
+	begun time.Duration
+	ends  time.Duration
+	over  bool
 }
 
 // sentAssign tells at the end whether an Assign was of use: one of its tasks
@@ -118,6 +130,7 @@
 		byID: make(map[state.NodeID]int), placed: make(map[placed]*sentAssign), asked: make(map[link]*sentAssign), began: make(map[state.TaskKey]int),
 	}
 	s.res.answers = make([]answered, len(s.jobs))
+	s.res.controls = make(map[coordination.Verb]int)
 	var members []state.AgentLoad
 	for i := range c.agents {
 		id := state.NodeID(fmt.Sprintf("a%d", i))
@@ -134,7 +147,7 @@
 func (s *sim) newNode(i int, members []state.AgentLoad) *node {
 	m := members[i]
 	self := state.Member{ID: m.ID, Region: m.Region, Domain: m.Domain}
-	nd := &node{id: m.ID, runs: make(map[state.TaskKey]*plannedTask)}
+	nd := &node{id: m.ID, runs: make(map[state.TaskKey]*run)}
 	for _, l := range loadview.Subset(self, members, s.c.subset) {
 		nd.subset = append(nd.subset, s.byID[l.ID])
 	}
@@ -236,6 +249,8 @@
 			s.after(2*oneWay, func() { s.act(i, s.nodes[i].home.Verdict(s.time(), a.Granted)) })
 		case coordination.StartTask:
 			s.startTask(i, a)
+		case coordination.Control:
+			s.control(i, a)
 		case coordination.Send:
 			s.send(i, a)
 		}
@@ -317,8 +332,7 @@
 		panic("task started twice: " + a.Task.Job.ID)
 	}
 	s.placed[placed{i, a.Task}].useful = true
-	nd.runs[a.Task] = t
-	nd.usedMB += t.memoryMB
+	s.use(nd, t.memoryMB)
 	if nd.usedMB > memoryMB {
 		s.res.overcommits++
 		s.res.lastOvercommit = s.now
@@ -330,19 +344,69 @@
 	case s.c.scenario == "broken" && i == 0:
 		ran, fault = failsAfter, "worker is broken"
 	}
-	s.after(ran, func() {
-		delete(nd.runs, a.Task)
-		nd.usedMB -= t.memoryMB
-		s.act(i, nd.admit.Finished(s.time(), a.Task, state.TaskResult{Index: a.Task.Index, Err: fault, Ran: ran}))
+	r := &run{task: t, fault: fault, begun: s.now, ends: s.now + ran}
+	nd.runs[a.Task] = r
+	s.awaitEnd(i, a.Task, r)
+}
+
+// use adds to the memory in use at a node and counts the time beyond its size.
+func (s *sim) use(nd *node, memory int64) {
+	before := nd.usedMB > memoryMB
+	nd.usedMB += memory
+	switch after := nd.usedMB > memoryMB; {
+	case after && !before:
+		nd.beyondSince = s.now
+	case before && !after:
+		s.res.beyond += s.now - nd.beyondSince
+	}
+}
+
+// awaitEnd ends a task at its time, which a throttle may move.
+func (s *sim) awaitEnd(i int, key state.TaskKey, r *run) {
+	s.after(r.ends-s.now, func() {
+		if !r.over && s.now >= r.ends {
+			s.end(i, key, r)
+		}
 	})
 }
 
+func (s *sim) end(i int, key state.TaskKey, r *run) {
+	nd := s.nodes[i]
+	r.over = true
+	delete(nd.runs, key)
+	s.use(nd, -r.task.memoryMB)
+	s.act(i, nd.admit.Finished(s.time(), key, state.TaskResult{Index: key.Index, Err: r.fault, Ran: s.now - r.begun}))
+}
+
+// control has the backend server do something with a running task.
+func (s *sim) control(i int, c coordination.Control) {
+	if c.Cause == coordination.CauseMemory {
+		s.res.controls[c.Verb]++
+	}
+	r := s.nodes[i].runs[c.Task]
+	if r == nil {
+		return
+	}
+	switch c.Verb {
+	case coordination.VerbStop:
+		r.fault = "stopped"
+		r.ends = s.now
+	case coordination.VerbThrottle:
+		r.ends += throttledBy*(r.ends-s.now) - (r.ends - s.now)
+	case coordination.VerbRelease:
+		r.ends -= (r.ends - s.now) - (r.ends-s.now)/throttledBy
+	default:
+		return
+	}
+	s.awaitEnd(i, c.Task, r)
+}
+
 // usage has the backend servers report what their tasks use, with a lag.
 func (s *sim) usage() {
 	for i, nd := range s.nodes {
 		var u []state.Usage
-		for key, t := range nd.runs {
-			u = append(u, state.Usage{Task: key, Cores: 1, MemoryMB: t.memoryMB})
+		for key, r := range nd.runs {
+			u = append(u, state.Usage{Task: key, Cores: 1, MemoryMB: r.task.memoryMB, Ran: s.now - r.begun})
 		}
 		if len(u) > 0 {
 			sortUsage(u)
--- a/bench/placement/workload.go
+++ b/bench/placement/workload.go
@@ -41,14 +41,17 @@
 	bigShare   = 0.005 // of the jobs in the scenario with jobs of the largest size
 )
 
-func drawRun(rng *rand.Rand) time.Duration {
-	if rng.Float64() < longShare {
+func drawRun(c *config, rng *rand.Rand) time.Duration {
+	if c.scenario == "slow" || rng.Float64() < longShare {
 		return longMin + time.Duration(rng.Int64N(int64(longMax-longMin)))
 	}
 	return shortMin + time.Duration(rng.Int64N(int64(shortMax-shortMin)))
 }
 
-func meanRun() time.Duration {
+func meanRun(c *config) time.Duration {
+	if c.scenario == "slow" {
+		return (longMin + longMax) / 2
+	}
 	short := float64(shortMin+shortMax) / 2
 	long := float64(longMin+longMax) / 2
 	return time.Duration((1-longShare)*short + longShare*long)
@@ -79,7 +82,7 @@
 // plan draws the jobs of a run.
 func plan(c *config) []plannedJob {
 	rng := rand.New(rand.NewPCG(c.seed, 1))
-	rate := c.load * float64(c.agents*slots) / (meanRun().Seconds() * meanSize(c))
+	rate := c.load * float64(c.agents*slots) / (meanRun(c).Seconds() * meanSize(c))
 	var jobs []plannedJob
 	for at := time.Duration(0); at < c.length; {
 		now := rate
@@ -109,9 +112,9 @@
 }
 
 func drawTask(c *config, rng *rand.Rand) plannedTask {
-	t := plannedTask{ran: drawRun(rng), memoryMB: taskMB + rng.Int64N(taskMB)}
+	t := plannedTask{ran: drawRun(c, rng), memoryMB: taskMB + rng.Int64N(taskMB)}
 	t.spec = state.Task{Cores: 1, MemoryMB: t.memoryMB, Expected: t.ran}
-	if c.scenario == "wrong" {
+	if c.scenario == "wrong" || c.scenario == "slow" {
 		// Every other task is declared too small and too short by a factor.
 		// All slots together need more memory than the worker has.
 		t.memoryMB *= wrongBy
--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -53,6 +53,9 @@
 	Hold time.Duration
 	// CreditTTL is how long a slot stays reserved for a home that was offered it.
 	CreditTTL time.Duration
+	// Marks are the shares of the worker's memory at which running tasks are
+	// interfered with.
+	Marks Marks
 	// Metrics may be nil.
 	Metrics *Metrics
 }
@@ -65,6 +68,7 @@
 	setDefault(&o.ResultBytes, DefaultResultBytes)
 	setDefault(&o.Hold, DefaultHold)
 	setDefault(&o.CreditTTL, DefaultCreditTTL)
+	setDefault(&o.Marks, DefaultMarks)
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
 	}
@@ -106,6 +110,7 @@
 	credits    []credit
 	learned    map[string]*learned
 	detector   detector
+	pressure   pressure
 	starts     []coordination.Action
 	kept       keptResults
 	sweepAt    time.Time
@@ -248,15 +253,16 @@
 // turnLocked ends every event: it refuses or starts what waits, offers free
 // slots and sends the reports that are due.
 func (m *Machine) turnLocked(now time.Time) []coordination.Action {
+	out := m.easeLocked()
 	if reason := m.refusalLocked(now); reason != state.ReasonNone {
 		for e := m.queue.pop(); e != nil; e = m.queue.pop() {
 			m.refuseLocked(e, reason)
 		}
 		m.interests.clear()
 		m.credits = nil
-		return m.flushLocked(now)
+		return append(out, m.flushLocked(now)...)
 	}
-	out := m.startLocked(now)
+	out = append(out, m.startLocked(now)...)
 	m.offerLocked(now)
 	return append(out, m.flushLocked(now)...)
 }
--- a/coordination/admit/admit_test.go
+++ b/coordination/admit/admit_test.go
@@ -323,6 +323,26 @@
 	is.True(len(b.reports) > 0)
 }
 
+// Two operators wait for eight slots, one with three times the priority of the
+// other. Offers go to them by priority, the lower one isn't left without.
+func TestOffersFollowPriority(t *testing.T) {
+	is := is.New(t)
+	b := newBench(Options{}, backend(8))
+	b.handle(assign("j", 0, 10, 0, 1, 2, 3, 4, 5, 6, 7))
+	for operator, priority := range map[string]int{"high": 75, "low": 25} {
+		b.do(b.m.Handle(b.now, state.NodeID(operator), message.Assign{Key: key(operator), Operator: operator, Backlog: 9, Priority: priority}))
+	}
+	for _, s := range slices.Clone(b.starts) {
+		b.finish(s.Task, "")
+	}
+	offered := map[string]int{}
+	for _, r := range b.reports {
+		offered[r.Key.ID] += r.Credit
+	}
+	is.Equal(offered["high"], 6)
+	is.Equal(offered["low"], 2)
+}
+
 func TestResultsInOneTickTravelTogether(t *testing.T) {
 	is := is.New(t)
 	b := newBench(Options{}, backend(8))
--- a/coordination/admit/credit.go
+++ b/coordination/admit/credit.go
@@ -14,6 +14,7 @@
 	home     state.NodeID
 	operator string
 	key      state.JobKey // the job last named
+	priority int
 	backlog  int
 	until    time.Time
 }
@@ -81,7 +82,7 @@
 
 func (m *Machine) interestLocked(now time.Time, from state.NodeID, a *message.Assign, backlog int) {
 	m.interests.note(interest{
-		home: from, operator: a.Operator, key: a.Key, backlog: backlog,
+		home: from, operator: a.Operator, key: a.Key, backlog: backlog, priority: priorityOf(a),
 		until: now.Add(DefaultInterestTTL),
 	})
 }
@@ -107,13 +108,14 @@
 	}
 }
 
-// nextInterestLocked picks the home to serve next: of the operator that has the
-// least here, the one that waits longest. Taking homes in turn would give most
-// to an operator that floods many homes with jobs.
+// nextInterestLocked picks the home to serve next: of the operator that would
+// have the least here for its priority, the one that waits longest. Taking homes
+// in turn would give most to an operator that floods many homes with jobs.
 func (m *Machine) nextInterestLocked() int {
-	best, least := 0, math.MaxInt
+	best, least := 0, math.Inf(1)
 	for i := range m.interests.list {
-		if n := m.holdingLocked(m.interests.list[i].operator); n < least {
+		in := &m.interests.list[i]
+		if n := float64(m.holdingLocked(in.operator)+1) / float64(in.priority); n < least {
 			best, least = i, n
 		}
 	}
--- a/coordination/admit/job.go
+++ b/coordination/admit/job.go
@@ -12,6 +12,7 @@
 	key      state.JobKey
 	home     state.NodeID
 	operator string
+	priority int
 	entries  map[int]*entry
 	// past holds the tasks that ended and whose results are no longer kept, one
 	// bit each. An agent remembers some seventy thousand tasks; with an entry
--- a/coordination/admit/learn.go
+++ b/coordination/admit/learn.go
@@ -16,6 +16,15 @@
 	cores  excess
 }
 
+func (m *Machine) learnedLocked(service string) *learned {
+	l := m.learned[service]
+	if l == nil {
+		l = &learned{}
+		m.learned[service] = l
+	}
+	return l
+}
+
 // excess is the largest seen of late, over what was declared and by itself.
 type excess struct {
 	ratio    peak
@@ -91,7 +100,8 @@
 	for i := range report {
 		m.usageLocked(now, &report[i])
 	}
-	return m.turnLocked(now)
+	out := m.relieveLocked(now)
+	return append(out, m.turnLocked(now)...)
 }
 
 func (m *Machine) usageLocked(now time.Time, u *state.Usage) {
@@ -101,17 +111,13 @@
 		return
 	}
 	e := j.entries[u.Task.Index]
-	service := u.Task.Job.Service
-	l := m.learned[service]
-	if l == nil {
-		l = &learned{}
-		m.learned[service] = l
-	}
+	l := m.learnedLocked(u.Task.Job.Service)
 	l.memory.observe(now, float64(e.declared.memoryMB), float64(u.MemoryMB))
 	l.cores.observe(now, e.declared.cores, u.Cores)
 	if e.phase != running {
 		return
 	}
+	m.pressure.saw(now, e, u)
 	grown := e.reserved
 	grown.memoryMB = max(grown.memoryMB, u.MemoryMB)
 	grown.accelerators = max(grown.accelerators, u.Accelerators)
--- a/coordination/admit/start.go
+++ b/coordination/admit/start.go
@@ -47,6 +47,9 @@
 // out of memory and takes every task on it down.
 func (m *Machine) fitsLocked(e *entry) bool {
 	b := m.backend
+	if m.pressure.hold {
+		return false
+	}
 	if len(m.running)+m.reservedLocked() >= m.slotsLocked() {
 		return false
 	}
@@ -116,6 +119,7 @@
 
 func (m *Machine) releaseLocked(e *entry) {
 	delete(m.running, e.key)
+	m.pressure.ended(m.lastSeen, e)
 	if m.byOperator[e.operator]--; m.byOperator[e.operator] == 0 {
 		delete(m.byOperator, e.operator)
 	}
@@ -172,7 +176,7 @@
 // slots are idle because memory is short. Offering those slots would bring tasks
 // that are refused, and offered for, again and again.
 func (m *Machine) freeLocked() int {
-	if m.queue.len() > 0 {
+	if m.queue.len() > 0 || m.pressure.hold {
 		return 0
 	}
 	free := m.slotsLocked() - len(m.running)
--- a/coordination/admit/tasks.go
+++ b/coordination/admit/tasks.go
@@ -7,6 +7,7 @@
 	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/declaration"
 )
 
 // phase is how far a task came at this agent.
@@ -37,6 +38,7 @@
 	started  time.Time
 	// dropped: the home has no use for the result.
 	dropped bool
+	relief  relief
 	result  *state.TaskResult // nil once no longer kept
 }
 
@@ -76,6 +78,7 @@
 	}
 	j := m.jobLocked(now, from, a.Key)
 	j.operator = a.Operator
+	j.priority = priorityOf(a)
 	m.useCreditLocked(from, a.Key.Service, len(a.Indexes))
 	busy := 0
 	for i, index := range a.Indexes {
@@ -101,6 +104,14 @@
 	m.interestLocked(now, from, a, a.Backlog+busy)
 }
 
+// priorityOf returns the operator's priority; 1 is the lowest.
+func priorityOf(a *message.Assign) int {
+	if a.Priority <= 0 {
+		return declaration.DefaultPriority
+	}
+	return a.Priority
+}
+
 func (m *Machine) entryLocked(j *job, index int, try uint32) *entry {
 	e := &entry{key: state.TaskKey{Job: j.key, Index: index}, job: j, try: try}
 	j.entries[index] = e
@@ -206,7 +217,7 @@
 				m.seq++
 			case running:
 				e.dropped = true
-				out = append(out, coordination.Control{Task: e.key, Verb: coordination.VerbStop})
+				out = append(out, m.controlLocked(e, coordination.VerbStop, coordination.CauseDropped))
 			}
 		}
 		m.interests.drop(from, d.Key)
@@ -227,7 +238,12 @@
 		return nil
 	}
 	r.Index = key.Index
-	m.detector.saw(now, e, r.Err != "", now.Sub(e.started))
+	if e.relief.stops > 0 && r.Err != "" {
+		// The task is not to blame, and neither is the backend server.
+		r.Err = errStopped + r.Err
+	} else {
+		m.detector.saw(now, e, r.Err != "", now.Sub(e.started))
+	}
 	m.endLocked(now, e, r)
 	return m.turnLocked(now)
 }
--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -63,8 +63,22 @@
 type Control struct {
 	Task state.TaskKey
 	Verb Verb
+	// Cause and Operator are for logs.
+	Cause    Cause
+	Operator string
 }
 
+// Cause says why a running task is controlled.
+type Cause string
+
+// The causes.
+const (
+	// CauseDropped: its home has no use for the result.
+	CauseDropped Cause = "dropped"
+	// CauseMemory: the worker's tasks use too much memory together.
+	CauseMemory Cause = "memory"
+)
+
 // Verb is what can be done with a running task.
 type Verb string
 
@@ -73,6 +87,8 @@
 	VerbStop       Verb = "stop"
 	VerbThrottle   Verb = "throttle"
 	VerbCheckpoint Verb = "checkpoint"
+	// VerbRelease ends a throttle.
+	VerbRelease Verb = "release"
 )
 
 // Granted tells the job machine that the pair has recorded the claim: the
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -215,6 +215,17 @@
 	}
 }
 
+// Agents are told an operator's priority with its tasks, as it is declared: 60.
+func TestAgentsHearTheDeclaredPriority(t *testing.T) {
+	is := is.New(t)
+	w, entries, _ := settled(t, 9)
+	w.priorities = make(map[int]int)
+	w.submit(entries[0], "job", 4, 30*time.Second)
+	w.run(5 * time.Second)
+	is.True(w.priorities[60] > 0)
+	is.Equal(len(w.priorities), 1)
+}
+
 // A service may run in two of the three failure domains only, though backend
 // servers announce it in all of them. No task reaches the third.
 func TestPlacementIsTheDeclarations(t *testing.T) {
--- a/coordination/node/world_test.go
+++ b/coordination/node/world_test.go
@@ -67,6 +67,8 @@
 	starts map[state.TaskKey]int
 	// placedAt counts the starts at each agent, if it is set.
 	placedAt map[state.NodeID]int
+	// priorities are those that agents were told with tasks.
+	priorities map[int]int
 	tickets  map[uint64]*ticket
 	last     uint64
 	faults   []string
@@ -223,6 +225,9 @@
 }
 
 func (w *world) send(h *host, s coordination.Send) {
+	if m, ok := s.Msg.(message.Assign); ok && w.priorities != nil {
+		w.priorities[m.Priority]++
+	}
 	copies := 1
 	if s.To != h.id {
 		switch r := w.rng.Float64(); {
--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -122,6 +122,10 @@
 	a.mu.Lock()
 	backend := a.backend
 	a.mu.Unlock()
+	if c.Verb == coordination.VerbStop {
+		klog.InfoS("A running task is stopped", "service", c.Task.Job.Service, "job", c.Task.Job.ID, "index", c.Task.Index,
+			"reason", c.Cause, "operator", c.Operator, "node", a.opts.Node.Self.ID)
+	}
 	a.tasks.Go(func() {
 		if err := a.client.Control(a.taskCtx, backend, c.Task, c.Verb); err != nil {
 			klog.V(1).InfoS("A task was not controlled", "service", c.Task.Job.Service, "job", c.Task.Job.ID,
--- a/standin/backendserver/control.go
+++ b/standin/backendserver/control.go
@@ -55,6 +55,11 @@
 			r.throttled = true
 			r.ends = now.Add(throttleFactor * r.ends.Sub(now))
 		}
+	case coordination.VerbRelease:
+		if r.throttled && r.ends.After(now) {
+			r.throttled = false
+			r.ends = now.Add(r.ends.Sub(now) / throttleFactor)
+		}
 	}
 	r.wakeUp()
 }
--- a/standin/backendserver/handlers.go
+++ b/standin/backendserver/handlers.go
@@ -93,7 +93,8 @@
 func (s *Server) verb(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
 	verb := coordination.Verb(params.ByName("verb"))
 	switch verb {
-	case coordination.VerbStop, coordination.VerbThrottle, coordination.VerbCheckpoint, wire.VerbBar:
+	case coordination.VerbStop, coordination.VerbThrottle, coordination.VerbCheckpoint,
+		coordination.VerbRelease, wire.VerbBar:
 		s.answer(w, s.control(params.ByName("id"), verb, time.Now()))
 	default:
 		writeProblem(w, http.StatusNotFound, wire.Problem{Detail: "there is no such verb"})
--- a/standin/backendserver/tasks_test.go
+++ b/standin/backendserver/tasks_test.go
@@ -104,6 +104,10 @@
 	s.control("a", coordination.VerbThrottle, t0)
 	s.control("a", coordination.VerbThrottle, t0) // repeated after a lost reply
 	is.Equal(r.ends, t0.Add(2*time.Hour))
+	t1 := t0.Add(time.Hour)
+	s.control("a", coordination.VerbRelease, t1)
+	s.control("a", coordination.VerbRelease, t1)
+	is.Equal(r.ends, t1.Add(30*time.Minute))
 }
 
 func TestEndedTasksAreForgottenInTime(t *testing.T) {
