Measure large jobs' longest waits, and jobs of 1 and of 1,000 tasks

Cause: the placement bench showed no starvation: its figures are quantiles over all jobs, and large jobs are few. Change: two columns, the longest time until a large job's first start and until its answer (20 tasks and more), and the scenario mix of jobs of 1 and of 1,000 tasks.

--- a/bench/placement/result.go
+++ b/bench/placement/result.go
@@ -43,6 +43,9 @@
 	lost         []time.Duration
 	// largest is slow of the jobs of the largest size.
 	largest []float64
+	// largeWait and largeTook are the longest of the large jobs: until the first
+	// start, and until the answer.
+	largeWait, largeTook time.Duration
 	// perOperator is the mean of slow.
 	perOperator [operators]float64
 }
@@ -79,6 +82,10 @@
 		if len(j.tasks) == state.MaxTasksPerJob {
 			r.largest = append(r.largest, slow)
 		}
+		if len(j.tasks) >= largeJob {
+			r.largeWait = max(r.largeWait, j.begun-j.at)
+			r.largeTook = max(r.largeTook, took)
+		}
 		r.perOperator[j.operator] += slow
 		count[j.operator]++
 	}
@@ -100,8 +107,8 @@
 }
 
 func header() string {
-	return fmt.Sprintf("%-30s %6s %7s | %-13s | %-13s | %-17s | %6s %6s %6s %6s %6s | %5s %7s %4s | %s",
-		"run", "jobs", "starts", "over ideal", "over packing", "lost to packing", "msgs", "wasted", "refuse", "asks", "unused", "fail", "spoiled", "over", "per operator")
+	return fmt.Sprintf("%-30s %6s %7s | %-13s | %-13s | %-17s | %6s %6s %6s %6s %6s | %5s %7s %4s | %-15s | %s",
+		"run", "jobs", "starts", "over ideal", "over packing", "lost to packing", "msgs", "wasted", "refuse", "asks", "unused", "fail", "spoiled", "over", "large max s", "per operator")
 }
 
 func (r *result) line(name string) string {
@@ -109,14 +116,14 @@
 	if len(r.largest) > 0 {
 		name = fmt.Sprintf("%s (largest %.2f)", name, quantile(r.largest, 0.5))
 	}
-	return fmt.Sprintf("%-30s %6d %7d | %5.2f %7.2f | %5.3f %7.2f | %7.1fms %6.0fms | %6.2f %6.3f %6.3f %6.3f %6.3f | %5d %7d %4d (last at %.1fs, %.1fs in all) stopped %d throttled %d | %.2f",
+	return fmt.Sprintf("%-30s %6d %7d | %5.2f %7.2f | %5.3f %7.2f | %7.1fms %6.0fms | %6.2f %6.3f %6.3f %6.3f %6.3f | %5d %7d %4d (last at %.1fs, %.1fs in all) stopped %d throttled %d | %6.2f %8.2f | %.2f",
 		name, len(r.answers), r.starts,
 		quantile(r.slow, 0.5), quantile(r.slow, 0.99),
 		quantile(r.packed, 0.5), quantile(r.packed, 0.99),
 		milliseconds(quantile(r.lost, 0.5)), milliseconds(quantile(r.lost, 0.99)),
 		float64(r.messages)/per, float64(r.wasted)/per, float64(r.refused)/per, float64(r.asks)/per, float64(r.unused)/per,
 		r.failed, r.spoiled, r.overcommits, r.lastOvercommit.Seconds(), r.beyond.Seconds(),
-		r.controls[coordination.VerbStop], r.controls[coordination.VerbThrottle], r.perOperator)
+		r.controls[coordination.VerbStop], r.controls[coordination.VerbThrottle], r.largeWait.Seconds(), r.largeTook.Seconds(), r.perOperator)
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/bench/placement/sim.go
+++ b/bench/placement/sim.go
@@ -328,6 +328,9 @@
 	job, _ := strconv.Atoi(a.Task.Job.ID)
 	t := &s.jobs[job].tasks[a.Task.Index]
 	s.began[a.Task]++
+	if p := &s.jobs[job]; p.begun == 0 {
+		p.begun = s.now
+	}
 	if s.began[a.Task] > 1 {
 		panic("task started twice: " + a.Task.Job.ID)
 	}
--- a/bench/placement/workload.go
+++ b/bench/placement/workload.go
@@ -21,6 +21,8 @@
 	home     int
 	tasks    []plannedTask
 	longest  time.Duration
+	// begun is when its first task started; filled in by the run.
+	begun time.Duration
 }
 
 // The workload of the users: most tasks take 50 ms to a second, one in a
@@ -39,6 +41,8 @@
 	burstBy    = 8.0
 	wrongBy    = 3
 	bigShare   = 0.005 // of the jobs in the scenario with jobs of the largest size
+	mixShare   = 0.002 // of the jobs in the scenario with jobs of 1 and of the most tasks
+	largeJob   = 20    // tasks from which a job counts as large in the results
 )
 
 func drawRun(c *config, rng *rand.Rand) time.Duration {
@@ -62,6 +66,12 @@
 	if c.scenario == "big" && rng.Float64() < bigShare {
 		return state.MaxTasksPerJob
 	}
+	if c.scenario == "mix" {
+		if rng.Float64() < mixShare {
+			return state.MaxTasksPerJob
+		}
+		return 1
+	}
 	switch x := rng.Float64(); {
 	case x < 0.6:
 		return 1
@@ -73,8 +83,11 @@
 
 func meanSize(c *config) float64 {
 	const usual = 0.6*1 + 0.3*6 + 0.1*40
-	if c.scenario == "big" {
+	switch c.scenario {
+	case "big":
 		return (1-bigShare)*usual + bigShare*state.MaxTasksPerJob
+	case "mix":
+		return 1 - mixShare + mixShare*state.MaxTasksPerJob
 	}
 	return usual
 }
