Measure placement when only the declared run times are off

Cause: the scenario wrong declares memory wrongly as well, and what the workers refuse for it hides what the order of jobs does. Change: the scenario times: declarations right, a third, three times, or none.

--- a/bench/placement/main.go
+++ b/bench/placement/main.go
@@ -23,7 +23,7 @@
 	var (
 		agents    = flag.Int("agents", 11, "number of agents, with 8 slots each")
 		loads     = flag.String("loads", "30,60,80,95", "loads in percent of all slots")
-		scenarios = flag.String("scenarios", "plain", "plain, big, mix, burst, hog, wrong, slow (wrong, and all tasks take seconds), straggler, broken")
+		scenarios = flag.String("scenarios", "plain", "plain, big, mix, burst, hog, times, wrong, slow (wrong, and all tasks take seconds), straggler, broken")
 		length    = flag.Duration("length", 2*time.Minute, "simulated time in which jobs arrive")
 		seed      = flag.Uint64("seed", 1, "seed of the workload and of all lots drawn")
 		stale     = flag.Duration("stale", time.Second, "how often loads are spread among agents")
--- a/bench/placement/workload.go
+++ b/bench/placement/workload.go
@@ -124,6 +124,15 @@
 	return jobs
 }
 
+// wrongTimes are the declarations of run times in the scenario where only these
+// are off: right, too short, too long, and none.
+var wrongTimes = []func(time.Duration) time.Duration{
+	func(ran time.Duration) time.Duration { return ran },
+	func(ran time.Duration) time.Duration { return ran / wrongBy },
+	func(ran time.Duration) time.Duration { return ran * wrongBy },
+	func(time.Duration) time.Duration { return 0 },
+}
+
 func drawTask(c *config, rng *rand.Rand) plannedTask {
 	t := plannedTask{ran: drawRun(c, rng), memoryMB: taskMB + rng.Int64N(taskMB)}
 	t.spec = state.Task{Cores: 1, MemoryMB: t.memoryMB, Expected: t.ran}
@@ -137,5 +146,8 @@
 			t.spec.Expected /= wrongBy
 		}
 	}
+	if c.scenario == "times" {
+		t.spec.Expected = wrongTimes[rng.IntN(len(wrongTimes))](t.ran)
+	}
 	return t
 }
