Pass the declarations to httpapi, and say unknown where nobody knows all claims

No declared default, max_tasks or repeatable was in force (test/session TestJobThatRanIsNotAnsweredNotRun, red; with the line it passes). Cause 2: a share whose members hold no complete record, or that has lost its pair, may have run an id that comes back. 'not run' was said of the attempt and read as said of the id: in TestBothMembersLost the first submission had been granted and the second was told not_run. Change 2: both answers are unknown now; a share that never had a pair still says not run. TestBothMembersLost expects unknown; TestDeadline has both cases of a missing pair.

--- a/coordination/guard/bar.go
+++ b/coordination/guard/bar.go
@@ -57,6 +57,9 @@
 	}
 	reply.Barred = true
 	reply.Reason = state.ReasonBarred
+	if !s.complete() {
+		reply.Reason = state.ReasonClaimsUnknown // an earlier attempt may have been granted
+	}
 	return reply
 }
 
--- a/coordination/guard/tick.go
+++ b/coordination/guard/tick.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		if g.late(now, a.candidate) {
-			g.endLocked(s, index, now, a, refuse(a.giveUpReason()), acts)
+			g.endLocked(s, index, now, a, a.giveUp(), acts)
 			continue
 		}
 		g.metrics.askRetries.Inc()
--- a/coordination/guard/verdict.go
+++ b/coordination/guard/verdict.go
@@ -26,6 +26,17 @@
 	return verdict{outcome: state.NotRun, reason: reason}
 }
 
+// giveUp is the verdict on an ask that had no yes in time. If no member of the
+// pair holds every claim granted before, an earlier submission of the id may have
+// run: this attempt has not, but its caller asks about the id.
+func (a *ask) giveUp() verdict {
+	reason := a.giveUpReason()
+	if reason == state.ReasonClaimsUnknown {
+		return verdict{outcome: state.Unknown, reason: reason}
+	}
+	return refuse(reason)
+}
+
 // closeLocked rules the attempt out for good.
 //
 // A repeated or late submission of an attempt that was answered "not run" would
--- a/coordination/route/bar.go
+++ b/coordination/route/bar.go
@@ -72,6 +72,7 @@
 		r.onNotBarred(now, f, f.open[i], m)
 		return
 	}
+	f.doubtful = f.doubtful || m.Reason == state.ReasonClaimsUnknown
 	wasCurrent := m.Attempt == f.cur.id
 	delete(r.shardOf(f.key).attempts, m.Attempt)
 	f.ruleOut(m.Attempt)
--- a/coordination/route/flight.go
+++ b/coordination/route/flight.go
@@ -103,8 +103,11 @@
 
 	cancelled bool
 	admitted  bool
-	done      bool
-	due       time.Time
+	// doubtful says that a witness ruled an attempt out without knowing all
+	// claims: the caller's id may have run before.
+	doubtful bool
+	done     bool
+	due      time.Time
 	// extra counts messages beyond the first ask and the final answer.
 	extra int
 }
@@ -178,7 +181,7 @@
 // cancellation says nothing of its own about whether the job ran.
 func (f *flight) refusal(v verdict) message.Answer {
 	outcome := state.NotRun
-	if len(f.open) > 0 || f.kind != kindSubmit {
+	if len(f.open) > 0 || f.doubtful || f.kind != kindSubmit {
 		outcome = state.Unknown
 	}
 	return message.Answer{
--- a/coordination/route/submit.go
+++ b/coordination/route/submit.go
@@ -42,6 +42,7 @@
 // round trip and two messages for each refusal.
 func (r *Router) turnAway(now time.Time, f *flight, v verdict) {
 	home, witness, epoch, ok := r.opts.Roster.Pair(f.key.Service, f.key)
+	f.doubtful = f.doubtful || !ok && epoch > 0
 	if ok {
 		a := attempt{id: r.newAttempt(), digest: f.digest, epoch: epoch, home: home, witness: witness, unsent: true}
 		r.open(now, f, home, a)
@@ -125,6 +126,9 @@
 	}
 	home, witness, epoch, ok := r.opts.Roster.Pair(f.key.Service, f.key)
 	if !ok {
+		// A share that had a pair once may have run the id then, and nobody is
+		// left to ask.
+		f.doubtful = f.doubtful || epoch > 0
 		r.giveUp(now, f, verdict{reason: state.ReasonNoPair, retryAfter: retryPair})
 		return
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -102,6 +102,7 @@
 		Dispatcher:   (*dispatcher)(e),
 		Declarer:     (*declarer)(e),
 		Status:       (*status)(e),
+		Spec:         e.spec,
 		Drainer:      (*operations)(e),
 		Confirmer:    (*operations)(e),
 		Tokens:       o.Tokens,
