--- a/bench/capacity/daemon.go
+++ b/bench/capacity/daemon.go
@@ -43,7 +43,7 @@
 }
 
 func newEntry() *daemon {
-	self := state.Member{ID: "entry-0001@d4t8ln2vq0ck5e9f", Region: regionName(0), Domain: "domain-0"}
+	self := state.Member{ID: "entry-0001@dc86aohksdufec1987q0", Region: regionName(0), Domain: "domain-0"}
 	e := node.NewEntry(node.EntryOptions{Self: self, Seed: 1})
 	return &daemon{driven: e, entry: e, self: self, now: start, offsets: make(map[coordination.Stream]int64)}
 }
--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -42,7 +42,7 @@
 func newMember(i int) state.Member {
 	region := i % regions
 	return state.Member{
-		ID:     state.NodeID(fmt.Sprintf("agent-%04d@d4t8ln2vq0ck5e9f", i)),
+		ID:     state.NodeID(fmt.Sprintf("agent-%04d@dc86aohksdufec1987q0", i)),
 		Addr:   fmt.Sprintf("10.%d.%d.%d:7401", region, i/250, i%250),
 		Region: regionName(region),
 		Domain: fmt.Sprintf("domain-%d", i/regions%domains),
@@ -79,7 +79,7 @@
 	}
 	rec := declaration.Record{
 		Kind: declaration.KindApply, Operator: name, Base: base,
-		ApplyID: fmt.Sprintf("entry-0001@d4t8ln2vq0ck5e9f-%d-%d", operator, change),
+		ApplyID: fmt.Sprintf("entry-0001@dc86aohksdufec1987q0-%d-%d", operator, change),
 		File: fmt.Sprintf(`{
   // Change %d.
   "operator": %q,
--- a/bench/capacity/jobs.go
+++ b/bench/capacity/jobs.go
@@ -18,7 +18,7 @@
 
 	deadline   = 30 * time.Second
 	ranFor     = 240 * time.Millisecond
-	entryID    = state.NodeID("entry-0001@d4t8ln2vq0ck5e9f")
+	entryID    = state.NodeID("entry-0001@dc86aohksdufec1987q0")
 	oneService = 0
 	// firstID has as many digits as numbers of 64 bits may have.
 	firstID = 1e19
--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -36,6 +36,7 @@
 	{"admission", measureAdmission},
 	{"submission", measureSubmission},
 	{"domain", measureDomain},
+	{"recovery", measureRecovery},
 }
 
 func main() {
--- a/bench/capacity/quiet.go
+++ b/bench/capacity/quiet.go
@@ -4,16 +4,17 @@
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/gossip"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 )
 
 const (
 	quietSpan = 60 * time.Second
-	// newsIn and newsItems are what an agent hears in a second: each agent sends
-	// to four of its sixteen watchers, eight loads each (coordination/gossip).
-	newsIn    = 4
-	newsItems = 8
+	// newsIn messages of newsItems loads are what an agent hears in a second:
+	// each agent sends to so many of its watchers.
+	newsIn    = gossip.DefaultFanout
+	newsItems = gossip.DefaultMaxItems
 	pollEvery = 20 * time.Second
 )
 
