Serve the job with the least expected work left first, with ageing

Cause: an operator's jobs went in order of arrival. Ruled out: least work alone. Change: a job's order time is its arrival plus a window: its expected work left, at most 10 s and a quarter of the time its caller gives. The earliest goes first. What an operator submits after a job's window has passed goes behind that job; nothing is said about the order among homes or at the agents. Expected work is what is declared, times the factor by which the service's declarations were off of late, else the mean run time. The estimate of the wait for shedding counts what goes before a job, and rests on the mean of the results seen, where the smoothed one began at zero. Operators take turns as before.

--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -110,6 +110,9 @@
 	a.push(now, n)
 	if len(j.backlog) == 0 {
 		p.waiting.remove(j)
+	} else {
+		j.orderAt = p.orderTime(j)
+		p.waiting.moved(j)
 	}
 	p.waiting.rotate(j.operator)
 }
--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -80,6 +80,8 @@
 	tasks      []task
 	// backlog holds the waiting tasks' indexes in the order to place them.
 	backlog []int
+	// orderAt is where a job with a backlog stands in its operator's order.
+	orderAt time.Time
 	left    int // tasks without result
 	// failed is the result of the first task that failed.
 	failed   *state.TaskResult
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -36,9 +36,8 @@
 	list      []*agent // in the view's order
 	eligible  []*agent // scratch space of choose
 	// longest follows the longest run times seen of late.
-	longest time.Duration
-	// typical is the smoothed run time.
-	typical  time.Duration
+	longest  time.Duration
+	runs     runTimes
 	pace     pace
 	override bool
 }
@@ -71,6 +70,7 @@
 	} else if !p.runnable(now, j) {
 		return p.stop(now, j, state.ReasonNeverRunnable, 0)
 	}
+	j.orderAt = p.orderTime(j)
 	if wait := p.expectedWait(now, j); j.unreachable(now, wait) {
 		return p.stop(now, j, state.ReasonDeadlineUnreachable, retryWhenDrained(wait))
 	}
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -67,7 +67,7 @@
 		j.batches[t.batch].useful = true
 		j.stats.Total += r.Ran
 		j.stats.Longest = max(j.stats.Longest, r.Ran)
-		p.sawRun(r.Ran)
+		p.sawRun(&t.spec, r.Ran)
 		if r.Err != "" && j.failed == nil {
 			j.failed = &t.result
 		}
@@ -80,10 +80,10 @@
 // result.
 const runDecay = 200
 
-func (p *pool) sawRun(ran time.Duration) {
+func (p *pool) sawRun(t *state.Task, ran time.Duration) {
 	p.longest -= p.longest / runDecay
 	p.longest = max(p.longest, ran)
-	p.typical += (ran - p.typical) / runDecay
+	p.runs.add(t, ran)
 }
 
 // takeRefused moves refused tasks back into the backlog. A refusal counts for
@@ -119,6 +119,7 @@
 	if j.phase == running {
 		p.backlog += moved
 		if len(j.backlog) == moved {
+			j.orderAt = p.orderTime(j)
 			p.waiting.push(j)
 		}
 	}
--- a/coordination/home/shed.go
+++ b/coordination/home/shed.go
@@ -53,8 +53,9 @@
 
 // expectedWait estimates when a job that has to wait would end: when its last
 // task starts, which is what waits before it over the present pace, and a
-// typical run later. Operators take turns, so a job waits for its own operator's
-// backlog as often as there are operators, and never for more than everything.
+// typical run later. Operators take turns, so a job waits for what its own
+// operator has before it as often as there are operators, and never for more
+// than everything.
 func (p *pool) expectedWait(now time.Time, j *job) time.Duration {
 	perSecond := p.pace.known(now)
 	if p.backlog == 0 || perSecond == 0 {
@@ -66,11 +67,13 @@
 			continue
 		}
 		for _, x := range p.waiting.operators[i].jobs {
-			own += len(x.backlog)
+			if !x.orderAt.After(j.orderAt) {
+				own += len(x.backlog)
+			}
 		}
 	}
 	ahead := min(p.backlog+len(j.backlog), own*max(1, len(p.waiting.operators)))
-	return time.Duration(float64(ahead)/perSecond*float64(time.Second)) + p.typical
+	return time.Duration(float64(ahead)/perSecond*float64(time.Second)) + p.runs.mean()
 }
 
 // retryWhenDrained is when a shed job's caller may come back: when what waits
--- a/coordination/home/turns.go
+++ b/coordination/home/turns.go
@@ -1,9 +1,12 @@
 package home
 
-import "slices"
+import (
+	"slices"
+	"sort"
+)
 
 // turns holds jobs with a backlog. Operators take turns, each operator's jobs
-// go in the order they came.
+// go by their order times, the earliest first; see pool.orderTime.
 type turns struct {
 	operators []operatorJobs
 	size      int
@@ -16,17 +19,38 @@
 
 func (t *turns) len() int { return t.size }
 
+// push adds a job whose order time is set.
 func (t *turns) push(j *job) {
 	t.size++
 	for i := range t.operators {
 		if t.operators[i].operator == j.operator {
-			t.operators[i].jobs = append(t.operators[i].jobs, j)
+			t.operators[i].insert(j)
 			return
 		}
 	}
 	t.operators = append(t.operators, operatorJobs{j.operator, []*job{j}})
 }
 
+// insert puts a job behind those of the same time, so that equal ones go in
+// order of arrival.
+func (o *operatorJobs) insert(j *job) {
+	i := sort.Search(len(o.jobs), func(i int) bool { return o.jobs[i].orderAt.After(j.orderAt) })
+	o.jobs = slices.Insert(o.jobs, i, j)
+}
+
+// moved puts a job where its order time says after that changed. The operator keeps
+// its turn.
+func (t *turns) moved(j *job) {
+	for i := range t.operators {
+		o := &t.operators[i]
+		if k := slices.Index(o.jobs, j); k >= 0 {
+			o.jobs = slices.Delete(o.jobs, k, k+1)
+			o.insert(j)
+			return
+		}
+	}
+}
+
 // first returns the job whose turn it is.
 func (t *turns) first() *job { return t.operators[0].jobs[0] }
 
