Start tasks of an unknown service with care until reports say what they use

Cause: until the first usage report, which lags, a worker is filled by declared sizes. Change: until there are eight usage lines on a service, and for 5 s from its first start at most, its tasks are taken to need twice the memory they declare.

--- a/bench/placement/main.go
+++ b/bench/placement/main.go
@@ -34,6 +34,7 @@
 		ask       = flag.Int("ask", home.DefaultAsk, "agents told of a backlog at once")
 		askPer    = flag.Int("askper", home.DefaultAskPer, "waiting tasks for which one more agent is told")
 	)
+	caution := flag.Float64("caution", admit.DefaultCaution, "by how much more than declared tasks of unknown services are taken to need")
 	relief := flag.Bool("relief", true, "interfere with running tasks for want of memory")
 	flag.Parse()
 	fmt.Println(header())
@@ -52,6 +53,7 @@
 			c.home.Narrow = *narrow
 			c.home.AskPer = *askPer
 			c.admit.QueueLimit = *queue
+			c.admit.Caution = *caution
 			if !*relief {
 				c.admit.Marks = admit.Marks{Low: never, Hold: never, Throttle: never, Stop: never}
 			}
--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -27,6 +27,7 @@
 	DefaultHold            = coordination.TickInterval
 	DefaultCreditTTL       = 10 * time.Millisecond
 	DefaultInterestTTL     = 2 * time.Second
+	DefaultCaution         = 2
 	busyRetry              = 20 * time.Millisecond
 	elsewhereRetry         = time.Second
 	connectionsPerTask     = 1
@@ -53,6 +54,9 @@
 	Hold time.Duration
 	// CreditTTL is how long a slot stays reserved for a home that was offered it.
 	CreditTTL time.Duration
+	// Caution is by how much more than declared the tasks of a service are taken
+	// to need until the first usage reports on it. 1 is no caution.
+	Caution float64
 	// Marks are the shares of the worker's memory at which running tasks are
 	// interfered with.
 	Marks Marks
@@ -69,6 +73,7 @@
 	setDefault(&o.Hold, DefaultHold)
 	setDefault(&o.CreditTTL, DefaultCreditTTL)
 	setDefault(&o.Marks, DefaultMarks)
+	setDefault(&o.Caution, DefaultCaution)
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
 	}
--- a/coordination/admit/learn.go
+++ b/coordination/admit/learn.go
@@ -14,12 +14,34 @@
 type learned struct {
 	memory excess
 	cores  excess
+	// since is the first start here, lines how many usage lines there were.
+	since time.Time
+	lines int
 }
 
-func (m *Machine) learnedLocked(service string) *learned {
+const (
+	// cautiousLines is how many usage lines make a service known; with fewer
+	// the largest of them may be yet to come.
+	cautiousLines = 8
+	// cautiousFor bounds the caution towards a service that is never reported on.
+	cautiousFor = 5 * time.Second
+)
+
+// unknownLocked reports whether nothing is known yet of what a service's tasks
+// really use. Until the first reports, which lag, a worker filled by declared
+// sizes may be given several times what it holds.
+func (m *Machine) unknownLocked(service string) bool {
+	l := m.learned[service]
+	if l == nil {
+		return true
+	}
+	return l.lines < cautiousLines && m.lastSeen.Sub(l.since) < cautiousFor
+}
+
+func (m *Machine) learnedLocked(now time.Time, service string) *learned {
 	l := m.learned[service]
 	if l == nil {
-		l = &learned{}
+		l = &learned{since: now}
 		m.learned[service] = l
 	}
 	return l
@@ -82,6 +104,9 @@
 		need.cores = l.cores.apply(need.cores)
 		need.memoryMB = int64(math.Ceil(l.memory.apply(float64(need.memoryMB))))
 	}
+	if m.unknownLocked(e.key.Job.Service) {
+		need.memoryMB = max(need.memoryMB, int64(m.o.Caution*float64(e.spec.MemoryMB)))
+	}
 	if m.backend.Cores > 0 {
 		need.cores = math.Min(need.cores, m.backend.Cores)
 	}
@@ -111,7 +136,8 @@
 		return
 	}
 	e := j.entries[u.Task.Index]
-	l := m.learnedLocked(u.Task.Job.Service)
+	l := m.learnedLocked(now, u.Task.Job.Service)
+	l.lines++
 	l.memory.observe(now, float64(e.declared.memoryMB), float64(u.MemoryMB))
 	l.cores.observe(now, e.declared.cores, u.Cores)
 	if e.phase != running {
--- a/coordination/admit/pressure_test.go
+++ b/coordination/admit/pressure_test.go
@@ -14,7 +14,7 @@
 // crowded returns a bench whose worker of 1000 MB runs one task of each job, a
 // second apart. Priorities stand beside the jobs. They declare little, so all start.
 func crowded(priorities map[string]int, jobs ...string) *bench {
-	b := newBench(Options{}, twoServices(8))
+	b := newBench(Options{Caution: 1}, twoServices(8))
 	for _, id := range jobs {
 		a := assign(id, 0, 10, 0)
 		a.Priority = priorities[id]
@@ -167,7 +167,7 @@
 // it ran in part. A copy of its Assign doesn't start it again.
 func TestStoppedTaskIsAFailedResult(t *testing.T) {
 	is := is.New(t)
-	b := newBench(Options{}, twoServices(2))
+	b := newBench(Options{Caution: 1}, twoServices(2))
 	b.handle(assign("a", 0, 10, 0))
 	b.handle(assign("b", 0, 10, 0))
 	b.pass(2 * time.Second)
@@ -193,6 +193,23 @@
 	is.Equal(len(b.starts), 3)
 }
 
+// Tasks of a service that has never been reported on declare 100 MB each. Until
+// reports say what they use, they are taken to need more. A service that is
+// never reported on is believed after a while.
+func TestUnknownServiceIsStartedWithCare(t *testing.T) {
+	is := is.New(t)
+	b := newBench(Options{}, backend(16))
+	b.handle(assign("j", 0, 100, 0, 1, 2, 3, 4, 5, 6, 7, 8, 9))
+	is.Equal(len(b.starts), 5)
+	for _, s := range b.starts[:5] {
+		b.finish(s.Task, "")
+	}
+	n := len(b.starts)
+	b.pass(cautiousFor)
+	b.handle(assign("k", 0, 100, 0, 1, 2, 3, 4, 5, 6, 7, 8))
+	is.True(len(b.starts) > n+5)
+}
+
 // Use is beyond the worker, but the job of one task has just been cancelled: its
 // stop is under way and frees enough. Nobody else is stopped for the excess.
 func TestCancelledTasksCountAsGone(t *testing.T) {
@@ -253,7 +270,7 @@
 // of their start. That the worker is small is no sign that it fails all it gets.
 func TestStoppedTasksDoNotEject(t *testing.T) {
 	is := is.New(t)
-	b := newBench(Options{}, backend(8))
+	b := newBench(Options{Caution: 1}, backend(8))
 	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g"} {
 		b.handle(assign(id, 0, 10, 0))
 		b.now = b.now.Add(50 * time.Millisecond)
--- a/coordination/admit/start.go
+++ b/coordination/admit/start.go
@@ -106,6 +106,7 @@
 	e.reserved = m.needLocked(e)
 	m.used.add(e.reserved)
 	m.running[e.key] = e
+	m.learnedLocked(now, e.key.Job.Service)
 	e.operator = e.job.operator
 	m.byOperator[e.operator]++
 	start := coordination.StartTask{Task: e.key, Spec: e.spec}
