--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -118,11 +118,20 @@
 		"verdict", res.Verdict.String(), "reason", res.Reason, "node", a.opts.Node.Self.ID, "err", res.Err)
 }
 
+// stopVerbosity is the level at which a stop is logged. Drops come in waves, with
+// cancellations and failed jobs, and would bury the rest of the log.
+func stopVerbosity(c coordination.Cause) klog.Level {
+	if c == coordination.CauseDropped {
+		return 1
+	}
+	return 0
+}
+
 func (a *Agent) control(c coordination.Control) {
 	a.mu.Lock()
 	backend := a.backend
 	a.mu.Unlock()
-	if c.Verb == coordination.VerbStop {
+	if c.Verb == coordination.VerbStop && klog.V(stopVerbosity(c.Cause)).Enabled() {
 		klog.InfoS("A running task is stopped", "service", c.Task.Job.Service, "job", c.Task.Job.ID, "index", c.Task.Index,
 			"reason", c.Cause, "operator", c.Operator, "node", a.opts.Node.Self.ID)
 	}
