Don't refuse large jobs for good after one long queue

Cause: for jobs of more than eight tasks the whole response counted as run time, because the limit on tasks in flight can't use theirs. Once half of a class's last responses were longer than a caller's deadline, each such job was refused as deadline_unreachable without a time to come back. Nothing of the class ran any more, so nothing new was learned. Change: shedding learns the longest task as the run and the rest as the wait, which is forgotten within seconds. The limit goes on without large jobs. The new test fails without the change. A class whose large jobs take longer than the deadline even alone is now tried again, seconds apart.

--- a/coordination/limit/limits.go
+++ b/coordination/limit/limits.go
@@ -211,14 +211,14 @@
 	l.accountLocked(s, e.Operator).inFlight -= int64(e.Tasks)
 	s.mu.Unlock()
 	before := l.inFlight.Add(-int64(e.Tasks)) + int64(e.Tasks)
-	if e.Tasks > smallJob {
-		e.Ran = 0
-	}
 	if e.OK {
 		l.drain.add(now, e.Tasks)
 		c := classOf(e.Service, e.Tasks)
 		l.expectShard(c).learn(now, c, e.Elapsed, e.Ran)
 	}
+	if e.Tasks > smallJob {
+		e.Ran = 0
+	}
 	if e.OK || e.Short {
 		l.adaptive.observe(now, sample{elapsed: e.Elapsed, ran: e.Ran, failed: e.Short, inFlight: before})
 	}
--- a/coordination/limit/limits_test.go
+++ b/coordination/limit/limits_test.go
@@ -154,3 +154,20 @@
 	is.Equal(share, 20.0) // 80 left for a weight of 4
 	is.True(math.IsInf(fairShare(100, []demand{{40, 3}, {20, 1}}), 1))
 }
+
+// After a start with a long queue, jobs of 32 tasks took five seconds each, of
+// which their longest task ran for one. The queue has gone since. A caller that
+// waits for two seconds is told when to come back, and then let in: what the
+// queue took must not count as the run that no wait can shorten.
+func TestLargeJobsAreNotShedForGood(t *testing.T) {
+	is := is.New(t)
+	l := New(Options{})
+	for range 64 {
+		l.Admit(start, "haneul", "bench", 32, 0)
+		l.Finish(start, End{Operator: "haneul", Service: "bench", Tasks: 32, Elapsed: 5 * time.Second, Ran: time.Second, OK: true})
+	}
+	v := l.Admit(start, "haneul", "bench", 32, 2*time.Second)
+	is.Equal(v.Reason, state.ReasonDeadlineUnreachable)
+	is.True(v.RetryAfter > 0)
+	is.True(l.Admit(start.Add(v.RetryAfter+time.Millisecond), "haneul", "bench", 32, 2*time.Second).OK)
+}
