Measure the spreading of loads and tune it to the budget

At 990 agents in 2 regions the first version spent 12.6 KB/s each way, forgot agents and missed drains: a load's beat began anew with each change, so that old news counted as new, and passing on the youngest news first left far agents with none.

Now beats count from the start; a node passes on the agents that it has learnt most of since it last told of them; ordinary news leaves out what the roster says; urgent news goes to every neighbour in turn; watchers ask members that missed two turns.

Kept of the paper: flooding, for rare urgent news, and the periodic sync, by pages.

--- /dev/null
+++ b/bench/gossip/main.go
@@ -0,0 +1,64 @@
+// Command gossip measures ways of spreading agents' loads: how long until all
+// know that an agent drains, how old the known loads are, how long the watchers
+// of an agent don't hear from it, and what it costs in bytes and processor time.
+//
+// It runs plain objects in one process and in virtual time, with a seed, so a
+// run can be repeated. Only the processor times are the machine's own.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+)
+
+var (
+	seed   = flag.Uint64("seed", 1, "seed of all draws")
+	steady = flag.Duration("steady", 30*time.Second, "virtual time over which costs are measured")
+	drains = flag.Int("drains", 9, "agents that drain one after the other")
+	loss   = flag.Float64("loss", 0, "part of the messages that is lost")
+	only   = flag.String("way", "", "measure this way only")
+	most   = flag.Int("most", 990, "largest fleet to measure")
+)
+
+// fleets are the sizes of today, one in between, and the target.
+var fleets = []fleet{
+	{agents: 11, regions: 1, domains: 3},
+	{agents: 100, regions: 1, domains: 3},
+	{agents: 990, regions: 2, domains: 2},
+}
+
+func main() {
+	flag.Parse()
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(out, "way\tagents\tdrain known by 99 %\tby all\tworst\tload age p50\tp99\twatchers' silence\tsent KB/s\treceived KB/s\tmost KB/s\tcore %\t")
+	for _, w := range ways {
+		if *only != "" && *only != w.name {
+			continue
+		}
+		for _, f := range fleets {
+			if f.agents > *most {
+				continue
+			}
+			r := measure(w, f)
+			fmt.Fprintln(out, r.row(w, f))
+			_ = out.Flush()
+		}
+	}
+}
+
+func (r result) row(w way, f fleet) string {
+	return fmt.Sprintf("%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.3f\t",
+		w.name, f.agents, when(r.most), when(r.all), when(r.worst),
+		r.ageMedian.Round(10*time.Millisecond), r.ageP99.Round(10*time.Millisecond),
+		r.silence.Round(10*time.Millisecond), r.sent, r.received, r.peak, r.core)
+}
+
+func when(d time.Duration) string {
+	if d >= giveUp {
+		return "never"
+	}
+	return d.Round(step).String()
+}
--- /dev/null
+++ b/bench/gossip/ways.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/gossip"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// way is one way of spreading loads.
+type way struct {
+	name string
+	// everywhere says that nodes of all regions hear of an agent.
+	everywhere bool
+	build      func(members []state.Member, self int, seed uint64) spreader
+}
+
+var ways = []way{
+	{"push", true, simpleWay(options{fanout: 4, items: 12, interval: time.Second})},
+	{"push region", false, simpleWay(options{fanout: 4, items: 12, interval: time.Second, region: true})},
+	{"push-pull all", true, simpleWay(options{fanout: 1, interval: time.Second, pull: true})},
+	{"flood+sync", false, simpleWay(options{fanout: 1, interval: 10 * time.Second, pull: true, region: true, flood: true})},
+	{"chosen", false, chosen(gossip.Options{})},
+	{"chosen, 3 to 4", false, chosen(gossip.Options{MaxItems: 3})},
+	{"chosen, 12 to 4", false, chosen(gossip.Options{MaxItems: 12})},
+	{"chosen, 16 to 2", false, chosen(gossip.Options{Fanout: 2, MaxItems: 16})},
+}
+
+// chosen builds the nodes that the daemons run.
+func chosen(o gossip.Options) func([]state.Member, int, uint64) spreader {
+	return func(members []state.Member, self int, seed uint64) spreader {
+		o := o
+		o.Self = members[self]
+		o.Peers = func() []state.Member { return members }
+		o.Seed = seed*1_000_003 + uint64(self)
+		o.Agent = true
+		return gossip.New(o)
+	}
+}
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -29,6 +29,7 @@
 	"sync"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/member/watch"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/state/loadview"
@@ -38,10 +39,10 @@
 const (
 	DefaultInterval       = time.Second
 	DefaultFanout         = 4
-	DefaultMaxItems       = 12
-	DefaultExpiry         = time.Minute
+	DefaultMaxItems       = 6
+	DefaultExpiry         = 3 * time.Minute
 	DefaultUrgentInterval = 100 * time.Millisecond
-	DefaultUrgentCopies   = 6
+	DefaultUrgentCopies   = watch.Count
 	DefaultPullEvery      = 10
 	DefaultPageItems      = 64
 )
@@ -62,11 +63,14 @@
 	MaxItems int
 	// PageItems bounds the loads in a page and in one message of urgent news.
 	PageItems int
-	// Expiry is how long a load counts without news from its agent.
+	// Expiry is how long a load counts without news from its agent. It only
+	// clears away agents that the roster doesn't name; members are forgotten
+	// when they leave or are evicted.
 	Expiry time.Duration
 	// UrgentInterval is between two rounds of urgent news, if there is any.
 	UrgentInterval time.Duration
-	// UrgentCopies is how many times a node passes on one piece of urgent news.
+	// UrgentCopies is to how many neighbours a node passes on one piece of
+	// urgent news: to all, unless told otherwise.
 	UrgentCopies int
 	// PullEvery is how many rounds pass between two pulls of a page.
 	PullEvery int
@@ -114,7 +118,7 @@
 type own struct {
 	load state.AgentLoad
 	set  bool
-	beat uint32
+	beat uint32 // rounds since the start
 }
 
 // New returns a Gossip that knows nobody yet.
@@ -148,7 +152,7 @@
 	}
 	urgent := !old.set || urgentChange(&old.load, &load)
 	load.Seq = max(load.Seq, old.load.Seq+1)
-	g.own = own{load: load, set: true}
+	g.own = own{load: load, set: true, beat: old.beat}
 	g.view.Merge(now, load, 0)
 	if urgent {
 		g.hot[load.ID] = g.o.UrgentCopies
@@ -160,7 +164,7 @@
 	if load.ID == "" || load.ID == g.o.Self.ID {
 		return
 	}
-	g.merge(now, &message.LoadItem{Load: load})
+	g.merge(now, message.LoadItem{Load: load})
 	g.table.hear(load.ID, now)
 }
 
@@ -177,6 +181,11 @@
 	return g.view.CandidatesFor(service, t)
 }
 
+// Load returns the newest load of one agent, if it is fresh.
+func (g *Gossip) Load(id state.NodeID) (state.AgentLoad, bool) {
+	return g.view.Load(id)
+}
+
 // All returns every fresh load with its age, in no particular order.
 func (g *Gossip) All(now time.Time) []loadview.Aged {
 	return g.view.All(now)
--- a/coordination/gossip/merge.go
+++ b/coordination/gossip/merge.go
@@ -9,7 +9,7 @@
 	"github.com/shallotstep/shallotstep/state"
 )
 
-// newcomerBeats is how many rounds an agent counts as new. Unknown news of an
+// newcomerBeats is for how many rounds an agent counts as new. Unknown news of an
 // older one means that this node is the newcomer, and that is not urgent.
 const newcomerBeats = 5
 
@@ -22,7 +22,7 @@
 	}
 	g.table.hear(from, now)
 	for i := range news.Loads {
-		g.handleItem(now, &news.Loads[i], news.Page)
+		g.handleItem(now, news.Loads[i], news.Page)
 	}
 	var reply message.LoadNews
 	switch {
@@ -43,7 +43,7 @@
 	return g.countLocked([]coordination.Action{coordination.Send{To: from, Msg: reply}})
 }
 
-func (g *Gossip) handleItem(now time.Time, item *message.LoadItem, page bool) {
+func (g *Gossip) handleItem(now time.Time, item message.LoadItem, page bool) {
 	id := item.Load.ID
 	if id == "" || id == g.o.Self.ID {
 		return
@@ -57,10 +57,11 @@
 	g.mu.Unlock()
 }
 
-// merge takes in one load and reports whether it is urgent news.
-func (g *Gossip) merge(now time.Time, item *message.LoadItem) (urgent bool) {
+// merge takes in one load and reports whether it is urgent news. The item is a
+// copy: the message may be in other hands too.
+func (g *Gossip) merge(now time.Time, item message.LoadItem) (urgent bool) {
 	load := &item.Load
-	if item.Age < 0 || item.Age >= g.o.Expiry || !g.concerns(load) {
+	if !g.complete(load) || item.Age < 0 || item.Age >= g.o.Expiry || !g.concerns(load) {
 		return false
 	}
 	old, known := g.view.Load(load.ID)
@@ -74,6 +75,19 @@
 	return urgentChange(&old, load)
 }
 
+// complete fills in what shortLocked left out. News of an agent that this node
+// hasn't read of in the roster yet is of no use without it.
+func (g *Gossip) complete(load *state.AgentLoad) bool {
+	if load.Region != "" {
+		return true
+	}
+	g.mu.Lock()
+	m, known := g.rounds.members[load.ID]
+	g.mu.Unlock()
+	load.Addr, load.Region, load.Domain, load.Rack = m.Addr, m.Region, m.Domain, m.Rack
+	return known
+}
+
 // concerns tells whether this node wants news of the agent. Agents hear of
 // their own region: a job's tasks run in the region of its home. Entry hosts
 // hear of all.
--- a/coordination/gossip/page.go
+++ b/coordination/gossip/page.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"slices"
 	"sort"
 	"time"
 
@@ -91,8 +90,7 @@
 func (g *Gossip) noteListener(now time.Time, from state.NodeID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	isPeer := func(m state.Member) bool { return m.ID == from }
-	if slices.ContainsFunc(g.rounds.peers, isPeer) {
+	if _, member := g.rounds.members[from]; member {
 		return
 	}
 	_, known := g.listeners[from]
--- a/coordination/gossip/round.go
+++ b/coordination/gossip/round.go
@@ -19,16 +19,29 @@
 // each one that goes to another.
 const foreignPullEvery = 4
 
+// missedTurns is how many turns to hear from a watched member may pass before it
+// is asked.
+const missedTurns = 2
+
+// endOfTable follows every id, so that the page after it is empty.
+const endOfTable state.NodeID = "~"
+
 // rounds is what a node remembers from one round to the next.
 type rounds struct {
 	next       time.Time
 	nextUrgent time.Time
 	count      int
-	// peers are the roster's members as of the last round.
+	// peers and members are the roster's as of the last round.
 	peers      []state.Member
+	members    map[state.NodeID]state.Member
 	neighbours []state.Member
-	// turn is where the next round starts among the neighbours.
-	turn int
+	// watched are the members that this node watches.
+	watched []watch.Watched
+	// regionSize is how many members the own region has.
+	regionSize int
+	// turn and urgentTurn are the neighbours that were last sent to.
+	turn       int
+	urgentTurn int
 	// cursors are the ids that the next pulls continue after, by region.
 	cursors map[string]state.NodeID
 	// pulled is the region of the last pull.
@@ -60,24 +73,35 @@
 	return g.countLocked(out)
 }
 
-// readRosterLocked finds the nodes that this one sends to. It returns how many
-// members the region has.
-func (g *Gossip) readRosterLocked() int {
+// readRosterLocked finds the nodes that this one sends to, if the roster has
+// changed.
+func (g *Gossip) readRosterLocked() {
 	r := &g.rounds
-	r.peers = g.o.Peers()
-	region := watch.InRegion(r.peers, g.o.Self.Region)
+	peers := g.o.Peers()
+	if slices.Equal(peers, r.peers) {
+		return
+	}
+	r.peers = peers
+	r.members = make(map[state.NodeID]state.Member, len(peers))
+	for i := range peers {
+		r.members[peers[i].ID] = peers[i]
+	}
+	region := watch.InRegion(peers, g.o.Self.Region)
+	r.regionSize = len(region)
 	r.neighbours = watch.Watchers(g.o.Self, region, watch.Count)
-	return len(region)
+	if g.o.Agent {
+		r.watched = watch.WatchedBy(g.o.Self, region, watch.Count)
+	}
 }
 
 func (g *Gossip) roundLocked(now time.Time) []coordination.Action {
 	r := &g.rounds
 	r.count++
-	members := g.readRosterLocked()
+	g.readRosterLocked()
 	g.view.Prune(now)
 	g.dropListenersLocked(now)
 	entries := g.table.snapshot(now.Add(-g.o.Expiry), now.Add(-keepSilent*g.o.Expiry))
-	r.catchingUp = r.catchingUp || 2*len(entries) < members
+	r.catchingUp = r.catchingUp || 2*len(entries) < r.regionSize
 	var out []coordination.Action
 	if g.o.Agent && g.own.set {
 		g.own.beat++
@@ -87,16 +111,33 @@
 	if pull, ok := g.pullLocked(); ok {
 		out = append(out, pull)
 	}
+	return append(out, g.probesLocked(now)...)
+}
+
+// probesLocked asks watched members that missed two of their turns for a sign
+// of life. Without it three lost messages in a row look like death, which among
+// a thousand agents with sixteen watchers each is a matter of minutes on a bad
+// network.
+func (g *Gossip) probesLocked(now time.Time) []coordination.Action {
+	r := &g.rounds
+	turns := (len(r.neighbours) + g.o.Fanout - 1) / g.o.Fanout
+	patience := time.Duration(missedTurns*turns) * g.o.Interval
+	var out []coordination.Action
+	for i := range r.watched {
+		id := r.watched[i].ID
+		if heard, ok := g.table.lastHeard(id); ok && now.Sub(heard) > patience {
+			out = append(out, coordination.Send{To: id, Msg: message.LoadNews{Pull: true, After: endOfTable}})
+		}
+	}
 	return out
 }
 
-// pushLocked sends the own load and the youngest others to the neighbours
-// whose turn it is.
+// pushLocked sends the own load and a choice of others to the neighbours whose
+// turn it is.
 func (g *Gossip) pushLocked(now time.Time, entries []known) []coordination.Action {
 	r := &g.rounds
 	targets := min(g.o.Fanout, len(r.neighbours))
-	items := g.youngestLocked(now, entries, targets)
-	msg := message.LoadNews{Loads: items}
+	msg := message.LoadNews{Loads: g.choiceLocked(now, entries)}
 	out := make([]coordination.Action, 0, targets)
 	for range targets {
 		r.turn = (r.turn + 1) % len(r.neighbours)
@@ -105,33 +146,44 @@
 	return out
 }
 
-// youngestLocked chooses what to pass on: first what was passed on least, then
-// what is youngest. Old news is likely to be known already.
-func (g *Gossip) youngestLocked(now time.Time, entries []known, copies int) []message.LoadItem {
+// choiceLocked chooses what to pass on beside the own load: the agents of which
+// this node has learnt most, in time, since it last passed on news of them. The
+// youngest news alone would go round in the neighbourhood of each agent and
+// leave the far ones with nothing.
+func (g *Gossip) choiceLocked(now time.Time, entries []known) []message.LoadItem {
 	slices.SortFunc(entries, func(a, b known) int {
-		if a.copies != b.copies {
-			return cmp.Compare(a.copies, b.copies)
-		}
-		return b.said.Compare(a.said)
+		return cmp.Or(cmp.Compare(b.progress(), a.progress()), compareIDs(a.id, b.id))
 	})
 	items := make([]message.LoadItem, 0, g.o.MaxItems)
 	if mine, ok := g.ownItemLocked(); ok {
-		items = append(items, mine)
+		items = append(items, g.shortLocked(mine))
 	}
-	var sent []state.NodeID
-	for i := range entries {
-		if len(items) >= g.o.MaxItems {
-			break
-		}
-		if item, ok := g.item(now, &entries[i]); ok {
-			items = append(items, item)
-			sent = append(sent, entries[i].id)
+	chosen := 0
+	for len(items) < g.o.MaxItems && chosen < len(entries) {
+		e := &entries[chosen]
+		chosen++
+		if item, ok := g.item(now, e); ok {
+			items = append(items, g.shortLocked(item))
 		}
 	}
-	g.table.countCopies(sent, copies)
+	g.table.notePassedOn(entries[:chosen])
 	return items
 }
 
+// progress is how much newer the known news is than what was passed on.
+func (k *known) progress() time.Duration { return k.said.Sub(k.passedOn) }
+
+// shortLocked leaves out what every reader of the roster knows of a member. It
+// is almost half of the bytes of ordinary news.
+func (g *Gossip) shortLocked(item message.LoadItem) message.LoadItem {
+	m, known := g.rounds.members[item.Load.ID]
+	l := &item.Load
+	if known && l.Addr == m.Addr && l.Region == m.Region && l.Domain == m.Domain && l.Rack == m.Rack {
+		l.Addr, l.Region, l.Domain, l.Rack = "", "", "", ""
+	}
+	return item
+}
+
 func (g *Gossip) ownItemLocked() (message.LoadItem, bool) {
 	if !g.own.set {
 		return message.LoadItem{}, false
@@ -139,10 +191,17 @@
 	return message.LoadItem{Load: g.own.load, Beat: g.own.beat}, true
 }
 
-// urgentRoundLocked passes urgent news on to random neighbours, and to the
-// listeners, who have no other way to hear of it soon.
+// urgentRoundLocked passes urgent news on to the neighbours whose turn it is,
+// and to the listeners, who have no other way to hear of it soon. Taking turns
+// reaches every neighbour once: a node that few others send to must not be
+// missed by the draw.
 func (g *Gossip) urgentRoundLocked(now time.Time) []coordination.Action {
-	targets := g.drawLocked(g.rounds.neighbours, g.o.Fanout)
+	r := &g.rounds
+	var targets []state.NodeID
+	for range min(g.o.Fanout, len(r.neighbours)) {
+		r.urgentTurn = (r.urgentTurn + 1) % len(r.neighbours)
+		targets = append(targets, r.neighbours[r.urgentTurn].ID)
+	}
 	for id := range g.listeners {
 		targets = append(targets, id)
 	}
@@ -186,15 +245,6 @@
 	return items
 }
 
-// drawLocked draws up to n different members.
-func (g *Gossip) drawLocked(from []state.Member, n int) []state.NodeID {
-	out := make([]state.NodeID, 0, n)
-	for _, i := range g.rng.Perm(len(from))[:min(n, len(from))] {
-		out = append(out, from[i].ID)
-	}
-	return out
-}
-
 // pullLocked asks a random neighbour for the next page of its table. An agent
 // that is not catching up does so only now and then: what it pulls was pushed
 // to it already, as far as nothing was lost.
--- a/coordination/gossip/table.go
+++ b/coordination/gossip/table.go
@@ -32,8 +32,10 @@
 	said time.Time
 	// heard is the last sign of life of any kind.
 	heard time.Time
-	// copies is how many times the version was passed on.
-	copies int
+	// passedOn is when the agent said the version that was last passed on. An
+	// agent heard of for the first time counts as passed on: whoever told of it
+	// tells others too.
+	passedOn time.Time
 }
 
 // table is the sharded set of entries.
@@ -63,7 +65,7 @@
 	defer s.mu.Unlock()
 	e, known := s.entries[id]
 	if !known {
-		s.entries[id] = &entry{version: v, said: said, heard: said}
+		s.entries[id] = &entry{version: v, said: said, heard: said, passedOn: said}
 		return true
 	}
 	if !v.newerThan(e.version) {
@@ -71,7 +73,6 @@
 	}
 	e.version = v
 	e.said = said
-	e.copies = 0
 	e.heard = later(e.heard, said)
 	return true
 }
@@ -115,13 +116,13 @@
 	s.mu.Unlock()
 }
 
-// countCopies adds to the copies sent of each agent's version.
-func (t *table) countCopies(ids []state.NodeID, copies int) {
-	for _, id := range ids {
-		s := t.shard(id)
+// notePassedOn records which version of each agent was passed on.
+func (t *table) notePassedOn(entries []known) {
+	for i := range entries {
+		s := t.shard(entries[i].id)
 		s.mu.Lock()
-		if e, known := s.entries[id]; known {
-			e.copies += copies
+		if e, known := s.entries[entries[i].id]; known {
+			e.passedOn = entries[i].said
 		}
 		s.mu.Unlock()
 	}
