Ask whether a stuck job has started when its wait ends, and name the deadline

Cause 1: a job whose agents all refuse for a moment waits 200 ms, or 5 s if some part of it has run. Which of the two was decided when the wait began, before the first task had started; a job of which part had run then failed with no_backend (test/session TestJobRidesOutLostStarts, red). Cause 2: a backend server ends a task at its deadline and the news may come before the home's own clock says so; the caller was told task_failed instead of deadline (TestDeclaredDefaults, red). Change: both are judged at the end, the second with 50 ms of slack.

--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -262,10 +262,8 @@
 	}
 	p.waiting.inTurn(func(j *job) bool {
 		if j.graceUntil.IsZero() {
+			j.stuckSince = now
 			j.graceUntil = now.Add(stuckGrace)
-			if j.started() {
-				j.graceUntil = now.Add(stuckStarted)
-			}
 			p.schedule(j, j.nextWake())
 		}
 		return true
--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -93,8 +93,10 @@
 	refused  []message.Attempt
 	contacts []contact
 	batches  []batch
-	// graceUntil is when the job stops waiting for an agent that takes anything.
+	// graceUntil is when the job stops waiting for an agent that takes anything,
+	// stuckSince when it began to because all of them had refused.
 	graceUntil time.Time
+	stuckSince time.Time
 	stats      message.Stats
 	// asks counts the messages that only told of the backlog. Stats count them as
 	// wasted, even where an offer came of them: which one did is not known.
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -189,6 +189,13 @@
 	j.graceUntil = time.Time{}
 	p.refresh(now, true, p.backlog)
 	if reason := p.closedFor(now); reason != state.ReasonNone {
+		// Whether some part has run is asked now and not when the wait began:
+		// a first task may have started in between.
+		if until := j.stuckSince.Add(stuckStarted); j.started() && now.Before(until) {
+			j.graceUntil = until
+			p.schedule(j, j.nextWake())
+			return nil
+		}
 		return p.stop(now, j, reason, retryLater)
 	}
 	if !p.runnable(now, j) {
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -157,6 +157,21 @@
 	}
 }
 
+// deadlineSlack is how long before the deadline, by this node's clock, a failed
+// task still counts as one that the deadline ended. The backend server has its
+// own clock on the task and gives it up a moment before or after.
+const deadlineSlack = 50 * time.Millisecond
+
+// failure is why the job failed. A task that is ended by the deadline fails at
+// its backend server, and the news may be here before the deadline is: the
+// caller would be told that its task is at fault.
+func (j *job) failure(now time.Time) state.Reason {
+	if j.late(now.Add(deadlineSlack)) {
+		return state.ReasonDeadline
+	}
+	return state.ReasonTaskFailed
+}
+
 // advance ends the job if its outcome is known.
 func (p *pool) advance(now time.Time, j *job) []coordination.Action {
 	if j.phase == settling {
@@ -165,7 +180,7 @@
 	switch {
 	case j.failed != nil:
 		j.detail = j.failed.Err
-		return p.finish(now, j, state.Failed, state.ReasonTaskFailed, 0)
+		return p.finish(now, j, state.Failed, j.failure(now), 0)
 	case j.left == 0:
 		return p.finish(now, j, state.Complete, state.ReasonNone, 0)
 	}
