Test that the same words once more are no sign of life

The test of echoes passed with echoes counted: in it hardly any old news was sent again. Repeated words now come 10 s later and must not move LastHeard.

--- a/coordination/gossip/gossip_test.go
+++ b/coordination/gossip/gossip_test.go
@@ -136,8 +136,12 @@
 		return message.LoadItem{Load: l, Beat: beat}
 	}
 	g.Handle(n.now, "x", message.LoadNews{Loads: []message.LoadItem{item(5, 2, true)}})
-	g.Handle(n.now, "x", message.LoadNews{Loads: []message.LoadItem{item(4, 9, false)}})
+	said := n.now
+	n.now = n.now.Add(10 * time.Second)
+	g.Handle(n.now, "x", message.LoadNews{Loads: []message.LoadItem{item(5, 2, true), item(4, 9, false)}})
 	g.Handle(n.now, "x", message.LoadNews{Page: true, Loads: []message.LoadItem{item(5, 1, false)}})
+	heard, _ := g.LastHeard("agent-001")
+	is.Equal(heard, said) // the same words once more are no sign of life
 	g.Observe(n.now, item(4, 0, false).Load)
 	is.True(g.Candidates(service)[0].Draining || g.Candidates(service)[1].Draining)
 	is.Equal(n.knowing("agent-001", isDraining), 1)
