Read optional token files in one place, and drop a tracing hook nobody sets

The log's and the backend server's token files were loaded by two copies of the same lines; the world of coordination/node kept a hook from a search for a cause. Behaviour is as it was.

--- a/coordination/node/world_test.go
+++ b/coordination/node/world_test.go
@@ -67,7 +67,6 @@
 	logOut bool
 	// loss is the share of messages lost, repeat the share delivered twice.
 	loss, repeat float64
-	trace        func(from, to *host, m message.Message) // for finding causes
 	lateMax      time.Duration
 	// pace makes ticks and polls this many times rarer while nothing happens.
 	pace int
@@ -272,9 +271,6 @@
 		w.at(to.paused.Sub(w.now), func() { w.arrive(from, s) })
 		return
 	}
-	if w.trace != nil {
-		w.trace(from, to, s.Msg)
-	}
 	w.execute(to, to.node.Handle(w.now, from.id, s.Msg))
 }
 
--- a/daemon/role.go
+++ b/daemon/role.go
@@ -147,19 +147,23 @@
 }
 
 func (t *trust) loadLog(_ context.Context, s *config.Settings) error {
-	t.log = platformlog.Options{URL: s.Log.URL, Timeout: s.Timeouts.Log}
-	if s.Log.TokenFile != "" {
-		secret, err := config.LoadSecret(s.Log.TokenFile)
-		if err != nil {
-			return err
-		}
-		t.log.Token = secret
+	token, err := secret(s.Log.TokenFile)
+	if err != nil {
+		return err
 	}
 	conf, err := clientTLS(s.Log.CA, s.Log.Cert, s.Log.Key)
-	t.log.TLS = conf
+	t.log = platformlog.Options{URL: s.Log.URL, Timeout: s.Timeouts.Log, Token: token, TLS: conf}
 	return err
 }
 
+// secret reads a token file; without one there is no token.
+func secret(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	return config.LoadSecret(path)
+}
+
 func (t *trust) loadTokens(_ context.Context, s *config.Settings) error {
 	if s.TokensFile == "" {
 		return nil
@@ -175,15 +179,12 @@
 }
 
 func (t *trust) loadBackend(_ context.Context, s *config.Settings) error {
-	if s.Backend.TokenFile != "" {
-		secret, err := config.LoadSecret(s.Backend.TokenFile)
-		if err != nil {
-			return err
-		}
-		t.backendToken = secret
+	token, err := secret(s.Backend.TokenFile)
+	if err != nil {
+		return err
 	}
-	conf, err := clientTLS(s.Backend.CA, "", "")
-	t.backendTLS = conf
+	t.backendToken = token
+	t.backendTLS, err = clientTLS(s.Backend.CA, "", "")
 	return err
 }
 
