Check the paths of the directories that are there, and all of them

The pattern of paths named the directory `internal`, which the repository does not have, so the reason code `internal` in OPERATIONS.md was taken for a path. It passed only where an untracked directory of that name was left over, so the verdict was not the same on each machine.

Ruled out: renaming the reason (callers know it), or listing the word as absent (the test would then pass over a real path of that name).

Change: the directories are a sorted list, held against what is committed at the root, by a test of its own. `test` was missing from the pattern and is looked up now.

After: go test ./docs passes.

--- a/docs/links_test.go
+++ b/docs/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"os/exec"
 	"path"
 	"path/filepath"
 	"regexp"
@@ -43,14 +44,29 @@
 	return codeBlock.ReplaceAllString(string(text), "")
 }
 
+// directories are those at the root, sorted. A word that is none of them, such as
+// the reason `internal`, names no path.
+var directories = []string{
+	".ci", "bench", "cmd", "coordination", "daemon", "docs", "examples", "protocol", "standin", "state", "test", "tools", "transport",
+}
+
+// alternatives is a pattern that matches each of the names literally.
+func alternatives(names []string) string {
+	quoted := make([]string, len(names))
+	for i, n := range names {
+		quoted[i] = regexp.QuoteMeta(n)
+	}
+	return strings.Join(quoted, "|")
+}
+
 var (
 	codeBlock = regexp.MustCompile("(?ms)^```.*?^```$")
 	link      = regexp.MustCompile(`\]\(([^)\s]+)\)`)
 	heading   = regexp.MustCompile(`(?m)^#+ (.+)$`)
 	code      = regexp.MustCompile("`([^`\n]+)`")
-	// repositoryPath is one word that begins with a directory of the repository,
-	// or a file at its root.
-	repositoryPath = regexp.MustCompile(`^(?:\./)?((?:\.ci|bench|cmd|coordination|daemon|docs|examples|internal|protocol|standin|state|tools|transport)(?:/[\w.@-]+)*|[\w-]+\.(?:md|mod|sum|txt))$`)
+	// repositoryPath is one word that begins with one of directories, or a file
+	// at the root.
+	repositoryPath = regexp.MustCompile(`^(?:\./)?((?:` + alternatives(directories) + `)(?:/[\w.@-]+)*|[\w-]+\.(?:md|mod|sum|txt))$`)
 	notInAnchor    = regexp.MustCompile(`[^a-z0-9 _-]`)
 )
 
@@ -98,6 +114,15 @@
 	is.True(checked > 0) // the pattern still finds links
 }
 
+func TestDirectoriesAreThoseAtTheRoot(t *testing.T) {
+	// A package was renamed or added, and the paths that pages name under it are
+	// no longer looked up: the test below would pass over them in silence.
+	is := is.New(t)
+	tracked, err := exec.Command("git", "-C", root, "ls-tree", "-d", "--name-only", "HEAD").Output()
+	is.NoErr(err)
+	is.Equal(strings.Fields(string(tracked)), directories)
+}
+
 func TestEveryNamedPathIsThere(t *testing.T) {
 	// A newcomer looks for the file that a page names. A package that was renamed
 	// leaves the old name in the text, and the reader doubts all the rest.
