Ask the witness early when the home's link is known to be lost

Cause: an entry forgot that a link was lost as soon as its flights were dealt with. A home that died by kill -9 is dialled ever more seldom, up to once in 2 s, so a new submission waited in the link for the next dial to fail, or for the probe after 1 s, before the witness was asked to bar it. Its caller heard "not run" late, again and again, until the eviction.

Ruled out: the ticks (25 ms at rest, 5 ms once something was sent); asking the witness with nothing sent to the home (only sending has the link dialled, so a home whose link broke at rest would stay "down" for good); refusing without the witness (the entry alone can't say "not run").

Change: the router keeps since when a node's link is lost, until it is made again or the node is heard of. A fresh attempt at such a node counts as cut off: the witness is asked 50 ms later, in which a living host has answered the dial and PeerUp gives it its time anew. PeerDown and PeerUp set the mark before they look at the flights, so that none falls in between.

Two tests fail without the change.

A home that is paused and not dead is another matter: its link stays up.

--- a/coordination/route/agents.go
+++ b/coordination/route/agents.go
@@ -25,7 +25,10 @@
 	// report can show yet.
 	seq    uint64
 	unseen int
-	downAt time.Time
+	// downAt is when the link last broke or could not be made, downSince when
+	// it did so first. Both are zero while nothing is known against it.
+	downAt    time.Time
+	downSince time.Time
 }
 
 type agents struct {
@@ -69,8 +72,21 @@
 	a.with(id, func(g *agent) { g.inFlight = max(0, g.inFlight-1) })
 }
 
+// setDown notes that the link to a node was lost; the zero time that it is back.
 func (a *agents) setDown(id state.NodeID, at time.Time) {
-	a.with(id, func(g *agent) { g.downAt = at })
+	a.with(id, func(g *agent) {
+		g.downAt = at
+		if at.IsZero() || g.downSince.IsZero() {
+			g.downSince = at
+		}
+	})
+}
+
+// downSince returns since when the link to a node is lost; zero means that
+// nothing is known against it.
+func (a *agents) downSince(id state.NodeID) (since time.Time) {
+	a.with(id, func(g *agent) { since = g.downSince })
+	return since
 }
 
 // score is the load per slot: what the agent reported and what was sent since,
--- a/coordination/route/retry.go
+++ b/coordination/route/retry.go
@@ -135,9 +135,6 @@
 // requestsDown marks the tries at a node as lost and tries elsewhere. A node
 // that is gone for good will not report them.
 func (r *Router) requestsDown(now time.Time, id state.NodeID, gone bool) []coordination.Action {
-	if !gone {
-		r.agents.setDown(id, now)
-	}
 	return r.eachTry(id, func(s *requestShard, q *request, t *try) {
 		if t.state == tryOpen {
 			r.agents.ended(id)
@@ -156,7 +153,6 @@
 
 // requestsUp asks a node that is back what became of the tries there.
 func (r *Router) requestsUp(now time.Time, id state.NodeID) []coordination.Action {
-	r.agents.setDown(id, time.Time{})
 	return r.eachTry(id, func(s *requestShard, q *request, t *try) {
 		if t.state == tryLost {
 			r.sendRequest(s, q, id, message.TaskQuery{Key: t.key, Indexes: []int{0}})
--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -142,6 +142,7 @@
 
 // PeerDown says that the link to a node is lost. It may come back.
 func (r *Router) PeerDown(now time.Time, id state.NodeID) []coordination.Action {
+	r.agents.setDown(id, now)
 	acts := r.eachTarget(now, id, func(f *flight) { r.onSilent(now, f) })
 	return append(acts, r.requestsDown(now, id, false)...)
 }
@@ -149,6 +150,7 @@
 // PeerUp says that the link to a node is back: what is unanswered there is
 // asked again, because the answer may have been lost with the link.
 func (r *Router) PeerUp(now time.Time, id state.NodeID) []coordination.Action {
+	r.agents.setDown(id, time.Time{})
 	acts := r.eachTarget(now, id, func(f *flight) { r.onLinkBack(now, f) })
 	return append(acts, r.requestsUp(now, id)...)
 }
--- a/coordination/route/silence.go
+++ b/coordination/route/silence.go
@@ -16,6 +16,25 @@
 	f.resendAt = now.Add(cutResend)
 }
 
+// cutSince is since when a fresh attempt counts its target as cut off; zero means
+// that nothing is known against the link. The attempt is sent nonetheless, for
+// sending has the link dialled.
+//
+// The failure it is for: a home has died, and the entry dials it ever more
+// seldom. A new submission waited in the link for the next dial to fail, or for
+// its probe, and its caller heard "not run" after a second or two. A living host
+// answers a dial within cutResend, and PeerUp then gives it its time anew.
+func (r *Router) cutSince(now time.Time, target state.NodeID) time.Time {
+	down := r.agents.downSince(target)
+	if down.IsZero() {
+		return down
+	}
+	if least := now.Add(cutResend - barAfter); down.Before(least) {
+		return least
+	}
+	return down
+}
+
 // onLinkBack asks again what was asked before the link was lost; on a first
 // link that would double every question. The target gets the time of a fresh
 // cut: a reconnected home that stays silent is as good as one that is away.
--- a/coordination/route/silence_test.go
+++ b/coordination/route/silence_test.go
@@ -171,3 +171,36 @@
 		is.Equal(delivered(acts)[0].Answer.Outcome, outcome)
 	}
 }
+
+// A home has died: the link broke a while ago and was not made again. A caller
+// who submits now hears "not run" as soon as the witness has ruled the attempt
+// out, and not after a probe of the home, for which it would wait a second.
+func TestHomeKnownToBeDownIsNotWaitedFor(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	b.PeerDown(b.now, "h")
+	b.pass(10 * barAfter)
+	subs, to := sent[message.Submit](b.submit(1, false, 5*time.Second))
+	is.Equal(to, []state.NodeID{"h"}) // sending has the link dialled
+	bars, to := sent[message.Bar](b.pass(cutResend + coordination.TickInterval))
+	is.Equal(to, []state.NodeID{"w"})
+	is.Equal(bars[0].Attempt, subs[0].Attempt)
+	acts := b.Handle(b.now, "w", message.BarReply{Key: quote, Attempt: subs[0].Attempt, Barred: true})
+	is.Equal(delivered(acts)[0].Answer.Outcome, state.NotRun)
+}
+
+// The link to a home broke while nothing was under way, and the home lives. The
+// first submission after that has the link made again, and is asked once more
+// over it. The home says that it is at work on it, so no witness is asked.
+func TestLinkThatIsMadeAgainIsTrusted(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	b.PeerDown(b.now, "h")
+	b.pass(10 * barAfter)
+	b.submit(1, false, 5*time.Second)
+	again, to := sent[message.Submit](b.PeerUp(b.now, "h"))
+	is.Equal(to, []state.NodeID{"h"})
+	b.Handle(b.now, "h", message.Answer{Key: quote, Attempt: again[0].Attempt, Outcome: state.Pending})
+	bars, _ := sent[message.Bar](b.pass(2 * barAfter))
+	is.Equal(len(bars), 0)
+}
--- a/coordination/route/submit.go
+++ b/coordination/route/submit.go
@@ -176,7 +176,7 @@
 	s.attempts[a.id] = f
 	s.aimLocked(f, target)
 	f.phase = asking
-	f.cutAt, f.held, f.probed = time.Time{}, false, false
+	f.cutAt, f.held, f.probed = r.cutSince(now, target), false, false
 	f.probe = f.service.probeAfter()
 	f.resendAt = now.Add(f.probe)
 }
