Suspect a home that left an attempt lying, until it is heard of

An entry learned nothing from one silent attempt for the next: each submission waited 1 s for its own probe before the witness was asked.

Ruled out: a shorter probe for all (a job that runs longer than the probe costs two messages each time it is asked about); suspicion by silence alone (a home that runs a long job is silent too).

Change: when the witness has barred an attempt that was sent, its home never asked for the claim, which a live one does within milliseconds. Such a home counts as cut off until any answer of it comes. One suspected wrongly holds the claim when the witness is asked, and the flight goes on there.

The new test fails without it.

--- a/coordination/route/agents.go
+++ b/coordination/route/agents.go
@@ -25,8 +25,9 @@
 	// report can show yet.
 	seq    uint64
 	unseen int
-	// downAt is when the link last broke or could not be made, downSince when
-	// it did so first. Both are zero while nothing is known against it.
+	// downAt is when the link last broke, could not be made or the node was
+	// found silent, downSince when that happened first. Both are zero while
+	// nothing is known against the node.
 	downAt    time.Time
 	downSince time.Time
 }
@@ -72,7 +73,7 @@
 	a.with(id, func(g *agent) { g.inFlight = max(0, g.inFlight-1) })
 }
 
-// setDown notes that the link to a node was lost; the zero time that it is back.
+// setDown notes that a node can't be reached; the zero time that it was heard of.
 func (a *agents) setDown(id state.NodeID, at time.Time) {
 	a.with(id, func(g *agent) {
 		g.downAt = at
@@ -82,8 +83,8 @@
 	})
 }
 
-// downSince returns since when the link to a node is lost; zero means that
-// nothing is known against it.
+// downSince returns since when a node can't be reached; zero means that nothing
+// is known against it.
 func (a *agents) downSince(id state.NodeID) (since time.Time) {
 	a.with(id, func(g *agent) { since = g.downSince })
 	return since
--- a/coordination/route/bar.go
+++ b/coordination/route/bar.go
@@ -60,6 +60,19 @@
 	return true
 }
 
+// suspectHome notes that a home left an attempt lying until its witness ruled it
+// out: a live one would have claimed it there within milliseconds.
+//
+// The failure it is for: a home is paused and its link stays up until keepalives
+// notice, after ten seconds or so. Until then the caller of each submission
+// waited for a probe of its own. A home that is suspected wrongly holds the claim
+// when the witness is asked, and goes on; its next answer clears it.
+func (r *Router) suspectHome(now time.Time, f *flight, a attempt) {
+	if !a.unsent && f.verdict.reason == state.ReasonHomeUnreachable {
+		r.agents.setDown(a.home, now)
+	}
+}
+
 // onBarReply takes a witness's word on an open attempt.
 func (r *Router) onBarReply(now time.Time, f *flight, from state.NodeID, m *message.BarReply) {
 	i := slices.IndexFunc(f.open, func(a attempt) bool { return a.id == m.Attempt && a.witness == from })
@@ -72,6 +85,7 @@
 		r.onNotBarred(now, f, f.open[i], m)
 		return
 	}
+	r.suspectHome(now, f, f.open[i])
 	f.doubtful = f.doubtful || m.Reason == state.ReasonClaimsUnknown
 	wasCurrent := m.Attempt == f.cur.id
 	delete(r.shardOf(f.key).attempts, m.Attempt)
--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -131,6 +131,7 @@
 func (r *Router) Handle(now time.Time, from state.NodeID, msg message.Message) []coordination.Action {
 	switch m := msg.(type) {
 	case message.Answer:
+		r.agents.setDown(from, time.Time{})
 		return r.withFlight(now, m.Key, m.Attempt, func(f *flight) { r.onAnswer(now, f, from, &m) })
 	case message.BarReply:
 		return r.withFlight(now, m.Key, m.Attempt, func(f *flight) { r.onBarReply(now, f, from, &m) })
--- a/coordination/route/silence.go
+++ b/coordination/route/silence.go
@@ -17,7 +17,7 @@
 }
 
 // cutSince is since when a fresh attempt counts its target as cut off; zero means
-// that nothing is known against the link. The attempt is sent nonetheless, for
+// that nothing is known against it. The attempt is sent nonetheless, for
 // sending has the link dialled.
 //
 // The failure it is for: a home has died, and the entry dials it ever more
--- a/coordination/route/silence_test.go
+++ b/coordination/route/silence_test.go
@@ -204,3 +204,29 @@
 	bars, _ := sent[message.Bar](b.pass(2 * barAfter))
 	is.Equal(len(bars), 0)
 }
+
+// A home is paused with its link up. The first caller waits for a probe, and the
+// witness rules the attempt out. The next caller isn't made to wait for the same
+// again. Then the home goes on and answers something old: it has its full time.
+func TestSilentHomeIsWaitedForOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	barOf := func(wait time.Duration) (bar message.Bar, ok bool) {
+		b.submit(1, false, 5*time.Second)
+		bars, _ := sent[message.Bar](b.pass(wait))
+		if len(bars) == 0 {
+			return message.Bar{}, false
+		}
+		b.Handle(b.now, "w", message.BarReply{Key: quote, Attempt: bars[0].Attempt, Barred: true})
+		return bars[0], true
+	}
+	first, ok := barOf(probeMin + barAfter)
+	is.True(ok)
+	_, ok = barOf(barAfter + coordination.TickInterval)
+	is.True(ok)
+	_, ok = barOf(2 * cutResend)
+	is.True(ok)
+	b.Handle(b.now, "h", message.Answer{Key: quote, Attempt: first.Attempt, Outcome: state.NotRun})
+	_, ok = barOf(2 * cutResend)
+	is.Equal(ok, false)
+}
