Say unknown, not "not run", where an entry knows no pair

Cause: an entry that has just started, with the log out of service, knows no roster. For a share without a pair at epoch 0 it said "not run", though the id had run by way of another entry.

Ruled out: refusing everything until the roster has been read through once (an entry that lags has the same hole, and jobs with a living pair would be refused for nothing).

Change: without a pair the outcome is unknown, whatever the epoch. The test that asked for "not run" at epoch 0 held that a share which never had a pair has run nothing; the entry can't know that. It asks for unknown at both epochs now.

--- a/coordination/route/route_test.go
+++ b/coordination/route/route_test.go
@@ -137,9 +137,9 @@
 }
 
 // The home never answers, its link is fine. The caller gets its answer when
-// its time has passed, as Unknown, and nothing is asked after that. A share that
-// never had a pair has run nothing: NotRun at once. One that had a pair may have
-// run the id before, and nobody is left to ask: Unknown, at once as well.
+// its time has passed, as Unknown, and nothing is asked after that. A share
+// without a pair may have had one that ran the id, also if this entry, which has
+// just started, never heard of one, and nobody is there to ask: Unknown at once.
 func TestDeadline(t *testing.T) {
 	is := is.New(t)
 	b := newBench(nil)
@@ -150,11 +150,11 @@
 	is.Equal(delivered(acts)[0].Answer.Reason, state.ReasonDeadline)
 	is.Equal(len(b.pass(20*time.Second)), 0)
 
-	for epoch, outcome := range map[state.Epoch]state.Outcome{0: state.NotRun, 7: state.Unknown} {
+	for _, epoch := range []state.Epoch{0, 7} {
 		b = newBench(nil)
 		b.roster.home, b.roster.epoch = "", epoch
 		got := delivered(b.submit(1, false, 300*millis))
-		is.Equal(got[0].Answer.Outcome, outcome)
+		is.Equal(got[0].Answer.Outcome, state.Unknown)
 		is.Equal(got[0].Answer.Reason, state.ReasonNoPair)
 		is.True(got[0].Answer.RetryAfter > 0)
 	}
--- a/coordination/route/submit.go
+++ b/coordination/route/submit.go
@@ -42,7 +42,7 @@
 // round trip and two messages for each refusal.
 func (r *Router) turnAway(now time.Time, f *flight, v verdict) {
 	home, witness, epoch, ok := r.opts.Roster.Pair(f.key.Service, f.key)
-	f.doubtful = f.doubtful || !ok && epoch > 0
+	f.doubtful = f.doubtful || !ok
 	if ok {
 		a := attempt{id: r.newAttempt(), digest: f.digest, epoch: epoch, home: home, witness: witness, unsent: true}
 		r.open(now, f, home, a)
@@ -126,9 +126,11 @@
 	}
 	home, witness, epoch, ok := r.opts.Roster.Pair(f.key.Service, f.key)
 	if !ok {
-		// A share that had a pair once may have run the id then, and nobody is
-		// left to ask.
-		f.doubtful = f.doubtful || epoch > 0
+		// A pair may have run the id, and nobody is there to ask. That this entry
+		// never heard of a pair says nothing: one that has just started, with the
+		// log out of service, knows of none, and told callers "not run" of jobs
+		// that another entry had answered.
+		f.doubtful = true
 		r.giveUp(now, f, verdict{reason: state.ReasonNoPair, retryAfter: retryPair})
 		return
 	}
