Say "not run" only where earlier claims of the id are known

Cause: a "no" rules out one attempt, and one member of its epoch may say it. The entry passes it on to a caller who asks about the id. A home that had entered its pair lately, and whose witness was silent, barred or behind, refused as NotRun while it lacked the claims granted before; so did a member that was asked to bar an attempt of an epoch that was over, and a home whose pull brought the record of the id while the ask waited. The caller was told "not run" of a job that had run under the same id by another entry, and could submit it under a new id.

The model did not see it: it checked "not run" against the attempt alone, never asked about unsent attempts (Bar.Unsent), and did not count answers to bars. It now fails when a certain "no" is said of content that was granted at the attempt's epoch or before, asks about unsent attempts, and wants one answer for each bar that arrived.

Change: a "no" of one that has the id's record by now tells the record, and one whose watermark is below the attempt's epoch says claims_unknown beside NotRun, as a BarReply did already for the present epoch. The entry keeps the attempt ruled out and the id in doubt. Weighed: Unknown for the attempt, which would leave it open and cost a bar for each; a field of its own in Answer, which changes the wire for what the reason can say.

Taking the check out ("id in doubt") is noticed by the model. The extra cost is one lookup for each refusal.

--- a/coordination/guard/cluster_test.go
+++ b/coordination/guard/cluster_test.go
@@ -68,6 +68,7 @@
 	// watch limits the shares that follow the roster, unless it is nil.
 	watch map[uint32]bool
 	calls func(state.NodeID, message.Submit)
+	asked func(message.Bar)
 	// lost says that a message is too old to arrive.
 	lost func(envelope) bool
 	// verdicts and bars see what the guards say.
@@ -84,6 +85,7 @@
 		root:     roster.New(),
 		lost:     func(envelope) bool { return false },
 		calls:    func(state.NodeID, message.Submit) {},
+		asked:    func(message.Bar) {},
 		verdicts: func(state.NodeID, coordination.Action) {},
 		bars:     func(state.NodeID, message.BarReply) {},
 	}
@@ -191,6 +193,9 @@
 		c.do(n, n.Claim(c.now, m.Job.Key, m.Digest, m.Attempt, m.Epoch))
 		return
 	}
+	if m, ok := e.msg.(message.Bar); ok {
+		c.asked(m)
+	}
 	c.do(n, n.Handle(c.now, e.from, e.msg))
 }
 
--- a/coordination/guard/guard.go
+++ b/coordination/guard/guard.go
@@ -80,6 +80,7 @@
 	pageOrder    bool // pages of a pull are matched to their asks
 	lostWait     bool // a share that ConfirmLost opens waits for its claims to expire
 	holder       bool // the witness's check for another holder
+	idDoubt      bool // a "no" from one that lacks claims says so
 }
 
 // New returns a guard that has applied no roster record yet.
--- a/coordination/guard/home.go
+++ b/coordination/guard/home.go
@@ -72,7 +72,7 @@
 
 func (g *Guard) claimLocked(s *share, index uint32, now time.Time, c candidate, acts *actions) {
 	if v, ok := s.closed[c.attempt]; ok && !(g.disabled.bars && v.reason == state.ReasonBarred) {
-		*acts = append(*acts, g.denied(s, c, v))
+		*acts = append(*acts, g.denied(s, c, g.vouchLocked(s, now, c, v)))
 		return
 	}
 	if a, ok := s.asks[c.key]; ok {
--- a/coordination/guard/model_test.go
+++ b/coordination/guard/model_test.go
@@ -43,11 +43,16 @@
 	verdicts map[state.NodeID]int
 	granted  bool
 	notRun   bool
+	// unsent attempts are only asked about, as an entry does that refuses a
+	// submission itself.
+	unsent           bool
+	bars, barReplies int
 }
 
 type grant struct {
 	at     time.Time
 	digest state.Digest
+	epoch  state.Epoch
 }
 
 // world drives real guards through random events and checks after each what was
@@ -92,6 +97,7 @@
 	w.calls = func(at state.NodeID, m message.Submit) { w.byID[m.Attempt].calls[at]++ }
 	w.verdicts = w.onVerdict
 	w.lost = w.tooOld
+	w.asked = func(m message.Bar) { w.byID[m.Attempt].bars++ }
 	w.bars = w.onBarReply
 	for range 5 {
 		w.join(0)
@@ -121,6 +127,9 @@
 		}
 		if a.Outcome == state.NotRun {
 			w.notRun(t, "denied "+string(a.Reason))
+			if a.Reason != state.ReasonClaimsUnknown {
+				w.ranBefore(t, "denied "+string(a.Reason))
+			}
 		}
 		first := len(t.verdicts) == 1 && t.verdicts[at] == 1 // later ones repeat it
 		if a.Reason == state.ReasonIDConflict && a.Outcome == state.NotRun && first && w.wasGranted(t) {
@@ -147,12 +156,31 @@
 		}
 	}
 	t.granted = true
-	w.grants[key] = append(w.grants[key], grant{w.now, t.submit.Digest})
+	w.grants[key] = append(w.grants[key], grant{w.now, t.submit.Digest, t.submit.Epoch})
 }
 
 func (w *world) onBarReply(at state.NodeID, r message.BarReply) {
-	if r.Barred {
-		w.notRun(w.byID[r.Attempt], "barred by "+string(at))
+	t := w.byID[r.Attempt]
+	t.barReplies++
+	if !r.Barred {
+		return
+	}
+	if !t.unsent {
+		w.notRun(t, "barred by "+string(at))
+	}
+	if r.Reason != state.ReasonClaimsUnknown {
+		w.ranBefore(t, "barred for certain by "+string(at))
+	}
+}
+
+// ranBefore fails if the same content was granted at the attempt's epoch or
+// before: the entry passes a certain "no" on as an answer about the id, whose
+// earlier submission has run.
+func (w *world) ranBefore(t *try, why string) {
+	for _, g := range w.grants[t.submit.Job.Key] {
+		if g.digest == t.submit.Digest && g.epoch <= t.submit.Epoch && w.now.Sub(g.at) < modelRetention {
+			w.fail("%s at epoch %d: %s, but its id was granted at epoch %d", t.submit.Attempt, t.submit.Epoch, why, g.epoch)
+		}
 	}
 }
 
@@ -175,6 +203,12 @@
 }
 
 func (w *world) submitAt(p roster.Pair, key state.JobKey, d byte) *try {
+	t := w.newTry(p, key, d)
+	w.send(p.Home, t.submit)
+	return t
+}
+
+func (w *world) newTry(p roster.Pair, key state.JobKey, d byte) *try {
 	t := &try{made: w.now, pair: p, calls: make(map[state.NodeID]int), verdicts: make(map[state.NodeID]int)}
 	t.submit = message.Submit{
 		Job: state.Job{Key: key}, Digest: digest(d), Epoch: p.Epoch,
@@ -182,16 +216,27 @@
 	}
 	w.tries = append(w.tries, t)
 	w.byID[t.submit.Attempt] = t
-	w.send(p.Home, t.submit)
 	return t
 }
 
+// inquire asks a witness about an id, for an attempt that is never sent.
+func (w *world) inquire() {
+	key := modelKeys()[w.IntN(len(modelKeys()))]
+	p := w.pick().Roster().Pair(region, roster.ShareOf(key))
+	t := w.newTry(p, key, 0)
+	t.unsent = true
+	w.send(p.Witness, message.Bar{Key: key, Attempt: t.submit.Attempt, Epoch: p.Epoch, Unsent: true})
+}
+
 // again sends an attempt's submission once more, perhaps to the wrong node.
 func (w *world) again() {
 	if len(w.tries) == 0 {
 		return
 	}
 	t := w.recentTry()
+	if t.unsent {
+		return
+	}
 	to := t.pair.Home
 	if w.IntN(4) == 0 {
 		to = w.pick().self
@@ -210,7 +255,7 @@
 	}
 	t := w.recentTry()
 	to := [2]state.NodeID{t.pair.Home, t.pair.Witness}[w.IntN(2)]
-	w.send(to, message.Bar{Key: t.submit.Job.Key, Attempt: t.submit.Attempt, Epoch: t.submit.Epoch})
+	w.send(to, message.Bar{Key: t.submit.Job.Key, Attempt: t.submit.Attempt, Epoch: t.submit.Epoch, Unsent: t.unsent})
 }
 
 // arrive delivers one message out of order; it may be lost or come twice.
@@ -399,8 +444,10 @@
 	switch x := w.IntN(200); {
 	case x < 30:
 		w.submit()
-	case x < 42:
+	case x < 41:
 		w.again()
+	case x < 42:
+		w.inquire()
 	case x < 56:
 		w.bar()
 	case x < 110:
@@ -470,6 +517,9 @@
 		w.settle()
 	}
 	for _, t := range w.tries {
+		if t.bars != t.barReplies {
+			w.fail("%s: %d bars arrived and had %d answers", t.submit.Attempt, t.bars, t.barReplies)
+		}
 		for id, calls := range t.calls {
 			if !w.nodes[id].dead && (calls == 0) != (t.verdicts[id] == 0) {
 				w.fail("%s got no verdict from %s", t.submit.Attempt, id)
--- a/coordination/guard/safeguards_test.go
+++ b/coordination/guard/safeguards_test.go
@@ -23,6 +23,7 @@
 		"freshness":      {freshness: true},
 		"lost wait":      {lostWait: true},
 		"other holder":   {holder: true},
+		"id in doubt":    {idDoubt: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/coordination/guard/verdict.go
+++ b/coordination/guard/verdict.go
@@ -52,8 +52,36 @@
 	s.closed[attempt] = v
 }
 
+// vouchLocked takes back what a "no" would say beyond its attempt.
+//
+// Ruling out an attempt takes one member of its epoch, but the entry passes the
+// "no" on to a caller who asks about the id. A home that has just entered the
+// pair, and whose witness is silent, lacks the claims granted before; or a pull
+// brought the id's record, or another attempt was granted, after this one was
+// taken up or refused. The caller was told "not run" of a job that had run, and
+// could submit it under a new id.
+//
+// A record is told instead. Without one, claims_unknown beside NotRun says, as
+// in a BarReply, that the attempt is ruled out and the id is not. The watermark
+// decides, since a claim granted at the attempt's own epoch has a record at both
+// of its members.
+func (g *Guard) vouchLocked(s *share, now time.Time, c candidate, v verdict) verdict {
+	final := v.reason == state.ReasonMalformed || v.reason == state.ReasonIDConflict
+	if v.outcome != state.NotRun || final || g.disabled.idDoubt {
+		return v
+	}
+	if found := g.claims.Find(now, roster.ShareOf(c.key), c.key); len(found) > 0 {
+		return g.heldVerdict(found, c.digest)
+	}
+	if s.knows < c.epoch {
+		v.reason = state.ReasonClaimsUnknown
+	}
+	return v
+}
+
 // denyLocked closes the attempt and tells the job machine.
 func (g *Guard) denyLocked(s *share, now time.Time, c candidate, v verdict, acts *actions) {
+	v = g.vouchLocked(s, now, c, v)
 	if !g.disabled.closed {
 		g.closeLocked(s, now, c.attempt, c.epoch, v)
 	}
--- a/coordination/home/submit.go
+++ b/coordination/home/submit.go
@@ -63,8 +63,9 @@
 			a.Epoch, a.Holder = r.Epoch, r.Holder
 			if r.Barred {
 				a.Outcome = state.NotRun
-			} else {
-				a.Reason = r.Reason
+			}
+			if !r.Barred || r.Reason == state.ReasonClaimsUnknown {
+				a.Reason = r.Reason // the attempt may be ruled out, and its id not
 			}
 		}
 	}
--- a/coordination/route/answer.go
+++ b/coordination/route/answer.go
@@ -62,6 +62,7 @@
 // onNotRun takes a home's or holder's word that this attempt is ruled out.
 func (r *Router) onNotRun(now time.Time, f *flight, from state.NodeID, m *message.Answer) {
 	tried := f.cur
+	f.doubtful = f.doubtful || m.Reason == state.ReasonClaimsUnknown
 	delete(r.shardOf(f.key).attempts, tried.id)
 	f.ruleOut(tried.id)
 	v := verdict{reason: m.Reason, detail: m.Detail, retryAfter: m.RetryAfter}
--- a/coordination/route/flight.go
+++ b/coordination/route/flight.go
@@ -103,8 +103,8 @@
 
 	cancelled bool
 	admitted  bool
-	// doubtful says that a witness ruled an attempt out without knowing all
-	// claims: the caller's id may have run before.
+	// doubtful says that a member of a pair ruled an attempt out without knowing
+	// all claims: the caller's id may have run before.
 	doubtful bool
 	done     bool
 	due      time.Time
