--- a/coordination/guard/guard.go
+++ b/coordination/guard/guard.go
@@ -80,6 +80,7 @@
 	pageOrder    bool // pages of a pull are matched to their asks
 	lostWait     bool // a share that ConfirmLost opens waits for its claims to expire
 	holder       bool // the witness's check for another holder
+	gapWait      bool // the sweep drops a gap only when its claims have expired
 	idDoubt      bool // a "no" from one that lacks claims says so
 }
 
--- a/coordination/guard/model_test.go
+++ b/coordination/guard/model_test.go
@@ -545,7 +545,7 @@
 		for range roster.Shares / sweepShares {
 			n.sweep(w.now)
 		}
-		if st := n.Stats(); st.Claims.Bytes+st.Asks+st.Closed > 0 {
+		if st := n.Stats(); st.Claims.Bytes+st.Asks+st.Closed+st.Gaps > 0 {
 			w.fail("%s still holds %+v", n.self, st)
 		}
 	}
--- a/coordination/guard/safeguards_test.go
+++ b/coordination/guard/safeguards_test.go
@@ -24,6 +24,7 @@
 		"lost wait":      {lostWait: true},
 		"other holder":   {holder: true},
 		"id in doubt":    {idDoubt: true},
+		"gap wait":       {gapWait: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/coordination/guard/share.go
+++ b/coordination/guard/share.go
@@ -114,6 +114,14 @@
 	s.dropGaps(func(g gap) bool { return !g.harmless.IsZero() && !now.Before(g.harmless) })
 }
 
+// clipGaps gives back what dropped gaps leave of the slice. Shares that the
+// agent doesn't guard collect one gap for each change of their pair.
+func (s *share) clipGaps() {
+	if len(s.gaps) < cap(s.gaps)/2 {
+		s.gaps = slices.Clone(s.gaps)
+	}
+}
+
 // confirmLost takes the operator's word that nodes are dead. An epoch that has
 // lost one member grants nothing more, but its claims count until they expire.
 // Only if it has lost both, so that nobody is left to pull from, may the
--- a/coordination/guard/stats.go
+++ b/coordination/guard/stats.go
@@ -21,6 +21,8 @@
 	// is how many of them it lacks claims of.
 	Guarded    int
 	Incomplete int
+	// Gaps is how many epochs of all shares this agent lacks the claims of.
+	Gaps int
 	// Handing is how many shares a leaving agent has still to hand over.
 	Handing int
 	// Offset is the last roster record read.
@@ -50,6 +52,7 @@
 	defer s.mu.Unlock()
 	st.Asks += len(s.asks)
 	st.Closed += len(s.closed)
+	st.Gaps += len(s.gaps)
 	if !s.guards(self) {
 		return
 	}
@@ -67,6 +70,7 @@
 	closedDesc     = gaugeDesc("closed_attempts", "Denied and barred attempts remembered.")
 	guardedDesc    = gaugeDesc("guarded_shares", "Shares this agent is home or witness of.")
 	incompleteDesc = gaugeDesc("incomplete_shares", "Guarded shares of which claims are missing.")
+	gapsDesc       = gaugeDesc("missed_epochs", "Epochs of shares whose claims this agent lacks.")
 	handingDesc    = gaugeDesc("handover_shares", "Shares still to be handed over before exit.")
 	offsetDesc     = gaugeDesc("roster_offset", "Offset of the last roster record read.")
 	freshDesc      = gaugeDesc("log_fresh_seconds", "When the log was last known to end there, in Unix seconds.")
@@ -96,6 +100,7 @@
 	gauge(closedDesc, float64(st.Closed))
 	gauge(guardedDesc, float64(st.Guarded))
 	gauge(incompleteDesc, float64(st.Incomplete))
+	gauge(gapsDesc, float64(st.Gaps))
 	gauge(handingDesc, float64(st.Handing))
 	gauge(offsetDesc, float64(st.Offset))
 	gauge(freshDesc, float64(st.Fresh.UnixNano())/float64(time.Second))
--- a/coordination/guard/tick.go
+++ b/coordination/guard/tick.go
@@ -133,14 +133,19 @@
 	for i := range uint32(sweepShares) {
 		index := (first + i) % roster.Shares
 		g.claims.Prune(now, index)
-		g.sweepClosed(now, index)
+		g.sweepShare(now, index)
 	}
 }
 
-func (g *Guard) sweepClosed(now time.Time, index uint32) {
+func (g *Guard) sweepShare(now time.Time, index uint32) {
 	s := &g.shares[index]
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.dropHarmless(now)
+	if g.disabled.gapWait {
+		s.dropGaps(func(g gap) bool { return !g.harmless.IsZero() })
+	}
+	s.clipGaps()
 	for attempt, v := range s.closed {
 		if now.Sub(v.at) >= g.keep {
 			delete(s.closed, attempt)
