Wait in the session tests for starts or for the answer, whichever comes first

Cause of "no end to waiting: start of 12 tasks" (TestHomeKilledWhileJobRuns): the test waited for the starts and never looked at the answer. On a machine so busy that a living home is silent for a second, the entry gives it up and says so, before everything or anything was started: home_unreachable, unknown or not run. Then the starts never come.

Ruled out: a lost start, a start counted late, a job that hangs. The product's answers were true in each of them. Longer waits would not have helped.

Change: a test begins a job, and waits until its tasks are started or its caller is answered. An early answer must be unknown, or not run with nothing started, and the test goes on with another id. What is asserted after the kill is unchanged.

--- a/test/session/client_test.go
+++ b/test/session/client_test.go
@@ -90,7 +90,7 @@
 }
 
 // later submits in the background; the channel gives the answer.
-func (c *client) later(body string) <-chan reply {
+func (c *client) later(body string) chan reply {
 	out := make(chan reply, 1)
 	go func() { out <- c.submit(body) }()
 	return out
--- a/test/session/entry_test.go
+++ b/test/session/entry_test.go
@@ -13,17 +13,14 @@
 func TestEntryKilledAndJobJoined(t *testing.T) {
 	t.Parallel()
 	s := newDeclaredSystem(t, options{entries: 2})
-	id := s.jobAt("joined", s.agents[1])
 	const tasks = 12
-	body := job(id, tasks, long)
-	broken := s.entry(0).later(body)
-	s.awaitStarted(id, tasks)
+	j := s.begin(s.entry(0), "joined", s.agents[1], tasks, tasks, long)
 	s.entries[0].kill()
-	if r := <-broken; r.err == nil {
+	if r := <-j.answered; r.err == nil {
 		t.Errorf("an answer came from a dead entry: %s", r)
 	}
-	complete(t, s.entry(1).submit(body), id, tasks)
-	s.onceEach(id, tasks)
+	complete(t, s.entry(1).submit(j.body), j.id, tasks)
+	s.onceEach(j.id, tasks)
 }
 
 // TestCallerGoesAway: a caller breaks off its connection while its job runs.
--- a/test/session/home_test.go
+++ b/test/session/home_test.go
@@ -21,21 +21,18 @@
 	t.Parallel()
 	s := newDeclaredSystem(t, options{entries: 2})
 	home := s.agents[0]
-	id := s.jobAt("killed", home)
 	const tasks = 12
-	body := job(id, tasks, long)
-	answered := s.entry(0).later(body)
-	s.awaitStarted(id, tasks)
+	j := s.begin(s.entry(0), "killed", home, tasks, tasks, long)
 	home.kill()
-	oneOf(t, <-answered, "unknown", "failed")
+	oneOf(t, <-j.answered, "unknown", "failed")
 	if s.evicted(home) {
 		t.Error("the answer waited for the eviction")
 	}
 	for i := range s.entries {
-		oneOf(t, s.entry(i).submit(body), "unknown", "failed")
+		oneOf(t, s.entry(i).submit(j.body), "unknown", "failed")
 	}
 	s.idle()
-	s.onceEach(id, tasks)
+	s.onceEach(j.id, tasks)
 }
 
 // TestEvictedHomeAndItsShares: a home dies by kill -9 and is evicted. Its jobs
@@ -47,23 +44,21 @@
 	t.Parallel()
 	s := newDeclaredSystem(t, options{entries: 2, evictAfter: soonEvict})
 	home := s.agents[0]
-	lost, fresh := s.jobAt("lost", home), s.jobAt("fresh", home)
+	fresh := s.jobAt("fresh", home)
 	const tasks = 6
-	body := job(lost, tasks, long)
-	answered := s.entry(0).later(body)
-	s.awaitStarted(lost, tasks)
+	lost := s.begin(s.entry(0), "lost", home, tasks, tasks, long)
 	home.kill()
-	oneOf(t, <-answered, "unknown", "failed")
+	oneOf(t, <-lost.answered, "unknown", "failed")
 	await(t, "the eviction", func() bool { return s.evicted(home) })
 	for _, e := range s.entries {
 		s.awaitAgents(e, 2)
 	}
 	for i := range s.entries {
-		oneOf(t, s.entry(i).submit(body), "unknown", "failed")
+		oneOf(t, s.entry(i).submit(lost.body), "unknown", "failed")
 	}
 	submitUntilComplete(s, s.entry(1), fresh, 4)
 	s.idle()
-	s.onceEach(lost, tasks)
+	s.onceEach(lost.id, tasks)
 	s.onceEach(fresh, 4)
 }
 
@@ -147,20 +142,17 @@
 	t.Parallel()
 	s := newDeclaredSystem(t, options{entries: 2, evictAfter: soonEvict})
 	home := s.agents[0]
-	id := s.jobAt("paused", home)
 	const tasks = 5 * slots
-	body := job(id, tasks, long)
-	answered := s.entry(0).later(body)
-	s.awaitStarted(id, 3*slots)
+	j := s.begin(s.entry(0), "paused", home, tasks, 3*slots, long)
 	home.signal(syscall.SIGSTOP)
-	oneOf(t, <-answered, "unknown", "failed")
+	oneOf(t, <-j.answered, "unknown", "failed")
 	await(t, "the eviction", func() bool { return s.evicted(home) })
 	home.signal(syscall.SIGCONT)
 	if code := home.exit(); code != 1 {
 		t.Errorf("the evicted home ends with %d", code)
 	}
 	s.idle()
-	oneOf(t, s.entry(1).submit(body), "unknown", "failed")
+	oneOf(t, s.entry(1).submit(j.body), "unknown", "failed")
 	s.idle()
 	s.noDouble()
 }
