Start log, runner and links of both roles in one place

Cause: the entry and the agent repeated their start-up around the log's client, the runner, the links and their metrics, so a limit of the links had to be handed over in two places, and was in neither. Change: runner.Open makes them from one Start, which both roles fill; behaviour unchanged but that the log's idle connections close before the agent's HTTP server instead of after it. Test: GOMAXPROCS=3 go test -p 2 ./daemon/... ./test/session ./transport/link passes (session 43 s).

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -54,8 +54,9 @@
 	// HTTPTLS is nil on loopback.
 	HTTPTLS *tls.Config
 	Log     platformlog.Options
-	// TLS proves nodes to one another; nil on loopback only.
-	TLS     *link.TLS
+	// Links holds the proof of nodes to one another and the links' limits; the
+	// rest of it is set by New.
+	Links   link.Options
 	API     agentapi.Options
 	Backend backendclient.Options
 	// StopLimit bounds a planned stop. Zero means the default of
@@ -72,9 +73,7 @@
 type Agent struct {
 	opts    Options
 	machine *node.Agent
-	runner  *runner.Runner
-	links   *link.Links
-	log     *platformlog.Client
+	runner  *runner.Connected
 	client  *backendclient.Client
 	http    *http.Server
 	// tasks holds the goroutines that wait for the backend server.
@@ -104,33 +103,23 @@
 	}
 	a.taskCtx, a.cancel = context.WithCancel(context.Background())
 	a.machine = node.NewAgent(o.Node)
-	a.log = platformlog.New(o.Log)
 	a.client = backendclient.New(o.Backend)
-	a.runner = runner.New(runner.Options{
+	o.Metrics.WatchMember(a.machine.Member())
+	o.Metrics.Registry.MustRegister(a.machine.Guard())
+	o.Links.Addr = o.Node.Self.Addr
+	o.Links.Listener = o.Peers
+	var err error
+	a.runner, err = runner.Open(runner.Start{
 		Self:    o.Node.Self.ID,
 		Machine: a.machine,
-		Log:     a.log,
 		Perform: a.perform,
-	})
-	o.Metrics.WatchGossip(a.machine.Gossip())
-	o.Metrics.WatchMember(a.machine.Member())
-	o.Metrics.Registry.MustRegister(a.machine.Guard())
-	o.Metrics.Registry.MustRegister(a.log.Collectors()...)
-	links, err := link.New(link.Options{
-		Self:     o.Node.Self.ID,
-		Addr:     o.Node.Self.Addr,
-		Listener: o.Peers,
-		TLS:      o.TLS,
-		Handler:  a.runner.Receive,
-		Up:       a.runner.Up,
-		Down:     a.runner.Down,
-		Registry: o.Metrics.Registry,
+		Log:     o.Log,
+		Links:   o.Links,
+		Metrics: o.Metrics,
 	})
 	if err != nil {
-		return nil, errors.Wrap(err, "links")
+		return nil, err
 	}
-	a.links = links
-	a.runner.Bind(links)
 	o.API.Registerer = o.Metrics.Registry
 	o.API.Gatherer = o.Metrics.Registry
 	a.http = httpapi.NewServer(agentapi.New(a, o.API), o.HTTPTLS)
@@ -182,12 +171,9 @@
 	a.cancel()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if err := a.links.Close(ctx); err != nil {
-		klog.InfoS("Links were cut", "err", err)
-	}
+	a.runner.Close(ctx)
 	lifecycle.CloseHTTP(ctx, a.http)
 	a.client.Close()
-	a.log.Close()
 }
 
 // perform carries out what only an agent does.
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
@@ -42,8 +41,9 @@
 	HTTP    net.Listener
 	HTTPTLS *tls.Config
 	Log     platformlog.Options
-	// TLS proves nodes to one another; nil on loopback only.
-	TLS    *link.TLS
+	// Links holds the proof of nodes to one another and the links' limits; the
+	// rest of it is set by New.
+	Links  link.Options
 	Tokens []httpapi.Token
 	// MaxHeldBytes bounds the bodies of submissions being answered. Zero means
 	// the default of package httpapi.
@@ -60,9 +60,7 @@
 type Entry struct {
 	opts     Options
 	machine  *node.Entry
-	runner   *runner.Runner
-	links    *link.Links
-	log      *platformlog.Client
+	runner   *runner.Connected
 	http     *http.Server
 	draining atomic.Bool
 	stop     *lifecycle.Stop
@@ -74,30 +72,19 @@
 	e := &Entry{opts: o, stop: lifecycle.NewStop(o.StopLimit)}
 	e.tickets.init()
 	e.machine = node.NewEntry(o.Node)
-	e.log = platformlog.New(o.Log)
-	e.runner = runner.New(runner.Options{
+	o.Metrics.Registry.MustRegister(e.machine.Collectors()...)
+	var err error
+	e.runner, err = runner.Open(runner.Start{
 		Self:    o.Node.Self.ID,
 		Machine: e.machine,
-		Log:     e.log,
 		Perform: e.perform,
+		Log:     o.Log,
+		Links:   o.Links,
+		Metrics: o.Metrics,
 	})
-	lo := link.Options{
-		Self:     o.Node.Self.ID,
-		TLS:      o.TLS,
-		Handler:  e.runner.Receive,
-		Up:       e.runner.Up,
-		Down:     e.runner.Down,
-		Registry: o.Metrics.Registry,
-	}
-	o.Metrics.WatchGossip(e.machine.Gossip())
-	o.Metrics.Registry.MustRegister(e.machine.Collectors()...)
-	o.Metrics.Registry.MustRegister(e.log.Collectors()...)
-	links, err := link.New(lo)
 	if err != nil {
-		return nil, errors.Wrap(err, "links")
+		return nil, err
 	}
-	e.links = links
-	e.runner.Bind(links)
 	handler := httpapi.New(httpapi.Options{
 		Dispatcher:   (*dispatcher)(e),
 		Declarer:     (*declarer)(e),
@@ -164,10 +151,7 @@
 	// Answers that were just delivered are still being written: the server
 	// goes first and the links after it.
 	lifecycle.CloseHTTP(ctx, e.http)
-	if err := e.links.Close(ctx); err != nil {
-		klog.InfoS("Links were cut", "err", err)
-	}
-	e.log.Close()
+	e.runner.Close(ctx)
 }
 
 // perform carries out what only an entry does.
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -24,6 +24,7 @@
 	"github.com/shallotstep/shallotstep/standin/logserver"
 	"github.com/shallotstep/shallotstep/transport/agentapi"
 	"github.com/shallotstep/shallotstep/transport/backendclient"
+	"github.com/shallotstep/shallotstep/transport/link"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 )
 
@@ -55,7 +56,7 @@
 		HTTP:         web,
 		HTTPTLS:      t.http,
 		Log:          t.log,
-		TLS:          t.links,
+		Links:        link.Options{TLS: t.links},
 		Tokens:       t.tokens,
 		MaxHeldBytes: int64(s.Limits.HeldMB) * megabyte,
 		StopLimit:    s.Timeouts.Drain,
@@ -100,7 +101,7 @@
 		HTTP:      web,
 		HTTPTLS:   t.http,
 		Log:       t.log,
-		TLS:       t.links,
+		Links:     link.Options{TLS: t.links},
 		API:       agentapi.Options{Token: t.backendToken},
 		Backend:   backendclient.Options{TLS: t.backendTLS, Token: t.backendToken, Lease: s.Timeouts.Lease, Registerer: m.Registry},
 		StopLimit: s.Timeouts.Drain,
