Hand every setting on: dial, idle and the log's timeout reach their parts

Cause: timeouts.dial and timeouts.idle were checked and documented but never handed to the links, which ran with 2 s and 30 s of their own. The runner gave each append up after 4 s of its own, so timeouts.log above that did nothing for appends, and the name of a stand-in was in no line of its log. Ruled out: that the links ignore what they are told (package link's own tests of DialTimeout and IdleTimeout pass); that 4 s were needed for package member, which takes an append to be lost after 10 s: timeouts.log ends at 9 s, and TestAppendsEndBeforeTheyCountAsLost keeps the two apart. Change: the settings go through entryOptions, agentOptions and so on, which a test can read; links get both limits; the runner leaves the limit to the log's client. Test: TestEverySettingReachesSomething tries each key of protocol/config for each role (a changed value changes the options, a named file is read, an address is listened on). Before, it failed for timeouts.dial and timeouts.idle of both roles and for the name of both stand-ins. TestAppendMayTakeAsLongAsSet (virtual time) failed with the 4 s in place: one append counted as failed.

--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -39,13 +39,22 @@
 
 func seed() uint64 { return uint64(time.Now().UnixNano()) }
 
+// The functions that end in Options hand the settings on, and each setting
+// stands in one of them or in newPart: a setting that is checked and documented
+// but reaches nothing does harm, for its operator believes that it is in force.
+
 func newEntry(s *config.Settings, t *trust) (part, error) {
 	web, err := listen(s.Listen.HTTP)
 	if err != nil {
 		return nil, err
 	}
-	m := metrics.New()
-	return entry.New(entry.Options{
+	o := entryOptions(s, t, metrics.New())
+	o.HTTP = web
+	return entry.New(o)
+}
+
+func entryOptions(s *config.Settings, t *trust, m *metrics.Metrics) entry.Options {
+	return entry.Options{
 		Node: node.EntryOptions{
 			Self:    memberOf(s),
 			Seed:    seed(),
@@ -53,16 +62,23 @@
 			Entries: s.Limits.Entries,
 			Declare: declare.Options{SettleLimit: s.Timeouts.Apply, Retention: s.Retention.Log, Registerer: m.Registry},
 		},
-		HTTP:         web,
 		HTTPTLS:      t.http,
 		Log:          t.log,
-		Links:        link.Options{TLS: t.links},
+		Links:        linkOptions(s, t),
 		Tokens:       t.tokens,
 		MaxHeldBytes: int64(s.Limits.HeldMB) * megabyte,
 		StopLimit:    s.Timeouts.Drain,
 		Metrics:      m,
 		Software:     Software,
-	})
+	}
+}
+
+func linkOptions(s *config.Settings, t *trust) link.Options {
+	return link.Options{
+		TLS:         t.links,
+		DialTimeout: s.Timeouts.Dial,
+		IdleTimeout: s.Timeouts.Idle,
+	}
 }
 
 func newAgent(s *config.Settings, t *trust) (part, error) {
@@ -74,8 +90,14 @@
 	if err != nil {
 		return nil, err
 	}
-	m := metrics.New()
-	return agent.New(agent.Options{
+	o := agentOptions(s, t, metrics.New())
+	o.Peers = peers
+	o.HTTP = web
+	return agent.New(o)
+}
+
+func agentOptions(s *config.Settings, t *trust, m *metrics.Metrics) agent.Options {
+	return agent.Options{
 		Node: node.AgentOptions{
 			Self:  memberOf(s),
 			Seed:  seed(),
@@ -97,20 +119,19 @@
 			},
 			Declare: declare.Options{Retention: s.Retention.Log, Registerer: m.Registry},
 		},
-		Peers:     peers,
-		HTTP:      web,
 		HTTPTLS:   t.http,
 		Log:       t.log,
-		Links:     link.Options{TLS: t.links},
+		Links:     linkOptions(s, t),
 		API:       agentapi.Options{Token: t.backendToken},
 		Backend:   backendclient.Options{TLS: t.backendTLS, Token: t.backendToken, Lease: s.Timeouts.Lease, Registerer: m.Registry},
 		StopLimit: s.Timeouts.Drain,
 		Metrics:   m,
-	})
+	}
 }
 
 // standinLog runs the stand-in of the platform's log as a process.
 type standinLog struct {
+	name     string
 	listener net.Listener
 	http     *http.Server
 	drain    chan struct{}
@@ -122,18 +143,23 @@
 	if err != nil {
 		return nil, err
 	}
-	server := logserver.New(logserver.Options{
-		AppendsPerSecond: s.StandinLog.AppendsPerSecond,
-		RetentionRecords: s.StandinLog.RetentionRecords,
-		RetentionAge:     s.StandinLog.RetentionAge,
-	})
+	server := logserver.New(standinLogOptions(s))
 	return &standinLog{
+		name:     s.Name,
 		listener: l,
 		http:     &http.Server{Handler: server, ReadHeaderTimeout: headerLimit},
 		drain:    make(chan struct{}),
 	}, nil
 }
 
+func standinLogOptions(s *config.Settings) logserver.Options {
+	return logserver.Options{
+		AppendsPerSecond: s.StandinLog.AppendsPerSecond,
+		RetentionRecords: s.StandinLog.RetentionRecords,
+		RetentionAge:     s.StandinLog.RetentionAge,
+	}
+}
+
 // Run serves until the stop.
 func (p *standinLog) Run(ctx context.Context) error {
 	go func() {
@@ -143,7 +169,7 @@
 		}
 		_ = p.http.Close()
 	}()
-	klog.InfoS("Log stand-in serves", "http", p.listener.Addr().String())
+	klog.InfoS("Log stand-in serves", "http", p.listener.Addr().String(), "name", p.name)
 	if err := p.http.Serve(p.listener); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
@@ -155,36 +181,42 @@
 
 // standinBackend runs a stand-in backend server as a process.
 type standinBackend struct {
+	name   string
 	server *backendserver.Server
 	drain  chan struct{}
 	once   sync.Once
 }
 
 func newStandinBackend(s *config.Settings, t *trust) (part, error) {
-	b := s.StandinBackend
 	return &standinBackend{
-		drain: make(chan struct{}),
-		server: backendserver.New(backendserver.Options{
-			Services:     b.Services,
-			Slots:        b.Slots,
-			Connections:  b.Connections,
-			Cores:        b.Cores,
-			MemoryMB:     b.MemoryMB,
-			Accelerators: b.Accelerators,
-			AgentURL:     b.AgentURL,
-			Addr:         s.Listen.HTTP,
-			TTL:          b.TTL,
-			Token:        t.backendToken,
-		}),
+		name:   s.Name,
+		drain:  make(chan struct{}),
+		server: backendserver.New(standinBackendOptions(s, t)),
 	}, nil
 }
 
+func standinBackendOptions(s *config.Settings, t *trust) backendserver.Options {
+	b := s.StandinBackend
+	return backendserver.Options{
+		Services:     b.Services,
+		Slots:        b.Slots,
+		Connections:  b.Connections,
+		Cores:        b.Cores,
+		MemoryMB:     b.MemoryMB,
+		Accelerators: b.Accelerators,
+		AgentURL:     b.AgentURL,
+		Addr:         s.Listen.HTTP,
+		TTL:          b.TTL,
+		Token:        t.backendToken,
+	}
+}
+
 // Run serves until the stop.
 func (p *standinBackend) Run(ctx context.Context) error {
 	if err := p.server.Start(ctx); err != nil {
 		return err
 	}
-	klog.InfoS("Backend server stand-in serves", "backend", p.server.ID(), "url", p.server.URL())
+	klog.InfoS("Backend server stand-in serves", "backend", p.server.ID(), "url", p.server.URL(), "name", p.name)
 	select {
 	case <-ctx.Done():
 	case <-p.drain:
--- a/daemon/role.go
+++ b/daemon/role.go
@@ -38,7 +38,7 @@
 	if f.check {
 		return check(s, stdout, stderr)
 	}
-	if err := metrics.SetupLog(s.Verbosity); err != nil {
+	if err := setUpProcess(s); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
@@ -63,6 +63,11 @@
 	return exitDone
 }
 
+// setUpProcess hands on what holds for the process as a whole.
+func setUpProcess(s *config.Settings) error {
+	return metrics.SetupLog(s.Verbosity)
+}
+
 // check also opens the files that the settings name, so that a missing key is
 // found before the daemon is replaced.
 func check(s *config.Settings, stdout, stderr io.Writer) int {
--- a/daemon/runner/runner.go
+++ b/daemon/runner/runner.go
@@ -29,9 +29,6 @@
 	// maxAppends bounds the appends under way at once. Machines append rarely;
 	// the bound keeps a slow log from collecting goroutines.
 	maxAppends = 16
-	// appendTimeout bounds one append. It is shorter than the time after which
-	// package member takes it that an append can no longer arrive.
-	appendTimeout = 4 * time.Second
 	// forgetAfter is how long a departed member can still be reached: it hands
 	// over its claims after it has left the roster.
 	forgetAfter = 10 * time.Minute
@@ -62,7 +59,10 @@
 type Options struct {
 	Self    state.NodeID
 	Machine Machine
-	Log     *platformlog.Client
+	// Log bounds each append by its own timeout, which must be shorter than the
+	// time after which package member takes it that an append can no longer
+	// arrive.
+	Log *platformlog.Client
 	// Perform carries out the actions that are the role's own.
 	Perform func(coordination.Action)
 }
@@ -159,9 +159,7 @@
 	}
 	r.background.Go(func() {
 		defer func() { <-r.appends }()
-		ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
-		defer cancel()
-		if _, err := r.opts.Log.Append(ctx, a.Stream, a.Data); err != nil {
+		if _, err := r.opts.Log.Append(context.Background(), a.Stream, a.Data); err != nil {
 			klog.InfoS("An append to the log was not confirmed", "stream", a.Stream, "err", err)
 			var refused *platformlog.ErrRefused
 			r.appendFailed(a, errors.As(err, &refused))
--- a/protocol/config/table.go
+++ b/protocol/config/table.go
@@ -144,3 +144,14 @@
 	length("standin_backend.ttl", "How long an announcement holds unless renewed.",
 		func(s *Settings) *time.Duration { return &s.StandinBackend.TTL }, 3*time.Second, 500*time.Millisecond, time.Minute, backend...),
 }
+
+// Keys lists the settings of a role, in the order of the page.
+func Keys(r Role) []string {
+	var keys []string
+	for _, t := range table {
+		if t.isFor(r) {
+			keys = append(keys, t.key)
+		}
+	}
+	return keys
+}
