Read the log at once when an append shows that it is back

Cause: TestLogOutOfService/refuses failed once at a load average of 40: the first apply after the outage was confirmed by the log and still answered apply_unknown, because the entry's reader paused for up to 3 s after its failed reads and the apply waited for 2 s (10 s by default). Ruled out: a lost record (the log had it); the runner's bound on appends. Change: a confirmed append ends the pause of its stream's reader.

--- a/transport/platformlog/client.go
+++ b/transport/platformlog/client.go
@@ -58,6 +58,8 @@
 	metrics *metrics
 	// appends holds a place for each append under way.
 	appends chan struct{}
+	// works is told of a confirmed append.
+	works signal
 }
 
 // New returns a client. It opens no connection yet.
@@ -113,6 +115,9 @@
 // leaves ErrUnknown, because the service may have taken the record in.
 func (c *Client) Append(ctx context.Context, stream coordination.Stream, data []byte) (int64, error) {
 	offset, err := c.append(ctx, stream, data)
+	if err == nil {
+		c.works.give(stream)
+	}
 	c.metrics.appends.WithLabelValues(string(stream), appendResult(err)).Inc()
 	return offset, err
 }
--- a/transport/platformlog/follow.go
+++ b/transport/platformlog/follow.go
@@ -91,7 +91,7 @@
 	reason := readResult(Batch{}, err)
 	c.metrics.retries.WithLabelValues(string(stream), reason).Inc()
 	klog.V(1).InfoS("Reading the log failed, retrying", "stream", stream, "reason", reason, "err", err)
-	pause(ctx, jitter(backoff))
+	c.works.await(ctx, stream, jitter(backoff))
 }
 
 // jitter spreads a pause over [d/2, d), so that all daemons don't come back at
