Read a stand-in's starts and set its faults over HTTP

Cause: whether a task was doubled or lost is known at the backend servers only, and a stand-in told its counts to its own process alone. A measurement of separate processes had to believe the answers; nor could it make a stand-in fail its tasks for a while.

Ruled out: a second listener for the two calls. It would need one more setting for something that only stand-ins have.

Change: GET /standin/starts and PUT /standin/faults beside the protocol, under the same token, and open while the stand-in is frozen.

--- a/standin/backendserver/faults.go
+++ b/standin/backendserver/faults.go
@@ -34,6 +34,10 @@
 func (s *Server) SetFaults(f Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setFaultsLocked(f)
+}
+
+func (s *Server) setFaultsLocked(f Faults) {
 	if f.Freeze != s.faults.Freeze {
 		if f.Freeze {
 			s.thawed = make(chan struct{})
--- a/standin/backendserver/handlers.go
+++ b/standin/backendserver/handlers.go
@@ -23,15 +23,22 @@
 	router.POST(wire.TasksPath+"/:id/:verb", s.gate(s.verb))
 	router.POST(wire.LeasesPath, s.gate(s.leases))
 	router.GET(wire.UsagePath, s.gate(s.usageSince))
+	s.measured(router)
 	return router
 }
 
 // gate holds requests while the server is frozen and asks for the token.
 func (s *Server) gate(h httprouter.Handle) httprouter.Handle {
+	open := s.authorized(h)
 	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-		if !s.thaw(r.Context()) {
-			return
+		if s.thaw(r.Context()) {
+			open(w, r, params)
 		}
+	}
+}
+
+func (s *Server) authorized(h httprouter.Handle) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
 		if s.opts.Token != "" && r.Header.Get("Authorization") != "Bearer "+s.opts.Token {
 			writeProblem(w, http.StatusUnauthorized, wire.Problem{Detail: "a bearer token is needed"})
 			return
