--- a/bench/system/system.go
+++ b/bench/system/system.go
@@ -12,6 +12,9 @@
 	"github.com/rs/xid"
 
 	"github.com/shallotstep/shallotstep/daemon/dev"
+	"github.com/shallotstep/shallotstep/protocol/standin"
+	"github.com/shallotstep/shallotstep/standin/backendserver"
+	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/transport/httpclient"
 	"github.com/shallotstep/shallotstep/transport/loadgen"
 )
@@ -85,6 +88,19 @@
 	}
 }
 
+// counted reads the counts of a stand-in in this process.
+type counted struct{ *backendserver.Server }
+
+// Starts implements loadgen.Backend; all jobs are the run's own or of ones before.
+func (c counted) Starts(context.Context, string) (map[state.TaskKey]int, error) {
+	return c.AllStarts(), nil
+}
+
+// SetFaults implements loadgen.Backend. No plan of this command has faults.
+func (c counted) SetFaults(context.Context, standin.Faults) error {
+	return errors.New("no fault is set here")
+}
+
 // runLoad puts one load on the system, prints its line and says whether all
 // checks passed.
 func (sys *system) runLoad(ctx context.Context, s *settings, load int) (bool, error) {
@@ -101,30 +117,36 @@
 		Run:      "system-" + xid.New().String(),
 	}
 	name := strconv.Itoa(load)
-	var r *loadgen.Report
+	target := loadgen.Target{Entries: [][]loadgen.Caller{{sys.client}}}
+	plan := &loadgen.Plan{Name: "system " + name, Loads: []loadgen.Config{c}}
+	for _, b := range sys.dev.Backends() {
+		plan.Backends = append(plan.Backends, b.URL())
+		target.Backends = append(target.Backends, counted{b})
+	}
+	var m *loadgen.Measurement
 	u, err := measure(s.file("cpu-"+name, "pprof"), func() error {
 		var err error
-		label(partLoad, func() { r, err = loadgen.Run(ctx, c, []loadgen.Caller{sys.client}) })
+		label(partLoad, func() { m, err = loadgen.Measure(ctx, plan, target) })
 		return err
 	})
 	if err != nil {
 		return false, err
 	}
-	truth := checkStarts(sys.dev.Backends(), r)
-	fmt.Println(line(load, r, u, truth))
+	r := m.Loads[0]
+	fmt.Println(line(load, r, u, &m.Starts))
 	for _, v := range r.Violations {
 		fmt.Printf("  %s: job %s: %s\n", v.Check, v.Job, v.Detail)
 	}
-	for _, fault := range truth.faults {
+	for _, fault := range m.Starts.Faults {
 		fmt.Printf("  starts: %s\n", fault)
 	}
 	if s.dir != "" {
-		if err := r.Write(s.file("load-"+name, "json")); err != nil {
+		if err := m.Write(s.file("load-"+name, "json")); err != nil {
 			return false, err
 		}
-		if err := r.Plot(s.file("load-"+name, "png")); err != nil {
+		if err := m.Plot(s.file("load-"+name, "svg")); err != nil {
 			return false, err
 		}
 	}
-	return r.Passed() && truth.failed == 0, nil
+	return m.Passed, nil
 }
--- a/bench/system/system_test.go
+++ b/bench/system/system_test.go
@@ -9,41 +9,9 @@
 
 	"github.com/matryer/is"
 
-	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/transport/loadgen"
 )
 
-// Callers are told one thing and the backend servers started another: a task
-// twice on two of them, none for a complete job, one for a job that is "not
-// run". Each must be found, and nothing in a run where all agrees.
-func TestStartsAreHeldAgainstAnswers(t *testing.T) {
-	is := is.New(t)
-	complete, notRun, unknown := state.Complete.String(), state.NotRun.String(), state.Unknown.String()
-	r := &loadgen.Report{Config: loadgen.Config{Service: service, Run: "r"}, Rows: []loadgen.Row{
-		{Tasks: 2, Outcome: complete, Settled: complete},
-		{Tasks: 1, Outcome: notRun, Settled: notRun},
-		{Tasks: 1, Outcome: unknown, Settled: unknown},
-	}}
-	task := func(job, index int) state.TaskKey {
-		return state.TaskKey{Job: state.JobKey{Service: service, ID: r.JobID(job)}, Index: index}
-	}
-	right := func() map[state.TaskKey]int {
-		return map[state.TaskKey]int{task(0, 0): 1, task(0, 1): 1, task(2, 0): 1}
-	}
-	got := compareStarts(right(), r)
-	is.Equal(got, starts{tasks: 3})
-	for _, c := range []struct {
-		key state.TaskKey
-		n   int
-	}{{task(0, 0), 2}, {task(0, 1), 0}, {task(1, 0), 1}, {task(2, 0), 2}} {
-		counts := right()
-		counts[c.key] = c.n
-		got := compareStarts(counts, r)
-		is.Equal(got.failed, 1)
-		is.Equal(len(got.faults), 1)
-	}
-}
-
 func TestTimeByLabel(t *testing.T) {
 	is := is.New(t)
 	var profile bytes.Buffer
@@ -81,7 +49,10 @@
 	passed, err := run(context.Background(), s)
 	is.NoErr(err)
 	is.True(passed)
-	r, err := loadgen.Read(s.file("load-30", "json"))
+	m, err := loadgen.Read(s.file("load-30", "json"))
 	is.NoErr(err)
+	r := m.Loads[0]
+	is.True(m.Passed && m.Starts.Counted)
+	is.Equal(m.Starts.Tasks, r.Tasks) // each once
 	is.Equal([]int{r.Agents, r.Slots}, []int{3, 6})
 }
--- a/bench/system/table.go
+++ b/bench/system/table.go
@@ -22,9 +22,9 @@
 		"%", "%", "", "", "", "p50", "p99", "p50", "p90", "p99", "max", "p50", "p99", "p50", "p99", "msgs", "wasted", "entry", "agents", "backend", "load", "process", "p99", "failed")
 }
 
-func line(load int, r *loadgen.Report, u usage, truth starts) string {
-	per := func(d time.Duration) float64 { return float64(d.Microseconds()) / float64(max(1, truth.tasks)) }
-	failed := truth.failed
+func line(load int, r *loadgen.Report, u usage, truth *loadgen.Starts) string {
+	per := func(d time.Duration) float64 { return float64(d.Microseconds()) / float64(max(1, truth.Tasks)) }
+	failed := truth.Failed()
 	for _, c := range r.Checks {
 		failed += c.Failed
 	}
--- a/transport/cli/check.go
+++ b/transport/cli/check.go
@@ -10,6 +10,7 @@
 	"github.com/shallotstep/shallotstep/protocol/api"
 	"github.com/shallotstep/shallotstep/protocol/config"
 	"github.com/shallotstep/shallotstep/state/declaration"
+	"github.com/shallotstep/shallotstep/transport/loadgen"
 )
 
 // declaration reads a declaration's file and finds whose it is.
@@ -63,7 +64,7 @@
 }
 
 // checkFile tells the kinds of files apart by a field that only one of them
-// has: settings have a role, job files a kind.
+// has: settings have a role, job files a kind, plans a plan.
 func checkFile(name string, raw []byte) checked {
 	fields := fieldsOf(raw)
 	switch {
@@ -76,6 +77,9 @@
 	case fields["role"] != nil:
 		_, err := config.Parse(name, raw)
 		return finding(name, "settings file", err)
+	case fields["plan"] != nil:
+		_, err := loadgen.ParsePlan(name, raw)
+		return finding(name, "plan", err)
 	}
 	_, err := declaration.Parse(name, raw)
 	return finding(name, "declaration", err)
--- a/transport/cli/cli.go
+++ b/transport/cli/cli.go
@@ -3,6 +3,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -48,6 +49,8 @@
 	// least and most bound the number of arguments; most is negative for any.
 	least int
 	most  int
+	// addrFlag names the flag of the entry's address; empty means addr.
+	addrFlag string
 	// flags adds the command's own flags to the common ones.
 	flags func(*invocation)
 	run   func(context.Context, *invocation) int
@@ -65,7 +68,7 @@
 		{name: "drain", args: "NODE", about: "have a node take no more work", least: 1, most: 1, run: runDrain},
 		{name: "confirm-lost", args: "NODE...", about: "say that hosts out of the roster are dead for good", least: 1, most: api.MaxConfirmed, flags: confirmFlags, run: runConfirmLost},
 		{name: "check", args: "FILE...", about: "check files without sending them", least: 1, most: -1, run: runCheck},
-		{name: "load", args: "[FILE FILE]", about: "put load on entries, measure and check the answers", most: 2, flags: loadFlags, run: runLoad},
+		{name: "measure", args: "[FILE...]", about: "carry out a plan of load on a running system, measure and check", most: -1, addrFlag: "target", flags: measureFlags, run: runMeasure},
 		{name: "version", about: "print the software's version", run: runVersion},
 	}
 }
@@ -85,7 +88,7 @@
 	service string
 	base    int64
 	tries   int
-	load    loadOptions
+	measure measureOptions
 	// acceptRerun is confirm-lost's.
 	acceptRerun bool
 }
@@ -121,7 +124,7 @@
 	v := &invocation{Env: env}
 	v.flags = flag.NewFlagSet("shallotstep "+c.name, flag.ContinueOnError)
 	v.flags.SetOutput(env.Stderr)
-	v.commonFlags()
+	v.commonFlags(cmp.Or(c.addrFlag, "addr"))
 	if c.flags != nil {
 		c.flags(v)
 	}
@@ -144,8 +147,8 @@
 	return c.run(ctx, v)
 }
 
-func (v *invocation) commonFlags() {
-	v.flags.StringVar(&v.addr, "addr", defaultAddr, "the entry's `address`, host:port or URL")
+func (v *invocation) commonFlags(addr string) {
+	v.flags.StringVar(&v.addr, addr, defaultAddr, "the entry's `address`, host:port or URL")
 	v.flags.StringVar(&v.tokenFile, "token-file", "", "`file` that holds the bearer token")
 	v.flags.StringVar(&v.caFile, "ca", "", "PEM `file` with the certificate authorities to trust")
 	v.flags.StringVar(&v.output, "output", "text", "`format` of the output, text or json")
--- a/transport/cli/cli_test.go
+++ b/transport/cli/cli_test.go
@@ -102,7 +102,11 @@
 	d.out.Reset()
 	d.err.Reset()
 	d.sleeps = nil
-	return Run(context.Background(), append(args, "-addr", d.url), Env{
+	address := "-addr"
+	if args[0] == "measure" {
+		address = "-target"
+	}
+	return Run(context.Background(), append(args, address, d.url), Env{
 		Stdout: &d.out, Stderr: &d.err, Version: "test",
 		Sleep: func(_ context.Context, wait time.Duration) error {
 			d.sleeps = append(d.sleeps, wait)
--- a/transport/loadgen/check_test.go
+++ b/transport/loadgen/check_test.go
@@ -172,7 +172,7 @@
 	c := testConfig(t)
 	c.Length = Duration(200 * time.Millisecond)
 	c.JobsPerSecond = 50
-	r, err := Run(context.Background(), c, []Caller{client})
+	r, err := measureOne(context.Background(), c, client)
 	is.NoErr(err)
 	is.True(r.Jobs > 0)
 	is.Equal(r.check(CheckReadable), Check{CheckReadable, r.Jobs, r.Jobs})
--- a/transport/loadgen/compare.go
+++ b/transport/loadgen/compare.go
@@ -38,10 +38,31 @@
 	Passed bool `json:"passed"`
 }
 
-// Compare sets two reports side by side.
-func Compare(before, after *Report) Comparison {
-	c := Comparison{Unlike: unlike(before, after), Passed: before.Passed() && after.Passed()}
+// Compare sets two measurements side by side, load by load.
+func Compare(before, after *Measurement) Comparison {
+	c := Comparison{Unlike: []string{}, Passed: before.Passed && after.Passed}
+	if len(before.Loads) != len(after.Loads) {
+		c.Unlike = append(c.Unlike, fmt.Sprintf("loads: %d, %d", len(before.Loads), len(after.Loads)))
+	}
+	if b, a := stepsText(before), stepsText(after); b != a {
+		c.Unlike = append(c.Unlike, fmt.Sprintf("steps: %s, %s", b, a))
+	}
+	for i := range min(len(before.Loads), len(after.Loads)) {
+		c.add(before.Loads[i], after.Loads[i], len(before.Loads) > 1)
+	}
+	return c
+}
+
+// stepsText tells two plans' steps apart.
+func stepsText(m *Measurement) string { return fmt.Sprintf("%+v", m.Plan.Steps) }
+
+// add compares one load; named says that its figures need its service's name.
+func (c *Comparison) add(before, after *Report, named bool) {
+	c.Unlike = append(c.Unlike, unlike(before, after)...)
 	add := func(name string, b, a float64) {
+		if named {
+			name = before.Config.Service + " " + name
+		}
 		c.Differences = append(c.Differences, Difference{name, b, a})
 	}
 	add("complete jobs", float64(before.Response.Count), float64(after.Response.Count))
@@ -50,12 +71,13 @@
 		a := afterLines[i]
 		add(b.name+" p50", b.figures.P50, a.figures.P50)
 		add(b.name+" p90", b.figures.P90, a.figures.P90)
+		add(b.name+" p95", b.figures.P95, a.figures.P95)
 		add(b.name+" p99", b.figures.P99, a.figures.P99)
 		add(b.name+" max", b.figures.Max, a.figures.Max)
 	}
+	add("starts per second", before.StartsPerSecond, after.StartsPerSecond)
 	add("messages per start", before.Messages.PerStart, after.Messages.PerStart)
 	add("wasted per start", before.Messages.WastedPerStart, after.Messages.WastedPerStart)
-	return c
 }
 
 func unlike(before, after *Report) []string {
@@ -73,6 +95,7 @@
 	note("load", b.Load, a.Load)
 	note("length", b.Length.D(), a.Length.D())
 	note("deadline", b.Deadline.D(), a.Deadline.D())
+	note("phases", fmt.Sprint(b.Phases), fmt.Sprint(a.Phases))
 	note("seed", b.Seed, a.Seed)
 	note("resubmit share", b.Resubmit, a.Resubmit)
 	note("cancel share", b.Cancel, a.Cancel)
--- a/transport/loadgen/config.go
+++ b/transport/loadgen/config.go
@@ -12,13 +12,14 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"github.com/shallotstep/shallotstep/state"
 )
 
 // MaxLength is the longest run.
 const MaxLength = 5 * time.Minute
 
+// MaxPatience is the longest wait for answers after a run.
+const MaxPatience = 5 * time.Minute
+
 // Defaults of Config.
 const (
 	DefaultLength   = 30 * time.Second
@@ -60,35 +61,58 @@
 	// share that is cancelled. No job is in both.
 	Resubmit float64 `json:"resubmit_share"`
 	Cancel   float64 `json:"cancel_share"`
+	// Phases change the rate of arrivals for a while; the rates and Load are
+	// those outside of them. They are in order and don't overlap.
+	Phases []Phase `json:"phases,omitempty"`
+	// Stream tells the draws of one load of a plan from those of another.
+	Stream uint64 `json:"stream,omitempty"`
+	// TokenFile holds the bearer token of the service's operator.
+	TokenFile string `json:"-"`
 	// Run begins each id, so that two runs never meet in one.
 	Run string `json:"run"`
 }
 
 // Check returns what is wrong with the configuration, or nil.
 func (c *Config) Check() error {
+	if fault := c.fault(); fault != nil {
+		return errors.New(fault.text)
+	}
+	if i, fault := phaseFault(c.Phases, c.Length.D()); fault != nil {
+		return errors.Errorf("phase %d: %s", i+1, fault.text)
+	}
+	if !checkRun(c.Run) {
+		return errors.New("the run's name is empty or too long")
+	}
+	if c.Length.D() <= 0 || c.Length.D() > MaxLength {
+		return errors.Errorf("the length must be above zero and at most %v", MaxLength)
+	}
+	if c.Patience.D() < 0 || c.Patience.D() > MaxPatience {
+		return errors.Errorf("the patience must be from zero to %v", MaxPatience)
+	}
+	if c.jobRate()*newWarp(c.Length.D(), c.Phases).total().Seconds() > maxJobs {
+		return errors.Errorf("more than %d jobs", maxJobs)
+	}
+	return nil
+}
+
+// fault returns what is wrong with what one load has for itself, or nil. The
+// key is the plan file's.
+func (c *Config) fault() *keyFault {
 	switch {
 	case c.Service == "":
-		return errors.New("no service is named")
-	case c.Run == "" || len(c.Run) > state.MaxIDLength/2:
-		return errors.New("the run's name is empty or too long")
+		return &keyFault{"service", "no service is named"}
 	case !c.oneRate():
-		return errors.New("one of tasks per second, jobs per second and load must be above zero, and the others not given")
+		return &keyFault{"", "one of tasks_per_second, jobs_per_second and load_percent must be above zero, and the others not given"}
 	case c.Load > maxLoad:
-		return errors.Errorf("the load is above %d times all slots", maxLoad)
+		return &keyFault{"load_percent", "the load is above 10 times all slots"}
 	case c.Load > 0 && c.Mix.Mean() <= 0:
-		return errors.New("a load needs tasks that take time")
-	case c.Length.D() <= 0 || c.Length.D() > MaxLength:
-		return errors.Errorf("the length must be above zero and at most %v", MaxLength)
-	case c.Patience.D() < 0:
-		return errors.New("the patience is below zero")
+		return &keyFault{"load_percent", "a load needs tasks that take time"}
 	case c.Deadline.D() < 0:
-		return errors.New("the deadline is below zero")
-	case c.Resubmit < 0 || c.Cancel < 0 || c.Resubmit+c.Cancel > 1:
-		return errors.New("the shares of resubmissions and cancellations must be from 0 to 1, and so must their sum")
+		return &keyFault{"deadline", "the deadline is below zero"}
+	case !(c.Resubmit >= 0) || !(c.Cancel >= 0) || c.Resubmit+c.Cancel > 1:
+		return &keyFault{"resubmit_share", "the shares of resubmissions and cancellations must be from 0 to 1, and so must their sum"}
 	case len(c.Sizes.ranges) == 0 || len(c.Mix.Kinds) == 0:
-		return errors.New("the tasks per job or the mix are missing")
-	case c.jobRate()*c.Length.D().Seconds() > maxJobs:
-		return errors.Errorf("more than %d jobs", maxJobs)
+		return &keyFault{"mix", "the tasks per job or the mix are missing"}
 	}
 	return nil
 }
--- a/transport/loadgen/figures.go
+++ b/transport/loadgen/figures.go
@@ -12,6 +12,7 @@
 	Mean  float64 `json:"mean"`
 	P50   float64 `json:"p50"`
 	P90   float64 `json:"p90"`
+	P95   float64 `json:"p95"`
 	P99   float64 `json:"p99"`
 	Max   float64 `json:"max"`
 }
@@ -58,7 +59,8 @@
 	at := func(percentile float64) float64 { return float64(h.h.ValueAtPercentile(percentile)) / h.per }
 	f := Figures{Count: h.h.TotalCount()}
 	if f.Count > 0 {
-		f.Mean, f.P50, f.P90, f.P99, f.Max = h.h.Mean()/h.per, at(50), at(90), at(99), float64(h.h.Max())/h.per
+		f.Mean, f.P50, f.P90, f.P95, f.P99 = h.h.Mean()/h.per, at(50), at(90), at(95), at(99)
+		f.Max = float64(h.h.Max()) / h.per
 	}
 	return f
 }
--- a/transport/loadgen/file.go
+++ b/transport/loadgen/file.go
@@ -7,27 +7,30 @@
 	"github.com/pkg/errors"
 )
 
-// Write writes the report to a file as JSON.
-func (r *Report) Write(path string) error {
-	body, err := json.MarshalIndent(r, "", " ")
+// Write writes the measurement to a file as JSON.
+func (m *Measurement) Write(path string) error {
+	body, err := json.MarshalIndent(m, "", " ")
 	if err != nil {
 		return errors.Wrap(err, "report")
 	}
 	return errors.Wrap(os.WriteFile(path, append(body, '\n'), 0o644), "report")
 }
 
-// Read reads a report that Write wrote.
-func Read(path string) (*Report, error) {
+// Read reads what Write wrote.
+func Read(path string) (*Measurement, error) {
 	body, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "report")
 	}
-	r := new(Report)
-	if err := json.Unmarshal(body, r); err != nil {
+	m := new(Measurement)
+	if err := json.Unmarshal(body, m); err != nil {
 		return nil, errors.Wrapf(err, "%s is no report", path)
 	}
-	if r.Format != reportFormat {
-		return nil, errors.Errorf("%s has format %d; this version reads %d", path, r.Format, reportFormat)
+	if m.Format != reportFormat {
+		return nil, errors.Errorf("%s has format %d; this version reads %d", path, m.Format, reportFormat)
 	}
-	return r, nil
+	if len(m.Loads) == 0 || m.Plan == nil {
+		return nil, errors.Errorf("%s holds no load", path)
+	}
+	return m, nil
 }
--- a/transport/loadgen/ideal.go
+++ b/transport/loadgen/ideal.go
@@ -5,10 +5,11 @@
 	"time"
 )
 
-// ideal returns the larger of the job's longest task and its work spread over
-// all slots. It leaves out the network, the claim and every other job.
-func (j *planned) ideal(slots int) time.Duration {
-	return max(j.longest(), j.work()/time.Duration(max(1, slots)))
+// ideal returns the larger of the job's longest task, which is its critical
+// path, and its work spread over the free slots; and the round trips, which no
+// job can do without. It leaves out every other job of the run.
+func (j *planned) ideal(size systemSize) time.Duration {
+	return max(j.longest(), j.work()/time.Duration(max(1, size.free))) + roundTrips*size.trip
 }
 
 // freeTimes is a heap of when slots get free.
--- a/transport/loadgen/plan.go
+++ b/transport/loadgen/plan.go
@@ -1,130 +1,182 @@
 package loadgen
 
 import (
-	"cmp"
-	"encoding/json"
-	"math/rand/v2"
-	"slices"
-	"strconv"
 	"time"
 
-	"github.com/shallotstep/shallotstep/protocol/api"
+	"github.com/pkg/errors"
+
+	"github.com/shallotstep/shallotstep/protocol/standin"
 	"github.com/shallotstep/shallotstep/state"
 )
 
-// planned is one job of a run.
-type planned struct {
-	id string
-	// at is when it is due, from the start of the run.
-	at    time.Duration
-	tasks []plannedTask
-	// again is when it is submitted a second time, and cancel when it is
-	// cancelled, from the start of the run. Zero means not.
-	again  time.Duration
-	cancel time.Duration
+// Plan is a whole measurement: loads that are put on one system at the same
+// time, and what is done to the system meanwhile.
+type Plan struct {
+	Name  string   `json:"plan"`
+	Loads []Config `json:"loads"`
+	Steps []Step   `json:"steps,omitempty"`
+	// Backends are the base URLs of the stand-in backend servers, where the
+	// starts are counted.
+	Backends []string `json:"backends,omitempty"`
+	// BackendTokenFile and the loads' TokenFile hold bearer tokens.
+	BackendTokenFile string `json:"-"`
+}
+
+// Phase multiplies the rate of arrivals by Rate for a while.
+type Phase struct {
+	At   Duration `json:"at_ms"`
+	For  Duration `json:"for_ms"`
+	Rate float64  `json:"rate"`
 }
 
-// plannedTask is one task and what the backend server will make of it.
-type plannedTask struct {
-	kind *Kind
-	run  time.Duration
+// Step is one thing that is done to the system at a time. Exactly one of
+// CancelInFlight, Drain and Fault is set.
+type Step struct {
+	At Duration `json:"at_ms"`
+	// CancelInFlight cancels every job that waits for its answer.
+	CancelInFlight bool `json:"cancel_in_flight,omitempty"`
+	// Drain drains the agent of this name through the first entry and waits
+	// until its next incarnation is in the roster.
+	Drain string `json:"drain,omitempty"`
+	// Fault goes wrong at the stand-in Backend, counted from 1, until For is over.
+	Fault   Fault    `json:"fault,omitempty"`
+	Backend int      `json:"backend,omitempty"`
+	For     Duration `json:"for_ms,omitempty"`
+}
+
+// Fault names what goes wrong at a stand-in.
+type Fault string
+
+// The faults that a step may bring about.
+const (
+	FaultFailAll Fault = "fail_all"
+	FaultRefuse  Fault = "refuse"
+	FaultFreeze  Fault = "freeze"
+)
+
+// faults has the document for each fault.
+var faults = map[Fault]standin.Faults{
+	FaultFailAll: {FailAll: true},
+	FaultRefuse:  {Refuse: true},
+	FaultFreeze:  {Freeze: true},
 }
 
-// newPlan draws the jobs of a run on a system with so many slots. Arrivals are
-// a Poisson process; with Load one whose work is what it happened to be.
-func newPlan(c *Config, slots int) []planned {
-	rng := rand.New(rand.NewPCG(c.Seed, 0))
-	if c.Load > 0 {
-		return c.planLoad(rng, slots)
+// Bounds of a plan.
+const (
+	maxLoads  = 16
+	maxSteps  = 100
+	maxPhases = 100
+	// maxRate bounds a phase's rate, far beyond any burst that is served.
+	maxRate = 1000
+)
+
+// Check returns what is wrong with the plan, or nil.
+func (p *Plan) Check() error {
+	if len(p.Loads) == 0 || len(p.Loads) > maxLoads {
+		return errors.Errorf("a plan has 1 to %d loads", maxLoads)
+	}
+	services := make(map[string]bool)
+	for i := range p.Loads {
+		c := &p.Loads[i]
+		if err := c.Check(); err != nil {
+			return errors.Wrapf(err, "load %d", i+1)
+		}
+		if services[c.Service] {
+			return errors.Errorf("service %s has two loads", c.Service)
+		}
+		services[c.Service] = true
+	}
+	if len(p.Steps) > maxSteps {
+		return errors.Errorf("more than %d steps", maxSteps)
 	}
-	rate := c.jobRate()
-	var jobs []planned
-	for at := time.Duration(0); ; {
-		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
-		if at >= c.Length.D() {
-			return jobs
+	for i := range p.Steps {
+		if fault := p.Steps[i].fault(p.length(), len(p.Backends)); fault != nil {
+			return errors.Errorf("step %d: %s", i+1, fault.text)
 		}
-		jobs = append(jobs, c.drawJob(rng, len(jobs), at))
 	}
+	return nil
 }
 
-// planLoad draws jobs until their work is the load, due at independent times:
-// that is a Poisson process of which the number of arrivals is known.
-func (c *Config) planLoad(rng *rand.Rand, slots int) []planned {
-	left := time.Duration(c.Load * float64(slots) * float64(c.Length.D()))
-	var jobs []planned
-	for left > 0 && len(jobs) < maxJobs {
-		at := time.Duration(rng.Int64N(int64(c.Length.D())))
-		jobs = append(jobs, c.drawJob(rng, len(jobs), at))
-		left -= jobs[len(jobs)-1].work()
+func (p *Plan) length() time.Duration {
+	longest := time.Duration(0)
+	for i := range p.Loads {
+		longest = max(longest, p.Loads[i].Length.D())
 	}
-	slices.SortStableFunc(jobs, func(a, b planned) int { return cmp.Compare(a.at, b.at) })
-	for i := range jobs {
-		jobs[i].id = jobID(c.Run, i)
+	return longest
+}
+
+func (p *Plan) patience() time.Duration {
+	longest := time.Duration(0)
+	for i := range p.Loads {
+		longest = max(longest, p.Loads[i].Patience.D())
 	}
-	return jobs
+	return longest
 }
 
-func jobID(run string, n int) string { return run + "-" + strconv.Itoa(n) }
+// keyFault is what is wrong with one key.
+type keyFault struct{ key, text string }
 
-func (c *Config) drawJob(rng *rand.Rand, n int, at time.Duration) planned {
-	j := planned{id: jobID(c.Run, n), at: at}
-	for range c.Sizes.draw(rng) {
-		kind, run := c.Mix.draw(rng)
-		j.tasks = append(j.tasks, plannedTask{kind, run})
+// fault returns what is wrong with a step of a run of that length, or nil.
+func (s *Step) fault(length time.Duration, backends int) *keyFault {
+	kinds := 0
+	for _, set := range []bool{s.CancelInFlight, s.Drain != "", s.Fault != ""} {
+		if set {
+			kinds++
+		}
 	}
-	longest := j.longest()
-	lot := rng.Float64()
-	// The second submission and the cancellation come before or after the
-	// answer, about as often.
-	later := at + time.Duration(rng.Float64()*2*float64(longest)) + 1
+	_, known := faults[s.Fault]
 	switch {
-	case lot < c.Resubmit:
-		j.again = later
-	case lot < c.Resubmit+c.Cancel:
-		j.cancel = later
+	case kinds != 1:
+		return &keyFault{"", "a step has one of cancel_in_flight, drain and fault"}
+	case s.At.D() < 0 || s.At.D() > length:
+		return &keyFault{"at", "outside the run"}
+	case s.Fault == "" && (s.Backend != 0 || s.For != 0):
+		return &keyFault{"", "backend and for belong to a fault"}
+	case s.Fault == "":
+		return nil
+	case !known:
+		return &keyFault{"fault", "must be fail_all, refuse or freeze"}
+	case s.Backend < 1 || s.Backend > backends:
+		return &keyFault{"backend", "must be the place in backends, counted from 1"}
+	case s.For.D() <= 0 || s.For.D() > MaxLength:
+		return &keyFault{"for", "must be above zero and at most " + MaxLength.String()}
 	}
-	return j
+	return nil
 }
 
-func (j *planned) longest() time.Duration {
-	longest := time.Duration(0)
-	for i := range j.tasks {
-		longest = max(longest, j.tasks[i].run)
+// phaseFault returns what is wrong with the phases of a run, or nil, and which
+// one it is.
+func phaseFault(phases []Phase, length time.Duration) (int, *keyFault) {
+	end := time.Duration(0)
+	for i, p := range phases {
+		switch {
+		case i >= maxPhases:
+			return i, &keyFault{"", "too many phases"}
+		case p.At.D() < end:
+			return i, &keyFault{"at", "begins before the phase before it ends"}
+		case p.For.D() <= 0 || p.At.D()+p.For.D() > length:
+			return i, &keyFault{"for", "must be above zero and end within the run"}
+		case !(p.Rate >= 0) || p.Rate > maxRate:
+			return i, &keyFault{"rate", "must be from 0 to 1000"}
+		}
+		end = p.At.D() + p.For.D()
 	}
-	return longest
+	return 0, nil
 }
 
-func (j *planned) work() time.Duration {
-	work := time.Duration(0)
-	for i := range j.tasks {
-		work += j.tasks[i].run
+// SetRun names the run, which begins each id, so that two runs never meet in one.
+func (p *Plan) SetRun(run string) {
+	for i := range p.Loads {
+		p.Loads[i].Run = run
 	}
-	return work
 }
 
-// payload is what the stand-in backend server understands.
-type payload struct {
-	Step   string `json:"step"`
-	WorkMS int64  `json:"work_ms"`
-	Echo   string `json:"echo"`
-}
-
-// echo returns the result that belongs to a task and to no other.
-func (j *planned) echo(task int) string { return j.id + "/" + strconv.Itoa(task) }
-
-// submission returns the job as its caller states it. The expected time is its
-// kind's mean: callers know what they ask for and not how long it takes.
-func (j *planned) submission(c *Config) api.Submission {
-	s := api.Submission{Kind: api.KindJob, Deadline: c.Deadline.D()}
-	s.Job.Key = state.JobKey{Service: c.Service, ID: j.id}
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		body, err := json.Marshal(payload{Step: t.kind.Step, WorkMS: t.run.Milliseconds(), Echo: j.echo(i)})
-		if err != nil {
-			panic(err) // every payload has a JSON form
-		}
-		s.Job.Tasks = append(s.Job.Tasks, state.Task{Payload: body, Expected: t.kind.mean()})
+// SetSeed replaces the seed of all loads.
+func (p *Plan) SetSeed(seed uint64) {
+	for i := range p.Loads {
+		p.Loads[i].Seed = seed
 	}
-	return s
 }
+
+// checkRun says whether a run's name leaves room for the rest of an id.
+func checkRun(run string) bool { return run != "" && len(run) <= state.MaxIDLength/2 }
--- a/transport/loadgen/plan_test.go
+++ b/transport/loadgen/plan_test.go
@@ -1,188 +1,96 @@
 package loadgen
 
 import (
-	"bytes"
-	"context"
-	"image/png"
-	"math"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/shallotstep/shallotstep/protocol/api"
-	"github.com/shallotstep/shallotstep/state"
-	"github.com/shallotstep/shallotstep/transport/httpclient"
 )
 
-func TestIdealAndPacked(t *testing.T) {
-	is := is.New(t)
-	job := func(at time.Duration, runs ...time.Duration) planned {
-		j := planned{at: at}
-		for _, run := range runs {
-			j.tasks = append(j.tasks, plannedTask{run: run})
-		}
-		return j
-	}
-	long := job(0, 3, 1, 1, 1)
-	is.Equal(long.ideal(2), time.Duration(3)) // longest and spread alike
-	wide := job(0, 2, 2, 2, 2)
-	is.Equal(wide.ideal(2), time.Duration(4)) // spread over the slots
-	is.Equal(wide.ideal(8), time.Duration(2)) // longest
-	// Two slots: the first job holds them until 2 and 3, the second until 6 and
-	// 7, and the third finds both free.
-	jobs := []planned{job(0, 2, 3), job(1, 4, 4), job(10, 5)}
-	is.Equal(packed(jobs, 2), []time.Duration{3, 6, 5})
-}
-
-func TestPlanKeepsRateMixAndSeed(t *testing.T) {
-	is := is.New(t)
-	for _, name := range []string{"haneul", "gridlog"} {
-		c := testConfig(t)
-		c.JobsPerSecond, c.TasksPerSecond = 0, 500
-		c.Length = Duration(MaxLength)
-		c.Resubmit, c.Cancel = 0.2, 0.1
-		var err error
-		c.Mix, err = ParseMix(name, 0)
-		is.NoErr(err)
-		c.Sizes, err = ParseSizes(DefaultTasks)
-		is.NoErr(err)
-		is.NoErr(c.Check())
-		plan := newPlan(&c, 88)
-		var tasks, long, again, cancel int
-		var work time.Duration
-		for i := range plan {
-			j := &plan[i]
-			tasks += len(j.tasks)
-			work += j.work()
-			for _, task := range j.tasks {
-				is.True(task.run >= 50*time.Millisecond && task.run <= 8*time.Second)
-				if task.run > time.Second {
-					long++
-				}
-			}
-			if j.again > 0 {
-				again++
-			}
-			if j.cancel > 0 {
-				cancel++
-			}
-		}
-		close := func(got, want float64) { is.True(math.Abs(got/want-1) < 0.1) }
-		close(float64(tasks)/MaxLength.Seconds(), 500)
-		close(work.Seconds()/float64(tasks), c.Mix.Mean().Seconds())
-		close(float64(again)/float64(len(plan)), 0.2)
-		close(float64(cancel)/float64(len(plan)), 0.1)
-		is.True(long > 0 && long < tasks/50) // a few
-		is.Equal(len(newPlan(&c, 88)), len(plan))
-		c.Seed++
-		is.True(len(newPlan(&c, 88)) != len(plan))
-	}
-}
+const goodPlan = `{
+  "plan": "both",
+  "seed": 7,
+  "length": "20s",
+  "backends": ["http://127.0.0.1:1", "http://127.0.0.1:2"],
+  "loads": [
+    {"mix": "haneul", "load_percent": 60, "resubmit_share": 0.05},
+    {"mix": "gridlog", "tasks_per_second": 20, "token_file": "token"},
+  ],
+  "phases": [{"at": "5s", "for": "5s", "rate": 4}],
+  "steps": [
+    {"at": "6s", "cancel_in_flight": true},
+    {"at": "7s", "fault": "fail_all", "backend": 2, "for": "3s"},
+    {"at": "8s", "drain": "agent-1"},
+  ],
+}`
 
-// A load in shares of the slots must be what arrives, whatever the lots give:
-// a run that is called 95 % and offers 89 % flatters the system.
-func TestLoadIsMet(t *testing.T) {
+func TestPlanIsReadAndEachFaultHasItsPlace(t *testing.T) {
 	is := is.New(t)
-	const slots = 88
-	for seed := range uint64(20) {
-		c := testConfig(t)
-		c.JobsPerSecond, c.Load, c.Seed = 0, 0.95, seed
-		is.NoErr(c.Check())
-		var work, last time.Duration
-		ids := make(map[string]bool)
-		for _, j := range newPlan(&c, slots) {
-			work += j.work()
-			ids[j.id] = true
-			is.True(j.at >= last && j.at < c.Length.D())
-			last = j.at
-			for i := range j.tasks {
-				is.True(strings.HasPrefix(j.echo(i), j.id+"/"))
-			}
+	p, err := ParsePlan("dir/plan.json", []byte(goodPlan))
+	is.NoErr(err)
+	is.Equal(len(p.Loads), 2)
+	is.Equal([]string{p.Loads[0].Service, p.Loads[1].Service}, []string{"bench-desk", "yard-logbook"})
+	is.Equal([]any{p.Loads[0].Load, p.Loads[1].Seed, p.Loads[1].Stream}, []any{0.6, uint64(7), uint64(1)})
+	is.Equal(p.Loads[1].TokenFile, "dir/token")
+	is.Equal(p.Steps[1], Step{At: Duration(7 * time.Second), Fault: FaultFailAll, Backend: 2, For: Duration(3 * time.Second)})
+	for _, c := range []struct{ from, to, want string }{
+		{`"seed"`, `"sead"`, "plan.json:3: sead: unknown key"},
+		{`"plan": "both",`, ``, "plan.json:1: plan: a plan needs a name"},
+		{`"20s"`, `"6m"`, "plan.json:4: length: must be"},
+		{`"20s"`, `20`, "plan.json:4: length: must be a duration"},
+		{`"http://127.0.0.1:2"`, `"127.0.0.1:2"`, "plan.json:5: backends[1]: must be a URL"},
+		{`"mix": "haneul"`, `"mix": "other"`, "plan.json:7: loads[0].mix: the mix is"},
+		{`"mix": "haneul"`, `"mix": "haneul", "work": "1s"`, "plan.json:7: loads[0].work: only"},
+		{`"resubmit_share": 0.05`, `"tasks_per_job": "0"`, "plan.json:7: loads[0].tasks_per_job: "},
+		{`"resubmit_share": 0.05`, `"resubmit_share": 1.5`, "plan.json:7: loads[0].resubmit_share: "},
+		{`"tasks_per_second": 20`, `"load_percent": 1001`, "plan.json:8: loads[1].load_percent: "},
+		{`"mix": "gridlog"`, `"mix": "haneul"`, "service bench-desk has two loads"},
+		{`"rate": 4`, `"rate": -1`, "plan.json:10: phases[0].rate: "},
+		{`"for": "5s"`, `"for": "16s"`, "plan.json:10: phases[0].for: "},
+		{`"cancel_in_flight": true`, `"cancel_in_flight": false`, "plan.json:12: steps[0]: a step has one of"},
+		{`"fail_all"`, `"fail_some"`, "plan.json:13: steps[1].fault: "},
+		{`"backend": 2`, `"backend": 3`, "plan.json:13: steps[1].backend: "},
+		{`"8s"`, `"21s"`, "plan.json:14: steps[2].at: "},
+	} {
+		text := strings.Replace(goodPlan, c.from, c.to, 1)
+		is.True(text != goodPlan)
+		_, err := ParsePlan("plan.json", []byte(text))
+		is.True(err != nil)
+		if !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", c.want, err)
 		}
-		is.True(math.Abs(work.Seconds()/(slots*c.Length.D().Seconds())-0.95) < 0.01)
-		is.True(ids[jobID(c.Run, 0)] && ids[jobID(c.Run, len(ids)-1)])
 	}
 }
 
-func TestBadConfigsAreRefused(t *testing.T) {
+// A burst of four times the rate for a quarter of the run: that much must arrive
+// in it, as a rate and as a load, and nothing in a phase without arrivals.
+func TestPhasesChangeTheArrivals(t *testing.T) {
 	is := is.New(t)
-	for _, text := range []string{"", "0", "x", "3-2", "1001", "1=0", "1=x", "1=NaN", "1=-1", "1,"} {
-		_, err := ParseSizes(text)
-		is.True(err != nil) // refused
-	}
-	_, err := ParseMix("other", 0)
-	is.True(err != nil)
 	for _, spoil := range []func(*Config){
-		func(c *Config) { c.Service = "" },
-		func(c *Config) { c.TasksPerSecond = 1 },
-		func(c *Config) { c.JobsPerSecond = 0 },
-		func(c *Config) { c.Load = 0.5 },
-		func(c *Config) { c.JobsPerSecond, c.Load = 0, maxLoad+1 },
-		func(c *Config) { c.JobsPerSecond = math.NaN() },
-		func(c *Config) { c.Length = Duration(MaxLength + 1) },
-		func(c *Config) { c.Resubmit, c.Cancel = 0.6, 0.6 },
-		func(c *Config) { c.JobsPerSecond = 1e9 },
-		func(c *Config) { c.Run = strings.Repeat("x", state.MaxIDLength) },
+		func(c *Config) { c.JobsPerSecond = 50 },
+		func(c *Config) { c.JobsPerSecond, c.Load = 0, 0.5 },
 	} {
 		c := testConfig(t)
 		spoil(&c)
-		is.True(c.Check() != nil) // refused
-	}
-	empty := &fakeEntry{}
-	c := testConfig(t)
-	c.Service = "unknown"
-	_, err = Run(context.Background(), c, []Caller{empty})
-	is.True(err != nil) // no slot to measure against
-}
-
-func readFile(t *testing.T, path string) string {
-	t.Helper()
-	body, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
+		c.Length = Duration(40 * time.Second)
+		c.Phases = []Phase{{Duration(10 * time.Second), Duration(10 * time.Second), 4}, {Duration(30 * time.Second), Duration(5 * time.Second), 0}}
+		is.NoErr(c.Check())
+		var quiet, burst, none int
+		for _, j := range newPlan(&c, 88) {
+			switch at := j.at; {
+			case at >= c.Length.D():
+				t.Fatal("after the run")
+			case at >= 10*time.Second && at < 20*time.Second:
+				burst++
+			case at >= 30*time.Second && at < 35*time.Second:
+				none++
+			default:
+				quiet++
+			}
+		}
+		is.Equal(none, 0)
+		ratio := float64(burst) / 10 / (float64(quiet) / 25)
+		is.True(ratio > 3.5 && ratio < 4.5)
 	}
-	return string(body)
-}
-
-func TestReportSurvivesItsFileAndIsCompared(t *testing.T) {
-	is := is.New(t)
-	c := testConfig(t)
-	a := run(t, c, &fakeEntry{})
-	c.Seed = 2
-	b := run(t, c, &fakeEntry{bend: func(_ string, _ int, a *api.Answer) *httpclient.Failure { a.Stats.Wasted = 2; return nil }})
-	dir := t.TempDir()
-	path := filepath.Join(dir, "a.json")
-	is.NoErr(a.Write(path))
-	back, err := Read(path)
-	is.NoErr(err)
-	again := filepath.Join(dir, "again.json")
-	is.NoErr(back.Write(again))
-	is.Equal(readFile(t, again), readFile(t, path)) // nothing is lost beyond the file's microseconds
-	is.Equal(back.Response, a.Response)
-	is.Equal(back.Config.jobRate(), a.Config.jobRate())
-	_, err = Read(filepath.Join(dir, "none"))
-	is.True(err != nil)
-
-	diff := Compare(a, b)
-	is.True(diff.Passed)
-	is.Equal(diff.Unlike, []string{"seed: 1, 2"})
-	last := diff.Differences[len(diff.Differences)-1]
-	by, ok := last.Change()
-	is.True(ok)
-	is.Equal([]any{last.Name, by}, []any{"wasted per start", 100.0})
-	var out bytes.Buffer
-	diff.Print(&out)
-	is.True(strings.Contains(out.String(), "+100.0%"))
-
-	is.NoErr(a.Plot(filepath.Join(dir, "a.png")))
-	file, err := os.Open(filepath.Join(dir, "a.png"))
-	is.NoErr(err)
-	defer file.Close()
-	_, err = png.DecodeConfig(file)
-	is.NoErr(err)
-	is.NoErr((&Report{}).Plot(filepath.Join(dir, "empty.png")))
 }
--- /dev/null
+++ b/transport/loadgen/planfile.go
@@ -0,0 +1,196 @@
+package loadgen
+
+import (
+	"fmt"
+	"net/url"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/shallotstep/shallotstep/state/strictjson"
+)
+
+// planFile is a plan as it stands in its file.
+type planFile struct {
+	Plan             string        `json:"plan"`
+	Seed             uint64        `json:"seed"`
+	Length           time.Duration `json:"length"`
+	Patience         time.Duration `json:"patience"`
+	Loads            []loadFile    `json:"loads"`
+	Phases           []phaseFile   `json:"phases"`
+	Steps            []stepFile    `json:"steps"`
+	Backends         []string      `json:"backends"`
+	BackendTokenFile string        `json:"backend_token_file"`
+}
+
+type loadFile struct {
+	Service        string        `json:"service"`
+	TokenFile      string        `json:"token_file"`
+	Mix            string        `json:"mix"`
+	Work           time.Duration `json:"work"`
+	TasksPerJob    string        `json:"tasks_per_job"`
+	TasksPerSecond float64       `json:"tasks_per_second"`
+	JobsPerSecond  float64       `json:"jobs_per_second"`
+	LoadPercent    float64       `json:"load_percent"`
+	Deadline       time.Duration `json:"deadline"`
+	ResubmitShare  float64       `json:"resubmit_share"`
+	CancelShare    float64       `json:"cancel_share"`
+}
+
+type phaseFile struct {
+	At   time.Duration `json:"at"`
+	For  time.Duration `json:"for"`
+	Rate float64       `json:"rate"`
+}
+
+type stepFile struct {
+	At             time.Duration `json:"at"`
+	CancelInFlight bool          `json:"cancel_in_flight"`
+	Drain          string        `json:"drain"`
+	Fault          Fault         `json:"fault"`
+	Backend        int           `json:"backend"`
+	For            time.Duration `json:"for"`
+}
+
+// unnamedRun stands for the run's name, which no file has.
+const unnamedRun = "run"
+
+// ParsePlan reads a plan, which is JSON with comments. The name stands in
+// errors, and the paths of token files are relative to its directory. Errors
+// are strictjson.Errors: all faults, each with file, line and key.
+func ParsePlan(name string, src []byte) (*Plan, error) {
+	f := planFile{Length: DefaultLength, Patience: DefaultPatience}
+	doc, err := strictjson.DecodeDocument(name, src, &f)
+	r := planReader{doc: doc}
+	if err != nil && !errors.As(err, &r.faults) {
+		return nil, err
+	}
+	p := r.plan(&f, filepath.Dir(name))
+	if err := r.faults.Err(); err != nil {
+		return nil, err
+	}
+	if err := p.Check(); err != nil {
+		return nil, strictjson.Errors{doc.Errorf("", "%v", err)}
+	}
+	return p, nil
+}
+
+// planReader turns a file into a plan and gathers the faults.
+type planReader struct {
+	doc    *strictjson.Document
+	faults strictjson.Errors
+}
+
+// fault reports one fault, unless the decoder has found one at the key already.
+func (r *planReader) fault(key, text string) {
+	for _, f := range r.faults {
+		if f.Key == key {
+			return
+		}
+	}
+	r.faults = append(r.faults, r.doc.Errorf(key, "%s", text))
+}
+
+func (r *planReader) within(key string, fault *keyFault) {
+	switch {
+	case fault == nil:
+	case fault.key == "":
+		r.fault(key, fault.text)
+	default:
+		r.fault(key+"."+fault.key, fault.text)
+	}
+}
+
+func (r *planReader) plan(f *planFile, dir string) *Plan {
+	p := &Plan{Name: f.Plan, Backends: f.Backends, BackendTokenFile: beside(dir, f.BackendTokenFile)}
+	if f.Plan == "" {
+		r.fault("plan", "a plan needs a name")
+	}
+	if f.Length <= 0 || f.Length > MaxLength {
+		r.fault("length", "must be above zero and at most "+MaxLength.String())
+	}
+	if f.Patience < 0 || f.Patience > MaxPatience {
+		r.fault("patience", "must be from zero to "+MaxPatience.String())
+	}
+	phases := r.phases(f)
+	if len(f.Loads) == 0 {
+		r.fault("loads", "a plan needs a load")
+	}
+	for i := range f.Loads {
+		c := r.load(fmt.Sprintf("loads[%d]", i), &f.Loads[i], dir)
+		c.Length, c.Patience, c.Seed, c.Phases = Duration(f.Length), Duration(f.Patience), f.Seed, phases
+		c.Stream, c.Run = uint64(i), unnamedRun
+		p.Loads = append(p.Loads, c)
+	}
+	for i, address := range f.Backends {
+		if u, err := url.Parse(address); err != nil || u.Scheme == "" || u.Host == "" {
+			r.fault(fmt.Sprintf("backends[%d]", i), "must be a URL such as http://127.0.0.1:7431")
+		}
+	}
+	for i := range f.Steps {
+		s := f.Steps[i].step()
+		r.within(fmt.Sprintf("steps[%d]", i), s.fault(f.Length, len(f.Backends)))
+		p.Steps = append(p.Steps, s)
+	}
+	return p
+}
+
+// beside returns the path of a file that a plan in dir names.
+func beside(dir, file string) string {
+	if file == "" || filepath.IsAbs(file) {
+		return file
+	}
+	return filepath.Join(dir, file)
+}
+
+func (r *planReader) phases(f *planFile) []Phase {
+	var out []Phase
+	for _, p := range f.Phases {
+		out = append(out, Phase{At: Duration(p.At), For: Duration(p.For), Rate: p.Rate})
+	}
+	i, fault := phaseFault(out, f.Length)
+	r.within(fmt.Sprintf("phases[%d]", i), fault)
+	return out
+}
+
+func (r *planReader) load(key string, f *loadFile, dir string) Config {
+	const percent = 100
+	c := Config{
+		Service: f.Service, TokenFile: beside(dir, f.TokenFile),
+		TasksPerSecond: f.TasksPerSecond, JobsPerSecond: f.JobsPerSecond, Load: f.LoadPercent / percent,
+		Deadline: Duration(f.Deadline), Resubmit: f.ResubmitShare, Cancel: f.CancelShare,
+	}
+	mix, tasks := f.Mix, f.TasksPerJob
+	if mix == "" {
+		mix = DefaultMix
+	}
+	if tasks == "" {
+		tasks = DefaultTasks
+	}
+	work := f.Work
+	if mix != fixedMix && work != 0 {
+		r.fault(key+".work", "only the mix fixed has a work")
+	}
+	var err error
+	if c.Mix, err = ParseMix(mix, work); err != nil {
+		r.fault(key+".mix", err.Error())
+		return c
+	}
+	if c.Sizes, err = ParseSizes(tasks); err != nil {
+		r.fault(key+".tasks_per_job", err.Error())
+		return c
+	}
+	if c.Service == "" {
+		c.Service = c.Mix.Service
+	}
+	r.within(key, c.fault())
+	return c
+}
+
+func (f *stepFile) step() Step {
+	return Step{
+		At: Duration(f.At), CancelInFlight: f.CancelInFlight, Drain: f.Drain,
+		Fault: f.Fault, Backend: f.Backend, For: Duration(f.For),
+	}
+}
--- a/transport/loadgen/plot.go
+++ b/transport/loadgen/plot.go
@@ -4,13 +4,16 @@
 	"image/color"
 	"math"
 	"os"
+	"path/filepath"
+	"strings"
 
 	"github.com/pkg/errors"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgimg"
+	_ "gonum.org/v1/plot/vg/vgimg" // writes PNG
+	_ "gonum.org/v1/plot/vg/vgsvg" // writes SVG
 
 	"github.com/shallotstep/shallotstep/state"
 )
@@ -18,7 +21,7 @@
 // The look of the plots.
 const (
 	plotWidth  = 24 * vg.Centimeter
-	plotHeight = 24 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
 	dotRadius  = 1.5 * vg.Millimeter / 2
 	plotMargin = 4 * vg.Millimeter
 	// leastMS keeps zero off the logarithmic axes.
@@ -31,31 +34,45 @@
 	idealColor    = color.NRGBA{G: 130, A: 255}
 )
 
-// Plot writes two plots into one PNG file: each job's response against its
-// ideal, and the response over the time at which the job was due.
-func (r *Report) Plot(path string) error {
-	against, err := r.againstIdeal()
-	if err != nil {
-		return errors.Wrap(err, "plot")
+// Plot writes two plots for each load into one file, SVG or PNG by its name:
+// each job's response against its ideal, and the response over the time at which
+// the job was due.
+func (m *Measurement) Plot(path string) error {
+	var plots []*plot.Plot
+	for _, r := range m.Loads {
+		against, err := r.againstIdeal()
+		if err != nil {
+			return errors.Wrap(err, "plot")
+		}
+		over, err := r.overTime()
+		if err != nil {
+			return errors.Wrap(err, "plot")
+		}
+		plots = append(plots, against, over)
 	}
-	over, err := r.overTime()
+	return savePlots(path, plots)
+}
+
+// savePlots writes plots one below the other into one file.
+func savePlots(path string, plots []*plot.Plot) error {
+	format := strings.TrimPrefix(filepath.Ext(path), ".")
+	canvas, err := draw.NewFormattedCanvas(plotWidth, vg.Length(len(plots))*plotHeight, format)
 	if err != nil {
-		return errors.Wrap(err, "plot")
+		return errors.Wrapf(err, "plot %s: the name ends in .svg or .png", path)
 	}
-	canvas := vgimg.New(plotWidth, plotHeight)
 	tiles := draw.Tiles{
-		Rows: 2, Cols: 1,
+		Rows: len(plots), Cols: 1,
 		PadTop: plotMargin, PadBottom: plotMargin, PadLeft: plotMargin, PadRight: plotMargin, PadY: plotMargin,
 	}
 	page := draw.New(canvas)
-	for row, p := range []*plot.Plot{against, over} {
+	for row, p := range plots {
 		p.Draw(tiles.At(page, 0, row))
 	}
 	file, err := os.Create(path)
 	if err != nil {
 		return errors.Wrap(err, "plot")
 	}
-	_, err = vgimg.PngCanvas{Canvas: canvas}.WriteTo(file)
+	_, err = canvas.WriteTo(file)
 	if shut := file.Close(); err == nil {
 		err = shut
 	}
@@ -121,7 +138,7 @@
 
 func (r *Report) againstIdeal() (*plot.Plot, error) {
 	x := func(row *Row) float64 { return max(leastMS, milliseconds(row.Ideal.D())) }
-	p, err := r.newPlot("Response against ideal", "ideal, ms", x)
+	p, err := r.newPlot(r.Config.Service+": response against ideal", "ideal, ms", x)
 	if err != nil {
 		return nil, err
 	}
@@ -141,7 +158,7 @@
 
 func (r *Report) overTime() (*plot.Plot, error) {
 	x := func(row *Row) float64 { return row.Due.D().Seconds() }
-	p, err := r.newPlot("Response over time", "due, s", x)
+	p, err := r.newPlot(r.Config.Service+": response over time", "due, s", x)
 	if err != nil {
 		return nil, err
 	}
--- a/transport/loadgen/report.go
+++ b/transport/loadgen/report.go
@@ -7,29 +7,26 @@
 	"github.com/shallotstep/shallotstep/state"
 )
 
-// reportFormat is raised when a field changes its meaning.
-const reportFormat = 1
-
-// idealNote states in each report what the ideal is.
-const idealNote = "ideal: the larger of a job's longest task and its work spread over all slots of the service " +
-	"that the entry's status showed before the run; packed: one all-knowing queue in order of arrival over these slots"
-
-// Report is what a run came to. Response, Ratio and Packed count complete jobs
-// only; Outcomes tells of the others.
+// Report is what one load came to. Response, Ratio and Packed count complete
+// jobs only; Outcomes tells of the others.
 type Report struct {
-	Format int    `json:"format"`
 	Config Config `json:"config"`
-	Note   string `json:"note"`
-	// Agents and Slots are those of the service before the run.
-	Agents int `json:"agents"`
-	Slots  int `json:"slots"`
+	// Agents, Slots and FreeSlots are those of the service before the run, and
+	// RoundTrip is the shortest between caller and entry then.
+	Agents    int      `json:"agents"`
+	Slots     int      `json:"slots"`
+	FreeSlots int      `json:"free_slots"`
+	RoundTrip Duration `json:"round_trip_ms"`
 	// Jobs, Tasks and Load were offered. Load is the work that arrived over
 	// what all slots do in the length of the run.
 	Jobs  int     `json:"jobs"`
 	Tasks int     `json:"tasks"`
 	Load  float64 `json:"load"`
-	// Elapsed is until the last answer.
-	Elapsed  Duration       `json:"elapsed_ms"`
+	// Elapsed is until the last answer, StartsPerSecond the tasks of complete
+	// jobs over that time.
+	Elapsed         Duration `json:"elapsed_ms"`
+	StartsPerSecond float64  `json:"starts_per_second"`
+	// Outcomes tells of all jobs, by reason.
 	Outcomes []OutcomeCount `json:"outcomes"`
 	// Response and Ideal are in milliseconds, Ratio is response over ideal.
 	Response Figures `json:"response_ms"`
@@ -79,30 +76,35 @@
 	return !slices.ContainsFunc(r.Checks, func(c Check) bool { return c.Failed > 0 })
 }
 
-func newReport(c *Config, size systemSize, jobs []planned, records []record, elapsed time.Duration) *Report {
+func newReport(l *traffic) *Report {
+	size, records := l.size, l.records
 	r := &Report{
-		Format: reportFormat, Config: *c, Note: idealNote,
-		Agents: size.agents, Slots: size.slots, Jobs: len(jobs), Elapsed: Duration(elapsed),
+		Config: *l.config, Agents: size.agents, Slots: size.slots, FreeSlots: size.free,
+		RoundTrip: Duration(size.trip), Jobs: len(l.jobs),
 	}
-	queue := packed(jobs, size.slots)
+	queue := packed(l.jobs, size.slots)
 	checks := newChecker()
 	work := time.Duration(0)
 	var sums summaries
 	for i := range records {
 		rec := &records[i]
 		checks.job(rec)
-		row := rec.row(size.slots, queue[i])
+		row := rec.row(size, queue[i])
 		r.Rows = append(r.Rows, row)
 		r.Tasks += len(rec.tasks)
 		work += rec.work()
+		r.Elapsed = max(r.Elapsed, Duration(max(rec.first.done, rec.second.done, rec.stop.done)))
 		sums.add(rec, &row)
 		r.Messages.add(&row)
 		r.Resubmissions.add(rec)
 		r.Cancellations.add(rec)
 	}
-	r.Load = work.Seconds() / (float64(size.slots) * c.Length.D().Seconds())
+	r.Load = work.Seconds() / (float64(size.slots) * l.config.Length.D().Seconds())
 	r.Outcomes = countOutcomes(r.Rows)
 	r.Messages.finish()
+	if r.Elapsed > 0 {
+		r.StartsPerSecond = float64(r.Messages.Starts) / r.Elapsed.D().Seconds()
+	}
 	sums.into(r)
 	r.Checks = checks.checks()
 	r.Violations = append([]Violation{}, checks.violations...)
@@ -110,9 +112,9 @@
 }
 
 // row sums up a job. A job whose turn never came is reported as not sent.
-func (r *record) row(slots int, packed time.Duration) Row {
+func (r *record) row(size systemSize, packed time.Duration) Row {
 	row := Row{
-		Due: Duration(r.at), Ideal: Duration(r.ideal(slots)), Packed: Duration(packed),
+		Due: Duration(r.at), Ideal: Duration(r.ideal(size)), Packed: Duration(packed),
 		Tasks: len(r.tasks), Outcome: state.NotRun.String(), Reason: reasonNotSent, Settled: state.NotRun.String(),
 	}
 	if !r.first.made {
--- a/transport/loadgen/run.go
+++ b/transport/loadgen/run.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,12 +22,32 @@
 	Status(ctx context.Context) (api.Status, *httpclient.Failure)
 }
 
+// Operator is a client of one entry for whoever looks after the system.
+type Operator interface {
+	Status(ctx context.Context) (api.Status, *httpclient.Failure)
+	Drain(ctx context.Context, node state.NodeID) (api.Drained, *httpclient.Failure)
+}
+
+// Target is the system that a plan is carried out on.
+type Target struct {
+	// Entries has, for each load of the plan, a client of each entry.
+	Entries [][]Caller
+	// Operator is needed for drains only.
+	Operator Operator
+	// Backends are the plan's, in its order. Without any, starts are not counted.
+	Backends []Backend
+}
+
 // record is a job and what came of it.
 type record struct {
 	planned
 	first  reply
 	second reply
 	stop   reply
+	// waits says that the first submission was sent and has no answer.
+	waits atomic.Bool
+	// waved says that a step has cancelled it.
+	waved atomic.Bool
 }
 
 // reply is what one call brought. Times are from the start of the run.
@@ -39,90 +60,115 @@
 	failure *httpclient.Failure
 }
 
-// event is one call that is due at a time.
+// call is one call on an entry.
+type call func(ctx context.Context) (api.Answer, *httpclient.Failure)
+
+// event is one thing that is done at a time of the run.
 type event struct {
-	due  time.Duration
-	call func(ctx context.Context) (api.Answer, *httpclient.Failure)
-	into *reply
+	due time.Duration
+	do  func(ctx context.Context, begin time.Time)
 }
 
-// Run puts the load on the entries and returns what came of it. Jobs go to the
+// traffic is one load of a plan on its way.
+type traffic struct {
+	config  *Config
+	entries []Caller
+	size    systemSize
+	jobs    []planned
+	records []record
+}
+
+// Measure carries out a plan and returns what came of it. Jobs go to the
 // entries in turn, as a balancer would spread them. It ends at the latest when
-// Length and Patience are over; calls that are open then count as unknown. An
-// error means that no load was put on.
-func Run(ctx context.Context, c Config, entries []Caller) (*Report, error) {
-	if err := c.Check(); err != nil {
+// the plan's length and patience are over; calls that are open then count as
+// unknown. An error means that no load was put on.
+func Measure(ctx context.Context, p *Plan, t Target) (*Measurement, error) {
+	if err := p.Check(); err != nil {
 		return nil, err
 	}
-	if len(entries) == 0 {
-		return nil, errors.New("no entry")
+	if len(t.Entries) != len(p.Loads) || len(t.Backends) != len(p.Backends) {
+		return nil, errors.New("the target isn't the plan's")
 	}
-	size, err := sizeOf(ctx, c.Service, entries[0])
-	if err != nil {
+	if err := reachable(ctx, t.Backends); err != nil {
 		return nil, err
 	}
-	jobs := newPlan(&c, size.slots)
-	ctx, cancel := context.WithTimeout(ctx, c.Length.D()+c.Patience.D())
+	var loads []*traffic
+	for i := range p.Loads {
+		load, err := newTraffic(ctx, &p.Loads[i], t.Entries[i])
+		if err != nil {
+			return nil, err
+		}
+		loads = append(loads, load)
+	}
+	limited, cancel := context.WithTimeout(ctx, p.length()+p.patience())
 	defer cancel()
-	records := make([]record, len(jobs))
-	for i := range jobs {
-		records[i].planned = jobs[i]
+	steps := newSteps(p, t, loads)
+	var events []event
+	for _, load := range loads {
+		events = append(events, load.events()...)
 	}
-	elapsed := carryOut(ctx, c.events(records, entries))
-	return newReport(&c, size, jobs, records, elapsed), nil
+	events = append(events, steps.events()...)
+	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.due, b.due) })
+	elapsed := carryOut(limited, events)
+	m := newMeasurement(p, loads, elapsed)
+	m.Steps = steps.results()
+	m.Starts = countStarts(context.WithoutCancel(ctx), t.Backends, p, m.Loads)
+	m.finish()
+	return m, nil
 }
 
-// systemSize is how large the system is, by an entry's status.
-type systemSize struct{ agents, slots int }
-
-// sizeOf adds up the agents that serve the service.
-func sizeOf(ctx context.Context, service string, entry Caller) (systemSize, error) {
-	doc, f := entry.Status(ctx)
-	if f != nil {
-		return systemSize{}, errors.Errorf("the entry's status: %s", f)
+func newTraffic(ctx context.Context, c *Config, entries []Caller) (*traffic, error) {
+	if len(entries) == 0 {
+		return nil, errors.New("no entry")
 	}
-	var size systemSize
-	for i := range doc.Agents {
-		a := &doc.Agents[i]
-		if slices.Contains(a.Services, service) && !a.Draining && !a.Ejected {
-			size.agents++
-			size.slots += a.Slots
-		}
+	size, err := sizeOf(ctx, c.Service, entries[0])
+	if err != nil {
+		return nil, err
 	}
-	if size.slots == 0 {
-		return size, errors.Errorf("the entry knows no slot of service %q", service)
+	l := &traffic{config: c, entries: entries, size: size, jobs: newPlan(c, size.slots)}
+	l.records = make([]record, len(l.jobs))
+	for i := range l.jobs {
+		l.records[i].planned = l.jobs[i]
 	}
-	return size, nil
+	return l, nil
 }
 
-// events returns every call of the run in the order in which they are due.
-func (c *Config) events(records []record, entries []Caller) []event {
+// events returns every call of the load.
+func (l *traffic) events() []event {
 	var out []event
-	for i := range records {
-		r := &records[i]
-		s := r.submission(c)
-		here, there := entries[i%len(entries)], entries[(i+1)%len(entries)]
-		submit := func(to Caller) func(context.Context) (api.Answer, *httpclient.Failure) {
+	for i := range l.records {
+		r := &l.records[i]
+		s := r.submission(l.config)
+		here, there := l.entries[i%len(l.entries)], l.entries[(i+1)%len(l.entries)]
+		submit := func(to Caller) call {
 			return func(ctx context.Context) (api.Answer, *httpclient.Failure) { return to.Submit(ctx, s) }
 		}
-		out = append(out, event{r.at, submit(here), &r.first})
+		out = append(out, event{r.at, func(ctx context.Context, begin time.Time) {
+			r.waits.Store(true)
+			r.first.make(ctx, begin, r.at, submit(here))
+			r.waits.Store(false)
+		}})
 		if r.again > 0 {
-			out = append(out, event{r.again, submit(there), &r.second})
+			out = append(out, r.second.event(r.again, submit(there)))
 		}
 		if r.cancel > 0 {
-			call := func(ctx context.Context) (api.Answer, *httpclient.Failure) {
-				return there.Cancel(ctx, s.Job.Key)
-			}
-			out = append(out, event{r.cancel, call, &r.stop})
+			out = append(out, r.stop.event(r.cancel, l.cancelCall(i)))
 		}
 	}
-	slices.SortStableFunc(out, func(a, b event) int { return cmp.Compare(a.due, b.due) })
 	return out
 }
 
-// carryOut makes every call when it is due, whatever became of the ones before,
-// and returns when all have ended and how long that took. Calls that are due
-// after ctx has ended are not made.
+// cancelCall cancels a job through the entry that it wasn't sent to, where there
+// is another.
+func (l *traffic) cancelCall(i int) call {
+	there := l.entries[(i+1)%len(l.entries)]
+	key := state.JobKey{Service: l.config.Service, ID: l.records[i].id}
+	return func(ctx context.Context) (api.Answer, *httpclient.Failure) { return there.Cancel(ctx, key) }
+}
+
+// carryOut does everything when it is due, whatever became of what was before,
+// and returns when all has ended and how long that took. What is due after ctx
+// has ended is not done.
 func carryOut(ctx context.Context, events []event) time.Duration {
 	begin := time.Now()
 	var wg conc.WaitGroup
@@ -131,18 +177,22 @@
 		if httpclient.Sleep(ctx, e.due-time.Since(begin)) != nil {
 			break
 		}
-		wg.Go(func() { e.make(ctx, begin) })
+		wg.Go(func() { e.do(ctx, begin) })
 	}
 	wg.Wait()
 	return time.Since(begin)
 }
 
-func (e *event) make(ctx context.Context, begin time.Time) {
-	e.into.made = true
-	e.into.due = e.due
-	e.into.sent = time.Since(begin)
-	e.into.answer, e.into.failure = e.call(ctx)
-	e.into.done = time.Since(begin)
+func (r *reply) event(due time.Duration, c call) event {
+	return event{due, func(ctx context.Context, begin time.Time) { r.make(ctx, begin, due, c) }}
+}
+
+func (r *reply) make(ctx context.Context, begin time.Time, due time.Duration, c call) {
+	r.made = true
+	r.due = due
+	r.sent = time.Since(begin)
+	r.answer, r.failure = c(ctx)
+	r.done = time.Since(begin)
 }
 
 // complete says that the caller holds the whole answer.
--- a/transport/loadgen/run_test.go
+++ b/transport/loadgen/run_test.go
@@ -44,8 +44,8 @@
 
 func status() api.Status {
 	return api.Status{Agents: []api.Agent{
-		{Services: []string{"bench-desk"}, Slots: 8},
-		{Services: []string{"bench-desk"}, Slots: 8, Draining: true},
+		{Services: []string{"bench-desk"}, Slots: 8, Free: 8},
+		{Services: []string{"bench-desk"}, Slots: 8, Free: 8, Draining: true},
 		{Services: []string{"bench-desk"}, Slots: 8, Ejected: true},
 		{Services: []string{"yard-logbook"}, Slots: 8},
 	}}
@@ -97,12 +97,28 @@
 	return a, longest
 }
 
+// measureOne carries out a plan of one load.
+func measureOne(ctx context.Context, c Config, entries ...Caller) (*Report, error) {
+	m, err := Measure(ctx, &Plan{Loads: []Config{c}}, Target{Entries: [][]Caller{entries}})
+	if err != nil {
+		return nil, err
+	}
+	return m.Loads[0], nil
+}
+
+// alone is a measurement of one load.
+func alone(r *Report) *Measurement {
+	m := &Measurement{Format: reportFormat, Plan: &Plan{Loads: []Config{r.Config}}, Loads: []*Report{r}}
+	m.finish()
+	return m
+}
+
 func run(t *testing.T, c Config, entries ...Caller) *Report {
 	t.Helper()
 	var r *Report
 	synctest.Test(t, func(t *testing.T) {
 		var err error
-		if r, err = Run(context.Background(), c, entries); err != nil {
+		if r, err = measureOne(context.Background(), c, entries...); err != nil {
 			t.Fatal(err)
 		}
 	})
@@ -127,7 +143,7 @@
 	c := testConfig(t)
 	synctest.Test(t, func(t *testing.T) {
 		stall := 3 * time.Second
-		r, err := Run(context.Background(), c, []Caller{&fakeEntry{stalled: time.Now().Add(stall)}})
+		r, err := measureOne(context.Background(), c, &fakeEntry{stalled: time.Now().Add(stall)})
 		is.NoErr(err)
 		waited := 0
 		for _, row := range r.Rows {
--- /dev/null
+++ b/transport/loadgen/steps.go
@@ -0,0 +1,154 @@
+package loadgen
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/shallotstep/shallotstep/protocol/standin"
+	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/transport/httpclient"
+)
+
+const (
+	// rejoinLimit is how long a drained agent's next incarnation is waited for,
+	// rejoinEvery how often the entry is asked.
+	rejoinLimit = time.Minute
+	rejoinEvery = 200 * time.Millisecond
+	// healLimit bounds the call that ends a fault, also when the run was stopped.
+	healLimit = 10 * time.Second
+)
+
+// StepResult is what came of a step.
+type StepResult struct {
+	Step Step `json:"step"`
+	// Detail tells what was done, Failure why it wasn't; a run with a failure
+	// hasn't been what its plan says.
+	Detail  string `json:"detail,omitempty"`
+	Failure string `json:"failure,omitempty"`
+}
+
+// steps carries out the steps of a plan. Each result is written by its own
+// event and read when all have ended.
+type steps struct {
+	target Target
+	loads  []*traffic
+	done   []StepResult
+}
+
+func newSteps(p *Plan, t Target, loads []*traffic) *steps {
+	s := &steps{target: t, loads: loads}
+	for _, step := range p.Steps {
+		s.done = append(s.done, StepResult{Step: step, Failure: "not reached"})
+	}
+	return s
+}
+
+func (s *steps) events() []event {
+	var out []event
+	for i := range s.done {
+		r := &s.done[i]
+		out = append(out, event{r.Step.At.D(), func(ctx context.Context, begin time.Time) {
+			r.Failure = ""
+			s.carryOut(ctx, begin, r)
+		}})
+	}
+	return out
+}
+
+func (s *steps) results() []StepResult { return s.done }
+
+func (s *steps) carryOut(ctx context.Context, begin time.Time, r *StepResult) {
+	switch {
+	case r.Step.CancelInFlight:
+		r.Detail = fmt.Sprintf("%d jobs cancelled", s.cancelInFlight(ctx, begin, r.Step.At.D()))
+	case r.Step.Drain != "":
+		s.drain(ctx, r)
+	default:
+		s.fault(ctx, r)
+	}
+}
+
+// cancelInFlight cancels all jobs that wait for their answers at once and
+// returns how many that were. One that is cancelled anyway is left alone.
+func (s *steps) cancelInFlight(ctx context.Context, begin time.Time, due time.Duration) int {
+	var wg conc.WaitGroup
+	n := 0
+	for _, l := range s.loads {
+		for i := range l.records {
+			r := &l.records[i]
+			if r.cancel > 0 || !r.waits.Load() || !r.waved.CompareAndSwap(false, true) {
+				continue
+			}
+			n++
+			wg.Go(func() { r.stop.make(ctx, begin, due, l.cancelCall(i)) })
+		}
+	}
+	wg.Wait()
+	return n
+}
+
+// fault makes a stand-in fail for a while. It is healed also when the run was
+// stopped meanwhile.
+func (s *steps) fault(ctx context.Context, r *StepResult) {
+	b := s.target.Backends[r.Step.Backend-1]
+	if err := b.SetFaults(ctx, faults[r.Step.Fault]); err != nil {
+		r.Failure = err.Error()
+		return
+	}
+	_ = httpclient.Sleep(ctx, r.Step.For.D())
+	heal, cancel := context.WithTimeout(context.WithoutCancel(ctx), healLimit)
+	defer cancel()
+	if err := b.SetFaults(heal, standin.Faults{}); err != nil {
+		r.Failure = "the fault stays: " + err.Error()
+		return
+	}
+	r.Detail = fmt.Sprintf("backend server %d: %s for %v", r.Step.Backend, r.Step.Fault, r.Step.For.D())
+}
+
+// drain drains an agent and waits for its next incarnation, which whoever
+// supervises the process starts.
+func (s *steps) drain(ctx context.Context, r *StepResult) {
+	if s.target.Operator == nil {
+		r.Failure = "no operator's client"
+		return
+	}
+	begin := time.Now()
+	old, failure := s.incarnation(ctx, r.Step.Drain, "")
+	if old == "" {
+		r.Failure = "no such agent in the roster " + failure
+		return
+	}
+	if _, f := s.target.Operator.Drain(ctx, old); f != nil {
+		r.Failure = "drain: " + f.String()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, rejoinLimit)
+	defer cancel()
+	for httpclient.Sleep(ctx, rejoinEvery) == nil {
+		if next, _ := s.incarnation(ctx, r.Step.Drain, old); next != "" {
+			r.Detail = fmt.Sprintf("%s drained, %s in the roster after %v", old, next, time.Since(begin).Round(rejoinEvery))
+			return
+		}
+	}
+	r.Failure = fmt.Sprintf("%s drained, and no other incarnation came into the roster", old)
+}
+
+// incarnation returns an incarnation of the named agent in the roster that
+// isn't the old one, or empty and why.
+func (s *steps) incarnation(ctx context.Context, name string, old state.NodeID) (state.NodeID, string) {
+	doc, f := s.target.Operator.Status(ctx)
+	if f != nil {
+		return "", f.String()
+	}
+	for i := range doc.Roster {
+		id := doc.Roster[i].ID
+		if id != old && strings.HasPrefix(string(id), name+"@") {
+			return id, ""
+		}
+	}
+	return "", ""
+}
--- /dev/null
+++ b/transport/loadgen/target.go
@@ -0,0 +1,80 @@
+package loadgen
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/shallotstep/shallotstep/protocol/api"
+	"github.com/shallotstep/shallotstep/transport/httpclient"
+)
+
+const (
+	// roundTrips are those that a job can't do without: caller and entry, entry
+	// and home, home and witness, home and agent, agent and backend server.
+	roundTrips = 5
+	// probes is how many calls the round trip is taken from, the shortest of them.
+	probes = 10
+	// settleLimit is how long slots that are still taken are waited for, and
+	// settleEvery how often they are looked at.
+	settleLimit = 5 * time.Second
+	settleEvery = 100 * time.Millisecond
+)
+
+// systemSize is how large the system is, by an entry's status before the run.
+type systemSize struct {
+	agents, slots, free int
+	// trip is the shortest round trip between caller and entry.
+	trip time.Duration
+}
+
+// sizeOf adds up the agents that serve the service. A load shows free slots late,
+// so slots that an earlier run held are waited for a while.
+func sizeOf(ctx context.Context, service string, entry Caller) (systemSize, error) {
+	var size systemSize
+	for begin := time.Now(); ; {
+		doc, f := entry.Status(ctx)
+		if f != nil {
+			return size, errors.Errorf("the entry's status: %s", f)
+		}
+		size = countSlots(doc, service)
+		if size.slots == 0 {
+			return size, errors.Errorf("the entry knows no slot of service %q", service)
+		}
+		if size.free >= size.slots || time.Since(begin) >= settleLimit || httpclient.Sleep(ctx, settleEvery) != nil {
+			break
+		}
+	}
+	var err error
+	size.trip, err = roundTrip(ctx, entry)
+	return size, err
+}
+
+func countSlots(doc api.Status, service string) systemSize {
+	var size systemSize
+	for i := range doc.Agents {
+		a := &doc.Agents[i]
+		if slices.Contains(a.Services, service) && !a.Draining && !a.Ejected {
+			size.agents++
+			size.slots += a.Slots
+			size.free += max(0, a.Free)
+		}
+	}
+	return size
+}
+
+func roundTrip(ctx context.Context, entry Caller) (time.Duration, error) {
+	shortest := time.Duration(0)
+	for i := range probes {
+		begin := time.Now()
+		if _, f := entry.Status(ctx); f != nil {
+			return 0, errors.Errorf("the entry's status: %s", f)
+		}
+		if took := time.Since(begin); i == 0 || took < shortest {
+			shortest = took
+		}
+	}
+	return shortest, nil
+}
--- a/transport/loadgen/text.go
+++ b/transport/loadgen/text.go
@@ -9,31 +9,63 @@
 // columnGap is the space between columns.
 const columnGap = 2
 
-// Print writes the report for a person.
-func (r *Report) Print(out io.Writer) {
+// Print writes the measurement for a person.
+func (m *Measurement) Print(out io.Writer) {
+	if m.Plan.Name != "" {
+		fmt.Fprintf(out, "plan %s, %v in all\n", m.Plan.Name, m.Elapsed.D().Round(roundTo))
+	}
+	for _, r := range m.Loads {
+		r.print(out)
+	}
+	for _, s := range m.Steps {
+		word, text := "done", s.Detail
+		if s.Failure != "" {
+			word, text = "FAILED", s.Failure
+		}
+		fmt.Fprintf(out, "step at %v %s: %s\n", s.Step.At.D(), word, text)
+	}
+	m.Starts.print(out)
+	fmt.Fprintln(out, m.Note)
+}
+
+func (s *Starts) print(out io.Writer) {
+	switch {
+	case s.Failure != "":
+		fmt.Fprintf(out, "starts NOT COUNTED: %s\n", s.Failure)
+	case !s.Counted:
+		fmt.Fprintln(out, "starts not run: no backend servers are named")
+	default:
+		fmt.Fprintf(out, "%d starts at the backend servers %v: %d doubled, %d lost, %d started though not run\n",
+			s.Tasks, s.Backends, s.Doubled, s.Lost, s.NotRun)
+	}
+	for _, fault := range s.Faults {
+		fmt.Fprintf(out, "  %s\n", fault)
+	}
+}
+
+func (r *Report) print(out io.Writer) {
 	c := &r.Config
 	fmt.Fprintf(out, "%s: mix %s, tasks per job %s, seed %d, %v of arrivals, answers after %v\n",
 		c.Service, c.Mix.text(), c.Sizes.text, c.Seed, c.Length.D(), r.Elapsed.D().Round(roundTo))
-	fmt.Fprintf(out, "%d agents, %d slots; %d jobs with %d tasks offered, %.1f%% of the slots\n",
-		r.Agents, r.Slots, r.Jobs, r.Tasks, percent*r.Load)
+	fmt.Fprintf(out, "%d agents, %d slots, %d free; %d jobs with %d tasks offered, %.1f%% of the slots; round trip %.2f ms\n",
+		r.Agents, r.Slots, r.FreeSlots, r.Jobs, r.Tasks, percent*r.Load, milliseconds(r.RoundTrip.D()))
 	for _, o := range r.Outcomes {
 		fmt.Fprintf(out, "  %d %s %s\n", o.Jobs, o.Outcome, o.Reason)
 	}
 	w := tabwriter.NewWriter(out, 0, 0, columnGap, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "complete jobs\tmean\tp50\tp90\tp99\tmax\t")
+	fmt.Fprintln(w, "complete jobs\tmean\tp50\tp90\tp95\tp99\tmax\t")
 	for _, line := range r.distributions() {
 		f := line.figures
-		fmt.Fprintf(w, "%s\t%.*f\t%.*f\t%.*f\t%.*f\t%.*f\t\n", line.name,
-			line.digits, f.Mean, line.digits, f.P50, line.digits, f.P90, line.digits, f.P99, line.digits, f.Max)
+		fmt.Fprintf(w, "%s\t%.*f\t%.*f\t%.*f\t%.*f\t%.*f\t%.*f\t\n", line.name,
+			line.digits, f.Mean, line.digits, f.P50, line.digits, f.P90, line.digits, f.P95, line.digits, f.P99, line.digits, f.Max)
 	}
 	w.Flush()
 	m := &r.Messages
-	fmt.Fprintf(out, "%d starts: %.3f messages and %.3f wasted per start\n", m.Starts, m.PerStart, m.WastedPerStart)
+	fmt.Fprintf(out, "%d starts of complete jobs, %.1f a second: %.3f messages and %.3f wasted per start\n", m.Starts, r.StartsPerSecond, m.PerStart, m.WastedPerStart)
 	fmt.Fprintf(out, "resubmitted %d (%d before the first answer), compared %d; cancelled %d of %d, %d too late, %d failed\n",
 		r.Resubmissions.Sent, r.Resubmissions.During, r.Resubmissions.Compared,
 		r.Cancellations.Cancelled, r.Cancellations.Sent, r.Cancellations.TooLate, r.Cancellations.Failed)
 	r.printChecks(out)
-	fmt.Fprintln(out, r.Note)
 }
 
 // line is one distribution of a report.
