--- a/transport/loadgen/plan_test.go
+++ b/transport/loadgen/plan_test.go
@@ -1,6 +1,8 @@
 package loadgen
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -94,3 +96,16 @@
 		is.True(ratio > 3.5 && ratio < 4.5)
 	}
 }
+
+func TestExamplePlansAreGood(t *testing.T) {
+	is := is.New(t)
+	names, err := filepath.Glob("../../examples/*/plan*.json")
+	is.NoErr(err)
+	is.Equal(len(names), 10)
+	for _, name := range names {
+		src, err := os.ReadFile(name)
+		is.NoErr(err)
+		_, err = ParsePlan(name, src)
+		is.NoErr(err)
+	}
+}
