Tell wasted messages apart by kind, from the homes to the answer

Cause: stats in an answer had one number of wasted messages. Whether refused assigns, empty reports or drops made it up could be seen in counters of whole agents at best, and not for the jobs of a measurement.

Change: message.Stats counts by kind where it counted before: assign, repeat, report, drop, backlog, and entry for what an entry or a request's tries add. The sum is what it was. The answer has the kinds that aren't zero as wasted_by_kind, measure adds them up. The wire has one new field; a node that doesn't know it keeps the sum. Memory: 24 bytes for each stored answer.

--- a/coordination/home/finish.go
+++ b/coordination/home/finish.go
@@ -48,7 +48,7 @@
 	c.askAt = now.Add(settleRetry << c.asked)
 	c.asked++
 	j.stats.Messages++
-	j.stats.Wasted++
+	j.stats.Waste(message.WasteDrop, 1)
 	indexes, tries := j.at(c.agent)
 	return coordination.Send{To: c.agent, Msg: message.Drop{Key: j.key, Indexes: indexes, Tries: tries}}
 }
@@ -119,7 +119,7 @@
 		}
 		indexes, _ := j.at(c.agent)
 		j.stats.Messages++
-		j.stats.Wasted++
+		j.stats.Waste(message.WasteRepeat, 1)
 		p.o.Metrics.resent()
 		out = append(out, p.assign(now, j, a, indexes, a.told))
 	}
@@ -147,10 +147,10 @@
 	}
 	for i := range j.batches {
 		if !j.batches[i].useful {
-			j.stats.Wasted++
+			j.stats.Waste(message.WasteAssign, 1)
 		}
 	}
-	j.stats.Wasted += j.asks
+	j.stats.Waste(message.WasteBacklog, j.asks)
 	j.stats.Elapsed = now.Sub(j.arrived)
 	j.stats.Messages += len(j.waiters)
 	a.Stats = j.stats
@@ -181,7 +181,7 @@
 		}
 		c.outstanding = 0
 		j.stats.Messages++
-		j.stats.Wasted++
+		j.stats.Waste(message.WasteDrop, 1)
 		out = append(out, coordination.Send{To: c.agent, Msg: message.Drop{Key: j.key}})
 	}
 	return out
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -35,10 +35,10 @@
 		out = append(out, offered...)
 	}
 	if j != nil && !useful {
-		j.stats.Wasted++
+		j.stats.Waste(message.WasteReport, 1)
 		if j.phase == finished {
 			// The answer is out; the count stays with the stored one.
-			j.answer.Stats.Wasted++
+			j.answer.Stats.Waste(message.WasteReport, 1)
 			j.answer.Stats.Messages++
 		}
 	}
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -63,6 +63,8 @@
 	Messages int
 	// Wasted is how many of them led to no first start and no first result.
 	Wasted int
+	// ByKind is Wasted by kind.
+	ByKind [Wastes]uint32
 	// Longest and Total are the longest and the summed run time of its tasks.
 	Longest time.Duration
 	Total   time.Duration
--- a/coordination/route/drive.go
+++ b/coordination/route/drive.go
@@ -118,7 +118,7 @@
 	s := r.shardOf(f.key)
 	a.Key = f.key
 	a.Stats.Messages += f.extra
-	a.Stats.Wasted += f.extra
+	a.Stats.Waste(message.WasteEntry, f.extra)
 	for _, w := range f.waiters {
 		r.finishTicket(s, w.ticket, a)
 	}
--- a/coordination/route/request.go
+++ b/coordination/route/request.go
@@ -214,10 +214,11 @@
 	}
 	a.Key = q.job.Key
 	a.Stats.Messages = q.messages
-	a.Stats.Wasted = q.messages
+	wasted := q.messages
 	if a.Outcome == state.Complete || a.Reason == state.ReasonTaskFailed {
-		a.Stats.Wasted -= usefulMessages
+		wasted -= usefulMessages
 	}
+	a.Stats.Waste(message.WasteEntry, wasted)
 	a.Stats.Elapsed = now.Sub(q.began)
 	r.stats.wasted.Add(uint64(a.Stats.Wasted))
 	if _, ok := r.tickets.remove(q.ticket); ok {
--- a/protocol/api/answer.go
+++ b/protocol/api/answer.go
@@ -27,11 +27,13 @@
 
 // Stats is message.Stats with times in milliseconds.
 type Stats struct {
-	Messages  int     `json:"messages"`
-	Wasted    int     `json:"wasted"`
-	LongestMS float64 `json:"longest_ms"`
-	TotalMS   float64 `json:"total_ms"`
-	ElapsedMS float64 `json:"elapsed_ms"`
+	Messages int `json:"messages"`
+	Wasted   int `json:"wasted"`
+	// WastedByKind has the kinds that aren't zero, by message.Waste's names.
+	WastedByKind map[string]int `json:"wasted_by_kind,omitempty"`
+	LongestMS    float64        `json:"longest_ms"`
+	TotalMS      float64        `json:"total_ms"`
+	ElapsedMS    float64        `json:"elapsed_ms"`
 }
 
 // AnswerOf turns a complete, pending or cancelled answer into its document.
@@ -97,13 +99,22 @@
 func (a Answer) Encode() ([]byte, error) { return marshal(a) }
 
 func statsOf(s message.Stats) *Stats {
-	return &Stats{
+	out := &Stats{
 		Messages:  s.Messages,
 		Wasted:    s.Wasted,
 		LongestMS: fractionMS(s.Longest),
 		TotalMS:   fractionMS(s.Total),
 		ElapsedMS: fractionMS(s.Elapsed),
 	}
+	for kind, n := range s.ByKind {
+		if n > 0 {
+			if out.WastedByKind == nil {
+				out.WastedByKind = make(map[string]int)
+			}
+			out.WastedByKind[message.Waste(kind).String()] = int(n)
+		}
+	}
+	return out
 }
 
 func fractionMS(d time.Duration) float64 {
--- a/protocol/wire/job.go
+++ b/protocol/wire/job.go
@@ -146,6 +146,8 @@
 			LongestNs: c.nanos("longest", m.Stats.Longest),
 			TotalNs:   c.nanos("total", m.Stats.Total),
 			ElapsedNs: c.nanos("elapsed", m.Stats.Elapsed),
+
+			WastedByKind: encodeWaste(m.Stats.ByKind),
 		},
 	}
 }
@@ -168,10 +170,23 @@
 			Longest:  c.duration("longest", stats.GetLongestNs()),
 			Total:    c.duration("total", stats.GetTotalNs()),
 			Elapsed:  c.duration("elapsed", stats.GetElapsedNs()),
+			ByKind:   decodeWaste(stats.GetWastedByKind()),
 		},
 	}
 }
 
+func encodeWaste(in [message.Wastes]uint32) []uint32 {
+	if in == ([message.Wastes]uint32{}) {
+		return nil
+	}
+	return in[:]
+}
+
+func decodeWaste(in []uint32) (out [message.Wastes]uint32) {
+	copy(out[:], in)
+	return out
+}
+
 func (c *checker) encodeCancel(m *message.Cancel) *nodepb.Cancel {
 	return &nodepb.Cancel{
 		Key:     c.encodeKey(m.Key),
--- a/transport/loadgen/counts.go
+++ b/transport/loadgen/counts.go
@@ -15,6 +15,8 @@
 	Wasted         int     `json:"wasted"`
 	PerStart       float64 `json:"per_start"`
 	WastedPerStart float64 `json:"wasted_per_start"`
+	// WastedByKind is Wasted by the homes' and entries' kinds of it.
+	WastedByKind map[string]int `json:"wasted_by_kind"`
 }
 
 // Resubmissions counts jobs that were submitted twice. Compared are those of
@@ -55,6 +57,9 @@
 		m.Starts += row.Tasks
 		m.Sent += row.Messages
 		m.Wasted += row.Wasted
+		for kind, n := range row.WastedByKind {
+			m.WastedByKind[kind] += n
+		}
 	}
 }
 
--- a/transport/loadgen/report.go
+++ b/transport/loadgen/report.go
@@ -69,6 +69,8 @@
 	Settled  string       `json:"settled"`
 	Messages int          `json:"messages,omitempty"`
 	Wasted   int          `json:"wasted,omitempty"`
+
+	WastedByKind map[string]int `json:"wasted_by_kind,omitempty"`
 }
 
 // Passed says that no check failed.
@@ -81,6 +83,7 @@
 	r := &Report{
 		Config: *l.config, Agents: size.agents, Slots: size.slots, FreeSlots: size.free,
 		RoundTrip: Duration(size.trip), Jobs: len(l.jobs),
+		Messages: Messages{WastedByKind: make(map[string]int)},
 	}
 	queue := packed(l.jobs, size.slots)
 	checks := newChecker()
@@ -124,11 +127,11 @@
 	row.Outcome, row.Reason = r.first.outcome().String(), r.first.reason()
 	row.Settled = r.settled().String()
 	if s := r.first.answer.Stats; s != nil && r.first.complete() {
-		row.Messages, row.Wasted = s.Messages, s.Wasted
+		row.Messages, row.Wasted, row.WastedByKind = s.Messages, s.Wasted, s.WastedByKind
 	}
 	// A second caller costs messages as well: the later count holds both.
 	if s := r.second.answer.Stats; s != nil && r.second.complete() && s.Messages > row.Messages {
-		row.Messages, row.Wasted = s.Messages, s.Wasted
+		row.Messages, row.Wasted, row.WastedByKind = s.Messages, s.Wasted, s.WastedByKind
 	}
 	return row
 }
--- a/transport/loadgen/run_test.go
+++ b/transport/loadgen/run_test.go
@@ -81,7 +81,7 @@
 
 // answerTo is what a right entry answers.
 func answerTo(id string, tasks []state.Task) (api.Answer, time.Duration) {
-	a := api.Answer{ID: id, Outcome: api.Outcome(state.Complete), Stats: &api.Stats{Messages: 6, Wasted: 1}}
+	a := api.Answer{ID: id, Outcome: api.Outcome(state.Complete), Stats: &api.Stats{Messages: 6, Wasted: 1, WastedByKind: map[string]int{"report": 1}}}
 	longest := time.Duration(0)
 	for _, t := range tasks {
 		var work struct {
