--- a/bench/placement/result.go
+++ b/bench/placement/result.go
@@ -19,9 +19,11 @@
 
 // result is what a run came to.
 type result struct {
-	answers     []answered
-	messages    int
-	wasted      int
+	answers  []answered
+	messages int
+	waste    waste
+	// counted is the wasted messages as the homes count them in their answers.
+	counted     int
 	refused     int
 	asks        int
 	unused      int // offers that nothing came of
@@ -48,21 +50,26 @@
 	largeWait, largeTook time.Duration
 	// perOperator is the mean of slow.
 	perOperator [operators]float64
+	jobsOf      [operators]int
 }
 
 func (s *sim) answered(m *message.Answer) {
 	i, _ := strconv.Atoi(m.Key.ID)
+	s.res.counted += m.Stats.Wasted
 	s.res.answers[i] = answered{s.now, m.Outcome}
 	s.open--
 }
 
 func (r *result) finish(s *sim) {
 	ideal := packed(s.c, s.jobs)
-	var count [operators]int
 	r.starts = len(s.began)
 	for _, a := range r.assigns {
-		if !a.useful {
-			r.wasted++
+		switch {
+		case a.useful:
+		case a.ask:
+			r.waste[askVain]++
+		default:
+			r.waste[sentRefused]++
 		}
 	}
 	for i := range s.jobs {
@@ -74,23 +81,32 @@
 			}
 			continue
 		}
-		took := r.answers[i].at - j.at
-		slow := float64(took) / float64(j.longest+hops)
-		r.slow = append(r.slow, slow)
-		r.packed = append(r.packed, float64(took)/float64(ideal[i]))
-		r.lost = append(r.lost, took-ideal[i])
-		if len(j.tasks) == state.MaxTasksPerJob {
-			r.largest = append(r.largest, slow)
-		}
-		if len(j.tasks) >= largeJob {
-			r.largeWait = max(r.largeWait, j.begun-j.at)
-			r.largeTook = max(r.largeTook, took)
-		}
-		r.perOperator[j.operator] += slow
-		count[j.operator]++
+		r.addJob(j, r.answers[i].at-j.at, ideal[i])
+	}
+	r.sort()
+}
+
+// addJob takes in the response of a job that completed.
+func (r *result) addJob(j *plannedJob, took, ideal time.Duration) {
+	slow := float64(took) / float64(j.longest+hops)
+	r.slow = append(r.slow, slow)
+	r.packed = append(r.packed, float64(took)/float64(ideal))
+	r.lost = append(r.lost, took-ideal)
+	if len(j.tasks) == state.MaxTasksPerJob {
+		r.largest = append(r.largest, slow)
+	}
+	if len(j.tasks) >= largeJob {
+		r.largeWait = max(r.largeWait, j.begun-j.at)
+		r.largeTook = max(r.largeTook, took)
 	}
+	r.perOperator[j.operator] += slow
+	r.jobsOf[j.operator]++
+}
+
+// sort ends the gathering of figures.
+func (r *result) sort() {
 	for i := range r.perOperator {
-		r.perOperator[i] /= float64(max(1, count[i]))
+		r.perOperator[i] /= float64(max(1, r.jobsOf[i]))
 	}
 	slices.Sort(r.slow)
 	slices.Sort(r.packed)
@@ -121,7 +137,7 @@
 		quantile(r.slow, 0.5), quantile(r.slow, 0.99),
 		quantile(r.packed, 0.5), quantile(r.packed, 0.99),
 		milliseconds(quantile(r.lost, 0.5)), milliseconds(quantile(r.lost, 0.99)),
-		float64(r.messages)/per, float64(r.wasted)/per, float64(r.refused)/per, float64(r.asks)/per, float64(r.unused)/per,
+		float64(r.messages)/per, float64(r.waste.total())/per, float64(r.refused)/per, float64(r.asks)/per, float64(r.unused)/per,
 		r.failed, r.spoiled, r.overcommits, r.lastOvercommit.Seconds(), r.beyond.Seconds(),
 		r.controls[coordination.VerbStop], r.controls[coordination.VerbThrottle], r.largeWait.Seconds(), r.largeTook.Seconds(), r.perOperator)
 }
