Keep plain ways from sending again to the agent that refused, and print reasons

Cause: the least loaded way never ended in the scenario broken. The broken worker looks idle, its agent refuses as ejected, and the way sent there again a millisecond later. No plain scheduler does that, so the comparison was unfair. Change: a refused task goes elsewhere, and the least loaded ways leave out agents whose load says ejected. The reasons of jobs that didn't complete are printed.

--- a/bench/placement/plain.go
+++ b/bench/placement/plain.go
@@ -71,15 +71,16 @@
 	for i := range all {
 		all[i] = i
 	}
-	return h.place(now, j, all)
+	return h.place(now, j, all, nobody)
 }
 
-// place sends tasks out, those for one agent in one message.
-func (h *plainHome) place(now time.Time, j *plainJob, indexes []int) []coordination.Action {
+// place sends tasks out, those for one agent in one message. The agent that has
+// just refused them gets none.
+func (h *plainHome) place(now time.Time, j *plainJob, indexes []int, refuser int) []coordination.Action {
 	byAgent := make(map[int][]int)
 	var order []int
 	for _, index := range indexes {
-		to := h.pick.next()
+		to := h.pick.next(refuser)
 		if byAgent[to] == nil {
 			order = append(order, to)
 		}
@@ -125,7 +126,7 @@
 			again = append(again, index)
 		}
 	}
-	return h.place(now, j, again)
+	return h.place(now, j, again, sender)
 }
 
 // finish answers and has the agents give up what is left of the job.
@@ -156,21 +157,30 @@
 	return out
 }
 
-// picker names the agent for the next task.
-type picker interface{ next() int }
+// picker names the agent for the next task, which isn't the one to avoid.
+type picker interface{ next(avoid int) int }
 
 type randomPick struct {
 	rng *rand.Rand
 	n   int
 }
 
-func (p *randomPick) next() int { return p.rng.IntN(p.n) }
+func (p *randomPick) next(avoid int) int {
+	for {
+		if to := p.rng.IntN(p.n); to != avoid {
+			return to
+		}
+	}
+}
 
 // roundRobin takes the agents in turn. Each home begins elsewhere.
 type roundRobin struct{ last, n int }
 
-func (p *roundRobin) next() int {
+func (p *roundRobin) next(avoid int) int {
 	p.last = (p.last + 1) % p.n
+	if p.last == avoid {
+		p.last = (p.last + 1) % p.n
+	}
 	return p.last
 }
 
@@ -186,7 +196,7 @@
 	best    []int // scratch space
 }
 
-func (p *leastLoaded) next() int {
+func (p *leastLoaded) next(avoid int) int {
 	if p.sent == nil || p.spreads != p.s.spreads {
 		p.sent = make([]int, len(p.s.loads))
 		p.spreads = p.s.spreads
@@ -194,6 +204,9 @@
 	most := 0
 	p.best = p.best[:0]
 	for i := range p.s.loads {
+		if i == avoid || p.s.loads[i].Ejected {
+			continue
+		}
 		room := p.s.loads[i].Free - p.s.loads[i].Queued - p.sent[i]
 		if len(p.best) == 0 || room > most {
 			p.best = p.best[:0]
--- a/bench/placement/result.go
+++ b/bench/placement/result.go
@@ -37,7 +37,9 @@
 	assigns  []*sentAssign
 	starts   int
 	failed   int
-	spoiled  int // starts of tasks whose job did not complete
+	// reasons says why jobs did not complete.
+	reasons map[state.Reason]int
+	spoiled int // starts of tasks whose job did not complete
 
 	// slow is response over the ideal of the job alone on idle workers,
 	// packed is response over the ideal packing, lost is response minus it.
@@ -56,6 +58,9 @@
 func (s *sim) answered(m *message.Answer) {
 	i, _ := strconv.Atoi(m.Key.ID)
 	s.res.counted += m.Stats.Wasted
+	if m.Outcome != state.Complete {
+		s.res.reasons[m.Reason]++
+	}
 	s.res.answers[i] = answered{s.now, m.Outcome}
 	s.open--
 }
@@ -132,13 +137,13 @@
 	if len(r.largest) > 0 {
 		name = fmt.Sprintf("%s (largest %.2f)", name, quantile(r.largest, 0.5))
 	}
-	return fmt.Sprintf("%-30s %6d %7d | %5.2f %7.2f | %5.3f %7.2f | %7.1fms %6.0fms | %6.2f %6.3f %6.3f %6.3f %6.3f | %5d %7d %4d (last at %.1fs, %.1fs in all) stopped %d throttled %d | %6.2f %8.2f | %.2f",
+	return fmt.Sprintf("%-30s %6d %7d | %5.2f %7.2f | %5.3f %7.2f | %7.1fms %6.0fms | %6.2f %6.3f %6.3f %6.3f %6.3f | %5d %v %7d %4d (last at %.1fs, %.1fs in all) stopped %d throttled %d | %6.2f %8.2f | %.2f",
 		name, len(r.answers), r.starts,
 		quantile(r.slow, 0.5), quantile(r.slow, 0.99),
 		quantile(r.packed, 0.5), quantile(r.packed, 0.99),
 		milliseconds(quantile(r.lost, 0.5)), milliseconds(quantile(r.lost, 0.99)),
 		float64(r.messages)/per, float64(r.waste.total())/per, float64(r.refused)/per, float64(r.asks)/per, float64(r.unused)/per,
-		r.failed, r.spoiled, r.overcommits, r.lastOvercommit.Seconds(), r.beyond.Seconds(),
+		r.failed, r.reasons, r.spoiled, r.overcommits, r.lastOvercommit.Seconds(), r.beyond.Seconds(),
 		r.controls[coordination.VerbStop], r.controls[coordination.VerbThrottle], r.largeWait.Seconds(), r.largeTook.Seconds(), r.perOperator)
 }
 
--- a/bench/placement/sim.go
+++ b/bench/placement/sim.go
@@ -106,6 +106,7 @@
 		byID: make(map[state.NodeID]int), placed: make(map[placed]*sentAssign), asked: make(map[link]*sentAssign), began: make(map[state.TaskKey]int),
 	}
 	s.res.answers = make([]answered, len(s.jobs))
+	s.res.reasons = make(map[state.Reason]int)
 	s.res.controls = make(map[coordination.Verb]int)
 	var members []state.AgentLoad
 	for i := range c.agents {
