Let "not run" rule out all earlier attempts for the id

Cause: a member of a pair that said "not run" ruled out the one attempt that it was asked about. A submission of the same id that another entry had sent before could lie in the socket of a paused home, be claimed when the home went on, and run, after its caller had been told through the second entry that nothing had and nothing would.

Ruled out: the age of an attempt (a message waits in a socket without ageing); refusing every later attempt for the id (the caller may submit again); barring by attempt in more places (nobody knows the other entry's attempts); one number for both members, grown as Lamport's clocks (the model found an attempt with a home's number that passed a later fence of the witness, which had not seen it).

Change: a member that says "not run" sets a fence for the id at its epoch. An attempt carries the numbers that its entry was told of, one for each member, and one with a smaller number is refused with the present one. Its entry makes it anew, once for each news, while a caller waits. A barred attempt of an epoch that is over is no word on the id unless the member guards the present one. The doubt that one attempt leaves ends with the next, which the pair answers for the whole.

The model checks that no attempt made before a certain "not run" is granted after it at the same epoch. Cost: nothing on a job's usual way; one round trip more for an id that was refused and is submitted again through an entry that does not know the fence.

Open: package route's documentation says what it doesn't cover.

--- a/bench/placement/plain.go
+++ b/bench/placement/plain.go
@@ -54,7 +54,7 @@
 			left: len(msg.Job.Tasks), deadline: now.Add(msg.Deadline),
 		}
 		h.jobs[j.key] = j
-		return claims{}.Claim(now, j.key, msg.Digest, msg.Attempt, msg.Epoch)
+		return claims{}.Claim(now, j.key, msg.Digest, msg.Attempt, msg.Epoch, msg.Fence)
 	case message.Report:
 		return h.report(now, from, &msg)
 	}
--- a/bench/placement/sim.go
+++ b/bench/placement/sim.go
@@ -152,7 +152,7 @@
 // claimed stands for the round trip to the witness.
 type claimed struct{ coordination.Granted }
 
-func (claims) Claim(_ time.Time, key state.JobKey, _ state.Digest, attempt message.Attempt, _ state.Epoch) []coordination.Action {
+func (claims) Claim(_ time.Time, key state.JobKey, _ state.Digest, attempt message.Attempt, _ state.Epoch, _ message.Fence) []coordination.Action {
 	return []coordination.Action{claimed{coordination.Granted{Key: key, Attempt: attempt}}}
 }
 
--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -108,6 +108,8 @@
 	Reason     state.Reason
 	RetryAfter time.Duration
 	Epoch      state.Epoch
+	// Fence is what later attempts for the id have to carry at Epoch.
+	Fence message.Fence
 	// Holder is who holds the id, if the pair's records say so.
 	Holder state.NodeID
 	// Digest is the holder's content digest, valid when Holder is set.
--- a/coordination/guard/bar.go
+++ b/coordination/guard/bar.go
@@ -45,10 +45,7 @@
 	}
 	if m.Epoch < s.pair.Epoch {
 		reply.Barred = s.wasThere(m.Epoch)
-		reply.Reason = barReason(reply.Barred)
-		if reply.Barred && s.knows < m.Epoch && !g.disabled.idDoubt {
-			reply.Reason = state.ReasonClaimsUnknown // as below
-		}
+		reply.Reason = g.pastReasonLocked(s, now, m, reply.Barred)
 		return reply
 	}
 	if m.Epoch > s.pair.Epoch || !s.guards(g.self) {
@@ -56,6 +53,9 @@
 		return reply
 	}
 	if !m.Unsent {
+		if !s.closed[m.Attempt].byBar { // a Bar sent again is the same word
+			g.fenceLocked(s, now, m.Key)
+		}
 		g.barNowLocked(s, index, now, m, acts)
 	}
 	reply.Barred = true
@@ -66,11 +66,19 @@
 	return reply
 }
 
-func barReason(barred bool) state.Reason {
-	if barred {
-		return state.ReasonBarred
+// pastReasonLocked is the reason for an attempt of an epoch that is over. That it
+// is ruled out says nothing of attempts at later epochs: only one that guards the
+// present one and holds all earlier claims can vouch for the id, and rules out
+// what is under way.
+func (g *Guard) pastReasonLocked(s *share, now time.Time, m message.Bar, barred bool) state.Reason {
+	switch {
+	case !barred:
+		return state.ReasonStaleEpoch
+	case !(s.guards(g.self) && s.complete()) && !g.disabled.idDoubt:
+		return state.ReasonClaimsUnknown
 	}
-	return state.ReasonStaleEpoch
+	g.fenceLocked(s, now, m.Key)
+	return state.ReasonBarred
 }
 
 // wasThere reports whether the record holds every claim granted at the epoch,
@@ -81,6 +89,7 @@
 
 func (g *Guard) barNowLocked(s *share, index uint32, now time.Time, m message.Bar, acts *actions) {
 	v := refuse(state.ReasonBarred)
+	v.byBar = true
 	g.closeLocked(s, now, m.Attempt, m.Epoch, v)
 	g.metrics.bars.Inc()
 	a, ok := s.asks[m.Key]
--- a/coordination/guard/cluster_test.go
+++ b/coordination/guard/cluster_test.go
@@ -190,7 +190,7 @@
 	}
 	if m, ok := e.msg.(message.Submit); ok {
 		c.calls(n.self, m)
-		c.do(n, n.Claim(c.now, m.Job.Key, m.Digest, m.Attempt, m.Epoch))
+		c.do(n, n.Claim(c.now, m.Job.Key, m.Digest, m.Attempt, m.Epoch, m.Fence))
 		return
 	}
 	if m, ok := e.msg.(message.Bar); ok {
--- a/coordination/guard/guard.go
+++ b/coordination/guard/guard.go
@@ -56,6 +56,8 @@
 	active activeShares
 	news   news
 	tokens atomic.Uint64
+	// fences is the largest number of a fence that was set here.
+	fences atomic.Uint64
 	// left is set once the roster says that Self is no member any more.
 	left atomic.Bool
 	// swept is the share where Tick goes on dropping what has expired.
@@ -80,6 +82,7 @@
 	pageOrder    bool // pages of a pull are matched to their asks
 	lostWait     bool // a share that ConfirmLost opens waits for its claims to expire
 	holder       bool // the witness's check for another holder
+	fences       bool // a "no" for an id rules out all earlier attempts
 	gapWait      bool // the sweep drops a gap only when its claims have expired
 	idDoubt      bool // a "no" from one that lacks claims says so
 }
--- a/coordination/guard/guard_test.go
+++ b/coordination/guard/guard_test.go
@@ -46,7 +46,7 @@
 
 func (s *script) claim(at state.NodeID, key state.JobKey, d byte, attempt message.Attempt, epoch state.Epoch) {
 	n := s.nodes[at]
-	s.do(n, n.Claim(s.now, key, digest(d), attempt, epoch))
+	s.do(n, n.Claim(s.now, key, digest(d), attempt, epoch, message.Fence{}))
 }
 
 func (s *script) evict(id state.NodeID) {
@@ -248,7 +248,7 @@
 				key := jobKey(worker*1000 + i)
 				epoch := a.Roster().Pair(region, roster.ShareOf(key)).Epoch
 				attempt := message.Attempt(fmt.Sprint(worker, "-", i))
-				for _, act := range a.Claim(s.now, key, digest(1), attempt, epoch) {
+				for _, act := range a.Claim(s.now, key, digest(1), attempt, epoch, message.Fence{}) {
 					relay(s.now, a, b, act)
 				}
 				b.Handle(s.now, entry, message.Bar{Key: key, Attempt: attempt, Epoch: epoch})
@@ -289,7 +289,7 @@
 		if q.Home != home.self {
 			h, w = witness, home
 		}
-		for _, act := range h.Claim(s.now, key, digest(1), "attempt", q.Epoch) {
+		for _, act := range h.Claim(s.now, key, digest(1), "attempt", q.Epoch, message.Fence{}) {
 			relay(s.now, h, w, act)
 		}
 	}
--- a/coordination/guard/home.go
+++ b/coordination/guard/home.go
@@ -29,6 +29,8 @@
 	digest  state.Digest
 	attempt message.Attempt
 	epoch   state.Epoch
+	// fence has the numbers of the last fences that the attempt's entry was told.
+	fence message.Fence
 	// began is when the attempt arrived, whatever it has waited for since.
 	began time.Time
 }
@@ -54,14 +56,15 @@
 }
 
 // Claim asks for the id on behalf of an attempt that an entry sent to this agent
-// as the home at the epoch. One Granted or Denied for the attempt is among the
+// as the home at the epoch. fence has the numbers that the entry was told of
+// for the id at the epoch. One Granted or Denied for the attempt is among the
 // actions of this call or a later one. Claim again for an attempt that waits
 // adds no answer; for one that was denied it gives the same answer again; for
 // one that was granted it is Denied with this agent as the holder.
-func (g *Guard) Claim(now time.Time, key state.JobKey, digest state.Digest, attempt message.Attempt, epoch state.Epoch) []coordination.Action {
+func (g *Guard) Claim(now time.Time, key state.JobKey, digest state.Digest, attempt message.Attempt, epoch state.Epoch, fence message.Fence) []coordination.Action {
 	g.touch(now)
 	var acts actions
-	c := candidate{key: key, digest: digest, attempt: attempt, epoch: epoch, began: now}
+	c := candidate{key: key, digest: digest, attempt: attempt, epoch: epoch, fence: fence, began: now}
 	index := roster.ShareOf(key)
 	s := &g.shares[index]
 	s.mu.Lock()
@@ -89,6 +92,10 @@
 		g.denyLocked(s, now, c, verdict{outcome: state.Unknown, reason: state.ReasonHomeUnreachable}, acts)
 		return
 	}
+	if n := g.fencedLocked(s, c.key, c.fence.Home); n > 0 && c.epoch == s.pair.Epoch {
+		g.denyLocked(s, now, c, fenced(message.Fence{Home: n}), acts)
+		return
+	}
 	reason := g.homeRefusal(s, now, c)
 	if reason == state.ReasonStaleEpoch && c.epoch > s.pair.Epoch {
 		g.parkLocked(s, index, now, c, acts)
@@ -174,6 +181,7 @@
 		Token:   a.token,
 		Epoch:   a.epoch,
 		Knows:   s.complete(),
+		Fence:   a.fence.Witness,
 	})
 }
 
@@ -217,6 +225,10 @@
 		g.endLocked(s, index, now, a, refuse(state.ReasonHomeUnreachable), acts)
 		return
 	}
+	if n := g.fencedLocked(s, a.key, a.fence.Home); n > 0 {
+		g.endLocked(s, index, now, a, fenced(message.Fence{Home: n}), acts)
+		return
+	}
 	if found := g.claims.Find(now, index, a.key); hasOther(found, g.self) {
 		g.endLocked(s, index, now, a, g.heldVerdict(found, a.digest), acts)
 		return
@@ -250,6 +262,8 @@
 		g.endLocked(s, index, now, a, verdict{
 			outcome: state.Unknown, reason: m.Reason, holder: m.Holder, digest: m.Digest,
 		}, acts)
+	case state.ReasonBarred:
+		g.endLocked(s, index, now, a, fenced(message.Fence{Witness: m.Fence}), acts)
 	default:
 		g.endLocked(s, index, now, a, refuse(m.Reason), acts)
 	}
--- a/coordination/guard/model_test.go
+++ b/coordination/guard/model_test.go
@@ -47,6 +47,14 @@
 	// submission itself.
 	unsent           bool
 	bars, barReplies int
+	number           int // in order of making
+	refused          bool
+}
+
+// refusal is a certain "not run" of an id.
+type refusal struct {
+	tries int // how many there were
+	epoch state.Epoch
 }
 
 type grant struct {
@@ -55,16 +63,26 @@
 	epoch  state.Epoch
 }
 
+// told is what entries know of an id's fences.
+type told struct {
+	epoch state.Epoch
+	fence message.Fence
+}
+
 // world drives real guards through random events and checks after each what was
 // said. fault holds the first thing that must never be said.
 type world struct {
 	*cluster
 	chooser
-	seed    uint64
-	outage  bool
-	tries   []*try
-	byID    map[message.Attempt]*try
-	grants  map[state.JobKey][]grant
+	seed   uint64
+	outage bool
+	tries  []*try
+	byID   map[message.Attempt]*try
+	grants map[state.JobKey][]grant
+	// refused are the certain refusals of each id, fences the largest numbers
+	// that came with them.
+	refused map[state.JobKey][]refusal
+	fences  map[state.JobKey]told
 	granted int
 	fault   string
 }
@@ -86,6 +104,8 @@
 		seed:    seed,
 		byID:    make(map[message.Attempt]*try),
 		grants:  make(map[state.JobKey][]grant),
+		refused: make(map[state.JobKey][]refusal),
+		fences:  make(map[state.JobKey]told),
 	}
 	w.disabled = disabled
 	w.opts.Retention = modelRetention
@@ -130,7 +150,15 @@
 			if a.Reason != state.ReasonClaimsUnknown {
 				w.ranBefore(t, "denied "+string(a.Reason))
 			}
+			switch a.Reason {
+			case state.ReasonClaimsUnknown: // the entry says "unknown"
+			case state.ReasonIDConflict: // it says so of this content only
+			case state.ReasonBarred: // it makes a new attempt, or goes by the BarReply
+			default:
+				w.mayNotRun(t)
+			}
 		}
+		w.learn(a)
 		first := len(t.verdicts) == 1 && t.verdicts[at] == 1 // later ones repeat it
 		if a.Reason == state.ReasonIDConflict && a.Outcome == state.NotRun && first && w.wasGranted(t) {
 			w.fail("%s: other content was called a conflict, but this content was granted", a.Attempt)
@@ -138,6 +166,18 @@
 	}
 }
 
+// learn takes in an id's fence as an entry does.
+func (w *world) learn(a coordination.Denied) {
+	f := w.fences[a.Key]
+	if a.Epoch > f.epoch {
+		f = told{epoch: a.Epoch}
+	}
+	if a.Epoch == f.epoch {
+		f.fence = f.fence.Join(a.Fence)
+	}
+	w.fences[a.Key] = f
+}
+
 func (w *world) wasGranted(t *try) bool {
 	return slices.ContainsFunc(w.grants[t.submit.Job.Key], func(g grant) bool {
 		return g.digest == t.submit.Digest && w.now.Sub(g.at) < modelRetention
@@ -155,6 +195,11 @@
 			w.fail("%v granted twice, by %s for %s", key, at, t.submit.Attempt)
 		}
 	}
+	for _, r := range w.refused[key] {
+		if t.number < r.tries && t.submit.Epoch <= r.epoch {
+			w.fail("%s granted by %s after its id was called not run at epoch %d", t.submit.Attempt, at, r.epoch)
+		}
+	}
 	t.granted = true
 	w.grants[key] = append(w.grants[key], grant{w.now, t.submit.Digest, t.submit.Epoch})
 }
@@ -170,9 +215,24 @@
 	}
 	if r.Reason != state.ReasonClaimsUnknown {
 		w.ranBefore(t, "barred for certain by "+string(at))
+		if !t.unsent {
+			w.mayNotRun(t)
+		}
 	}
 }
 
+// mayNotRun notes that a caller may be told "not run" of the attempt's id: then no
+// attempt that was made by now, by whichever entry, may be granted any more at the
+// same epoch or an earlier one. The same word once more is of the first time.
+func (w *world) mayNotRun(t *try) {
+	if t.refused {
+		return
+	}
+	t.refused = true
+	key := t.submit.Job.Key
+	w.refused[key] = append(w.refused[key], refusal{len(w.tries), t.submit.Epoch})
+}
+
 // ranBefore fails if the same content was granted at the attempt's epoch or
 // before: the entry passes a certain "no" on as an answer about the id, whose
 // earlier submission has run.
@@ -214,6 +274,12 @@
 		Job: state.Job{Key: key}, Digest: digest(d), Epoch: p.Epoch,
 		Attempt: message.Attempt(fmt.Sprint("try-", len(w.tries))),
 	}
+	t.number = len(w.tries)
+	if w.IntN(2) == 0 { // an entry that was told of the last fence
+		if f := w.fences[key]; f.epoch == p.Epoch {
+			t.submit.Fence = f.fence
+		}
+	}
 	w.tries = append(w.tries, t)
 	w.byID[t.submit.Attempt] = t
 	return t
@@ -545,7 +611,7 @@
 		for range roster.Shares / sweepShares {
 			n.sweep(w.now)
 		}
-		if st := n.Stats(); st.Claims.Bytes+st.Asks+st.Closed+st.Gaps > 0 {
+		if st := n.Stats(); st.Claims.Bytes+st.Asks+st.Closed+st.Fences+st.Gaps > 0 {
 			w.fail("%s still holds %+v", n.self, st)
 		}
 	}
--- a/coordination/guard/share.go
+++ b/coordination/guard/share.go
@@ -34,6 +34,8 @@
 	parked []candidate
 	// closed holds the attempts that were told "no" or barred.
 	closed map[message.Attempt]verdict
+	// fences are of the present epoch.
+	fences map[state.JobKey]fence
 	// handover is set while a leaving agent waits for its successors.
 	handover *handover
 }
@@ -65,6 +67,7 @@
 func (s *share) walk(self state.NodeID, next roster.Pair, harmless time.Time) {
 	old := s.pair
 	s.pair = next
+	s.fences = nil
 	if old.OK && !old.Has(self) {
 		s.since = next.Epoch
 		s.gaps = append(s.gaps, gap{
--- a/coordination/guard/stats.go
+++ b/coordination/guard/stats.go
@@ -17,6 +17,8 @@
 	Asks int
 	// Closed is how many denied or barred attempts are remembered.
 	Closed int
+	// Fences is how many ids have a fence.
+	Fences int
 	// Guarded is how many shares this agent is home or witness of. Incomplete
 	// is how many of them it lacks claims of.
 	Guarded    int
@@ -52,6 +54,7 @@
 	defer s.mu.Unlock()
 	st.Asks += len(s.asks)
 	st.Closed += len(s.closed)
+	st.Fences += len(s.fences)
 	st.Gaps += len(s.gaps)
 	if !s.guards(self) {
 		return
--- a/coordination/guard/tick.go
+++ b/coordination/guard/tick.go
@@ -151,6 +151,7 @@
 			delete(s.closed, attempt)
 		}
 	}
+	g.sweepFencesLocked(s, now)
 }
 
 // PeerGone tells that the connection to a node has gone. Claims that wait for
--- a/coordination/guard/verdict.go
+++ b/coordination/guard/verdict.go
@@ -19,6 +19,8 @@
 	reason  state.Reason
 	holder  state.NodeID
 	digest  state.Digest
+	byBar   bool
+	fence   message.Fence // that keeps the attempt out, or that this "no" has set
 }
 
 // refuse is a verdict that nothing was started by the attempt.
@@ -26,6 +28,11 @@
 	return verdict{outcome: state.NotRun, reason: reason}
 }
 
+// fenced is the verdict on an attempt that a fence keeps out.
+func fenced(f message.Fence) verdict {
+	return verdict{outcome: state.NotRun, reason: state.ReasonBarred, fence: f}
+}
+
 // giveUp is the verdict on an ask that had no yes in time. If no member of the
 // pair holds every claim granted before, an earlier submission of the id may have
 // run: this attempt has not, but its caller asks about the id.
@@ -52,6 +59,18 @@
 	s.closed[attempt] = v
 }
 
+// certain reports whether the verdict may reach a caller as "not run" of its id.
+func (v *verdict) certain() bool {
+	if v.outcome != state.NotRun {
+		return false
+	}
+	switch v.reason {
+	case state.ReasonMalformed, state.ReasonIDConflict, state.ReasonClaimsUnknown:
+		return false
+	}
+	return true
+}
+
 // vouchLocked takes back what a "no" would say beyond its attempt.
 //
 // Ruling out an attempt takes one member of its epoch, but the entry passes the
@@ -82,6 +101,9 @@
 // denyLocked closes the attempt and tells the job machine.
 func (g *Guard) denyLocked(s *share, now time.Time, c candidate, v verdict, acts *actions) {
 	v = g.vouchLocked(s, now, c, v)
+	if v.certain() && v.fence.IsZero() {
+		v.fence.Home = g.fenceLocked(s, now, c.key)
+	}
 	if !g.disabled.closed {
 		g.closeLocked(s, now, c.attempt, c.epoch, v)
 	}
@@ -103,6 +125,7 @@
 		Epoch:      epoch,
 		Holder:     v.holder,
 		Digest:     v.digest,
+		Fence:      v.fence,
 	}
 }
 
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -24,7 +24,7 @@
 // Claimer has a claim recorded by both members of the pair. Its verdict comes
 // back through Home.Verdict.
 type Claimer interface {
-	Claim(now time.Time, key state.JobKey, digest state.Digest, attempt message.Attempt, epoch state.Epoch) []coordination.Action
+	Claim(now time.Time, key state.JobKey, digest state.Digest, attempt message.Attempt, epoch state.Epoch, fence message.Fence) []coordination.Action
 }
 
 // Barrer is a Claimer that can rule an attempt out for good: it takes a Bar and
--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -16,7 +16,7 @@
 // grantAll grants each claim through the next Verdict.
 type grantAll struct{}
 
-func (grantAll) Claim(_ time.Time, key state.JobKey, _ state.Digest, attempt message.Attempt, _ state.Epoch) []coordination.Action {
+func (grantAll) Claim(_ time.Time, key state.JobKey, _ state.Digest, attempt message.Attempt, _ state.Epoch, _ message.Fence) []coordination.Action {
 	return []coordination.Action{coordination.Granted{Key: key, Attempt: attempt}}
 }
 
--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -77,6 +77,7 @@
 	phase      phase
 	attempt    message.Attempt // the one that is being claimed
 	epoch      state.Epoch
+	fence      message.Fence // of that attempt
 	tasks      []task
 	// backlog holds the waiting tasks' indexes in the order to place them.
 	backlog []int
--- a/coordination/home/submit.go
+++ b/coordination/home/submit.go
@@ -38,7 +38,7 @@
 	j = newJob(now, from, m)
 	p.jobs[j.key.ID] = j
 	p.schedule(j, j.deadline)
-	out := p.o.Claims.Claim(now, j.key, j.digest, j.attempt, j.epoch)
+	out := p.o.Claims.Claim(now, j.key, j.digest, j.attempt, j.epoch, j.fence)
 	j.stats.Messages += claimMessages(out)
 	return out
 }
@@ -90,7 +90,7 @@
 func newJob(now time.Time, from state.NodeID, m *message.Submit) *job {
 	j := &job{
 		key: m.Job.Key, operator: m.Job.Operator, digest: m.Digest, repeatable: m.Job.Repeatable,
-		attempt: m.Attempt, epoch: m.Epoch, arrived: now,
+		attempt: m.Attempt, epoch: m.Epoch, fence: m.Fence, arrived: now,
 		tasks:   make([]task, len(m.Job.Tasks)),
 		left:    len(m.Job.Tasks),
 		waiters: []waiter{{from, m.Attempt}},
@@ -185,7 +185,7 @@
 		return nil
 	}
 	a := message.Answer{
-		Key: j.key, Outcome: d.Outcome, Reason: d.Reason, RetryAfter: d.RetryAfter, Epoch: d.Epoch, Holder: d.Holder,
+		Key: j.key, Outcome: d.Outcome, Reason: d.Reason, RetryAfter: d.RetryAfter, Epoch: d.Epoch, Fence: d.Fence, Holder: d.Holder,
 	}
 	switch {
 	case d.Holder != "" && d.Digest != j.digest:
--- a/coordination/home/world_test.go
+++ b/coordination/home/world_test.go
@@ -71,7 +71,7 @@
 
 type worldClaims struct{}
 
-func (worldClaims) Claim(_ time.Time, key state.JobKey, _ state.Digest, attempt message.Attempt, _ state.Epoch) []coordination.Action {
+func (worldClaims) Claim(_ time.Time, key state.JobKey, _ state.Digest, attempt message.Attempt, _ state.Epoch, _ message.Fence) []coordination.Action {
 	return []coordination.Action{coordination.Granted{Key: key, Attempt: attempt}}
 }
 
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -30,11 +30,25 @@
 	Epoch state.Epoch
 	// Deadline is how long from now the caller waits. Zero means no deadline.
 	Deadline time.Duration
+	// Fence is what the entry was last told for the id at Epoch.
+	Fence Fence
 	// Query asks for the state of a known job and never starts anything. Job
 	// carries no tasks and Digest is not compared.
 	Query bool
 }
 
+// Fence has a number of each member of a pair. Each rules out every attempt for
+// an id that carries a smaller one; see package guard. Zero means none.
+type Fence struct{ Home, Witness uint64 }
+
+// IsZero reports whether no fence is set.
+func (f Fence) IsZero() bool { return f == Fence{} }
+
+// Join returns the larger number of each member.
+func (f Fence) Join(g Fence) Fence {
+	return Fence{Home: max(f.Home, g.Home), Witness: max(f.Witness, g.Witness)}
+}
+
 // Answer is the home's final answer to one attempt. Home to entry.
 type Answer struct {
 	Key     state.JobKey
@@ -48,6 +62,9 @@
 	// Epoch is the share's epoch as the answerer knows it, so that a stale
 	// entry learns that it must catch up.
 	Epoch state.Epoch
+	// Fence, with NotRun, is what the next attempt for the id has to carry at
+	// Epoch.
+	Fence Fence
 	// Holder, when set, names the node that holds the job: ask there.
 	Holder state.NodeID
 	// Results stand in task order. Set only when Outcome is Complete.
@@ -113,6 +130,8 @@
 	Epoch state.Epoch
 	// Knows says that the home's record holds every claim granted below Epoch.
 	Knows bool
+	// Fence is the Submit's number for the witness.
+	Fence uint64
 }
 
 // ClaimReply answers a ClaimAsk. Witness to home.
@@ -124,6 +143,8 @@
 	Granted bool
 	// Reason says why not.
 	Reason state.Reason
+	// Fence is the witness's number that an attempt for the id has to carry.
+	Fence uint64
 	// Holder and Digest describe the record that stands in the way, if one does.
 	Holder state.NodeID
 	Digest state.Digest
--- a/coordination/route/answer.go
+++ b/coordination/route/answer.go
@@ -63,6 +63,7 @@
 func (r *Router) onNotRun(now time.Time, f *flight, from state.NodeID, m *message.Answer) {
 	tried := f.cur
 	f.doubtful = f.doubtful || m.Reason == state.ReasonClaimsUnknown
+	fenced := f.takeFence(m) && m.Reason == state.ReasonBarred
 	delete(r.shardOf(f.key).attempts, tried.id)
 	f.ruleOut(tried.id)
 	v := verdict{reason: m.Reason, detail: m.Detail, retryAfter: m.RetryAfter}
@@ -73,6 +74,12 @@
 		r.askHolder(now, f, m.Holder)
 	case notReady(m.Reason):
 		r.wait(now, f, m, tried.epoch)
+	case fenced && f.heard():
+		// Somebody was told "not run" of the id since, or before: this caller
+		// waits, so the submission is made anew. If it can't be, another one that
+		// was made anew may run.
+		f.doubtful = true
+		r.tryHome(now, f)
 	case m.Reason == state.ReasonBarred || m.Reason == state.ReasonHomeUnreachable:
 		// The pair could not agree in time: that is no refusal of the job, and
 		// another pair may take it.
@@ -85,6 +92,20 @@
 	}
 }
 
+// takeFence keeps what the next attempt has to carry and reports whether it is
+// news.
+func (f *flight) takeFence(m *message.Answer) bool {
+	if m.Fence.IsZero() || m.Epoch < f.fenceEpoch {
+		return false
+	}
+	if m.Epoch > f.fenceEpoch {
+		f.fence, f.fenceEpoch = message.Fence{}, m.Epoch
+	}
+	old := f.fence
+	f.fence = f.fence.Join(m.Fence)
+	return f.fence != old
+}
+
 // onUnknown takes an answer that leaves the attempt open.
 func (r *Router) onUnknown(now time.Time, f *flight, from state.NodeID, m *message.Answer) {
 	switch {
--- a/coordination/route/doc.go
+++ b/coordination/route/doc.go
@@ -25,13 +25,19 @@
 // closes all of them: a NotRun that follows is of the caller's next submission.
 // Without a caller there to hear it, they stay open.
 //
-// What this doesn't cover: an id that the caller has submitted through another
-// entry. NotRun is said of what this entry has sent for the id; what others
-// have sent is known to the pair only, which answers with the holder if it has
-// granted any. That is why a home that nobody hears of is not refused from here,
-// though nothing was sent: the witness is asked first. Refusals of the limits,
-// of a service without a pair and of a draining entry are of this submission
-// only.
+// What other entries have sent for the id is known to the pair only, which
+// answers with the holder if it has granted any. A member that says "not run"
+// also rules out what others have sent and the pair hasn't seen yet; see fences
+// in package guard. Such a submission is made anew while its caller waits. That is
+// why a home that nobody hears of is not refused from here, though nothing was
+// sent: the witness is asked first. Without a pair nobody can be asked, and the
+// outcome is Unknown.
+//
+// What this doesn't cover: refusals of the limits and of a draining entry rule
+// out nothing at the pair, so a submission that another entry sent before may
+// still arrive at its home; and a witness that is itself behind the log, asked by
+// an entry that is equally behind while the home is out of reach, knows nothing of
+// a later pair.
 //
 // A repeatable request has no attempt. Each try has a key of its own at one
 // agent, and is closed by that agent's refusal only. request.refusal follows
--- a/coordination/route/flight.go
+++ b/coordination/route/flight.go
@@ -106,8 +106,11 @@
 	// doubtful says that a member of a pair ruled an attempt out without knowing
 	// all claims: the caller's id may have run before.
 	doubtful bool
-	done     bool
-	due      time.Time
+	// fence is what the members of the pair at fenceEpoch gave for the id.
+	fence      message.Fence
+	fenceEpoch state.Epoch
+	done       bool
+	due        time.Time
 	// extra counts messages beyond the first ask and the final answer.
 	extra int
 }
--- a/coordination/route/route_test.go
+++ b/coordination/route/route_test.go
@@ -172,3 +172,33 @@
 	is.Equal(got[0].Answer.Key, quote)
 	is.Equal(got[0].Answer.Stats.Wasted, 0)
 }
+
+// The caller of one entry was told "not run", and another entry's submission of
+// the id, made without word of that, is refused with the pair's fence. Its caller
+// waits, so it is made anew with the fence. A caller that has gone away may have
+// been the one that was told: for it nothing is made anew.
+func TestFencedSubmissionIsMadeAnewForACallerThatWaits(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		is := is.New(t)
+		b := newBench(nil)
+		subs, _ := sent[message.Submit](b.submit(1, false, 5*time.Second))
+		if gone {
+			b.Abandon(b.now, 1)
+		}
+		barred := message.Answer{
+			Key: quote, Attempt: subs[0].Attempt, Outcome: state.NotRun, Reason: state.ReasonBarred,
+			Epoch: subs[0].Epoch, Fence: message.Fence{Witness: 3},
+		}
+		again, _ := sent[message.Submit](b.Handle(b.now, "h", barred))
+		is.Equal(len(again) == 0, gone)
+		if gone {
+			continue
+		}
+		is.Equal(again[0].Fence, message.Fence{Witness: 3})
+		is.True(again[0].Attempt != subs[0].Attempt)
+		// The same fence once more is no reason to go on and on.
+		barred.Attempt = again[0].Attempt
+		more, _ := sent[message.Submit](b.Handle(b.now, "h", barred))
+		is.Equal(len(more), 0)
+	}
+}
--- a/coordination/route/submit.go
+++ b/coordination/route/submit.go
@@ -134,6 +134,8 @@
 		r.giveUp(now, f, verdict{reason: state.ReasonNoPair, retryAfter: retryPair})
 		return
 	}
+	// What the pair says of a fresh attempt covers what was granted before it.
+	f.doubtful = false
 	f.attempts++
 	f.lastHome, f.lastEpoch = home, epoch
 	a := attempt{id: r.newAttempt(), digest: f.digest, epoch: epoch, home: home, witness: witness}
@@ -198,6 +200,9 @@
 		return message.Cancel{Key: f.key, Attempt: f.cur.id}
 	}
 	m := message.Submit{Attempt: f.cur.id, Epoch: f.cur.epoch, Digest: f.digest, Deadline: f.left(now)}
+	if f.cur.epoch == f.fenceEpoch {
+		m.Fence = f.fence
+	}
 	if f.kind == kindQuery {
 		m.Query = true
 		m.Job = state.Job{Key: f.key}
--- a/protocol/wire/claim.go
+++ b/protocol/wire/claim.go
@@ -55,6 +55,7 @@
 		Token:   c.name("token", m.Token),
 		Epoch:   int64(m.Epoch),
 		Knows:   m.Knows,
+		Fence:   m.Fence,
 	}
 }
 
@@ -67,6 +68,7 @@
 		Token:   c.name("token", p.GetToken()),
 		Epoch:   state.Epoch(p.GetEpoch()),
 		Knows:   p.GetKnows(),
+		Fence:   p.GetFence(),
 	}
 }
 
@@ -76,6 +78,7 @@
 		Token:   c.name("token", m.Token),
 		Epoch:   int64(m.Epoch),
 		Granted: m.Granted,
+		Fence:   m.Fence,
 		Reason:  c.reason(m.Reason),
 		Holder:  c.node("holder", m.Holder),
 		Digest:  encodeDigest(m.Digest),
@@ -88,6 +91,7 @@
 		Token:   c.name("token", p.GetToken()),
 		Epoch:   state.Epoch(p.GetEpoch()),
 		Granted: p.GetGranted(),
+		Fence:   p.GetFence(),
 		Reason:  c.readReason(p.GetReason()),
 		Holder:  state.NodeID(c.name("holder", p.GetHolder())),
 		Digest:  c.decodeDigest(p.GetDigest()),
