--- a/bench/capacity/witness.go
+++ b/bench/capacity/witness.go
@@ -104,7 +104,7 @@
 		}
 		d.ask(key, i)
 	}
-	to := claim.New(retention)
+	to := claim.New(retention, 1)
 	var bytes traffic
 	bytes.on = true
 	var pages, records int
@@ -119,7 +119,7 @@
 	adds = measure(1, func(int) {
 		for _, reply := range replies {
 			for _, r := range reply.Records {
-				to.Add(d.now, share, claim.Record{Key: r.Key, Digest: r.Digest, Holder: r.Holder, Token: r.Token, At: d.now.Add(-r.Age)})
+				to.Add(d.now, share, claim.Record{ID: r.ID, Content: r.Content, Holder: r.Holder, At: d.now.Add(-r.Age)})
 			}
 		}
 	})
--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -110,8 +110,6 @@
 	Epoch      state.Epoch
 	// Holder is who holds the id, if the pair's records say so.
 	Holder state.NodeID
-	// Digest is the holder's content digest, valid when Holder is set.
-	Digest state.Digest
 }
 
 func (Send) action()      {}
--- a/coordination/guard/bar.go
+++ b/coordination/guard/bar.go
@@ -34,7 +34,7 @@
 		reply.Reason = state.ReasonStaleEpoch
 		return reply
 	}
-	if found := g.claims.Find(now, index, m.Key); len(found) > 0 {
+	if found := g.find(now, index, m.Key); len(found) > 0 {
 		reply.Reason = state.ReasonHomeLost
 		reply.Holder = found[0].Holder
 		return reply
--- a/coordination/guard/cluster_test.go
+++ b/coordination/guard/cluster_test.go
@@ -8,6 +8,7 @@
 	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/claim"
 	"github.com/shallotstep/shallotstep/state/roster"
 )
 
@@ -62,6 +63,8 @@
 	net      []envelope
 	disabled safeguards
 	opts     Options
+	// oneID gives all job ids the same claim.ID.
+	oneID bool
 	// applied shares the work of Apply among nodes, which all read one log.
 	applied map[step]result
 	root    *roster.Roster
@@ -99,6 +102,9 @@
 	n := &node{Guard: New(o)}
 	n.disabled = c.disabled
 	n.applyTo = c.applyTo
+	if c.oneID {
+		n.idOf = func(state.JobKey) claim.ID { return claim.ID{} }
+	}
 	n.page = 1 // every claim on a page of its own
 	n.roster.Store(c.root)
 	c.nodes[id] = n
--- a/coordination/guard/guard.go
+++ b/coordination/guard/guard.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
@@ -47,6 +49,8 @@
 	applyTo func(*roster.Roster, int64, []byte) (*roster.Roster, roster.Change, error)
 
 	claims *claim.Table
+	// idOf is claim.IDOf; a test gives all ids one ID.
+	idOf func(state.JobKey) claim.ID
 	// keep is how long a record is kept. A witness records a claim up to
 	// giveUpAfter before it is granted, so that much is added to Retention.
 	keep time.Duration
@@ -80,6 +84,7 @@
 	pageOrder    bool // pages of a pull are matched to their asks
 	lostWait     bool // a share that ConfirmLost opens waits for its claims to expire
 	holder       bool // the witness's check for another holder
+	grantedHere  bool // only who was granted the id calls other content not run
 	gapWait      bool // the sweep drops a gap only when its claims have expired
 	idDoubt      bool // a "no" from one that lacks claims says so
 }
@@ -92,9 +97,10 @@
 		metrics: newMetrics(),
 		applyTo: (*roster.Roster).Apply,
 		page:    pageRecords,
+		idOf:    claim.IDOf,
 	}
 	g.keep = o.Retention + g.giveUpAfter()
-	g.claims = claim.New(g.keep)
+	g.claims = claim.New(g.keep, xxhash.Sum64String(string(g.self)))
 	g.roster.Store(roster.New())
 	return g
 }
@@ -108,7 +114,7 @@
 // it prefers the one this agent holds.
 func (g *Guard) Lookup(key state.JobKey) (message.Record, bool) {
 	now := time.Unix(0, g.latest.Load())
-	found := g.claims.Find(now, roster.ShareOf(key), key)
+	found := g.find(now, roster.ShareOf(key), key)
 	if len(found) == 0 {
 		return message.Record{}, false
 	}
@@ -151,12 +157,16 @@
 	*a = append(*a, coordination.Send{To: to, Msg: msg})
 }
 
+func (g *Guard) find(now time.Time, index uint32, key state.JobKey) []claim.Record {
+	return g.claims.Find(now, index, g.idOf(key))
+}
+
 func toMessage(now time.Time, r claim.Record) message.Record {
-	return message.Record{Key: r.Key, Digest: r.Digest, Holder: r.Holder, Token: r.Token, Age: now.Sub(r.At)}
+	return message.Record{ID: r.ID, Content: r.Content, Holder: r.Holder, Age: max(0, now.Sub(r.At))}
 }
 
 func fromMessage(now time.Time, r message.Record) claim.Record {
-	return claim.Record{Key: r.Key, Digest: r.Digest, Holder: r.Holder, Token: r.Token, At: now.Add(-r.Age)}
+	return claim.Record{ID: r.ID, Content: r.Content, Holder: r.Holder, At: now.Add(-r.Age)}
 }
 
 // validKey bounds what a peer can make the table store.
--- a/coordination/guard/home.go
+++ b/coordination/guard/home.go
@@ -81,8 +81,8 @@
 	}
 	// The record comes first: the attempt may be a late copy of one that this
 	// agent granted before it went on to another epoch.
-	if found := g.claims.Find(now, index, c.key); len(found) > 0 {
-		g.denyLocked(s, now, c, g.heldVerdict(found, c.digest), acts)
+	if found := g.find(now, index, c.key); len(found) > 0 {
+		g.denyLocked(s, now, c, g.heldVerdict(now, found, c.digest), acts)
 		return
 	}
 	if g.late(now, c) {
@@ -217,12 +217,12 @@
 		g.endLocked(s, index, now, a, refuse(state.ReasonHomeUnreachable), acts)
 		return
 	}
-	if found := g.claims.Find(now, index, a.key); hasOther(found, g.self) {
-		g.endLocked(s, index, now, a, g.heldVerdict(found, a.digest), acts)
+	if found := g.find(now, index, a.key); hasOther(found, g.self) {
+		g.endLocked(s, index, now, a, g.heldVerdict(now, found, a.digest), acts)
 		return
 	}
 	g.claims.Add(now, index, claim.Record{
-		Key: a.key, Digest: a.digest, Holder: g.self, Token: a.token, At: now,
+		ID: g.idOf(a.key), Content: claim.ContentOf(a.digest), Holder: g.self, At: now, Granted: true,
 	})
 	delete(s.asks, a.key)
 	g.metrics.granted.Inc()
@@ -244,11 +244,11 @@
 		g.endLocked(s, index, now, a, refuse(state.ReasonStaleEpoch), acts)
 	case state.ReasonIDConflict:
 		g.endLocked(s, index, now, a, verdict{
-			outcome: state.NotRun, reason: m.Reason, holder: m.Holder, digest: m.Digest,
+			outcome: state.NotRun, reason: m.Reason, holder: m.Holder,
 		}, acts)
 	case state.ReasonHomeLost:
 		g.endLocked(s, index, now, a, verdict{
-			outcome: state.Unknown, reason: m.Reason, holder: m.Holder, digest: m.Digest,
+			outcome: state.Unknown, reason: m.Reason, holder: m.Holder,
 		}, acts)
 	default:
 		g.endLocked(s, index, now, a, refuse(m.Reason), acts)
--- a/coordination/guard/pull.go
+++ b/coordination/guard/pull.go
@@ -169,9 +169,7 @@
 		return
 	}
 	for _, r := range m.Records {
-		if validKey(r.Key) && roster.ShareOf(r.Key) == m.Share {
-			g.claims.Add(now, m.Share, fromMessage(now, r))
-		}
+		g.claims.Add(now, m.Share, fromMessage(now, r))
 	}
 	if s.pull.after == "" {
 		s.pull.covers = c
--- a/coordination/guard/safeguards_test.go
+++ b/coordination/guard/safeguards_test.go
@@ -25,6 +25,7 @@
 		"other holder":   {holder: true},
 		"id in doubt":    {idDoubt: true},
 		"gap wait":       {gapWait: true},
+		"granted here":   {grantedHere: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/coordination/guard/verdict.go
+++ b/coordination/guard/verdict.go
@@ -18,7 +18,6 @@
 	outcome state.Outcome
 	reason  state.Reason
 	holder  state.NodeID
-	digest  state.Digest
 }
 
 // refuse is a verdict that nothing was started by the attempt.
@@ -70,8 +69,8 @@
 	if v.outcome != state.NotRun || final || g.disabled.idDoubt {
 		return v
 	}
-	if found := g.claims.Find(now, roster.ShareOf(c.key), c.key); len(found) > 0 {
-		return g.heldVerdict(found, c.digest)
+	if found := g.find(now, roster.ShareOf(c.key), c.key); len(found) > 0 {
+		return g.heldVerdict(now, found, c.digest)
 	}
 	if s.knows < c.epoch {
 		v.reason = state.ReasonClaimsUnknown
@@ -102,7 +101,6 @@
 		RetryAfter: g.retryAfter(v.reason),
 		Epoch:      epoch,
 		Holder:     v.holder,
-		Digest:     v.digest,
 	}
 }
 
@@ -135,28 +133,49 @@
 //
 // One of the records may have run, and this agent can't tell which. With other
 // content it can't vouch that this content never ran either: it may be behind,
-// and the record may be of a claim that was never granted. Only the witness can,
-// at the same epoch as the home; see refuseHeld.
-func (g *Guard) heldVerdict(records []claim.Record, digest state.Digest) verdict {
+// and the record may be of a claim that was never granted. The witness can, at
+// the same epoch as the home; see refuseHeld. So can the agent that was granted
+// the id with other content; see grantedHere.
+func (g *Guard) heldVerdict(now time.Time, records []claim.Record, digest state.Digest) verdict {
+	content := claim.ContentOf(digest)
 	best := records[0]
 	for _, r := range records {
-		if r.Holder == g.self || r.Digest == digest && best.Holder != g.self {
+		if r.Holder == g.self || r.Content == content && best.Holder != g.self {
 			best = r
 		}
 	}
-	v := verdict{outcome: state.Unknown, reason: state.ReasonHomeLost, holder: best.Holder, digest: best.Digest}
+	v := verdict{outcome: state.Unknown, reason: state.ReasonHomeLost, holder: best.Holder}
 	switch {
-	case !hasDigest(records, digest):
+	case !hasContent(records, content):
 		v.reason = state.ReasonIDConflict
+		if g.grantedHere(now, records) || g.disabled.grantedHere {
+			v.outcome = state.NotRun
+		}
 	case best.Holder == g.self:
 		v.reason = state.ReasonNone
 	}
 	return v
 }
 
-func hasDigest(records []claim.Record, digest state.Digest) bool {
+// grantedHere reports whether this agent was granted the id itself, so lately
+// that no other content can have been granted since, whoever guards it now.
+//
+// The witness recorded the claim before the grant, but no more than giveUpAfter
+// before, which is what keep has beyond the retention. So all know of it until
+// Retention after the grant, of which the record's time is rounded up. Before
+// the grant there was no other within its retention, or this one had not been.
+func (g *Guard) grantedHere(now time.Time, records []claim.Record) bool {
+	for _, r := range records {
+		if r.Granted && r.Holder == g.self && now.Sub(r.At)+g.claims.Unit() < g.opts.Retention {
+			return true
+		}
+	}
+	return false
+}
+
+func hasContent(records []claim.Record, content claim.Content) bool {
 	for _, r := range records {
-		if r.Digest == digest {
+		if r.Content == content {
 			return true
 		}
 	}
--- a/coordination/guard/vouch.go
+++ b/coordination/guard/vouch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/claim"
 	"github.com/shallotstep/shallotstep/state/roster"
 )
 
@@ -17,8 +18,8 @@
 	s := &g.shares[index]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, r := range g.claims.Find(now, index, key) {
-		if r.Holder == holder && r.Digest == digest {
+	for _, r := range g.find(now, index, key) {
+		if r.Holder == holder && r.Content == claim.ContentOf(digest) {
 			return true, true
 		}
 	}
--- a/coordination/guard/witness.go
+++ b/coordination/guard/witness.go
@@ -29,20 +29,21 @@
 		return reply
 	}
 	complete := m.Knows || s.complete()
-	found := g.claims.Find(now, index, m.Key)
-	if conflicts(found, from, m.Digest) && !g.disabled.holder {
+	found := g.find(now, index, m.Key)
+	if conflicts(found, from, claim.ContentOf(m.Digest)) && !g.disabled.holder {
 		return refuseHeld(reply, found, m.Digest, complete)
 	}
 	// The asker alone can grant what it holds, and asks only for what it hasn't
-	// granted: the same holder gets the same yes. Otherwise one of the two must
-	// know every claim granted before, or the id may have been granted already
-	// by a pair of which neither has heard.
-	if len(found) == 0 && !complete && !g.disabled.watermark {
+	// granted: the same holder gets the same yes. But one of the two must know
+	// every claim granted before, or the id may have been granted already by a
+	// pair of which neither has heard. A record of the same holder doesn't stand
+	// in for that: it may be of another id with the same claim.ID.
+	if !complete && !g.disabled.watermark {
 		reply.Reason = state.ReasonClaimsUnknown
 		return reply
 	}
 	g.claims.Add(now, index, claim.Record{
-		Key: m.Key, Digest: m.Digest, Holder: from, Token: m.Token, At: now,
+		ID: g.idOf(m.Key), Content: claim.ContentOf(m.Digest), Holder: from, At: now,
 	})
 	reply.Granted = true
 	return reply
@@ -79,9 +80,9 @@
 	return closed && !g.disabled.bars
 }
 
-func conflicts(found []claim.Record, holder state.NodeID, digest state.Digest) bool {
+func conflicts(found []claim.Record, holder state.NodeID, content claim.Content) bool {
 	for _, r := range found {
-		if r.Holder != holder || r.Digest != digest {
+		if r.Holder != holder || r.Content != content {
 			return true
 		}
 	}
@@ -94,16 +95,17 @@
 // them holds every claim granted before.
 func refuseHeld(reply message.ClaimReply, found []claim.Record, digest state.Digest, certain bool) message.ClaimReply {
 	reply.Reason = state.ReasonHomeLost
+	reply.Digest = digest // without a conflict; the record has no digest of its own
 	best := found[0]
 	for _, r := range found {
-		if r.Digest == digest {
+		if r.Content == claim.ContentOf(digest) {
 			best = r
 		}
 	}
-	if certain && best.Digest != digest {
+	if certain && best.Content != claim.ContentOf(digest) {
 		reply.Reason = state.ReasonIDConflict
+		reply.Digest = state.Digest{}
 	}
 	reply.Holder = best.Holder
-	reply.Digest = best.Digest
 	return reply
 }
--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -538,3 +538,26 @@
 		n++
 	}
 }
+
+// denying refuses each claim with one verdict.
+type denying struct{ coordination.Denied }
+
+func (d denying) Claim(_ time.Time, key state.JobKey, _ state.Digest, attempt message.Attempt, _ state.Epoch) []coordination.Action {
+	d.Key, d.Attempt = key, attempt
+	return []coordination.Action{d.Denied}
+}
+
+// The guard finds the id recorded with other content, and can't tell whether this
+// content ran as well. The home used to call that "not run" by itself; the caller
+// would then have run the job again under a new id.
+func TestConflictIsNotRunOnlyByTheGuardsWord(t *testing.T) {
+	for _, outcome := range []state.Outcome{state.Unknown, state.NotRun} {
+		is := is.New(t)
+		v := coordination.Denied{Outcome: outcome, Reason: state.ReasonIDConflict, Holder: "other"}
+		b := newBench(agents(8), func(o *Options) { o.Claims = denying{v} })
+		b.submit("j", 1, 0, "1")
+		a := only(t, b)
+		is.Equal(a.Outcome, outcome)
+		is.Equal(a.Reason, state.ReasonIDConflict)
+	}
+}
--- a/coordination/home/submit.go
+++ b/coordination/home/submit.go
@@ -188,8 +188,9 @@
 		Key: j.key, Outcome: d.Outcome, Reason: d.Reason, RetryAfter: d.RetryAfter, Epoch: d.Epoch, Holder: d.Holder,
 	}
 	switch {
-	case d.Holder != "" && d.Digest != j.digest:
-		a.Outcome, a.Reason = state.NotRun, state.ReasonIDConflict
+	case d.Reason == state.ReasonIDConflict:
+		// The guard alone can tell whether this content may have run as well: its
+		// outcome stands.
 	case d.Holder == p.o.Self:
 		// The claim is this home's from a time of which it no longer keeps the
 		// job: it may have run, and there is nobody else to ask.
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/claim"
 )
 
 // Message is any value that one node sends to another.
@@ -122,18 +123,19 @@
 	Granted bool
 	// Reason says why not.
 	Reason state.Reason
-	// Holder and Digest describe the record that stands in the way, if one does.
+	// Holder is of the record that stands in the way, if one does. Digest is the
+	// asker's unless the reason is a conflict: homes of older versions call
+	// another one a conflict themselves, which only the witness can.
 	Holder state.NodeID
 	Digest state.Digest
 }
 
 // Record is one claim as pairs exchange it.
 type Record struct {
-	Key    state.JobKey
-	Digest state.Digest
+	ID      claim.ID
+	Content claim.Content
 	// Holder is the home that asked for the claim.
 	Holder state.NodeID
-	Token  string
 	// Age is how long ago the claim was recorded.
 	Age time.Duration
 }
--- a/protocol/wire/claim.go
+++ b/protocol/wire/claim.go
@@ -1,9 +1,12 @@
 package wire
 
 import (
+	"slices"
+
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/protocol/wire/nodepb"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/claim"
 )
 
 func (c *checker) encodeBar(m *message.Bar) *nodepb.Bar {
@@ -129,10 +132,8 @@
 	for i := range m.Records {
 		r := &m.Records[i]
 		out.Records = append(out.Records, &nodepb.Record{
-			Key:    c.encodeKey(r.Key),
-			Digest: encodeDigest(r.Digest),
+			Digest: slices.Concat(r.ID[:], r.Content[:]),
 			Holder: c.node("holder", r.Holder),
-			Token:  c.name("token", r.Token),
 			AgeNs:  c.nanos("age", r.Age),
 		})
 	}
@@ -152,17 +153,33 @@
 		Next:    c.text("next", p.GetNext(), MaxCursorLength),
 	}
 	for _, r := range p.GetRecords() {
+		id, content := c.decodeClaim(r)
 		out.Records = append(out.Records, message.Record{
-			Key:    c.decodeKey(r.GetKey()),
-			Digest: c.decodeDigest(r.GetDigest()),
-			Holder: state.NodeID(c.name("holder", r.GetHolder())),
-			Token:  c.name("token", r.GetToken()),
-			Age:    c.duration("age", r.GetAgeNs()),
+			ID:      id,
+			Content: content,
+			Holder:  state.NodeID(c.name("holder", r.GetHolder())),
+			Age:     c.duration("age", r.GetAgeNs()),
 		})
 	}
 	return out
 }
 
+// decodeClaim reads what a record is of. Nodes of before claims were kept as
+// hashes send the key and the whole digest. They refuse a message with a digest
+// of another length as a whole, and so don't take a record that they can't read
+// for no record.
+func (c *checker) decodeClaim(r *nodepb.Record) (claim.ID, claim.Content) {
+	if r.GetKey() != nil {
+		return claim.IDOf(c.decodeKey(r.GetKey())), claim.ContentOf(c.decodeDigest(r.GetDigest()))
+	}
+	b := r.GetDigest()
+	if len(b) != claim.IDLength+claim.ContentLength {
+		c.fail("record: %d bytes in place of %d", len(b), claim.IDLength+claim.ContentLength)
+		return claim.ID{}, claim.Content{}
+	}
+	return claim.ID(b[:claim.IDLength]), claim.Content(b[claim.IDLength:])
+}
+
 func (c *checker) encodeEpochs(field string, epochs []state.Epoch) []int64 {
 	if len(epochs) > MaxEpochs {
 		c.fail("%s: %d epochs, at most %d", field, len(epochs), MaxEpochs)
--- a/protocol/wire/wire_test.go
+++ b/protocol/wire/wire_test.go
@@ -20,6 +20,7 @@
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/protocol/wire/nodepb"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/claim"
 )
 
 // kinds has one value of every message type; TestEveryMessageHasAnEncoding
@@ -220,6 +221,7 @@
 
 func TestDecodeRefuses(t *testing.T) {
 	for name, e := range map[string]*nodepb.Envelope{
+		"record length": {Kind: &nodepb.Envelope_PullReply{PullReply: &nodepb.PullReply{Records: []*nodepb.Record{{Digest: make([]byte, 32)}}}}},
 		"digest length": {Kind: &nodepb.Envelope_Submit{Submit: &nodepb.Submit{Digest: make([]byte, 31)}}},
 		"deadline":      {Kind: &nodepb.Envelope_Assign{Assign: &nodepb.Assign{DeadlineNs: -1}}},
 		"index":         {Kind: &nodepb.Envelope_Report{Report: &nodepb.Report{Refused: []uint32{state.MaxTasksPerJob}}}},
@@ -269,3 +271,20 @@
 		}
 	})
 }
+
+// During a rolling upgrade a pull may be answered by a node that still keeps whole
+// ids. Its records must stand for the same claims: read as others, they would let
+// the ids be granted again.
+func TestRecordOfAnOlderNode(t *testing.T) {
+	is := is.New(t)
+	key := state.JobKey{Service: "s", ID: "job"}
+	digest := state.Digest{1, 2, 3}
+	e := &nodepb.Envelope{Kind: &nodepb.Envelope_PullReply{PullReply: &nodepb.PullReply{Records: []*nodepb.Record{{
+		Key: &nodepb.JobKey{Service: key.Service, Id: key.ID}, Digest: digest[:], Holder: "a", Token: "t", AgeNs: 1,
+	}}}}}
+	m, err := Decode(e)
+	is.NoErr(err)
+	is.Equal(m.(message.PullReply).Records, []message.Record{{
+		ID: claim.IDOf(key), Content: claim.ContentOf(digest), Holder: "a", Age: 1,
+	}})
+}
--- a/state/claim/page.go
+++ b/state/claim/page.go
@@ -1,7 +1,10 @@
 package claim
 
 import (
+	"bytes"
+	"cmp"
 	"fmt"
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -18,8 +21,8 @@
 // Page returns a part of the share's claims, about most of them, and the cursor
 // of the next part; it is empty with the last one. The first cursor is empty.
 //
-// Parts are told apart by the ids' hashes, so that a claim which is there all
-// the while is in the page of its hash, whatever comes and goes between pages.
+// Parts are told apart by the IDs' ranks, so that a claim which is there all
+// the while is in the page of its rank, whatever comes and goes between pages.
 func (t *Table) Page(now time.Time, share uint32, cursor string, most int) ([]Record, string, error) {
 	s := &t.shards[share]
 	s.mu.Lock()
@@ -29,6 +32,9 @@
 	if err != nil {
 		return nil, "", err
 	}
+	if part >= parts {
+		return nil, "", nil // a probe
+	}
 	var out []Record
 	for _, g := range s.gens {
 		out = g.part(uint64(part), uint64(parts), out)
@@ -45,7 +51,7 @@
 		return 0, sizeLocked(s)/max(most, 1) + 1, nil
 	}
 	_, err = fmt.Sscanf(cursor, "%d/%d", &part, &parts)
-	if err != nil || part < 0 || parts < 1 {
+	if err != nil || part < 0 || parts < 1 || part >= parts && cursor != ProbeCursor {
 		return 0, 0, errors.Wrapf(ErrBadCursor, "%q", cursor)
 	}
 	return part, parts, nil
@@ -59,15 +65,20 @@
 	return n
 }
 
-// part appends the claims whose hash falls in the part.
+// part appends the claims whose rank falls in the part. It reads their stretch
+// of the table and no more, so a share costs its size once, not once a page.
 func (g *generation) part(part, parts uint64, out []Record) []Record {
-	for at := 0; at < len(g.buf); {
-		r, next := g.read(at)
-		if hashOf(r.Key)%parts == part {
-			out = append(out, r)
-		}
-		at = next
+	first, rest := bits.Div64(part, 0, parts)
+	if rest > 0 {
+		first++
 	}
+	g.each(g.place(first), func(c []byte) bool {
+		at, _ := bits.Mul64(g.rank(c), parts)
+		if at == part {
+			out = append(out, g.read(c))
+		}
+		return at <= part
+	})
 	return out
 }
 
@@ -90,17 +101,10 @@
 }
 
 func compareRecords(a, b Record) int {
-	if c := strings.Compare(a.Key.Service, b.Key.Service); c != 0 {
-		return c
-	}
-	if c := strings.Compare(a.Key.ID, b.Key.ID); c != 0 {
-		return c
-	}
-	if c := strings.Compare(string(a.Holder), string(b.Holder)); c != 0 {
-		return c
-	}
-	if c := slices.Compare(a.Digest[:], b.Digest[:]); c != 0 {
-		return c
-	}
-	return a.At.Compare(b.At)
+	return cmp.Or(
+		bytes.Compare(a.ID[:], b.ID[:]),
+		strings.Compare(string(a.Holder), string(b.Holder)),
+		bytes.Compare(a.Content[:], b.Content[:]),
+		a.At.Compare(b.At),
+	)
 }
--- a/state/claim/table.go
+++ b/state/claim/table.go
@@ -12,25 +12,25 @@
 // memory sooner and make a lookup longer.
 const generations = 8
 
-// MaxTokenLength bounds a record's token, in bytes.
-const MaxTokenLength = 255
-
 // Record is one claim: the holder has asked for the id, with this content.
 type Record struct {
-	Key    state.JobKey
-	Digest state.Digest
+	ID      ID
+	Content Content
 	// Holder is the home that asked for the claim.
 	Holder state.NodeID
-	// Token is the holder's name for the try, cut to MaxTokenLength bytes.
-	Token string
-	// At is when the claim was recorded, to the millisecond.
+	// At is when the claim was recorded, rounded up to a 524,280th of the
+	// retention: 165 ms for a day.
 	At time.Time
+	// Granted is set in the holder's own record of a claim that it was granted.
+	// It isn't handed on.
+	Granted bool
 }
 
 // Table holds the claims of one agent for the shares of its region. It is safe
 // for concurrent use.
 type Table struct {
 	retention time.Duration
+	seed      uint64
 	shards    [roster.Shares]shard
 }
 
@@ -44,42 +44,41 @@
 type Size struct {
 	// Claims counts records. An id recorded by two homes counts twice.
 	Claims int
-	// Bytes is the memory they take, reckoned from the slices and the index.
+	// Bytes is the memory they take, reckoned from the slices.
 	Bytes int
 }
 
-// New returns an empty table that keeps each claim for the retention.
-func New(retention time.Duration) *Table {
-	return &Table{retention: retention}
+// New returns an empty table that keeps each claim for the retention. Tables
+// that exchange pages have different seeds.
+func New(retention time.Duration, seed uint64) *Table {
+	return &Table{retention: retention, seed: seed}
 }
 
-// Add records a claim. The key's id has at most state.MaxIDLength bytes. An id may have several holders: which of them was
-// granted isn't known here, so none may be forgotten. The same holder with the
-// same content is recorded anew only if that keeps the claim longer.
+// Add records a claim. An id may have several holders: which of them was granted
+// isn't known here, so none may be forgotten. The same holder with the same
+// content is recorded anew only if that keeps the claim longer.
 func (t *Table) Add(now time.Time, share uint32, r Record) {
 	if now.Sub(r.At) >= t.retention {
 		return
 	}
-	r.Token = r.Token[:min(len(r.Token), MaxTokenLength)]
-	hash := hashOf(r.Key)
 	s := &t.shards[share]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.pruneLocked(s, now)
-	for _, old := range findLocked(s, hash, r.Key) {
-		if old.Holder == r.Holder && old.Digest == r.Digest && !r.At.After(old.At) {
+	for _, old := range findLocked(s, &r.ID) {
+		if old.Holder == r.Holder && old.Content == r.Content && !r.At.After(old.At) {
 			return
 		}
 	}
-	t.generationLocked(s, r.At).add(hash, r)
+	t.generationLocked(s, r.At).put(&r)
 }
 
 // Find returns the claims of the id that are within their retention: none, one,
 // or one for each holder and content.
-func (t *Table) Find(now time.Time, share uint32, key state.JobKey) []Record {
+func (t *Table) Find(now time.Time, share uint32, id ID) []Record {
 	s := &t.shards[share]
 	s.mu.Lock()
-	found := findLocked(s, hashOf(key), key)
+	found := findLocked(s, &id)
 	s.mu.Unlock()
 	return t.newest(now, found)
 }
@@ -102,7 +101,7 @@
 
 func sameClaim(rs []Record, r Record) int {
 	for i := range rs {
-		if rs[i].Key == r.Key && rs[i].Holder == r.Holder && rs[i].Digest == r.Digest {
+		if rs[i].ID == r.ID && rs[i].Holder == r.Holder && rs[i].Content == r.Content {
 			return i
 		}
 	}
@@ -132,10 +131,10 @@
 	return total
 }
 
-func findLocked(s *shard, hash uint64, key state.JobKey) []Record {
+func findLocked(s *shard, id *ID) []Record {
 	var out []Record
 	for _, g := range s.gens {
-		out = g.find(hash, key, out)
+		out = g.find(id, out)
 	}
 	return out
 }
@@ -144,6 +143,11 @@
 	return max(t.retention/generations, time.Millisecond)
 }
 
+// Unit is what a time may be rounded up by.
+func (t *Table) Unit() time.Duration {
+	return t.span()/maxUnits + 1
+}
+
 func (t *Table) pruneLocked(s *shard, now time.Time) {
 	keep := 0
 	for keep < len(s.gens) && now.Sub(s.gens[keep].start) >= t.span()+t.retention {
@@ -169,7 +173,7 @@
 			return g
 		}
 	}
-	g := newGeneration(start)
+	g := newGeneration(start, t.Unit(), t.seed)
 	s.gens = append(s.gens, nil)
 	copy(s.gens[i+1:], s.gens[i:])
 	s.gens[i] = g
