Give claims one default retention of 6 hours

Cause: the settings said 24 h, the code 6 h where no settings are given, so the promise "no task starts twice" depended on how a node was started.

--- a/coordination/node/agent.go
+++ b/coordination/node/agent.go
@@ -14,16 +14,13 @@
 	"github.com/shallotstep/shallotstep/coordination/member"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/claim"
 	"github.com/shallotstep/shallotstep/state/declaration"
 	"github.com/shallotstep/shallotstep/state/roster"
 )
 
 // Defaults of the guard's settings.
 const (
-	// DefaultClaimRetention is how long an id runs at most once. A claim costs
-	// memory at both members of its pair for as long; docs/CAPACITY.md has the
-	// figures at full size.
-	DefaultClaimRetention = 6 * time.Hour
 	// DefaultBlindLimit is how long a guard goes on granting while it can't
 	// know of newer roster records.
 	DefaultBlindLimit = 6 * time.Hour
@@ -87,7 +84,7 @@
 	setDefault(&o.Linger, DefaultLinger)
 	a := &Agent{linger: o.Linger, self: o.Self, set: declaration.NewSet(), seen: roster.New()}
 	o.Guard.Self = o.Self
-	setDefault(&o.Guard.Retention, DefaultClaimRetention)
+	setDefault(&o.Guard.Retention, claim.DefaultRetention)
 	setDefault(&o.Guard.Blind, DefaultBlindLimit)
 	setDefault(&o.Guard.AskRetry, DefaultAskRetry)
 	o.Guard.RegionOf = a.regionOf
--- a/protocol/config/config_test.go
+++ b/protocol/config/config_test.go
@@ -5,12 +5,14 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/shallotstep/shallotstep/state/claim"
 	"github.com/shallotstep/shallotstep/state/strictjson"
 )
 
@@ -196,3 +198,13 @@
 	is.Equal(len(faults), 5)
 	is.True(!strings.Contains(err.Error(), "0123456789abcdef"))
 }
+
+// A node made without settings and one made with the defaults must keep claims
+// equally long. With two defaults, the promise depended on how it was started.
+func TestOneDefaultForClaims(t *testing.T) {
+	is := is.New(t)
+	i := slices.IndexFunc(table, func(s *setting) bool { return s.key == "retention.claims" })
+	var s Settings
+	table[i].assign(&s, RoleAgent)
+	is.Equal(s.Retention.Claims, claim.DefaultRetention)
+}
--- a/protocol/config/table.go
+++ b/protocol/config/table.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/shallotstep/shallotstep/state/claim"
 )
 
 var (
@@ -111,8 +113,8 @@
 		func(s *Settings) *time.Duration { return &s.Timeouts.Drain }, time.Minute, time.Second, time.Hour, daemons...),
 	length("retention.answers", "How long an answer is kept for resubmission.",
 		func(s *Settings) *time.Duration { return &s.Retention.Answers }, 10*time.Minute, time.Second, day, agent...),
-	length("retention.claims", "How long a claim is kept, and so how long a job id runs at most once.",
-		func(s *Settings) *time.Duration { return &s.Retention.Claims }, day, time.Minute, 30*day, agent...),
+	length("retention.claims", "How long a claim is kept, and so how long a job id runs at most once. Longer than any caller submits an id again; docs/CAPACITY.md has what it costs.",
+		func(s *Settings) *time.Duration { return &s.Retention.Claims }, claim.DefaultRetention, time.Minute, 30*day, agent...),
 	length("retention.blind", "How long an agent goes on granting claims with neither the log nor a peer that has seen it.",
 		func(s *Settings) *time.Duration { return &s.Retention.Blind }, 6*time.Hour, time.Minute, 30*day, agent...),
 	length("retention.log", "Shortest time that the platform's log keeps a record. Snapshots are written at a quarter of it.",
--- a/state/claim/table.go
+++ b/state/claim/table.go
@@ -8,6 +8,12 @@
 	"github.com/shallotstep/shallotstep/state/roster"
 )
 
+// DefaultRetention is how long a claim is kept, and so how long a job id runs at
+// most once, if the settings don't say. By the table in docs/CAPACITY.md even the
+// fullest agent after the loss of a failure domain has room for it at the target's
+// peak held all day, in jobs of 50 tasks or more.
+const DefaultRetention = 6 * time.Hour
+
 // generations is how many generations make up a retention. More of them free
 // memory sooner and make a lookup longer.
 const generations = 8
