Wait longer for a page of a pull

A source that took longer was left for the next one, mostly a dead member of an earlier epoch, and its page dropped when it came. After the loss of a failure domain, when sources are busy, that made them busier.

Change: a page is waited for 8 times AskRetry at first, and twice as long after each one that did not come, for the rest of the pull. Weighed: taking late first pages from any source asked before; it saves one page a pull and needs a proof of its own.

The benchmark keeps claims for the default retention.

--- a/bench/capacity/recovery.go
+++ b/bench/capacity/recovery.go
@@ -31,6 +31,7 @@
 		t.add(prefix+"shares to pull", float64(shares), "")
 		t.add(prefix+"all pulled after", r.d.now.Sub(r.began).Seconds(), "s")
 		t.add(prefix+"asked for each page needed", float64(r.asks)/float64(shares*pagesOfShare), "")
+		t.add(prefix+"sent for each page needed", float64(r.sent)/float64(shares*pagesOfShare), "")
 	}
 }
 
@@ -41,6 +42,7 @@
 	dead    map[state.NodeID]bool
 	flying  []pageOnItsWay
 	asks    int
+	sent    int // pages, by living sources
 }
 
 type pageOnItsWay struct {
@@ -89,6 +91,7 @@
 		if r.dead[send.To] {
 			continue
 		}
+		r.sent++
 		reply := message.PullReply{
 			Region: ask.Region, Share: ask.Share, After: ask.After, Next: nextPage(ask.After),
 			Knows: r.d.pair(ask.Share).Epoch,
--- a/bench/capacity/witness.go
+++ b/bench/capacity/witness.go
@@ -14,10 +14,10 @@
 const (
 	claimsMeasured = 100_000
 	barsMeasured   = 20_000
-	// claimSpan is the virtual time over which the claims come: the default
+	// claimSpan is the virtual time over which the claims come: nearly the
 	// retention, so that they fill its generations evenly.
-	claimSpan = 23 * time.Hour
-	retention = 24 * time.Hour
+	claimSpan = retention - retention/24
+	retention = claim.DefaultRetention
 	shareFull = 20_000
 	token     = "1a2b3"
 )
--- a/coordination/guard/model_test.go
+++ b/coordination/guard/model_test.go
@@ -509,6 +509,8 @@
 	switch x {
 	case 41:
 		w.inquire()
+	case 196:
+		w.linger()
 	case 197:
 		w.supplant()
 	default:
@@ -547,6 +549,45 @@
 	})
 }
 
+// linger has a pair be evicted that reaches everybody but hears nothing of it. Its
+// successors pull from it, and only then does it grant an id at its epoch.
+func (w *world) linger() {
+	key := modelKeys()[w.IntN(2)]
+	p := w.pair(key)
+	if !p.OK || len(w.truth().Members()) < 4 {
+		return
+	}
+	for _, id := range []state.NodeID{p.Home, p.Witness} {
+		w.nodes[id].noLog, w.nodes[id].cut = true, 0
+		w.append(roster.Evict{NodeID: id, By: "model"})
+	}
+	w.readAll()
+	for range 16 {
+		w.exchange(func(e envelope) bool { return p.Has(e.to) && isNews(e.msg) })
+		w.pass(settleStep)
+	}
+	for _, at := range []roster.Pair{p, w.pair(key)} {
+		w.carry(w.submitAt(at, key, 0))
+		w.hurry(func(m message.Message) bool { r, ok := m.(message.ClaimReply); return ok && r.Key == key })
+	}
+}
+
+func isNews(m message.Message) bool {
+	_, ok := m.(message.RosterReply)
+	return ok
+}
+
+// exchange delivers what is on its way, but for what is lost.
+func (w *world) exchange(lost func(envelope) bool) {
+	sent := w.net
+	w.net = nil
+	for _, e := range sent {
+		if !lost(e) {
+			w.deliver(e)
+		}
+	}
+}
+
 // carry has an attempt reach its home, and the home's ask the witness.
 func (w *world) carry(t *try) {
 	w.hurry(func(m message.Message) bool { s, ok := m.(message.Submit); return ok && s.Attempt == t.submit.Attempt })
--- a/coordination/guard/pull.go
+++ b/coordination/guard/pull.go
@@ -16,6 +16,8 @@
 	// maxBackoff bounds how much longer than AskRetry a pull waits between
 	// rounds when nobody can help.
 	maxBackoff = 64
+	// firstPatience is how many times AskRetry a page is waited for at first.
+	firstPatience = 8
 )
 
 // pull fetches a share's claims from one that holds them all.
@@ -32,6 +34,15 @@
 	covers  coverage
 	next    time.Time
 	backoff int
+	// patience is how many times AskRetry a page is waited for. It doubles when
+	// one didn't come in time and lasts as long as the pull.
+	//
+	// With AskRetry itself, a source that takes longer for a page was left for
+	// the next one, and its page thrown away when it came: a busy source sent
+	// each page three to five times. One that is no member any more is probably
+	// dead and gets AskRetry as before: after the loss of a failure domain there
+	// are many of them.
+	patience int
 }
 
 // needPullLocked begins a pull if this agent guards the share and lacks claims.
@@ -40,7 +51,7 @@
 		s.pull = nil
 		return
 	}
-	s.pull = &pull{backoff: 1}
+	s.pull = &pull{backoff: 1, patience: firstPatience}
 	g.active.add(index)
 	g.askPageLocked(s, index, now, acts)
 }
@@ -71,7 +82,11 @@
 }
 
 func (g *Guard) sendPageAskLocked(s *share, index uint32, now time.Time, acts *actions) {
-	s.pull.next = now.Add(time.Duration(s.pull.backoff) * g.opts.AskRetry)
+	wait := s.pull.backoff
+	if _, member := g.roster.Load().Member(s.pull.source); member {
+		wait = max(wait, s.pull.patience)
+	}
+	s.pull.next = now.Add(time.Duration(wait) * g.opts.AskRetry)
 	acts.send(s.pull.source, message.PullAsk{
 		Region: g.opts.Self.Region,
 		Share:  index,
--- a/coordination/guard/tick.go
+++ b/coordination/guard/tick.go
@@ -94,10 +94,18 @@
 		return
 	}
 	if !now.Before(s.pull.next) {
+		g.waitLonger(s.pull)
 		g.nextSourceLocked(s, index, now, acts)
 	}
 }
 
+// waitLonger notes that a page didn't come in time. The source may be slow.
+func (g *Guard) waitLonger(p *pull) {
+	if _, member := g.roster.Load().Member(p.source); member {
+		p.patience = min(2*p.patience, maxBackoff)
+	}
+}
+
 func (g *Guard) tickAsksLocked(s *share, index uint32, now time.Time, acts *actions) {
 	for _, a := range sortedAsks(s) {
 		if s.asks[a.key] != a || now.Before(a.next) {
