Test that a doubtful id is never called not run

A home that lacks the claims granted before, with its witness paused, and the entry that hears of the doubt.

--- a/coordination/guard/guard_test.go
+++ b/coordination/guard/guard_test.go
@@ -296,3 +296,44 @@
 	st := home.Stats()
 	b.ReportMetric(float64(st.Claims.Bytes)/float64(st.Claims.Claims), "bytes/claim")
 }
+
+// A job ran, its home dies, and an agent that has none of the claims becomes the
+// home. The one that knows, its witness, is paused. The caller submits the id again
+// through another entry. It must not hear a plain "not run": its job did run.
+func TestNewHomeWithASilentWitnessVouchesForNothing(t *testing.T) {
+	is := is.New(t)
+	s := newScript(6)
+	var key state.JobKey
+	for i := 0; ; i++ {
+		key = jobKey(i)
+		p := s.pair(key)
+		after, _, err := s.truth().Apply(int64(len(s.log)+1), encodeEvict(p.Home))
+		is.NoErr(err)
+		if after.Pair(region, roster.ShareOf(key)).Witness == p.Witness {
+			break
+		}
+	}
+	p := s.pair(key)
+	s.claim(p.Home, key, 1, "first", p.Epoch)
+	s.settle()
+	_, granted := s.last("first")
+	is.True(granted)
+	s.kill(p.Home)
+	s.nodes[p.Witness].held = true
+	s.evict(p.Home)
+	q := s.pair(key)
+	s.claim(q.Home, key, 1, "second", q.Epoch)
+	s.settle()
+	d, granted := s.last("second")
+	is.True(!granted)
+	is.Equal(d.Attempt, message.Attempt("second"))
+	is.Equal(d.Reason, state.ReasonClaimsUnknown)
+}
+
+func encodeEvict(id state.NodeID) []byte {
+	data, err := roster.Encode(roster.Evict{NodeID: id, By: "test"})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- a/coordination/route/silence_test.go
+++ b/coordination/route/silence_test.go
@@ -171,3 +171,27 @@
 		is.Equal(delivered(acts)[0].Answer.Outcome, outcome)
 	}
 }
+
+// A home has just entered its pair and lacks the claims granted before, among them
+// the desk's own earlier submission by way of another entry. It rules the attempt
+// out and says that it can't vouch for the id. Told "not run", the desk would have
+// the job run again under a new id; a later refusal without that doubt doesn't make
+// the first one certain.
+func TestRuledOutAttemptOfAnUnknownIDIsNotNotRun(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	subs, _ := sent[message.Submit](b.submit(1, false, 5*time.Second))
+	doubt := message.Answer{
+		Key: quote, Attempt: subs[0].Attempt, Outcome: state.NotRun, Reason: state.ReasonClaimsUnknown, Epoch: 7,
+	}
+	acts := b.Handle(b.now, "h", doubt)
+	is.Equal(len(delivered(acts)), 0)
+	again, to := sent[message.Submit](append(acts, b.pass(pairWait/2)...))
+	is.Equal(to[0], state.NodeID("h"))
+	is.True(again[0].Attempt != subs[0].Attempt)
+	last := message.Answer{
+		Key: quote, Attempt: again[len(again)-1].Attempt, Outcome: state.NotRun, Reason: state.ReasonBusy, Epoch: 7,
+	}
+	got := delivered(b.Handle(b.now, "h", last))
+	is.Equal(got[0].Answer.Outcome, state.Unknown)
+}
