--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -112,8 +112,6 @@
 	Fence message.Fence
 	// Holder is who holds the id, if the pair's records say so.
 	Holder state.NodeID
-	// Digest is the holder's content digest, valid when Holder is set.
-	Digest state.Digest
 }
 
 func (Send) action()      {}
--- a/coordination/guard/safeguards_test.go
+++ b/coordination/guard/safeguards_test.go
@@ -26,6 +26,7 @@
 		"id in doubt":    {idDoubt: true},
 		"gap wait":       {gapWait: true},
 		"fences":         {fences: true},
+		"granted here":   {grantedHere: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/coordination/route/answer.go
+++ b/coordination/route/answer.go
@@ -78,7 +78,7 @@
 		// Somebody was told "not run" of the id since, or before: this caller
 		// waits, so the submission is made anew. If it can't be, another one that
 		// was made anew may run.
-		f.doubtful = true
+		f.doubtful = f.doubtful || f.attempts >= maxAttempts
 		r.tryHome(now, f)
 	case m.Reason == state.ReasonBarred || m.Reason == state.ReasonHomeUnreachable:
 		// The pair could not agree in time: that is no refusal of the job, and
--- a/coordination/route/submit.go
+++ b/coordination/route/submit.go
@@ -134,8 +134,6 @@
 		r.giveUp(now, f, verdict{reason: state.ReasonNoPair, retryAfter: retryPair})
 		return
 	}
-	// What the pair says of a fresh attempt covers what was granted before it.
-	f.doubtful = false
 	f.attempts++
 	f.lastHome, f.lastEpoch = home, epoch
 	a := attempt{id: r.newAttempt(), digest: f.digest, epoch: epoch, home: home, witness: witness}
--- /dev/null
+++ b/test/session/random_test.go
@@ -0,0 +1,281 @@
+package session
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/shallotstep/shallotstep/standin/backendserver"
+	"github.com/shallotstep/shallotstep/standin/logserver"
+)
+
+// The flags make longer trials:
+// go test -run RandomFaults -fault-seed 7 -fault-events 200 ./test/session.
+var (
+	faultSeed   = flag.Uint64("fault-seed", 1, "seed of TestRandomFaults")
+	faultEvents = flag.Int("fault-events", 25, "how many events TestRandomFaults brings about")
+)
+
+const (
+	randomAgents  = 5
+	randomEntries = 2
+	randomCallers = 8
+	// maxTries is how often a caller submits under one id.
+	maxTries = 8
+)
+
+// told is what callers were told of one job.
+type told struct {
+	id    string
+	tasks int
+	// notRun is set while the last word was "not run".
+	notRun bool
+	// complete is the results once they were told.
+	complete string
+	// history is every answer, for a failure's message.
+	history []string
+}
+
+// callers submit jobs until they are stopped and check every answer.
+type callers struct {
+	f    *fleet
+	stop atomic.Bool
+	mu   sync.Mutex
+	// jobs and outcomes are guarded by mu.
+	jobs     []*told
+	outcomes map[string]int
+}
+
+func (c *callers) run(seed uint64, n int) {
+	rng := rand.New(rand.NewPCG(seed, uint64(n)+1))
+	for i := 0; !c.stop.Load(); i++ {
+		j := &told{id: fmt.Sprintf("job-%d-%d", n, i), tasks: 1 + rng.IntN(12)}
+		c.mu.Lock()
+		c.jobs = append(c.jobs, j)
+		c.mu.Unlock()
+		c.see(rng, j, job(j.id, j.tasks, time.Duration(rng.IntN(150))*time.Millisecond))
+	}
+}
+
+// see submits under one id until the outcome is final, and sometimes once more.
+func (c *callers) see(rng *rand.Rand, j *told, body string) {
+	again := rng.IntN(4) == 0
+	for try := 0; try < maxTries; try++ {
+		if j.notRun {
+			c.checkNotRun(j)
+			j.notRun = false
+		}
+		h := c.f.entries[rng.IntN(len(c.f.entries))]
+		r := c.f.client(h).submit(body)
+		outcome := c.take(j, h.name, r)
+		final := outcome == "complete" || outcome == "failed"
+		if final && !again {
+			return
+		}
+		if final {
+			again = false
+		}
+		time.Sleep(time.Duration(50+rng.IntN(300)) * time.Millisecond)
+	}
+}
+
+// take checks one answer and returns its outcome.
+func (c *callers) take(j *told, by string, r reply) string {
+	var a answer
+	switch {
+	case r.err != nil && r.status != 0:
+		a.Outcome = "torn"
+	case r.err != nil:
+		a.Outcome = "no connection"
+	default:
+		if err := json.Unmarshal([]byte(r.body), &a); err != nil {
+			c.f.t.Errorf("%s: the answer is no document: %s", j.id, r)
+		}
+	}
+	sum, _ := c.f.countStarts(c, j)
+	j.history = append(j.history, fmt.Sprintf("\n  %s by %s, %d started: %.200s", time.Now().Format("05.000"), by, sum, r))
+	switch a.Outcome {
+	case "complete":
+		c.checkComplete(j, r, a)
+	case "not_run":
+		j.notRun = true
+		c.checkNotRun(j)
+		if j.complete != "" {
+			c.f.t.Errorf("%s was complete and then not run: %s", j.id, r)
+		}
+	case "failed", "unknown", "torn", "no connection":
+	default:
+		c.f.t.Errorf("%s: no outcome in %s", j.id, r)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes[a.Outcome+" "+string(a.Reason)]++
+	return a.Outcome
+}
+
+func (c *callers) checkComplete(j *told, r reply, a answer) {
+	if r.status != http.StatusOK || a.ID != j.id || len(a.Results) != j.tasks {
+		c.f.t.Errorf("%s is not whole: %s", j.id, r)
+		return
+	}
+	all := fmt.Sprintf("%s", a.Results)
+	for i, raw := range a.Results {
+		if want := fmt.Sprintf("%q", fmt.Sprintf("%s/%d", j.id, i)); string(raw) != want {
+			c.f.t.Errorf("result %d of %s is %s", i, j.id, raw)
+		}
+	}
+	if j.complete != "" && j.complete != all {
+		c.f.t.Errorf("%s has two answers: %s and %s", j.id, j.complete, all)
+	}
+	j.complete = all
+}
+
+func (c *callers) checkNotRun(j *told) {
+	if n, _ := c.f.countStarts(c, j); n > 0 {
+		c.f.t.Errorf("%s was called not run, and %d tasks were started:%s", j.id, n, j.history)
+	}
+}
+
+func (f *fleet) countStarts(c *callers, j *told) (sum, most int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return f.startsOf(j.id, j.tasks)
+}
+
+// TestRandomFaults: callers submit, and submit again under the same id through
+// either entry, while agents, entries and backend servers are killed, paused
+// (some through their own eviction), stopped as planned and started anew, the
+// log is down, slow or loses replies, several at once and again during the
+// recovery. Every answer is whole or a clear refusal, no task starts twice, what
+// was called "not run" has not run, and afterwards everything is served again.
+func TestRandomFaults(t *testing.T) {
+	notShort(t)
+	t.Parallel()
+	systems <- struct{}{}
+	defer func() { <-systems }()
+	seed := *faultSeed
+	f := newFleet(t, seed, randomAgents, randomEntries)
+	c := &callers{f: f, outcomes: make(map[string]int)}
+	var wg conc.WaitGroup
+	for n := range randomCallers {
+		wg.Go(func() { c.run(seed, n) })
+	}
+	for i := range *faultEvents {
+		f.event(c)
+		f.pauseFor(i)
+	}
+	f.heal()
+	for _, h := range f.entries {
+		f.submitsAgain(h, "healed-"+h.name)
+	}
+	c.stop.Store(true)
+	wg.Wait()
+	c.checkAll()
+	t.Logf("seed %d: %d jobs, answers %v", seed, len(c.jobs), c.outcomes)
+}
+
+// checkAll checks what must hold at the end.
+func (c *callers) checkAll() {
+	for _, j := range c.jobs {
+		sum, most := c.f.startsOf(j.id, j.tasks)
+		if most > 1 {
+			c.f.t.Errorf("a task of %s was started %d times", j.id, most)
+		}
+		if j.notRun && sum > 0 {
+			c.f.t.Errorf("%s was called not run last, and %d tasks were started", j.id, sum)
+		}
+		if j.complete != "" && sum != j.tasks {
+			c.f.t.Errorf("%s is complete with %d of %d tasks started", j.id, sum, j.tasks)
+		}
+	}
+}
+
+// pauseFor lets time go by between events: often none, so that two come together.
+func (f *fleet) pauseFor(int) {
+	time.Sleep(time.Duration(f.rng.IntN(4)*f.rng.IntN(400)) * time.Millisecond)
+}
+
+// event makes one thing go wrong, or mends one.
+func (f *fleet) event(c *callers) {
+	h := f.agents[f.rng.IntN(len(f.agents))]
+	e := f.entries[f.rng.IntN(len(f.entries))]
+	n := f.rng.IntN(16)
+	fmt.Fprintf(os.Stderr, "EVENT %s %d %s %s\n", time.Now().Format("05.000"), n, h.name, e.name)
+	switch n {
+	case 0, 1:
+		f.lockedKill(c, h, f.rng.IntN(2) == 0)
+	case 2, 3:
+		h.pause()
+	case 4, 5, 6:
+		h.resume()
+	case 7:
+		f.terminate(h)
+	case 8:
+		f.killHost(e, false)
+	case 9:
+		f.terminate(e)
+	case 10:
+		f.log.SetFaults(f.logFaults())
+	case 11:
+		f.log.SetFaults(logserver.Faults{})
+	case 12:
+		h.backend.SetFaults(f.backendFaults())
+	case 13:
+		h.backend.SetFaults(backendserver.Faults{})
+	default:
+		f.reviveAll()
+	}
+}
+
+// lockedKill keeps callers from counting starts while a backend server is
+// replaced.
+func (f *fleet) lockedKill(c *callers, h *host, whole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f.killHost(h, whole)
+}
+
+func (f *fleet) logFaults() logserver.Faults {
+	return []logserver.Faults{
+		{Outage: true}, {Cut: true}, {DelayMS: 800}, {LoseNextReplies: 3},
+	}[f.rng.IntN(4)]
+}
+
+func (f *fleet) backendFaults() backendserver.Faults {
+	return []backendserver.Faults{
+		{FailAll: true}, {Refuse: true}, {Freeze: true}, {DropReplies: 0.3},
+		{DropRequests: 0.3}, {DropAsks: 0.3}, {Slow: time.Second},
+	}[f.rng.IntN(7)]
+}
+
+func (f *fleet) hosts() []*host { return append(append([]*host(nil), f.agents...), f.entries...) }
+
+func (f *fleet) reviveAll() {
+	for _, h := range f.hosts() {
+		f.revive(h)
+	}
+}
+
+// heal ends every fault and waits until all processes run.
+func (f *fleet) heal() {
+	f.log.SetFaults(logserver.Faults{})
+	for _, h := range f.agents {
+		h.backend.SetFaults(backendserver.Faults{})
+	}
+	for _, h := range f.hosts() {
+		h.resume()
+		if h.stopping {
+			h.process.exit()
+		}
+	}
+	f.reviveAll()
+}
