Say "not run" of an id only where every earlier claim is known, also to a silent witness

Cause: a home that joined lately doesn't hold every claim granted before until its pull ends. If its witness was silent meanwhile (dead, paused, cut off) it gave the attempt up as "not run, home_unreachable", though the id had run before, even to the end: its caller asks about the id, not about the attempt. The same when the link to the witness broke, when the witness refused for the moment, when the home was blind, and when a member barred an attempt of an epoch that is over without holding all claims. Only the witness's own "claims unknown" was taken care of.

Change: such a refusal is "unknown" unless the share's record is complete.

--- a/coordination/guard/bar.go
+++ b/coordination/guard/bar.go
@@ -46,6 +46,9 @@
 	if m.Epoch < s.pair.Epoch {
 		reply.Barred = s.wasThere(m.Epoch)
 		reply.Reason = barReason(reply.Barred)
+		if reply.Barred && !s.complete() {
+			reply.Reason = state.ReasonClaimsUnknown // as below
+		}
 		return reply
 	}
 	if m.Epoch > s.pair.Epoch || !s.guards(g.self) {
--- a/coordination/guard/home.go
+++ b/coordination/guard/home.go
@@ -210,11 +210,11 @@
 		return
 	}
 	if g.blind(now) {
-		g.endLocked(s, index, now, a, refuse(state.ReasonLogUnavailable), acts)
+		g.endLocked(s, index, now, a, s.refuseID(state.ReasonLogUnavailable), acts)
 		return
 	}
 	if g.late(now, a.candidate) {
-		g.endLocked(s, index, now, a, refuse(state.ReasonHomeUnreachable), acts)
+		g.endLocked(s, index, now, a, s.refuseID(state.ReasonHomeUnreachable), acts)
 		return
 	}
 	if found := g.claims.Find(now, index, a.key); hasOther(found, g.self) {
@@ -251,7 +251,7 @@
 			outcome: state.Unknown, reason: m.Reason, holder: m.Holder, digest: m.Digest,
 		}, acts)
 	default:
-		g.endLocked(s, index, now, a, refuse(m.Reason), acts)
+		g.endLocked(s, index, now, a, s.refuseID(m.Reason), acts)
 	}
 }
 
--- a/coordination/guard/tick.go
+++ b/coordination/guard/tick.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		if g.late(now, a.candidate) {
-			g.endLocked(s, index, now, a, a.giveUp(), acts)
+			g.endLocked(s, index, now, a, s.giveUp(a), acts)
 			continue
 		}
 		g.metrics.askRetries.Inc()
@@ -165,7 +165,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for a := askOf(s, id); a != nil; a = askOf(s, id) {
-		g.endLocked(s, index, now, a, refuse(state.ReasonHomeUnreachable), acts)
+		g.endLocked(s, index, now, a, s.refuseID(state.ReasonHomeUnreachable), acts)
 	}
 	if s.pull != nil && s.pull.source == id {
 		g.nextSourceLocked(s, index, now, acts)
--- a/coordination/guard/verdict.go
+++ b/coordination/guard/verdict.go
@@ -26,14 +26,23 @@
 	return verdict{outcome: state.NotRun, reason: reason}
 }
 
-// giveUp is the verdict on an ask that had no yes in time. If no member of the
-// pair holds every claim granted before, an earlier submission of the id may have
-// run: this attempt has not, but its caller asks about the id.
-func (a *ask) giveUp() verdict {
+// giveUp is the verdict on an ask that had no yes in time; see refuseID.
+func (s *share) giveUp(a *ask) verdict {
 	reason := a.giveUpReason()
 	if reason == state.ReasonClaimsUnknown {
 		return verdict{outcome: state.Unknown, reason: reason}
 	}
+	return s.refuseID(reason)
+}
+
+// refuseID is the verdict on an attempt that was not granted. Unless this agent
+// holds every claim granted before, an earlier submission of the id may have run:
+// this attempt has not, but its caller asks about the id. Told "not run" by a new
+// home whose witness was silent, it could have the work done again elsewhere.
+func (s *share) refuseID(reason state.Reason) verdict {
+	if !s.complete() {
+		return verdict{outcome: state.Unknown, reason: reason}
+	}
 	return refuse(reason)
 }
 
