Drive whole nodes through deaths, pauses and replacements of each role

Entry, home, witness, agent, backend server and log are killed (the process, or its machine without a word), paused up to 40 s and replaced, at any moment, two at once in a third of the steps and the same again within 12 s in a third. After each step: no task started twice, no "not run" of an id that has run, no partial answer, each answer its caller's own, and nothing unanswered later than two ticks (20 ms) after its deadline, or after its entry goes on if that stood still.

--- a/coordination/node/race_off_test.go
+++ b/coordination/node/race_off_test.go
@@ -7,4 +7,6 @@
 	randomSeeds     = 40
 	badNetworkSeeds = 6
 	fleetSeeds      = 12
+	recoverySeeds   = 40
+	homeDeathSeeds  = 40
 )
--- a/coordination/node/race_on_test.go
+++ b/coordination/node/race_on_test.go
@@ -10,4 +10,6 @@
 	randomSeeds     = 3
 	badNetworkSeeds = 1
 	fleetSeeds      = 2
+	recoverySeeds   = 2
+	homeDeathSeeds  = 2
 )
--- a/coordination/node/world_test.go
+++ b/coordination/node/world_test.go
@@ -40,10 +40,15 @@
 	agent   *Agent // nil for an entry
 	side    int    // hosts on different sides of a cut don't hear each other
 	dead    bool
+	silent  bool      // died with its whole machine: nobody refuses a connection
 	paused  time.Time // stands still until then
 	noLog   bool
 	read    map[coordination.Stream]int64
 	backend bool
+	// backends counts the backend servers that ran beside an agent before, and
+	// running are the tasks at the present one.
+	backends int
+	running  map[state.TaskKey]bool
 }
 
 // world drives whole nodes over a network, a log and backend servers that live
@@ -80,6 +85,12 @@
 	job    state.Job
 	begun  time.Time
 	answer *message.Answer
+	// entry, deadline and heard are by whom, until when and when it is answered.
+	entry    *host
+	deadline time.Time
+	heard    time.Time
+	// orphan: its entry died, so that the caller lost its connection.
+	orphan bool
 }
 
 type event struct {
@@ -153,7 +164,7 @@
 func (w *world) check() {
 	w.t.Helper()
 	for id, tk := range w.tickets {
-		if tk.answer == nil {
+		if tk.answer == nil && !tk.orphan {
 			w.fail("ticket %d (%s) has no answer", id, tk.job.Key.ID)
 		}
 	}
@@ -192,13 +203,19 @@
 }
 
 func (w *world) addAgent(name, domain string, slots int) *host {
-	self := state.Member{ID: state.NodeID(name + "@1"), Addr: fmt.Sprintf("127.0.0.1:%d", 1+len(w.hosts)), Region: "jeonbuk", Domain: domain, Rack: "r1"}
+	return w.addIncarnation(name, 1, domain, slots)
+}
+
+// addIncarnation adds an agent that was started under its name before.
+func (w *world) addIncarnation(name string, incarnation int, domain string, slots int) *host {
+	id := state.NodeID(fmt.Sprintf("%s@%d", name, incarnation))
+	self := state.Member{ID: id, Addr: fmt.Sprintf("127.0.0.1:%d", 1+len(w.hosts)), Region: "jeonbuk", Domain: domain, Rack: "r1"}
 	a := NewAgent(AgentOptions{Self: self, Seed: w.rng.Uint64()})
-	h := w.add(&host{id: self.ID, node: a, agent: a, backend: true})
+	h := w.add(&host{id: self.ID, node: a, agent: a, backend: true, running: make(map[state.TaskKey]bool)})
 	w.every(h, time.Second, func() {
 		if h.backend {
 			w.execute(h, a.Announce(w.now, state.Backend{
-				ID: name, URL: "http://127.0.0.1:1", Services: []string{"bench-desk"}, Slots: slots,
+				ID: fmt.Sprintf("%s-%d", name, h.backends), URL: "http://127.0.0.1:1", Services: []string{"bench-desk"}, Slots: slots,
 				Connections: 64, Cores: 16, MemoryMB: 1 << 16, TTL: 3 * time.Second,
 			}))
 		}
@@ -272,6 +289,8 @@
 	switch {
 	case to == nil || from.side != to.side:
 		return
+	case to.dead && to.silent:
+		return
 	case to.dead:
 		// The host refuses the connection.
 		if !from.dead && !from.paused.After(w.now) {
@@ -301,7 +320,14 @@
 }
 
 func (w *world) start(h *host, s coordination.StartTask) {
+	if !h.backend {
+		w.at(worldLatency, func() {
+			w.tell(h, func() []coordination.Action { return h.agent.NotStarted(w.now, s.Task, state.ReasonNoBackend) })
+		})
+		return
+	}
 	w.starts[s.Task]++
+	h.running[s.Task] = true
 	if w.placedAt != nil {
 		w.placedAt[h.id]++
 	}
@@ -314,15 +340,25 @@
 }
 
 func (w *world) end(h *host, s coordination.StartTask, took time.Duration, echo string) {
-	if h.dead {
-		return
-	}
-	if h.paused.After(w.now) {
-		w.at(h.paused.Sub(w.now), func() { w.end(h, s, took, echo) })
+	if !h.running[s.Task] {
 		return
 	}
+	delete(h.running, s.Task)
 	result, _ := json.Marshal(echo)
-	w.execute(h, h.agent.Finished(w.now, s.Task, state.TaskResult{Index: s.Task.Index, Payload: result, Ran: took}))
+	r := state.TaskResult{Index: s.Task.Index, Payload: result, Ran: took}
+	w.tell(h, func() []coordination.Action { return h.agent.Finished(w.now, s.Task, r) })
+}
+
+// tell gives a host an event unless it is dead; one that stands still gets it
+// when it goes on.
+func (w *world) tell(h *host, event func() []coordination.Action) {
+	switch {
+	case h.dead:
+	case h.paused.After(w.now):
+		w.at(h.paused.Sub(w.now), func() { w.tell(h, event) })
+	default:
+		w.execute(h, event())
+	}
 }
 
 func (w *world) started(key state.JobKey) int {
@@ -343,9 +379,15 @@
 		job.Tasks = append(job.Tasks, state.Task{Payload: payload, Cores: 1, MemoryMB: 64})
 	}
 	w.last++
-	w.tickets[w.last] = &ticket{job: job, begun: w.now}
 	ticketID := w.last
-	w.execute(entry, entry.node.(*Entry).Submit(w.now, ticketID, job, job.Digest(), deadline))
+	begun := w.now
+	if entry.paused.After(begun) {
+		begun = entry.paused // its entry reads the request then
+	}
+	w.tickets[ticketID] = &ticket{job: job, begun: begun, entry: entry, deadline: begun.Add(deadline)}
+	w.tell(entry, func() []coordination.Action {
+		return entry.node.(*Entry).Submit(w.now, ticketID, job, job.Digest(), deadline)
+	})
 	return ticketID
 }
 
@@ -358,7 +400,7 @@
 	if tk.answer != nil {
 		w.fail("ticket %d was answered twice", d.Ticket)
 	}
-	tk.answer = &d.Answer
+	tk.answer, tk.heard = &d.Answer, w.now
 	id := tk.job.Key.ID
 	switch d.Answer.Outcome {
 	case state.Complete:
