Confirm a cancellation when each task is decided, one message an agent and tick

Cause: a job with a finished task was answered "cancelled" at once, while the message that stops the rest was on its way: tasks assigned but not yet started could start after the caller was told. Each job told each of its agents by itself. And the answer did not say what had run.

The home counts the started tasks; the answer to a DELETE has tasks_started, the job's own callers read "2 of 2 tasks were started" in the detail.

Changed tests: TestCancel expected the answer at once, which was the fault; it now holds that nobody is told before both agents spoke, and the count. In TestTaskFailureFailsTheJobAtOnce the Drops are looked for after a tick.

--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -203,7 +203,7 @@
 	return m.queue.len() == 0 && len(m.running) == 0 && len(m.outbox) == 0
 }
 
-// Handle takes an Assign, TaskQuery or Drop.
+// Handle takes an Assign, TaskQuery, Drop or Drops.
 func (m *Machine) Handle(now time.Time, from state.NodeID, msg message.Message) []coordination.Action {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -215,6 +215,12 @@
 		m.queryLocked(now, from, &msg)
 	case message.Drop:
 		return append(m.dropLocked(now, from, &msg), m.turnLocked(now)...)
+	case message.Drops:
+		var out []coordination.Action
+		for i := range msg.Jobs {
+			out = append(out, m.dropLocked(now, from, &msg.Jobs[i])...)
+		}
+		return append(out, m.turnLocked(now)...)
 	default:
 		return nil
 	}
--- a/coordination/home/finish.go
+++ b/coordination/home/finish.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination"
@@ -21,7 +22,7 @@
 // have ruled them out.
 func (p *pool) stop(now time.Time, j *job, reason state.Reason, retryAfter time.Duration) []coordination.Action {
 	switch {
-	case j.started():
+	case j.started() && (reason != state.ReasonCancelled || !j.uncertain()):
 		return p.finish(now, j, state.Failed, reason, 0)
 	case !j.uncertain():
 		return p.finish(now, j, state.NotRun, reason, retryAfter)
@@ -53,9 +54,14 @@
 	return coordination.Send{To: c.agent, Msg: message.Drop{Key: j.key, Indexes: indexes, Tries: tries}}
 }
 
-// settled ends a settling job once it is known whether something was started.
+// settled ends a settling job once it is known whether something was started. A
+// cancellation is confirmed only when that is known of each task: a task that
+// waits at an agent could otherwise start after its caller was told that the job
+// is stopped, and the answer could not say how many ran.
 func (p *pool) settled(now time.Time, j *job) []coordination.Action {
 	switch {
+	case j.reason == state.ReasonCancelled && j.undecided():
+		return nil
 	case j.started():
 		return p.finish(now, j, state.Failed, j.reason, 0)
 	case !j.uncertain():
@@ -143,6 +149,10 @@
 	}
 	j.phase = finished
 	j.wake = time.Time{}
+	j.stats.Started = j.startedCount()
+	if reason == state.ReasonCancelled {
+		j.detail = fmt.Sprintf("%d of %d tasks were started", j.stats.Started, len(j.tasks))
+	}
 	a := message.Answer{
 		Key: j.key, Attempt: j.attempt, Outcome: outcome, Reason: reason, Detail: j.detail,
 		RetryAfter: retryAfter, Epoch: j.epoch,
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -129,6 +129,7 @@
 type Home struct {
 	o      Options
 	links  links
+	drops  drops
 	left   atomic.Bool // Leave was called
 	shards [shardCount]shard
 }
@@ -200,7 +201,7 @@
 	defer s.mu.Unlock()
 	p := h.poolLocked(s, service, create)
 	if p != nil {
-		return f(s, p)
+		return h.drops.gather(f(s, p))
 	}
 	if none == nil {
 		return nil
@@ -230,7 +231,7 @@
 		s := &h.shards[i]
 		s.mu.Lock()
 		for _, p := range s.order {
-			out = append(out, f(p)...)
+			out = append(out, h.drops.gather(f(p))...)
 		}
 		s.mu.Unlock()
 	}
@@ -253,7 +254,8 @@
 
 // Tick notices passing time.
 func (h *Home) Tick(now time.Time) []coordination.Action {
-	return h.each(func(p *pool) []coordination.Action { return p.tick(now) })
+	out := h.each(func(p *pool) []coordination.Action { return p.tick(now) })
+	return append(out, h.drops.flush()...)
 }
 
 // Drain refuses new submissions from now on; running jobs finish.
--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -208,6 +208,7 @@
 	is.Equal(a.Reason, state.ReasonTaskFailed)
 	is.Equal(a.Detail, "no glaze")
 	is.Equal(len(a.Results), 0)
+	b.pass(coordination.TickInterval) // Drops go out with the tick
 	dropped, _ := take[message.Drop](b)
 	seen := map[state.NodeID]bool{}
 	for _, id := range dropped {
@@ -378,8 +379,10 @@
 	is.Equal(len(answers), 0) // not called never runnable
 }
 
-// A wave of cancellations meets jobs of which some tasks are done. Each job has
-// failed at once, whoever waits is told, and each agent gets one message a job.
+// A cancellation meets a job of which a task is done, some run and some wait at
+// their agents. Nobody is told that it is cancelled before each agent has said what
+// it started: a task that waits there could start after that. Then whoever waits is
+// told, and how many were started.
 // A job whose claim is undecided waits for the verdict, and then has not run.
 func TestCancel(t *testing.T) {
 	is := is.New(t)
@@ -389,17 +392,25 @@
 	first := assigns[0].Indexes[0]
 	b.report(to[0], message.Report{Key: assigns[0].Key, Results: []state.TaskResult{{Index: first}}})
 	b.do(b.h.Handle(b.now, "entry", message.Cancel{Key: assigns[0].Key, Attempt: "c"}))
+	b.pass(coordination.TickInterval)
+	dropped, drops := take[message.Drop](b)
+	is.Equal(len(dropped), 2)
+	b.report(dropped[0], message.Report{Key: drops[0].Key, Running: drops[0].Indexes})
+	_, early := take[message.Answer](b)
+	is.Equal(len(early), 0) // the other agent may start its tasks yet
+	b.report(dropped[1], message.Report{
+		Key: drops[1].Key, Running: drops[1].Indexes[:2], Refused: drops[1].Indexes[2:], Tries: drops[1].Tries[2:],
+	})
 	_, answers := take[message.Answer](b)
 	is.Equal(len(answers), 2) // the submitter and the canceller
 	is.Equal(answers[0].Outcome, state.Failed)
 	is.Equal(answers[0].Reason, state.ReasonCancelled)
-	dropped, _ := take[message.Drop](b)
-	is.Equal(len(dropped), 2)
+	is.Equal(answers[0].Stats.Started, 1+len(drops[0].Indexes)+2)
 
 	j := state.Job{Key: state.JobKey{Service: "s", ID: "claiming"}, Tasks: make([]state.Task, 1)}
 	acts := b.h.Handle(b.now, "entry", message.Submit{Job: j, Digest: j.Digest(), Attempt: "1"})
 	b.do(b.h.Handle(b.now, "entry", message.Cancel{Key: j.Key, Attempt: "c"}))
-	_, early := take[message.Answer](b)
+	_, early = take[message.Answer](b)
 	is.Equal(len(early), 0)
 	b.do(acts)
 	_, answers = take[message.Answer](b)
--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -135,6 +135,28 @@
 	return false
 }
 
+// startedCount is how many tasks are known to have been started.
+func (j *job) startedCount() int {
+	n := 0
+	for i := range j.tasks {
+		if j.tasks[i].phase == done || j.tasks[i].started {
+			n++
+		}
+	}
+	return n
+}
+
+// undecided reports whether a task is with an agent that has not said whether it
+// started it.
+func (j *job) undecided() bool {
+	for i := range j.tasks {
+		if j.tasks[i].phase == assigned && !j.tasks[i].started {
+			return true
+		}
+	}
+	return false
+}
+
 // uncertain reports whether some task is with an agent.
 func (j *job) uncertain() bool {
 	for i := range j.contacts {
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -68,6 +68,9 @@
 	Total   time.Duration
 	// Elapsed is from the home's first sight of the job to its answer.
 	Elapsed time.Duration
+	// Started is how many of its tasks are known to have been started: with the
+	// answer to a cancellation, exactly as many as were.
+	Started int
 }
 
 // Cancel asks the home to stop a job. Entry to home.
@@ -272,6 +275,13 @@
 	Tries []uint32
 }
 
+// Drops are the Drops of several jobs for one agent. Home to agent. Cancellations
+// come in waves of thousands; one message for each job and agent would cost more
+// than the tasks that they stop.
+type Drops struct {
+	Jobs []Drop
+}
+
 // LoadNews spreads what agents say of themselves. Any node to any node.
 type LoadNews struct {
 	Loads []LoadItem
@@ -367,6 +377,7 @@
 func (Report) message()           {}
 func (TaskQuery) message()        {}
 func (Drop) message()             {}
+func (Drops) message()            {}
 func (LoadNews) message()         {}
 func (DeclarationAsk) message()   {}
 func (DeclarationReply) message() {}
--- a/coordination/node/agent.go
+++ b/coordination/node/agent.go
@@ -142,7 +142,7 @@
 	case message.Report:
 		a.gossip.Observe(now, m.Load)
 		return a.settle(now, a.home.Handle(now, from, m))
-	case message.Assign, message.TaskQuery, message.Drop:
+	case message.Assign, message.TaskQuery, message.Drop, message.Drops:
 		return a.admitted(now, a.admit.Handle(now, from, m))
 	case message.RosterReply:
 		for i := range m.Records {
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -16,10 +16,15 @@
 // settled returns a world with agents in three failure domains, two entries
 // and the example declaration in force.
 func settled(t *testing.T, seed uint64) (w *world, entries, agents []*host) {
+	t.Helper()
+	return settledWith(t, seed, 4)
+}
+
+func settledWith(t *testing.T, seed uint64, slots int) (w *world, entries, agents []*host) {
 	t.Helper()
 	w = newWorld(t, seed)
 	for i, domain := range []string{"jeonju", "iksan", "gunsan", "jeonju", "iksan"} {
-		agents = append(agents, w.addAgent(fmt.Sprintf("agent-%d", i), domain, 4))
+		agents = append(agents, w.addAgent(fmt.Sprintf("agent-%d", i), domain, slots))
 	}
 	for i := range 2 {
 		entries = append(entries, w.addEntry(fmt.Sprintf("entry-%d", i)))
--- a/coordination/node/world_test.go
+++ b/coordination/node/world_test.go
@@ -77,7 +77,11 @@
 	priorities map[int]int
 	tickets    map[uint64]*ticket
 	last       uint64
-	faults     []string
+	// work is added to the run time of each task, in milliseconds.
+	work   int
+	faults []string
+	// onDeliver, unless nil, is told of each answer.
+	onDeliver func(*ticket)
 }
 
 // ticket is one submission of a caller and what it was told.
@@ -216,7 +220,7 @@
 		if h.backend {
 			w.execute(h, a.Announce(w.now, state.Backend{
 				ID: fmt.Sprintf("%s-%d", name, h.backends), URL: "http://127.0.0.1:1", Services: []string{"bench-desk"}, Slots: slots,
-				Connections: 64, Cores: 16, MemoryMB: 1 << 16, TTL: 3 * time.Second,
+				Connections: max(64, slots+2), Cores: max(16, float64(slots)), MemoryMB: 1 << 16, TTL: 3 * time.Second,
 			}))
 		}
 	})
@@ -375,7 +379,7 @@
 func (w *world) submit(entry *host, id string, n int, deadline time.Duration) uint64 {
 	job := state.Job{Key: state.JobKey{Service: "bench-desk", ID: id}, Operator: "haneul"}
 	for i := range n {
-		payload, _ := json.Marshal(work{MS: 50 + 37*i%400, Echo: fmt.Sprintf("%s/%d", id, i)})
+		payload, _ := json.Marshal(work{MS: w.work + 50 + 37*i%400, Echo: fmt.Sprintf("%s/%d", id, i)})
 		job.Tasks = append(job.Tasks, state.Task{Payload: payload, Cores: 1, MemoryMB: 64})
 	}
 	w.last++
@@ -401,6 +405,9 @@
 		w.fail("ticket %d was answered twice", d.Ticket)
 	}
 	tk.answer, tk.heard = &d.Answer, w.now
+	if w.onDeliver != nil {
+		w.onDeliver(tk)
+	}
 	id := tk.job.Key.ID
 	switch d.Answer.Outcome {
 	case state.Complete:
--- a/protocol/api/answer.go
+++ b/protocol/api/answer.go
@@ -19,6 +19,9 @@
 	Outcome Outcome `json:"outcome"`
 	// Reason is set on an answer to a cancellation only.
 	Reason state.Reason `json:"reason,omitempty"`
+	// Started is how many tasks of a cancelled job were started. It is absent if
+	// the answer is not from a home: an entry alone can't tell.
+	Started *int `json:"tasks_started,omitempty"`
 	// Results are the tasks' results in task order, as the backend servers
 	// returned them. They are set when Outcome is complete.
 	Results []json.RawMessage `json:"results,omitempty"`
@@ -34,6 +37,16 @@
 	ElapsedMS float64 `json:"elapsed_ms"`
 }
 
+// CancelledOf turns the answer to the cancellation of a job into its document.
+// A home's answer has counted at least the message that brought the job.
+func CancelledOf(a message.Answer) Answer {
+	out := Answer{ID: a.Key.ID, Outcome: Outcome(a.Outcome), Reason: a.Reason}
+	if a.Stats.Messages > 0 {
+		out.Started = &a.Stats.Started
+	}
+	return out
+}
+
 // AnswerOf turns a complete, pending or cancelled answer into its document.
 // tasks is how many results make a complete answer, or negative where the
 // asker doesn't know. It fails on an answer that would be partial.
--- a/protocol/wire/job.go
+++ b/protocol/wire/job.go
@@ -146,6 +146,7 @@
 			LongestNs: c.nanos("longest", m.Stats.Longest),
 			TotalNs:   c.nanos("total", m.Stats.Total),
 			ElapsedNs: c.nanos("elapsed", m.Stats.Elapsed),
+			Started:   c.count("started", int64(m.Stats.Started)),
 		},
 	}
 }
@@ -168,6 +169,7 @@
 			Longest:  c.duration("longest", stats.GetLongestNs()),
 			Total:    c.duration("total", stats.GetTotalNs()),
 			Elapsed:  c.duration("elapsed", stats.GetElapsedNs()),
+			Started:  int(c.count("started", stats.GetStarted())),
 		},
 	}
 }
--- a/protocol/wire/task.go
+++ b/protocol/wire/task.go
@@ -106,6 +106,22 @@
 	}
 }
 
+func (c *checker) encodeDrops(m *message.Drops) *nodepb.Drops {
+	out := &nodepb.Drops{}
+	for i := range m.Jobs {
+		out.Jobs = append(out.Jobs, c.encodeDrop(&m.Jobs[i]))
+	}
+	return out
+}
+
+func (c *checker) decodeDrops(p *nodepb.Drops) message.Drops {
+	var out message.Drops
+	for _, d := range p.GetJobs() {
+		out.Jobs = append(out.Jobs, c.decodeDrop(d))
+	}
+	return out
+}
+
 // tries checks that each try has its index. Absent tries mean zero for all.
 func (c *checker) tries(in []uint32, indexes int) []uint32 {
 	if len(in) == 0 {
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -61,6 +61,8 @@
 		e.Kind = &nodepb.Envelope_TaskQuery{TaskQuery: c.encodeTaskQuery(&m)}
 	case message.Drop:
 		e.Kind = &nodepb.Envelope_Drop{Drop: c.encodeDrop(&m)}
+	case message.Drops:
+		e.Kind = &nodepb.Envelope_Drops{Drops: c.encodeDrops(&m)}
 	case message.LoadNews:
 		e.Kind = &nodepb.Envelope_LoadNews{LoadNews: c.encodeLoadNews(&m)}
 	case message.DeclarationAsk:
@@ -129,6 +131,8 @@
 		return c.decodeTaskQuery(k.TaskQuery)
 	case *nodepb.Envelope_Drop:
 		return c.decodeDrop(k.Drop)
+	case *nodepb.Envelope_Drops:
+		return c.decodeDrops(k.Drops)
 	case *nodepb.Envelope_LoadNews:
 		return c.decodeLoadNews(k.LoadNews)
 	case *nodepb.Envelope_DeclarationAsk:
--- a/protocol/wire/wire_test.go
+++ b/protocol/wire/wire_test.go
@@ -28,7 +28,7 @@
 	message.Submit{}, message.Answer{}, message.Cancel{}, message.Bar{}, message.BarReply{},
 	message.ClaimAsk{}, message.ClaimReply{}, message.PullAsk{}, message.PullReply{},
 	message.RosterAsk{}, message.RosterReply{}, message.Assign{}, message.Report{},
-	message.TaskQuery{}, message.Drop{}, message.LoadNews{}, message.DeclarationAsk{},
+	message.TaskQuery{}, message.Drop{}, message.Drops{}, message.LoadNews{}, message.DeclarationAsk{},
 	message.DeclarationReply{}, message.Stop{}, message.StopReply{},
 	message.HandOver{}, message.HandOverReply{},
 }
@@ -159,6 +159,10 @@
 		m.Tries = fit(m.Tries, len(m.Indexes))
 	case *message.Drop:
 		m.Tries = fit(m.Tries, len(m.Indexes))
+	case *message.Drops:
+		for i := range m.Jobs {
+			align(&m.Jobs[i])
+		}
 	}
 }
 
--- a/transport/httpapi/jobs.go
+++ b/transport/httpapi/jobs.go
@@ -98,7 +98,7 @@
 	a := s.Dispatcher.Cancel(x.detached(), key)
 	// To the caller of a cancellation a cancelled job is the success.
 	if a.Reason == state.ReasonCancelled && a.Key == key && a.Outcome != state.Unknown {
-		x.answer(api.Answer{ID: key.ID, Outcome: api.Outcome(a.Outcome), Reason: a.Reason})
+		x.answer(api.CancelledOf(a))
 		return
 	}
 	x.answerJob(a, key, anyCount)
