Let a job work until the latest deadline of those who wait for it

Cause: a submission that joined a running job shared the first one's deadline at the home. The home ended the job then, and a caller that had submitted again and waits longer heard "deadline" although its work ran.

Weighed: keep it, because agents and backend servers were told the first deadline. They were, and a task that a backend server ends by it can't be had back; but most backend servers go on, tasks not yet assigned get the later one, and an agent that refuses a task by its deadline returns it. So the home extends: a join with a later deadline, or none, moves the job's; entries tell their own callers when their time is up, as before. An entry at which a longer waiter joins asks the home once more. A task that fails at the deadline it was given is still answered "deadline".

Test: TestResubmissionThatWaitsLongerGetsTheAnswer, on whole nodes, through the other entry and the same one: "failed" without the change at the home, complete with it; without the change at the entry the second of the two fails.

--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -128,6 +128,7 @@
 			t := &j.tasks[index]
 			t.phase = assigned
 			t.agent = a.load.ID
+			t.until = j.deadline
 			t.batch = len(j.batches) - 1
 		}
 		c := j.contact(a.load.ID)
--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -43,6 +43,8 @@
 	// try counts placements; see message.Assign.Tries. A refusal of an older
 	// try, late or repeated, must not move the task a second time.
 	try uint32
+	// until is the deadline that the agent was told; zero means none.
+	until time.Time
 	// bounced: an agent that was taken to have room refused it as busy.
 	bounced bool
 	// started: the agent said so.
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -164,9 +164,11 @@
 
 // failure is why the job failed. A task that is ended by the deadline fails at
 // its backend server, and the news may be here before the deadline is: the
-// caller would be told that its task is at fault.
+// caller would be told that its task is at fault. The deadline that counts is the
+// one that the task was started with.
 func (j *job) failure(now time.Time) state.Reason {
-	if j.late(now.Add(deadlineSlack)) {
+	until := j.tasks[j.failed.Index].until
+	if !until.IsZero() && !now.Add(deadlineSlack).Before(until) {
 		return state.ReasonDeadline
 	}
 	return state.ReasonTaskFailed
--- a/coordination/home/submit.go
+++ b/coordination/home/submit.go
@@ -124,6 +124,7 @@
 		})
 	}
 	w := waiter{from, m.Attempt}
+	p.extend(now, j, m.Deadline)
 	if j.phase != finished {
 		if !slices.Contains(j.waiters, w) {
 			j.waiters = append(j.waiters, w)
@@ -137,6 +138,24 @@
 	return reply(from, j.answerTo(m.Attempt))
 }
 
+// extend lets a job work until the latest deadline of those who wait for it. Each
+// entry tells its own callers when their time has passed; a job that ended with its
+// first caller's would refuse those who submit it again and wait longer, though
+// their work still runs. Tasks that an agent has keep the deadline that they were
+// given, because a backend server can't be told another.
+func (p *pool) extend(now time.Time, j *job, deadline time.Duration) {
+	if j.deadline.IsZero() || j.phase != claiming && j.phase != running {
+		return
+	}
+	if deadline <= 0 {
+		j.deadline = time.Time{}
+		return
+	}
+	if until := now.Add(deadline); until.After(j.deadline) {
+		j.deadline = until
+	}
+}
+
 // atWork is a sign of life for an entry that asks again. Without it the entry
 // can't tell a long job from a home that has stopped, and asks the witness. While
 // the claim is not granted there is nothing at work to vouch for.
--- a/coordination/node/node_test.go
+++ b/coordination/node/node_test.go
@@ -64,6 +64,29 @@
 	is.Equal(len(w.starts), 40)
 }
 
+// The caller of a job waits 300 ms, submits again and waits longer: through another
+// entry, then through the same one. The work still runs, so the second submission
+// gets the whole answer, and the first one hears of its deadline from its entry.
+func TestResubmissionThatWaitsLongerGetsTheAnswer(t *testing.T) {
+	t.Parallel()
+	for other := range 2 {
+		t.Run(fmt.Sprint(other), func(t *testing.T) {
+			is := is.New(t)
+			w, entries, _ := settled(t, 61)
+			w.work = 600
+			first := w.submit(entries[0], "intake", 4, 300*time.Millisecond)
+			w.run(100 * time.Millisecond)
+			second := w.submit(entries[other], "intake", 4, 20*time.Second)
+			w.run(10 * time.Second)
+			w.check()
+			is.Equal(w.tickets[first].answer.Reason, state.ReasonDeadline)
+			is.True(w.tickets[first].heard.Sub(w.tickets[first].deadline) <= hearBound)
+			is.Equal(w.tickets[second].answer.Outcome, state.Complete)
+			is.Equal(len(w.starts), 4)
+		})
+	}
+}
+
 // A job runs when its caller submits it again through an entry that lets nothing
 // in any more. Saying "not run" there would be false, so the entry asks the
 // witness before it refuses: the resubmission joins, and only an id that nobody
--- a/coordination/route/submit.go
+++ b/coordination/route/submit.go
@@ -14,7 +14,7 @@
 	defer s.mu.Unlock()
 	w := newWaiter(now, ticket, deadline)
 	if f := s.findLocked(job.Key, digest); f != nil {
-		r.join(f, w)
+		r.join(now, f, w)
 		s.scheduleLocked(f)
 		return s.takeLocked()
 	}
@@ -63,12 +63,18 @@
 }
 
 // join lets one more caller wait for a submission that is under way. It costs
-// no message: if the home gives up at the first caller's deadline, onNotRun and
-// onUnknown go on for those who wait longer.
-func (r *Router) join(f *flight, w waiter) {
+// no message unless this caller waits longer than the home was told. Then the home
+// is asked again and works on until the later deadline; it would otherwise stop the
+// job at the first one, and this caller would hear "deadline" long before its own.
+// Where that comes too late, onNotRun and onUnknown go on for those who wait longer.
+func (r *Router) join(now time.Time, f *flight, w waiter) {
 	r.stats.add(&r.stats.joined)
 	f.waiters = append(f.waiters, w)
 	r.tickets.put(w.ticket, place{flight: f})
+	if f.phase == asking && r.waitsLonger(f) {
+		f.until, _ = f.latest()
+		r.resend(now, f)
+	}
 }
 
 func (r *Router) ask(now time.Time, ticket uint64, key state.JobKey, k kind) []coordination.Action {
