--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -16,7 +16,11 @@
 //go:generate ./generate.sh
 
 // Version is the protocol version that a Hello carries. Nodes with different
-// versions refuse each other; added fields and messages don't change it.
+// versions refuse each other; added fields and messages don't change it. In a
+// rolling upgrade an older node passes over a field that it doesn't know and drops a
+// message of a kind that it doesn't know. So an added field must be one that may be
+// ignored, and the sender of an added kind must do without its effect; what can't
+// be ignored changes the version.
 const Version = 1
 
 // ErrUnknownKind is the cause of errors about a message that this version has
