Call a cut body unknown, and say what an entry's early refusals mean

Weighed: whether requests that are refused before the job is looked at should say "unknown". For 401, 403, an unknown service, too many tasks and held bodies yes: an earlier submission of the id may have run elsewhere. For whole malformed content "not run" is true, and it was said already. One case was wrong: a body that broke off on the way was called malformed and "not run", though the entry hadn't seen what it was asked for, and the same submission may have run before. It is "unknown" now.

--- a/transport/httpapi/body.go
+++ b/transport/httpapi/body.go
@@ -71,7 +71,8 @@
 		return nil, api.TooLarge()
 	}
 	if err != nil {
-		return nil, api.NewProblem(state.ReasonMalformed, state.NotRun, "the body could not be read: %v", err)
+		// What the caller meant to send isn't known, and may have run before.
+		return nil, api.NewProblem(state.ReasonMalformed, x.turnedAway, "the body could not be read: %v", err)
 	}
 	return buf.Bytes(), nil
 }
