--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -43,6 +43,8 @@
 	// try counts placements; see message.Assign.Tries. A refusal of an older
 	// try, late or repeated, must not move the task a second time.
 	try uint32
+	// until is the deadline that the agent was told; zero means none.
+	until time.Time
 	// bounced: an agent that was taken to have room refused it as busy.
 	bounced bool
 	// started: the agent said so.
@@ -136,6 +138,28 @@
 	return false
 }
 
+// startedCount is how many tasks are known to have been started.
+func (j *job) startedCount() int {
+	n := 0
+	for i := range j.tasks {
+		if j.tasks[i].phase == done || j.tasks[i].started {
+			n++
+		}
+	}
+	return n
+}
+
+// undecided reports whether a task is with an agent that has not said whether it
+// started it.
+func (j *job) undecided() bool {
+	for i := range j.tasks {
+		if j.tasks[i].phase == assigned && !j.tasks[i].started {
+			return true
+		}
+	}
+	return false
+}
+
 // uncertain reports whether some task is with an agent.
 func (j *job) uncertain() bool {
 	for i := range j.contacts {
--- a/protocol/wire/job.go
+++ b/protocol/wire/job.go
@@ -160,6 +160,7 @@
 			LongestNs: c.nanos("longest", m.Stats.Longest),
 			TotalNs:   c.nanos("total", m.Stats.Total),
 			ElapsedNs: c.nanos("elapsed", m.Stats.Elapsed),
+			Started:   c.count("started", int64(m.Stats.Started)),
 
 			WastedByKind: encodeWaste(m.Stats.ByKind),
 		},
@@ -186,6 +187,7 @@
 			Total:    c.duration("total", stats.GetTotalNs()),
 			Elapsed:  c.duration("elapsed", stats.GetElapsedNs()),
 			ByKind:   decodeWaste(stats.GetWastedByKind()),
+			Started:  int(c.count("started", stats.GetStarted())),
 		},
 	}
 }
--- a/protocol/wire/wire.go
+++ b/protocol/wire/wire.go
@@ -16,7 +16,11 @@
 //go:generate ./generate.sh
 
 // Version is the protocol version that a Hello carries. Nodes with different
-// versions refuse each other; added fields and messages don't change it.
+// versions refuse each other; added fields and messages don't change it. In a
+// rolling upgrade an older node passes over a field that it doesn't know and drops a
+// message of a kind that it doesn't know. So an added field must be one that may be
+// ignored, and the sender of an added kind must do without its effect; what can't
+// be ignored changes the version.
 const Version = 1
 
 // ErrUnknownKind is the cause of errors about a message that this version has
@@ -61,6 +65,8 @@
 		e.Kind = &nodepb.Envelope_TaskQuery{TaskQuery: c.encodeTaskQuery(&m)}
 	case message.Drop:
 		e.Kind = &nodepb.Envelope_Drop{Drop: c.encodeDrop(&m)}
+	case message.Drops:
+		e.Kind = &nodepb.Envelope_Drops{Drops: c.encodeDrops(&m)}
 	case message.LoadNews:
 		e.Kind = &nodepb.Envelope_LoadNews{LoadNews: c.encodeLoadNews(&m)}
 	case message.DeclarationAsk:
@@ -129,6 +135,8 @@
 		return c.decodeTaskQuery(k.TaskQuery)
 	case *nodepb.Envelope_Drop:
 		return c.decodeDrop(k.Drop)
+	case *nodepb.Envelope_Drops:
+		return c.decodeDrops(k.Drops)
 	case *nodepb.Envelope_LoadNews:
 		return c.decodeLoadNews(k.LoadNews)
 	case *nodepb.Envelope_DeclarationAsk:
