--- a/bench/link/link_test.go
+++ b/bench/link/link_test.go
@@ -65,12 +65,13 @@
 	}
 }
 
-func fleetTLS(b *testing.B) *link.TLS {
+func fleetTLS(b *testing.B) *link.TLS { return fleetTLSIn(b, b.TempDir()) }
+
+func fleetTLSIn(b *testing.B, dir string) *link.TLS {
 	ca, err := devca.New(time.Now())
 	check(b, err)
 	pair, err := ca.Leaf(time.Now(), time.Hour, []string{"fleet"})
 	check(b, err)
-	dir := b.TempDir()
 	check(b, ca.Write(dir))
 	cert, key, err := pair.Write(dir, "fleet")
 	check(b, err)
--- a/transport/link/link_test.go
+++ b/transport/link/link_test.go
@@ -219,6 +219,34 @@
 	is.Equal(b.seen("up a@1"), 2)
 }
 
+// An entry can't be dialled, and a home may have its answer only when a link has
+// long been silent. So it keeps a silent link for longer than it leaves a home
+// alone that it waits for, and then closes it too: with a link to every home it
+// once spoke to, a fleet's size would fill its memory.
+func TestNodeThatCannotBeDialledClosesIdleLinksLater(t *testing.T) {
+	is := is.New(t)
+	entry := start(t, "e@1", func(o *Options) {
+		o.Addr, o.Listener, o.IdleTimeout, o.AnswerIdle = "", nil, time.Millisecond, time.Hour
+	})
+	home := start(t, "h@1", func(o *Options) { o.IdleTimeout = time.Millisecond })
+	entry.SetPeer("h@1", home.addr)
+	is.True(entry.Send("h@1", drop(0)))
+	await(t, "the message", func() bool { return len(home.received()) == 1 })
+	time.Sleep(10 * minSweep)
+	is.True(home.Send("e@1", drop(0)))
+	await(t, "the late answer", func() bool { return len(entry.received()) == 1 })
+
+	brief := start(t, "f@1", func(o *Options) {
+		o.Addr, o.Listener, o.IdleTimeout, o.AnswerIdle = "", nil, time.Millisecond, 20*time.Millisecond
+	})
+	brief.SetPeer("h@1", home.addr)
+	is.True(brief.Send("h@1", drop(0)))
+	await(t, "no link", func() bool { return brief.sessions() == 0 && len(home.received()) == 2 })
+	is.True(brief.Send("h@1", drop(1)))
+	await(t, "the message over another link", func() bool { return len(home.received()) == 3 })
+	is.Equal(brief.seen("down h@1")+home.seen("down f@1"), 0)
+}
+
 // A node closes while messages wait, some of them for a link that is only being
 // dialled. All of them arrive, and the peer hears that the node has left.
 func TestCloseFlushes(t *testing.T) {
--- a/transport/link/options.go
+++ b/transport/link/options.go
@@ -19,6 +19,7 @@
 	DefaultMaxTotalBytes   = 256 << 20
 	DefaultMaxMessageBytes = 16 << 20
 	DefaultIdleTimeout     = 30 * time.Second
+	DefaultAnswerIdle      = 30 * time.Second
 	DefaultWriteTimeout    = 5 * time.Second
 	DefaultDialTimeout     = 2 * time.Second
 	DefaultMinBackoff      = 50 * time.Millisecond
@@ -72,8 +73,8 @@
 	// Self is this node, as name@incarnation.
 	Self state.NodeID
 	// Addr is where others dial this node, as IP:port. Empty means that they
-	// can't; such a node keeps its links open while idle, because answers
-	// could not come back otherwise.
+	// can't; such a node keeps idle links for AnswerIdle, because answers could
+	// not come back otherwise.
 	Addr string
 	// Listener accepts links; nil for a node that only dials.
 	Listener net.Listener
@@ -99,6 +100,10 @@
 	MaxMessageBytes int
 	// IdleTimeout is how long a link without messages stays open.
 	IdleTimeout time.Duration
+	// AnswerIdle is how long a node without Addr keeps a link without messages,
+	// if that is longer than IdleTimeout. It must be longer than the node leaves
+	// a peer alone that it waits for: an entry asks after at most 10 s.
+	AnswerIdle time.Duration
 	// WriteTimeout is how long a peer may take to accept a frame or to answer
 	// a Closing before its link is cut.
 	WriteTimeout time.Duration
@@ -115,6 +120,7 @@
 	setDefault(&o.MaxTotalBytes, DefaultMaxTotalBytes)
 	setDefault(&o.MaxMessageBytes, DefaultMaxMessageBytes)
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.AnswerIdle, DefaultAnswerIdle)
 	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
 	setDefault(&o.MinBackoff, DefaultMinBackoff)
@@ -133,6 +139,14 @@
 	}
 }
 
+// idle is how long a link without messages stays open.
+func (o *Options) idle() time.Duration {
+	if o.Addr == "" {
+		return max(o.IdleTimeout, o.AnswerIdle)
+	}
+	return o.IdleTimeout
+}
+
 func (o *Options) check() error {
 	if baseName(o.Self) == "" {
 		return errors.Errorf("node id %q isn't of the form name@incarnation", o.Self)
--- a/transport/link/sweep.go
+++ b/transport/link/sweep.go
@@ -6,7 +6,7 @@
 
 // sweep looks for idle links, stuck links and expired peers until the end.
 func (l *Links) sweep() {
-	every := min(l.opt.IdleTimeout, l.opt.WriteTimeout) / 4
+	every := min(l.opt.idle(), l.opt.WriteTimeout) / 4
 	tick := time.NewTicker(min(max(every, minSweep), maxSweep))
 	defer tick.Stop()
 	for {
@@ -41,8 +41,8 @@
 		if s.stuckLocked(now, opt.WriteTimeout) {
 			return s
 		}
-		idle := now.Sub(time.Unix(0, s.lastUsed.Load())) > opt.IdleTimeout
-		if idle && s.dialled && opt.Addr != "" && len(p.queue.items) == 0 {
+		idle := now.Sub(time.Unix(0, s.lastUsed.Load())) > opt.idle()
+		if idle && s.dialled && len(p.queue.items) == 0 {
 			p.beginCloseLocked(s, false)
 		}
 	}
