Fill in options that were left out in one place

Change: package state/defaults has both, Positive and Zero; behaviour unchanged. The lists of defaults themselves stay with their options. Test: TestNegativeStaysOnlyWhereItMeansSomething; GOMAXPROCS=3 go test -p 2 ./state/... ./coordination/{member,gossip,node,home,admit} ./transport/link passes.

--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -15,6 +15,7 @@
 	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/defaults"
 )
 
 // Defaults of Options.
@@ -65,27 +66,20 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.QueueLimit, DefaultQueueLimit)
-	setDefault(&o.LeaseTTL, DefaultLeaseTTL)
-	setDefault(&o.Retention, DefaultRetention)
-	setDefault(&o.ResultRetention, DefaultResultRetention)
-	setDefault(&o.ResultBytes, DefaultResultBytes)
-	setDefault(&o.Hold, DefaultHold)
-	setDefault(&o.CreditTTL, DefaultCreditTTL)
-	setDefault(&o.Marks, DefaultMarks)
-	setDefault(&o.Caution, DefaultCaution)
+	defaults.Zero(&o.QueueLimit, DefaultQueueLimit)
+	defaults.Zero(&o.LeaseTTL, DefaultLeaseTTL)
+	defaults.Zero(&o.Retention, DefaultRetention)
+	defaults.Zero(&o.ResultRetention, DefaultResultRetention)
+	defaults.Zero(&o.ResultBytes, DefaultResultBytes)
+	defaults.Zero(&o.Hold, DefaultHold)
+	defaults.Zero(&o.CreditTTL, DefaultCreditTTL)
+	defaults.Zero(&o.Marks, DefaultMarks)
+	defaults.Zero(&o.Caution, DefaultCaution)
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics(nil)
 	}
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 // Machine admits tasks to one backend server. It is safe for concurrent use.
 // Its shard is the one backend server: every decision weighs the same slots
 // and memory, so all of its state stands under one lock.
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -32,6 +32,7 @@
 	"github.com/shallotstep/shallotstep/coordination/member/watch"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/defaults"
 	"github.com/shallotstep/shallotstep/state/loadview"
 )
 
@@ -79,20 +80,14 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.Interval, DefaultInterval)
-	setDefault(&o.Fanout, DefaultFanout)
-	setDefault(&o.MaxItems, DefaultMaxItems)
-	setDefault(&o.Expiry, DefaultExpiry)
-	setDefault(&o.UrgentInterval, DefaultUrgentInterval)
-	setDefault(&o.UrgentCopies, DefaultUrgentCopies)
-	setDefault(&o.PullEvery, DefaultPullEvery)
-	setDefault(&o.PageItems, DefaultPageItems)
-}
-
-func setDefault[T int | time.Duration](v *T, def T) {
-	if *v <= 0 {
-		*v = def
-	}
+	defaults.Positive(&o.Interval, DefaultInterval)
+	defaults.Positive(&o.Fanout, DefaultFanout)
+	defaults.Positive(&o.MaxItems, DefaultMaxItems)
+	defaults.Positive(&o.Expiry, DefaultExpiry)
+	defaults.Positive(&o.UrgentInterval, DefaultUrgentInterval)
+	defaults.Positive(&o.UrgentCopies, DefaultUrgentCopies)
+	defaults.Positive(&o.PullEvery, DefaultPullEvery)
+	defaults.Positive(&o.PageItems, DefaultPageItems)
 }
 
 // Gossip is one node's part in spreading loads. It is safe for concurrent use.
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -19,6 +19,7 @@
 	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/defaults"
 )
 
 // Claimer has a claim recorded by both members of the pair. Its verdict comes
@@ -97,15 +98,15 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.Retention, DefaultRetention)
-	setDefault(&o.StoredBytes, DefaultStoredBytes)
-	setDefault(&o.MaxWaiting, DefaultMaxWaiting)
-	setDefault(&o.Grace, DefaultGrace)
-	setDefault(&o.Resend, DefaultResend)
-	setDefault(&o.Settle, DefaultSettle)
-	setDefault(&o.Ask, DefaultAsk)
-	setDefault(&o.Narrow, DefaultNarrow)
-	setDefault(&o.AskPer, DefaultAskPer)
+	defaults.Zero(&o.Retention, DefaultRetention)
+	defaults.Zero(&o.StoredBytes, DefaultStoredBytes)
+	defaults.Zero(&o.MaxWaiting, DefaultMaxWaiting)
+	defaults.Zero(&o.Grace, DefaultGrace)
+	defaults.Zero(&o.Resend, DefaultResend)
+	defaults.Zero(&o.Settle, DefaultSettle)
+	defaults.Zero(&o.Ask, DefaultAsk)
+	defaults.Zero(&o.Narrow, DefaultNarrow)
+	defaults.Zero(&o.AskPer, DefaultAskPer)
 	if o.PriorityOf == nil {
 		o.PriorityOf = func(string) int { return 0 }
 	}
@@ -114,13 +115,6 @@
 	}
 }
 
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
-}
-
 const shardCount = 16
 
 // Home runs the jobs whose home this agent is. It is safe for concurrent use.
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -30,6 +30,7 @@
 	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/member/watch"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/defaults"
 	"github.com/shallotstep/shallotstep/state/roster"
 )
 
@@ -79,17 +80,11 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.EvictAfter, DefaultEvictAfter)
-	setDefault(&o.TakeoverStep, DefaultTakeoverStep)
-	setDefault(&o.AppendTimeout, DefaultAppendTimeout)
-	setDefault(&o.SnapshotEvery, DefaultSnapshotEvery)
-	setDefault(&o.SnapshotRecords, DefaultSnapshotRecords)
-}
-
-func setDefault[T int64 | time.Duration](v *T, def T) {
-	if *v <= 0 {
-		*v = def
-	}
+	defaults.Positive(&o.EvictAfter, DefaultEvictAfter)
+	defaults.Positive(&o.TakeoverStep, DefaultTakeoverStep)
+	defaults.Positive(&o.AppendTimeout, DefaultAppendTimeout)
+	defaults.Positive(&o.SnapshotEvery, DefaultSnapshotEvery)
+	defaults.Positive(&o.SnapshotRecords, DefaultSnapshotRecords)
 }
 
 // Stats counts what a Machine has done.
--- a/coordination/node/agent.go
+++ b/coordination/node/agent.go
@@ -15,6 +15,7 @@
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/state/declaration"
+	"github.com/shallotstep/shallotstep/state/defaults"
 	"github.com/shallotstep/shallotstep/state/roster"
 )
 
@@ -34,12 +35,6 @@
 	DefaultAskRetry = 20 * time.Millisecond
 )
 
-func setDefault(d *time.Duration, fallback time.Duration) {
-	if *d <= 0 {
-		*d = fallback
-	}
-}
-
 // AgentOptions are the settings of an agent. Every part may be zero but for
 // Self; NewAgent fills in what the machines need of one another.
 type AgentOptions struct {
@@ -84,12 +79,12 @@
 
 // NewAgent returns the machine of one agent.
 func NewAgent(o AgentOptions) *Agent {
-	setDefault(&o.Linger, DefaultLinger)
+	defaults.Positive(&o.Linger, DefaultLinger)
 	a := &Agent{linger: o.Linger, self: o.Self, set: declaration.NewSet(), seen: roster.New()}
 	o.Guard.Self = o.Self
-	setDefault(&o.Guard.Retention, DefaultClaimRetention)
-	setDefault(&o.Guard.Blind, DefaultBlindLimit)
-	setDefault(&o.Guard.AskRetry, DefaultAskRetry)
+	defaults.Positive(&o.Guard.Retention, DefaultClaimRetention)
+	defaults.Positive(&o.Guard.Blind, DefaultBlindLimit)
+	defaults.Positive(&o.Guard.AskRetry, DefaultAskRetry)
 	o.Guard.RegionOf = a.regionOf
 	a.guard = guard.New(o.Guard)
 	o.Gossip.Self = o.Self
--- a/transport/link/options.go
+++ b/transport/link/options.go
@@ -10,6 +10,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/state/defaults"
 )
 
 // Defaults for Options.
@@ -115,16 +116,16 @@
 }
 
 func (o *Options) setDefaults() {
-	setDefault(&o.MaxQueue, DefaultMaxQueue)
-	setDefault(&o.MaxQueueBytes, DefaultMaxQueueBytes)
-	setDefault(&o.MaxTotalBytes, DefaultMaxTotalBytes)
-	setDefault(&o.MaxMessageBytes, DefaultMaxMessageBytes)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.AnswerIdle, DefaultAnswerIdle)
-	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.MinBackoff, DefaultMinBackoff)
-	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
+	defaults.Positive(&o.MaxQueue, DefaultMaxQueue)
+	defaults.Positive(&o.MaxQueueBytes, DefaultMaxQueueBytes)
+	defaults.Positive(&o.MaxTotalBytes, DefaultMaxTotalBytes)
+	defaults.Positive(&o.MaxMessageBytes, DefaultMaxMessageBytes)
+	defaults.Positive(&o.IdleTimeout, DefaultIdleTimeout)
+	defaults.Positive(&o.AnswerIdle, DefaultAnswerIdle)
+	defaults.Positive(&o.WriteTimeout, DefaultWriteTimeout)
+	defaults.Positive(&o.DialTimeout, DefaultDialTimeout)
+	defaults.Positive(&o.MinBackoff, DefaultMinBackoff)
+	defaults.Positive(&o.MaxBackoff, DefaultMaxBackoff)
 	if o.Down == nil {
 		o.Down = func(state.NodeID) {}
 	}
@@ -133,12 +134,6 @@
 	}
 }
 
-func setDefault[T int | time.Duration](value *T, def T) {
-	if *value <= 0 {
-		*value = def
-	}
-}
-
 // idle is how long a link without messages stays open.
 func (o *Options) idle() time.Duration {
 	if o.Addr == "" {
