Take limits.queued_tasks 0 for no queue

Cause: the settings allow 0, and the machine's options take 0 for left out, so an agent that was to have no queue kept one of 2: another setting that was ignored in silence. Ruled out: other limits; all with a lowest value of 0 (verbosity, retention and accelerators of the stand-ins, retention_age) mean what they say at 0. Change: the wiring hands 0 on as a negative limit, which the machine takes for none. Test: TestNoQueueIsNoQueue fails without the change; TestAgentWithoutQueue- RefusesWhatFindsNoSlot shows what the machine makes of it.

--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -37,7 +37,7 @@
 // Options configure a Machine. Zero values stand for the defaults above.
 type Options struct {
 	Self state.Member
-	// QueueLimit is how many accepted tasks may wait for a slot.
+	// QueueLimit is how many accepted tasks may wait for a slot; negative for none.
 	QueueLimit int
 	// LeaseTTL is the longest gap between two events after which the machine
 	// takes it that its process was paused. It then starts nothing until the
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// noneIsNegative hands on a limit that may be 0 to options whose 0 is a default.
+func noneIsNegative(limit int) int {
+	if limit == 0 {
+		return -1
+	}
+	return limit
+}
+
 func linkOptions(s *config.Settings, t *trust) link.Options {
 	return link.Options{
 		TLS:         t.links,
@@ -109,7 +117,7 @@
 				Metrics:     home.NewMetrics(m.Registry),
 			},
 			Admit: admit.Options{
-				QueueLimit:  s.Limits.QueuedTasks,
+				QueueLimit:  noneIsNegative(s.Limits.QueuedTasks),
 				ResultBytes: s.Limits.StoredResultsMB * megabyte,
 				Metrics:     admit.NewMetrics(m.Registry),
 			},
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -109,6 +109,15 @@
 	}
 }
 
+// An operator allows no queue at the agents. The options' 0 stands for the
+// default, so the agents kept a queue of 2; the machine must get another value.
+func TestNoQueueIsNoQueue(t *testing.T) {
+	is := is.New(t)
+	s := settings(t, config.RoleAgent, map[string]string{"limits.queued_tasks": "0"})
+	o := agentOptions(s, &trust{}, metrics.New())
+	is.True(o.Node.Admit.QueueLimit < 0)
+}
+
 // An append that is still under way when package member takes it that it can no
 // longer arrive is appended once more, and a join that arrives late brings an
 // evicted incarnation back. The bounds of timeouts.log must rule that out.
