Let peers' messages in only when the role has its runner

Cause: runner.Open bound the links before the role had kept the runner that Perform's goroutines use: a race that could only strike in the first moment of a process, before a backend server has announced itself, and was never seen. Change: Open leaves messages waiting, as they did before, until Begin. Found by reading.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -120,6 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
+	a.runner.Begin()
 	o.API.Registerer = o.Metrics.Registry
 	o.API.Gatherer = o.Metrics.Registry
 	o.API.Refused = o.Metrics.Refused
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -85,6 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
+	e.runner.Begin()
 	handler := httpapi.New(httpapi.Options{
 		Dispatcher:   (*dispatcher)(e),
 		Declarer:     (*declarer)(e),
--- a/daemon/runner/open.go
+++ b/daemon/runner/open.go
@@ -40,8 +40,9 @@
 	links *link.Links
 }
 
-// Open makes the log's client and the links of a node, bound to its runner and
-// registered with its metrics. Run must be called next.
+// Open makes the log's client and the links of a node, registered with its
+// metrics. What peers send waits for Begin, so that the role can keep the result
+// before Perform is called.
 func Open(s Start) (*Connected, error) {
 	c := &Connected{log: platformlog.New(s.Log)}
 	c.Runner = New(Options{Self: s.Self, Machine: s.Machine, Log: c.log, Perform: s.Perform})
@@ -57,10 +58,12 @@
 		return nil, errors.Wrap(err, "links")
 	}
 	c.links = links
-	c.Bind(links)
 	return c, nil
 }
 
+// Begin lets in what peers send. It must be called before Run.
+func (c *Connected) Begin() { c.Bind(c.links) }
+
 // Close flushes the links until the context ends, and then cuts them.
 func (c *Connected) Close(ctx context.Context) {
 	if err := c.links.Close(ctx); err != nil {
