Show in one status how far every process has read the declarations

Cause: a status showed the streams of the entry that was asked and nothing of other processes, so one that read the log 10 s late could not be found.

Weighed: every operator's version on the load messages (280 versions, over 10 KB a message: ruled out by the 13 KB/s of control); one offset (enough while the process has something unread, and silent once it has read it); the offset and how long ago it was read (taken: a late reader shows until the next record, however old the news is). Times of the log are not used: the first process heard to have read an offset stands for its append. Entries are in no roster and have no load; they say their position to the agents they pull from, which pass on one of them with each message of their own.

--- a/bench/gossip/ways.go
+++ b/bench/gossip/ways.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/gossip"
+	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 )
 
@@ -34,6 +35,13 @@
 		o.Peers = func() []state.Member { return members }
 		o.Seed = seed*1_000_003 + uint64(self)
 		o.Agent = true
+		o.Position = position
 		return gossip.New(o)
 	}
 }
+
+// position is about as many bytes as what an agent of the target size says of the
+// declarations that it has read: the offset after some months, half a minute ago.
+func position(time.Time) message.ReadPosition {
+	return message.ReadPosition{Next: 500_000, Age: 30 * time.Second}
+}
--- a/coordination/declare/apply.go
+++ b/coordination/declare/apply.go
@@ -127,6 +127,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	ev, err := m.set.Apply(offset, data)
+	m.noteReadLocked(now, offset)
 	if err != nil {
 		m.metrics.undecodable()
 		return nil
@@ -138,6 +139,15 @@
 	return actions
 }
 
+// noteReadLocked remembers when which record was read, once this node has come up.
+func (m *Machine) noteReadLocked(now time.Time, offset int64) {
+	if !m.log.caughtUp || offset != m.set.Through() {
+		return
+	}
+	m.log.recordAt = now
+	m.log.recent.add(offset, now)
+}
+
 func (m *Machine) eventLocked(now time.Time, ev declaration.Event) []coordination.Action {
 	m.metrics.read(ev.Verdict)
 	m.refreshes.note(now, ev, m.opts)
--- a/coordination/declare/machine.go
+++ b/coordination/declare/machine.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/state/declaration"
 )
@@ -99,6 +100,11 @@
 	caughtUp bool
 	// failing says that the last attempt to read failed.
 	failing bool
+	// recordAt is when the latest record was read; zero if that was while the
+	// node came up.
+	recordAt time.Time
+	// recent are the times of the latest records.
+	recent readTimes
 }
 
 func (l *logState) readable(now time.Time) bool {
@@ -133,6 +139,7 @@
 func (m *Machine) Tick(now time.Time) []coordination.Action {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.metrics.unread.Set(now.Sub(m.log.readAt).Seconds())
 	actions := m.expireLocked(now)
 	actions = append(actions, m.refreshDueLocked(now)...)
 	actions = append(actions, m.restoreTickLocked(now)...)
@@ -150,6 +157,22 @@
 	return m.peers.heardEnough()
 }
 
+// Position returns how far this node has read the declarations and since when.
+func (m *Machine) Position(now time.Time) message.ReadPosition {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	through := m.set.Through()
+	if !m.log.caughtUp && through == 0 {
+		return message.ReadPosition{}
+	}
+	p := message.ReadPosition{Next: through + 1, Incomplete: !m.set.Complete()}
+	if !m.log.recordAt.IsZero() {
+		// 0 would say that the age is not known.
+		p.Age = max(1, now.Sub(m.log.recordAt))
+	}
+	return p
+}
+
 // nextApplyID makes an id that no other apply bears: a node id names one
 // incarnation, and the incarnation counts.
 func (m *Machine) nextApplyID() string {
--- a/coordination/declare/metrics.go
+++ b/coordination/declare/metrics.go
@@ -15,6 +15,7 @@
 	upkeep   *prometheus.CounterVec
 	peers    *prometheus.CounterVec
 	restores *prometheus.CounterVec
+	unread   prometheus.Gauge
 }
 
 func newMetrics(r prometheus.Registerer, set *declaration.Set) *metrics {
@@ -26,8 +27,10 @@
 		peers:    counter("peers_total", "Questions to peers, and what peers' declarations did.", "event"),
 		restores: counter("restores_total", "What this node did for restores of the declarations.", "event"),
 	}
+	m.unread = prometheus.NewGauge(gaugeOpts("unread_seconds",
+		"How long ago the stream was last read to its end, as of the last tick. Up to a long poll's length is usual."))
 	if r != nil {
-		r.MustRegister(m.applies, m.records, m.failures, m.upkeep, m.peers, m.restores, completeness(set), ahead(set))
+		r.MustRegister(m.unread, version(set), m.applies, m.records, m.failures, m.upkeep, m.peers, m.restores, completeness(set), ahead(set))
 	}
 	return m
 }
@@ -36,12 +39,7 @@
 // every operator's state in the log. If that lasts on all nodes, nobody writes
 // refreshes, and no change is accepted any more.
 func completeness(set *declaration.Set) prometheus.Collector {
-	opts := prometheus.GaugeOpts{
-		Namespace: "shallotstep",
-		Subsystem: "declare",
-		Name:      "complete",
-		Help:      "1 if this node knows every operator's state from the log and judges applies.",
-	}
+	opts := gaugeOpts("complete", "1 if this node knows every operator's state from the log and judges applies.")
 	return prometheus.NewGaugeFunc(opts, func() float64 {
 		if set.Complete() {
 			return 1
@@ -53,15 +51,20 @@
 // ahead is how many operators' versions are in force here that the log's readers
 // don't know: this node slept through a restore, and reports them.
 func ahead(set *declaration.Set) prometheus.Collector {
-	opts := prometheus.GaugeOpts{
-		Namespace: "shallotstep",
-		Subsystem: "declare",
-		Name:      "ahead",
-		Help:      "Operators with a version in force here that a restore of the declarations did not know.",
-	}
+	opts := gaugeOpts("ahead", "Operators with a version in force here that a restore of the declarations did not know.")
 	return prometheus.NewGaugeFunc(opts, func() float64 { return float64(len(set.Ahead())) })
 }
 
+// version is the last offset read: every version accepted up to it is in force.
+func version(set *declaration.Set) prometheus.Collector {
+	opts := gaugeOpts("version", "Last offset of the declarations that was read; accepted versions up to it are in force here.")
+	return prometheus.NewGaugeFunc(opts, func() float64 { return float64(set.Through()) })
+}
+
+func gaugeOpts(name, help string) prometheus.GaugeOpts {
+	return prometheus.GaugeOpts{Namespace: "shallotstep", Subsystem: "declare", Name: name, Help: help}
+}
+
 func counter(name, help string, labels ...string) *prometheus.CounterVec {
 	opts := prometheus.CounterOpts{
 		Namespace: "shallotstep",
--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -76,6 +76,9 @@
 	PullEvery int
 	// Agent says that Self has a load of its own. Others only listen.
 	Agent bool
+	// Position returns how far this node has read the declarations. Nil says
+	// nothing of it.
+	Position func(now time.Time) message.ReadPosition
 }
 
 func (o *Options) setDefaults() {
@@ -100,6 +103,8 @@
 	o     Options
 	view  *loadview.View
 	table table
+	// readers has its own lock, taken after mu.
+	readers readers
 
 	mu  sync.Mutex // taken before any shard of the table
 	rng *rand.Rand // guarded by mu
@@ -201,6 +206,7 @@
 func (g *Gossip) Forget(now time.Time, id state.NodeID) {
 	g.view.Forget(now, id)
 	g.table.forget(id)
+	g.readers.forget(id)
 	g.mu.Lock()
 	delete(g.hot, id)
 	g.mu.Unlock()
--- a/coordination/gossip/gossip_test.go
+++ b/coordination/gossip/gossip_test.go
@@ -250,3 +250,36 @@
 	n.run(listenFor*DefaultInterval + 2*time.Second)
 	is.Equal(len(g.listeners), 0)
 }
+
+// Two entries pull from different agents, and no roster names either. Each hears
+// from agents how far the other has read, and of every agent too, with the
+// moment at which each read it right to a step.
+func TestPositionsReachEveryEntry(t *testing.T) {
+	is := is.New(t)
+	n := newNet(60, 2)
+	readAt := n.now
+	for i, id := range n.order {
+		offset := int64(100 + i)
+		n.nodes[id].o.Position = func(now time.Time) message.ReadPosition {
+			return message.ReadPosition{Next: offset + 1, Age: now.Sub(readAt) + 1, Incomplete: i%7 == 0}
+		}
+	}
+	n.run(40 * time.Second)
+	for _, entry := range []state.NodeID{"entry-0", "entry-1"} {
+		readings := n.nodes[entry].Readings()
+		is.Equal(len(readings), len(n.order)-1)
+		for _, r := range readings {
+			is.Equal(n.nodes[r.ID].o.Position(n.now).Next, r.Offset+1)
+			is.Equal(n.nodes[r.ID].o.Position(n.now).Incomplete, r.Incomplete)
+			is.Equal(r.Outside, r.ID == "entry-0" || r.ID == "entry-1")
+			is.True(r.At.Sub(readAt).Abs() < time.Second)
+			is.True(n.now.Sub(r.Said) < 30*time.Second)
+		}
+	}
+	// One that is gone is not shown for long.
+	delete(n.nodes, "entry-1")
+	n.run(DefaultExpiry + time.Minute)
+	for _, r := range n.nodes["entry-0"].Readings() {
+		is.True(r.ID != "entry-1")
+	}
+}
--- a/coordination/gossip/merge.go
+++ b/coordination/gossip/merge.go
@@ -21,6 +21,7 @@
 		return nil
 	}
 	g.table.hear(from, now)
+	g.noteOutside(now, &news)
 	for i := range news.Loads {
 		g.handleItem(now, news.Loads[i], news.Page)
 	}
@@ -68,6 +69,7 @@
 	if !g.table.accept(load.ID, version{load.Seq, item.Beat}, now.Add(-item.Age)) {
 		return false
 	}
+	g.readers.note(now, load.ID, item.Age, &item.Read, false)
 	g.view.Merge(now, *load, item.Age)
 	if !known {
 		return item.Beat < newcomerBeats
--- a/coordination/gossip/page.go
+++ b/coordination/gossip/page.go
@@ -22,7 +22,7 @@
 func (g *Gossip) page(now time.Time, after state.NodeID) message.LoadNews {
 	entries := g.table.snapshot(now.Add(-g.o.Expiry), time.Time{})
 	g.mu.Lock()
-	mine, hasOwn := g.ownItemLocked()
+	mine, hasOwn := g.ownItemLocked(now)
 	g.mu.Unlock()
 	if hasOwn {
 		entries = insertOwn(entries, &mine)
@@ -40,7 +40,7 @@
 			items = append(items, item)
 		}
 	}
-	return message.LoadNews{Loads: items, Page: true, After: after}
+	return message.LoadNews{Loads: items, Page: true, After: after, Read: g.outsidePosition(now)}
 }
 
 func insertOwn(entries []known, mine *message.LoadItem) []known {
@@ -58,7 +58,7 @@
 		return message.LoadItem{}, false
 	}
 	age := max(0, now.Sub(e.said))
-	return message.LoadItem{Load: load, Beat: e.version.beat, Age: age}, true
+	return message.LoadItem{Load: load, Beat: e.version.beat, Age: age, Read: g.readers.saidAt(e.id, e.said)}, true
 }
 
 // turnPage moves the cursor past the end of the page that came, or back to the
--- a/coordination/gossip/round.go
+++ b/coordination/gossip/round.go
@@ -99,6 +99,7 @@
 	r.count++
 	g.readRosterLocked()
 	g.view.Prune(now)
+	g.readers.prune(now.Add(-g.o.Expiry))
 	g.dropListenersLocked(now)
 	entries := g.table.snapshot(now.Add(-g.o.Expiry), now.Add(-keepSilent*g.o.Expiry))
 	r.catchingUp = r.catchingUp || 2*len(entries) < r.regionSize
@@ -108,7 +109,7 @@
 		g.view.Merge(now, g.own.load, 0)
 		out = g.pushLocked(now, entries)
 	}
-	if pull, ok := g.pullLocked(); ok {
+	if pull, ok := g.pullLocked(now); ok {
 		out = append(out, pull)
 	}
 	return append(out, g.probesLocked(now)...)
@@ -137,7 +138,7 @@
 func (g *Gossip) pushLocked(now time.Time, entries []known) []coordination.Action {
 	r := &g.rounds
 	targets := min(g.o.Fanout, len(r.neighbours))
-	msg := message.LoadNews{Loads: g.choiceLocked(now, entries)}
+	msg := message.LoadNews{Loads: g.choiceLocked(now, entries), Read: g.outsidePosition(now)}
 	out := make([]coordination.Action, 0, targets)
 	for range targets {
 		r.turn = (r.turn + 1) % len(r.neighbours)
@@ -155,7 +156,7 @@
 		return cmp.Or(cmp.Compare(b.progress(), a.progress()), compareIDs(a.id, b.id))
 	})
 	items := make([]message.LoadItem, 0, g.o.MaxItems)
-	if mine, ok := g.ownItemLocked(); ok {
+	if mine, ok := g.ownItemLocked(now); ok {
 		items = append(items, g.shortLocked(mine))
 	}
 	chosen := 0
@@ -184,11 +185,11 @@
 	return item
 }
 
-func (g *Gossip) ownItemLocked() (message.LoadItem, bool) {
+func (g *Gossip) ownItemLocked(now time.Time) (message.LoadItem, bool) {
 	if !g.own.set {
 		return message.LoadItem{}, false
 	}
-	return message.LoadItem{Load: g.own.load, Beat: g.own.beat}, true
+	return message.LoadItem{Load: g.own.load, Beat: g.own.beat, Read: g.ownPosition(now)}, true
 }
 
 // urgentRoundLocked passes urgent news on to the neighbours whose turn it is,
@@ -230,7 +231,7 @@
 			delete(g.hot, id)
 		}
 		if id == g.o.Self.ID {
-			mine, _ := g.ownItemLocked()
+			mine, _ := g.ownItemLocked(now)
 			items = append(items, mine)
 			continue
 		}
@@ -248,7 +249,7 @@
 // pullLocked asks a random neighbour for the next page of its table. An agent
 // that is not catching up does so only now and then: what it pulls was pushed
 // to it already, as far as nothing was lost.
-func (g *Gossip) pullLocked() (coordination.Action, bool) {
+func (g *Gossip) pullLocked(now time.Time) (coordination.Action, bool) {
 	r := &g.rounds
 	region := g.o.Self.Region
 	among := r.neighbours
@@ -265,7 +266,7 @@
 	}
 	r.pulled = region
 	to := among[g.rng.IntN(len(among))].ID
-	return coordination.Send{To: to, Msg: message.LoadNews{Pull: true, After: r.cursors[region]}}, true
+	return coordination.Send{To: to, Msg: message.LoadNews{Pull: true, After: r.cursors[region], Read: g.outsidePosition(now)}}, true
 }
 
 // foreignRegionLocked draws one of the regions other than the own.
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -281,6 +281,25 @@
 	After state.NodeID
 	// Page says that Loads is such a page, asked for with this After.
 	Page bool
+	// Read is the position of a node outside the roster: of the sender, or of one
+	// that it has heard of. Its ID is empty if there is none.
+	Read ReadPosition
+}
+
+// ReadPosition is how far a node has read the stream of declarations.
+type ReadPosition struct {
+	// ID and Said are set in a LoadNews only. Said is how long ago the node said
+	// this.
+	ID   state.NodeID
+	Said time.Duration
+	// Next is the offset that it reads next; 0 says that nothing is known. Age is
+	// how long before this was said it read the one before. It is 0 if the node
+	// did so when it came up, so that it says nothing of how late the node is.
+	Next int64
+	Age  time.Duration
+	// Incomplete says that the node does not know every operator's state from the
+	// log, and judges no apply.
+	Incomplete bool
 }
 
 // LoadItem is one agent's load and how long ago its originator said it.
@@ -290,6 +309,8 @@
 	// of one Load.Seq is newer news that the originator lives.
 	Beat uint32
 	Age  time.Duration
+	// Read is the agent's position, without ID and Said.
+	Read ReadPosition
 }
 
 // DeclarationAsk asks a peer for the accepted declarations it has, when the
--- a/coordination/node/agent.go
+++ b/coordination/node/agent.go
@@ -96,6 +96,7 @@
 	o.Gossip.Seed = o.Seed
 	o.Gossip.Agent = true
 	o.Gossip.Peers = func() []state.Member { return a.guard.Roster().Members() }
+	o.Gossip.Position = func(now time.Time) message.ReadPosition { return a.declare.Position(now) }
 	a.gossip = gossip.New(o.Gossip)
 	o.Admit.Self = o.Self
 	a.admit = admit.New(o.Admit)
--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -57,6 +57,7 @@
 	o.Gossip.Self = o.Self
 	o.Gossip.Seed = o.Seed
 	o.Gossip.Peers = func() []state.Member { return e.keeper.Roster().Members() }
+	o.Gossip.Position = func(now time.Time) message.ReadPosition { return e.declare.Position(now) }
 	e.gossip = gossip.New(o.Gossip)
 	e.limits = limit.New(o.Limits)
 	e.limits.SetEntries(max(1, o.Entries))
--- /dev/null
+++ b/coordination/node/readers.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/declare"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// Readers returns how far every process known here has read the declarations,
+// this entry and the other entries among them, latest first. A member of the
+// roster of which nothing was heard is there too.
+func (e *Entry) Readers(now time.Time) []declare.Lag {
+	said := e.gossip.Readings()
+	others := make([]declare.Reading, 0, len(said))
+	heard := make(map[state.NodeID]bool, len(said))
+	for _, r := range said {
+		heard[r.ID] = true
+		others = append(others, declare.Reading{
+			ID: r.ID, Offset: r.Offset, At: r.At, Said: r.Said, Incomplete: r.Incomplete, Entry: r.Outside,
+		})
+	}
+	out := e.declare.Lags(now, others)
+	for i := range out {
+		out[i].Entry = out[i].Entry || out[i].ID == e.self.ID
+	}
+	for _, m := range e.keeper.Roster().Members() {
+		if !heard[m.ID] {
+			out = append(out, declare.Lag{Reading: declare.Reading{ID: m.ID}})
+		}
+	}
+	return out
+}
--- a/daemon/entry/documents.go
+++ b/daemon/entry/documents.go
@@ -109,6 +109,7 @@
 		Epoch:        r.Epoch(),
 		Log:          e.runner.LogStatus(now),
 		Declarations: (*declarer)(e).Operators(),
+		Readers:      e.readers(now),
 	}
 	for _, m := range r.Members() {
 		doc.Roster = append(doc.Roster, api.MemberOf(m))
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -91,6 +91,7 @@
 	}
 	o.Metrics.WatchGossip(e.machine.Gossip())
 	o.Metrics.Registry.MustRegister(e.machine.Collectors()...)
+	o.Metrics.Registry.MustRegister(e.readerGauges()...)
 	o.Metrics.Registry.MustRegister(e.log.Collectors()...)
 	links, err := link.New(lo)
 	if err != nil {
--- a/protocol/api/document.go
+++ b/protocol/api/document.go
@@ -78,6 +78,32 @@
 	Roster       []Member          `json:"roster"`
 	Agents       []Agent           `json:"agents"`
 	Declarations []OperatorVersion `json:"declarations"`
+	// Readers are all processes known to the node, those first that read the
+	// declarations latest.
+	Readers []Reader `json:"readers"`
+}
+
+// Reader is a process as a reader of the declarations.
+type Reader struct {
+	ID   state.NodeID `json:"id"`
+	Role string       `json:"role"`
+	// Heard says that the process has said how far it has read. The rest says
+	// nothing otherwise.
+	Heard bool `json:"heard"`
+	// Version is the offset it had read when it said so, AgeMS ago. Every accepted
+	// version up to it is in force there.
+	Version int64 `json:"version"`
+	AgeMS   int64 `json:"age_ms"`
+	// Behind is how many records others had read by then and it had not.
+	Behind int64 `json:"behind"`
+	// LagMS is how much later than the first process it read its latest record, or
+	// how long it has not read the next.
+	LagMS int64 `json:"lag_ms"`
+	// Late says that the lag is beyond the time in which a change has to be in
+	// force.
+	Late bool `json:"late"`
+	// Complete says that it judges applies.
+	Complete bool `json:"complete"`
 }
 
 // LogStatus is how far a node has read the platform's log.
--- a/protocol/wire/news.go
+++ b/protocol/wire/news.go
@@ -57,6 +57,7 @@
 		Pull:  m.Pull,
 		After: c.name("after", string(m.After)),
 		Page:  m.Page,
+		Read:  c.encodeRead(&m.Read),
 	}
 	for i := range m.Loads {
 		item := &m.Loads[i]
@@ -64,22 +65,48 @@
 			Load:  c.encodeLoad(&item.Load),
 			Beat:  item.Beat,
 			AgeNs: c.nanos("age", item.Age),
+			Read:  c.encodeRead(&item.Read),
 		})
 	}
 	return out
 }
 
+func (c *checker) encodeRead(r *message.ReadPosition) *nodepb.ReadPosition {
+	if *r == (message.ReadPosition{}) {
+		return nil
+	}
+	return &nodepb.ReadPosition{
+		Id:         c.name("reader", string(r.ID)),
+		Next:       c.count("next offset", r.Next),
+		AgeNs:      c.nanos("read age", r.Age),
+		Incomplete: r.Incomplete,
+		SaidNs:     c.nanos("said", r.Said),
+	}
+}
+
+func (c *checker) decodeRead(p *nodepb.ReadPosition) message.ReadPosition {
+	return message.ReadPosition{
+		ID:         state.NodeID(c.name("reader", p.GetId())),
+		Next:       c.count("next offset", p.GetNext()),
+		Age:        c.duration("read age", p.GetAgeNs()),
+		Incomplete: p.GetIncomplete(),
+		Said:       c.duration("said", p.GetSaidNs()),
+	}
+}
+
 func (c *checker) decodeLoadNews(p *nodepb.LoadNews) message.LoadNews {
 	out := message.LoadNews{
 		Pull:  p.GetPull(),
 		After: state.NodeID(c.name("after", p.GetAfter())),
 		Page:  p.GetPage(),
+		Read:  c.decodeRead(p.GetRead()),
 	}
 	for _, item := range p.GetLoads() {
 		out.Loads = append(out.Loads, message.LoadItem{
 			Load: c.decodeLoad(item.GetLoad()),
 			Beat: item.GetBeat(),
 			Age:  c.duration("age", item.GetAgeNs()),
+			Read: c.decodeRead(item.GetRead()),
 		})
 	}
 	return out
--- a/test/session/transcript_test.go
+++ b/test/session/transcript_test.go
@@ -114,6 +114,7 @@
 	{regexp.MustCompile(`"((?:longest|total|elapsed|silent|age)_ms)":[\d.]+`), `"$1":T`},
 	{regexp.MustCompile(`elapsed [\d.]+ ms, longest task [\d.]+ ms, \d+ messages, \d+ wasted`), "elapsed T ms, longest task T ms, N messages, N wasted"},
 	{regexp.MustCompile(`last read \d+ ms ago`), "last read T ms ago"},
+	{regexp.MustCompile(`in time \(by \d+ ms\)`), "in time (by T ms)"},
 	{regexp.MustCompile(`\d+ ms old`), "T ms old"},
 	// Offsets of the roster: a join may be repeated after a slow reply.
 	{regexp.MustCompile(`roster: next offset \d+`), "roster: next offset N"},
--- a/test/session/view_test.go
+++ b/test/session/view_test.go
@@ -30,7 +30,8 @@
 }
 
 // awaitIdleView waits until an entry knows n agents and takes all their slots to
-// be free: news of what has ended lags behind the answers.
+// be free: news of what has ended lags behind the answers. It also waits until
+// all of them, and all entries, have said how far they read the declarations.
 func (s *system) awaitIdleView(e *process, n int) {
 	s.t.Helper()
 	s.awaitAgents(e, n)
@@ -42,6 +43,16 @@
 		}
 		return true
 	})
+	e.await("hearing of every reader", func() bool {
+		readers := s.clientOf(e).status().Readers
+		heard := 0
+		for _, r := range readers {
+			if r.Heard && r.Complete {
+				heard++
+			}
+		}
+		return heard == len(readers) && heard >= n+len(s.entries)
+	})
 }
 
 // awaitVersion waits until the operator's version is in force at every entry and
--- a/transport/cli/status.go
+++ b/transport/cli/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"text/tabwriter"
 
@@ -45,9 +46,50 @@
 	for _, d := range s.Declarations {
 		fmt.Fprintf(w, "  %s\tversion %d\t%s\n", d.Operator, d.Version, strings.Join(d.Services, ","))
 	}
+	printReaders(w, s.Readers)
 	w.Flush()
 }
 
+// printReaders lists the processes that need looking at. A fleet has a thousand.
+func printReaders(w io.Writer, readers []api.Reader) {
+	counts := make(map[string]int)
+	lag := int64(0)
+	for _, r := range readers {
+		counts[reading(r)]++
+		if reading(r) == inTime {
+			lag = max(lag, r.LagMS)
+		}
+	}
+	fmt.Fprintf(w, "readers of the declarations: %d in time (by %d ms), %d late, %d incomplete, %d not heard of\n",
+		counts[inTime], lag, counts[late], counts[incomplete], counts[notHeardOf])
+	for _, r := range readers {
+		if reading(r) != inTime {
+			fmt.Fprintf(w, "  %s\t%s\t%s\tversion %d\tlag %d ms\tbehind %d\t%d ms old\n",
+				r.ID, r.Role, reading(r), r.Version, r.LagMS, r.Behind, r.AgeMS)
+		}
+	}
+}
+
+// What is said of a reader.
+const (
+	inTime     = "in time"
+	late       = "late"
+	incomplete = "incomplete"
+	notHeardOf = "not heard of"
+)
+
+func reading(r api.Reader) string {
+	switch {
+	case !r.Heard:
+		return notHeardOf
+	case r.Late:
+		return late
+	case !r.Complete:
+		return incomplete
+	}
+	return inTime
+}
+
 func condition(a api.Agent) string {
 	switch {
 	case a.Draining:
--- a/transport/httpapi/status.go
+++ b/transport/httpapi/status.go
@@ -18,6 +18,7 @@
 	doc.Roster = orEmpty(doc.Roster)
 	doc.Agents = orEmpty(doc.Agents)
 	doc.Declarations = orEmpty(doc.Declarations)
+	doc.Readers = orEmpty(doc.Readers)
 	x.answer(doc)
 }
 
