--- a/coordination/declare/upkeep_test.go
+++ b/coordination/declare/upkeep_test.go
@@ -18,6 +18,17 @@
 	// refreshes counts appends of the whole fleet; most is the most in one step.
 	refreshes, most int
 	down            bool
+	// slow is how long a record takes to be read beyond the usual step.
+	slow time.Duration
+}
+
+// visible is what the nodes can read now of the log.
+func (f *fleet) visible() *fakeLog {
+	n := len(f.log.records)
+	for n > 0 && f.at[n-1].After(f.now.Add(-f.slow)) {
+		n--
+	}
+	return &fakeLog{first: f.log.first, records: f.log.records[:n]}
 }
 
 const step = time.Second
@@ -56,9 +67,10 @@
 func (f *fleet) step() {
 	f.now = f.now.Add(f.stride())
 	count := 0
+	visible := f.visible()
 	for _, n := range f.nodes {
 		if !f.down {
-			n.read(f.now, f.log)
+			n.read(f.now, visible)
 		}
 		n.take(n.Tick(f.now))
 	}
@@ -184,6 +196,30 @@
 	}
 }
 
+// BenchmarkBurst280 is what comes after an outage of 13 hours, at the target
+// size: every operator is overdue on every node. The slower the log is to show a
+// record, the more nodes write what another has written.
+func BenchmarkBurst280(b *testing.B) {
+	for _, slow := range []time.Duration{0, 10 * time.Second} {
+		b.Run(slow.String(), func(b *testing.B) { benchmarkBurst(b, slow) })
+	}
+}
+
+func benchmarkBurst(b *testing.B, slow time.Duration) {
+	const nodes, operators = 990, 280
+	for b.Loop() {
+		f := newFleet(nodes, operators, safeguards{})
+		f.slow = slow
+		f.down = true
+		f.run(13 * time.Hour)
+		f.down = false
+		f.refreshes, f.most = 0, 0
+		f.run(DefaultOverdueSpread)
+		b.ReportMetric(float64(f.refreshes)/operators, "refreshes/operator")
+		b.ReportMetric(float64(f.most), "most/s")
+	}
+}
+
 // BenchmarkTick is what a node spends 200 times a second with nothing to do.
 func BenchmarkTick(b *testing.B) {
 	f := newFleet(1, 280, safeguards{})
