Refuse a declaration that could never be refreshed

Cause, found while bounding sizes: names are owned for good and add up over an operator's files, so an operator can be accepted at a state whose refresh is larger than a record may be. Nobody could refresh it, and a newcomer after the log's retention would never have a complete view: the way into the hole that a restore mends, for the whole fleet.

Change: the entry refuses such a file as too_large before it appends it. Readers judge as before, because a stricter rule there would make old and new processes disagree. Ruled out: larger records (the log's limit is 256 KB) and splitting a refresh (a newcomer would have to put together parts of several writers).

--- a/coordination/declare/apply.go
+++ b/coordination/declare/apply.go
@@ -37,6 +37,9 @@
 	if reason, detail := m.set.Check(operator, file); reason != state.ReasonNone {
 		return m.refuse(ticket, operator, reason, detail)
 	}
+	if reason, detail := m.set.CheckSize(operator, file, string(raw)); reason != state.ReasonNone {
+		return m.refuse(ticket, operator, reason, detail)
+	}
 	if done, ok := m.alreadySettled(ticket, operator, base, string(raw)); ok {
 		m.metrics.settled(done.Reason)
 		return []coordination.Action{done}
--- a/coordination/declare/machine_test.go
+++ b/coordination/declare/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +118,16 @@
 	is.Equal(n.applied[4].Reason, state.ReasonServiceOwned)
 	is.Equal(n.applied[5].Outcome, state.Complete)
 }
+
+// A file that everybody would accept and nobody could refresh is refused before
+// it is appended.
+func TestPutRefusesWhatCannotBeRefreshed(t *testing.T) {
+	is := is.New(t)
+	n := newNode("a", nil)
+	// A control character of a comment takes six bytes in a record.
+	raw := append(file("gridlog", "yard-logbook", 5), "/*"+strings.Repeat("\x01", 50<<10)+"*/"...)
+	n.put(t0, 1, "gridlog", 0, raw)
+	is.Equal(len(n.appends), 0)
+	is.Equal(n.applied[1].Reason, state.ReasonTooLarge)
+	is.Equal(n.applied[1].Outcome, state.NotRun)
+}
--- a/state/declaration/report.go
+++ b/state/declaration/report.go
@@ -1,8 +1,11 @@
 package declaration
 
 import (
+	"fmt"
 	"maps"
+	"math"
 	"slices"
+	"strings"
 
 	"github.com/shallotstep/shallotstep/state"
 )
@@ -131,6 +134,26 @@
 	}, true
 }
 
+// CheckSize says why a valid file must not be appended though all would accept it:
+// the record that repeats the operator's whole state would be too large for the
+// log, so that nobody could refresh it. This is for whoever appends the file; a
+// reader judges by Check alone, as all readers have to judge alike.
+func (s *Set) CheckSize(operator string, file *File, raw string) (state.Reason, string) {
+	const later = math.MaxInt64 // as long as an offset gets
+	s.mu.Lock()
+	owned := s.ownedLocked(&Accepted{Operator: operator, Version: later, File: file})
+	s.mu.Unlock()
+	rec := Record{
+		Kind: KindRefresh, Operator: operator, ApplyID: strings.Repeat("x", 2*state.MaxIDLength), File: raw,
+		Version: later, Through: later, Created: later, Operators: math.MaxInt32, Owned: owned,
+	}
+	if _, err := rec.Encode(); err != nil {
+		detail := fmt.Sprintf("the file with the %d names that the operator owns is too large to be repeated in the log: %v", len(owned), err)
+		return state.ReasonTooLarge, detail
+	}
+	return state.ReasonNone, ""
+}
+
 // ownedLocked returns the names that an operator is known to own here: those of
 // its file, and all that were ever read.
 func (s *Set) ownedLocked(cur *Accepted) []Owned {
