Stay ready when the complete view of the declarations is lost

Cause, found on the way to the restore: Ready asked for a complete view each time. Where records ran out before anybody read them, every entry called itself not ready at once, so the balancer would have taken all of them away and jobs would have stopped; and no node answered a newcomer, as only ready ones do (TestLostViewTakesNobodyOutOfService, red before). That contradicts "what is in force stays".

Change: a node that was ready once stays ready. A newcomer still isn't ready before it has read everything or heard from peers.

--- a/coordination/declare/apply.go
+++ b/coordination/declare/apply.go
@@ -207,6 +207,7 @@
 	m.log.readAt = now
 	m.log.caughtUp = true
 	m.log.failing = false
+	m.readyLocked()
 	return nil
 }
 
--- a/coordination/declare/failure_test.go
+++ b/coordination/declare/failure_test.go
@@ -211,3 +211,31 @@
 		return !a.Ready()
 	})
 }
+
+// Records run out before any node has read them, so no node has a complete view.
+// What was in force before stays, so they go on serving, and a newcomer learns it
+// from them. If each called itself not ready, the balancer would take every entry
+// away and nobody would answer the newcomer, because of a log that nobody needs
+// for a job.
+func TestLostViewTakesNobodyOutOfService(t *testing.T) {
+	is := is.New(t)
+	l, nodes := declared(safeguards{}, "a", "b")
+	for _, n := range nodes {
+		is.True(n.Ready())
+		n.read(t0.Add(time.Hour), &fakeLog{first: 501})
+		is.True(!n.set.Complete())
+		is.True(n.Ready())
+	}
+	c := newNode("c", nil)
+	c.Peers([]state.NodeID{"a", "b"})
+	c.read(t0.Add(time.Hour), &fakeLog{first: 501})
+	is.True(!c.Ready())
+	c.take(c.Tick(t0.Add(time.Hour)))
+	for i, n := range nodes {
+		n.take(n.Handle(t0.Add(time.Hour), "c", c.sent[i].Msg))
+		c.take(c.Handle(t0.Add(time.Hour), n.opts.Self, n.sent[0].Msg))
+	}
+	is.True(c.Ready())
+	is.Equal(c.set.Digest(), nodes[0].set.Digest())
+	is.Equal(len(l.records), 1)
+}
--- a/coordination/declare/machine.go
+++ b/coordination/declare/machine.go
@@ -66,7 +66,9 @@
 	refreshes refresher
 	peers     peerState
 	restore   restorer
-	disabled  safeguards
+	// ready says that this node was ready once.
+	ready    bool
+	disabled safeguards
 }
 
 // safeguards are taken out by tests only, to show that a test notices.
@@ -147,14 +149,18 @@
 }
 
 // Ready reports whether this node may answer for declarations: it has read the
-// log to its end and can judge all of it, or it has heard from peers.
+// log to its end and could judge all of it, or it has heard from peers. It stays
+// ready, because what is in force stays. All nodes can lose the complete view at
+// once; calling themselves not ready they would stop all jobs.
 func (m *Machine) Ready() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.log.caughtUp && m.set.Complete() {
-		return true
-	}
-	return m.peers.heardEnough()
+	return m.readyLocked()
+}
+
+func (m *Machine) readyLocked() bool {
+	m.ready = m.ready || m.log.caughtUp && m.set.Complete() || m.peers.heardEnough()
+	return m.ready
 }
 
 // Position returns how far this node has read the declarations and since when.
