--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/shallotstep/shallotstep/coordination/admit"
+	"github.com/shallotstep/shallotstep/coordination/declare"
 	"github.com/shallotstep/shallotstep/coordination/home"
 	"github.com/shallotstep/shallotstep/coordination/node"
 	"github.com/shallotstep/shallotstep/daemon/agent"
@@ -199,6 +200,8 @@
 			Self:  self,
 			Seed:  uint64(len(s.agents) + 1),
 			Home:  home.Options{Metrics: home.NewMetrics(m.Registry)},
+
+			Declare: declare.Options{Registerer: m.Registry},
 			Admit: admit.Options{Metrics: admit.NewMetrics(m.Registry)},
 			// Nobody is left to send tasks: the entry has stopped before.
 			Linger: time.Millisecond,
@@ -254,12 +257,13 @@
 
 func (s *System) startEntry(ctx context.Context) error {
 	self := state.Member{ID: incarnation("entry"), Region: region, Domain: s.opts.Domains[0], Rack: rack}
+	m := metrics.New()
 	e, err := entry.New(entry.Options{
-		Node:      node.EntryOptions{Self: self},
+		Node:      node.EntryOptions{Self: self, Declare: declare.Options{Registerer: m.Registry}},
 		HTTP:      s.opts.HTTP,
 		Log:       platformlog.Options{URL: s.logURL},
 		StopLimit: s.opts.StopLimit,
-		Metrics:   metrics.New(),
+		Metrics:   m,
 		Software:  s.opts.Software,
 	})
 	if err != nil {
