--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -197,12 +197,12 @@
 	m := metrics.New()
 	a, err := agent.New(agent.Options{
 		Node: node.AgentOptions{
-			Self:  self,
-			Seed:  uint64(len(s.agents) + 1),
-			Home:  home.Options{Metrics: home.NewMetrics(m.Registry)},
+			Self: self,
+			Seed: uint64(len(s.agents) + 1),
+			Home: home.Options{Metrics: home.NewMetrics(m.Registry)},
 
 			Declare: declare.Options{Registerer: m.Registry},
-			Admit: admit.Options{Metrics: admit.NewMetrics(m.Registry)},
+			Admit:   admit.Options{Metrics: admit.NewMetrics(m.Registry)},
 			// Nobody is left to send tasks: the entry has stopped before.
 			Linger: time.Millisecond,
 		},
