Wait with a restore until every living process has read its begin

Cause: a restore waited a minute. A process that stands still for longer, and alone has a newer version in force, reported after the commit; an apply against the older version that got in first then replaced what was in force there (TestRestoreWaitsForEveryMember, red before).

Change: the entry that restores waits until every member of the roster, and every entry heard of in the last 3 minutes, is known by the news of loads to have read the begin, and then for as long as reports are drawn. A dead member is evicted meanwhile, for the log works. Who has not read it in 5 minutes is named in the refusal, and nothing is restored (TestRestoreNamesWhoDoesNotRead).

What is left: an entry that stands still for longer than 3 minutes, has a version in force that nobody else living has, and wakes up after another apply for that operator was accepted.

--- a/coordination/declare/machine.go
+++ b/coordination/declare/machine.go
@@ -46,6 +46,9 @@
 	// OverdueSpread is the time over which all nodes together spread the
 	// refreshes that came due while the log was out of service.
 	OverdueSpread time.Duration
+	// Unread returns the living processes that are not known to have read an
+	// offset of the declarations. A restore waits for them. Nil means nobody.
+	Unread func(now time.Time, offset int64) []state.NodeID
 	// Registerer takes the metrics; nil leaves them unregistered.
 	Registerer prometheus.Registerer
 }
@@ -81,6 +84,7 @@
 	oldHalfDue     bool // what a newcomer finds in the log's older half is due
 	silentIgnorant bool // a node that knows nothing doesn't answer newcomers
 	restoreWait    bool // a restore waits for what other processes have in force
+	restoreUnread  bool // a restore waits until all members have read its begin
 	restoreObject  bool // a process with a complete view objects to a restore
 	restoreSpread  bool // reports of other processes are spread over a time
 }
--- a/coordination/declare/restore.go
+++ b/coordination/declare/restore.go
@@ -65,6 +65,10 @@
 	begin     int64
 	begunAt   time.Time
 	committed bool
+	// unread are the processes that had not read the begin at the last look, and
+	// readAt is when there was none.
+	unread []state.NodeID
+	readAt time.Time
 }
 
 // Restore makes the newest versions that any living process has in force the
@@ -187,7 +191,16 @@
 		return m.settleRestoreLocked(state.Unknown, 0, state.ReasonApplyUnknown,
 			"the log has not shown what became of the restore; asking again does no harm")
 	}
-	return m.settleRestoreLocked(state.NotRun, 0, state.ReasonRestoreVoid, "not everything was reported in time")
+	return m.settleRestoreLocked(state.NotRun, 0, state.ReasonRestoreVoid, own.missing())
+}
+
+// missing says why a restore could not be committed in time.
+func (r *ownRestore) missing() string {
+	const named = 5
+	if len(r.unread) == 0 {
+		return "not everything was reported in time"
+	}
+	return fmt.Sprintf("%d processes are not known to have read the log, the first of them: %v", len(r.unread), r.unread[:min(named, len(r.unread))])
 }
 
 // objectLocked writes a refresh if somebody restores what this node knows
@@ -278,6 +291,9 @@
 	if own == nil || own.committed || begin == 0 || own.begin != begin {
 		return nil
 	}
+	if !m.allReadLocked(now, own) && !m.disabled.restoreWait {
+		return nil
+	}
 	waited := now.Sub(own.begunAt) >= restoreWait && now.Sub(m.restore.reportedAt) >= restoreQuiet
 	if !waited && !m.disabled.restoreWait {
 		return nil
@@ -294,6 +310,24 @@
 	return []coordination.Action{coordination.Append{Stream: coordination.StreamDeclarations, Data: data}}
 }
 
+// allReadLocked reports whether every living process has read the begin, and has
+// had the time to report since. One that stands still for longer than a restore
+// waits would report too late: an apply against an older version than it has in
+// force might be accepted first. A member that is dead is evicted meanwhile.
+func (m *Machine) allReadLocked(now time.Time, own *ownRestore) bool {
+	if m.opts.Unread == nil || m.disabled.restoreUnread {
+		return true
+	}
+	if own.readAt.IsZero() {
+		own.unread = m.opts.Unread(now, own.begin)
+		if len(own.unread) > 0 {
+			return false
+		}
+		own.readAt = now
+	}
+	return now.Sub(own.readAt) >= reportSpread+reportPause
+}
+
 // drawFor returns this node's moment within a span, for one purpose and restore.
 func (m *Machine) drawFor(purpose string, begin int64, span time.Duration) time.Duration {
 	return time.Duration(fraction(fmt.Sprintf("%s\x00%s\x00%d", m.opts.Self, purpose, begin)) * float64(span))
--- a/coordination/declare/restore_test.go
+++ b/coordination/declare/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -141,6 +142,57 @@
 	})
 }
 
+// The same node stands still for 100 s, longer than a restore waits at least. It
+// is a member, so it lives: the restore waits until it is known to have read the
+// begin and had time to report. Without that an apply against the older version
+// would get in before the node's report.
+func TestRestoreWaitsForEveryMember(t *testing.T) {
+	each(t, safeguards{restoreUnread: true}, func(off safeguards) bool {
+		f := blindFleet(4, 2, off)
+		late := f.nodes[3]
+		late.take(late.Handle(f.now, "gone", message.DeclarationReply{Records: []message.DeclarationRecord{{
+			Operator: "op0", Version: 4, ApplyID: "lost", File: file("op0", "serviceop0", 5),
+		}}}))
+		f.ticks(2 * time.Second)
+		f.nodes[0].opts.Unread = f.unread
+		f.nodes[0].take(f.nodes[0].Restore(f.now, restoreTicket))
+		f.ticks(100*time.Second, late)
+		if f.nodes[1].set.Complete() {
+			cur, _ := f.nodes[1].set.Operator("op0")
+			f.nodes[1].put(f.now, 1, "op0", cur.Version, file("op0", "serviceop0", 6))
+		}
+		f.ticks(4 * time.Minute)
+		cur, _ := f.nodes[1].set.Operator("op0")
+		return cur.Version == 4 && f.nodes[0].applied[restoreTicket].Outcome == state.Complete
+	})
+}
+
+// unread names the nodes that have not read an offset.
+func (f *fleet) unread(_ time.Time, offset int64) []state.NodeID {
+	var ids []state.NodeID
+	for _, n := range f.nodes {
+		if n.set.Through() < offset {
+			ids = append(ids, n.opts.Self)
+		}
+	}
+	return ids
+}
+
+// A member never reads the begin. The person is told which, and that nothing was
+// restored.
+func TestRestoreNamesWhoDoesNotRead(t *testing.T) {
+	is := is.New(t)
+	f := blindFleet(4, 2, safeguards{})
+	f.nodes[0].opts.Unread = f.unread
+	f.nodes[0].take(f.nodes[0].Restore(f.now, restoreTicket))
+	f.ticks(RestoreLimit+2*step, f.nodes[3])
+	a := f.nodes[0].applied[restoreTicket]
+	is.Equal(a.Reason, state.ReasonRestoreVoid)
+	is.Equal(a.Outcome, state.NotRun)
+	is.True(strings.Contains(a.Detail, "young3"))
+	is.True(!f.nodes[1].set.Complete())
+}
+
 // A person restores though one node has a complete view and was merely slow. It
 // objects with a refresh, so nothing is put together from reports, and it
 // refreshes the rest, so that all have a complete view soon.
--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -64,6 +64,7 @@
 	o.Declare.Self = o.Self.ID
 	o.Declare.Set = e.set
 	o.Declare.Seed = o.Seed
+	o.Declare.Unread = e.unread
 	e.declare = declare.New(o.Declare)
 	e.route = route.New(route.Options{
 		Self:   o.Self.ID,
--- a/coordination/node/readers.go
+++ b/coordination/node/readers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/declare"
@@ -31,3 +32,24 @@
 	}
 	return out
 }
+
+// unread returns the processes that are not known to have read an offset of the
+// declarations: members of the roster, and others that were heard lately. The
+// declare machine calls it with its lock held.
+func (e *Entry) unread(_ time.Time, offset int64) []state.NodeID {
+	var out []state.NodeID
+	heard := make(map[state.NodeID]bool)
+	for _, r := range e.gossip.Readings() {
+		heard[r.ID] = true
+		if r.Offset < offset {
+			out = append(out, r.ID)
+		}
+	}
+	for _, m := range e.keeper.Roster().Members() {
+		if !heard[m.ID] {
+			out = append(out, m.ID)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
