--- a/coordination/declare/apply.go
+++ b/coordination/declare/apply.go
@@ -37,6 +37,9 @@
 	if reason, detail := m.set.Check(operator, file); reason != state.ReasonNone {
 		return m.refuse(ticket, operator, reason, detail)
 	}
+	if reason, detail := m.set.CheckSize(operator, file, string(raw)); reason != state.ReasonNone {
+		return m.refuse(ticket, operator, reason, detail)
+	}
 	if done, ok := m.alreadySettled(ticket, operator, base, string(raw)); ok {
 		m.metrics.settled(done.Reason)
 		return []coordination.Action{done}
@@ -127,6 +130,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	ev, err := m.set.Apply(offset, data)
+	m.noteReadLocked(now, offset)
 	if err != nil {
 		m.metrics.undecodable()
 		return nil
@@ -138,6 +142,15 @@
 	return actions
 }
 
+// noteReadLocked remembers when which record was read, once this node has come up.
+func (m *Machine) noteReadLocked(now time.Time, offset int64) {
+	if !m.log.caughtUp || offset != m.set.Through() {
+		return
+	}
+	m.log.recordAt = now
+	m.log.recent.add(offset, now)
+}
+
 func (m *Machine) eventLocked(now time.Time, ev declaration.Event) []coordination.Action {
 	m.metrics.read(ev.Verdict)
 	m.refreshes.note(now, ev, m.opts)
@@ -194,6 +207,7 @@
 	m.log.readAt = now
 	m.log.caughtUp = true
 	m.log.failing = false
+	m.readyLocked()
 	return nil
 }
 
--- a/coordination/declare/machine.go
+++ b/coordination/declare/machine.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/state/declaration"
 )
@@ -45,6 +46,9 @@
 	// OverdueSpread is the time over which all nodes together spread the
 	// refreshes that came due while the log was out of service.
 	OverdueSpread time.Duration
+	// Unread returns the living processes that are not known to have read an
+	// offset of the declarations. A restore waits for them. Nil means nobody.
+	Unread func(now time.Time, offset int64) []state.NodeID
 	// Registerer takes the metrics; nil leaves them unregistered.
 	Registerer prometheus.Registerer
 }
@@ -65,7 +69,9 @@
 	refreshes refresher
 	peers     peerState
 	restore   restorer
-	disabled  safeguards
+	// ready says that this node was ready once.
+	ready    bool
+	disabled safeguards
 }
 
 // safeguards are taken out by tests only, to show that a test notices.
@@ -78,6 +84,7 @@
 	oldHalfDue     bool // what a newcomer finds in the log's older half is due
 	silentIgnorant bool // a node that knows nothing doesn't answer newcomers
 	restoreWait    bool // a restore waits for what other processes have in force
+	restoreUnread  bool // a restore waits until all members have read its begin
 	restoreObject  bool // a process with a complete view objects to a restore
 	restoreSpread  bool // reports of other processes are spread over a time
 }
@@ -99,6 +106,11 @@
 	caughtUp bool
 	// failing says that the last attempt to read failed.
 	failing bool
+	// recordAt is when the latest record was read; zero if that was while the
+	// node came up.
+	recordAt time.Time
+	// recent are the times of the latest records.
+	recent readTimes
 }
 
 func (l *logState) readable(now time.Time) bool {
@@ -133,6 +145,7 @@
 func (m *Machine) Tick(now time.Time) []coordination.Action {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.metrics.unread.Set(now.Sub(m.log.readAt).Seconds())
 	actions := m.expireLocked(now)
 	actions = append(actions, m.refreshDueLocked(now)...)
 	actions = append(actions, m.restoreTickLocked(now)...)
@@ -140,14 +153,34 @@
 }
 
 // Ready reports whether this node may answer for declarations: it has read the
-// log to its end and can judge all of it, or it has heard from peers.
+// log to its end and could judge all of it, or it has heard from peers. It stays
+// ready, because what is in force stays. All nodes can lose the complete view at
+// once; calling themselves not ready they would stop all jobs.
 func (m *Machine) Ready() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.log.caughtUp && m.set.Complete() {
-		return true
+	return m.readyLocked()
+}
+
+func (m *Machine) readyLocked() bool {
+	m.ready = m.ready || m.log.caughtUp && m.set.Complete() || m.peers.heardEnough()
+	return m.ready
+}
+
+// Position returns how far this node has read the declarations and since when.
+func (m *Machine) Position(now time.Time) message.ReadPosition {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	through := m.set.Through()
+	if !m.log.caughtUp && through == 0 {
+		return message.ReadPosition{}
+	}
+	p := message.ReadPosition{Next: through + 1, Incomplete: !m.set.Complete()}
+	if !m.log.recordAt.IsZero() {
+		// 0 would say that the age is not known.
+		p.Age = max(1, now.Sub(m.log.recordAt))
 	}
-	return m.peers.heardEnough()
+	return p
 }
 
 // nextApplyID makes an id that no other apply bears: a node id names one
