Tell agents of no more backlog than there is

Cause: every Assign told its agent of up to two waiting tasks, whoever else knew of them. A job of 40 tasks with five left over told a dozen agents of two each; five offers were taken and the rest found nothing. Change: an agent is told of what the others haven't been told of within the last second.

--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -136,8 +136,7 @@
 		c.asked = 0
 		p.schedule(j, j.nextWake())
 		j.stats.Messages++
-		backlog := p.operatorBacklog(j.operator)
-		a.told, a.toldAt = backlog, now
+		backlog := p.tell(now, a, j.operator)
 		out = append(out, p.assign(now, j, a, x.indexes, backlog))
 	}
 	return out
@@ -164,6 +163,21 @@
 	return n
 }
 
+// tell returns how much backlog an agent is told of, and notes it. What other
+// agents have been told of draws their offers; if each were told of the same few
+// tasks, most would offer a slot when those are gone.
+func (p *pool) tell(now time.Time, a *agent, operator string) int {
+	known := 0
+	for _, x := range p.list {
+		if x != a && x.knowsBacklog(now) {
+			known += x.told
+		}
+	}
+	n := min(p.operatorBacklog(operator), max(0, p.backlog-known))
+	a.told, a.toldAt = n, now
+	return n
+}
+
 func (p *pool) assign(now time.Time, j *job, a *agent, indexes []int, backlog int) coordination.Action {
 	m := message.Assign{
 		Key: j.key, Operator: j.operator, Repeatable: j.repeatable,
