Wait for a task's declared run before asking its agent again

Cause: a home asked about a silent task after a second or twice the longest run seen of late. At 100 agents a home sees few results, so it asked about many tasks of 2 to 8 s while they ran, two messages each time: the causes "other" and part of "refused". A broken link is asked about soon as before. Price: an Assign lost without a break of the link is found after twice the declared run, not a second. Most homes waited as long before, by the longest run seen.

--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -124,15 +124,18 @@
 		x := &r.list[i]
 		j, a := x.j, x.a
 		j.batches = append(j.batches, batch{})
+		longest := time.Duration(0)
 		for _, index := range x.indexes {
 			t := &j.tasks[index]
 			t.phase = assigned
 			t.agent = a.load.ID
 			t.batch = len(j.batches) - 1
+			longest = max(longest, p.runs.expect(&t.spec))
 		}
 		c := j.contact(a.load.ID)
 		c.outstanding += len(x.indexes)
-		c.askAt = now.Add(p.patience())
+		c.patience = max(c.patience, p.patience(longest))
+		c.askAt = now.Add(c.patience)
 		c.asked = 0
 		p.schedule(j, j.nextWake())
 		j.stats.Messages++
@@ -142,42 +145,6 @@
 	return out
 }
 
-// maxTold bounds the backlog that an agent is told of. The Assign that answers
-// its offer tells it anew, so little is lost by a low number, while a high one
-// draws offers long after the tasks went elsewhere.
-const maxTold = 2
-
-// operatorBacklog counts an operator's waiting tasks, up to maxTold.
-func (p *pool) operatorBacklog(operator string) int {
-	n := 0
-	for i := range p.waiting.operators {
-		if p.waiting.operators[i].operator != operator {
-			continue
-		}
-		for _, j := range p.waiting.operators[i].jobs {
-			if n += len(j.backlog); n >= maxTold {
-				return maxTold
-			}
-		}
-	}
-	return n
-}
-
-// tell returns how much backlog an agent is told of, and notes it. What other
-// agents have been told of draws their offers; if each were told of the same few
-// tasks, most would offer a slot when those are gone.
-func (p *pool) tell(now time.Time, a *agent, operator string) int {
-	known := 0
-	for _, x := range p.list {
-		if x != a && x.knowsBacklog(now) {
-			known += x.told
-		}
-	}
-	n := min(p.operatorBacklog(operator), max(0, p.backlog-known))
-	a.told, a.toldAt = n, now
-	return n
-}
-
 func (p *pool) assign(now time.Time, j *job, a *agent, indexes []int, backlog int) coordination.Action {
 	m := message.Assign{
 		Key: j.key, Operator: j.operator, Repeatable: j.repeatable,
@@ -194,40 +161,6 @@
 	return coordination.Send{To: a.load.ID, Msg: m}
 }
 
-// askForRoom tells some agents that tasks wait here, so that they offer their
-// next free slot.
-func (p *pool) askForRoom(now time.Time) []coordination.Action {
-	know := 0
-	var rest []*agent
-	for _, a := range p.list {
-		switch {
-		case !a.open(now):
-		case a.knowsBacklog(now):
-			know++
-		default:
-			rest = append(rest, a)
-		}
-	}
-	var out []coordination.Action
-	for want := p.askCount(); know < want && len(rest) > 0; know++ {
-		i := place.BetterOfTwo(p.rng, len(rest), func(i int) int { return rest[i].free })
-		a := rest[i]
-		rest = slices.Delete(rest, i, i+1)
-		j := p.waiting.first()
-		a.told, a.toldAt = p.operatorBacklog(j.operator), now
-		j.stats.Messages++
-		j.asks++
-		p.o.Metrics.asked()
-		out = append(out, p.assign(now, j, a, nil, a.told))
-	}
-	return out
-}
-
-// askCount is how many agents should know of the backlog.
-func (p *pool) askCount() int {
-	return max(p.o.Ask, (p.backlog+p.o.AskPer-1)/p.o.AskPer)
-}
-
 // credit places waiting tasks at an agent that offered slots.
 func (p *pool) credit(now time.Time, a *agent, n int) []coordination.Action {
 	a.told = max(0, a.told-n)
@@ -283,9 +216,3 @@
 		return true
 	})
 }
-
-// patience is how long an agent may be silent about tasks: well beyond the
-// longest run seen of late, because a running task makes no messages.
-func (p *pool) patience() time.Duration {
-	return max(p.o.Resend, 2*p.longest)
-}
--- a/coordination/home/finish.go
+++ b/coordination/home/finish.go
@@ -111,7 +111,7 @@
 		c.asked++
 		c.askAt = time.Time{}
 		if c.asked < maxAsks {
-			c.askAt = now.Add(p.patience() << c.asked)
+			c.askAt = now.Add(c.patience << c.asked)
 		}
 		a := p.agents[c.agent]
 		if a == nil {
--- a/coordination/home/job.go
+++ b/coordination/home/job.go
@@ -63,6 +63,8 @@
 	// askAt is when the agent is asked again if it stays silent.
 	askAt time.Time
 	asked int
+	// patience is the first pause before that.
+	patience time.Duration
 }
 
 // batch is one Assign: of use if it led to a first start.
--- /dev/null
+++ b/coordination/home/tell_test.go
@@ -0,0 +1,47 @@
+package home
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// A caller's job leaves two tasks over after all slots are taken. If each agent
+// were told of both, all would offer slots and most would find the tasks gone:
+// two messages too many for each, and a slot kept free for nothing.
+func TestAgentsAreToldOfNoMoreThanWaits(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(1, 1, 1, 1, 1, 1), nil)
+	b.submit("j", 8, 0, "1")
+	_, assigns := take[message.Assign](b)
+	told, placed := 0, 0
+	for _, a := range assigns {
+		if len(a.Indexes) > 0 {
+			told += a.Backlog
+			placed += len(a.Indexes)
+		}
+	}
+	is.Equal(placed, 6)
+	is.Equal(told, 2)
+}
+
+// A caller's task runs for eight seconds, as declared. The home hears nothing
+// until it ends, and that is no sign of a lost message. A lost one is still found.
+func TestLongTaskIsNotAskedAboutEarly(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(8), nil)
+	j := state.Job{Key: state.JobKey{Service: "s", ID: "j"}, Operator: "op", Tasks: []state.Task{{Cores: 1, Expected: 8 * time.Second}}}
+	b.do(b.h.Handle(b.now, "entry", message.Submit{Job: j, Digest: j.Digest(), Attempt: "1"}))
+	_, assigns := take[message.Assign](b)
+	is.Equal(len(assigns), 1)
+	b.pass(15 * time.Second)
+	_, assigns = take[message.Assign](b)
+	is.Equal(len(assigns), 0)
+	b.pass(2 * time.Second)
+	_, assigns = take[message.Assign](b)
+	is.Equal(len(assigns), 1)
+}
