Place small jobs on 6 agents instead of 12

Change: a home uses fewer agents for small jobs and so hears of each more often, in the reports on its own tasks. Large jobs and backlogs use more, as before.

--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -52,7 +52,7 @@
 	DefaultGrace       = 100 * time.Millisecond
 	DefaultResend      = time.Second
 	DefaultSettle      = 50 * time.Millisecond
-	DefaultNarrow      = 12
+	DefaultNarrow      = 6
 	DefaultAsk         = 2
 	DefaultAskPer      = 4
 )
