Prefer agents whose slots are free by fresh news

Cause: nine of ten refusals as busy came of news over half a second old. Change: half of the free slots count, rounded down, if the agent's own report is older than 300 ms. Agents with room by that count go first, the others after them, and the share of a job that one gets follows it.

--- a/coordination/home/agents.go
+++ b/coordination/home/agents.go
@@ -14,6 +14,9 @@
 	unseenFor = 5 * time.Millisecond
 	// freshFor is how long an agent's own report is taken as it stands.
 	freshFor = 20 * time.Millisecond
+	// oldAfter is how long ago an agent's own report is old: of eight slots with
+	// usual tasks three or four have changed hands since.
+	oldAfter = 300 * time.Millisecond
 	// toldFor is how long an agent is taken to remember a backlog: a little less
 	// than admit.DefaultInterestTTL.
 	toldFor = 1900 * time.Millisecond
@@ -89,6 +92,15 @@
 	return a.free
 }
 
+// sureRoom is room without half of what old news calls free.
+func (a *agent) sureRoom(now time.Time, refusedBefore bool) int {
+	n := a.room(now, refusedBefore)
+	if now.Sub(a.heardAt) >= oldAfter {
+		return n / 2
+	}
+	return n
+}
+
 // knowsBacklog reports whether the agent will offer slots by itself.
 func (a *agent) knowsBacklog(now time.Time) bool {
 	return a.told > 0 && now.Sub(a.toldAt) < toldFor
--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -61,7 +61,7 @@
 		if a == nil {
 			return true
 		}
-		p.take(now, r, j, a, p.share(j, a))
+		p.take(now, r, j, a, p.share(now, j, a))
 		placed = true
 		return false
 	})
@@ -81,20 +81,29 @@
 }
 
 // share is how many tasks of a job go to an agent in one go: up to half of its
-// free slots, because other homes see the same slots.
-func (p *pool) share(j *job, a *agent) int {
-	return min(len(j.backlog), max(1, (a.free+1)/2))
+// room, because other homes see the same slots.
+func (p *pool) share(now time.Time, j *job, a *agent) int {
+	return min(len(j.backlog), max(1, (a.sureRoom(now, false)+1)/2))
 }
 
-// choose returns the better of two agents with room for the task, or nil.
+// choose returns the better of two agents with room for the task, or nil. Those
+// that have room even if half of what old news calls free is taken go first.
 func (p *pool) choose(now time.Time, t *task) *agent {
+	room := func(a *agent) int { return a.sureRoom(now, t.bounced) }
+	if a := p.chooseBy(now, t, room); a != nil {
+		return a
+	}
+	return p.chooseBy(now, t, func(a *agent) int { return a.room(now, t.bounced) })
+}
+
+func (p *pool) chooseBy(now time.Time, t *task, room func(*agent) int) *agent {
 	p.eligible = p.eligible[:0]
 	for _, a := range p.list {
-		if a.open(now) && a.load.Fits(&t.spec) && a.room(now, t.bounced) > 0 {
+		if a.open(now) && room(a) > 0 && a.load.Fits(&t.spec) {
 			p.eligible = append(p.eligible, a)
 		}
 	}
-	i := place.BetterOfTwo(p.rng, len(p.eligible), func(i int) int { return p.eligible[i].free })
+	i := place.BetterOfTwo(p.rng, len(p.eligible), func(i int) int { return room(p.eligible[i]) })
 	if i < 0 {
 		return nil
 	}
