Send a task on at once when it is refused for the first time

Cause: a refused task was sent only where fresh news named room, so most waited for an offer. Change: after the first refusal the task goes to another agent on what is known, and the refusing agent forgets it. From the second on it waits as before. One line in coordination/admit, and message.KeepFrom, which both ends go by.

--- a/coordination/admit/tasks.go
+++ b/coordination/admit/tasks.go
@@ -96,7 +96,7 @@
 		if a.Deadline > 0 {
 			e.deadline = now.Add(a.Deadline)
 		}
-		if m.takeLocked(now, e, a.Override) == state.ReasonBusy {
+		if m.takeLocked(now, e, a.Override) == state.ReasonBusy && try >= message.KeepFrom {
 			busy++
 		}
 	}
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -90,7 +90,7 @@
 // the try it names: an older one, late or repeated, is of a placement that has
 // been dealt with, and taking it for the present one would start the task twice.
 func (p *pool) takeRefused(now time.Time, j *job, from state.NodeID, a *agent, m *message.Report) {
-	moved := 0
+	moved, kept := 0, false
 	for i, index := range m.Refused {
 		if index < 0 || index >= len(j.tasks) {
 			continue
@@ -107,7 +107,8 @@
 		t.agent = ""
 		t.try++
 		t.started = false
-		t.bounced = m.Reason == state.ReasonBusy
+		t.bounced = m.Reason == state.ReasonBusy && try >= message.KeepFrom
+		kept = kept || t.bounced
 		j.contact(from).outstanding--
 		j.backlog = append(j.backlog, index)
 		moved++
@@ -124,17 +125,19 @@
 		}
 	}
 	if a != nil {
-		p.shun(now, a, m)
+		p.shun(now, a, m, kept)
 	}
 }
 
 // shun keeps tasks from an agent that refused some.
-func (p *pool) shun(now time.Time, a *agent, m *message.Report) {
+func (p *pool) shun(now time.Time, a *agent, m *message.Report, kept bool) {
 	switch m.Reason {
 	case state.ReasonBusy:
 		a.free = min(a.free, 0)
 		// The agent has noted the refused tasks as backlog.
-		a.told, a.toldAt = max(1, a.told), now
+		if kept {
+			a.told, a.toldAt = max(1, a.told), now
+		}
 		return
 	case state.ReasonDeadline:
 		return
--- a/coordination/home/tell_test.go
+++ b/coordination/home/tell_test.go
@@ -45,3 +45,24 @@
 	_, assigns = take[message.Assign](b)
 	is.Equal(len(assigns), 1)
 }
+
+// A caller's task is sent on old news and refused as busy. Another agent looks
+// free: waiting for the first one's offer would take the time of a run, and
+// that offer would find the task gone. Refused twice, the task waits for an
+// agent's own word, or near full load it would be refused over and over.
+func TestFirstRefusalSendsOnTheSecondWaits(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(8, 8, 8), nil)
+	b.submit("j", 1, 0, "1")
+	first, assigns := take[message.Assign](b)
+	b.refuse(first[0], assigns[0], state.ReasonBusy)
+	second, assigns := take[message.Assign](b)
+	is.Equal(len(assigns), 1)
+	is.True(second[0] != first[0])
+	is.Equal(len(assigns[0].Indexes), 1)
+	b.refuse(second[0], assigns[0], state.ReasonBusy)
+	_, assigns = take[message.Assign](b)
+	for _, a := range assigns {
+		is.Equal(len(a.Indexes), 0) // only asks
+	}
+}
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -228,6 +228,11 @@
 	Priority int
 }
 
+// KeepFrom is the try from which on an agent that refuses a task as busy keeps it
+// in mind as backlog of the sender and offers a slot for it. Below that the sender
+// tries another agent at once, and an offer would find the task gone.
+const KeepFrom = 1
+
 // Report tells the sender of an Assign what became of its tasks: results as
 // they come, and refusals. Agent to home.
 type Report struct {
