Tell one agent for every two waiting tasks, and a second one late

Cause: a home told at least two agents of any backlog, so that one of the two offered in vain for each single task that waited. Change: one agent for every two waiting tasks, at least one. If the only one that was told offers nothing for 200 ms, one more is told.

--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -53,8 +53,8 @@
 	DefaultResend      = time.Second
 	DefaultSettle      = 50 * time.Millisecond
 	DefaultNarrow      = 6
-	DefaultAsk         = 2
-	DefaultAskPer      = 4
+	DefaultAsk         = 1
+	DefaultAskPer      = 2
 )
 
 // Options configure a Home. Zero values stand for the defaults above.
--- a/coordination/home/tell.go
+++ b/coordination/home/tell.go
@@ -44,14 +44,20 @@
 	return n
 }
 
+// askPatience is how long a home waits for the offer of the one agent that it
+// told of a small backlog. Eight slots with usual tasks free one in 70 ms.
+const askPatience = 200 * time.Millisecond
+
 // askForRoom tells some agents that tasks wait here, so that they offer their
 // next free slot.
 func (p *pool) askForRoom(now time.Time) []coordination.Action {
-	know := 0
+	know, slow := 0, 0
 	var rest []*agent
 	for _, a := range p.list {
 		switch {
 		case !a.open(now):
+		case a.knowsBacklog(now) && now.Sub(a.toldAt) >= askPatience:
+			slow++
 		case a.knowsBacklog(now):
 			know++
 		default:
@@ -59,7 +65,12 @@
 		}
 	}
 	var out []coordination.Action
-	for want := p.askCount(); know < want && len(rest) > 0; know++ {
+	want := p.askCount()
+	if want == 1 {
+		// One agent may be slow, so that another is told too; not a third.
+		slow = max(0, slow-1)
+	}
+	for know += slow; know < want && len(rest) > 0; know++ {
 		i := place.BetterOfTwo(p.rng, len(rest), func(i int) int { return rest[i].free })
 		a := rest[i]
 		rest = slices.Delete(rest, i, i+1)
--- a/coordination/home/tell_test.go
+++ b/coordination/home/tell_test.go
@@ -66,3 +66,24 @@
 		is.Equal(len(a.Indexes), 0) // only asks
 	}
 }
+
+// A caller's task waits, and the agent that was told of it is slow to offer a
+// slot. Another is told too, but not every agent in turn: their offers would find
+// the task gone.
+func TestASlowAgentIsHedgedOnce(t *testing.T) {
+	is := is.New(t)
+	b := newBench(agents(0, 0, 0, 0), nil)
+	b.submit("j", 1, 0, "1")
+	first, _ := take[message.Assign](b)
+	is.Equal(len(first), 1)
+	b.pass(askPatience / 2)
+	_, early := take[message.Assign](b)
+	is.Equal(len(early), 0)
+	b.pass(askPatience)
+	second, _ := take[message.Assign](b)
+	is.Equal(len(second), 1)
+	is.True(second[0] != first[0])
+	b.pass(2 * askPatience)
+	_, third := take[message.Assign](b)
+	is.Equal(len(third), 0)
+}
