Take no pace from fewer than five results

Cause: at 100 agents and 95 % a few jobs were refused as deadline_unreachable with a minute to go. A home among many sees a result or two in a second while something waits, took that for its pace, and a job of tens of tasks for hopeless. Change: a window of the pace has at least five results.

--- a/coordination/home/shed.go
+++ b/coordination/home/shed.go
@@ -16,7 +16,11 @@
 
 const (
 	paceWindow = time.Second
-	paceWeight = 0.5
+	// paceResults is how many results a window has at least. A home among many has
+	// a few in a second, and by one or two it would take a job of tens of tasks to
+	// need a minute.
+	paceResults = 5
+	paceWeight  = 0.5
 	// paceKept is how long a measured pace counts.
 	paceKept = 10 * time.Second
 )
@@ -33,7 +37,7 @@
 	}
 	c.ended += n
 	passed := now.Sub(c.since)
-	if passed < paceWindow {
+	if passed < paceWindow || c.ended < paceResults {
 		return
 	}
 	rate := float64(c.ended) / passed.Seconds()
