Pass over agents whose tasks run far longer than expected

Cause: a worker that runs everything five times slower looks as free as the rest while there is little to do, and got its share. Nothing but its taken slots told it from others. Change: a home follows, for each agent and service, run time over the run to expect. Above 2, by three results or more, the agent gets no tasks and hears of no backlog; its offers are still taken. After 30 s without results it is tried again, and one usual run clears it. If more than 30 % of the agents in use straggle, none is passed over. Tasks that run there already stay: a task starts at most once, so there is no second copy to hedge with.

--- a/coordination/home/agents.go
+++ b/coordination/home/agents.go
@@ -42,7 +42,8 @@
 	down  bool
 	probe bool
 	// usable: it is among the view's candidates and takes new work.
-	usable bool
+	usable  bool
+	history history
 	// extra: brought in for a task that no candidate of the view could hold.
 	extra bool
 }
--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -36,6 +36,7 @@
 // for room if some are left.
 func (p *pool) dispatch(now time.Time) []coordination.Action {
 	var r round
+	p.noteSlow(now)
 	for p.waiting.len() > 0 && p.placeOne(now, &r) {
 	}
 	out := p.send(now, &r)
@@ -89,8 +90,7 @@
 // choose returns the better of two agents with room for the task, or nil. Those
 // that have room even if half of what old news calls free is taken go first.
 func (p *pool) choose(now time.Time, t *task) *agent {
-	room := func(a *agent) int { return a.sureRoom(now, t.bounced) }
-	if a := p.chooseBy(now, t, room); a != nil {
+	if a := p.chooseBy(now, t, func(a *agent) int { return a.sureRoom(now, t.bounced) }); a != nil {
 		return a
 	}
 	return p.chooseBy(now, t, func(a *agent) int { return a.room(now, t.bounced) })
@@ -99,7 +99,7 @@
 func (p *pool) chooseBy(now time.Time, t *task, room func(*agent) int) *agent {
 	p.eligible = p.eligible[:0]
 	for _, a := range p.list {
-		if a.open(now) && room(a) > 0 && a.load.Fits(&t.spec) {
+		if a.open(now) && !p.passedOver(now, a) && room(a) > 0 && a.load.Fits(&t.spec) {
 			p.eligible = append(p.eligible, a)
 		}
 	}
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -40,6 +40,8 @@
 	runs     runTimes
 	pace     pace
 	override bool
+	// manySlow: too many agents straggle to pass them over.
+	manySlow bool
 }
 
 func newPool(o *Options, l *links, service string, rng *rand.Rand) *pool {
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -23,7 +23,7 @@
 	j := p.jobs[m.Key.ID]
 	if j != nil && (j.phase == running || j.phase == settling) {
 		j.stats.Messages++
-		useful = p.takeResults(j, from, m)
+		useful = p.takeResults(now, j, from, m)
 		p.pace.add(now, len(m.Results), p.backlog > 0)
 		p.takeRefused(now, j, from, a, m)
 		p.takeRunning(now, j, from, m)
@@ -49,7 +49,7 @@
 }
 
 // takeResults stores first results and reports whether there was one.
-func (p *pool) takeResults(j *job, from state.NodeID, m *message.Report) bool {
+func (p *pool) takeResults(now time.Time, j *job, from state.NodeID, m *message.Report) bool {
 	first := false
 	for i := range m.Results {
 		r := &m.Results[i]
@@ -67,6 +67,9 @@
 		j.batches[t.batch].useful = true
 		j.stats.Total += r.Ran
 		j.stats.Longest = max(j.stats.Longest, r.Ran)
+		if a := p.agents[from]; a != nil && r.Err == "" {
+			a.history.add(now, r.Ran, p.runs.expect(&t.spec))
+		}
 		p.sawRun(&t.spec, r.Ran)
 		if r.Err != "" && j.failed == nil {
 			j.failed = &t.result
--- a/coordination/home/tell.go
+++ b/coordination/home/tell.go
@@ -33,6 +33,10 @@
 // agents have been told of draws their offers; if each were told of the same few
 // tasks, most would offer a slot when those are gone.
 func (p *pool) tell(now time.Time, a *agent, operator string) int {
+	if p.passedOver(now, a) {
+		a.told = 0
+		return 0
+	}
 	known := 0
 	for _, x := range p.list {
 		if x != a && x.knowsBacklog(now) {
@@ -55,7 +59,7 @@
 	var rest []*agent
 	for _, a := range p.list {
 		switch {
-		case !a.open(now):
+		case !a.open(now), p.passedOver(now, a):
 		case a.knowsBacklog(now) && now.Sub(a.toldAt) >= askPatience:
 			slow++
 		case a.knowsBacklog(now):
