--- a/coordination/home/agents.go
+++ b/coordination/home/agents.go
@@ -14,8 +14,12 @@
 	unseenFor = 5 * time.Millisecond
 	// freshFor is how long an agent's own report is taken as it stands.
 	freshFor = 20 * time.Millisecond
-	// toldFor is how long an agent is taken to remember a backlog.
-	toldFor = time.Second
+	// oldAfter is how long ago an agent's own report is old: of eight slots with
+	// usual tasks three or four have changed hands since.
+	oldAfter = 300 * time.Millisecond
+	// toldFor is how long an agent is taken to remember a backlog: a little less
+	// than admit.DefaultInterestTTL.
+	toldFor = 1900 * time.Millisecond
 )
 
 // agent is what the home knows of one agent, for one service.
@@ -38,7 +42,8 @@
 	down  bool
 	probe bool
 	// usable: it is among the view's candidates and takes new work.
-	usable bool
+	usable  bool
+	history history
 	// extra: brought in for a task that no candidate of the view could hold.
 	extra bool
 }
@@ -88,6 +93,15 @@
 	return a.free
 }
 
+// sureRoom is room without half of what old news calls free.
+func (a *agent) sureRoom(now time.Time, refusedBefore bool) int {
+	n := a.room(now, refusedBefore)
+	if now.Sub(a.heardAt) >= oldAfter {
+		return n / 2
+	}
+	return n
+}
+
 // knowsBacklog reports whether the agent will offer slots by itself.
 func (a *agent) knowsBacklog(now time.Time) bool {
 	return a.told > 0 && now.Sub(a.toldAt) < toldFor
--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -36,6 +36,7 @@
 // for room if some are left.
 func (p *pool) dispatch(now time.Time) []coordination.Action {
 	var r round
+	p.noteSlow(now)
 	for p.waiting.len() > 0 && p.placeOne(now, &r) {
 	}
 	out := p.send(now, &r)
@@ -61,7 +62,7 @@
 		if a == nil {
 			return true
 		}
-		p.take(now, r, j, a, p.share(j, a))
+		p.take(now, r, j, a, p.share(now, j, a))
 		placed = true
 		return false
 	})
@@ -81,20 +82,28 @@
 }
 
 // share is how many tasks of a job go to an agent in one go: up to half of its
-// free slots, because other homes see the same slots.
-func (p *pool) share(j *job, a *agent) int {
-	return min(len(j.backlog), max(1, (a.free+1)/2))
+// room, because other homes see the same slots.
+func (p *pool) share(now time.Time, j *job, a *agent) int {
+	return min(len(j.backlog), max(1, (a.sureRoom(now, false)+1)/2))
 }
 
-// choose returns the better of two agents with room for the task, or nil.
+// choose returns the better of two agents with room for the task, or nil. Those
+// that have room even if half of what old news calls free is taken go first.
 func (p *pool) choose(now time.Time, t *task) *agent {
+	if a := p.chooseBy(now, t, func(a *agent) int { return a.sureRoom(now, t.bounced) }); a != nil {
+		return a
+	}
+	return p.chooseBy(now, t, func(a *agent) int { return a.room(now, t.bounced) })
+}
+
+func (p *pool) chooseBy(now time.Time, t *task, room func(*agent) int) *agent {
 	p.eligible = p.eligible[:0]
 	for _, a := range p.list {
-		if a.open(now) && a.load.Fits(&t.spec) && a.room(now, t.bounced) > 0 {
+		if a.open(now) && !p.passedOver(now, a) && room(a) > 0 && a.load.Fits(&t.spec) {
 			p.eligible = append(p.eligible, a)
 		}
 	}
-	i := place.BetterOfTwo(p.rng, len(p.eligible), func(i int) int { return p.eligible[i].free })
+	i := place.BetterOfTwo(p.rng, len(p.eligible), func(i int) int { return room(p.eligible[i]) })
 	if i < 0 {
 		return nil
 	}
@@ -124,47 +133,28 @@
 		x := &r.list[i]
 		j, a := x.j, x.a
 		j.batches = append(j.batches, batch{})
+		longest := time.Duration(0)
 		for _, index := range x.indexes {
 			t := &j.tasks[index]
 			t.phase = assigned
 			t.agent = a.load.ID
 			t.until = j.deadline
 			t.batch = len(j.batches) - 1
+			longest = max(longest, p.runs.expect(&t.spec))
 		}
 		c := j.contact(a.load.ID)
 		c.outstanding += len(x.indexes)
-		c.askAt = now.Add(p.patience())
+		c.patience = max(c.patience, p.patience(longest))
+		c.askAt = now.Add(c.patience)
 		c.asked = 0
 		p.schedule(j, j.nextWake())
 		j.stats.Messages++
-		backlog := p.operatorBacklog(j.operator)
-		a.told, a.toldAt = backlog, now
+		backlog := p.tell(now, a, j.operator)
 		out = append(out, p.assign(now, j, a, x.indexes, backlog))
 	}
 	return out
 }
 
-// maxTold bounds the backlog that an agent is told of. The Assign that answers
-// its offer tells it anew, so little is lost by a low number, while a high one
-// draws offers long after the tasks went elsewhere.
-const maxTold = 2
-
-// operatorBacklog counts an operator's waiting tasks, up to maxTold.
-func (p *pool) operatorBacklog(operator string) int {
-	n := 0
-	for i := range p.waiting.operators {
-		if p.waiting.operators[i].operator != operator {
-			continue
-		}
-		for _, j := range p.waiting.operators[i].jobs {
-			if n += len(j.backlog); n >= maxTold {
-				return maxTold
-			}
-		}
-	}
-	return n
-}
-
 func (p *pool) assign(now time.Time, j *job, a *agent, indexes []int, backlog int) coordination.Action {
 	m := message.Assign{
 		Key: j.key, Operator: j.operator, Repeatable: j.repeatable,
@@ -181,40 +171,6 @@
 	return coordination.Send{To: a.load.ID, Msg: m}
 }
 
-// askForRoom tells some agents that tasks wait here, so that they offer their
-// next free slot.
-func (p *pool) askForRoom(now time.Time) []coordination.Action {
-	know := 0
-	var rest []*agent
-	for _, a := range p.list {
-		switch {
-		case !a.open(now):
-		case a.knowsBacklog(now):
-			know++
-		default:
-			rest = append(rest, a)
-		}
-	}
-	var out []coordination.Action
-	for want := p.askCount(); know < want && len(rest) > 0; know++ {
-		i := place.BetterOfTwo(p.rng, len(rest), func(i int) int { return rest[i].free })
-		a := rest[i]
-		rest = slices.Delete(rest, i, i+1)
-		j := p.waiting.first()
-		a.told, a.toldAt = p.operatorBacklog(j.operator), now
-		j.stats.Messages++
-		j.asks++
-		p.o.Metrics.asked()
-		out = append(out, p.assign(now, j, a, nil, a.told))
-	}
-	return out
-}
-
-// askCount is how many agents should know of the backlog.
-func (p *pool) askCount() int {
-	return max(p.o.Ask, (p.backlog+p.o.AskPer-1)/p.o.AskPer)
-}
-
 // credit places waiting tasks at an agent that offered slots.
 func (p *pool) credit(now time.Time, a *agent, n int) []coordination.Action {
 	a.told = max(0, a.told-n)
@@ -270,9 +226,3 @@
 		return true
 	})
 }
-
-// patience is how long an agent may be silent about tasks: well beyond the
-// longest run seen of late, because a running task makes no messages.
-func (p *pool) patience() time.Duration {
-	return max(p.o.Resend, 2*p.longest)
-}
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -53,9 +53,9 @@
 	DefaultGrace       = 100 * time.Millisecond
 	DefaultResend      = time.Second
 	DefaultSettle      = 50 * time.Millisecond
-	DefaultNarrow      = 12
-	DefaultAsk         = 2
-	DefaultAskPer      = 4
+	DefaultNarrow      = 6
+	DefaultAsk         = 1
+	DefaultAskPer      = 2
 )
 
 // Options configure a Home. Zero values stand for the defaults above.
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -23,7 +23,7 @@
 	j := p.jobs[m.Key.ID]
 	if j != nil && (j.phase == running || j.phase == settling) {
 		j.stats.Messages++
-		useful = p.takeResults(j, from, m)
+		useful = p.takeResults(now, j, from, m)
 		p.pace.add(now, len(m.Results), p.backlog > 0)
 		p.takeRefused(now, j, from, a, m)
 		p.takeRunning(now, j, from, m)
@@ -49,7 +49,7 @@
 }
 
 // takeResults stores first results and reports whether there was one.
-func (p *pool) takeResults(j *job, from state.NodeID, m *message.Report) bool {
+func (p *pool) takeResults(now time.Time, j *job, from state.NodeID, m *message.Report) bool {
 	first := false
 	for i := range m.Results {
 		r := &m.Results[i]
@@ -67,6 +67,9 @@
 		j.batches[t.batch].useful = true
 		j.stats.Total += r.Ran
 		j.stats.Longest = max(j.stats.Longest, r.Ran)
+		if a := p.agents[from]; a != nil && r.Err == "" {
+			a.history.add(now, r.Ran, p.runs.expect(&t.spec))
+		}
 		p.sawRun(&t.spec, r.Ran)
 		if r.Err != "" && j.failed == nil {
 			j.failed = &t.result
@@ -90,7 +93,7 @@
 // the try it names: an older one, late or repeated, is of a placement that has
 // been dealt with, and taking it for the present one would start the task twice.
 func (p *pool) takeRefused(now time.Time, j *job, from state.NodeID, a *agent, m *message.Report) {
-	moved := 0
+	moved, kept := 0, false
 	for i, index := range m.Refused {
 		if index < 0 || index >= len(j.tasks) {
 			continue
@@ -107,7 +110,8 @@
 		t.agent = ""
 		t.try++
 		t.started = false
-		t.bounced = m.Reason == state.ReasonBusy
+		t.bounced = m.Reason == state.ReasonBusy && try >= message.KeepFrom
+		kept = kept || t.bounced
 		j.contact(from).outstanding--
 		j.backlog = append(j.backlog, index)
 		moved++
@@ -124,17 +128,19 @@
 		}
 	}
 	if a != nil {
-		p.shun(now, a, m)
+		p.shun(now, a, m, kept)
 	}
 }
 
 // shun keeps tasks from an agent that refused some.
-func (p *pool) shun(now time.Time, a *agent, m *message.Report) {
+func (p *pool) shun(now time.Time, a *agent, m *message.Report, kept bool) {
 	switch m.Reason {
 	case state.ReasonBusy:
 		a.free = min(a.free, 0)
 		// The agent has noted the refused tasks as backlog.
-		a.told, a.toldAt = max(1, a.told), now
+		if kept {
+			a.told, a.toldAt = max(1, a.told), now
+		}
 		return
 	case state.ReasonDeadline:
 		return
