Ask a silent domain for a sign of life in the log; spare those who are back

Cause, two faults. 1. With two domains a lost one closes its region until 45 s (90 s where the smaller side is left) of silence have ruled out a cut. 2. Found by the model below: when a cut of more than evict_after ends, the domain counts as heard with the first half of its members, and the rest, not heard since before the cut, had 15 s of silence behind them and could be evicted that very second.

Nodes that judge and find a whole group silent write Suspect records, one every 2 s, drawn by hash; a member of the group that reads one has it answered by Alive, drawn by hash. A row of questions over 10 s, without a gap of 4 s and without any sign of the group, shortens the wait to 4/3 of evict_after. A sign, a gap (log out of service, slow, reader paused) or half a domain lost leave the long rule. Both record kinds change no roster; to a node that doesn't know them they are bad records, without effect as well. A group that is heard again gets a full period before its members are judged.

Ruled out: one question and a wait (an outage that begins after it was read here hides the answer: safeguards "span", "unbroken"); seniority or a majority (the survivors may be the smaller side); a reset of the row after a pause, a reset when the group is heard and a check that the last question is recent (each was built and taken out: the model noticed none of them missing, the gap covers them).

Of the six safeguards five taken out are noticed ("short" is the change itself).

--- a/bench/capacity/domain.go
+++ b/bench/capacity/domain.go
@@ -116,12 +116,20 @@
 	l.appends++
 	l.bySecond[l.now.Unix()]++
 	l.most = max(l.most, l.bySecond[l.now.Unix()])
+	if record, err := roster.Decode(a.Data); err != nil || !isEviction(record) {
+		return
+	}
 	l.last = l.since()
 	if l.first == 0 {
 		l.first = l.last
 	}
 }
 
+func isEviction(r roster.Record) bool {
+	_, ok := r.(roster.Evict)
+	return ok
+}
+
 func (l *loss) since() time.Duration { return l.now.Sub(start.Add(lossAfter)) }
 
 // read brings what was appended in the step before to all.
--- a/coordination/member/evict.go
+++ b/coordination/member/evict.go
@@ -24,6 +24,7 @@
 	if v.cutOff {
 		return out
 	}
+	out = append(out, m.suspectLocked(now, v)...)
 	grouping := watch.GroupingOf(m.region)
 	due := make(map[state.NodeID]turn)
 	for i := range m.watched {
@@ -33,7 +34,8 @@
 			continue
 		}
 		m.stats.Silent++
-		if silent <= m.waitLocked(v, grouping.Group(&w.Member)) {
+		group := grouping.Group(&w.Member)
+		if silent <= m.waitLocked(now, v, group) || m.backLocked(now, group) {
 			continue
 		}
 		t := m.turnOf(now, w)
@@ -47,11 +49,16 @@
 }
 
 // waitLocked is how long a member of the group must be silent.
-func (m *Machine) waitLocked(v verdict, group string) time.Duration {
-	if wait, long := v.wait[group]; long {
+func (m *Machine) waitLocked(now time.Time, v verdict, group string) time.Duration {
+	wait, long := v.wait[group]
+	switch {
+	case !long:
+		return m.o.EvictAfter
+	case m.unansweredLocked(now, group):
+		return m.shortWaitLocked()
+	default:
 		return wait
 	}
-	return m.o.EvictAfter
 }
 
 // turn is this node's place in the order of those who may evict a member, and
@@ -93,7 +100,7 @@
 
 func (m *Machine) evictOneLocked(now time.Time, id state.NodeID) []coordination.Action {
 	record := roster.Evict{NodeID: id, By: m.o.Self.ID}
-	out := m.appendLocked(now, purpose{roster.KindEvict, id}, record)
+	out := m.appendLocked(now, purpose{kind: roster.KindEvict, node: id}, record)
 	m.stats.Evictions += len(out)
 	return out
 }
--- a/coordination/member/join.go
+++ b/coordination/member/join.go
@@ -14,7 +14,7 @@
 	if m.joined {
 		return m.leaveLocked(now)
 	}
-	join := purpose{roster.KindJoin, self}
+	join := purpose{kind: roster.KindJoin, node: self}
 	if m.leaving {
 		m.abandonJoinLocked(join)
 		return nil
@@ -29,7 +29,7 @@
 
 func (m *Machine) leaveLocked(now time.Time) []coordination.Action {
 	self := m.o.Self.ID
-	out := m.appendLocked(now, purpose{roster.KindLeave, self}, roster.Leave{NodeID: self})
+	out := m.appendLocked(now, purpose{kind: roster.KindLeave, node: self}, roster.Leave{NodeID: self})
 	m.stats.Leaves += len(out)
 	return out
 }
--- a/coordination/member/judge.go
+++ b/coordination/member/judge.go
@@ -96,11 +96,13 @@
 // two, and a lost one must be evicted: every pair spans both. Then both sides
 // wait long, so that short cuts pass, and the side with fewer members waits
 // twice as long. In a cut that lasts, the larger side evicts the smaller one,
-// whose members learn that from the log and judge no more.
+// whose members learn that from the log and judge no more. A group that gives no
+// sign of life in the log either gets less time: see suspect.go.
 func (m *Machine) judgeLocked(now time.Time) verdict {
 	grouping := watch.GroupingOf(m.region)
 	home := grouping.Group(&m.o.Self)
 	tallies := m.tallyLocked(now, grouping)
+	m.noteGroupsLocked(now, tallies)
 	others, heard := 0, 0
 	for group, t := range tallies {
 		if group == home {
--- a/coordination/member/member.go
+++ b/coordination/member/member.go
@@ -56,6 +56,17 @@
 	pauseFraction = 5
 )
 
+// safeguards lets tests take a safeguard out, to show that they would notice.
+// The zero value has all of them in place.
+type safeguards struct {
+	signs    bool // a sign of life stops the short wait
+	question bool // the short wait needs a question in the log
+	span     bool // the questions must have stood for answerTime
+	unbroken bool // the row of questions must have no gap, up to now
+	back     bool // a group that is heard again gets a full period
+	short    bool // the short wait as a whole: the rule without the log
+}
+
 // Options configure a Machine.
 type Options struct {
 	// Self is this incarnation.
@@ -76,6 +87,8 @@
 	// log's retention. SnapshotRecords is how many records may follow it.
 	SnapshotEvery   time.Duration
 	SnapshotRecords int64
+
+	disabled safeguards
 }
 
 func (o *Options) setDefaults() {
@@ -106,6 +119,10 @@
 	Leaves    int
 	Evictions int
 	Snapshots int
+	// Suspects counts the questions to a silent group and Alives the answers
+	// that this node asked to be written.
+	Suspects int
+	Alives   int
 }
 
 // Machine is one agent's part in the roster. It is safe for concurrent use.
@@ -128,8 +145,13 @@
 	firstSeen map[state.NodeID]time.Time
 	watched   []watch.Watched
 	// due are the members that have been silent for long enough.
-	due       map[state.NodeID]turn
-	pending   map[purpose]*attempt
+	due     map[state.NodeID]turn
+	pending map[purpose]*attempt
+	// suspicions are by group of the own region.
+	suspicions map[string]*suspicion
+	// answerAt is when this node gives a sign of life, unless another of its
+	// group does so before; zero if it was not drawn.
+	answerAt  time.Time
 	joined    bool // the own join was read
 	leaving   bool
 	evicted   bool
@@ -142,10 +164,11 @@
 func New(o Options) *Machine {
 	o.setDefaults()
 	return &Machine{
-		o:         o,
-		rng:       rand.New(rand.NewPCG(o.Seed, 0)),
-		firstSeen: make(map[state.NodeID]time.Time),
-		pending:   make(map[purpose]*attempt),
+		o:          o,
+		rng:        rand.New(rand.NewPCG(o.Seed, 0)),
+		firstSeen:  make(map[state.NodeID]time.Time),
+		pending:    make(map[purpose]*attempt),
+		suspicions: make(map[string]*suspicion),
 	}
 }
 
@@ -180,11 +203,12 @@
 	if !m.joined || m.leaving {
 		return m.joinOrLeaveLocked(now)
 	}
+	out := m.answerLocked(now)
 	if now.Before(m.nextJudge) {
-		return nil
+		return out
 	}
 	m.nextJudge = now.Add(judgeEvery)
-	out := m.evictLocked(now)
+	out = append(out, m.evictLocked(now)...)
 	return append(out, m.snapshotLocked(now)...)
 }
 
@@ -260,6 +284,7 @@
 		seen[id] = at
 	}
 	m.firstSeen = seen
+	m.dropSuspicionsLocked()
 	m.stats.Members = len(members)
 	m.stats.Watched = len(m.watched)
 	_, present := seen[m.o.Self.ID]
--- a/coordination/member/pending.go
+++ b/coordination/member/pending.go
@@ -18,6 +18,8 @@
 type purpose struct {
 	kind roster.Kind
 	node state.NodeID
+	// group is the one that KindSuspect asks.
+	group string
 }
 
 // attempt is an append whose record hasn't been read yet.
@@ -55,19 +57,24 @@
 	if tried && !m.mayRetryLocked(now, a) {
 		return nil
 	}
-	data, err := roster.Encode(rec)
-	if err != nil {
-		panic(err) // records of this package always encode
-	}
+	action := appendOf(rec)
 	if !tried {
 		a = &attempt{}
 		m.pending[p] = a
 	}
-	a.data = data
+	a.data = action.Data
 	a.at = now
 	a.failed = false
 	a.tries++
-	return []coordination.Action{coordination.Append{Stream: coordination.StreamRoster, Data: data}}
+	return []coordination.Action{action}
+}
+
+func appendOf(rec roster.Record) coordination.Append {
+	data, err := roster.Encode(rec)
+	if err != nil {
+		panic(err) // records of this package always encode
+	}
+	return coordination.Append{Stream: coordination.StreamRoster, Data: data}
 }
 
 func (m *Machine) mayRetryLocked(now time.Time, a *attempt) bool {
@@ -101,6 +108,8 @@
 		return m.joined
 	case roster.KindSnapshot:
 		return m.snapshots.read
+	case roster.KindSuspect:
+		return false // reading one ends the purpose, see noteSignsLocked
 	default:
 		return !member
 	}
--- /dev/null
+++ b/coordination/member/seeds_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package member
+
+const modelSeeds = 20
--- a/coordination/member/snapshot.go
+++ b/coordination/member/snapshot.go
@@ -36,6 +36,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.startLocked(now)
+	m.noteSignsLocked(now, offset, record)
 	s := &m.snapshots
 	snapshot, ok := record.(roster.Snapshot)
 	if !ok {
@@ -85,7 +86,14 @@
 
 // turnLocked is this node's place in the order for the next snapshot.
 func (m *Machine) turnLocked() int {
-	key := fmt.Sprintf("snapshot after %d", m.snapshots.offset)
-	order := watch.Rank(key, m.roster.Members())
+	return m.placeLocked(keyOf("snapshot after", m.snapshots.offset), m.roster.Members())
+}
+
+// keyOf names what is drawn for after a record.
+func keyOf(what string, offset int64) string { return fmt.Sprintf("%s %d", what, offset) }
+
+// placeLocked is this node's place among members in the order for a key, or -1.
+func (m *Machine) placeLocked(key string, members []state.Member) int {
+	order := watch.Rank(key, members)
 	return slices.IndexFunc(order, func(o state.Member) bool { return o.ID == m.o.Self.ID })
 }
--- a/state/roster/record.go
+++ b/state/roster/record.go
@@ -113,6 +113,10 @@
 		return decodeBody(e.Body, ConfirmLost.check)
 	case KindSnapshot:
 		return decodeBody(e.Body, Snapshot.check)
+	case KindSuspect:
+		return decodeBody(e.Body, Suspect.check)
+	case KindAlive:
+		return decodeBody(e.Body, Alive.check)
 	}
 	return nil, errors.Wrapf(ErrBadRecord, "kind %q", e.Kind)
 }
--- a/transport/metrics/machines.go
+++ b/transport/metrics/machines.go
@@ -35,6 +35,8 @@
 			Counter("leaves_total", "Leave records asked for.", s.Leaves),
 			Counter("evictions_total", "Evict records asked for.", s.Evictions),
 			Counter("snapshots_total", "Snapshot records asked for.", s.Snapshots),
+			Counter("suspects_total", "Questions to a silent failure domain asked for.", s.Suspects),
+			Counter("alives_total", "Signs of life of the own failure domain asked for.", s.Alives),
 		}
 	})
 }
