--- a/bench/gossip/sim.go
+++ b/bench/gossip/sim.go
@@ -27,13 +27,16 @@
 	domains int
 }
 
+// members draws incarnations by the seed: who watches whom hangs on them, and so
+// does the load of the busiest node.
 func (f fleet) members() []state.Member {
+	rng := rand.New(rand.NewPCG(*seed, 0))
 	out := make([]state.Member, f.agents)
 	for i := range out {
 		region := i % f.regions
 		domain := i / f.regions % f.domains
 		out[i] = state.Member{
-			ID:     state.NodeID(fmt.Sprintf("agent-%04d@d4t8ln2vq0ck5e9f", i)),
+			ID:     state.NodeID(fmt.Sprintf("agent-%04d@%016x", i, rng.Uint64())),
 			Addr:   fmt.Sprintf("10.%d.%d.%d:7401", region, i/250, i%250),
 			Region: fmt.Sprintf("region-%d", region),
 			Domain: fmt.Sprintf("domain-%d", domain),
