--- a/coordination/member/kinds_test.go
+++ b/coordination/member/kinds_test.go
@@ -19,8 +19,10 @@
 	// loss. Evictions are counted and not held against the rule.
 	hopeless bool
 	// few says that questions and answers must be a handful.
-	few  bool
-	draw func(*sketch) faults
+	few bool
+	// three gives the region three domains, each larger than wideLoss.
+	three bool
+	draw  func(*sketch) faults
 }
 
 // sketch is what a fault is drawn from.
@@ -97,6 +99,8 @@
 		f.noLog = func(t time.Duration, _ int) bool { return out(t) }
 		return f
 	}},
+	{name: "three domains, one lost", three: true, lost: true, few: true, draw: (*sketch).loss},
+	{name: "three domains, one cut off", three: true, few: true, draw: (*sketch).cut},
 	{name: "cut", few: true, draw: (*sketch).cut},
 	{name: "cut one way", draw: func(s *sketch) faults {
 		f, first, flip := s.cut(), s.in("d0"), s.IntN(2) == 0
--- a/coordination/member/model_test.go
+++ b/coordination/member/model_test.go
@@ -35,6 +35,9 @@
 func (k *kind) run(seed uint64, disabled safeguards) outcome {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	sizes := []int{2 + rng.IntN(8), 2 + rng.IntN(8)}
+	if k.three {
+		sizes = []int{9 + rng.IntN(3), 9 + rng.IntN(3), 9 + rng.IntN(3)}
+	}
 	members := site("j", sizes...)
 	f := k.draw(&sketch{rng, members})
 	w := newWorld(seed, Options{disabled: disabled}, members, f)
