--- a/state/roster/record.go
+++ b/state/roster/record.go
@@ -126,6 +126,10 @@
 			return nil, errors.Wrapf(ErrBadRecord, "%s: %v", e.Kind, err)
 		}
 		return decodeBody(body, Snapshot.check)
+	case KindSuspect:
+		return decodeBody(e.Body, Suspect.check)
+	case KindAlive:
+		return decodeBody(e.Body, Alive.check)
 	}
 	return nil, errors.Wrapf(ErrBadRecord, "kind %q", e.Kind)
 }
