Hold a quarter of the worker for a task of an unknown service

Change: a task of a service unknown here holds a quarter of the worker's memory, eight times its declared size at most and twice at least; lines on one task count once; the caution lasts 30 s, not 5, if there are lines but fewer than eight; the cap on learned sizes lies 1/n above the largest of n seen; and what is learned raises what running tasks hold.

--- a/coordination/admit/tasks.go
+++ b/coordination/admit/tasks.go
@@ -38,8 +38,10 @@
 	started  time.Time
 	// dropped: the home has no use for the result.
 	dropped bool
-	relief  relief
-	result  *state.TaskResult // nil once no longer kept
+	// reported: a usage report has named it.
+	reported bool
+	relief   relief
+	result   *state.TaskResult // nil once no longer kept
 }
 
 func (m *Machine) jobLocked(now time.Time, from state.NodeID, key state.JobKey) *job {
