Hold the room of tasks whose end nobody knows

Change: such tasks hold memory, cores and accelerators until the lease has lapsed (Options.TaskLease, timeouts.lease) or a usage line says done; those of the present backend server also hold their slot. What waits is judged at each turn.

Weighed: giving the room back at a replacement, since most are crashes. A process that closes its listener before its last task ends looks the same. The price is less room for up to 10 s after a restart, where memory is short.

--- a/coordination/admit/admit.go
+++ b/coordination/admit/admit.go
@@ -21,6 +21,7 @@
 const (
 	DefaultQueueLimit      = 2
 	DefaultLeaseTTL        = 5 * time.Second
+	DefaultTaskLease       = 10 * time.Second
 	DefaultRetention       = 15 * time.Minute
 	DefaultResultRetention = time.Minute
 	DefaultResultBytes     = 8 << 20
@@ -42,6 +43,9 @@
 	// takes it that its process was paused. It then starts nothing until the
 	// backend server has announced itself anew.
 	LeaseTTL time.Duration
+	// TaskLease is how long a task may run at the backend server without a renewal
+	// of its lease. For that long one whose end is unknown holds its room.
+	TaskLease time.Duration
 	// Retention is how long a job's task numbers are remembered after the last
 	// message about it. It must be longer than a home keeps a job.
 	Retention time.Duration
@@ -67,6 +71,7 @@
 func (o *Options) setDefaults() {
 	setDefault(&o.QueueLimit, DefaultQueueLimit)
 	setDefault(&o.LeaseTTL, DefaultLeaseTTL)
+	setDefault(&o.TaskLease, DefaultTaskLease)
 	setDefault(&o.Retention, DefaultRetention)
 	setDefault(&o.ResultRetention, DefaultResultRetention)
 	setDefault(&o.ResultBytes, DefaultResultBytes)
@@ -108,6 +113,7 @@
 	// byOperator counts running tasks.
 	byOperator map[string]int
 	used       resources
+	held       []held
 	outbox     map[state.NodeID]*outbox
 	outOrder   []state.NodeID
 	sentAt     map[state.NodeID]time.Time
@@ -138,7 +144,7 @@
 
 // Announce takes in the backend server's announcement, which also renews the
 // lease. Another ID is a restarted backend server: what ran under the old one
-// is lost and reported as failed.
+// is lost and reported as failed, and holds its room until its lease has lapsed.
 func (m *Machine) Announce(now time.Time, b state.Backend) []coordination.Action {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -146,6 +152,7 @@
 	m.suspect = false
 	if m.backend != nil && m.backend.ID != b.ID {
 		m.loseRunningLocked(now)
+		m.leaveBehindLocked()
 		m.detector = detector{}
 	}
 	m.backend = &b
@@ -258,6 +265,7 @@
 // turnLocked ends every event: it refuses or starts what waits, offers free
 // slots and sends the reports that are due.
 func (m *Machine) turnLocked(now time.Time) []coordination.Action {
+	m.expireHeldLocked(now)
 	out := m.easeLocked()
 	if reason := m.refusalLocked(now); reason != state.ReasonNone {
 		for e := m.queue.pop(); e != nil; e = m.queue.pop() {
--- a/coordination/admit/learn.go
+++ b/coordination/admit/learn.go
@@ -170,6 +170,7 @@
 }
 
 func (m *Machine) usageLocked(now time.Time, u *state.Usage) {
+	m.heldUsageLocked(u)
 	// Reports lag: most short tasks have ended when theirs comes.
 	j := m.jobs[u.Task.Job]
 	if j == nil || j.entries[u.Task.Index] == nil {
@@ -187,10 +188,7 @@
 		return
 	}
 	m.pressure.saw(now, e, u)
-	grown := e.reserved
-	grown.memoryMB = max(grown.memoryMB, u.MemoryMB)
-	grown.accelerators = max(grown.accelerators, u.Accelerators)
-	grown.cores = math.Max(grown.cores, u.Cores)
+	grown := e.reserved.atLeast(u)
 	m.used.sub(e.reserved)
 	m.used.add(grown)
 	e.reserved = grown
--- a/coordination/admit/metrics.go
+++ b/coordination/admit/metrics.go
@@ -13,6 +13,7 @@
 	refusal *prometheus.CounterVec
 	unused  prometheus.Counter
 	control *prometheus.CounterVec
+	unknown prometheus.Counter
 }
 
 // NewMetrics returns the counters, registered with r unless it is nil.
@@ -26,9 +27,11 @@
 			Name: "shallotstep_admit_credits_unused_total", Help: "Slots offered to a home that made no use of them."}),
 		control: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "shallotstep_admit_controls_total", Help: "Running tasks interfered with, by verb and reason."}, []string{"verb", "reason"}),
+		unknown: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "shallotstep_admit_held_total", Help: "Tasks of unknown end that hold their room until their lease has lapsed."}),
 	}
 	if r != nil {
-		r.MustRegister(m.starts, m.refusal, m.unused, m.control)
+		r.MustRegister(m.starts, m.refusal, m.unused, m.control, m.unknown)
 	}
 	return m
 }
@@ -38,4 +41,5 @@
 func (m *Metrics) controlled(v coordination.Verb, c coordination.Cause) {
 	m.control.WithLabelValues(string(v), string(c)).Inc()
 }
+func (m *Metrics) held()              { m.unknown.Inc() }
 func (m *Metrics) creditUnused(n int) { m.unused.Add(float64(n)) }
--- a/coordination/admit/start.go
+++ b/coordination/admit/start.go
@@ -32,6 +32,14 @@
 	r.connections -= o.connections
 }
 
+// atLeast returns r, or what was reported where that is more.
+func (r resources) atLeast(u *state.Usage) resources {
+	r.memoryMB = max(r.memoryMB, u.MemoryMB)
+	r.accelerators = max(r.accelerators, u.Accelerators)
+	r.cores = math.Max(r.cores, u.Cores)
+	return r
+}
+
 // coreSlack absorbs rounding when fractions of cores are added up.
 const coreSlack = 1e-6
 
@@ -50,7 +58,7 @@
 	if m.pressure.hold {
 		return false
 	}
-	if len(m.running)+m.reservedLocked() >= m.slotsLocked() {
+	if len(m.running)+m.heldSlotsLocked()+m.reservedLocked() >= m.slotsLocked() {
 		return false
 	}
 	need := m.needLocked(e)
@@ -86,7 +94,7 @@
 func (m *Machine) startNextLocked(now time.Time) bool {
 	e := m.queue.next(now, func(e *entry) verdict {
 		switch {
-		case !e.deadline.IsZero() && !now.Before(e.deadline):
+		case m.unfitLocked(now, e) != state.ReasonNone:
 			return shed
 		case m.fitsLocked(e):
 			return take
@@ -97,8 +105,8 @@
 		return false
 	}
 	m.seq++
-	if !e.deadline.IsZero() && !now.Before(e.deadline) {
-		m.refuseLocked(e, state.ReasonDeadline)
+	if reason := m.unfitLocked(now, e); reason != state.ReasonNone {
+		m.refuseLocked(e, reason)
 		return true
 	}
 	e.phase = running
@@ -109,7 +117,7 @@
 	m.learnedLocked(now, e.key.Job.Service)
 	e.operator = e.job.operator
 	m.byOperator[e.operator]++
-	start := coordination.StartTask{Task: e.key, Spec: e.spec}
+	start := coordination.StartTask{Task: e.key, Spec: e.spec, Backend: m.backend.ID}
 	if !e.deadline.IsZero() {
 		start.Deadline = e.deadline.Sub(now)
 	}
@@ -118,6 +126,21 @@
 	return true
 }
 
+// unfitLocked says why a waiting task can't start here any more. The backend
+// server may have announced another size or other services since it was taken.
+// Left in the queue, such a task would keep all others from starting.
+func (m *Machine) unfitLocked(now time.Time, e *entry) state.Reason {
+	switch {
+	case !e.deadline.IsZero() && !now.Before(e.deadline):
+		return state.ReasonDeadline
+	case !slices.Contains(m.backend.Services, e.key.Job.Service):
+		return state.ReasonNoBackend
+	case !m.holdsLocked(e):
+		return state.ReasonNeverRunnable
+	}
+	return state.ReasonNone
+}
+
 func (m *Machine) releaseLocked(e *entry) {
 	delete(m.running, e.key)
 	m.pressure.ended(m.lastSeen, e)
@@ -126,6 +149,7 @@
 	}
 	m.used.sub(e.reserved)
 	e.reserved = resources{}
+	m.settleUsedLocked()
 	m.seq++
 }
 
@@ -180,8 +204,8 @@
 	if m.queue.len() > 0 || m.pressure.hold {
 		return 0
 	}
-	free := m.slotsLocked() - len(m.running)
-	if n := len(m.running); n > 0 {
+	free := m.slotsLocked() - len(m.running) - m.heldSlotsLocked()
+	if n := len(m.running) + len(m.held); n > 0 {
 		free = min(free, moreOf(float64(m.backend.MemoryMB), float64(m.used.memoryMB), n))
 		free = min(free, moreOf(m.backend.Cores, m.used.cores, n))
 	}
--- a/coordination/admit/tasks.go
+++ b/coordination/admit/tasks.go
@@ -239,7 +239,12 @@
 	if e == nil {
 		return nil
 	}
-	r.Index = key.Index
+	m.finishLocked(now, e, r)
+	return m.turnLocked(now)
+}
+
+func (m *Machine) finishLocked(now time.Time, e *entry, r state.TaskResult) {
+	r.Index = e.key.Index
 	if e.relief.stops > 0 && r.Err != "" {
 		// The task is not to blame, and neither is the backend server.
 		r.Err = errStopped + r.Err
@@ -247,7 +252,6 @@
 		m.detector.saw(now, e, r.Err != "", now.Sub(e.started))
 	}
 	m.endLocked(now, e, r)
-	return m.turnLocked(now)
 }
 
 // NotStarted takes back a task that the backend server certainly did not start.
@@ -267,9 +271,19 @@
 
 // StartUnknown takes a task of which nobody can say whether the backend server
 // started it, such as after a broken connection. It counts as started and
-// failed: starting it again could run it twice.
+// failed: starting it again could run it twice. It may run on, so it holds its
+// room until its lease has lapsed.
 func (m *Machine) StartUnknown(now time.Time, key state.TaskKey) []coordination.Action {
-	return m.Finished(now, key, state.TaskResult{Err: "connection to the backend server was lost"})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sawLocked(now)
+	e := m.running[key]
+	if e == nil {
+		return nil
+	}
+	m.holdLocked(now, e, true)
+	m.finishLocked(now, e, state.TaskResult{Err: "connection to the backend server was lost"})
+	return m.turnLocked(now)
 }
 
 func (m *Machine) endLocked(now time.Time, e *entry, r state.TaskResult) {
@@ -288,6 +302,7 @@
 // loseRunningLocked reports as failed what a vanished backend server ran.
 func (m *Machine) loseRunningLocked(now time.Time) {
 	for _, e := range m.runningInOrderLocked() {
+		m.holdLocked(now, e, false)
 		m.endLocked(now, e, state.TaskResult{Index: e.key.Index, Err: "backend server restarted"})
 	}
 }
--- a/coordination/coordination.go
+++ b/coordination/coordination.go
@@ -55,6 +55,9 @@
 type StartTask struct {
 	Task state.TaskKey
 	Spec state.Task
+	// Backend is the ID of the backend server that the task was given to. Another
+	// one that has taken its place since must not be sent the task.
+	Backend string
 	// Deadline is how long from now the result is of use. Zero means always.
 	Deadline time.Duration
 }
--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -84,6 +84,14 @@
 	ctx, cancel := context.WithCancel(a.taskCtx)
 	a.mu.Lock()
 	backend := a.backend
+	if backend.ID != s.Backend {
+		// Replaced since; the machine has given the task up already. Sent to the
+		// new one it would run there uncounted.
+		a.mu.Unlock()
+		cancel()
+		a.runner.Execute(a.machine.NotStarted(time.Now(), s.Task, state.ReasonNoBackend))
+		return
+	}
 	a.runs[s.Task] = cancel
 	a.mu.Unlock()
 	a.running.Add(1)
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -88,6 +88,7 @@
 			Admit: admit.Options{
 				QueueLimit:  s.Limits.QueuedTasks,
 				ResultBytes: s.Limits.StoredResultsMB * megabyte,
+				TaskLease:   s.Timeouts.Lease,
 				Metrics:     admit.NewMetrics(m.Registry),
 			},
 			Member: member.Options{
