Set only the quota of the operator whose declaration changed

Change: the set of declarations notes which operators moved (Set.Moved), and the entry sets theirs, under a lock, so that a quota read before another record came can't overwrite that record's.

go test -run xx -bench DeclarationRecord -count 3 ./coordination/node (280 operators; times are trials on a busy machine): 179 to 221 us, 123 allocations, 21.3 kB a record before; 64 to 78 us, 115 allocations, 11.7 kB after. What is left is decoding and judging the record.

--- a/coordination/node/entry.go
+++ b/coordination/node/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -47,6 +48,8 @@
 
 	departures departures
 	commands   *commands
+	// quotas is held while changed quotas are put in force.
+	quotas sync.Mutex
 }
 
 // NewEntry returns the machine of one entry.
@@ -235,9 +238,13 @@
 	return declare.FailureUnknown
 }
 
-// settle brings the quotas in force up to date after declarations moved.
+// settle brings the quotas in force up to date after declarations moved. The
+// lock keeps a quota that was read before another record came from being set
+// after that record's: it would stay in force until the operator's next one.
 func (e *Entry) settle(acts []coordination.Action) []coordination.Action {
-	for _, operator := range e.set.Operators() {
+	e.quotas.Lock()
+	defer e.quotas.Unlock()
+	for _, operator := range e.set.Moved() {
 		a, ok := e.set.Operator(operator)
 		if !ok {
 			continue
--- a/state/declaration/set.go
+++ b/state/declaration/set.go
@@ -46,6 +46,9 @@
 	ledger    *ledger
 	histories map[string][]HistoryEntry
 	outcomes  *outcomes
+	// moved are the operators whose declaration in force is newer than when Moved
+	// was last called; guarded by mu.
+	moved map[string]struct{}
 
 	operators [shardCount]operatorShard
 	services  [shardCount]serviceShard
@@ -75,6 +78,7 @@
 		ledger:    newLedger(),
 		histories: make(map[string][]HistoryEntry),
 		outcomes:  newOutcomes(),
+		moved:     make(map[string]struct{}),
 	}
 	for i := range shardCount {
 		s.operators[i].accepted = make(map[string]*Accepted)
@@ -194,10 +198,27 @@
 	}
 	shard.accepted[a.Operator] = a
 	shard.mu.Unlock()
+	s.moved[a.Operator] = struct{}{}
 	s.replaceServicesLocked(old, a)
 	return true
 }
 
+// Moved returns the operators whose declaration in force has changed since the
+// last call, in no particular order. It has one caller at most.
+func (s *Set) Moved() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.moved) == 0 {
+		return nil
+	}
+	out := make([]string, 0, len(s.moved))
+	for operator := range s.moved {
+		out = append(out, operator)
+	}
+	clear(s.moved)
+	return out
+}
+
 func (s *Set) replaceServicesLocked(old, a *Accepted) {
 	for i := range a.File.Services {
 		spec := a.File.Services[i]
