Take the adaptive limit down to what is in flight when a round is congested

Cause: TestAdaptiveWithJobs asserted one seed. Held to seeds 1 to 16, four fail, for real faults: with half of the slots gone 24 and 14 answers came after 20 s (seeds 2, 13; p99 up to 19.7 s); at 95 % with 2 s to wait 4.1 and 4.5 % of jobs were refused or late (seeds 3, 12; 23 and 81 late). A calm entry's limit is up to ten times what is in flight (4,096 to begin with), and comes down 10 % a round.

Change: a congested round takes the limit to 1.5 times what was in flight in it, at most, before the decrease. The test runs 16 seeds and holds each to all that it held seed 1 to: stricter, nothing eased.

Tried: no spare at all (factor 1): 3.0 to 4.9 % refused at 95 % with 2 s, two seeds beyond the 4 % of the test.

--- a/coordination/limit/adaptive.go
+++ b/coordination/limit/adaptive.go
@@ -32,6 +32,13 @@
 	refusing = 5
 	// decrease is what the limit is multiplied by after a congested round.
 	decrease = 0.9
+	// spare is how far above what was in flight the limit may lie when a round is
+	// congested. The failure it is for: the limit of a calm entry lies far above
+	// what is ever in flight. When slots go, it takes some thirty congested rounds
+	// to come down to what there is, and the queue of that time makes answers late
+	// for a minute. 1 refuses 3 to 5 % of hurried jobs at 95 % where 1.5 refuses 2
+	// to 4 %.
+	spare = 1.5
 	// increase is the part of the limit that a calm round adds, at least 1.
 	increase = 0.02
 	// roundSamples and roundTime bound a round: it ends when both are reached.
@@ -85,7 +92,7 @@
 	}
 	switch {
 	case a.round.congested():
-		a.limit = max(a.floor, a.limit*decrease)
+		a.limit = max(a.floor, min(a.limit, spare*float64(a.round.mostRunning))*decrease)
 	case float64(a.round.mostRunning) >= a.limit*inUse:
 		a.limit = min(a.ceiling, a.limit+max(1, a.limit*increase))
 	}
--- a/coordination/limit/measure_jobs_test.go
+++ b/coordination/limit/measure_jobs_test.go
@@ -102,8 +102,8 @@
 }
 
 // playJobs offers jobs for three minutes.
-func playJobs(o offering) jobsResult {
-	s := &playedSystem{offering: o, limits: New(Options{}), rng: rand.New(rand.NewPCG(1, 2))}
+func playJobs(o offering, seed uint64) jobsResult {
+	s := &playedSystem{offering: o, limits: New(Options{}), rng: rand.New(rand.NewPCG(seed, 2))}
 	s.res.refused = map[state.Reason]int{}
 	for at := time.Duration(0); at < span; at += time.Millisecond {
 		s.running = slices.DeleteFunc(s.running, func(r playedRun) bool {
@@ -182,8 +182,18 @@
 // Callers submit jobs of one to sixty tasks and wait for a while. At 95 % of the
 // slots queues come and go: few jobs may be refused, and none for good because a
 // queue was long once. At three times the load, and when half of the slots go,
-// the slots stay busy, small jobs wait little, and no answer comes too late.
+// the slots stay busy, small jobs wait little, and no answer comes too late. Each
+// of 16 seeds is held to all of it.
 func TestAdaptiveWithJobs(t *testing.T) {
+	for seed := range uint64(16) {
+		t.Run(fmt.Sprint("seed ", seed+1), func(t *testing.T) {
+			t.Parallel()
+			adaptiveWithJobs(t, seed+1)
+		})
+	}
+}
+
+func adaptiveWithJobs(t *testing.T, seed uint64) {
 	is := is.New(t)
 	halved := func(at time.Duration) int {
 		if at > time.Minute {
@@ -192,20 +202,20 @@
 		return 88
 	}
 	const patient, hurried = 20 * time.Second, 2 * time.Second
-	near := playJobs(offering{0.95, patient, steady})
+	near := playJobs(offering{0.95, patient, steady}, seed)
 	t.Logf("0.95, 20 s: %v", near)
 	is.True(near.refusals() <= near.offered*3/100)
 	is.Equal(near.late, 0)
-	nearHurried := playJobs(offering{0.95, hurried, steady})
+	nearHurried := playJobs(offering{0.95, hurried, steady}, seed)
 	t.Logf("0.95, 2 s: %v", nearHurried)
 	is.True(nearHurried.refusals()+nearHurried.late <= nearHurried.offered*4/100)
-	over := playJobs(offering{3, patient, steady})
+	over := playJobs(offering{3, patient, steady}, seed)
 	t.Logf("3, 20 s: %v", over)
 	is.True(over.started >= int(0.98*88*measured.Seconds()/meanTask.Seconds()))
 	is.True(over.meanSmall <= 3*near.meanSmall/2)
 	is.True(over.p99 <= patient/4)
 	is.Equal(over.late, 0)
-	less := playJobs(offering{0.95, patient, halved})
+	less := playJobs(offering{0.95, patient, halved}, seed)
 	t.Logf("0.95, 20 s, half of the slots go: %v", less)
 	is.Equal(less.late, 0)
 }
