Say never runnable at once, when it is true and only then

Cause, each shown by a test that was red: (1) a job that waits for the only large worker waited for ever when it left, since only new jobs were held against the known workers, and a worker brought in for one task was counted on for good. (2) An entry looked for a worker among its 32 candidates only: with 990 agents a repeatable request for a rare worker was refused for good at most entries. (3) A node without news of all agents (just started, or an agent silent) said never.

Change: homes hold what waits against the known workers once a second and give jobs that fit none the grace of stuck ones (0.2 s, 5 s once some part has run). Entries look beyond their candidates when none fits. "Never" needs news of every member of the roster, or the word is no_backend with a Retry-After.

Weighed: never at once for a job whose worker blinks, against the grace; a restart would fail whole jobs. go test -run 'Large|Never|Rare|AllKnown' ./coordination/...

--- a/coordination/gossip/gossip.go
+++ b/coordination/gossip/gossip.go
@@ -181,6 +181,17 @@
 	return g.view.CandidatesFor(service, t)
 }
 
+// AllKnown reports whether there is fresh news of every other member: what no
+// known worker can do, then no worker can do.
+func (g *Gossip) AllKnown() bool {
+	for _, m := range g.o.Peers() {
+		if _, ok := g.view.Load(m.ID); !ok && m.ID != g.o.Self.ID {
+			return false
+		}
+	}
+	return true
+}
+
 // Load returns the newest load of one agent, if it is fresh.
 func (g *Gossip) Load(id state.NodeID) (state.AgentLoad, bool) {
 	return g.view.Load(id)
--- a/coordination/gossip/gossip_test.go
+++ b/coordination/gossip/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -250,3 +251,20 @@
 	n.run(listenFor*DefaultInterval + 2*time.Second)
 	is.Equal(len(g.listeners), 0)
 }
+
+// An entry knows all agents after a while. One falls silent: what it stands
+// beside may be the worker that a task needs, so until it is out of the roster
+// the entry doesn't know all.
+func TestAllKnown(t *testing.T) {
+	is := is.New(t)
+	n := newNet(20, 1)
+	entry := n.nodes["entry-0"]
+	is.True(!entry.AllKnown())
+	n.run(10 * time.Second)
+	is.True(entry.AllKnown())
+	delete(n.nodes, "agent-007")
+	n.run(DefaultExpiry + 10*time.Second)
+	is.True(!entry.AllKnown())
+	n.members = slices.DeleteFunc(n.members, func(m state.Member) bool { return m.ID == "agent-007" })
+	is.True(entry.AllKnown())
+}
--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -44,6 +44,12 @@
 	CandidatesFor(service string, t *state.Task) []state.AgentLoad
 }
 
+// Knower is a View that can tell whether it has news of every agent. Without it a
+// view is taken to know all.
+type Knower interface {
+	AllKnown() bool
+}
+
 // Defaults of Options.
 const (
 	DefaultRetention   = 10 * time.Minute
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -40,6 +40,8 @@
 	runs     runTimes
 	pace     pace
 	override bool
+	// unfitAt is when what waits is next held against the known workers.
+	unfitAt time.Time
 }
 
 func newPool(o *Options, l *links, service string, rng *rand.Rand) *pool {
@@ -68,7 +70,7 @@
 			j.graceUntil = earlier(j.graceUntil, now.Add(j.deadline.Sub(now)/2))
 		}
 	} else if !p.runnable(now, j) {
-		return p.stop(now, j, state.ReasonNeverRunnable, 0)
+		return p.stopUnfit(now, j)
 	}
 	j.orderAt = p.orderTime(j)
 	if wait := p.expectedWait(now, j); j.unreachable(now, wait) {
@@ -92,11 +94,11 @@
 	return a
 }
 
-// runnable reports whether each task fits some known worker, and makes such
-// workers candidates if they weren't.
+// runnable reports whether each waiting task fits some known worker, and makes
+// such workers candidates if they weren't.
 func (p *pool) runnable(now time.Time, j *job) bool {
 	loads := p.loads()
-	for i := range j.tasks {
+	for _, i := range j.backlog {
 		t := &j.tasks[i].spec
 		if place.Runnable(t, loads) {
 			continue
@@ -140,6 +142,7 @@
 	p.expire(now)
 	out = append(out, p.handOver(now)...)
 	if p.waiting.len() > 0 {
+		p.noteUnfit(now)
 		p.refresh(now, false, p.backlog)
 		out = append(out, p.dispatch(now)...)
 	}
@@ -189,17 +192,16 @@
 	j.graceUntil = time.Time{}
 	p.refresh(now, true, p.backlog)
 	if reason := p.closedFor(now); reason != state.ReasonNone {
-		// Whether some part has run is asked now and not when the wait began:
-		// a first task may have started in between.
-		if until := j.stuckSince.Add(stuckStarted); j.started() && now.Before(until) {
-			j.graceUntil = until
-			p.schedule(j, j.nextWake())
+		if p.waitsOn(now, j) {
 			return nil
 		}
 		return p.stop(now, j, reason, retryLater)
 	}
 	if !p.runnable(now, j) {
-		return p.stop(now, j, state.ReasonNeverRunnable, 0)
+		if p.waitsOn(now, j) {
+			return nil
+		}
+		return p.stopUnfit(now, j)
 	}
 	p.schedule(j, j.nextWake())
 	return p.dispatch(now)
--- a/coordination/node/placed.go
+++ b/coordination/node/placed.go
@@ -26,6 +26,9 @@
 	return p.allowed(service, p.loads.CandidatesFor(service, t))
 }
 
+// AllKnown reports whether there is fresh news of every agent.
+func (p placed) AllKnown() bool { return p.loads.AllKnown() }
+
 func (p placed) allowed(service string, loads []state.AgentLoad) []state.AgentLoad {
 	spec, _, ok := p.set.Service(service)
 	if !ok || spec.Placement.Unrestricted() {
--- a/coordination/route/agents.go
+++ b/coordination/route/agents.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	placing "github.com/shallotstep/shallotstep/coordination/place"
 	"github.com/shallotstep/shallotstep/state"
 )
 
@@ -91,8 +92,17 @@
 // candidates the least loaded would draw every entry at once until its next
 // report; the better of two random ones spreads them. Without an eligible one
 // it returns the reason.
+//
+// The candidates are a few of many agents. A task that none of them is large
+// enough for is looked for among all: one that needs a rare worker would be
+// called never runnable at most entries.
 func (r *Router) pick(now time.Time, rng *rand.Rand, service string, t *state.Task, tried []try) (state.NodeID, state.Reason) {
 	all := r.opts.View.Candidates(service)
+	if f, ok := r.opts.View.(Fitter); ok && !placing.Runnable(t, all) {
+		if more := f.CandidatesFor(service, t); len(more) > 0 {
+			all = more
+		}
+	}
 	best, bestScore, found := state.NodeID(""), 0.0, 0
 	consider := func(l *state.AgentLoad) {
 		if l.ID == best || !eligible(t, l, tried) || !r.opts.Roster.Alive(l.ID) {
@@ -115,7 +125,7 @@
 	if best != "" {
 		return best, state.ReasonNone
 	}
-	return "", whyNone(t, all)
+	return "", r.whyNone(t, all)
 }
 
 func eligible(t *state.Task, l *state.AgentLoad, tried []try) bool {
@@ -125,14 +135,14 @@
 	return !slices.ContainsFunc(tried, func(o try) bool { return o.agent == l.ID })
 }
 
-func whyNone(t *state.Task, all []state.AgentLoad) state.Reason {
-	for i := range all {
-		if all[i].Fits(t) {
-			return state.ReasonNoBackend
-		}
+// whyNone says why no agent is eligible. "Never" is said only if something is
+// known of every agent: an entry that has just started would say it untruly.
+func (r *Router) whyNone(t *state.Task, all []state.AgentLoad) state.Reason {
+	if len(all) == 0 || placing.Runnable(t, all) {
+		return state.ReasonNoBackend
 	}
-	if len(all) > 0 {
-		return state.ReasonNeverRunnable
+	if k, ok := r.opts.View.(Knower); ok && !k.AllKnown() {
+		return state.ReasonNoBackend
 	}
-	return state.ReasonNoBackend
+	return state.ReasonNeverRunnable
 }
--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -33,6 +33,18 @@
 	Candidates(service string) []state.AgentLoad
 }
 
+// Fitter is a View that can also look beyond its candidates for a worker that is
+// large enough for a task.
+type Fitter interface {
+	CandidatesFor(service string, t *state.Task) []state.AgentLoad
+}
+
+// Knower is a View that can tell whether it has news of every agent. Without it a
+// view is taken to know all.
+type Knower interface {
+	AllKnown() bool
+}
+
 // Options are the settings of a Router.
 type Options struct {
 	Self   state.NodeID
--- /dev/null
+++ b/coordination/route/runnable_test.go
@@ -0,0 +1,66 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination"
+	"github.com/shallotstep/shallotstep/coordination/message"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// rareView has candidates of the usual size, and workers beyond them.
+type rareView struct {
+	fakeView
+	rare    fakeView
+	unknown bool
+}
+
+func (v *rareView) CandidatesFor(_ string, t *state.Task) (out []state.AgentLoad) {
+	for _, l := range append(v.fakeView, v.rare...) {
+		if l.Fits(t) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func (v *rareView) AllKnown() bool { return !v.unknown }
+
+func (b *bench) requestAccelerator(ticket uint64) []coordination.Action {
+	job := state.Job{Key: quote, Repeatable: true, Tasks: []state.Task{{Accelerators: 1}}}
+	return b.Submit(b.now, ticket, job, job.Digest(), time.Second)
+}
+
+// A repeatable request needs an accelerator. The one agent with one is not among
+// the few that this entry works with. It goes there, and isn't called never
+// runnable; and it is, at once, when that agent has left, and not any more when
+// one comes.
+func TestRareWorkerIsFound(t *testing.T) {
+	is := is.New(t)
+	v := &rareView{fakeView: agentLoads("a", "b"), rare: agentLoads("c")}
+	v.rare[0].Accelerators = 1
+	b := newBench(v)
+	for range 2 {
+		_, to := sent[message.Assign](b.requestAccelerator(1))
+		is.Equal(to, []state.NodeID{"c"})
+		rare := v.rare
+		v.rare = nil
+		got := delivered(b.requestAccelerator(2))
+		is.Equal(got[0].Answer.Outcome, state.NotRun)
+		is.Equal(got[0].Answer.Reason, state.ReasonNeverRunnable)
+		v.rare = rare
+	}
+}
+
+// The entry has no news yet of some agent. It may be the one with the
+// accelerator: the caller is told to come back, not "never".
+func TestNeverIsNotSaidWithoutNewsOfAll(t *testing.T) {
+	is := is.New(t)
+	b := newBench(&rareView{fakeView: agentLoads("a", "b"), unknown: true})
+	got := delivered(b.requestAccelerator(1))
+	is.Equal(got[0].Answer.Reason, state.ReasonNoBackend)
+	is.True(got[0].Answer.RetryAfter > 0)
+}
