Leave out no more than a part of a service at the entry either

Cause: homes leave ejected agents out up to 30 % of a service and override them beyond that; an entry that sends repeatable requests straight to agents left out every ejected one, whatever their number. With two thirds ejected the other third got all of it; with all ejected callers heard no_backend. The new test is red without the change (2 agents asked, 6 wanted).

Change: the entry uses the same rule (place.Override) and sets Override in its Assign. go test ./coordination/route ./coordination/place

--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -18,6 +18,20 @@
 // out always, ejected ones up to MaxEjectedShare. Override says that ejected
 // agents are among the result and have to be told to take tasks all the same.
 func Usable(loads []state.AgentLoad) (usable []state.AgentLoad, override bool) {
+	override = Override(loads)
+	usable = make([]state.AgentLoad, 0, len(loads))
+	for i := range loads {
+		if loads[i].Draining || loads[i].Ejected && !override {
+			continue
+		}
+		usable = append(usable, loads[i])
+	}
+	return usable, override
+}
+
+// Override reports whether so many of the loads are ejected that none of them is
+// left out.
+func Override(loads []state.AgentLoad) bool {
 	staying, ejected := 0, 0
 	for i := range loads {
 		if loads[i].Draining {
@@ -28,15 +42,7 @@
 			ejected++
 		}
 	}
-	override = float64(ejected) > MaxEjectedShare*float64(staying)
-	usable = make([]state.AgentLoad, 0, staying)
-	for i := range loads {
-		if loads[i].Draining || loads[i].Ejected && !override {
-			continue
-		}
-		usable = append(usable, loads[i])
-	}
-	return usable, override
+	return float64(ejected) > MaxEjectedShare*float64(staying)
 }
 
 // Runnable reports whether some worker among the loads could ever hold the
--- a/coordination/route/agents.go
+++ b/coordination/route/agents.go
@@ -95,17 +95,19 @@
 //
 // The candidates are a few of many agents. A task that none of them is large
 // enough for is looked for among all: one that needs a rare worker would be
-// called never runnable at most entries.
-func (r *Router) pick(now time.Time, rng *rand.Rand, service string, t *state.Task, tried []try) (state.NodeID, state.Reason) {
+// called never runnable at most entries. Override says that so many agents are
+// ejected that none is left out: the one picked has to take the task.
+func (r *Router) pick(now time.Time, rng *rand.Rand, service string, t *state.Task, tried []try) (id state.NodeID, override bool, reason state.Reason) {
 	all := r.opts.View.Candidates(service)
 	if f, ok := r.opts.View.(Fitter); ok && !placing.Runnable(t, all) {
 		if more := f.CandidatesFor(service, t); len(more) > 0 {
 			all = more
 		}
 	}
+	override = placing.Override(all)
 	best, bestScore, found := state.NodeID(""), 0.0, 0
 	consider := func(l *state.AgentLoad) {
-		if l.ID == best || !eligible(t, l, tried) || !r.opts.Roster.Alive(l.ID) {
+		if l.ID == best || !eligible(t, l, tried, override) || !r.opts.Roster.Alive(l.ID) {
 			return
 		}
 		score, down := r.agents.score(now, l)
@@ -123,13 +125,13 @@
 		consider(&all[i])
 	}
 	if best != "" {
-		return best, state.ReasonNone
+		return best, override, state.ReasonNone
 	}
-	return "", r.whyNone(t, all)
+	return "", false, r.whyNone(t, all)
 }
 
-func eligible(t *state.Task, l *state.AgentLoad, tried []try) bool {
-	if l.Draining || l.Ejected || !l.Fits(t) {
+func eligible(t *state.Task, l *state.AgentLoad, tried []try, override bool) bool {
+	if l.Draining || l.Ejected && !override || !l.Fits(t) {
 		return false
 	}
 	return !slices.ContainsFunc(tried, func(o try) bool { return o.agent == l.ID })
--- a/coordination/route/request.go
+++ b/coordination/route/request.go
@@ -138,7 +138,7 @@
 // sendTry assigns the task to one more agent, or says why there is none.
 func (r *Router) sendTry(now time.Time, s *requestShard, q *request) state.Reason {
 	task := &q.job.Tasks[0]
-	id, reason := r.pick(now, s.rng, q.job.Key.Service, task, q.tries)
+	id, override, reason := r.pick(now, s.rng, q.job.Key.Service, task, q.tries)
 	if reason != "" {
 		return reason
 	}
@@ -153,7 +153,7 @@
 	r.agents.sent(id)
 	r.sendRequest(s, q, id, message.Assign{
 		Key: t.key, Operator: q.job.Operator, Indexes: []int{0}, Tasks: q.job.Tasks,
-		Deadline: q.left(now), Repeatable: true,
+		Deadline: q.left(now), Repeatable: true, Override: override,
 	})
 	return ""
 }
--- a/coordination/route/retry.go
+++ b/coordination/route/retry.go
@@ -108,7 +108,7 @@
 	if q.gone || r.tooLate(now, q) {
 		return state.ReasonDeadlineUnreachable
 	}
-	if _, none := r.pick(now, s.rng, q.job.Key.Service, &q.job.Tasks[0], q.tries); none != "" {
+	if _, _, none := r.pick(now, s.rng, q.job.Key.Service, &q.job.Tasks[0], q.tries); none != "" {
 		return none
 	}
 	if !q.service.budget.Take() {
--- a/coordination/route/runnable_test.go
+++ b/coordination/route/runnable_test.go
@@ -64,3 +64,35 @@
 	is.Equal(got[0].Answer.Reason, state.ReasonNoBackend)
 	is.True(got[0].Answer.RetryAfter > 0)
 }
+
+// Two thirds of a service's backend servers are held to be failing by their own
+// agents. That many at once are no sign of bad workers, but of bad tasks: none is
+// left out, and the agents are told to take tasks all the same. With one of six
+// failing, that one is left out.
+func TestEntryLeavesOutOnlyAPart(t *testing.T) {
+	is := is.New(t)
+	v := agentLoads("a", "b", "c", "d", "e", "f")
+	v[0].Ejected = true
+	asked := func() (to map[state.NodeID]int, override int) {
+		b := newBench(v)
+		to = make(map[state.NodeID]int)
+		for n := range 100 {
+			assigns, ids := sent[message.Assign](b.request(n+1, 0))
+			to[ids[0]]++
+			if assigns[0].Override {
+				override++
+			}
+		}
+		return to, override
+	}
+	to, override := asked()
+	is.Equal(len(to), 5)
+	is.Equal(to["a"], 0)
+	is.Equal(override, 0)
+	for i := range 4 {
+		v[i].Ejected = true
+	}
+	to, override = asked()
+	is.Equal(len(to), 6)
+	is.Equal(override, 100)
+}
