Leave out a worker that runs its tasks far slower than the others

Change: a home keeps, for each agent, the mean logarithm of run time over expected run time. One that is beyond twice the middle agent's, with a margin for few results, is left out of the list for 20 s, doubling to 5 min, and tried again; 30 % at most are left out, and offers of one left out are not taken up.

Entries' repeatable requests don't use it; they hedge.

--- a/coordination/home/agents.go
+++ b/coordination/home/agents.go
@@ -35,8 +35,9 @@
 	avoidUntil time.Time
 	avoidFor   state.Reason
 	// down: the link broke and nothing was heard of it since. probe: ask it.
-	down  bool
-	probe bool
+	down    bool
+	probe   bool
+	history history
 	// usable: it is among the view's candidates and takes new work.
 	usable bool
 	// extra: brought in for a task that no candidate of the view could hold.
@@ -104,6 +105,7 @@
 	p.refreshAt = now.Add(refreshEvery)
 	loads := p.o.View.Candidates(p.service)
 	usable, override := place.Usable(loads)
+	usable = p.withoutSlow(now, usable)
 	p.override = override
 	p.clearList()
 	for i := range usable[:min(len(usable), p.width(need))] {
--- a/coordination/home/metrics.go
+++ b/coordination/home/metrics.go
@@ -12,6 +12,7 @@
 	moves   *prometheus.CounterVec
 	resends prometheus.Counter
 	asks    prometheus.Counter
+	slow    prometheus.Counter
 	// handOvers is labelled by what became of an answer.
 	handOvers *prometheus.CounterVec
 }
@@ -38,11 +39,13 @@
 		asks: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "shallotstep_home_asks_total", Help: "Messages that only told an agent of a backlog."}),
 	}
+	m.slow = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "shallotstep_home_slow_agents_total", Help: "Times that an agent was left out for a while because its tasks ran far longer than elsewhere."})
 	m.handOvers = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "shallotstep_home_hand_overs_total", Help: "Stored answers sent to a job's new home, given up, and taken or refused from an earlier one."},
 		[]string{"event"})
 	if r != nil {
-		r.MustRegister(m.answers, m.moves, m.resends, m.asks, m.handOvers)
+		r.MustRegister(m.answers, m.moves, m.resends, m.asks, m.slow, m.handOvers)
 	}
 	return m
 }
@@ -53,4 +56,5 @@
 func (m *Metrics) moved(r state.Reason) { m.moves.WithLabelValues(string(r)).Inc() }
 func (m *Metrics) resent()              { m.resends.Inc() }
 func (m *Metrics) asked()               { m.asks.Inc() }
+func (m *Metrics) avoidedSlow()         { m.slow.Inc() }
 func (m *Metrics) handedOver(e string)  { m.handOvers.WithLabelValues(e).Inc() }
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -29,7 +29,7 @@
 		p.takeRunning(now, j, from, m)
 		out = p.advance(now, j)
 	}
-	if a != nil && m.Credit > 0 {
+	if a != nil && m.Credit > 0 && !a.history.out {
 		offered := p.credit(now, a, m.Credit)
 		useful = useful || len(offered) > 0
 		out = append(out, offered...)
@@ -67,6 +67,9 @@
 		j.batches[t.batch].useful = true
 		j.stats.Total += r.Ran
 		j.stats.Longest = max(j.stats.Longest, r.Ran)
+		if r.Err == "" {
+			p.sawPace(from, &t.spec, r.Ran)
+		}
 		p.sawRun(&t.spec, r.Ran)
 		if r.Err != "" && j.failed == nil {
 			j.failed = &t.result
