--- a/coordination/admit/held.go
+++ b/coordination/admit/held.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/state"
 )
 
@@ -24,6 +25,23 @@
 	until time.Time
 }
 
+// StartUnknown takes a task of which nobody can say whether the backend server
+// started it, such as after a broken connection. It counts as started and
+// failed: starting it again could run it twice. It may run on, so it holds its
+// room until its lease has lapsed.
+func (m *Machine) StartUnknown(now time.Time, key state.TaskKey) []coordination.Action {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sawLocked(now)
+	e := m.running[key]
+	if e == nil {
+		return nil
+	}
+	m.holdLocked(now, e, true)
+	m.finishLocked(now, e, state.TaskResult{Err: "connection to the backend server was lost"})
+	return m.turnLocked(now)
+}
+
 // holdLocked keeps what a task has reserved until its lease must have lapsed. It
 // stands before the task's release.
 func (m *Machine) holdLocked(now time.Time, e *entry, slot bool) {
--- a/coordination/admit/tasks.go
+++ b/coordination/admit/tasks.go
@@ -269,23 +269,6 @@
 	return m.turnLocked(now)
 }
 
-// StartUnknown takes a task of which nobody can say whether the backend server
-// started it, such as after a broken connection. It counts as started and
-// failed: starting it again could run it twice. It may run on, so it holds its
-// room until its lease has lapsed.
-func (m *Machine) StartUnknown(now time.Time, key state.TaskKey) []coordination.Action {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.sawLocked(now)
-	e := m.running[key]
-	if e == nil {
-		return nil
-	}
-	m.holdLocked(now, e, true)
-	m.finishLocked(now, e, state.TaskResult{Err: "connection to the backend server was lost"})
-	return m.turnLocked(now)
-}
-
 func (m *Machine) endLocked(now time.Time, e *entry, r state.TaskResult) {
 	m.releaseLocked(e)
 	e.phase = ended
