--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -36,7 +36,6 @@
 // for room if some are left.
 func (p *pool) dispatch(now time.Time) []coordination.Action {
 	var r round
-	p.noteSlow(now)
 	for p.waiting.len() > 0 && p.placeOne(now, &r) {
 	}
 	out := p.send(now, &r)
@@ -99,7 +98,7 @@
 func (p *pool) chooseBy(now time.Time, t *task, room func(*agent) int) *agent {
 	p.eligible = p.eligible[:0]
 	for _, a := range p.list {
-		if a.open(now) && !p.passedOver(now, a) && room(a) > 0 && a.load.Fits(&t.spec) {
+		if a.open(now) && room(a) > 0 && a.load.Fits(&t.spec) {
 			p.eligible = append(p.eligible, a)
 		}
 	}
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -119,6 +119,7 @@
 			Admit: admit.Options{
 				QueueLimit:  noneIsNegative(s.Limits.QueuedTasks),
 				ResultBytes: s.Limits.StoredResultsMB * megabyte,
+				TaskLease:   s.Timeouts.Lease,
 				Metrics:     admit.NewMetrics(m.Registry),
 			},
 			Member: member.Options{
