--- a/bench/gossip/main.go
+++ b/bench/gossip/main.go
@@ -12,6 +12,8 @@
 	"os"
 	"text/tabwriter"
 	"time"
+
+	"github.com/shallotstep/shallotstep/transport/loadgen"
 )
 
 var (
@@ -21,6 +23,7 @@
 	loss   = flag.Float64("loss", 0, "part of the messages that is lost")
 	only   = flag.String("way", "", "measure this way only")
 	most   = flag.Int("most", 990, "largest fleet to measure")
+	rows   = flag.String("rows", "", "also write a row for each fleet to this file, for shallotstep measure -fleet-plot")
 )
 
 // fleets are the sizes of today, one in between, and the target.
@@ -32,6 +35,7 @@
 
 func main() {
 	flag.Parse()
+	var fleetRows []loadgen.FleetRow
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(out, "way\tagents\tdrain known by 99 %\tby all\tworst\tload age p50\tp99\twatchers' silence\tsent KB/s\treceived KB/s\tmost KB/s\tcore %\t")
 	for _, w := range ways {
@@ -45,8 +49,22 @@
 			r := measure(w, f)
 			fmt.Fprintln(out, r.row(w, f))
 			_ = out.Flush()
+			fleetRows = append(fleetRows, r.fleetRow(w, f))
 		}
 	}
+	if *rows == "" {
+		return
+	}
+	if err := loadgen.WriteFleet(*rows, fleetRows); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// fleetRow gives the busiest node's bytes, for the limit holds for each.
+func (r result) fleetRow(w way, f fleet) loadgen.FleetRow {
+	const kilobyte = 1000
+	return loadgen.FleetRow{Name: w.name, Agents: f.agents, ControlBytesPerSecond: kilobyte * r.peak, CPUPercent: r.core}
 }
 
 func (r result) row(w way, f fleet) string {
--- a/transport/loadgen/fleet.go
+++ b/transport/loadgen/fleet.go
@@ -56,6 +56,18 @@
 	return rows, nil
 }
 
+// WriteFleet writes the rows to a file.
+func WriteFleet(path string, rows []FleetRow) error {
+	var body bytes.Buffer
+	enc := json.NewEncoder(&body)
+	for _, row := range rows {
+		if err := enc.Encode(row); err != nil {
+			return errors.Wrap(err, "fleet rows")
+		}
+	}
+	return errors.Wrap(os.WriteFile(path, body.Bytes(), 0o644), "fleet rows")
+}
+
 // PlotFleet writes the control bytes of a daemon against the size of the fleet,
 // with the limit of the target size.
 func PlotFleet(path string, rows []FleetRow) error {
