Leave one failing worker of three out

At most 30 % may be left out, and one of three is 33 %: the home overrode the ejection and told the agent to take tasks all the same.

Ruled out: a share above a third. It would leave out four of eleven, where four that fail point to the tasks.

Change: one agent may be left out whatever its share if two others stay. Bad tasks soon eject a second one, and then all are used as before.

--- a/coordination/place/place.go
+++ b/coordination/place/place.go
@@ -14,8 +14,14 @@
 // would turn bad tasks into an outage.
 const MaxEjectedShare = 0.3
 
+// loneEjection is from how many agents on one may be left out whatever its
+// share. With three the share allows none at all, and one broken worker, which
+// always looks free, fails most jobs. Two that work beside it say that the tasks
+// aren't at fault; bad tasks soon eject a second one, which is beyond the share.
+const loneEjection = 3
+
 // Usable returns the loads that may get new tasks. Draining agents are left
-// out always, ejected ones up to MaxEjectedShare. Override says that ejected
+// out always, ejected ones up to MaxEjectedShare, or one of three. Override says that ejected
 // agents are among the result and have to be told to take tasks all the same.
 func Usable(loads []state.AgentLoad) (usable []state.AgentLoad, override bool) {
 	staying, ejected := 0, 0
@@ -28,7 +34,7 @@
 			ejected++
 		}
 	}
-	override = float64(ejected) > MaxEjectedShare*float64(staying)
+	override = float64(ejected) > MaxEjectedShare*float64(staying) && !(ejected == 1 && staying >= loneEjection)
 	usable = make([]state.AgentLoad, 0, staying)
 	for i := range loads {
 		if loads[i].Draining || loads[i].Ejected && !override {
