Take rows of plain processes into the plot of control bytes

Cause: a bench of fleets tells sent and received bytes apart, has rows for each role and phase, and columns of its own. The reader refused what it didn't know, and took only one number.

Change: both are added up, role and phase name the line, other keys are passed over, and parts without control traffic are left out.

--- a/transport/loadgen/fleet.go
+++ b/transport/loadgen/fleet.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"slices"
+	"strings"
 
 	"github.com/pkg/errors"
 	"gonum.org/v1/plot"
@@ -17,41 +18,56 @@
 const maxControlBytes = 13_000
 
 // FleetRow is what one daemon spends in a fleet of a size. Benches of fleets
-// write one JSON object for each, one after the other.
+// write one JSON object for each, one after the other, and may add keys of
+// their own.
 type FleetRow struct {
-	// Name tells lines of one plot apart, such as ways of spreading loads.
-	Name                  string  `json:"name,omitempty"`
-	Agents                int     `json:"agents"`
-	ControlBytesPerSecond float64 `json:"control_bytes_per_second"`
-	CPUPercent            float64 `json:"cpu_percent"`
-	ResidentMB            float64 `json:"resident_mb"`
+	// Name, Role and Phase tell lines of one plot apart, such as ways of
+	// spreading loads, or agents when idle and under load.
+	Name   string `json:"name,omitempty"`
+	Role   string `json:"role,omitempty"`
+	Phase  string `json:"phase,omitempty"`
+	Agents int    `json:"agents"`
+	// ControlBytesPerSecond is what the daemon sent, or sent and received
+	// together where the latter isn't told on its own.
+	ControlBytesPerSecond  float64 `json:"control_bytes_per_second"`
+	ReceivedBytesPerSecond float64 `json:"received_bytes_per_second,omitempty"`
+	CPUPercent             float64 `json:"cpu_percent"`
+	ResidentMB             float64 `json:"resident_mb"`
 }
 
-// ReadFleet reads the rows of a file.
+func (r *FleetRow) line() string {
+	return cmp.Or(strings.TrimSpace(r.Name+" "+r.Role+" "+r.Phase), "control")
+}
+
+func (r *FleetRow) bytes() float64 { return r.ControlBytesPerSecond + r.ReceivedBytesPerSecond }
+
+// ReadFleet reads the rows of a file. Those of parts without control traffic
+// are left out, for a logarithmic axis has no place for them.
 func ReadFleet(path string) ([]FleetRow, error) {
 	body, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "fleet rows")
 	}
 	dec := json.NewDecoder(bytes.NewReader(body))
-	dec.DisallowUnknownFields()
 	var rows []FleetRow
-	for {
+	for n := 1; ; n++ {
 		var row FleetRow
 		err := dec.Decode(&row)
 		if err == io.EOF {
 			break
 		}
 		if err != nil {
-			return nil, errors.Wrapf(err, "%s: row %d", path, len(rows)+1)
+			return nil, errors.Wrapf(err, "%s: row %d", path, n)
 		}
-		if row.Agents <= 0 || !(row.ControlBytesPerSecond > 0) {
-			return nil, errors.Errorf("%s: row %d needs agents and control_bytes_per_second above zero", path, len(rows)+1)
+		if row.Agents <= 0 || row.ControlBytesPerSecond < 0 || row.ReceivedBytesPerSecond < 0 {
+			return nil, errors.Errorf("%s: row %d needs agents above zero and bytes not below", path, n)
+		}
+		if row.bytes() > 0 {
+			rows = append(rows, row)
 		}
-		rows = append(rows, row)
 	}
 	if len(rows) == 0 {
-		return nil, errors.Errorf("%s holds no row", path)
+		return nil, errors.Errorf("%s holds no row with control_bytes_per_second", path)
 	}
 	return rows, nil
 }
@@ -72,12 +88,8 @@
 // with the limit of the target size.
 func PlotFleet(path string, rows []FleetRow) error {
 	var c curves
-	for _, row := range rows {
-		name := row.Name
-		if name == "" {
-			name = "control"
-		}
-		c.add(name, float64(row.Agents), row.ControlBytesPerSecond)
+	for i := range rows {
+		c.add(rows[i].line(), float64(rows[i].Agents), rows[i].bytes())
 	}
 	p, err := newCurvePlot("Control bytes against fleet size", "agents", "control bytes a second and daemon", c)
 	if err != nil {
