--- a/transport/loadgen/curves.go
+++ b/transport/loadgen/curves.go
@@ -14,6 +14,9 @@
 // lineWidth is that of a curve.
 const lineWidth = 1.5 * vg.Millimeter / 3
 
+// legendRoom keeps the curves out of the legend: a decade above them.
+const legendRoom = 10
+
 // curve is one line of a plot with its points in the order of x.
 type curve struct {
 	name   string
@@ -93,6 +96,7 @@
 		return nil, err
 	}
 	p.Y.Min, p.Y.Max = decades(p.Y.Min, p.Y.Max)
+	p.Y.Max *= legendRoom
 	return p, nil
 }
 
