--- a/transport/loadgen/plan_test.go
+++ b/transport/loadgen/plan_test.go
@@ -101,7 +101,7 @@
 	is := is.New(t)
 	names, err := filepath.Glob("../../examples/*/plan*.json")
 	is.NoErr(err)
-	is.Equal(len(names), 10)
+	is.Equal(len(names), 12)
 	for _, name := range names {
 		src, err := os.ReadFile(name)
 		is.NoErr(err)
