--- a/coordination/home/finish.go
+++ b/coordination/home/finish.go
@@ -83,11 +83,19 @@
 	silent := true
 	for i := range j.contacts {
 		c := &j.contacts[i]
-		if c.outstanding == 0 || c.asked >= maxAsks {
+		due := !now.Before(c.askAt)
+		if c.outstanding == 0 {
+			continue
+		}
+		if c.asked >= maxAsks && due {
+			// Given up. A time that stays in the past would wake the job again
+			// and again in one tick, which then never ends, while another agent
+			// is still being asked.
+			c.askAt = time.Time{}
 			continue
 		}
 		silent = false
-		if !now.Before(c.askAt) {
+		if due {
 			out = append(out, p.drop(now, j, c))
 		}
 	}
