--- a/bench/fleet/main.go
+++ b/bench/fleet/main.go
@@ -70,7 +70,7 @@
 	flag.DurationVar(&s.idle, "idle", 30*time.Second, "how long to measure the idle fleet; 0 leaves it out")
 	flag.DurationVar(&s.length, "for", 20*time.Second, "how long jobs arrive; 0 puts on no load")
 	flag.Float64Var(&s.rate, "rate", 3, "task starts a second for each agent")
-	flag.StringVar(&s.tasks, "tasks-per-job", "10", "as of the command load")
+	flag.StringVar(&s.tasks, "tasks-per-job", "10", "as tasks_per_job of a plan")
 	flag.DurationVar(&s.work, "work", 50*time.Millisecond, "how long each task takes")
 	flag.IntVar(&s.slots, "slots", 8, "slots of each backend server")
 	flag.IntVar(&s.memoryMB, "memory", -1, "limits.memory_mb of each daemon; -1 leaves it out")
--- a/bench/fleet/measure.go
+++ b/bench/fleet/measure.go
@@ -80,12 +80,17 @@
 
 // load runs the built command line, which checks every answer.
 func (f *fleet) load(ctx context.Context, n int) error {
-	cmd := exec.CommandContext(ctx, filepath.Join(f.dir, clientProgram), "load", "-addr", f.entryAddr,
-		"-service", service, "-mix", "fixed", "-work", f.opts.work.String(), "-tasks-per-job", f.opts.tasks,
-		"-rate", strconv.FormatFloat(f.opts.rate*float64(n), 'f', -1, 64), "-for", f.opts.length.String())
+	plan := filepath.Join(f.dir, "plan.json")
+	text := fmt.Sprintf(`{"plan": "fleet", "length": %q, "loads": [
+	{"service": %q, "mix": "fixed", "work": %q, "tasks_per_job": %q, "tasks_per_second": %g}]}`,
+		f.opts.length, service, f.opts.work, f.opts.tasks, f.opts.rate*float64(n))
+	if err := os.WriteFile(plan, []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "plan")
+	}
+	cmd := exec.CommandContext(ctx, filepath.Join(f.dir, clientProgram), "measure", "-target", f.entryAddr, "-plan", plan)
 	out, err := cmd.CombinedOutput()
 	if err != nil {
-		return errors.Wrapf(err, "load: %s", out)
+		return errors.Wrapf(err, "measure: %s", out)
 	}
 	return nil
 }
