Tell the age of a fence, so that only later submissions are made anew

Cause: a submission that a fence kept out was made anew while its caller waited, also when it was older than the "not run" that the fence stands for.

Ruled out: times in place of ages (clocks of hosts differ); numbers of submissions (entries don't know one another's).

Change: a refusal says how long ago the fence was set. An entry makes a submission anew only if it came since, by its own clock; time on the way makes it count as older.

--- a/coordination/guard/fence.go
+++ b/coordination/guard/fence.go
@@ -13,9 +13,11 @@
 // the witness bars, and hears "not run". Then the home goes on and claims the id
 // for the first submission, of which neither the second entry nor the witness had
 // heard. Ruling out the one attempt was not enough: a member that says "not run"
-// rules out all that were made for the id so far. One that comes later, because
-// the caller submits once more, is refused with the number, and its entry sends
-// it again with it; an entry without a waiting caller doesn't.
+// rules out all that were made for the id so far. One that comes later is refused
+// with the number and how long ago the fence was set. If its caller has submitted
+// since, its entry sends it again with the number; else it says "not run" as well.
+// Ages are told, not times, so no two clocks are compared, and time on the way only
+// makes a submission count as older.
 //
 // Home and witness each count their own fences and are told of the other's by
 // nobody, so an attempt carries a number for each. A fence ends with its epoch,
@@ -39,13 +41,11 @@
 	return f.number
 }
 
-// fencedLocked returns the number of the fence that keeps an attempt with the
-// given number out, or zero if it may pass.
-func (g *Guard) fencedLocked(s *share, key state.JobKey, number uint64) uint64 {
-	if f := s.fences[key]; f.number > number {
-		return f.number
-	}
-	return 0
+// fencedLocked returns the fence that keeps an attempt with the given number out;
+// ok is false if it may pass.
+func (g *Guard) fencedLocked(s *share, key state.JobKey, number uint64) (f fence, ok bool) {
+	f = s.fences[key]
+	return f, f.number > number
 }
 
 // sweepFencesLocked forgets fences when nothing is heard any more of what was
--- a/coordination/guard/home.go
+++ b/coordination/guard/home.go
@@ -75,7 +75,7 @@
 
 func (g *Guard) claimLocked(s *share, index uint32, now time.Time, c candidate, acts *actions) {
 	if v, ok := s.closed[c.attempt]; ok && !(g.disabled.bars && v.reason == state.ReasonBarred) {
-		*acts = append(*acts, g.denied(s, c, g.vouchLocked(s, now, c, v)))
+		*acts = append(*acts, g.denied(s, now, c, g.vouchLocked(s, now, c, v)))
 		return
 	}
 	if a, ok := s.asks[c.key]; ok {
@@ -92,8 +92,8 @@
 		g.denyLocked(s, now, c, verdict{outcome: state.Unknown, reason: state.ReasonHomeUnreachable}, acts)
 		return
 	}
-	if n := g.fencedLocked(s, c.key, c.fence.Home); n > 0 && c.epoch == s.pair.Epoch {
-		g.denyLocked(s, now, c, fenced(message.Fence{Home: n}), acts)
+	if f, ok := g.fencedLocked(s, c.key, c.fence.Home); ok && c.epoch == s.pair.Epoch {
+		g.denyLocked(s, now, c, fenced(message.Fence{Home: f.number}, f.at), acts)
 		return
 	}
 	reason := g.homeRefusal(s, now, c)
@@ -225,8 +225,8 @@
 		g.endLocked(s, index, now, a, refuse(state.ReasonHomeUnreachable), acts)
 		return
 	}
-	if n := g.fencedLocked(s, a.key, a.fence.Home); n > 0 {
-		g.endLocked(s, index, now, a, fenced(message.Fence{Home: n}), acts)
+	if f, ok := g.fencedLocked(s, a.key, a.fence.Home); ok {
+		g.endLocked(s, index, now, a, fenced(message.Fence{Home: f.number}, f.at), acts)
 		return
 	}
 	if found := g.find(now, index, a.key); hasOther(found, g.self) {
@@ -263,7 +263,7 @@
 			outcome: state.Unknown, reason: m.Reason, holder: m.Holder,
 		}, acts)
 	case state.ReasonBarred:
-		g.endLocked(s, index, now, a, fenced(message.Fence{Witness: m.Fence}), acts)
+		g.endLocked(s, index, now, a, fenced(message.Fence{Witness: m.Fence}, now.Add(-m.FenceAge)), acts)
 	default:
 		g.endLocked(s, index, now, a, refuse(m.Reason), acts)
 	}
--- a/coordination/guard/verdict.go
+++ b/coordination/guard/verdict.go
@@ -20,6 +20,9 @@
 	holder  state.NodeID
 	byBar   bool
 	fence   message.Fence // that keeps the attempt out, or that this "no" has set
+	// fencedAt is when the fence that keeps the attempt out was set, zero if none
+	// does.
+	fencedAt time.Time
 }
 
 // refuse is a verdict that nothing was started by the attempt.
@@ -28,8 +31,8 @@
 }
 
 // fenced is the verdict on an attempt that a fence keeps out.
-func fenced(f message.Fence) verdict {
-	return verdict{outcome: state.NotRun, reason: state.ReasonBarred, fence: f}
+func fenced(f message.Fence, at time.Time) verdict {
+	return verdict{outcome: state.NotRun, reason: state.ReasonBarred, fence: f, fencedAt: at}
 }
 
 // giveUp is the verdict on an ask that had no yes in time. If no member of the
@@ -112,10 +115,13 @@
 		g.closeLocked(s, now, c.attempt, c.epoch, v)
 	}
 	g.metrics.refused(roleHome, v.reason)
-	*acts = append(*acts, g.denied(s, c, v))
+	*acts = append(*acts, g.denied(s, now, c, v))
 }
 
-func (g *Guard) denied(s *share, c candidate, v verdict) coordination.Denied {
+func (g *Guard) denied(s *share, now time.Time, c candidate, v verdict) coordination.Denied {
+	if !v.fencedAt.IsZero() {
+		v.fence.Age = now.Sub(v.fencedAt)
+	}
 	epoch := s.pair.Epoch
 	if region := g.opts.RegionOf(c.key.Service); region != g.opts.Self.Region {
 		epoch = g.Roster().Pair(region, roster.ShareOf(c.key)).Epoch
--- a/coordination/guard/witness.go
+++ b/coordination/guard/witness.go
@@ -26,7 +26,9 @@
 	reply := message.ClaimReply{Key: m.Key, Token: m.Token, Epoch: s.pair.Epoch}
 	if reason := g.witnessRefusal(s, now, from, m, acts); reason != state.ReasonNone {
 		reply.Reason = reason
-		reply.Fence = s.fences[m.Key].number
+		if f, ok := g.fencedLocked(s, m.Key, m.Fence); ok {
+			reply.Fence, reply.FenceAge = f.number, now.Sub(f.at)
+		}
 		return reply
 	}
 	complete := m.Knows || s.complete()
@@ -69,7 +71,10 @@
 		return state.ReasonStaleEpoch
 	case g.blind(now):
 		return state.ReasonLogUnavailable
-	case g.barredLocked(s, m.Attempt), g.fencedLocked(s, m.Key, m.Fence) > 0:
+	case g.barredLocked(s, m.Attempt):
+		return state.ReasonBarred
+	}
+	if _, ok := g.fencedLocked(s, m.Key, m.Fence); ok {
 		return state.ReasonBarred
 	}
 	return state.ReasonNone
--- a/coordination/message/message.go
+++ b/coordination/message/message.go
@@ -40,12 +40,17 @@
 
 // Fence has a number of each member of a pair. Each rules out every attempt for
 // an id that carries a smaller one; see package guard. Zero means none.
-type Fence struct{ Home, Witness uint64 }
+type Fence struct {
+	Home, Witness uint64
+	// Age, in an Answer, is how long ago the fence was set that keeps the attempt
+	// out. Zero means that none does.
+	Age time.Duration
+}
 
 // IsZero reports whether no fence is set.
-func (f Fence) IsZero() bool { return f == Fence{} }
+func (f Fence) IsZero() bool { return f.Home == 0 && f.Witness == 0 }
 
-// Join returns the larger number of each member.
+// Join returns the larger number of each member, without an age.
 func (f Fence) Join(g Fence) Fence {
 	return Fence{Home: max(f.Home, g.Home), Witness: max(f.Witness, g.Witness)}
 }
@@ -147,8 +152,10 @@
 	Granted bool
 	// Reason says why not.
 	Reason state.Reason
-	// Fence is the witness's number that an attempt for the id has to carry.
-	Fence uint64
+	// Fence is the number of the witness's fence that keeps the attempt out, and
+	// FenceAge how long ago it was set. Zero means that none does.
+	Fence    uint64
+	FenceAge time.Duration
 	// Holder is of the record that stands in the way, if one does. Digest is the
 	// asker's unless the reason is a conflict: homes of older versions call
 	// another one a conflict themselves, which only the witness can.
--- a/coordination/node/entries_test.go
+++ b/coordination/node/entries_test.go
@@ -11,8 +11,9 @@
 
 // The home is paused, and its caller submits through one entry and soon after
 // through the other, whose link to the home breaks. That one has its attempt
-// barred and says "not run". The first entry's attempt lies in the home's socket
-// and no bar holds it: the home goes on, the job runs, "not run" wasn't so.
+// barred and says "not run". The first entry's attempt lies in the home's socket:
+// when the home goes on, the job must not run, for that caller may have it run
+// elsewhere. The first caller hears the same.
 func TestNotRunThroughOneEntryHoldsForTheOther(t *testing.T) {
 	is := is.New(t)
 	w, entries, _ := settled(t, 3)
--- a/coordination/route/answer.go
+++ b/coordination/route/answer.go
@@ -63,7 +63,8 @@
 func (r *Router) onNotRun(now time.Time, f *flight, from state.NodeID, m *message.Answer) {
 	tried := f.cur
 	f.doubtful = f.doubtful || m.Reason == state.ReasonClaimsUnknown
-	fenced := f.takeFence(m) && m.Reason == state.ReasonBarred
+	news := f.takeFence(m)
+	sinceFence := m.Fence.Age > 0 && now.Sub(f.began) < m.Fence.Age
 	delete(r.shardOf(f.key).attempts, tried.id)
 	f.ruleOut(tried.id)
 	v := verdict{reason: m.Reason, detail: m.Detail, retryAfter: m.RetryAfter}
@@ -74,10 +75,9 @@
 		r.askHolder(now, f, m.Holder)
 	case notReady(m.Reason):
 		r.wait(now, f, m, tried.epoch)
-	case fenced && f.heard():
-		// Somebody was told "not run" of the id since, or before: this caller
-		// waits, so the submission is made anew. If it can't be, another one that
-		// was made anew may run.
+	case news && sinceFence && f.heard():
+		// Somebody was told "not run" of the id, and this caller has submitted
+		// since. If the submission can't be made anew, another one may run that was.
 		f.doubtful = f.doubtful || f.attempts >= maxAttempts
 		r.tryHome(now, f)
 	case m.Reason == state.ReasonBarred || m.Reason == state.ReasonHomeUnreachable:
--- a/coordination/route/route_test.go
+++ b/coordination/route/route_test.go
@@ -174,24 +174,35 @@
 }
 
 // The caller of one entry was told "not run", and another entry's submission of
-// the id, made without word of that, is refused with the pair's fence. Its caller
-// waits, so it is made anew with the fence. A caller that has gone away may have
-// been the one that was told: for it nothing is made anew.
+// the id is refused with the pair's fence. If it came since, and its caller waits,
+// it is made anew with the fence. If it is the older one, or its caller has gone
+// away, nothing may be made anew: "not run" was said of it too.
 func TestFencedSubmissionIsMadeAnewForACallerThatWaits(t *testing.T) {
-	for _, gone := range []bool{false, true} {
+	for _, c := range []struct {
+		age  time.Duration // of the fence, when the refusal comes
+		gone bool
+		anew bool
+	}{
+		{age: 30 * millis, anew: true},
+		{age: 30 * millis, gone: true},
+		{age: 10 * millis},
+	} {
 		is := is.New(t)
 		b := newBench(nil)
 		subs, _ := sent[message.Submit](b.submit(1, false, 5*time.Second))
-		if gone {
+		if c.gone {
 			b.Abandon(b.now, 1)
 		}
+		b.pass(20 * millis)
 		barred := message.Answer{
 			Key: quote, Attempt: subs[0].Attempt, Outcome: state.NotRun, Reason: state.ReasonBarred,
-			Epoch: subs[0].Epoch, Fence: message.Fence{Witness: 3},
+			Epoch: subs[0].Epoch, Fence: message.Fence{Witness: 3, Age: c.age},
 		}
-		again, _ := sent[message.Submit](b.Handle(b.now, "h", barred))
-		is.Equal(len(again) == 0, gone)
-		if gone {
+		acts := b.Handle(b.now, "h", barred)
+		again, _ := sent[message.Submit](acts)
+		is.Equal(len(again) > 0, c.anew)
+		if !c.anew {
+			is.True(c.gone || delivered(acts)[0].Answer.Outcome == state.NotRun)
 			continue
 		}
 		is.Equal(again[0].Fence, message.Fence{Witness: 3})
--- a/protocol/wire/claim.go
+++ b/protocol/wire/claim.go
@@ -82,9 +82,11 @@
 		Epoch:   int64(m.Epoch),
 		Granted: m.Granted,
 		Fence:   m.Fence,
-		Reason:  c.reason(m.Reason),
-		Holder:  c.node("holder", m.Holder),
-		Digest:  encodeDigest(m.Digest),
+
+		FenceAgeNs: c.nanos("fence age", m.FenceAge),
+		Reason:     c.reason(m.Reason),
+		Holder:     c.node("holder", m.Holder),
+		Digest:     encodeDigest(m.Digest),
 	}
 }
 
@@ -95,9 +97,11 @@
 		Epoch:   state.Epoch(p.GetEpoch()),
 		Granted: p.GetGranted(),
 		Fence:   p.GetFence(),
-		Reason:  c.readReason(p.GetReason()),
-		Holder:  state.NodeID(c.name("holder", p.GetHolder())),
-		Digest:  c.decodeDigest(p.GetDigest()),
+
+		FenceAge: c.duration("fence age", p.GetFenceAgeNs()),
+		Reason:   c.readReason(p.GetReason()),
+		Holder:   state.NodeID(c.name("holder", p.GetHolder())),
+		Digest:   c.decodeDigest(p.GetDigest()),
 	}
 }
 
--- a/protocol/wire/job.go
+++ b/protocol/wire/job.go
@@ -88,15 +88,15 @@
 	return out
 }
 
-func encodeFence(f message.Fence) *nodepb.Fence {
-	if f.IsZero() {
+func (c *checker) encodeFence(f message.Fence) *nodepb.Fence {
+	if f == (message.Fence{}) {
 		return nil
 	}
-	return &nodepb.Fence{Home: f.Home, Witness: f.Witness}
+	return &nodepb.Fence{Home: f.Home, Witness: f.Witness, AgeNs: c.nanos("fence age", f.Age)}
 }
 
-func decodeFence(p *nodepb.Fence) message.Fence {
-	return message.Fence{Home: p.GetHome(), Witness: p.GetWitness()}
+func (c *checker) decodeFence(p *nodepb.Fence) message.Fence {
+	return message.Fence{Home: p.GetHome(), Witness: p.GetWitness(), Age: c.duration("fence age", p.GetAgeNs())}
 }
 
 func (c *checker) encodeSubmit(m *message.Submit) *nodepb.Submit {
@@ -112,7 +112,7 @@
 		Epoch:      int64(m.Epoch),
 		DeadlineNs: c.nanos("deadline", m.Deadline),
 		Query:      m.Query,
-		Fence:      encodeFence(m.Fence),
+		Fence:      c.encodeFence(m.Fence),
 	}
 }
 
@@ -130,7 +130,7 @@
 		Epoch:    state.Epoch(p.GetEpoch()),
 		Deadline: c.duration("deadline", p.GetDeadlineNs()),
 		Query:    p.GetQuery(),
-		Fence:    decodeFence(p.GetFence()),
+		Fence:    c.decodeFence(p.GetFence()),
 	}
 }
 
@@ -152,7 +152,7 @@
 		RetryAfterNs: c.nanos("retry after", m.RetryAfter),
 		Epoch:        int64(m.Epoch),
 		Holder:       c.node("holder", m.Holder),
-		Fence:        encodeFence(m.Fence),
+		Fence:        c.encodeFence(m.Fence),
 		Results:      c.encodeResults(m.Results),
 		Stats: &nodepb.Stats{
 			Messages:  c.count("messages", int64(m.Stats.Messages)),
@@ -178,7 +178,7 @@
 		RetryAfter: c.duration("retry after", p.GetRetryAfterNs()),
 		Epoch:      state.Epoch(p.GetEpoch()),
 		Holder:     state.NodeID(c.name("holder", p.GetHolder())),
-		Fence:      decodeFence(p.GetFence()),
+		Fence:      c.decodeFence(p.GetFence()),
 		Results:    c.decodeResults(p.GetResults()),
 		Stats: message.Stats{
 			Messages: int(c.count("messages", stats.GetMessages())),
