Vouch for ids only as far as the agent has heard

Cause: a "no" to an attempt whose epoch is over vouched for the id by the claims below that epoch. The pairs since may have granted another submission of it, of which an agent that has left the pair knows nothing.

Change: of an epoch that is over, only a member of the present pair with a whole record vouches for the id; others say claims_unknown beside NotRun. The price: an entry that meets a former home right after a change of the pair, and whose submission is refused after that, answers unknown in place of not_run.

Model: ranBefore compares with every epoch that the one who says "no" has heard of, no longer with the attempt's alone.

--- a/coordination/guard/bar.go
+++ b/coordination/guard/bar.go
@@ -46,7 +46,7 @@
 	if m.Epoch < s.pair.Epoch {
 		reply.Barred = s.wasThere(m.Epoch)
 		reply.Reason = barReason(reply.Barred)
-		if reply.Barred && s.knows < m.Epoch && !g.disabled.idDoubt {
+		if reply.Barred && !s.vouches(g.self, m.Epoch) && !g.disabled.idDoubt {
 			reply.Reason = state.ReasonClaimsUnknown // as below
 		}
 		return reply
--- a/coordination/guard/model_test.go
+++ b/coordination/guard/model_test.go
@@ -137,7 +137,7 @@
 		if a.Outcome == state.NotRun {
 			w.notRun(t, "denied "+string(a.Reason))
 			if a.Reason != state.ReasonClaimsUnknown {
-				w.ranBefore(t, "denied "+string(a.Reason))
+				w.ranBefore(t, at, "denied "+string(a.Reason))
 			}
 		}
 		first := len(t.verdicts) == 1 && t.verdicts[at] == 1 // later ones repeat it
@@ -178,16 +178,17 @@
 		w.notRun(t, "barred by "+string(at))
 	}
 	if r.Reason != state.ReasonClaimsUnknown {
-		w.ranBefore(t, "barred for certain by "+string(at))
+		w.ranBefore(t, at, "barred for certain by "+string(at))
 	}
 }
 
-// ranBefore fails if the same content was granted at the attempt's epoch or
-// before: the entry passes a certain "no" on as an answer about the id, whose
-// earlier submission has run.
-func (w *world) ranBefore(t *try, why string) {
+// ranBefore fails if the same content was granted at an epoch that the one who
+// says "no" has heard of, or the attempt's at least: the entry passes a certain
+// "no" on as an answer about the id, another submission of which has run.
+func (w *world) ranBefore(t *try, at state.NodeID, why string) {
+	last := max(t.submit.Epoch, w.nodes[at].shares[roster.ShareOf(t.submit.Job.Key)].pair.Epoch)
 	for _, g := range w.grants[t.submit.Job.Key] {
-		if g.digest == t.submit.Digest && g.epoch <= t.submit.Epoch && w.now.Sub(g.at) < modelRetention {
+		if g.digest == t.submit.Digest && g.epoch <= last && w.now.Sub(g.at) < modelRetention {
 			w.fail("%s at epoch %d: %s, but its id was granted at epoch %d", t.submit.Attempt, t.submit.Epoch, why, g.epoch)
 		}
 	}
--- a/coordination/guard/verdict.go
+++ b/coordination/guard/verdict.go
@@ -62,8 +62,9 @@
 //
 // A record is told instead. Without one, claims_unknown beside NotRun says, as
 // in a BarReply, that the attempt is ruled out and the id is not. The watermark
-// decides, since a claim granted at the attempt's own epoch has a record at both
-// of its members.
+// decides, since a claim granted at the present epoch has a record at both of its
+// members. What a later pair has granted that the agent hasn't heard of, nobody
+// here can tell.
 func (g *Guard) vouchLocked(s *share, now time.Time, c candidate, v verdict) verdict {
 	final := v.reason == state.ReasonMalformed || v.reason == state.ReasonIDConflict
 	if v.outcome != state.NotRun || final || g.disabled.idDoubt {
@@ -72,12 +73,22 @@
 	if found := g.find(now, roster.ShareOf(c.key), c.key); len(found) > 0 {
 		return g.heldVerdict(now, found, c.digest)
 	}
-	if s.knows < c.epoch {
+	if !s.vouches(g.self, c.epoch) {
 		v.reason = state.ReasonClaimsUnknown
 	}
 	return v
 }
 
+// vouches reports whether an id without a record here was granted at no epoch
+// that the node has heard of. Of an attempt whose epoch is over, that takes more
+// than its own pair's claims: the pairs since may have granted another attempt.
+func (s *share) vouches(self state.NodeID, epoch state.Epoch) bool {
+	if epoch < s.pair.Epoch {
+		return s.guards(self) && s.complete()
+	}
+	return s.knows >= epoch
+}
+
 // denyLocked closes the attempt and tells the job machine.
 func (g *Guard) denyLocked(s *share, now time.Time, c candidate, v verdict, acts *actions) {
 	v = g.vouchLocked(s, now, c, v)
