--- a/coordination/guard/bar.go
+++ b/coordination/guard/bar.go
@@ -74,7 +74,7 @@
 	switch {
 	case !barred:
 		return state.ReasonStaleEpoch
-	case !(s.guards(g.self) && s.complete()) && !g.disabled.idDoubt:
+	case !s.vouches(g.self, m.Epoch) && !g.disabled.idDoubt:
 		return state.ReasonClaimsUnknown
 	}
 	g.fenceLocked(s, now, m.Key)
