--- a/state/declaration/doc.go
+++ b/state/declaration/doc.go
@@ -13,6 +13,11 @@
 //     records for a limited time. It changes nothing for a node that has read
 //     the stream without a gap; a node that starts at a truncated stream builds
 //     its state from refreshes.
+//   - A restore (its begin, reports and commit, see restore.go) makes readers
+//     complete again where nobody is who could write a refresh.
+//
+// A reader that meets a record of a newer format judges nothing until it has
+// read refreshes.
 //
 // A service name belongs for good to the operator that first declared it, in
 // the region it was created in, also while no file names it. Claims of jobs are
