Make a job's backlog and an Assign's lists in one piece

Cause: the backlog of a new job and the lists of each Assign grew by doubling. Change: both are made in their size.

--- a/coordination/home/dispatch.go
+++ b/coordination/home/dispatch.go
@@ -7,6 +7,7 @@
 	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/coordination/place"
+	"github.com/shallotstep/shallotstep/state"
 )
 
 // assignment is one Assign in the making.
@@ -160,6 +161,10 @@
 		Indexes: indexes, Backlog: backlog, Override: p.override,
 		Priority: p.o.PriorityOf(j.operator),
 	}
+	if len(indexes) > 0 {
+		m.Tasks = make([]state.Task, 0, len(indexes))
+		m.Tries = make([]uint32, 0, len(indexes))
+	}
 	for _, i := range indexes {
 		m.Tasks = append(m.Tasks, j.tasks[i].spec)
 		m.Tries = append(m.Tries, j.tasks[i].try)
--- a/coordination/home/submit.go
+++ b/coordination/home/submit.go
@@ -91,6 +91,7 @@
 		key: m.Job.Key, operator: m.Job.Operator, digest: m.Digest, repeatable: m.Job.Repeatable,
 		attempt: m.Attempt, epoch: m.Epoch, arrived: now,
 		tasks:   make([]task, len(m.Job.Tasks)),
+		backlog: make([]int, len(m.Job.Tasks)),
 		left:    len(m.Job.Tasks),
 		waiters: []waiter{{from, m.Attempt}},
 	}
@@ -100,7 +101,7 @@
 	j.stats.Messages = 1
 	for i := range m.Job.Tasks {
 		j.tasks[i].spec = m.Job.Tasks[i]
-		j.backlog = append(j.backlog, i)
+		j.backlog[i] = i
 	}
 	return j
 }
