Spread a job over more agents where most slots are free

Change: if half or more of the candidates' slots are free, one more agent is used for each task, not for each four.

--- a/coordination/home/agents.go
+++ b/coordination/home/agents.go
@@ -120,7 +120,7 @@
 	usable, override := place.Usable(loads)
 	p.override = override
 	p.clearList()
-	for i := range usable[:min(len(usable), p.width(need))] {
+	for i := range usable[:min(len(usable), p.width(need, usable))] {
 		p.list = append(p.list, p.listed(now, &usable[i]))
 	}
 	if len(usable) == 0 {
@@ -137,16 +137,36 @@
 	}
 }
 
-// tasksPerCandidate is for how many tasks to place one more agent is used.
-const tasksPerCandidate = 4
+const (
+	// tasksPerCandidate is for how many tasks to place one more agent is used.
+	tasksPerCandidate = 4
+	// idleShare is the part of all slots that are free where there is little to
+	// do. Then one more agent is used for each task.
+	idleShare = 0.5
+)
 
 // width is how many of the view's candidates to use. A home that works with few
 // agents hears of each of them often, in the reports on its own tasks, while the
-// news that others spread is old. Large jobs need the slots of more.
-func (p *pool) width(need int) int {
+// news that others spread is old. Large jobs need the slots of more. Where most
+// slots are free, old news does little harm, and a job spread thinly leaves room
+// at each agent for what other homes send there.
+func (p *pool) width(need int, usable []state.AgentLoad) int {
+	if freeShare(usable) >= idleShare {
+		return max(p.o.Narrow, need)
+	}
 	return max(p.o.Narrow, need/tasksPerCandidate)
 }
 
+// freeShare is the part of the slots that no task has or waits for.
+func freeShare(loads []state.AgentLoad) float64 {
+	free, slots := 0, 0
+	for i := range loads {
+		free += loads[i].Free - loads[i].Queued
+		slots += loads[i].Slots
+	}
+	return float64(free) / float64(max(1, slots))
+}
+
 // clearList empties the list of agents but for the extra ones.
 func (p *pool) clearList() {
 	kept := p.list[:0]
--- a/coordination/home/tell_test.go
+++ b/coordination/home/tell_test.go
@@ -87,3 +87,19 @@
 	_, third := take[message.Assign](b)
 	is.Equal(len(third), 0)
 }
+
+// A caller's job of 16 tasks comes to a nearly idle fleet: packed on a few agents
+// it would leave the next homes, whose news is old, to find them full. In a busy
+// fleet old news is what harms, and few agents are used.
+func TestJobSpreadsThinlyOverAnIdleFleet(t *testing.T) {
+	is := is.New(t)
+	for free, want := range map[int]int{8: 16, 3: DefaultNarrow} {
+		all := make([]int, 40)
+		for i := range all {
+			all[i] = free
+		}
+		b := newBench(agents(all...), nil)
+		b.submit("j", 16, 0, "1")
+		is.Equal(len(b.h.shard("s").pools["s"].list), want)
+	}
+}
