Don't spread by news of an idle fleet that a refusal has disproved

Change: jobs are spread thinly only if nothing waits at the home and no agent has refused a task as busy for 10 s.

--- a/coordination/home/agents.go
+++ b/coordination/home/agents.go
@@ -120,7 +120,7 @@
 	usable, override := place.Usable(loads)
 	p.override = override
 	p.clearList()
-	for i := range usable[:min(len(usable), p.width(need, usable))] {
+	for i := range usable[:min(len(usable), p.width(now, need, usable))] {
 		p.list = append(p.list, p.listed(now, &usable[i]))
 	}
 	if len(usable) == 0 {
@@ -143,6 +143,9 @@
 	// idleShare is the part of all slots that are free where there is little to
 	// do. Then one more agent is used for each task.
 	idleShare = 0.5
+	// newsWrongFor is how long a refusal as busy shows that the news of free slots
+	// is wrong, as in a burst.
+	newsWrongFor = 10 * time.Second
 )
 
 // width is how many of the view's candidates to use. A home that works with few
@@ -150,8 +153,8 @@
 // news that others spread is old. Large jobs need the slots of more. Where most
 // slots are free, old news does little harm, and a job spread thinly leaves room
 // at each agent for what other homes send there.
-func (p *pool) width(need int, usable []state.AgentLoad) int {
-	if freeShare(usable) >= idleShare {
+func (p *pool) width(now time.Time, need int, usable []state.AgentLoad) int {
+	if p.backlog == 0 && now.Sub(p.refusedAt) > newsWrongFor && freeShare(usable) >= idleShare {
 		return max(p.o.Narrow, need)
 	}
 	return max(p.o.Narrow, need/tasksPerCandidate)
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -40,6 +40,8 @@
 	runs     runTimes
 	pace     pace
 	override bool
+	// refusedAt is when an agent last refused a task as busy.
+	refusedAt time.Time
 	// manySlow: too many agents straggle to pass them over.
 	manySlow bool
 }
--- a/coordination/home/report.go
+++ b/coordination/home/report.go
@@ -136,6 +136,7 @@
 func (p *pool) shun(now time.Time, a *agent, m *message.Report, kept bool) {
 	switch m.Reason {
 	case state.ReasonBusy:
+		p.refusedAt = now
 		a.free = min(a.free, 0)
 		// The agent has noted the refused tasks as backlog.
 		if kept {
--- a/coordination/home/tell_test.go
+++ b/coordination/home/tell_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 )
@@ -103,3 +104,23 @@
 		is.Equal(len(b.h.shard("s").pools["s"].list), want)
 	}
 }
+
+// A burst begins while the news still calls the fleet idle. Spread thinly by such
+// news, jobs of many homes are refused over and over; one refusal shows better.
+func TestARefusalDisprovesAnIdleFleet(t *testing.T) {
+	is := is.New(t)
+	all := make([]int, 40)
+	for i := range all {
+		all[i] = 8
+	}
+	b := newBench(agents(all...), nil)
+	b.submit("refused", 1, 0, "1")
+	to, assigns := take[message.Assign](b)
+	b.refuse(to[0], assigns[0], state.ReasonBusy)
+	take[message.Assign](b)
+	b.submit("j", 16, 0, "1")
+	is.Equal(len(b.h.shard("s").pools["s"].list), DefaultNarrow)
+	b.pass(newsWrongFor + coordination.TickInterval)
+	b.submit("later", 16, 0, "1")
+	is.Equal(len(b.h.shard("s").pools["s"].list), 16)
+}
