--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -42,6 +42,8 @@
 	override bool
 	// unfitAt is when what waits is next held against the known workers.
 	unfitAt time.Time
+	// refusedAt is when an agent last refused a task as busy.
+	refusedAt time.Time
 }
 
 func newPool(o *Options, l *links, service string, rng *rand.Rand) *pool {
--- a/coordination/home/tell_test.go
+++ b/coordination/home/tell_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotstep/shallotstep/coordination"
 	"github.com/shallotstep/shallotstep/coordination/message"
 	"github.com/shallotstep/shallotstep/state"
 )
@@ -87,3 +88,39 @@
 	_, third := take[message.Assign](b)
 	is.Equal(len(third), 0)
 }
+
+// A caller's job of 16 tasks comes to a nearly idle fleet: packed on a few agents
+// it would leave the next homes, whose news is old, to find them full. In a busy
+// fleet old news is what harms, and few agents are used.
+func TestJobSpreadsThinlyOverAnIdleFleet(t *testing.T) {
+	is := is.New(t)
+	for free, want := range map[int]int{8: 16, 3: DefaultNarrow} {
+		all := make([]int, 40)
+		for i := range all {
+			all[i] = free
+		}
+		b := newBench(agents(all...), nil)
+		b.submit("j", 16, 0, "1")
+		is.Equal(len(b.h.shard("s").pools["s"].list), want)
+	}
+}
+
+// A burst begins while the news still calls the fleet idle. Spread thinly by such
+// news, jobs of many homes are refused over and over; one refusal shows better.
+func TestARefusalDisprovesAnIdleFleet(t *testing.T) {
+	is := is.New(t)
+	all := make([]int, 40)
+	for i := range all {
+		all[i] = 8
+	}
+	b := newBench(agents(all...), nil)
+	b.submit("refused", 1, 0, "1")
+	to, assigns := take[message.Assign](b)
+	b.refuse(to[0], assigns[0], state.ReasonBusy)
+	take[message.Assign](b)
+	b.submit("j", 16, 0, "1")
+	is.Equal(len(b.h.shard("s").pools["s"].list), DefaultNarrow)
+	b.pass(newsWrongFor + coordination.TickInterval)
+	b.submit("later", 16, 0, "1")
+	is.Equal(len(b.h.shard("s").pools["s"].list), 16)
+}
