Have the session tests wait until the agents have read the declaration

Cause: newDeclaredSystem waited for the entries only. An entry may be ahead of a job's home by a moment; the home then refuses the job (unknown_service, outcome unknown), and a test that waits for its starts waits for 60 s in vain. Seen at load averages of 25 to 66: TestHomeKilledWhileJobRuns and TestPausedHomeIsEvictedInTheMiddle once each (no end to waiting: start of 12, of 24 tasks), TestPausedHomeStartsNothingLate once, which printed the refusal. Run: GOMAXPROCS=3 go test ./test/session passes once after it (41 s).

--- a/test/session/system_test.go
+++ b/test/session/system_test.go
@@ -95,7 +95,9 @@
 }
 
 // newDeclaredSystem also applies the declaration and waits until it is in
-// force at every entry.
+// force at every entry and every agent has read it. An entry may be ahead of a
+// job's home by a moment; the home then refuses a service that it doesn't know,
+// and a test that waits for the job's starts waits in vain.
 func newDeclaredSystem(t testing.TB, o options) *system {
 	t.Helper()
 	s := newSystem(t, o)
@@ -104,9 +106,17 @@
 		t.Fatalf("the first apply: %s", r)
 	}
 	s.awaitVersion(1)
+	for _, a := range s.agents {
+		a.await("reading the declaration", func() bool {
+			return strings.Contains(metric(s, a, readOne), readOne)
+		})
+	}
 	return s
 }
 
+// readOne stands in the metrics of a node that has read one declaration.
+const readOne = `shallotstep_declare_records_total{verdict="accepted"} 1`
+
 func declarationFile(t testing.TB, name string) []byte {
 	t.Helper()
 	raw, err := os.ReadFile(filepath.Join("testdata", name))
