Set a soft memory limit for the collector: limits.memory_mb

Cause: Go's collector lets the heap grow to twice what lives, and no daemon told it otherwise. Ruled out: GOMEMLIMIT alone. Change: daemon/memlimit sets the limit, 44 MiB by default (with 17 MB of program pages the users' 64 MB), and after each collection raises it to half more than what lives, if that is above. 0 sets none; -dev and the stand-ins have none. Test: TestLimitGivesWayToWhatLives, TestRoomIsLeftBesideStacks, TestNoLimit; TestEverySettingReachesSomething has the setting.

--- a/daemon/role.go
+++ b/daemon/role.go
@@ -13,6 +13,7 @@
 	"github.com/rs/xid"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/daemon/memlimit"
 	"github.com/shallotstep/shallotstep/protocol/config"
 	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/transport/httpapi"
@@ -38,10 +39,12 @@
 	if f.check {
 		return check(s, stdout, stderr)
 	}
-	if err := setUpProcess(s); err != nil {
+	memory, err := setUpProcess(s)
+	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
+	defer memory.Stop()
 	defer klog.Flush()
 	limit := s.Timeouts.Drain
 	if limit <= 0 {
@@ -64,8 +67,8 @@
 }
 
 // setUpProcess hands on what holds for the process as a whole.
-func setUpProcess(s *config.Settings) error {
-	return metrics.SetupLog(s.Verbosity)
+func setUpProcess(s *config.Settings) (*memlimit.Limit, error) {
+	return memlimit.Set(int64(s.Limits.MemoryMB) * megabyte), metrics.SetupLog(s.Verbosity)
 }
 
 // check also opens the files that the settings name, so that a missing key is
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"runtime/debug"
 	"strings"
 	"testing"
 
@@ -39,6 +40,7 @@
 	"log.url":                        `"http://127.0.0.1:9"`,
 	"limits.in_flight_tasks":         `1000`,
 	"limits.entries":                 `3`,
+	"limits.memory_mb":               `99`,
 	"limits.held_mb":                 `9`,
 	"limits.queued_tasks":            `9`,
 	"limits.waiting_tasks":           `9`,
@@ -169,8 +171,10 @@
 	s := settings(t, role, keys)
 	trust, err := loadTrust(t.Context(), s)
 	is.NoErr(err)
-	is.NoErr(setUpProcess(s))
-	defer func() { is.NoErr(setUpProcess(&config.Settings{})) }()
+	memory, err := setUpProcess(s)
+	is.NoErr(err)
+	defer memory.Stop()
+	defer func() { is.NoErr(metrics.SetupLog(0)) }()
 	level := 0
 	for klog.V(klog.Level(level + 1)).Enabled() {
 		level++
@@ -192,7 +196,7 @@
 		is.NoErr(err)
 		options = []any{p.(*standinBackend).name, standinBackendOptions(s, trust)}
 	}
-	return varying.ReplaceAllString(fmt.Sprintf("%d %+v", level, options), "")
+	return varying.ReplaceAllString(fmt.Sprintf("%d %d %+v", level, debug.SetMemoryLimit(-1), options), "")
 }
 
 // askedFor says whether the file is read: the others are there, it is not.
--- a/protocol/config/settings.go
+++ b/protocol/config/settings.go
@@ -115,6 +115,8 @@
 	WaitingTasks    int `json:"waiting_tasks"`
 	StoredAnswersMB int `json:"stored_answers_mb"`
 	StoredResultsMB int `json:"stored_results_mb"`
+	// MemoryMB is the soft limit of Go's collector in MiB; 0 is none.
+	MemoryMB int `json:"memory_mb"`
 }
 
 // Timeouts bound how long a daemon waits.
--- a/protocol/config/table.go
+++ b/protocol/config/table.go
@@ -78,6 +78,8 @@
 }
 
 var limitTable = []*setting{
+	whole("limits.memory_mb", "Memory that the process's collector keeps to, in MiB, beside 17 MB of program pages. Soft: what lives beyond it stays, with room for half as much again. 0 sets none.",
+		func(s *Settings) *int { return &s.Limits.MemoryMB }, 44, 0, 65536, daemons...),
 	whole("limits.in_flight_tasks", "Most tasks in flight at this entry. The limit that is in force adapts itself below it.",
 		func(s *Settings) *int { return &s.Limits.InFlightTasks }, unlimited, 16, unlimited, entry...),
 	whole("limits.entries", "How many entries share the callers. Each lets in its part of an operator's quota.",
@@ -99,7 +101,7 @@
 		func(s *Settings) *time.Duration { return &s.Timeouts.Log }, 5*time.Second, 100*time.Millisecond, 9*time.Second, daemons...),
 	length("timeouts.dial", "Longest wait for a connection to another daemon.",
 		func(s *Settings) *time.Duration { return &s.Timeouts.Dial }, 2*time.Second, 50*time.Millisecond, time.Minute, daemons...),
-	length("timeouts.idle", "How long a link without messages stays open.",
+	length("timeouts.idle", "How long a link without messages stays open; an entry's for at least 30s.",
 		func(s *Settings) *time.Duration { return &s.Timeouts.Idle }, 30*time.Second, time.Second, time.Hour, daemons...),
 	length("timeouts.apply", "How long an operator's apply waits before its outcome is reported unknown.",
 		func(s *Settings) *time.Duration { return &s.Timeouts.Apply }, 10*time.Second, time.Second, 5*time.Minute, entry...),
