Let an agent run on two processors: limits.processors

Cause: each wake-up of a Go process sets idle threads searching for work, as many as it has processors; a collection takes a quarter of them. An agent needs a tenth of one. Change: limits.processors, 2 by default, for agents only; 0 is all of the host. Entries, the stand-ins and -dev keep all. Not measured: pulls after a lost domain with two processors.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -104,9 +104,7 @@
 		if f.tls != nil {
 			file["tls"] = f.tls
 		}
-		if f.opts.memoryMB >= 0 {
-			file["limits"] = map[string]any{"memory_mb": f.opts.memoryMB}
-		}
+		file["limits"] = f.opts.limits(role)
 	}
 	raw, err := json.Marshal(file)
 	if err != nil {
@@ -124,6 +122,18 @@
 	return nil
 }
 
+// limits returns the daemons' limits that the flags name.
+func (s *settings) limits(role string) map[string]any {
+	limits := make(map[string]any)
+	if s.memoryMB >= 0 {
+		limits["memory_mb"] = s.memoryMB
+	}
+	if s.processors >= 0 && role == roleAgent {
+		limits["processors"] = s.processors
+	}
+	return limits
+}
+
 // makeCertificates lets all daemons share one certificate.
 func (f *fleet) makeCertificates() error {
 	if !f.opts.secure {
--- a/bench/fleet/main.go
+++ b/bench/fleet/main.go
@@ -40,6 +40,7 @@
 	work       time.Duration
 	slots      int
 	memoryMB   int
+	processors int
 	secure     bool
 	rows       string
 	keepLogsAt string
@@ -74,6 +75,7 @@
 	flag.DurationVar(&s.work, "work", 50*time.Millisecond, "how long each task takes")
 	flag.IntVar(&s.slots, "slots", 8, "slots of each backend server")
 	flag.IntVar(&s.memoryMB, "memory", -1, "limits.memory_mb of each daemon; -1 leaves it out")
+	flag.IntVar(&s.processors, "processors", -1, "limits.processors of each agent; -1 leaves it out")
 	flag.BoolVar(&s.secure, "tls", true, "links with TLS")
 	flag.StringVar(&s.rows, "json", "", "write the rows to this `file`, one JSON object a line")
 	flag.StringVar(&s.keepLogsAt, "logs", "", "keep what the daemons write in this `directory`")
--- a/daemon/role.go
+++ b/daemon/role.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 
 	"github.com/pkg/errors"
 	"github.com/rs/xid"
@@ -68,6 +69,9 @@
 
 // setUpProcess hands on what holds for the process as a whole.
 func setUpProcess(s *config.Settings) (*memlimit.Limit, error) {
+	if s.Limits.Processors > 0 {
+		runtime.GOMAXPROCS(s.Limits.Processors)
+	}
 	return memlimit.Set(int64(s.Limits.MemoryMB) * megabyte), metrics.SetupLog(s.Verbosity)
 }
 
--- a/daemon/settings_test.go
+++ b/daemon/settings_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"runtime/debug"
 	"strings"
 	"testing"
@@ -40,6 +41,7 @@
 	"log.url":                        `"http://127.0.0.1:9"`,
 	"limits.in_flight_tasks":         `1000`,
 	"limits.entries":                 `3`,
+	"limits.processors":              `3`,
 	"limits.memory_mb":               `99`,
 	"limits.held_mb":                 `9`,
 	"limits.queued_tasks":            `9`,
@@ -171,6 +173,8 @@
 	s := settings(t, role, keys)
 	trust, err := loadTrust(t.Context(), s)
 	is.NoErr(err)
+	processors := runtime.GOMAXPROCS(0)
+	defer runtime.GOMAXPROCS(processors)
 	memory, err := setUpProcess(s)
 	is.NoErr(err)
 	defer memory.Stop()
@@ -196,7 +200,7 @@
 		is.NoErr(err)
 		options = []any{p.(*standinBackend).name, standinBackendOptions(s, trust)}
 	}
-	return varying.ReplaceAllString(fmt.Sprintf("%d %d %+v", level, debug.SetMemoryLimit(-1), options), "")
+	return varying.ReplaceAllString(fmt.Sprintf("%d %d %d %+v", level, runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1), options), "")
 }
 
 // askedFor says whether the file is read: the others are there, it is not.
--- a/protocol/config/settings.go
+++ b/protocol/config/settings.go
@@ -117,6 +117,8 @@
 	StoredResultsMB int `json:"stored_results_mb"`
 	// MemoryMB is the soft limit of Go's collector in MiB; 0 is none.
 	MemoryMB int `json:"memory_mb"`
+	// Processors is how many run Go code at once; 0 is all of the host.
+	Processors int `json:"processors"`
 }
 
 // Timeouts bound how long a daemon waits.
--- a/protocol/config/table.go
+++ b/protocol/config/table.go
@@ -80,6 +80,8 @@
 var limitTable = []*setting{
 	whole("limits.memory_mb", "Memory that the process's collector keeps to, in MiB, beside 17 MB of program pages. Soft: what lives beyond it stays, with room for half as much again. 0 sets none.",
 		func(s *Settings) *int { return &s.Limits.MemoryMB }, 44, 0, 65536, daemons...),
+	whole("limits.processors", "Processors that run the agent's code at once; 0 is all of the host. Fewer are cheaper: each wake-up sets fewer threads searching for work.",
+		func(s *Settings) *int { return &s.Limits.Processors }, 2, 0, 1024, agent...),
 	whole("limits.in_flight_tasks", "Most tasks in flight at this entry. The limit that is in force adapts itself below it.",
 		func(s *Settings) *int { return &s.Limits.InFlightTasks }, unlimited, 16, unlimited, entry...),
 	whole("limits.entries", "How many entries share the callers. Each lets in its part of an operator's quota.",
