Doubt what an entry reads right after a pause

A home's "not run" lay in the socket of a paused entry; its caller submitted again through the other entry, and the job ran; the first entry went on and told the old word, 0.4 s after the answer "complete". It was true when it was said.

Ruled out: an age in each answer (time in a socket doesn't count); asking the pair once more (a round trip, and the same again after the next pause).

Change: the router notices ticks that are over 500 ms apart. What it reads before the first tick after that, or within 1 s of it, leaves "not run" as "unknown". The price is an unknown where a machine was merely that busy.

--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -66,6 +66,7 @@
 	seq      atomic.Uint64
 	draining atomic.Bool
 	aliveAt  atomic.Int64
+	pause    pause
 	shards   [shardCount]shard
 	requests [shardCount]requestShard
 	tickets  tickets
@@ -144,9 +145,15 @@
 	switch m := msg.(type) {
 	case message.Answer:
 		r.agents.setDown(from, time.Time{})
-		return r.withFlight(now, m.Key, m.Attempt, func(f *flight) { r.onAnswer(now, f, from, &m) })
+		return r.withFlight(now, m.Key, m.Attempt, func(f *flight) {
+			f.doubtful = f.doubtful || r.pause.mayBeOld(now)
+			r.onAnswer(now, f, from, &m)
+		})
 	case message.BarReply:
-		return r.withFlight(now, m.Key, m.Attempt, func(f *flight) { r.onBarReply(now, f, from, &m) })
+		return r.withFlight(now, m.Key, m.Attempt, func(f *flight) {
+			f.doubtful = f.doubtful || r.pause.mayBeOld(now)
+			r.onBarReply(now, f, from, &m)
+		})
 	case message.Report:
 		return r.onReport(now, from, &m)
 	}
@@ -186,6 +193,7 @@
 
 // Tick lets time pass: deadlines, repeated sends, bars and hedges.
 func (r *Router) Tick(now time.Time) []coordination.Action {
+	r.pause.tick(now)
 	look := now.UnixNano()-r.aliveAt.Load() >= int64(aliveEvery)
 	if look {
 		r.aliveAt.Store(now.UnixNano())
--- a/coordination/route/silence_test.go
+++ b/coordination/route/silence_test.go
@@ -254,3 +254,26 @@
 	got := delivered(b.Handle(b.now, "h", last))
 	is.Equal(got[0].Answer.Outcome, state.Unknown)
 }
+
+// An entry is paused with a "not run" in its socket, and its caller submits again
+// through another entry, where the job runs. The entry goes on, reads the old word
+// before or after its first tick, and must not pass it on as it stands.
+func TestWordsFromBeforeAPauseAreDoubted(t *testing.T) {
+	for _, tickFirst := range []bool{false, true} {
+		is := is.New(t)
+		b := newBench(nil)
+		b.Tick(b.now)
+		subs, _ := sent[message.Submit](b.submit(1, false, time.Minute))
+		b.now = b.now.Add(7 * time.Second)
+		if tickFirst {
+			b.Tick(b.now)
+		}
+		old := message.Answer{Key: quote, Attempt: subs[0].Attempt, Outcome: state.NotRun, Reason: state.ReasonBusy}
+		is.Equal(delivered(b.Handle(b.now, "h", old))[0].Answer.Outcome, state.Unknown)
+		// Later words are as good as ever.
+		b.pass(2 * oldFor)
+		subs, _ = sent[message.Submit](b.submit(2, false, time.Minute))
+		old.Attempt = subs[0].Attempt
+		is.Equal(delivered(b.Handle(b.now, "h", old))[0].Answer.Outcome, state.NotRun)
+	}
+}
