Set no fence for attempts of an old epoch, and give a lost link its time

And a home that has just stopped breaks its link a moment before its leave is read.

Change: stale_epoch vouches for nothing and sets no fence; where an entry gives up on it the outcome is unknown (TestStaleEpochWaitsForTheRoster asked for not_run; the entry that is behind can't know what a later pair ran). A link lost for less than 1 s gets 200 ms before the witness is asked, as before.

--- a/coordination/route/bar.go
+++ b/coordination/route/bar.go
@@ -11,6 +11,8 @@
 // giveUp ends the flight with a refusal. Attempts that are still open are
 // ruled out first, if their witnesses can be asked; it takes a round trip.
 func (r *Router) giveUp(now time.Time, f *flight, v verdict) {
+	// One that is at another epoch rules the attempt out and vouches for nothing.
+	f.doubtful = f.doubtful || v.reason == state.ReasonStaleEpoch
 	if f.kind != kindSubmit || len(f.open) == 0 || !r.canBar(f) {
 		r.finish(now, f, f.refusal(v))
 		return
--- a/coordination/route/silence.go
+++ b/coordination/route/silence.go
@@ -24,15 +24,19 @@
 // seldom. A new submission waited in the link for the next dial to fail, or for
 // its probe, and its caller heard "not run" after a second or two. A living host
 // answers a dial within cutResend, and PeerUp then gives it its time anew.
+//
+// A home that has just stopped as planned breaks its link as well, a moment before
+// the record of its leave is read here. So a fresh loss gets its full time, in
+// which the roster moves on to the next home.
 func (r *Router) cutSince(now time.Time, target state.NodeID) time.Time {
 	down := r.agents.downSince(target)
-	if down.IsZero() {
+	switch {
+	case down.IsZero():
 		return down
+	case now.Sub(down) < rosterLag:
+		return now
 	}
-	if least := now.Add(cutResend - barAfter); down.Before(least) {
-		return least
-	}
-	return down
+	return now.Add(cutResend - barAfter)
 }
 
 // onLinkBack asks again what was asked before the link was lost; on a first
--- a/coordination/route/timing.go
+++ b/coordination/route/timing.go
@@ -11,6 +11,9 @@
 	// barAfter is how long a cut-off home may stay away before the witness is
 	// asked to rule the attempt out.
 	barAfter = 200 * time.Millisecond
+	// rosterLag is how long after a lost link the record that explains it may
+	// still be on its way.
+	rosterLag = time.Second
 	// barResend is how often an unanswered Bar is repeated.
 	barResend = 50 * time.Millisecond
 	// unreachableAfter is how long neither member of the pair may be
