Notice in a test when a plain way loses refused tasks

Cause: with refused tasks dropped (scratch copy) TestPlainWaysUnderFaults still passed: the jobs were answered, as failed at their deadline. Change: no job may take until its deadline, in simulated time. With refused tasks dropped the test now fails.

--- a/bench/placement/plain_test.go
+++ b/bench/placement/plain_test.go
@@ -29,14 +29,16 @@
 
 // A worker fails all it is given, or sizes are declared wrongly. What an agent
 // refuses goes on to another one, and no task starts twice (the run panics). A
-// job that a plain way forgot would have no answer.
+// task that a plain way lost would hold its job up to the deadline, a minute.
 func TestPlainWaysUnderFaults(t *testing.T) {
 	is := is.New(t)
 	for _, scenario := range []string{"broken", "wrong"} {
 		for _, way := range []string{wayRandom, wayLeastOwn} {
 			c := config{agents: 11, load: 0.5, length: 5 * time.Second, seed: 1, scenario: scenario, way: way, stale: time.Second, deadline: time.Minute, subset: 32}
-			for _, a := range c.run().answers {
+			jobs := plan(&c)
+			for i, a := range c.run().answers {
 				is.True(a.at > 0)
+				is.True(a.at-jobs[i].at < c.deadline) // simulated time
 			}
 		}
 	}
