--- a/coordination/admit/admit_test.go
+++ b/coordination/admit/admit_test.go
@@ -266,6 +266,25 @@
 	is.Equal(b.m.Load().Free, 8)
 }
 
+// A backend server refuses every task though it says it has slots. One job waits,
+// and its home sends the refused tasks again each time that slots look free:
+// two messages a try, without end. The agent has to take itself out after a few.
+func TestRefusingBackendIsEjectedByOneJob(t *testing.T) {
+	is := is.New(t)
+	b := newBench(Options{}, backend(8))
+	for i := range ejectAfter {
+		is.True(!b.m.Load().Ejected)
+		b.handle(assign("j", 0, 10, i))
+		b.do(b.m.NotStarted(b.now, b.starts[len(b.starts)-1].Task, state.ReasonBusy))
+	}
+	is.True(b.m.Load().Ejected)
+	n := len(b.starts)
+	b.handle(assign("j", 0, 10, ejectAfter))
+	is.Equal(len(b.starts), n)
+	b.pass(probePauseFirst + 10*time.Millisecond)
+	is.Equal(b.m.Load().Free, 1) // a probe
+}
+
 // Two operators' homes wait for the one slot. Offers alternate between them,
 // travel with results where they can, and lapse when nothing comes of them.
 func TestOffersTakeTurns(t *testing.T) {
--- a/coordination/admit/detector.go
+++ b/coordination/admit/detector.go
@@ -47,6 +47,21 @@
 	if d.failures < ejectAfter || len(d.jobs) < ejectJobs {
 		return
 	}
+	d.eject(now)
+}
+
+// turnedAway takes in that the backend server refused a task for want of room,
+// though it has some by its own word. The failure it is for: the slots look
+// free, a home sends the task again at once, and again, hundreds of times a
+// second. No task is at fault here, so refusals count whichever job they are of.
+func (d *detector) turnedAway(now time.Time) {
+	d.failures++
+	if d.failures >= ejectAfter {
+		d.eject(now)
+	}
+}
+
+func (d *detector) eject(now time.Time) {
 	d.pause = min(max(2*d.pause, probePauseFirst), probePauseMax)
 	d.probeAt = now.Add(d.pause)
 }
--- a/coordination/admit/tasks.go
+++ b/coordination/admit/tasks.go
@@ -263,7 +263,11 @@
 	if e == nil {
 		return nil
 	}
-	m.detector.saw(now, e, true, 0)
+	if reason == state.ReasonBusy {
+		m.detector.turnedAway(now)
+	} else {
+		m.detector.saw(now, e, true, 0)
+	}
 	m.releaseLocked(e)
 	m.refuseLocked(e, reason)
 	return m.turnLocked(now)
