Bound the stored answers of an agent, not those of each service

Cause: `limits.stored_answers_mb` held for each service's pool.

Ruled out: a part of the bound for each service (a few busy ones would lose answers while the rest of the room is empty).

Change: one sum over all services; a service whose oldest answers are too many for it gives them up when it stores one and at each tick. Each keeps its newest.

Before: 50 services with four answers of two results each and a bound of 60 records kept all of them (the new test red). After: green; coordination/home passes.

--- a/coordination/home/home.go
+++ b/coordination/home/home.go
@@ -72,8 +72,8 @@
 	Seed   uint64
 	// Retention is how long answers stay for resubmission.
 	Retention time.Duration
-	// StoredBytes bounds the stored answers; beyond it the oldest lose their
-	// results.
+	// StoredBytes bounds the stored answers of all services; beyond it the
+	// oldest of each service lose their results.
 	StoredBytes int
 	// MaxWaiting bounds the tasks of one service that wait for a slot.
 	MaxWaiting int
@@ -127,10 +127,12 @@
 // Services are spread over shards; a shard's lock guards everything about its
 // services' jobs.
 type Home struct {
-	o      Options
-	links  links
-	drops  drops
-	left   atomic.Bool // Leave was called
+	o     Options
+	links links
+	drops drops
+	left  atomic.Bool // Leave was called
+	// stored is the size of the stored answers of all services.
+	stored atomic.Int64
 	shards [shardCount]shard
 }
 
@@ -159,7 +161,7 @@
 func (h *Home) poolLocked(s *shard, service string, create bool) *pool {
 	p := s.pools[service]
 	if p == nil && create {
-		p = newPool(&h.o, &h.links, service, rand.New(rand.NewPCG(h.o.Seed, xxhash.Sum64String(service))))
+		p = newPool(&h.o, &h.links, &h.stored, service, rand.New(rand.NewPCG(h.o.Seed, xxhash.Sum64String(service))))
 		s.pools[service] = p
 		s.order = append(s.order, p)
 	}
--- a/coordination/home/home_test.go
+++ b/coordination/home/home_test.go
@@ -530,6 +530,33 @@
 	is.Equal(b.h.Stats(), Stats{})
 }
 
+// An agent is the home of jobs of fifty services, each of which stores less than
+// the bound for answers. Together they must stay within it as well: the bound is
+// the agent's memory, which the services share.
+func TestStoredAnswersOfAllServicesAreBounded(t *testing.T) {
+	is := is.New(t)
+	const bound = 60 * answerOverhead
+	b := newBench(agents(1000), func(o *Options) { o.StoredBytes = bound })
+	for i := range 50 {
+		for n := range 4 {
+			key := state.JobKey{Service: fmt.Sprint("s", i), ID: fmt.Sprint("j", n)}
+			j := state.Job{Key: key, Operator: "op", Tasks: []state.Task{{Cores: 1}, {Cores: 1}}}
+			b.do(b.h.Handle(b.now, "entry", message.Submit{Job: j, Digest: j.Digest(), Attempt: "1"}))
+			to, assigns := take[message.Assign](b)
+			for k := range assigns {
+				b.succeed(to[k], assigns[k])
+			}
+		}
+	}
+	b.pass(coordination.TickInterval)
+	// Each service keeps its newest answer and of the others that they ran.
+	atLeast := 50 * (3*answerOverhead + answerSize(&message.Answer{Results: make([]state.TaskResult, 2)}) + 4)
+	is.True(b.h.Stats().StoredBytes <= atLeast)
+	b.pass(DefaultRetention + time.Minute)
+	is.Equal(b.h.Stats(), Stats{})
+	is.Equal(b.h.stored.Load(), int64(0))
+}
+
 // BenchmarkJob is a job of six tasks from submission to answer at one home with
 // 32 candidates, without the claim, the links and the admission.
 func BenchmarkJob(b *testing.B) {
--- a/coordination/home/pool.go
+++ b/coordination/home/pool.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination"
@@ -26,6 +27,8 @@
 	// shrunk is how many of stored have given up their results.
 	shrunk int
 	bytes  int
+	// allBytes is the sum of bytes over all services.
+	allBytes *atomic.Int64
 	// transfers are the answers on their way to other homes, the newest first.
 	transfers []*transfer
 	// leaving: this node's leave is in force.
@@ -46,9 +49,9 @@
 	refusedAt time.Time
 }
 
-func newPool(o *Options, l *links, service string, rng *rand.Rand) *pool {
+func newPool(o *Options, l *links, stored *atomic.Int64, service string, rng *rand.Rand) *pool {
 	return &pool{
-		o: o, links: l, service: service, rng: rng,
+		o: o, links: l, allBytes: stored, service: service, rng: rng,
 		jobs:   make(map[string]*job),
 		agents: make(map[state.NodeID]*agent),
 	}
@@ -142,6 +145,7 @@
 		}
 	}
 	p.expire(now)
+	p.shrinkOver()
 	out = append(out, p.handOver(now)...)
 	if p.waiting.len() > 0 {
 		p.noteUnfit(now)
--- a/coordination/home/store.go
+++ b/coordination/home/store.go
@@ -26,7 +26,7 @@
 	}
 	j.backlog, j.contacts, j.batches, j.failed = nil, nil, nil, nil
 	p.stored = append(p.stored, j)
-	p.bytes += j.size
+	p.keep(j.size)
 	p.shrinkOver()
 	if p.leaving {
 		p.queue(now, j)
@@ -42,10 +42,17 @@
 	return size
 }
 
-// shrinkOver has the oldest answers give up their results until the rest is
-// within its bound.
+// keep counts stored bytes, here and for the whole home.
+func (p *pool) keep(bytes int) {
+	p.bytes += bytes
+	p.allBytes.Add(int64(bytes))
+}
+
+// shrinkOver has the service's oldest answers give up their results until what
+// the home stores of all services is within its bound. A bound for each service
+// alone bounds nothing where an agent is home of hundreds of them.
 func (p *pool) shrinkOver() {
-	for p.bytes > p.o.StoredBytes && p.shrunk < len(p.stored)-1 {
+	for p.allBytes.Load() > int64(p.o.StoredBytes) && p.shrunk < len(p.stored)-1 {
 		p.shrink(p.stored[p.shrunk])
 		p.shrunk++
 	}
@@ -58,9 +65,8 @@
 	if j.answer.Results == nil {
 		return
 	}
-	p.bytes -= j.size
+	p.keep(answerOverhead - j.size)
 	j.size = answerOverhead
-	p.bytes += j.size
 	j.answer.Results = nil
 	j.answer.Outcome = state.Unknown
 	j.answer.Reason = state.ReasonUnknownJob
@@ -78,7 +84,7 @@
 	for n < len(p.stored) && now.After(p.stored[n].expires) {
 		j := p.stored[n]
 		n++
-		p.bytes -= j.size
+		p.keep(-j.size)
 		delete(p.jobs, j.key.ID)
 	}
 	if n > 0 {
@@ -91,7 +97,7 @@
 func (p *pool) unstore(j *job) {
 	for i, x := range p.stored {
 		if x == j {
-			p.bytes -= j.size
+			p.keep(-j.size)
 			p.stored = slices.Delete(p.stored, i, i+1)
 			if i < p.shrunk {
 				p.shrunk--
--- a/coordination/home/takeover.go
+++ b/coordination/home/takeover.go
@@ -49,7 +49,7 @@
 		return x.expires.Compare(t)
 	})
 	p.stored = slices.Insert(p.stored, max(at, p.shrunk), j)
-	p.bytes += j.size
+	p.keep(j.size)
 	p.shrinkOver()
 }
 
--- a/protocol/config/table.go
+++ b/protocol/config/table.go
@@ -94,7 +94,7 @@
 		func(s *Settings) *int { return &s.Limits.QueuedTasks }, 2, 0, 10000, agent...),
 	whole("limits.waiting_tasks", "Tasks of one service that may wait at this agent as their home.",
 		func(s *Settings) *int { return &s.Limits.WaitingTasks }, 20000, 1, unlimited, agent...),
-	whole("limits.stored_answers_mb", "Memory for answers kept for resubmission, in MiB. Beyond it the oldest lose their results.",
+	whole("limits.stored_answers_mb", "Memory for answers kept for resubmission, of all services together, in MiB. Beyond it the oldest of each lose their results.",
 		func(s *Settings) *int { return &s.Limits.StoredAnswersMB }, 16, 1, 65536, agent...),
 	whole("limits.stored_results_mb", "Memory for results kept for a home whose report was lost, in MiB.",
 		func(s *Settings) *int { return &s.Limits.StoredResultsMB }, 8, 1, 65536, agent...),
