--- a/test/session/fleet_test.go
+++ b/test/session/fleet_test.go
@@ -15,6 +15,13 @@
 	"github.com/shallotstep/shallotstep/state"
 )
 
+const (
+	// maxAway is how many agents are away at once, of randomAgents.
+	maxAway = 2
+	// comeBack is more than an eviction takes, a join and the pulls.
+	comeBack = 25 * time.Second
+)
+
 // host is one machine with a backend server and its agent, or one with an entry.
 // Its processes are started anew on the same settings, as a supervisor does.
 type host struct {
@@ -27,6 +34,8 @@
 	paused  bool
 	// stopping is set once SIGTERM was sent.
 	stopping bool
+	// struckAt is when the process was last killed, paused or stopped.
+	struckAt time.Time
 }
 
 // fleet is a system whose hosts come and go.
@@ -38,6 +47,8 @@
 	// started are all backend servers that ever ran: what the dead ones started
 	// counts as well.
 	started []*backendserver.Server
+	// story is what happened, for a failure's message.
+	story []string
 }
 
 func newFleet(t testing.TB, seed uint64, agents, entries int) *fleet {
@@ -107,6 +118,7 @@
 
 func (h *host) pause() {
 	if !h.paused && h.process.running() {
+		h.struckAt = time.Now()
 		h.paused = h.process.cmd.Process.Signal(syscall.SIGSTOP) == nil
 	}
 }
@@ -122,6 +134,7 @@
 // without.
 func (f *fleet) killHost(h *host, whole bool) {
 	h.resume()
+	h.struckAt = time.Now()
 	_ = h.process.cmd.Process.Kill()
 	<-h.process.ended
 	if whole && h.backend != nil {
@@ -133,10 +146,23 @@
 func (f *fleet) terminate(h *host) {
 	if h.process.running() && !h.paused {
 		h.stopping = true
+		h.struckAt = time.Now()
 		_ = h.process.cmd.Process.Signal(syscall.SIGTERM)
 	}
 }
 
+// mayStrike reports whether one more agent may be taken away: with both members of
+// a pair gone at once its share closes, as it has to, until their claims expire.
+func (f *fleet) mayStrike() bool {
+	away := 0
+	for _, h := range f.agents {
+		if h.paused || !h.process.running() || time.Since(h.struckAt) < comeBack {
+			away++
+		}
+	}
+	return away < maxAway
+}
+
 // declare applies the declaration and waits until every entry serves it.
 func (f *fleet) declare() {
 	f.t.Helper()
