Let a home that is blind vouch for nothing

Cause: a home that has been without news of the log for too long refuses attempts with log_unavailable and "not run". It knows that it may have been replaced; the id may have run at a later pair.

Change: the entry answers unknown, with when to come back, as it does where it gives up on stale_epoch; such a refusal sets no fence.

--- a/coordination/guard/verdict.go
+++ b/coordination/guard/verdict.go
@@ -69,7 +69,7 @@
 	switch v.reason {
 	case state.ReasonMalformed, state.ReasonIDConflict, state.ReasonClaimsUnknown:
 		return false
-	case state.ReasonStaleEpoch:
+	case state.ReasonStaleEpoch, state.ReasonLogUnavailable:
 		return false // the entry tries another epoch, or says that it doesn't know
 	}
 	return true
--- a/coordination/route/bar.go
+++ b/coordination/route/bar.go
@@ -11,8 +11,9 @@
 // giveUp ends the flight with a refusal. Attempts that are still open are
 // ruled out first, if their witnesses can be asked; it takes a round trip.
 func (r *Router) giveUp(now time.Time, f *flight, v verdict) {
-	// One that is at another epoch rules the attempt out and vouches for nothing.
-	f.doubtful = f.doubtful || v.reason == state.ReasonStaleEpoch
+	// One that is at another epoch, or knows that it is cut off from the log, rules
+	// the attempt out and vouches for nothing: a later pair may have run the id.
+	f.doubtful = f.doubtful || v.reason == state.ReasonStaleEpoch || v.reason == state.ReasonLogUnavailable
 	if f.kind != kindSubmit || len(f.open) == 0 || !r.canBar(f) {
 		r.finish(now, f, f.refusal(v))
 		return
--- a/coordination/route/silence_test.go
+++ b/coordination/route/silence_test.go
@@ -279,3 +279,16 @@
 		is.Equal(delivered(b.Handle(b.now, "h", old))[0].Answer.Outcome, state.NotRun)
 	}
 }
+
+// The home has been without news of the log for hours and grants nothing more. It
+// rules the attempt out, but a pair that it knows nothing of may have run the id.
+func TestBlindHomeVouchesForNothing(t *testing.T) {
+	is := is.New(t)
+	b := newBench(nil)
+	subs, _ := sent[message.Submit](b.submit(1, false, time.Minute))
+	blind := message.Answer{Key: quote, Attempt: subs[0].Attempt, Outcome: state.NotRun, Reason: state.ReasonLogUnavailable, RetryAfter: time.Second}
+	got := delivered(b.Handle(b.now, "h", blind))
+	is.Equal(got[0].Answer.Outcome, state.Unknown)
+	is.Equal(got[0].Answer.Reason, state.ReasonLogUnavailable)
+	is.True(got[0].Answer.RetryAfter > 0)
+}
