Look at a fence once in the witness, and doubt old words in one place

Cause: a reading of the whole change. The witness looked for the fence that keeps an attempt out twice, once to refuse and once to tell its number, and told a number beside reasons that nobody reads it with. The router's doubt after a pause stood in both callers of withFlight.

No outcome, reason or assertion is changed.

--- a/coordination/guard/verdict.go
+++ b/coordination/guard/verdict.go
@@ -18,7 +18,7 @@
 	outcome state.Outcome
 	reason  state.Reason
 	holder  state.NodeID
-	byBar   bool
+	byBar   bool          // a Bar was answered with it
 	fence   message.Fence // that keeps the attempt out, or that this "no" has set
 	// fencedAt is when the fence that keeps the attempt out was set, zero if none
 	// does.
--- a/coordination/guard/witness.go
+++ b/coordination/guard/witness.go
@@ -26,9 +26,14 @@
 	reply := message.ClaimReply{Key: m.Key, Token: m.Token, Epoch: s.pair.Epoch}
 	if reason := g.witnessRefusal(s, now, from, m, acts); reason != state.ReasonNone {
 		reply.Reason = reason
-		if f, ok := g.fencedLocked(s, m.Key, m.Fence); ok {
-			reply.Fence, reply.FenceAge = f.number, now.Sub(f.at)
-		}
+		return reply
+	}
+	if f, ok := g.fencedLocked(s, m.Key, m.Fence); ok {
+		reply.Reason, reply.Fence, reply.FenceAge = state.ReasonBarred, f.number, now.Sub(f.at)
+		return reply
+	}
+	if g.barredLocked(s, m.Attempt) {
+		reply.Reason = state.ReasonBarred
 		return reply
 	}
 	complete := m.Knows || s.complete()
@@ -71,11 +76,6 @@
 		return state.ReasonStaleEpoch
 	case g.blind(now):
 		return state.ReasonLogUnavailable
-	case g.barredLocked(s, m.Attempt):
-		return state.ReasonBarred
-	}
-	if _, ok := g.fencedLocked(s, m.Key, m.Fence); ok {
-		return state.ReasonBarred
 	}
 	return state.ReasonNone
 }
--- a/coordination/route/drive.go
+++ b/coordination/route/drive.go
@@ -11,8 +11,9 @@
 	"github.com/shallotstep/shallotstep/state"
 )
 
-// withFlight runs fn on the flight that owns an attempt. An answer for an
-// attempt that nobody has open is late or repeated, and dropped.
+// withFlight runs fn, which takes a word of another node, on the flight that owns
+// an attempt. A word on an attempt that nobody has open is late or repeated, and
+// dropped.
 func (r *Router) withFlight(now time.Time, key state.JobKey, id message.Attempt, fn func(*flight)) []coordination.Action {
 	s := r.shardOf(key)
 	s.mu.Lock()
@@ -22,6 +23,7 @@
 		r.late()
 		return nil
 	}
+	f.doubtful = f.doubtful || r.pause.mayBeOld(now)
 	fn(f)
 	s.scheduleLocked(f)
 	return s.takeLocked()
--- a/coordination/route/route.go
+++ b/coordination/route/route.go
@@ -145,15 +145,9 @@
 	switch m := msg.(type) {
 	case message.Answer:
 		r.agents.setDown(from, time.Time{})
-		return r.withFlight(now, m.Key, m.Attempt, func(f *flight) {
-			f.doubtful = f.doubtful || r.pause.mayBeOld(now)
-			r.onAnswer(now, f, from, &m)
-		})
+		return r.withFlight(now, m.Key, m.Attempt, func(f *flight) { r.onAnswer(now, f, from, &m) })
 	case message.BarReply:
-		return r.withFlight(now, m.Key, m.Attempt, func(f *flight) {
-			f.doubtful = f.doubtful || r.pause.mayBeOld(now)
-			r.onBarReply(now, f, from, &m)
-		})
+		return r.withFlight(now, m.Key, m.Attempt, func(f *flight) { r.onBarReply(now, f, from, &m) })
 	case message.Report:
 		return r.onReport(now, from, &m)
 	}
--- a/test/session/fleet_test.go
+++ b/test/session/fleet_test.go
@@ -169,9 +169,7 @@
 	for _, h := range f.entries {
 		f.awaitServing(h)
 	}
-	c := f.clientOf(f.entries[0].process)
-	c.base = "http://" + f.entries[0].http
-	if r := c.apply(operator, 0, declarationFile(f.t, "declaration.json")); r.status != http.StatusOK {
+	if r := f.client(f.entries[0]).apply(operator, 0, declarationFile(f.t, "declaration.json")); r.status != http.StatusOK {
 		f.t.Fatalf("the first apply: %s", r)
 	}
 	for i, h := range f.entries {
