Send a frame on a link only when it says something, and ask backend servers less

Each of 59 processes kept a link to each of 51 agents, with a sign of life each way every 150 ms, an answer to each frame, a frame for each change of the load to all callers, one for each start, end and settlement; and gRPC added a ping and its answer to nearly each. Counted on one agent of a small site, holds went at 300 a second: the backend server answers at once while it lists an end that isn't acknowledged.

Change: fixed windows (no pings); signs of life only on links that are quiet, with an echo that finds a way cut in one direction; load news only to callers that place work; starts and settlements ride along with other frames; only agents that own shards link others; ends of best-effort jobs are acknowledged at once, and holds that bring nothing new are spaced; log lines are written together.

TestVoidEndIsAcknowledgedOnlyAfterTheLease now uses a recorded shard, with the same checks: for best-effort jobs the platform's rule on doubled runs holds for runs at the same time only. TestEndOfABestEffortJobIsAcknowledgedAtOnce covers them.

TestAgentWithoutShardsLinksNobody and the link tests need calls that the old code lacks.

--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -21,6 +21,9 @@
 	Idle bool
 	// Hurry is set while a start is in doubt.
 	Hurry bool
+	// Known is set while the backend server lists ends that are known here and
+	// can't be acknowledged yet. It answers at once then, with nothing new.
+	Known bool
 	// First is set until this life of the agent has seen the lists: nothing is
 	// done before, so the call should wait for nothing.
 	First bool
@@ -89,7 +92,7 @@
 		return HoldCall{}, false
 	}
 	w.holds++
-	c := HoldCall{Instance: w.server.Instance, Seq: w.holds, Acked: w.acked, Idle: w.idleLocked(), Hurry: w.doubtLocked(), First: !w.held, before: w.grantedEnd}
+	c := HoldCall{Instance: w.server.Instance, Seq: w.holds, Acked: w.acked, Idle: w.idleLocked(), Hurry: w.doubtLocked(), Known: len(w.ends) > 0, First: !w.held, before: w.grantedEnd}
 	if !w.lapsing && now-w.answered < lastGrant {
 		c.Deadline = w.grantLocked(now)
 	}
--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -29,6 +29,8 @@
 	Running  int
 	// Unsettled is the number of ends that the backend server still lists.
 	Unsettled int
+	// Holds counts the holds that were sent.
+	Holds int64
 }
 
 // Load returns the present load. Backlog is the waiting work in time of one
@@ -36,7 +38,7 @@
 func (w *Worker) Load(now time.Duration) Load {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	l := Load{Server: w.server, Unsettled: w.unsettled, Slowdown: w.health.slowdown(now), Accepts: w.seen && w.clock.known && !w.server.Draining && !w.closing && !w.health.suspended && !w.failing && !w.clean}
+	l := Load{Server: w.server, Unsettled: w.unsettled, Holds: w.holds, Slowdown: w.health.slowdown(now), Accepts: w.seen && w.clock.known && !w.server.Draining && !w.closing && !w.health.suspended && !w.failing && !w.clean}
 	used, known := w.usedLocked()
 	if known {
 		l.Free = w.server.Capacity.Minus(used)
--- a/coordination/worker/run.go
+++ b/coordination/worker/run.go
@@ -40,12 +40,13 @@
 	stopAnswered bool
 	nextStop     time.Duration
 	startedAt    time.Duration
-	// seq is the executor's number of the end; 0 for ends it does not list.
-	end   endState
-	queue int64
+	end          endState
+	queue        int64
 }
 
 type endState struct {
+	// seq is the backend server's number of the end; zero for ends that it does
+	// not list, or no more.
 	seq        int64
 	kind       job.EndKind
 	checkpoint string
--- a/coordination/worker/silence.go
+++ b/coordination/worker/silence.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		if r.phase == ended {
-			w.settleOrphanLocked(r)
+			w.settleOrphanLocked(id, r)
 			continue
 		}
 		w.stats.Silenced++
@@ -74,9 +74,13 @@
 // settleOrphanLocked settles an end of a best-effort job whose owner is gone for
 // good: nothing of such a job is recorded, so nobody else ever would, and the
 // backend server's list would fill up with what can't be acknowledged behind it.
-func (w *Worker) settleOrphanLocked(r *run) {
-	if r.known && r.order.Shard >= w.bounds.Shards {
-		r.end.settled = true
+func (w *Worker) settleOrphanLocked(id job.RunID, r *run) {
+	if !w.effortLocked(r) {
+		return
+	}
+	r.end.settled = true
+	if r.end.seq == 0 {
+		delete(w.runs, id)
 	}
 }
 
--- a/coordination/worker/worker_test.go
+++ b/coordination/worker/worker_test.go
@@ -18,6 +18,9 @@
 
 var testBounds = Bounds{Lease: time.Second, OwnerSilence: 1300 * time.Millisecond, Relink: 600 * time.Millisecond, Adoption: 300 * time.Millisecond, Shards: testShards}
 
+// recorded is a shard whose jobs are recorded.
+const recorded = 0
+
 // fixture is a worker with one backend server of room for two tasks.
 type fixture struct {
 	*Worker
@@ -437,8 +440,11 @@
 // The lease is let run out before anything behind the end is acknowledged.
 func TestVoidEndIsAcknowledgedOnlyAfterTheLease(t *testing.T) {
 	f := newFixture(t)
-	f.send(f.order(0))
-	f.end(f.order(0).Run, job.Done)
+	f.claim(recorded, 1, 1)
+	o := f.order(0)
+	o.Shard = recorded
+	f.send(o)
+	f.end(o.Run, job.Done)
 	f.hold()
 	f.Settled(f.order(0).Run, true)
 	c := f.hold()
@@ -451,6 +457,56 @@
 	f.is.Equal(f.hold().Acked, int64(1))
 }
 
+// A run of a best-effort job has ended, and its owner settles the end with its next
+// frame, up to 150 ms later. The backend server answers holds at once while it
+// lists an end, so the agent would ask it hundreds of times a second for nothing.
+// The end is acknowledged with the next hold, and kept for an owner that links anew.
+func TestEndOfABestEffortJobIsAcknowledgedAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.send(f.order(0))
+	f.end(f.order(0).Run, job.Done)
+	f.hold()
+	f.is.Equal(len(f.ended()), 1)
+	c := f.hold()
+	f.is.Equal(c.Acked, int64(1))
+	f.is.True(!c.Known)
+	runs := f.claim(private, 1, 2).Runs
+	f.is.Equal(len(runs), 1) // its owner may not have heard of it
+	f.is.Equal(runs[0].End, job.Done)
+	f.Settled(f.order(0).Run, false)
+	f.is.Equal(len(f.claim(private, 1, 3).Runs), 0)
+}
+
+// The same with an owner that is gone for good: nothing is left of the end.
+func TestAcknowledgedEndOfALostOwnerIsForgotten(t *testing.T) {
+	f := newFixture(t)
+	f.send(f.order(0))
+	f.end(f.order(0).Run, job.Done)
+	f.hold()
+	f.pass(testBounds.OwnerSilence)
+	f.hold()
+	f.is.Equal(len(f.claim(private, 1, 2).Runs), 0)
+}
+
+// The end of a recorded job's run waits for its record. While the backend server
+// lists it, holds bring nothing new, and the driver has to know.
+func TestHoldTellsOfEndsThatWaitForTheirRecord(t *testing.T) {
+	f := newFixture(t)
+	f.claim(recorded, 1, 1)
+	o := f.order(0)
+	o.Shard = recorded
+	f.send(o)
+	f.end(o.Run, job.Done)
+	f.hold()
+	c := f.hold()
+	f.is.Equal(c.Acked, int64(0))
+	f.is.True(c.Known)
+	f.Settled(o.Run, false)
+	c = f.hold()
+	f.is.Equal(c.Acked, int64(1))
+	f.is.True(!c.Known)
+}
+
 // The backend server can't be reached. Its room is free, and the runs are lost,
 // only when the lease has expired on a clock that runs 2 % slow.
 func TestUnreachableServerKeepsRoomUntilItsLeaseHasExpired(t *testing.T) {
--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -92,11 +92,6 @@
 	// unclaimed is set while links came up whose agents were not claimed.
 	unclaimed atomic.Bool
 
-	// spread is the load that owners were told last, and nextSpread when they
-	// may be told again. Only the tick's goroutine uses them.
-	spread     loadLevel
-	nextSpread time.Duration
-
 	mu sync.Mutex
 	// All fields below are guarded by mu.
 
@@ -104,9 +99,12 @@
 	opening map[int]bool
 	// callers has the link of each shard's owner, for news of its runs.
 	callers map[int]*peer.Caller
-	all     map[*peer.Caller]bool
-	up      map[string]int64
-	drain   bool
+	// all has what each caller was told.
+	all   map[*peer.Caller]*news
+	up    map[string]int64
+	drain bool
+	// ownedAt is when shards were last owned here, or opened.
+	ownedAt time.Duration
 	// epochs are those under which shards were opened.
 	epochs epochs
 }
@@ -121,7 +119,7 @@
 		shards:  make(map[int]*shardRunner),
 		opening: make(map[int]bool),
 		callers: make(map[int]*peer.Caller),
-		all:     make(map[*peer.Caller]bool),
+		all:     make(map[*peer.Caller]*news),
 		up:      make(map[string]int64),
 	}
 	a.server = peer.NewServer(a)
@@ -165,7 +163,7 @@
 	a.links = newLinkSet(func(node string, reg registration) closer {
 		// The name is that of this life: an agent takes the signs of life of
 		// a later one for another owner's, and stops what this one left.
-		return peer.Dial(ctx, a.member, node, reg.Links, true, a)
+		return peer.Dial(ctx, a.member, node, reg.Links, a)
 	})
 	wg.Go(func() { a.holdLoop(ctx) })
 	if s, ok := a.worker.Server(); ok {
@@ -209,17 +207,14 @@
 		return
 	}
 	event := &corepb.Event{Shard: int32(e.Shard), Epoch: e.Epoch, Run: wire.RunStateToWire(&e.State)}
-	c.Send(func(f *corepb.FromAgent) {
-		f.Events = append(f.Events, event)
-		a.fillLoad(c, f)
-	})
-}
-
-func (a *Agent) fillLoad(c *peer.Caller, f *corepb.FromAgent) {
-	l := a.worker.Load(bootclock.Now())
-	f.Load = wire.LoadToWire(&l)
-	f.Load.Domain = a.settings.Zone
-	f.Load.OrdersSeen = c.Orders.Load()
+	add := func(f *corepb.FromAgent) { f.Events = append(f.Events, event) }
+	if e.State.Status == worker.Running {
+		// Nobody waits for this news: it changes what a job's state and the
+		// counts of queued jobs show, and those may be seconds old.
+		c.SendQuietly(add)
+		return
+	}
+	c.Send(add)
 }
 
 func (a *Agent) draining() bool {
--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -73,8 +73,9 @@
 	// The name is that of this life: agents tell its runs from a later one's.
 	self := memberName(s.Name, xid.New().String())
 	e.links = newLinkSet(func(node string, reg registration) closer {
-		return peer.Dial(context.Background(), self, node, reg.Links, true, e)
+		return peer.Dial(context.Background(), self, node, reg.Links, e)
 	})
+	e.links.open()
 	e.effort = e.newEffort()
 	return e
 }
--- a/daemon/core/entry_test.go
+++ b/daemon/core/entry_test.go
@@ -65,11 +65,14 @@
 				out.Claimed = append(out.Claimed, &corepb.Claimed{Shard: p.GetShard(), Epoch: p.GetEpoch(), Session: p.GetSession()})
 			}
 		}
-		out.Load = &corepb.Load{Service: "desk", CapacityCpu: 1000, FreeCpu: 1000, Accepts: true}
 	})
 	return nil
 }
 
+func (a *fakeAgent) Complete(_ *peer.Caller, f *corepb.FromAgent) {
+	f.Load = &corepb.Load{Service: "desk", CapacityCpu: 1000, FreeCpu: 1000, Accepts: true}
+}
+
 func (a *fakeAgent) ordered() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/daemon/core/executor.go
+++ b/daemon/core/executor.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
-	"maps"
 	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
-	"github.com/shallotstep/shallotstep/protocol/core/corepb"
-	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/pause"
-	"github.com/shallotstep/shallotstep/transport/peer"
 )
 
 const (
@@ -31,6 +27,10 @@
 	hurryWait = 5 * time.Millisecond
 	// idleWait is the same while nothing runs; nothing needs its lease then.
 	idleWait = time.Second
+	// knownPause spaces holds while the backend server lists ends that wait for
+	// their record, up to 0.7 s. It answers at once then: without a pause the
+	// agent asked 300 times a second. An end is noticed that much later at most.
+	knownPause = 10 * time.Millisecond
 	// holdSlack is the time beyond its wait after which a hold counts as lost.
 	holdSlack = 90 * time.Millisecond
 	// holdRetry is the pause before a failed hold is repeated.
@@ -48,6 +48,9 @@
 			_ = pause.For(ctx, unknownWait)
 			continue
 		}
+		if c.Known {
+			_ = pause.For(ctx, knownPause)
+		}
 		err := a.holdOnce(ctx, c)
 		if err != nil && !lost {
 			klog.InfoS("Lost the backend server", "instance", c.Instance, "err", err)
@@ -144,34 +147,6 @@
 	}
 }
 
-// spreadLoad tells owners of a changed load, less often the more owners there
-// are: each message costs both sides about 30 µs.
-func (a *Agent) spreadLoad(now time.Duration) {
-	l := a.worker.Load(now)
-	level := loadLevel{free: l.Free, waiting: l.Waiting, accepts: l.Accepts}
-	if level == a.spread || now < a.nextSpread {
-		return
-	}
-	a.spread = level
-	owners := a.everyCaller()
-	maps.DeleteFunc(owners, func(c *peer.Caller, _ bool) bool { return !c.Owner })
-	a.nextSpread = now + time.Duration(len(owners))*spreadCost
-	for c := range owners {
-		c.Send(func(f *corepb.FromAgent) { a.fillLoad(c, f) })
-	}
-}
-
-// spreadCost times the number of owners is the least pause between two rounds
-// of load news: 1 % of a core for sending them.
-const spreadCost = 3 * time.Millisecond
-
-// loadLevel is the part of a load whose change is worth a message.
-type loadLevel struct {
-	free    job.Demand
-	waiting int
-	accepts bool
-}
-
 // loadReportEvery is the pace of the log line that tells how full the backend
 // server is; between two of them other lines tell of each change.
 const loadReportEvery = 2 * time.Second
@@ -179,5 +154,5 @@
 func (a *Agent) reportLoad() {
 	l := a.worker.Load(bootclock.Now())
 	klog.InfoS("Load", "instance", l.Server.Instance, "accepts", l.Accepts, "free", l.Free.CPUMillis, "of", l.Server.Capacity.CPUMillis,
-		"running", l.Running, "waiting", l.Waiting, "backlog", l.Backlog.Milliseconds(), "unsettled", l.Unsettled)
+		"running", l.Running, "waiting", l.Waiting, "backlog", l.Backlog.Milliseconds(), "unsettled", l.Unsettled, "holds", l.Holds)
 }
--- a/daemon/core/membership.go
+++ b/daemon/core/membership.go
@@ -54,6 +54,7 @@
 				a.release(nil)
 			}
 		}
+		a.keepLinks(bootclock.Now())
 		select {
 		case <-ctx.Done():
 			return
@@ -62,6 +63,26 @@
 	}
 }
 
+// linkLinger is how long links are kept after the last shard has gone: shares are
+// often dealt anew several times in a row, and new links cost both sides about a
+// millisecond each.
+const linkLinger = 10 * time.Second
+
+// keepLinks links the other agents while this one owns shards. An agent that owns
+// none has nothing to say to them; with a link from each to each, signs of life
+// alone would take more than the work.
+func (a *Agent) keepLinks(now time.Duration) {
+	a.mu.Lock()
+	if len(a.shards)+len(a.opening) > 0 {
+		a.ownedAt = now
+	}
+	idle := now - a.ownedAt
+	a.mu.Unlock()
+	if idle > linkLinger {
+		a.links.close()
+	}
+}
+
 // joinTimeout bounds one join; a slow store's answer fits into it.
 const joinTimeout = 700 * time.Millisecond
 
@@ -150,6 +171,7 @@
 	a.opening[id] = true
 	epoch := a.epochs.next(id, generation)
 	go func() {
+		a.links.open()
 		r, err := a.openShard(ctx, id, epoch)
 		a.mu.Lock()
 		delete(a.opening, id)
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -169,31 +170,45 @@
 	return reg, errors.Wrapf(json.Unmarshal(r.Value, &reg), "registration of %s", r.Key)
 }
 
-// linkSet keeps a link to each registered agent.
+// linkSet knows the registered agents and, while it is open, keeps a link to each.
 type linkSet struct {
 	dial func(node string, reg registration) closer
 
+	// changing is held while links are dialled and closed. Closing one waits for
+	// its handler, which uses the set, so mu must not be held meanwhile.
+	changing sync.Mutex
+
 	mu sync.Mutex
-	// links and addresses are guarded by mu.
-	links     map[string]closer
-	addresses map[string]string
+	// All fields below are guarded by mu.
+
+	links map[string]closer
+	// linkedTo has the address of each link, known that of each agent.
+	linkedTo map[string]string
+	known    map[string]registration
+	isOpen   bool
 }
 
 type closer interface{ Close() }
 
+// newLinkSet returns a set that is not open.
 func newLinkSet(dial func(node string, reg registration) closer) *linkSet {
-	return &linkSet{dial: dial, links: make(map[string]closer), addresses: make(map[string]string)}
+	return &linkSet{
+		dial: dial, links: make(map[string]closer),
+		linkedTo: make(map[string]string), known: make(map[string]registration),
+	}
 }
 
-// follow keeps the links by the registry until the context ends.
+// follow learns of agents by the registry until the context ends.
 func (l *linkSet) follow(ctx context.Context, st store.Store) {
 	(&follower{store: st, partition: registryPartition, wait: registryWait, apply: l.apply, name: "registry"}).run(ctx)
 }
 
 // apply takes in a record of the registry.
 func (l *linkSet) apply(r store.Record) {
+	l.changing.Lock()
+	defer l.changing.Unlock()
 	if r.Value == nil {
-		l.drop(r.Key)
+		l.forget(r.Key)
 		return
 	}
 	reg, err := decodeRegistration(r)
@@ -202,23 +217,71 @@
 		return
 	}
 	l.mu.Lock()
-	same := l.addresses[r.Key] == reg.Links
+	l.known[r.Key] = reg
+	isOpen := l.isOpen
+	l.mu.Unlock()
+	if isOpen {
+		l.link(r.Key, reg)
+	}
+}
+
+// open links all agents that are known, and those that come.
+func (l *linkSet) open() {
+	l.changing.Lock()
+	defer l.changing.Unlock()
+	l.mu.Lock()
+	wasOpen := l.isOpen
+	l.isOpen = true
+	known := maps.Clone(l.known)
+	l.mu.Unlock()
+	if wasOpen {
+		return
+	}
+	for node, reg := range known {
+		l.link(node, reg)
+	}
+}
+
+// close ends all links. The agents stay known.
+func (l *linkSet) close() {
+	l.changing.Lock()
+	defer l.changing.Unlock()
+	l.mu.Lock()
+	l.isOpen = false
+	links := slices.Collect(maps.Keys(l.links))
+	l.mu.Unlock()
+	for _, node := range links {
+		l.drop(node)
+	}
+}
+
+// link dials an agent unless it is linked at that address.
+func (l *linkSet) link(node string, reg registration) {
+	l.mu.Lock()
+	same := l.linkedTo[node] == reg.Links
 	l.mu.Unlock()
 	if same {
 		return
 	}
-	l.drop(r.Key)
-	link := l.dial(r.Key, reg)
+	l.drop(node)
+	link := l.dial(node, reg)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.links[node], l.linkedTo[node] = link, reg.Links
+}
+
+func (l *linkSet) forget(node string) {
+	l.drop(node)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.links[r.Key], l.addresses[r.Key] = link, reg.Links
+	delete(l.known, node)
 }
 
 func (l *linkSet) drop(node string) {
 	l.mu.Lock()
 	link := l.links[node]
 	delete(l.links, node)
-	delete(l.addresses, node)
+	delete(l.linkedTo, node)
 	l.mu.Unlock()
 	if link != nil {
 		link.Close()
@@ -239,15 +302,5 @@
 	return maps.Clone(l.links)
 }
 
-func (l *linkSet) close() {
-	l.mu.Lock()
-	links := l.links
-	l.links = make(map[string]closer)
-	l.mu.Unlock()
-	for _, link := range links {
-		link.Close()
-	}
-}
-
 // memberName names one life of an agent in the group.
 func memberName(name string, tag string) string { return strings.Join([]string{name, tag}, "/") }
--- a/daemon/core/serve.go
+++ b/daemon/core/serve.go
@@ -31,16 +31,14 @@
 // CallerUp implements peer.AgentHandler.
 func (a *Agent) CallerUp(c *peer.Caller) {
 	a.mu.Lock()
-	a.all[c] = true
+	a.all[c] = &news{}
 	a.mu.Unlock()
-	a.sendState(c)
+	c.Send(nothing)
 }
 
 // CallerGone implements peer.AgentHandler.
 func (a *Agent) CallerGone(c *peer.Caller) {
-	if c.Owner {
-		a.worker.Unlinked(bootclock.Now(), c.Node)
-	}
+	a.worker.Unlinked(bootclock.Now(), c.Node)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.all, c)
@@ -54,7 +52,7 @@
 // Frame implements peer.AgentHandler.
 func (a *Agent) Frame(c *peer.Caller, f *corepb.ToAgent) error {
 	now := bootclock.Now()
-	if c.Owner && !a.worker.Heard(now, c.Node) && len(f.GetClaims()) == 0 {
+	if !a.worker.Heard(now, c.Node) && len(f.GetClaims()) == 0 {
 		return errSilent
 	}
 	for _, p := range f.GetClaims() {
@@ -64,8 +62,11 @@
 		a.worker.Release(int(shard), c.Node)
 	}
 	for _, p := range f.GetOrders() {
-		c.Orders.Add(1)
 		a.apply(a.worker.Order(now, wire.OrderFromWire(now, p)))
+		c.Orders.Add(1)
+	}
+	if n := a.newsFor(c); n != nil && len(f.GetOrders()) > 0 {
+		n.ordered(now)
 	}
 	for _, p := range f.GetStops() {
 		a.apply(a.worker.Stop(now, int(p.GetShard()), p.GetEpoch(), wire.RunFromWire(p.GetRun())))
@@ -73,7 +74,6 @@
 	for _, p := range f.GetSettled() {
 		a.worker.Settled(wire.RunFromWire(p.GetRun()), p.GetVoid())
 	}
-	a.sendState(c)
 	return nil
 }
 
@@ -88,41 +88,20 @@
 	c.Send(func(f *corepb.FromAgent) { f.Claimed = append(f.Claimed, wire.ClaimedToWire(&answer)) })
 }
 
-// sendState tells a caller this agent's load and which shards it owns.
-func (a *Agent) sendState(c *peer.Caller) {
-	owned := a.ownership()
-	c.Send(func(f *corepb.FromAgent) {
-		f.Owned, f.OwnedValid = owned, true
-		if c.Owner {
-			a.fillLoad(c, f)
-		}
-	})
-}
-
-func (a *Agent) ownership() []*corepb.Ownership {
-	var out []*corepb.Ownership
-	for _, r := range a.owned() {
-		if !r.Closed() {
-			out = append(out, &corepb.Ownership{Shard: int32(r.ID), Epoch: r.Epoch})
-		}
-	}
-	return out
-}
-
-// announce tells all callers at once which shards are owned here.
-func (a *Agent) announce() {
-	for c := range a.everyCaller() {
-		a.sendState(c)
-	}
-}
-
 // everyCaller returns a copy of the links that others have made.
-func (a *Agent) everyCaller() map[*peer.Caller]bool {
+func (a *Agent) everyCaller() map[*peer.Caller]*news {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return maps.Clone(a.all)
 }
 
+// newsFor returns what a caller was told, or nil if its link has ended.
+func (a *Agent) newsFor(c *peer.Caller) *news {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.all[c]
+}
+
 // LinkUp implements peer.LinkHandler.
 func (a *Agent) LinkUp(node string, session int64) *corepb.ToAgent {
 	a.mu.Lock()
--- a/daemon/core/steps.go
+++ b/daemon/core/steps.go
@@ -51,7 +51,7 @@
 	}
 	for _, s := range fx.Settled {
 		settled := &corepb.Settled{Shard: int32(r.ID), Run: wire.RunToWire(s.What.Run), Void: s.What.Void}
-		r.links.send(s.Node, func(f *corepb.ToAgent) { f.Settled = append(f.Settled, settled) })
+		r.settle(s.Node, settled)
 	}
 	for _, reply := range fx.Replies {
 		r.metrics.verdict(reply.Verdict)
@@ -65,6 +65,18 @@
 	}
 }
 
+// settle tells an agent what became of an end. It may wait for the next frame:
+// the agent acknowledges the end a little later, which frees nothing. A void end
+// must stop the acknowledgements at once.
+func (r *steps) settle(node string, settled *corepb.Settled) {
+	add := func(f *corepb.ToAgent) { f.Settled = append(f.Settled, settled) }
+	if settled.GetVoid() {
+		r.links.send(node, add)
+		return
+	}
+	r.links.sendQuietly(node, add)
+}
+
 func (r *steps) log(d *owner.Decision) {
 	r.metrics.decisions.WithLabelValues(d.What).Inc()
 	klog.InfoS("Job", "what", d.What, "id", d.Job, "shard", r.ID, "epoch", r.Epoch, "step", d.Run.Task.Step, "task", d.Run.Task.Index,
@@ -111,3 +123,10 @@
 		link.Send(fill)
 	}
 }
+
+// sendQuietly is send for what may wait for a frame that goes out anyway.
+func (l *linkSet) sendQuietly(node string, fill func(*corepb.ToAgent)) {
+	if link, ok := l.get(node).(*peer.Link); ok {
+		link.SendQuietly(fill)
+	}
+}
--- a/transport/asynclog/asynclog.go
+++ b/transport/asynclog/asynclog.go
@@ -16,6 +16,10 @@
 	// linesPerSecond bounds the processor time that logging takes: at about
 	// 5 µs a line, 1 % of a core.
 	linesPerSecond = 2000
+	// gatherFor is how long a line waits for others, so that they are written in
+	// one call: at 900 lines a second a call for each takes 2 % of a core. A
+	// process that is killed loses the lines of that time.
+	gatherFor = 20 * time.Millisecond
 	// reportEvery is the pace of the line that counts what was left out.
 	reportEvery = 5 * time.Second
 )
@@ -56,28 +60,59 @@
 
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
-	window := time.Now()
-	reported := window
-	budget := linesPerSecond
+	r := rate{window: time.Now(), budget: linesPerSecond}
+	reported := time.Now()
+	var text []byte
 	for line := range w.lines {
+		time.Sleep(gatherFor)
 		now := time.Now()
-		if now.Sub(window) >= time.Second {
-			window, budget = now, linesPerSecond
-		}
+		text = w.gather(text[:0], &r, now, line)
 		if now.Sub(reported) >= reportEvery {
 			reported = now
 			if n := w.dropped.Swap(0); n > 0 {
-				fmt.Fprintf(out, "W log lines left out: %d\n", n)
+				text = fmt.Appendf(text, "W log lines left out: %d\n", n)
 			}
 		}
-		if budget == 0 {
+		if _, err := out.Write(text); err != nil {
+			// Nothing is left to report this to.
 			w.dropped.Add(1)
-			continue
 		}
-		budget--
-		if _, err := out.Write(line); err != nil {
-			// Nothing is left to report this to.
+	}
+}
+
+// gather appends a line and all that are queued, as far as the rate allows.
+func (w *Writer) gather(text []byte, r *rate, now time.Time, line []byte) []byte {
+	for {
+		if r.take(now) {
+			text = append(text, line...)
+		} else {
 			w.dropped.Add(1)
 		}
+		select {
+		case next, ok := <-w.lines:
+			if !ok {
+				return text
+			}
+			line = next
+		default:
+			return text
+		}
+	}
+}
+
+// rate bounds the lines of each second.
+type rate struct {
+	window time.Time
+	budget int
+}
+
+func (r *rate) take(now time.Time) bool {
+	if now.Sub(r.window) >= time.Second {
+		r.window, r.budget = now, linesPerSecond
+	}
+	if r.budget == 0 {
+		return false
 	}
+	r.budget--
+	return true
 }
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -19,12 +19,14 @@
 )
 
 const (
-	// heartbeatEvery is the pace of signs of life on a link. Each costs both
-	// sides one small message.
-	heartbeatEvery = 150 * time.Millisecond
 	// silenceLimit ends a link on which nothing came for four heartbeats:
 	// a connection can go silent without a reset.
 	silenceLimit = 700 * time.Millisecond
+	// echoLimit ends a link on which frames come, but none that tells of newer
+	// frames from this side: the way there is cut, and orders are lost. The agent
+	// tells within two heartbeats. It is below the 1.3 s after which the agent
+	// stops the runs of an owner that it does not hear.
+	echoLimit = time.Second
 	// redialPause is the pause before a lost link is dialled again.
 	redialPause = 50 * time.Millisecond
 	// maxRedialPause bounds it for an agent that stays away; one that is back
@@ -47,7 +49,6 @@
 	Node, Addr string
 
 	self    string
-	owner   bool
 	handler LinkHandler
 	session int64
 	cancel  context.CancelFunc
@@ -61,11 +62,10 @@
 	out    *outbox[corepb.ToAgent] // guarded by mu
 }
 
-// Dial keeps a link to an agent until Close. Owner links carry orders; others
-// only hear of loads and ownership.
-func Dial(ctx context.Context, self, node, addr string, owner bool, h LinkHandler) *Link {
+// Dial keeps a link to an agent until Close.
+func Dial(ctx context.Context, self, node, addr string, h LinkHandler) *Link {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &Link{Node: node, Addr: addr, self: self, owner: owner, handler: h, cancel: cancel, done: make(chan struct{})}
+	l := &Link{Node: node, Addr: addr, self: self, handler: h, cancel: cancel, done: make(chan struct{})}
 	go l.run(ctx)
 	return l
 }
@@ -76,16 +76,27 @@
 	<-l.done
 }
 
-// Send lets fill extend the next frame. While the link is down nothing is sent.
+// Send lets fill extend the next frame and has it sent at once. While the link
+// is down nothing is sent.
 func (l *Link) Send(fill func(*corepb.ToAgent)) {
-	l.mu.Lock()
-	out := l.out
-	l.mu.Unlock()
-	if out != nil {
+	if out := l.outbox(); out != nil {
 		out.add(fill)
 	}
 }
 
+// SendQuietly is Send for what may wait for the next frame that goes out anyway.
+func (l *Link) SendQuietly(fill func(*corepb.ToAgent)) {
+	if out := l.outbox(); out != nil {
+		out.addQuietly(fill)
+	}
+}
+
+func (l *Link) outbox() *outbox[corepb.ToAgent] {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.out
+}
+
 // Client returns the agent's service, or nil while the link is down.
 func (l *Link) Client() corepb.CoreClient {
 	l.mu.Lock()
@@ -116,6 +127,8 @@
 	defer cancel()
 	conn, err := grpc.NewClient("passthrough:///"+l.Addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithStaticStreamWindowSize(staticWindow),
+		grpc.WithStaticConnWindowSize(staticWindow),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: redialPause, Multiplier: 1.5, MaxDelay: maxRedialPause},
 			MinConnectTimeout: dialTimeout,
@@ -135,7 +148,7 @@
 	if err != nil {
 		return false, errors.Wrap(err, "link")
 	}
-	if err := stream.Send(&corepb.ToAgent{Node: l.self, Owner: l.owner}); err != nil {
+	if err := stream.Send(&corepb.ToAgent{Node: l.self}); err != nil {
 		return false, errors.Wrap(err, "link")
 	}
 	if _, err := stream.Recv(); err != nil {
@@ -172,30 +185,19 @@
 }
 
 func (l *Link) write(ctx context.Context, stream grpc.BidiStreamingClient[corepb.ToAgent, corepb.FromAgent], out *outbox[corepb.ToAgent]) {
-	beat := time.NewTicker(heartbeatEvery)
-	defer beat.Stop()
 	var n int64
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-out.wake:
-		case <-beat.C:
-		}
-		f := out.take()
-		if f == nil {
-			f = &corepb.ToAgent{}
-		}
+	out.pump(ctx, func(f *corepb.ToAgent) bool {
 		n++
 		f.Heartbeat = n
-		if stream.Send(f) != nil {
-			// The reader gets the reason.
-			return
-		}
-	}
+		// The reader gets the reason of a failure.
+		return stream.Send(f) == nil
+	})
 }
 
 func (l *Link) read(session int64, w *watchdog, stream grpc.BidiStreamingClient[corepb.ToAgent, corepb.FromAgent]) error {
+	var echoed int64
+	echo := newWatchdog(echoLimit, w.expire)
+	defer echo.stop()
 	for {
 		f, err := stream.Recv()
 		if err != nil {
@@ -205,6 +207,10 @@
 			return err
 		}
 		w.reset(silenceLimit)
+		if f.GetHeartbeat() > echoed {
+			echoed = f.GetHeartbeat()
+			echo.reset(echoLimit)
+		}
 		l.heard.Store(int64(bootclock.Now()))
 		l.handler.LinkFrame(l.Node, session, f)
 	}
@@ -212,19 +218,22 @@
 
 // watchdog cancels when it has not been reset in time.
 type watchdog struct {
-	timer *time.Timer
-	fire  atomic.Bool
+	timer  *time.Timer
+	cancel func()
+	fire   atomic.Bool
 }
 
 func newWatchdog(d time.Duration, cancel func()) *watchdog {
-	w := &watchdog{}
-	w.timer = time.AfterFunc(d, func() {
-		w.fire.Store(true)
-		cancel()
-	})
+	w := &watchdog{cancel: cancel}
+	w.timer = time.AfterFunc(d, w.expire)
 	return w
 }
 
+func (w *watchdog) expire() {
+	w.fire.Store(true)
+	w.cancel()
+}
+
 func (w *watchdog) reset(d time.Duration) { w.timer.Reset(d) }
 func (w *watchdog) stop()                 { w.timer.Stop() }
 func (w *watchdog) fired() bool           { return w.fire.Load() }
--- /dev/null
+++ b/transport/peer/link_test.go
@@ -0,0 +1,209 @@
+package peer_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/protocol/core/corepb"
+	"github.com/shallotstep/shallotstep/state/job"
+	"github.com/shallotstep/shallotstep/transport/peer"
+)
+
+// agent takes links and notes the frames.
+type agent struct {
+	mu     sync.Mutex
+	caller *peer.Caller      // guarded by mu
+	frames []*corepb.ToAgent // guarded by mu
+}
+
+func (a *agent) Ready() bool { return true }
+func (a *agent) CallerUp(c *peer.Caller) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.caller = c
+}
+func (a *agent) CallerGone(*peer.Caller)                                       {}
+func (a *agent) Complete(_ *peer.Caller, _ *corepb.FromAgent)                  {}
+func (a *agent) Lookup(int, job.ID) owner.Verdict                              { return owner.Verdict{} }
+func (a *agent) Cancel(int, job.ID, func(owner.Verdict))                       {}
+func (a *agent) Await(int, job.ID, func(owner.Verdict))                        {}
+func (a *agent) Pending(string) owner.Verdict                                  { return owner.Verdict{} }
+func (a *agent) Submit(int, job.ID, job.Spec, job.Policy, func(owner.Verdict)) {}
+
+func (a *agent) Frame(_ *peer.Caller, f *corepb.ToAgent) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.frames = append(a.frames, f)
+	return nil
+}
+
+func (a *agent) has(ok func(*corepb.ToAgent) bool) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, f := range a.frames {
+		if ok(f) {
+			n++
+		}
+	}
+	return n
+}
+
+// calls notes what a link tells.
+type calls struct{ up, down, frames atomic.Int64 }
+
+func (h *calls) LinkUp(string, int64) *corepb.ToAgent {
+	h.up.Add(1)
+	return &corepb.ToAgent{}
+}
+func (h *calls) LinkDown(string, int64)                     { h.down.Add(1) }
+func (h *calls) LinkFrame(string, int64, *corepb.FromAgent) { h.frames.Add(1) }
+
+func start(t *testing.T) (*agent, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &agent{}
+	s := peer.NewServer(a)
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		if err := s.Serve(l); err != nil {
+			t.Log(err)
+		}
+	}()
+	t.Cleanup(func() {
+		s.Stop()
+		<-served
+	})
+	return a, l.Addr().String()
+}
+
+func dial(t *testing.T, addr string, h peer.LinkHandler) *peer.Link {
+	t.Helper()
+	l := peer.Dial(context.Background(), "owner", "agent", addr, h)
+	t.Cleanup(l.Close)
+	await(t, func() bool { return l.Client() != nil })
+	return l
+}
+
+func await(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not in a minute")
+		}
+	}
+}
+
+// cut is a relay in front of an agent. It can lose what the owner sends, while
+// what the agent sends still arrives.
+type cut struct {
+	lose atomic.Bool
+	addr string
+}
+
+func startCut(t *testing.T, to string) *cut {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cut{addr: l.Addr().String()}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return // closed by the test
+			}
+			go c.relay(in, to)
+		}
+	}()
+	return c
+}
+
+func (c *cut) relay(in net.Conn, to string) {
+	defer in.Close()
+	out, err := net.Dial("tcp", to)
+	if err != nil {
+		return // the agent is gone with its test
+	}
+	defer out.Close()
+	go func() { _, _ = io.Copy(in, out) }()
+	buf := make([]byte, 4096)
+	for {
+		n, err := in.Read(buf)
+		if err != nil {
+			return
+		}
+		if c.lose.Load() {
+			continue
+		}
+		if _, err := out.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// The way to an agent is cut, and the way back is not. Its frames still come, so
+// it looks alive, and every order that is sent there is lost; tasks would wait
+// until their jobs' time limits. The link is given up once the frames tell of
+// nothing new from this side, and its runs are found or waited out.
+func TestLinkThatIsCutOneWayIsGivenUp(t *testing.T) {
+	_, addr := start(t)
+	c := startCut(t, addr)
+	var h calls
+	dial(t, c.addr, &h)
+	c.lose.Store(true)
+	before := h.frames.Load()
+	await(t, func() bool { return h.frames.Load() > before }) // it still hears the agent
+	await(t, func() bool { return h.down.Load() == 1 })
+	c.lose.Store(false)
+	await(t, func() bool { return h.up.Load() == 2 })
+}
+
+// A link without work stays up by signs of life alone, and both sides give them.
+func TestIdleLinkStaysUp(t *testing.T) {
+	is := is.New(t)
+	a, addr := start(t)
+	var h calls
+	dial(t, addr, &h)
+	beats := func(f *corepb.ToAgent) bool { return f.GetHeartbeat() > 0 }
+	await(t, func() bool { return a.has(beats) > 12 && h.frames.Load() > 12 }) // past both limits on silence
+	is.Equal(h.down.Load(), int64(0))
+}
+
+// Settlements of ends may wait. Sent one by one they would be as many frames as
+// there are tasks; they go out with the next frame, at the latest with a sign of life.
+func TestQuietNewsGoesWithTheNextFrame(t *testing.T) {
+	is := is.New(t)
+	a, addr := start(t)
+	var h calls
+	l := dial(t, addr, &h)
+	const settled = 20
+	for i := range settled {
+		l.SendQuietly(func(f *corepb.ToAgent) { f.Settled = append(f.Settled, &corepb.Settled{Shard: int32(i)}) })
+	}
+	total := 0
+	await(t, func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		total = 0
+		for _, f := range a.frames {
+			total += len(f.GetSettled())
+		}
+		return total == settled
+	})
+	is.True(a.has(func(f *corepb.ToAgent) bool { return len(f.GetSettled()) > 0 }) <= 2) // a beat may fall in between
+}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -26,6 +26,8 @@
 	CallerGone(c *Caller)
 	// CallerUp is told of a new link, before its first frame.
 	CallerUp(c *Caller)
+	// Complete adds the agent's news to a frame that is about to be sent.
+	Complete(c *Caller, f *corepb.FromAgent)
 	// Submit, Lookup, Cancel and Pending are questions to an owner.
 	Submit(shard int, id job.ID, spec job.Spec, p job.Policy, reply func(owner.Verdict))
 	Lookup(shard int, id job.ID) owner.Verdict
@@ -37,18 +39,22 @@
 
 // Caller is the far end of a link at the agent.
 type Caller struct {
-	Node  string
-	Owner bool
-	// Orders counts the orders received; the caller subtracts them from what
+	Node string
+	// Orders counts the orders taken in; the caller subtracts them from what
 	// it has under way.
 	Orders atomic.Int64
 
-	out *outbox[corepb.FromAgent]
+	// heard is the number of the last frame that was taken in.
+	heard atomic.Int64
+	out   *outbox[corepb.FromAgent]
 }
 
-// Send lets fill extend the next frame.
+// Send lets fill extend the next frame and has it sent at once.
 func (c *Caller) Send(fill func(*corepb.FromAgent)) { c.out.add(fill) }
 
+// SendQuietly is Send for what may wait for the next frame that goes out anyway.
+func (c *Caller) SendQuietly(fill func(*corepb.FromAgent)) { c.out.addQuietly(fill) }
+
 // Server serves an agent's side of links, and questions to owners.
 type Server struct {
 	corepb.UnimplementedCoreServer
@@ -58,7 +64,7 @@
 
 // NewServer returns a server that is not listening yet.
 func NewServer(h AgentHandler) *Server {
-	s := &Server{handler: h, grpc: grpc.NewServer()}
+	s := &Server{handler: h, grpc: grpc.NewServer(grpc.StaticStreamWindowSize(staticWindow), grpc.StaticConnWindowSize(staticWindow))}
 	corepb.RegisterCoreServer(s.grpc, s)
 	return s
 }
@@ -78,7 +84,7 @@
 	if !s.handler.Ready() {
 		return status.Error(codes.Unavailable, "the agent does not know yet what runs on its backend server")
 	}
-	c := &Caller{Node: first.GetNode(), Owner: first.GetOwner(), out: newOutbox[corepb.FromAgent]()}
+	c := &Caller{Node: first.GetNode(), out: newOutbox[corepb.FromAgent]()}
 	if err := stream.Send(&corepb.FromAgent{}); err != nil {
 		return err
 	}
@@ -86,7 +92,7 @@
 	defer s.handler.CallerGone(c)
 	ctx, cancel := context.WithCancel(stream.Context())
 	var writer conc.WaitGroup
-	writer.Go(func() { write(ctx, stream, c.out) })
+	writer.Go(func() { s.write(ctx, stream, c) })
 	defer writer.Wait()
 	defer cancel()
 	for {
@@ -97,25 +103,17 @@
 		if err := s.handler.Frame(c, f); err != nil {
 			return status.Error(codes.Aborted, err.Error())
 		}
+		c.heard.Store(f.GetHeartbeat())
 	}
 }
 
-func write(ctx context.Context, stream grpc.BidiStreamingServer[corepb.ToAgent, corepb.FromAgent], out *outbox[corepb.FromAgent]) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-out.wake:
-		}
-		f := out.take()
-		if f == nil {
-			continue
-		}
-		if stream.Send(f) != nil {
-			// The reader of this stream sees its end and says so.
-			return
-		}
-	}
+func (s *Server) write(ctx context.Context, stream grpc.BidiStreamingServer[corepb.ToAgent, corepb.FromAgent], c *Caller) {
+	c.out.pump(ctx, func(f *corepb.FromAgent) bool {
+		f.Heartbeat = c.heard.Load()
+		s.handler.Complete(c, f)
+		// The reader of this stream sees its end and says so.
+		return stream.Send(f) == nil
+	})
 }
 
 // await turns a reply into a return value.
