Take other entries' orders into account, and refuse the less urgent first

Each of eight entries sees only its own orders between two pieces of an agent's news, and all promise the same room; and the queues settle at the wait that the largest class bears, so that the short urgent jobs find none. coordination/load shows both without a network: real owners and agents in simulated time, with the sites' mix.

Change: an agent's load tells how many place work there; four in ten of the others are taken to have chosen alike since its last news; a queue of the next lower priority is accepted with 0.8 of the wait.

--- /dev/null
+++ b/coordination/load/mix_test.go
@@ -0,0 +1,169 @@
+package load
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// class is a kind of request: all its jobs have one step.
+type class struct {
+	queue    string
+	perS     float64
+	width    float64
+	work     time.Duration
+	cpu      int64
+	worth    float64
+	priority int
+}
+
+// grown is the mix of the users' grown sites, of 922 jobs a second on 59 agents,
+// for one agent.
+var grown = []class{
+	{queue: "short", perS: 223. / 55, width: 8, work: 60 * time.Millisecond, cpu: 1300, worth: 0.00485},
+	{queue: "long", perS: 50.7 / 55, width: 4, work: 900 * time.Millisecond, cpu: 1300, worth: 0.0267, priority: 2},
+	{queue: "usual", perS: 648. / 55, width: 2, work: 200 * time.Millisecond, cpu: 1300, worth: 0.00167, priority: 1},
+}
+
+// coresPerAgent is what these jobs keep at work on each agent.
+func coresPerAgent(mix []class) float64 {
+	var cores float64
+	for _, c := range mix {
+		cores += c.perS * c.width * c.work.Seconds() * float64(c.cpu) / 1000
+	}
+	return cores
+}
+
+// request is a job as its client sees it.
+type request struct {
+	class *class
+	at    time.Duration
+	works []time.Duration
+	aim   time.Duration
+}
+
+// tally counts what became of a class's jobs.
+type tally struct{ asked, inAim, late, refused, tooLate int }
+
+const (
+	spreadOfWork  = 0.4
+	spreadOfWidth = 0.4
+	spreadInJob   = 0.15
+	spreadOfGuess = 0.4
+	slackFactor   = 1.6
+	target        = 60 * time.Millisecond
+	timesOverAim  = 3
+	shortestLimit = 1500 * time.Millisecond
+	largestFactor = 4
+)
+
+// around draws a figure about a mean, log-normal and bounded.
+func (w *world) around(mean, spread float64) float64 {
+	x := mean * math.Exp(spread*w.rand.NormFloat64()-spread*spread/2)
+	return min(x, largestFactor*mean)
+}
+
+func (w *world) work(run job.RunID) time.Duration {
+	return w.jobs[run.Task.Job].works[run.Task.Index]
+}
+
+// arrive sends a job to an entry.
+func (w *world) arrive(c *class) {
+	r := &request{class: c, at: w.now}
+	mean := w.around(float64(c.work), spreadOfWork)
+	n := max(1, int(math.Round(w.around(c.width, spreadOfWidth))))
+	for range n {
+		r.works = append(r.works, time.Duration(w.around(mean, spreadInJob)))
+	}
+	r.aim = time.Duration(slackFactor*float64(slices.Max(r.works))) + target
+	id := job.ID(fmt.Sprintf("%016x", len(w.jobs)+1))
+	w.jobs[id] = r
+	spec := job.Spec{BestEffort: true, Steps: []job.Step{{
+		Count: n, Demand: job.Demand{CPUMillis: c.cpu, MemoryMB: 64}, Estimate: time.Duration(w.around(mean, spreadOfGuess)),
+	}}}
+	policy := job.Policy{Queue: c.queue, Service: service, Priority: c.priority, MaxAttempts: 3, Slack: slackFactor, Target: target}
+	e := w.entries[w.rand.IntN(len(w.entries))]
+	ended := false
+	e.apply(e.Submit(w.now, id, spec, policy, func(v owner.Verdict) {
+		ended = true
+		w.note(r, v)
+	}))
+	w.after(max(shortestLimit, timesOverAim*r.aim), func() {
+		if !ended {
+			ended = true
+			w.note(r, owner.Verdict{Outcome: owner.Unknown})
+			e.apply(e.Abandon(w.now, id))
+		}
+	})
+}
+
+func (w *world) note(r *request, v owner.Verdict) {
+	t := w.tally[r.class.queue]
+	if t == nil {
+		t = &tally{}
+		w.tally[r.class.queue] = t
+	}
+	took := w.now - r.at
+	t.asked++
+	switch {
+	case v.Outcome == owner.Refused:
+		t.refused++
+	case v.Outcome != owner.OK || v.State != job.Completed || took > timesOverAim*r.aim:
+		t.tooLate++
+	case took > r.aim:
+		t.late++
+	default:
+		t.inAim++
+	}
+}
+
+// play sends a mix at a share of what the agents carry, for a time.
+func (w *world) play(mix []class, share float64, length time.Duration) {
+	var room float64
+	for i := range w.agents {
+		room += 16
+		if i%3 == 2 {
+			room += 8
+		}
+	}
+	scale := share * room / coresPerAgent(mix)
+	end := w.now + length
+	for i := range mix {
+		c := &mix[i]
+		var next func()
+		next = func() {
+			if w.now >= end {
+				return
+			}
+			w.arrive(c)
+			w.after(time.Duration(w.rand.ExpFloat64()/(c.perS*scale)*float64(time.Second)), next)
+		}
+		w.after(0, next)
+	}
+	w.runUntil(end)
+}
+
+// served is the share of the worth that was served, late answers at a fifth.
+func (w *world) served(mix []class) float64 {
+	var got, owed float64
+	for _, c := range mix {
+		t := w.tally[c.queue]
+		if t == nil {
+			continue
+		}
+		got += c.worth * (float64(t.inAim) + 0.2*float64(t.late))
+		owed += c.worth * float64(t.asked)
+	}
+	return got / owed
+}
+
+func (t tally) plus(o *tally) tally {
+	return tally{t.asked + o.asked, t.inAim + o.inAim, t.late + o.late, t.refused + o.refused, t.tooLate + o.tooLate}
+}
+
+// share is the part that ended in time.
+func (t tally) share() float64 { return float64(t.inAim) / float64(t.asked) }
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -29,6 +29,8 @@
 	// Turnover is the mean time until the next running task ends.
 	Turnover time.Duration
 	Accepts  bool
+	// Placers is the number of processes that place work there.
+	Placers int
 	// Seen counts the orders that the agent had received on this link.
 	Seen int64
 }
@@ -84,33 +86,24 @@
 	heard   time.Duration
 	sent    int64
 	pending []pendingOrder
-	// taken and work sum up what is pending.
-	taken job.Demand
-	work  time.Duration
 }
 
 func (v *agentView) book(n Need) {
 	v.sent++
-	v.pending = append(v.pending, pendingOrder{number: v.sent, demand: n.Demand, work: coreTime(n)})
-	v.taken = v.taken.Plus(n.Demand)
-	v.work += coreTime(n)
+	v.pending = append(v.pending, pendingOrder{number: v.sent, at: n.Now, demand: n.Demand, work: coreTime(n)})
 }
 
 // unbook takes the last booking back.
 func (v *agentView) unbook() {
-	last := v.pending[len(v.pending)-1]
 	v.pending = v.pending[:len(v.pending)-1]
 	v.sent--
-	v.drop(last)
-}
-
-func (v *agentView) drop(p pendingOrder) {
-	v.taken = v.taken.Minus(p.demand)
-	v.work -= p.work
 }
 
+// pendingOrder is an order that the agent's last news does not cover yet.
 type pendingOrder struct {
 	number int64
+	// at is when it was placed.
+	at     time.Duration
 	demand job.Demand
 	work   time.Duration
 }
@@ -148,7 +141,6 @@
 	}
 	v.load, v.heard = l, now
 	for len(v.pending) > 0 && v.pending[0].number <= l.Seen {
-		v.drop(v.pending[0])
 		v.pending = v.pending[1:]
 	}
 }
@@ -279,7 +271,8 @@
 // would end. Among agents with room the emptiest is a little ahead, so that
 // work spreads before anything has to wait.
 func (f *Fleet) predictLocked(node string, v *agentView, n Need) placement {
-	free := v.load.Free.Minus(v.taken)
+	taken, work := v.bookedLocked(n.Now)
+	free := v.load.Free.Minus(taken)
 	run := time.Duration(float64(n.Estimate) * max(1, v.load.Slowdown))
 	if n.Rack != "" && !slices.Contains(v.load.Labels, n.Rack) {
 		run = time.Duration(float64(run) * f.remoteFactor)
@@ -288,18 +281,42 @@
 	cores := max(v.load.Capacity.CPUMillis, 1)
 	before := v.load.before(n.Slack)
 	if before > 0 || !n.Demand.Fits(free) {
-		p.wait = (before+v.work)*1000/time.Duration(cores) + v.load.Turnover
+		p.wait = (before+work)*1000/time.Duration(cores) + v.load.Turnover
 	}
-	p.finish += v.excess(n, cores)
-	taken := float64(cores-free.CPUMillis) / float64(cores)
-	p.finish += p.wait + run + time.Duration(taken*float64(spread)) + rand.N(spread)
+	p.finish += v.excess(n, work, cores)
+	used := float64(cores-free.CPUMillis) / float64(cores)
+	p.finish += p.wait + run + time.Duration(used*float64(spread)) + rand.N(spread)
 	return p
 }
 
+// alike is the part of the processes that place work at an agent which are taken
+// to have chosen it whenever this one did, since its last news. Eight of them that
+// each see only their own orders promise the same room several times over. Measured
+// in coordination/load, under 115 % of load with 8 entries and 51 agents: 77 % of the
+// worth served without it, 83 % with 0.4, and late jobs fall to a third. More of it
+// costs where room is left: with 1.0, three entries at 90 % of load serve 3 % less.
+const alike = 0.4
+
+// bookedLocked is what is taken to be under way to an agent beyond its last news. The
+// tasks of one job are placed at one time, and no other process has that job.
+func (v *agentView) bookedLocked(now time.Duration) (taken job.Demand, work time.Duration) {
+	others := max(1, alike*float64(v.load.Placers))
+	for i := range v.pending {
+		p := &v.pending[i]
+		times := others
+		if p.at == now {
+			times = 1
+		}
+		taken = taken.Plus(p.demand.Times(times))
+		work += time.Duration(times * float64(p.work))
+	}
+	return taken, work
+}
+
 // excess is by how much the waiting work with more slack than a task's would
 // come too late if the task were put before it. Without it a stream of urgent
 // tasks is let in that each are in time, and all others are accepted in vain.
-func (v *agentView) excess(n Need, cores int64) time.Duration {
+func (v *agentView) excess(n Need, booked time.Duration, cores int64) time.Duration {
 	if n.Slack <= 0 {
 		return 0
 	}
@@ -308,7 +325,7 @@
 		if edge < n.Slack || v.load.Ahead[i] == 0 {
 			continue
 		}
-		start := (v.load.Ahead[i] + v.work) * 1000 / time.Duration(cores)
+		start := (v.load.Ahead[i] + booked) * 1000 / time.Duration(cores)
 		most = max(most, start-time.Duration(usable*float64(edge)))
 	}
 	return most
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math"
 	"time"
 
 	"github.com/shallotstep/shallotstep/state/job"
@@ -133,7 +134,7 @@
 	}
 	objective := s.objective(spec, p)
 	chain := s.chain(spec, p)
-	limit := s.longestWait(objective, chain)
+	limit := s.longestWait(objective, chain, p.Priority)
 	for i := range spec.Steps {
 		st := &spec.Steps[i]
 		n := s.need(p, st, "")
@@ -150,11 +151,20 @@
 }
 
 // longestWait is the longest predicted wait with which a job is accepted.
-func (s *Shard) longestWait(objective, chain time.Duration) time.Duration {
+func (s *Shard) longestWait(objective, chain time.Duration, priority int) time.Duration {
 	share := time.Duration(s.bounds.AimShare * float64(objective))
-	return max(share-chain, time.Duration(minSlackShare*float64(objective-chain)), minWait)
+	wait := max(share-chain, time.Duration(minSlackShare*float64(objective-chain)))
+	return max(time.Duration(math.Pow(priorityShare, float64(priority))*float64(wait)), minWait)
 }
 
+// priorityShare of the wait that a job of one priority is accepted with is what
+// the next lower priority gets. The less urgent are refused first when the workers
+// fill up: otherwise the queues settle at the wait that the largest class bears,
+// and short urgent jobs find no room in time. Measured in coordination/load, under
+// 115 % of load with 8 entries and 51 agents: 66 % of the most urgent jobs ended in
+// time without it, 80 % with 0.8. With 0.5 the others lose more than these gain.
+const priorityShare = 0.8
+
 // minWait is allowed in any case: the prediction is no finer than that, and a
 // queue that allows its jobs no slack would refuse them all.
 const minWait = 10 * time.Millisecond
--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -89,6 +89,8 @@
 	// enrolled is set once this life has a number; no call goes to the backend
 	// server before.
 	enrolled atomic.Bool
+	// placers is the number of callers that place work here.
+	placers atomic.Int32
 	// unclaimed is set while links came up whose agents were not claimed.
 	unclaimed atomic.Bool
 
--- a/daemon/core/news.go
+++ b/daemon/core/news.go
@@ -97,6 +97,7 @@
 	f.Load = wire.LoadToWire(&l)
 	f.Load.Domain = a.settings.Zone
 	f.Load.OrdersSeen = seen
+	f.Load.Placers = a.placers.Load()
 	if n := a.newsFor(c); n != nil && n.told(now, levelOf(&l)) {
 		f.Owned, f.OwnedValid = a.ownership(), true
 	}
@@ -113,6 +114,7 @@
 			placers++
 		}
 	}
+	a.placers.Store(int32(placers))
 	for c, n := range all {
 		if n.places(now) && n.due(now, level, time.Duration(placers)*spreadCost) {
 			c.Send(nothing)
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -109,7 +109,7 @@
 		Backlog:  time.Duration(p.GetBacklogUs()) * time.Microsecond,
 		Turnover: time.Duration(p.GetTurnoverUs()) * time.Microsecond,
 		Slowdown: p.GetSlowdown(), Domain: p.GetDomain(),
-		Accepts: p.GetAccepts(), Seen: p.GetOrdersSeen(),
+		Accepts: p.GetAccepts(), Seen: p.GetOrdersSeen(), Placers: int(p.GetPlacers()),
 	}
 	for i, us := range p.GetAheadUs() {
 		if i < len(out.Ahead) {
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -54,6 +54,12 @@
 	return Demand{d.CPUMillis - o.CPUMillis, d.MemoryMB - o.MemoryMB, d.GPUs - o.GPUs}
 }
 
+// Times returns a multiple of the demand.
+func (d Demand) Times(n float64) Demand {
+	times := func(v int64) int64 { return int64(n * float64(v)) }
+	return Demand{times(d.CPUMillis), times(d.MemoryMB), times(d.GPUs)}
+}
+
 // Fits reports whether the demand fits into room in each dimension.
 func (d Demand) Fits(room Demand) bool {
 	return d.CPUMillis <= room.CPUMillis && d.MemoryMB <= room.MemoryMB && d.GPUs <= room.GPUs
