--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -167,51 +166,6 @@
 	return out
 }
 
-// placement is the choice of an agent for one task.
-type placement struct {
-	node   string
-	wait   time.Duration
-	finish time.Duration
-}
-
-// Place chooses the agent on which a task ends first, among those that may have
-// it, and books it there.
-func (f *Fleet) Place(n Need, may func(node string) bool) (string, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	p, ok := f.chooseLocked(n, may)
-	if !ok {
-		return "", false
-	}
-	f.agents[p.node].book(n)
-	return p.node, true
-}
-
-// Predict estimates when the last of a number of equal tasks would end if they
-// were placed now. It is false when no agent is eligible.
-func (f *Fleet) Predict(n Need, tasks int, may func(node string) bool) (time.Duration, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var finish time.Duration
-	booked := make([]*agentView, 0, tasks)
-	defer func() {
-		for _, v := range booked {
-			v.unbook()
-		}
-	}()
-	for range tasks {
-		p, ok := f.chooseLocked(n, may)
-		if !ok {
-			return 0, false
-		}
-		finish = max(finish, p.finish)
-		v := f.agents[p.node]
-		v.book(n)
-		booked = append(booked, v)
-	}
-	return finish, true
-}
-
 // Sent notes an order that was not placed here: one that repeats an earlier
 // one for an agent that is new.
 func (f *Fleet) Sent(node string) {
@@ -225,112 +179,3 @@
 func coreTime(n Need) time.Duration {
 	return n.Estimate * time.Duration(n.Demand.CPUMillis) / 1000
 }
-
-func (f *Fleet) chooseLocked(n Need, may func(node string) bool) (placement, bool) {
-	var best placement
-	found := false
-	for node, v := range f.agents {
-		if !v.load.Accepts || !v.load.eligible(n) || !may(node) {
-			continue
-		}
-		p := f.predictLocked(node, v, n)
-		if node == n.Avoid || n.Now-v.heard > staleLoad {
-			p.finish += lastResort
-		}
-		if !found || p.finish < best.finish {
-			best, found = p, true
-		}
-	}
-	return best, found
-}
-
-func (l *AgentLoad) eligible(n Need) bool {
-	if l.Service != n.Service || !n.Demand.Fits(l.Capacity) {
-		return false
-	}
-	if len(n.Domains) > 0 && !slices.Contains(n.Domains, l.Domain) {
-		return false
-	}
-	return n.Label == "" || slices.Contains(l.Labels, n.Label)
-}
-
-const (
-	// staleLoad is the age of an agent's news from which on it gets nothing
-	// while others have room: it says something every 150 ms, and a host that
-	// went dark costs each task sent to it the time until its link is given up.
-	staleLoad = 320 * time.Millisecond
-	// lastResort puts an agent behind all others.
-	lastResort = time.Minute
-)
-
-// spread is the largest random advantage of an agent. Owners see loads that are
-// some milliseconds old; without it all of them would pick the same agent.
-const spread = 3 * time.Millisecond
-
-// predictLocked estimates how long a task would wait at an agent and when it
-// would end. Among agents with room the emptiest is a little ahead, so that
-// work spreads before anything has to wait.
-func (f *Fleet) predictLocked(node string, v *agentView, n Need) placement {
-	taken, work := v.bookedLocked(n.Now)
-	free := v.load.Free.Minus(taken)
-	run := time.Duration(float64(n.Estimate) * max(1, v.load.Slowdown))
-	if n.Rack != "" && !slices.Contains(v.load.Labels, n.Rack) {
-		run = time.Duration(float64(run) * f.remoteFactor)
-	}
-	p := placement{node: node}
-	cores := max(v.load.Capacity.CPUMillis, 1)
-	before := v.load.before(n.Slack)
-	if before > 0 || !n.Demand.Fits(free) {
-		p.wait = (before+work)*1000/time.Duration(cores) + v.load.Turnover
-	}
-	p.finish += v.excess(n, work, cores)
-	used := float64(cores-free.CPUMillis) / float64(cores)
-	p.finish += p.wait + run + time.Duration(used*float64(spread)) + rand.N(spread)
-	return p
-}
-
-// alike is the part of the processes that place work at an agent which are taken
-// to have chosen it whenever this one did, since its last news. Eight of them that
-// each see only their own orders promise the same room several times over. Measured
-// in coordination/load, under 115 % of load with 8 entries and 51 agents: 77 % of the
-// worth served without it, 83 % with 0.4, and late jobs fall to a third. More of it
-// costs where room is left: with 1.0, three entries at 90 % of load serve 3 % less.
-const alike = 0.4
-
-// bookedLocked is what is taken to be under way to an agent beyond its last news. The
-// tasks of one job are placed at one time, and no other process has that job.
-func (v *agentView) bookedLocked(now time.Duration) (taken job.Demand, work time.Duration) {
-	others := max(1, alike*float64(v.load.Placers))
-	for i := range v.pending {
-		p := &v.pending[i]
-		times := others
-		if p.at == now {
-			times = 1
-		}
-		taken = taken.Plus(p.demand.Times(times))
-		work += time.Duration(times * float64(p.work))
-	}
-	return taken, work
-}
-
-// excess is by how much the waiting work with more slack than a task's would
-// come too late if the task were put before it. Without it a stream of urgent
-// tasks is let in that each are in time, and all others are accepted in vain.
-func (v *agentView) excess(n Need, booked time.Duration, cores int64) time.Duration {
-	if n.Slack <= 0 {
-		return 0
-	}
-	var most time.Duration
-	for i, edge := range worker.Bands {
-		if edge < n.Slack || v.load.Ahead[i] == 0 {
-			continue
-		}
-		start := (v.load.Ahead[i] + booked) * 1000 / time.Duration(cores)
-		most = max(most, start-time.Duration(usable*float64(edge)))
-	}
-	return most
-}
-
-// usable is the part of the time until a task must start that may be promised
-// to work before it; more urgent work goes on coming in.
-const usable = 0.8
--- /dev/null
+++ b/coordination/worker/loss.go
@@ -0,0 +1,44 @@
+package worker
+
+import "time"
+
+// silentHolds is how many holds in a row go without an answer before nothing is
+// sent to a backend server. In some troubles three answers in ten are lost: given
+// up at the second, such a server would be emptied about once a second, at the
+// fourth once in ten. Holds after the first follow quickly, so that a server that
+// is gone is given up after about as long as two usual ones take.
+const silentHolds = 4
+
+// lossMemory is how long after a hold without an answer others are expected: a
+// dozen holds, of which one more is missing if one in ten is.
+const lossMemory = time.Second
+
+func (w *Worker) lossyLocked(now time.Duration) bool {
+	return w.misses > 0 || w.missedAt > 0 && now-w.missedAt < lossMemory
+}
+
+// HoldFailed takes in a hold without an answer of this instance.
+func (w *Worker) HoldFailed(now time.Duration, c HoldCall, why HoldFailure) Effects {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var fx Effects
+	if c.Instance != w.server.Instance {
+		return fx
+	}
+	if why == OtherInstance {
+		w.resetLocked(&fx)
+		w.seen = false
+		return fx
+	}
+	if why == NotSent && c.before != 0 {
+		w.grantedEnd = min(w.grantedEnd, c.before)
+	}
+	w.misses++
+	w.missedAt = now
+	if why == NotSent || w.misses >= silentHolds {
+		w.failing = true
+		w.returnWaitingLocked(&fx, "server_silent")
+	}
+	w.tickLocked(now, &fx)
+	return fx
+}
--- a/daemon/core/steps.go
+++ b/daemon/core/steps.go
@@ -11,7 +11,6 @@
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
-	"github.com/shallotstep/shallotstep/transport/peer"
 )
 
 // steps drives the machine of one shard: it runs its steps one at a time and
@@ -116,17 +115,3 @@
 	e := worker.Event{Shard: int(p.GetShard()), Epoch: p.GetEpoch(), State: wire.RunStateFromWire(p.GetRun())}
 	r.step(func(now time.Duration) owner.Effects { return r.Event(now, node, e) })
 }
-
-// send adds to the next frame for an agent, if its link is up.
-func (l *linkSet) send(node string, fill func(*corepb.ToAgent)) {
-	if link, ok := l.get(node).(*peer.Link); ok {
-		link.Send(fill)
-	}
-}
-
-// sendQuietly is send for what may wait for a frame that goes out anyway.
-func (l *linkSet) sendQuietly(node string, fill func(*corepb.ToAgent)) {
-	if link, ok := l.get(node).(*peer.Link); ok {
-		link.SendQuietly(fill)
-	}
-}
