--- a/coordination/load/load_test.go
+++ b/coordination/load/load_test.go
@@ -57,7 +57,7 @@
 	t.Logf("load 1.15: served %.3f, %+v", served, sum)
 	is.True(served > 0.8) // 0.77 before
 	for _, c := range sum {
-		is.True(float64(c.tooLate) < 0.06*float64(c.asked)) // 0.10 of the short ones before
+		is.True(float64(c.tooLate) < 0.01*float64(c.asked)) // 0.10 of the short ones before
 	}
 }
 
--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -65,9 +65,6 @@
 	work := r.order.Estimate * time.Duration(r.order.Demand.CPUMillis) / 1000
 	l.Waiting++
 	l.Backlog += work
-	if r.late(now) {
-		return
-	}
 	slack := r.order.latestStart() - now
 	for i, edge := range Bands {
 		if slack <= edge {
--- a/coordination/worker/pump.go
+++ b/coordination/worker/pump.go
@@ -35,7 +35,7 @@
 		// with its claim, or it is stopped when the owner stays silent.
 		return
 	}
-	for _, r := range w.waitingLocked(now) {
+	for _, r := range w.waitingLocked() {
 		if !r.order.Demand.Fits(w.server.Capacity.Minus(used)) {
 			// Later and smaller orders don't overtake: a wide one would starve.
 			return
@@ -53,9 +53,13 @@
 }
 
 // waitingLocked returns the waiting orders, most urgent first: by when they
-// should have ended, less their run time. Orders that are late anyway come
-// after those that can still be in time, which would be made late as well.
-func (w *Worker) waitingLocked(now time.Duration) []*run {
+// should have ended, less their run time. Orders that are late keep their place.
+// Behind those that can still be in time they would wait until the worker runs
+// empty, on a full one for seconds, and their jobs, whose other tasks are done
+// already, would be given up: measured in coordination/load under 115 % of load, 4
+// in 100 of the short jobs. The owners' admission keeps the queues so short that
+// late orders make few others late.
+func (w *Worker) waitingLocked() []*run {
 	var out []*run
 	for _, r := range w.runs {
 		if r.phase == waiting {
@@ -63,12 +67,6 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *run) int {
-		if x, y := a.late(now), b.late(now); x != y {
-			if x {
-				return 1
-			}
-			return -1
-		}
 		if x, y := a.order.latestStart(), b.order.latestStart(); x != y {
 			return int(x - y)
 		}
@@ -79,8 +77,6 @@
 
 func (o *Order) latestStart() time.Duration { return o.Due - o.Estimate }
 
-func (r *run) late(now time.Duration) bool { return now > r.order.latestStart() }
-
 func (w *Worker) startLocked(now time.Duration, fx *Effects, r *run) {
 	r.phase = starting
 	r.deadline = w.grantLocked(now)
--- a/coordination/worker/worker_test.go
+++ b/coordination/worker/worker_test.go
@@ -129,6 +129,28 @@
 	f.is.Equal(len(fx.Starts), 1)
 }
 
+// A worker is full, and an order waits until it is late. Orders that can still be in
+// time keep coming. Put behind them all, it would wait for seconds, and the client of
+// its job, whose other tasks are done, would leave with nothing.
+func TestLateOrderIsNotStarved(t *testing.T) {
+	f := newFixture(t)
+	f.send(f.order(0))
+	f.send(f.order(1))
+	late := f.order(2)
+	late.Due = f.now + 150*time.Millisecond
+	f.send(late) // has to wait
+	for n := 3; n < 8; n++ {
+		f.pass(100 * time.Millisecond)
+		f.Heard(f.now, "owner-"+strconv.Itoa(private))
+		f.send(f.order(n)) // in time for a second
+	}
+	f.end(f.order(0).Run, job.Done)
+	c, _ := f.Hold(f.now)
+	fx := f.take(f.Held(f.now, c, Holding{ClockMS: f.clock, Active: []Listed{{Run: f.order(1).Run}}, Ends: f.ends}))
+	f.is.Equal(len(fx.Starts), 1)
+	f.is.Equal(fx.Starts[0].Run, late.Run)
+}
+
 // A start gets no answer and is carried out two seconds later. Its owner sees
 // the task started elsewhere only once the run is barred here: if the room were
 // given away at the time-out, the late start would put the backend server over
