Soak the real programs under faults from outside

A seed starts two entries and four agents as processes, with stand-ins of the store and of backend servers, and relays before every store, link and backend server. Eight clients that keep their connections send recorded and best-effort jobs; three series of troubles kill, stop, freeze, reload and restart processes, cut (also one way), delay and reset connections, and have the store and the servers misbehave. Checked: an accepted job is known, ends, and keeps its end; a refused one starts nothing; a complete one has had all its tasks started; no task runs twice at a time or after its acknowledged end (best-effort jobs: not twice at a time, the platform's rule for them); nothing runs on; no process ends by itself.

Without clocks that misbehave: the stand-ins' clocks run true.

--- a/daemon/core/enrol.go
+++ b/daemon/core/enrol.go
@@ -32,7 +32,7 @@
 }
 
 func (a *Agent) registration(server *knownServer) registration {
-	return registration{Links: a.settings.Listen.Links, Member: a.member, Zone: a.settings.Zone, Server: server}
+	return registration{Links: a.settings.Listen.LinksAddress(), Member: a.member, Zone: a.settings.Zone, Server: server}
 }
 
 // resume goes on with the backend server that the earlier life knew, if that
--- /dev/null
+++ b/soak/clients_test.go
@@ -0,0 +1,188 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// effortPrefix begins the IDs of best-effort jobs. For these the platform
+	// rules out two runs of a task at a time, and no more.
+	effortPrefix = "e"
+	// resendAfter is the platform's pause before a job without an answer is sent
+	// again, tries how often that is done here.
+	resendAfter = 1300 * time.Millisecond
+	tries       = 4
+	// clientPatience bounds one call: above the time limit that it names.
+	clientPatience = 4 * time.Second
+	timeLimit      = "2500"
+)
+
+// request is a job as its client sees it.
+type request struct {
+	id     string
+	body   string
+	effort bool
+	steps  []int
+
+	// accepted is set by the first 2xx, refused while every answer so far was a
+	// refusal, cancelled once a cancellation was sent.
+	accepted, refused, cancelled bool
+	shown                        string
+}
+
+// clients send jobs until they are stopped, and keep their connections.
+type clients struct {
+	w    *world
+	http *http.Client
+
+	mu   sync.Mutex
+	jobs []*request // guarded by mu
+}
+
+func newClients(w *world) *clients {
+	return &clients{w: w, http: &http.Client{Timeout: clientPatience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+}
+
+// run is one client: it sends one job after the other.
+func (c *clients) run(number int, stop <-chan struct{}) {
+	random := c.w.random(uint64(1000 + number))
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
+		}
+		r := newRequest(random, number, n)
+		c.mu.Lock()
+		c.jobs = append(c.jobs, r)
+		c.mu.Unlock()
+		c.submit(random, r)
+		if r.accepted && !r.effort {
+			c.follow(random, r)
+		}
+	}
+}
+
+func newRequest(random *rand.Rand, client, n int) *request {
+	r := &request{id: fmt.Sprintf("%016x", client<<32|n+1), effort: random.IntN(2) == 0, refused: true}
+	if r.effort {
+		r.id = effortPrefix + r.id[1:]
+	}
+	var steps []string
+	for i := range 1 + random.IntN(2) {
+		count := 1 + random.IntN(4)
+		r.steps = append(r.steps, count)
+		depends := ""
+		if i > 0 {
+			depends = `,"depends_on":[0]`
+		}
+		steps = append(steps, fmt.Sprintf(`{"count":%d,"cpu_millis":%d,"mem_mb":64,"estimate_ms":100%s}`, count, 200+random.IntN(600), depends))
+	}
+	r.body = fmt.Sprintf(`{"spec":"%d","best_effort":%v,"steps":[%s]}`, 5+random.IntN(250), r.effort, strings.Join(steps, ","))
+	return r
+}
+
+// submit sends a job, and again after no answer, to any entry.
+func (c *clients) submit(random *rand.Rand, r *request) {
+	for range tries {
+		status, state := c.call(random, http.MethodPost, r.id, r.body)
+		switch status {
+		case http.StatusOK:
+			r.accepted, r.refused = true, false
+			c.see(r, state)
+			return
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+			return
+		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+			r.refused = false
+			time.Sleep(resendAfter)
+		default:
+			c.w.fault("%s: a submission was answered %d", r.id, status)
+			return
+		}
+	}
+}
+
+// follow asks for an accepted job some times, and cancels a few.
+func (c *clients) follow(random *rand.Rand, r *request) {
+	for range random.IntN(4) {
+		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+		if random.IntN(12) == 0 {
+			r.cancelled = true
+			c.call(random, http.MethodDelete, r.id, "")
+			continue
+		}
+		c.look(random, r)
+	}
+}
+
+// look asks for a job's state. It reports whether that is final.
+func (c *clients) look(random *rand.Rand, r *request) bool {
+	status, state := c.call(random, http.MethodGet, r.id, "")
+	switch status {
+	case http.StatusOK:
+		c.see(r, state)
+	case http.StatusGone:
+		c.w.fault("%s: accepted, and then said to be unknown", r.id)
+		r.shown = "unknown"
+	case http.StatusNotFound:
+		c.w.fault("%s: its queue was said to be unknown", r.id)
+	}
+	return final(r.shown)
+}
+
+func final(state string) bool {
+	return state == "completed" || state == "failed" || state == "cancelled" || state == "unknown"
+}
+
+// see checks a state against what was shown before.
+func (c *clients) see(r *request, state string) {
+	if final(r.shown) && state != r.shown {
+		c.w.fault("%s: shown as %s, and then as %s", r.id, r.shown, state)
+	}
+	c.w.mu.Lock()
+	failing := c.w.failing
+	c.w.mu.Unlock()
+	if state == "failed" && !failing {
+		c.w.fault("%s: failed, and no backend server fails its runs", r.id)
+	}
+	if state == "cancelled" && !r.cancelled {
+		c.w.fault("%s: cancelled by nobody", r.id)
+	}
+	r.shown = state
+}
+
+// call sends a request to some entry. The status is zero for no answer.
+func (c *clients) call(random *rand.Rand, method, id, body string) (int, string) {
+	front := c.w.fronts[random.IntN(len(c.w.fronts))]
+	req, err := http.NewRequest(method, "http://"+front+"/q/"+id, strings.NewReader(body))
+	if err != nil {
+		c.w.fault("%s: %v", id, err)
+		return 0, ""
+	}
+	req.Host = "desk.example"
+	req.Header.Set("Shallotstep-Deadline-Ms", timeLimit)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, "" // no answer is one of the outcomes
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	var out struct {
+		State string `json:"state"`
+	}
+	if err := json.Unmarshal(b, &out); err != nil {
+		c.w.fault("%s: %s was answered %d with %.100q", id, method, resp.StatusCode, b)
+	}
+	return resp.StatusCode, out.State
+}
--- /dev/null
+++ b/soak/faults_test.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/shallotstep/shallotstep/platform/standin"
+)
+
+// trouble is one fault: it begins, lasts and ends. Several run at a time.
+type trouble struct {
+	name string
+	do   func(w *world, random *rand.Rand, last func(least, most int))
+}
+
+func pick[T any](random *rand.Rand, from []T) T { return from[random.IntN(len(from))] }
+
+// troubles is all that may happen. last waits for some milliseconds within bounds.
+var troubles = []trouble{
+	{"kill", func(w *world, random *rand.Rand, last func(int, int)) {
+		p := pick(random, w.processes())
+		p.kill()
+		last(50, 2500)
+		p.start()
+	}},
+	{"kill several", func(w *world, random *rand.Rand, last func(int, int)) {
+		for _, p := range w.processes() {
+			if random.IntN(3) > 0 {
+				p.kill()
+			}
+		}
+		last(50, 1500)
+		for _, p := range w.processes() {
+			p.start()
+		}
+	}},
+	{"planned stop", func(w *world, random *rand.Rand, last func(int, int)) {
+		p := pick(random, w.processes())
+		p.signal(syscall.SIGTERM)
+		if !p.wait(10 * time.Second) {
+			p.kill() // it may be frozen by another trouble
+		}
+		last(0, 500)
+		p.start()
+	}},
+	{"freeze", func(w *world, random *rand.Rand, last func(int, int)) {
+		p := pick(random, w.processes())
+		p.signal(syscall.SIGSTOP)
+		last(100, 4000)
+		p.signal(syscall.SIGCONT)
+	}},
+	{"reload", func(w *world, random *rand.Rand, last func(int, int)) {
+		pick(random, w.processes()).signal(syscall.SIGHUP)
+		last(50, 100)
+	}},
+	{"cut", func(w *world, random *rand.Rand, last func(int, int)) {
+		r := pick(random, w.relays)
+		r.set(pick(random, []way{silent, forthLost, backLost}), 0)
+		last(200, 4000)
+		r.set(pass, 0)
+		r.reset() // the bytes that were dropped would be missing in the streams
+	}},
+	{"delay", func(w *world, random *rand.Rand, last func(int, int)) {
+		r := pick(random, w.relays)
+		r.set(pass, time.Duration(1+random.IntN(60))*time.Millisecond)
+		last(200, 3000)
+		r.set(pass, 0)
+	}},
+	{"reset", func(w *world, random *rand.Rand, last func(int, int)) {
+		for _, r := range w.relays {
+			if random.IntN(3) == 0 {
+				r.reset()
+			}
+		}
+		last(50, 200)
+	}},
+	{"store for one", func(w *world, random *rand.Rand, last func(int, int)) {
+		p := pick(random, w.processes())
+		w.store.Fail(p.name, pick(random, []standin.Fault{standin.Busy, standin.Silent, standin.Lost}))
+		last(200, 5000)
+		w.store.Fail(p.name, standin.None)
+	}},
+	{"store for all", func(w *world, random *rand.Rand, last func(int, int)) {
+		fault := pick(random, []standin.Fault{standin.Busy, standin.Silent, standin.Lost})
+		for _, p := range w.processes() {
+			w.store.Fail(p.name, fault)
+		}
+		last(200, 3000)
+		for _, p := range w.processes() {
+			w.store.Fail(p.name, standin.None)
+		}
+	}},
+	{"history dropped", func(w *world, random *rand.Rand, last func(int, int)) {
+		for _, topic := range []string{"keyed.jobs0", "keyed.agents", "keyed.op"} {
+			w.store.DropHistory(topic)
+		}
+		last(50, 200)
+	}},
+	{"dealt anew", func(w *world, random *rand.Rand, last func(int, int)) {
+		w.store.DealAnew()
+		last(50, 500)
+	}},
+	{"configuration", func(w *world, random *rand.Rand, last func(int, int)) {
+		for range 1 + random.IntN(5) {
+			w.configure()
+			last(50, 300)
+		}
+	}},
+	{"server crashes", func(w *world, random *rand.Rand, last func(int, int)) {
+		pick(random, w.agents).newServer()
+		last(50, 500)
+	}},
+	{"server loses answers", func(w *world, random *rand.Rand, last func(int, int)) {
+		a := pick(random, w.agents)
+		a.serverDo(func(e *standin.Executor) { e.LoseStarts(true) })
+		last(200, 2000)
+		a.serverDo(func(e *standin.Executor) { e.LoseStarts(false) })
+	}},
+	{"server starts late", func(w *world, random *rand.Rand, last func(int, int)) {
+		a := pick(random, w.agents)
+		late := time.Duration(500+random.IntN(4000)) * time.Millisecond
+		a.serverDo(func(e *standin.Executor) { e.DelayStarts(late) })
+		last(200, 2000)
+		a.serverDo(func(e *standin.Executor) { e.DelayStarts(0) })
+	}},
+	{"server fails all", func(w *world, random *rand.Rand, last func(int, int)) {
+		w.mu.Lock()
+		w.failing = true
+		w.mu.Unlock()
+		a := pick(random, w.agents)
+		a.serverDo(func(e *standin.Executor) { e.FailAll(true) })
+		last(200, 2000)
+		a.serverDo(func(e *standin.Executor) { e.FailAll(false) })
+	}},
+}
+
+// trouble brings one fault after the other about until it is stopped.
+func (w *world) trouble(series uint64, stop <-chan struct{}) {
+	random := w.random(series)
+	last := func(least, most int) { time.Sleep(time.Duration(least+random.IntN(most-least)) * time.Millisecond) }
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		t := pick(random, troubles)
+		began := time.Now()
+		t.do(w, random, last)
+		w.t.Logf("%s %d: %s for %v", began.Format("15:04:05.000"), series, t.name, time.Since(began).Round(time.Millisecond))
+		last(50, 800)
+	}
+}
--- /dev/null
+++ b/soak/relay_test.go
@@ -0,0 +1,159 @@
+package soak
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// way is what a relay does with what it is given.
+type way int
+
+const (
+	// pass hands it on.
+	pass way = iota
+	// silent drops it both ways; connections stay open.
+	silent
+	// forthLost drops what goes to the target only.
+	forthLost
+	// backLost drops what comes from the target only.
+	backLost
+)
+
+// relay stands between a process and what it connects to.
+type relay struct {
+	listener net.Listener
+
+	mu sync.Mutex
+	// All fields below are guarded by mu.
+
+	target string
+	way    way
+	delay  time.Duration
+	conns  map[net.Conn]bool
+	closed bool
+}
+
+func newRelay(addr, target string) (*relay, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{listener: l, target: target, conns: make(map[net.Conn]bool)}
+	go r.accept()
+	return r, nil
+}
+
+func (r *relay) addr() string { return r.listener.Addr().String() }
+
+func (r *relay) accept() {
+	for {
+		in, err := r.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			go r.serve(in)
+		}
+	}
+}
+
+func (r *relay) serve(in net.Conn) {
+	r.mu.Lock()
+	target := r.target
+	r.mu.Unlock()
+	out, err := net.Dial("tcp", target)
+	if err != nil || !r.add(in, out) {
+		closeConn(in)
+		if err == nil {
+			closeConn(out)
+		}
+		return
+	}
+	go r.copy(out, in, forthLost)
+	r.copy(in, out, backLost)
+}
+
+func (r *relay) add(conns ...net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		r.conns[c] = true
+	}
+	return !r.closed
+}
+
+// copy hands on in one direction; lost is the way that drops just that.
+func (r *relay) copy(to, from net.Conn, lost way) {
+	defer r.drop(to, from)
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		way, delay := r.way, r.delay
+		r.mu.Unlock()
+		if delay > 0 {
+			time.Sleep(delay)
+		}
+		if way == silent || way == lost {
+			continue
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (r *relay) drop(conns ...net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		delete(r.conns, c)
+		closeConn(c)
+	}
+}
+
+// closeConn ends a connection; its peer sees that, and nobody else needs to know.
+func closeConn(c net.Conn) { _ = c.Close() }
+
+// reset ends all connections with a reset.
+func (r *relay) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // it is closed all the same
+		}
+		closeConn(c)
+	}
+	clear(r.conns)
+}
+
+func (r *relay) set(w way, delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.way, r.delay = w, delay
+}
+
+// lead has new connections go elsewhere, and ends the others.
+func (r *relay) lead(target string) {
+	r.mu.Lock()
+	r.target = target
+	r.mu.Unlock()
+	r.reset()
+}
+
+func (r *relay) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	closeListener(r.listener)
+	r.reset()
+}
+
+// closeListener ends a listener, whose accepting goroutine sees it.
+func closeListener(l net.Listener) { _ = l.Close() }
--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,268 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shallotstep/shallotstep/platform/standin"
+)
+
+// partitions is what the stand-in of the store shares out of each topic.
+const partitions = 4
+
+// routes is a configuration. The second route comes and goes.
+const routes = `{"version":%d,"routes":[{"name":"quotes","host":"desk.example","path_prefix":"/q/","timeout_ms":%d,
+"target_latency_ms":60,"priority":0,"service":"desk","max_attempts":3,"slack_factor":1.6}%s],"limits":{"max_body_bytes":262144}}`
+
+// world is one system with its surroundings.
+type world struct {
+	t      *testing.T
+	seed   uint64
+	dir    string
+	store  *standin.Store
+	ledger *standin.Ledger
+	agents []*agent
+	// entries are the entries' processes, fronts where their clients connect.
+	entries []*process
+	fronts  []string
+	relays  []*relay
+
+	mu sync.Mutex
+	// All fields below are guarded by mu.
+
+	faults  []string
+	version int
+	// failing is set once backend servers were told to fail all runs.
+	failing bool
+}
+
+// agent is an agent's process with the backend server beside it.
+type agent struct {
+	*process
+	w       *world
+	reports string
+	// server is the way to the backend server, links that to the agent.
+	server, links *relay
+
+	mu sync.Mutex
+	// All fields below are guarded by mu.
+
+	executor *standin.Executor
+	life     int
+}
+
+// fault notes what must not have happened.
+func (w *world) fault(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+func newWorld(t *testing.T, seed uint64, entries, agents int) *world {
+	t.Helper()
+	w := &world{t: t, seed: seed, dir: keepDir(t, seed), store: standin.NewStore(), ledger: standin.NewLedger()}
+	t.Cleanup(w.end)
+	w.configure()
+	for i := range agents {
+		w.agents = append(w.agents, w.newAgent(fmt.Sprintf("agent-%d", i)))
+	}
+	for i := range entries {
+		w.newEntry(fmt.Sprintf("entry-%d", i))
+	}
+	for _, p := range w.processes() {
+		p.start()
+	}
+	return w
+}
+
+// keepDir is a directory whose logs stay if the test fails.
+func keepDir(t *testing.T, seed uint64) string {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("the processes' logs are in %s", dir)
+			return
+		}
+		if err := os.RemoveAll(dir); err != nil {
+			t.Log(err)
+		}
+	})
+	return dir
+}
+
+func (w *world) processes() []*process {
+	out := append([]*process{}, w.entries...)
+	for _, a := range w.agents {
+		out = append(out, a.process)
+	}
+	return out
+}
+
+// hosts numbers the loopback addresses in use. A process's ports stay free while it
+// is away, since no outgoing connection is given a port of its address.
+var hosts atomic.Int32
+
+func address(t *testing.T) string {
+	t.Helper()
+	host := hosts.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%250, 1+host/250, 1+host%250))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeListener(l)
+	return l.Addr().String()
+}
+
+// relayTo puts a relay before an address.
+func (w *world) relayTo(target string) *relay {
+	w.t.Helper()
+	r, err := newRelay("127.0.0.1:0", target)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.relays = append(w.relays, r)
+	return r
+}
+
+// settings fills in what all processes have. Each reaches the store at an address,
+// and through a relay, of its own.
+func (w *world) settings(role, name, listen, server string) string {
+	w.t.Helper()
+	addr, err := w.store.Listen(name)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return fmt.Sprintf(`{
+"role": %q, "name": %q, "zone": "jeonju", "listen": {%s}, "server": {"address": %q},
+"store": {"address": %q, "writes_per_second": 800, "topics": 1, "partitions": %d, "min_ttl": "1s"},
+"bounds": {"lease": "1s", "grace": "6s", "retention": "2m", "remote_factor": 1.5},
+"limits": {"memory_mb": 152},
+}`, role, name, listen, server, w.relayTo(addr).addr(), partitions)
+}
+
+func (w *world) newAgent(name string) *agent {
+	a := &agent{w: w, reports: address(w.t)}
+	links := address(w.t)
+	a.links = w.relayTo(links)
+	a.server = w.relayTo("127.0.0.1:1") // until there is one
+	listen := fmt.Sprintf(`"reports": %q, "links": %q, "links_announced": %q`, a.reports, links, a.links.addr())
+	a.process = newProcess(w.t, w.dir, name, w.settings("agent", name, listen, a.server.addr()))
+	a.newServer()
+	return a
+}
+
+// newServer replaces the backend server beside an agent by another instance.
+func (a *agent) newServer() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.executor != nil {
+		a.executor.Close()
+	}
+	a.life++
+	e, err := standin.NewExecutor(standin.Server{
+		Instance: fmt.Sprintf("i-%s-%d", a.name, a.life), Service: "desk", Labels: []string{"a"}, CPUMillis: 4000, MemoryMB: 4096,
+	}, a.w.ledger)
+	if err != nil {
+		a.w.t.Error(err)
+		return
+	}
+	a.executor = e
+	a.server.lead(e.Addr())
+	e.ReportTo(a.reports)
+}
+
+// serverDo does something to the present backend server.
+func (a *agent) serverDo(f func(*standin.Executor)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f(a.executor)
+}
+
+func (w *world) newEntry(name string) {
+	front := address(w.t)
+	listen := fmt.Sprintf(`"clients": %q, "ready": %q`, front, address(w.t))
+	w.entries = append(w.entries, newProcess(w.t, w.dir, name, w.settings("entry", name, listen, "")))
+	w.fronts = append(w.fronts, front)
+}
+
+// configure writes the next version of the configuration.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	other := ""
+	if w.version%2 == 0 {
+		other = `,{"name":"other","host":"other.example","path_prefix":"/o/","timeout_ms":1500,"service":"desk","max_attempts":1,"slack_factor":2}`
+	}
+	w.store.Put("keyed.op", "config", fmt.Appendf(nil, routes, w.version, 1500+w.version, other))
+}
+
+func (w *world) end() {
+	for _, p := range w.processes() {
+		p.kill()
+	}
+	for _, a := range w.agents {
+		a.serverDo((*standin.Executor).Close)
+	}
+	for _, r := range w.relays {
+		r.close()
+	}
+	w.store.Close()
+}
+
+// heal ends all faults and brings every process back.
+func (w *world) heal() {
+	w.store.Fail("", standin.None)
+	for _, r := range w.relays {
+		r.set(pass, 0)
+		r.reset() // what a silent connection swallowed never comes
+	}
+	for _, a := range w.agents {
+		a.serverDo(func(e *standin.Executor) {
+			e.LoseStarts(false)
+			e.DelayStarts(0)
+			e.FailAll(false)
+		})
+	}
+	for _, p := range w.processes() {
+		w.store.Fail(p.name, standin.None)
+	}
+}
+
+// logsOf returns the lines of all processes that name a job.
+func (w *world) logsOf(id string) string {
+	var out strings.Builder
+	files, err := filepath.Glob(filepath.Join(w.dir, "*.log"))
+	if err != nil {
+		return err.Error()
+	}
+	for _, f := range files {
+		b, err := os.ReadFile(f)
+		if err != nil {
+			continue // the directory tells who looks
+		}
+		for line := range strings.Lines(string(b)) {
+			if strings.Contains(line, id) {
+				out.WriteString(strings.TrimSuffix(filepath.Base(f), ".log") + " " + line)
+			}
+		}
+	}
+	return out.String()
+}
+
+// random returns a generator for one part of a seed.
+func (w *world) random(part uint64) *rand.Rand { return rand.New(rand.NewPCG(w.seed, part)) }
+
+// patience bounds waits at the end; nothing is asserted of how long they take.
+const patience = 60 * time.Second
--- a/state/settings/settings.go
+++ b/state/settings/settings.go
@@ -42,7 +42,18 @@
 	// Reports takes the backend server's reports, Links the other processes.
 	Reports string `json:"reports"`
 	Links   string `json:"links"`
-	Metrics string `json:"metrics"`
+	// LinksAnnounced is where other processes reach Links, if that is another
+	// address, as behind a relay.
+	LinksAnnounced string `json:"links_announced"`
+	Metrics        string `json:"metrics"`
+}
+
+// LinksAddress is the address that other processes are told.
+func (l *Listen) LinksAddress() string {
+	if l.LinksAnnounced != "" {
+		return l.LinksAnnounced
+	}
+	return l.Links
 }
 
 // Store describe the platform's store.
