--- a/docs/links_test.go
+++ b/docs/links_test.go
@@ -47,7 +47,7 @@
 // directories are those at the root, sorted. A word that is none of them, such as
 // the reason `internal`, names no path.
 var directories = []string{
-	".ci", "cmd", "coordination", "daemon", "deploy", "docs", "examples", "journal", "platform", "protocol", "state", "tools", "transport",
+	".ci", "cmd", "coordination", "daemon", "deploy", "docs", "examples", "journal", "platform", "protocol", "soak", "state", "tools", "transport",
 }
 
 // alternatives is a pattern that matches each of the names literally.
