--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -109,7 +109,7 @@
 	cores := max(v.load.Capacity.CPUMillis, 1)
 	before := v.load.before(n.Slack)
 	if before > 0 || !n.Demand.Fits(free) {
-		p.wait = (before+v.queued(taken, work))*1000/time.Duration(cores) + v.load.Turnover
+		p.wait = (before+work)*1000/time.Duration(cores) + v.load.Turnover
 	}
 	p.finish += v.excess(n, work, cores)
 	used := float64(cores-free.CPUMillis) / float64(cores)
@@ -141,18 +141,6 @@
 	return taken, work
 }
 
-// queued is the part of what is under way to an agent that its free room can't hold.
-// The rest starts at once and is not waited for. Taken for a queue, orders that have
-// just filled the room make the next job look late, and it is refused beside workers
-// that end a task each 20 ms.
-func (v *agentView) queued(taken job.Demand, work time.Duration) time.Duration {
-	over := taken.CPUMillis - v.load.Free.CPUMillis
-	if over <= 0 {
-		return 0
-	}
-	return time.Duration(float64(work) * min(1, float64(over)/float64(taken.CPUMillis)))
-}
-
 // excess is by how much the waiting work with more slack than a task's would
 // come too late if the task were put before it. Without it a stream of urgent
 // tasks is let in that each are in time, and all others are accepted in vain.
