Keep the wait that the least urgent are given above four tenths

Cause: the project's own interface passes an operator's priority of 1 to 100 on as a queue's, of which 0 comes first. With 0.8 of the wait for each step the default of 50 left nothing, and each job was refused that could not start at once.

Change: at most four steps count, and an operator's priority counts in steps of 25 below the default. The platform's queues have 0 to 2 on the users' sites, for which nothing changes.

--- a/coordination/owner/owner_test.go
+++ b/coordination/owner/owner_test.go
@@ -397,6 +397,26 @@
 	return got
 }
 
+// A worker is full and ends a task in 20 ms. A job of the lowest priority that a scale
+// has may wait that long and be in time, so it is accepted. One that is far less
+// urgent than that is the first to be refused, and still gets four tenths of the wait.
+func TestLeastUrgentJobsAreNotShutOut(t *testing.T) {
+	f := newFixture(t, nil, nil, "a")
+	f.fleet.Update(f.now, "a", AgentLoad{
+		Service: "desk", Capacity: job.Demand{CPUMillis: 16000, MemoryMB: 65536}, Accepts: true, Turnover: 20 * time.Millisecond,
+	})
+	spec := job.Spec{BestEffort: true, Steps: []job.Step{{Count: 1, Demand: job.Demand{CPUMillis: 1000}, Estimate: 200 * time.Millisecond}}}
+	objective := f.objective(&spec, &job.Policy{Slack: 1.6, Target: 60 * time.Millisecond})
+	urgent := f.longestWait(objective, 200*time.Millisecond, 0)
+	f.is.True(f.longestWait(objective, 200*time.Millisecond, 1) < urgent)
+	for _, priority := range []int{4, 50, 1000} {
+		f.is.True(float64(f.longestWait(objective, 200*time.Millisecond, priority)) > 0.4*float64(urgent))
+		p := job.Policy{Queue: "quotes", Service: "desk", Slack: 1.6, Target: 60 * time.Millisecond, Priority: priority}
+		_, ok := f.admitLocked(f.now, &spec, &p)
+		f.is.True(ok)
+	}
+}
+
 // A task that may not be repeated is cut off: with its backend server, with a
 // link whose agent then has nothing of it, or with an agent that is never seen
 // again. Its job fails, for that reason, and nothing of it is started again.
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -154,7 +154,8 @@
 func (s *Shard) longestWait(objective, chain time.Duration, priority int) time.Duration {
 	share := time.Duration(s.bounds.AimShare * float64(objective))
 	wait := max(share-chain, time.Duration(minSlackShare*float64(objective-chain)))
-	return max(time.Duration(math.Pow(priorityShare, float64(priority))*float64(wait)), minWait)
+	steps := min(max(priority, 0), mostPrioritySteps)
+	return max(time.Duration(math.Pow(priorityShare, float64(steps))*float64(wait)), minWait)
 }
 
 // priorityShare of the wait that a job of one priority is accepted with is what
@@ -165,6 +166,11 @@
 // time without it, 80 % with 0.8. With 0.5 the others lose more than these gain.
 const priorityShare = 0.8
 
+// mostPrioritySteps bounds the steps that count, so that four tenths of the wait are
+// left to the least urgent. A scale that goes to 100 would leave them nothing, and
+// they would be refused beside workers that are free in a moment.
+const mostPrioritySteps = 4
+
 // minWait is allowed in any case: the prediction is no finer than that, and a
 // queue that allows its jobs no slack would refuse them all.
 const minWait = 10 * time.Millisecond
--- a/daemon/clients/submission.go
+++ b/daemon/clients/submission.go
@@ -70,7 +70,7 @@
 	}
 	p := job.Policy{
 		Queue: j.Key.Service, Service: j.Key.Service,
-		Priority: declaration.MaxPriority - f.Priority,
+		Priority: stepsBelowDefault(f.Priority),
 		Slack:    1, Target: max(0, deadline-longest),
 		MaxAttempts: 1, Once: true,
 	}
@@ -79,3 +79,13 @@
 	}
 	return p
 }
+
+// priorityStep is how far below the default an operator's priority is one step, of
+// which a queue has a few: the declaration's scale goes from 1 to 100.
+const priorityStep = 25
+
+// stepsBelowDefault returns an operator's priority as a queue's, of which 0 comes
+// first. Operators who declare nothing are not put behind those who do.
+func stepsBelowDefault(operator int) int {
+	return max(0, declaration.DefaultPriority-operator+priorityStep-1) / priorityStep
+}
