Leave out what another writer has written and can't be read

Cause: a report without a state that is known, a service or a capacity was taken for that of a new and empty instance, so all runs of the present one counted as lost and were started again beside themselves. One record of the store that could not be read stopped its reader for good: an agent whose own registration was malformed never registered again. Ruled out: a lenient default for each field, since a default names an executor. Now each is left out with a log line and a counter (malformed_total by kind), and what is known stays.

--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -10,6 +10,7 @@
 
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/store"
+	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/peer"
 )
 
@@ -56,6 +57,7 @@
 	}
 	reg, err := decodeRegistration(r)
 	if err != nil {
+		metrics.Malformed(metrics.KindRegistration)
 		klog.ErrorS(err, "A record of the registry is malformed")
 		return
 	}
--- a/daemon/core/links_test.go
+++ b/daemon/core/links_test.go
@@ -42,12 +42,12 @@
 	a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: 4}}, noStore{}, nil)
 	links, all := newFakeLinks()
 	a.links = links
-	links.apply(registered("b", "addr-b"))
+	links.apply(registered("b", "10.0.0.2:7"))
 	is.Equal(len(all), 0)
 
 	links.open() // as it does when it gets a shard
 	a.shards[1] = &shardRunner{}
-	links.apply(registered("c", "addr-c"))
+	links.apply(registered("c", "10.0.0.3:7"))
 	is.Equal(slices.Sorted(maps.Keys(all)), []string{"b", "c"})
 
 	now := time.Hour
@@ -64,14 +64,14 @@
 func TestLinksGoWhereTheAgentsAreNow(t *testing.T) {
 	is := is.New(t)
 	links, all := newFakeLinks()
-	links.apply(registered("b", "old"))
-	links.apply(registered("c", "addr-c"))
+	links.apply(registered("b", "10.0.0.4:7"))
+	links.apply(registered("c", "10.0.0.3:7"))
 	links.open()
 	links.close()
-	links.apply(registered("b", "new"))
+	links.apply(registered("b", "10.0.0.5:7"))
 	links.apply(store.Record{Key: "c"})
 	links.open()
-	is.Equal(all, dialled{"b": "new"})
-	links.apply(registered("b", "newer"))
-	is.Equal(all, dialled{"b": "newer"})
+	is.Equal(all, dialled{"b": "10.0.0.5:7"})
+	links.apply(registered("b", "10.0.0.6:7"))
+	is.Equal(all, dialled{"b": "10.0.0.6:7"})
 }
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/transport/metrics"
 )
 
 const namespace = "shallotstep"
@@ -50,7 +51,8 @@
 		lookup:   histogram("lookup_seconds", "Questions for a job's state at the entry."),
 	}
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.refusals, m.retries, m.decisions, m.startRefusals, m.repeats, m.append, m.start, m.takeover, m.submit, m.lookup)
+		m.refusals, m.retries, m.decisions, m.startRefusals, m.repeats, m.append, m.start, m.takeover, m.submit, m.lookup,
+		metrics.MalformedCollector())
 	return m
 }
 
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/store"
+	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
@@ -28,6 +30,19 @@
 	// life goes on with it at once, if the same instance answers, instead of
 	// waiting for its next report.
 	Server *knownServer `json:"server,omitempty"`
+	// Owners are those whose orders the agent has taken, and Recorded is set if there
+	// were some for recorded jobs. See worker.Former.
+	Owners   []string `json:"owners,omitempty"`
+	Recorded bool     `json:"recorded,omitempty"`
+}
+
+// former returns the owners of which runs of that life can be; nothing if there may be
+// others, whose runs go on without them.
+func (r *registration) former() []string {
+	if r == nil || r.Recorded {
+		return nil
+	}
+	return r.Owners
 }
 
 // member and server return what a life announced; nothing if there was none.
@@ -146,7 +161,13 @@
 			continue
 		}
 		reg, err := decodeRegistration(r)
-		return &reg, err
+		if err != nil {
+			// As an error it would keep the agent from ever registering again.
+			metrics.Malformed(metrics.KindRegistration)
+			klog.ErrorS(err, "What an earlier life has announced is malformed")
+			return nil, nil
+		}
+		return &reg, nil
 	}
 	return nil, nil
 }
@@ -164,7 +185,16 @@
 
 func decodeRegistration(r store.Record) (registration, error) {
 	var reg registration
-	return reg, errors.Wrapf(json.Unmarshal(r.Value, &reg), "registration of %s", r.Key)
+	if err := json.Unmarshal(r.Value, &reg); err != nil {
+		return reg, errors.Wrapf(err, "registration of %s", r.Key)
+	}
+	if _, err := netip.ParseAddrPort(reg.Links); err != nil {
+		return reg, errors.Wrapf(err, "registration of %s", r.Key)
+	}
+	if s := reg.Server; s != nil && (s.Instance == "" || s.Service == "" || s.Capacity.CPUMillis <= 0) {
+		return reg, errors.Errorf("registration of %s: a backend server without a name, service or capacity", r.Key)
+	}
+	return reg, nil
 }
 
 // memberName names one life of an agent in the group.
--- a/daemon/core/shard.go
+++ b/daemon/core/shard.go
@@ -15,6 +15,7 @@
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
+	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
@@ -111,12 +112,17 @@
 	for _, rec := range raw {
 		if rec.Key == agentsKey {
 			if err := json.Unmarshal(rec.Value, &agents); err != nil {
-				return nil, nil, errors.Wrap(err, "agents of the shard")
+				metrics.Malformed(metrics.KindAgents)
+				klog.ErrorS(err, "The agents of a shard can't be read; all that have ever registered are asked", "shard", r.partition)
+				if agents, err = r.everyAgent(ctx); err != nil {
+					return nil, nil, err
+				}
 			}
 			continue
 		}
 		j, err := wire.DecodeRecord(job.ID(rec.Key), rec.Value)
 		if err != nil {
+			metrics.Malformed(metrics.KindJobRecord)
 			klog.ErrorS(err, "A record can't be read and is left out", "shard", r.partition)
 			continue
 		}
@@ -125,6 +131,19 @@
 	return records, agents, nil
 }
 
+// everyAgent names all agents that may have runs of any shard.
+func (r *shardRunner) everyAgent(ctx context.Context) ([]string, error) {
+	registered, _, err := r.agent.store.Newest(ctx, registryPartition)
+	if err != nil {
+		return nil, errors.Wrap(err, "agents")
+	}
+	names := make([]string, 0, len(registered))
+	for _, reg := range registered {
+		names = append(names, reg.Key)
+	}
+	return names, nil
+}
+
 // run writes what is due, one call at a time.
 func (r *shardRunner) run(ctx context.Context) {
 	defer close(r.done)
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -76,6 +76,9 @@
 	// BestEffort jobs are not recorded: the client waits for the end and sends
 	// the job again if it hears nothing.
 	BestEffort bool
+	// Patience is how long the client of a best-effort job waits for its end; zero:
+	// it has not said. It is of one submission and is not recorded.
+	Patience time.Duration
 }
 
 // Tasks returns the number of tasks of all steps.
@@ -111,6 +114,9 @@
 	// objective.
 	Slack  float64
 	Target time.Duration
+	// TimeLimit is how long clients usually wait for an answer; zero: not known. It is
+	// of a submission's queue, and is not recorded.
+	TimeLimit time.Duration
 	// Version is the configuration that the entry judged the submission by.
 	Version int64
 }
