Accept late jobs to yield, bind tasks late, and wait for answers as long as they take

(2) Tasks were bound to a worker at once: at 90 % of load one had 300 ms of work waiting while others had none. (3) A start that was left unanswered was waited for 80 ms and a list 150, longer than the slack of jobs of 60 ms; 85 of 182 late jobs of a burst had met one. (4) After a loss of power half of the submissions repeated jobs that were of no use any more, and took the room of new ones. (5) After all processes were killed, runs of entries that were gone kept the workers full for 0.4 s. Ruled out: lack of room (free cores at most refusals), a slow start (served 90 ms after it).

--- a/coordination/model/agent_test.go
+++ b/coordination/model/agent_test.go
@@ -102,6 +102,7 @@
 
 func (a *agentModel) claim(l *link, c worker.Claim) {
 	answer := a.worker.Claim(a.w.now, c)
+	a.apply(answer.Effects)
 	a.w.trace("%s claim %+v refused %v runs %v", a.name, c, answer.Refused, answer.Runs)
 	if !answer.Refused {
 		a.caller, a.claims = l, c
--- /dev/null
+++ b/coordination/owner/admission_test.go
@@ -0,0 +1,241 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// effort is a best-effort shard with one agent, whose room the tests set.
+type effort struct {
+	*fixture
+	got map[job.ID]*Verdict
+}
+
+func newEffort(t *testing.T) *effort {
+	f := &fixture{is: is.New(t), fleet: NewFleet(1, DefaultParams()), now: time.Hour}
+	f.Shard = NewPrivate(f.now, 99, testBounds, f.fleet)
+	f.link("a", 1)
+	f.now += f.fleet.params.Arrival
+	return &effort{fixture: f, got: make(map[job.ID]*Verdict)}
+}
+
+// room has the agent say what is free, in tasks of one core, and what waits.
+func (e *effort) room(free int, backlog time.Duration) {
+	l := AgentLoad{
+		Service: "desk", Capacity: job.Demand{CPUMillis: 16000, MemoryMB: 65536}, Accepts: true, Backlog: backlog, Placers: 1,
+		Free: job.Demand{CPUMillis: int64(free) * 1000, MemoryMB: 65536}, Seen: 1 << 30,
+	}
+	for i := range l.Ahead {
+		l.Ahead[i] = backlog
+	}
+	if free < 16 {
+		l.Turnover = 40 * time.Millisecond
+	}
+	e.fleet.Update(e.now, "a", l)
+	e.take(e.News(e.now))
+}
+
+// send submits a job of one-core tasks of 100 ms: its objective is 220 ms, and an
+// answer is of use for 660 ms.
+func (e *effort) send(id job.ID, tasks int, patience time.Duration) *Verdict {
+	spec := job.Spec{BestEffort: true, Patience: patience, Steps: []job.Step{{
+		Count: tasks, Demand: job.Demand{CPUMillis: 1000}, Estimate: 100 * time.Millisecond,
+	}}}
+	p := job.Policy{Queue: "quotes", Service: "desk", MaxAttempts: 2, Slack: 1.6, Target: 60 * time.Millisecond, TimeLimit: 1500 * time.Millisecond}
+	got := &Verdict{Outcome: Unknown}
+	e.got[id] = got
+	e.take(e.Submit(e.now, id, spec, p, func(v Verdict) { *got = v }))
+	return got
+}
+
+func (e *effort) ordered(id job.ID) int {
+	n := 0
+	for _, o := range e.orders {
+		if o.What.Run.Task.Job == id {
+			n++
+		}
+	}
+	return n
+}
+
+// The workers are full for 200 ms, so a job would end 80 ms after its objective. Its
+// client waits for 1.5 s and gets a fifth of the worth for a late answer, and nothing
+// for a refusal: it is accepted, and runs as soon as there is room.
+func TestLateIsBetterThanNever(t *testing.T) {
+	e := newEffort(t)
+	e.room(0, 3200*time.Millisecond)
+	got := e.send("late", 1, 1500*time.Millisecond)
+	e.is.Equal(got.Outcome, Unknown) // no answer yet
+	e.is.Equal(e.ordered("late"), 0)
+	e.room(4, 0)
+	e.is.Equal(e.ordered("late"), 1)
+}
+
+// The workers are full for longer than a late answer is of use. The client is told at
+// once: held, it could not go elsewhere.
+func TestJobThatCannotBeOfUseIsRefusedAtOnce(t *testing.T) {
+	e := newEffort(t)
+	e.room(0, 16*700*time.Millisecond)
+	got := e.send("never", 1, 1500*time.Millisecond)
+	e.is.Equal(got.Outcome, Refused)
+	e.is.Equal(got.Reason, ReasonOverload)
+	e.is.True(got.RetryAfter > 0)
+}
+
+// A late job waits when one comes that can still be in time. Room for one task goes to
+// the second: the first gets what is left.
+func TestLateJobsYield(t *testing.T) {
+	e := newEffort(t)
+	e.room(0, 3200*time.Millisecond)
+	e.send("late", 1, 0)
+	e.room(0, 160*time.Millisecond)
+	e.send("in time", 1, 0)
+	e.room(1, 0)
+	e.is.Equal(e.ordered("in time"), 1)
+	e.is.Equal(e.ordered("late"), 0)
+	e.room(4, 0)
+	e.is.Equal(e.ordered("late"), 1)
+}
+
+// A late job got no room for as long as its answer was of use. Nothing of it has
+// started, so that it has not run is true, and its client is told then.
+func TestLateJobWithoutRoomIsGivenUpInTime(t *testing.T) {
+	e := newEffort(t)
+	e.room(0, 3200*time.Millisecond)
+	got := e.send("late", 1, 1500*time.Millisecond)
+	e.now += 570 * time.Millisecond
+	e.take(e.Tick(e.now))
+	e.is.Equal(got.Outcome, Refused)
+	e.is.Equal(len(e.orders), 0)
+	e.is.Equal(e.Lookup("late").Outcome, Absent)
+}
+
+// One task of a job has been ordered when the others find no room in time. "Not run"
+// would be false, so the job goes on and is answered late.
+func TestJobThatHasBegunIsNotRefused(t *testing.T) {
+	e := newEffort(t)
+	e.room(1, 0)
+	got := e.send("begun", 3, 1500*time.Millisecond)
+	e.is.Equal(e.ordered("begun"), 1)
+	e.now += time.Second
+	e.take(e.Tick(e.now))
+	e.is.Equal(got.Outcome, Unknown)
+	e.room(2, 0)
+	e.is.Equal(e.ordered("begun"), 3)
+}
+
+// Tasks that were bound to a worker at once waited there for 200 ms while another had
+// room. They stay with their owner, and go to the worker that has room first.
+func TestTaskGoesWhereThereIsRoomFirst(t *testing.T) {
+	e := newEffort(t)
+	e.link("b", 1)
+	full := AgentLoad{Service: "desk", Capacity: job.Demand{CPUMillis: 16000, MemoryMB: 65536}, Accepts: true, Turnover: 40 * time.Millisecond}
+	e.fleet.Update(e.now, "a", full)
+	e.fleet.Update(e.now, "b", full)
+	e.send("waits", 1, 0)
+	e.is.Equal(len(e.orders), 0)
+	free := full
+	free.Free, free.Turnover = job.Demand{CPUMillis: 1000, MemoryMB: 65536}, 0
+	e.fleet.Update(e.now, "b", free)
+	e.take(e.News(e.now))
+	e.is.Equal(len(e.orders), 1)
+	e.is.Equal(e.orders[0].Node, "b")
+}
+
+// An entry has just started and has no link yet. Its first jobs wait for the links,
+// which come up within 0.3 s; refused, they would be lost to callers who could have
+// been served. Where no worker comes they are refused when that is known.
+func TestFirstJobsWaitForTheLinks(t *testing.T) {
+	e := newEffort(t)
+	e.Shard = NewPrivate(e.now, 100, testBounds, e.fleet)
+	e.fleet.Lost("a")
+	served := e.send("served", 1, 0)
+	e.is.Equal(served.Outcome, Unknown)
+	e.now += 100 * time.Millisecond
+	e.link("a", 1)
+	e.is.Equal(e.ordered("served"), 1)
+
+	e.Shard = NewPrivate(e.now, 101, testBounds, e.fleet)
+	e.fleet.Lost("a")
+	e.now += 300 * time.Millisecond
+	lost := e.send("lost", 1, 0)
+	e.now += e.fleet.params.Arrival - 300*time.Millisecond
+	e.take(e.Tick(e.now))
+	e.is.Equal(lost.Outcome, Refused)
+	e.is.Equal(lost.Reason, ReasonNoWorker)
+	e.is.Equal(e.send("later", 1, 0).Reason, ReasonNoWorker) // at once
+}
+
+// After a loss of power half of the submissions are repeats of jobs whose first try was
+// cut off. By what their clients still wait they have waited for over a second, and no
+// answer is of use to most. Where there is no room they don't take that of new jobs;
+// where there is, they are carried out.
+func TestRepeatsThatHaveWaitedYield(t *testing.T) {
+	e := newEffort(t)
+	e.room(16, 0)
+	for i := range 8 {
+		e.send(job.ID(rune('a'+i)), 1, 2*time.Second+time.Duration(i)*20*time.Millisecond)
+	}
+	e.is.Equal(e.send("repeat", 1, 700*time.Millisecond).Outcome, Unknown)
+	e.is.Equal(e.ordered("repeat"), 1)
+	e.room(0, 640*time.Millisecond)
+	e.is.Equal(e.send("late repeat", 1, 700*time.Millisecond).Outcome, Refused)
+	e.is.Equal(e.send("new", 1, 2*time.Second).Outcome, Unknown)
+}
+
+// The clients of a queue wait for 0.6 s at most, whatever their route says. They have not
+// waited because they name less than that.
+func TestImpatientClientsAreNoRepeats(t *testing.T) {
+	is := is.New(t)
+	var l patienceLog
+	for i := range 40 {
+		l.note(time.Duration(200+i*17%40*10) * time.Millisecond)
+		is.Equal(l.waited(300*time.Millisecond, 1500*time.Millisecond), time.Duration(0))
+	}
+	for range 40 {
+		l.note(2 * time.Second)
+	}
+	is.Equal(l.waited(700*time.Millisecond, 1500*time.Millisecond), 1300*time.Millisecond)
+	is.Equal(l.waited(1600*time.Millisecond, 1500*time.Millisecond), time.Duration(0))
+}
+
+// An owner's queue has tasks of late jobs and of others; they leave in the order of
+// their need, and those of late jobs last. No task is passed over for good: what came
+// first goes first among equals.
+func TestBacklogOrder(t *testing.T) {
+	is := is.New(t)
+	var b backlog
+	for i, w := range []waitingTask{{latest: 5}, {latest: 3, yields: true}, {latest: 3}, {latest: 5}, {latest: 1, yields: true}} {
+		w.id.Index, w.work = i, time.Second
+		b.add(w)
+	}
+	is.Equal(b.ahead(placeKey{}, false, 4), time.Second)
+	is.Equal(b.ahead(placeKey{}, true, 2), 4*time.Second)
+	is.Equal(b.ahead(placeKey{service: "other"}, true, 2), time.Duration(0))
+	is.Equal(b.yieldWork(), 2*time.Second)
+	var order []int
+	for _, w := range b.take() {
+		order = append(order, w.id.Index)
+	}
+	is.Equal(order, []int{2, 0, 3, 4, 1})
+}
+
+// Nothing of late work has left for a second while it waited, so nothing more is
+// accepted to be late. Once none waits, the room for it is taken to be as before.
+func TestRoomForLateWorkIsMeasured(t *testing.T) {
+	is := is.New(t)
+	var b backlog
+	b.expect(10)
+	b.measure(time.Hour, 500*time.Millisecond)
+	is.Equal(b.yieldWait(time.Second), 100*time.Millisecond)
+	b.add(waitingTask{yields: true, work: time.Second})
+	b.measure(time.Hour+2*time.Second, 500*time.Millisecond)
+	is.True(b.yieldWait(time.Second) > 4*time.Second)
+	b.take()
+	b.measure(time.Hour+6*time.Second, 500*time.Millisecond)
+	is.True(b.yieldWait(time.Second) < 101*time.Millisecond)
+}
--- /dev/null
+++ b/coordination/owner/backlog.go
@@ -0,0 +1,130 @@
+package owner
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// backlog has the tasks that wait at their owner for room at a worker: first those
+// of jobs that can be in time, then those of late ones, each by when they must
+// start. Guarded by Shard.mu.
+type backlog struct {
+	tasks []waitingTask
+	// room is the rate at which late tasks have left lately, in cores. It is what
+	// is left of the workers by those that can be in time.
+	room float64
+	// prior is what room is taken to be while no late task waits.
+	prior   float64
+	updated time.Duration
+	// left is the work of late tasks that left since then.
+	left time.Duration
+}
+
+// waitingTask is a task without a worker.
+type waitingTask struct {
+	id     job.TaskID
+	where  placeKey
+	yields bool
+	// latest is when it must start to be in time, or of any use if it yields.
+	latest time.Duration
+	// work is its expected time of one core.
+	work time.Duration
+}
+
+func (b *backlog) add(t waitingTask) {
+	i, _ := slices.BinarySearchFunc(b.tasks, t, compareWaiting)
+	b.tasks = slices.Insert(b.tasks, i, t)
+}
+
+func compareWaiting(a, b waitingTask) int {
+	if a.yields != b.yields {
+		if a.yields {
+			return 1
+		}
+		return -1
+	}
+	if a.latest <= b.latest {
+		// Equal ones keep the order in which they came.
+		return -1
+	}
+	return 1
+}
+
+// take empties the backlog and returns what it had, in order.
+func (b *backlog) take() []waitingTask {
+	out := b.tasks
+	b.tasks = nil
+	return out
+}
+
+// placeKey is what decides where a task may go.
+type placeKey struct{ service, label, rack, domains string }
+
+func placeKeyOf(p *job.Policy, st *job.Step) placeKey {
+	return placeKey{p.Service, st.Label, st.Rack, strings.Join(st.Domains, " ")}
+}
+
+// ahead is the work that goes before a task that must start by a time.
+func (b *backlog) ahead(where placeKey, yields bool, latest time.Duration) time.Duration {
+	var work time.Duration
+	for i := range b.tasks {
+		t := &b.tasks[i]
+		if t.yields && !yields || t.yields == yields && t.latest > latest {
+			break
+		}
+		if t.where == where {
+			work += t.work
+		}
+	}
+	return work
+}
+
+// yielding reports whether late tasks wait.
+func (b *backlog) yielding() bool {
+	n := len(b.tasks)
+	return n > 0 && b.tasks[n-1].yields
+}
+
+// expect sets what the room for late tasks is taken to be while none waits.
+func (b *backlog) expect(prior float64) {
+	if b.prior == 0 {
+		b.room = prior
+	}
+	b.prior = prior
+}
+
+// measure brings the room for late tasks up to date.
+func (b *backlog) measure(now time.Duration, memory time.Duration) {
+	passed := now - b.updated
+	if passed <= 0 {
+		return
+	}
+	sample := float64(b.left) / float64(passed)
+	if !b.yielding() {
+		sample = max(sample, b.prior)
+	}
+	weight := 1 - math.Exp(-float64(passed)/float64(memory))
+	b.room += weight * (sample - b.room)
+	b.updated, b.left = now, 0
+}
+
+// yieldWork is the work of the late tasks that wait.
+func (b *backlog) yieldWork() time.Duration {
+	var work time.Duration
+	for i := len(b.tasks) - 1; i >= 0 && b.tasks[i].yields; i-- {
+		work += b.tasks[i].work
+	}
+	return work
+}
+
+// yieldWait is how long late work takes to leave.
+func (b *backlog) yieldWait(work time.Duration) time.Duration {
+	return time.Duration(float64(work) / max(b.room, leastRoom))
+}
+
+// leastRoom is the least room, in cores, that is reckoned with for late tasks.
+const leastRoom = 0.1
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -58,6 +58,9 @@
 	Estimate time.Duration
 	// Slack is how long the task may wait and still be in time.
 	Slack time.Duration
+	// Yields is set for a task whose job can't be in time: it goes only where there
+	// is room now.
+	Yields bool
 	// Now is the time of the placement.
 	Now time.Duration
 	// Avoid is the agent on which the task failed last; it is taken only when
@@ -68,8 +71,9 @@
 // Fleet is an owner's view of the agents it has a link to. It is shared by the
 // shards of a process and safe for concurrent use.
 type Fleet struct {
-	// RemoteFactor is how much longer a task takes away from its data's rack.
+	// remoteFactor is how much longer a task takes away from its data's rack.
 	remoteFactor float64
+	params       Params
 
 	mu     sync.Mutex
 	agents map[string]*agentView // guarded by mu
@@ -108,9 +112,10 @@
 }
 
 // NewFleet returns an empty fleet.
-func NewFleet(remoteFactor float64) *Fleet {
+func NewFleet(remoteFactor float64, p Params) *Fleet {
 	return &Fleet{
 		remoteFactor: max(1, remoteFactor),
+		params:       p,
 		agents:       make(map[string]*agentView),
 		ratios:       make(map[string]float64),
 	}
--- a/coordination/owner/learning.go
+++ b/coordination/owner/learning.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// learnWeight is the weight of one new measurement: about the last fifty count,
-// some seconds of traffic of a queue.
-const learnWeight = 0.02
-
 // Learn takes in how long a task was at work against the client's estimate.
 func (f *Fleet) Learn(queue string, estimate, work time.Duration) {
 	if estimate <= 0 || work <= 0 {
@@ -18,7 +14,7 @@
 	if !ok {
 		old = 1
 	}
-	f.ratios[queue] = old + learnWeight*(ratio-old)
+	f.ratios[queue] = old + f.params.LearnWeight*(ratio-old)
 }
 
 // defaultEstimate stands for a run time that the client has left out. Most tasks
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -30,9 +30,6 @@
 	// LazyWrite is how long an end may wait for its record while its job goes
 	// on; most jobs end before that and need no record in between.
 	LazyWrite time.Duration
-	// AimShare of the latency objective is when a job must be predicted to
-	// end to be accepted.
-	AimShare float64
 }
 
 // Reply is a verdict on its way to whoever asked.
@@ -118,8 +115,14 @@
 	started  bool
 	accepted time.Duration
 	due      time.Duration
-	waiters  []func(Verdict)
-	cancels  []func(Verdict)
+	// useful is when an answer stops being of use; zero: never.
+	useful time.Duration
+	// yields is set for a job that can only be late.
+	yields bool
+	// ordered is set once an order for a task was sent.
+	ordered bool
+	waiters []func(Verdict)
+	cancels []func(Verdict)
 	// watchers are told of the end, once it is recorded.
 	watchers []func(Verdict)
 	// gone counts the waiters that have left.
@@ -139,6 +142,8 @@
 	private bool
 	bounds  Bounds
 	fleet   *Fleet
+	// opened is when this owner took the shard.
+	opened time.Duration
 
 	mu sync.Mutex
 	// All fields below are guarded by mu.
@@ -146,9 +151,11 @@
 	jobs map[job.ID]*jobState
 	// dirty has the jobs whose records wait for the store, in order.
 	dirty []job.ID
-	// unplaced has tasks for which no agent was found.
-	unplaced []job.TaskID
-	links    map[string]*linkState
+	// patience has what clients named in each queue.
+	patience map[string]*patienceLog
+	// waiting has the tasks for which no agent has room.
+	waiting backlog
+	links   map[string]*linkState
 	// waitFor has agents of earlier owners that have not answered yet, with
 	// the time after which they need not.
 	waitFor map[string]time.Duration
@@ -194,12 +201,13 @@
 // mayRun names the agents that earlier owners have sent orders to.
 func New(now time.Duration, id int, epoch int64, b Bounds, f *Fleet, records []*job.Record, mayRun []string) *Shard {
 	s := &Shard{
-		ID: id, Epoch: epoch, bounds: b, fleet: f,
-		jobs:    make(map[job.ID]*jobState, len(records)),
-		links:   make(map[string]*linkState),
-		waitFor: make(map[string]time.Duration, len(mayRun)),
-		queued:  make(map[string]int),
-		named:   make(map[string]bool, len(mayRun)),
+		ID: id, Epoch: epoch, bounds: b, fleet: f, opened: now,
+		jobs:     make(map[job.ID]*jobState, len(records)),
+		links:    make(map[string]*linkState),
+		patience: make(map[string]*patienceLog),
+		waitFor:  make(map[string]time.Duration, len(mayRun)),
+		queued:   make(map[string]int),
+		named:    make(map[string]bool, len(mayRun)),
 	}
 	for _, node := range mayRun {
 		s.waitFor[node] = now + b.Takeover
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -14,21 +14,49 @@
 	node   string
 	wait   time.Duration
 	finish time.Duration
+	// left is the share of the agent that stays free beside the task.
+	left float64
+	// rank is finish, and behind all others where the agent is a last resort.
+	rank time.Duration
 }
 
 // Place chooses the agent on which a task ends first, among those that may have
-// it, and books it there.
+// it, and books it there. It is false when there is none, or when the task would
+// wait there longer than it may be bound for.
 func (f *Fleet) Place(n Need, may func(node string) bool) (string, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p, ok := f.chooseLocked(n, may)
-	if !ok {
+	if !ok || !f.bindsLocked(n, p) {
 		return "", false
 	}
 	f.agents[p.node].book(n)
 	return p.node, true
 }
 
+// bindsLocked reports whether a task may be sent to where it waits for so long.
+// One that yields goes only where there is room now.
+func (f *Fleet) bindsLocked(n Need, p placement) bool {
+	if n.Yields {
+		return p.wait == 0 && p.left >= f.params.YieldReserve
+	}
+	return f.params.BindWithin == 0 || p.wait <= f.params.BindWithin
+}
+
+// Room returns the cores of the agents that may have a task, and how many
+// processes place work there.
+func (f *Fleet) Room(n Need, may func(node string) bool) (cores float64, placers int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for node, v := range f.agents {
+		if v.load.Accepts && v.load.eligible(n) && may(node) {
+			cores += float64(v.load.Capacity.CPUMillis) / 1000
+			placers = max(placers, v.load.Placers)
+		}
+	}
+	return cores, max(placers, 1)
+}
+
 // Predict estimates when the last of a number of equal tasks would end if they
 // were placed now. It is false when no agent is eligible.
 func (f *Fleet) Predict(n Need, tasks int, may func(node string) bool) (time.Duration, bool) {
@@ -62,10 +90,11 @@
 			continue
 		}
 		p := f.predictLocked(node, v, n)
-		if node == n.Avoid || n.Now-v.heard > staleLoad {
-			p.finish += lastResort
+		p.rank = p.finish
+		if node == n.Avoid || n.Now-v.heard > f.params.StaleLoad {
+			p.rank += lastResort
 		}
-		if !found || p.finish < best.finish {
+		if !found || p.rank < best.rank {
 			best, found = p, true
 		}
 	}
@@ -82,24 +111,14 @@
 	return n.Label == "" || slices.Contains(l.Labels, n.Label)
 }
 
-const (
-	// staleLoad is the age of an agent's news from which on it gets nothing
-	// while others have room: it says something every 150 ms, and a host that
-	// went dark costs each task sent to it the time until its link is given up.
-	staleLoad = 320 * time.Millisecond
-	// lastResort puts an agent behind all others.
-	lastResort = time.Minute
-)
-
-// spread is the largest random advantage of an agent. Owners see loads that are
-// some milliseconds old; without it all of them would pick the same agent.
-const spread = 3 * time.Millisecond
+// lastResort puts an agent behind all others.
+const lastResort = time.Minute
 
 // predictLocked estimates how long a task would wait at an agent and when it
 // would end. Among agents with room the emptiest is a little ahead, so that
 // work spreads before anything has to wait.
 func (f *Fleet) predictLocked(node string, v *agentView, n Need) placement {
-	taken, work := v.booked(n.Now)
+	taken, work := v.booked(n.Now, f.params.Alike)
 	free := v.load.Free.Minus(taken)
 	run := time.Duration(float64(n.Estimate) * max(1, v.load.Slowdown))
 	if n.Rack != "" && !slices.Contains(v.load.Labels, n.Rack) {
@@ -111,24 +130,16 @@
 	if before > 0 || !n.Demand.Fits(free) {
 		p.wait = (before+work)*1000/time.Duration(cores) + v.load.Turnover
 	}
-	p.finish += v.excess(n, work, cores)
+	p.finish += v.excess(n, work, cores, f.params.Usable)
 	used := float64(cores-free.CPUMillis) / float64(cores)
-	p.finish += p.wait + run + time.Duration(used*float64(spread)) + rand.N(spread)
+	p.left = 1 - used - float64(n.Demand.CPUMillis)/float64(cores)
+	p.finish += p.wait + run + time.Duration(used*float64(f.params.Spread)) + rand.N(f.params.Spread)
 	return p
 }
 
-// alike is the part of the processes that place work at an agent which are taken
-// to have chosen it whenever this one did, since its last news. Eight of them that
-// each see only their own orders promise the same room several times over. Measured
-// in coordination/load, under 115 % of load with 8 entries and 51 agents: 77 % of the
-// worth served without it, 83 % with it and with priorityShare. More of it costs
-// where room is left: with 1.0, three entries at 90 % of load serve 2 % less than
-// without it.
-const alike = 0.4
-
 // booked is what is taken to be under way to an agent beyond its last news. The
 // tasks of one job are placed at one time, and no other process has that job.
-func (v *agentView) booked(now time.Duration) (taken job.Demand, work time.Duration) {
+func (v *agentView) booked(now time.Duration, alike float64) (taken job.Demand, work time.Duration) {
 	others := max(1, alike*float64(v.load.Placers))
 	for i := range v.pending {
 		p := &v.pending[i]
@@ -145,7 +156,7 @@
 // excess is by how much the waiting work with more slack than a task's would
 // come too late if the task were put before it. Without it a stream of urgent
 // tasks is let in that each are in time, and all others are accepted in vain.
-func (v *agentView) excess(n Need, booked time.Duration, cores int64) time.Duration {
+func (v *agentView) excess(n Need, booked time.Duration, cores int64, usable float64) time.Duration {
 	if n.Slack <= 0 {
 		return 0
 	}
@@ -159,7 +170,3 @@
 	}
 	return most
 }
-
-// usable is the part of the time until a task must start that may be promised
-// to work before it; more urgent work goes on coming in.
-const usable = 0.8
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"math"
 	"time"
 
 	"github.com/shallotstep/shallotstep/state/job"
@@ -46,9 +45,10 @@
 		s.resubmitLocked(now, &fx, j, reply)
 		return fx
 	}
-	if v, ok := s.admitLocked(now, &spec, &p); !ok {
-		fx.reply(reply, v)
-		fx.log(Decision{What: "refused", Job: id, Reason: v.Reason, Wait: v.RetryAfter})
+	a := s.admitLocked(now, &spec, &p)
+	if a.reason != "" {
+		fx.reply(reply, Verdict{Outcome: Refused, Reason: a.reason, RetryAfter: a.retryAfter})
+		fx.log(Decision{What: "refused", Job: id, Reason: a.reason, Wait: a.retryAfter})
 		return fx
 	}
 	j := &jobState{
@@ -56,13 +56,15 @@
 		tasks:    make([]task, spec.Tasks()),
 		left:     spec.Tasks(),
 		accepted: now,
-		due:      now + s.objective(&spec, &p),
+		due:      now + a.due,
+		yields:   a.yields,
 	}
+	j.usefulFor(now, a.useful)
 	s.jobs[id] = j
 	j.waiters = append(j.waiters, reply)
 	if spec.BestEffort {
 		j.durable = true
-		fx.log(Decision{What: "accepted", Job: id, Wait: j.due - now})
+		fx.log(Decision{What: a.word(), Job: id, Wait: j.due - now, Age: a.waited})
 		s.dispatchLocked(now, &fx, j)
 		return fx
 	}
@@ -112,7 +114,9 @@
 		return
 	}
 	j.rec.State, j.shown = job.Queued, job.Queued
-	j.accepted, j.due = now, now+s.objective(&j.rec.Spec, &j.rec.Policy)
+	objective := s.objective(&j.rec.Spec, &j.rec.Policy)
+	j.accepted, j.due, j.yields = now, now+objective, false
+	j.usefulFor(now, s.usefulFor(&j.rec.Spec, objective))
 	for i := range j.tasks {
 		if j.tasks[i].phase == over && !j.rec.Tasks[i].Done {
 			j.tasks[i].phase = idle
@@ -125,60 +129,6 @@
 	s.dispatchLocked(now, fx, j)
 }
 
-// admitLocked refuses what can't be served in time: a job that is accepted and
-// then late takes room from others, which are late in turn, until nothing is
-// in time under a load just above what the workers carry.
-func (s *Shard) admitLocked(now time.Duration, spec *job.Spec, p *job.Policy) (Verdict, bool) {
-	if s.storeBad && !spec.BestEffort {
-		return Verdict{Outcome: Refused, Reason: ReasonStore, RetryAfter: time.Second}, false
-	}
-	objective := s.objective(spec, p)
-	chain := s.chain(spec, p)
-	limit := s.longestWait(objective, chain, p.Priority)
-	for i := range spec.Steps {
-		st := &spec.Steps[i]
-		n := s.need(p, st, "")
-		n.Now, n.Slack = now, objective-chain
-		finish, ok := s.fleet.Predict(n, st.Count, s.mayOrderLocked)
-		if !ok {
-			return Verdict{Outcome: Refused, Reason: ReasonNoWorker, RetryAfter: time.Second}, false
-		}
-		if late := finish - n.Estimate - limit; late > 0 {
-			return Verdict{Outcome: Refused, Reason: ReasonOverload, RetryAfter: late}, false
-		}
-	}
-	return Verdict{}, true
-}
-
-// longestWait is the longest predicted wait with which a job is accepted.
-func (s *Shard) longestWait(objective, chain time.Duration, priority int) time.Duration {
-	share := time.Duration(s.bounds.AimShare * float64(objective))
-	wait := max(share-chain, time.Duration(minSlackShare*float64(objective-chain)))
-	steps := min(max(priority, 0), mostPrioritySteps)
-	return max(time.Duration(math.Pow(priorityShare, float64(steps))*float64(wait)), minWait)
-}
-
-// priorityShare of the wait that a job of one priority is accepted with is what
-// the next lower priority gets. The less urgent are refused first when the workers
-// fill up: otherwise the queues settle at the wait that the largest class bears,
-// and short urgent jobs find no room in time. Measured in coordination/load, under
-// 115 % of load with 8 entries and 51 agents: 66 % of the most urgent jobs ended in
-// time without it, 79 % with 0.8. With 0.5 three entries serve 2 % less than with 0.7.
-const priorityShare = 0.8
-
-// mostPrioritySteps bounds the steps that count, so that four tenths of the wait are
-// left to the least urgent. A scale that goes to 100 would leave them nothing, and
-// they would be refused beside workers that are free in a moment.
-const mostPrioritySteps = 4
-
-// minWait is allowed in any case: the prediction is no finer than that, and a
-// queue that allows its jobs no slack would refuse them all.
-const minWait = 10 * time.Millisecond
-
-// minSlackShare of a job's slack may be spent waiting in any case: of a job
-// whose work fills most of its objective nothing would be accepted otherwise.
-const minSlackShare = 0.35
-
 func (s *Shard) need(p *job.Policy, st *job.Step, avoid string) Need {
 	return Need{
 		Service: p.Service, Label: st.Label, Rack: st.Rack, Domains: st.Domains, Demand: st.Demand, Avoid: avoid,
--- /dev/null
+++ b/coordination/worker/former_test.go
@@ -0,0 +1,86 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// All processes are killed at once; the backend servers go on. Callers come back to
+// entries that know nothing of the old runs, and found every worker full of them until
+// those had been silent for 0.3 s. The entries' new lives show that the earlier ones
+// are gone, so the runs are stopped with the last of their claims, and not before: an
+// entry that lives may repeat its orders.
+func TestRunsOfEntriesThatAreGoneStopAtOnce(t *testing.T) {
+	f := newFixture(t)
+	f.Former([]string{"entry-1/old", "entry-2/old"})
+	run := job.RunID{Task: job.TaskID{Job: "00000000000000ee"}, Number: 1}
+	f.alive[run] = true
+	f.hold()
+	f.claimAs("entry-1/new", private+1)
+	f.claimAs("entry-3/new", private+2)
+	f.is.Equal(len(f.stops), 0)
+	f.claimAs("entry-2/new", private+3)
+	f.is.Equal(len(f.stops), 1)
+	f.is.Equal(f.stops[0].Run, run)
+}
+
+// One of two entries has kept its life while the agent restarted. Its run goes on
+// until the usual time for adoption is over.
+func TestRunMayBeOfAnEntryThatLives(t *testing.T) {
+	f := newFixture(t)
+	f.Former([]string{"entry-1/old", "entry-2/old"})
+	run := job.RunID{Task: job.TaskID{Job: "00000000000000ee"}, Number: 1}
+	f.alive[run] = true
+	f.hold()
+	f.claimAs("entry-1/new", private+1)
+	f.claimAs("entry-2/old", private+2)
+	f.is.Equal(len(f.stops), 0)
+	f.pass(testBounds.Adoption + time.Millisecond)
+	f.take(f.Tick(f.now))
+	f.is.Equal(len(f.stops), 1)
+}
+
+// An entry is killed and starts again; its clients were cut off. The agent has run on
+// and knows which runs were of the earlier life: they are stopped with the new claim,
+// those of others and of recorded jobs go on.
+func TestNewLifeOfAnEntryEndsTheRunsOfTheEarlier(t *testing.T) {
+	f := newFixture(t)
+	f.claimAs("entry-1/old", private+1)
+	f.claimAs("entry-2/old", private+2)
+	for i, shard := range []int{private + 1, private + 2} {
+		o := f.order(i + 1)
+		o.Shard = shard
+		f.send(o)
+	}
+	f.claimAs("entry-1/new", private+3)
+	f.is.Equal(len(f.stops), 1)
+	f.is.Equal(f.stops[0].Run.Number, int64(1))
+}
+
+func (f *fixture) claimAs(owner string, shard int) {
+	f.take(f.Claim(f.now, Claim{Shard: shard, Epoch: 1, Session: 1, Owner: owner}).Effects)
+}
+
+// A backend server answers starts within a few milliseconds, then leaves one in twenty
+// unanswered. The caller's short job is late if the agent waits for the lost answer
+// much longer than answers take.
+func TestPatienceFollowsTheAnswers(t *testing.T) {
+	is := is.New(t)
+	var a answerTimes
+	is.Equal(a.patience(), mostPatience)
+	for i := range 60 {
+		a.learn(time.Duration(2+i%3) * time.Millisecond)
+	}
+	is.Equal(a.patience(), leastPatience)
+	a.missed()
+	is.True(a.patience() < 2*leastPatience)
+	// The host turns slow: no answer comes in time any more, until it is waited longer.
+	for range 12 {
+		a.missed()
+	}
+	is.Equal(a.patience(), mostPatience)
+}
--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -29,6 +29,8 @@
 	// First is set until this life of the agent has seen the lists: nothing is
 	// done before, so the call should wait for nothing.
 	First bool
+	// Patience is how long to wait for the answer beyond the time that it is to take.
+	Patience time.Duration
 	// before is when the lease ended for certain before this call.
 	before time.Duration
 }
@@ -89,7 +91,7 @@
 		return HoldCall{}, false
 	}
 	w.holds++
-	c := HoldCall{Instance: w.server.Instance, Seq: w.holds, Acked: w.acked, Idle: w.idleLocked(), Hurry: w.doubtLocked(), Known: len(w.ends) > 0, Lossy: w.lossyLocked(now), First: !w.held, before: w.grantedEnd}
+	c := HoldCall{Instance: w.server.Instance, Seq: w.holds, Acked: w.acked, Idle: w.idleLocked(), Hurry: w.doubtLocked(), Known: len(w.ends) > 0, Lossy: w.lossyLocked(now), First: !w.held, Patience: w.answers.patience(), before: w.grantedEnd}
 	if !w.lapsing && now-w.answered < lastGrant {
 		c.Deadline = w.grantLocked(now)
 	}
--- a/coordination/worker/loss.go
+++ b/coordination/worker/loss.go
@@ -4,10 +4,10 @@
 
 // silentHolds is how many holds in a row go without an answer before nothing is
 // sent to a backend server. In some troubles three answers in ten are lost: given
-// up at the second, such a server would be emptied about once a second, at the
-// fourth once in ten. Holds after the first follow quickly, so that a server that
-// is gone is given up after about as long as two usual ones take.
-const silentHolds = 4
+// up at the second, such a server would be emptied several times a second, at the
+// fifth once in ten. Holds after the first follow quickly, each after some 40 ms, so
+// that a server that is gone is given up after a quarter of a second.
+const silentHolds = 5
 
 // lossMemory is how long after a hold without an answer others are expected: a
 // dozen holds, of which one more is missing if one in ten is.
--- a/coordination/worker/orders.go
+++ b/coordination/worker/orders.go
@@ -18,6 +18,8 @@
 // Claimed answers a Claim with every run of the shard that is known here.
 type Claimed struct {
 	Claim
+	// Effects are to be carried out: the claim may show that others are gone.
+	Effects Effects
 	// Refused is set when a newer owner is known.
 	Refused bool
 	Runs    []RunState
@@ -37,6 +39,9 @@
 	w.shards[c.Shard] = &shardState{owner: c.Owner, epoch: c.Epoch, session: c.Session, heard: now}
 	w.forgetOwnersLocked(now)
 	out := Claimed{Claim: c}
+	if c.Shard >= w.bounds.Shards {
+		w.replacedLocked(now, &out.Effects, c.Owner)
+	}
 	for _, r := range w.runs {
 		if r.order.Shard == c.Shard {
 			r.order.Epoch = c.Epoch
--- a/coordination/worker/pump.go
+++ b/coordination/worker/pump.go
@@ -88,6 +88,7 @@
 		Payload:    r.order.Payload,
 		Checkpoint: r.order.Checkpoint,
 		Deadline:   r.deadline,
+		Patience:   w.answers.patience(),
 	})
 }
 
@@ -125,6 +126,7 @@
 	}
 	switch outcome {
 	case StartOK:
+		w.answers.learn(now - r.startedAt)
 		w.confirmLocked(&fx, r)
 		r.startedAt = now
 	case StartRefused, StartUnhealthy:
@@ -139,6 +141,7 @@
 		// list shows, or the order may be carried out seconds later. Until
 		// one of both is certain the run keeps its room.
 		w.stats.Doubtful++
+		w.answers.missed()
 		r.phase = doubtful
 		r.confirmedBy = w.holds
 	}
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -116,6 +116,8 @@
 	Checkpoint string
 	// Deadline is on the backend server's clock.
 	Deadline int64
+	// Patience is how long to wait for the answer.
+	Patience time.Duration
 }
 
 // StopCall asks the driver to stop a run. The answer goes to StopAnswered.
@@ -145,6 +147,9 @@
 	held   bool
 	runs   map[job.RunID]*run
 	shards map[int]*shardState
+	// former has, by node, the owners that runs of an earlier life of this agent can
+	// be of; an owner leaves it when a later life of its node has claimed.
+	former map[string]string
 	queued int64
 
 	clock clock
@@ -178,7 +183,8 @@
 	// unsettled is the number of ends in the newest list.
 	unsettled int
 
-	health health
+	health  health
+	answers answerTimes
 	// lastDone is when a run ended as done last.
 	lastDone time.Duration
 	stats    Stats
--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -49,12 +49,6 @@
 	// lazyWrite is how long an end may wait for its record: a fraction of the
 	// platform's 4 s to acknowledge it.
 	lazyWrite = 700 * time.Millisecond
-	// aimShare of a job's objective is when it must be predicted to end to be
-	// accepted. More urgent work that comes later goes before it, and loads
-	// are some milliseconds old. Measured under 100 to 130 % of load: with 1.0
-	// a tenth of the accepted jobs came too late to be of use, with 0.75 a
-	// third of that; a share of the slack alone refuses more of the short jobs.
-	aimShare = 0.75
 	// leaseSlack covers what a lease lasts beyond its nominal time on a slow
 	// clock, the stop and the agent's ticks.
 	leaseSlack = 300 * time.Millisecond
@@ -91,6 +85,8 @@
 	enrolled atomic.Bool
 	// placers is the number of callers that place work here.
 	placers atomic.Int32
+	// placed has whose orders this agent has taken.
+	placed *placersLog
 	// unclaimed is set while links came up whose agents were not claimed.
 	unclaimed atomic.Bool
 
@@ -117,7 +113,8 @@
 		settings: s, store: st, newExecutor: newExecutor, metrics: newCoreMetrics(),
 		member: memberName(s.Name, xid.New().String()), started: bootclock.Now(),
 		worker:  worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerSilence: ownerSilence, Relink: relink, Adoption: adoption, Shards: s.Shards()}),
-		fleet:   owner.NewFleet(s.Bounds.RemoteFactor),
+		placed:  newPlacersLog(s.Shards()),
+		fleet:   owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams()),
 		shards:  make(map[int]*shardRunner),
 		opening: make(map[int]bool),
 		callers: make(map[int]*peer.Caller),
@@ -136,7 +133,6 @@
 		Takeover:  waitOut + renewLimit,
 		Retention: 2 * s.Bounds.Retention,
 		LazyWrite: lazyWrite,
-		AimShare:  aimShare,
 	}
 }
 
@@ -159,6 +155,7 @@
 		return nil
 	}
 	a.executor = a.newExecutor(life)
+	a.worker.Former(previous.former())
 	a.resume(ctx, previous.server())
 	a.enrolled.Store(true)
 	klog.InfoS("The agent is registered", "name", a.settings.Name, "life", life, "member", a.member)
--- a/daemon/core/asking.go
+++ b/daemon/core/asking.go
@@ -85,10 +85,18 @@
 	e.metrics.submit.Observe(took.Seconds())
 	e.metrics.verdict(v)
 	klog.InfoS("Submit", "id", id, "queue", p.Queue, "version", p.Version, "shard", shard, "best_effort", spec.BestEffort,
-		"outcome", v.Outcome, "reason", v.Reason, "retry_after", v.RetryAfter.Milliseconds(), "took", took.Milliseconds())
+		"patience", patienceLeft(ctx, began).Milliseconds(), "outcome", v.Outcome, "reason", v.Reason, "retry_after", v.RetryAfter.Milliseconds(), "took", took.Milliseconds())
 	return v
 }
 
+// patienceLeft is how long a client was going to wait at a time; zero: without end.
+func patienceLeft(ctx context.Context, at time.Time) time.Duration {
+	if end, ok := ctx.Deadline(); ok {
+		return end.Sub(at)
+	}
+	return 0
+}
+
 func patience(spec *job.Spec, p *job.Policy) time.Duration {
 	objective := p.Target
 	for i := range spec.Steps {
--- a/daemon/core/effort.go
+++ b/daemon/core/effort.go
@@ -43,9 +43,11 @@
 
 // submitEffort runs a best-effort job to its end, or until its client has left.
 func (e *Entry) submitEffort(ctx context.Context, id job.ID, spec *job.Spec, p *job.Policy) owner.Verdict {
+	what := *spec
+	what.Patience = patienceLeft(ctx, time.Now())
 	got := make(chan owner.Verdict, 1)
 	e.effort.step(func(now time.Duration) owner.Effects {
-		return e.effort.Submit(now, id, *spec, *p, func(v owner.Verdict) {
+		return e.effort.Submit(now, id, what, *p, func(v owner.Verdict) {
 			select {
 			case got <- v:
 			default:
--- a/daemon/core/enrol.go
+++ b/daemon/core/enrol.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -17,6 +18,7 @@
 	for {
 		previous, err := previousLife(ctx, a.store, a.settings.Name)
 		if err == nil {
+			a.carryOver(previous)
 			var offset int64
 			offset, err = announce(ctx, a.store, a.settings.Name, a.registration(previous.server()))
 			if err == nil {
@@ -32,7 +34,25 @@
 }
 
 func (a *Agent) registration(server *knownServer) registration {
-	return registration{Links: a.settings.Listen.LinksAddress(), Member: a.member, Zone: a.settings.Zone, Server: server}
+	owners, recorded := a.placed.owners()
+	return registration{
+		Links: a.settings.Listen.LinksAddress(), Member: a.member, Zone: a.settings.Zone, Server: server,
+		Owners: owners, Recorded: recorded,
+	}
+}
+
+func (a *Agent) carryOver(previous *registration) {
+	if previous != nil {
+		a.placed.carryOver(bootclock.Now(), previous.Owners, previous.Recorded)
+	}
+}
+
+// rememberPlacers writes down whose orders this agent has taken, when that changes.
+func (a *Agent) rememberPlacers(ctx context.Context, now time.Duration) {
+	s, known := a.worker.Server()
+	if known && a.placed.due(now) {
+		go a.remember(ctx, s)
+	}
 }
 
 // resume goes on with the backend server that the earlier life knew, if that
--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -68,7 +68,7 @@
 	e := &Entry{
 		settings: s, store: st, metrics: newCoreMetrics(),
 		config: config, decode: decode, owners: make(map[int]ownerView),
-		fleet: owner.NewFleet(s.Bounds.RemoteFactor),
+		fleet: owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams()),
 	}
 	// The name is that of this life: agents tell its runs from a later one's.
 	self := memberName(s.Name, xid.New().String())
@@ -169,6 +169,7 @@
 		e.effort.event(node, p)
 	}
 	e.noteOwned(node, f)
+	e.effort.news()
 }
 
 // noteOwned takes in which shards an agent says to own.
--- a/daemon/core/executor.go
+++ b/daemon/core/executor.go
@@ -13,14 +13,10 @@
 )
 
 const (
-	// startTimeout bounds one start: the backend server answers in about 1 ms.
-	// Past it the start is in doubt until the next list shows the run, which
-	// costs little if it was only slow.
-	startTimeout = 80 * time.Millisecond
 	// stopTimeout bounds one stop; it is repeated after the same pause.
 	stopTimeout = 100 * time.Millisecond
 	// holdWait is how long a hold waits for an end: an answer that is lost hides
-	// ends for that long and holdSlack. Six fit into a lease.
+	// ends for that long and the patience. Six fit into a lease.
 	holdWait = 60 * time.Millisecond
 	// hurryWait is the same while a start is in doubt: its task waits for the
 	// list that shows the run, or that it is barred.
@@ -31,15 +27,12 @@
 	// their record, up to 0.7 s. It answers at once then: without a pause the
 	// agent asked 300 times a second. An end is noticed that much later at most.
 	knownPause = 10 * time.Millisecond
-	// holdSlack is the time beyond its wait after which a hold counts as lost.
-	holdSlack = 90 * time.Millisecond
-	// lossyWait and lossySlack stand for holdWait and holdSlack while answers are
-	// missing: a lost answer hides ends for 70 ms at most instead of 150. Jobs of
-	// eight tasks that may take 150 ms in all are late otherwise as soon as one of
-	// their ends is hidden. Each lost answer costs a connection.
-	lossyWait  = 20 * time.Millisecond
-	lossySlack = 50 * time.Millisecond
-	// holdRetry is the pause before a failed hold is repeated.
+	// lossyWait stands for holdWait while answers are missing: a lost answer hides
+	// ends for 40 ms then instead of 80. Jobs of eight tasks that may take 150 ms in
+	// all are late otherwise as soon as one of their ends is hidden. Each lost answer
+	// costs a connection.
+	lossyWait = 20 * time.Millisecond
+	// holdRetry is the pause before a hold is repeated that failed at once.
 	holdRetry = 30 * time.Millisecond
 	// unknownWait is the pause while no backend server has reported.
 	unknownWait = 20 * time.Millisecond
@@ -65,16 +58,16 @@
 			klog.InfoS("The backend server is reached again", "instance", c.Instance)
 		}
 		lost = err != nil
-		if lost {
+		if lost && holdFailure(err) != worker.NoAnswer {
 			_ = pause.For(ctx, holdRetry)
 		}
 	}
 }
 
 func (a *Agent) holdOnce(ctx context.Context, c worker.HoldCall) error {
-	wait, slack := holdWait, holdSlack
+	wait := holdWait
 	if c.Lossy {
-		wait, slack = lossyWait, lossySlack
+		wait = lossyWait
 	}
 	switch {
 	case c.First:
@@ -84,7 +77,7 @@
 	case c.Idle:
 		wait = idleWait
 	}
-	call, cancel := context.WithTimeout(ctx, wait+slack)
+	call, cancel := context.WithTimeout(ctx, wait+c.Patience)
 	defer cancel()
 	h, err := a.executor.Hold(call, c, wait)
 	if err != nil {
@@ -106,7 +99,7 @@
 }
 
 func (a *Agent) start(c worker.StartCall) {
-	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), c.Patience)
 	defer cancel()
 	began := bootclock.Now()
 	outcome, reason := a.executor.Start(ctx, c)
@@ -148,6 +141,7 @@
 			now := bootclock.Now()
 			a.apply(a.worker.Tick(now))
 			a.spreadLoad(now)
+			a.rememberPlacers(ctx, now)
 			if now-reported >= loadReportEvery {
 				reported = now
 				a.reportLoad()
--- a/daemon/core/serve.go
+++ b/daemon/core/serve.go
@@ -67,6 +67,7 @@
 	}
 	if n := a.newsFor(c); n != nil && len(f.GetOrders()) > 0 {
 		n.ordered(now)
+		a.placed.note(now, c.Node, f.GetOrders())
 	}
 	for _, p := range f.GetStops() {
 		a.apply(a.worker.Stop(now, int(p.GetShard()), p.GetEpoch(), wire.RunFromWire(p.GetRun())))
@@ -79,6 +80,7 @@
 
 func (a *Agent) claim(now time.Duration, c *peer.Caller, p *corepb.Claim) {
 	answer := a.worker.Claim(now, worker.Claim{Shard: int(p.GetShard()), Epoch: p.GetEpoch(), Session: p.GetSession(), Owner: c.Node})
+	a.apply(answer.Effects)
 	klog.InfoS("Claim", "shard", p.GetShard(), "epoch", p.GetEpoch(), "session", p.GetSession(), "owner", c.Node, "refused", answer.Refused, "runs", len(answer.Runs))
 	if !answer.Refused {
 		a.mu.Lock()
@@ -149,4 +151,7 @@
 			r.event(node, p)
 		}
 	}
+	for _, r := range a.owned() {
+		r.news()
+	}
 }
--- a/daemon/core/steps.go
+++ b/daemon/core/steps.go
@@ -82,6 +82,13 @@
 		"run", d.Run.Number, "agent", d.Node, "reason", d.Reason, "age", d.Age.Milliseconds(), "wait", d.Wait.Milliseconds())
 }
 
+// news has tasks that wait here sent to agents that may have room by now.
+func (r *steps) news() {
+	if r.Waiting() {
+		r.step(r.News)
+	}
+}
+
 func (r *steps) signal() {
 	select {
 	case r.wake <- struct{}{}:
