Charge no repeat of a known job to its operator's quota

Cause: each submission took its tasks from the quota before anybody knew whether the job was there: of 16 submissions of one ID at once (30 tasks) two got 429 with outcome unknown, where the README promises that a repeat joins or gets the stored answer. Ruled out: a lookup before each submission, which costs every caller a round trip. Submissions of one job at hand at an entry share a booking; a job that its owner says was known is refunded; one that finds the quota used up is looked up.

--- a/coordination/owner/admission_test.go
+++ b/coordination/owner/admission_test.go
@@ -239,3 +239,13 @@
 	b.measure(time.Hour+6*time.Second, 500*time.Millisecond)
 	is.True(b.yieldWait(time.Second) < 101*time.Millisecond)
 }
+
+// A client sends a job twice; only the second answer says that the job was known, so
+// that the repeat is not charged to its operator.
+func TestSecondSubmissionIsKnown(t *testing.T) {
+	f := newFixture(t, nil, nil, "a")
+	first, second := f.submit(testID, steps(1)), f.submit(testID, steps(1))
+	f.write()
+	f.is.True(!(*first)[0].Known)
+	f.is.True((*second)[0].Known)
+}
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -73,7 +73,11 @@
 	return fx
 }
 
-func (s *Shard) resubmitLocked(now time.Duration, fx *Effects, j *jobState, reply func(Verdict)) {
+func (s *Shard) resubmitLocked(now time.Duration, fx *Effects, j *jobState, tell func(Verdict)) {
+	reply := func(v Verdict) {
+		v.Known = true
+		tell(v)
+	}
 	effort := j.rec.Spec.BestEffort
 	if effort && j.shown == job.Cancelled {
 		j.waiters = append(j.waiters, reply)
--- a/coordination/owner/verdict.go
+++ b/coordination/owner/verdict.go
@@ -51,6 +51,8 @@
 	// Failure says why a job failed.
 	Tasks   []job.TaskRecord
 	Failure string
+	// Known is set for a submission of a job that had been submitted before.
+	Known bool
 	// Elapsed is the time from a job's acceptance to its end.
 	Elapsed time.Duration
 }
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -67,6 +67,17 @@
 	u.filled = now
 }
 
+// Refund takes back what Take has booked for tasks that turned out to be known: a
+// repeat takes nothing from a quota.
+func (t *Table) Refund(operator string, tasks int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if u := t.usage[operator]; u != nil {
+		u.inFlight -= tasks
+		u.tokens += float64(tasks)
+	}
+}
+
 // Release returns tasks that were answered.
 func (t *Table) Release(operator string, tasks int) {
 	t.mu.Lock()
--- a/daemon/clients/clients.go
+++ b/daemon/clients/clients.go
@@ -37,13 +37,13 @@
 	entry    Entry
 	name     string
 	software string
-	quotas   *quota.Table
+	bookings *bookings
 }
 
 // New returns the clients' side of an entry. Quotas are shared by a number of
 // entries.
 func New(e Entry, d *Declarations, name, software string, entries int) *Clients {
-	return &Clients{Declarations: d, entry: e, name: name, software: software, quotas: quota.New(entries)}
+	return &Clients{Declarations: d, entry: e, name: name, software: software, bookings: newBookings(entries)}
 }
 
 // askTimeout bounds a question that a client has set no limit for.
@@ -59,15 +59,13 @@
 	if c.neverRuns(&s.Job, spec) {
 		return refused(key, state.ReasonNeverRunnable, 0)
 	}
-	tasks := len(s.Job.Tasks)
-	limits := quota.Limits{InFlight: file.Quota.TasksInFlight, PerSecond: file.Quota.TasksPerSecond}
-	if wait, ok := c.quotas.Take(bootclock.Now(), file.Operator, limits, tasks); !ok {
+	if wait, ok := c.book(ctx, &s.Job, file); !ok {
 		// An earlier attempt with the same ID may have been accepted.
 		a := refused(key, state.ReasonQuota, wait)
 		a.Outcome = c.known(ctx, key)
 		return a
 	}
-	defer c.quotas.Release(file.Operator, tasks)
+	defer c.bookings.release(key)
 	deadline := s.Deadline
 	if deadline <= 0 {
 		deadline = spec.Deadline
@@ -76,6 +74,9 @@
 	defer cancel()
 	id, what, how := jobID(key), specOf(&s.Job, s.Digest, spec), policyOf(&s.Job, file, deadline)
 	v := c.entry.Submit(ctx, id, &what, &how)
+	if v.Known {
+		c.bookings.refund(key)
+	}
 	if v.Outcome != owner.OK {
 		return failed(key, v)
 	}
@@ -87,6 +88,21 @@
 	return a
 }
 
+// book takes a submission's tasks from its operator's quota, or says in how long there
+// may be room. A repeat takes nothing: it joins a job that is there already.
+func (c *Clients) book(ctx context.Context, j *state.Job, f *declaration.File) (time.Duration, bool) {
+	limits := quota.Limits{InFlight: f.Quota.TasksInFlight, PerSecond: f.Quota.TasksPerSecond}
+	wait, ok := c.bookings.take(bootclock.Now(), j.Key, f.Operator, limits, len(j.Tasks))
+	if ok {
+		return 0, true
+	}
+	if v := c.entry.Lookup(ctx, jobID(j.Key)); v.Outcome == owner.OK {
+		c.bookings.join(j.Key)
+		return 0, true
+	}
+	return wait, false
+}
+
 // known tells whether a job that is refused now may have been accepted before.
 func (c *Clients) known(ctx context.Context, key state.JobKey) state.Outcome {
 	if c.entry.Lookup(ctx, jobID(key)).Outcome == owner.Absent {
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -123,7 +123,7 @@
 func VerdictToWire(v owner.Verdict) *corepb.Verdict {
 	return &corepb.Verdict{
 		Outcome: int32(v.Outcome), Reason: v.Reason, State: int32(v.State),
-		RetryAfterMs: v.RetryAfter.Milliseconds(), Count: int64(v.Count),
+		RetryAfterMs: v.RetryAfter.Milliseconds(), Count: int64(v.Count), Known: v.Known,
 		Tasks: tasksToWire(v.Tasks), Failure: v.Failure, ElapsedMs: v.Elapsed.Milliseconds(),
 	}
 }
@@ -132,7 +132,7 @@
 func VerdictFromWire(p *corepb.Verdict) owner.Verdict {
 	return owner.Verdict{
 		Outcome: owner.Outcome(p.GetOutcome()), Reason: p.GetReason(), State: job.State(p.GetState()),
-		RetryAfter: time.Duration(p.GetRetryAfterMs()) * time.Millisecond, Count: int(p.GetCount()),
+		RetryAfter: time.Duration(p.GetRetryAfterMs()) * time.Millisecond, Count: int(p.GetCount()), Known: p.GetKnown(),
 		Tasks: tasksFromWire(p.GetTasks(), 0), Failure: p.GetFailure(),
 		Elapsed: time.Duration(p.GetElapsedMs()) * time.Millisecond,
 	}
