Ask the backend server before a report of another instance is believed

Cause: a well-formed report of an instance that is not there, from another writer or an earlier life, was taken for a new life: the present one's runs counted as lost and were started again. Ruled out: the report's address alone, which a writer may copy. Before: TestReportOfAnInstanceThatIsNotThere fails (a task started twice); after: ok.

--- a/daemon/core/enrol.go
+++ b/daemon/core/enrol.go
@@ -4,10 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
+	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
@@ -84,6 +86,10 @@
 
 // Report takes in a report of the backend server.
 func (a *Agent) Report(s worker.Server, clockMS int64) {
+	if !a.believes(s) {
+		metrics.Malformed(metrics.KindReport)
+		return
+	}
 	changed := a.worker.Changes(s)
 	a.apply(a.worker.Report(bootclock.Now(), s, clockMS))
 	if !changed {
@@ -95,5 +101,31 @@
 	}
 }
 
+// believes reports whether a report may be of the backend server beside this agent. It
+// may be another writer's, or an earlier instance's that was held up: taken for a new
+// one, the runs of the present instance would count as lost and be started again beside
+// themselves. So the backend server itself is asked; one that does not answer can't
+// start anything either.
+func (a *Agent) believes(s worker.Server) bool {
+	known, ok := a.worker.Server()
+	if !ok || !a.enrolled.Load() {
+		return true
+	}
+	if known.Instance == s.Instance {
+		if known.Service != s.Service {
+			klog.InfoS("A report names another service for the same instance and is left out", "instance", s.Instance, "service", s.Service, "known", known.Service)
+		}
+		return known.Service == s.Service
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	_, err := a.executor.Hold(ctx, worker.HoldCall{Instance: s.Instance}, 0)
+	if errors.Is(err, worker.ErrOtherInstance) {
+		klog.InfoS("A report is of an instance that is not there and is left out", "instance", s.Instance, "known", known.Instance)
+		return false
+	}
+	return true
+}
+
 // Left takes in that the backend server is going.
 func (a *Agent) Left(instance string) { a.apply(a.worker.Left(instance)) }
