Link the agents with an owner's first job

Cause: each owner of a shard kept a link to each agent, though most deployments submit best-effort jobs only, of which no owner hears. Ruled out: fewer shards (they bound recorded jobs), rarer signs of life (losses are found by them).

--- a/coordination/owner/link.go
+++ b/coordination/owner/link.go
@@ -199,6 +199,34 @@
 	return fx
 }
 
+// Concerns reports whether anything of this shard may be at an agent.
+func (s *Shard) Concerns() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.waitFor) > 0 {
+		return true
+	}
+	for _, j := range s.jobs {
+		if !j.rec.State.Final() {
+			return true
+		}
+	}
+	return false
+}
+
+// Reach counts the agents to which orders may go.
+func (s *Shard) Reach() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for node := range s.links {
+		if s.mayOrderLocked(node) {
+			n++
+		}
+	}
+	return n
+}
+
 // Closed reports whether the shard was given up.
 func (s *Shard) Closed() bool {
 	s.mu.Lock()
--- a/coordination/owner/owner_test.go
+++ b/coordination/owner/owner_test.go
@@ -505,3 +505,17 @@
 	f.is.Equal((*next.submit(testID, second))[0].Reason, ReasonConflict)
 	f.is.Equal((*next.submit(testID, first))[0].State, job.Completed)
 }
+
+// Most deployments submit best-effort jobs only, which need no owner. An owner links the
+// agents when anything of its shard may be there: an earlier owner's runs, or a job.
+func TestOwnerWithoutJobsConcernsNoAgent(t *testing.T) {
+	is := is.New(t)
+	fleet := NewFleet(1, DefaultParams())
+	is.True(!New(time.Hour, 1, 3, testBounds, fleet, nil, nil).Concerns())
+	is.True(New(time.Hour, 1, 3, testBounds, fleet, nil, []string{"a"}).Concerns())
+	spec := steps(1)
+	record := job.NewRecord(testID, spec, job.Policy{Queue: "quotes", Service: "desk"}, 1)
+	is.True(New(time.Hour, 1, 3, testBounds, fleet, []*job.Record{record}, nil).Concerns())
+	record.State = job.Completed
+	is.True(!New(time.Hour, 1, 3, testBounds, fleet, []*job.Record{record}, nil).Concerns())
+}
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -70,6 +70,13 @@
 	}
 }
 
+// opened reports whether the set is open, and how many agents are known.
+func (l *linkSet) opened() (bool, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isOpen, len(l.known)
+}
+
 // open links all agents that are known, and those that come.
 func (l *linkSet) open() {
 	l.changing.Lock()
--- a/daemon/core/membership.go
+++ b/daemon/core/membership.go
@@ -68,9 +68,10 @@
 // millisecond each.
 const linkLinger = 10 * time.Second
 
-// keepLinks links the other agents while this one owns shards. An agent that owns
-// none has nothing to say to them; with a link from each to each, signs of life
-// alone would take more than the work.
+// keepLinks ends the links to the other agents when this one has owned no shards for a
+// while: it has nothing to say to them. They are made for a shard that has jobs, or may
+// have runs somewhere, and with the first job that is submitted: with a link from each
+// owner to each agent, signs of life alone take more than the work.
 func (a *Agent) keepLinks(now time.Duration) {
 	a.mu.Lock()
 	if len(a.shards)+len(a.opening) > 0 {
@@ -171,8 +172,10 @@
 	a.opening[id] = true
 	epoch := a.epochs.next(id, generation)
 	go func() {
-		a.links.open()
 		r, err := a.openShard(ctx, id, epoch)
+		if err == nil && r.Concerns() {
+			a.links.open()
+		}
 		a.mu.Lock()
 		delete(a.opening, id)
 		switch {
--- a/daemon/core/questions.go
+++ b/daemon/core/questions.go
@@ -1,10 +1,14 @@
 package core
 
 import (
+	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/state/job"
+	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
 // verdictNotOwner answers questions about shards of other agents.
@@ -17,9 +21,35 @@
 		reply(verdictNotOwner)
 		return
 	}
+	a.reach(r)
 	r.step(func(now time.Duration) owner.Effects { return r.Shard.Submit(now, id, spec, p, reply) })
 }
 
+const (
+	// reachTimeout bounds the wait for the links of an owner's first job: a dial, a
+	// claim and the record of whom it has claimed take 50 ms, on a slow host 200.
+	reachTimeout = 400 * time.Millisecond
+	// reachPoll is the pace at which it is looked whether they are there.
+	reachPoll = 5 * time.Millisecond
+)
+
+// reach links the other agents, if they are not, and waits until orders may go to them.
+// Without the wait an owner's first job would be refused for want of a worker.
+func (a *Agent) reach(r *shardRunner) {
+	if open, _ := a.links.opened(); open {
+		return
+	}
+	klog.InfoS("The first job of an owner: the agents are linked", "shard", r.ID)
+	a.links.open()
+	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
+	defer cancel()
+	for pause.For(ctx, reachPoll) == nil {
+		if _, known := a.links.opened(); r.Reach() >= known {
+			return
+		}
+	}
+}
+
 // Lookup implements peer.AgentHandler.
 func (a *Agent) Lookup(shard int, id job.ID) owner.Verdict {
 	r := a.shard(shard)
