Acknowledge the ends of an earlier life's best-effort runs

Cause: since owners link agents with their first job only, nobody claimed the shards that the ends of an earlier life's runs lead to. An agent writes a mark before an owner of recorded jobs claims there; without it all runs of its earlier life are best-effort, and their ends are acknowledged at once. Where there may be others, the agent asks for their owners.

--- a/coordination/worker/former.go
+++ b/coordination/worker/former.go
@@ -18,11 +18,17 @@
 	return node
 }
 
-// Former names the owners of best-effort jobs whose orders an earlier life of this
-// agent has taken. They are all that a run which that life has started can be of.
+// Former names the owners whose orders an earlier life of this agent has taken, where
+// all were of best-effort jobs. They are all that a run which that life has started can
+// be of.
+//
+// Without this an end of such a run waits for the owner of the shard that its ID leads
+// to, and holds up all that the backend server lists behind it. Where no job is recorded
+// no owner claims anything, and a list that is full for good stops the agent.
 func (w *Worker) Former(owners []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.formerEffort = true
 	w.former = make(map[string]string, len(owners))
 	for _, o := range owners {
 		w.former[nodeOf(o)] = o
@@ -56,3 +62,20 @@
 		}
 	}
 }
+
+// orphanAfter is how long an end may wait for the owner of its shard before it counts as
+// waiting for nobody: owners that are linked claim within a quarter of a second.
+const orphanAfter = time.Second
+
+// Orphaned reports whether an end of an earlier life's run waits for an owner that has
+// not claimed here.
+func (w *Worker) Orphaned(now time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.ends {
+		if !r.known && !r.end.settled && !w.formerEffort && now-r.startedAt > orphanAfter {
+			return true
+		}
+	}
+	return false
+}
--- a/coordination/worker/former_test.go
+++ b/coordination/worker/former_test.go
@@ -84,3 +84,34 @@
 	}
 	is.Equal(a.patience(), mostPatience)
 }
+
+// All processes were killed where no job is recorded, so no owner ever claims. The ends
+// of the earlier life's runs were kept for owners, and with them all that the backend
+// server listed behind: eight seconds later its list was full, and nobody was served.
+func TestEndsOfAnEarlierLifeHoldUpNothing(t *testing.T) {
+	f := newFixture(t)
+	f.Former([]string{"entry-1/old"})
+	old := job.RunID{Task: job.TaskID{Job: "00000000000000ee"}, Number: 1}
+	f.alive[old] = true
+	f.hold()
+	f.end(old, job.Done)
+	f.hold()
+	f.is.Equal(f.hold().Acked, int64(1))
+	found := f.Claim(f.now, Claim{Shard: private + 1, Epoch: 1, Session: 1, Owner: "entry-1/old"})
+	f.is.Equal(len(found.Runs), 1) // its entry may live and ask for it
+	f.is.True(!f.Orphaned(f.now + 2*orphanAfter))
+}
+
+// An earlier life may have had runs of recorded jobs. An end of one is not acknowledged
+// before its owner has claimed; when none does, the agent asks for it.
+func TestEndOfARecordedJobWaitsForItsOwner(t *testing.T) {
+	f := newFixture(t)
+	old := job.RunID{Task: job.TaskID{Job: "00000000000000ee"}, Number: 1}
+	f.alive[old] = true
+	f.hold()
+	f.end(old, job.Done)
+	f.hold()
+	f.is.Equal(f.hold().Acked, int64(0))
+	f.is.True(!f.Orphaned(f.now))
+	f.is.True(f.Orphaned(f.now + 2*orphanAfter))
+}
--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -178,7 +178,7 @@
 	told := w.clean && (r == nil || r.phase == ended)
 	if r == nil {
 		shard := e.Run.Task.Job.Shard(w.bounds.Shards)
-		r = &run{order: Order{Shard: shard, Run: e.Run}}
+		r = &run{order: Order{Shard: shard, Run: e.Run}, startedAt: now}
 		w.runs[e.Run] = r
 	}
 	if len(w.ends) == 0 && w.acked == 0 {
--- a/coordination/worker/settle.go
+++ b/coordination/worker/settle.go
@@ -56,4 +56,9 @@
 }
 
 // effortLocked reports whether a run is known to be of a best-effort job.
-func (w *Worker) effortLocked(r *run) bool { return r.known && r.order.Shard >= w.bounds.Shards }
+func (w *Worker) effortLocked(r *run) bool {
+	if !r.known {
+		return w.formerEffort
+	}
+	return r.order.Shard >= w.bounds.Shards
+}
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -150,7 +150,9 @@
 	// former has, by node, the owners that runs of an earlier life of this agent can
 	// be of; an owner leaves it when a later life of its node has claimed.
 	former map[string]string
-	queued int64
+	// formerEffort is set where all runs of the earlier life are of best-effort jobs.
+	formerEffort bool
+	queued       int64
 
 	clock clock
 	// granted is the latest executor-clock deadline given out, and grantedEnd
--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -89,6 +89,11 @@
 	placed *placersLog
 	// unclaimed is set while links came up whose agents were not claimed.
 	unclaimed atomic.Bool
+	// marked is set once it is written down that owners of recorded jobs claim here,
+	// and orphaned while ends wait for them.
+	marked, orphaned atomic.Bool
+	// marking is held while that is being written.
+	marking sync.Mutex
 
 	mu sync.Mutex
 	// All fields below are guarded by mu.
@@ -113,7 +118,7 @@
 		settings: s, store: st, newExecutor: newExecutor, metrics: newCoreMetrics(),
 		member: memberName(s.Name, xid.New().String()), started: bootclock.Now(),
 		worker:  worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerSilence: ownerSilence, Relink: relink, Adoption: adoption, Shards: s.Shards()}),
-		placed:  newPlacersLog(s.Shards()),
+		placed:  newPlacersLog(),
 		fleet:   owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams()),
 		shards:  make(map[int]*shardRunner),
 		opening: make(map[int]bool),
@@ -155,7 +160,10 @@
 		return nil
 	}
 	a.executor = a.newExecutor(life)
-	a.worker.Former(previous.former())
+	if previous.effortOnly() {
+		a.worker.Former(previous.Owners)
+	}
+	a.marked.Store(previous != nil && previous.recorded)
 	a.resume(ctx, previous.server())
 	a.enrolled.Store(true)
 	klog.InfoS("The agent is registered", "name", a.settings.Name, "life", life, "member", a.member)
--- a/daemon/core/enrol.go
+++ b/daemon/core/enrol.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/pause"
@@ -36,22 +37,25 @@
 }
 
 func (a *Agent) registration(server *knownServer) registration {
-	owners, recorded := a.placed.owners()
 	return registration{
 		Links: a.settings.Listen.LinksAddress(), Member: a.member, Zone: a.settings.Zone, Server: server,
-		Owners: owners, Recorded: recorded,
+		Owners: a.placed.owners(), Orphans: a.orphaned.Load(), Marks: true,
 	}
 }
 
 func (a *Agent) carryOver(previous *registration) {
 	if previous != nil {
-		a.placed.carryOver(bootclock.Now(), previous.Owners, previous.Recorded)
+		a.placed.carryOver(bootclock.Now(), previous.Owners)
 	}
 }
 
 // rememberPlacers writes down whose orders this agent has taken, when that changes.
 func (a *Agent) rememberPlacers(ctx context.Context, now time.Duration) {
 	s, known := a.worker.Server()
+	if a.worker.Orphaned(now) && !a.orphaned.Swap(true) {
+		klog.InfoS("Ends wait for the owners of their shards; they are asked to claim")
+		a.placed.again()
+	}
 	if known && a.placed.due(now) {
 		go a.remember(ctx, s)
 	}
@@ -76,10 +80,32 @@
 	}, h.ClockMS))
 }
 
+// mark writes down that owners of recorded jobs claim here, and returns once it is.
+// Without it the next life would take runs of recorded jobs for best-effort ones, and
+// acknowledge ends that nobody has recorded.
+func (a *Agent) mark() {
+	a.marking.Lock()
+	defer a.marking.Unlock()
+	for !a.marked.Load() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		_, err := a.store.Append(ctx, registryPartition, nil, []store.Record{{Key: markKey(a.settings.Name), Value: []byte(a.member)}})
+		cancel()
+		if err == nil {
+			a.marked.Store(true)
+			return
+		}
+		klog.InfoS("That recorded jobs may run here could not be written down; their owner waits", "err", err)
+		_ = pause.For(context.Background(), retryPause)
+	}
+}
+
+func known(s worker.Server) *knownServer {
+	return &knownServer{Instance: s.Instance, Service: s.Service, Labels: s.Labels, Capacity: s.Capacity, Draining: s.Draining}
+}
+
 // remember writes down the backend server when it has changed.
 func (a *Agent) remember(ctx context.Context, s worker.Server) {
-	known := &knownServer{Instance: s.Instance, Service: s.Service, Labels: s.Labels, Capacity: s.Capacity, Draining: s.Draining}
-	if _, err := announce(ctx, a.store, a.settings.Name, a.registration(known)); err != nil {
+	if _, err := announce(ctx, a.store, a.settings.Name, a.registration(known(s))); err != nil {
 		klog.InfoS("The backend server could not be written down; the next life waits for its report", "err", err)
 	}
 }
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -26,6 +26,8 @@
 	// All fields below are guarded by mu.
 
 	links map[string]closer
+	// orphans is set once an agent has announced ends that only owners can settle.
+	orphans bool
 	// linkedTo has the address of each link, known that of each agent.
 	linkedTo map[string]string
 	known    map[string]registration
@@ -49,6 +51,9 @@
 
 // apply takes in a record of the registry.
 func (l *linkSet) apply(r store.Record) {
+	if isMark(r) {
+		return
+	}
 	l.changing.Lock()
 	defer l.changing.Unlock()
 	if r.Value == nil {
@@ -63,6 +68,7 @@
 	}
 	l.mu.Lock()
 	l.known[r.Key] = reg
+	l.orphans = l.orphans || reg.Orphans
 	isOpen := l.isOpen
 	l.mu.Unlock()
 	if isOpen {
@@ -70,6 +76,13 @@
 	}
 }
 
+// needed reports whether agents have ends that wait for owners.
+func (l *linkSet) needed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.orphans
+}
+
 // opened reports whether the set is open, and how many agents are known.
 func (l *linkSet) opened() (bool, int) {
 	l.mu.Lock()
--- a/daemon/core/membership.go
+++ b/daemon/core/membership.go
@@ -71,7 +71,8 @@
 // keepLinks ends the links to the other agents when this one has owned no shards for a
 // while: it has nothing to say to them. They are made for a shard that has jobs, or may
 // have runs somewhere, and with the first job that is submitted: with a link from each
-// owner to each agent, signs of life alone take more than the work.
+// owner to each agent, signs of life alone take more than the work. Owners also link
+// agents when one has ends that only they can settle.
 func (a *Agent) keepLinks(now time.Duration) {
 	a.mu.Lock()
 	if len(a.shards)+len(a.opening) > 0 {
@@ -79,8 +80,11 @@
 	}
 	idle := now - a.ownedAt
 	a.mu.Unlock()
-	if idle > linkLinger {
+	switch {
+	case idle > linkLinger:
 		a.links.close()
+	case idle == 0 && a.links.needed():
+		a.links.open()
 	}
 }
 
--- a/daemon/core/placers.go
+++ b/daemon/core/placers.go
@@ -6,8 +6,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 )
 
 const (
@@ -21,11 +19,8 @@
 
 // placersLog knows whose orders this agent has taken. It is written down with the
 // agent's registration, so that the agent's next life knows of whom the runs can be
-// that it finds at its backend server.
+// that it finds at its backend server. See worker.Former.
 type placersLog struct {
-	// shards is the number of shards of recorded jobs.
-	shards int
-
 	mu sync.Mutex
 	// All fields below are guarded by mu.
 
@@ -33,24 +28,21 @@
 	// was.
 	lives   map[string]string
 	ordered map[string]time.Duration
-	// recorded is set once an order was for a recorded job. Its run outlives its owner.
-	recorded bool
-	dirty    bool
-	written  time.Duration
+	dirty   bool
+	written time.Duration
 }
 
-func newPlacersLog(shards int) *placersLog {
-	return &placersLog{shards: shards, lives: make(map[string]string), ordered: make(map[string]time.Duration)}
+func newPlacersLog() *placersLog {
+	return &placersLog{lives: make(map[string]string), ordered: make(map[string]time.Duration)}
 }
 
 // carryOver takes in what an earlier life has written down.
-func (l *placersLog) carryOver(now time.Duration, owners []string, recorded bool) {
+func (l *placersLog) carryOver(now time.Duration, owners []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, o := range owners {
 		l.putLocked(now, o)
 	}
-	l.recorded = recorded
 }
 
 func (l *placersLog) putLocked(now time.Duration, owner string) {
@@ -59,16 +51,18 @@
 	l.lives[node], l.ordered[node] = owner, now
 }
 
+// again has the registration written once more.
+func (l *placersLog) again() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dirty = true
+}
+
 // note takes in that an owner has sent orders.
-func (l *placersLog) note(now time.Duration, owner string, orders []*corepb.Order) {
+func (l *placersLog) note(now time.Duration, owner string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.putLocked(now, owner)
-	for _, o := range orders {
-		if int(o.GetShard()) < l.shards && !l.recorded {
-			l.recorded, l.dirty = true, true
-		}
-	}
 }
 
 // due reports whether there is something to write down, once for each change.
@@ -89,9 +83,9 @@
 	return true
 }
 
-// owners returns the names, and whether recorded jobs were among the orders.
-func (l *placersLog) owners() ([]string, bool) {
+// owners returns the names.
+func (l *placersLog) owners() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.Sorted(maps.Values(l.lives)), l.recorded
+	return slices.Sorted(maps.Values(l.lives))
 }
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -30,20 +30,28 @@
 	// life goes on with it at once, if the same instance answers, instead of
 	// waiting for its next report.
 	Server *knownServer `json:"server,omitempty"`
-	// Owners are those whose orders the agent has taken, and Recorded is set if there
-	// were some for recorded jobs. See worker.Former.
-	Owners   []string `json:"owners,omitempty"`
-	Recorded bool     `json:"recorded,omitempty"`
+	// Owners are those whose orders the agent has taken; see worker.Former.
+	Owners []string `json:"owners,omitempty"`
+	// Orphans is set while ends stand at the agent that only the owners of their shards
+	// can settle, and none does: owners without jobs link nobody.
+	Orphans bool `json:"orphans,omitempty"`
+	// Marks is set by agents that write a mark before an owner of recorded jobs claims
+	// there; recorded is set where that mark was found.
+	Marks    bool `json:"marks,omitempty"`
+	recorded bool
 }
 
-// former returns the owners of which runs of that life can be; nothing if there may be
-// others, whose runs go on without them.
-func (r *registration) former() []string {
-	if r == nil || r.Recorded {
-		return nil
-	}
-	return r.Owners
-}
+// effortOnly reports whether all runs of a life are of best-effort jobs.
+func (r *registration) effortOnly() bool { return r != nil && r.Marks && !r.recorded }
+
+// markKey is the key of an agent's mark. It is a record of its own, which is never
+// taken back: a registration on its way would otherwise overwrite it.
+func markKey(name string) string { return markPrefix + name }
+
+// markPrefix begins with a byte that no agent's name has.
+const markPrefix = "\x00recorded/"
+
+func isMark(r store.Record) bool { return strings.HasPrefix(r.Key, markPrefix) }
 
 // member and server return what a life announced; nothing if there was none.
 func (r *registration) member() string {
@@ -156,7 +164,10 @@
 	if err != nil {
 		return nil, err
 	}
+	var previous *registration
+	recorded := false
 	for _, r := range records {
+		recorded = recorded || r.Key == markKey(name)
 		if r.Key != name || r.Value == nil {
 			continue
 		}
@@ -165,11 +176,14 @@
 			// As an error it would keep the agent from ever registering again.
 			metrics.Malformed(metrics.KindRegistration)
 			klog.ErrorS(err, "What an earlier life has announced is malformed")
-			return nil, nil
+			continue
 		}
-		return &reg, nil
+		previous = &reg
+	}
+	if previous != nil {
+		previous.recorded = recorded
 	}
-	return nil, nil
+	return previous, nil
 }
 
 // announce writes a registration and returns its offset.
--- a/daemon/core/serve.go
+++ b/daemon/core/serve.go
@@ -56,7 +56,7 @@
 		return errSilent
 	}
 	for _, p := range f.GetClaims() {
-		a.claim(now, c, p)
+		a.takeClaim(c, p)
 	}
 	for _, shard := range f.GetReleases() {
 		a.worker.Release(int(shard), c.Node)
@@ -67,7 +67,7 @@
 	}
 	if n := a.newsFor(c); n != nil && len(f.GetOrders()) > 0 {
 		n.ordered(now)
-		a.placed.note(now, c.Node, f.GetOrders())
+		a.placed.note(now, c.Node)
 	}
 	for _, p := range f.GetStops() {
 		a.apply(a.worker.Stop(now, int(p.GetShard()), p.GetEpoch(), wire.RunFromWire(p.GetRun())))
@@ -78,6 +78,19 @@
 	return nil
 }
 
+// takeClaim answers a claim. That of a recorded shard waits for what has to be written
+// down first; its owner sends no order before the answer.
+func (a *Agent) takeClaim(c *peer.Caller, p *corepb.Claim) {
+	if a.marked.Load() || int(p.GetShard()) >= a.settings.Shards() {
+		a.claim(bootclock.Now(), c, p)
+		return
+	}
+	go func() {
+		a.mark()
+		a.claim(bootclock.Now(), c, p)
+	}()
+}
+
 func (a *Agent) claim(now time.Duration, c *peer.Caller, p *corepb.Claim) {
 	answer := a.worker.Claim(now, worker.Claim{Shard: int(p.GetShard()), Epoch: p.GetEpoch(), Session: p.GetSession(), Owner: c.Node})
 	a.apply(answer.Effects)
--- a/daemon/core/shard.go
+++ b/daemon/core/shard.go
@@ -139,7 +139,9 @@
 	}
 	names := make([]string, 0, len(registered))
 	for _, reg := range registered {
-		names = append(names, reg.Key)
+		if !isMark(reg) {
+			names = append(names, reg.Key)
+		}
 	}
 	return names, nil
 }
