--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -155,15 +155,14 @@
 		}
 	})
 	defer a.server.Stop()
+	var reading conc.WaitGroup
+	reading.Go(func() { a.takeNotes(ctx) })
 	life, previous := a.enrol(ctx)
+	reading.Wait()
 	if ctx.Err() != nil {
 		return nil
 	}
 	a.executor = a.newExecutor(life)
-	if previous.effortOnly() {
-		a.worker.Former(previous.Owners)
-	}
-	a.marked.Store(previous != nil && previous.recorded)
 	a.resume(ctx, previous.server())
 	a.enrolled.Store(true)
 	klog.InfoS("The agent is registered", "name", a.settings.Name, "life", life, "member", a.member)
--- a/daemon/core/enrol.go
+++ b/daemon/core/enrol.go
@@ -8,7 +8,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
-	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/pause"
@@ -21,7 +20,6 @@
 	for {
 		previous, err := previousLife(ctx, a.store, a.settings.Name)
 		if err == nil {
-			a.carryOver(previous)
 			var offset int64
 			offset, err = announce(ctx, a.store, a.settings.Name, a.registration(previous.server()))
 			if err == nil {
@@ -39,24 +37,40 @@
 func (a *Agent) registration(server *knownServer) registration {
 	return registration{
 		Links: a.settings.Listen.LinksAddress(), Member: a.member, Zone: a.settings.Zone, Server: server,
-		Owners: a.placed.owners(), Orphans: a.orphaned.Load(), Marks: true,
+		Orphans: a.orphaned.Load(),
 	}
 }
 
-func (a *Agent) carryOver(previous *registration) {
-	if previous != nil {
-		a.placed.carryOver(bootclock.Now(), previous.Owners)
+// takeNotes takes in what earlier lives have written down. It goes on until the store
+// has answered: until then nobody can be told what runs here.
+func (a *Agent) takeNotes(ctx context.Context) {
+	for ctx.Err() == nil {
+		e, err := readNotes(ctx, a.store, a.settings.Name)
+		if err != nil {
+			klog.InfoS("The notes of earlier lives can't be read yet", "err", err)
+			_ = pause.For(ctx, retryPause)
+			continue
+		}
+		a.placed.carryOver(bootclock.Now(), e.owners)
+		a.marked.Store(e.recorded)
+		if e.effortOnly() {
+			a.worker.Former(e.owners)
+		}
+		return
 	}
 }
 
-// rememberPlacers writes down whose orders this agent has taken, when that changes.
-func (a *Agent) rememberPlacers(ctx context.Context, now time.Duration) {
-	s, known := a.worker.Server()
-	if a.worker.Orphaned(now) && !a.orphaned.Swap(true) {
-		klog.InfoS("Ends wait for the owners of their shards; they are asked to claim")
-		a.placed.again()
+// keepNotes writes down whose orders this agent has taken, when that changes, and asks
+// for the owners of ends that wait for them.
+func (a *Agent) keepNotes(ctx context.Context, now time.Duration) {
+	if a.placed.due(now) {
+		go a.writeNotes(ctx)
+	}
+	if !a.worker.Orphaned(now) || a.orphaned.Swap(true) {
+		return
 	}
-	if known && a.placed.due(now) {
+	klog.InfoS("Ends wait for the owners of their shards; they are asked to claim")
+	if s, ok := a.worker.Server(); ok {
 		go a.remember(ctx, s)
 	}
 }
@@ -80,25 +94,6 @@
 	}, h.ClockMS))
 }
 
-// mark writes down that owners of recorded jobs claim here, and returns once it is.
-// Without it the next life would take runs of recorded jobs for best-effort ones, and
-// acknowledge ends that nobody has recorded.
-func (a *Agent) mark() {
-	a.marking.Lock()
-	defer a.marking.Unlock()
-	for !a.marked.Load() {
-		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-		_, err := a.store.Append(ctx, registryPartition, nil, []store.Record{{Key: markKey(a.settings.Name), Value: []byte(a.member)}})
-		cancel()
-		if err == nil {
-			a.marked.Store(true)
-			return
-		}
-		klog.InfoS("That recorded jobs may run here could not be written down; their owner waits", "err", err)
-		_ = pause.For(context.Background(), retryPause)
-	}
-}
-
 func known(s worker.Server) *knownServer {
 	return &knownServer{Instance: s.Instance, Service: s.Service, Labels: s.Labels, Capacity: s.Capacity, Draining: s.Draining}
 }
--- a/daemon/core/executor.go
+++ b/daemon/core/executor.go
@@ -141,7 +141,7 @@
 			now := bootclock.Now()
 			a.apply(a.worker.Tick(now))
 			a.spreadLoad(now)
-			a.rememberPlacers(ctx, now)
+			a.keepNotes(ctx, now)
 			if now-reported >= loadReportEvery {
 				reported = now
 				a.reportLoad()
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -46,14 +46,11 @@
 
 // follow learns of agents by the registry until the context ends.
 func (l *linkSet) follow(ctx context.Context, st store.Store) {
-	(&follower{store: st, partition: registryPartition, wait: registryWait, apply: l.apply, name: "registry"}).run(ctx)
+	(&follower{store: st, partition: registryPartition, wait: registryWait, rest: registryPause, apply: l.apply, name: "registry"}).run(ctx)
 }
 
 // apply takes in a record of the registry.
 func (l *linkSet) apply(r store.Record) {
-	if isMark(r) {
-		return
-	}
 	l.changing.Lock()
 	defer l.changing.Unlock()
 	if r.Value == nil {
--- a/daemon/core/placers.go
+++ b/daemon/core/placers.go
@@ -43,6 +43,7 @@
 	for _, o := range owners {
 		l.putLocked(now, o)
 	}
+	l.dirty = false
 }
 
 func (l *placersLog) putLocked(now time.Duration, owner string) {
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -30,29 +30,11 @@
 	// life goes on with it at once, if the same instance answers, instead of
 	// waiting for its next report.
 	Server *knownServer `json:"server,omitempty"`
-	// Owners are those whose orders the agent has taken; see worker.Former.
-	Owners []string `json:"owners,omitempty"`
 	// Orphans is set while ends stand at the agent that only the owners of their shards
 	// can settle, and none does: owners without jobs link nobody.
 	Orphans bool `json:"orphans,omitempty"`
-	// Marks is set by agents that write a mark before an owner of recorded jobs claims
-	// there; recorded is set where that mark was found.
-	Marks    bool `json:"marks,omitempty"`
-	recorded bool
 }
 
-// effortOnly reports whether all runs of a life are of best-effort jobs.
-func (r *registration) effortOnly() bool { return r != nil && r.Marks && !r.recorded }
-
-// markKey is the key of an agent's mark. It is a record of its own, which is never
-// taken back: a registration on its way would otherwise overwrite it.
-func markKey(name string) string { return markPrefix + name }
-
-// markPrefix begins with a byte that no agent's name has.
-const markPrefix = "\x00recorded/"
-
-func isMark(r store.Record) bool { return strings.HasPrefix(r.Key, markPrefix) }
-
 // member and server return what a life announced; nothing if there was none.
 func (r *registration) member() string {
 	if r == nil {
@@ -86,6 +68,11 @@
 	// registryWait is how long a read of the registry waits for news. A silent
 	// connection is found a little later.
 	registryWait = 2 * time.Second
+	// registryPause is the pause after news of the registry. When all hosts come back
+	// at once each of 70 agents registers within 0.3 s, and without it each of 83
+	// readers read each of the records by itself. Agents come back at their old
+	// addresses, so nobody waits for them here.
+	registryPause = 30 * time.Millisecond
 )
 
 // follower keeps a copy of a keyed partition up to date.
@@ -93,6 +80,8 @@
 	store     store.Store
 	partition store.Partition
 	wait      time.Duration
+	// rest is the pause after records came, to read the next ones together.
+	rest time.Duration
 	// apply gets each newest record, also repeatedly.
 	apply func(store.Record)
 	// name is for the log.
@@ -134,6 +123,9 @@
 		for _, r := range records {
 			f.apply(r)
 		}
+		if len(records) > 0 {
+			_ = pause.For(ctx, f.rest)
+		}
 		records, next, err = f.follow(ctx, next)
 		if err != nil {
 			return err
@@ -164,10 +156,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var previous *registration
-	recorded := false
 	for _, r := range records {
-		recorded = recorded || r.Key == markKey(name)
 		if r.Key != name || r.Value == nil {
 			continue
 		}
@@ -176,14 +165,11 @@
 			// As an error it would keep the agent from ever registering again.
 			metrics.Malformed(metrics.KindRegistration)
 			klog.ErrorS(err, "What an earlier life has announced is malformed")
-			continue
+			return nil, nil
 		}
-		previous = &reg
-	}
-	if previous != nil {
-		previous.recorded = recorded
+		return &reg, nil
 	}
-	return previous, nil
+	return nil, nil
 }
 
 // announce writes a registration and returns its offset.
--- a/daemon/core/shard.go
+++ b/daemon/core/shard.go
@@ -139,9 +139,7 @@
 	}
 	names := make([]string, 0, len(registered))
 	for _, reg := range registered {
-		if !isMark(reg) {
-			names = append(names, reg.Key)
-		}
+		names = append(names, reg.Key)
 	}
 	return names, nil
 }
--- a/transport/metrics/malformed.go
+++ b/transport/metrics/malformed.go
@@ -11,6 +11,7 @@
 	KindStoreRecord   = "store_record"
 	KindJobRecord     = "job_record"
 	KindAgents        = "agents"
+	KindNotes         = "notes"
 )
 
 // malformed counts what could not be read and was left out. Decoders have no registry
@@ -21,7 +22,7 @@
 	c := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "malformed_total", Help: "Reports and records that could not be read and were left out, by kind.",
 	}, []string{"kind"})
-	for _, kind := range []string{KindReport, KindConfiguration, KindRoute, KindRegistration, KindStoreRecord, KindJobRecord, KindAgents} {
+	for _, kind := range []string{KindReport, KindConfiguration, KindRoute, KindRegistration, KindStoreRecord, KindJobRecord, KindAgents, KindNotes} {
 		c.WithLabelValues(kind)
 	}
 	return c
