Remove what late binding has made worthless

Hypothesis: with tasks bound late, the check that urgent work makes no waiting work late, and the random advantage that spread owners over agents, decide nothing any more.

--- a/coordination/load/ablation_test.go
+++ b/coordination/load/ablation_test.go
@@ -29,9 +29,8 @@
 	{"priorities", func(p *owner.Params) { p.PriorityShare = 1 }},
 	{"aim share", func(p *owner.Params) { p.AimShare = 1 }},
 	{"others' orders", func(p *owner.Params) { p.Alike = 0 }},
-	{"slack in reach", func(p *owner.Params) { p.Usable = 10 }},
 	{"stale news", func(p *owner.Params) { p.StaleLoad = time.Hour }},
-	{"spread", func(p *owner.Params) { p.Spread = time.Microsecond }},
+	{"reserve for late jobs", func(p *owner.Params) { p.YieldReserve = 0 }},
 	{"learned times", func(p *owner.Params) { p.LearnWeight = 0 }},
 	{"first jobs wait", func(p *owner.Params) { p.Arrival = 0 }},
 }
--- a/coordination/owner/params.go
+++ b/coordination/owner/params.go
@@ -59,16 +59,10 @@
 	// others have room: it says something every 150 ms, and a host that went dark
 	// costs each task sent to it the time until its link is given up.
 	StaleLoad time.Duration
-	// Spread is the largest random advantage of a worker. Owners see loads that are
-	// some milliseconds old; without it all of them would pick the same one.
-	Spread time.Duration
 	// Alike is the part of the processes that place work at a worker which are taken
 	// to have chosen it whenever this one did, since its last news. Eight of them that
 	// each see only their own orders promise the same room several times over.
 	Alike float64
-	// Usable is the part of the time until a task must start that may be promised to
-	// work before it; more urgent work goes on coming in.
-	Usable float64
 	// LearnWeight is the weight of one new measurement of a run time: about the last
 	// fifty count, some seconds of traffic of a queue.
 	LearnWeight float64
@@ -90,9 +84,7 @@
 		Arrival:       600 * time.Millisecond,
 		BindWithin:    25 * time.Millisecond,
 		StaleLoad:     320 * time.Millisecond,
-		Spread:        3 * time.Millisecond,
 		Alike:         0.4,
-		Usable:        0.8,
 		LearnWeight:   0.02,
 	}
 }
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -1,11 +1,9 @@
 package owner
 
 import (
-	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
@@ -115,8 +113,7 @@
 const lastResort = time.Minute
 
 // predictLocked estimates how long a task would wait at an agent and when it
-// would end. Among agents with room the emptiest is a little ahead, so that
-// work spreads before anything has to wait.
+// would end.
 func (f *Fleet) predictLocked(node string, v *agentView, n Need) placement {
 	taken, work := v.booked(n.Now, f.params.Alike)
 	free := v.load.Free.Minus(taken)
@@ -130,10 +127,8 @@
 	if before > 0 || !n.Demand.Fits(free) {
 		p.wait = (before+work)*1000/time.Duration(cores) + v.load.Turnover
 	}
-	p.finish += v.excess(n, work, cores, f.params.Usable)
-	used := float64(cores-free.CPUMillis) / float64(cores)
-	p.left = 1 - used - float64(n.Demand.CPUMillis)/float64(cores)
-	p.finish += p.wait + run + time.Duration(used*float64(f.params.Spread)) + rand.N(f.params.Spread)
+	p.left = float64(free.CPUMillis-n.Demand.CPUMillis) / float64(cores)
+	p.finish = p.wait + run
 	return p
 }
 
@@ -152,21 +147,3 @@
 	}
 	return taken, work
 }
-
-// excess is by how much the waiting work with more slack than a task's would
-// come too late if the task were put before it. Without it a stream of urgent
-// tasks is let in that each are in time, and all others are accepted in vain.
-func (v *agentView) excess(n Need, booked time.Duration, cores int64, usable float64) time.Duration {
-	if n.Slack <= 0 {
-		return 0
-	}
-	var most time.Duration
-	for i, edge := range worker.Bands {
-		if edge < n.Slack || v.load.Ahead[i] == 0 {
-			continue
-		}
-		start := (v.load.Ahead[i] + booked) * 1000 / time.Duration(cores)
-		most = max(most, start-time.Duration(usable*float64(edge)))
-	}
-	return most
-}
