--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -155,10 +155,17 @@
 		}
 	})
 	defer a.server.Stop()
-	var reading conc.WaitGroup
-	reading.Go(func() { a.takeNotes(ctx) })
+	noted := make(chan struct{})
+	wg.Go(func() {
+		a.takeNotes(ctx)
+		close(noted)
+	})
 	life, previous := a.enrol(ctx)
-	reading.Wait()
+	select {
+	case <-noted:
+	case <-time.After(notesWait):
+		klog.InfoS("The notes of earlier lives are not there yet")
+	}
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/daemon/core/enrol.go
+++ b/daemon/core/enrol.go
@@ -41,18 +41,19 @@
 	}
 }
 
-// takeNotes takes in what earlier lives have written down. It goes on until the store
-// has answered: until then nobody can be told what runs here.
+// takeNotes takes in what earlier lives have written down.
 func (a *Agent) takeNotes(ctx context.Context) {
 	for ctx.Err() == nil {
-		e, err := readNotes(ctx, a.store, a.settings.Name)
+		e, err := a.readNotes(ctx)
 		if err != nil {
 			klog.InfoS("The notes of earlier lives can't be read yet", "err", err)
 			_ = pause.For(ctx, retryPause)
 			continue
 		}
 		a.placed.carryOver(bootclock.Now(), e.owners)
-		a.marked.Store(e.recorded)
+		if e.recorded {
+			a.marked.Store(true)
+		}
 		if e.effortOnly() {
 			a.worker.Former(e.owners)
 		}
--- a/daemon/core/notes.go
+++ b/daemon/core/notes.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"hash/fnv"
+	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -12,9 +14,20 @@
 	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
-// notesPartition has what each agent writes down for its next life. Nobody else reads
-// it: in the registry, which everybody follows, each note of 70 agents was read 83 times.
-var notesPartition = store.Partition{Topic: "keyed.notes"}
+// notesPartition has what an agent writes down for its next life. Nobody else reads it:
+// in the registry, which everybody follows, each note of 70 agents was read 83 times. A
+// read returns all of a partition, so the agents are spread over those of the topic.
+func (a *Agent) notesPartition() store.Partition {
+	h := fnv.New32a()
+	h.Write([]byte(a.settings.Name)) //nolint:errcheck // it never fails
+	return store.Partition{Topic: "keyed.notes", Part: int(h.Sum32() % uint32(max(1, a.settings.Store.Partitions)))}
+}
+
+// notesWait is how long an agent that has registered waits for its notes: a few times
+// what a read takes. A slow store takes seconds for the notes of many agents that start
+// at once, and nobody would be served meanwhile. Without them runs of earlier lives wait
+// for their owners as long as an agent without notes has them wait.
+const notesWait = 100 * time.Millisecond
 
 // notes are an agent's, under its name as key.
 type notes struct {
@@ -41,10 +54,11 @@
 func (e *earlier) effortOnly() bool { return e.noted && !e.recorded }
 
 // readNotes returns what an agent's earlier lives have written down.
-func readNotes(ctx context.Context, st store.Store, name string) (earlier, error) {
+func (a *Agent) readNotes(ctx context.Context) (earlier, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	records, _, err := st.Newest(ctx, notesPartition)
+	name := a.settings.Name
+	records, _, err := a.store.Newest(ctx, a.notesPartition())
 	if err != nil {
 		return earlier{}, errors.Wrap(err, "notes")
 	}
@@ -82,7 +96,7 @@
 func (a *Agent) note(ctx context.Context, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err := a.store.Append(ctx, notesPartition, nil, []store.Record{{Key: key, Value: value}})
+	_, err := a.store.Append(ctx, a.notesPartition(), nil, []store.Record{{Key: key, Value: value}})
 	return err
 }
 
