Split the waiting of tasks and the loading of a shard from their files, and keep late notes from replacing newer ones

Moves, but for two mends found in reading: notes that came late from a slow store put an entry's earlier life in the place of its present one (TestLateNotesDoNotReplaceWhatIsNewer fails before), and the queues whose clients' patience is remembered were not bounded.

--- a/coordination/owner/patience.go
+++ b/coordination/owner/patience.go
@@ -25,6 +25,9 @@
 	// patienceMiddle is the quantile of what is named that a first try is known by,
 	// also while half of all are repeats.
 	patienceMiddle = 0.6
+	// patienceQueues bounds the queues that are remembered. Configurations replace
+	// them; an owner that forgets them all knows the busy ones again within a second.
+	patienceQueues = 1000
 )
 
 // patienceLog has the patience named in a queue's last submissions. Guarded by
@@ -63,6 +66,9 @@
 	}
 	l := s.patience[p.Queue]
 	if l == nil {
+		if len(s.patience) >= patienceQueues {
+			clear(s.patience)
+		}
 		l = &patienceLog{}
 		s.patience[p.Queue] = l
 	}
--- /dev/null
+++ b/coordination/owner/waiting.go
@@ -0,0 +1,116 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// orderLocked sends a task to an agent that has room, or has it wait here.
+func (s *Shard) orderLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task) {
+	w := s.waitingTask(j, id)
+	if s.waiting.ahead(w.where, w.yields, w.latest) > 0 || !s.bindLocked(now, fx, j, id, t) {
+		s.waiting.add(w)
+	}
+}
+
+func (s *Shard) waitingTask(j *jobState, id job.TaskID) waitingTask {
+	st := &j.rec.Spec.Steps[id.Step]
+	n := s.need(&j.rec.Policy, st, "")
+	return waitingTask{id: id, where: placeKeyOf(&j.rec.Policy, st), yields: j.yields, latest: j.due - n.Estimate, work: coreTime(n)}
+}
+
+// bindLocked sends a task to an agent, if one has room for it soon.
+func (s *Shard) bindLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task) bool {
+	need := s.need(&j.rec.Policy, &j.rec.Spec.Steps[id.Step], t.failed)
+	need.Now, need.Slack, need.Yields = now, j.due-now-need.Estimate, j.yields
+	node, ok := s.fleet.Place(need, s.mayOrderLocked)
+	if !ok {
+		return false
+	}
+	t.number = max(t.number+1, (s.Epoch-j.rec.FirstEpoch)*runsPerEpoch+1)
+	t.phase, t.node = ordered, node
+	j.ordered = true
+	fx.log(Decision{What: "ordered", Job: id.Job, Run: job.RunID{Task: id, Number: t.number}, Node: node, Age: now - j.accepted, Wait: need.Slack})
+	fx.Orders = append(fx.Orders, Placed[worker.Order]{Node: node, What: s.order(j, id, t, need.Estimate)})
+	return true
+}
+
+// Waiting reports whether tasks wait here for room.
+func (s *Shard) Waiting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiting.tasks) > 0
+}
+
+// News has the tasks that wait here looked at again: an agent may have room.
+func (s *Shard) News(now time.Duration) Effects {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var fx Effects
+	if !s.closed {
+		s.placeAgainLocked(now, &fx)
+	}
+	return fx
+}
+
+// placeAgainLocked sends what waits here to agents that have room by now. What can't
+// be of use any more leaves.
+func (s *Shard) placeAgainLocked(now time.Duration, fx *Effects) {
+	s.waiting.measure(now, s.fleet.params.YieldMemory)
+	full := make(map[placeKey]bool)
+	for _, w := range s.waiting.take() {
+		j := s.jobs[w.id.Job]
+		if j == nil || j.rec.State.Final() {
+			continue
+		}
+		t := s.taskLocked(j, w.id)
+		if t == nil || t.phase != idle {
+			continue
+		}
+		if reason := s.hopelessLocked(now, j, &w); reason != "" {
+			s.giveUpLocked(now, fx, j, reason)
+			continue
+		}
+		if !full[w.where] && s.bindLocked(now, fx, j, w.id, t) {
+			if w.yields {
+				s.waiting.left += w.work
+			}
+			continue
+		}
+		// Smaller ones behind it don't overtake: a wide one would starve.
+		full[w.where] = true
+		s.waiting.add(w)
+	}
+}
+
+// hopelessLocked says why a job of which nothing has started can't be of use any
+// more, or "".
+func (s *Shard) hopelessLocked(now time.Duration, j *jobState, w *waitingTask) string {
+	if j.useful == 0 || j.ordered {
+		return ""
+	}
+	n := s.need(&j.rec.Policy, &j.rec.Spec.Steps[w.id.Step], "")
+	if now > j.useful-n.Estimate {
+		return ReasonOverload
+	}
+	if cores, _ := s.fleet.Room(n, s.mayOrderLocked); cores == 0 && !s.expectsAgents(now, &j.rec.Spec) {
+		return ReasonNoWorker
+	}
+	return ""
+}
+
+// giveUpLocked refuses a job that was to wait and of which nothing has started. Its
+// client is told so as soon as that is known, and may go elsewhere.
+func (s *Shard) giveUpLocked(now time.Duration, fx *Effects, j *jobState, reason string) {
+	fx.log(Decision{What: "given_up", Job: j.rec.ID, Reason: reason, Age: now - j.accepted})
+	for _, w := range j.waiters {
+		fx.reply(w, Verdict{Outcome: Refused, Reason: reason, RetryAfter: time.Second})
+	}
+	for _, w := range slices.Concat(j.cancels, j.watchers) {
+		fx.reply(w, Verdict{Outcome: Absent})
+	}
+	delete(s.jobs, j.rec.ID)
+}
--- a/daemon/core/placers.go
+++ b/daemon/core/placers.go
@@ -17,9 +17,9 @@
 	placersMemory = time.Minute
 )
 
-// placersLog knows whose orders this agent has taken. It is written down with the
-// agent's registration, so that the agent's next life knows of whom the runs can be
-// that it finds at its backend server. See worker.Former.
+// placersLog knows whose orders this agent has taken. It is written down in the agent's
+// notes, so that its next life knows of whom the runs can be that it finds at its
+// backend server. See worker.Former.
 type placersLog struct {
 	mu sync.Mutex
 	// All fields below are guarded by mu.
@@ -36,14 +36,18 @@
 	return &placersLog{lives: make(map[string]string), ordered: make(map[string]time.Duration)}
 }
 
-// carryOver takes in what an earlier life has written down.
+// carryOver takes in what an earlier life has written down. What this life has seen is
+// newer.
 func (l *placersLog) carryOver(now time.Duration, owners []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	dirty := l.dirty
 	for _, o := range owners {
-		l.putLocked(now, o)
+		if node, _, _ := strings.Cut(o, "/"); l.lives[node] == "" {
+			l.putLocked(now, o)
+		}
 	}
-	l.dirty = false
+	l.dirty = dirty
 }
 
 func (l *placersLog) putLocked(now time.Duration, owner string) {
@@ -52,7 +56,7 @@
 	l.lives[node], l.ordered[node] = owner, now
 }
 
-// again has the registration written once more.
+// again has the notes written once more.
 func (l *placersLog) again() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
