Have all first jobs of an owner wait for its links

Cause: only the job that opened the links waited for them; those that came meanwhile were refused for want of a worker. Found in reading. Ruled out: a wait for every job, which would hold callers while agents are away.

--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -83,6 +83,8 @@
 	// enrolled is set once this life has a number; no call goes to the backend
 	// server before.
 	enrolled atomic.Bool
+	// reachUntil is until when jobs wait for the links of an owner's first one.
+	reachUntil atomicDuration
 	// placers is the number of callers that place work here.
 	placers atomic.Int32
 	// placed has whose orders this agent has taken.
--- a/daemon/core/questions.go
+++ b/daemon/core/questions.go
@@ -8,6 +8,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/state/job"
+	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
@@ -34,19 +35,19 @@
 )
 
 // reach links the other agents, if they are not, and waits until orders may go to them.
-// Without the wait an owner's first job would be refused for want of a worker.
+// Without the wait an owner's first jobs would be refused for want of a worker. Later
+// ones are not held: an agent that is not there by then is away.
 func (a *Agent) reach(r *shardRunner) {
-	if open, _ := a.links.opened(); open {
-		return
+	if open, _ := a.links.opened(); !open {
+		klog.InfoS("The first job of an owner: the agents are linked", "shard", r.ID)
+		a.reachUntil.set(bootclock.Now() + reachTimeout)
+		a.links.open()
 	}
-	klog.InfoS("The first job of an owner: the agents are linked", "shard", r.ID)
-	a.links.open()
-	ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
-	defer cancel()
-	for pause.For(ctx, reachPoll) == nil {
+	for bootclock.Now() < a.reachUntil.get() {
 		if _, known := a.links.opened(); r.Reach() >= known {
 			return
 		}
+		_ = pause.For(context.Background(), reachPoll)
 	}
 }
 
