Have a waiting task wait once, and wait longer for slow lists and starts that may not be repeated

Cause: each end of a task had all idle tasks of its job put into the backlog again. TestTaskWaitsOnce is its test.

--- a/coordination/owner/admission_test.go
+++ b/coordination/owner/admission_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
@@ -249,3 +250,24 @@
 	f.is.True(!(*first)[0].Known)
 	f.is.True((*second)[0].Known)
 }
+
+// A job of many steps fills a worker. Each task that ends has the idle ones looked at; those
+// that wait stand in the backlog once. Counted again with each end, they kept the owner so
+// busy that its links fell silent, and callers were told that their job was cut off.
+func TestTaskWaitsOnce(t *testing.T) {
+	f := newFixture(t, nil, nil, "a")
+	f.fleet.Update(f.now, "a", AgentLoad{
+		Service: "desk", Capacity: job.Demand{CPUMillis: 16000, MemoryMB: 65536}, Accepts: true, Seen: 1 << 30,
+		Free: job.Demand{CPUMillis: 1600, MemoryMB: 65536}, Turnover: 40 * time.Millisecond,
+	})
+	spec := steps(1, 1, 1, 1, 1, 1)
+	for i := range spec.Steps {
+		spec.Steps[i].DependsOn = nil
+	}
+	f.submit(testID, spec)
+	f.write()
+	f.is.Equal(len(f.orders), 1)
+	f.is.Equal(len(f.waiting.tasks), 5)
+	f.event(f.orders[0], worker.Ended, job.Done)
+	f.is.True(len(f.waiting.tasks) <= 5)
+}
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -95,8 +95,10 @@
 type task struct {
 	phase  taskPhase
 	number int64
-	node   string
-	failed string
+	// waiting is set while the task is in the shard's backlog.
+	waiting bool
+	node    string
+	failed  string
 	// held is the end of an earlier owner's run, while a newer one may turn up.
 	held *Placed[worker.RunState]
 	// awaits is the number of the run whose end awaits its record; zero: none.
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -8,11 +8,17 @@
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
-// orderLocked sends a task to an agent that has room, or has it wait here.
+// orderLocked sends a task to an agent that has room, or has it wait here. One that
+// waits already is passed over: each end of a job's task has its other idle ones looked
+// at, and a job of a thousand would fill the backlog with itself a thousand times.
 func (s *Shard) orderLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task) {
+	if t.waiting {
+		return
+	}
 	w := s.waitingTask(j, id)
 	if s.waiting.ahead(w.where, w.yields, w.latest) > 0 || !s.bindLocked(now, fx, j, id, t) {
 		s.waiting.add(w)
+		t.waiting = true
 	}
 }
 
@@ -63,11 +69,15 @@
 	full := make(map[placeKey]bool)
 	for _, w := range s.waiting.take() {
 		j := s.jobs[w.id.Job]
-		if j == nil || j.rec.State.Final() {
+		if j == nil {
 			continue
 		}
 		t := s.taskLocked(j, w.id)
-		if t == nil || t.phase != idle {
+		if t == nil {
+			continue
+		}
+		t.waiting = false
+		if j.rec.State.Final() || t.phase != idle {
 			continue
 		}
 		if reason := s.hopelessLocked(now, j, &w); reason != "" {
@@ -83,6 +93,7 @@
 		// Smaller ones behind it don't overtake: a wide one would starve.
 		full[w.where] = true
 		s.waiting.add(w)
+		t.waiting = true
 	}
 }
 
--- a/coordination/worker/former_test.go
+++ b/coordination/worker/former_test.go
@@ -115,3 +115,35 @@
 	f.is.True(!f.Orphaned(f.now))
 	f.is.True(f.Orphaned(f.now + 2*orphanAfter))
 }
+
+// A backend server answers quickly for a while; then a job whose tasks may not be
+// repeated starts a thousand of them. Some starts take 30 ms. Given up after 20, each
+// was stopped just after it had begun, and the caller was told that its job was cut off.
+func TestStartThatMayNotBeRepeatedIsWaitedForLonger(t *testing.T) {
+	f := newFixture(t)
+	for range 60 {
+		f.answers.learn(2 * time.Millisecond)
+	}
+	usual, once := f.order(1), f.order(2)
+	once.Once = true
+	f.is.Equal(f.take(f.Order(f.now, usual)).Starts[0].Patience, leastPatience)
+	f.is.Equal(f.take(f.Order(f.now, once)).Starts[0].Patience, mostPatience)
+}
+
+// A backend server answers starts in 2 ms, and its lists, of a thousand tasks on a busy
+// host, in 60. Each list is waited for longer than the one that did not come, so that
+// the lease is extended before it runs out and nothing is cut off.
+func TestListsThatAreSlowAreWaitedFor(t *testing.T) {
+	f := newFixture(t)
+	for range 60 {
+		f.answers.learn(2 * time.Millisecond)
+	}
+	for want := leastPatience; want < mostPatience; want *= 2 {
+		c, ok := f.Hold(f.now)
+		f.is.True(ok)
+		f.is.True(c.Patience >= want)
+		f.take(f.HoldFailed(f.now, c, NoAnswer))
+	}
+	c, _ := f.Hold(f.now)
+	f.is.Equal(c.Patience, mostPatience)
+}
--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -91,13 +91,20 @@
 		return HoldCall{}, false
 	}
 	w.holds++
-	c := HoldCall{Instance: w.server.Instance, Seq: w.holds, Acked: w.acked, Idle: w.idleLocked(), Hurry: w.doubtLocked(), Known: len(w.ends) > 0, Lossy: w.lossyLocked(now), First: !w.held, Patience: w.answers.patience(), before: w.grantedEnd}
+	c := HoldCall{Instance: w.server.Instance, Seq: w.holds, Acked: w.acked, Idle: w.idleLocked(), Hurry: w.doubtLocked(), Known: len(w.ends) > 0, Lossy: w.lossyLocked(now), First: !w.held, Patience: w.holdPatienceLocked(), before: w.grantedEnd}
 	if !w.lapsing && now-w.answered < lastGrant {
 		c.Deadline = w.grantLocked(now)
 	}
 	return c, true
 }
 
+// holdPatienceLocked is how long to wait for a list. It doubles with each one that has
+// not come: on a host that is busy they take longer than starts, and if none is waited
+// for the lease runs out and everything is cut off.
+func (w *Worker) holdPatienceLocked() time.Duration {
+	return min(w.answers.patience()<<min(w.misses, 3), mostPatience)
+}
+
 func (w *Worker) doubtLocked() bool {
 	for _, r := range w.runs {
 		if r.phase == doubtful {
--- a/coordination/worker/loss.go
+++ b/coordination/worker/loss.go
@@ -35,6 +35,9 @@
 	}
 	w.misses++
 	w.missedAt = now
+	if why == NoAnswer {
+		w.answers.missed()
+	}
 	if why == NotSent || w.misses >= silentHolds {
 		w.failing = true
 		w.returnWaitingLocked(&fx, "server_silent")
--- a/coordination/worker/pump.go
+++ b/coordination/worker/pump.go
@@ -88,10 +88,21 @@
 		Payload:    r.order.Payload,
 		Checkpoint: r.order.Checkpoint,
 		Deadline:   r.deadline,
-		Patience:   w.answers.patience(),
+		Patience:   w.startPatience(r),
 	})
 }
 
+// startPatience is how long to wait for the answer to a start. A start that was only slow
+// may begin between the list that lacks it and the stop that is to bar it, and is stopped
+// then. A task that may not be repeated would be lost, and its job with it, so for such
+// ones the longest wait is kept.
+func (w *Worker) startPatience(r *run) time.Duration {
+	if r.order.Once {
+		return mostPatience
+	}
+	return w.answers.patience()
+}
+
 // grantLocked extends the lease from now and returns its end on the backend
 // server's clock.
 func (w *Worker) grantLocked(now time.Duration) int64 {
