--- a/coordination/worker/former.go
+++ b/coordination/worker/former.go
@@ -12,8 +12,8 @@
 // every worker busy until they had been silent for long enough, 0.4 s in which nothing
 // was served.
 
-// nodeOf returns the node of an owner's name.
-func nodeOf(owner string) string {
+// NodeOf returns the node of an owner's name.
+func NodeOf(owner string) string {
 	node, _, _ := strings.Cut(owner, "/")
 	return node
 }
@@ -31,16 +31,16 @@
 	w.formerEffort = true
 	w.former = make(map[string]string, len(owners))
 	for _, o := range owners {
-		w.former[nodeOf(o)] = o
+		w.former[NodeOf(o)] = o
 	}
 }
 
 // replacedLocked takes in that an owner has claimed a shard, and has the runs of the
 // earlier life of its node stopped.
 func (w *Worker) replacedLocked(now time.Duration, fx *Effects, owner string) {
-	node := nodeOf(owner)
+	node := NodeOf(owner)
 	for id, s := range w.shards {
-		if id >= w.bounds.Shards && s.owner != owner && nodeOf(s.owner) == node {
+		if id >= w.bounds.Shards && s.owner != owner && NodeOf(s.owner) == node {
 			s.heard = min(s.heard, now-w.bounds.OwnerSilence)
 		}
 	}
--- a/daemon/core/placers.go
+++ b/daemon/core/placers.go
@@ -3,9 +3,10 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/worker"
 )
 
 const (
@@ -43,7 +44,7 @@
 	defer l.mu.Unlock()
 	dirty := l.dirty
 	for _, o := range owners {
-		if node, _, _ := strings.Cut(o, "/"); l.lives[node] == "" {
+		if l.lives[worker.NodeOf(o)] == "" {
 			l.putLocked(now, o)
 		}
 	}
@@ -51,7 +52,7 @@
 }
 
 func (l *placersLog) putLocked(now time.Duration, owner string) {
-	node, _, _ := strings.Cut(owner, "/")
+	node := worker.NodeOf(owner)
 	l.dirty = l.dirty || l.lives[node] != owner
 	l.lives[node], l.ordered[node] = owner, now
 }
