Space calls to a backend server that fail at once

Cause: holdLoop paused after a failed hold only where the failure was not "no answer", and a connection that is reset comes back at once as just that.

Ruled out: the pause of one fixed length for every failure, which would add to lost answers that have taken their whole wait already. The pause counts from the start of the call, doubles up to 200 ms and is spread by a quarter.

Before: TestCallsThatFailAtOnceAreSpaced fails on the old loop (run). After: it passes.

--- a/daemon/core/executor.go
+++ b/daemon/core/executor.go
@@ -32,8 +32,10 @@
 	// all are late otherwise as soon as one of their ends is hidden. Each lost answer
 	// costs a connection.
 	lossyWait = 20 * time.Millisecond
-	// holdRetry is the pause before a hold is repeated that failed at once.
-	holdRetry = 30 * time.Millisecond
+	// holdRetry is the pause before a hold is repeated that failed at once, and
+	// maxHoldRetry the longest: a backend server that is back is found that much later.
+	holdRetry    = 15 * time.Millisecond
+	maxHoldRetry = 200 * time.Millisecond
 	// unknownWait is the pause while no backend server has reported.
 	unknownWait = 20 * time.Millisecond
 )
@@ -41,6 +43,7 @@
 // holdLoop keeps the lease and takes in what has ended.
 func (a *Agent) holdLoop(ctx context.Context) {
 	lost := false
+	failures := pause.Backoff{Least: holdRetry, Most: maxHoldRetry}
 	for ctx.Err() == nil {
 		c, ok := a.worker.Hold(bootclock.Now())
 		if !ok {
@@ -50,6 +53,7 @@
 		if c.Known {
 			_ = pause.For(ctx, knownPause)
 		}
+		began := bootclock.Now()
 		err := a.holdOnce(ctx, c)
 		if err != nil && !lost {
 			klog.InfoS("Lost the backend server", "instance", c.Instance, "err", err)
@@ -58,9 +62,11 @@
 			klog.InfoS("The backend server is reached again", "instance", c.Instance)
 		}
 		lost = err != nil
-		if lost && holdFailure(err) != worker.NoAnswer {
-			_ = pause.For(ctx, holdRetry)
+		if lost {
+			_ = failures.Wait(ctx, bootclock.Now()-began)
+			continue
 		}
+		failures.Reset()
 	}
 }
 
