Choose the agents that a process links by numbers that are dealt

A pure package. Each agent prefers the numbers 0 to 255 in an order of its own (highest random weight); a process ranks agents by its best number and takes the first ones of each failure domain in proportion.

Rounds of permutations were not built: they reshuffle when the list shifts.

--- /dev/null
+++ b/coordination/subset/stretch_test.go
@@ -0,0 +1,49 @@
+package subset
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func share(free float64) func() float64 { return func() float64 { return free } }
+
+// The agents of a subset are full, or don't take work, while the rest of the fleet has
+// room. Jobs that are refused have more of the fleet linked, until none is any more.
+func TestFullSubsetGrowsWhileOthersHaveRoom(t *testing.T) {
+	is := is.New(t)
+	s := NewStretch(32)
+	now := time.Hour
+	is.Equal(s.Extra(now, share(1)), 0)
+	last := 0
+	for range 12 {
+		now += stretchPace
+		s.Refused(now)
+		extra := s.Extra(now, share(0.5))
+		is.True(extra > last || extra == 32)
+		last = extra
+	}
+	is.Equal(last, 32) // twice a subset at most
+	now += relax + stretchPace
+	is.Equal(s.Extra(now, share(0.5)), 0)
+}
+
+// The whole fleet is full. Links to more of it would only have more processes promise
+// the same room, so they are given up, and tried again after a pause.
+func TestFullFleetIsNotLinkedMore(t *testing.T) {
+	is := is.New(t)
+	s := NewStretch(32)
+	now := time.Hour
+	most, looks := 0, 0
+	for end := now + 3*time.Second; now < end; now += 50 * time.Millisecond {
+		s.Refused(now)
+		extra := s.Extra(now, share(0.01))
+		most = max(most, extra)
+		if extra > 0 {
+			looks++
+		}
+	}
+	is.Equal(most, 4)
+	is.True(time.Duration(looks)*50*time.Millisecond <= 2*stretchPace)
+}
--- /dev/null
+++ b/coordination/subset/subset_test.go
@@ -0,0 +1,179 @@
+package subset
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const size = 32
+
+func agents(n, domains int) []Agent {
+	out := make([]Agent, n)
+	for i := range out {
+		out[i] = Agent{Name: fmt.Sprintf("side-%d", i), Domain: fmt.Sprintf("zone-%d", i%domains)}
+	}
+	return out
+}
+
+// deal shares the numbers out as the store's groups do, evenly.
+func deal(processes int) []Share {
+	out := make([]Share, processes)
+	for n := range Numbers {
+		out[n%processes].Numbers = append(out[n%processes].Numbers, n)
+	}
+	for i := range out {
+		out[i].Of = Numbers
+	}
+	return out
+}
+
+func guesses(processes int) []Share {
+	out := make([]Share, processes)
+	for i := range out {
+		out[i] = Guess(fmt.Sprintf("entry-%d", i))
+	}
+	return out
+}
+
+func choose(all []Agent, s Share) []string {
+	order := Order(all, s)
+	return order[:min(size, len(order))]
+}
+
+// degrees counts by how many processes each agent is linked.
+func degrees(all []Agent, shares []Share) map[string]int {
+	out := make(map[string]int)
+	for _, s := range shares {
+		for _, name := range choose(all, s) {
+			out[name]++
+		}
+	}
+	return out
+}
+
+func spread(all []Agent, degree map[string]int) (least, most int, deviation float64) {
+	least = math.MaxInt
+	var sum, squares float64
+	for _, a := range all {
+		d := degree[a.Name]
+		least, most = min(least, d), max(most, d)
+		sum += float64(d)
+		squares += float64(d * d)
+	}
+	mean := sum / float64(len(all))
+	return least, most, math.Sqrt(squares/float64(len(all)) - mean*mean)
+}
+
+var fleets = []struct{ processes, agents, domains int }{
+	{3, 11, 3}, {4, 11, 4}, {8, 51, 4}, {13, 70, 3}, {35, 160, 5}, {216, 992, 4},
+}
+
+// An agent that no entry has in its subset stands idle while others are full, and
+// nobody notices. Dealt numbers leave none out at any size.
+func TestEachAgentIsLinked(t *testing.T) {
+	is := is.New(t)
+	for _, f := range fleets {
+		all := agents(f.agents, f.domains)
+		least, most, dev := spread(all, degrees(all, deal(f.processes)))
+		gLeast, gMost, gDev := spread(all, degrees(all, guesses(f.processes)))
+		t.Logf("%d entries, %d agents: dealt %d to %d (deviation %.2f), drawn %d to %d (%.2f)", f.processes, f.agents, least, most, dev, gLeast, gMost, gDev)
+		is.True(least >= min(f.processes, 2))
+		is.True(dev <= gDev)
+	}
+}
+
+// A fleet that is smaller than a subset is all of it.
+func TestSmallFleetIsLinkedWhole(t *testing.T) {
+	is := is.New(t)
+	is.Equal(len(choose(agents(11, 3), deal(3)[0])), 11)
+}
+
+// A failure domain is lost. Each process keeps the same part of its subset.
+func TestDomainsHaveTheirPartOfEachSubset(t *testing.T) {
+	is := is.New(t)
+	all := agents(160, 5)
+	for _, s := range slices.Concat(deal(35), guesses(35)) {
+		count := make(map[string]int)
+		for _, name := range choose(all, s) {
+			i := slices.IndexFunc(all, func(a Agent) bool { return a.Name == name })
+			count[all[i].Domain]++
+		}
+		for _, n := range count {
+			is.True(n == 6 || n == 7)
+		}
+	}
+}
+
+// moved counts the links of the second choice that the first lacks.
+func moved(before, after []string) int {
+	n := 0
+	for _, name := range after {
+		if !slices.Contains(before, name) {
+			n++
+		}
+	}
+	return n
+}
+
+// One agent is taken away, a rack of sixteen is lost, a process goes and its numbers
+// are dealt to the others. What is left moves little: each moved link is a connection
+// made and a picture begun anew.
+func TestChangesMoveTheirShare(t *testing.T) {
+	is := is.New(t)
+	all := agents(160, 5)
+	shares := deal(35)
+	count := func(after []Agent, with []Share) float64 {
+		n := 0
+		for i, s := range with {
+			n += moved(choose(all, shares[i]), choose(after, s))
+		}
+		return float64(n) / float64(len(with)*size)
+	}
+	one := count(slices.Delete(slices.Clone(all), 7, 8), shares)
+	rack := count(slices.DeleteFunc(slices.Clone(all), func(a Agent) bool {
+		return a.Domain == "zone-1" && len(a.Name) == len("side-111")
+	}), shares)
+	gone := slices.Clone(shares[:34])
+	for i, n := range shares[34].Numbers {
+		gone[i] = Share{Numbers: append(slices.Clone(gone[i].Numbers), n), Of: Numbers}
+	}
+	process := count(all, gone)
+	t.Logf("links moved: one agent of 160 gone %.3f, 12 of a domain of 32 gone %.3f, one process of 35 gone %.3f", one, rack, process)
+	is.True(one < 0.02)
+	is.True(rack < 0.15)
+	is.True(process < 0.06)
+}
+
+// Random fleets, shares and sizes: an order names each agent once, and is the same
+// whichever way the agents were learnt of.
+func TestOrderIsAPureFunction(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		all := agents(1+random.IntN(60), 1+random.IntN(5))
+		share := deal(1 + random.IntN(40))[0]
+		order := Order(all, share)
+		is.Equal(len(order), len(all))
+		random.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
+		is.Equal(Order(all, share), order)
+		slices.Sort(order)
+		is.Equal(len(slices.Compact(order)), len(all))
+	}
+}
+
+func BenchmarkOrder(b *testing.B) {
+	for _, n := range []int{11, 160, 992} {
+		all := agents(n, 4)
+		share := deal(35)[3]
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				Order(all, share)
+			}
+		})
+	}
+}
