--- a/coordination/load/mix_test.go
+++ b/coordination/load/mix_test.go
@@ -37,6 +37,13 @@
 	{queue: "usual", perS: 100. / 11, width: 2, work: 200 * time.Millisecond, cpu: 1550, worth: 0.01, priority: 1},
 }
 
+// halls is the mix of the users' large site, of 1,385 jobs a second on 160 agents.
+var halls = []class{
+	{queue: "short", perS: 334. / 160, width: 8, work: 60 * time.Millisecond, cpu: 2500, worth: 0.00323},
+	{queue: "long", perS: 75.8 / 160, width: 4, work: 900 * time.Millisecond, cpu: 2500, worth: 0.0178, priority: 2},
+	{queue: "usual", perS: 972. / 160, width: 2, work: 200 * time.Millisecond, cpu: 2500, worth: 0.00111, priority: 1},
+}
+
 // coresPerAgent is what these jobs keep at work on each agent.
 func coresPerAgent(mix []class) float64 {
 	var cores float64
--- /dev/null
+++ b/coordination/load/size_test.go
@@ -0,0 +1,114 @@
+package load
+
+import (
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination/owner"
+)
+
+// The table of what size and subsets do to the decisions, printed by
+//
+//	go test ./coordination/load -run TestSizes -v -load.sizes
+
+var sizes = flag.Bool("load.sizes", false, "play the large mix at many sizes of the fleet and of the subsets, and print what was served")
+
+// linksPerEntry is the default of the settings.
+const linksPerEntry = 32
+
+// fleet is a size of the large site's kind.
+func fleet(entries, agents, links int) setup {
+	return setup{entries: entries, agents: agents, spreadCost: spreadCost, params: owner.DefaultParams(), links: links}
+}
+
+// played is what became of the jobs of some days of one kind.
+type played struct {
+	served, inTime, late, refused, tooLate float64
+}
+
+func (s setup) day(mix []class, share float64, days int) played {
+	var sum tally
+	var out played
+	for s.seed = range uint64(days) {
+		w := newWorld(s)
+		w.runUntil(w.now + time.Second)
+		w.play(mix, share, 3*time.Second)
+		w.runUntil(w.now + 4*time.Second)
+		out.served += w.served(mix) / float64(days)
+		for _, t := range w.tally {
+			sum = sum.plus(t)
+		}
+	}
+	asked := float64(sum.asked)
+	out.inTime, out.late = float64(sum.inAim)/asked, float64(sum.late)/asked
+	out.refused, out.tooLate = float64(sum.refused)/asked, float64(sum.tooLate)/asked
+	return out
+}
+
+func (p played) String() string {
+	return fmt.Sprintf("%.3f | %.3f | %.3f | %.3f | %.3f", p.served, p.inTime, p.late, p.refused, p.tooLate)
+}
+
+func TestSizes(t *testing.T) {
+	if !*sizes {
+		t.Skip("prints a table with -load.sizes")
+	}
+	rows := []struct {
+		share float64
+		setup
+	}{
+		{.9, fleet(5, 160, 0)}, {.9, fleet(35, 160, 0)},
+		{.9, fleet(35, 160, 64)}, {.9, fleet(35, 160, 40)}, {.9, fleet(35, 160, 32)}, {.9, fleet(35, 160, 24)}, {.9, fleet(35, 160, 16)},
+		{.69, fleet(35, 160, 0)}, {.69, fleet(35, 160, 32)},
+		{1.1, fleet(5, 160, 0)}, {1.1, fleet(35, 160, 0)}, {1.1, fleet(35, 160, 32)},
+		{.9, fleet(13, 70, 0)}, {.9, fleet(13, 70, 32)},
+		{.9, fleet(8, 51, 0)}, {.9, fleet(8, 51, 32)},
+		{.9, fleet(216, 992, 32)},
+	}
+	drawn := fleet(35, 160, 32)
+	drawn.drawn = true
+	rows = append(rows, struct {
+		share float64
+		setup
+	}{.9, drawn})
+	out := make([]played, len(rows))
+	gate := make(chan struct{}, 3)
+	var wg sync.WaitGroup
+	for i, r := range rows {
+		wg.Go(func() {
+			gate <- struct{}{}
+			defer func() { <-gate }()
+			out[i] = r.day(halls, r.share, 2)
+		})
+	}
+	wg.Wait()
+	fmt.Println("| load | entries x agents | links of each entry | served | in time | late | refused | too late |")
+	for i, r := range rows {
+		how := ""
+		if r.drawn {
+			how = ", drawn"
+		}
+		fmt.Printf("| %.2f | %d x %d | %d%s | %v |\n", r.share, r.entries, r.agents, r.linksOrAll(), how, out[i])
+	}
+}
+
+// Thirty-five entries that each link all agents promise the same room many times over:
+// a third of the jobs came late at 90 % of load, where five entries had one in thirty
+// late. With links to a subset the share in time is that of a few entries, at any size.
+func TestShareInTimeDoesNotFallWithSize(t *testing.T) {
+	is := is.New(t)
+	few := fleet(5, 51, linksPerEntry).day(halls, .9, sizeDays)
+	for _, s := range []setup{fleet(13, 70, linksPerEntry), fleet(35, 160, linksPerEntry)} {
+		got := s.day(halls, .9, sizeDays)
+		t.Logf("%d x %d: %v; 5 entries: %v", s.entries, s.agents, got, few)
+		is.True(!judged || got.inTime > few.inTime-0.03)
+	}
+}
+
+// sizeDays is how many days a size is judged by.
+const sizeDays = 2
--- a/coordination/load/world_test.go
+++ b/coordination/load/world_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/state/job"
@@ -24,6 +25,7 @@
 	// holdEvery renews leases when nothing ends.
 	holdEvery = 60 * time.Millisecond
 	shards    = 16
+	domains   = 5
 	service   = "desk"
 )
 
@@ -69,6 +71,8 @@
 	params     owner.Params
 	// times is how many times as many jobs come as usual.
 	times float64
+	// subsets has the agents that each entry links.
+	subsets [][]*agent
 }
 
 // setup is the size of a world.
@@ -77,6 +81,11 @@
 	spreadCost      time.Duration
 	seed            uint64
 	params          owner.Params
+	// links is how many agents each entry links; zero: all.
+	links int
+	// drawn has each entry hold the number that its name leads to, in place of the
+	// numbers that are dealt to it.
+	drawn bool
 }
 
 func newWorld(s setup) *world {
@@ -87,12 +96,44 @@
 	for i := range s.agents {
 		w.agents = append(w.agents, newAgent(w, i))
 	}
+	w.subsets = s.subsets(w.agents)
 	for i := range s.entries {
 		w.entries = append(w.entries, newEntry(w, i))
 	}
 	return w
 }
 
+// subsets chooses the agents that each entry links.
+func (s *setup) subsets(agents []*agent) [][]*agent {
+	all := make([]subset.Agent, len(agents))
+	byName := make(map[string]*agent, len(agents))
+	for i, a := range agents {
+		all[i] = subset.Agent{Name: a.name, Domain: strconv.Itoa(i % domains)}
+		byName[a.name] = a
+	}
+	out := make([][]*agent, s.entries)
+	for i := range out {
+		share := subset.Guess(fmt.Sprintf("entry-%d", i))
+		if !s.drawn {
+			share.Numbers = nil
+			for n := i; n < subset.Numbers; n += s.entries {
+				share.Numbers = append(share.Numbers, n)
+			}
+		}
+		for _, name := range subset.Order(all, share)[:min(len(all), s.linksOrAll())] {
+			out[i] = append(out[i], byName[name])
+		}
+	}
+	return out
+}
+
+func (s *setup) linksOrAll() int {
+	if s.links == 0 {
+		return s.agents
+	}
+	return s.links
+}
+
 func (w *world) after(d time.Duration, do func()) {
 	w.count++
 	heap.Push(&w.queue, event{at: w.now + d, n: w.count, do: do})
@@ -148,7 +189,7 @@
 	e.down = false
 	e.fleet = owner.NewFleet(1, e.w.params)
 	e.Shard = owner.NewPrivate(e.w.now, shards+1+e.number+livesOfEntries*e.life, bounds, e.fleet)
-	for _, a := range e.w.agents {
+	for _, a := range e.w.subsets[e.number] {
 		e.w.after(hop, func() { e.link(a, e.life) })
 	}
 }
--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -21,9 +21,12 @@
 	wait, waited time.Duration
 }
 
+// wordLate is the decision on a job that is accepted to be late.
+const wordLate = "accepted_late"
+
 func (a *admission) word() string {
 	if a.yields {
-		return "accepted_late"
+		return wordLate
 	}
 	return "accepted"
 }
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -89,6 +89,8 @@
 	heard   time.Duration
 	sent    int64
 	pending []pendingOrder
+	// retired agents get nothing new: their link is about to end.
+	retired bool
 }
 
 func (v *agentView) book(n Need) {
@@ -135,6 +137,41 @@
 	delete(f.agents, node)
 }
 
+// Retire says whether an agent gets no new work, because its link is about to end.
+func (f *Fleet) Retire(node string, yes bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v := f.agents[node]; v != nil {
+		v.retired = yes
+	}
+}
+
+// FreeShare is the part of some agents' cores that is free, by their last news.
+func (f *Fleet) FreeShare(nodes []string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var free, all int64
+	for _, node := range nodes {
+		if v := f.agents[node]; v != nil && v.load.Accepts {
+			free += max(v.load.Free.CPUMillis, 0)
+			all += v.load.Capacity.CPUMillis
+		}
+	}
+	return float64(free) / float64(max(all, 1))
+}
+
+// Offers reports whether an agent of a service with a label is there.
+func (f *Fleet) Offers(service, label string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range f.agents {
+		if v.load.Accepts && v.load.Service == service && (label == "" || slices.Contains(v.load.Labels, label)) {
+			return true
+		}
+	}
+	return false
+}
+
 // Update takes in an agent's load.
 func (f *Fleet) Update(now time.Duration, node string, l AgentLoad) {
 	f.mu.Lock()
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -72,6 +72,11 @@
 	Age    time.Duration
 }
 
+// WantsRoom reports whether a decision was made for want of room at the linked agents.
+func (d *Decision) WantsRoom() bool {
+	return d.Reason == ReasonOverload || d.Reason == ReasonNoWorker || d.What == wordLate
+}
+
 // taskPhase is how far a task has come at its owner.
 type taskPhase uint8
 
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -47,7 +47,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for node, v := range f.agents {
-		if v.load.Accepts && v.load.eligible(n) && may(node) {
+		if v.takes(n) && may(node) {
 			cores += float64(v.load.Capacity.CPUMillis) / 1000
 			placers = max(placers, v.load.Placers)
 		}
@@ -84,7 +84,7 @@
 	var best placement
 	found := false
 	for node, v := range f.agents {
-		if !v.load.Accepts || !v.load.eligible(n) || !may(node) {
+		if !v.takes(n) || !may(node) {
 			continue
 		}
 		p := f.predictLocked(node, v, n)
@@ -99,6 +99,9 @@
 	return best, found
 }
 
+// takes reports whether an agent may get a task now.
+func (v *agentView) takes(n Need) bool { return v.load.Accepts && !v.retired && v.load.eligible(n) }
+
 func (l *AgentLoad) eligible(n Need) bool {
 	if l.Service != n.Service || !n.Demand.Fits(l.Capacity) {
 		return false
--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
@@ -94,6 +97,8 @@
 	// marked is set once it is written down that owners of recorded jobs claim here,
 	// and orphaned while ends wait for them.
 	marked, orphaned atomic.Bool
+	// watching has the registry followed from the first shard on.
+	watching func()
 	// marking is held while that is being written.
 	marking sync.Mutex
 
@@ -128,6 +133,7 @@
 		all:     make(map[*peer.Caller]*news),
 		up:      make(map[string]int64),
 	}
+	a.watching = func() {}
 	a.server = peer.NewServer(a)
 	a.metrics.watchWorker(a.worker)
 	return a
@@ -175,7 +181,7 @@
 	a.resume(ctx, previous.server())
 	a.enrolled.Store(true)
 	klog.InfoS("The agent is registered", "name", a.settings.Name, "life", life, "member", a.member)
-	a.links = newLinkSet(func(node string, reg registration) closer {
+	a.links = newLinkSet(a.settings.Links, a, func(node string, reg registration) agentLink {
 		// The name is that of this life: an agent takes the signs of life of
 		// a later one for another owner's, and stops what this one left.
 		return peer.Dial(ctx, a.member, node, reg.Links, a)
@@ -186,9 +192,18 @@
 		wg.Go(func() { a.remember(ctx, s) })
 	}
 	wg.Go(func() { a.tickLoop(ctx) })
+	// Only owners link others, and there are as many of them as shards at most. Read by
+	// each of a hundred agents, each record of the registry is read a hundred times.
+	watch := make(chan struct{})
+	a.watching = sync.OnceFunc(func() { close(watch) })
 	wg.Go(func() {
-		a.links.follow(ctx, a.store)
+		select {
+		case <-watch:
+			a.links.follow(ctx, a.store)
+		case <-ctx.Done():
+		}
 	})
+	wg.Go(func() { a.links.maintain(ctx) })
 	wg.Go(func() { a.memberLoop(ctx, previous.member()) })
 	<-ctx.Done()
 	a.links.close()
@@ -273,3 +288,34 @@
 	}
 	return out
 }
+
+// Share implements linkUser: an owner's numbers are its shards.
+func (a *Agent) Share() subset.Share {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.shards) == 0 {
+		return subset.Guess(a.settings.Name)
+	}
+	return subset.Share{Numbers: slices.Sorted(maps.Keys(a.shards)), Of: a.settings.Shards()}
+}
+
+// Required implements linkUser: a takeover has to reach every agent that may have runs of
+// the shard, and ends that only owners can settle wait for one.
+func (a *Agent) Required() []string {
+	out := a.links.withOrphans()
+	for _, r := range a.owned() {
+		out = append(out, r.Awaited()...)
+	}
+	return out
+}
+
+// Occupied implements linkUser.
+func (a *Agent) Occupied(node string) bool {
+	return slices.ContainsFunc(a.owned(), func(r *shardRunner) bool { return r.Shard.Occupied(node) })
+}
+
+// Retire implements linkUser.
+func (a *Agent) Retire(node string, yes bool) { a.fleet.Retire(node, yes) }
+
+// FreeShare implements linkUser.
+func (a *Agent) FreeShare(nodes []string) float64 { return a.fleet.FreeShare(nodes) }
--- a/daemon/core/asking.go
+++ b/daemon/core/asking.go
@@ -12,7 +12,6 @@
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/transport/pause"
-	"github.com/shallotstep/shallotstep/transport/peer"
 )
 
 // ask puts a question to the shard's owner, and again to the next owner when it
@@ -23,7 +22,7 @@
 	sent := false
 	searching := time.Now()
 	for {
-		node, client := e.owner(shard)
+		node, client := e.owner(ctx, shard)
 		if client == nil {
 			if time.Since(searching) > patience || ctx.Err() != nil {
 				return unserved(sent)
@@ -39,7 +38,8 @@
 			}
 			e.metrics.retries.WithLabelValues(v.Reason).Inc()
 			sent = sent || v.Outcome == owner.Unknown
-			e.forget(shard, node)
+			e.owners.forget(shard, node)
+			_ = pause.For(ctx, ownerPoll)
 			searching = time.Now()
 			continue
 		}
@@ -50,7 +50,7 @@
 		e.metrics.retries.WithLabelValues("link_" + code.String()).Inc()
 		klog.InfoS("A question got no answer", "shard", shard, "agent", node, "code", code.String())
 		sent = true
-		e.forget(shard, node)
+		e.owners.forget(shard, node)
 		searching = time.Now()
 	}
 }
@@ -137,24 +137,13 @@
 	return v
 }
 
-// Pending counts a queue's accepted jobs of which no task has started, over
-// all owners. It is false when an owner did not answer.
+// Pending counts a queue's accepted jobs of which no task has started, over all owners.
+// It is false when an owner did not answer.
 func (e *Entry) Pending(ctx context.Context, queue string) (int, bool) {
-	e.mu.Lock()
-	nodes := make(map[string]bool)
-	for _, o := range e.owners {
-		nodes[o.node] = true
-	}
-	complete := len(e.owners) == e.settings.Shards()
-	e.mu.Unlock()
+	owners, complete := e.linkedOwners(ctx)
 	total := 0
-	for node := range nodes {
-		l, ok := e.links.get(node).(*peer.Link)
-		if !ok || l.Client() == nil {
-			complete = false
-			continue
-		}
-		p, err := l.Client().Pending(ctx, &corepb.Question{Queue: queue})
+	for node, client := range owners {
+		p, err := client.Pending(ctx, &corepb.Question{Queue: queue})
 		if err != nil {
 			klog.InfoS("An owner did not count", "agent", node, "err", err)
 			complete = false
@@ -164,3 +153,24 @@
 	}
 	return total, complete
 }
+
+// linkedOwners returns the owners of all shards, once all are linked or ownerWait has
+// passed, and whether all are.
+func (e *Entry) linkedOwners(ctx context.Context) (map[string]corepb.CoreClient, bool) {
+	for began := time.Now(); ; {
+		out := make(map[string]corepb.CoreClient)
+		complete := true
+		for shard := range e.settings.Shards() {
+			node, client := e.owner(ctx, shard)
+			if client == nil {
+				complete = false
+				continue
+			}
+			out[node] = client
+		}
+		if complete || ctx.Err() != nil || time.Since(began) > ownerWait {
+			return out, complete
+		}
+		_ = pause.For(ctx, ownerPoll)
+	}
+}
--- a/daemon/core/effort.go
+++ b/daemon/core/effort.go
@@ -10,6 +10,7 @@
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
+	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
 // An entry runs best-effort jobs itself, in a shard of its own life: nothing of
@@ -43,6 +44,7 @@
 
 // submitEffort runs a best-effort job to its end, or until its client has left.
 func (e *Entry) submitEffort(ctx context.Context, id job.ID, spec *job.Spec, p *job.Policy) owner.Verdict {
+	e.cover(ctx, spec, p)
 	what := *spec
 	what.Patience = patienceLeft(ctx, time.Now())
 	got := make(chan owner.Verdict, 1)
@@ -63,3 +65,34 @@
 		return timedOut()
 	}
 }
+
+const (
+	// coverWait is how long a job waits for a link to an agent that offers what it needs,
+	// where none of the linked ones does: a dial and the first news take 30 ms.
+	coverWait = 200 * time.Millisecond
+	coverPoll = 5 * time.Millisecond
+)
+
+// cover has agents linked that offer what a job needs, if too few are, and waits for the
+// first one. A subset is chosen without regard to labels, and the job would be refused
+// though a backend server with its label stands idle.
+func (e *Entry) cover(ctx context.Context, spec *job.Spec, p *job.Policy) {
+	now := bootclock.Now()
+	if !e.links.need(now, spec, p) {
+		return
+	}
+	e.links.reconcile(now)
+	for end := now + coverWait; !e.offered(spec, p) && bootclock.Now() < end && ctx.Err() == nil; {
+		_ = pause.For(ctx, coverPoll)
+	}
+}
+
+// offered reports whether each step of a job finds an agent that offers what it needs.
+func (e *Entry) offered(spec *job.Spec, p *job.Policy) bool {
+	for i := range spec.Steps {
+		if !e.fleet.Offers(p.Service, spec.Steps[i].Label) {
+			return false
+		}
+	}
+	return true
+}
--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/subset"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/routing"
@@ -50,32 +51,23 @@
 	table  atomic.Pointer[routing.Table]
 	fleet  *owner.Fleet
 	// effort has the best-effort jobs of this life.
-	effort *steps
-
-	mu sync.Mutex
-	// owners has, for each shard, who says to own it with the highest epoch.
-	// Guarded by mu.
-	owners map[int]ownerView
-}
-
-type ownerView struct {
-	node  string
-	epoch int64
+	effort  *steps
+	owners  *ownerBook
+	numbers *numbers
 }
 
 // NewEntry returns an entry that does nothing yet.
 func NewEntry(s *settings.Settings, st store.Store, config store.Partition, decode func(store.Record) (*routing.Table, error)) *Entry {
 	e := &Entry{
 		settings: s, store: st, metrics: newCoreMetrics(),
-		config: config, decode: decode, owners: make(map[int]ownerView),
+		config: config, decode: decode, owners: newOwnerBook(s, st), numbers: newNumbers(s, st),
 		fleet: owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams()),
 	}
 	// The name is that of this life: agents tell its runs from a later one's.
 	self := memberName(s.Name, xid.New().String())
-	e.links = newLinkSet(func(node string, reg registration) closer {
+	e.links = newLinkSet(s.Links, e, func(node string, reg registration) agentLink {
 		return peer.Dial(context.Background(), self, node, reg.Links, e)
 	})
-	e.links.open()
 	e.effort = e.newEffort()
 	return e
 }
@@ -88,13 +80,36 @@
 	wg.Go(func() {
 		Follow(ctx, e.store, e.config, "configuration", e.applyConfig)
 	})
+	dealt := make(chan struct{})
+	wg.Go(func() { e.numbers.run(ctx, sync.OnceFunc(func() { close(dealt) })) })
+	wg.Go(func() { e.links.follow(ctx, e.store) })
 	wg.Go(func() {
-		e.links.follow(ctx, e.store)
+		select {
+		case <-dealt:
+		case <-time.After(numbersWait):
+		}
+		e.links.open()
+		e.links.maintain(ctx)
 	})
 	wg.Wait()
 	return nil
 }
 
+// Share implements linkUser.
+func (e *Entry) Share() subset.Share { return e.numbers.get() }
+
+// Required implements linkUser: owners of recorded jobs are linked while they are asked.
+func (e *Entry) Required() []string { return e.owners.inUse(bootclock.Now()) }
+
+// Occupied implements linkUser.
+func (e *Entry) Occupied(node string) bool { return e.effort.Occupied(node) }
+
+// Retire implements linkUser.
+func (e *Entry) Retire(node string, yes bool) { e.fleet.Retire(node, yes) }
+
+// FreeShare implements linkUser.
+func (e *Entry) FreeShare(nodes []string) float64 { return e.fleet.FreeShare(nodes) }
+
 // applyConfig takes up a version unless a newer one is in force: a reader that
 // starts again may see older ones.
 func (e *Entry) applyConfig(r store.Record) {
@@ -129,14 +144,7 @@
 func (e *Entry) Agents() []owner.AgentView { return e.fleet.Agents() }
 
 // Linked reports whether there is a link to an agent.
-func (e *Entry) Linked() bool {
-	for _, c := range e.links.all() {
-		if l, ok := c.(*peer.Link); ok && l.Client() != nil {
-			return true
-		}
-	}
-	return false
-}
+func (e *Entry) Linked() bool { return e.links.anyUp() }
 
 // LinkUp implements peer.LinkHandler.
 func (e *Entry) LinkUp(node string, session int64) *corepb.ToAgent {
@@ -148,13 +156,7 @@
 func (e *Entry) LinkDown(node string, session int64) {
 	e.fleet.Lost(node)
 	e.effort.unlinked(node, session)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for shard, o := range e.owners {
-		if o.node == node {
-			delete(e.owners, shard)
-		}
-	}
+	e.owners.lost(node)
 }
 
 // LinkFrame implements peer.LinkHandler.
@@ -168,52 +170,18 @@
 	for _, p := range f.GetEvents() {
 		e.effort.event(node, p)
 	}
-	e.noteOwned(node, f)
+	e.owners.note(node, f)
 	e.effort.news()
 }
 
-// noteOwned takes in which shards an agent says to own.
-func (e *Entry) noteOwned(node string, f *corepb.FromAgent) {
-	if !f.GetOwnedValid() {
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	says := make(map[int]bool, len(f.GetOwned()))
-	for _, o := range f.GetOwned() {
-		shard := int(o.GetShard())
-		says[shard] = true
-		if known, ok := e.owners[shard]; !ok || o.GetEpoch() >= known.epoch {
-			e.owners[shard] = ownerView{node: node, epoch: o.GetEpoch()}
-		}
-	}
-	for shard, o := range e.owners {
-		if o.node == node && !says[shard] {
-			delete(e.owners, shard)
-		}
-	}
-}
-
-// owner returns the client of a shard's owner, or nil.
-func (e *Entry) owner(shard int) (string, corepb.CoreClient) {
-	e.mu.Lock()
-	o, ok := e.owners[shard]
-	e.mu.Unlock()
-	if !ok {
-		return "", nil
+// owner returns a shard's owner and its client; nil while it is not known or not linked.
+func (e *Entry) owner(ctx context.Context, shard int) (string, corepb.CoreClient) {
+	node, fresh := e.owners.use(bootclock.Now(), shard)
+	if link := e.links.get(node); link != nil && link.Up() {
+		return node, link.Client()
 	}
-	l, ok := e.links.get(o.node).(*peer.Link)
-	if !ok {
-		return "", nil
-	}
-	return o.node, l.Client()
-}
-
-// forget drops an owner that said it is none.
-func (e *Entry) forget(shard int, node string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.owners[shard].node == node {
-		delete(e.owners, shard)
+	if e.owners.look(ctx) || fresh {
+		e.links.reconcile(bootclock.Now())
 	}
+	return "", nil
 }
--- a/daemon/core/entry_test.go
+++ b/daemon/core/entry_test.go
@@ -113,6 +113,9 @@
 func (noStore) Join(context.Context, string, string, []string, time.Duration, int64) (store.Membership, error) {
 	return store.Membership{}, store.ErrRejected
 }
+func (noStore) Owners(context.Context, string) (map[store.Partition]string, error) {
+	return nil, store.ErrRejected
+}
 func (noStore) Leave(context.Context, string, string) error { return store.ErrRejected }
 
 func testSettings() *settings.Settings {
@@ -127,11 +130,12 @@
 	t.Helper()
 	e := NewEntry(testSettings(), noStore{}, store.Partition{Topic: "config"}, nil)
 	t.Cleanup(e.links.close)
+	e.links.open()
 	for _, a := range agents {
 		e.links.apply(store.Record{Key: a.addr, Value: []byte(`{"links":"` + a.addr + `"}`)})
 	}
 	for _, a := range agents {
-		await(t, func() bool { return e.links.get(a.addr).(*peer.Link).Client() != nil })
+		await(t, func() bool { return e.links.get(a.addr).Up() })
 	}
 	return e
 }
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -5,18 +5,59 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/store"
+	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
+	"github.com/shallotstep/shallotstep/transport/pause"
 	"github.com/shallotstep/shallotstep/transport/peer"
 )
 
-// linkSet knows the registered agents and, while it is open, keeps a link to each.
+const (
+	// darkAfter is how long a link may be down before another agent stands in for it.
+	// A lost link is dialled again within 0.3 s, a process is back within a second.
+	darkAfter = time.Second
+	// retireAfter is the least time for which a link that is not wanted any more stays:
+	// news of what was ordered there last is on its way.
+	retireAfter = time.Second
+	// linksEvery is the pace at which the links are compared with what is wanted.
+	linksEvery = 150 * time.Millisecond
+)
+
+// linkUser is the process whose links a set keeps. Its methods may be called at any time
+// but while it holds a lock of its own.
+type linkUser interface {
+	// Share is what the process holds of the numbers by which agents are chosen.
+	Share() subset.Share
+	// Required names agents that have to be linked whatever the choice is.
+	Required() []string
+	// Occupied reports whether anything of this process may be at an agent.
+	Occupied(node string) bool
+	// Retire says whether an agent gets no new work, for its link is about to end.
+	Retire(node string, yes bool)
+	// FreeShare is the part of some agents' cores that is free.
+	FreeShare(nodes []string) float64
+}
+
+// agentLink is a link to an agent.
+type agentLink interface {
+	Close()
+	// Up reports whether frames go both ways.
+	Up() bool
+}
+
+// linkSet knows the registered agents and, while it is open, keeps links to a subset of
+// them, to those that its user requires, and to those that can run what is asked for.
 type linkSet struct {
-	dial func(node string, reg registration) closer
+	dial func(node string, reg registration) agentLink
+	user linkUser
+	// size is the number of links to agents that are there.
+	size int
 
 	// changing is held while links are dialled and closed. Closing one waits for
 	// its handler, which uses the set, so mu must not be held meanwhile.
@@ -25,36 +66,77 @@
 	mu sync.Mutex
 	// All fields below are guarded by mu.
 
-	links map[string]closer
+	links map[string]*keptLink
+	known map[string]registration
+	// order is that in which agents are preferred; nil: to be found anew. It was found
+	// for the share.
+	order []string
+	share subset.Share
+	// added are the agents that the subset has been stretched by.
+	added   []string
+	stretch subset.Stretch
+	needs   needs
 	// orphans is set once an agent has announced ends that only owners can settle.
 	orphans bool
-	// linkedTo has the address of each link, known that of each agent.
-	linkedTo map[string]string
-	known    map[string]registration
-	isOpen   bool
+	// wasRead is set once the registry was read.
+	wasRead bool
+	isOpen  bool
 }
 
-type closer interface{ Close() }
+// keptLink is a link and what is known of it. Guarded by linkSet.mu.
+type keptLink struct {
+	agentLink
+	addr string
+	// downSince is since when it was seen down; zero: it is up, or was not looked at.
+	downSince time.Duration
+	// retiredAt is when it stopped being wanted; zero: it is wanted.
+	retiredAt time.Duration
+}
 
-// newLinkSet returns a set that is not open.
-func newLinkSet(dial func(node string, reg registration) closer) *linkSet {
+// newLinkSet returns a set that is not open. The size is that of the subset; zero takes
+// all agents.
+func newLinkSet(size int, user linkUser, dial func(node string, reg registration) agentLink) *linkSet {
 	return &linkSet{
-		dial: dial, links: make(map[string]closer),
-		linkedTo: make(map[string]string), known: make(map[string]registration),
+		dial: dial, user: user, size: size,
+		links: make(map[string]*keptLink), known: make(map[string]registration),
+		stretch: subset.NewStretch(size), needs: make(needs),
 	}
 }
 
 // follow learns of agents by the registry until the context ends.
 func (l *linkSet) follow(ctx context.Context, st store.Store) {
-	(&follower{store: st, partition: registryPartition, wait: registryWait, rest: registryPause, apply: l.apply, name: "registry"}).run(ctx)
+	f := &follower{
+		store: st, partition: registryPartition, wait: registryWait, rest: registryPause, name: "registry",
+		apply: l.learn, applied: func() {
+			l.mu.Lock()
+			l.wasRead = true
+			l.mu.Unlock()
+			l.reconcile(bootclock.Now())
+		},
+	}
+	f.run(ctx)
+}
+
+// maintain keeps the links as they are wanted until the context ends.
+func (l *linkSet) maintain(ctx context.Context) {
+	for pause.For(ctx, linksEvery) == nil {
+		l.reconcile(bootclock.Now())
+	}
 }
 
-// apply takes in a record of the registry.
+// apply takes in a record of the registry and links its agent, if it is wanted.
 func (l *linkSet) apply(r store.Record) {
-	l.changing.Lock()
-	defer l.changing.Unlock()
+	l.learn(r)
+	l.reconcile(bootclock.Now())
+}
+
+// learn takes in a record of the registry.
+func (l *linkSet) learn(r store.Record) {
 	if r.Value == nil {
-		l.forget(r.Key)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.known, r.Key)
+		l.order = nil
 		return
 	}
 	reg, err := decodeRegistration(r)
@@ -64,13 +146,12 @@
 		return
 	}
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	if old, ok := l.known[r.Key]; !ok || old.Zone != reg.Zone {
+		l.order = nil
+	}
 	l.known[r.Key] = reg
 	l.orphans = l.orphans || reg.Orphans
-	isOpen := l.isOpen
-	l.mu.Unlock()
-	if isOpen {
-		l.link(r.Key, reg)
-	}
 }
 
 // needed reports whether agents have ends that wait for owners.
@@ -80,27 +161,51 @@
 	return l.orphans
 }
 
-// opened reports whether the set is open, and how many agents are known.
-func (l *linkSet) opened() (bool, int) {
+// withOrphans names the agents that have ends which wait for owners.
+func (l *linkSet) withOrphans() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.isOpen, len(l.known)
+	var out []string
+	if !l.orphans {
+		return out
+	}
+	for node, reg := range l.known {
+		if reg.Orphans {
+			out = append(out, node)
+		}
+	}
+	return out
+}
+
+// opened reports whether the set is open.
+func (l *linkSet) opened() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isOpen
 }
 
-// open links all agents that are known, and those that come.
+// reach is how many agents the set is to link; false before the registry was read.
+func (l *linkSet) reach() (int, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return min(l.sizeLocked(), len(l.known)), l.wasRead
+}
+
+func (l *linkSet) sizeLocked() int {
+	if l.size <= 0 {
+		return len(l.known)
+	}
+	return l.size
+}
+
+// open links the agents that are wanted, now and as they come.
 func (l *linkSet) open() {
-	l.changing.Lock()
-	defer l.changing.Unlock()
 	l.mu.Lock()
 	wasOpen := l.isOpen
 	l.isOpen = true
-	known := maps.Clone(l.known)
 	l.mu.Unlock()
-	if wasOpen {
-		return
-	}
-	for node, reg := range known {
-		l.link(node, reg)
+	if !wasOpen {
+		l.reconcile(bootclock.Now())
 	}
 }
 
@@ -117,33 +222,170 @@
 	}
 }
 
-// link dials an agent unless it is linked at that address.
-func (l *linkSet) link(node string, reg registration) {
+// full takes in that a job found no room.
+func (l *linkSet) full(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stretch.Refused(now)
+}
+
+// reconcile dials what is wanted and not linked, and ends links that are not wanted any
+// more once nothing of the user is behind them.
+func (l *linkSet) reconcile(now time.Duration) {
+	l.changing.Lock()
+	defer l.changing.Unlock()
+	if !l.opened() {
+		return
+	}
+	share, required := l.user.Share(), l.user.Required()
 	l.mu.Lock()
-	same := l.linkedTo[node] == reg.Links
+	l.watchLocked(now)
+	l.orderLocked(share)
+	wanted := l.wantedLocked(now, required)
+	dial, retired := l.diffLocked(now, wanted)
 	l.mu.Unlock()
-	if same {
+	for node, reg := range dial {
+		l.replace(node, reg)
+	}
+	for node, revived := range retired {
+		l.user.Retire(node, !revived)
+	}
+	l.dropRetired(now)
+}
+
+// watchLocked notes which links are down.
+func (l *linkSet) watchLocked(now time.Duration) {
+	for _, k := range l.links {
+		switch {
+		case k.Up():
+			k.downSince = 0
+		case k.downSince == 0:
+			k.downSince = now
+		}
+	}
+}
+
+func (l *linkSet) orderLocked(share subset.Share) {
+	if l.order != nil && share.Of == l.share.Of && slices.Equal(share.Numbers, l.share.Numbers) {
 		return
 	}
-	l.drop(node)
-	link := l.dial(node, reg)
+	agents := make([]subset.Agent, 0, len(l.known))
+	for node, reg := range l.known {
+		agents = append(agents, subset.Agent{Name: node, Domain: reg.Zone})
+	}
+	l.share, l.order = share, subset.Order(agents, share)
+}
+
+// darkLocked reports whether an agent's link has been down for long.
+func (l *linkSet) darkLocked(now time.Duration, node string) bool {
+	k := l.links[node]
+	return k != nil && k.downSince > 0 && now-k.downSince >= darkAfter
+}
+
+// wantedLocked names the agents to link: the first ones of the order, with others in
+// place of those that are dark, what the subset is stretched by, what the jobs' needs
+// lack, and what the user requires.
+func (l *linkSet) wantedLocked(now time.Duration, required []string) map[string]bool {
+	size := l.sizeLocked()
+	wanted := make(map[string]bool, 2*size)
+	rest := l.takeLocked(now, wanted, l.order, size)
+	extra := l.stretch.Extra(now, func() float64 { return l.user.FreeShare(l.added) })
+	before := len(wanted)
+	after := l.takeLocked(now, wanted, rest, extra)
+	l.added = rest[:len(rest)-len(after)]
+	if len(wanted) != before {
+		klog.V(1).InfoS("The subset is stretched", "by", len(wanted)-before)
+	}
+	l.needs.fill(now, l.order, l.known, wanted)
+	for _, node := range required {
+		if _, ok := l.known[node]; ok {
+			wanted[node] = true
+		}
+	}
+	return wanted
+}
+
+// takeLocked adds agents in order until so many are there that are not dark, or twice as
+// many in all. It returns those that are left.
+func (l *linkSet) takeLocked(now time.Duration, wanted map[string]bool, order []string, count int) []string {
+	bright := 0
+	for i, node := range order {
+		if bright == count || i == 2*count {
+			return order[i:]
+		}
+		wanted[node] = true
+		if !l.darkLocked(now, node) {
+			bright++
+		}
+	}
+	return nil
+}
+
+// diffLocked returns what has to be dialled, and the links that have begun (false) or
+// ceased (true) to be retired.
+func (l *linkSet) diffLocked(now time.Duration, wanted map[string]bool) (dial map[string]registration, retired map[string]bool) {
+	dial, retired = make(map[string]registration), make(map[string]bool)
+	for node := range wanted {
+		reg := l.known[node]
+		k := l.links[node]
+		switch {
+		case k == nil || k.addr != reg.Links:
+			dial[node] = reg
+		case k.retiredAt > 0:
+			k.retiredAt = 0
+			retired[node] = true
+		}
+	}
+	for node, k := range l.links {
+		if !wanted[node] && k.retiredAt == 0 {
+			k.retiredAt = now
+			retired[node] = false
+		}
+	}
+	return dial, retired
+}
+
+// dropRetired ends links that are not wanted once nothing is behind them.
+func (l *linkSet) dropRetired(now time.Duration) {
+	var done []string
+	l.mu.Lock()
+	for node, k := range l.links {
+		if k.retiredAt > 0 && now-k.retiredAt >= retireAfter {
+			done = append(done, node)
+		}
+		if _, ok := l.known[node]; !ok {
+			done = append(done, node)
+		}
+	}
+	l.mu.Unlock()
+	for _, node := range done {
+		if l.gone(node) || !l.user.Occupied(node) {
+			l.drop(node)
+		}
+	}
+}
+
+// gone reports whether an agent was taken from the registry.
+func (l *linkSet) gone(node string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.links[node], l.linkedTo[node] = link, reg.Links
+	_, ok := l.known[node]
+	return !ok
 }
 
-func (l *linkSet) forget(node string) {
+// replace dials an agent at its address, in place of a link to an older one.
+func (l *linkSet) replace(node string, reg registration) {
 	l.drop(node)
+	link := l.dial(node, reg)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.known, node)
+	l.links[node] = &keptLink{agentLink: link, addr: reg.Links}
 }
 
 func (l *linkSet) drop(node string) {
 	l.mu.Lock()
 	link := l.links[node]
 	delete(l.links, node)
-	delete(l.linkedTo, node)
 	l.mu.Unlock()
 	if link != nil {
 		link.Close()
@@ -151,29 +393,39 @@
 }
 
 // get returns the link to an agent, or nil.
-func (l *linkSet) get(node string) closer {
+func (l *linkSet) get(node string) *peer.Link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.links[node]
+	k := l.links[node]
+	if k == nil {
+		return nil
+	}
+	link, _ := k.agentLink.(*peer.Link)
+	return link
 }
 
-// all returns a copy of the links.
-func (l *linkSet) all() map[string]closer {
+// anyUp reports whether a link is up.
+func (l *linkSet) anyUp() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return maps.Clone(l.links)
+	for _, k := range l.links {
+		if k.Up() {
+			return true
+		}
+	}
+	return false
 }
 
 // send adds to the next frame for an agent, if its link is up.
 func (l *linkSet) send(node string, fill func(*corepb.ToAgent)) {
-	if link, ok := l.get(node).(*peer.Link); ok {
+	if link := l.get(node); link != nil {
 		link.Send(fill)
 	}
 }
 
 // sendQuietly is send for what may wait for a frame that goes out anyway.
 func (l *linkSet) sendQuietly(node string, fill func(*corepb.ToAgent)) {
-	if link, ok := l.get(node).(*peer.Link); ok {
+	if link := l.get(node); link != nil {
 		link.SendQuietly(fill)
 	}
 }
--- a/daemon/core/links_test.go
+++ b/daemon/core/links_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -8,6 +9,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/subset"
+	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
 )
@@ -18,13 +22,35 @@
 type fakeLink struct {
 	node string
 	all  dialled
+	down bool
 }
 
-func (l *fakeLink) Close() { delete(l.all, l.node) }
+func (l *fakeLink) Close()   { delete(l.all, l.node) }
+func (l *fakeLink) Up() bool { return !l.down }
 
-func newFakeLinks() (*linkSet, dialled) {
+// fakeUser is what a set of links belongs to.
+type fakeUser struct {
+	share    subset.Share
+	required []string
+	occupied map[string]bool
+	retired  map[string]bool
+	free     float64
+}
+
+func (u *fakeUser) Share() subset.Share          { return u.share }
+func (u *fakeUser) Required() []string           { return u.required }
+func (u *fakeUser) Occupied(node string) bool    { return u.occupied[node] }
+func (u *fakeUser) Retire(node string, yes bool) { u.retired[node] = yes }
+func (u *fakeUser) FreeShare([]string) float64   { return u.free }
+
+func newFakeUser() *fakeUser {
+	return &fakeUser{share: subset.Guess("a"), occupied: make(map[string]bool), retired: make(map[string]bool)}
+}
+
+// newFakeLinks returns a set of so many links; zero: of all.
+func newFakeLinks(size int, user linkUser) (*linkSet, dialled) {
 	all := dialled{}
-	return newLinkSet(func(node string, reg registration) closer {
+	return newLinkSet(size, user, func(node string, reg registration) agentLink {
 		all[node] = reg.Links
 		return &fakeLink{node: node, all: all}
 	}), all
@@ -40,13 +66,13 @@
 func TestAgentWithoutShardsLinksNobody(t *testing.T) {
 	is := is.New(t)
 	a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: 4}}, noStore{}, nil)
-	links, all := newFakeLinks()
+	links, all := newFakeLinks(0, a)
 	a.links = links
 	links.apply(registered("b", "10.0.0.2:7"))
 	is.Equal(len(all), 0)
 
 	links.open() // as it does when it gets a shard
-	a.shards[1] = &shardRunner{}
+	a.shards[1] = &shardRunner{steps: newSteps(owner.New(0, 1, 1, owner.Bounds{}, a.fleet, nil, nil), links, a.metrics)}
 	links.apply(registered("c", "10.0.0.3:7"))
 	is.Equal(slices.Sorted(maps.Keys(all)), []string{"b", "c"})
 
@@ -63,7 +89,7 @@
 // learnt of it, and of one that was taken away.
 func TestLinksGoWhereTheAgentsAreNow(t *testing.T) {
 	is := is.New(t)
-	links, all := newFakeLinks()
+	links, all := newFakeLinks(0, newFakeUser())
 	links.apply(registered("b", "10.0.0.4:7"))
 	links.apply(registered("c", "10.0.0.3:7"))
 	links.open()
@@ -75,3 +101,114 @@
 	links.apply(registered("b", "10.0.0.6:7"))
 	is.Equal(all, dialled{"b": "10.0.0.6:7"})
 }
+
+// registerFleet makes agents known, in five failure domains, with a label on each tenth.
+func registerFleet(l *linkSet, agents int) {
+	for i := range agents {
+		label := "plain"
+		if i%10 == 0 {
+			label = "wide"
+		}
+		l.learn(store.Record{Key: fmt.Sprintf("side-%d", i), Value: fmt.Appendf(nil,
+			`{"links":"10.0.%d.%d:7","zone":"zone-%d","server":{"instance":"i","service":"desk","labels":["%s"],"capacity":{"CPUMillis":16000}}}`, i/200, i%200, i%5, label)})
+	}
+}
+
+// With a link to each of 160 agents an entry spends its processor time on signs of life,
+// and decides worse. It links 32, and as many of each failure domain.
+func TestEntryLinksASubset(t *testing.T) {
+	is := is.New(t)
+	links, all := newFakeLinks(32, newFakeUser())
+	links.open()
+	registerFleet(links, 160)
+	links.reconcile(time.Hour)
+	is.Equal(len(all), 32)
+}
+
+// Half of the agents of a subset go dark. Others stand in for them, within bounds, and
+// leave again when the dark ones are back, but not before their last run has ended: a link
+// that ends cuts off what runs behind it.
+func TestOthersStandInForDarkAgents(t *testing.T) {
+	is := is.New(t)
+	user := newFakeUser()
+	links, all := newFakeLinks(16, user)
+	links.open()
+	registerFleet(links, 160)
+	now := time.Hour
+	links.reconcile(now)
+	dark := slices.Sorted(maps.Keys(all))[:8]
+	for _, node := range dark {
+		links.links[node].agentLink.(*fakeLink).down = true
+	}
+	links.reconcile(now)
+	links.reconcile(now + darkAfter - 1)
+	is.Equal(len(all), 16)
+	now += darkAfter
+	links.reconcile(now)
+	is.Equal(len(all), 24)
+
+	var busy string
+	for node := range all {
+		if slices.Contains(dark, node) {
+			links.links[node].agentLink.(*fakeLink).down = false
+		}
+	}
+	links.reconcile(now + 1)
+	for node, yes := range user.retired {
+		is.True(yes)
+		busy = node
+	}
+	is.Equal(len(user.retired), 8)
+	user.occupied[busy] = true
+	links.reconcile(now + 1 + retireAfter)
+	is.Equal(len(all), 17)
+	delete(user.occupied, busy)
+	links.reconcile(now + 2 + retireAfter)
+	is.Equal(len(all), 16)
+}
+
+// A queue asks for a label that a tenth of the agents have, and a job is wider than its
+// subset. Refused for want of a worker they would never run, whatever stands idle.
+func TestSubsetIsFilledUpForNeeds(t *testing.T) {
+	is := is.New(t)
+	links, all := newFakeLinks(16, newFakeUser())
+	links.open()
+	registerFleet(links, 160)
+	now := time.Hour
+	links.reconcile(now)
+	spec := &job.Spec{Steps: []job.Step{{Count: 1, Label: "wide", Demand: job.Demand{CPUMillis: 1000}}}}
+	is.True(links.need(now, spec, &job.Policy{Service: "desk"}))
+	links.reconcile(now)
+	wide := 0
+	for node := range all {
+		if slices.Contains(links.known[node].Server.Labels, "wide") {
+			wide++
+		}
+	}
+	is.Equal(wide, leastOffering)
+	is.True(!links.need(now, spec, &job.Policy{Service: "desk"}))
+
+	spec = &job.Spec{Steps: []job.Step{{Count: 1000, Demand: job.Demand{CPUMillis: 1000}}}}
+	is.True(links.need(now, spec, &job.Policy{Service: "desk"}))
+	links.reconcile(now)
+	is.True(len(all) >= 63) // 1,000 tasks of a core on workers of 16
+	links.reconcile(now + needMemory + 1)
+	links.reconcile(now + needMemory + 1 + retireAfter)
+	is.Equal(len(all), 16)
+}
+
+// A takeover has to reach an agent that is in no subset of the new owner: it may have runs
+// of the shard.
+func TestRequiredAgentsAreLinked(t *testing.T) {
+	is := is.New(t)
+	user := newFakeUser()
+	links, all := newFakeLinks(16, user)
+	links.open()
+	registerFleet(links, 160)
+	for i := range 160 {
+		user.required = append(user.required, fmt.Sprintf("side-%d", i))
+	}
+	user.required = append(user.required, "gone")
+	links.reconcile(time.Hour)
+	is.Equal(len(all), 160)
+}
--- a/daemon/core/membership.go
+++ b/daemon/core/membership.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
+	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/pause"
@@ -105,7 +106,7 @@
 	}
 	mine := make(map[int]bool, len(m.Parts))
 	for _, p := range m.Parts {
-		if id, ok := a.shardOf(p.Topic, p.Part); ok {
+		if id, ok := shardOf(a.settings, p); ok {
 			mine[id] = true
 		}
 	}
@@ -121,10 +122,11 @@
 	return m.Generation, nil
 }
 
-func (a *Agent) shardOf(topic string, part int) (int, bool) {
-	for i, t := range shardTopics(a.settings.Store.Topics) {
-		if t == topic && part >= 0 && part < a.settings.Store.Partitions {
-			return i*a.settings.Store.Partitions + part, true
+// shardOf returns the shard that a partition holds, or false if it holds none.
+func shardOf(s *settings.Settings, p store.Partition) (int, bool) {
+	for i, t := range shardTopics(s.Store.Topics) {
+		if t == p.Topic && p.Part >= 0 && p.Part < s.Store.Partitions {
+			return i*s.Store.Partitions + p.Part, true
 		}
 	}
 	return 0, false
@@ -174,6 +176,7 @@
 		return
 	}
 	a.opening[id] = true
+	a.watching()
 	epoch := a.epochs.next(id, generation)
 	go func() {
 		r, err := a.openShard(ctx, id, epoch)
--- /dev/null
+++ b/daemon/core/needs.go
@@ -0,0 +1,136 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// needKey is what a step asks of the agents that may run it. Queues ask for few
+// different things.
+type needKey struct{ service, label string }
+
+// need is how many agents a step has use for, and when one was submitted last.
+type need struct {
+	least  int
+	usedAt time.Duration
+}
+
+// needs are what the jobs of the last time have asked for. A subset is chosen without
+// regard to what an agent offers, so few of its agents may have what a queue asks for,
+// or none.
+type needs map[needKey]need
+
+const (
+	// needMemory is how long agents that were linked for a need are kept.
+	needMemory = time.Minute
+	// mostNeeds bounds the needs that are remembered; the oldest leave.
+	mostNeeds = 64
+	// leastOffering is how many agents a need is given if there are as many: with few a
+	// lost one would take much of the room.
+	leastOffering = 8
+)
+
+// note takes in a step, and reports whether the need is new or greater than before.
+func (n needs) note(now time.Duration, key needKey, least int) bool {
+	old, known := n[key]
+	if now-old.usedAt > needMemory {
+		old.least = 0
+	}
+	n[key] = need{least: max(old.least, least), usedAt: now}
+	if len(n) > mostNeeds {
+		n.dropOldest()
+	}
+	return !known || least > old.least
+}
+
+func (n needs) dropOldest() {
+	keys := slices.Collect(maps.Keys(n))
+	delete(n, slices.MinFunc(keys, func(a, b needKey) int { return int(n[a].usedAt - n[b].usedAt) }))
+}
+
+// fill adds to the wanted agents what the needs lack, in the order of preference.
+func (n needs) fill(now time.Duration, order []string, known map[string]registration, wanted map[string]bool) {
+	for key, of := range n {
+		if now-of.usedAt > needMemory {
+			delete(n, key)
+			continue
+		}
+		have := 0
+		for node := range wanted {
+			if offers(known[node], key) {
+				have++
+			}
+		}
+		for _, node := range order {
+			if have >= of.least {
+				break
+			}
+			if !wanted[node] && offers(known[node], key) {
+				wanted[node] = true
+				have++
+			}
+		}
+	}
+}
+
+// offers reports whether an agent may run what a need is for. One that has not said what
+// it offers is taken to.
+func offers(reg registration, key needKey) bool {
+	s := reg.Server
+	return s == nil || s.Service == key.service && (key.label == "" || slices.Contains(s.Labels, key.label))
+}
+
+// leastFor is how many agents a step has use for: enough for its widest moment, and for
+// its bound on tasks at one worker.
+func leastFor(st *job.Step, perAgent int64) int {
+	least := leastOffering
+	if st.MaxPerWorker > 0 {
+		least = max(least, (st.Count+st.MaxPerWorker-1)/st.MaxPerWorker)
+	}
+	if perAgent > 0 {
+		least = max(least, int((int64(st.Count)*st.Demand.CPUMillis+perAgent-1)/perAgent))
+	}
+	return least
+}
+
+// need takes in what a job's steps ask for, and reports whether links have to be made
+// for it.
+func (l *linkSet) need(now time.Duration, spec *job.Spec, p *job.Policy) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	more := false
+	for i := range spec.Steps {
+		st := &spec.Steps[i]
+		key := needKey{service: p.Service, label: st.Label}
+		least := leastFor(st, l.capacityLocked(key))
+		if l.needs.note(now, key, least) && l.offeringLocked(key) < least {
+			more = true
+		}
+	}
+	return more
+}
+
+// capacityLocked is what an agent with a need's offer has, in thousandths of a core; zero
+// if no such agent is known.
+func (l *linkSet) capacityLocked(key needKey) int64 {
+	for _, node := range l.order {
+		if reg := l.known[node]; reg.Server != nil && offers(reg, key) {
+			return reg.Server.Capacity.CPUMillis
+		}
+	}
+	return 0
+}
+
+// offeringLocked counts the linked agents that may run what a need is for.
+func (l *linkSet) offeringLocked(key needKey) int {
+	n := 0
+	for node := range l.links {
+		if offers(l.known[node], key) {
+			n++
+		}
+	}
+	return n
+}
--- a/daemon/core/questions.go
+++ b/daemon/core/questions.go
@@ -23,6 +23,9 @@
 		return
 	}
 	a.reach(r)
+	if now := bootclock.Now(); a.links.need(now, &spec, &p) {
+		a.links.reconcile(now)
+	}
 	r.step(func(now time.Duration) owner.Effects { return r.Shard.Submit(now, id, spec, p, reply) })
 }
 
@@ -38,13 +41,13 @@
 // Without the wait an owner's first jobs would be refused for want of a worker. Later
 // ones are not held: an agent that is not there by then is away.
 func (a *Agent) reach(r *shardRunner) {
-	if open, _ := a.links.opened(); !open {
+	if !a.links.opened() {
 		klog.InfoS("The first job of an owner: the agents are linked", "shard", r.ID)
 		a.reachUntil.set(bootclock.Now() + reachTimeout)
 		a.links.open()
 	}
 	for bootclock.Now() < a.reachUntil.get() {
-		if _, known := a.links.opened(); r.Reach() >= known {
+		if wanted, known := a.links.reach(); known && r.Reach() >= wanted {
 			return
 		}
 		_ = pause.For(context.Background(), reachPoll)
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -82,8 +82,10 @@
 	wait      time.Duration
 	// rest is the pause after records came, to read the next ones together.
 	rest time.Duration
-	// apply gets each newest record, also repeatedly.
-	apply func(store.Record)
+	// apply gets each newest record, also repeatedly, and applied is called after those
+	// that came together, if it is set.
+	apply   func(store.Record)
+	applied func()
 	// name is for the log.
 	name string
 }
@@ -123,6 +125,9 @@
 		for _, r := range records {
 			f.apply(r)
 		}
+		if f.applied != nil {
+			f.applied()
+		}
 		if len(records) > 0 {
 			_ = pause.For(ctx, f.rest)
 		}
--- a/daemon/core/steps.go
+++ b/daemon/core/steps.go
@@ -57,6 +57,9 @@
 		reply.To(reply.Verdict)
 	}
 	for i := range fx.Log {
+		if fx.Log[i].WantsRoom() {
+			r.links.full(now)
+		}
 		r.log(&fx.Log[i])
 	}
 	if fx.Write {
--- a/state/settings/settings.go
+++ b/state/settings/settings.go
@@ -24,6 +24,9 @@
 	// Name is unique among the processes of a system.
 	Name string `json:"name"`
 	Zone string `json:"zone"`
+	// Links is to how many agents a process keeps links, if there are as many; absent:
+	// to all. What a job needs beyond them is linked as it comes.
+	Links int `json:"links"`
 
 	Listen Listen `json:"listen"`
 	Store  Store  `json:"store"`
@@ -122,6 +125,9 @@
 	if err := s.Listen.checkAPI(); err != nil {
 		return err
 	}
+	if s.Links < 0 {
+		return errors.New("settings: links must not be negative")
+	}
 	if s.Store.Topics < 1 || s.Store.Partitions < 1 {
 		return errors.New("settings: store.topics and store.partitions must be at least 1")
 	}
--- a/state/store/store.go
+++ b/state/store/store.go
@@ -63,4 +63,6 @@
 	Join(ctx context.Context, group, member string, topics []string, ttl time.Duration, generation int64) (Membership, error)
 	// Leave gives a member's share back at once.
 	Leave(ctx context.Context, group, member string) error
+	// Owners tells which member holds each partition of a group.
+	Owners(ctx context.Context, group string) (map[Partition]string, error)
 }
--- a/transport/metrics/malformed.go
+++ b/transport/metrics/malformed.go
@@ -12,6 +12,7 @@
 	KindJobRecord     = "job_record"
 	KindAgents        = "agents"
 	KindNotes         = "notes"
+	KindMember        = "member"
 )
 
 // malformed counts what could not be read and was left out. Decoders have no registry
@@ -22,7 +23,7 @@
 	c := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "malformed_total", Help: "Reports and records that could not be read and were left out, by kind.",
 	}, []string{"kind"})
-	for _, kind := range []string{KindReport, KindConfiguration, KindRoute, KindRegistration, KindStoreRecord, KindJobRecord, KindAgents, KindNotes} {
+	for _, kind := range []string{KindReport, KindConfiguration, KindRoute, KindRegistration, KindStoreRecord, KindJobRecord, KindAgents, KindNotes, KindMember} {
 		c.WithLabelValues(kind)
 	}
 	return c
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -106,6 +106,9 @@
 	return l.client
 }
 
+// Up reports whether frames go both ways.
+func (l *Link) Up() bool { return l.Client() != nil }
+
 func (l *Link) run(ctx context.Context) {
 	defer close(l.done)
 	wait, patience := redialPause, firstDialTimeout
