Number lives and keep what a next life needs where the load is spread

Each change of a backend server was a record that each follower of the registry read.

Retries of the store's calls are spaced by the growing pause.

Ruled out: spreading the registry itself over partitions; each entry would follow each of them.

Tests of daemon/core, platform and daemon/dev pass.

--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -97,6 +97,8 @@
 	// marked is set once it is written down that owners of recorded jobs claim here,
 	// and orphaned while ends wait for them.
 	marked, orphaned atomic.Bool
+	// registered is what the registry has of this agent; nil: nothing is known of it.
+	registered atomic.Pointer[registration]
 	// watching has the registry followed from the first shard on.
 	watching func()
 	// marking is held while that is being written.
@@ -163,14 +165,12 @@
 		}
 	})
 	defer a.server.Stop()
-	noted := make(chan struct{})
-	wg.Go(func() {
-		a.takeNotes(ctx)
-		close(noted)
-	})
-	life, previous := a.enrol(ctx)
+	noted := make(chan earlier, 1)
+	wg.Go(func() { noted <- a.takeNotes(ctx) })
+	life := a.enrol(ctx)
+	var before earlier
 	select {
-	case <-noted:
+	case before = <-noted:
 	case <-time.After(notesWait):
 		klog.InfoS("The notes of earlier lives are not there yet")
 	}
@@ -178,19 +178,16 @@
 		return nil
 	}
 	a.executor = a.newExecutor(life)
-	a.resume(ctx, previous.server())
+	a.resume(ctx, before.Server)
 	a.enrolled.Store(true)
-	klog.InfoS("The agent is registered", "name", a.settings.Name, "life", life, "member", a.member)
+	klog.InfoS("The agent serves", "name", a.settings.Name, "life", life, "member", a.member)
 	a.links = newLinkSet(a.settings.Links, a, func(node string, reg registration) agentLink {
 		// The name is that of this life: an agent takes the signs of life of
 		// a later one for another owner's, and stops what this one left.
 		return peer.Dial(ctx, a.member, node, reg.Links, a)
 	})
 	wg.Go(func() { a.holdLoop(ctx) })
-	if s, ok := a.worker.Server(); ok {
-		// A report that came before the registration was not written down.
-		wg.Go(func() { a.remember(ctx, s) })
-	}
+	wg.Go(func() { a.keepRegistered(ctx) })
 	wg.Go(func() { a.tickLoop(ctx) })
 	// Only owners link others, and there are as many of them as shards at most. Read by
 	// each of a hundred agents, each record of the registry is read a hundred times.
@@ -204,7 +201,7 @@
 		}
 	})
 	wg.Go(func() { a.links.maintain(ctx) })
-	wg.Go(func() { a.memberLoop(ctx, previous.member()) })
+	wg.Go(func() { a.memberLoop(ctx, before.Member) })
 	<-ctx.Done()
 	a.links.close()
 	a.release(nil)
--- a/daemon/core/enrol.go
+++ b/daemon/core/enrol.go
@@ -13,52 +13,83 @@
 	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
-// enrol registers until it succeeds. It returns the number of this life, which
-// rises with each one since it comes from the offset of the registration, and
-// what the earlier life has announced.
-func (a *Agent) enrol(ctx context.Context) (int64, *registration) {
-	for {
-		previous, err := previousLife(ctx, a.store, a.settings.Name)
+// enrol returns the number of this life, which rises with each one since it is the offset
+// of a record that this life writes.
+func (a *Agent) enrol(ctx context.Context) int64 {
+	failures := pause.Backoff{Least: retryPause, Most: maxRetryPause}
+	for ctx.Err() == nil {
+		began := bootclock.Now()
+		offset, err := a.note(ctx, lifeKey(a.settings.Name), []byte(a.member))
 		if err == nil {
-			var offset int64
-			offset, err = announce(ctx, a.store, a.settings.Name, a.registration(previous.server()))
-			if err == nil {
-				return offset + 1, previous
-			}
-		}
-		if ctx.Err() != nil {
-			return 0, nil
+			return offset + 1
 		}
-		klog.InfoS("The agent can't register yet", "err", err)
-		_ = pause.For(ctx, retryPause)
-	}
-}
-
-func (a *Agent) registration(server *knownServer) registration {
-	return registration{
-		Links: a.settings.Listen.LinksAddress(), Member: a.member, Zone: a.settings.Zone, Server: server,
-		Orphans: a.orphaned.Load(),
+		klog.InfoS("The agent can't begin its life yet", "err", err)
+		_ = failures.Wait(ctx, bootclock.Now()-began)
 	}
+	return 0
 }
 
 // takeNotes takes in what earlier lives have written down.
-func (a *Agent) takeNotes(ctx context.Context) {
+func (a *Agent) takeNotes(ctx context.Context) earlier {
+	failures := pause.Backoff{Least: retryPause, Most: maxRetryPause}
 	for ctx.Err() == nil {
+		began := bootclock.Now()
 		e, err := a.readNotes(ctx)
 		if err != nil {
 			klog.InfoS("The notes of earlier lives can't be read yet", "err", err)
-			_ = pause.For(ctx, retryPause)
+			_ = failures.Wait(ctx, bootclock.Now()-began)
 			continue
 		}
-		a.placed.carryOver(bootclock.Now(), e.owners)
+		a.placed.carryOver(bootclock.Now(), e.Owners)
+		a.registered.CompareAndSwap(nil, e.Registered)
 		if e.recorded {
 			a.marked.Store(true)
 		}
 		if e.effortOnly() {
-			a.worker.Former(e.owners)
+			a.worker.Former(e.Owners)
 		}
-		return
+		return e
 	}
+	return earlier{}
+}
+
+// keepRegistered has the registry say what the agent offers, from the first report of its
+// backend server on, until the context ends.
+func (a *Agent) keepRegistered(ctx context.Context) {
+	failures := pause.Backoff{Least: retryPause, Most: maxRetryPause}
+	for ctx.Err() == nil {
+		reg, ok := a.registration()
+		if last := a.registered.Load(); !ok || last != nil && reg.same(last) {
+			_ = pause.For(ctx, registerPoll)
+			continue
+		}
+		began := bootclock.Now()
+		if err := announce(ctx, a.store, a.settings.Name, reg); err != nil {
+			klog.InfoS("The agent can't register yet", "err", err)
+			_ = failures.Wait(ctx, bootclock.Now()-began)
+			continue
+		}
+		failures.Reset()
+		a.registered.Store(reg)
+		a.placed.again()
+		klog.InfoS("The agent is registered", "links", reg.Links, "zone", reg.Zone, "service", reg.Offer.Service, "labels", reg.Offer.Labels, "orphans", reg.Orphans)
+	}
+}
+
+// registerPoll is the pace at which an agent looks whether its registration is still true.
+// A backend server of another kind is rare.
+const registerPoll = 50 * time.Millisecond
+
+// registration is what the registry should say; false before the first report.
+func (a *Agent) registration() (*registration, bool) {
+	s, ok := a.worker.Server()
+	if !ok {
+		return nil, false
+	}
+	return &registration{
+		Links: a.settings.Listen.LinksAddress(), Zone: a.settings.Zone, Orphans: a.orphaned.Load(),
+		Offer: &offer{Service: s.Service, Labels: s.Labels, Capacity: s.Capacity},
+	}, true
 }
 
 // keepNotes writes down whose orders this agent has taken, when that changes, and asks
@@ -71,15 +102,12 @@
 		return
 	}
 	klog.InfoS("Ends wait for the owners of their shards; they are asked to claim")
-	if s, ok := a.worker.Server(); ok {
-		go a.remember(ctx, s)
-	}
 }
 
 // resume goes on with the backend server that the earlier life knew, if that
 // instance answers.
 func (a *Agent) resume(ctx context.Context, s *knownServer) {
-	if s == nil {
+	if !s.usable() {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, stopTimeout)
@@ -99,13 +127,6 @@
 	return &knownServer{Instance: s.Instance, Service: s.Service, Labels: s.Labels, Capacity: s.Capacity, Draining: s.Draining}
 }
 
-// remember writes down the backend server when it has changed.
-func (a *Agent) remember(ctx context.Context, s worker.Server) {
-	if _, err := announce(ctx, a.store, a.settings.Name, a.registration(known(s))); err != nil {
-		klog.InfoS("The backend server could not be written down; the next life waits for its report", "err", err)
-	}
-}
-
 // Report takes in a report of the backend server.
 func (a *Agent) Report(s worker.Server, clockMS int64) {
 	if !a.believes(s) {
@@ -118,9 +139,7 @@
 		return
 	}
 	klog.InfoS("The backend server has changed", "instance", s.Instance, "service", s.Service, "labels", s.Labels, "cores", s.Capacity.CPUMillis, "draining", s.Draining)
-	if a.enrolled.Load() {
-		go a.remember(context.Background(), s)
-	}
+	a.placed.again()
 }
 
 // believes reports whether a report may be of the backend server beside this agent. It
--- a/daemon/core/links_test.go
+++ b/daemon/core/links_test.go
@@ -110,7 +110,7 @@
 			label = "wide"
 		}
 		l.learn(store.Record{Key: fmt.Sprintf("side-%d", i), Value: fmt.Appendf(nil,
-			`{"links":"10.0.%d.%d:7","zone":"zone-%d","server":{"instance":"i","service":"desk","labels":["%s"],"capacity":{"CPUMillis":16000}}}`, i/200, i%200, i%5, label)})
+			`{"links":"10.0.%d.%d:7","zone":"zone-%d","offer":{"service":"desk","labels":["%s"],"capacity":{"CPUMillis":16000}}}`, i/200, i%200, i%5, label)})
 	}
 }
 
@@ -181,7 +181,7 @@
 	links.reconcile(now)
 	wide := 0
 	for node := range all {
-		if slices.Contains(links.known[node].Server.Labels, "wide") {
+		if slices.Contains(links.known[node].Offer.Labels, "wide") {
 			wide++
 		}
 	}
--- a/daemon/core/needs.go
+++ b/daemon/core/needs.go
@@ -79,8 +79,8 @@
 // offers reports whether an agent may run what a need is for. One that has not said what
 // it offers is taken to.
 func offers(reg registration, key needKey) bool {
-	s := reg.Server
-	return s == nil || s.Service == key.service && (key.label == "" || slices.Contains(s.Labels, key.label))
+	o := reg.Offer
+	return o == nil || o.Service == key.service && (key.label == "" || slices.Contains(o.Labels, key.label))
 }
 
 // leastFor is how many agents a step has use for: enough for its widest moment, and for
@@ -117,8 +117,8 @@
 // if no such agent is known.
 func (l *linkSet) capacityLocked(key needKey) int64 {
 	for _, node := range l.order {
-		if reg := l.known[node]; reg.Server != nil && offers(reg, key) {
-			return reg.Server.Capacity.CPUMillis
+		if reg := l.known[node]; reg.Offer != nil && offers(reg, key) {
+			return reg.Offer.Capacity.CPUMillis
 		}
 	}
 	return 0
--- a/daemon/core/notes.go
+++ b/daemon/core/notes.go
@@ -4,37 +4,75 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
-// notesPartition has what an agent writes down for its next life. Nobody else reads it:
-// in the registry, which everybody follows, each note of 70 agents was read 83 times. A
-// read returns all of a partition, so the agents are spread over those of the topic.
+// notesTopics spreads the agents' notes. A partition takes one append at a time, in 4 ms
+// usually and in 300 where the store is slow; when a hundred agents come back at once each
+// writes one before it can serve. With one partition for all they were served again 2.7 s
+// after their return.
+const notesTopics = 4
+
+// notesPartition has what an agent writes down for its next life. Nobody else reads it: in
+// the registry, which all entries follow, each note would be read by each of them. A read
+// returns all of a partition, so the agents are spread over those of the topics.
 func (a *Agent) notesPartition() store.Partition {
 	h := fnv.New32a()
 	h.Write([]byte(a.settings.Name)) //nolint:errcheck // it never fails
-	return store.Partition{Topic: "keyed.notes", Part: int(h.Sum32() % uint32(max(1, a.settings.Store.Partitions)))}
+	parts := max(1, a.settings.Store.Partitions)
+	at := int(h.Sum32() % uint32(notesTopics*parts))
+	return store.Partition{Topic: "keyed.notes" + strconv.Itoa(at/parts), Part: at % parts}
 }
 
-// notesWait is how long an agent that has registered waits for its notes: a few times
-// what a read takes. A slow store takes seconds for the notes of many agents that start
-// at once, and nobody would be served meanwhile. Without them runs of earlier lives wait
-// for their owners as long as an agent without notes has them wait.
+// notesWait is how long an agent that has its number waits for its notes: a few times
+// what a read takes. Without them runs of earlier lives wait for their owners as long as
+// an agent without notes has them wait, and the backend server is known with its next
+// report only.
 const notesWait = 100 * time.Millisecond
 
 // notes are an agent's, under its name as key.
 type notes struct {
 	// Owners are those whose orders the agent has taken; see worker.Former.
 	Owners []string `json:"owners"`
+	// Member is the agent's last name in the group that shares out the shards.
+	Member string `json:"member,omitempty"`
+	// Server is the backend server that the agent saw last. The agent's next life goes
+	// on with it at once, if the same instance answers, instead of waiting for its next
+	// report.
+	Server *knownServer `json:"server,omitempty"`
+	// Registered is what the registry has of the agent.
+	Registered *registration `json:"registered,omitempty"`
+}
+
+// knownServer is what an agent remembers of its backend server.
+type knownServer struct {
+	Instance string     `json:"instance"`
+	Service  string     `json:"service"`
+	Labels   []string   `json:"labels"`
+	Capacity job.Demand `json:"capacity"`
+	Draining bool       `json:"draining"`
+}
+
+// usable reports whether a remembered backend server has all that is needed of one.
+func (s *knownServer) usable() bool {
+	return s != nil && s.Instance != "" && s.Service != "" && s.Capacity.CPUMillis > 0
 }
 
+// lifeKey is the key of the record that begins a life: its offset numbers the life. It is
+// no part of the notes, which are read while it is written.
+func lifeKey(name string) string { return lifePrefix + name }
+
+const lifePrefix = "\x00life/"
+
 // markKey is the key of an agent's mark: an owner of recorded jobs may have claimed
 // there. It is a record of its own, which is never taken back; notes that were on their
 // way would otherwise overwrite it.
@@ -45,7 +83,7 @@
 
 // earlier is what an agent's earlier lives have written down.
 type earlier struct {
-	owners []string
+	notes
 	// noted is set where there were notes, and recorded where there was the mark.
 	noted, recorded bool
 }
@@ -74,30 +112,34 @@
 				klog.ErrorS(err, "The notes of an earlier life are malformed")
 				continue
 			}
-			out.owners, out.noted = n.Owners, true
+			out.notes, out.noted = n, true
 		}
 	}
 	return out, nil
 }
 
-// writeNotes writes down whose orders this agent has taken.
+// writeNotes writes down what the next life is to know.
 func (a *Agent) writeNotes(ctx context.Context) {
-	b, err := json.Marshal(notes{Owners: a.placed.owners()})
+	n := notes{Owners: a.placed.owners(), Member: a.member, Registered: a.registered.Load()}
+	if s, ok := a.worker.Server(); ok {
+		n.Server = known(s)
+	}
+	b, err := json.Marshal(&n)
 	if err != nil {
 		klog.ErrorS(err, "Notes can't be encoded")
 		return
 	}
-	if err := a.note(ctx, a.settings.Name, b); err != nil {
-		klog.InfoS("Who places work here could not be written down; the next life waits longer", "err", err)
+	if _, err := a.note(ctx, a.settings.Name, b); err != nil {
+		klog.InfoS("The notes for the next life could not be written; it waits longer", "err", err)
 		a.placed.again()
 	}
 }
 
-func (a *Agent) note(ctx context.Context, key string, value []byte) error {
+// note writes a record for the next life and returns its offset.
+func (a *Agent) note(ctx context.Context, key string, value []byte) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	_, err := a.store.Append(ctx, a.notesPartition(), nil, []store.Record{{Key: key, Value: value}})
-	return err
+	return a.store.Append(ctx, a.notesPartition(), nil, []store.Record{{Key: key, Value: value}})
 }
 
 // mark writes down that owners of recorded jobs claim here, and returns once it is.
@@ -107,7 +149,7 @@
 	a.marking.Lock()
 	defer a.marking.Unlock()
 	for !a.marked.Load() {
-		err := a.note(context.Background(), markKey(a.settings.Name), []byte(a.member))
+		_, err := a.note(context.Background(), markKey(a.settings.Name), []byte(a.member))
 		if err == nil {
 			a.marked.Store(true)
 			return
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/netip"
+	"slices"
 	"strings"
 	"time"
 
@@ -12,7 +13,7 @@
 
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/store"
-	"github.com/shallotstep/shallotstep/transport/metrics"
+	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
@@ -20,51 +21,42 @@
 // serves discovery only: nothing that must hold rests on it.
 var registryPartition = store.Partition{Topic: "keyed.agents"}
 
-// registration is an agent's announcement, under its name as key.
+// registration is an agent's announcement, under its name as key. It is written when
+// what it says has changed: a life that comes back at the same address beside the same
+// kind of backend server writes none.
 type registration struct {
 	Links string `json:"links"`
-	// Member is its name in the group that shares out the shards.
-	Member string `json:"member"`
-	Zone   string `json:"zone"`
-	// Server is the backend server that the agent saw last. The agent's next
-	// life goes on with it at once, if the same instance answers, instead of
-	// waiting for its next report.
-	Server *knownServer `json:"server,omitempty"`
+	Zone  string `json:"zone"`
+	// Offer is what the backend server beside the agent can run.
+	Offer *offer `json:"offer,omitempty"`
 	// Orphans is set while ends stand at the agent that only the owners of their shards
 	// can settle, and none does: owners without jobs link nobody.
 	Orphans bool `json:"orphans,omitempty"`
 }
 
-// member and server return what a life announced; nothing if there was none.
-func (r *registration) member() string {
-	if r == nil {
-		return ""
-	}
-	return r.Member
-}
-
-func (r *registration) server() *knownServer {
-	if r == nil {
-		return nil
-	}
-	return r.Server
-}
-
-// knownServer is what an agent remembers of its backend server.
-type knownServer struct {
-	Instance string     `json:"instance"`
+// offer is what tasks an agent can take.
+type offer struct {
 	Service  string     `json:"service"`
 	Labels   []string   `json:"labels"`
 	Capacity job.Demand `json:"capacity"`
-	Draining bool       `json:"draining"`
+}
+
+// same reports whether two registrations say the same.
+func (r *registration) same(o *registration) bool {
+	if r.Links != o.Links || r.Zone != o.Zone || r.Orphans != o.Orphans || (r.Offer == nil) != (o.Offer == nil) {
+		return false
+	}
+	return r.Offer == nil || r.Offer.Service == o.Offer.Service && r.Offer.Capacity == o.Offer.Capacity && slices.Equal(r.Offer.Labels, o.Offer.Labels)
 }
 
 const (
 	// storeTimeout bounds a call to the store that may wait for a slow one:
 	// its answers took up to a quarter of a second in an outage.
 	storeTimeout = 1500 * time.Millisecond
-	// retryPause is the pause before a failed call to the store is repeated.
-	retryPause = 100 * time.Millisecond
+	// retryPause is the pause before a failed call to the store is repeated, and
+	// maxRetryPause the longest: all processes are back within that after the store is.
+	retryPause    = 80 * time.Millisecond
+	maxRetryPause = 400 * time.Millisecond
 	// registryWait is how long a read of the registry waits for news. A silent
 	// connection is found a little later.
 	registryWait = 2 * time.Second
@@ -99,8 +91,10 @@
 // run follows until the context ends.
 func (f *follower) run(ctx context.Context) {
 	lost := false
+	failures := pause.Backoff{Least: retryPause, Most: maxRetryPause}
 	for ctx.Err() == nil {
-		err := f.readAll(ctx, &lost)
+		began := bootclock.Now()
+		err := f.readAll(ctx, &lost, &failures)
 		if ctx.Err() != nil {
 			return
 		}
@@ -108,15 +102,16 @@
 			lost = true
 			klog.InfoS("Lost the store", "reader", f.name, "err", err)
 		}
-		_ = pause.For(ctx, retryPause)
+		_ = failures.Wait(ctx, bootclock.Now()-began)
 	}
 }
 
-func (f *follower) readAll(ctx context.Context, lost *bool) error {
+func (f *follower) readAll(ctx context.Context, lost *bool, failures *pause.Backoff) error {
 	records, next, err := f.newest(ctx)
 	if err != nil {
 		return err
 	}
+	failures.Reset()
 	if *lost {
 		*lost = false
 		klog.InfoS("The store is back", "reader", f.name)
@@ -153,39 +148,16 @@
 	return f.store.Follow(ctx, f.partition, from, f.wait)
 }
 
-// previousLife returns what an earlier life of an agent has announced, or nil.
-func previousLife(ctx context.Context, st store.Store, name string) (*registration, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	records, _, err := st.Newest(ctx, registryPartition)
-	if err != nil {
-		return nil, err
-	}
-	for _, r := range records {
-		if r.Key != name || r.Value == nil {
-			continue
-		}
-		reg, err := decodeRegistration(r)
-		if err != nil {
-			// As an error it would keep the agent from ever registering again.
-			metrics.Malformed(metrics.KindRegistration)
-			klog.ErrorS(err, "What an earlier life has announced is malformed")
-			return nil, nil
-		}
-		return &reg, nil
-	}
-	return nil, nil
-}
-
-// announce writes a registration and returns its offset.
-func announce(ctx context.Context, st store.Store, name string, reg registration) (int64, error) {
+// announce writes a registration.
+func announce(ctx context.Context, st store.Store, name string, reg *registration) error {
 	b, err := json.Marshal(reg)
 	if err != nil {
-		return 0, errors.Wrap(err, "registration")
+		return errors.Wrap(err, "registration")
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return st.Append(ctx, registryPartition, nil, []store.Record{{Key: name, Value: b}})
+	_, err = st.Append(ctx, registryPartition, nil, []store.Record{{Key: name, Value: b}})
+	return err
 }
 
 func decodeRegistration(r store.Record) (registration, error) {
@@ -196,8 +168,8 @@
 	if _, err := netip.ParseAddrPort(reg.Links); err != nil {
 		return reg, errors.Wrapf(err, "registration of %s", r.Key)
 	}
-	if s := reg.Server; s != nil && (s.Instance == "" || s.Service == "" || s.Capacity.CPUMillis <= 0) {
-		return reg, errors.Errorf("registration of %s: a backend server without a name, service or capacity", r.Key)
+	if o := reg.Offer; o != nil && (o.Service == "" || o.Capacity.CPUMillis <= 0) {
+		return reg, errors.Errorf("registration of %s: an offer without a service or capacity", r.Key)
 	}
 	return reg, nil
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -92,7 +92,7 @@
 		}
 	}},
 	{"history dropped", func(w *world, random *rand.Rand, last func(int, int)) {
-		for _, topic := range []string{"keyed.jobs0", "keyed.agents", "keyed.op"} {
+		for _, topic := range []string{"keyed.jobs0", "keyed.agents", "keyed.notes0", "keyed.op"} {
 			w.store.DropHistory(topic)
 		}
 		last(50, 200)
