Test a subset smaller than the fleet, and serve profiles where they are asked for

A wide job, or one whose label no linked agent has, waits up to 200 ms for the links that it needs, at entries and owners. Cause: its first try was refused while they were being made (seen in the new system test, on the way).

--- a/daemon/core/effort.go
+++ b/daemon/core/effort.go
@@ -67,14 +67,13 @@
 }
 
 const (
-	// coverWait is how long a job waits for a link to an agent that offers what it needs,
-	// where none of the linked ones does: a dial and the first news take 30 ms.
+	// coverWait is how long a job waits for links to agents that offer what it needs, where
+	// too few of the linked ones do: a dial and the first news take 30 ms.
 	coverWait = 200 * time.Millisecond
 	coverPoll = 5 * time.Millisecond
 )
 
-// cover has agents linked that offer what a job needs, if too few are, and waits for the
-// first one. A subset is chosen without regard to labels, and the job would be refused
+// cover has agents linked that offer what a job needs, if too few are, and waits for them. A subset is chosen without regard to labels, and the job would be refused
 // though a backend server with its label stands idle.
 func (e *Entry) cover(ctx context.Context, spec *job.Spec, p *job.Policy) {
 	now := bootclock.Now()
@@ -82,7 +81,7 @@
 		return
 	}
 	e.links.reconcile(now)
-	for end := now + coverWait; !e.offered(spec, p) && bootclock.Now() < end && ctx.Err() == nil; {
+	for end := now + coverWait; !(e.links.settled() && e.offered(spec, p)) && bootclock.Now() < end && ctx.Err() == nil; {
 		_ = pause.For(ctx, coverPoll)
 	}
 }
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -188,7 +188,25 @@
 func (l *linkSet) reach() (int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return min(l.sizeLocked(), len(l.known)), l.wasRead
+	wanted := 0
+	for _, k := range l.links {
+		if k.retiredAt == 0 {
+			wanted++
+		}
+	}
+	return wanted, l.wasRead
+}
+
+// settled reports whether all links that are wanted are up.
+func (l *linkSet) settled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.links {
+		if k.retiredAt == 0 && !k.Up() {
+			return false
+		}
+	}
+	return true
 }
 
 func (l *linkSet) sizeLocked() int {
--- a/daemon/core/needs.go
+++ b/daemon/core/needs.go
@@ -28,8 +28,8 @@
 	needMemory = time.Minute
 	// mostNeeds bounds the needs that are remembered; the oldest leave.
 	mostNeeds = 64
-	// leastOffering is how many agents a need is given if there are as many: with few a
-	// lost one would take much of the room.
+	// leastOffering is how many agents a need is given, if there are as many and a subset
+	// has as many: with few a lost one would take much of the room.
 	leastOffering = 8
 )
 
@@ -83,10 +83,10 @@
 	return o == nil || o.Service == key.service && (key.label == "" || slices.Contains(o.Labels, key.label))
 }
 
-// leastFor is how many agents a step has use for: enough for its widest moment, and for
-// its bound on tasks at one worker.
-func leastFor(st *job.Step, perAgent int64) int {
-	least := leastOffering
+// leastFor is how many agents a step has use for, a few at least: enough for its widest
+// moment, and for its bound on tasks at one worker.
+func leastFor(st *job.Step, perAgent int64, few int) int {
+	least := few
 	if st.MaxPerWorker > 0 {
 		least = max(least, (st.Count+st.MaxPerWorker-1)/st.MaxPerWorker)
 	}
@@ -105,7 +105,7 @@
 	for i := range spec.Steps {
 		st := &spec.Steps[i]
 		key := needKey{service: p.Service, label: st.Label}
-		least := leastFor(st, l.capacityLocked(key))
+		least := leastFor(st, l.capacityLocked(key), min(leastOffering, l.sizeLocked()))
 		if l.needs.note(now, key, least) && l.offeringLocked(key) < least {
 			more = true
 		}
--- a/daemon/core/questions.go
+++ b/daemon/core/questions.go
@@ -22,10 +22,11 @@
 		reply(verdictNotOwner)
 		return
 	}
-	a.reach(r)
-	if now := bootclock.Now(); a.links.need(now, &spec, &p) {
+	if now := bootclock.Now(); a.links.need(now, &spec, &p) && a.links.opened() {
+		a.reachUntil.set(now + coverWait)
 		a.links.reconcile(now)
 	}
+	a.reach(r)
 	r.step(func(now time.Duration) owner.Effects { return r.Shard.Submit(now, id, spec, p, reply) })
 }
 
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -7,12 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/julienschmidt/httprouter"
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
@@ -98,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	serveMetrics(s.Listen.Metrics, e.Metrics())
+	serveMetrics(&s.Listen, e.Metrics())
 	if s.Listen.API != "" {
 		if _, err := serveHTTP(s.Listen.API, newAPI(ctx, e, s)); err != nil {
 			return err
@@ -145,7 +147,7 @@
 	if _, err := serveHTTP(s.Listen.Reports, platform.NewReports(a)); err != nil {
 		return err
 	}
-	serveMetrics(s.Listen.Metrics, a.Metrics())
+	serveMetrics(&s.Listen, a.Metrics())
 	go func() {
 		sig := <-stop
 		klog.InfoS("A signal begins the planned stop", "signal", sig.String())
@@ -174,15 +176,29 @@
 	return srv, nil
 }
 
-// serveMetrics serves the metrics, if an address is set. A process without them
-// still does its work.
-func serveMetrics(addr string, h http.Handler) {
-	if addr == "" {
+// serveMetrics serves the metrics, if an address is set, and profiles, if they are asked
+// for. A process without them still does its work.
+func serveMetrics(l *settings.Listen, h http.Handler) {
+	if l.Metrics == "" {
 		return
 	}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", h)
-	if _, err := serveHTTP(addr, mux); err != nil {
-		klog.ErrorS(err, "The metrics are not served", "addr", addr)
+	if _, err := serveHTTP(l.Metrics, metricsHandler(l.Profiles, h)); err != nil {
+		klog.ErrorS(err, "The metrics are not served", "addr", l.Metrics)
 	}
 }
+
+// metricsHandler serves the metrics at /metrics, and profiles under /debug/pprof/ if they
+// are wanted: one takes a core's time while it is made, and tells of the code to whoever
+// reaches the address.
+func metricsHandler(profiles bool, h http.Handler) http.Handler {
+	r := httprouter.New()
+	r.Handler(http.MethodGet, "/metrics", h)
+	if profiles {
+		r.HandlerFunc(http.MethodGet, "/debug/pprof/profile", pprof.Profile)
+		r.HandlerFunc(http.MethodGet, "/debug/pprof/trace", pprof.Trace)
+		for _, name := range []string{"heap", "goroutine", "mutex", "block", "allocs"} {
+			r.Handler(http.MethodGet, "/debug/pprof/"+name, pprof.Handler(name))
+		}
+	}
+	return r
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -144,7 +144,7 @@
 		w.t.Fatal(err)
 	}
 	return fmt.Sprintf(`{
-"role": %q, "name": %q, "zone": "jeonju", "listen": {%s}, "server": {"address": %q},
+"role": %q, "name": %q, "zone": "jeonju", "links": 3, "listen": {%s}, "server": {"address": %q},
 "store": {"address": %q, "writes_per_second": 800, "topics": 1, "partitions": %d, "min_ttl": "1s"},
 "bounds": {"lease": "1s", "grace": "6s", "retention": "2m", "remote_factor": 1.5},
 "limits": {"memory_mb": 152},
--- a/state/settings/settings.go
+++ b/state/settings/settings.go
@@ -49,6 +49,8 @@
 	// address, as behind a relay.
 	LinksAnnounced string `json:"links_announced"`
 	Metrics        string `json:"metrics"`
+	// Profiles has the metrics address serve profiles of the process too.
+	Profiles bool `json:"profiles"`
 }
 
 // LinksAddress is the address that other processes are told.
