--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -65,7 +65,7 @@
 	}
 	// The name is that of this life: agents tell its runs from a later one's.
 	self := memberName(s.Name, xid.New().String())
-	e.links = newLinkSet(s.Links, e, func(node string, reg registration) agentLink {
+	e.links = newLinkSet(s.Links, e, e.metrics, func(node string, reg registration) agentLink {
 		return peer.Dial(context.Background(), self, node, reg.Links, e)
 	})
 	e.effort = e.newEffort()
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -54,8 +54,9 @@
 // linkSet knows the registered agents and, while it is open, keeps links to a subset of
 // them, to those that its user requires, and to those that can run what is asked for.
 type linkSet struct {
-	dial func(node string, reg registration) agentLink
-	user linkUser
+	dial    func(node string, reg registration) agentLink
+	user    linkUser
+	metrics *coreMetrics
 	// size is the number of links to agents that are there.
 	size int
 
@@ -95,9 +96,9 @@
 
 // newLinkSet returns a set that is not open. The size is that of the subset; zero takes
 // all agents.
-func newLinkSet(size int, user linkUser, dial func(node string, reg registration) agentLink) *linkSet {
+func newLinkSet(size int, user linkUser, m *coreMetrics, dial func(node string, reg registration) agentLink) *linkSet {
 	return &linkSet{
-		dial: dial, user: user, size: size,
+		dial: dial, user: user, metrics: m, size: size,
 		links: make(map[string]*keptLink), known: make(map[string]registration),
 		stretch: subset.NewStretch(size), needs: make(needs),
 	}
@@ -268,9 +269,29 @@
 	for node, revived := range retired {
 		l.user.Retire(node, !revived)
 	}
+	l.tell(len(dial), len(retired), len(wanted))
 	l.dropRetired(now)
 }
 
+// tell leaves a trace of a change.
+func (l *linkSet) tell(dialled, retired, wanted int) {
+	if dialled+retired == 0 {
+		return
+	}
+	l.mu.Lock()
+	known, extra, dark := len(l.known), len(l.added), 0
+	for _, k := range l.links {
+		if k.downSince > 0 {
+			dark++
+		}
+	}
+	l.mu.Unlock()
+	l.metrics.links.WithLabelValues("dialled").Add(float64(dialled))
+	l.metrics.links.WithLabelValues("retired").Add(float64(retired))
+	l.metrics.linked.Set(float64(wanted))
+	klog.InfoS("The agents to link have changed", "wanted", wanted, "of", known, "dialled", dialled, "retired", retired, "down", dark, "extra", extra)
+}
+
 // watchLocked notes which links are down.
 func (l *linkSet) watchLocked(now time.Duration) {
 	for _, k := range l.links {
@@ -308,12 +329,8 @@
 	wanted := make(map[string]bool, 2*size)
 	rest := l.takeLocked(now, wanted, l.order, size)
 	extra := l.stretch.Extra(now, func() float64 { return l.user.FreeShare(l.added) })
-	before := len(wanted)
 	after := l.takeLocked(now, wanted, rest, extra)
 	l.added = rest[:len(rest)-len(after)]
-	if len(wanted) != before {
-		klog.V(1).InfoS("The subset is stretched", "by", len(wanted)-before)
-	}
 	l.needs.fill(now, l.order, l.known, wanted)
 	for _, node := range required {
 		if _, ok := l.known[node]; ok {
--- a/daemon/core/links_test.go
+++ b/daemon/core/links_test.go
@@ -50,7 +50,7 @@
 // newFakeLinks returns a set of so many links; zero: of all.
 func newFakeLinks(size int, user linkUser) (*linkSet, dialled) {
 	all := dialled{}
-	return newLinkSet(size, user, func(node string, reg registration) agentLink {
+	return newLinkSet(size, user, newCoreMetrics(), func(node string, reg registration) agentLink {
 		all[node] = reg.Links
 		return &fakeLink{node: node, all: all}
 	}), all
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -27,6 +27,9 @@
 	decisions     *prometheus.CounterVec
 	startRefusals *prometheus.CounterVec
 	repeats       prometheus.Counter
+	// links counts links that were dialled and retired, linked is how many are wanted.
+	links  *prometheus.CounterVec
+	linked prometheus.Gauge
 	append        prometheus.Histogram
 	start         prometheus.Histogram
 	takeover      prometheus.Histogram
@@ -44,6 +47,10 @@
 		repeats: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "store_repeats_total", Help: "Writes repeated under the same number.",
 		}),
+		links: counter("link_changes_total", "Agents that were linked and links that were retired.", "change"),
+		linked: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "links_wanted", Help: "Agents that this process keeps links to.",
+		}),
 		append:   histogram("store_append_seconds", "From the first attempt of a write to its confirmation."),
 		start:    histogram("start_seconds", "Starts at the backend server."),
 		takeover: histogram("takeover_seconds", "From the start of a takeover to its end."),
@@ -51,7 +58,7 @@
 		lookup:   histogram("lookup_seconds", "Questions for a job's state at the entry."),
 	}
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.refusals, m.retries, m.decisions, m.startRefusals, m.repeats, m.append, m.start, m.takeover, m.submit, m.lookup,
+		m.refusals, m.retries, m.decisions, m.startRefusals, m.repeats, m.links, m.linked, m.append, m.start, m.takeover, m.submit, m.lookup,
 		metrics.MalformedCollector())
 	return m
 }
