--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -28,13 +28,13 @@
 	startRefusals *prometheus.CounterVec
 	repeats       prometheus.Counter
 	// links counts links that were dialled and retired, linked is how many are wanted.
-	links  *prometheus.CounterVec
-	linked prometheus.Gauge
-	append        prometheus.Histogram
-	start         prometheus.Histogram
-	takeover      prometheus.Histogram
-	submit        prometheus.Histogram
-	lookup        prometheus.Histogram
+	links    *prometheus.CounterVec
+	linked   prometheus.Gauge
+	append   prometheus.Histogram
+	start    prometheus.Histogram
+	takeover prometheus.Histogram
+	submit   prometheus.Histogram
+	lookup   prometheus.Histogram
 }
 
 func newCoreMetrics() *coreMetrics {
