--- a/daemon/core/links_test.go
+++ b/daemon/core/links_test.go
@@ -197,6 +197,21 @@
 	is.Equal(len(all), 16)
 }
 
+// A queue asks for a label that no backend server has. Its jobs are refused at once: there
+// is no link to wait for.
+func TestNothingIsLinkedForWhatNobodyOffers(t *testing.T) {
+	is := is.New(t)
+	links, all := newFakeLinks(16, newFakeUser())
+	links.open()
+	registerFleet(links, 160)
+	now := time.Hour
+	links.reconcile(now)
+	spec := &job.Spec{Steps: []job.Step{{Count: 1, Label: "unheard of", Demand: job.Demand{CPUMillis: 1000}}}}
+	is.True(!links.need(now, spec, &job.Policy{Service: "desk"}))
+	links.reconcile(now)
+	is.Equal(len(all), 16)
+}
+
 // A takeover has to reach an agent that is in no subset of the new owner: it may have runs
 // of the shard.
 func TestRequiredAgentsAreLinked(t *testing.T) {
--- a/daemon/core/needs.go
+++ b/daemon/core/needs.go
@@ -106,7 +106,7 @@
 		st := &spec.Steps[i]
 		key := needKey{service: p.Service, label: st.Label}
 		least := leastFor(st, l.capacityLocked(key), min(leastOffering, l.sizeLocked()))
-		if l.needs.note(now, key, least) && l.offeringLocked(key) < least {
+		if l.needs.note(now, key, least) && l.lacksLocked(key, least) {
 			more = true
 		}
 	}
@@ -124,13 +124,18 @@
 	return 0
 }
 
-// offeringLocked counts the linked agents that may run what a need is for.
-func (l *linkSet) offeringLocked(key needKey) int {
-	n := 0
-	for node := range l.links {
-		if offers(l.known[node], key) {
-			n++
+// lacksLocked reports whether too few agents are linked that may run what a need is for,
+// and others are known. Where none is, a job has nothing to wait for.
+func (l *linkSet) lacksLocked(key needKey, least int) bool {
+	linked, others := 0, 0
+	for node, reg := range l.known {
+		switch {
+		case !offers(reg, key):
+		case l.links[node] != nil:
+			linked++
+		default:
+			others++
 		}
 	}
-	return n
+	return linked < least && others > 0
 }
