--- a/daemon/core/membership.go
+++ b/daemon/core/membership.go
@@ -196,6 +196,8 @@
 			klog.InfoS("A shard can't be taken over yet", "shard", id, "epoch", epoch, "err", err)
 			return
 		}
+		// Those that the shard's list names are linked at once: its jobs wait for them.
+		a.links.reconcile(bootclock.Now())
 		a.claimEverywhere(r)
 		a.announce()
 	}()
