Send no work to agents that are linked only because an entry asks owners

Ruled out: dark agents (0 down before), the stretch (extra=0), labels (none asked). Owners are linked all at once now, for 10 s, and get no work; what gets none stays so when its link is made anew.

--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -77,6 +77,8 @@
 
 	mu     sync.Mutex
 	agents map[string]*agentView // guarded by mu
+	// retired are the agents that get no new work, linked or not. Guarded by mu.
+	retired map[string]bool
 	// ratios has, for each queue, the mean of the measured run time over the
 	// client's estimate. Guarded by mu.
 	ratios map[string]float64
@@ -89,7 +91,7 @@
 	heard   time.Duration
 	sent    int64
 	pending []pendingOrder
-	// retired agents get nothing new: their link is about to end.
+	// retired agents get nothing new.
 	retired bool
 }
 
@@ -119,6 +121,7 @@
 		remoteFactor: max(1, remoteFactor),
 		params:       p,
 		agents:       make(map[string]*agentView),
+		retired:      make(map[string]bool),
 		ratios:       make(map[string]float64),
 	}
 }
@@ -127,7 +130,7 @@
 func (f *Fleet) Linked(node string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.agents[node] = &agentView{}
+	f.agents[node] = &agentView{retired: f.retired[node]}
 }
 
 // Lost forgets an agent whose link is gone.
@@ -137,10 +140,15 @@
 	delete(f.agents, node)
 }
 
-// Retire says whether an agent gets no new work, because its link is about to end.
+// Retire says whether an agent gets no new work: its link is about to end, or serves
+// something else. That holds for later links to it too.
 func (f *Fleet) Retire(node string, yes bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	delete(f.retired, node)
+	if yes {
+		f.retired[node] = true
+	}
 	if v := f.agents[node]; v != nil {
 		v.retired = yes
 	}
--- a/daemon/core/asking.go
+++ b/daemon/core/asking.go
@@ -11,6 +11,7 @@
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/job"
+	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
@@ -157,6 +158,8 @@
 // linkedOwners returns the owners of all shards, once all are linked or ownerWait has
 // passed, and whether all are.
 func (e *Entry) linkedOwners(ctx context.Context) (map[string]corepb.CoreClient, bool) {
+	e.owners.useAll(bootclock.Now())
+	e.links.reconcile(bootclock.Now())
 	for began := time.Now(); ; {
 		out := make(map[string]corepb.CoreClient)
 		complete := true
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -38,7 +38,8 @@
 	Required() []string
 	// Occupied reports whether anything of this process may be at an agent.
 	Occupied(node string) bool
-	// Retire says whether an agent gets no new work, for its link is about to end.
+	// Retire says whether an agent gets no new work: its link is about to end, or is there
+	// because it is required.
 	Retire(node string, yes bool)
 	// FreeShare is the part of some agents' cores that is free.
 	FreeShare(nodes []string) float64
@@ -92,6 +93,8 @@
 	downSince time.Duration
 	// retiredAt is when it stopped being wanted; zero: it is wanted.
 	retiredAt time.Duration
+	// works is set while new work may go to the agent.
+	works bool
 }
 
 // newLinkSet returns a set that is not open. The size is that of the subset; zero takes
@@ -261,15 +264,16 @@
 	l.watchLocked(now)
 	l.orderLocked(share)
 	wanted := l.wantedLocked(now, required)
-	dial, retired := l.diffLocked(now, wanted)
+	dial, retired := l.retireLocked(now, wanted)
+	works := l.worksLocked(wanted)
 	l.mu.Unlock()
-	for node, reg := range dial {
-		l.replace(node, reg)
+	for node, yes := range works {
+		l.user.Retire(node, !yes)
 	}
-	for node, revived := range retired {
-		l.user.Retire(node, !revived)
+	for node, reg := range dial {
+		l.replace(node, reg, wanted[node])
 	}
-	l.tell(len(dial), len(retired), len(wanted))
+	l.tell(len(dial), retired, len(wanted))
 	l.dropRetired(now)
 }
 
@@ -321,9 +325,11 @@
 	return k != nil && k.downSince > 0 && now-k.downSince >= darkAfter
 }
 
-// wantedLocked names the agents to link: the first ones of the order, with others in
-// place of those that are dark, what the subset is stretched by, what the jobs' needs
-// lack, and what the user requires.
+// wantedLocked names the agents to link, and whether new work goes to them: the first ones
+// of the order, with others in place of those that are dark, what the subset is stretched
+// by and what the jobs' needs lack get work. What the user requires is linked for something
+// else: with work for all of them a question to each owner would make a subset twice as
+// large, and the decisions worse.
 func (l *linkSet) wantedLocked(now time.Duration, required []string) map[string]bool {
 	size := l.sizeLocked()
 	wanted := make(map[string]bool, 2*size)
@@ -333,8 +339,8 @@
 	l.added = rest[:len(rest)-len(after)]
 	l.needs.fill(now, l.order, l.known, wanted)
 	for _, node := range required {
-		if _, ok := l.known[node]; ok {
-			wanted[node] = true
+		if _, ok := l.known[node]; ok && !wanted[node] {
+			wanted[node] = false
 		}
 	}
 	return wanted
@@ -356,30 +362,43 @@
 	return nil
 }
 
-// diffLocked returns what has to be dialled, and the links that have begun (false) or
-// ceased (true) to be retired.
-func (l *linkSet) diffLocked(now time.Duration, wanted map[string]bool) (dial map[string]registration, retired map[string]bool) {
-	dial, retired = make(map[string]registration), make(map[string]bool)
+// retireLocked returns what has to be dialled, and how many links have ceased to be wanted.
+func (l *linkSet) retireLocked(now time.Duration, wanted map[string]bool) (dial map[string]registration, retired int) {
+	dial = make(map[string]registration)
 	for node := range wanted {
 		reg := l.known[node]
-		k := l.links[node]
-		switch {
-		case k == nil || k.addr != reg.Links:
+		if k := l.links[node]; k == nil || k.addr != reg.Links {
 			dial[node] = reg
-		case k.retiredAt > 0:
+		} else {
 			k.retiredAt = 0
-			retired[node] = true
 		}
 	}
 	for node, k := range l.links {
-		if !wanted[node] && k.retiredAt == 0 {
+		if _, is := wanted[node]; !is && k.retiredAt == 0 {
 			k.retiredAt = now
-			retired[node] = false
+			retired++
 		}
 	}
 	return dial, retired
 }
 
+// worksLocked returns the agents for which it has changed whether new work goes there.
+func (l *linkSet) worksLocked(wanted map[string]bool) map[string]bool {
+	changed := make(map[string]bool)
+	for node, k := range l.links {
+		if k.works != wanted[node] {
+			k.works = wanted[node]
+			changed[node] = k.works
+		}
+	}
+	for node, works := range wanted {
+		if l.links[node] == nil {
+			changed[node] = works
+		}
+	}
+	return changed
+}
+
 // dropRetired ends links that are not wanted once nothing is behind them.
 func (l *linkSet) dropRetired(now time.Duration) {
 	var done []string
@@ -409,12 +428,12 @@
 }
 
 // replace dials an agent at its address, in place of a link to an older one.
-func (l *linkSet) replace(node string, reg registration) {
+func (l *linkSet) replace(node string, reg registration, works bool) {
 	l.drop(node)
 	link := l.dial(node, reg)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.links[node] = &keptLink{agentLink: link, addr: reg.Links}
+	l.links[node] = &keptLink{agentLink: link, addr: reg.Links, works: works}
 }
 
 func (l *linkSet) drop(node string) {
--- a/daemon/core/owners.go
+++ b/daemon/core/owners.go
@@ -19,7 +19,7 @@
 const (
 	// ownerUse is how long after the last question for a shard the link to its owner is
 	// kept.
-	ownerUse = 30 * time.Second
+	ownerUse = 10 * time.Second
 	// lookPause is the least pause between two looks at the store for owners that are not
 	// known; it doubles up to maxLookPause while nothing comes of them. A sudden loss
 	// leaves a shard without an owner for 1.2 s.
@@ -67,6 +67,15 @@
 	return b.owners[shard].node, !was || now-last > ownerUse
 }
 
+// useAll notes that the owners of all shards are asked for.
+func (b *ownerBook) useAll(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for shard := range b.settings.Shards() {
+		b.used[shard] = now
+	}
+}
+
 // inUse names the owners that are asked.
 func (b *ownerBook) inUse(now time.Duration) []string {
 	b.mu.Lock()
