--- a/coordination/owner/admission_test.go
+++ b/coordination/owner/admission_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -271,3 +272,44 @@
 	f.event(f.orders[0], worker.Ended, job.Done)
 	f.is.True(len(f.waiting.tasks) <= 5)
 }
+
+// A worker hands an order back because another owner's task took its room. Nothing is wrong
+// with that worker: avoided from then on, it would stand idle for this task, which goes
+// back there as soon as it has room again.
+func TestReturnedOrderGoesWhereRoomIsNext(t *testing.T) {
+	e := newEffort(t)
+	e.room(4, 0)
+	e.send("returned", 1, 0)
+	e.is.Equal(e.ordered("returned"), 1)
+	first := e.orders[len(e.orders)-1]
+	e.room(0, 0)
+	e.take(e.Event(e.now, first.Node, worker.Event{Shard: e.ID, Epoch: e.Epoch, State: worker.RunState{
+		Run: first.What.Run, Status: worker.Ended, End: job.NeverRan, Reason: worker.ReasonNoRoom,
+	}}))
+	e.is.Equal(e.ordered("returned"), 1) // it waits here
+	e.room(4, 0)
+	e.is.Equal(e.ordered("returned"), 2)
+	e.is.True(e.orders[len(e.orders)-1].What.Run.Number > first.What.Run.Number)
+}
+
+// A job of eight tasks comes while 32 workers are full with six tasks each, of which one
+// ends each 58 ms: together they free room each 2 ms. Judged by when a single one has room
+// the job was refused, though its tasks go to whichever has room first.
+func TestWideJobIsJudgedByTheTurnoverOfAll(t *testing.T) {
+	is := is.New(t)
+	const turnover = 58 * time.Millisecond
+	f := NewFleet(1, DefaultParams())
+	need := Need{Service: "desk", Demand: job.Demand{CPUMillis: 2500}, Estimate: 60 * time.Millisecond, Slack: 50 * time.Millisecond, Now: time.Hour}
+	for i := range 32 {
+		node := strconv.Itoa(i)
+		f.Linked(node)
+		f.Update(time.Hour, node, AgentLoad{
+			Service: "desk", Capacity: job.Demand{CPUMillis: 16000, MemoryMB: 65536}, Free: job.Demand{CPUMillis: 1000},
+			Accepts: true, Placers: 1, Turnover: turnover,
+		})
+	}
+	finish, ok := f.Predict(need, 8, func(string) bool { return true })
+	is.True(ok)
+	is.True(finish-need.Estimate < turnover)
+	is.True(finish > need.Estimate)
+}
--- a/daemon/core/links_test.go
+++ b/daemon/core/links_test.go
@@ -114,14 +114,20 @@
 	}
 }
 
+// newLinkedFleet returns a set that has linked its part of 160 agents, and when it did.
+func newLinkedFleet(size int, user linkUser) (*linkSet, dialled, time.Duration) {
+	links, all := newFakeLinks(size, user)
+	links.open()
+	registerFleet(links, 160)
+	links.reconcile(time.Hour)
+	return links, all, time.Hour
+}
+
 // With a link to each of 160 agents an entry spends its processor time on signs of life,
 // and decides worse. It links 32, and as many of each failure domain.
 func TestEntryLinksASubset(t *testing.T) {
 	is := is.New(t)
-	links, all := newFakeLinks(32, newFakeUser())
-	links.open()
-	registerFleet(links, 160)
-	links.reconcile(time.Hour)
+	_, all, _ := newLinkedFleet(32, newFakeUser())
 	is.Equal(len(all), 32)
 }
 
@@ -131,11 +137,7 @@
 func TestOthersStandInForDarkAgents(t *testing.T) {
 	is := is.New(t)
 	user := newFakeUser()
-	links, all := newFakeLinks(16, user)
-	links.open()
-	registerFleet(links, 160)
-	now := time.Hour
-	links.reconcile(now)
+	links, all, now := newLinkedFleet(16, user)
 	dark := slices.Sorted(maps.Keys(all))[:8]
 	for _, node := range dark {
 		links.links[node].agentLink.(*fakeLink).down = true
@@ -175,11 +177,7 @@
 // subset. Refused for want of a worker they would never run, whatever stands idle.
 func TestSubsetIsFilledUpForNeeds(t *testing.T) {
 	is := is.New(t)
-	links, all := newFakeLinks(16, newFakeUser())
-	links.open()
-	registerFleet(links, 160)
-	now := time.Hour
-	links.reconcile(now)
+	links, all, now := newLinkedFleet(16, newFakeUser())
 	spec := &job.Spec{Steps: []job.Step{{Count: 1, Label: "wide", Demand: job.Demand{CPUMillis: 1000}}}}
 	is.True(links.need(now, spec, &job.Policy{Service: "desk"}))
 	links.reconcile(now)
@@ -205,11 +203,7 @@
 // is no link to wait for.
 func TestNothingIsLinkedForWhatNobodyOffers(t *testing.T) {
 	is := is.New(t)
-	links, all := newFakeLinks(16, newFakeUser())
-	links.open()
-	registerFleet(links, 160)
-	now := time.Hour
-	links.reconcile(now)
+	links, all, now := newLinkedFleet(16, newFakeUser())
 	spec := &job.Spec{Steps: []job.Step{{Count: 1, Label: "unheard of", Demand: job.Demand{CPUMillis: 1000}}}}
 	is.True(!links.need(now, spec, &job.Policy{Service: "desk"}))
 	links.reconcile(now)
@@ -221,14 +215,12 @@
 func TestRequiredAgentsAreLinked(t *testing.T) {
 	is := is.New(t)
 	user := newFakeUser()
-	links, all := newFakeLinks(16, user)
-	links.open()
-	registerFleet(links, 160)
+	links, all, now := newLinkedFleet(16, user)
 	for i := range 160 {
 		user.required = append(user.required, fmt.Sprintf("side-%d", i))
 	}
 	user.required = append(user.required, "gone")
-	links.reconcile(time.Hour)
+	links.reconcile(now)
 	is.Equal(len(all), 160)
 
 	// Those that are required only get no work: counting the jobs of a queue asks every
--- a/daemon/core/owners.go
+++ b/daemon/core/owners.go
@@ -131,17 +131,6 @@
 	}
 }
 
-// nodes returns the owners of all shards, and whether all are known.
-func (b *ownerBook) nodes() ([]string, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	nodes := make(map[string]bool)
-	for _, o := range b.owners {
-		nodes[o.node] = true
-	}
-	return slices.Sorted(maps.Keys(nodes)), len(b.owners) == b.settings.Shards()
-}
-
 // look asks the store who owns the shards, unless that was done just now, and reports
 // whether it did. Whoever asked in vain comes again.
 func (b *ownerBook) look(ctx context.Context) bool {
