--- a/coordination/owner/admission_test.go
+++ b/coordination/owner/admission_test.go
@@ -278,6 +278,8 @@
 // back there as soon as it has room again.
 func TestReturnedOrderGoesWhereRoomIsNext(t *testing.T) {
 	e := newEffort(t)
+	e.link("b", 1)
+	e.fleet.Update(e.now, "b", AgentLoad{Service: "desk", Capacity: job.Demand{CPUMillis: 16000, MemoryMB: 65536}, Accepts: true, Turnover: 40 * time.Millisecond})
 	e.room(4, 0)
 	e.send("returned", 1, 0)
 	e.is.Equal(e.ordered("returned"), 1)
