Number partitions of several topics in one place

The name of a topic, the partition of a number and the number of a partition stood four times: for shards, for the notes and for the entries' numbers. Behaviour is as it was; the notes' guard against no partitions goes, since settings without any are refused.

--- a/daemon/core/membership.go
+++ b/daemon/core/membership.go
@@ -9,7 +9,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
-	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/pause"
@@ -96,7 +95,8 @@
 	call, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	sent := bootclock.Now()
-	m, err := a.store.Join(call, OwnersGroup, a.member, shardTopics(a.settings.Store.Topics), a.ttl(), generation)
+	shards := shardSeries(a.settings)
+	m, err := a.store.Join(call, OwnersGroup, a.member, shards.names(), a.ttl(), generation)
 	if err != nil {
 		return generation, err
 	}
@@ -106,7 +106,7 @@
 	}
 	mine := make(map[int]bool, len(m.Parts))
 	for _, p := range m.Parts {
-		if id, ok := shardOf(a.settings, p); ok {
+		if id, ok := shards.number(p); ok {
 			mine[id] = true
 		}
 	}
@@ -122,16 +122,6 @@
 	return m.Generation, nil
 }
 
-// shardOf returns the shard that a partition holds, or false if it holds none.
-func shardOf(s *settings.Settings, p store.Partition) (int, bool) {
-	for i, t := range shardTopics(s.Store.Topics) {
-		if t == p.Topic && p.Part >= 0 && p.Part < s.Store.Partitions {
-			return i*s.Store.Partitions + p.Part, true
-		}
-	}
-	return 0, false
-}
-
 // release closes the shards that are not in the agent's share any more. The
 // next join gives them to their new owners.
 func (a *Agent) release(keep map[int]bool) {
--- a/daemon/core/notes.go
+++ b/daemon/core/notes.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,9 +27,8 @@
 func (a *Agent) notesPartition() store.Partition {
 	h := fnv.New32a()
 	h.Write([]byte(a.settings.Name)) //nolint:errcheck // it never fails
-	parts := max(1, a.settings.Store.Partitions)
-	at := int(h.Sum32() % uint32(notesTopics*parts))
-	return store.Partition{Topic: "keyed.notes" + strconv.Itoa(at/parts), Part: at % parts}
+	notes := series{prefix: "keyed.notes", topics: notesTopics, parts: a.settings.Store.Partitions}
+	return notes.partition(int(h.Sum32() % uint32(notes.size())))
 }
 
 // notesWait is how long an agent that has its number waits for its notes: a few times
--- a/daemon/core/numbers.go
+++ b/daemon/core/numbers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
@@ -91,21 +90,15 @@
 func (n *numbers) join(ctx context.Context, generation int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	topics := make([]string, numberTopics)
-	at := make(map[string]int, numberTopics)
-	for i := range topics {
-		topics[i] = "entries" + strconv.Itoa(i)
-		at[topics[i]] = i
-	}
-	m, err := n.store.Join(ctx, EntriesGroup, n.settings.Name, topics, max(numbersTTL, n.settings.Store.MinTTL), generation)
+	all := series{prefix: "entries", topics: numberTopics, parts: n.settings.Store.Partitions}
+	m, err := n.store.Join(ctx, EntriesGroup, n.settings.Name, all.names(), max(numbersTTL, n.settings.Store.MinTTL), generation)
 	if err != nil {
 		return generation, err
 	}
-	parts := n.settings.Store.Partitions
-	share := subset.Share{Of: numberTopics * parts}
+	share := subset.Share{Of: all.size()}
 	for _, p := range m.Parts {
-		if i, ok := at[p.Topic]; ok && p.Part >= 0 && p.Part < parts {
-			share.Numbers = append(share.Numbers, i*parts+p.Part)
+		if number, ok := all.number(p); ok {
+			share.Numbers = append(share.Numbers, number)
 		}
 	}
 	if len(share.Numbers) > 0 {
--- a/daemon/core/owners.go
+++ b/daemon/core/owners.go
@@ -171,7 +171,7 @@
 // takeLocked takes in what the group says of a shard. What an agent has said of itself
 // stays until its link ends or it says otherwise: it is newer, or will be corrected.
 func (b *ownerBook) takeLocked(p store.Partition, node string) {
-	id, ok := shardOf(b.settings, p)
+	id, ok := shardSeries(b.settings).number(p)
 	if !ok {
 		return
 	}
--- a/daemon/core/shard.go
+++ b/daemon/core/shard.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -37,19 +36,6 @@
 	tickEvery = 50 * time.Millisecond
 )
 
-// shardPartition returns the partition of a shard.
-func shardPartition(shard, partitions int) store.Partition {
-	return store.Partition{Topic: "keyed.jobs" + strconv.Itoa(shard/partitions), Part: shard % partitions}
-}
-
-func shardTopics(topics int) []string {
-	out := make([]string, topics)
-	for i := range out {
-		out[i] = "keyed.jobs" + strconv.Itoa(i)
-	}
-	return out
-}
-
 // shardRunner drives a shard whose jobs are recorded.
 type shardRunner struct {
 	*steps
@@ -70,7 +56,7 @@
 func (a *Agent) openShard(ctx context.Context, id int, epoch int64) (*shardRunner, error) {
 	began := bootclock.Now()
 	r := &shardRunner{
-		agent: a, partition: shardPartition(id, a.settings.Store.Partitions),
+		agent: a, partition: shardSeries(a.settings).partition(id),
 		producer: store.Producer{Name: producerName, Epoch: epoch},
 		done:     make(chan struct{}),
 	}
