Have a set of links talk to the fleet itself, and forget retired agents with their links

Entries and agents each handed two calls on to their fleet; the set has it now. A link that ended once nothing was behind it left its agent's name among the retired for good, one for each agent that ever was in the subset: state that grew with the fleet's history. A link that is made anew says itself whether it gets work. The links to end were looked up twice, and under the lock once more for each. The tests keep their assertions; the stand-in of a user is now passed for both roles.

--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -181,7 +181,7 @@
 	a.resume(ctx, before.Server)
 	a.enrolled.Store(true)
 	klog.InfoS("The agent serves", "name", a.settings.Name, "life", life, "member", a.member)
-	a.links = newLinkSet(a.settings.Links, a, a.metrics, func(node string, reg registration) agentLink {
+	a.links = newLinkSet(a.settings.Links, a, a.fleet, a.metrics, func(node string, reg registration) agentLink {
 		// The name is that of this life: an agent takes the signs of life of
 		// a later one for another owner's, and stops what this one left.
 		return peer.Dial(ctx, a.member, node, reg.Links, a)
@@ -310,9 +310,3 @@
 func (a *Agent) Occupied(node string) bool {
 	return slices.ContainsFunc(a.owned(), func(r *shardRunner) bool { return r.Shard.Occupied(node) })
 }
-
-// Retire implements linkUser.
-func (a *Agent) Retire(node string, yes bool) { a.fleet.Retire(node, yes) }
-
-// FreeShare implements linkUser.
-func (a *Agent) FreeShare(nodes []string) float64 { return a.fleet.FreeShare(nodes) }
--- a/daemon/core/effort.go
+++ b/daemon/core/effort.go
@@ -73,8 +73,9 @@
 	coverPoll = 5 * time.Millisecond
 )
 
-// cover has agents linked that offer what a job needs, if too few are, and waits for them. A subset is chosen without regard to labels, and the job would be refused
-// though a backend server with its label stands idle.
+// cover has agents linked that offer what a job needs, if too few are, and waits for them.
+// A subset is chosen without regard to labels, and the job would be refused though a
+// backend server with its label stands idle.
 func (e *Entry) cover(ctx context.Context, spec *job.Spec, p *job.Policy) {
 	now := bootclock.Now()
 	if !e.links.need(now, spec, p) {
--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -65,7 +65,7 @@
 	}
 	// The name is that of this life: agents tell its runs from a later one's.
 	self := memberName(s.Name, xid.New().String())
-	e.links = newLinkSet(s.Links, e, e.metrics, func(node string, reg registration) agentLink {
+	e.links = newLinkSet(s.Links, e, e.fleet, e.metrics, func(node string, reg registration) agentLink {
 		return peer.Dial(context.Background(), self, node, reg.Links, e)
 	})
 	e.effort = e.newEffort()
@@ -104,12 +104,6 @@
 // Occupied implements linkUser.
 func (e *Entry) Occupied(node string) bool { return e.effort.Occupied(node) }
 
-// Retire implements linkUser.
-func (e *Entry) Retire(node string, yes bool) { e.fleet.Retire(node, yes) }
-
-// FreeShare implements linkUser.
-func (e *Entry) FreeShare(nodes []string) float64 { return e.fleet.FreeShare(nodes) }
-
 // applyConfig takes up a version unless a newer one is in force: a reader that
 // starts again may see older ones.
 func (e *Entry) applyConfig(r store.Record) {
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -38,6 +38,10 @@
 	Required() []string
 	// Occupied reports whether anything of this process may be at an agent.
 	Occupied(node string) bool
+}
+
+// workPlacer places the user's work on the linked agents. It is an owner.Fleet.
+type workPlacer interface {
 	// Retire says whether an agent gets no new work: its link is about to end, or is there
 	// because it is required.
 	Retire(node string, yes bool)
@@ -57,6 +61,7 @@
 type linkSet struct {
 	dial    func(node string, reg registration) agentLink
 	user    linkUser
+	placer  workPlacer
 	metrics *coreMetrics
 	// size is the number of links to agents that are there.
 	size int
@@ -99,9 +104,9 @@
 
 // newLinkSet returns a set that is not open. The size is that of the subset; zero takes
 // all agents.
-func newLinkSet(size int, user linkUser, m *coreMetrics, dial func(node string, reg registration) agentLink) *linkSet {
+func newLinkSet(size int, user linkUser, placer workPlacer, m *coreMetrics, dial func(node string, reg registration) agentLink) *linkSet {
 	return &linkSet{
-		dial: dial, user: user, metrics: m, size: size,
+		dial: dial, user: user, placer: placer, metrics: m, size: size,
 		links: make(map[string]*keptLink), known: make(map[string]registration),
 		stretch: subset.NewStretch(size), needs: make(needs),
 	}
@@ -268,7 +273,7 @@
 	works := l.worksLocked(wanted)
 	l.mu.Unlock()
 	for node, yes := range works {
-		l.user.Retire(node, !yes)
+		l.placer.Retire(node, !yes)
 	}
 	for node, reg := range dial {
 		l.replace(node, reg, wanted[node])
@@ -334,7 +339,7 @@
 	size := l.sizeLocked()
 	wanted := make(map[string]bool, 2*size)
 	rest := l.takeLocked(now, wanted, l.order, size)
-	extra := l.stretch.Extra(now, func() float64 { return l.user.FreeShare(l.added) })
+	extra := l.stretch.Extra(now, func() float64 { return l.placer.FreeShare(l.added) })
 	after := l.takeLocked(now, wanted, rest, extra)
 	l.added = rest[:len(rest)-len(after)]
 	l.needs.fill(now, l.order, l.known, wanted)
@@ -399,34 +404,27 @@
 	return changed
 }
 
-// dropRetired ends links that are not wanted once nothing is behind them.
+// dropRetired ends links that are not wanted once nothing is behind them, and those to
+// agents that were taken from the registry.
 func (l *linkSet) dropRetired(now time.Duration) {
-	var done []string
+	var idle, gone []string
 	l.mu.Lock()
 	for node, k := range l.links {
-		if k.retiredAt > 0 && now-k.retiredAt >= retireAfter {
-			done = append(done, node)
-		}
-		if _, ok := l.known[node]; !ok {
-			done = append(done, node)
+		if _, known := l.known[node]; !known {
+			gone = append(gone, node)
+		} else if k.retiredAt > 0 && now-k.retiredAt >= retireAfter {
+			idle = append(idle, node)
 		}
 	}
 	l.mu.Unlock()
-	for _, node := range done {
-		if l.gone(node) || !l.user.Occupied(node) {
-			l.drop(node)
-		}
+	idle = slices.DeleteFunc(idle, l.user.Occupied)
+	for _, node := range slices.Concat(gone, idle) {
+		l.drop(node)
+		// A link that is made anew says for itself whether it gets work.
+		l.placer.Retire(node, false)
 	}
 }
 
-// gone reports whether an agent was taken from the registry.
-func (l *linkSet) gone(node string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	_, ok := l.known[node]
-	return !ok
-}
-
 // replace dials an agent at its address, in place of a link to an older one.
 func (l *linkSet) replace(node string, reg registration, works bool) {
 	l.drop(node)
--- a/daemon/core/links_test.go
+++ b/daemon/core/links_test.go
@@ -28,7 +28,7 @@
 func (l *fakeLink) Close()   { delete(l.all, l.node) }
 func (l *fakeLink) Up() bool { return !l.down }
 
-// fakeUser is what a set of links belongs to.
+// fakeUser is what a set of links belongs to, and places its work.
 type fakeUser struct {
 	share    subset.Share
 	required []string
@@ -48,9 +48,9 @@
 }
 
 // newFakeLinks returns a set of so many links; zero: of all.
-func newFakeLinks(size int, user linkUser) (*linkSet, dialled) {
+func newFakeLinks(size int, user linkUser, placer workPlacer) (*linkSet, dialled) {
 	all := dialled{}
-	return newLinkSet(size, user, newCoreMetrics(), func(node string, reg registration) agentLink {
+	return newLinkSet(size, user, placer, newCoreMetrics(), func(node string, reg registration) agentLink {
 		all[node] = reg.Links
 		return &fakeLink{node: node, all: all}
 	}), all
@@ -66,7 +66,7 @@
 func TestAgentWithoutShardsLinksNobody(t *testing.T) {
 	is := is.New(t)
 	a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: 4}}, noStore{}, nil)
-	links, all := newFakeLinks(0, a)
+	links, all := newFakeLinks(0, a, a.fleet)
 	a.links = links
 	links.apply(registered("b", "10.0.0.2:7"))
 	is.Equal(len(all), 0)
@@ -89,7 +89,8 @@
 // learnt of it, and of one that was taken away.
 func TestLinksGoWhereTheAgentsAreNow(t *testing.T) {
 	is := is.New(t)
-	links, all := newFakeLinks(0, newFakeUser())
+	user := newFakeUser()
+	links, all := newFakeLinks(0, user, user)
 	links.apply(registered("b", "10.0.0.4:7"))
 	links.apply(registered("c", "10.0.0.3:7"))
 	links.open()
@@ -115,8 +116,8 @@
 }
 
 // newLinkedFleet returns a set that has linked its part of 160 agents, and when it did.
-func newLinkedFleet(size int, user linkUser) (*linkSet, dialled, time.Duration) {
-	links, all := newFakeLinks(size, user)
+func newLinkedFleet(size int, user *fakeUser) (*linkSet, dialled, time.Duration) {
+	links, all := newFakeLinks(size, user, user)
 	links.open()
 	registerFleet(links, 160)
 	links.reconcile(time.Hour)
