Repeat calls to the store in one loop, and wake agents only where something has changed

The loop that repeats a call with a growing pause stood in enrol, takeNotes and keepRegistered, with a fixed pause in mark, and the growing pause itself a second time in the entries' look at the group. Each agent looked 20 times a second whether its registration was still true, and 7 times whether links that it never has were as they should be. The first is looked at after a report or when ends wait for owners; the second from the first shard on. Tests of daemon/core, platform and daemon/dev pass.

--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -99,8 +99,11 @@
 	marked, orphaned atomic.Bool
 	// registered is what the registry has of this agent; nil: nothing is known of it.
 	registered atomic.Pointer[registration]
-	// watching has the registry followed from the first shard on.
-	watching func()
+	// offerNews is signalled when what the registry says of this agent may have changed.
+	offerNews chan struct{}
+	// owns is closed with the first shard: before it there is nothing to link others for.
+	owns     chan struct{}
+	ownsOnce sync.Once
 	// marking is held while that is being written.
 	marking sync.Mutex
 
@@ -135,7 +138,7 @@
 		all:     make(map[*peer.Caller]*news),
 		up:      make(map[string]int64),
 	}
-	a.watching = func() {}
+	a.offerNews, a.owns = make(chan struct{}, 1), make(chan struct{})
 	a.server = peer.NewServer(a)
 	a.metrics.watchWorker(a.worker)
 	return a
@@ -191,16 +194,15 @@
 	wg.Go(func() { a.tickLoop(ctx) })
 	// Only owners link others, and there are as many of them as shards at most. Read by
 	// each of a hundred agents, each record of the registry is read a hundred times.
-	watch := make(chan struct{})
-	a.watching = sync.OnceFunc(func() { close(watch) })
 	wg.Go(func() {
 		select {
-		case <-watch:
-			a.links.follow(ctx, a.store)
 		case <-ctx.Done():
+			return
+		case <-a.owns:
 		}
+		wg.Go(func() { a.links.maintain(ctx) })
+		a.links.follow(ctx, a.store)
 	})
-	wg.Go(func() { a.links.maintain(ctx) })
 	wg.Go(func() { a.memberLoop(ctx, before.Member) })
 	<-ctx.Done()
 	a.links.close()
--- a/daemon/core/enrol.go
+++ b/daemon/core/enrol.go
@@ -10,75 +10,77 @@
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
-	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
 // enrol returns the number of this life, which rises with each one since it is the offset
-// of a record that this life writes.
+// of a record that this life writes; zero if the context has ended.
 func (a *Agent) enrol(ctx context.Context) int64 {
-	failures := pause.Backoff{Least: retryPause, Most: maxRetryPause}
-	for ctx.Err() == nil {
-		began := bootclock.Now()
+	var life int64
+	untilDone(ctx, "The agent can't begin its life yet", func() error {
 		offset, err := a.note(ctx, lifeKey(a.settings.Name), []byte(a.member))
-		if err == nil {
-			return offset + 1
-		}
-		klog.InfoS("The agent can't begin its life yet", "err", err)
-		_ = failures.Wait(ctx, bootclock.Now()-began)
-	}
-	return 0
+		life = offset + 1
+		return err
+	})
+	return life
 }
 
 // takeNotes takes in what earlier lives have written down.
 func (a *Agent) takeNotes(ctx context.Context) earlier {
-	failures := pause.Backoff{Least: retryPause, Most: maxRetryPause}
-	for ctx.Err() == nil {
-		began := bootclock.Now()
-		e, err := a.readNotes(ctx)
-		if err != nil {
-			klog.InfoS("The notes of earlier lives can't be read yet", "err", err)
-			_ = failures.Wait(ctx, bootclock.Now()-began)
-			continue
-		}
-		a.placed.carryOver(bootclock.Now(), e.Owners)
-		a.registered.CompareAndSwap(nil, e.Registered)
-		if e.recorded {
-			a.marked.Store(true)
-		}
-		if e.effortOnly() {
-			a.worker.Former(e.Owners)
-		}
-		return e
+	var e earlier
+	untilDone(ctx, "The notes of earlier lives can't be read yet", func() error {
+		var err error
+		e, err = a.readNotes(ctx)
+		return err
+	})
+	if ctx.Err() != nil {
+		return earlier{}
+	}
+	a.placed.carryOver(bootclock.Now(), e.Owners)
+	a.registered.CompareAndSwap(nil, e.Registered)
+	if e.recorded {
+		a.marked.Store(true)
+	}
+	if e.effortOnly() {
+		a.worker.Former(e.Owners)
 	}
-	return earlier{}
+	return e
 }
 
 // keepRegistered has the registry say what the agent offers, from the first report of its
-// backend server on, until the context ends.
+// backend server on, until the context ends. It looks again when what it says may have
+// changed.
 func (a *Agent) keepRegistered(ctx context.Context) {
-	failures := pause.Backoff{Least: retryPause, Most: maxRetryPause}
 	for ctx.Err() == nil {
-		reg, ok := a.registration()
-		if last := a.registered.Load(); !ok || last != nil && reg.same(last) {
-			_ = pause.For(ctx, registerPoll)
-			continue
+		untilDone(ctx, "The agent can't register yet", func() error { return a.register(ctx) })
+		select {
+		case <-ctx.Done():
+		case <-a.offerNews:
 		}
-		began := bootclock.Now()
-		if err := announce(ctx, a.store, a.settings.Name, reg); err != nil {
-			klog.InfoS("The agent can't register yet", "err", err)
-			_ = failures.Wait(ctx, bootclock.Now()-began)
-			continue
-		}
-		failures.Reset()
-		a.registered.Store(reg)
-		a.placed.again()
-		klog.InfoS("The agent is registered", "links", reg.Links, "zone", reg.Zone, "service", reg.Offer.Service, "labels", reg.Offer.Labels, "orphans", reg.Orphans)
 	}
 }
 
-// registerPoll is the pace at which an agent looks whether its registration is still true.
-// A backend server of another kind is rare.
-const registerPoll = 50 * time.Millisecond
+// register has the registry say what the agent offers, unless it does.
+func (a *Agent) register(ctx context.Context) error {
+	reg, ok := a.registration()
+	if last := a.registered.Load(); !ok || last != nil && reg.same(last) {
+		return nil
+	}
+	if err := announce(ctx, a.store, a.settings.Name, reg); err != nil {
+		return err
+	}
+	a.registered.Store(reg)
+	a.placed.again()
+	klog.InfoS("The agent is registered", "links", reg.Links, "zone", reg.Zone, "service", reg.Offer.Service, "labels", reg.Offer.Labels, "orphans", reg.Orphans)
+	return nil
+}
+
+// offerChanged has the registration looked at again.
+func (a *Agent) offerChanged() {
+	select {
+	case a.offerNews <- struct{}{}:
+	default:
+	}
+}
 
 // registration is what the registry should say; false before the first report.
 func (a *Agent) registration() (*registration, bool) {
@@ -102,6 +104,7 @@
 		return
 	}
 	klog.InfoS("Ends wait for the owners of their shards; they are asked to claim")
+	a.offerChanged()
 }
 
 // resume goes on with the backend server that the earlier life knew, if that
@@ -135,6 +138,7 @@
 	}
 	changed := a.worker.Changes(s)
 	a.apply(a.worker.Report(bootclock.Now(), s, clockMS))
+	a.offerChanged()
 	if !changed {
 		return
 	}
--- a/daemon/core/membership.go
+++ b/daemon/core/membership.go
@@ -166,7 +166,7 @@
 		return
 	}
 	a.opening[id] = true
-	a.watching()
+	a.ownsOnce.Do(func() { close(a.owns) })
 	epoch := a.epochs.next(id, generation)
 	go func() {
 		r, err := a.openShard(ctx, id, epoch)
--- a/daemon/core/notes.go
+++ b/daemon/core/notes.go
@@ -12,7 +12,6 @@
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/metrics"
-	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
 // notesTopics spreads the agents' notes. A partition takes one append at a time, in 4 ms
@@ -146,13 +145,13 @@
 func (a *Agent) mark() {
 	a.marking.Lock()
 	defer a.marking.Unlock()
-	for !a.marked.Load() {
-		_, err := a.note(context.Background(), markKey(a.settings.Name), []byte(a.member))
-		if err == nil {
-			a.marked.Store(true)
-			return
-		}
-		klog.InfoS("That recorded jobs may run here could not be written down; their owner waits", "err", err)
-		_ = pause.For(context.Background(), retryPause)
+	if a.marked.Load() {
+		return
 	}
+	ctx := context.Background()
+	untilDone(ctx, "That recorded jobs may run here could not be written down; their owner waits", func() error {
+		_, err := a.note(ctx, markKey(a.settings.Name), []byte(a.member))
+		return err
+	})
+	a.marked.Store(true)
 }
--- a/daemon/core/owners.go
+++ b/daemon/core/owners.go
@@ -14,6 +14,7 @@
 	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
+	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
 const (
@@ -43,7 +44,8 @@
 	// looking is set while the store is asked; next is when it may be asked again.
 	looking bool
 	next    time.Duration
-	pause   time.Duration
+	// vain spaces looks after which somebody still asks.
+	vain pause.Backoff
 }
 
 // ownerView is the owner of a shard. An owner that only the store's group names has no
@@ -54,7 +56,10 @@
 }
 
 func newOwnerBook(s *settings.Settings, st store.Store) *ownerBook {
-	return &ownerBook{settings: s, store: st, owners: make(map[int]ownerView), used: make(map[int]time.Duration)}
+	return &ownerBook{
+		settings: s, store: st, owners: make(map[int]ownerView), used: make(map[int]time.Duration),
+		vain: pause.Backoff{Least: lookPause, Most: maxLookPause},
+	}
 }
 
 // use notes that a shard's owner is asked for, and returns it. It is fresh if the owner
@@ -143,8 +148,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.looking = false
-	b.next = bootclock.Now() + b.pause
-	b.pause = min(2*b.pause, maxLookPause)
+	b.next = bootclock.Now() + b.vain.After(0)
 	if err != nil {
 		klog.InfoS("The owners of the shards could not be read", "err", err)
 		return true
@@ -162,7 +166,7 @@
 		return false
 	}
 	if now > b.next+maxLookPause {
-		b.pause = lookPause
+		b.vain.Reset()
 	}
 	b.looking = true
 	return true
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -60,13 +60,28 @@
 	// registryWait is how long a read of the registry waits for news. A silent
 	// connection is found a little later.
 	registryWait = 2 * time.Second
-	// registryPause is the pause after news of the registry. When all hosts come back
-	// at once each of 70 agents registers within 0.3 s, and without it each of 83
-	// readers read each of the records by itself. Agents come back at their old
-	// addresses, so nobody waits for them here.
+	// registryPause is the pause after news of the registry. When a system starts for the
+	// first time each of 70 agents registers within 0.3 s, and without it each of 83
+	// readers read each of the records by itself. Agents that come back at their old
+	// addresses are known, so nobody waits for them here.
 	registryPause = 30 * time.Millisecond
 )
 
+// untilDone repeats a call to the store, with pauses that grow, until it succeeds or the
+// context ends. What it says of a failure is for the log.
+func untilDone(ctx context.Context, failed string, call func() error) {
+	failures := pause.Backoff{Least: retryPause, Most: maxRetryPause}
+	for ctx.Err() == nil {
+		began := bootclock.Now()
+		err := call()
+		if err == nil {
+			return
+		}
+		klog.InfoS(failed, "err", err)
+		_ = failures.Wait(ctx, bootclock.Now()-began)
+	}
+}
+
 // follower keeps a copy of a keyed partition up to date.
 type follower struct {
 	store     store.Store
