Keep one formula for a worker's turnover, and reckon the fleet's only for tasks that wait

The time until the next task of a worker ends stood in Load and in the expected wait of an order. Each prediction went over all agents once more for a rate that is used only where a task finds no room. The expected wait may differ by nanoseconds, by rounding. The set-up of two tests of former lives stands once; their assertions are unchanged.

--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -61,10 +61,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var finish time.Duration
-	// queued is what the tasks need that find no room now, and rate that at which cores
-	// become free.
+	// queued is what the tasks need that find no room now, rate that at which cores become
+	// free, and ahead how long the work that waits already keeps them busy. On most days
+	// there is room, and none of it is needed.
 	var queued int64
-	rate, ahead := f.turnoverLocked(n, may)
+	var rate float64
+	var ahead time.Duration
 	booked := make([]*agentView, 0, tasks)
 	defer func() {
 		for _, v := range booked {
@@ -76,6 +78,9 @@
 		if !ok {
 			return 0, false
 		}
+		if p.wait > 0 && queued == 0 {
+			rate, ahead = f.turnoverLocked(n, may)
+		}
 		if p.wait > 0 && rate > 0 {
 			queued += n.Demand.CPUMillis
 			pooled := ahead + time.Duration(f.params.PooledWait*float64(queued)/rate*float64(time.Second))
--- a/coordination/worker/former_test.go
+++ b/coordination/worker/former_test.go
@@ -9,17 +9,24 @@
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
+// newFixtureWithFormerRun returns an agent that finds a run of one of two entries which
+// its earlier life has taken orders of.
+func newFixtureWithFormerRun(t *testing.T) (*fixture, job.RunID) {
+	f := newFixture(t)
+	f.Former([]string{"entry-1/old", "entry-2/old"})
+	run := job.RunID{Task: job.TaskID{Job: "00000000000000ee"}, Number: 1}
+	f.alive[run] = true
+	f.hold()
+	return f, run
+}
+
 // All processes are killed at once; the backend servers go on. Callers come back to
 // entries that know nothing of the old runs, and found every worker full of them until
 // those had been silent for 0.3 s. The entries' new lives show that the earlier ones
 // are gone, so the runs are stopped with the last of their claims, and not before: an
 // entry that lives may repeat its orders.
 func TestRunsOfEntriesThatAreGoneStopAtOnce(t *testing.T) {
-	f := newFixture(t)
-	f.Former([]string{"entry-1/old", "entry-2/old"})
-	run := job.RunID{Task: job.TaskID{Job: "00000000000000ee"}, Number: 1}
-	f.alive[run] = true
-	f.hold()
+	f, run := newFixtureWithFormerRun(t)
 	f.claimAs("entry-1/new", private+1)
 	f.claimAs("entry-3/new", private+2)
 	f.is.Equal(len(f.stops), 0)
@@ -31,11 +38,7 @@
 // One of two entries has kept its life while the agent restarted. Its run goes on
 // until the usual time for adoption is over.
 func TestRunMayBeOfAnEntryThatLives(t *testing.T) {
-	f := newFixture(t)
-	f.Former([]string{"entry-1/old", "entry-2/old"})
-	run := job.RunID{Task: job.TaskID{Job: "00000000000000ee"}, Number: 1}
-	f.alive[run] = true
-	f.hold()
+	f, _ := newFixtureWithFormerRun(t)
 	f.claimAs("entry-1/new", private+1)
 	f.claimAs("entry-2/old", private+2)
 	f.is.Equal(len(f.stops), 0)
--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -54,13 +54,20 @@
 			running += r.order.Estimate
 		}
 	}
-	if l.Running > 0 {
-		n := time.Duration(l.Running)
-		l.Turnover = running / (n * (n + 1))
-	}
+	l.Turnover = turnover(l.Running, running)
 	return l
 }
 
+// turnover is the mean time until the next of some running tasks ends, by the sum of the
+// run times that are expected of them; zero if none runs.
+func turnover(running int, sum time.Duration) time.Duration {
+	if running == 0 {
+		return 0
+	}
+	n := time.Duration(running)
+	return sum / (n * (n + 1))
+}
+
 func (l *Load) addWaiting(now time.Duration, r *run) {
 	work := r.order.Estimate * time.Duration(r.order.Demand.CPUMillis) / 1000
 	l.Waiting++
--- a/coordination/worker/orders.go
+++ b/coordination/worker/orders.go
@@ -187,21 +187,19 @@
 
 // aheadLocked is how long a waiting run is expected to wait for room here.
 func (w *Worker) aheadLocked(r *run) time.Duration {
-	var n, ahead, left time.Duration
+	var running, ahead int
+	var sum time.Duration
 	for _, o := range w.runs {
 		switch {
 		case o.phase == ended:
 		case o.phase != waiting:
-			n++
-			left += o.order.Estimate
-		case o == r || o.order.latestStart() <= r.order.latestStart():
+			running++
+			sum += o.order.Estimate
+		case o.order.latestStart() <= r.order.latestStart():
 			ahead++
 		}
 	}
-	if n == 0 {
-		return 0
-	}
-	return ahead * left / (n * (n + 1))
+	return time.Duration(ahead) * turnover(running, sum)
 }
 
 // adoptLocked takes over an order for a run that is here already.
