--- a/daemon/core/entry_test.go
+++ b/daemon/core/entry_test.go
@@ -10,11 +10,14 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/worker"
+	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/routing"
 	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
+	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/peer"
 )
 
@@ -28,6 +31,12 @@
 	mu     sync.Mutex
 	orders []*corepb.Order // guarded by mu
 	stops  []*corepb.Stop  // guarded by mu
+	// books answer claims as an agent does; nil: each claim is granted. Guarded by mu.
+	books *worker.Worker
+	// links counts the links that were made, and broken is set to end the next one on
+	// which a frame comes. Guarded by mu.
+	links  int
+	broken bool
 }
 
 func startFakeAgent(t *testing.T) *fakeAgent {
@@ -58,17 +67,55 @@
 	a.mu.Lock()
 	a.orders = append(a.orders, f.GetOrders()...)
 	a.stops = append(a.stops, f.GetStops()...)
+	broken := a.broken
+	a.broken = false
 	a.mu.Unlock()
+	if broken {
+		return errSilent
+	}
 	c.Send(func(out *corepb.FromAgent) {
 		for _, p := range f.GetClaims() {
 			if !a.silent {
-				out.Claimed = append(out.Claimed, &corepb.Claimed{Shard: p.GetShard(), Epoch: p.GetEpoch(), Session: p.GetSession()})
+				out.Claimed = append(out.Claimed, a.answer(c, p))
 			}
 		}
 	})
 	return nil
 }
 
+// answer is that to a claim.
+func (a *fakeAgent) answer(c *peer.Caller, p *corepb.Claim) *corepb.Claimed {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.books == nil {
+		return &corepb.Claimed{Shard: p.GetShard(), Epoch: p.GetEpoch(), Session: p.GetSession()}
+	}
+	claim := worker.Claim{Shard: int(p.GetShard()), Epoch: p.GetEpoch(), Session: p.GetSession(), Owner: c.Node}
+	answer := a.books.Claim(bootclock.Now(), claim)
+	return wire.ClaimedToWire(&answer)
+}
+
+// keepBooks has claims answered as an agent does.
+func (a *fakeAgent) keepBooks() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.books = worker.New(worker.Bounds{Lease: time.Second, OwnerSilence: ownerSilence, Relink: relink, Adoption: adoption, Shards: testShards})
+}
+
+// breakLink ends the link on which the next frame comes.
+func (a *fakeAgent) breakLink() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.broken = true
+}
+
+// linked counts the links that were made.
+func (a *fakeAgent) linked() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.links
+}
+
 func (a *fakeAgent) Complete(_ *peer.Caller, f *corepb.FromAgent) {
 	f.Load = &corepb.Load{Service: "desk", CapacityCpu: 1000, FreeCpu: 1000, Accepts: true}
 }
@@ -86,7 +133,12 @@
 }
 
 func (a *fakeAgent) CallerGone(*peer.Caller) {}
-func (a *fakeAgent) CallerUp(*peer.Caller)   {}
+func (a *fakeAgent) CallerUp(*peer.Caller) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.links++
+}
+
 func (a *fakeAgent) Submit(_ int, _ job.ID, _ job.Spec, _ job.Policy, reply func(owner.Verdict)) {
 	reply(verdictNotOwner)
 }
@@ -118,9 +170,12 @@
 }
 func (noStore) Leave(context.Context, string, string) error { return store.ErrRejected }
 
+// testShards is the number of shards that testSettings make.
+const testShards = 4
+
 func testSettings() *settings.Settings {
 	return &settings.Settings{
-		Role: settings.RoleEntry, Name: "entry", Store: settings.Store{Topics: 1, Partitions: 4, WritesPerSecond: 100},
+		Role: settings.RoleEntry, Name: "entry", Store: settings.Store{Topics: 1, Partitions: testShards, WritesPerSecond: 100},
 		Bounds: settings.Bounds{Lease: time.Second, Grace: time.Second, Retention: time.Minute},
 	}
 }
--- /dev/null
+++ b/daemon/core/relink_test.go
@@ -0,0 +1,42 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// All best-effort jobs of an entry, the only one of its failure domain, are answered
+// owner_changed from some second on until it is restarted, while it says it is ready.
+// One of its links was lost and made anew, then ended since it was not wanted any more,
+// and dialled again later.
+func TestEntryServesAfterALinkIsDialledAgain(t *testing.T) {
+	is := is.New(t)
+	a := startFakeAgent(t)
+	a.keepBooks()
+	e := newTestEntry(t, a)
+	policy := &job.Policy{Service: "desk"}
+	await(t, func() bool { return e.effort.Reach() == 1 })
+
+	a.breakLink()
+	await(t, func() bool { return a.linked() == 2 })
+	await(t, func() bool { return e.effort.Reach() == 1 })
+
+	e.links.drop(a.addr)
+	e.effort.step(func(now time.Duration) owner.Effects { return e.effort.Tick(now + time.Minute) }) // it is waited out
+	e.links.reconcile(time.Hour)
+	await(t, func() bool { return a.linked() == 3 })
+
+	ctx, leave := context.WithCancel(context.Background())
+	got := make(chan owner.Verdict, 1)
+	go func() { got <- e.submitEffort(ctx, testJob, effortSpec(), policy) }()
+	await(t, func() bool { return a.ordered() == 1 || len(got) > 0 })
+	leave()
+	is.Equal((<-got).Reason, owner.ReasonTime) // not that the owner has changed
+	is.Equal(a.ordered(), 1)
+}
