Generate the messages with what the go command brings

protoc could not be had where the work is done, so a change of core.proto could not be carried through.

--- /dev/null
+++ b/tools/protogen/main.go
@@ -0,0 +1,84 @@
+// Command protogen stands for protoc where only the go command is at hand. It
+// compiles a file of messages into the request that protoc's plugins read, and
+// writes the files of their answers.
+//
+//	protogen -request core.proto -parameter paths=source_relative | protoc-gen-go | protogen -write corepb
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/bufbuild/protocompile"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protodesc"
+	"google.golang.org/protobuf/types/descriptorpb"
+	"google.golang.org/protobuf/types/pluginpb"
+)
+
+func main() {
+	source := flag.String("request", "", "write the request for this `file` to standard output")
+	parameter := flag.String("parameter", "", "the plugin's parameter")
+	dir := flag.String("write", "", "write the files of the answer on standard input into this `directory`")
+	flag.Parse()
+	err := run(*source, *parameter, *dir)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "protogen:", err)
+		os.Exit(1)
+	}
+}
+
+func run(source, parameter, dir string) error {
+	if source != "" {
+		return request(source, parameter)
+	}
+	return write(dir)
+}
+
+// request compiles a file, with its comments, which the plugins copy.
+func request(source, parameter string) error {
+	c := protocompile.Compiler{
+		Resolver:       &protocompile.SourceResolver{},
+		SourceInfoMode: protocompile.SourceInfoStandard,
+	}
+	files, err := c.Compile(context.Background(), source)
+	if err != nil {
+		return err
+	}
+	req := &pluginpb.CodeGeneratorRequest{
+		FileToGenerate: []string{source},
+		Parameter:      proto.String(parameter),
+		ProtoFile:      []*descriptorpb.FileDescriptorProto{protodesc.ToFileDescriptorProto(files[0])},
+	}
+	out, err := proto.Marshal(req)
+	if err != nil {
+		return err
+	}
+	_, err = os.Stdout.Write(out)
+	return err
+}
+
+// write unpacks a plugin's answer.
+func write(dir string) error {
+	in, err := io.ReadAll(os.Stdin)
+	if err != nil {
+		return err
+	}
+	var resp pluginpb.CodeGeneratorResponse
+	if err := proto.Unmarshal(in, &resp); err != nil {
+		return err
+	}
+	if resp.Error != nil {
+		return fmt.Errorf("plugin: %s", resp.GetError())
+	}
+	for _, f := range resp.GetFile() {
+		if err := os.WriteFile(filepath.Join(dir, f.GetName()), []byte(f.GetContent()), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
