Number the sessions of a process's links in one row, and give a shard up for a newer owner only

Callers saw: every best-effort job that came to one entry was answered owner_changed from some second to the end of its life, while readyz said 200; in a failure domain with one entry nobody else was there.

Cause: a session was numbered by its link. Since links go with a subset, a link ends and is dialled again within the minute in which its agent remembers the owner's last session. If the earlier link had been lost and made anew (session 2), the new one's first claim (session 1) was refused. The owner took any refusal for a takeover and closed its shard; that of an entry's best-effort jobs is dealt by nobody and stays closed. Processor time matters since a lagging entry loses links by silence, is refused jobs and so is stretched and shrunk.

Ruled out: two owners with one shard number (none in the agents' lines); the model could not find it, since it numbered sessions over all links.

Now a process numbers all its sessions in one row, so a claim is never older than what the agent knows; the agent says which epoch it knows, and only a newer one ends the shard. Anything else has the link made anew.

--- a/coordination/model/owner_test.go
+++ b/coordination/model/owner_test.go
@@ -201,6 +201,13 @@
 }
 
 func (o *ownerModel) apply(fx owner.Effects) {
+	for _, node := range fx.Relinks {
+		for _, a := range o.w.agents {
+			if a.name == node {
+				o.cutLink(a, 50*time.Millisecond)
+			}
+		}
+	}
 	for _, p := range fx.Orders {
 		order := p.What
 		o.send(p.Node, func(l *link) { l.agent.order(l, order) })
--- a/coordination/owner/link.go
+++ b/coordination/owner/link.go
@@ -9,8 +9,9 @@
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
-// Linked notes a new link to an agent and returns the claim to send first. The
-// session rises with each link to that agent.
+// Linked notes a new link to an agent and returns the claim to send first. The session
+// rises with each link that this process makes; an older one is of a caller that has not
+// heard of the newest link yet.
 func (s *Shard) Linked(now time.Duration, node string, session int64) (worker.Claim, Effects) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -50,8 +51,7 @@
 		return fx
 	}
 	if c.Refused {
-		fx.log(Decision{What: "claim_refused", Node: node})
-		s.closeLocked(&fx)
+		s.refusedLocked(&fx, node, c.KnownEpoch)
 		return fx
 	}
 	l.claimed = true
@@ -73,6 +73,21 @@
 	return fx
 }
 
+// refusedLocked takes in that an agent refuses a claim. A newer epoch there is that of
+// the shard's next owner. Otherwise the agent knows of a newer link of this one: taken for
+// a takeover, that ended the shard of an entry's best-effort jobs, which nobody deals anew,
+// and the entry refused every job for the rest of its life while it was ready. The next
+// link has a higher session, and its claim is answered with what runs there.
+func (s *Shard) refusedLocked(fx *Effects, node string, knownEpoch int64) {
+	if knownEpoch > s.Epoch {
+		fx.log(Decision{What: "claim_refused", Node: node, Reason: "newer_owner"})
+		s.closeLocked(fx)
+		return
+	}
+	fx.log(Decision{What: "claim_refused", Node: node, Reason: "newer_link"})
+	fx.Relinks = append(fx.Relinks, node)
+}
+
 func (s *Shard) stopRunLocked(fx *Effects, node string, run job.RunID) {
 	fx.Stops = append(fx.Stops, Placed[job.RunID]{Node: node, What: run})
 }
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -43,6 +43,8 @@
 	Orders  []Placed[worker.Order]
 	Stops   []Placed[job.RunID]
 	Settled []Placed[Settlement]
+	// Relinks are the agents whose links are to be made anew.
+	Relinks []string
 	Replies []Reply
 	Log     []Decision
 	// Write is set when records wait for the store.
--- a/coordination/owner/takeover_test.go
+++ b/coordination/owner/takeover_test.go
@@ -137,3 +137,33 @@
 	f.take(f.Tick(f.now))
 	f.is.Equal(len(f.orders), 2)
 }
+
+// An agent knows a newer link of an owner that is still the only one of its shard, and
+// refuses the claim of another. Taken for the word that a new owner is there, the shard
+// was given up: each job of an entry was answered owner_changed until its end. The link is
+// made anew, and tasks go there once its next claim is answered.
+func TestRefusedLinkIsMadeAnew(t *testing.T) {
+	f := newFixture(t, nil, nil)
+	claim, fx := f.Linked(f.now, "a", 1)
+	f.take(fx)
+	refusal := f.Claimed(f.now, "a", worker.Claimed{Claim: claim, Refused: true, KnownEpoch: f.Epoch})
+	f.is.Equal(refusal.Relinks, []string{"a"})
+	f.is.True(!f.Closed())
+	f.is.Equal(f.Reach(), 0)
+
+	f.LinkLost(f.now, "a", 1)
+	f.link("a", 2)
+	f.write()
+	f.submit(testID, steps(1))
+	f.write()
+	f.is.Equal(len(f.orders), 1)
+}
+
+// The agent knows a newer epoch: the shard has another owner, and this one gives it up.
+func TestClaimRefusedForANewerOwnerEndsTheShard(t *testing.T) {
+	f := newFixture(t, nil, nil)
+	claim, fx := f.Linked(f.now, "a", 1)
+	f.take(fx)
+	f.take(f.Claimed(f.now, "a", worker.Claimed{Claim: claim, Refused: true, KnownEpoch: f.Epoch + 1}))
+	f.is.True(f.Closed())
+}
--- a/coordination/worker/orders.go
+++ b/coordination/worker/orders.go
@@ -20,9 +20,11 @@
 	Claim
 	// Effects are to be carried out: the claim may show that others are gone.
 	Effects Effects
-	// Refused is set when a newer owner is known.
-	Refused bool
-	Runs    []RunState
+	// Refused is set when a newer owner, or a newer link of this one, is known, and
+	// KnownEpoch is the owner's epoch then.
+	Refused    bool
+	KnownEpoch int64
+	Runs       []RunState
 }
 
 // Claim makes the owner the shard's only one, unless a newer one is known.
@@ -34,7 +36,7 @@
 	defer w.mu.Unlock()
 	s := w.shards[c.Shard]
 	if s != nil && (c.Epoch < s.epoch || c.Epoch == s.epoch && c.Session < s.session) {
-		return Claimed{Claim: c, Refused: true}
+		return Claimed{Claim: c, Refused: true, KnownEpoch: s.epoch}
 	}
 	w.shards[c.Shard] = &shardState{owner: c.Owner, epoch: c.Epoch, session: c.Session, heard: now}
 	w.forgetOwnersLocked(now)
--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -184,10 +184,11 @@
 	a.resume(ctx, before.Server)
 	a.enrolled.Store(true)
 	klog.InfoS("The agent serves", "name", a.settings.Name, "life", life, "member", a.member)
+	// The name is that of this life: an agent takes the signs of life of a later one for
+	// another owner's, and stops what this one left.
+	dialer := peer.NewDialer(a.member, a)
 	a.links = newLinkSet(a.settings.Links, a, a.fleet, a.metrics, func(node string, reg registration) agentLink {
-		// The name is that of this life: an agent takes the signs of life of
-		// a later one for another owner's, and stops what this one left.
-		return peer.Dial(ctx, a.member, node, reg.Links, a)
+		return dialer.Dial(ctx, node, reg.Links)
 	})
 	wg.Go(func() { a.holdLoop(ctx) })
 	wg.Go(func() { a.keepRegistered(ctx) })
--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -64,9 +64,9 @@
 		fleet: owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams()),
 	}
 	// The name is that of this life: agents tell its runs from a later one's.
-	self := memberName(s.Name, xid.New().String())
+	dialer := peer.NewDialer(memberName(s.Name, xid.New().String()), e)
 	e.links = newLinkSet(s.Links, e, e.fleet, e.metrics, func(node string, reg registration) agentLink {
-		return peer.Dial(context.Background(), self, node, reg.Links, e)
+		return dialer.Dial(context.Background(), node, reg.Links)
 	})
 	e.effort = e.newEffort()
 	return e
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -468,6 +468,13 @@
 	return false
 }
 
+// renew has the link to an agent made anew.
+func (l *linkSet) renew(node string) {
+	if link := l.get(node); link != nil {
+		link.Renew()
+	}
+}
+
 // send adds to the next frame for an agent, if its link is up.
 func (l *linkSet) send(node string, fill func(*corepb.ToAgent)) {
 	if link := l.get(node); link != nil {
--- a/daemon/core/serve.go
+++ b/daemon/core/serve.go
@@ -94,7 +94,7 @@
 func (a *Agent) claim(now time.Duration, c *peer.Caller, p *corepb.Claim) {
 	answer := a.worker.Claim(now, worker.Claim{Shard: int(p.GetShard()), Epoch: p.GetEpoch(), Session: p.GetSession(), Owner: c.Node})
 	a.apply(answer.Effects)
-	klog.InfoS("Claim", "shard", p.GetShard(), "epoch", p.GetEpoch(), "session", p.GetSession(), "owner", c.Node, "refused", answer.Refused, "runs", len(answer.Runs))
+	klog.InfoS("Claim", "shard", p.GetShard(), "epoch", p.GetEpoch(), "session", p.GetSession(), "owner", c.Node, "refused", answer.Refused, "known_epoch", answer.KnownEpoch, "runs", len(answer.Runs))
 	if !answer.Refused {
 		a.mu.Lock()
 		a.callers[int(p.GetShard())] = c
--- a/daemon/core/steps.go
+++ b/daemon/core/steps.go
@@ -52,6 +52,9 @@
 		settled := &corepb.Settled{Shard: int32(r.ID), Run: wire.RunToWire(s.What.Run), Void: s.What.Void}
 		r.settle(s.Node, settled)
 	}
+	for _, node := range fx.Relinks {
+		r.links.renew(node)
+	}
 	for _, reply := range fx.Replies {
 		r.metrics.verdict(reply.Verdict)
 		reply.To(reply.Verdict)
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -64,7 +64,7 @@
 
 // ClaimedToWire returns the wire form of the answer to a claim.
 func ClaimedToWire(c *worker.Claimed) *corepb.Claimed {
-	out := &corepb.Claimed{Shard: int32(c.Shard), Epoch: c.Epoch, Session: c.Session, Refused: c.Refused}
+	out := &corepb.Claimed{Shard: int32(c.Shard), Epoch: c.Epoch, Session: c.Session, Refused: c.Refused, KnownEpoch: c.KnownEpoch}
 	for i := range c.Runs {
 		out.Runs = append(out.Runs, RunStateToWire(&c.Runs[i]))
 	}
@@ -75,7 +75,7 @@
 func ClaimedFromWire(p *corepb.Claimed) worker.Claimed {
 	out := worker.Claimed{
 		Claim:   worker.Claim{Shard: int(p.GetShard()), Epoch: p.GetEpoch(), Session: p.GetSession()},
-		Refused: p.GetRefused(),
+		Refused: p.GetRefused(), KnownEpoch: p.GetKnownEpoch(),
 	}
 	for _, r := range p.GetRuns() {
 		out.Runs = append(out.Runs, RunStateFromWire(r))
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -49,29 +49,52 @@
 	LinkDown(node string, session int64)
 }
 
+// Dialer makes the links of one process. It numbers their sessions in one row: an agent
+// takes a claim with a lower number than the last one's for a late one, also when it comes
+// on another link that was dialled since. Numbered by each link, the claims of a link that
+// is dialled again would be refused.
+type Dialer struct {
+	self     string
+	handler  LinkHandler
+	sessions atomic.Int64
+}
+
+// NewDialer returns a dialer for a process of that name.
+func NewDialer(self string, h LinkHandler) *Dialer { return &Dialer{self: self, handler: h} }
+
 // Link keeps a connection to one agent.
 type Link struct {
 	Node, Addr string
 
-	self    string
-	handler LinkHandler
-	session int64
-	cancel  context.CancelFunc
-	done    chan struct{}
+	*Dialer
+	cancel context.CancelFunc
+	done   chan struct{}
 
 	mu     sync.Mutex
 	client corepb.CoreClient       // guarded by mu; nil while down
 	out    *outbox[corepb.ToAgent] // guarded by mu
+	// end ends the present session; nil while the link is down. Guarded by mu.
+	end context.CancelFunc
 }
 
 // Dial keeps a link to an agent until Close.
-func Dial(ctx context.Context, self, node, addr string, h LinkHandler) *Link {
+func (d *Dialer) Dial(ctx context.Context, node, addr string) *Link {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &Link{Node: node, Addr: addr, self: self, handler: h, cancel: cancel, done: make(chan struct{})}
+	l := &Link{Node: node, Addr: addr, Dialer: d, cancel: cancel, done: make(chan struct{})}
 	go l.run(ctx)
 	return l
 }
 
+// Renew ends the present session, if there is one. The link is made anew with the next.
+func (l *Link) Renew() {
+	l.mu.Lock()
+	end := l.end
+	l.mu.Unlock()
+	if end != nil {
+		end()
+	}
+}
+
 // Close ends the link and waits for its goroutines.
 func (l *Link) Close() {
 	l.cancel()
@@ -117,7 +140,7 @@
 		patience = min(2*patience, dialTimeout)
 		if up {
 			wait, patience = redialPause, firstDialTimeout
-			klog.InfoS("Lost the link to an agent", "agent", l.Node, "session", l.session, "err", err)
+			klog.InfoS("Lost the link to an agent", "agent", l.Node, "err", err)
 		}
 		if pause.For(ctx, wait) != nil {
 			return
@@ -164,14 +187,13 @@
 }
 
 func (l *Link) serve(ctx context.Context, cancel context.CancelFunc, w *watchdog, client corepb.CoreClient, stream grpc.BidiStreamingClient[corepb.ToAgent, corepb.FromAgent]) error {
-	l.session++
-	session := l.session
+	session := l.sessions.Add(1)
 	w.reset(silenceLimit)
 	out := newOutbox[corepb.ToAgent]()
 	first := l.handler.LinkUp(l.Node, session)
 	out.add(func(f *corepb.ToAgent) { f.Claims = first.GetClaims() })
 	l.mu.Lock()
-	l.client, l.out = client, out
+	l.client, l.out, l.end = client, out, cancel
 	l.mu.Unlock()
 	klog.InfoS("Linked to an agent", "agent", l.Node, "addr", l.Addr, "session", session)
 	var writer conc.WaitGroup
@@ -182,7 +204,7 @@
 	err := l.read(session, w, stream)
 	cancel()
 	l.mu.Lock()
-	l.client, l.out = nil, nil
+	l.client, l.out, l.end = nil, nil, nil
 	l.mu.Unlock()
 	out.close()
 	writer.Wait()
--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -45,6 +46,41 @@
 	return nil
 }
 
+// sessions notes the numbers of the links that came up.
+type sessions struct {
+	calls
+	mu   sync.Mutex
+	seen []int64 // guarded by mu
+}
+
+func (h *sessions) LinkUp(node string, session int64) *corepb.ToAgent {
+	h.mu.Lock()
+	h.seen = append(h.seen, session)
+	h.mu.Unlock()
+	return h.calls.LinkUp(node, session)
+}
+
+// A link ends because nobody wants it any more, and is dialled again while the agent
+// still remembers the last session. With a lower number than that the new link's claim is
+// refused, and nothing is placed at the agent.
+func TestSessionsRiseFromLinkToLink(t *testing.T) {
+	is := is.New(t)
+	_, addr := start(t)
+	var h sessions
+	d := peer.NewDialer("owner", &h)
+	for range 2 {
+		l := d.Dial(context.Background(), "agent", addr)
+		await(t, l.Up)
+		down := h.down.Load()
+		l.Renew()
+		await(t, func() bool { return h.down.Load() > down && l.Up() })
+		l.Close()
+	}
+	is.True(len(h.seen) >= 4)
+	is.True(slices.IsSorted(h.seen))
+	is.Equal(len(slices.Compact(h.seen)), len(h.seen))
+}
+
 // calls notes what a link tells. Its frames are those of the present session.
 type calls struct{ up, down, frames atomic.Int64 }
 
@@ -80,7 +116,7 @@
 
 func dial(t *testing.T, addr string, h peer.LinkHandler) *peer.Link {
 	t.Helper()
-	l := peer.Dial(context.Background(), "owner", "agent", addr, h)
+	l := peer.NewDialer("owner", h).Dial(context.Background(), "agent", addr)
 	t.Cleanup(l.Close)
 	await(t, func() bool { return l.Client() != nil })
 	return l
