Take a shard that an owner gave up unheard from it, in place of ending its link again and again

Cause: an agent asks of each frame whether its sender has been silent for any of the shards that it owns here. A shard that the owner gave up while the link was down stays its own, silent, and each frame of the next link ends it, until somebody else claims the shard here or a minute has passed. With subsets the next owner may not link this agent. Now the first late frame takes the owner off such shards, and the claims that come with the next link say what it has. Runs stop as before: they go by when the shard was heard of. TestShardGivenUpUnheardEndsNoLink fails before.

--- a/coordination/worker/orders.go
+++ b/coordination/worker/orders.go
@@ -109,7 +109,9 @@
 // Heard notes a sign of life of an owner. It returns false when the owner has
 // been silent for too long already: its new owner may count on that silence, so
 // a message that a suspension or a healed link delivers late must not revive
-// its runs. The owner has to claim its shards anew.
+// its runs. The owner has to claim its shards anew. Those that it doesn't claim
+// then are not its own any more: it may have given one up while the link was
+// down, and each frame of a sound link would count as one of a silent owner.
 func (w *Worker) Heard(now time.Duration, owner string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -119,6 +121,7 @@
 			continue
 		}
 		if now-s.heard >= w.bounds.OwnerSilence {
+			s.owner = ""
 			inTime = false
 			continue
 		}
--- a/coordination/worker/worker_test.go
+++ b/coordination/worker/worker_test.go
@@ -771,3 +771,24 @@
 	f.is.Equal(len(f.send(o).Starts), 0)
 	f.is.Equal(len(f.claim(private, 1, 2).Runs), 0)
 }
+
+// An owner gives a shard up while its link is down, so that the agent doesn't hear of it,
+// and nobody else claims the shard there. Each frame of the owner's next link was taken
+// for one of a silent owner: the link ended with its first frame, for a minute, and
+// nothing of the owner's other shards was placed here.
+func TestShardGivenUpUnheardEndsNoLink(t *testing.T) {
+	f := newFixture(t)
+	own := func(shard int, session int64) Claim {
+		return Claim{Shard: shard, Epoch: 1, Session: session, Owner: "owner"}
+	}
+	f.Claim(f.now, own(1, 1))
+	f.Claim(f.now, own(2, 1))
+	f.pass(2 * testBounds.OwnerSilence)
+	f.is.True(!f.Heard(f.now, "owner")) // what a healed link delivers late revives nothing
+
+	f.Claim(f.now, own(1, 2)) // it has shard 2 no more
+	for range 20 {
+		f.is.True(f.Heard(f.now, "owner"))
+		f.pass(100 * time.Millisecond)
+	}
+}
