Say ready only where an agent takes the entry's orders

An entry whose links are up and whose claims nobody answers, or that were refused, kept its part of a failure domain's clients and refused them all. The balancer has others; ready now asks for an agent that takes orders. TestEntryThatReachesNobodyIsNotReady fails before.

--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -128,10 +128,11 @@
 // Table returns the configuration in force, or nil before the first.
 func (e *Entry) Table() *routing.Table { return e.table.Load() }
 
-// Ready reports whether the entry can serve: it has a configuration and a link
-// to an agent.
+// Ready reports whether the entry can serve: it has a configuration, and an agent takes
+// its orders. A link alone doesn't say that: with links whose claims were refused an entry
+// that refused every job kept its part of the clients, who would have been served by others.
 func (e *Entry) Ready() bool {
-	return e.table.Load() != nil && e.Linked()
+	return e.table.Load() != nil && e.effort.Reach() > 0
 }
 
 // Agents returns what is known of the agents.
--- a/daemon/core/relink_test.go
+++ b/daemon/core/relink_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/state/job"
+	"github.com/shallotstep/shallotstep/state/routing"
 )
 
 // All best-effort jobs of an entry, the only one of its failure domain, are answered
@@ -32,6 +33,8 @@
 	e.links.reconcile(time.Hour)
 	await(t, func() bool { return a.linked() == 3 })
 
+	e.table.Store(&routing.Table{})
+	await(t, e.Ready)
 	ctx, leave := context.WithCancel(context.Background())
 	got := make(chan owner.Verdict, 1)
 	go func() { got <- e.submitEffort(ctx, testJob, effortSpec(), policy) }()
@@ -40,3 +43,15 @@
 	is.Equal((<-got).Reason, owner.ReasonTime) // not that the owner has changed
 	is.Equal(a.ordered(), 1)
 }
+
+// An entry has links, and no agent has answered a claim on one: whatever comes is refused.
+// It must not say that it is ready, since others would serve its clients.
+func TestEntryThatReachesNobodyIsNotReady(t *testing.T) {
+	is := is.New(t)
+	a := startFakeAgent(t)
+	a.silent = true
+	e := newTestEntry(t, a)
+	e.table.Store(&routing.Table{})
+	is.True(e.Linked())
+	is.True(!e.Ready())
+}
