Look no further than the first task without room when news of an agent comes

Cause: each frame of an agent had the entry look for a place for every task that waits, and for the first reason to give its job up: with 30 jobs waiting .63 ms, with 100 2.4 ms, some hundred times a second, of .19 of a core. It took in 60 to 110 jobs a second for ten seconds, where 210 is usual, and the more waited the slower it became. Class: work for each message that grows with what waits.

Now a look ends with the first task of each place that finds no room, and what has become hopeless is given up by the tick, with one look at the agents for all that ask for as much.

go test -bench WhileFull ./coordination/owner, 38 agents, ns a frame: 1 job waits 21,125 -> 3,397; 30 jobs 629,313 -> 2,513; 100 jobs 2,416,606 -> 2,193 (237 kB -> 0 allocated). A submission: 22 us before and after. Ruled out for it: links (few were lost in those seconds), refused claims.

--- a/coordination/owner/admission_test.go
+++ b/coordination/owner/admission_test.go
@@ -220,10 +220,37 @@
 	is.Equal(b.ahead(placeKey{service: "other"}, true, 2), time.Duration(0))
 	is.Equal(b.yieldWork(), 2*time.Second)
 	var order []int
-	for _, w := range b.take() {
+	b.filter(func(w *waitingTask) fate {
 		order = append(order, w.id.Index)
-	}
+		return leave
+	})
 	is.Equal(order, []int{2, 0, 3, 4, 1})
+	is.Equal(len(b.places), 0)
+}
+
+// Some of the waiting tasks leave, and a look ends before the last: the others stay in
+// their order.
+func TestBacklogKeepsWhatStays(t *testing.T) {
+	is := is.New(t)
+	var b backlog
+	for i := range 6 {
+		b.add(waitingTask{latest: time.Duration(i), where: placeKey{service: strconv.Itoa(i % 2)}})
+	}
+	b.filter(func(w *waitingTask) fate {
+		switch {
+		case w.latest == 4:
+			return stop
+		case w.latest%2 == 0:
+			return leave
+		}
+		return stay
+	})
+	var left []int
+	for i := range b.tasks {
+		left = append(left, int(b.tasks[i].latest))
+	}
+	is.Equal(left, []int{1, 3, 4, 5})
+	is.Equal(b.places, map[placeKey]int{{service: "0"}: 1, {service: "1"}: 3})
 }
 
 // Nothing of late work has left for a second while it waited, so nothing more is
@@ -237,7 +264,7 @@
 	b.add(waitingTask{yields: true, work: time.Second})
 	b.measure(time.Hour+2*time.Second, 500*time.Millisecond)
 	is.True(b.yieldWait(time.Second) > 4*time.Second)
-	b.take()
+	b.filter(func(*waitingTask) fate { return leave })
 	b.measure(time.Hour+6*time.Second, 500*time.Millisecond)
 	is.True(b.yieldWait(time.Second) < 101*time.Millisecond)
 }
--- a/coordination/owner/backlog.go
+++ b/coordination/owner/backlog.go
@@ -14,6 +14,8 @@
 // start. Guarded by Shard.mu.
 type backlog struct {
 	tasks []waitingTask
+	// places counts the tasks of each place.
+	places map[placeKey]int
 	// room is the rate at which late tasks have left lately, in cores. It is what
 	// is left of the workers by those that can be in time.
 	room float64
@@ -38,6 +40,10 @@
 func (b *backlog) add(t waitingTask) {
 	i, _ := slices.BinarySearchFunc(b.tasks, t, compareWaiting)
 	b.tasks = slices.Insert(b.tasks, i, t)
+	if b.places == nil {
+		b.places = make(map[placeKey]int)
+	}
+	b.places[t.where]++
 }
 
 func compareWaiting(a, b waitingTask) int {
@@ -54,11 +60,43 @@
 	return 1
 }
 
-// take empties the backlog and returns what it had, in order.
-func (b *backlog) take() []waitingTask {
-	out := b.tasks
-	b.tasks = nil
-	return out
+// fate is what becomes of a waiting task that was looked at.
+type fate uint8
+
+const (
+	// stay keeps it waiting.
+	stay fate = iota
+	// leave takes it out.
+	leave
+	// stop keeps it and all that come after it.
+	stop
+)
+
+// filter looks at the tasks in order until it is told to stop.
+func (b *backlog) filter(look func(*waitingTask) fate) {
+	kept, at := 0, 0
+	for ; at < len(b.tasks); at++ {
+		verdict := look(&b.tasks[at])
+		if verdict == stop {
+			break
+		}
+		if verdict == leave {
+			b.uncount(b.tasks[at].where)
+			continue
+		}
+		if kept < at {
+			b.tasks[kept] = b.tasks[at]
+		}
+		kept++
+	}
+	b.tasks = slices.Delete(b.tasks, kept, at)
+}
+
+func (b *backlog) uncount(where placeKey) {
+	b.places[where]--
+	if b.places[where] == 0 {
+		delete(b.places, where)
+	}
 }
 
 // placeKey is what decides where a task may go.
--- /dev/null
+++ b/coordination/owner/bench_test.go
@@ -0,0 +1,80 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// fullFleet returns a shard of best-effort jobs with links to so many agents, all of them
+// full, and with so many jobs of eight tasks that wait.
+func fullFleet(agents, jobs int) (*Shard, *Fleet, time.Duration) {
+	now := time.Hour
+	f := NewFleet(1, DefaultParams())
+	s := NewPrivate(now-time.Hour, 99, testBounds, f)
+	capacity := job.Demand{CPUMillis: 16000, MemoryMB: 65536}
+	load := AgentLoad{Service: "desk", Capacity: capacity, Accepts: true, Placers: 8, Turnover: 30 * time.Millisecond, Backlog: time.Second}
+	for i := range load.Ahead {
+		load.Ahead[i] = time.Second
+	}
+	for i := range agents {
+		node := fmt.Sprintf("agent-%d", i)
+		f.Linked(node)
+		f.Update(now, node, load)
+		claim, _ := s.Linked(now, node, 1)
+		s.Claimed(now, node, worker.Claimed{Claim: claim})
+	}
+	for i := range jobs {
+		spec := job.Spec{BestEffort: true, Steps: []job.Step{{Count: 8, Demand: job.Demand{CPUMillis: 1200, MemoryMB: 64}, Estimate: 60 * time.Millisecond}}}
+		s.Submit(now, job.ID(fmt.Sprintf("%016x", i)), spec, job.Policy{Queue: "q", Service: "desk", Slack: 1000}, func(Verdict) {})
+	}
+	return s, f, now
+}
+
+// A burst fills all agents, and a hundred jobs of an entry wait. Each frame of each agent
+// had the entry look for a place for every task that waits, some hundred times a second:
+// more than its processor could do. It fell behind its frames, and more jobs waited, were
+// refused or came late until the end of the day, beside entries with none waiting. A frame
+// costs one look at the agents, however many tasks wait for the same place.
+func TestNewsCostsTheSameHoweverManyWait(t *testing.T) {
+	is := is.New(t)
+	const agents = 38
+	s, f, now := fullFleet(agents, 100)
+	before := f.Looks()
+	s.News(now)
+	is.Equal(f.Looks()-before, int64(agents))
+}
+
+// What an entry does with each frame of an agent while all agents are full.
+func BenchmarkNewsWhileFull(b *testing.B) {
+	for _, jobs := range []int{1, 30, 100} {
+		b.Run(fmt.Sprintf("%d jobs wait", jobs), func(b *testing.B) {
+			s, _, now := fullFleet(38, jobs)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.News(now)
+			}
+		})
+	}
+}
+
+// What it does with each submission then.
+func BenchmarkSubmitWhileFull(b *testing.B) {
+	for _, jobs := range []int{1, 30, 100} {
+		b.Run(fmt.Sprintf("%d jobs wait", jobs), func(b *testing.B) {
+			s, _, now := fullFleet(38, jobs)
+			spec := job.Spec{BestEffort: true, Steps: []job.Step{{Count: 8, Demand: job.Demand{CPUMillis: 1200, MemoryMB: 64}, Estimate: 60 * time.Millisecond}}}
+			n := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				n++
+				s.Submit(now, job.ID(fmt.Sprintf("x%015x", n)), spec, job.Policy{Queue: "q", Service: "desk", Slack: 1.6, Target: 60 * time.Millisecond}, func(Verdict) {})
+			}
+		})
+	}
+}
--- a/coordination/owner/dispatch.go
+++ b/coordination/owner/dispatch.go
@@ -85,7 +85,8 @@
 		return fx
 	}
 	s.waitOutLocked(now, &fx)
-	s.placeAgainLocked(now, &fx)
+	s.dropHopelessLocked(now, &fx)
+	s.placeWaitingLocked(now, &fx)
 	s.expireJobsLocked(now)
 	for _, id := range s.dirty {
 		if j := s.jobs[id]; j != nil && now >= j.writeBy {
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -82,6 +82,8 @@
 	// ratios has, for each queue, the mean of the measured run time over the
 	// client's estimate. Guarded by mu.
 	ratios map[string]float64
+	// looks counts the agents that were looked at for a place. Guarded by mu.
+	looks int64
 }
 
 // agentView is the last load of an agent and what was sent to it since.
@@ -126,6 +128,13 @@
 	}
 }
 
+// Looks counts the agents that were looked at to place tasks: what placing costs.
+func (f *Fleet) Looks() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.looks
+}
+
 // Linked notes a new link to an agent, on which no order was sent yet.
 func (f *Fleet) Linked(node string) {
 	f.mu.Lock()
--- a/coordination/owner/link.go
+++ b/coordination/owner/link.go
@@ -69,7 +69,7 @@
 		return t.node == node && lost[job.RunID{Task: id, Number: t.number}]
 	})
 	s.resolveLocked(now, &fx)
-	s.placeAgainLocked(now, &fx)
+	s.placeWaitingLocked(now, &fx)
 	return fx
 }
 
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -46,6 +46,7 @@
 func (f *Fleet) Room(n Need, may func(node string) bool) (cores float64, placers int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.looks += int64(len(f.agents))
 	for node, v := range f.agents {
 		if v.takes(n) && may(node) {
 			cores += float64(v.load.Capacity.CPUMillis) / 1000
@@ -117,6 +118,7 @@
 }
 
 func (f *Fleet) chooseLocked(n Need, may func(node string) bool) (placement, bool) {
+	f.looks += int64(len(f.agents))
 	var best placement
 	found := false
 	for node, v := range f.agents {
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -57,60 +57,115 @@
 	defer s.mu.Unlock()
 	var fx Effects
 	if !s.closed {
-		s.placeAgainLocked(now, &fx)
+		s.placeWaitingLocked(now, &fx)
 	}
 	return fx
 }
 
-// placeAgainLocked sends what waits here to agents that have room by now. What can't
-// be of use any more leaves.
-func (s *Shard) placeAgainLocked(now time.Duration, fx *Effects) {
+// placeWaitingLocked sends what waits here to agents that have room by now.
+//
+// It looks no further than the first task of each place that finds no room. News comes
+// some hundred times a second, most while agents are full: with a look at all that waits, an
+// entry that had a hundred jobs waiting spent more than its processor on them, fell behind
+// its frames, and had more waiting.
+func (s *Shard) placeWaitingLocked(now time.Duration, fx *Effects) {
 	s.waiting.measure(now, s.fleet.params.YieldMemory)
 	full := make(map[placeKey]bool)
-	for _, w := range s.waiting.take() {
-		j := s.jobs[w.id.Job]
-		if j == nil {
-			continue
+	s.waiting.filter(func(w *waitingTask) fate {
+		if len(full) == len(s.waiting.places) {
+			return stop
 		}
-		t := s.taskLocked(j, w.id)
+		j, t := s.stillWaitsLocked(w)
 		if t == nil {
-			continue
+			return leave
 		}
-		t.waiting = false
-		if j.rec.State.Final() || t.phase != idle {
-			continue
+		if full[w.where] {
+			// Smaller ones behind it don't overtake: a wide one would starve.
+			return stay
 		}
-		if reason := s.hopelessLocked(now, j, &w); reason != "" {
-			s.giveUpLocked(now, fx, j, reason)
-			continue
+		if s.tooLateLocked(now, j, w) {
+			t.waiting = false
+			s.giveUpLocked(now, fx, j, ReasonOverload)
+			return leave
 		}
-		if !full[w.where] && s.bindLocked(now, fx, j, w.id, t) {
-			if w.yields {
-				s.waiting.left += w.work
-			}
-			continue
+		if !s.bindLocked(now, fx, j, w.id, t) {
+			full[w.where] = true
+			return stay
 		}
-		// Smaller ones behind it don't overtake: a wide one would starve.
-		full[w.where] = true
-		s.waiting.add(w)
-		t.waiting = true
+		t.waiting = false
+		if w.yields {
+			s.waiting.left += w.work
+		}
+		return leave
+	})
+}
+
+// stillWaitsLocked returns the job and the task that wait, or nil if they don't any more.
+func (s *Shard) stillWaitsLocked(w *waitingTask) (*jobState, *task) {
+	j := s.jobs[w.id.Job]
+	if j == nil {
+		return nil, nil
 	}
+	t := s.taskLocked(j, w.id)
+	if t == nil {
+		return nil, nil
+	}
+	if j.rec.State.Final() || t.phase != idle {
+		t.waiting = false
+		return nil, nil
+	}
+	return j, t
+}
+
+// dropHopelessLocked gives up the jobs that wait here and can't be of use any more.
+func (s *Shard) dropHopelessLocked(now time.Duration, fx *Effects) {
+	reachable := make(map[placeKey]job.Demand)
+	s.waiting.filter(func(w *waitingTask) fate {
+		j, t := s.stillWaitsLocked(w)
+		if t == nil {
+			return leave
+		}
+		reason := s.hopelessLocked(now, j, w, reachable)
+		if reason == "" {
+			return stay
+		}
+		t.waiting = false
+		s.giveUpLocked(now, fx, j, reason)
+		return leave
+	})
 }
 
-// hopelessLocked says why a job of which nothing has started can't be of use any
-// more, or "".
-func (s *Shard) hopelessLocked(now time.Duration, j *jobState, w *waitingTask) string {
+// hopelessLocked says why a job of which nothing has started can't be of use any more, or
+// "". Reachable has a demand of each place for which an agent is there: one look at the
+// agents does for all that ask for as much.
+func (s *Shard) hopelessLocked(now time.Duration, j *jobState, w *waitingTask, reachable map[placeKey]job.Demand) string {
 	if j.useful == 0 || j.ordered {
 		return ""
 	}
-	n := s.need(&j.rec.Policy, &j.rec.Spec.Steps[w.id.Step], "")
-	if now > j.useful-n.Estimate {
+	if s.tooLateLocked(now, j, w) {
 		return ReasonOverload
 	}
-	if cores, _ := s.fleet.Room(n, s.mayOrderLocked); cores == 0 && !s.expectsAgents(now, &j.rec.Spec) {
-		return ReasonNoWorker
+	st := &j.rec.Spec.Steps[w.id.Step]
+	if known, ok := reachable[w.where]; ok && st.Demand.Fits(known) {
+		return ""
+	}
+	if cores, _ := s.fleet.Room(s.need(&j.rec.Policy, st, ""), s.mayOrderLocked); cores > 0 {
+		reachable[w.where] = st.Demand
+		return ""
+	}
+	if s.expectsAgents(now, &j.rec.Spec) {
+		return ""
+	}
+	return ReasonNoWorker
+}
+
+// tooLateLocked reports whether a job of which nothing has started would end too late to
+// be of use if it began now.
+func (s *Shard) tooLateLocked(now time.Duration, j *jobState, w *waitingTask) bool {
+	if j.useful == 0 || j.ordered {
+		return false
 	}
-	return ""
+	return now > j.useful-s.fleet.Expect(j.rec.Policy.Queue, j.rec.Spec.Steps[w.id.Step].Estimate)
 }
 
 // giveUpLocked refuses a job that was to wait and of which nothing has started. Its
--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -141,6 +141,7 @@
 	a.offerNews, a.owns = make(chan struct{}, 1), make(chan struct{})
 	a.server = peer.NewServer(a)
 	a.metrics.watchWorker(a.worker)
+	a.metrics.watchFleet(a.fleet)
 	return a
 }
 
--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -69,6 +69,7 @@
 		return dialer.Dial(context.Background(), node, reg.Links)
 	})
 	e.effort = e.newEffort()
+	e.metrics.watchFleet(e.fleet)
 	return e
 }
 
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -89,6 +89,12 @@
 // Metrics serves the agent's metrics.
 func (a *Agent) Metrics() http.Handler { return a.metrics.handler() }
 
+// watchFleet registers what placing costs.
+func (m *coreMetrics) watchFleet(f *owner.Fleet) {
+	opts := prometheus.CounterOpts{Namespace: namespace, Name: "placement_looks_total", Help: "Agents looked at to place tasks."}
+	m.registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(f.Looks()) }))
+}
+
 // watchWorker registers the counters of an agent's books.
 func (m *coreMetrics) watchWorker(w *worker.Worker) {
 	for _, c := range []struct {
