--- a/coordination/load/faults_test.go
+++ b/coordination/load/faults_test.go
@@ -40,17 +40,26 @@
 // crash ends some backend servers with all that runs there, and brings empty ones.
 func (w *world) crash(count int) {
 	for _, a := range w.agents[:count] {
-		clear(a.running)
-		a.ends, a.ended = nil, 0
-		a.dark = true
-		w.after(500*time.Millisecond, func() {
-			a.dark = false
-			a.lives++
-			a.report()
-		})
+		a.crash(500 * time.Millisecond)
 	}
 }
 
+// crash ends an agent's backend server with all that runs there, and brings an empty one
+// in its place.
+func (a *agent) crash(away time.Duration) {
+	if a.dark {
+		return
+	}
+	clear(a.running)
+	a.ends, a.ended = nil, 0
+	a.dark = true
+	a.lives++
+	a.w.after(away, func() {
+		a.dark = false
+		a.report()
+	})
+}
+
 // deaf delays the news that some agents tell of their load.
 func (w *world) deaf(count int) {
 	for _, a := range w.agents[:count] {
--- a/coordination/load/mix_test.go
+++ b/coordination/load/mix_test.go
@@ -65,6 +65,14 @@
 	// waits no more.
 	entry *entry
 	ended bool
+	// patient clients wait for as long as a recorded job does.
+	patient bool
+	// crashes is set where the job's first task crashes each backend server that starts
+	// it, and starts and lost count its starts and the servers lost under it.
+	crashes      bool
+	starts, lost int
+	// third is the number of starts when the third server was lost.
+	third int
 }
 
 // tally counts what became of a class's jobs.
@@ -93,10 +101,13 @@
 }
 
 // arrive draws a job and sends it to an entry.
-func (w *world) arrive(c *class) {
+func (w *world) arrive(c *class) { w.submit(w.draw(c)) }
+
+// draw returns a job.
+func (w *world) draw(c *class) *request {
 	mean := w.around(float64(c.work), spreadOfWork)
 	n := max(1, int(math.Round(w.around(c.width, spreadOfWidth))))
-	r := &request{class: c, at: w.now, id: job.ID(fmt.Sprintf("%016x", len(w.jobs)+1))}
+	r := &request{class: c, at: w.now, patient: w.patient, id: job.ID(fmt.Sprintf("%016x", len(w.jobs)+1))}
 	for range n {
 		r.works = append(r.works, time.Duration(w.around(mean, spreadInJob)))
 	}
@@ -104,6 +115,11 @@
 	r.step = job.Step{
 		Count: n, Demand: job.Demand{CPUMillis: c.cpu, MemoryMB: 64}, Estimate: time.Duration(w.around(mean, spreadOfGuess)),
 	}
+	return r
+}
+
+// submit sends a job to an entry.
+func (w *world) submit(r *request) {
 	w.jobs[r.id] = r
 	w.send(r)
 	w.after(r.limit(), func() {
@@ -118,7 +134,12 @@
 }
 
 // limit is how long the client waits in all; it names what is left with each try.
-func (r *request) limit() time.Duration { return shortestLimit + timesOverAim*r.aim }
+func (r *request) limit() time.Duration {
+	if r.patient {
+		return patientLimit
+	}
+	return shortestLimit + timesOverAim*r.aim
+}
 
 // send makes a try at a random entry. One that is down takes no connection.
 func (w *world) send(r *request) {
@@ -144,6 +165,13 @@
 }
 
 func (w *world) note(r *request, v owner.Verdict) {
+	if r.crashes {
+		r.ended = true
+		return // it can't be done
+	}
+	if v.Outcome == owner.OK && v.State == job.Failed {
+		w.givenUp++
+	}
 	t := w.tally[r.class.queue]
 	if t == nil {
 		t = &tally{}
--- a/coordination/load/world_test.go
+++ b/coordination/load/world_test.go
@@ -73,6 +73,12 @@
 	times float64
 	// subsets has the agents that each entry links.
 	subsets [][]*agent
+	// patient clients wait for as long as a recorded job does.
+	patient bool
+	// lost counts the backend servers that tasks have crashed, givenUp the jobs that were
+	// shown as failed though they could be done, and most is the most starts of a task
+	// after three servers were lost under it.
+	lost, givenUp, most int
 }
 
 // setup is the size of a world.
@@ -359,6 +365,10 @@
 			}
 			a.running[s.Run] = true
 			a.apply(a.StartAnswered(a.w.now, s.Instance, s.Run, worker.StartOK, ""))
+			if a.w.crashes(s.Run) {
+				a.w.after(crashDelay, func() { a.crashedBy(s.Run, lives) })
+				return
+			}
 			if !a.hangs {
 				a.w.after(time.Duration(float64(a.w.work(s.Run))*a.speed), func() { a.end(s.Run, job.Done) })
 			}
@@ -372,7 +382,7 @@
 	}
 	for _, ev := range fx.Events {
 		for _, c := range a.callers {
-			if c.entry.ID == ev.Shard && ev.State.Status == worker.Ended {
+			if c.entry.ID == ev.Shard && ev.State.Status != worker.Running {
 				a.tell(c, &ev)
 			}
 		}
--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -45,7 +45,7 @@
 	waited := s.waitedLocked(p, spec.Patience)
 	a := admission{due: objective - waited, useful: s.usefulFor(spec, objective) - waited, waited: waited}
 	for i := range spec.Steps {
-		n := s.need(p, &spec.Steps[i], "")
+		n := s.need(p, &spec.Steps[i])
 		n.Now, n.Slack = now, objective-chain
 		wait, ok := s.predictLocked(n, placeKeyOf(p, &spec.Steps[i]), spec.Steps[i].Count)
 		if !ok && !s.expectsAgents(now, spec) {
@@ -122,7 +122,7 @@
 	s.waiting.measure(now, s.fleet.params.YieldMemory)
 	for i := range spec.Steps {
 		st := &spec.Steps[i]
-		n := s.need(p, st, "")
+		n := s.need(p, st)
 		cores, placers := s.fleet.Room(n, s.mayOrderLocked)
 		s.waiting.expect(prior * cores / float64(placers))
 		took += s.waiting.yieldWait(s.waiting.yieldWork() + coreTime(n)*time.Duration(st.Count))
--- /dev/null
+++ b/coordination/owner/crash.go
@@ -0,0 +1,273 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// A backend server that is lost has as many suspects as runs were on it, and mostly none of
+// them is to blame. Given up by the count of such losses alone, jobs would fail that had only
+// run beside a task that crashes its server. So a task under which a server was lost runs
+// next apart from other suspects, and under which two were, alone. What ends is acquitted,
+// and so are the neighbours of a task that is found out.
+//
+// A task is given up where it was the only run on the second server that was lost, or where
+// three were lost under it. A loss counts once another instance has come up beside an agent
+// that ran on: a server without power, one that is cut off, drains or leaves says nothing of
+// its tasks. Judged wrongly as a crash it can fail a job that could be done, which is worse
+// than the further server that a crash which was not counted costs.
+
+// FailureCrashed is why a job failed one of whose tasks crashes its backend servers.
+const FailureCrashed = "a task took the backend servers down on which it was started"
+
+const (
+	// aloneSuspect is the number of the lost server that condemns a task if nothing ran
+	// beside it there.
+	aloneSuspect = 2
+	// recordedFrom is the number of lost servers from which on a task waits for its record.
+	recordedFrom = 2
+	// newsOfCrash is how long a task that has to be judged waits for what becomes of its
+	// last server, which is back after some seconds if it has crashed. A job of which
+	// nothing runs for longer would seem forgotten.
+	newsOfCrash = 2500 * time.Millisecond
+	// forgetCrash is how long a task beyond the last start that it may have waits for it.
+	forgetCrash = 10 * time.Second
+	// togetherWithin and togetherOthers tell losses of a common cause: a rack or switch
+	// takes servers down within the time in which their leases run out.
+	togetherWithin = 100 * time.Millisecond
+	togetherOthers = 2
+	// mostLosses bounds the losses that are remembered for that.
+	mostLosses = 64
+)
+
+// loss is a backend server that was lost with runs of this shard.
+type loss struct {
+	node, instance string
+	at             time.Duration
+}
+
+// lostWithServerLocked takes in that a run was lost with its backend server.
+func (s *Shard) lostWithServerLocked(now time.Duration, fx *Effects, j *jobState, t *task, rec *job.TaskRecord, node string, r worker.RunState) {
+	c := job.Crash{Run: r.Run.Number, Node: node, Instance: r.Instance, Alone: r.Suspects == 1, Confirmed: r.Loss == worker.LossConfirmed}
+	if !slices.ContainsFunc(rec.Crashes, func(k job.Crash) bool { return k.Run == c.Run && k.Node == c.Node }) {
+		rec.Crashes = append(slices.Clone(rec.Crashes), c)
+	}
+	s.noteLossLocked(now, node, r.Instance)
+	t.lostAt = now
+	fx.log(Decision{What: "crash_suspected", Job: j.rec.ID, Run: r.Run, Node: node, Reason: r.Instance, Count: r.Suspects})
+	t.phase = idle
+	if j.rec.State.Final() {
+		t.phase = over
+		return
+	}
+	s.suspects[r.Run.Task] = true
+	if len(rec.Crashes) >= recordedFrom {
+		// The next start is one of the last: an owner that takes over has to know.
+		s.writeLocked(fx, j, now)
+	} else {
+		s.writeLocked(fx, j, now+s.bounds.LazyWrite)
+	}
+	s.orderLocked(now, fx, j, r.Run.Task, t)
+}
+
+// newsOfLossLocked takes in what became of a server that was lost under a run.
+func (s *Shard) newsOfLossLocked(now time.Duration, fx *Effects, node string, r worker.RunState) {
+	j := s.jobs[r.Run.Task.Job]
+	if j == nil || j.rec.State.Final() || j.drop {
+		return
+	}
+	t := s.taskLocked(j, r.Run.Task)
+	if t == nil {
+		return
+	}
+	rec := j.rec.Task(r.Run.Task)
+	i := slices.IndexFunc(rec.Crashes, func(c job.Crash) bool { return c.Run == r.Run.Number && c.Node == node })
+	if i < 0 {
+		return
+	}
+	rec.Crashes = slices.Clone(rec.Crashes)
+	if r.Loss == worker.LossConfirmed {
+		rec.Crashes[i].Confirmed = true
+	} else {
+		rec.Crashes = slices.Delete(rec.Crashes, i, i+1)
+		fx.log(Decision{What: "crash_cleared", Job: j.rec.ID, Run: r.Run, Node: node, Reason: r.Instance})
+	}
+	s.writeLocked(fx, j, now+s.bounds.LazyWrite)
+	if t.phase == idle {
+		s.orderLocked(now, fx, j, r.Run.Task, t)
+	}
+}
+
+// noteLossLocked remembers a loss, once for each server.
+func (s *Shard) noteLossLocked(now time.Duration, node, instance string) {
+	if slices.ContainsFunc(s.losses, func(l loss) bool { return l.node == node && l.instance == instance }) {
+		return
+	}
+	if len(s.losses) == mostLosses {
+		s.losses = slices.Delete(s.losses, 0, 1)
+	}
+	s.losses = append(s.losses, loss{node: node, instance: instance, at: now})
+}
+
+// togetherLocked reports whether others were lost at the same moment as a server.
+func (s *Shard) togetherLocked(c *job.Crash) bool {
+	i := slices.IndexFunc(s.losses, func(l loss) bool { return l.node == c.Node && l.instance == c.Instance })
+	if i < 0 {
+		return false
+	}
+	others := 0
+	for k, l := range s.losses {
+		if k != i && max(l.at-s.losses[i].at, s.losses[i].at-l.at) <= togetherWithin {
+			others++
+		}
+	}
+	return others >= togetherOthers
+}
+
+// sentence is what a task's crashes lead to.
+type sentence uint8
+
+const (
+	// goOn: it may be started, with the caution that its crashes ask for.
+	goOn sentence = iota
+	// hold: it depends on news of a server.
+	hold
+	// giveUp: it is not started any more.
+	giveUp
+)
+
+// judgeLocked says whether a task may be started again.
+func (s *Shard) judgeLocked(now time.Duration, t *task, rec *job.TaskRecord) sentence {
+	n, most := len(rec.Crashes), s.fleet.params.CrashesMost
+	if n == 0 {
+		return goOn
+	}
+	last := &rec.Crashes[n-1]
+	if n < most && (n < aloneSuspect || !last.Alone) {
+		return goOn
+	}
+	confirmed := 0
+	for i := range rec.Crashes {
+		if rec.Crashes[i].Confirmed {
+			confirmed++
+		}
+	}
+	switch since := now - t.lostAt; {
+	case confirmed >= min(aloneSuspect, most) && n >= most:
+		return giveUp
+	case confirmed == n && !s.togetherLocked(last):
+		return giveUp
+	case confirmed < n && since < newsOfCrash:
+		return hold
+	case n <= most:
+		return goOn
+	case since < forgetCrash:
+		return hold
+	}
+	// Nobody can tell any more what became of those: their agents are lost too.
+	rec.Crashes = slices.DeleteFunc(slices.Clone(rec.Crashes), func(c job.Crash) bool { return !c.Confirmed })
+	return goOn
+}
+
+// maySuspectStartLocked reports whether a task under which servers were lost may be ordered
+// now; one that is given up fails its job.
+func (s *Shard) maySuspectStartLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task) bool {
+	rec := j.rec.Task(id)
+	if len(rec.Crashes) == 0 {
+		return true
+	}
+	switch s.judgeLocked(now, t, rec) {
+	case hold:
+		return false
+	case giveUp:
+		s.giveUpCrasherLocked(now, fx, j, id, t, rec)
+		return false
+	}
+	// A crash that no record has is forgotten with its owner, and the next one would start
+	// the task as often again.
+	return j.rec.Spec.BestEffort || len(rec.Crashes) < recordedFrom || t.recorded >= len(rec.Crashes)
+}
+
+// giveUpCrasherLocked fails the job of a task that crashes its servers.
+func (s *Shard) giveUpCrasherLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task, rec *job.TaskRecord) {
+	fx.log(Decision{What: "crasher_given_up", Job: id.Job, Run: job.RunID{Task: id, Number: t.number}, Node: rec.Crashes[len(rec.Crashes)-1].Node, Count: len(rec.Crashes)})
+	t.phase = over
+	delete(s.suspects, id)
+	guilty := rec.Crashes
+	s.failLocked(now, fx, j, FailureCrashed)
+	s.acquitNeighboursLocked(now, fx, guilty)
+}
+
+// acquitNeighboursLocked takes the servers that a task has crashed from the other suspects.
+func (s *Shard) acquitNeighboursLocked(now time.Duration, fx *Effects, guilty []job.Crash) {
+	for id := range s.suspects {
+		j := s.jobs[id.Job]
+		if j == nil || j.rec.State.Final() {
+			delete(s.suspects, id)
+			continue
+		}
+		rec := j.rec.Task(id)
+		kept := slices.DeleteFunc(slices.Clone(rec.Crashes), func(c job.Crash) bool {
+			return slices.ContainsFunc(guilty, func(g job.Crash) bool { return g.Node == c.Node && g.Instance == c.Instance })
+		})
+		if len(kept) == len(rec.Crashes) {
+			continue
+		}
+		rec.Crashes = kept
+		fx.log(Decision{What: "crash_acquitted", Job: id.Job, Run: job.RunID{Task: id}, Reason: "another_task", Count: len(kept)})
+		s.writeLocked(fx, j, now+s.bounds.LazyWrite)
+	}
+}
+
+// acquitLocked takes in that a run of a suspect has ended, and its server with it has not.
+func (s *Shard) acquitLocked(fx *Effects, rec *job.TaskRecord, run job.RunID, node string) {
+	if len(rec.Crashes) == 0 {
+		return
+	}
+	rec.Crashes = nil
+	delete(s.suspects, run.Task)
+	fx.log(Decision{What: "crash_acquitted", Job: run.Task.Job, Run: run, Node: node, Reason: "ended"})
+}
+
+// judgeSuspectsLocked looks again at suspects that wait for news of a server.
+func (s *Shard) judgeSuspectsLocked(now time.Duration, fx *Effects) {
+	for id := range s.suspects {
+		j := s.jobs[id.Job]
+		if j == nil || j.rec.State.Final() || len(j.rec.Task(id).Crashes) == 0 {
+			delete(s.suspects, id)
+			continue
+		}
+		if t := s.taskLocked(j, id); t.phase == idle && j.durable {
+			s.orderLocked(now, fx, j, id, t)
+		}
+	}
+}
+
+// caution is how a task is kept apart from others.
+func (s *Shard) caution(rec *job.TaskRecord) worker.Caution {
+	switch n := len(rec.Crashes); {
+	case n == 0:
+		return worker.NoCaution
+	case n >= s.fleet.params.CrashesAlone:
+		return worker.Alone
+	case n >= s.fleet.params.CrashesApart:
+		return worker.Apart
+	}
+	return worker.NoCaution
+}
+
+// avoided names the agents that a task goes to only when no other is there: where it has
+// failed last, and where servers were lost under it.
+func avoided(t *task, rec *job.TaskRecord) []string {
+	var out []string
+	if t.failed != "" {
+		out = append(out, t.failed)
+	}
+	for i := range rec.Crashes {
+		out = append(out, rec.Crashes[i].Node)
+	}
+	return out
+}
--- /dev/null
+++ b/coordination/owner/crash_test.go
@@ -0,0 +1,246 @@
+package owner
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// newCrashFixture returns a shard with links to a few agents.
+func newCrashFixture(t *testing.T, records ...*job.Record) *fixture {
+	t.Helper()
+	return newFixture(t, records, nil, "a", "b", "c", "d", "e")
+}
+
+// last is the order that was sent last.
+func (f *fixture) last() Placed[worker.Order] { return f.orders[len(f.orders)-1] }
+
+// lose tells that the backend server of an order's run was lost with so many runs on it.
+func (f *fixture) lose(o Placed[worker.Order], suspects int, what worker.Loss) {
+	f.take(f.Event(f.now, o.Node, worker.Event{Shard: f.ID, Epoch: f.Epoch, State: worker.RunState{
+		Run: o.What.Run, Status: worker.Ended, End: job.Lapsed, Loss: what, Instance: "i-" + o.Node, Suspects: suspects,
+	}}))
+	f.now += 200 * time.Millisecond
+	f.write()
+}
+
+// explain tells what became of that server.
+func (f *fixture) explain(o Placed[worker.Order], what worker.Loss) {
+	f.take(f.Event(f.now, o.Node, worker.Event{Shard: f.ID, Epoch: f.Epoch, State: worker.RunState{
+		Run: o.What.Run, Status: worker.LossNews, Loss: what, Instance: "i-" + o.Node,
+	}}))
+}
+
+// pass lets time pass and what is due be written.
+func (f *fixture) pass(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += 50 * time.Millisecond {
+		f.take(f.Tick(f.now))
+	}
+	f.write()
+}
+
+// begin submits a job of one task and returns its first order.
+func (f *fixture) begin() Placed[worker.Order] {
+	f.submit(testID, steps(1))
+	f.write()
+	return f.last()
+}
+
+// A task crashes each backend server that starts it, and each of them has others on it.
+// Its third start is alone, on an agent that it has not been to, and takes the third
+// server down; the task is not started again, and its job is shown as failed.
+func TestTaskUnderThreeCrashesIsGivenUp(t *testing.T) {
+	f := newCrashFixture(t)
+	cautions := []worker.Caution{worker.NoCaution, worker.Apart, worker.Alone}
+	been := make(map[string]bool)
+	o := f.begin()
+	for i, want := range cautions {
+		f.is.Equal(len(f.orders), i+1)
+		f.is.Equal(o.What.Caution, want)
+		f.is.True(!been[o.Node])
+		been[o.Node] = true
+		f.lose(o, 4-i, worker.LossConfirmed)
+		o = f.last()
+	}
+	f.is.Equal(len(f.orders), len(cautions))
+	v := f.Lookup(testID)
+	f.is.Equal(v.State, job.Failed)
+	f.is.Equal(v.Failure, FailureCrashed)
+}
+
+// The second server that is lost has nothing else on it: nobody else can have done it.
+func TestOnlySuspectOfTheSecondCrashIsGivenUp(t *testing.T) {
+	f := newCrashFixture(t)
+	f.lose(f.begin(), 9, worker.LossConfirmed)
+	f.lose(f.last(), 1, worker.LossConfirmed)
+	f.is.Equal(f.Lookup(testID).State, job.Failed)
+	f.is.Equal(len(f.orders), 2)
+}
+
+// Servers are cut off, or lose their leases, under the same task three times, and come
+// back as the same instances. Taken for crashes they would fail a job that can be done.
+func TestServersThatComeBackAccuseNobody(t *testing.T) {
+	f := newCrashFixture(t)
+	o := f.begin()
+	for range 4 {
+		f.lose(o, 1, worker.LossSuspected)
+		f.explain(o, worker.LossCleared)
+		f.write()
+		o = f.last()
+		f.is.Equal(o.What.Caution, worker.Apart) // it was not known yet
+		f.is.Equal(len(f.jobs[testID].rec.Tasks[0].Crashes), 0)
+	}
+	f.event(o, worker.Ended, job.Done)
+	f.write()
+	f.is.Equal(f.Lookup(testID).State, job.Completed)
+}
+
+// A task has run beside one that crashes its servers, twice, and ends at its third start.
+// It was innocent: what it was accused of is forgotten, also for a failure later.
+func TestNeighbourIsAcquittedWhenItEnds(t *testing.T) {
+	f := newCrashFixture(t)
+	f.lose(f.begin(), 5, worker.LossConfirmed)
+	f.lose(f.last(), 2, worker.LossConfirmed)
+	f.event(f.last(), worker.Ended, job.FailedRun)
+	f.write()
+	f.is.Equal(f.last().What.Caution, worker.NoCaution)
+	f.lose(f.last(), 1, worker.LossConfirmed)
+	f.is.Equal(f.Lookup(testID).State, job.Queued+1) // it goes on
+	f.event(f.last(), worker.Ended, job.Done)
+	f.write()
+	f.is.Equal(f.Lookup(testID).State, job.Completed)
+}
+
+// Two tasks are lost with one server, and one of them takes another down by itself. The
+// other is acquitted of the first, and runs beside anybody.
+func TestNeighbourOfACrasherIsAcquitted(t *testing.T) {
+	f := newCrashFixture(t)
+	crasher := f.begin()
+	f.submit("00000000000000bb", steps(1))
+	f.write()
+	neighbour := f.last()
+	neighbour.Node = crasher.Node // both were there
+	f.jobs["00000000000000bb"].tasks[0].node = crasher.Node
+	f.lose(crasher, 2, worker.LossConfirmed)
+	second := f.last()
+	f.lose(neighbour, 2, worker.LossConfirmed)
+	rerun := f.last()
+	f.is.Equal(rerun.What.Caution, worker.Apart)
+	f.lose(second, 1, worker.LossConfirmed)
+	f.is.Equal(f.Lookup(testID).State, job.Failed)
+	f.is.Equal(len(f.jobs["00000000000000bb"].rec.Tasks[0].Crashes), 0)
+}
+
+// A rack is lost, and in it the second server under a task that was alone there: others
+// were lost at the same moment, so the task is tried once more.
+func TestRackThatIsLostCondemnsNobody(t *testing.T) {
+	f := newCrashFixture(t)
+	f.submit("00000000000000bb", steps(3))
+	f.write()
+	others := f.orders
+	f.lose(f.begin(), 4, worker.LossConfirmed)
+	at := f.now
+	for i, o := range others {
+		f.lose(Placed[worker.Order]{Node: o.Node, What: o.What}, 2, worker.LossConfirmed)
+		f.losses[len(f.losses)-1] = loss{node: "rack-" + strconv.Itoa(i), at: at}
+	}
+	f.now = at
+	o := f.lastOf(testID)
+	f.noteLossLocked(f.now, o.Node, "i-"+o.Node)
+	f.lose(o, 1, worker.LossConfirmed)
+	f.is.True(!f.Lookup(testID).State.Final())
+	f.is.Equal(f.lastOf(testID).What.Caution, worker.Alone)
+}
+
+// lastOf is the order of a job that was sent last.
+func (f *fixture) lastOf(id job.ID) Placed[worker.Order] {
+	for i := len(f.orders) - 1; ; i-- {
+		if f.orders[i].What.Run.Task.Job == id {
+			return f.orders[i]
+		}
+	}
+}
+
+// An owner dies after two servers were lost under a task. The next one finds that in the
+// job's record, starts it alone, and gives it up after the third: a takeover gives no task
+// more starts.
+func TestCrashesOutliveTheirOwner(t *testing.T) {
+	f := newCrashFixture(t)
+	f.lose(f.begin(), 4, worker.LossConfirmed)
+	f.lose(f.last(), 4, worker.LossConfirmed)
+	rec := *f.jobs[testID].rec
+	rec.Spec.Digest = ""
+
+	next := newCrashFixture(t, &rec)
+	next.pass(100 * time.Millisecond)
+	next.is.Equal(len(next.orders), 1)
+	next.is.Equal(next.last().What.Caution, worker.Alone)
+	next.lose(next.last(), 1, worker.LossConfirmed)
+	next.is.Equal(next.Lookup(testID).State, job.Failed)
+	next.is.Equal(len(next.orders), 1)
+}
+
+// The store takes no writes when the second server is lost under a task. It is not started
+// again before that is recorded: an owner that takes over would know nothing of it.
+func TestSuspectWaitsForItsRecord(t *testing.T) {
+	f := newCrashFixture(t)
+	f.lose(f.begin(), 4, worker.LossConfirmed)
+	o := f.last()
+	f.take(f.Event(f.now, o.Node, worker.Event{Shard: f.ID, Epoch: f.Epoch, State: worker.RunState{
+		Run: o.What.Run, Status: worker.Ended, End: job.Lapsed, Loss: worker.LossConfirmed, Instance: "i", Suspects: 3,
+	}}))
+	f.take(f.Tick(f.now + time.Second))
+	f.is.Equal(len(f.orders), 2)
+	f.write()
+	f.is.Equal(len(f.orders), 3)
+}
+
+// Nobody hears what became of the servers that were lost under a task, since their agents
+// were lost too. It is started once more after the third, and then waits.
+func TestUnexplainedLossesHoldATaskBack(t *testing.T) {
+	f := newCrashFixture(t)
+	o := f.begin()
+	for range 3 {
+		f.lose(o, 2, worker.LossSuspected)
+		f.pass(3 * time.Second)
+		o = f.last()
+	}
+	f.is.Equal(len(f.orders), 4)
+	f.lose(o, 1, worker.LossSuspected)
+	f.pass(5 * time.Second)
+	f.is.Equal(len(f.orders), 4)
+	f.pass(6 * time.Second)
+	f.is.Equal(len(f.orders), 5) // it is as if nothing had been
+	f.is.Equal(f.last().What.Caution, worker.NoCaution)
+}
+
+// A job of many tasks has one that crashes its servers. As long as it may be
+// innocent the others go on; once it is given up their runs are stopped.
+func TestOthersOfAWideJobGoOnUntilItIsCertain(t *testing.T) {
+	is := is.New(t)
+	f := newCrashFixture(t)
+	f.submit(testID, steps(20))
+	f.write()
+	crasher := f.orders[0]
+	index := crasher.What.Run.Task.Index
+	f.lose(crasher, 9, worker.LossConfirmed)
+	f.lose(f.lastOfTask(index), 3, worker.LossConfirmed)
+	is.Equal(len(f.stops), 0)
+	f.pass(100 * time.Millisecond)
+	f.lose(f.lastOfTask(index), 1, worker.LossConfirmed)
+	is.Equal(f.Lookup(testID).State, job.Failed)
+	is.True(len(f.stops) > 0)
+}
+
+func (f *fixture) lastOfTask(index int) Placed[worker.Order] {
+	for i := len(f.orders) - 1; ; i-- {
+		if f.orders[i].What.Run.Task.Index == index {
+			return f.orders[i]
+		}
+	}
+}
--- a/coordination/owner/dispatch.go
+++ b/coordination/owner/dispatch.go
@@ -55,6 +55,7 @@
 		Checkpoint:   j.rec.Task(id).Checkpoint,
 		MaxPerWorker: st.MaxPerWorker,
 		Once:         j.rec.Policy.Once,
+		Caution:      s.caution(j.rec.Task(id)),
 	}
 }
 
@@ -85,6 +86,7 @@
 		return fx
 	}
 	s.waitOutLocked(now, &fx)
+	s.judgeSuspectsLocked(now, &fx)
 	s.dropHopelessLocked(now, &fx)
 	s.placeWaitingLocked(now, &fx)
 	s.expireJobsLocked(now)
--- a/coordination/owner/events.go
+++ b/coordination/owner/events.go
@@ -20,6 +20,10 @@
 	if l := s.links[node]; l == nil || !l.claimed {
 		return fx
 	}
+	if e.State.Status == worker.LossNews {
+		s.newsOfLossLocked(now, &fx, node, e.State)
+		return fx
+	}
 	if e.State.Status == worker.Ended {
 		s.endLocked(now, &fx, node, e.State)
 		return fx
@@ -80,6 +84,9 @@
 	if r.Checkpoint != "" {
 		rec.Checkpoint = r.Checkpoint
 	}
+	if r.End == job.Done || r.End == job.FailedRun {
+		s.acquitLocked(fx, rec, r.Run, node)
+	}
 	switch r.End {
 	case job.Done:
 		rec.Result, rec.Work = r.Result, r.Work
@@ -102,6 +109,10 @@
 		}
 		fx.log(Decision{What: "run_over", Job: j.rec.ID, Run: r.Run, Node: node, Reason: r.Reason + "/" + r.End.String(), Age: now - j.accepted})
 		fx.settle(node, Settlement{Run: r.Run})
+		if r.Loss != worker.NotLost {
+			s.lostWithServerLocked(now, fx, j, t, rec, node, r)
+			return
+		}
 		t.phase = idle
 		if r.End == job.NeverRan && r.Reason != worker.ReasonNoRoom {
 			t.failed = node
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -32,6 +32,8 @@
 	Placers int
 	// Seen counts the orders that the agent had received on this link.
 	Seen int64
+	// Suspects counts the runs and orders there that may crash the backend server.
+	Suspects int
 }
 
 // before is the waiting work that goes before a task with some slack left.
@@ -63,9 +65,12 @@
 	Yields bool
 	// Now is the time of the placement.
 	Now time.Duration
-	// Avoid is the agent on which the task failed last; it is taken only when
-	// no other is there.
-	Avoid string
+	// Avoid are agents on which the task failed, or whose servers were lost under it; they
+	// are taken only when no other is there.
+	Avoid []string
+	// Caution is set for a task that may crash its backend server: it goes where few
+	// others run, and no other suspect.
+	Caution worker.Caution
 }
 
 // Fleet is an owner's view of the agents it has a link to. It is shared by the
@@ -99,7 +104,7 @@
 
 func (v *agentView) book(n Need) {
 	v.sent++
-	v.pending = append(v.pending, pendingOrder{number: v.sent, at: n.Now, demand: n.Demand, work: coreTime(n)})
+	v.pending = append(v.pending, pendingOrder{number: v.sent, at: n.Now, demand: n.Demand, work: coreTime(n), suspect: n.Caution != worker.NoCaution})
 }
 
 // unbook takes the last booking back.
@@ -115,6 +120,8 @@
 	at     time.Duration
 	demand job.Demand
 	work   time.Duration
+	// suspect is set where the task may crash its backend server.
+	suspect bool
 }
 
 // NewFleet returns an empty fleet.
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -72,6 +72,8 @@
 	Reason string
 	Wait   time.Duration
 	Age    time.Duration
+	// Count is of suspects, or of lost servers.
+	Count int
 }
 
 // WantsRoom reports whether a decision was made for want of room at the linked agents.
@@ -112,6 +114,10 @@
 	awaits int64
 	// unsettled has ends whose record was not taken to the store yet.
 	unsettled []Placed[Settlement]
+	// recorded is how many of the task's crashes the store has, and lostAt when its last
+	// server was lost.
+	recorded int
+	lostAt   time.Duration
 }
 
 // jobState is guarded by Shard.mu.
@@ -178,6 +184,10 @@
 	fading []expiry
 	// queued counts jobs without a started task, by queue.
 	queued map[string]int
+	// suspects are the tasks under which backend servers were lost, and losses the
+	// servers that were lost last.
+	suspects map[job.TaskID]bool
+	losses   []loss
 	// storeBad is set while records can't be written.
 	storeBad bool
 	// missed is set when an agent that earlier owners had sent orders to was
@@ -216,6 +226,7 @@
 		patience: make(map[string]*patienceLog),
 		waitFor:  make(map[string]time.Duration, len(mayRun)),
 		queued:   make(map[string]int),
+		suspects: make(map[job.TaskID]bool),
 		named:    make(map[string]bool, len(mayRun)),
 	}
 	for _, node := range mayRun {
@@ -251,6 +262,10 @@
 			j.tasks[i].phase = over
 			continue
 		}
+		if i < len(r.Tasks) && len(r.Tasks[i].Crashes) > 0 {
+			j.tasks[i].recorded, j.tasks[i].lostAt = len(r.Tasks[i].Crashes), now
+			s.suspects[r.TaskAt(r.ID, i)] = true
+		}
 		j.left++
 	}
 	s.queued[r.Policy.Queue]++
--- a/coordination/owner/params.go
+++ b/coordination/owner/params.go
@@ -71,6 +71,10 @@
 	// to have chosen it whenever this one did, since its last news. Eight of them that
 	// each see only their own orders promise the same room several times over.
 	Alike float64
+	// CrashesApart, CrashesAlone and CrashesMost are the numbers of backend servers that were
+	// lost under a task from which on it runs apart from other suspects, runs alone, and is
+	// given up.
+	CrashesApart, CrashesAlone, CrashesMost int
 	// LearnWeight is the weight of one new measurement of a run time: about the last
 	// fifty count, some seconds of traffic of a queue.
 	LearnWeight float64
@@ -94,6 +98,9 @@
 		PooledWait:    2,
 		StaleLoad:     320 * time.Millisecond,
 		Alike:         0.4,
+		CrashesApart:  1,
+		CrashesAlone:  2,
+		CrashesMost:   3,
 		LearnWeight:   0.02,
 	}
 }
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
@@ -127,9 +128,12 @@
 		}
 		p := f.predictLocked(node, v, n)
 		p.rank = p.finish
-		if node == n.Avoid || n.Now-v.heard > f.params.StaleLoad {
+		if slices.Contains(n.Avoid, node) || n.Now-v.heard > f.params.StaleLoad {
 			p.rank += lastResort
 		}
+		if n.Caution != worker.NoCaution {
+			p.rank += v.company(p)
+		}
 		if !found || p.rank < best.rank {
 			best, found = p, true
 		}
@@ -137,6 +141,20 @@
 	return best, found
 }
 
+// fullestRank puts an agent whose worker is full behind an empty one, for a suspect. It is
+// more than the waits differ by, so that the fewest others run beside it.
+const fullestRank = time.Second
+
+// company ranks an agent for a suspect by what runs there: other suspects, which are still
+// better than an agent whose server was lost under it, or how much.
+func (v *agentView) company(p placement) time.Duration {
+	rank := time.Duration((1 - p.left) * float64(fullestRank))
+	if v.load.Suspects > 0 || slices.ContainsFunc(v.pending, func(o pendingOrder) bool { return o.suspect }) {
+		rank += lastResort / 2
+	}
+	return rank
+}
+
 // takes reports whether an agent may get a task now.
 func (v *agentView) takes(n Need) bool { return v.load.Accepts && !v.retired && v.load.eligible(n) }
 
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -133,9 +133,9 @@
 	s.dispatchLocked(now, fx, j)
 }
 
-func (s *Shard) need(p *job.Policy, st *job.Step, avoid string) Need {
+func (s *Shard) need(p *job.Policy, st *job.Step) Need {
 	return Need{
-		Service: p.Service, Label: st.Label, Rack: st.Rack, Domains: st.Domains, Demand: st.Demand, Avoid: avoid,
+		Service: p.Service, Label: st.Label, Rack: st.Rack, Domains: st.Domains, Demand: st.Demand,
 		Estimate: s.fleet.Expect(p.Queue, st.Estimate),
 	}
 }
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -12,7 +12,7 @@
 // waits already is passed over: each end of a job's task has its other idle ones looked
 // at, and a job of a thousand would fill the backlog with itself a thousand times.
 func (s *Shard) orderLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task) {
-	if t.waiting {
+	if t.waiting || !s.maySuspectStartLocked(now, fx, j, id, t) {
 		return
 	}
 	w := s.waitingTask(j, id)
@@ -24,14 +24,16 @@
 
 func (s *Shard) waitingTask(j *jobState, id job.TaskID) waitingTask {
 	st := &j.rec.Spec.Steps[id.Step]
-	n := s.need(&j.rec.Policy, st, "")
+	n := s.need(&j.rec.Policy, st)
 	return waitingTask{id: id, where: placeKeyOf(&j.rec.Policy, st), yields: j.yields, latest: j.due - n.Estimate, work: coreTime(n)}
 }
 
 // bindLocked sends a task to an agent, if one has room for it soon.
 func (s *Shard) bindLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task) bool {
-	need := s.need(&j.rec.Policy, &j.rec.Spec.Steps[id.Step], t.failed)
+	rec := j.rec.Task(id)
+	need := s.need(&j.rec.Policy, &j.rec.Spec.Steps[id.Step])
 	need.Now, need.Slack, need.Yields = now, j.due-now-need.Estimate, j.yields
+	need.Avoid, need.Caution = avoided(t, rec), s.caution(rec)
 	node, ok := s.fleet.Place(need, s.mayOrderLocked)
 	if !ok {
 		return false
@@ -149,7 +151,7 @@
 	if known, ok := reachable[w.where]; ok && st.Demand.Fits(known) {
 		return ""
 	}
-	if cores, _ := s.fleet.Room(s.need(&j.rec.Policy, st, ""), s.mayOrderLocked); cores > 0 {
+	if cores, _ := s.fleet.Room(s.need(&j.rec.Policy, st), s.mayOrderLocked); cores > 0 {
 		reachable[w.where] = st.Demand
 		return ""
 	}
--- a/coordination/owner/write.go
+++ b/coordination/owner/write.go
@@ -147,6 +147,7 @@
 	for i := range b.Writes {
 		s.writtenLocked(now, &fx, &b.Writes[i])
 	}
+	s.judgeSuspectsLocked(now, &fx)
 	s.placeWaitingLocked(now, &fx)
 	return fx
 }
@@ -166,6 +167,11 @@
 		}
 		fx.settle(u.Node, u.What)
 	}
+	for i := range w.Record.Tasks {
+		if i < len(j.tasks) {
+			j.tasks[i].recorded = len(w.Record.Tasks[i].Crashes)
+		}
+	}
 	first := !j.durable
 	j.durable = true
 	for _, reply := range j.waiters {
--- /dev/null
+++ b/coordination/worker/crash.go
@@ -0,0 +1,160 @@
+package worker
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// A task may crash each backend server that starts it. Started again and again it takes
+// one server after another down, with all that runs beside it. The owner of a task decides
+// whether to go on with it; the agent tells what it has seen: how many runs were on the
+// server when it was lost, and whether another instance came up after that while the agent
+// ran on. An agent that was lost with its host tells nothing, so that a host without power
+// makes no task a suspect, and neither does a server that was draining or has said that it
+// leaves.
+
+// Loss is what an agent tells of a run that was lost with its backend server.
+type Loss uint8
+
+const (
+	// NotLost: the run has not ended with its server, or as was announced.
+	NotLost Loss = iota
+	// LossSuspected: the server does not answer, and the run's lease has run out.
+	LossSuspected
+	// LossConfirmed: another instance has come up in the server's place.
+	LossConfirmed
+	// LossCleared: the same instance answers again, or it has left as planned.
+	LossCleared
+)
+
+// Caution is how an order's run is kept apart from others on its server, so that the next
+// crash tells more of who has brought it about.
+type Caution uint8
+
+const (
+	// NoCaution: the run may be beside any other.
+	NoCaution Caution = iota
+	// Apart: it must not be beside another suspect.
+	Apart
+	// Alone: nothing else may be on the server, for as long as the run is expected to take.
+	Alone
+)
+
+// lostMemory is how long runs that were lost with a server are remembered for the news of
+// what became of it: longer than a backend server takes to come back.
+const lostMemory = 20 * time.Second
+
+// lostServer is an instance that was lost, with the runs on it.
+type lostServer struct {
+	instance string
+	at       time.Duration
+	runs     []*run
+}
+
+// occupies reports whether a run may be on the backend server.
+func (r *run) occupies() bool { return r.phase != waiting && r.phase != ended }
+
+// blameless reports whether the backend server's end says nothing of its runs.
+func (w *Worker) blameless() bool { return w.server.Draining || w.closing }
+
+// loseLocked ends a run that was lost with its server. One of several suspects may be
+// the cause.
+func (w *Worker) loseLocked(now time.Duration, fx *Effects, id job.RunID, r *run, what Loss, suspects int, reason string) {
+	if what == NotLost || !r.occupies() {
+		w.dropLocked(fx, id, r, job.Lapsed, reason)
+		return
+	}
+	if what == LossSuspected {
+		if w.lost == nil || w.lost.instance != w.server.Instance {
+			w.lost = &lostServer{instance: w.server.Instance, at: now}
+		}
+		w.lost.runs = append(w.lost.runs, r)
+	}
+	r.loss, r.suspects = what, suspects
+	w.dropLocked(fx, id, r, job.Lapsed, reason)
+}
+
+// foundLocked tells the owners of runs that were lost what became of their server.
+func (w *Worker) foundLocked(fx *Effects, what Loss) {
+	if w.lost == nil {
+		return
+	}
+	for _, r := range w.lost.runs {
+		s := RunState{Run: r.order.Run, Status: LossNews, Loss: what, Instance: w.lost.instance}
+		w.emitLocked(fx, r, s)
+	}
+	w.lost = nil
+}
+
+// lostForLocked returns the runs of a shard that were lost while it had another owner. That
+// one may have died with the news, and its successor would start the task as if no server
+// had been lost under it.
+func (w *Worker) lostForLocked(c Claim) []RunState {
+	if w.lost == nil {
+		return nil
+	}
+	var out []RunState
+	for _, r := range w.lost.runs {
+		if r.order.Shard != c.Shard || r.order.Epoch >= c.Epoch {
+			continue
+		}
+		r.order.Epoch = c.Epoch
+		out = append(out, RunState{
+			Run: r.order.Run, Status: Ended, End: job.Lapsed, Loss: LossSuspected, Instance: w.lost.instance, Suspects: r.suspects,
+		})
+	}
+	return out
+}
+
+// forgetLostLocked gives up waiting for news of a server that stays away.
+func (w *Worker) forgetLostLocked(now time.Duration) {
+	if w.lost != nil && now-w.lost.at > lostMemory {
+		w.lost = nil
+	}
+}
+
+// reservedLocked reports whether the backend server is kept for one run: it is there, or
+// waits until the others have ended.
+func (w *Worker) reservedLocked(now time.Duration) bool {
+	for _, r := range w.runs {
+		if r.order.Caution == Alone && (r.phase == waiting || r.occupies() && r.keepsOthersOff(now)) {
+			return true
+		}
+	}
+	return false
+}
+
+// keepsOthersOff reports whether a run that was to be alone still is: beyond its expected
+// time a task that takes long would keep its server for itself.
+func (r *run) keepsOthersOff(now time.Duration) bool {
+	return r.order.Caution == Alone && now-r.startedAt < max(r.order.Estimate, leastAlone)
+}
+
+// leastAlone is how long a suspect is alone at least: estimates are off by a third, and a
+// crash a few milliseconds after the expected end would have others under suspicion.
+const leastAlone = 150 * time.Millisecond
+
+// admits reports whether an order may start beside what is on the server.
+func (o *occupancy) admits(order *Order) bool {
+	switch {
+	case o.closed:
+		return false
+	case order.Caution == Alone:
+		return o.runs == 0
+	case order.Caution == Apart:
+		return o.suspects == 0
+	}
+	return true
+}
+
+// cautiousLocked counts the suspects that are here or wait.
+func (w *Worker) cautiousLocked() int {
+	n := 0
+	for _, r := range w.runs {
+		if r.phase != ended && r.order.Caution != NoCaution {
+			n++
+		}
+	}
+	return n
+}
--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -31,6 +31,8 @@
 	Unsettled int
 	// Holds counts the holds that were sent.
 	Holds int64
+	// Suspects counts the runs and orders that may crash the backend server.
+	Suspects int
 }
 
 // Load returns the present load. Backlog is the waiting work in time of one
@@ -39,10 +41,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	l := Load{Server: w.server, Unsettled: w.unsettled, Holds: w.holds, Slowdown: w.health.slowdown(now), Accepts: w.seen && w.clock.known && !w.server.Draining && !w.closing && !w.health.suspended && !w.failing && !w.clean}
-	used, known := w.usedLocked()
-	if known {
-		l.Free = w.server.Capacity.Minus(used)
+	taken := w.occupancyLocked(now)
+	if taken.known {
+		l.Free = w.server.Capacity.Minus(taken.used)
 	}
+	if w.reservedLocked(now) {
+		l.Free = job.Demand{}
+	}
+	l.Suspects = w.cautiousLocked()
 	var running time.Duration
 	for _, r := range w.runs {
 		switch r.phase {
--- a/coordination/worker/loss.go
+++ b/coordination/worker/loss.go
@@ -26,7 +26,7 @@
 		return fx
 	}
 	if why == OtherInstance {
-		w.resetLocked(&fx)
+		w.replacedServerLocked(now, &fx)
 		w.seen = false
 		return fx
 	}
--- a/coordination/worker/orders.go
+++ b/coordination/worker/orders.go
@@ -55,6 +55,7 @@
 		}
 		out.Runs = append(out.Runs, r.state())
 	}
+	out.Runs = append(out.Runs, w.lostForLocked(c)...)
 	return out
 }
 
--- a/coordination/worker/pump.go
+++ b/coordination/worker/pump.go
@@ -7,21 +7,41 @@
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
-// usedLocked is what is taken of the worker. A run keeps its room until its end
-// is listed or its lease has expired for certain: the backend server starts
-// what it is told, whether it fits or not.
-func (w *Worker) usedLocked() (used job.Demand, known bool) {
-	known = true
+// occupancy is what is taken of the worker.
+type occupancy struct {
+	used job.Demand
+	// known is false while a run of unknown size is there: its owner tells its size with
+	// its claim, or it is stopped when the owner stays silent.
+	known bool
+	// runs counts those that may be on the backend server, and suspects those of tasks
+	// under which servers were lost.
+	runs, suspects int
+	// closed is set while a suspect has the server for itself.
+	closed bool
+}
+
+// occupancyLocked sums up what is on the backend server. A run keeps its room until its
+// end is listed or its lease has expired for certain: the backend server starts what it
+// is told, whether it fits or not.
+func (w *Worker) occupancyLocked(now time.Duration) occupancy {
+	o := occupancy{known: true}
 	for _, r := range w.runs {
-		if r.phase == waiting || r.phase == ended {
+		if !r.occupies() {
 			continue
 		}
-		if !r.known {
-			known = false
-		}
-		used = used.Plus(r.order.Demand)
+		o.known = o.known && r.known
+		o.closed = o.closed || r.keepsOthersOff(now)
+		o.add(&r.order)
+	}
+	return o
+}
+
+func (o *occupancy) add(order *Order) {
+	o.used = o.used.Plus(order.Demand)
+	o.runs++
+	if order.Caution != NoCaution {
+		o.suspects++
 	}
-	return used, known
 }
 
 // pumpLocked starts waiting orders while they fit.
@@ -29,18 +49,23 @@
 	if !w.mayStartLocked() {
 		return
 	}
-	used, known := w.usedLocked()
-	if !known {
-		// A run of unknown size occupies the worker: its owner tells its size
-		// with its claim, or it is stopped when the owner stays silent.
+	taken := w.occupancyLocked(now)
+	if !taken.known {
 		return
 	}
 	for _, r := range w.waitingLocked() {
-		if !r.order.Demand.Fits(w.server.Capacity.Minus(used)) {
+		if !taken.admits(&r.order) {
+			if r.order.Caution == Apart {
+				continue // the suspect before it ends soon, and others need not wait
+			}
+			return
+		}
+		if !r.order.Demand.Fits(w.server.Capacity.Minus(taken.used)) {
 			// Later and smaller orders don't overtake: a wide one would starve.
 			return
 		}
-		used = used.Plus(r.order.Demand)
+		taken.add(&r.order)
+		taken.closed = r.order.Caution == Alone
 		w.startLocked(now, fx, r)
 		if w.health.probing() {
 			return
--- a/coordination/worker/run.go
+++ b/coordination/worker/run.go
@@ -42,6 +42,9 @@
 	startedAt    time.Duration
 	end          endState
 	queue        int64
+	// loss and suspects are what the owner is told of a run that was lost with its server.
+	loss     Loss
+	suspects int
 }
 
 type endState struct {
@@ -71,11 +74,26 @@
 
 func (c *clock) at(now time.Duration) int64 { return int64((now + c.offset) / time.Millisecond) }
 
-// resetLocked ends all runs of an instance that is gone.
-func (w *Worker) resetLocked(fx *Effects) {
+// replacedServerLocked ends all runs of an instance in whose place another has come up.
+func (w *Worker) replacedServerLocked(now time.Duration, fx *Effects) {
+	what := LossConfirmed
+	if w.blameless() {
+		what = LossCleared
+	}
+	w.foundLocked(fx, what)
+	if what == LossCleared {
+		what = NotLost
+	}
+	w.resetLocked(now, fx, what)
+}
+
+// resetLocked ends all runs of an instance that is gone, and says whether that was
+// unforeseen.
+func (w *Worker) resetLocked(now time.Duration, fx *Effects, what Loss) {
+	suspects := w.occupancyLocked(now).runs
 	for id, r := range w.runs {
 		if r.phase != ended {
-			w.dropLocked(fx, id, r, job.Lapsed, "instance_gone")
+			w.loseLocked(now, fx, id, r, what, suspects, "instance_gone")
 			continue
 		}
 		if r.order.Once && !r.end.settled {
@@ -100,7 +118,11 @@
 	if r.phase == waiting {
 		kind = job.NeverRan
 	}
-	w.emitLocked(fx, r, RunState{Run: r.order.Run, Status: Ended, End: kind, Reason: reason})
+	s := RunState{Run: r.order.Run, Status: Ended, End: kind, Reason: reason}
+	if r.loss != NotLost {
+		s.Loss, s.Instance, s.Suspects = r.loss, w.server.Instance, r.suspects
+	}
+	w.emitLocked(fx, r, s)
 }
 
 // dropLocked reports the end of a run that the backend server does not list and
--- a/coordination/worker/silence.go
+++ b/coordination/worker/silence.go
@@ -19,6 +19,7 @@
 	w.health.tick(now)
 	w.stallLocked(now, fx)
 	w.expireLocked(now, fx)
+	w.forgetLostLocked(now)
 	w.silenceLocked(now, fx)
 	w.trimLocked()
 	for _, r := range w.runs {
@@ -36,6 +37,11 @@
 		return
 	}
 	w.clean = true
+	what := LossSuspected
+	if w.blameless() {
+		what = NotLost
+	}
+	suspects := w.occupancyLocked(now).runs
 	for id, r := range w.runs {
 		if r.phase == waiting {
 			w.dropLocked(fx, id, r, job.NeverRan, "server_silent")
@@ -46,7 +52,7 @@
 			continue
 		}
 		w.stats.Lapsed++
-		w.dropLocked(fx, id, r, job.Lapsed, "lease_expired")
+		w.loseLocked(now, fx, id, r, what, suspects, "lease_expired")
 	}
 }
 
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -74,6 +74,8 @@
 	// Once is the policy of the run's job: its loss must not be forgotten
 	// before the owner has heard of it.
 	Once bool
+	// Caution is set where backend servers were lost under earlier runs of the task.
+	Caution Caution
 }
 
 // RunState is what an owner is told of a run.
@@ -87,6 +89,11 @@
 	Reason string
 	// Result is what a run that is done returned.
 	Result string
+	// Loss says whether the run was lost with its backend server, of that Instance, with
+	// so many Suspects on it, this one among them.
+	Loss     Loss
+	Instance string
+	Suspects int
 }
 
 // Status is the coarse state of a run as an owner sees it.
@@ -99,6 +106,9 @@
 	Running
 	// Ended runs are over.
 	Ended
+	// LossNews says what became of the backend server with which a run was lost. The end
+	// of the run was told before.
+	LossNews
 )
 
 // Event is news of a run for the owner of its shard.
@@ -185,6 +195,9 @@
 	// unsettled is the number of ends in the newest list.
 	unsettled int
 
+	// lost is the instance that was lost last, until it is known what became of it.
+	lost *lostServer
+
 	health  health
 	answers answerTimes
 	// lastDone is when a run ended as done last.
@@ -228,7 +241,7 @@
 		return fx
 	}
 	if w.seen && s.Instance != w.server.Instance {
-		w.resetLocked(&fx)
+		w.replacedServerLocked(now, &fx)
 	}
 	if !w.seen || s.Instance != w.server.Instance {
 		w.acked = 0
@@ -282,7 +295,8 @@
 	defer w.mu.Unlock()
 	var fx Effects
 	if w.seen && w.server.Instance == instance {
-		w.resetLocked(&fx)
+		w.foundLocked(&fx, LossCleared)
+		w.resetLocked(0, &fx, NotLost)
 		w.seen = false
 	}
 	return fx
--- a/coordination/worker/worker_test.go
+++ b/coordination/worker/worker_test.go
@@ -75,10 +75,7 @@
 // send has an order taken in, and confirms the starts that it brings.
 func (f *fixture) send(o Order) Effects {
 	fx := f.take(f.Order(f.now, o))
-	for _, s := range fx.Starts {
-		f.alive[s.Run] = true
-		f.take(f.StartAnswered(f.now, s.Instance, s.Run, StartOK, ""))
-	}
+	f.confirm(fx)
 	return fx
 }
 
@@ -100,10 +97,18 @@
 			h.Ends = append(h.Ends, e)
 		}
 	}
-	f.take(f.Held(f.now, c, h))
+	f.confirm(f.take(f.Held(f.now, c, h)))
 	return c
 }
 
+// confirm has the backend server start what it is told.
+func (f *fixture) confirm(fx Effects) {
+	for _, s := range fx.Starts {
+		f.alive[s.Run] = true
+		f.take(f.StartAnswered(f.now, s.Instance, s.Run, StartOK, ""))
+	}
+}
+
 // ended returns the ends that were told to owners.
 func (f *fixture) ended() []RunState {
 	var out []RunState
--- a/daemon/clients/answer.go
+++ b/daemon/clients/answer.go
@@ -54,8 +54,11 @@
 		return state.Answer{Key: key, Outcome: state.Failed, Reason: state.ReasonCancelled}
 	case job.Failed:
 		a := state.Answer{Key: key, Outcome: state.Failed, Reason: state.ReasonTaskFailed, Detail: v.Failure}
-		if v.Failure == owner.FailureLost {
+		switch v.Failure {
+		case owner.FailureLost:
 			a.Reason = state.ReasonCutOff
+		case owner.FailureCrashed:
+			a.Reason = state.ReasonCrashed
 		}
 		return a
 	}
--- a/daemon/core/steps.go
+++ b/daemon/core/steps.go
@@ -85,7 +85,7 @@
 func (r *steps) log(d *owner.Decision) {
 	r.metrics.decisions.WithLabelValues(d.What).Inc()
 	klog.InfoS("Job", "what", d.What, "id", d.Job, "shard", r.ID, "epoch", r.Epoch, "step", d.Run.Task.Step, "task", d.Run.Task.Index,
-		"run", d.Run.Number, "agent", d.Node, "reason", d.Reason, "age", d.Age.Milliseconds(), "wait", d.Wait.Milliseconds())
+		"run", d.Run.Number, "agent", d.Node, "reason", d.Reason, "age", d.Age.Milliseconds(), "wait", d.Wait.Milliseconds(), "count", d.Count)
 }
 
 // news has tasks that wait here sent to agents that may have room by now.
--- a/protocol/api/title.go
+++ b/protocol/api/title.go
@@ -24,6 +24,7 @@
 	state.ReasonNoBackend:        "No backend server offers the service",
 	state.ReasonTaskFailed:       "A task failed",
 	state.ReasonCutOff:           "A task was cut off with its backend server",
+	state.ReasonCrashed:          "A task took down the backend servers that started it",
 	state.ReasonStoreUnavailable: "The platform's store is out of service",
 	state.ReasonLostRace:         "Another declaration came first",
 	state.ReasonServiceOwned:     "Another operator owns the service",
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -30,7 +30,7 @@
 		Payload: o.Payload, Service: o.Service, Label: o.Label,
 		CpuMillis: o.Demand.CPUMillis, MemoryMb: o.Demand.MemoryMB, Gpus: o.Demand.GPUs,
 		EstimateUs: o.Estimate.Microseconds(), DueUs: (o.Due - now).Microseconds(),
-		Once: o.Once, Repeat: o.Repeat, Checkpoint: o.Checkpoint, MaxPerWorker: int32(o.MaxPerWorker),
+		Once: o.Once, Repeat: o.Repeat, Checkpoint: o.Checkpoint, MaxPerWorker: int32(o.MaxPerWorker), Caution: int32(o.Caution),
 	}
 }
 
@@ -43,6 +43,7 @@
 		Estimate: time.Duration(p.GetEstimateUs()) * time.Microsecond,
 		Due:      now + time.Duration(p.GetDueUs())*time.Microsecond,
 		Once:     p.GetOnce(), Repeat: p.GetRepeat(), Checkpoint: p.GetCheckpoint(), MaxPerWorker: int(p.GetMaxPerWorker()),
+		Caution: worker.Caution(p.GetCaution()),
 	}
 }
 
@@ -51,6 +52,7 @@
 	return &corepb.RunState{
 		Run: RunToWire(s.Run), Status: int32(s.Status), End: int32(s.End),
 		Checkpoint: s.Checkpoint, WorkUs: s.Work.Microseconds(), Reason: s.Reason, Result: s.Result,
+		Loss: int32(s.Loss), Instance: s.Instance, Suspects: int32(s.Suspects),
 	}
 }
 
@@ -59,6 +61,7 @@
 	return worker.RunState{
 		Run: RunFromWire(p.GetRun()), Status: worker.Status(p.GetStatus()), End: job.EndKind(p.GetEnd()),
 		Checkpoint: p.GetCheckpoint(), Work: time.Duration(p.GetWorkUs()) * time.Microsecond, Reason: p.GetReason(), Result: p.GetResult(),
+		Loss: worker.Loss(p.GetLoss()), Instance: p.GetInstance(), Suspects: int(p.GetSuspects()),
 	}
 }
 
@@ -90,7 +93,7 @@
 		CapacityCpu: l.Server.Capacity.CPUMillis, CapacityMemory: l.Server.Capacity.MemoryMB, CapacityGpus: l.Server.Capacity.GPUs,
 		FreeCpu: l.Free.CPUMillis, FreeMemory: l.Free.MemoryMB, FreeGpus: l.Free.GPUs,
 		BacklogUs: l.Backlog.Microseconds(), TurnoverUs: l.Turnover.Microseconds(), Accepts: l.Accepts,
-		Slowdown: l.Slowdown,
+		Slowdown: l.Slowdown, Suspects: int32(l.Suspects),
 	}
 	if l.Backlog > 0 {
 		for _, a := range l.Ahead {
@@ -109,7 +112,7 @@
 		Backlog:  time.Duration(p.GetBacklogUs()) * time.Microsecond,
 		Turnover: time.Duration(p.GetTurnoverUs()) * time.Microsecond,
 		Slowdown: p.GetSlowdown(), Domain: p.GetDomain(),
-		Accepts: p.GetAccepts(), Seen: p.GetOrdersSeen(), Placers: int(p.GetPlacers()),
+		Accepts: p.GetAccepts(), Seen: p.GetOrdersSeen(), Placers: int(p.GetPlacers()), Suspects: int(p.GetSuspects()),
 	}
 	for i, us := range p.GetAheadUs() {
 		if i < len(out.Ahead) {
--- a/protocol/core/record.go
+++ b/protocol/core/record.go
@@ -35,8 +35,11 @@
 	out := make([]*corepb.TaskRecord, len(tasks))
 	for i := range tasks {
 		t := &tasks[i]
-		settled = settled || t.Done || t.Failures > 0 || t.Checkpoint != "" || t.Result != ""
-		out[i] = &corepb.TaskRecord{Done: t.Done, Failures: int32(t.Failures), Checkpoint: t.Checkpoint, Result: t.Result, WorkUs: t.Work.Microseconds()}
+		settled = settled || t.Done || t.Failures > 0 || t.Checkpoint != "" || t.Result != "" || len(t.Crashes) > 0
+		out[i] = &corepb.TaskRecord{
+			Done: t.Done, Failures: int32(t.Failures), Checkpoint: t.Checkpoint, Result: t.Result, WorkUs: t.Work.Microseconds(),
+			Crashes: crashesToWire(t.Crashes),
+		}
 	}
 	if !settled {
 		return nil
@@ -71,11 +74,28 @@
 		out[i] = job.TaskRecord{
 			Done: t.GetDone(), Failures: int(t.GetFailures()), Checkpoint: t.GetCheckpoint(),
 			Result: t.GetResult(), Work: time.Duration(t.GetWorkUs()) * time.Microsecond,
+			Crashes: crashesFromWire(t.GetCrashes()),
 		}
 	}
 	return out
 }
 
+func crashesToWire(in []job.Crash) []*corepb.Crash {
+	var out []*corepb.Crash
+	for _, c := range in {
+		out = append(out, &corepb.Crash{Run: c.Run, Node: c.Node, Instance: c.Instance, Alone: c.Alone, Confirmed: c.Confirmed})
+	}
+	return out
+}
+
+func crashesFromWire(in []*corepb.Crash) []job.Crash {
+	var out []job.Crash
+	for _, c := range in {
+		out = append(out, job.Crash{Run: c.GetRun(), Node: c.GetNode(), Instance: c.GetInstance(), Alone: c.GetAlone(), Confirmed: c.GetConfirmed()})
+	}
+	return out
+}
+
 // SpecToWire and the functions below translate between the vocabulary and its
 // wire form.
 func SpecToWire(s *job.Spec) *corepb.Spec {
--- a/state/job/record.go
+++ b/state/job/record.go
@@ -32,6 +32,9 @@
 	// long it was at work.
 	Result string
 	Work   time.Duration
+	// Crashes are the backend servers that were lost under runs of the task, as far as
+	// those may have brought it about. The slice is replaced, not written to.
+	Crashes []Crash
 }
 
 // HasResults reports whether the tasks returned anything: whoever asks for
--- a/state/outcome.go
+++ b/state/outcome.go
@@ -66,6 +66,9 @@
 	// ReasonCutOff: a task was cut off with its backend server; it may have run
 	// in part, and may not be repeated.
 	ReasonCutOff Reason = "cut_off"
+	// ReasonCrashed: a task took the backend servers down on which it was started, and is
+	// not started again.
+	ReasonCrashed Reason = "task_crashed"
 
 	// The platform's store, and declarations in it.
 	ReasonStoreUnavailable Reason = "store_unavailable"
@@ -105,6 +108,7 @@
 	ReasonNoBackend:        http.StatusServiceUnavailable,
 	ReasonTaskFailed:       http.StatusBadGateway,
 	ReasonCutOff:           http.StatusBadGateway,
+	ReasonCrashed:          http.StatusBadGateway,
 	ReasonStoreUnavailable: http.StatusServiceUnavailable,
 	ReasonLostRace:         http.StatusConflict,
 	ReasonServiceOwned:     http.StatusConflict,
