Go by the capacity of now, as a backend server says it

A backend server's capacity may shrink and grow again while tasks run there. What went by an old one: an answer of zero, which passed for a malformed report, so that the last capacity was given out on; an agent's next life, which went on with what the notes said; the registry's record, which refused a capacity of zero; links made for a need, counted by label and not by size; a waiting job, given up as soon as nothing was large enough for it.

Now the newest word counts from the moment it is read, by the server's clock, in a report or in an answer to a call; older words and repeated numbers change nothing. What runs, is being stopped or is in doubt keeps its room, so free room may be negative, and owners' predictions count the runs that have to end first. What waits at the agent and can't start in time goes back as not run. A server whose capacity has changed is not resumed from notes: the next life waits for its report. A registration is written once a second at most.

--- a/coordination/model/agent_test.go
+++ b/coordination/model/agent_test.go
@@ -165,6 +165,9 @@
 		})
 	}
 	for _, e := range fx.Events {
+		if a.w.m == lossesUntold {
+			e.State.Loss = worker.NotLost
+		}
 		a.w.trace("%s event %+v", a.name, e)
 		if a.w.m == settledUnwritten && e.State.Status == worker.Ended {
 			a.worker.Settled(e.State.Run, false)
--- a/coordination/model/client_test.go
+++ b/coordination/model/client_test.go
@@ -20,6 +20,8 @@
 type clientJob struct {
 	spec job.Spec
 	once bool
+	// crashes is set where the first task crashes each server that starts it.
+	crashes bool
 	// accepted and refused are what it was told; unknown is set once a try's
 	// fate was open.
 	accepted, refused, unknown bool
@@ -35,9 +37,18 @@
 	c.look()
 }
 
+// crasherShare is the share of the repeatable jobs whose first task crashes its servers.
+const crasherShare = 0.06
+
+// crashes reports whether a task crashes its server.
+func (c *client) crashes(id job.TaskID) bool {
+	return c.jobs[id.Job].crashes && id.Step == 0 && id.Index == 0
+}
+
 func (c *client) submit() {
 	id := job.ID(fmt.Sprintf("%016x", len(c.ids)))
 	j := &clientJob{once: c.w.chance(0.3)}
+	j.crashes = !j.once && c.w.chance(crasherShare)
 	j.spec = job.Spec{Steps: []job.Step{{Count: 1 + c.w.r.IntN(3), Demand: taskDemand, Estimate: 400 * time.Millisecond}}}
 	if c.w.chance(0.3) {
 		j.spec.Steps = append(j.spec.Steps, job.Step{Count: 1, Demand: taskDemand, Estimate: 100 * time.Millisecond, DependsOn: []int{0}})
@@ -168,6 +179,8 @@
 			c.w.fault(string(id), "%s was accepted and has not ended", id)
 		case !j.accepted && !j.refused:
 			c.w.fault(string(id), "%s was never answered", id)
+		case j.crashes && j.final == job.Completed:
+			c.w.fault(string(id), "%s can't be done and was completed", id)
 		}
 		if j.once && j.final != job.Cancelled {
 			c.startedOnce(id)
--- a/coordination/owner/admission_test.go
+++ b/coordination/owner/admission_test.go
@@ -172,6 +172,38 @@
 	e.is.Equal(e.send("later", 1, 0).Reason, ReasonNoWorker) // at once
 }
 
+// All backend servers shrink while a job waits that fitted when it was accepted. It waits
+// its time, since they may grow again, and is then refused, which is true; one that comes
+// now is refused at once. When one grows, what waits goes there with its news.
+func TestJobThatFitsNowhereAnyMoreWaitsItsTime(t *testing.T) {
+	e := newEffort(t)
+	load := AgentLoad{Service: "desk", Capacity: job.Demand{CPUMillis: 1600, MemoryMB: 65536}, Accepts: true}
+	e.fleet.Update(e.now, "a", load)
+	first := e.send("first", 1, 0)
+	second := e.send("second", 1, 0)
+	e.is.Equal(first.Outcome, Unknown) // both wait for room
+	e.is.Equal(second.Outcome, Unknown)
+
+	shrunk := load
+	shrunk.Capacity.CPUMillis = 100
+	e.fleet.Update(e.now, "a", shrunk)
+	e.is.Equal(e.send("new", 1, 0).Reason, ReasonNoWorker)
+	e.now += 50 * time.Millisecond
+	e.take(e.Tick(e.now))
+	e.is.Equal(first.Outcome, Unknown)
+
+	load.Free = load.Capacity
+	e.fleet.Update(e.now, "a", load)
+	e.take(e.News(e.now))
+	e.is.Equal(e.ordered("first"), 1)
+
+	e.fleet.Update(e.now, "a", shrunk)
+	e.now += time.Minute
+	e.take(e.Tick(e.now))
+	e.is.Equal(second.Outcome, Refused)
+	e.is.Equal(e.ordered("second"), 0)
+}
+
 // After a loss of power half of the submissions are repeats of jobs whose first try was
 // cut off. By what their clients still wait they have waited for over a second, and no
 // answer is of use to most. Where there is no room they don't take that of new jobs;
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -184,12 +184,12 @@
 	return float64(free) / float64(max(all, 1))
 }
 
-// Offers reports whether an agent of a service with a label is there.
-func (f *Fleet) Offers(service, label string) bool {
+// Offers reports whether an agent of a service with a label is there that has as much.
+func (f *Fleet) Offers(service, label string, demand job.Demand) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, v := range f.agents {
-		if v.load.Accepts && v.load.Service == service && (label == "" || slices.Contains(v.load.Labels, label)) {
+		if v.load.Accepts && v.load.Service == service && demand.Fits(v.load.Capacity) && (label == "" || slices.Contains(v.load.Labels, label)) {
 			return true
 		}
 	}
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -155,7 +155,8 @@
 		reachable[w.where] = st.Demand
 		return ""
 	}
-	if s.expectsAgents(now, &j.rec.Spec) {
+	if s.expectsAgents(now, &j.rec.Spec) || s.fleet.Offers(j.rec.Policy.Service, st.Label, job.Demand{}) {
+		// It fitted when it was accepted, and what has shrunk may grow again.
 		return ""
 	}
 	return ReasonNoWorker
--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -81,6 +81,8 @@
 	ClockMS int64
 	Active  []Listed
 	Ends    []ListedEnd
+	// Capacity is what the server says that it has; nil: nothing.
+	Capacity *job.Demand
 }
 
 // Hold returns the next call, or false while no backend server is known.
@@ -141,6 +143,9 @@
 	// After a hold that got no answer nobody knows when the runs have ended.
 	w.gap, w.failing, w.misses = w.misses > 0, false, 0
 	w.clock.read(now, h.ClockMS)
+	if h.Capacity != nil && w.sayLocked(*h.Capacity, h.ClockMS) {
+		w.returnUnfitLocked(now, &fx)
+	}
 	listed := make(map[job.RunID]bool, len(h.Active)+len(h.Ends))
 	for _, a := range h.Active {
 		listed[a.Run] = true
--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -22,7 +22,8 @@
 	Ahead [len(Bands)]time.Duration
 	// Slowdown is how much longer runs take here than their owners expected.
 	Slowdown float64
-	// Turnover is the mean time until the next running task ends.
+	// Turnover is the mean time until running tasks have made room for one more: the next
+	// has ended, and those before it that take more than there is.
 	Turnover time.Duration
 	Accepts  bool
 	Waiting  int
@@ -60,7 +61,7 @@
 			running += r.order.Estimate
 		}
 	}
-	l.Turnover = turnover(l.Running, running)
+	l.Turnover = turnover(l.Running, running) * time.Duration(1+taken.excess(w.server.Capacity))
 	return l
 }
 
--- a/coordination/worker/orders.go
+++ b/coordination/worker/orders.go
@@ -169,6 +169,9 @@
 	return fx
 }
 
+// reasonTooLarge is why an order is refused that is more than the server has.
+const reasonTooLarge = "too_large"
+
 // ReasonNoRoom is why an order is handed back that would start too late here.
 const ReasonNoRoom = "no_room"
 
@@ -188,12 +191,19 @@
 // ends, on a worker of six some 60 ms, while others have room.
 func (w *Worker) betterElsewhereLocked(now time.Duration, r *run) bool {
 	slack := r.order.latestStart() - now
-	return slack > returnMargin && w.aheadLocked(r) > time.Duration(returnShare*float64(slack))
+	ahead, overfull := w.aheadLocked(now, r)
+	if slack > returnMargin {
+		return ahead > time.Duration(returnShare*float64(slack))
+	}
+	return overfull && ahead > overfullWait
 }
 
-// aheadLocked is how long a waiting run is expected to wait for room here.
-func (w *Worker) aheadLocked(r *run) time.Duration {
-	var running, ahead int
+// aheadLocked is how long a waiting run is expected to wait for room here, and whether
+// more runs here than fits.
+func (w *Worker) aheadLocked(now time.Duration, r *run) (wait time.Duration, overfull bool) {
+	taken := w.occupancyLocked(now)
+	excess := taken.excess(w.server.Capacity)
+	running, ahead := 0, excess
 	var sum time.Duration
 	for _, o := range w.runs {
 		switch {
@@ -205,7 +215,7 @@
 			ahead++
 		}
 	}
-	return time.Duration(ahead) * turnover(running, sum)
+	return time.Duration(ahead) * turnover(running, sum), excess > 0
 }
 
 // adoptLocked takes over an order for a run that is here already.
@@ -234,7 +244,7 @@
 	case o.Label != "" && !slices.Contains(w.server.Labels, o.Label):
 		return "label"
 	case !o.Demand.Fits(w.server.Capacity):
-		return "too_large"
+		return reasonTooLarge
 	case w.health.suspended:
 		return "unhealthy"
 	case w.failing:
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -195,6 +195,10 @@
 	// unsettled is the number of ends in the newest list.
 	unsettled int
 
+	// saidAt is when the server spoke of its capacity last, on its clock, and varies is set
+	// once that has changed.
+	saidAt int64
+	varies bool
 	// lost is the instance that was lost last, until it is known what became of it.
 	lost *lostServer
 
@@ -218,6 +222,8 @@
 	Started, Refused, Lapsed, Doubtful, Voided, Silenced, Stalled int64
 	// Returned counts the orders handed back because they would have started too late.
 	Returned int64
+	// Resized counts the changes of the backend server's capacity.
+	Resized int64
 }
 
 // New returns a machine that knows nothing of its backend server yet.
@@ -236,8 +242,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var fx Effects
-	if w.seen && s.Instance == w.server.Instance && s.Seq < w.server.Seq {
-		// A report that was held up on its way would take back a drain.
+	if w.seen && s.Instance == w.server.Instance && s.Seq <= w.server.Seq {
+		// A report that was held up on its way would take back a drain, and one that
+		// repeats a number says nothing new.
 		return fx
 	}
 	if w.seen && s.Instance != w.server.Instance {
@@ -246,40 +253,51 @@
 	if !w.seen || s.Instance != w.server.Instance {
 		w.acked = 0
 		w.health = health{}
+		w.saidAt, w.varies = 0, false
+		w.server.Capacity = s.Capacity
 		w.answered, w.failing, w.misses, w.missedAt = now, false, 0, 0
 	}
 	w.seen = true
 	draining := s.Draining && !w.server.Draining
+	resized := w.sayLocked(s.Capacity, clockMS)
+	s.Capacity = w.server.Capacity
 	w.server = s
 	w.clock.read(now, clockMS)
 	if draining {
 		w.returnWaitingLocked(&fx, "draining")
 	}
+	if resized {
+		w.returnUnfitLocked(now, &fx)
+	}
 	w.pumpLocked(now, &fx)
 	return fx
 }
 
-// Resume is Report with what an earlier life of the agent has written down. A
-// report that came meanwhile is newer.
+// Resume is Report with what an earlier life of the agent has written down. Any
+// report of the server is newer.
 func (w *Worker) Resume(now time.Duration, s Server, clockMS int64) Effects {
 	if w.known() {
 		return Effects{}
 	}
+	s.Seq = beforeAnyReport
 	return w.Report(now, s, clockMS)
 }
 
+// beforeAnyReport is below the numbers of all reports.
+const beforeAnyReport = -1
+
 func (w *Worker) known() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.seen
 }
 
-// Changes reports whether a report is of another instance or state than the
+// Changes reports whether a report is of another instance, state or capacity than the
 // last one.
 func (w *Worker) Changes(s Server) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.seen || w.server.Instance != s.Instance || w.server.Draining != s.Draining
+	return !w.seen || w.server.Instance != s.Instance || w.server.Draining != s.Draining || w.server.Capacity != s.Capacity
 }
 
 // Server returns the last report, or false before the first.
--- a/daemon/core/effort.go
+++ b/daemon/core/effort.go
@@ -90,7 +90,7 @@
 // offered reports whether each step of a job finds an agent that offers what it needs.
 func (e *Entry) offered(spec *job.Spec, p *job.Policy) bool {
 	for i := range spec.Steps {
-		if !e.fleet.Offers(p.Service, spec.Steps[i].Label) {
+		if st := &spec.Steps[i]; !e.fleet.Offers(p.Service, st.Label, st.Demand) {
 			return false
 		}
 	}
--- a/daemon/core/enrol.go
+++ b/daemon/core/enrol.go
@@ -10,6 +10,7 @@
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
+	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
 // enrol returns the number of this life, which rises with each one since it is the offset
@@ -52,6 +53,7 @@
 func (a *Agent) keepRegistered(ctx context.Context) {
 	for ctx.Err() == nil {
 		untilDone(ctx, "The agent can't register yet", func() error { return a.register(ctx) })
+		_ = pause.For(ctx, offerPause)
 		select {
 		case <-ctx.Done():
 		case <-a.offerNews:
@@ -59,6 +61,10 @@
 	}
 }
 
+// offerPause spaces the writes of a registration. A capacity that goes back and forth would
+// be written, and read by all entries, with each report.
+const offerPause = time.Second
+
 // register has the registry say what the agent offers, unless it does.
 func (a *Agent) register(ctx context.Context) error {
 	reg, ok := a.registration()
@@ -126,8 +132,8 @@
 	}, h.ClockMS))
 }
 
-func known(s worker.Server) *knownServer {
-	return &knownServer{Instance: s.Instance, Service: s.Service, Labels: s.Labels, Capacity: s.Capacity, Draining: s.Draining}
+func known(s worker.Server, varies bool) *knownServer {
+	return &knownServer{Instance: s.Instance, Service: s.Service, Labels: s.Labels, Capacity: s.Capacity, Draining: s.Draining, Varies: varies}
 }
 
 // Report takes in a report of the backend server.
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -108,6 +108,7 @@
 		{"runs_lapsed_total", "Runs lost with the lease of a silent backend server.", func(s worker.Stats) int64 { return s.Lapsed }},
 		{"ends_voided_total", "Ends that must never count.", func(s worker.Stats) int64 { return s.Voided }},
 		{"runs_silenced_total", "Runs stopped because their owner was silent.", func(s worker.Stats) int64 { return s.Silenced }},
+		{"capacity_changes_total", "Changes of the backend server's capacity.", func(s worker.Stats) int64 { return s.Resized }},
 		{"stalls_total", "Times the backend server stood still.", func(s worker.Stats) int64 { return s.Stalled }},
 	} {
 		opts := prometheus.CounterOpts{Namespace: namespace, Subsystem: "agent", Name: c.name, Help: c.help}
--- a/daemon/core/needs.go
+++ b/daemon/core/needs.go
@@ -12,9 +12,11 @@
 // different things.
 type needKey struct{ service, label string }
 
-// need is how many agents a step has use for, and when one was submitted last.
+// need is how many agents a step has use for, what a task of it takes, and when one was
+// submitted last.
 type need struct {
 	least  int
+	demand job.Demand
 	usedAt time.Duration
 }
 
@@ -34,16 +36,20 @@
 )
 
 // note takes in a step, and reports whether the need is new or greater than before.
-func (n needs) note(now time.Duration, key needKey, least int) bool {
+func (n needs) note(now time.Duration, key needKey, least int, demand job.Demand) bool {
 	old, known := n[key]
 	if now-old.usedAt > needMemory {
-		old.least = 0
+		old.least, old.demand = 0, job.Demand{}
 	}
-	n[key] = need{least: max(old.least, least), usedAt: now}
+	n[key] = need{least: max(old.least, least), demand: largest(old.demand, demand), usedAt: now}
 	if len(n) > mostNeeds {
 		n.dropOldest()
 	}
-	return !known || least > old.least
+	return !known || least > old.least || !demand.Fits(old.demand)
+}
+
+func largest(a, b job.Demand) job.Demand {
+	return job.Demand{CPUMillis: max(a.CPUMillis, b.CPUMillis), MemoryMB: max(a.MemoryMB, b.MemoryMB), GPUs: max(a.GPUs, b.GPUs)}
 }
 
 func (n needs) dropOldest() {
@@ -60,7 +66,7 @@
 		}
 		have := 0
 		for node := range wanted {
-			if offers(known[node], key) {
+			if offers(known[node], key, of.demand) {
 				have++
 			}
 		}
@@ -68,7 +74,7 @@
 			if have >= of.least {
 				break
 			}
-			if !wanted[node] && offers(known[node], key) {
+			if !wanted[node] && offers(known[node], key, of.demand) {
 				wanted[node] = true
 				have++
 			}
@@ -78,9 +84,12 @@
 
 // offers reports whether an agent may run what a need is for. One that has not said what
 // it offers is taken to.
-func offers(reg registration, key needKey) bool {
+func offers(reg registration, key needKey, demand job.Demand) bool {
 	o := reg.Offer
-	return o == nil || o.Service == key.service && (key.label == "" || slices.Contains(o.Labels, key.label))
+	if o == nil {
+		return true
+	}
+	return o.Service == key.service && demand.Fits(o.Capacity) && (key.label == "" || slices.Contains(o.Labels, key.label))
 }
 
 // leastFor is how many agents a step has use for, a few at least: enough for its widest
@@ -105,8 +114,8 @@
 	for i := range spec.Steps {
 		st := &spec.Steps[i]
 		key := needKey{service: p.Service, label: st.Label}
-		least := leastFor(st, l.capacityLocked(key), min(leastOffering, l.sizeLocked()))
-		if l.needs.note(now, key, least) && l.lacksLocked(key, least) {
+		least := leastFor(st, l.capacityLocked(key, st.Demand), min(leastOffering, l.sizeLocked()))
+		if l.needs.note(now, key, least, st.Demand) && l.lacksLocked(key, least, st.Demand) {
 			more = true
 		}
 	}
@@ -115,9 +124,9 @@
 
 // capacityLocked is what an agent with a need's offer has, in thousandths of a core; zero
 // if no such agent is known.
-func (l *linkSet) capacityLocked(key needKey) int64 {
+func (l *linkSet) capacityLocked(key needKey, demand job.Demand) int64 {
 	for _, node := range l.order {
-		if reg := l.known[node]; reg.Offer != nil && offers(reg, key) {
+		if reg := l.known[node]; reg.Offer != nil && offers(reg, key, demand) {
 			return reg.Offer.Capacity.CPUMillis
 		}
 	}
@@ -126,11 +135,11 @@
 
 // lacksLocked reports whether too few agents are linked that may run what a need is for,
 // and others are known. Where none is, a job has nothing to wait for.
-func (l *linkSet) lacksLocked(key needKey, least int) bool {
+func (l *linkSet) lacksLocked(key needKey, least int, demand job.Demand) bool {
 	linked, others := 0, 0
 	for node, reg := range l.known {
 		switch {
-		case !offers(reg, key):
+		case !offers(reg, key, demand):
 		case l.links[node] != nil:
 			linked++
 		default:
--- a/daemon/core/notes.go
+++ b/daemon/core/notes.go
@@ -57,11 +57,15 @@
 	Labels   []string   `json:"labels"`
 	Capacity job.Demand `json:"capacity"`
 	Draining bool       `json:"draining"`
+	// Varies is set once the instance has changed its capacity.
+	Varies bool `json:"varies,omitempty"`
 }
 
-// usable reports whether a remembered backend server has all that is needed of one.
+// usable reports whether a remembered backend server has all that is needed of one. One
+// whose capacity varies has not: it may have shrunk since it was written down, and what
+// this life started by it would not fit. Its next report is waited for.
 func (s *knownServer) usable() bool {
-	return s != nil && s.Instance != "" && s.Service != "" && s.Capacity.CPUMillis > 0
+	return s != nil && !s.Varies && s.Instance != "" && s.Service != "" && s.Capacity.CPUMillis > 0
 }
 
 // lifeKey is the key of the record that begins a life: its offset numbers the life. It is
@@ -119,7 +123,7 @@
 func (a *Agent) writeNotes(ctx context.Context) {
 	n := notes{Owners: a.placed.owners(), Member: a.member, Registered: a.registered.Load()}
 	if s, ok := a.worker.Server(); ok {
-		n.Server = known(s)
+		n.Server = known(s, a.worker.Varies())
 	}
 	b, err := json.Marshal(&n)
 	if err != nil {
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -183,7 +183,7 @@
 	if _, err := netip.ParseAddrPort(reg.Links); err != nil {
 		return reg, errors.Wrapf(err, "registration of %s", r.Key)
 	}
-	if o := reg.Offer; o != nil && (o.Service == "" || o.Capacity.CPUMillis <= 0) {
+	if o := reg.Offer; o != nil && (o.Service == "" || o.Capacity.CPUMillis < 0) {
 		return reg, errors.Errorf("registration of %s: an offer without a service or capacity", r.Key)
 	}
 	return reg, nil
