--- a/coordination/owner/crash.go
+++ b/coordination/owner/crash.go
@@ -51,26 +51,53 @@
 
 // lostWithServerLocked takes in that a run was lost with its backend server.
 func (s *Shard) lostWithServerLocked(now time.Duration, fx *Effects, j *jobState, t *task, rec *job.TaskRecord, node string, r worker.RunState) {
-	c := job.Crash{Run: r.Run.Number, Node: node, Instance: r.Instance, Alone: r.Suspects == 1, Confirmed: r.Loss == worker.LossConfirmed}
-	if !slices.ContainsFunc(rec.Crashes, func(k job.Crash) bool { return k.Run == c.Run && k.Node == c.Node }) {
-		rec.Crashes = append(slices.Clone(rec.Crashes), c)
-	}
-	s.noteLossLocked(now, node, r.Instance)
-	t.lostAt = now
-	fx.log(Decision{What: "crash_suspected", Job: j.rec.ID, Run: r.Run, Node: node, Reason: r.Instance, Count: r.Suspects})
 	t.phase = idle
 	if j.rec.State.Final() {
 		t.phase = over
 		return
 	}
+	s.suspectLocked(now, fx, j, t, rec, node, r)
+	s.orderLocked(now, fx, j, r.Run.Task, t)
+}
+
+// lostBeforeLocked takes in the runs that an agent tells to have been lost with its server,
+// with the answer to a claim: the news may have been lost with the last link, or with the
+// owner before.
+func (s *Shard) lostBeforeLocked(now time.Duration, fx *Effects, node string, lost []worker.RunState) {
+	for _, r := range lost {
+		j := s.jobs[r.Run.Task.Job]
+		if j == nil || j.drop || j.rec.State.Final() || j.rec.Policy.Once {
+			continue
+		}
+		t := s.taskLocked(j, r.Run.Task)
+		if t == nil || t.phase == over || r.Run.Number <= t.acquitted {
+			continue
+		}
+		s.suspectLocked(now, fx, j, t, j.rec.Task(r.Run.Task), node, r)
+	}
+}
+
+// suspectLocked notes a server that was lost under a task, unless that is known.
+func (s *Shard) suspectLocked(now time.Duration, fx *Effects, j *jobState, t *task, rec *job.TaskRecord, node string, r worker.RunState) {
+	if slices.ContainsFunc(rec.Crashes, func(c job.Crash) bool { return c.Run == r.Run.Number && c.Node == node }) {
+		s.newsOfLossLocked(now, fx, node, r)
+		return
+	}
+	if r.Loss == worker.LossCleared {
+		return
+	}
+	c := job.Crash{Run: r.Run.Number, Node: node, Instance: r.Instance, Alone: r.Suspects == 1, Confirmed: r.Loss == worker.LossConfirmed}
+	rec.Crashes = append(slices.Clone(rec.Crashes), c)
+	s.noteLossLocked(now, c.Node, c.Instance)
+	t.lostAt = now
 	s.suspects[r.Run.Task] = true
+	fx.log(Decision{What: "crash_suspected", Job: j.rec.ID, Run: r.Run, Node: c.Node, Reason: c.Instance, Count: r.Suspects})
+	by := now + s.bounds.LazyWrite
 	if len(rec.Crashes) >= recordedFrom {
 		// The next start is one of the last: an owner that takes over has to know.
-		s.writeLocked(fx, j, now)
-	} else {
-		s.writeLocked(fx, j, now+s.bounds.LazyWrite)
+		by = now
 	}
-	s.orderLocked(now, fx, j, r.Run.Task, t)
+	s.writeLocked(fx, j, by)
 }
 
 // newsOfLossLocked takes in what became of a server that was lost under a run.
@@ -89,9 +116,12 @@
 		return
 	}
 	rec.Crashes = slices.Clone(rec.Crashes)
-	if r.Loss == worker.LossConfirmed {
+	switch r.Loss {
+	case worker.LossSuspected:
+		return
+	case worker.LossConfirmed:
 		rec.Crashes[i].Confirmed = true
-	} else {
+	default:
 		rec.Crashes = slices.Delete(rec.Crashes, i, i+1)
 		fx.log(Decision{What: "crash_cleared", Job: j.rec.ID, Run: r.Run, Node: node, Reason: r.Instance})
 	}
@@ -217,13 +247,17 @@
 			continue
 		}
 		rec.Crashes = kept
+		if t := s.taskLocked(j, id); t != nil {
+			t.acquitted = t.number
+		}
 		fx.log(Decision{What: "crash_acquitted", Job: id.Job, Run: job.RunID{Task: id}, Reason: "another_task", Count: len(kept)})
 		s.writeLocked(fx, j, now+s.bounds.LazyWrite)
 	}
 }
 
 // acquitLocked takes in that a run of a suspect has ended, and its server with it has not.
-func (s *Shard) acquitLocked(fx *Effects, rec *job.TaskRecord, run job.RunID, node string) {
+func (s *Shard) acquitLocked(fx *Effects, t *task, rec *job.TaskRecord, run job.RunID, node string) {
+	t.acquitted = run.Number
 	if len(rec.Crashes) == 0 {
 		return
 	}
--- a/coordination/owner/crash_test.go
+++ b/coordination/owner/crash_test.go
@@ -244,3 +244,22 @@
 		}
 	}
 }
+
+// The news that a server was lost is lost with its link. The next link's claim is answered
+// with it; taken for a run that just isn't there, the task was started as if nothing had
+// been, and took another server down for each lost link.
+func TestLossIsHeardWithTheNextLink(t *testing.T) {
+	f := newCrashFixture(t)
+	f.lose(f.begin(), 4, worker.LossConfirmed)
+	o := f.last()
+	f.LinkLost(f.now, o.Node, 1)
+	f.fleet.Lost(o.Node)
+	claim, _, fx := f.Linked(f.now, o.Node, 2)
+	f.take(fx)
+	f.take(f.Claimed(f.now, o.Node, worker.Claimed{Claim: claim, Lost: []worker.RunState{{
+		Run: o.What.Run, Status: worker.Ended, End: job.Lapsed, Loss: worker.LossConfirmed, Instance: "i", Suspects: 3,
+	}}}))
+	f.write()
+	f.is.Equal(len(f.orders), 3)
+	f.is.Equal(f.last().What.Caution, worker.Alone)
+}
--- a/coordination/owner/dispatch.go
+++ b/coordination/owner/dispatch.go
@@ -86,6 +86,7 @@
 		return fx
 	}
 	s.waitOutLocked(now, &fx)
+	s.renewUnansweredLocked(now, &fx)
 	s.judgeSuspectsLocked(now, &fx)
 	s.dropHopelessLocked(now, &fx)
 	s.placeWaitingLocked(now, &fx)
--- a/coordination/owner/events.go
+++ b/coordination/owner/events.go
@@ -85,7 +85,7 @@
 		rec.Checkpoint = r.Checkpoint
 	}
 	if r.End == job.Done || r.End == job.FailedRun {
-		s.acquitLocked(fx, rec, r.Run, node)
+		s.acquitLocked(fx, t, rec, r.Run, node)
 	}
 	switch r.End {
 	case job.Done:
--- a/coordination/owner/link.go
+++ b/coordination/owner/link.go
@@ -9,23 +9,42 @@
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
-// Linked notes a new link to an agent and returns the claim to send first. The session
-// rises with each link that this process makes; an older one is of a caller that has not
-// heard of the newest link yet.
-func (s *Shard) Linked(now time.Duration, node string, session int64) (worker.Claim, Effects) {
+// Linked notes a link to an agent and returns the claim to send first, if there is one to
+// send. The session rises with each link that this process makes.
+//
+// A link is claimed once. The answer to a second claim may be from before an order that
+// went out after the first: the run would be taken for lost and started elsewhere, beside
+// itself. An older session is of a caller that has not heard of the newest link yet.
+func (s *Shard) Linked(now time.Duration, node string, session int64) (worker.Claim, bool, Effects) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var fx Effects
-	if l := s.links[node]; l != nil && l.session > session {
-		session = l.session
-	} else {
-		s.links[node] = &linkState{session: session}
+	if l := s.links[node]; l != nil && l.session >= session {
+		return worker.Claim{}, false, fx
 	}
+	s.links[node] = &linkState{session: session, since: now}
 	if !s.named[node] && !s.private {
 		s.naming = true
 		fx.Write = true
 	}
-	return worker.Claim{Shard: s.ID, Epoch: s.Epoch, Session: session}, fx
+	return worker.Claim{Shard: s.ID, Epoch: s.Epoch, Session: session}, true, fx
+}
+
+// claimPatience is how long the answer to a claim may take: an agent may have to write down
+// first that recorded jobs run there, which takes a slow store a second.
+const claimPatience = 3 * time.Second
+
+// renewUnansweredLocked has links made anew on which a claim got no answer. It may have been
+// lost between the link and its first frame, and nothing else would ever be placed there.
+func (s *Shard) renewUnansweredLocked(now time.Duration, fx *Effects) {
+	for node, l := range s.links {
+		if l.claimed || l.lost || now-l.since < claimPatience {
+			continue
+		}
+		l.since = now
+		fx.log(Decision{What: "claim_unanswered", Node: node})
+		fx.Relinks = append(fx.Relinks, node)
+	}
 }
 
 // LinkLost notes that a link is gone. Runs behind it may go on; they are waited
@@ -47,7 +66,7 @@
 	defer s.mu.Unlock()
 	var fx Effects
 	l := s.links[node]
-	if l == nil || l.session != c.Session || s.closed {
+	if l == nil || l.session != c.Session || l.claimed || s.closed {
 		return fx
 	}
 	if c.Refused {
@@ -56,6 +75,7 @@
 	}
 	l.claimed = true
 	delete(s.waitFor, node)
+	s.lostBeforeLocked(now, &fx, node, c.Lost)
 	lost := s.missingLocked(node, c.Runs)
 	// Of several runs of a task the newest counts: an older one that failed would
 	// otherwise be repeated beside it.
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -118,6 +118,8 @@
 	// server was lost.
 	recorded int
 	lostAt   time.Duration
+	// acquitted is the number of the run up to which lost servers say nothing.
+	acquitted int64
 }
 
 // jobState is guarded by Shard.mu.
@@ -208,6 +210,8 @@
 // Shard.mu.
 type linkState struct {
 	session int64
+	// since is when the session was claimed.
+	since time.Duration
 	// claimed is set once the agent has answered this session's claim.
 	claimed bool
 	// lostAt is when the link was lost; tasks there are awaited until then
--- a/coordination/worker/crash.go
+++ b/coordination/worker/crash.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/state/job"
@@ -41,14 +42,21 @@
 	Alone
 )
 
-// lostMemory is how long runs that were lost with a server are remembered for the news of
-// what became of it: longer than a backend server takes to come back.
-const lostMemory = 20 * time.Second
+const (
+	// lostMemory is how long runs that were lost with a server are remembered: longer than
+	// a backend server takes to come back, and an owner to make a lost link anew.
+	lostMemory = 20 * time.Second
+	// mostLost bounds the servers that are remembered so: one that crashes as soon as it
+	// is up does so every few seconds.
+	mostLost = 8
+)
 
-// lostServer is an instance that was lost, with the runs on it.
+// lostServer is an instance that was lost, with the runs on it and what is known of its
+// end.
 type lostServer struct {
 	instance string
 	at       time.Duration
+	what     Loss
 	runs     []*run
 }
 
@@ -65,53 +73,63 @@
 		w.dropLocked(fx, id, r, job.Lapsed, reason)
 		return
 	}
-	if what == LossSuspected {
-		if w.lost == nil || w.lost.instance != w.server.Instance {
-			w.lost = &lostServer{instance: w.server.Instance, at: now}
-		}
-		w.lost.runs = append(w.lost.runs, r)
-	}
+	lost := w.lostServerLocked(now)
+	lost.what = what
+	lost.runs = append(lost.runs, r)
 	r.loss, r.suspects = what, suspects
 	w.dropLocked(fx, id, r, job.Lapsed, reason)
 }
 
-// foundLocked tells the owners of runs that were lost what became of their server.
-func (w *Worker) foundLocked(fx *Effects, what Loss) {
-	if w.lost == nil {
-		return
+// lostServerLocked returns what is kept of the present instance as one that is lost.
+func (w *Worker) lostServerLocked(now time.Duration) *lostServer {
+	if n := len(w.lost); n > 0 && w.lost[n-1].instance == w.server.Instance {
+		return w.lost[n-1]
 	}
-	for _, r := range w.lost.runs {
-		s := RunState{Run: r.order.Run, Status: LossNews, Loss: what, Instance: w.lost.instance}
-		w.emitLocked(fx, r, s)
+	if len(w.lost) == mostLost {
+		w.lost = slices.Delete(w.lost, 0, 1)
 	}
-	w.lost = nil
+	lost := &lostServer{instance: w.server.Instance, at: now}
+	w.lost = append(w.lost, lost)
+	return lost
 }
 
-// lostForLocked returns the runs of a shard that were lost while it had another owner. That
-// one may have died with the news, and its successor would start the task as if no server
-// had been lost under it.
-func (w *Worker) lostForLocked(c Claim) []RunState {
-	if w.lost == nil {
-		return nil
+// explainLocked tells the owners of runs that were lost with the present instance what
+// became of it.
+func (w *Worker) explainLocked(fx *Effects, what Loss) {
+	for _, lost := range w.lost {
+		if lost.instance != w.server.Instance || lost.what != LossSuspected {
+			continue
+		}
+		lost.what = what
+		for _, r := range lost.runs {
+			w.emitLocked(fx, r, RunState{Run: r.order.Run, Status: LossNews, Loss: what, Instance: lost.instance})
+		}
 	}
+}
+
+// lostForLocked returns the runs of a shard that were lost, for the answer to a claim. The
+// news of them may have been lost with the last link, or with the owner before: taken for
+// runs that just are not there, they would be started as if no server had been lost under
+// them.
+func (w *Worker) lostForLocked(c Claim) []RunState {
 	var out []RunState
-	for _, r := range w.lost.runs {
-		if r.order.Shard != c.Shard || r.order.Epoch >= c.Epoch {
-			continue
+	for _, lost := range w.lost {
+		for _, r := range lost.runs {
+			if r.order.Shard != c.Shard {
+				continue
+			}
+			r.order.Epoch = c.Epoch
+			out = append(out, RunState{
+				Run: r.order.Run, Status: Ended, End: job.Lapsed, Loss: lost.what, Instance: lost.instance, Suspects: r.suspects,
+			})
 		}
-		r.order.Epoch = c.Epoch
-		out = append(out, RunState{
-			Run: r.order.Run, Status: Ended, End: job.Lapsed, Loss: LossSuspected, Instance: w.lost.instance, Suspects: r.suspects,
-		})
 	}
 	return out
 }
 
-// forgetLostLocked gives up waiting for news of a server that stays away.
+// forgetLostLocked forgets servers that were lost long ago.
 func (w *Worker) forgetLostLocked(now time.Duration) {
-	if w.lost != nil && now-w.lost.at > lostMemory {
-		w.lost = nil
-	}
+	w.lost = slices.DeleteFunc(w.lost, func(l *lostServer) bool { return now-l.at > lostMemory })
 }
 
 // reservedLocked reports whether the backend server is kept for one run: it is there, or
--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -139,7 +139,7 @@
 	}
 	w.held = true
 	w.answered = now
-	w.foundLocked(&fx, LossCleared)
+	w.explainLocked(&fx, LossCleared)
 	// After a hold that got no answer nobody knows when the runs have ended.
 	w.gap, w.failing, w.misses = w.misses > 0, false, 0
 	w.clock.read(now, h.ClockMS)
--- a/coordination/worker/orders.go
+++ b/coordination/worker/orders.go
@@ -25,6 +25,8 @@
 	Refused    bool
 	KnownEpoch int64
 	Runs       []RunState
+	// Lost has the runs that were lost with the backend server lately.
+	Lost []RunState
 }
 
 // Claim makes the owner the shard's only one, unless a newer one is known.
@@ -55,7 +57,7 @@
 		}
 		out.Runs = append(out.Runs, r.state())
 	}
-	out.Runs = append(out.Runs, w.lostForLocked(c)...)
+	out.Lost = w.lostForLocked(c)
 	return out
 }
 
--- a/coordination/worker/run.go
+++ b/coordination/worker/run.go
@@ -80,7 +80,7 @@
 	if w.blameless() {
 		what = LossCleared
 	}
-	w.foundLocked(fx, what)
+	w.explainLocked(fx, what)
 	if what == LossCleared {
 		what = NotLost
 	}
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -199,8 +199,8 @@
 	// once that has changed.
 	saidAt int64
 	varies bool
-	// lost is the instance that was lost last, until it is known what became of it.
-	lost *lostServer
+	// lost are the instances that were lost lately, oldest first.
+	lost []*lostServer
 
 	health  health
 	answers answerTimes
@@ -313,7 +313,7 @@
 	defer w.mu.Unlock()
 	var fx Effects
 	if w.seen && w.server.Instance == instance {
-		w.foundLocked(&fx, LossCleared)
+		w.explainLocked(&fx, LossCleared)
 		w.resetLocked(0, &fx, NotLost)
 		w.seen = false
 	}
--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -145,7 +145,7 @@
 // LinkUp implements peer.LinkHandler.
 func (e *Entry) LinkUp(node string, session int64) *corepb.ToAgent {
 	e.fleet.Linked(node)
-	return &corepb.ToAgent{Claims: []*corepb.Claim{e.effort.linked(node, session)}}
+	return &corepb.ToAgent{Claims: e.effort.linked(node, session)}
 }
 
 // LinkDown implements peer.LinkHandler.
--- a/daemon/core/serve.go
+++ b/daemon/core/serve.go
@@ -133,7 +133,7 @@
 		return out
 	}
 	for _, r := range a.owned() {
-		out.Claims = append(out.Claims, r.linked(node, session))
+		out.Claims = append(out.Claims, r.linked(node, session)...)
 	}
 	return out
 }
--- a/daemon/core/steps.go
+++ b/daemon/core/steps.go
@@ -102,15 +102,20 @@
 	}
 }
 
-// linked has the shard note a link and returns the claim to send.
-func (r *steps) linked(node string, session int64) *corepb.Claim {
+// linked has the shard note a link and returns the claims to send on it: one, or none if
+// the link is claimed.
+func (r *steps) linked(node string, session int64) []*corepb.Claim {
 	var claim worker.Claim
+	var ok bool
 	r.step(func(now time.Duration) owner.Effects {
 		var fx owner.Effects
-		claim, fx = r.Linked(now, node, session)
+		claim, ok, fx = r.Linked(now, node, session)
 		return fx
 	})
-	return &corepb.Claim{Shard: int32(claim.Shard), Epoch: claim.Epoch, Session: claim.Session}
+	if !ok {
+		return nil
+	}
+	return []*corepb.Claim{{Shard: int32(claim.Shard), Epoch: claim.Epoch, Session: claim.Session}}
 }
 
 func (r *steps) unlinked(node string, session int64) {
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -71,6 +71,9 @@
 	for i := range c.Runs {
 		out.Runs = append(out.Runs, RunStateToWire(&c.Runs[i]))
 	}
+	for i := range c.Lost {
+		out.Lost = append(out.Lost, RunStateToWire(&c.Lost[i]))
+	}
 	return out
 }
 
@@ -83,6 +86,9 @@
 	for _, r := range p.GetRuns() {
 		out.Runs = append(out.Runs, RunStateFromWire(r))
 	}
+	for _, r := range p.GetLost() {
+		out.Lost = append(out.Lost, RunStateFromWire(r))
+	}
 	return out
 }
 
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -111,6 +111,14 @@
 		pick(random, w.agents).newServer()
 		last(50, 500)
 	}},
+	{"server shrinks", func(w *world, random *rand.Rand, last func(int, int)) {
+		a := pick(random, w.agents)
+		for range 1 + random.IntN(3) {
+			a.serverDo(func(e *standin.Executor) { e.Resize(int64(random.IntN(5)) * serverCPU / 4) })
+			last(100, 3000)
+		}
+		a.serverDo(func(e *standin.Executor) { e.Resize(serverCPU) })
+	}},
 	{"server loses answers", func(w *world, random *rand.Rand, last func(int, int)) {
 		a := pick(random, w.agents)
 		a.serverDo(func(e *standin.Executor) { e.LoseStarts(true) })
