--- a/coordination/owner/crash.go
+++ b/coordination/owner/crash.go
@@ -240,16 +240,18 @@
 			continue
 		}
 		rec := j.rec.Task(id)
+		t := s.taskLocked(j, id)
 		kept := slices.DeleteFunc(slices.Clone(rec.Crashes), func(c job.Crash) bool {
-			return slices.ContainsFunc(guilty, func(g job.Crash) bool { return g.Node == c.Node && g.Instance == c.Instance })
+			innocent := slices.ContainsFunc(guilty, func(g job.Crash) bool { return g.Node == c.Node && g.Instance == c.Instance })
+			if innocent {
+				t.acquitted = max(t.acquitted, c.Run)
+			}
+			return innocent
 		})
 		if len(kept) == len(rec.Crashes) {
 			continue
 		}
 		rec.Crashes = kept
-		if t := s.taskLocked(j, id); t != nil {
-			t.acquitted = t.number
-		}
 		fx.log(Decision{What: "crash_acquitted", Job: id.Job, Run: job.RunID{Task: id}, Reason: "another_task", Count: len(kept)})
 		s.writeLocked(fx, j, now+s.bounds.LazyWrite)
 	}
--- a/coordination/owner/crash_test.go
+++ b/coordination/owner/crash_test.go
@@ -263,3 +263,26 @@
 	f.is.Equal(len(f.orders), 3)
 	f.is.Equal(f.last().What.Caution, worker.Alone)
 }
+
+// A task is acquitted of one server while another run of it is at work, and that run is lost
+// with its server too, whose news goes with the link. It counts: the acquittal was of the
+// earlier run. Passed over, a task that crashes its servers had one more start for each.
+func TestAcquittalIsOfTheRunsThatWereAccused(t *testing.T) {
+	f := newCrashFixture(t)
+	first := f.begin()
+	f.lose(first, 3, worker.LossConfirmed)
+	second := f.last()
+	guilty := []job.Crash{{Node: first.Node, Instance: "i-" + first.Node}}
+	var fx Effects
+	f.acquitNeighboursLocked(f.now, &fx, guilty)
+	f.take(fx)
+	f.is.Equal(len(f.jobs[testID].rec.Tasks[0].Crashes), 0)
+	f.LinkLost(f.now, second.Node, 1)
+	claim, _, fx := f.Linked(f.now, second.Node, 2)
+	f.take(fx)
+	f.take(f.Claimed(f.now, second.Node, worker.Claimed{Claim: claim, Lost: []worker.RunState{
+		{Run: first.What.Run, Loss: worker.LossConfirmed, Instance: "i-" + first.Node, Suspects: 3},
+		{Run: second.What.Run, Loss: worker.LossConfirmed, Instance: "i", Suspects: 3},
+	}}))
+	f.is.Equal(len(f.jobs[testID].rec.Tasks[0].Crashes), 1)
+}
