--- a/coordination/worker/orders.go
+++ b/coordination/worker/orders.go
@@ -182,9 +182,7 @@
 const returnMargin = 10 * time.Millisecond
 
 // returnShare of an order's slack is the longest expected wait with which it stays: the
-// expectation is rough. Measured in coordination/load at 90 % of load, 35 owners: with 1.0
-// .884 of the short jobs are in time, with 0.6 .895, with 25 ms at most .845, and .791 where
-// nothing is handed back.
+// expectation is rough.
 const returnShare = 0.6
 
 // betterElsewhereLocked reports whether a waiting order is to go back to its owner: it
--- a/coordination/worker/pump.go
+++ b/coordination/worker/pump.go
@@ -81,8 +81,7 @@
 // should have ended, less their run time. Orders that are late keep their place.
 // Behind those that can still be in time they would wait until the worker runs
 // empty, on a full one for seconds, and their jobs, whose other tasks are done
-// already, would be given up: measured in coordination/load under 115 % of load, 4
-// in 100 of the short jobs. The owners' admission keeps the queues so short that
+// already, would be given up. The owners' admission keeps the queues so short that
 // late orders make few others late.
 func (w *Worker) waitingLocked() []*run {
 	var out []*run
