--- a/coordination/model/agent_test.go
+++ b/coordination/model/agent_test.go
@@ -76,6 +76,12 @@
 	do()
 }
 
+// contact is how long an agent has to have run for the bound on starts after crashes to hold
+// of it. An agent that restarts beside a crash has nobody left who saw it.
+const contact = 4 * time.Second
+
+func (a *agentModel) inTouch() bool { return a.w.now-a.born >= contact }
+
 func (a *agentModel) freeze(d time.Duration) { a.thaw = max(a.thaw, a.w.now+d) }
 
 // ready reports whether the agent takes links: it has to know what runs beside it.
--- /dev/null
+++ b/coordination/owner/reach.go
@@ -0,0 +1,66 @@
+package owner
+
+// Concerns reports whether anything of this shard may be at an agent.
+func (s *Shard) Concerns() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.waitFor) > 0 {
+		return true
+	}
+	for _, j := range s.jobs {
+		if !j.rec.State.Final() {
+			return true
+		}
+	}
+	return false
+}
+
+// Occupied reports whether anything of this shard may be at an agent: a run, or an end
+// that is not settled.
+func (s *Shard) Occupied(node string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, awaited := s.waitFor[node]; awaited {
+		return true
+	}
+	for _, j := range s.jobs {
+		for i := range j.tasks {
+			t := &j.tasks[i]
+			if t.node == node && (t.phase == ordered || t.phase == active || t.phase == stopping || len(t.unsettled) > 0) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Awaited names the agents of earlier owners that have not answered a claim yet.
+func (s *Shard) Awaited() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]string, 0, len(s.waitFor))
+	for node := range s.waitFor {
+		out = append(out, node)
+	}
+	return out
+}
+
+// Reach counts the agents to which orders may go.
+func (s *Shard) Reach() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for node := range s.links {
+		if s.mayOrderLocked(node) {
+			n++
+		}
+	}
+	return n
+}
+
+// Closed reports whether the shard was given up.
+func (s *Shard) Closed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
--- /dev/null
+++ b/coordination/worker/stops.go
@@ -0,0 +1,65 @@
+package worker
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// Stop ends a run on its owner's word.
+func (w *Worker) Stop(now time.Duration, shard int, epoch int64, id job.RunID) Effects {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var fx Effects
+	s := w.shards[shard]
+	if s == nil || s.epoch != epoch {
+		return fx
+	}
+	if r := w.runs[id]; r != nil {
+		w.stopLocked(now, &fx, r, "stopped")
+	}
+	w.pumpLocked(now, &fx)
+	return fx
+}
+
+// stopLocked drops a waiting run, and has a started one stopped.
+func (w *Worker) stopLocked(now time.Duration, fx *Effects, r *run, reason string) {
+	switch r.phase {
+	case waiting:
+		w.dropLocked(fx, r.order.Run, r, job.NeverRan, reason)
+	case ended:
+	default:
+		r.stopWanted = true
+		w.callStopLocked(now, fx, r)
+	}
+}
+
+// stopRetry is the pause before a stop without an answer is sent again: a few
+// round trips on the same host, short against the cancellation bound of 3 s.
+const stopRetry = 100 * time.Millisecond
+
+func (w *Worker) callStopLocked(now time.Duration, fx *Effects, r *run) {
+	if r.stopping || r.stopAnswered || now < r.nextStop {
+		return
+	}
+	r.stopping = true
+	r.nextStop = now + stopRetry
+	fx.Stops = append(fx.Stops, StopCall{Instance: w.server.Instance, Run: r.order.Run})
+}
+
+// StopAnswered takes in the outcome of a StopCall.
+func (w *Worker) StopAnswered(now time.Duration, instance string, id job.RunID, answered bool) Effects {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var fx Effects
+	r := w.runs[id]
+	if r == nil || instance != w.server.Instance {
+		return fx
+	}
+	r.stopping = false
+	if answered {
+		r.stopAnswered = true
+		r.confirmedBy = w.holds
+	}
+	return fx
+}
--- /dev/null
+++ b/daemon/core/wanted.go
@@ -0,0 +1,179 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/shallotstep/shallotstep/coordination/subset"
+)
+
+// reconcile dials what is wanted and not linked, and ends links that are not wanted any
+// more once nothing of the user is behind them.
+func (l *linkSet) reconcile(now time.Duration) {
+	l.changing.Lock()
+	defer l.changing.Unlock()
+	if !l.opened() {
+		return
+	}
+	share, required := l.user.Share(), l.user.Required()
+	l.mu.Lock()
+	l.watchLocked(now)
+	l.orderLocked(share)
+	wanted := l.wantedLocked(now, required)
+	dial, retired := l.retireLocked(now, wanted)
+	works := l.worksLocked(wanted)
+	l.mu.Unlock()
+	for node, yes := range works {
+		l.placer.Retire(node, !yes)
+	}
+	for node, reg := range dial {
+		l.replace(node, reg, wanted[node])
+	}
+	l.tell(len(dial), retired, len(wanted))
+	l.dropRetired(now)
+}
+
+// tell leaves a trace of a change.
+func (l *linkSet) tell(dialled, retired, wanted int) {
+	if dialled+retired == 0 {
+		return
+	}
+	l.mu.Lock()
+	known, extra, dark := len(l.known), len(l.added), 0
+	for _, k := range l.links {
+		if k.downSince > 0 {
+			dark++
+		}
+	}
+	l.mu.Unlock()
+	l.metrics.links.WithLabelValues("dialled").Add(float64(dialled))
+	l.metrics.links.WithLabelValues("retired").Add(float64(retired))
+	l.metrics.linked.Set(float64(wanted))
+	klog.InfoS("The agents to link have changed", "wanted", wanted, "of", known, "dialled", dialled, "retired", retired, "down", dark, "extra", extra)
+}
+
+// watchLocked notes which links are down.
+func (l *linkSet) watchLocked(now time.Duration) {
+	for _, k := range l.links {
+		switch {
+		case k.Up():
+			k.downSince = 0
+		case k.downSince == 0:
+			k.downSince = now
+		}
+	}
+}
+
+func (l *linkSet) orderLocked(share subset.Share) {
+	if l.order != nil && share.Of == l.share.Of && slices.Equal(share.Numbers, l.share.Numbers) {
+		return
+	}
+	agents := make([]subset.Agent, 0, len(l.known))
+	for node, reg := range l.known {
+		agents = append(agents, subset.Agent{Name: node, Domain: reg.Zone})
+	}
+	l.share, l.order = share, subset.Order(agents, share)
+}
+
+// darkLocked reports whether an agent's link has been down for long.
+func (l *linkSet) darkLocked(now time.Duration, node string) bool {
+	k := l.links[node]
+	return k != nil && k.downSince > 0 && now-k.downSince >= darkAfter
+}
+
+// wantedLocked names the agents to link, and whether new work goes to them: the first ones
+// of the order, with others in place of those that are dark, what the subset is stretched
+// by and what the jobs' needs lack get work. What the user requires is linked for something
+// else: with work for all of them a question to each owner would make a subset twice as
+// large, and the decisions worse.
+func (l *linkSet) wantedLocked(now time.Duration, required []string) map[string]bool {
+	size := l.sizeLocked()
+	wanted := make(map[string]bool, 2*size)
+	rest := l.takeLocked(now, wanted, l.order, size)
+	extra := l.stretch.Extra(now, func() float64 { return l.placer.FreeShare(l.added) })
+	after := l.takeLocked(now, wanted, rest, extra)
+	l.added = rest[:len(rest)-len(after)]
+	l.needs.fill(now, l.order, l.known, wanted)
+	for _, node := range required {
+		if _, ok := l.known[node]; ok && !wanted[node] {
+			wanted[node] = false
+		}
+	}
+	return wanted
+}
+
+// takeLocked adds agents in order until so many are there that are not dark, or twice as
+// many in all. It returns those that are left.
+func (l *linkSet) takeLocked(now time.Duration, wanted map[string]bool, order []string, count int) []string {
+	bright := 0
+	for i, node := range order {
+		if bright == count || i == 2*count {
+			return order[i:]
+		}
+		wanted[node] = true
+		if !l.darkLocked(now, node) {
+			bright++
+		}
+	}
+	return nil
+}
+
+// retireLocked returns what has to be dialled, and how many links have ceased to be wanted.
+func (l *linkSet) retireLocked(now time.Duration, wanted map[string]bool) (dial map[string]registration, retired int) {
+	dial = make(map[string]registration)
+	for node := range wanted {
+		reg := l.known[node]
+		if k := l.links[node]; k == nil || k.addr != reg.Links {
+			dial[node] = reg
+		} else {
+			k.retiredAt = 0
+		}
+	}
+	for node, k := range l.links {
+		if _, is := wanted[node]; !is && k.retiredAt == 0 {
+			k.retiredAt = now
+			retired++
+		}
+	}
+	return dial, retired
+}
+
+// worksLocked returns the agents for which it has changed whether new work goes there.
+func (l *linkSet) worksLocked(wanted map[string]bool) map[string]bool {
+	changed := make(map[string]bool)
+	for node, k := range l.links {
+		if k.works != wanted[node] {
+			k.works = wanted[node]
+			changed[node] = k.works
+		}
+	}
+	for node, works := range wanted {
+		if l.links[node] == nil {
+			changed[node] = works
+		}
+	}
+	return changed
+}
+
+// dropRetired ends links that are not wanted once nothing is behind them, and those to
+// agents that were taken from the registry.
+func (l *linkSet) dropRetired(now time.Duration) {
+	var idle, gone []string
+	l.mu.Lock()
+	for node, k := range l.links {
+		if _, known := l.known[node]; !known {
+			gone = append(gone, node)
+		} else if k.retiredAt > 0 && now-k.retiredAt >= retireAfter {
+			idle = append(idle, node)
+		}
+	}
+	l.mu.Unlock()
+	idle = slices.DeleteFunc(idle, l.user.Occupied)
+	for _, node := range slices.Concat(gone, idle) {
+		l.drop(node)
+		// A link that is made anew says for itself whether it gets work.
+		l.placer.Retire(node, false)
+	}
+}
