Wait for the record of the last lost server, not for as many as there were

A suspect whose first lost server had been cleared was started before its newest loss was recorded: the number of losses was the same as in the store. Found by reading; TestSuspectWaitsForItsLastCrash fails before.

--- a/coordination/owner/crash.go
+++ b/coordination/owner/crash.go
@@ -115,14 +115,14 @@
 	if i < 0 {
 		return
 	}
-	rec.Crashes = slices.Clone(rec.Crashes)
 	switch r.Loss {
 	case worker.LossSuspected:
 		return
 	case worker.LossConfirmed:
+		rec.Crashes = slices.Clone(rec.Crashes)
 		rec.Crashes[i].Confirmed = true
 	default:
-		rec.Crashes = slices.Delete(rec.Crashes, i, i+1)
+		rec.Crashes = slices.Delete(slices.Clone(rec.Crashes), i, i+1)
 		fx.log(Decision{What: "crash_cleared", Job: j.rec.ID, Run: r.Run, Node: node, Reason: r.Instance})
 	}
 	s.writeLocked(fx, j, now+s.bounds.LazyWrite)
@@ -218,7 +218,16 @@
 	}
 	// A crash that no record has is forgotten with its owner, and the next one would start
 	// the task as often again.
-	return j.rec.Spec.BestEffort || len(rec.Crashes) < recordedFrom || t.recorded >= len(rec.Crashes)
+	return j.rec.Spec.BestEffort || len(rec.Crashes) < recordedFrom || t.recorded >= newestCrash(rec)
+}
+
+// newestCrash is the number of the newest run that was lost with its server.
+func newestCrash(rec *job.TaskRecord) int64 {
+	var newest int64
+	for i := range rec.Crashes {
+		newest = max(newest, rec.Crashes[i].Run)
+	}
+	return newest
 }
 
 // giveUpCrasherLocked fails the job of a task that crashes its servers.
--- a/coordination/owner/crash_test.go
+++ b/coordination/owner/crash_test.go
@@ -286,3 +286,20 @@
 	}}))
 	f.is.Equal(len(f.jobs[testID].rec.Tasks[0].Crashes), 1)
 }
+
+// Of two servers that were lost under a task, one is back as the same instance, and another
+// is lost. The record has two, but not the last: the task waits for that too.
+func TestSuspectWaitsForItsLastCrash(t *testing.T) {
+	f := newCrashFixture(t)
+	first := f.begin()
+	f.lose(first, 4, worker.LossSuspected)
+	f.lose(f.last(), 4, worker.LossConfirmed)
+	third := f.last()
+	f.explain(first, worker.LossCleared)
+	f.take(f.Event(f.now, third.Node, worker.Event{Shard: f.ID, Epoch: f.Epoch, State: worker.RunState{
+		Run: third.What.Run, Status: worker.Ended, End: job.Lapsed, Loss: worker.LossConfirmed, Instance: "i", Suspects: 3,
+	}}))
+	f.is.Equal(len(f.orders), 3)
+	f.write()
+	f.is.Equal(len(f.orders), 4)
+}
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -114,9 +114,9 @@
 	awaits int64
 	// unsettled has ends whose record was not taken to the store yet.
 	unsettled []Placed[Settlement]
-	// recorded is how many of the task's crashes the store has, and lostAt when its last
-	// server was lost.
-	recorded int
+	// recorded is the number of the newest run that the store has as lost with its server,
+	// and lostAt when the last one was lost.
+	recorded int64
 	lostAt   time.Duration
 	// acquitted is the number of the run up to which lost servers say nothing.
 	acquitted int64
@@ -267,7 +267,7 @@
 			continue
 		}
 		if i < len(r.Tasks) && len(r.Tasks[i].Crashes) > 0 {
-			j.tasks[i].recorded, j.tasks[i].lostAt = len(r.Tasks[i].Crashes), now
+			j.tasks[i].recorded, j.tasks[i].lostAt = newestCrash(&r.Tasks[i]), now
 			s.suspects[r.TaskAt(r.ID, i)] = true
 		}
 		j.left++
--- a/coordination/owner/write.go
+++ b/coordination/owner/write.go
@@ -169,7 +169,7 @@
 	}
 	for i := range w.Record.Tasks {
 		if i < len(j.tasks) {
-			j.tasks[i].recorded = len(w.Record.Tasks[i].Crashes)
+			j.tasks[i].recorded = max(j.tasks[i].recorded, newestCrash(&w.Record.Tasks[i]))
 		}
 	}
 	first := !j.durable
