Have suspects that wait for room hold up nobody else

A suspect goes where no other is, so it may find no room while others have some. It waited at the head of its place, and every task behind it that may go anywhere waited with it. Suspects have a place of their own in the backlog: one look at each news for them, one for the others (TestWaitingSuspectHoldsNobodyUp fails before). Found by reading.

A test of mine that went by the order of a map is mended (TestRackThatIsLostCondemnsNobody failed once in some runs).

--- a/coordination/model/executor_test.go
+++ b/coordination/model/executor_test.go
@@ -244,10 +244,27 @@
 		return
 	}
 	e.w.trace("%s is crashed by %v number %d", e.name(), task, number)
-	e.w.task(task).crashes++
+	e.w.countCrash(task, e.agent)
 	e.crash(e.w.upTo(3 * time.Second))
 }
 
+// told is how long the news of a crash may take: the server is back after 3 s at most, and
+// its lease is over before.
+const told = 4 * time.Second
+
+// countCrash counts a crash against a task once its news had the time to be told, if nobody
+// who had it was lost meanwhile: an agent that dies beside a crash, or an owner before it has
+// recorded what it was told while the agent dies too, leaves nobody who knows.
+func (w *world) countCrash(task job.TaskID, a *agentModel) {
+	life, o, l := a.life, w.current(), a.caller
+	w.after(told, func() {
+		undisturbed := a.life == life && w.current() == o && l != nil && l.up && a.caller == l && w.now >= a.thaw && w.now >= o.thaw
+		if undisturbed {
+			w.task(task).crashes++
+		}
+	})
+}
+
 func (e *executor) end(task job.TaskID, kind job.EndKind) {
 	number := e.runs[task]
 	e.w.trace("%s end %v number %d %v", e.name(), task, number, kind)
--- a/coordination/owner/backlog.go
+++ b/coordination/owner/backlog.go
@@ -100,10 +100,14 @@
 }
 
 // placeKey is what decides where a task may go.
-type placeKey struct{ service, label, rack, domains string }
+type placeKey struct {
+	service, label, rack, domains string
+	// suspect tasks go where no others are, and hold up none that may go anywhere.
+	suspect bool
+}
 
 func placeKeyOf(p *job.Policy, st *job.Step) placeKey {
-	return placeKey{p.Service, st.Label, st.Rack, strings.Join(st.Domains, " ")}
+	return placeKey{service: p.Service, label: st.Label, rack: st.Rack, domains: strings.Join(st.Domains, " ")}
 }
 
 // ahead is the work that goes before a task that must start by a time.
--- a/coordination/owner/crash_test.go
+++ b/coordination/owner/crash_test.go
@@ -20,20 +20,29 @@
 // last is the order that was sent last.
 func (f *fixture) last() Placed[worker.Order] { return f.orders[len(f.orders)-1] }
 
-// lose tells that the backend server of an order's run was lost with so many runs on it.
-func (f *fixture) lose(o Placed[worker.Order], suspects int, what worker.Loss) {
-	f.take(f.Event(f.now, o.Node, worker.Event{Shard: f.ID, Epoch: f.Epoch, State: worker.RunState{
+// lost is what an agent tells of an order's run that was lost with its backend server,
+// with so many runs on it.
+func lost(o Placed[worker.Order], suspects int, what worker.Loss) worker.RunState {
+	return worker.RunState{
 		Run: o.What.Run, Status: worker.Ended, End: job.Lapsed, Loss: what, Instance: "i-" + o.Node, Suspects: suspects,
-	}}))
+	}
+}
+
+// tell has the shard hear of a run.
+func (f *fixture) tell(o Placed[worker.Order], s worker.RunState) {
+	f.take(f.Event(f.now, o.Node, worker.Event{Shard: f.ID, Epoch: f.Epoch, State: s}))
+}
+
+// lose tells that a run was lost with its server, and has what is due written.
+func (f *fixture) lose(o Placed[worker.Order], suspects int, what worker.Loss) {
+	f.tell(o, lost(o, suspects, what))
 	f.now += 200 * time.Millisecond
 	f.write()
 }
 
 // explain tells what became of that server.
 func (f *fixture) explain(o Placed[worker.Order], what worker.Loss) {
-	f.take(f.Event(f.now, o.Node, worker.Event{Shard: f.ID, Epoch: f.Epoch, State: worker.RunState{
-		Run: o.What.Run, Status: worker.LossNews, Loss: what, Instance: "i-" + o.Node,
-	}}))
+	f.tell(o, worker.RunState{Run: o.What.Run, Status: worker.LossNews, Loss: what, Instance: "i-" + o.Node})
 }
 
 // pass lets time pass and what is due be written.
@@ -140,30 +149,13 @@
 // were lost at the same moment, so the task is tried once more.
 func TestRackThatIsLostCondemnsNobody(t *testing.T) {
 	f := newCrashFixture(t)
-	f.submit("00000000000000bb", steps(3))
-	f.write()
-	others := f.orders
 	f.lose(f.begin(), 4, worker.LossConfirmed)
-	at := f.now
-	for i, o := range others {
-		f.lose(Placed[worker.Order]{Node: o.Node, What: o.What}, 2, worker.LossConfirmed)
-		f.losses[len(f.losses)-1] = loss{node: "rack-" + strconv.Itoa(i), at: at}
+	for i := range togetherOthers {
+		f.noteLossLocked(f.now, "rack-"+strconv.Itoa(i), "i")
 	}
-	f.now = at
-	o := f.lastOf(testID)
-	f.noteLossLocked(f.now, o.Node, "i-"+o.Node)
-	f.lose(o, 1, worker.LossConfirmed)
+	f.lose(f.last(), 1, worker.LossConfirmed)
 	f.is.True(!f.Lookup(testID).State.Final())
-	f.is.Equal(f.lastOf(testID).What.Caution, worker.Alone)
-}
-
-// lastOf is the order of a job that was sent last.
-func (f *fixture) lastOf(id job.ID) Placed[worker.Order] {
-	for i := len(f.orders) - 1; ; i-- {
-		if f.orders[i].What.Run.Task.Job == id {
-			return f.orders[i]
-		}
-	}
+	f.is.Equal(f.last().What.Caution, worker.Alone)
 }
 
 // An owner dies after two servers were lost under a task. The next one finds that in the
@@ -191,9 +183,7 @@
 	f := newCrashFixture(t)
 	f.lose(f.begin(), 4, worker.LossConfirmed)
 	o := f.last()
-	f.take(f.Event(f.now, o.Node, worker.Event{Shard: f.ID, Epoch: f.Epoch, State: worker.RunState{
-		Run: o.What.Run, Status: worker.Ended, End: job.Lapsed, Loss: worker.LossConfirmed, Instance: "i", Suspects: 3,
-	}}))
+	f.tell(o, lost(o, 3, worker.LossConfirmed))
 	f.take(f.Tick(f.now + time.Second))
 	f.is.Equal(len(f.orders), 2)
 	f.write()
@@ -256,9 +246,7 @@
 	f.fleet.Lost(o.Node)
 	claim, _, fx := f.Linked(f.now, o.Node, 2)
 	f.take(fx)
-	f.take(f.Claimed(f.now, o.Node, worker.Claimed{Claim: claim, Lost: []worker.RunState{{
-		Run: o.What.Run, Status: worker.Ended, End: job.Lapsed, Loss: worker.LossConfirmed, Instance: "i", Suspects: 3,
-	}}}))
+	f.take(f.Claimed(f.now, o.Node, worker.Claimed{Claim: claim, Lost: []worker.RunState{lost(o, 3, worker.LossConfirmed)}}))
 	f.write()
 	f.is.Equal(len(f.orders), 3)
 	f.is.Equal(f.last().What.Caution, worker.Alone)
@@ -281,8 +269,7 @@
 	claim, _, fx := f.Linked(f.now, second.Node, 2)
 	f.take(fx)
 	f.take(f.Claimed(f.now, second.Node, worker.Claimed{Claim: claim, Lost: []worker.RunState{
-		{Run: first.What.Run, Loss: worker.LossConfirmed, Instance: "i-" + first.Node, Suspects: 3},
-		{Run: second.What.Run, Loss: worker.LossConfirmed, Instance: "i", Suspects: 3},
+		lost(first, 3, worker.LossConfirmed), lost(second, 3, worker.LossConfirmed),
 	}}))
 	f.is.Equal(len(f.jobs[testID].rec.Tasks[0].Crashes), 1)
 }
@@ -296,10 +283,34 @@
 	f.lose(f.last(), 4, worker.LossConfirmed)
 	third := f.last()
 	f.explain(first, worker.LossCleared)
-	f.take(f.Event(f.now, third.Node, worker.Event{Shard: f.ID, Epoch: f.Epoch, State: worker.RunState{
-		Run: third.What.Run, Status: worker.Ended, End: job.Lapsed, Loss: worker.LossConfirmed, Instance: "i", Suspects: 3,
-	}}))
+	f.tell(third, lost(third, 3, worker.LossConfirmed))
 	f.is.Equal(len(f.orders), 3)
 	f.write()
 	f.is.Equal(len(f.orders), 4)
 }
+
+// Every agent without another suspect is full, so that a suspect waits for room. Tasks that
+// may go anywhere go to the room that is there: behind the suspect they waited for it.
+func TestWaitingSuspectHoldsNobodyUp(t *testing.T) {
+	f := newFixture(t, nil, nil, "a", "b")
+	crashed := f.begin()
+	full, free := "a", "b"
+	if crashed.Node == "a" {
+		full, free = "b", "a"
+	}
+	f.lose(crashed, 4, worker.LossConfirmed)
+	capacity := job.Demand{CPUMillis: 16000, MemoryMB: 65536}
+	busy := AgentLoad{Service: "desk", Capacity: capacity, Accepts: true, Backlog: time.Second, Turnover: 100 * time.Millisecond, Seen: 1 << 20}
+	for i := range busy.Ahead {
+		busy.Ahead[i] = time.Second
+	}
+	f.fleet.Update(f.now, full, busy)
+	f.fleet.Update(f.now, free, AgentLoad{Service: "desk", Capacity: capacity, Free: capacity, Accepts: true, Suspects: 1, Seen: 1 << 20})
+	f.event(f.last(), worker.Ended, job.NeverRan) // it is handed back
+	f.is.True(f.Waiting())
+	before := len(f.orders)
+	f.submit("00000000000000bb", steps(1))
+	f.write()
+	f.is.Equal(len(f.orders), before+1)
+	f.is.Equal(f.last().Node, free)
+}
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -25,7 +25,9 @@
 func (s *Shard) waitingTask(j *jobState, id job.TaskID) waitingTask {
 	st := &j.rec.Spec.Steps[id.Step]
 	n := s.need(&j.rec.Policy, st)
-	return waitingTask{id: id, where: placeKeyOf(&j.rec.Policy, st), yields: j.yields, latest: j.due - n.Estimate, work: coreTime(n)}
+	where := placeKeyOf(&j.rec.Policy, st)
+	where.suspect = s.caution(j.rec.Task(id)) != worker.NoCaution
+	return waitingTask{id: id, where: where, yields: j.yields, latest: j.due - n.Estimate, work: coreTime(n)}
 }
 
 // bindLocked sends a task to an agent, if one has room for it soon.
--- a/coordination/worker/crash.go
+++ b/coordination/worker/crash.go
@@ -44,8 +44,8 @@
 
 const (
 	// lostMemory is how long runs that were lost with a server are remembered: longer than
-	// a backend server takes to come back, and an owner to make a lost link anew.
-	lostMemory = 20 * time.Second
+	// a backend server takes to come back, and an owner to reach an agent again.
+	lostMemory = time.Minute
 	// mostLost bounds the servers that are remembered so: one that crashes as soon as it
 	// is up does so every few seconds.
 	mostLost = 8
