Keep of a lost run what its owners are told, and each loss of an instance by itself

A server that was cut off, came back and crashed later had the runs that went with the cut told as crashed with the next claim, so that tasks were under suspicion for nothing (TestLaterCrashAccusesNoEarlierRun fails before). And a lost run was kept whole, with its payload of up to 4 kB.

--- a/coordination/worker/crash.go
+++ b/coordination/worker/crash.go
@@ -51,13 +51,22 @@
 	mostLost = 8
 )
 
-// lostServer is an instance that was lost, with the runs on it and what is known of its
-// end.
+// lostServer is an instance that was lost, with the runs that went with it and what is
+// known of its end. One that was cut off and is there again may be lost once more.
 type lostServer struct {
 	instance string
 	at       time.Duration
 	what     Loss
-	runs     []*run
+	runs     []lostRun
+}
+
+// lostRun is what is kept of a run that was lost. Its epoch is that of its shard's last
+// known owner.
+type lostRun struct {
+	shard    int
+	epoch    int64
+	run      job.RunID
+	suspects int
 }
 
 // occupies reports whether a run may be on the backend server.
@@ -73,22 +82,21 @@
 		w.dropLocked(fx, id, r, job.Lapsed, reason)
 		return
 	}
-	lost := w.lostServerLocked(now)
-	lost.what = what
-	lost.runs = append(lost.runs, r)
+	lost := w.lostServerLocked(now, what)
+	lost.runs = append(lost.runs, lostRun{shard: r.order.Shard, epoch: r.order.Epoch, run: id, suspects: suspects})
 	r.loss, r.suspects = what, suspects
 	w.dropLocked(fx, id, r, job.Lapsed, reason)
 }
 
-// lostServerLocked returns what is kept of the present instance as one that is lost.
-func (w *Worker) lostServerLocked(now time.Duration) *lostServer {
-	if n := len(w.lost); n > 0 && w.lost[n-1].instance == w.server.Instance {
+// lostServerLocked returns what is kept of the present instance, which is lost now.
+func (w *Worker) lostServerLocked(now time.Duration, what Loss) *lostServer {
+	if n := len(w.lost); n > 0 && w.lost[n-1].at == now && w.lost[n-1].instance == w.server.Instance {
 		return w.lost[n-1]
 	}
 	if len(w.lost) == mostLost {
 		w.lost = slices.Delete(w.lost, 0, 1)
 	}
-	lost := &lostServer{instance: w.server.Instance, at: now}
+	lost := &lostServer{instance: w.server.Instance, at: now, what: what}
 	w.lost = append(w.lost, lost)
 	return lost
 }
@@ -102,7 +110,8 @@
 		}
 		lost.what = what
 		for _, r := range lost.runs {
-			w.emitLocked(fx, r, RunState{Run: r.order.Run, Status: LossNews, Loss: what, Instance: lost.instance})
+			state := RunState{Run: r.run, Status: LossNews, Loss: what, Instance: lost.instance}
+			fx.Events = append(fx.Events, Event{Shard: r.shard, Epoch: r.epoch, State: state})
 		}
 	}
 }
@@ -114,13 +123,14 @@
 func (w *Worker) lostForLocked(c Claim) []RunState {
 	var out []RunState
 	for _, lost := range w.lost {
-		for _, r := range lost.runs {
-			if r.order.Shard != c.Shard {
+		for i := range lost.runs {
+			r := &lost.runs[i]
+			if r.shard != c.Shard {
 				continue
 			}
-			r.order.Epoch = c.Epoch
+			r.epoch = c.Epoch
 			out = append(out, RunState{
-				Run: r.order.Run, Status: Ended, End: job.Lapsed, Loss: lost.what, Instance: lost.instance, Suspects: r.suspects,
+				Run: r.run, Status: Ended, End: job.Lapsed, Loss: lost.what, Instance: lost.instance, Suspects: r.suspects,
 			})
 		}
 	}
--- a/coordination/worker/crash_test.go
+++ b/coordination/worker/crash_test.go
@@ -167,3 +167,21 @@
 	f.report("i-2", 1, false)
 	is.Equal(len(f.losses(LossNews)), 0)
 }
+
+// A backend server is cut off until its lease is over, is there again, and crashes later
+// under another run. The first run was lost with the lease and not with a crash; told of as
+// crashed with the next claim, its task would be under suspicion for nothing.
+func TestLaterCrashAccusesNoEarlierRun(t *testing.T) {
+	f := newFixture(t)
+	f.send(f.order(0))
+	f.crash()
+	f.hold() // the same instance
+	f.send(f.order(1))
+	f.pass(time.Second / 10)
+	f.report("i-2", 1, false)
+	what := make(map[job.RunID]Loss)
+	for _, s := range f.claim(private, 1, 2).Lost {
+		what[s.Run] = s.Loss
+	}
+	f.is.Equal(what, map[job.RunID]Loss{f.order(0).Run: LossCleared, f.order(1).Run: LossConfirmed})
+}
