--- a/coordination/worker/crash_test.go
+++ b/coordination/worker/crash_test.go
@@ -176,11 +176,15 @@
 	f.send(f.order(0))
 	f.crash()
 	f.hold() // the same instance
-	f.send(f.order(1))
-	f.pass(time.Second / 10)
+	f.claim(private, 1, 2)
+	second := f.order(1)
+	second.Session = 2
+	f.send(second)
+	f.is.Equal(len(f.alive), 1)
+	f.pass(100 * time.Millisecond)
 	f.report("i-2", 1, false)
 	what := make(map[job.RunID]Loss)
-	for _, s := range f.claim(private, 1, 2).Lost {
+	for _, s := range f.claim(private, 1, 3).Lost {
 		what[s.Run] = s.Loss
 	}
 	f.is.Equal(what, map[job.RunID]Loss{f.order(0).Run: LossCleared, f.order(1).Run: LossConfirmed})
