Judge what is too large by all known agents, and by what their servers say now

Callers of the project's own interface were told never_runnable for a task that is larger than the backend servers that its entry happens to link, though others have room for it: the entry looked at its subset only.

--- a/daemon/clients/clients.go
+++ b/daemon/clients/clients.go
@@ -28,6 +28,8 @@
 	Lookup(ctx context.Context, id job.ID) owner.Verdict
 	Cancel(ctx context.Context, id job.ID) owner.Verdict
 	Agents() []owner.AgentView
+	// Capacities are what the known backend servers of a service have.
+	Capacities(service string) []job.Demand
 	Linked() bool
 }
 
@@ -56,7 +58,7 @@
 	if !ok {
 		return refused(key, state.ReasonUnknownService, 0)
 	}
-	if c.neverRuns(&s.Job, spec) {
+	if c.tooLarge(&s.Job, spec) {
 		return refused(key, state.ReasonNeverRunnable, 0)
 	}
 	if wait, ok := c.book(ctx, &s.Job, file); !ok {
@@ -125,16 +127,11 @@
 	return answerOf(key, c.entry.Cancel(ctx, jobID(key)))
 }
 
-// neverRuns reports whether no backend server of the service that the entry
-// knows is large enough for one of the tasks. While it knows none of the
-// service, it can't tell.
-func (c *Clients) neverRuns(j *state.Job, s declaration.ServiceSpec) bool {
-	var rooms []job.Demand
-	for _, a := range c.entry.Agents() {
-		if a.Load.Service == s.Name {
-			rooms = append(rooms, a.Load.Capacity)
-		}
-	}
+// tooLarge reports whether no backend server of the service that the entry knows,
+// linked or not, is large enough for one of the tasks, even empty. While it knows none of
+// the service, it can't tell.
+func (c *Clients) tooLarge(j *state.Job, s declaration.ServiceSpec) bool {
+	rooms := c.entry.Capacities(s.Name)
 	if len(rooms) == 0 {
 		return false
 	}
--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +16,7 @@
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
+	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/routing"
 	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
@@ -139,6 +142,19 @@
 // Agents returns what is known of the agents.
 func (e *Entry) Agents() []owner.AgentView { return e.fleet.Agents() }
 
+// Capacities are what the known backend servers of a service have: those that the entry
+// links by their last news, the others by the registry.
+func (e *Entry) Capacities(service string) []job.Demand {
+	offers := e.links.offers(service)
+	for _, a := range e.fleet.Agents() {
+		delete(offers, a.Node)
+		if a.Load.Service == service {
+			offers[a.Node] = a.Load.Capacity
+		}
+	}
+	return slices.Collect(maps.Values(offers))
+}
+
 // Linked reports whether there is a link to an agent.
 func (e *Entry) Linked() bool { return e.links.anyUp() }
 
--- a/daemon/core/needs.go
+++ b/daemon/core/needs.go
@@ -105,6 +105,19 @@
 	return least
 }
 
+// offers are the capacities that agents with backend servers of a service have registered.
+func (l *linkSet) offers(service string) map[string]job.Demand {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]job.Demand)
+	for node, reg := range l.known {
+		if reg.Offer != nil && reg.Offer.Service == service {
+			out[node] = reg.Offer.Capacity
+		}
+	}
+	return out
+}
+
 // need takes in what a job's steps ask for, and reports whether links have to be made
 // for it.
 func (l *linkSet) need(now time.Duration, spec *job.Spec, p *job.Policy) bool {
--- a/protocol/api/title.go
+++ b/protocol/api/title.go
@@ -13,7 +13,7 @@
 	state.ReasonUnknownService:   "No such service is declared",
 	state.ReasonUnknownJob:       "No such job is known",
 	state.ReasonIDConflict:       "The id stands for another submission",
-	state.ReasonNeverRunnable:    "No known worker can ever run this",
+	state.ReasonNeverRunnable:    "No known worker is large enough for this",
 	state.ReasonQuota:            "The operator's quota is used up",
 	state.ReasonOverload:         "The system is overloaded",
 	state.ReasonBusy:             "The entry holds too many submissions",
