Keep what leads to a restart apart from what is known of crashes, in plain words

Moves and names: coordination/owner/crash.go has what is known of lost servers, restart.go whether a task may be started again; the words of a court are gone but for 'suspect' and 'acquit'.

--- a/coordination/owner/crash.go
+++ b/coordination/owner/crash.go
@@ -24,8 +24,8 @@
 const FailureCrashed = "a task took the backend servers down on which it was started"
 
 const (
-	// aloneSuspect is the number of the lost server that condemns a task if nothing ran
-	// beside it there.
+	// aloneSuspect is the number of the lost server for which a task is given up if nothing
+	// ran beside it there.
 	aloneSuspect = 2
 	// recordedFrom is the number of lost servers from which on a task waits for its record.
 	recordedFrom = 2
@@ -157,140 +157,6 @@
 	return others >= togetherOthers
 }
 
-// sentence is what a task's crashes lead to.
-type sentence uint8
-
-const (
-	// goOn: it may be started, with the caution that its crashes ask for.
-	goOn sentence = iota
-	// hold: it depends on news of a server.
-	hold
-	// giveUp: it is not started any more.
-	giveUp
-)
-
-// judgeLocked says whether a task may be started again.
-func (s *Shard) judgeLocked(now time.Duration, t *task, rec *job.TaskRecord) sentence {
-	n, most := len(rec.Crashes), s.fleet.params.CrashesMost
-	if n == 0 {
-		return goOn
-	}
-	last := &rec.Crashes[n-1]
-	if n < most && (n < aloneSuspect || !last.Alone) {
-		return goOn
-	}
-	confirmed := 0
-	for i := range rec.Crashes {
-		if rec.Crashes[i].Confirmed {
-			confirmed++
-		}
-	}
-	switch since := now - t.lostAt; {
-	case confirmed >= min(aloneSuspect, most) && n >= most:
-		return giveUp
-	case confirmed == n && !s.togetherLocked(last):
-		return giveUp
-	case confirmed < n && since < newsOfCrash:
-		return hold
-	case n <= most:
-		return goOn
-	case since < forgetCrash:
-		return hold
-	}
-	// Nobody can tell any more what became of those: their agents are lost too.
-	rec.Crashes = slices.DeleteFunc(slices.Clone(rec.Crashes), func(c job.Crash) bool { return !c.Confirmed })
-	return goOn
-}
-
-// maySuspectStartLocked reports whether a task under which servers were lost may be ordered
-// now; one that is given up fails its job.
-func (s *Shard) maySuspectStartLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task) bool {
-	rec := j.rec.Task(id)
-	if len(rec.Crashes) == 0 {
-		return true
-	}
-	switch s.judgeLocked(now, t, rec) {
-	case hold:
-		return false
-	case giveUp:
-		s.giveUpCrasherLocked(now, fx, j, id, t, rec)
-		return false
-	}
-	// A crash that no record has is forgotten with its owner, and the next one would start
-	// the task as often again.
-	return j.rec.Spec.BestEffort || len(rec.Crashes) < recordedFrom || t.recorded >= newestCrash(rec)
-}
-
-// newestCrash is the number of the newest run that was lost with its server.
-func newestCrash(rec *job.TaskRecord) int64 {
-	var newest int64
-	for i := range rec.Crashes {
-		newest = max(newest, rec.Crashes[i].Run)
-	}
-	return newest
-}
-
-// giveUpCrasherLocked fails the job of a task that crashes its servers.
-func (s *Shard) giveUpCrasherLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task, rec *job.TaskRecord) {
-	fx.log(Decision{What: "crasher_given_up", Job: id.Job, Run: job.RunID{Task: id, Number: t.number}, Node: rec.Crashes[len(rec.Crashes)-1].Node, Count: len(rec.Crashes)})
-	t.phase = over
-	delete(s.suspects, id)
-	guilty := rec.Crashes
-	s.failLocked(now, fx, j, FailureCrashed)
-	s.acquitNeighboursLocked(now, fx, guilty)
-}
-
-// acquitNeighboursLocked takes the servers that a task has crashed from the other suspects.
-func (s *Shard) acquitNeighboursLocked(now time.Duration, fx *Effects, guilty []job.Crash) {
-	for id := range s.suspects {
-		j := s.jobs[id.Job]
-		if j == nil || j.rec.State.Final() {
-			delete(s.suspects, id)
-			continue
-		}
-		rec := j.rec.Task(id)
-		t := s.taskLocked(j, id)
-		kept := slices.DeleteFunc(slices.Clone(rec.Crashes), func(c job.Crash) bool {
-			innocent := slices.ContainsFunc(guilty, func(g job.Crash) bool { return g.Node == c.Node && g.Instance == c.Instance })
-			if innocent {
-				t.acquitted = max(t.acquitted, c.Run)
-			}
-			return innocent
-		})
-		if len(kept) == len(rec.Crashes) {
-			continue
-		}
-		rec.Crashes = kept
-		fx.log(Decision{What: "crash_acquitted", Job: id.Job, Run: job.RunID{Task: id}, Reason: "another_task", Count: len(kept)})
-		s.writeLocked(fx, j, now+s.bounds.LazyWrite)
-	}
-}
-
-// acquitLocked takes in that a run of a suspect has ended, and its server with it has not.
-func (s *Shard) acquitLocked(fx *Effects, t *task, rec *job.TaskRecord, run job.RunID, node string) {
-	t.acquitted = run.Number
-	if len(rec.Crashes) == 0 {
-		return
-	}
-	rec.Crashes = nil
-	delete(s.suspects, run.Task)
-	fx.log(Decision{What: "crash_acquitted", Job: run.Task.Job, Run: run, Node: node, Reason: "ended"})
-}
-
-// judgeSuspectsLocked looks again at suspects that wait for news of a server.
-func (s *Shard) judgeSuspectsLocked(now time.Duration, fx *Effects) {
-	for id := range s.suspects {
-		j := s.jobs[id.Job]
-		if j == nil || j.rec.State.Final() || len(j.rec.Task(id).Crashes) == 0 {
-			delete(s.suspects, id)
-			continue
-		}
-		if t := s.taskLocked(j, id); t.phase == idle && j.durable {
-			s.orderLocked(now, fx, j, id, t)
-		}
-	}
-}
-
 // caution is how a task is kept apart from others.
 func (s *Shard) caution(rec *job.TaskRecord) worker.Caution {
 	switch n := len(rec.Crashes); {
--- a/coordination/owner/crash_test.go
+++ b/coordination/owner/crash_test.go
@@ -93,7 +93,7 @@
 
 // Servers are cut off, or lose their leases, under the same task three times, and come
 // back as the same instances. Taken for crashes they would fail a job that can be done.
-func TestServersThatComeBackAccuseNobody(t *testing.T) {
+func TestServersThatComeBackRaiseNoSuspicion(t *testing.T) {
 	f := newCrashFixture(t)
 	o := f.begin()
 	for range 4 {
@@ -110,7 +110,7 @@
 }
 
 // A task has run beside one that crashes its servers, twice, and ends at its third start.
-// It was innocent: what it was accused of is forgotten, also for a failure later.
+// It was innocent: those losses are forgotten, also for a failure later.
 func TestNeighbourIsAcquittedWhenItEnds(t *testing.T) {
 	f := newCrashFixture(t)
 	f.lose(f.begin(), 5, worker.LossConfirmed)
@@ -147,7 +147,7 @@
 
 // A rack is lost, and in it the second server under a task that was alone there: others
 // were lost at the same moment, so the task is tried once more.
-func TestRackThatIsLostCondemnsNobody(t *testing.T) {
+func TestRackThatIsLostGivesUpNoTask(t *testing.T) {
 	f := newCrashFixture(t)
 	f.lose(f.begin(), 4, worker.LossConfirmed)
 	for i := range togetherOthers {
@@ -255,14 +255,14 @@
 // A task is acquitted of one server while another run of it is at work, and that run is lost
 // with its server too, whose news goes with the link. It counts: the acquittal was of the
 // earlier run. Passed over, a task that crashes its servers had one more start for each.
-func TestAcquittalIsOfTheRunsThatWereAccused(t *testing.T) {
+func TestAcquittalIsOfEarlierRunsOnly(t *testing.T) {
 	f := newCrashFixture(t)
 	first := f.begin()
 	f.lose(first, 3, worker.LossConfirmed)
 	second := f.last()
-	guilty := []job.Crash{{Node: first.Node, Instance: "i-" + first.Node}}
+	culprit := []job.Crash{{Node: first.Node, Instance: "i-" + first.Node}}
 	var fx Effects
-	f.acquitNeighboursLocked(f.now, &fx, guilty)
+	f.acquitNeighboursLocked(f.now, &fx, culprit)
 	f.take(fx)
 	f.is.Equal(len(f.jobs[testID].rec.Tasks[0].Crashes), 0)
 	f.LinkLost(f.now, second.Node, 1)
--- a/coordination/owner/dispatch.go
+++ b/coordination/owner/dispatch.go
@@ -87,7 +87,7 @@
 	}
 	s.waitOutLocked(now, &fx)
 	s.renewUnansweredLocked(now, &fx)
-	s.judgeSuspectsLocked(now, &fx)
+	s.retrySuspectsLocked(now, &fx)
 	s.dropHopelessLocked(now, &fx)
 	s.placeWaitingLocked(now, &fx)
 	s.expireJobsLocked(now)
--- /dev/null
+++ b/coordination/owner/restart.go
@@ -0,0 +1,142 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// restart says whether a task under which servers were lost may be started again.
+type restart uint8
+
+const (
+	// restartNow: it may, with the caution that its crashes ask for.
+	restartNow restart = iota
+	// restartLater: that depends on news of a server.
+	restartLater
+	// restartNever: it is given up.
+	restartNever
+)
+
+// restartLocked says whether a task may be started again, by the servers lost under it.
+func (s *Shard) restartLocked(now time.Duration, t *task, rec *job.TaskRecord) restart {
+	n, most := len(rec.Crashes), s.fleet.params.CrashesMost
+	if n == 0 {
+		return restartNow
+	}
+	last := &rec.Crashes[n-1]
+	if n < most && (n < aloneSuspect || !last.Alone) {
+		return restartNow
+	}
+	confirmed := 0
+	for i := range rec.Crashes {
+		if rec.Crashes[i].Confirmed {
+			confirmed++
+		}
+	}
+	switch since := now - t.lostAt; {
+	case confirmed >= min(aloneSuspect, most) && n >= most:
+		return restartNever
+	case confirmed == n && !s.togetherLocked(last):
+		return restartNever
+	case confirmed < n && since < newsOfCrash:
+		return restartLater
+	case n <= most:
+		return restartNow
+	case since < forgetCrash:
+		return restartLater
+	}
+	// Nobody can tell any more what became of those: their agents are lost too.
+	rec.Crashes = slices.DeleteFunc(slices.Clone(rec.Crashes), func(c job.Crash) bool { return !c.Confirmed })
+	return restartNow
+}
+
+// maySuspectStartLocked reports whether a task under which servers were lost may be ordered
+// now; one that is given up fails its job.
+func (s *Shard) maySuspectStartLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task) bool {
+	rec := j.rec.Task(id)
+	if len(rec.Crashes) == 0 {
+		return true
+	}
+	switch s.restartLocked(now, t, rec) {
+	case restartLater:
+		return false
+	case restartNever:
+		s.giveUpCrasherLocked(now, fx, j, id, t, rec)
+		return false
+	}
+	// A crash that no record has is forgotten with its owner, and the next one would start
+	// the task as often again.
+	return j.rec.Spec.BestEffort || len(rec.Crashes) < recordedFrom || t.recorded >= newestCrash(rec)
+}
+
+// newestCrash is the number of the newest run that was lost with its server.
+func newestCrash(rec *job.TaskRecord) int64 {
+	var newest int64
+	for i := range rec.Crashes {
+		newest = max(newest, rec.Crashes[i].Run)
+	}
+	return newest
+}
+
+// giveUpCrasherLocked fails the job of a task that crashes its servers.
+func (s *Shard) giveUpCrasherLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task, rec *job.TaskRecord) {
+	fx.log(Decision{What: "crasher_given_up", Job: id.Job, Run: job.RunID{Task: id, Number: t.number}, Node: rec.Crashes[len(rec.Crashes)-1].Node, Count: len(rec.Crashes)})
+	t.phase = over
+	delete(s.suspects, id)
+	crashed := rec.Crashes
+	s.failLocked(now, fx, j, FailureCrashed)
+	s.acquitNeighboursLocked(now, fx, crashed)
+}
+
+// acquitNeighboursLocked takes the servers that a task has crashed from the other suspects.
+func (s *Shard) acquitNeighboursLocked(now time.Duration, fx *Effects, crashed []job.Crash) {
+	for id := range s.suspects {
+		j := s.jobs[id.Job]
+		if j == nil || j.rec.State.Final() {
+			delete(s.suspects, id)
+			continue
+		}
+		rec := j.rec.Task(id)
+		t := s.taskLocked(j, id)
+		kept := slices.DeleteFunc(slices.Clone(rec.Crashes), func(c job.Crash) bool {
+			innocent := slices.ContainsFunc(crashed, func(k job.Crash) bool { return k.Node == c.Node && k.Instance == c.Instance })
+			if innocent {
+				t.acquitted = max(t.acquitted, c.Run)
+			}
+			return innocent
+		})
+		if len(kept) == len(rec.Crashes) {
+			continue
+		}
+		rec.Crashes = kept
+		fx.log(Decision{What: "crash_acquitted", Job: id.Job, Run: job.RunID{Task: id}, Reason: "another_task", Count: len(kept)})
+		s.writeLocked(fx, j, now+s.bounds.LazyWrite)
+	}
+}
+
+// acquitLocked takes in that a run of a suspect has ended, and its server with it has not.
+func (s *Shard) acquitLocked(fx *Effects, t *task, rec *job.TaskRecord, run job.RunID, node string) {
+	t.acquitted = run.Number
+	if len(rec.Crashes) == 0 {
+		return
+	}
+	rec.Crashes = nil
+	delete(s.suspects, run.Task)
+	fx.log(Decision{What: "crash_acquitted", Job: run.Task.Job, Run: run, Node: node, Reason: "ended"})
+}
+
+// retrySuspectsLocked looks again at suspects that wait for news of a server.
+func (s *Shard) retrySuspectsLocked(now time.Duration, fx *Effects) {
+	for id := range s.suspects {
+		j := s.jobs[id.Job]
+		if j == nil || j.rec.State.Final() || len(j.rec.Task(id).Crashes) == 0 {
+			delete(s.suspects, id)
+			continue
+		}
+		if t := s.taskLocked(j, id); t.phase == idle && j.durable {
+			s.orderLocked(now, fx, j, id, t)
+		}
+	}
+}
--- a/coordination/owner/write.go
+++ b/coordination/owner/write.go
@@ -147,7 +147,7 @@
 	for i := range b.Writes {
 		s.writtenLocked(now, &fx, &b.Writes[i])
 	}
-	s.judgeSuspectsLocked(now, &fx)
+	s.retrySuspectsLocked(now, &fx)
 	s.placeWaitingLocked(now, &fx)
 	return fx
 }
--- a/coordination/worker/crash_test.go
+++ b/coordination/worker/crash_test.go
@@ -78,7 +78,7 @@
 
 // A backend server that drains, or has said that it leaves, ends as planned, and a stop of
 // the agent takes it along: its runs have done nothing.
-func TestPlannedEndsAccuseNobody(t *testing.T) {
+func TestPlannedEndsRaiseNoSuspicion(t *testing.T) {
 	for name, end := range map[string]func(*fixture){
 		"draining": func(f *fixture) { f.report("i-1", 2, true); f.crash(); f.report("i-2", 1, false) },
 		"replaced": func(f *fixture) { f.report("i-1", 2, true); f.report("i-2", 1, false) },
@@ -171,7 +171,7 @@
 // A backend server is cut off until its lease is over, is there again, and crashes later
 // under another run. The first run was lost with the lease and not with a crash; told of as
 // crashed with the next claim, its task would be under suspicion for nothing.
-func TestLaterCrashAccusesNoEarlierRun(t *testing.T) {
+func TestLaterCrashIsNotOfEarlierRuns(t *testing.T) {
 	f := newFixture(t)
 	f.send(f.order(0))
 	f.crash()
