--- a/daemon/core/enrol.go
+++ b/daemon/core/enrol.go
@@ -52,8 +52,11 @@
 // changed.
 func (a *Agent) keepRegistered(ctx context.Context) {
 	for ctx.Err() == nil {
+		before := a.registered.Load()
 		untilDone(ctx, "The agent can't register yet", func() error { return a.register(ctx) })
-		_ = pause.For(ctx, offerPause)
+		if a.registered.Load() != before {
+			_ = pause.For(ctx, offerPause)
+		}
 		select {
 		case <-ctx.Done():
 		case <-a.offerNews:
