--- /dev/null
+++ b/daemon/core/enrol_test.go
@@ -0,0 +1,69 @@
+package core
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/state/job"
+	"github.com/shallotstep/shallotstep/state/settings"
+	"github.com/shallotstep/shallotstep/state/store"
+)
+
+// registryStore keeps what is written to the registry.
+type registryStore struct {
+	noStore
+	mu      sync.Mutex
+	written []registration // guarded by mu
+}
+
+func (s *registryStore) Append(_ context.Context, p store.Partition, _ *store.Producer, records []store.Record) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p == registryPartition {
+		var reg registration
+		if err := json.Unmarshal(records[0].Value, &reg); err != nil {
+			return 0, err
+		}
+		s.written = append(s.written, reg)
+	}
+	return 0, nil
+}
+
+// A backend server's capacity goes back and forth with each of its reports. Written each
+// time, its registration would be read as often by all entries; it is written once a
+// second at most, at once when it is the first, and what it says last is what holds.
+func TestRegistrationFollowsTheCapacityWithPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		st := &registryStore{}
+		a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: testShards}}, st, nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		done.Go(func() { a.keepRegistered(ctx) })
+		const reports = 50
+		for i := range reports {
+			a.apply(a.worker.Report(time.Hour, worker.Server{
+				Instance: "i", Service: "desk", Seq: int64(i), Capacity: job.Demand{CPUMillis: int64(1000 * (i % 2))},
+			}, int64(i)))
+			a.offerChanged()
+			synctest.Wait()
+			if i == 0 {
+				is.Equal(len(st.written), 1)
+			}
+			time.Sleep(offerPause / 10)
+		}
+		time.Sleep(2 * offerPause)
+		synctest.Wait()
+		cancel()
+		done.Wait()
+		is.True(len(st.written) <= reports/10+2)
+		is.Equal(st.written[len(st.written)-1].Offer.Capacity.CPUMillis, int64(1000))
+	})
+}
