--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -66,9 +66,11 @@
 type Link struct {
 	Node, Addr string
 
-	*Dialer
-	cancel context.CancelFunc
-	done   chan struct{}
+	dialer *Dialer
+	// session is the number of the last one.
+	session int64
+	cancel  context.CancelFunc
+	done    chan struct{}
 
 	mu     sync.Mutex
 	client corepb.CoreClient       // guarded by mu; nil while down
@@ -80,7 +82,7 @@
 // Dial keeps a link to an agent until Close.
 func (d *Dialer) Dial(ctx context.Context, node, addr string) *Link {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &Link{Node: node, Addr: addr, Dialer: d, cancel: cancel, done: make(chan struct{})}
+	l := &Link{Node: node, Addr: addr, dialer: d, cancel: cancel, done: make(chan struct{})}
 	go l.run(ctx)
 	return l
 }
@@ -140,7 +142,7 @@
 		patience = min(2*patience, dialTimeout)
 		if up {
 			wait, patience = redialPause, firstDialTimeout
-			klog.InfoS("Lost the link to an agent", "agent", l.Node, "err", err)
+			klog.InfoS("Lost the link to an agent", "agent", l.Node, "session", l.session, "err", err)
 		}
 		if pause.For(ctx, wait) != nil {
 			return
@@ -177,7 +179,7 @@
 	if err != nil {
 		return false, errors.Wrap(err, "link")
 	}
-	if err := stream.Send(&corepb.ToAgent{Node: l.self}); err != nil {
+	if err := stream.Send(&corepb.ToAgent{Node: l.dialer.self}); err != nil {
 		return false, errors.Wrap(err, "link")
 	}
 	if _, err := stream.Recv(); err != nil {
@@ -187,10 +189,11 @@
 }
 
 func (l *Link) serve(ctx context.Context, cancel context.CancelFunc, w *watchdog, client corepb.CoreClient, stream grpc.BidiStreamingClient[corepb.ToAgent, corepb.FromAgent]) error {
-	session := l.sessions.Add(1)
+	l.session = l.dialer.sessions.Add(1)
+	session := l.session
 	w.reset(silenceLimit)
 	out := newOutbox[corepb.ToAgent]()
-	first := l.handler.LinkUp(l.Node, session)
+	first := l.dialer.handler.LinkUp(l.Node, session)
 	out.add(func(f *corepb.ToAgent) { f.Claims = first.GetClaims() })
 	l.mu.Lock()
 	l.client, l.out, l.end = client, out, cancel
@@ -208,7 +211,7 @@
 	l.mu.Unlock()
 	out.close()
 	writer.Wait()
-	l.handler.LinkDown(l.Node, session)
+	l.dialer.handler.LinkDown(l.Node, session)
 	return err
 }
 
@@ -239,7 +242,7 @@
 			echoed = f.GetHeartbeat()
 			echo.reset(echoLimit)
 		}
-		l.handler.LinkFrame(l.Node, session, f)
+		l.dialer.handler.LinkFrame(l.Node, session, f)
 	}
 }
 
