--- a/coordination/owner/crash_test.go
+++ b/coordination/owner/crash_test.go
@@ -314,3 +314,22 @@
 	f.is.Equal(len(f.orders), before+1)
 	f.is.Equal(f.last().Node, free)
 }
+
+// A task waits for the record of its second loss when another task is found to have crashed
+// both servers. It is acquitted, and nothing started it again: its job, accepted, never
+// ended.
+func TestAcquittedTaskThatWaitedIsStarted(t *testing.T) {
+	f := newCrashFixture(t)
+	first := f.begin()
+	f.lose(first, 3, worker.LossConfirmed)
+	second := f.last()
+	f.tell(second, lost(second, 3, worker.LossConfirmed)) // not recorded yet
+	f.is.Equal(len(f.orders), 2)
+	var fx Effects
+	f.acquitNeighboursLocked(f.now, &fx, []job.Crash{
+		{Node: first.Node, Instance: "i-" + first.Node}, {Node: second.Node, Instance: "i-" + second.Node},
+	})
+	f.take(fx)
+	f.pass(100 * time.Millisecond)
+	f.is.Equal(len(f.orders), 3)
+}
--- a/coordination/owner/restart.go
+++ b/coordination/owner/restart.go
@@ -131,12 +131,17 @@
 func (s *Shard) retrySuspectsLocked(now time.Duration, fx *Effects) {
 	for id := range s.suspects {
 		j := s.jobs[id.Job]
-		if j == nil || j.rec.State.Final() || len(j.rec.Task(id).Crashes) == 0 {
+		if j == nil || j.rec.State.Final() {
 			delete(s.suspects, id)
 			continue
 		}
+		// One that was acquitted while it waited for news or for its record has to be
+		// started here: nothing else looks at it any more.
 		if t := s.taskLocked(j, id); t.phase == idle && j.durable {
 			s.orderLocked(now, fx, j, id, t)
 		}
+		if len(j.rec.Task(id).Crashes) == 0 {
+			delete(s.suspects, id)
+		}
 	}
 }
