--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -48,14 +48,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.looks += int64(len(f.agents))
-	placers := 0
+	placers, sum, agents := 0, 0, 0
 	for node, v := range f.agents {
 		if v.takes(n) && may(node) {
 			cores += float64(v.load.Capacity.CPUMillis) / 1000
 			placers = max(placers, v.load.Placers)
+			sum += v.load.Placers
+			agents++
 		}
 	}
-	return cores, f.crowd.of(placers)
+	// The most crowded agent counts, as far as this process orders no more than others.
+	mean := max(float64(sum)/float64(max(agents, 1)), 1)
+	return cores, float64(max(placers, 1)) * min(f.crowd.of(int(mean))/mean, 1)
 }
 
 // Predict estimates when the last of a number of equal tasks would end if they
