--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -49,7 +49,7 @@
 		n.Now, n.Slack = now, objective-chain
 		wait, ok := s.predictLocked(n, placeKeyOf(p, &spec.Steps[i]), spec.Steps[i].Count)
 		if !ok && !s.expectsAgents(now, spec) {
-			return admission{reason: ReasonNoWorker, retryAfter: time.Second}
+			return admission{reason: s.noWorkerReason(n), retryAfter: time.Second}
 		}
 		a.wait = max(a.wait, wait)
 	}
@@ -86,6 +86,14 @@
 	return wait, true
 }
 
+// noWorkerReason is why no agent may have a task.
+func (s *Shard) noWorkerReason(n Need) string {
+	if s.fleet.DrainedOnly(n, s.mayOrderLocked) {
+		return ReasonDrained
+	}
+	return ReasonNoWorker
+}
+
 // expectsAgents reports whether agents are still to be linked after the start.
 func (s *Shard) expectsAgents(now time.Duration, spec *job.Spec) bool {
 	return spec.BestEffort && now-s.opened < s.fleet.params.Arrival
--- a/coordination/owner/events.go
+++ b/coordination/owner/events.go
@@ -114,7 +114,7 @@
 			return
 		}
 		t.phase = idle
-		if r.End == job.NeverRan && r.Reason != worker.ReasonNoRoom {
+		if r.End == job.NeverRan && r.Reason != worker.ReasonNoRoom && r.Reason != worker.ReasonDomainDrained {
 			t.failed = node
 		}
 		s.orderAgainLocked(now, fx, j, r.Run.Task, t)
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
 )
@@ -28,6 +29,8 @@
 	// Turnover is the mean time until the next running task ends.
 	Turnover time.Duration
 	Accepts  bool
+	// Drained is set where the failure domain is drained, so that nothing is newly started.
+	Drained bool
 	// Placers is the number of processes that place work there, and Orders counts what has
 	// come from all of them in this life of the agent.
 	Placers int
@@ -86,6 +89,8 @@
 	agents map[string]*agentView // guarded by mu
 	// retired are the agents that get no new work, linked or not. Guarded by mu.
 	retired map[string]bool
+	// drained are the failure domains in which nothing is newly started. Guarded by mu.
+	drained drains.State
 	// ratios has, for each queue, the mean of the measured run time over the
 	// client's estimate. Guarded by mu.
 	ratios map[string]float64
@@ -104,6 +109,8 @@
 	pending []pendingOrder
 	// retired agents get nothing new.
 	retired bool
+	// drained is set while the agent's failure domain is, by what this process knows.
+	drained bool
 }
 
 func (v *agentView) book(n Need) {
@@ -174,13 +181,24 @@
 	}
 }
 
+// Drain takes in which failure domains are drained. Nothing more is placed there, before
+// the agents of those domains have said so themselves.
+func (f *Fleet) Drain(s drains.State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drained = s
+	for _, v := range f.agents {
+		v.drained = s.Has(v.load.Domain)
+	}
+}
+
 // FreeShare is the part of some agents' cores that is free, by their last news.
 func (f *Fleet) FreeShare(nodes []string) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var free, all int64
 	for _, node := range nodes {
-		if v := f.agents[node]; v != nil && v.load.Accepts {
+		if v := f.agents[node]; v != nil && v.serves() {
 			free += max(v.load.Free.CPUMillis, 0)
 			all += v.load.Capacity.CPUMillis
 		}
@@ -193,7 +211,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, v := range f.agents {
-		if v.load.Accepts && v.load.Service == service && demand.Fits(v.load.Capacity) && (label == "" || slices.Contains(v.load.Labels, label)) {
+		if v.serves() && v.load.Service == service && demand.Fits(v.load.Capacity) && (label == "" || slices.Contains(v.load.Labels, label)) {
 			return true
 		}
 	}
@@ -212,6 +230,7 @@
 		f.crowd.note(now, l.Seen-v.load.Seen, l.Orders-v.load.Orders)
 	}
 	v.load, v.heard = l, now
+	v.drained = f.drained.Has(l.Domain)
 	for len(v.pending) > 0 && v.pending[0].number <= l.Seen {
 		v.pending = v.pending[1:]
 	}
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -78,7 +78,7 @@
 
 // WantsRoom reports whether a decision was made for want of room at the linked agents.
 func (d *Decision) WantsRoom() bool {
-	return d.Reason == ReasonOverload || d.Reason == ReasonNoWorker || d.What == wordLate
+	return d.Reason == ReasonOverload || d.Reason == ReasonNoWorker || d.Reason == ReasonDrained || d.What == wordLate
 }
 
 // taskPhase is how far a task has come at its owner.
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -161,7 +161,28 @@
 }
 
 // takes reports whether an agent may get a task now.
-func (v *agentView) takes(n Need) bool { return v.load.Accepts && !v.retired && v.load.eligible(n) }
+func (v *agentView) takes(n Need) bool { return v.serves() && !v.retired && v.load.eligible(n) }
+
+// serves reports whether new work may be started at an agent.
+func (v *agentView) serves() bool { return v.load.Accepts && !v.drained }
+
+// isDrained reports whether an agent's failure domain is drained, by what this process or
+// the agent knows.
+func (v *agentView) isDrained() bool { return v.drained || v.load.Drained }
+
+// DrainedOnly reports whether a task would find an agent if no failure domain were drained.
+func (f *Fleet) DrainedOnly(n Need, may func(node string) bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	found := false
+	for node, v := range f.agents {
+		if v.takes(n) && may(node) {
+			return false
+		}
+		found = found || v.isDrained() && v.load.eligible(n)
+	}
+	return found
+}
 
 func (l *AgentLoad) eligible(n Need) bool {
 	if l.Service != n.Service || !n.Demand.Fits(l.Capacity) {
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
@@ -12,6 +13,8 @@
 	ReasonOverload = "overload"
 	// ReasonNoWorker: no backend server can run it now.
 	ReasonNoWorker = "no_worker"
+	// All agents that may have a task are in failure domains that are drained.
+	ReasonDrained = worker.ReasonDomainDrained
 	// ReasonStore: the record can't be written now.
 	ReasonStore = "store_unavailable"
 	// ReasonConflict: the ID stands for another job.
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -153,7 +153,8 @@
 	if known, ok := reachable[w.where]; ok && st.Demand.Fits(known) {
 		return ""
 	}
-	if cores, _ := s.fleet.Room(s.need(&j.rec.Policy, st), s.mayOrderLocked); cores > 0 {
+	need := s.need(&j.rec.Policy, st)
+	if cores, _ := s.fleet.Room(need, s.mayOrderLocked); cores > 0 {
 		reachable[w.where] = st.Demand
 		return ""
 	}
@@ -161,7 +162,7 @@
 		// It fitted when it was accepted, and what has shrunk may grow again.
 		return ""
 	}
-	return ReasonNoWorker
+	return s.noWorkerReason(need)
 }
 
 // tooLateLocked reports whether a job of which nothing has started would end too late to
--- /dev/null
+++ b/coordination/worker/drain_test.go
@@ -0,0 +1,62 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// Guards against an order that waits at the agent and is started after its failure domain
+// was drained. It goes back as not run, and what runs goes on with its room.
+func TestWhatWaitsGoesBackWhenItsDomainIsDrained(t *testing.T) {
+	f := newFixture(t)
+	f.send(f.order(0))
+	f.send(f.order(1))
+	waits := f.order(2)
+	f.send(waits)
+	f.take(f.DrainDomain(f.now, true))
+	f.is.Equal(len(f.ended()), 1)
+	f.is.Equal(f.ended()[0].Run, waits.Run)
+	f.is.Equal(f.ended()[0].End, job.NeverRan)
+	f.is.Equal(f.ended()[0].Reason, ReasonDomainDrained)
+	f.is.Equal(len(f.alive), 2)
+	free := f.free()
+	f.end(f.order(0).Run, job.Done)
+	f.hold()
+	f.is.Equal(len(f.alive), 1) // its room is free, and nothing follows
+	f.is.True(f.free() > free)
+}
+
+// Guards against an order that was sent before its sender heard of the drain, and against
+// starts in a domain that is drained and taken back in quick succession.
+func TestOrderInADrainedDomainIsRefused(t *testing.T) {
+	f := newFixture(t)
+	for i := range 4 {
+		f.take(f.DrainDomain(f.now, true))
+		f.is.True(!f.Load(f.now).Accepts)
+		f.is.True(f.Load(f.now).Drained)
+		f.is.Equal(len(f.send(f.order(2*i)).Starts), 0)
+		f.take(f.DrainDomain(f.now, false))
+		f.is.True(f.Load(f.now).Accepts)
+		f.pass(time.Millisecond)
+	}
+	f.is.Equal(len(f.ended()), 4)
+	f.is.Equal(len(f.send(f.order(9)).Starts), 1)
+	f.is.Equal(f.Stats().Drained, int64(4))
+}
+
+// Guards against a start without an answer that is sent again once the domain is drained:
+// only the list, or its bar, settles it.
+func TestDoubtfulStartInADrainedDomain(t *testing.T) {
+	f := newFixture(t)
+	o := f.order(0)
+	fx := f.Order(f.now, o)
+	f.is.Equal(len(fx.Starts), 1)
+	f.take(f.DrainDomain(f.now, true))
+	f.take(f.StartAnswered(f.now, fx.Starts[0].Instance, o.Run, StartUnknown, ""))
+	for range 20 {
+		f.pass(50 * time.Millisecond)
+		f.is.Equal(len(f.Tick(f.now).Starts), 0)
+	}
+}
--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -26,8 +26,10 @@
 	// has ended, and those before it that take more than there is.
 	Turnover time.Duration
 	Accepts  bool
-	Waiting  int
-	Running  int
+	// Drained is set while the failure domain is: nothing is newly started here.
+	Drained bool
+	Waiting int
+	Running int
 	// Unsettled is the number of ends that the backend server still lists.
 	Unsettled int
 	// Holds counts the holds that were sent.
@@ -41,7 +43,8 @@
 func (w *Worker) Load(now time.Duration) Load {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	l := Load{Server: w.server, Unsettled: w.unsettled, Holds: w.holds, Slowdown: w.health.slowdown(now), Accepts: w.seen && w.clock.known && !w.server.Draining && !w.closing && !w.health.suspended && !w.failing && !w.clean}
+	l := Load{Server: w.server, Unsettled: w.unsettled, Holds: w.holds, Slowdown: w.health.slowdown(now), Accepts: w.seen && w.clock.known && !w.server.Draining && !w.drained && !w.closing && !w.health.suspended && !w.failing && !w.clean}
+	l.Drained = w.drained
 	taken := w.occupancyLocked(now)
 	if taken.known {
 		l.Free = w.server.Capacity.Minus(taken.used)
--- a/coordination/worker/orders.go
+++ b/coordination/worker/orders.go
@@ -30,6 +30,9 @@
 	r := &run{order: o, known: true}
 	if reason := w.unfitLocked(o); reason != "" {
 		w.stats.Refused++
+		if reason == ReasonDomainDrained {
+			w.stats.Drained++
+		}
 		w.overLocked(&fx, r, job.NeverRan, reason)
 		return fx
 	}
@@ -113,6 +116,8 @@
 		return "draining"
 	case w.closing:
 		return "agent_draining"
+	case w.drained:
+		return ReasonDomainDrained
 	case w.server.Service != o.Service:
 		return "other_service"
 	case o.Label != "" && !slices.Contains(w.server.Labels, o.Label):
--- a/coordination/worker/pump.go
+++ b/coordination/worker/pump.go
@@ -74,7 +74,7 @@
 }
 
 func (w *Worker) mayStartLocked() bool {
-	return w.seen && w.clock.known && !w.server.Draining && !w.lapsing && !w.failing && !w.health.suspended
+	return w.seen && w.clock.known && !w.server.Draining && !w.drained && !w.lapsing && !w.failing && !w.health.suspended
 }
 
 // waitingLocked returns the waiting orders, most urgent first: by when they
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -182,6 +182,8 @@
 
 	// answered is when the backend server answered a hold last.
 	answered time.Duration
+	// drained is set while nothing is to be newly started in this failure domain.
+	drained bool
 	// closing is set while the agent itself stops as planned.
 	closing bool
 	// misses counts the holds without an answer since the last one with.
@@ -224,6 +226,9 @@
 	Returned int64
 	// Resized counts the changes of the backend server's capacity.
 	Resized int64
+	// Drained counts the orders that were refused or handed back because the failure domain
+	// is drained.
+	Drained int64
 }
 
 // New returns a machine that knows nothing of its backend server yet.
--- a/daemon/clients/answer.go
+++ b/daemon/clients/answer.go
@@ -12,6 +12,7 @@
 var reasons = map[string]state.Reason{
 	owner.ReasonOverload: state.ReasonOverload,
 	owner.ReasonNoWorker: state.ReasonNoBackend,
+	owner.ReasonDrained:  state.ReasonDomainDrained,
 	owner.ReasonStore:    state.ReasonStoreUnavailable,
 	owner.ReasonConflict: state.ReasonIDConflict,
 	owner.ReasonNoOwner:  state.ReasonNoOwner,
--- a/daemon/clients/apply.go
+++ b/daemon/clients/apply.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,27 +12,13 @@
 	"github.com/shallotstep/shallotstep/state"
 	"github.com/shallotstep/shallotstep/state/declaration"
 	"github.com/shallotstep/shallotstep/state/store"
-	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
-const (
-	// declarer is the producer of all declarations; epochs tell writers apart.
-	declarer = "operators"
-	// callTimeout bounds one call to the store: a slow one answers within it.
-	callTimeout = time.Second
-	// applyTimeout bounds an apply with its repeats.
-	applyTimeout = 15 * time.Second
-	// applyPause is the mean pause before an apply that another one has got in
-	// the way of is tried again: an apply takes three calls of 5 ms.
-	applyPause = 30 * time.Millisecond
-)
+// declarer is the producer of all declarations; epochs tell writers apart.
+const declarer = "operators"
 
 // Apply implements httpapi.Declarer. It replaces an operator's declaration if
-// base is still the version in force. Two operators may apply at a time, at two
-// entries, and the store only knows epochs. So a writer first takes an epoch
-// above all it has seen, which shuts out whoever is under way, then reads what
-// is in force, and then writes under that epoch: a write that comes through has
-// read everything that was written before it.
+// base is still the version in force.
 func (d *Declarations) Apply(ctx context.Context, operator string, base state.Version, raw []byte) state.Applied {
 	file, err := declaration.Parse(operator, raw)
 	if err != nil {
@@ -50,7 +35,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
-	a := applying{Declarations: d, operator: operator, base: base, raw: raw, file: file}
+	a := applying{Declarations: d, fencedWriter: newFencedWriter(d.store, DeclarationsPartition, declarer), operator: operator, base: base, raw: raw, file: file}
 	out := a.run(ctx)
 	klog.InfoS("Apply", "operator", operator, "base", base, "version", out.Version, "outcome", out.Outcome, "reason", out.Reason)
 	return out
@@ -63,13 +48,11 @@
 // applying is one apply on its way.
 type applying struct {
 	*Declarations
+	*fencedWriter
 	operator string
 	base     state.Version
 	raw      []byte
 	file     *declaration.File
-	// epoch is the one to write under, and tries how often it was raised.
-	epoch int64
-	tries int
 }
 
 func (a *applying) run(ctx context.Context) state.Applied {
@@ -84,7 +67,7 @@
 			if err == nil {
 				return state.Applied{Version: next.Version, Outcome: state.Complete}
 			}
-			if ctx.Err() != nil || !errors.Is(err, store.ErrFenced) && !errors.Is(err, store.ErrRejected) {
+			if ctx.Err() != nil || !triedAgain(err) {
 				return state.Applied{Version: a.base, Outcome: state.Unknown, Reason: state.ReasonApplyUnknown, Detail: err.Error()}
 			}
 		}
@@ -92,52 +75,13 @@
 		if ctx.Err() != nil {
 			return notApplied(a.base, state.ReasonStoreUnavailable, err.Error())
 		}
-		_ = pause.For(ctx, applyPause/2+rand.N(applyPause))
+		a.rest(ctx)
 	}
 }
 
 // begin shuts out who is under way and returns what is in force.
 func (a *applying) begin(ctx context.Context) (map[string]*inForce, error) {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if a.epoch == 0 {
-		// Above the epochs in all records; a writer that never wrote may have
-		// taken a higher one.
-		all, err := a.read(call)
-		if err != nil {
-			return nil, err
-		}
-		for _, f := range all {
-			a.epoch = max(a.epoch, f.Epoch)
-		}
-	}
-	a.epoch = nextEpoch(a.epoch, a.tries)
-	a.tries++
-	if _, err := a.store.Append(call, DeclarationsPartition, a.producer(0), nil); err != nil {
-		return nil, err
-	}
-	return a.read(call)
-}
-
-// writerBits of an epoch are drawn anew by each writer. Two that took the same
-// epoch would be one producer to the store: the second one's write would be
-// answered as a repeat of the first one's, and both operators be told that they
-// have won. Of 2^30 numbers two writers at a time never draw the same.
-const writerBits = 30
-
-// nextEpoch returns an epoch above one that was seen, further with each try:
-// writers that never wrote may have taken higher ones.
-func nextEpoch(seen int64, tries int) int64 {
-	round := seen>>writerBits + 1<<min(tries, 20)
-	return round<<writerBits | rand.Int64N(1<<writerBits)
-}
-
-func (a *applying) producer(sequence int64) *store.Producer {
-	return &store.Producer{Name: declarer, Epoch: a.epoch, Sequence: sequence}
-}
-
-func (a *applying) read(ctx context.Context) (map[string]*inForce, error) {
-	records, _, err := a.store.Newest(ctx, DeclarationsPartition)
+	records, err := a.fence(ctx, declarationEpoch)
 	if err != nil {
 		return nil, err
 	}
@@ -153,6 +97,14 @@
 	return out, nil
 }
 
+func declarationEpoch(r store.Record) (int64, error) {
+	f, err := parseRecord(r)
+	if err != nil {
+		return 0, err
+	}
+	return f.Epoch, nil
+}
+
 // judge says why the declaration can't be in force, or returns its record.
 func (a *applying) judge(all map[string]*inForce) (*declared, *state.Applied) {
 	old := all[a.operator]
@@ -186,37 +138,17 @@
 	return &next, nil
 }
 
-// write repeats one append until its fate is known: the store answers a repeat
-// as it did the first time.
+// write has the record in the store, and has the entry that wrote it go by it at once.
 func (a *applying) write(ctx context.Context, next *declared) error {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return errors.Wrap(err, "declaration")
 	}
-	unknown := false
-	for {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		_, err := a.store.Append(call, DeclarationsPartition, a.producer(1), []store.Record{{Key: a.operator, Value: value}})
-		cancel()
-		switch {
-		case err == nil:
-			return a.taken(value)
-		case errors.Is(err, store.ErrFenced) && !unknown, errors.Is(err, store.ErrRejected) && !unknown:
-			return err
-		case ctx.Err() != nil:
-			return errors.Wrap(err, "the fate of the write is open")
-		case errors.Is(err, store.ErrFenced):
-			// An attempt may have come through before the fence did.
-			return errors.New("the fate of the write is open: another apply followed")
-		}
-		unknown = unknown || !errors.Is(err, store.ErrRejected)
-		_ = pause.For(ctx, applyPause)
+	r := store.Record{Key: a.operator, Value: value}
+	if err := a.append(ctx, r); err != nil {
+		return err
 	}
-}
-
-// taken has the entry that wrote a declaration go by it at once.
-func (a *applying) taken(value []byte) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.takeLocked(store.Record{Key: a.operator, Value: value})
+	return a.takeLocked(r)
 }
--- a/daemon/clients/clients.go
+++ b/daemon/clients/clients.go
@@ -6,10 +6,14 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/quota"
 	"github.com/shallotstep/shallotstep/protocol/api"
@@ -31,11 +35,16 @@
 	// Capacities are what the known backend servers of a service have.
 	Capacities(service string) []job.Demand
 	Linked() bool
+	// Drains are those in force, and Domains counts the agents of each failure domain.
+	Drains() drains.State
+	Domains() map[string]int
 }
 
 // Clients implements the interfaces of package httpapi.
 type Clients struct {
 	*Declarations
+	// drains are those that are set at this interface; nil where they are set elsewhere.
+	drains   *Drains
 	entry    Entry
 	name     string
 	software string
@@ -43,9 +52,9 @@
 }
 
 // New returns the clients' side of an entry. Quotas are shared by a number of
-// entries.
-func New(e Entry, d *Declarations, name, software string, entries int) *Clients {
-	return &Clients{Declarations: d, entry: e, name: name, software: software, bookings: newBookings(entries)}
+// entries. The drains are nil where operators set them elsewhere.
+func New(e Entry, d *Declarations, drains *Drains, name, software string, entries int) *Clients {
+	return &Clients{Declarations: d, drains: drains, entry: e, name: name, software: software, bookings: newBookings(entries)}
 }
 
 // askTimeout bounds a question that a client has set no limit for.
@@ -142,20 +151,53 @@
 
 // Status implements httpapi.Status.
 func (c *Clients) Status() api.Status {
-	out := api.Status{Node: c.name, Software: c.software, Ready: c.Ready(), Declarations: c.Operators()}
-	now := bootclock.Now()
+	out := api.Status{Node: c.name, Software: c.software, Ready: c.Ready(), Declarations: c.Operators(), DrainedDomains: c.entry.Drains().Domains}
+	now, drained := bootclock.Now(), c.entry.Drains()
 	for _, a := range c.entry.Agents() {
 		out.Agents = append(out.Agents, api.Agent{
 			Name: a.Node, Domain: a.Load.Domain, Service: a.Load.Service,
 			Cores: cores(a.Load.Capacity), FreeCores: cores(a.Load.Free),
 			MemoryMB: a.Load.Capacity.MemoryMB, Accelerators: a.Load.Capacity.GPUs,
-			Accepts: a.Load.Accepts, WaitingMS: a.Load.Backlog.Milliseconds(),
+			Accepts: a.Load.Accepts, Drained: drained.Has(a.Load.Domain), WaitingMS: a.Load.Backlog.Milliseconds(),
 			AgeMS: (now - a.Heard).Milliseconds(),
 		})
 	}
 	return out
 }
 
+// Drains implements httpapi.Drainer.
+func (c *Clients) Drains() []api.Drain {
+	drained, agents := c.entry.Drains(), c.entry.Domains()
+	names := slices.Concat(slices.Collect(maps.Keys(agents)), drained.Domains)
+	slices.Sort(names)
+	out := make([]api.Drain, 0, len(names))
+	for _, name := range slices.Compact(names) {
+		out = append(out, api.Drain{Domain: name, Drained: drained.Has(name), Agents: agents[name]})
+	}
+	return out
+}
+
+// SetDrain implements httpapi.Drainer. A name that nobody knows is most likely misspelt.
+func (c *Clients) SetDrain(ctx context.Context, domain string, drained bool) state.Applied {
+	if c.drains == nil {
+		return notApplied(0, state.ReasonDrainsElsewhere, "the drains of this system are set at its platform")
+	}
+	known := c.entry.Domains()
+	if known[domain] == 0 && !c.entry.Drains().Has(domain) {
+		names := strings.Join(slices.Sorted(maps.Keys(known)), ", ")
+		return notApplied(0, state.ReasonUnknownDomain, fmt.Sprintf("failure domain %q has no agents; known are %s", domain, names))
+	}
+	return c.drains.Set(ctx, domain, drained)
+}
+
+// DrainHistory implements httpapi.Drainer.
+func (c *Clients) DrainHistory(domain string) []api.DrainEntry {
+	if c.drains == nil {
+		return nil
+	}
+	return c.drains.History(domain)
+}
+
 // Ready reports whether the entry can serve: it has read the declarations and
 // has a link to an agent.
 func (c *Clients) Ready() bool { return c.Loaded() && c.entry.Linked() }
@@ -164,6 +206,6 @@
 func (c *Clients) Handler() http.Handler {
 	m := metrics.New()
 	return httpapi.New(httpapi.Options{
-		Dispatcher: c, Declarer: c, Status: c, Spec: c.Spec, Ready: c.Ready, Registry: m.Registry, Refused: m.Refused,
+		Dispatcher: c, Declarer: c, Drainer: c, Status: c, Spec: c.Spec, Ready: c.Ready, Registry: m.Registry, Refused: m.Refused,
 	})
 }
--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -88,6 +88,8 @@
 	enrolled atomic.Bool
 	// reachUntil is until when jobs wait for the links of an owner's first one.
 	reachUntil atomicDuration
+	// drains is what is known of drained failure domains.
+	drains *drainWatch
 	// placers is the number of callers that place work here.
 	placers atomic.Int32
 	// orders counts the orders that came from all of them.
@@ -127,7 +129,7 @@
 }
 
 // NewAgent returns an agent that does nothing yet.
-func NewAgent(s *settings.Settings, st store.Store, newExecutor func(fence int64) Executor) *Agent {
+func NewAgent(s *settings.Settings, st store.Store, drains DrainSource, newExecutor func(fence int64) Executor) *Agent {
 	a := &Agent{
 		settings: s, store: st, newExecutor: newExecutor, metrics: newCoreMetrics(),
 		member: memberName(s.Name, xid.New().String()), started: bootclock.Now(),
@@ -141,6 +143,7 @@
 		up:      make(map[string]int64),
 	}
 	a.offerNews, a.owns = make(chan struct{}, 1), make(chan struct{})
+	a.drains = newDrainWatch(drains, a.drainsChanged)
 	a.server = peer.NewServer(a)
 	a.metrics.watchWorker(a.worker)
 	a.metrics.watchFleet(a.fleet)
@@ -185,14 +188,15 @@
 	}
 	a.executor = a.newExecutor(life)
 	a.resume(ctx, before.Server)
-	a.enrolled.Store(true)
-	klog.InfoS("The agent serves", "name", a.settings.Name, "life", life, "member", a.member)
 	// The name is that of this life: an agent takes the signs of life of a later one for
 	// another owner's, and stops what this one left.
 	dialer := peer.NewDialer(a.member, a)
 	a.links = newLinkSet(a.settings.Links, a, a.fleet, a.metrics, func(node string, reg registration) agentLink {
 		return dialer.Dial(ctx, node, reg.Links)
 	})
+	// From here on frames of others are taken in.
+	a.enrolled.Store(true)
+	klog.InfoS("The agent serves", "name", a.settings.Name, "life", life, "member", a.member)
 	wg.Go(func() { a.holdLoop(ctx) })
 	wg.Go(func() { a.keepRegistered(ctx) })
 	wg.Go(func() { a.tickLoop(ctx) })
--- a/daemon/core/enrol_test.go
+++ b/daemon/core/enrol_test.go
@@ -43,7 +43,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		st := &registryStore{}
-		a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: testShards}}, st, nil)
+		a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: testShards}}, st, DrainSource{}, nil)
 		ctx, cancel := context.WithCancel(t.Context())
 		var done sync.WaitGroup
 		done.Go(func() { a.keepRegistered(ctx) })
--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -57,15 +57,17 @@
 	effort  *steps
 	owners  *ownerBook
 	numbers *numbers
+	drains  *drainWatch
 }
 
 // NewEntry returns an entry that does nothing yet.
-func NewEntry(s *settings.Settings, st store.Store, config store.Partition, decode func(store.Record) (*routing.Table, error)) *Entry {
+func NewEntry(s *settings.Settings, st store.Store, config store.Partition, decode func(store.Record) (*routing.Table, error), drains DrainSource) *Entry {
 	e := &Entry{
 		settings: s, store: st, metrics: newCoreMetrics(),
 		config: config, decode: decode, owners: newOwnerBook(s, st), numbers: newNumbers(s, st),
 		fleet: owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams()),
 	}
+	e.drains = newDrainWatch(drains, e.drainsChanged)
 	// The name is that of this life: agents tell its runs from a later one's.
 	dialer := peer.NewDialer(memberName(s.Name, xid.New().String()), e)
 	e.links = newLinkSet(s.Links, e, e.fleet, e.metrics, func(node string, reg registration) agentLink {
@@ -81,9 +83,9 @@
 	defer e.links.close()
 	var wg conc.WaitGroup
 	wg.Go(func() { e.tickLoop(ctx) })
-	wg.Go(func() {
-		Follow(ctx, e.store, e.config, "configuration", e.applyConfig)
-	})
+	for _, f := range e.followers() {
+		wg.Go(func() { f.run(ctx) })
+	}
 	dealt := make(chan struct{})
 	wg.Go(func() { e.numbers.run(ctx, sync.OnceFunc(func() { close(dealt) })) })
 	wg.Go(func() { e.links.follow(ctx, e.store) })
@@ -173,6 +175,7 @@
 
 // LinkFrame implements peer.LinkHandler.
 func (e *Entry) LinkFrame(node string, _ int64, f *corepb.FromAgent) {
+	e.drains.told(f.GetDrains())
 	if l := f.GetLoad(); l != nil {
 		e.fleet.Update(bootclock.Now(), node, wire.LoadFromWire(l))
 	}
@@ -186,6 +189,9 @@
 	e.effort.news()
 }
 
+// LinkComplete implements peer.LinkHandler.
+func (e *Entry) LinkComplete(f *corepb.ToAgent) { f.Drains = e.drains.frame() }
+
 // owner returns a shard's owner and its client; nil while it is not known or not linked.
 func (e *Entry) owner(ctx context.Context, shard int) (string, corepb.CoreClient) {
 	node, fresh := e.owners.use(bootclock.Now(), shard)
--- a/daemon/core/entry_test.go
+++ b/daemon/core/entry_test.go
@@ -183,7 +183,7 @@
 // newTestEntry returns an entry with a link to each agent, all up.
 func newTestEntry(t *testing.T, agents ...*fakeAgent) *Entry {
 	t.Helper()
-	e := NewEntry(testSettings(), noStore{}, store.Partition{Topic: "config"}, nil)
+	e := NewEntry(testSettings(), noStore{}, store.Partition{Topic: "config"}, nil, DrainSource{})
 	t.Cleanup(e.links.close)
 	e.links.open()
 	for _, a := range agents {
@@ -263,7 +263,7 @@
 // was dropped and read anew: it must not come into force again.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	is := is.New(t)
-	e := NewEntry(testSettings(), noStore{}, store.Partition{}, decodeVersion)
+	e := NewEntry(testSettings(), noStore{}, store.Partition{}, decodeVersion, DrainSource{})
 	for _, v := range []string{"3", "5", "4"} {
 		e.applyConfig(store.Record{Value: []byte(v)})
 	}
--- a/daemon/core/executor.go
+++ b/daemon/core/executor.go
@@ -148,6 +148,7 @@
 			a.apply(a.worker.Tick(now))
 			a.spreadLoad(now)
 			a.keepNotes(ctx, now)
+			a.checkDrains(ctx, now)
 			if now-reported >= loadReportEvery {
 				reported = now
 				a.reportLoad()
--- a/daemon/core/executor_test.go
+++ b/daemon/core/executor_test.go
@@ -37,7 +37,7 @@
 // room for some ten calls now.
 func TestCallsThatFailAtOnceAreSpaced(t *testing.T) {
 	is := is.New(t)
-	a := NewAgent(testSettings(), noStore{}, nil)
+	a := NewAgent(testSettings(), noStore{}, DrainSource{}, nil)
 	server := &resetting{}
 	a.executor = server
 	a.worker.Report(bootclock.Now(), worker.Server{Instance: "i", Service: "desk", Capacity: job.Demand{CPUMillis: 1000}}, 1)
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -9,6 +9,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/store"
@@ -83,6 +84,8 @@
 	added   []string
 	stretch subset.Stretch
 	needs   needs
+	// drained are the failure domains in which nothing is newly started.
+	drained drains.State
 	// orphans is set once an agent has announced ends that only owners can settle.
 	orphans bool
 	// wasRead is set once the registry was read.
@@ -256,6 +259,36 @@
 	l.stretch.Refused(now)
 }
 
+// drain takes in which failure domains are drained. Their agents stay linked, since what
+// runs there runs on, and others are linked beside them.
+func (l *linkSet) drain(s drains.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.drained = s
+}
+
+// domains counts the known agents of each failure domain; false before the registry was
+// read.
+func (l *linkSet) domains() (map[string]int, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]int)
+	for _, reg := range l.known {
+		out[reg.Zone]++
+	}
+	return out, l.wasRead
+}
+
+// nudge has a frame sent to each linked agent.
+func (l *linkSet) nudge() {
+	l.mu.Lock()
+	nodes := slices.Collect(maps.Keys(l.links))
+	l.mu.Unlock()
+	for _, node := range nodes {
+		l.send(node, func(*corepb.ToAgent) {})
+	}
+}
+
 // replace dials an agent at its address, in place of a link to an older one.
 func (l *linkSet) replace(node string, reg registration, works bool) {
 	l.drop(node)
--- a/daemon/core/links_test.go
+++ b/daemon/core/links_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/state/job"
@@ -65,7 +66,7 @@
 // size all of a busy day's did. Only 16 agents own a shard; the others link nobody.
 func TestAgentWithoutShardsLinksNobody(t *testing.T) {
 	is := is.New(t)
-	a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: 4}}, noStore{}, nil)
+	a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: 4}}, noStore{}, DrainSource{}, nil)
 	links, all := newFakeLinks(0, a, a.fleet)
 	a.links = links
 	links.apply(registered("b", "10.0.0.2:7"))
@@ -174,6 +175,53 @@
 	is.Equal(len(all), 16)
 }
 
+// Guards against an entry that has a fifth less room than others because a failure domain is
+// drained, and against runs that are cut off there: others stand in, and the links stay.
+func TestOthersStandInForADrainedDomain(t *testing.T) {
+	is := is.New(t)
+	user := newFakeUser()
+	links, all, now := newLinkedFleet(20, user)
+	before := maps.Clone(all)
+	links.drain(drains.State{Position: 1, Domains: []string{"zone-2"}})
+	links.reconcile(now)
+	serving := 0
+	for node := range all {
+		if links.known[node].Zone != "zone-2" {
+			serving++
+		}
+	}
+	is.Equal(serving, 20)
+	for node := range before {
+		is.True(all[node] != "")
+	}
+	links.drain(drains.State{Position: 2})
+	links.reconcile(now)
+	links.reconcile(now + retireAfter)
+	is.Equal(all, before)
+}
+
+// Guards against a need that is taken for served by agents that get nothing.
+func TestNeedsCountNoDrainedAgents(t *testing.T) {
+	is := is.New(t)
+	links, all, now := newLinkedFleet(16, newFakeUser())
+	links.drain(drains.State{Position: 1, Domains: []string{"zone-0"}})
+	spec := &job.Spec{Steps: []job.Step{{Count: 1, Label: "wide", Demand: job.Demand{CPUMillis: 1000}}}}
+	links.need(now, spec, &job.Policy{Service: "desk"})
+	links.reconcile(now)
+	is.True(len(all) <= 2*16) // all that have the label are in zone-0, and none is linked in vain
+	links.drain(drains.State{Position: 2})
+	is.True(links.need(now+needMemory+1, spec, &job.Policy{Service: "desk"}))
+}
+
+// Guards against links of all agents, or a loop without end, when every domain is drained.
+func TestAllDomainsDrainedLinksNoMore(t *testing.T) {
+	is := is.New(t)
+	links, all, now := newLinkedFleet(16, newFakeUser())
+	links.drain(drains.State{Position: 1, Domains: []string{"zone-0", "zone-1", "zone-2", "zone-3", "zone-4"}})
+	links.reconcile(now)
+	is.Equal(len(all), 32)
+}
+
 // A queue asks for a label that a tenth of the agents have, and a job is wider than its
 // subset. Refused for want of a worker they would never run, whatever stands idle.
 func TestSubsetIsFilledUpForNeeds(t *testing.T) {
@@ -240,7 +288,7 @@
 // linked one says now goes before what it has registered.
 func TestCapacitiesAreThoseOfAllKnownAgents(t *testing.T) {
 	is := is.New(t)
-	e := NewEntry(testSettings(), noStore{}, store.Partition{Topic: "config"}, nil)
+	e := NewEntry(testSettings(), noStore{}, store.Partition{Topic: "config"}, nil, DrainSource{})
 	offer := `{"links":"10.0.0.%d:7","offer":{"service":"desk","capacity":{"CPUMillis":%d}}}`
 	e.links.learn(store.Record{Key: "linked", Value: fmt.Appendf(nil, offer, 1, 8000)})
 	e.links.learn(store.Record{Key: "other", Value: fmt.Appendf(nil, offer, 2, 32000)})
--- a/daemon/core/needs.go
+++ b/daemon/core/needs.go
@@ -57,7 +57,8 @@
 	delete(n, slices.MinFunc(keys, func(a, b needKey) int { return int(n[a].usedAt - n[b].usedAt) }))
 }
 
-// fill adds to the wanted agents what the needs lack, in the order of preference.
+// fill adds to the wanted agents what the needs lack of those that are known to serve, in the
+// order of preference.
 func (n needs) fill(now time.Duration, order []string, known map[string]registration, wanted map[string]bool) {
 	for key, of := range n {
 		if now-of.usedAt > needMemory {
@@ -66,7 +67,7 @@
 		}
 		have := 0
 		for node := range wanted {
-			if offers(known[node], key, of.demand) {
+			if reg, ok := known[node]; ok && offers(reg, key, of.demand) {
 				have++
 			}
 		}
@@ -74,7 +75,7 @@
 			if have >= of.least {
 				break
 			}
-			if !wanted[node] && offers(known[node], key, of.demand) {
+			if reg, ok := known[node]; ok && !wanted[node] && offers(reg, key, of.demand) {
 				wanted[node] = true
 				have++
 			}
@@ -135,6 +136,20 @@
 	return more
 }
 
+// openLocked are the known agents whose failure domains are not drained.
+func (l *linkSet) openLocked() map[string]registration {
+	if len(l.drained.Domains) == 0 {
+		return l.known
+	}
+	out := make(map[string]registration, len(l.known))
+	for node, reg := range l.known {
+		if !l.drained.Has(reg.Zone) {
+			out[node] = reg
+		}
+	}
+	return out
+}
+
 // capacityLocked is what an agent with a need's offer has, in thousandths of a core; zero
 // if no such agent is known.
 func (l *linkSet) capacityLocked(key needKey, demand job.Demand) int64 {
@@ -150,7 +165,7 @@
 // and others are known. Where none is, a job has nothing to wait for.
 func (l *linkSet) lacksLocked(key needKey, least int, demand job.Demand) bool {
 	linked, others := 0, 0
-	for node, reg := range l.known {
+	for node, reg := range l.openLocked() {
 		switch {
 		case !offers(reg, key, demand):
 		case l.links[node] != nil:
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -93,6 +93,10 @@
 	// that came together, if it is set.
 	apply   func(store.Record)
 	applied func()
+	// begin is called before the newest record of each key is applied, and reached once
+	// all records before a position were, also when none came; both if they are set.
+	begin   func()
+	reached func(position int64)
 	// name is for the log.
 	name string
 }
@@ -131,6 +135,9 @@
 		*lost = false
 		klog.InfoS("The store is back", "reader", f.name)
 	}
+	if f.begin != nil {
+		f.begin()
+	}
 	for {
 		for _, r := range records {
 			f.apply(r)
@@ -138,6 +145,9 @@
 		if f.applied != nil {
 			f.applied()
 		}
+		if f.reached != nil {
+			f.reached(next)
+		}
 		if len(records) > 0 {
 			_ = pause.For(ctx, f.rest)
 		}
--- a/daemon/core/serve.go
+++ b/daemon/core/serve.go
@@ -55,6 +55,8 @@
 	if !a.worker.Heard(now, c.Node) && len(f.GetClaims()) == 0 {
 		return errSilent
 	}
+	// Before the orders of the frame: its sender knew as much when it sent them.
+	a.drains.told(f.GetDrains())
 	for _, p := range f.GetClaims() {
 		a.takeClaim(c, p)
 	}
@@ -152,6 +154,7 @@
 
 // LinkFrame implements peer.LinkHandler.
 func (a *Agent) LinkFrame(node string, _ int64, f *corepb.FromAgent) {
+	a.drains.told(f.GetDrains())
 	if l := f.GetLoad(); l != nil {
 		a.fleet.Update(bootclock.Now(), node, wire.LoadFromWire(l))
 	}
@@ -169,3 +172,6 @@
 		r.news()
 	}
 }
+
+// LinkComplete implements peer.LinkHandler.
+func (a *Agent) LinkComplete(f *corepb.ToAgent) { f.Drains = a.drains.frame() }
--- a/daemon/core/shard_test.go
+++ b/daemon/core/shard_test.go
@@ -25,7 +25,7 @@
 // newTestRunner returns the runner of a shard with one agent, whose writes the test makes.
 func newTestRunner(st store.Store) *shardRunner {
 	s := &settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: testShards, WritesPerSecond: 1e6}}
-	a := NewAgent(s, st, nil)
+	a := NewAgent(s, st, DrainSource{}, nil)
 	user := newFakeUser()
 	a.links, _ = newFakeLinks(0, user, user)
 	now := bootclock.Now()
--- a/daemon/core/wanted.go
+++ b/daemon/core/wanted.go
@@ -83,8 +83,14 @@
 	return k != nil && k.downSince > 0 && now-k.downSince >= darkAfter
 }
 
+// servesLocked reports whether an agent can be given work: it is not dark, and its failure
+// domain not drained.
+func (l *linkSet) servesLocked(now time.Duration, node string) bool {
+	return !l.drained.Has(l.known[node].Zone) && !l.darkLocked(now, node)
+}
+
 // wantedLocked names the agents to link, and whether new work goes to them: the first ones
-// of the order, with others in place of those that are dark, what the subset is stretched
+// of the order, with others in place of those that can't serve, what the subset is stretched
 // by and what the jobs' needs lack get work. What the user requires is linked for something
 // else: with work for all of them a question to each owner would make a subset twice as
 // large, and the decisions worse.
@@ -95,7 +101,7 @@
 	extra := l.stretch.Extra(now, func() float64 { return l.placer.FreeShare(l.added) })
 	after := l.takeLocked(now, wanted, rest, extra)
 	l.added = rest[:len(rest)-len(after)]
-	l.needs.fill(now, l.order, l.known, wanted)
+	l.needs.fill(now, l.order, l.openLocked(), wanted)
 	for _, node := range required {
 		if _, ok := l.known[node]; ok && !wanted[node] {
 			wanted[node] = false
@@ -104,17 +110,17 @@
 	return wanted
 }
 
-// takeLocked adds agents in order until so many are there that are not dark, or twice as
+// takeLocked adds agents in order until so many are there that can serve, or twice as
 // many in all. It returns those that are left.
 func (l *linkSet) takeLocked(now time.Duration, wanted map[string]bool, order []string, count int) []string {
-	bright := 0
+	serving := 0
 	for i, node := range order {
-		if bright == count || i == 2*count {
+		if serving == count || i == 2*count {
 			return order[i:]
 		}
 		wanted[node] = true
-		if !l.darkLocked(now, node) {
-			bright++
+		if l.servesLocked(now, node) {
+			serving++
 		}
 	}
 	return nil
--- a/daemon/dev/agent.go
+++ b/daemon/dev/agent.go
@@ -17,6 +17,7 @@
 // server.
 type Agent struct {
 	settings *settings.Settings
+	drains   core.DrainSource
 	reports  net.Listener
 	// failed is told why the agent could not run.
 	failed func(error)
@@ -30,8 +31,8 @@
 
 // NewAgent returns an agent that is down. Its backend server reports to the
 // listener, also while it is down.
-func NewAgent(s *settings.Settings, reports net.Listener, failed func(error)) *Agent {
-	a := &Agent{settings: s, reports: reports, failed: failed}
+func NewAgent(s *settings.Settings, drains core.DrainSource, reports net.Listener, failed func(error)) *Agent {
+	a := &Agent{settings: s, drains: drains, reports: reports, failed: failed}
 	srv := &http.Server{Handler: http.HandlerFunc(a.report), ReadHeaderTimeout: closeLimit}
 	go func() {
 		if err := srv.Serve(reports); !errors.Is(err, net.ErrClosed) {
@@ -57,7 +58,7 @@
 
 // Start runs the agent until Kill.
 func (a *Agent) Start() {
-	agent := core.NewAgent(a.settings, platform.NewStore(a.settings.Store.Address), func(fence int64) core.Executor {
+	agent := core.NewAgent(a.settings, platform.NewStore(a.settings.Store.Address), a.drains, func(fence int64) core.Executor {
 		return platform.NewExecutor(a.settings.Server.Address, fence)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -14,8 +14,10 @@
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/daemon/clients"
 	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/examples"
+	"github.com/shallotstep/shallotstep/platform"
 	"github.com/shallotstep/shallotstep/platform/standin"
 	"github.com/shallotstep/shallotstep/state/declaration"
 	"github.com/shallotstep/shallotstep/state/settings"
@@ -128,7 +130,8 @@
 	if err != nil {
 		return err
 	}
-	a := NewAgent(set, reports, func(err error) { klog.ErrorS(err, "The agent has failed", "name", set.Name) })
+	drains := clients.NewDrains(platform.NewStore(set.Store.Address), set.Name)
+	a := NewAgent(set, drains.Source(), reports, func(err error) { klog.ErrorS(err, "The agent has failed", "name", set.Name) })
 	s.agents = append(s.agents, a)
 	a.Start()
 	executor.ReportTo(a.reports.Addr().String())
--- /dev/null
+++ b/daemon/dev/drain_test.go
@@ -0,0 +1,99 @@
+package dev
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/shallotstep/shallotstep/platform/standin"
+	"github.com/shallotstep/shallotstep/state"
+)
+
+// awaitDrained waits until the first entry goes by these drains.
+func (d *desk) awaitDrained(domains ...string) {
+	d.t.Helper()
+	d.await("the drains are in force", func() bool {
+		s, f := d.client.Status(d.ctx())
+		return f == nil && fmt.Sprint(s.DrainedDomains) == fmt.Sprint(domains)
+	})
+}
+
+// Guards against tasks that are started in a domain which an operator has drained at the
+// project's own interface, and against a drain that can't be ended or is not in the history.
+func TestDrainByCommand(t *testing.T) {
+	d := newDesk(t)
+	set, f := d.client.SetDrain(d.ctx(), "iksan", true)
+	d.is.True(f == nil)
+	d.is.Equal(set.Version, state.Version(1))
+	d.awaitDrained("iksan")
+	again, f := d.client.SetDrain(d.ctx(), "iksan", true)
+	d.is.True(f == nil)
+	d.is.Equal(again.Version, state.Version(1)) // a repeat changes nothing
+	before := d.Executors()[1].Starts()
+	for i := range 5 {
+		_, f := d.client.SubmitSettled(d.ctx(), d.job(fmt.Sprint("drained-", i), 30, 5, ""), 100)
+		d.is.True(f == nil)
+	}
+	d.is.Equal(d.Executors()[1].Starts(), before)
+	_, f = d.client.SetDrain(d.ctx(), "iksan", false)
+	d.is.True(f == nil)
+	d.awaitDrained()
+	tries := 0
+	d.await("the domain is used again", func() bool {
+		tries++
+		_, f := d.client.SubmitSettled(d.ctx(), d.job(fmt.Sprint("back-", tries), 40, 5, ""), 100)
+		return f == nil && d.Executors()[1].Starts() > before
+	})
+	h, f := d.client.DrainHistory(d.ctx(), "iksan")
+	d.is.True(f == nil)
+	d.is.Equal(len(h.Entries), 2)
+	d.is.True(h.Entries[0].Drained)
+	d.is.True(!h.Entries[1].Drained)
+}
+
+// Guards against a misspelt domain that is taken for drained, and against a repeat of an
+// undrain that fails.
+func TestDrainOfAnUnknownDomain(t *testing.T) {
+	d := newDesk(t)
+	_, f := d.client.SetDrain(d.ctx(), "iksann", true)
+	d.is.Equal(f.Problem.Reason, state.ReasonUnknownDomain)
+	d.is.Equal(f.Outcome, state.NotRun)
+	set, f := d.client.SetDrain(d.ctx(), "iksan", false)
+	d.is.True(f == nil)
+	d.is.Equal(set.Version, state.Version(0))
+}
+
+// Guards against drains of two operators of which one undoes the other.
+func TestRaceOfDrains(t *testing.T) {
+	d := newDesk(t)
+	var wg sync.WaitGroup
+	for _, domain := range []string{"iksan", "gunsan"} {
+		wg.Go(func() {
+			if _, f := d.client.SetDrain(d.ctx(), domain, true); f != nil {
+				d.t.Error(f)
+			}
+		})
+	}
+	wg.Wait()
+	d.awaitDrained("gunsan", "iksan")
+}
+
+// Guards against a drain that is said to be refused for certain, or accepted, while the
+// store takes nothing.
+func TestDrainWithoutTheStore(t *testing.T) {
+	d := newDesk(t)
+	d.Store().Fail("entry", standin.Lost)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, f := d.client.SetDrain(d.ctx(), "iksan", true)
+		if f != nil && f.Outcome == state.Complete {
+			d.t.Error(f)
+		}
+	}()
+	<-done
+	d.Store().Fail("entry", standin.None)
+	_, f := d.client.SetDrain(d.ctx(), "iksan", true)
+	d.is.True(f == nil)
+	d.awaitDrained("iksan")
+}
--- a/daemon/dev/entry.go
+++ b/daemon/dev/entry.go
@@ -31,8 +31,9 @@
 	}
 	st := platform.NewStore(set.Store.Address)
 	declarations := clients.NewDeclarations(st, name)
-	entry := core.NewEntry(set, st, clients.DeclarationsPartition, declarations.Decode)
-	e := &Entry{clients: clients.New(entry, declarations, name, s.opts.Software, 1), addr: l.Addr().String()}
+	drains := clients.NewDrains(st, name)
+	entry := core.NewEntry(set, st, clients.DeclarationsPartition, declarations.Decode, drains.Source())
+	e := &Entry{clients: clients.New(entry, declarations, drains, name, s.opts.Software, 1), addr: l.Addr().String()}
 	e.http = httpapi.NewServer(e.clients.Handler(), nil)
 	var ctx context.Context
 	ctx, e.cancel = context.WithCancel(context.Background())
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -89,8 +89,11 @@
 	return runAgent(ctx, cancel, s, stop)
 }
 
+// operatorDrains are the drains that the platform's operators ask for.
+var operatorDrains = core.DrainSource{Partition: platform.ConfigPartition, Decode: platform.DecodeDrain}
+
 func runEntry(ctx context.Context, cancel context.CancelFunc, s *settings.Settings, stop <-chan os.Signal) error {
-	e := core.NewEntry(s, platform.NewStore(s.Store.Address), platform.ConfigPartition, platform.DecodeConfig)
+	e := core.NewEntry(s, platform.NewStore(s.Store.Address), platform.ConfigPartition, platform.DecodeConfig, operatorDrains)
 	var stopping, closing atomic.Bool
 	front, err := serveHTTP(s.Listen.Clients, platform.NewFront(e, closing.Load))
 	if err != nil {
@@ -137,11 +140,11 @@
 			klog.ErrorS(err, "A declaration can't be read and is left out")
 		}
 	})
-	return clients.New(e, d, s.Name, Software, 1).Handler()
+	return clients.New(e, d, nil, s.Name, Software, 1).Handler()
 }
 
 func runAgent(ctx context.Context, cancel context.CancelFunc, s *settings.Settings, stop <-chan os.Signal) error {
-	a := core.NewAgent(s, platform.NewStore(s.Store.Address), func(fence int64) core.Executor {
+	a := core.NewAgent(s, platform.NewStore(s.Store.Address), operatorDrains, func(fence int64) core.Executor {
 		return platform.NewExecutor(s.Server.Address, fence)
 	})
 	if _, err := serveHTTP(s.Listen.Reports, platform.NewReports(a)); err != nil {
--- a/protocol/api/document.go
+++ b/protocol/api/document.go
@@ -48,14 +48,53 @@
 	Outcome  Outcome       `json:"outcome"`
 }
 
+// Drain is a failure domain as the entry knows it.
+type Drain struct {
+	Domain  string `json:"domain"`
+	Drained bool   `json:"drained"`
+	// Agents counts those that are known there.
+	Agents int `json:"agents"`
+}
+
+// DrainList is the answer to a question for all failure domains.
+type DrainList struct {
+	Domains []Drain `json:"domains"`
+}
+
+// DrainEntry is a drain, or the end of one, that was asked for.
+type DrainEntry struct {
+	Version state.Version `json:"version"`
+	Drained bool          `json:"drained"`
+	// By is the entry that it was asked for at, At the time.
+	By string    `json:"by"`
+	At time.Time `json:"at"`
+}
+
+// DrainHistory is the answer to a question for a failure domain's drains, newest last. Only
+// the last ones are kept.
+type DrainHistory struct {
+	Domain  string       `json:"domain"`
+	Entries []DrainEntry `json:"entries"`
+}
+
+// DrainSet is the answer to a drain that was set or ended.
+type DrainSet struct {
+	Domain  string        `json:"domain"`
+	Drained bool          `json:"drained"`
+	Version state.Version `json:"version"`
+	Outcome Outcome       `json:"outcome"`
+}
+
 // Status is what one entry knows of the system. It is one process's view and
 // may lag behind another's.
 type Status struct {
-	Node         string            `json:"node"`
-	Software     string            `json:"software"`
-	Ready        bool              `json:"ready"`
-	Agents       []Agent           `json:"agents"`
-	Declarations []OperatorVersion `json:"declarations"`
+	Node     string `json:"node"`
+	Software string `json:"software"`
+	Ready    bool   `json:"ready"`
+	// DrainedDomains are the failure domains in which nothing is newly started.
+	DrainedDomains []string          `json:"drained_domains"`
+	Agents         []Agent           `json:"agents"`
+	Declarations   []OperatorVersion `json:"declarations"`
 }
 
 // Agent is an agent with its backend server, as it was said AgeMS ago.
@@ -69,6 +108,8 @@
 	Accelerators int64   `json:"accelerators"`
 	// Accepts says that it takes new work.
 	Accepts bool `json:"accepts"`
+	// Drained says that its failure domain is drained.
+	Drained bool `json:"drained"`
 	// WaitingMS is the work that waits there, in milliseconds of one core.
 	WaitingMS int64 `json:"waiting_ms"`
 	AgeMS     int64 `json:"age_ms"`
--- a/protocol/api/name.go
+++ b/protocol/api/name.go
@@ -52,6 +52,9 @@
 // CheckOperator refuses a name that can't stand for an operator.
 func CheckOperator(name string) *Problem { return checkPlainName("operator", name) }
 
+// CheckDomain refuses a name that can't stand for a failure domain.
+func CheckDomain(name string) *Problem { return checkPlainName("failure domain", name) }
+
 func checkPlainName(field, name string) *Problem {
 	if strings.Contains(name, "/") {
 		return malformed("%s holds a slash", field)
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -1,8 +1,10 @@
 package core
 
 import (
+	"slices"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
@@ -99,7 +101,7 @@
 		CapacityCpu: l.Server.Capacity.CPUMillis, CapacityMemory: l.Server.Capacity.MemoryMB, CapacityGpus: l.Server.Capacity.GPUs,
 		FreeCpu: l.Free.CPUMillis, FreeMemory: l.Free.MemoryMB, FreeGpus: l.Free.GPUs,
 		BacklogUs: l.Backlog.Microseconds(), TurnoverUs: l.Turnover.Microseconds(), Accepts: l.Accepts,
-		Slowdown: l.Slowdown, Suspects: int32(l.Suspects),
+		Slowdown: l.Slowdown, Suspects: int32(l.Suspects), Drained: l.Drained,
 	}
 	if l.Backlog > 0 {
 		for _, a := range l.Ahead {
@@ -117,7 +119,7 @@
 		Free:     job.Demand{CPUMillis: p.GetFreeCpu(), MemoryMB: p.GetFreeMemory(), GPUs: p.GetFreeGpus()},
 		Backlog:  time.Duration(p.GetBacklogUs()) * time.Microsecond,
 		Turnover: time.Duration(p.GetTurnoverUs()) * time.Microsecond,
-		Slowdown: p.GetSlowdown(), Domain: p.GetDomain(),
+		Slowdown: p.GetSlowdown(), Domain: p.GetDomain(), Drained: p.GetDrained(),
 		Accepts: p.GetAccepts(), Seen: p.GetOrdersSeen(), Placers: int(p.GetPlacers()), Suspects: int(p.GetSuspects()),
 		Orders: p.GetOrders(),
 	}
@@ -129,6 +131,22 @@
 	return out
 }
 
+// DrainsToWire returns the wire form of what is known of drains, confirmed so long ago; nil
+// while nothing is.
+func DrainsToWire(s drains.State, age time.Duration) *corepb.Drains {
+	if s.Position == 0 {
+		return nil
+	}
+	return &corepb.Drains{Position: s.Position, Domains: s.Domains, AgeMs: age.Milliseconds()}
+}
+
+// DrainsFromWire is the inverse of DrainsToWire.
+func DrainsFromWire(p *corepb.Drains) (drains.State, time.Duration) {
+	s := drains.State{Position: p.GetPosition(), Domains: slices.Clone(p.GetDomains())}
+	slices.Sort(s.Domains)
+	return s, time.Duration(p.GetAgeMs()) * time.Millisecond
+}
+
 // VerdictToWire returns the wire form of a verdict.
 func VerdictToWire(v owner.Verdict) *corepb.Verdict {
 	return &corepb.Verdict{
--- a/state/outcome.go
+++ b/state/outcome.go
@@ -59,10 +59,12 @@
 	ReasonCancelled Reason = "cancelled"
 
 	// Who owns the job, and where its tasks run.
-	ReasonNoOwner    Reason = "no_owner"
-	ReasonOwnerLost  Reason = "owner_lost"
-	ReasonNoBackend  Reason = "no_backend"
-	ReasonTaskFailed Reason = "task_failed"
+	ReasonNoOwner   Reason = "no_owner"
+	ReasonOwnerLost Reason = "owner_lost"
+	ReasonNoBackend Reason = "no_backend"
+	// All backend servers that may have the job are in drained failure domains.
+	ReasonDomainDrained Reason = "domain_drained"
+	ReasonTaskFailed    Reason = "task_failed"
 	// ReasonCutOff: a task was cut off with its backend server; it may have run
 	// in part, and may not be repeated.
 	ReasonCutOff Reason = "cut_off"
@@ -78,6 +80,10 @@
 	ReasonApplyUnknown     Reason = "apply_unknown"
 	ReasonNoDeclaration    Reason = "no_declaration"
 	ReasonNotReady         Reason = "not_ready"
+	// ReasonUnknownDomain: no agent is known in the failure domain.
+	ReasonUnknownDomain Reason = "unknown_domain"
+	// ReasonDrainsElsewhere: drains are set at the platform, not at this interface.
+	ReasonDrainsElsewhere Reason = "drains_elsewhere"
 
 	// The HTTP interface itself.
 	ReasonUnknownRoute     Reason = "unknown_route"
@@ -106,6 +112,7 @@
 	ReasonNoOwner:          http.StatusServiceUnavailable,
 	ReasonOwnerLost:        http.StatusBadGateway,
 	ReasonNoBackend:        http.StatusServiceUnavailable,
+	ReasonDomainDrained:    http.StatusServiceUnavailable,
 	ReasonTaskFailed:       http.StatusBadGateway,
 	ReasonCutOff:           http.StatusBadGateway,
 	ReasonCrashed:          http.StatusBadGateway,
@@ -116,6 +123,8 @@
 	ReasonApplyUnknown:     http.StatusServiceUnavailable,
 	ReasonNoDeclaration:    http.StatusNotFound,
 	ReasonNotReady:         http.StatusServiceUnavailable,
+	ReasonUnknownDomain:    http.StatusNotFound,
+	ReasonDrainsElsewhere:  http.StatusConflict,
 	ReasonUnknownRoute:     http.StatusNotFound,
 	ReasonMethodNotAllowed: http.StatusMethodNotAllowed,
 	ReasonInternal:         http.StatusInternalServerError,
--- a/transport/cli/cli.go
+++ b/transport/cli/cli.go
@@ -61,6 +61,8 @@
 		{name: "show", args: "OPERATOR", about: "print the declaration in force", least: 1, most: 1, run: runShow},
 		{name: "history", args: "OPERATOR", about: "list accepted declarations", least: 1, most: 1, run: runHistory},
 		{name: "diff", args: "FILE", about: "compare a file with the declaration in force", least: 1, most: 1, run: runDiff},
+		{name: "drain", args: "[DOMAIN]", about: "have nothing newly started in a failure domain, or list the failure domains", most: 1, flags: drainFlags, run: runDrain},
+		{name: "undrain", args: "DOMAIN", about: "put a drained failure domain to use again", least: 1, most: 1, run: runUndrain},
 		{name: "status", about: "print what the entry knows of the system", run: runStatus},
 		{name: "submit", args: "FILE", about: "submit a job file, and wait for the answer or only until it is accepted", least: 1, most: 1, flags: submitFlags, run: runSubmit},
 		{name: "state", args: "SERVICE ID", about: "print a job's state, or its results", least: 2, most: 2, run: runState},
@@ -87,6 +89,7 @@
 	base    int64
 	tries   int
 	wait    bool
+	past    bool
 	measure measureOptions
 }
 
--- a/transport/cli/cli_test.go
+++ b/transport/cli/cli_test.go
@@ -329,3 +329,27 @@
 	d.url = "https://" + d.url
 	d.is.Equal(d.run("status"), ExitRefused) // an authority nobody knows
 }
+
+// Guards against a drain of the wrong domain, and against an operator who takes an open one
+// for certain.
+func TestDrain(t *testing.T) {
+	const put, del = "PUT /v1/drains/iksan", "DELETE /v1/drains/iksan"
+	e := &entry{answers: map[string][]answer{
+		put:                            {{200, "", `{"domain":"iksan","drained":true,"version":3,"outcome":"complete"}`}},
+		del:                            {{503, "", problem("unknown", "apply_unknown", "")}},
+		"GET /v1/drains":               {{200, "", `{"domains":[{"domain":"gunsan","drained":false,"agents":4},{"domain":"iksan","drained":true,"agents":3}]}`}},
+		"GET /v1/drains/iksan/history": {{200, "", `{"domain":"iksan","entries":[{"version":3,"drained":true,"by":"entry-1","at":"2026-01-02T03:04:05Z"}]}`}},
+		"PUT /v1/drains/mars":          {{404, "", problem("not_run", "unknown_domain", "")}},
+	}}
+	d := newDesk(t, e)
+	d.is.Equal(d.run("drain", "iksan"), ExitDone)
+	d.is.Equal(d.out.String(), "iksan is drained (version 3)\n")
+	d.is.Equal(d.run("undrain", "iksan"), ExitUnknown)
+	d.is.Equal(d.run("drain"), ExitDone)
+	d.is.Equal(d.out.String(), "gunsan\tin use\t4 agents\niksan\tdrained\t3 agents\n")
+	d.is.Equal(d.run("drain", "-history", "iksan"), ExitDone)
+	d.is.Equal(d.out.String(), "3\tdrained\t2026-01-02T03:04:05Z\tentry-1\n")
+	d.is.Equal(d.run("drain", "mars"), ExitRefused)
+	d.is.Equal(d.run("drain", "-history"), ExitUsage)
+	d.is.Equal(d.run("undrain"), ExitUsage)
+}
--- a/transport/cli/status.go
+++ b/transport/cli/status.go
@@ -26,6 +26,9 @@
 
 func (v *invocation) printStatus(s api.Status) {
 	v.printf("%s (%s): ready %t\n", s.Node, s.Software, s.Ready)
+	if len(s.DrainedDomains) > 0 {
+		v.printf("drained failure domains: %s\n", strings.Join(s.DrainedDomains, ", "))
+	}
 	w := tabwriter.NewWriter(v.Stdout, 0, 0, columnGap, ' ', 0)
 	fmt.Fprintf(w, "agents: %d\n", len(s.Agents))
 	for _, a := range s.Agents {
@@ -42,7 +45,10 @@
 }
 
 func condition(a api.Agent) string {
-	if a.Accepts {
+	switch {
+	case a.Drained:
+		return "drained"
+	case a.Accepts:
 		return "serving"
 	}
 	return "takes no work"
--- a/transport/httpapi/fakes_test.go
+++ b/transport/httpapi/fakes_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shallotstep/shallotstep/protocol/api"
 	"github.com/shallotstep/shallotstep/state"
 )
 
@@ -111,6 +112,32 @@
 	return operator, ok
 }
 
+// fakeDrainer knows one failure domain, iksan.
+type fakeDrainer struct {
+	drained bool
+	entries []api.DrainEntry
+}
+
+func (f *fakeDrainer) Drains() []api.Drain {
+	return []api.Drain{{Domain: "iksan", Drained: f.drained, Agents: 2}}
+}
+
+func (f *fakeDrainer) SetDrain(_ context.Context, domain string, drained bool) state.Applied {
+	if domain != "iksan" {
+		return state.Applied{Outcome: state.NotRun, Reason: state.ReasonUnknownDomain, Detail: "no agents"}
+	}
+	f.drained = drained
+	f.entries = append(f.entries, api.DrainEntry{Version: state.Version(len(f.entries) + 1), Drained: drained, By: "entry-1"})
+	return state.Applied{Version: state.Version(len(f.entries)), Outcome: state.Complete}
+}
+
+func (f *fakeDrainer) DrainHistory(domain string) []api.DrainEntry {
+	if domain != "iksan" {
+		return nil
+	}
+	return f.entries
+}
+
 type fakeStatus struct{}
 
 func (fakeStatus) Status() StatusDocument { return StatusDocument{Node: "entry-1"} }
@@ -180,7 +207,7 @@
 
 // start starts the server anew.
 func (b *bench) start(t *testing.T, o Options) {
-	o.Dispatcher, o.Declarer, o.Status = b.dispatcher, b.declarer, fakeStatus{}
+	o.Dispatcher, o.Declarer, o.Drainer, o.Status = b.dispatcher, b.declarer, &fakeDrainer{}, fakeStatus{}
 	o.Ready = func() bool { return b.ready }
 	srv := httptest.NewUnstartedServer(nil)
 	srv.Config = NewServer(New(o), nil)
--- a/transport/httpapi/handler.go
+++ b/transport/httpapi/handler.go
@@ -66,6 +66,12 @@
 	s.handle(r, http.MethodGet, "/v1/declarations/:operator", RoleOperator, s.getDeclaration)
 	s.handle(r, http.MethodGet, "/v1/declarations/:operator/history", RoleOperator, s.getHistory)
 
+	// A drain concerns all operators.
+	s.handle(r, http.MethodPut, "/v1/drains/:domain", RoleAdmin, s.setDrain)
+	s.handle(r, http.MethodDelete, "/v1/drains/:domain", RoleAdmin, s.endDrain)
+	s.handle(r, http.MethodGet, "/v1/drains", RoleOperator, s.listDrains)
+	s.handle(r, http.MethodGet, "/v1/drains/:domain/history", RoleOperator, s.getDrainHistory)
+
 	s.handle(r, http.MethodGet, "/v1/status", RoleOperator, s.getStatus)
 	r.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(s.Registry, promhttp.HandlerOpts{}))
 	for _, method := range []string{http.MethodGet, http.MethodHead} {
--- a/transport/httpapi/options.go
+++ b/transport/httpapi/options.go
@@ -59,6 +59,16 @@
 	Service(name string) (operator string, ok bool)
 }
 
+// Drainer carries drains of failure domains.
+type Drainer interface {
+	// Drains lists the failure domains that are known or drained.
+	Drains() []api.Drain
+	// SetDrain drains a failure domain or ends its drain.
+	SetDrain(ctx context.Context, domain string, drained bool) state.Applied
+	// DrainHistory returns what was asked for a failure domain, newest last.
+	DrainHistory(domain string) []api.DrainEntry
+}
+
 // Status tells what the node knows of the system.
 type Status interface {
 	Status() StatusDocument
@@ -68,6 +78,7 @@
 type Options struct {
 	Dispatcher Dispatcher
 	Declarer   Declarer
+	Drainer    Drainer
 	Status     Status
 	// Spec returns a service as declared, for what submissions leave out. Nil
 	// means that nothing is filled in.
--- a/transport/httpapi/status.go
+++ b/transport/httpapi/status.go
@@ -15,6 +15,7 @@
 func (s *server) getStatus(x *exchange) {
 	doc := s.Status.Status()
 	doc.Agents = orEmpty(doc.Agents)
+	doc.DrainedDomains = orEmpty(doc.DrainedDomains)
 	doc.Declarations = orEmpty(doc.Declarations)
 	x.answer(doc)
 }
--- a/transport/httpclient/calls.go
+++ b/transport/httpclient/calls.go
@@ -104,6 +104,25 @@
 	return call{method: method, path: []string{"v1", "declarations", operator}}
 }
 
+// SetDrain drains a failure domain, or ends its drain.
+func (c *Client) SetDrain(ctx context.Context, domain string, drained bool) (api.DrainSet, *Failure) {
+	method := http.MethodDelete
+	if drained {
+		method = http.MethodPut
+	}
+	return document[api.DrainSet](ctx, c, call{method: method, path: []string{"v1", "drains", domain}})
+}
+
+// Drains lists the failure domains.
+func (c *Client) Drains(ctx context.Context) (api.DrainList, *Failure) {
+	return document[api.DrainList](ctx, c, call{method: http.MethodGet, path: []string{"v1", "drains"}})
+}
+
+// DrainHistory returns what was asked for a failure domain.
+func (c *Client) DrainHistory(ctx context.Context, domain string) (api.DrainHistory, *Failure) {
+	return document[api.DrainHistory](ctx, c, call{method: http.MethodGet, path: []string{"v1", "drains", domain, "history"}})
+}
+
 // Status returns what the entry knows of the system.
 func (c *Client) Status(ctx context.Context) (api.Status, *Failure) {
 	return document[api.Status](ctx, c, call{method: http.MethodGet, path: []string{"v1", "status"}})
--- a/transport/metrics/malformed.go
+++ b/transport/metrics/malformed.go
@@ -13,6 +13,7 @@
 	KindAgents        = "agents"
 	KindNotes         = "notes"
 	KindMember        = "member"
+	KindDrain         = "drain"
 )
 
 // malformed counts what could not be read and was left out. Decoders have no registry
@@ -23,7 +24,7 @@
 	c := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "malformed_total", Help: "Reports and records that could not be read and were left out, by kind.",
 	}, []string{"kind"})
-	for _, kind := range []string{KindReport, KindConfiguration, KindRoute, KindRegistration, KindStoreRecord, KindJobRecord, KindAgents, KindNotes, KindMember} {
+	for _, kind := range []string{KindReport, KindConfiguration, KindRoute, KindRegistration, KindStoreRecord, KindJobRecord, KindAgents, KindNotes, KindMember, KindDrain} {
 		c.WithLabelValues(kind)
 	}
 	return c
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -41,12 +41,15 @@
 	firstDialTimeout = 150 * time.Millisecond
 )
 
-// LinkHandler hears of a link's life. Its methods are called one at a time.
+// LinkHandler hears of a link's life. Its methods are called one at a time, but for
+// LinkComplete.
 type LinkHandler interface {
 	// LinkUp returns what to send first in a new session.
 	LinkUp(node string, session int64) *corepb.ToAgent
 	LinkFrame(node string, session int64, f *corepb.FromAgent)
 	LinkDown(node string, session int64)
+	// LinkComplete adds the process's news to a frame that is about to be sent.
+	LinkComplete(f *corepb.ToAgent)
 }
 
 // Dialer makes the links of one process. It numbers their sessions in one row: an agent
@@ -220,6 +223,7 @@
 	out.pump(ctx, func(f *corepb.ToAgent) bool {
 		n++
 		f.Heartbeat = n
+		l.dialer.handler.LinkComplete(f)
 		// The reader gets the reason of a failure.
 		return stream.Send(f) == nil
 	})
--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -90,6 +90,7 @@
 	return &corepb.ToAgent{}
 }
 func (h *calls) LinkDown(string, int64)                     { h.down.Add(1) }
+func (h *calls) LinkComplete(*corepb.ToAgent)               {}
 func (h *calls) LinkFrame(string, int64, *corepb.FromAgent) { h.frames.Add(1) }
 
 func start(t *testing.T) (*agent, string) {
