Model the drains of failure domains, with three safeguards taken out

Cause: the drains were shown by tests of each part only. Now operators drain the domain of an agent, also while its owner has lost the store, in the random worlds; no agent in touch may send a start 3 s after that.

--- a/coordination/model/agent_test.go
+++ b/coordination/model/agent_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
@@ -26,6 +27,7 @@
 	// caller is the link of the shard's owner.
 	caller *link
 	claims worker.Claim
+	drains drainView
 }
 
 func newAgent(w *world, name string) *agentModel {
@@ -44,10 +46,15 @@
 	a.w.trace("- %s life %d begins", a.name, a.life)
 	a.worker = worker.New(a.w.workerBounds())
 	a.caller = nil
+	a.drains = drainView{book: &drains.Book{}}
 	a.born = a.w.now
 	a.exec.report()
 	life := a.life
-	a.loop(life, 50*time.Millisecond, func() { a.apply(a.worker.Tick(a.w.now)); a.tell() })
+	a.loop(life, 50*time.Millisecond, func() {
+		a.apply(a.worker.Tick(a.w.now))
+		a.lookForDrains()
+		a.tell()
+	})
 	a.hold(life)
 }
 
@@ -153,6 +160,7 @@
 func (a *agentModel) apply(fx worker.Effects) {
 	life := a.life
 	for _, s := range fx.Starts {
+		a.checkDrains()
 		a.call(func() bool { return a.exec.runStart(life, s) }, func(answered, ok bool) {
 			outcome := worker.StartRefused
 			a.w.trace("%s start %v answered %v ok %v", a.name, s.Run, answered, ok)
--- /dev/null
+++ b/coordination/model/drain_test.go
@@ -0,0 +1,117 @@
+package model
+
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/drains"
+)
+
+const (
+	// drainBound is how long after a drain an agent in touch may still start something.
+	drainBound = 3 * time.Second
+	// drainsStale is the age of what an agent was told from which on it looks into the store.
+	drainsStale = 2 * time.Second
+	// drainRead is how long a reader of the store takes to hear of a record.
+	drainRead = 20 * time.Millisecond
+)
+
+// drainLog is what operators have written of drains. Each agent is in a failure domain of
+// its own, with its name.
+type drainLog struct {
+	changes []drains.Change
+	// since is when each domain was drained; those that are not are absent.
+	since map[string]time.Duration
+}
+
+// drain has operators drain an agent's domain, and take it back after a while.
+func (w *world) drain(a *agentModel) {
+	if _, is := w.drains.since[a.name]; is {
+		return
+	}
+	w.trace("- %s is drained", a.name)
+	w.drains.since[a.name] = w.now
+	w.drains.changes = append(w.drains.changes, drains.Change{Domain: a.name, Drained: true})
+	w.after(w.upTo(9*time.Second), func() {
+		w.trace("- %s is taken back", a.name)
+		delete(w.drains.since, a.name)
+		w.drains.changes = append(w.drains.changes, drains.Change{Domain: a.name})
+	})
+}
+
+// drainView is what a process knows of drains.
+type drainView struct {
+	book *drains.Book
+	// blind is the time until which the process does not reach the store.
+	blind time.Duration
+}
+
+// read takes in all that operators have written, as of a time.
+func (v *drainView) read(w *world, now time.Duration) bool {
+	r := drains.NewReader(v.book)
+	r.Begin()
+	for _, c := range w.drains.changes {
+		r.Apply(c)
+	}
+	return r.Reached(now, int64(len(w.drains.changes))+1)
+}
+
+// followDrains has an owner read the store while it reaches it.
+func (o *ownerModel) followDrains() {
+	o.run(func() {
+		if now := o.w.now; now >= o.drains.blind && o.drains.read(o.w, now) {
+			o.fleet.Drain(o.drains.book.State())
+		}
+	})
+	if !o.gone() {
+		o.w.after(drainRead, o.followDrains)
+	}
+}
+
+// tellDrains has a frame of the owner tell what it knows.
+func (l *link) tellDrains() func() {
+	state, age := l.owner.drains.book.Latest(l.owner.w.now)
+	sent := l.owner.w.now
+	if l.owner.w.m == drainsGoBack {
+		// Its own words are taken for the newest.
+		state.Position = int64(l.owner.w.now)
+	}
+	return func() { l.agent.hearDrains(state, age+l.agent.w.now-sent) }
+}
+
+func (a *agentModel) hearDrains(s drains.State, age time.Duration) {
+	if a.drains.book.Told(a.w.now, s, age) {
+		a.actOnDrains()
+	}
+}
+
+func (a *agentModel) actOnDrains() {
+	if a.w.m == drainsIgnored {
+		return
+	}
+	a.apply(a.worker.DrainDomain(a.w.now, a.drains.book.State().Has(a.name)))
+}
+
+// lookForDrains has an agent whose callers have not heard from the store look itself.
+func (a *agentModel) lookForDrains() {
+	_, age := a.drains.book.Latest(a.w.now)
+	if age < drainsStale || a.w.m == drainsNotLooked {
+		return
+	}
+	life := a.life
+	a.w.after(drainRead, func() {
+		a.run(func() {
+			if a.life == life && a.drains.read(a.w, a.w.now) {
+				a.actOnDrains()
+			}
+		})
+	})
+}
+
+// checkDrains holds a start that an agent sends against the drains in force.
+func (a *agentModel) checkDrains() {
+	since, drained := a.w.drains.since[a.name]
+	calm := a.inTouch() && a.w.now-a.thaw >= contact
+	if drained && calm && a.w.now-since > drainBound {
+		a.w.fault(a.name, "%s starts something %v after its domain was drained", a.name, a.w.now-since)
+	}
+}
--- a/coordination/model/owner_test.go
+++ b/coordination/model/owner_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
@@ -13,14 +14,15 @@
 
 // ownerModel drives one owner's machine.
 type ownerModel struct {
-	w     *world
-	name  string
-	shard *owner.Shard
-	fleet *owner.Fleet
-	links map[*agentModel]*link
-	dead  bool
-	thaw  time.Duration
-	stale bool
+	w      *world
+	name   string
+	shard  *owner.Shard
+	fleet  *owner.Fleet
+	links  map[*agentModel]*link
+	dead   bool
+	thaw   time.Duration
+	stale  bool
+	drains drainView
 	// cut says that the group has dropped it and can't be asked.
 	cut    bool
 	writes bool
@@ -41,7 +43,7 @@
 }
 
 func newOwner(w *world, name string, epoch int64) *ownerModel {
-	o := &ownerModel{w: w, name: name, fleet: owner.NewFleet(1, anyLoad()), links: make(map[*agentModel]*link)}
+	o := &ownerModel{w: w, name: name, fleet: owner.NewFleet(1, anyLoad()), links: make(map[*agentModel]*link), drains: drainView{book: &drains.Book{}}}
 	var mayRun []string
 	if w.m != agentsNotNamed {
 		mayRun = slices.Clone(w.store.agents)
@@ -56,6 +58,7 @@
 
 func (o *ownerModel) open() {
 	o.w.trace("- %s opens with epoch %d, agents %v", o.name, o.shard.Epoch, o.w.store.agents)
+	o.followDrains()
 	o.tick()
 }
 
@@ -108,7 +111,11 @@
 		}
 		for _, a := range o.w.agents {
 			if l := o.links[a]; l != nil && l.up {
-				l.toAgent(func() { l.heard() })
+				tell := l.tellDrains()
+				l.toAgent(func() {
+					tell()
+					l.heard()
+				})
 			} else if l == nil || o.w.now >= l.again {
 				o.dial(a)
 			}
@@ -210,15 +217,21 @@
 	}
 	for _, p := range fx.Orders {
 		order := p.What
-		o.send(p.Node, func(l *link) { l.agent.order(l, order) })
+		o.send(p.Node, func(l *link) func() {
+			tell := l.tellDrains()
+			return func() {
+				tell()
+				l.agent.order(l, order)
+			}
+		})
 	}
 	for _, p := range fx.Stops {
 		run := p.What
-		o.send(p.Node, func(l *link) { l.agent.stop(o.shard.Epoch, run) })
+		o.send(p.Node, func(l *link) func() { return func() { l.agent.stop(o.shard.Epoch, run) } })
 	}
 	for _, p := range fx.Settled {
 		s := p.What
-		o.send(p.Node, func(l *link) { l.agent.settled(s) })
+		o.send(p.Node, func(l *link) func() { return func() { l.agent.settled(s) } })
 	}
 	for _, r := range fx.Replies {
 		r.To(r.Verdict)
@@ -228,10 +241,11 @@
 	}
 }
 
-func (o *ownerModel) send(node string, do func(*link)) {
+// send has something done at an agent. What is told of the owner is as of now.
+func (o *ownerModel) send(node string, make func(*link) func()) {
 	for a, l := range o.links {
 		if a.name == node && l.up {
-			l.toAgent(func() { do(l) })
+			l.toAgent(make(l))
 		}
 	}
 }
@@ -313,7 +327,7 @@
 func (o *ownerModel) load(a *agentModel, l worker.Load) {
 	o.fleet.Update(o.w.now, a.name, owner.AgentLoad{
 		Service: l.Server.Service, Capacity: l.Server.Capacity, Free: l.Free, Backlog: l.Backlog,
-		Turnover: l.Turnover, Accepts: l.Accepts, Seen: 1 << 40,
+		Turnover: l.Turnover, Accepts: l.Accepts, Domain: a.name, Drained: l.Drained, Seen: 1 << 40,
 	})
 }
 
--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -55,6 +55,12 @@
 	lossesUntold mutant = "losses with a server not told"
 	// Agents go on with the capacity that their server had at first.
 	capacityKept mutant = "capacity read once"
+	// Agents are told of drains and go on starting.
+	drainsIgnored mutant = "drains ignored by agents"
+	// Agents whose callers have lost the store don't look into it.
+	drainsNotLooked mutant = "drains not looked for"
+	// What a process tells of drains counts, however old it is.
+	drainsGoBack mutant = "older drains taken for newer"
 	// Owners that the group has dropped never stop renewing.
 	noRenewLimit mutant = "dropped owners go on for ever"
 )
@@ -87,6 +93,7 @@
 	agents  []*agentModel
 	client  client
 	ledger  map[job.TaskID]*taskLedger
+	drains  drainLog
 	faults  []string
 	session int64
 }
@@ -175,6 +182,7 @@
 		r: rand.New(rand.NewPCG(seed, 1)), m: m, now: time.Hour,
 		store:  storeModel{records: make(map[job.ID][]byte)},
 		ledger: make(map[job.TaskID]*taskLedger),
+		drains: drainLog{since: make(map[string]time.Duration)},
 	}
 	w.client = client{w: w, jobs: make(map[job.ID]*clientJob)}
 	for i := range agents {
@@ -212,7 +220,7 @@
 
 func (w *world) trouble() {
 	a := w.agents[w.r.IntN(len(w.agents))]
-	switch w.r.IntN(13) {
+	switch w.r.IntN(15) {
 	case 0:
 		w.current().kill()
 		w.after(w.upTo(2*time.Second), w.takeOver)
@@ -244,6 +252,13 @@
 		w.after(w.upTo(800*time.Millisecond), func() { a.restart(w.upTo(30 * time.Millisecond)) })
 	case 12:
 		a.exec.resize(int64(w.r.IntN(2))*taskDemand.CPUMillis, w.upTo(12*time.Second))
+	case 13:
+		w.drain(a)
+	case 14:
+		// An owner loses the store, and operators drain a domain meanwhile.
+		o := w.current()
+		o.drains.blind = w.now + w.upTo(12*time.Second)
+		w.after(w.upTo(2*time.Second), func() { w.drain(a) })
 	case 10:
 		a.loyal, a.until = nil, w.now+w.upTo(6*time.Second)
 		for _, o := range w.owners {
