Weigh drains under load, and expect servers that say so to be cold

Cause: nothing showed what a drain costs callers beyond the room that is gone, and cold_remaining_ms was not read at all.

--- a/coordination/load/world_test.go
+++ b/coordination/load/world_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/coordination/worker"
@@ -79,6 +80,8 @@
 	busy tally
 	// uncounted has agents not tell how many orders they had from all.
 	uncounted bool
+	// drains are those in force.
+	drains drains.State
 	// patient clients wait for as long as a recorded job does.
 	patient bool
 	// lost counts the backend servers that tasks have crashed, givenUp the jobs that were
@@ -280,6 +283,11 @@
 	// orders counts those of all entries.
 	orders   int64
 	capacity job.Demand
+	// cold is what the backend server says of its being so, and reports numbers its words.
+	cold    time.Duration
+	reports int64
+	// domain is the failure domain, where that matters.
+	domain string
 }
 
 func newAgent(w *world, number int) *agent {
@@ -329,7 +337,8 @@
 // report has the backend server say what it is.
 func (a *agent) report() {
 	instance := fmt.Sprintf("i-%s-%d", a.name, a.lives)
-	a.apply(a.Report(a.w.now, worker.Server{Instance: instance, Service: service, Capacity: a.capacity}, a.w.now.Milliseconds()))
+	a.reports++
+	a.apply(a.Report(a.w.now, worker.Server{Instance: instance, Service: service, Capacity: a.capacity, Cold: a.cold, Seq: a.reports}, a.w.now.Milliseconds()))
 }
 
 func (w *world) agent(name string) *agent {
@@ -449,6 +458,7 @@
 	c.told, c.toldAt = levelOf(&l), a.w.now
 	p := wire.LoadToWire(&l)
 	p.OrdersSeen = c.seen
+	p.Domain = a.domain
 	p.Placers = int32(len(a.placers()))
 	if !a.w.uncounted {
 		p.Orders = a.orders
--- a/coordination/worker/health.go
+++ b/coordination/worker/health.go
@@ -30,6 +30,8 @@
 	// before the first.
 	ratio   float64
 	learned time.Duration
+	// coldUntil is when the server stops being cold, by its last word.
+	coldUntil time.Duration
 }
 
 func (h *health) failed(now time.Duration) {
@@ -48,7 +50,7 @@
 }
 
 // done clears the doubts after a run that was done.
-func (h *health) done() { *h = health{ratio: h.ratio, learned: h.learned} }
+func (h *health) done() { *h = health{ratio: h.ratio, learned: h.learned, coldUntil: h.coldUntil} }
 
 // ratioWeight is the weight of one run's ratio: about the last ten count, a
 // quarter of a second of work of a busy server.
@@ -88,6 +90,24 @@
 	return ratio
 }
 
+// coldSlowdown is how much longer runs are expected to take on a cold server until its runs
+// have shown it.
+const coldSlowdown = 2
+
+// expectCold takes in for how long the server says that it is cold. It is expected to be slow
+// from its first run on: otherwise it is given its full part of the work until some runs
+// have ended, and all of them are late.
+func (h *health) expectCold(now, cold time.Duration) {
+	was := now < h.coldUntil
+	h.coldUntil = now + cold
+	switch {
+	case cold > 0 && !was:
+		h.ratio, h.learned = max(h.ratio, coldSlowdown), now
+	case cold == 0 && was:
+		h.ratio = 0
+	}
+}
+
 const (
 	// stallOverdue is the sum, over the running tasks, of the time beyond the
 	// expected run time in units of it, at which a server that ends nothing
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -48,6 +48,8 @@
 	Labels   []string
 	Capacity job.Demand
 	Draining bool
+	// Cold is how much longer runs take longer than usual there, from the report on.
+	Cold time.Duration
 	// Seq rises with each report of one instance.
 	Seq int64
 }
@@ -268,6 +270,7 @@
 	s.Capacity = w.server.Capacity
 	w.server = s
 	w.clock.read(now, clockMS)
+	w.health.expectCold(now, s.Cold)
 	if draining {
 		w.returnWaitingLocked(&fx, "draining")
 	}
--- a/daemon/core/enrol.go
+++ b/daemon/core/enrol.go
@@ -151,7 +151,7 @@
 	if !changed {
 		return
 	}
-	klog.InfoS("The backend server has changed", "instance", s.Instance, "service", s.Service, "labels", s.Labels, "cores", s.Capacity.CPUMillis, "draining", s.Draining)
+	klog.InfoS("The backend server has changed", "instance", s.Instance, "service", s.Service, "labels", s.Labels, "cores", s.Capacity.CPUMillis, "draining", s.Draining, "cold", s.Cold)
 	a.placed.again()
 }
 
