Count quotas and log lines within any second

Cause: windows of rules slide now. A quota kept a second's tokens, so after a pause two seconds' tasks passed within one; the log counted anew each second, so twice its lines passed around a boundary. Each has a test that straddles it and fails before. Gone through and left: the writes of owners (a share of .8 of the store's rate and 3 in a burst for each of 16 shards: 688 of 800 at 800 a second in any second), the fleet's crowd, learned times and health (exponential, no period), suspensions, back-offs and looks (pauses since the last event), the stretch of links (since the last refusal), attempts (in all). There is no other counter that begins anew with a period.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/shallotstep/shallotstep/state/sliding"
 )
 
 // Limits are an operator's quota, as declared.
@@ -32,6 +34,9 @@
 	// tasks would otherwise never be accepted.
 	tokens float64
 	filled time.Duration
+	// recent are the tasks accepted within the last second. With the tokens alone the end
+	// of a pause would let two seconds' tasks pass within one.
+	recent sliding.Window
 }
 
 // New returns the table of one of a number of entries.
@@ -46,17 +51,22 @@
 	rate := float64(l.PerSecond) / float64(t.entries)
 	u := t.usage[operator]
 	if u == nil {
-		u = &usage{tokens: rate, filled: now}
+		u = &usage{tokens: rate, filled: now, recent: sliding.Window{Span: time.Second}}
 		t.usage[operator] = u
 	}
 	u.fill(now, rate)
 	if u.tokens <= 0 {
 		return time.Duration((1 - u.tokens) / rate * float64(time.Second)), false
 	}
+	// A job that is larger than a second's tasks is accepted whole, by itself.
+	if most := max(int(rate)-tasks, 0); u.recent.Sum(now) > most {
+		return u.recent.Wait(now, most), false
+	}
 	if room := float64(l.InFlight) / float64(t.entries); float64(u.inFlight+tasks) > room {
 		return time.Second, false
 	}
 	u.tokens -= float64(tasks)
+	u.recent.Add(now, tasks)
 	u.inFlight += tasks
 	return 0, true
 }
@@ -75,6 +85,7 @@
 	if u := t.usage[operator]; u != nil {
 		u.inFlight -= tasks
 		u.tokens += float64(tasks)
+		u.recent.Forget(tasks)
 	}
 }
 
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -58,3 +58,43 @@
 	_, ok = q.Take(0, "haneul", l, 1)
 	is.True(ok)
 }
+
+// Guards against two seconds' tasks within one second after a pause: whichever second is
+// looked at, an operator gets no more than its tasks of one.
+func TestRateHoldsInAnySecond(t *testing.T) {
+	is := is.New(t)
+	q := New(1)
+	l := Limits{InFlight: 1 << 30, PerSecond: 100}
+	var accepted []time.Duration
+	for now := 3900 * time.Millisecond; now < 9*time.Second; now += time.Millisecond {
+		if _, ok := q.Take(now, "gridlog", l, 5); ok {
+			accepted = append(accepted, now)
+		}
+	}
+	for i, from := range accepted {
+		tasks := 0
+		for _, at := range accepted[i:] {
+			if at-from < time.Second {
+				tasks += 5
+			}
+		}
+		is.True(tasks <= 100)
+	}
+	is.True(len(accepted)*5 >= 500)
+}
+
+// Guards against a caller that is told to come back when there is still no room.
+func TestWaitForTheSlidingSecondIsTrue(t *testing.T) {
+	is := is.New(t)
+	q := New(1)
+	l := Limits{InFlight: 1 << 30, PerSecond: 100}
+	_, ok := q.Take(0, "gridlog", l, 60)
+	is.True(ok)
+	_, ok = q.Take(300*time.Millisecond, "gridlog", l, 30)
+	is.True(ok)
+	wait, ok := q.Take(500*time.Millisecond, "gridlog", l, 20)
+	is.True(!ok)
+	is.Equal(wait, 500*time.Millisecond)
+	_, ok = q.Take(500*time.Millisecond+wait, "gridlog", l, 20)
+	is.True(ok)
+}
--- /dev/null
+++ b/state/sliding/sliding_test.go
@@ -0,0 +1,57 @@
+package sliding
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against twice the bound within one span that begins in the middle of a period.
+func TestNoSpanHasMoreThanItsBound(t *testing.T) {
+	is := is.New(t)
+	const bound = 10
+	for _, grain := range []time.Duration{0, 50 * time.Millisecond} {
+		w := Window{Span: time.Second, Grain: grain}
+		var taken []time.Duration
+		for now := 900 * time.Millisecond; now < 5*time.Second; now += 7 * time.Millisecond {
+			if w.Sum(now) < bound {
+				w.Add(now, 1)
+				taken = append(taken, now)
+			}
+		}
+		for i := range taken {
+			n := 0
+			for _, at := range taken[i:] {
+				if at-taken[i] < time.Second {
+					n++
+				}
+			}
+			is.True(n <= bound)
+		}
+		is.True(len(taken) >= 3*bound)
+	}
+}
+
+// Guards against a wait after which there is still no room, or that is longer than needed.
+func TestWaitIsTrue(t *testing.T) {
+	is := is.New(t)
+	w := Window{Span: time.Second}
+	w.Add(0, 3)
+	w.Add(400*time.Millisecond, 2)
+	now := 500 * time.Millisecond
+	is.Equal(w.Wait(now, 5), time.Duration(0))
+	is.Equal(w.Wait(now, 4), 500*time.Millisecond)
+	is.Equal(w.Wait(now, 1), 900*time.Millisecond)
+	is.Equal(w.Sum(now+500*time.Millisecond), 2)
+}
+
+// Guards against memory that grows with what happens.
+func TestGrainBoundsTheMemory(t *testing.T) {
+	is := is.New(t)
+	w := Window{Span: time.Second, Grain: 50 * time.Millisecond}
+	for now := time.Duration(0); now < 10*time.Second; now += 100 * time.Microsecond {
+		w.Add(now, 1)
+	}
+	is.True(len(w.events) <= 21)
+}
--- a/transport/asynclog/asynclog.go
+++ b/transport/asynclog/asynclog.go
@@ -8,6 +8,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"github.com/shallotstep/shallotstep/state/sliding"
 )
 
 const (
@@ -60,13 +62,13 @@
 
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
-	r := rate{window: time.Now(), budget: linesPerSecond}
+	r := newRate(time.Now())
 	reported := time.Now()
 	var text []byte
 	for line := range w.lines {
 		time.Sleep(gatherFor)
 		now := time.Now()
-		text = w.gather(text[:0], &r, now, line)
+		text = w.gather(text[:0], r, now, line)
 		if now.Sub(reported) >= reportEvery {
 			reported = now
 			if n := w.dropped.Swap(0); n > 0 {
@@ -100,19 +102,21 @@
 	}
 }
 
-// rate bounds the lines of each second.
+// rate bounds the lines of any second.
 type rate struct {
-	window time.Time
-	budget int
+	began time.Time
+	lines sliding.Window
+}
+
+func newRate(now time.Time) *rate {
+	return &rate{began: now, lines: sliding.Window{Span: time.Second, Grain: gatherFor}}
 }
 
 func (r *rate) take(now time.Time) bool {
-	if now.Sub(r.window) >= time.Second {
-		r.window, r.budget = now, linesPerSecond
-	}
-	if r.budget == 0 {
+	at := now.Sub(r.began)
+	if r.lines.Sum(at) >= linesPerSecond {
 		return false
 	}
-	r.budget--
+	r.lines.Add(at, 1)
 	return true
 }
--- a/transport/asynclog/asynclog_test.go
+++ b/transport/asynclog/asynclog_test.go
@@ -78,14 +78,35 @@
 	w.Close()
 }
 
-// The rate bounds the lines of a second, and starts anew with the next one.
+// The rate bounds the lines of a second, and lets as many through once that has passed.
 func TestRateOfLines(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	r := rate{window: now, budget: linesPerSecond}
+	r := newRate(now)
 	for range linesPerSecond {
 		is.True(r.take(now))
 	}
 	is.True(!r.take(now.Add(time.Second - 1)))
 	is.True(r.take(now.Add(time.Second)))
 }
+
+// Guards against twice the bound of lines, and of processor time, in a second that begins in
+// the middle of a counted one.
+func TestLinesOfAnySecondAreBounded(t *testing.T) {
+	is := is.New(t)
+	begin := time.Now()
+	r := newRate(begin)
+	var taken []time.Duration
+	for at := 900 * time.Millisecond; at < 4*time.Second; at += 200 * time.Microsecond {
+		if r.take(begin.Add(at)) {
+			taken = append(taken, at)
+		}
+	}
+	from := 0
+	for i, at := range taken {
+		for at-taken[from] >= time.Second {
+			from++
+		}
+		is.True(i-from+1 <= linesPerSecond)
+	}
+}
