Say what the refusal of a job was decided by

Cause: a refusal's line had the excess of its predicted wait alone: not the limit, the objective, the room believed to be free or the age of that news, so nobody could tell a dark prediction from old news or a tight limit. Change: one line for each refusal with the predicted wait, the part of it at this owner, the limit, when it would have ended as a late job, what its client had waited, free and all cores of the agents that may have it, and the oldest news among them.

--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -17,8 +17,12 @@
 	due, useful time.Duration
 	// yields is set for a job that is accepted to be late.
 	yields bool
-	// wait is the predicted one, and waited what the client has waited before.
-	wait, waited time.Duration
+	// wait is the predicted one, here the part of it behind tasks that wait at this owner,
+	// and waited what the client has waited before.
+	wait, here, waited time.Duration
+	// objective is the job's, limit the longest wait with which it is accepted as one in
+	// time, and late when it would end as a late one.
+	objective, limit, late time.Duration
 }
 
 // wordLate is the decision on a job that is accepted to be late.
@@ -43,18 +47,20 @@
 	objective := s.objective(spec, p)
 	chain := s.chain(spec, p)
 	waited := s.waitedLocked(p, spec.Patience)
-	a := admission{due: objective - waited, useful: s.usefulFor(spec, objective) - waited, waited: waited}
+	a := admission{objective: objective, due: objective - waited, useful: s.usefulFor(spec, objective) - waited, waited: waited}
 	for i := range spec.Steps {
 		n := s.need(p, &spec.Steps[i])
 		n.Now, n.Slack = now, objective-chain
-		wait, ok := s.predictLocked(n, placeKeyOf(p, &spec.Steps[i]), spec.Steps[i].Count)
+		wait, here, ok := s.predictLocked(n, placeKeyOf(p, &spec.Steps[i]), spec.Steps[i].Count)
 		if !ok && !s.expectsAgents(now, spec) {
 			return admission{reason: s.noWorkerReason(n), retryAfter: time.Second}
 		}
-		a.wait = max(a.wait, wait)
+		if wait >= a.wait {
+			a.wait, a.here = wait, here
+		}
 	}
-	limit := s.longestWait(objective, chain, p.Priority) - waited
-	if a.wait <= limit {
+	a.limit = s.longestWait(objective, chain, p.Priority) - waited
+	if a.wait <= a.limit {
 		return a
 	}
 	idle := a.wait <= s.fleet.params.MinWait
@@ -63,8 +69,8 @@
 		// is room.
 		a.useful = spec.Patience
 	}
-	if !s.worthLateLocked(now, spec, p, a.wait+chain, a.useful) {
-		a.reason, a.retryAfter = ReasonOverload, a.wait-max(limit, 0)
+	if a.late = s.lateEndLocked(now, spec, p, a.wait+chain, a.useful); !s.worthLate(a.late, a.useful) {
+		a.reason, a.retryAfter = ReasonOverload, a.wait-max(a.limit, 0)
 		return a
 	}
 	a.yields, a.due = true, a.useful
@@ -72,18 +78,18 @@
 }
 
 // predictLocked is how long the last of a step's tasks would wait, here and at its
-// worker. The other owners are taken to have as much waiting as this one.
-func (s *Shard) predictLocked(n Need, where placeKey, tasks int) (time.Duration, bool) {
+// worker, and the part of it here. The other owners are taken to have as much waiting as
+// this one.
+func (s *Shard) predictLocked(n Need, where placeKey, tasks int) (wait, here time.Duration, ok bool) {
 	finish, ok := s.fleet.Predict(n, tasks, s.mayOrderLocked)
 	if !ok {
-		return 0, false
+		return 0, 0, false
 	}
-	wait := finish - n.Estimate
 	if ahead := s.waiting.ahead(where, false, n.Now+n.Slack); ahead > 0 {
 		cores, times := s.fleet.Room(n, s.mayOrderLocked)
-		wait += time.Duration(float64(ahead) * times / max(cores, 1))
+		here = time.Duration(float64(ahead) * times / max(cores, 1))
 	}
-	return wait, true
+	return finish - n.Estimate + here, here, true
 }
 
 // noWorkerReason is why no agent may have a task.
@@ -120,11 +126,17 @@
 	}
 }
 
-// worthLateLocked reports whether a job that can't be in time can surely be of use.
-// Accepted in vain it would hold its client, who could have gone elsewhere.
-func (s *Shard) worthLateLocked(now time.Duration, spec *job.Spec, p *job.Policy, took, useful time.Duration) bool {
+// worthLate reports whether a job that can't be in time can surely be of use, by when it
+// would end. Accepted in vain it would hold its client, who could have gone elsewhere.
+func (s *Shard) worthLate(end, useful time.Duration) bool {
+	return useful != 0 && end <= time.Duration(s.fleet.params.LateShare*float64(useful))
+}
+
+// lateEndLocked is when a job would end in the room that those in time leave; zero if it
+// can't be of use late.
+func (s *Shard) lateEndLocked(now time.Duration, spec *job.Spec, p *job.Policy, took, useful time.Duration) time.Duration {
 	if useful == 0 {
-		return false
+		return 0
 	}
 	prior := s.fleet.params.YieldPrior
 	s.waiting.measure(now, s.fleet.params.YieldMemory)
@@ -135,7 +147,18 @@
 		s.waiting.expect(prior * cores / times)
 		took += s.waiting.yieldWait(s.waiting.yieldWork() + coreTime(n)*time.Duration(st.Count))
 	}
-	return took <= time.Duration(s.fleet.params.LateShare*float64(useful))
+	return took
+}
+
+// refusalLocked is what a refusal was decided by.
+func (s *Shard) refusalLocked(now time.Duration, spec *job.Spec, p *job.Policy, a *admission) *Refusal {
+	r := &Refusal{
+		Predicted: a.wait, Here: a.here, Limit: a.limit, Late: a.late, Objective: a.objective, Waited: a.waited,
+	}
+	if len(spec.Steps) > 0 {
+		r.Free, r.Cores, r.News = s.fleet.believed(now, s.need(p, &spec.Steps[0]), s.mayOrderLocked)
+	}
+	return r
 }
 
 // longestWait is the longest predicted wait with which a job is accepted as one that
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -74,6 +74,23 @@
 	Age    time.Duration
 	// Count is of suspects, or of lost servers.
 	Count int
+	// Refusal is what a refusal was decided by; nil for other decisions.
+	Refusal *Refusal
+}
+
+// Refusal is what the refusal of a job for want of room was decided by.
+type Refusal struct {
+	// Predicted is the longest predicted wait of a step, Here the part of it behind tasks
+	// that wait at this owner, Limit the longest with which the job would have been taken
+	// as one in time, and Late when it would have ended as a late one; zero: it can't be
+	// late.
+	Predicted, Here, Limit, Late time.Duration
+	// Objective is the job's latency objective, and Waited what its client has waited.
+	Objective, Waited time.Duration
+	// Free and Cores are what the agents that may have the job were believed to have, in
+	// cores, and News is the age of the oldest word of one of them.
+	Free, Cores float64
+	News        time.Duration
 }
 
 // WantsRoom reports whether a decision was made for want of room at the linked agents.
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -62,6 +62,23 @@
 	return cores, float64(max(placers, 1)) * min(f.crowd.of(int(mean))/mean, 1)
 }
 
+// believed is what the agents that may have a task are believed to have free and in all, in
+// cores, beyond what is under way to them, and the age of the oldest word of one of them.
+func (f *Fleet) believed(now time.Duration, n Need, may func(node string) bool) (free, cores float64, news time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for node, v := range f.agents {
+		if !v.takes(n) || !may(node) {
+			continue
+		}
+		taken, _ := v.booked(now, f.params.Alike*f.crowd.of(v.load.Placers))
+		free += float64(max(v.load.Free.CPUMillis-taken.CPUMillis, 0)) / 1000
+		cores += float64(v.load.Capacity.CPUMillis) / 1000
+		news = max(news, now-v.heard)
+	}
+	return free, cores, news
+}
+
 // Predict estimates when the last of a number of equal tasks would end if they
 // were placed now. It is false when no agent is eligible.
 func (f *Fleet) Predict(n Need, tasks int, may func(node string) bool) (time.Duration, bool) {
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -51,7 +51,7 @@
 	a := s.admitLocked(now, &spec, &p)
 	if a.reason != "" {
 		fx.reply(reply, Verdict{Outcome: Refused, Reason: a.reason, RetryAfter: a.retryAfter})
-		fx.log(Decision{What: "refused", Job: id, Reason: a.reason, Wait: a.retryAfter})
+		fx.log(Decision{What: "refused", Job: id, Reason: a.reason, Wait: a.retryAfter, Refusal: s.refusalLocked(now, &spec, &p, &a)})
 		return fx
 	}
 	j := &jobState{
--- a/daemon/core/steps.go
+++ b/daemon/core/steps.go
@@ -84,10 +84,21 @@
 
 func (r *steps) log(d *owner.Decision) {
 	r.metrics.decisions.WithLabelValues(d.What).Inc()
+	if d.Refusal != nil {
+		logRefusal(d)
+	}
 	klog.InfoS("Job", "what", d.What, "id", d.Job, "shard", r.ID, "epoch", r.Epoch, "step", d.Run.Task.Step, "task", d.Run.Task.Index,
 		"run", d.Run.Number, "agent", d.Node, "reason", d.Reason, "age", d.Age.Milliseconds(), "wait", d.Wait.Milliseconds(), "count", d.Count)
 }
 
+// logRefusal says what a refusal was decided by, in milliseconds and cores.
+func logRefusal(d *owner.Decision) {
+	r := d.Refusal
+	klog.InfoS("Refusal", "id", d.Job, "reason", d.Reason, "predicted", r.Predicted.Milliseconds(), "here", r.Here.Milliseconds(),
+		"limit", r.Limit.Milliseconds(), "late", r.Late.Milliseconds(), "objective", r.Objective.Milliseconds(), "waited", r.Waited.Milliseconds(),
+		"free", int(r.Free), "cores", int(r.Cores), "news", r.News.Milliseconds())
+}
+
 // news has tasks that wait here sent to agents that may have room by now.
 func (r *steps) news() {
 	if r.Waiting() {
