--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -144,6 +144,7 @@
 	}
 	a.offerNews, a.owns = make(chan struct{}, 1), make(chan struct{})
 	a.drains = newDrainWatch(drains, a.drainsChanged)
+	a.metrics.watchDrains(&a.drains.book)
 	a.server = peer.NewServer(a)
 	a.metrics.watchWorker(a.worker)
 	a.metrics.watchFleet(a.fleet)
--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -68,6 +68,7 @@
 		fleet: owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams()),
 	}
 	e.drains = newDrainWatch(drains, e.drainsChanged)
+	e.metrics.watchDrains(&e.drains.book)
 	// The name is that of this life: agents tell its runs from a later one's.
 	dialer := peer.NewDialer(memberName(s.Name, xid.New().String()), e)
 	e.links = newLinkSet(s.Links, e, e.fleet, e.metrics, func(node string, reg registration) agentLink {
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -7,8 +7,10 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 )
 
@@ -95,6 +97,20 @@
 	m.registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(f.Looks()) }))
 }
 
+// watchDrains registers what is known of drained failure domains.
+func (m *coreMetrics) watchDrains(b *drains.Book) {
+	m.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "drained_domains", Help: "Failure domains in which nothing is newly started.",
+		}, func() float64 { return float64(len(b.State().Domains)) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "drains_age_seconds", Help: "How long ago the store confirmed the drains that are known here.",
+		}, func() float64 {
+			_, age := b.Latest(bootclock.Now())
+			return age.Seconds()
+		}))
+}
+
 // watchWorker registers the counters of an agent's books.
 func (m *coreMetrics) watchWorker(w *worker.Worker) {
 	for _, c := range []struct {
@@ -108,6 +124,7 @@
 		{"runs_lapsed_total", "Runs lost with the lease of a silent backend server.", func(s worker.Stats) int64 { return s.Lapsed }},
 		{"ends_voided_total", "Ends that must never count.", func(s worker.Stats) int64 { return s.Voided }},
 		{"runs_silenced_total", "Runs stopped because their owner was silent.", func(s worker.Stats) int64 { return s.Silenced }},
+		{"orders_drained_total", "Orders refused or handed back because the failure domain is drained.", func(s worker.Stats) int64 { return s.Drained }},
 		{"capacity_changes_total", "Changes of the backend server's capacity.", func(s worker.Stats) int64 { return s.Resized }},
 		{"stalls_total", "Times the backend server stood still.", func(s worker.Stats) int64 { return s.Stalled }},
 	} {
