--- a/coordination/load/ablation_test.go
+++ b/coordination/load/ablation_test.go
@@ -19,10 +19,7 @@
 var ablation = flag.Bool("load.ablation", false, "play each day with each mechanism off in turn, and print what was served")
 
 // mechanisms are switched off one at a time.
-var mechanisms = []struct {
-	name string
-	off  func(*owner.Params)
-}{
+var mechanisms = []variant{
 	{"all on", func(*owner.Params) {}},
 	{"late jobs yield", func(p *owner.Params) { p.LateFactor = 0 }},
 	{"late binding", func(p *owner.Params) { p.BindWithin = 0 }},
@@ -35,6 +32,20 @@
 	{"first jobs wait", func(p *owner.Params) { p.Arrival = 0 }},
 }
 
+// ways are other figures for decisions that matter; the first ones are those in use.
+var ways = []variant{
+	{"as it is", func(*owner.Params) {}},
+	{"aim share .65", func(p *owner.Params) { p.AimShare = 0.65 }},
+	{"aim share .85", func(p *owner.Params) { p.AimShare = 0.85 }},
+	{"priority share .9", func(p *owner.Params) { p.PriorityShare = 0.9 }},
+	{"priority share 1", func(p *owner.Params) { p.PriorityShare = 1 }},
+	{"late answers refused", func(p *owner.Params) { p.LateFactor = 0 }},
+	{"callers' estimates", func(p *owner.Params) { p.LearnWeight = 0 }},
+	{"pooled wait 1.4", func(p *owner.Params) { p.PooledWait = 1.4 }},
+	{"bound within 12 ms", func(p *owner.Params) { p.BindWithin = 12 * time.Millisecond }},
+	{"bound within 50 ms", func(p *owner.Params) { p.BindWithin = 50 * time.Millisecond }},
+}
+
 // days are the loads and faults of the table.
 var days = []struct {
 	name string
@@ -48,6 +59,8 @@
 	{"small 1.15", small, grown, 1.15, nil},
 	{"large .9", large, grown, 0.9, nil},
 	{"large 1.15", large, grown, 1.15, nil},
+	{"shifted .9", large, shifted, 0.9, nil},
+	{"shifted 1.15", large, shifted, 1.15, nil},
 	{"wide .9", small, wide, 0.9, nil},
 	{"wide 1.15", small, wide, 1.15, nil},
 	{"burst", small, wide, 0.7, func(w *world) { w.burst(1.8, 2*time.Second) }},
@@ -62,10 +75,33 @@
 	if !*ablation {
 		t.Skip("prints a table with -load.ablation")
 	}
-	table := make([][]string, len(mechanisms))
+	printTable(mechanisms)
+}
+
+// The table of other ways for decisions that matter, printed by
+//
+//	go test ./coordination/load -run TestWays -v -load.ways
+
+var waysTable = flag.Bool("load.ways", false, "play each day with each other way, and print what was served")
+
+func TestWays(t *testing.T) {
+	if !*waysTable {
+		t.Skip("prints a table with -load.ways")
+	}
+	printTable(ways)
+}
+
+// variant is a change of the figures in use.
+type variant struct {
+	name string
+	off  func(*owner.Params)
+}
+
+func printTable(variants []variant) {
+	table := make([][]string, len(variants))
 	var wg sync.WaitGroup
 	gate := make(chan struct{}, 4)
-	for i, m := range mechanisms {
+	for i, m := range variants {
 		table[i] = make([]string, len(days))
 		for k, d := range days {
 			wg.Add(1)
@@ -86,7 +122,7 @@
 	}
 	fmt.Println("| " + strings.Join(names, " | ") + " |")
 	fmt.Println("|" + strings.Repeat(" --- |", len(names)))
-	for i, m := range mechanisms {
+	for i, m := range variants {
 		fmt.Println("| " + m.name + " | " + strings.Join(table[i], " | ") + " |")
 	}
 }
--- a/coordination/load/mix_test.go
+++ b/coordination/load/mix_test.go
@@ -29,6 +29,14 @@
 	{queue: "usual", perS: 648. / 55, width: 2, work: 200 * time.Millisecond, cpu: 1300, worth: 0.00167, priority: 1},
 }
 
+// shifted is the mix of a site whose work has changed to longer jobs, of 717 jobs a second on
+// 51 agents.
+var shifted = []class{
+	{queue: "short", perS: 166. / 51, width: 8, work: 60 * time.Millisecond, cpu: 1200, worth: 0.00485},
+	{queue: "long", perS: 65.8 / 51, width: 4, work: 900 * time.Millisecond, cpu: 1200, worth: 0.0267, priority: 2},
+	{queue: "usual", perS: 485. / 51, width: 2, work: 200 * time.Millisecond, cpu: 1200, worth: 0.00167, priority: 1},
+}
+
 // wide is the mix of the users' sites with larger tasks, of which ten fill a worker, of
 // 140 jobs a second on 11 agents.
 var wide = []class{
--- a/daemon/core/drains.go
+++ b/daemon/core/drains.go
@@ -187,10 +187,12 @@
 	a.links.nudge()
 }
 
-// checkDrains looks into the store if the callers have not heard from it for long.
+// checkDrains looks into the store if the callers have not heard from it for long. Those of a
+// process that has just started may only have started too.
 func (a *Agent) checkDrains(ctx context.Context, now time.Duration) {
 	w := a.drains
-	if _, age := w.book.Latest(now); age < drainsStale || now-w.lookedAt.get() < drainsRetry || len(a.everyCaller()) == 0 {
+	_, age := w.book.Latest(now)
+	if min(age, now-a.started) < drainsStale || now-w.lookedAt.get() < drainsRetry || len(a.everyCaller()) == 0 {
 		return
 	}
 	if w.looking.Swap(true) {
