Let the parts that entries and agents share use neither of them

Cause: daemon/core is one package of three roles. This moves what both use (bounds, links, readers of the store, drains, the driver of a shard's machine) away from what one role does, and the fakes of their tests to coretest, before the package is split. No behaviour changes.

--- a/daemon/core/agent.go
+++ b/daemon/core/agent.go
@@ -7,6 +7,7 @@
 	"context"
 	"maps"
 	"net"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -29,36 +30,6 @@
 	"github.com/shallotstep/shallotstep/transport/peer"
 )
 
-const (
-	// ownerSilence is how long an owner may be silent before its runs are
-	// stopped: longer than a link takes to be found lost and made anew (0.7 s,
-	// a pause and a dial), so that a silent connection stops nothing.
-	ownerSilence = 1300 * time.Millisecond
-	// relink is how long an owner may take to make a lost link anew; it dials
-	// again within 0.3 s. Clients of an entry that was killed send their jobs
-	// again after 1.3 s.
-	relink = 700 * time.Millisecond
-	// adoption is how long a run of this agent's earlier life waits for its
-	// owner: a lost link is dialled again within 0.3 s.
-	adoption = 400 * time.Millisecond
-	// groupTTL is the membership's time to live at least: a dead agent's
-	// shards are without an owner for that long, a slow call must fit into it.
-	groupTTL = 1200 * time.Millisecond
-	// joinEvery is the pace of joins; four fit into the time to live.
-	joinEvery = 250 * time.Millisecond
-	// renewLimit is how long after its last successful join an owner goes on
-	// renewing what it has ordered: longer than the store's usual outages.
-	renewLimit = 6 * time.Second
-	// lazyWrite is how long an end may wait for its record: a fraction of the
-	// platform's 4 s to acknowledge it.
-	lazyWrite = 700 * time.Millisecond
-	// leaseSlack covers what a lease lasts beyond its nominal time on a slow
-	// clock, the stop and the agent's ticks.
-	leaseSlack = 300 * time.Millisecond
-	// OwnersGroup is the name under which agents share the shards.
-	OwnersGroup = "owners"
-)
-
 // Executor is the backend server beside an agent.
 type Executor interface {
 	Start(ctx context.Context, c worker.StartCall) (worker.StartOutcome, string)
@@ -146,21 +117,11 @@
 	a.drains = newDrainWatch(drains, a.drainsChanged)
 	a.metrics.watchDrains(&a.drains.book)
 	a.server = peer.NewServer(a)
-	a.metrics.watchWorker(a.worker)
+	watchWorker(a.metrics, a.worker)
 	a.metrics.watchFleet(a.fleet)
 	return a
 }
 
-func ownerBounds(s *settings.Settings) owner.Bounds {
-	waitOut := ownerSilence + s.Bounds.Lease + leaseSlack
-	return owner.Bounds{
-		WaitOut:   waitOut,
-		Takeover:  waitOut + renewLimit,
-		Retention: 2 * s.Bounds.Retention,
-		LazyWrite: lazyWrite,
-	}
-}
-
 // Run serves until the context ends.
 func (a *Agent) Run(ctx context.Context) error {
 	l, err := net.Listen("tcp", a.settings.Listen.Links)
@@ -321,3 +282,6 @@
 func (a *Agent) Occupied(node string) bool {
 	return slices.ContainsFunc(a.owned(), func(r *shardRunner) bool { return r.Shard.Occupied(node) })
 }
+
+// Metrics serves the agent's metrics.
+func (a *Agent) Metrics() http.Handler { return a.metrics.handler() }
--- /dev/null
+++ b/daemon/core/agentlinks_test.go
@@ -0,0 +1,65 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/daemon/coretest"
+	"github.com/shallotstep/shallotstep/state/settings"
+	"github.com/shallotstep/shallotstep/state/store"
+)
+
+// dialledLinks stands for the links of a set, by agent.
+type dialledLinks map[string]bool
+
+// upLink is a link that is up.
+type upLink struct {
+	node string
+	all  dialledLinks
+}
+
+func (l upLink) Close()   { delete(l.all, l.node) }
+func (l upLink) Up() bool { return true }
+
+// fakeLinks returns a set of links to all agents.
+func fakeLinks(a *Agent, placer workPlacer) (*linkSet, dialledLinks) {
+	all := make(dialledLinks)
+	return newLinkSet(0, a, placer, newCoreMetrics(), func(node string, _ registration) agentLink {
+		all[node] = true
+		return upLink{node: node, all: all}
+	}), all
+}
+
+func registeredAgent(node, addr string) store.Record {
+	return store.Record{Key: node, Value: []byte(`{"links":"` + addr + `"}`)}
+}
+
+// A system of 59 processes whose agents each keep a link to each other spends more
+// on signs of life than on work, and its entries' jobs come late: on a site of that
+// size all of a busy day's did. Only 16 agents own a shard; the others link nobody.
+func TestAgentWithoutShardsLinksNobody(t *testing.T) {
+	is := is.New(t)
+	a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: 4}}, coretest.NoStore{}, DrainSource{}, nil)
+	links, all := fakeLinks(a, a.fleet)
+	a.links = links
+	links.apply(registeredAgent("b", "10.0.0.2:7"))
+	is.Equal(len(all), 0)
+
+	links.open() // as it does when it gets a shard
+	a.shards[1] = &shardRunner{steps: newSteps(owner.New(0, 1, 1, owner.Bounds{}, a.fleet, nil, nil), links, a.metrics)}
+	links.apply(registeredAgent("c", "10.0.0.3:7"))
+	is.Equal(slices.Sorted(maps.Keys(all)), []string{"b", "c"})
+
+	now := time.Hour
+	a.keepLinks(now)
+	delete(a.shards, 1)
+	a.keepLinks(now + linkLinger) // the shares may be dealt anew
+	is.Equal(len(all), 2)
+	a.keepLinks(now + linkLinger + 1)
+	is.Equal(len(all), 0)
+}
--- a/daemon/core/drains.go
+++ b/daemon/core/drains.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -23,14 +22,6 @@
 // from the store for a while reads it itself: they may be cut off from it while the agent
 // is not, and would go on sending orders.
 
-const (
-	// drainsStale is the age from which on an agent looks into the store itself. Entries
-	// hear from it each 0.6 s.
-	drainsStale = 2 * time.Second
-	// drainsRetry is the pause between two looks of an agent.
-	drainsRetry = time.Second
-)
-
 // DrainSource is where the operators' drains of failure domains stand.
 type DrainSource struct {
 	Partition store.Partition
@@ -130,78 +121,3 @@
 	}
 	return st.Follow(ctx, w.source.Partition, position, 0)
 }
-
-// followers keep the configuration and the drains up to date. Where both stand in one
-// partition one reader does for both.
-func (e *Entry) followers() []*follower {
-	reader := drains.NewReader(&e.drains.book)
-	drained := &follower{
-		store: e.store, partition: e.drains.source.Partition, wait: configWait, name: "drains",
-		begin: reader.Begin, reached: func(position int64) { e.drains.reached(reader, position) },
-		apply: func(r store.Record) { e.drains.apply(reader, r) },
-	}
-	if e.drains.source.Partition == e.config {
-		drained.name = "configuration"
-		drained.apply = func(r store.Record) {
-			e.applyConfig(r)
-			e.drains.apply(reader, r)
-		}
-		return []*follower{drained}
-	}
-	config := &follower{store: e.store, partition: e.config, wait: configWait, name: "configuration", apply: e.applyConfig}
-	return []*follower{config, drained}
-}
-
-// drainsChanged has nothing more placed in the drained failure domains, and tells all
-// linked agents.
-func (e *Entry) drainsChanged(s drains.State) {
-	e.fleet.Drain(s)
-	e.links.drain(s)
-	e.links.nudge()
-	known, read := e.links.domains()
-	for _, domain := range s.Domains {
-		if read && known[domain] == 0 {
-			klog.InfoS("A drained failure domain has no agents", "domain", domain)
-		}
-	}
-}
-
-// Drains returns the drains in force, as far as they are known here.
-func (e *Entry) Drains() drains.State { return e.drains.book.State() }
-
-// Domains counts the agents of each known failure domain.
-func (e *Entry) Domains() map[string]int {
-	known, _ := e.links.domains()
-	return known
-}
-
-// drainsChanged has nothing newly started beside this agent if its failure domain is
-// drained, and tells those that are linked with it.
-func (a *Agent) drainsChanged(s drains.State) {
-	a.fleet.Drain(s)
-	a.links.drain(s)
-	a.apply(a.worker.DrainDomain(bootclock.Now(), s.Has(a.settings.Zone)))
-	for c := range a.everyCaller() {
-		c.Send(nothing)
-	}
-	a.links.nudge()
-}
-
-// checkDrains looks into the store if the callers have not heard from it for long. Those of a
-// process that has just started may only have started too.
-func (a *Agent) checkDrains(ctx context.Context, now time.Duration) {
-	w := a.drains
-	_, age := w.book.Latest(now)
-	if min(age, now-a.started) < drainsStale || now-w.lookedAt.get() < drainsRetry || len(a.everyCaller()) == 0 {
-		return
-	}
-	if w.looking.Swap(true) {
-		return
-	}
-	w.lookedAt.set(now)
-	go func() {
-		defer w.looking.Store(false)
-		err := w.look(ctx, a.store)
-		klog.InfoS("Looked for drains in the store, since those who place work here have not lately", "err", err)
-	}()
-}
--- a/daemon/core/effort.go
+++ b/daemon/core/effort.go
@@ -66,12 +66,7 @@
 	}
 }
 
-const (
-	// coverWait is how long a job waits for links to agents that offer what it needs, where
-	// too few of the linked ones do: a dial and the first news take 30 ms.
-	coverWait = 200 * time.Millisecond
-	coverPoll = 5 * time.Millisecond
-)
+const coverPoll = 5 * time.Millisecond
 
 // cover has agents linked that offer what a job needs, if too few are, and waits for them.
 // A subset is chosen without regard to labels, and the job would be refused though a
--- a/daemon/core/enrol_test.go
+++ b/daemon/core/enrol_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/coretest"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
@@ -18,7 +19,7 @@
 
 // registryStore keeps what is written to the registry.
 type registryStore struct {
-	noStore
+	coretest.NoStore
 	mu      sync.Mutex
 	written []registration // guarded by mu
 }
@@ -43,7 +44,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		st := &registryStore{}
-		a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: testShards}}, st, DrainSource{}, nil)
+		a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: coretest.Shards}}, st, DrainSource{}, nil)
 		ctx, cancel := context.WithCancel(t.Context())
 		var done sync.WaitGroup
 		done.Go(func() { a.keepRegistered(ctx) })
--- a/daemon/core/entry.go
+++ b/daemon/core/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -37,9 +38,6 @@
 	// no owner could be found for is refused: its caller is better off asking
 	// again than waiting for a takeover of a second.
 	refuseAfter = 0.2
-	// configWait is how long a read of the configuration waits for news; with
-	// followSlack a silent connection is found within the platform's 2 s.
-	configWait = 600 * time.Millisecond
 )
 
 // Entry takes clients' questions to the owners of their jobs.
@@ -164,13 +162,13 @@
 // LinkUp implements peer.LinkHandler.
 func (e *Entry) LinkUp(node string, session int64) *corepb.ToAgent {
 	e.fleet.Linked(node)
-	return &corepb.ToAgent{Claims: e.effort.linked(node, session)}
+	return &corepb.ToAgent{Claims: e.effort.linkUp(node, session)}
 }
 
 // LinkDown implements peer.LinkHandler.
 func (e *Entry) LinkDown(node string, session int64) {
 	e.fleet.Lost(node)
-	e.effort.unlinked(node, session)
+	e.effort.linkDown(node, session)
 	e.owners.lost(node)
 }
 
@@ -181,18 +179,15 @@
 		e.fleet.Update(bootclock.Now(), node, wire.LoadFromWire(l))
 	}
 	for _, p := range f.GetClaimed() {
-		e.effort.claimed(node, p)
+		e.effort.takeClaimed(node, p)
 	}
 	for _, p := range f.GetEvents() {
-		e.effort.event(node, p)
+		e.effort.takeEvent(node, p)
 	}
 	e.owners.note(node, f)
-	e.effort.news()
+	e.effort.placeWaiting()
 }
 
-// LinkComplete implements peer.LinkHandler.
-func (e *Entry) LinkComplete(f *corepb.ToAgent) { f.Drains = e.drains.frame() }
-
 // owner returns a shard's owner and its client; nil while it is not known or not linked.
 func (e *Entry) owner(ctx context.Context, shard int) (string, corepb.CoreClient) {
 	node, fresh := e.owners.use(bootclock.Now(), shard)
@@ -204,3 +199,6 @@
 	}
 	return "", nil
 }
+
+// Metrics serves the entry's metrics.
+func (e *Entry) Metrics() http.Handler { return e.metrics.handler() }
--- a/daemon/core/entry_test.go
+++ b/daemon/core/entry_test.go
@@ -8,14 +8,15 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/coretest"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/routing"
-	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/peer"
@@ -71,7 +72,7 @@
 	a.broken = false
 	a.mu.Unlock()
 	if broken {
-		return errSilent
+		return errors.New("broken")
 	}
 	c.Send(func(out *corepb.FromAgent) {
 		for _, p := range f.GetClaims() {
@@ -99,7 +100,7 @@
 func (a *fakeAgent) keepBooks() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.books = worker.New(worker.Bounds{Lease: time.Second, OwnerSilence: ownerSilence, Relink: relink, Adoption: adoption, Shards: testShards})
+	a.books = worker.New(worker.Bounds{Lease: time.Second, OwnerSilence: ownerSilence, Relink: relink, Adoption: adoption, Shards: coretest.Shards})
 }
 
 // breakLink ends the link on which the next frame comes.
@@ -139,72 +140,35 @@
 	a.links++
 }
 
+// notOwner answers questions about shards.
+var notOwner = owner.Verdict{Outcome: owner.NotOwner, Reason: owner.ReasonTakeover}
+
 func (a *fakeAgent) Submit(_ int, _ job.ID, _ job.Spec, _ job.Policy, reply func(owner.Verdict)) {
-	reply(verdictNotOwner)
+	reply(notOwner)
 }
-func (a *fakeAgent) Lookup(int, job.ID) owner.Verdict { return verdictNotOwner }
+func (a *fakeAgent) Lookup(int, job.ID) owner.Verdict { return notOwner }
 func (a *fakeAgent) Cancel(_ int, _ job.ID, reply func(owner.Verdict)) {
-	reply(verdictNotOwner)
+	reply(notOwner)
 }
 func (a *fakeAgent) Await(int, job.ID, func(owner.Verdict)) {}
 
 func (a *fakeAgent) Pending(string) owner.Verdict { return owner.Verdict{} }
 
-// noStore rejects everything.
-type noStore struct{}
-
-func (noStore) Append(context.Context, store.Partition, *store.Producer, []store.Record) (int64, error) {
-	return 0, store.ErrRejected
-}
-func (noStore) Newest(context.Context, store.Partition) ([]store.Record, int64, error) {
-	return nil, 0, store.ErrRejected
-}
-func (noStore) Follow(context.Context, store.Partition, int64, time.Duration) ([]store.Record, int64, error) {
-	return nil, 0, store.ErrRejected
-}
-func (noStore) Join(context.Context, string, string, []string, time.Duration, int64) (store.Membership, error) {
-	return store.Membership{}, store.ErrRejected
-}
-func (noStore) Owners(context.Context, string) (map[store.Partition]string, error) {
-	return nil, store.ErrRejected
-}
-func (noStore) Leave(context.Context, string, string) error { return store.ErrRejected }
-
-// testShards is the number of shards that testSettings make.
-const testShards = 4
-
-func testSettings() *settings.Settings {
-	return &settings.Settings{
-		Role: settings.RoleEntry, Name: "entry", Store: settings.Store{Topics: 1, Partitions: testShards, WritesPerSecond: 100},
-		Bounds: settings.Bounds{Lease: time.Second, Grace: time.Second, Retention: time.Minute},
-	}
-}
-
 // newTestEntry returns an entry with a link to each agent, all up.
 func newTestEntry(t *testing.T, agents ...*fakeAgent) *Entry {
 	t.Helper()
-	e := NewEntry(testSettings(), noStore{}, store.Partition{Topic: "config"}, nil, DrainSource{})
+	e := NewEntry(coretest.Settings(), coretest.NoStore{}, store.Partition{Topic: "config"}, nil, DrainSource{})
 	t.Cleanup(e.links.close)
 	e.links.open()
 	for _, a := range agents {
 		e.links.apply(store.Record{Key: a.addr, Value: []byte(`{"links":"` + a.addr + `"}`)})
 	}
 	for _, a := range agents {
-		await(t, func() bool { return e.links.get(a.addr).Up() })
+		coretest.Await(t, func() bool { return e.links.get(a.addr).Up() })
 	}
 	return e
 }
 
-// await waits for something that other goroutines bring about.
-func await(t *testing.T, ok func() bool) {
-	t.Helper()
-	for end := time.Now().Add(time.Minute); !ok(); time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("not in a minute")
-		}
-	}
-}
-
 const testJob job.ID = "00000000000000aa"
 
 func effortSpec() *job.Spec {
@@ -233,10 +197,10 @@
 		}
 		got <- v
 	}()
-	await(t, func() bool { return a.ordered() == 1 })
+	coretest.Await(t, func() bool { return a.ordered() == 1 })
 	leave()
 	is.Equal((<-got).Outcome, owner.Unknown)
-	await(t, func() bool { return a.stopped() == 1 })
+	coretest.Await(t, func() bool { return a.stopped() == 1 })
 }
 
 // No agent has answered the entry's claim yet. Nothing was ordered, so the
@@ -263,7 +227,7 @@
 // was dropped and read anew: it must not come into force again.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	is := is.New(t)
-	e := NewEntry(testSettings(), noStore{}, store.Partition{}, decodeVersion, DrainSource{})
+	e := NewEntry(coretest.Settings(), coretest.NoStore{}, store.Partition{}, decodeVersion, DrainSource{})
 	for _, v := range []string{"3", "5", "4"} {
 		e.applyConfig(store.Record{Value: []byte(v)})
 	}
--- a/daemon/core/executor_test.go
+++ b/daemon/core/executor_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/coretest"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 )
@@ -37,7 +38,7 @@
 // room for some ten calls now.
 func TestCallsThatFailAtOnceAreSpaced(t *testing.T) {
 	is := is.New(t)
-	a := NewAgent(testSettings(), noStore{}, DrainSource{}, nil)
+	a := NewAgent(coretest.Settings(), coretest.NoStore{}, DrainSource{}, nil)
 	server := &resetting{}
 	a.executor = server
 	a.worker.Report(bootclock.Now(), worker.Server{Instance: "i", Service: "desk", Capacity: job.Demand{CPUMillis: 1000}}, 1)
--- a/daemon/core/links_test.go
+++ b/daemon/core/links_test.go
@@ -10,10 +10,8 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
-	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/state/job"
-	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
 )
 
@@ -61,31 +59,6 @@
 	return store.Record{Key: node, Value: []byte(`{"links":"` + addr + `"}`)}
 }
 
-// A system of 59 processes whose agents each keep a link to each other spends more
-// on signs of life than on work, and its entries' jobs come late: on a site of that
-// size all of a busy day's did. Only 16 agents own a shard; the others link nobody.
-func TestAgentWithoutShardsLinksNobody(t *testing.T) {
-	is := is.New(t)
-	a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: 4}}, noStore{}, DrainSource{}, nil)
-	links, all := newFakeLinks(0, a, a.fleet)
-	a.links = links
-	links.apply(registered("b", "10.0.0.2:7"))
-	is.Equal(len(all), 0)
-
-	links.open() // as it does when it gets a shard
-	a.shards[1] = &shardRunner{steps: newSteps(owner.New(0, 1, 1, owner.Bounds{}, a.fleet, nil, nil), links, a.metrics)}
-	links.apply(registered("c", "10.0.0.3:7"))
-	is.Equal(slices.Sorted(maps.Keys(all)), []string{"b", "c"})
-
-	now := time.Hour
-	a.keepLinks(now)
-	delete(a.shards, 1)
-	a.keepLinks(now + linkLinger) // the shares may be dealt anew
-	is.Equal(len(all), 2)
-	a.keepLinks(now + linkLinger + 1)
-	is.Equal(len(all), 0)
-}
-
 // An agent came back at another address while no links were kept. The set has
 // learnt of it, and of one that was taken away.
 func TestLinksGoWhereTheAgentsAreNow(t *testing.T) {
@@ -282,20 +255,3 @@
 	}
 	is.Equal(idle, 144)
 }
-
-// An entry links a few of many agents, and a task is larger than those are. Refused by what
-// is linked it was said to fit nowhere, beside a backend server that has room for it. What a
-// linked one says now goes before what it has registered.
-func TestCapacitiesAreThoseOfAllKnownAgents(t *testing.T) {
-	is := is.New(t)
-	e := NewEntry(testSettings(), noStore{}, store.Partition{Topic: "config"}, nil, DrainSource{})
-	offer := `{"links":"10.0.0.%d:7","offer":{"service":"desk","capacity":{"CPUMillis":%d}}}`
-	e.links.learn(store.Record{Key: "linked", Value: fmt.Appendf(nil, offer, 1, 8000)})
-	e.links.learn(store.Record{Key: "other", Value: fmt.Appendf(nil, offer, 2, 32000)})
-	e.fleet.Linked("linked")
-	e.fleet.Update(time.Hour, "linked", owner.AgentLoad{Service: "desk", Capacity: job.Demand{CPUMillis: 4000}})
-	got := e.Capacities("desk")
-	slices.SortFunc(got, func(a, b job.Demand) int { return int(a.CPUMillis - b.CPUMillis) })
-	is.Equal(got, []job.Demand{{CPUMillis: 4000}, {CPUMillis: 32000}})
-	is.Equal(len(e.Capacities("other")), 0)
-}
--- a/daemon/core/membership.go
+++ b/daemon/core/membership.go
@@ -196,7 +196,7 @@
 // claimEverywhere claims a shard at all agents that are linked.
 func (a *Agent) claimEverywhere(r *shardRunner) {
 	for node, session := range a.linked() {
-		claims := r.linked(node, session)
+		claims := r.linkUp(node, session)
 		if len(claims) > 0 {
 			a.links.send(node, func(f *corepb.ToAgent) { f.Claims = append(f.Claims, claims...) })
 		}
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -9,7 +9,6 @@
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
-	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 )
@@ -85,12 +84,6 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
-// Metrics serves the entry's metrics.
-func (e *Entry) Metrics() http.Handler { return e.metrics.handler() }
-
-// Metrics serves the agent's metrics.
-func (a *Agent) Metrics() http.Handler { return a.metrics.handler() }
-
 // watchFleet registers what placing costs.
 func (m *coreMetrics) watchFleet(f *owner.Fleet) {
 	opts := prometheus.CounterOpts{Namespace: namespace, Name: "placement_looks_total", Help: "Agents looked at to place tasks."}
@@ -110,25 +103,3 @@
 			return age.Seconds()
 		}))
 }
-
-// watchWorker registers the counters of an agent's books.
-func (m *coreMetrics) watchWorker(w *worker.Worker) {
-	for _, c := range []struct {
-		name, help string
-		value      func(worker.Stats) int64
-	}{
-		{"starts_total", "Starts sent to the backend server.", func(s worker.Stats) int64 { return s.Started }},
-		{"orders_refused_total", "Orders and starts that did not run.", func(s worker.Stats) int64 { return s.Refused }},
-		{"orders_returned_total", "Orders handed back because they would have started too late.", func(s worker.Stats) int64 { return s.Returned }},
-		{"starts_doubtful_total", "Starts without an answer.", func(s worker.Stats) int64 { return s.Doubtful }},
-		{"runs_lapsed_total", "Runs lost with the lease of a silent backend server.", func(s worker.Stats) int64 { return s.Lapsed }},
-		{"ends_voided_total", "Ends that must never count.", func(s worker.Stats) int64 { return s.Voided }},
-		{"runs_silenced_total", "Runs stopped because their owner was silent.", func(s worker.Stats) int64 { return s.Silenced }},
-		{"orders_drained_total", "Orders refused or handed back because the failure domain is drained.", func(s worker.Stats) int64 { return s.Drained }},
-		{"capacity_changes_total", "Changes of the backend server's capacity.", func(s worker.Stats) int64 { return s.Resized }},
-		{"stalls_total", "Times the backend server stood still.", func(s worker.Stats) int64 { return s.Stalled }},
-	} {
-		opts := prometheus.CounterOpts{Namespace: namespace, Subsystem: "agent", Name: c.name, Help: c.help}
-		m.registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(c.value(w.Stats())) }))
-	}
-}
--- a/daemon/core/relink_test.go
+++ b/daemon/core/relink_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/daemon/coretest"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/routing"
 )
@@ -22,23 +23,23 @@
 	a.keepBooks()
 	e := newTestEntry(t, a)
 	policy := &job.Policy{Service: "desk"}
-	await(t, func() bool { return e.effort.Reach() == 1 })
+	coretest.Await(t, func() bool { return e.effort.Reach() == 1 })
 
 	a.breakLink()
-	await(t, func() bool { return a.linked() == 2 })
-	await(t, func() bool { return e.effort.Reach() == 1 })
+	coretest.Await(t, func() bool { return a.linked() == 2 })
+	coretest.Await(t, func() bool { return e.effort.Reach() == 1 })
 
 	e.links.drop(a.addr)
 	e.effort.step(func(now time.Duration) owner.Effects { return e.effort.Tick(now + time.Minute) }) // it is waited out
 	e.links.reconcile(time.Hour)
-	await(t, func() bool { return a.linked() == 3 })
+	coretest.Await(t, func() bool { return a.linked() == 3 })
 
 	e.table.Store(&routing.Table{})
-	await(t, e.Ready)
+	coretest.Await(t, e.Ready)
 	ctx, leave := context.WithCancel(context.Background())
 	got := make(chan owner.Verdict, 1)
 	go func() { got <- e.submitEffort(ctx, testJob, effortSpec(), policy) }()
-	await(t, func() bool { return a.ordered() == 1 || len(got) > 0 })
+	coretest.Await(t, func() bool { return a.ordered() == 1 || len(got) > 0 })
 	leave()
 	is.Equal((<-got).Reason, owner.ReasonTime) // not that the owner has changed
 	is.Equal(a.ordered(), 1)
--- a/daemon/core/serve.go
+++ b/daemon/core/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,12 +14,6 @@
 	"github.com/shallotstep/shallotstep/transport/peer"
 )
 
-// atomicDuration is a duration that several goroutines share.
-type atomicDuration struct{ v atomic.Int64 }
-
-func (d *atomicDuration) set(t time.Duration) { d.v.Store(int64(t)) }
-func (d *atomicDuration) get() time.Duration  { return time.Duration(d.v.Load()) }
-
 var errSilent = errors.New("the owner was silent for too long; it has to claim its shards anew")
 
 // Ready implements peer.AgentHandler.
@@ -136,7 +129,7 @@
 		return out
 	}
 	for _, r := range a.owned() {
-		out.Claims = append(out.Claims, r.linked(node, session)...)
+		out.Claims = append(out.Claims, r.linkUp(node, session)...)
 	}
 	return out
 }
@@ -148,7 +141,7 @@
 	a.mu.Unlock()
 	a.fleet.Lost(node)
 	for _, r := range a.owned() {
-		r.unlinked(node, session)
+		r.linkDown(node, session)
 	}
 }
 
@@ -160,18 +153,15 @@
 	}
 	for _, p := range f.GetClaimed() {
 		if r := a.shard(int(p.GetShard())); r != nil {
-			r.claimed(node, p)
+			r.takeClaimed(node, p)
 		}
 	}
 	for _, p := range f.GetEvents() {
 		if r := a.shard(int(p.GetShard())); r != nil {
-			r.event(node, p)
+			r.takeEvent(node, p)
 		}
 	}
 	for _, r := range a.owned() {
-		r.news()
+		r.placeWaiting()
 	}
 }
-
-// LinkComplete implements peer.LinkHandler.
-func (a *Agent) LinkComplete(f *corepb.ToAgent) { f.Drains = a.drains.frame() }
--- a/daemon/core/shard.go
+++ b/daemon/core/shard.go
@@ -32,8 +32,6 @@
 	badAfter = 300 * time.Millisecond
 	// probePause is the pace at which an owner tries a store that rejects it.
 	probePause = 100 * time.Millisecond
-	// tickEvery is the pace of a shard's clock.
-	tickEvery = 50 * time.Millisecond
 )
 
 // shardRunner drives a shard whose jobs are recorded.
--- a/daemon/core/shard_test.go
+++ b/daemon/core/shard_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/coretest"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
@@ -16,7 +17,7 @@
 )
 
 // takingStore takes every write.
-type takingStore struct{ noStore }
+type takingStore struct{ coretest.NoStore }
 
 func (takingStore) Append(context.Context, store.Partition, *store.Producer, []store.Record) (int64, error) {
 	return 0, nil
@@ -24,10 +25,9 @@
 
 // newTestRunner returns the runner of a shard with one agent, whose writes the test makes.
 func newTestRunner(st store.Store) *shardRunner {
-	s := &settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: testShards, WritesPerSecond: 1e6}}
+	s := &settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: coretest.Shards, WritesPerSecond: 1e6}}
 	a := NewAgent(s, st, DrainSource{}, nil)
-	user := newFakeUser()
-	a.links, _ = newFakeLinks(0, user, user)
+	a.links, _ = fakeLinks(a, a.fleet)
 	now := bootclock.Now()
 	r := &shardRunner{agent: a, partition: store.Partition{Topic: "jobs"}, steps: newSteps(owner.New(now, 1, 1, ownerBounds(s), a.fleet, nil, nil), a.links, a.metrics)}
 	a.fleet.Linked("b")
@@ -61,5 +61,5 @@
 	r := newTestRunner(takingStore{})
 	is.Equal(r.submit("00000000000000a1", "fine").Outcome, owner.OK)
 	is.Equal(r.submit("00000000000000a2", "no text: \xff").Outcome, owner.Refused)
-	await(t, func() bool { return r.submit("00000000000000a3", "fine").Outcome == owner.OK })
+	coretest.Await(t, func() bool { return r.submit("00000000000000a3", "fine").Outcome == owner.OK })
 }
--- a/daemon/core/steps.go
+++ b/daemon/core/steps.go
@@ -99,8 +99,8 @@
 		"free", int(r.Free), "cores", int(r.Cores), "news", r.News.Milliseconds())
 }
 
-// news has tasks that wait here sent to agents that may have room by now.
-func (r *steps) news() {
+// placeWaiting has tasks that wait here sent to agents that may have room by now.
+func (r *steps) placeWaiting() {
 	if r.Waiting() {
 		r.step(r.News)
 	}
@@ -113,9 +113,9 @@
 	}
 }
 
-// linked has the shard note a link and returns the claims to send on it: one, or none if
+// linkUp has the shard note a link and returns the claims to send on it: one, or none if
 // the link is claimed.
-func (r *steps) linked(node string, session int64) []*corepb.Claim {
+func (r *steps) linkUp(node string, session int64) []*corepb.Claim {
 	var claim worker.Claim
 	var ok bool
 	r.step(func(now time.Duration) owner.Effects {
@@ -129,18 +129,18 @@
 	return []*corepb.Claim{{Shard: int32(claim.Shard), Epoch: claim.Epoch, Session: claim.Session}}
 }
 
-func (r *steps) unlinked(node string, session int64) {
+func (r *steps) linkDown(node string, session int64) {
 	r.step(func(now time.Duration) owner.Effects {
 		r.LinkLost(now, node, session)
 		return owner.Effects{}
 	})
 }
 
-func (r *steps) claimed(node string, p *corepb.Claimed) {
+func (r *steps) takeClaimed(node string, p *corepb.Claimed) {
 	r.step(func(now time.Duration) owner.Effects { return r.Claimed(now, node, wire.ClaimedFromWire(p)) })
 }
 
-func (r *steps) event(node string, p *corepb.Event) {
+func (r *steps) takeEvent(node string, p *corepb.Event) {
 	e := worker.Event{Shard: int(p.GetShard()), Epoch: p.GetEpoch(), State: wire.RunStateFromWire(p.GetRun())}
 	r.step(func(now time.Duration) owner.Effects { return r.Event(now, node, e) })
 }
