--- a/daemon/core/agent.go
+++ b/daemon/agent/agent.go
@@ -1,7 +1,6 @@
-// Package core runs the roles of a system whose jobs live in the platform's
-// store: entries, which take clients' requests, and agents, each beside a
-// backend server and the owner of some shards of the jobs.
-package core
+// Package agent is the process beside a backend server: the only one that calls it, and the
+// owner of some shards of the recorded jobs.
+package agent
 
 import (
 	"context"
@@ -21,6 +20,7 @@
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/settings"
@@ -41,7 +41,7 @@
 type Agent struct {
 	settings *settings.Settings
 	store    store.Store
-	metrics  *coreMetrics
+	metrics  *core.CoreMetrics
 	// newExecutor returns a client for this life of the agent.
 	newExecutor func(fence int64) Executor
 	member      string
@@ -49,18 +49,18 @@
 
 	worker   *worker.Worker
 	fleet    *owner.Fleet
-	links    *linkSet
+	links    *core.LinkSet
 	executor Executor
 	server   *peer.Server
 	// confirmed is the boot time in ns of the last join that succeeded.
-	confirmed atomicDuration
+	confirmed core.AtomicDuration
 	// enrolled is set once this life has a number; no call goes to the backend
 	// server before.
 	enrolled atomic.Bool
 	// reachUntil is until when jobs wait for the links of an owner's first one.
-	reachUntil atomicDuration
+	reachUntil core.AtomicDuration
 	// drains is what is known of drained failure domains.
-	drains *drainWatch
+	drains *core.DrainWatch
 	// placers is the number of callers that place work here.
 	placers atomic.Int32
 	// orders counts the orders that came from all of them.
@@ -73,7 +73,7 @@
 	// and orphaned while ends wait for them.
 	marked, orphaned atomic.Bool
 	// registered is what the registry has of this agent; nil: nothing is known of it.
-	registered atomic.Pointer[registration]
+	registered atomic.Pointer[core.Registration]
 	// offerNews is signalled when what the registry says of this agent may have changed.
 	offerNews chan struct{}
 	// owns is closed with the first shard: before it there is nothing to link others for.
@@ -99,12 +99,12 @@
 	epochs epochs
 }
 
-// NewAgent returns an agent that does nothing yet.
-func NewAgent(s *settings.Settings, st store.Store, drains DrainSource, newExecutor func(fence int64) Executor) *Agent {
+// New returns an agent that does nothing yet.
+func New(s *settings.Settings, st store.Store, drains core.DrainSource, newExecutor func(fence int64) Executor) *Agent {
 	a := &Agent{
-		settings: s, store: st, newExecutor: newExecutor, metrics: newCoreMetrics(),
-		member: memberName(s.Name, xid.New().String()), started: bootclock.Now(),
-		worker:  worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerSilence: ownerSilence, Relink: relink, Adoption: adoption, Shards: s.Shards()}),
+		settings: s, store: st, newExecutor: newExecutor, metrics: core.NewCoreMetrics(),
+		member: core.MemberName(s.Name, xid.New().String()), started: bootclock.Now(),
+		worker:  worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerSilence: core.OwnerSilence, Relink: core.Relink, Adoption: core.Adoption, Shards: s.Shards()}),
 		placed:  newPlacersLog(),
 		fleet:   owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams()),
 		shards:  make(map[int]*shardRunner),
@@ -114,11 +114,11 @@
 		up:      make(map[string]int64),
 	}
 	a.offerNews, a.owns = make(chan struct{}, 1), make(chan struct{})
-	a.drains = newDrainWatch(drains, a.drainsChanged)
-	a.metrics.watchDrains(&a.drains.book)
+	a.drains = core.NewDrainWatch(drains, a.drainsChanged)
+	a.metrics.WatchDrains(&a.drains.Book)
 	a.server = peer.NewServer(a)
 	watchWorker(a.metrics, a.worker)
-	a.metrics.watchFleet(a.fleet)
+	a.metrics.WatchFleet(a.fleet)
 	return a
 }
 
@@ -153,7 +153,7 @@
 	// The name is that of this life: an agent takes the signs of life of a later one for
 	// another owner's, and stops what this one left.
 	dialer := peer.NewDialer(a.member, a)
-	a.links = newLinkSet(a.settings.Links, a, a.fleet, a.metrics, func(node string, reg registration) agentLink {
+	a.links = core.NewLinkSet(a.settings.Links, a, a.fleet, a.metrics, func(node string, reg core.Registration) core.AgentLink {
 		return dialer.Dial(ctx, node, reg.Links)
 	})
 	// From here on frames of others are taken in.
@@ -170,12 +170,12 @@
 			return
 		case <-a.owns:
 		}
-		wg.Go(func() { a.links.maintain(ctx) })
-		a.links.follow(ctx, a.store)
+		wg.Go(func() { a.links.Maintain(ctx) })
+		a.links.Follow(ctx, a.store)
 	})
 	wg.Go(func() { a.memberLoop(ctx, before.Member) })
 	<-ctx.Done()
-	a.links.close()
+	a.links.Close()
 	a.release(nil)
 	return nil
 }
@@ -237,7 +237,7 @@
 			klog.InfoS("The agent has drained")
 			return
 		}
-		_ = pause.For(ctx, tickEvery)
+		_ = pause.For(ctx, core.TickEvery)
 	}
 }
 
@@ -271,7 +271,7 @@
 // Required implements linkUser: a takeover has to reach every agent that may have runs of
 // the shard, and ends that only owners can settle wait for one.
 func (a *Agent) Required() []string {
-	out := a.links.withOrphans()
+	out := a.links.WithOrphans()
 	for _, r := range a.owned() {
 		out = append(out, r.Awaited()...)
 	}
@@ -284,4 +284,4 @@
 }
 
 // Metrics serves the agent's metrics.
-func (a *Agent) Metrics() http.Handler { return a.metrics.handler() }
+func (a *Agent) Metrics() http.Handler { return a.metrics.Handler() }
--- a/daemon/core/agentdrains.go
+++ b/daemon/agent/drains.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"context"
@@ -23,32 +23,32 @@
 // drained, and tells those that are linked with it.
 func (a *Agent) drainsChanged(s drains.State) {
 	a.fleet.Drain(s)
-	a.links.drain(s)
+	a.links.Drain(s)
 	a.apply(a.worker.DrainDomain(bootclock.Now(), s.Has(a.settings.Zone)))
 	for c := range a.everyCaller() {
 		c.Send(nothing)
 	}
-	a.links.nudge()
+	a.links.Nudge()
 }
 
 // checkDrains looks into the store if the callers have not heard from it for long. Those of a
 // process that has just started may only have started too.
 func (a *Agent) checkDrains(ctx context.Context, now time.Duration) {
 	w := a.drains
-	_, age := w.book.Latest(now)
-	if min(age, now-a.started) < drainsStale || now-w.lookedAt.get() < drainsRetry || len(a.everyCaller()) == 0 {
+	_, age := w.Book.Latest(now)
+	if min(age, now-a.started) < drainsStale || now-w.LookedAt.Get() < drainsRetry || len(a.everyCaller()) == 0 {
 		return
 	}
-	if w.looking.Swap(true) {
+	if w.Looking.Swap(true) {
 		return
 	}
-	w.lookedAt.set(now)
+	w.LookedAt.Set(now)
 	go func() {
-		defer w.looking.Store(false)
-		err := w.look(ctx, a.store)
+		defer w.Looking.Store(false)
+		err := w.Look(ctx, a.store)
 		klog.InfoS("Looked for drains in the store, since those who place work here have not lately", "err", err)
 	}()
 }
 
 // LinkComplete implements peer.LinkHandler.
-func (a *Agent) LinkComplete(f *corepb.ToAgent) { f.Drains = a.drains.frame() }
+func (a *Agent) LinkComplete(f *corepb.ToAgent) { f.Drains = a.drains.Frame() }
--- a/daemon/core/enrol.go
+++ b/daemon/agent/enrol.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/pause"
@@ -17,7 +18,7 @@
 // of a record that this life writes; zero if the context has ended.
 func (a *Agent) enrol(ctx context.Context) int64 {
 	var life int64
-	untilDone(ctx, "The agent can't begin its life yet", func() error {
+	core.UntilDone(ctx, "The agent can't begin its life yet", func() error {
 		offset, err := a.note(ctx, lifeKey(a.settings.Name), []byte(a.member))
 		life = offset + 1
 		return err
@@ -28,7 +29,7 @@
 // takeNotes takes in what earlier lives have written down.
 func (a *Agent) takeNotes(ctx context.Context) earlier {
 	var e earlier
-	untilDone(ctx, "The notes of earlier lives can't be read yet", func() error {
+	core.UntilDone(ctx, "The notes of earlier lives can't be read yet", func() error {
 		var err error
 		e, err = a.readNotes(ctx)
 		return err
@@ -53,7 +54,7 @@
 func (a *Agent) keepRegistered(ctx context.Context) {
 	for ctx.Err() == nil {
 		before := a.registered.Load()
-		untilDone(ctx, "The agent can't register yet", func() error { return a.register(ctx) })
+		core.UntilDone(ctx, "The agent can't register yet", func() error { return a.register(ctx) })
 		if a.registered.Load() != before {
 			_ = pause.For(ctx, offerPause)
 		}
@@ -71,10 +72,10 @@
 // register has the registry say what the agent offers, unless it does.
 func (a *Agent) register(ctx context.Context) error {
 	reg, ok := a.registration()
-	if last := a.registered.Load(); !ok || last != nil && reg.same(last) {
+	if last := a.registered.Load(); !ok || last != nil && reg.Same(last) {
 		return nil
 	}
-	if err := announce(ctx, a.store, a.settings.Name, reg); err != nil {
+	if err := core.Announce(ctx, a.store, a.settings.Name, reg); err != nil {
 		return err
 	}
 	a.registered.Store(reg)
@@ -92,14 +93,14 @@
 }
 
 // registration is what the registry should say; false before the first report.
-func (a *Agent) registration() (*registration, bool) {
+func (a *Agent) registration() (*core.Registration, bool) {
 	s, ok := a.worker.Server()
 	if !ok {
 		return nil, false
 	}
-	return &registration{
+	return &core.Registration{
 		Links: a.settings.Listen.LinksAddress(), Zone: a.settings.Zone, Orphans: a.orphaned.Load(),
-		Offer: &offer{Service: s.Service, Labels: s.Labels, Capacity: s.Capacity},
+		Offer: &core.Offer{Service: s.Service, Labels: s.Labels, Capacity: s.Capacity},
 	}, true
 }
 
--- a/daemon/core/enrol_test.go
+++ b/daemon/agent/enrol_test.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/daemon/coretest"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/settings"
@@ -21,14 +22,14 @@
 type registryStore struct {
 	coretest.NoStore
 	mu      sync.Mutex
-	written []registration // guarded by mu
+	written []core.Registration // guarded by mu
 }
 
 func (s *registryStore) Append(_ context.Context, p store.Partition, _ *store.Producer, records []store.Record) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p == registryPartition {
-		var reg registration
+	if p == core.RegistryPartition {
+		var reg core.Registration
 		if err := json.Unmarshal(records[0].Value, &reg); err != nil {
 			return 0, err
 		}
@@ -44,7 +45,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		st := &registryStore{}
-		a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: coretest.Shards}}, st, DrainSource{}, nil)
+		a := New(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: coretest.Shards}}, st, core.DrainSource{}, nil)
 		ctx, cancel := context.WithCancel(t.Context())
 		var done sync.WaitGroup
 		done.Go(func() { a.keepRegistered(ctx) })
--- a/daemon/core/epochs.go
+++ b/daemon/agent/epochs.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 // epochsPerGeneration spaces the epochs of a group's generations, so that a new
 // share goes before the old one without a word between the agents. An agent
--- a/daemon/core/executor.go
+++ b/daemon/agent/executor.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/pause"
 )
@@ -110,9 +111,9 @@
 	began := bootclock.Now()
 	outcome, reason := a.executor.Start(ctx, c)
 	now := bootclock.Now()
-	a.metrics.start.Observe((now - began).Seconds())
+	a.metrics.Start.Observe((now - began).Seconds())
 	if outcome != worker.StartOK {
-		a.metrics.startRefusals.WithLabelValues(startReason(outcome, reason)).Inc()
+		a.metrics.StartRefusals.WithLabelValues(startReason(outcome, reason)).Inc()
 		klog.InfoS("Start not confirmed", "id", c.Run.Task.Job, "step", c.Run.Task.Step, "task", c.Run.Task.Index, "run", c.Run.Number, "instance", c.Instance, "reason", reason)
 	}
 	a.apply(a.worker.StartAnswered(now, c.Instance, c.Run, outcome, reason))
@@ -136,7 +137,7 @@
 }
 
 func (a *Agent) tickLoop(ctx context.Context) {
-	t := time.NewTicker(tickEvery)
+	t := time.NewTicker(core.TickEvery)
 	defer t.Stop()
 	reported := bootclock.Now()
 	for {
--- a/daemon/core/executor_test.go
+++ b/daemon/agent/executor_test.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"context"
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/daemon/coretest"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
@@ -38,7 +39,7 @@
 // room for some ten calls now.
 func TestCallsThatFailAtOnceAreSpaced(t *testing.T) {
 	is := is.New(t)
-	a := NewAgent(coretest.Settings(), coretest.NoStore{}, DrainSource{}, nil)
+	a := New(coretest.Settings(), coretest.NoStore{}, core.DrainSource{}, nil)
 	server := &resetting{}
 	a.executor = server
 	a.worker.Report(bootclock.Now(), worker.Server{Instance: "i", Service: "desk", Capacity: job.Demand{CPUMillis: 1000}}, 1)
--- a/daemon/core/agentlinks_test.go
+++ b/daemon/agent/links_test.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"maps"
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/daemon/coretest"
 	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
@@ -27,9 +28,9 @@
 func (l upLink) Up() bool { return true }
 
 // fakeLinks returns a set of links to all agents.
-func fakeLinks(a *Agent, placer workPlacer) (*linkSet, dialledLinks) {
+func fakeLinks(a *Agent, placer core.WorkPlacer) (*core.LinkSet, dialledLinks) {
 	all := make(dialledLinks)
-	return newLinkSet(0, a, placer, newCoreMetrics(), func(node string, _ registration) agentLink {
+	return core.NewLinkSet(0, a, placer, core.NewCoreMetrics(), func(node string, _ core.Registration) core.AgentLink {
 		all[node] = true
 		return upLink{node: node, all: all}
 	}), all
@@ -44,15 +45,15 @@
 // size all of a busy day's did. Only 16 agents own a shard; the others link nobody.
 func TestAgentWithoutShardsLinksNobody(t *testing.T) {
 	is := is.New(t)
-	a := NewAgent(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: 4}}, coretest.NoStore{}, DrainSource{}, nil)
+	a := New(&settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: 4}}, coretest.NoStore{}, core.DrainSource{}, nil)
 	links, all := fakeLinks(a, a.fleet)
 	a.links = links
-	links.apply(registeredAgent("b", "10.0.0.2:7"))
+	links.Apply(registeredAgent("b", "10.0.0.2:7"))
 	is.Equal(len(all), 0)
 
-	links.open() // as it does when it gets a shard
-	a.shards[1] = &shardRunner{steps: newSteps(owner.New(0, 1, 1, owner.Bounds{}, a.fleet, nil, nil), links, a.metrics)}
-	links.apply(registeredAgent("c", "10.0.0.3:7"))
+	links.Open() // as it does when it gets a shard
+	a.shards[1] = &shardRunner{Steps: core.NewSteps(owner.New(0, 1, 1, owner.Bounds{}, a.fleet, nil, nil), links, a.metrics)}
+	links.Apply(registeredAgent("c", "10.0.0.3:7"))
 	is.Equal(slices.Sorted(maps.Keys(all)), []string{"b", "c"})
 
 	now := time.Hour
--- a/daemon/core/load.go
+++ b/daemon/agent/load.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/daemon/core"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/transport/metrics"
@@ -15,7 +16,7 @@
 // load reads what the store has of a shard: its jobs, and the agents that may have runs
 // of it.
 func (r *shardRunner) load(ctx context.Context) ([]*job.Record, []string, error) {
-	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, 2*core.StoreTimeout)
 	defer cancel()
 	raw, _, err := r.agent.store.Newest(ctx, r.partition)
 	if err != nil {
@@ -47,7 +48,7 @@
 
 // everyAgent names all agents that may have runs of any shard.
 func (r *shardRunner) everyAgent(ctx context.Context) ([]string, error) {
-	registered, _, err := r.agent.store.Newest(ctx, registryPartition)
+	registered, _, err := r.agent.store.Newest(ctx, core.RegistryPartition)
 	if err != nil {
 		return nil, errors.Wrap(err, "agents")
 	}
--- a/daemon/core/membership.go
+++ b/daemon/agent/membership.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
@@ -18,22 +19,22 @@
 // recently enough that nobody else can have been given it, unless all shares
 // were dealt anew.
 func (a *Agent) confirmedOwner() bool {
-	return bootclock.Now()-a.confirmed.get() < a.ttl()
+	return bootclock.Now()-a.confirmed.Get() < a.ttl()
 }
 
-func (a *Agent) ttl() time.Duration { return max(groupTTL, a.settings.Store.MinTTL) }
+func (a *Agent) ttl() time.Duration { return max(core.GroupTTL, a.settings.Store.MinTTL) }
 
 // memberLoop stays in the group and opens and closes shards as it deals them.
 func (a *Agent) memberLoop(ctx context.Context, previous string) {
 	if previous != "" {
 		// The earlier life of this agent would keep its share until it lapses.
-		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		if err := a.store.Leave(call, OwnersGroup, previous); err != nil {
+		call, cancel := context.WithTimeout(ctx, core.StoreTimeout)
+		if err := a.store.Leave(call, core.OwnersGroup, previous); err != nil {
 			klog.InfoS("The earlier life could not be taken out of the group", "member", previous, "err", err)
 		}
 		cancel()
 	}
-	tick := time.NewTicker(joinEvery)
+	tick := time.NewTicker(core.JoinEvery)
 	defer tick.Stop()
 	var generation int64
 	lost := false
@@ -49,7 +50,7 @@
 			lost = err != nil
 			if err == nil {
 				generation = next
-			} else if bootclock.Now()-a.confirmed.get() > renewLimit {
+			} else if bootclock.Now()-a.confirmed.Get() > core.RenewLimit {
 				// The next owner waits this long for agents it can't reach.
 				a.release(nil)
 			}
@@ -82,9 +83,9 @@
 	a.mu.Unlock()
 	switch {
 	case idle > linkLinger:
-		a.links.close()
-	case idle == 0 && a.links.needed():
-		a.links.open()
+		a.links.Close()
+	case idle == 0 && a.links.Needed():
+		a.links.Open()
 	}
 }
 
@@ -95,18 +96,18 @@
 	call, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	sent := bootclock.Now()
-	shards := shardSeries(a.settings)
-	m, err := a.store.Join(call, OwnersGroup, a.member, shards.names(), a.ttl(), generation)
+	shards := core.ShardSeries(a.settings)
+	m, err := a.store.Join(call, core.OwnersGroup, a.member, shards.Names(), a.ttl(), generation)
 	if err != nil {
 		return generation, err
 	}
-	a.confirmed.set(sent)
+	a.confirmed.Set(sent)
 	if m.Generation != generation {
 		klog.InfoS("The group has changed", "generation", m.Generation, "shards", len(m.Parts))
 	}
 	mine := make(map[int]bool, len(m.Parts))
 	for _, p := range m.Parts {
-		if id, ok := shards.number(p); ok {
+		if id, ok := shards.Number(p); ok {
 			mine[id] = true
 		}
 	}
@@ -147,7 +148,7 @@
 // sendAll adds to the next frame for each linked agent.
 func (a *Agent) sendAll(fill func(*corepb.ToAgent)) {
 	for node := range a.linked() {
-		a.links.send(node, fill)
+		a.links.Send(node, fill)
 	}
 }
 
@@ -171,7 +172,7 @@
 	go func() {
 		r, err := a.openShard(ctx, id, epoch)
 		if err == nil && r.Concerns() {
-			a.links.open()
+			a.links.Open()
 		}
 		a.mu.Lock()
 		delete(a.opening, id)
@@ -187,7 +188,7 @@
 			return
 		}
 		// Those that the shard's list names are linked at once: its jobs wait for them.
-		a.links.reconcile(bootclock.Now())
+		a.links.Reconcile(bootclock.Now())
 		a.claimEverywhere(r)
 		a.announce()
 	}()
@@ -196,9 +197,9 @@
 // claimEverywhere claims a shard at all agents that are linked.
 func (a *Agent) claimEverywhere(r *shardRunner) {
 	for node, session := range a.linked() {
-		claims := r.linkUp(node, session)
+		claims := r.LinkUp(node, session)
 		if len(claims) > 0 {
-			a.links.send(node, func(f *corepb.ToAgent) { f.Claims = append(f.Claims, claims...) })
+			a.links.Send(node, func(f *corepb.ToAgent) { f.Claims = append(f.Claims, claims...) })
 		}
 	}
 }
@@ -208,14 +209,14 @@
 	for _, r := range a.owned() {
 		// What was accepted is in the store; what is on its way gets there.
 		for i := 0; i < drainWrites && ctx.Err() == nil && r.Busy(); i++ {
-			r.signal()
+			r.Signal()
 			_ = pause.For(ctx, drainPause)
 		}
 	}
 	a.release(nil)
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	call, cancel := context.WithTimeout(ctx, core.StoreTimeout)
 	defer cancel()
-	if err := a.store.Leave(call, OwnersGroup, a.member); err != nil {
+	if err := a.store.Leave(call, core.OwnersGroup, a.member); err != nil {
 		klog.InfoS("The group was not left; the share lapses", "err", err)
 	}
 }
--- a/daemon/core/agentmetrics.go
+++ b/daemon/agent/metrics.go
@@ -1,13 +1,14 @@
-package core
+package agent
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/core"
 )
 
 // watchWorker registers the counters of an agent's books.
-func watchWorker(m *coreMetrics, w *worker.Worker) {
+func watchWorker(m *core.CoreMetrics, w *worker.Worker) {
 	for _, c := range []struct {
 		name, help string
 		value      func(worker.Stats) int64
@@ -23,7 +24,7 @@
 		{"capacity_changes_total", "Changes of the backend server's capacity.", func(s worker.Stats) int64 { return s.Resized }},
 		{"stalls_total", "Times the backend server stood still.", func(s worker.Stats) int64 { return s.Stalled }},
 	} {
-		opts := prometheus.CounterOpts{Namespace: namespace, Subsystem: "agent", Name: c.name, Help: c.help}
-		m.registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(c.value(w.Stats())) }))
+		opts := prometheus.CounterOpts{Namespace: core.Namespace, Subsystem: "agent", Name: c.name, Help: c.help}
+		m.Registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(c.value(w.Stats())) }))
 	}
 }
--- a/daemon/core/notes.go
+++ b/daemon/agent/notes.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"context"
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/metrics"
@@ -26,8 +27,8 @@
 func (a *Agent) notesPartition() store.Partition {
 	h := fnv.New32a()
 	h.Write([]byte(a.settings.Name)) //nolint:errcheck // it never fails
-	notes := series{prefix: "keyed.notes", topics: notesTopics, parts: a.settings.Store.Partitions}
-	return notes.partition(int(h.Sum32() % uint32(notes.size())))
+	notes := core.Series{Prefix: "keyed.notes", Topics: notesTopics, Parts: a.settings.Store.Partitions}
+	return notes.Partition(int(h.Sum32() % uint32(notes.Size())))
 }
 
 // notesWait is how long an agent that has its number waits for its notes: a few times
@@ -47,7 +48,7 @@
 	// report.
 	Server *knownServer `json:"server,omitempty"`
 	// Registered is what the registry has of the agent.
-	Registered *registration `json:"registered,omitempty"`
+	Registered *core.Registration `json:"registered,omitempty"`
 }
 
 // knownServer is what an agent remembers of its backend server.
@@ -94,7 +95,7 @@
 
 // readNotes returns what an agent's earlier lives have written down.
 func (a *Agent) readNotes(ctx context.Context) (earlier, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, core.StoreTimeout)
 	defer cancel()
 	name := a.settings.Name
 	records, _, err := a.store.Newest(ctx, a.notesPartition())
@@ -138,7 +139,7 @@
 
 // note writes a record for the next life and returns its offset.
 func (a *Agent) note(ctx context.Context, key string, value []byte) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, core.StoreTimeout)
 	defer cancel()
 	return a.store.Append(ctx, a.notesPartition(), nil, []store.Record{{Key: key, Value: value}})
 }
@@ -153,7 +154,7 @@
 		return
 	}
 	ctx := context.Background()
-	untilDone(ctx, "That recorded jobs may run here could not be written down; their owner waits", func() error {
+	core.UntilDone(ctx, "That recorded jobs may run here could not be written down; their owner waits", func() error {
 		_, err := a.note(ctx, markKey(a.settings.Name), []byte(a.member))
 		return err
 	})
--- a/daemon/core/placers_test.go
+++ b/daemon/agent/placers_test.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"testing"
--- a/daemon/core/questions.go
+++ b/daemon/agent/questions.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"context"
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/pause"
@@ -22,12 +23,12 @@
 		reply(verdictNotOwner)
 		return
 	}
-	if now := bootclock.Now(); a.links.need(now, &spec, &p) && a.links.opened() {
-		a.reachUntil.set(now + coverWait)
-		a.links.reconcile(now)
+	if now := bootclock.Now(); a.links.Need(now, &spec, &p) && a.links.Opened() {
+		a.reachUntil.Set(now + core.CoverWait)
+		a.links.Reconcile(now)
 	}
 	a.reach(r)
-	r.step(func(now time.Duration) owner.Effects { return r.Shard.Submit(now, id, spec, p, reply) })
+	r.Step(func(now time.Duration) owner.Effects { return r.Shard.Submit(now, id, spec, p, reply) })
 }
 
 const (
@@ -42,13 +43,13 @@
 // Without the wait an owner's first jobs would be refused for want of a worker. Later
 // ones are not held: an agent that is not there by then is away.
 func (a *Agent) reach(r *shardRunner) {
-	if !a.links.opened() {
+	if !a.links.Opened() {
 		klog.InfoS("The first job of an owner: the agents are linked", "shard", r.ID)
-		a.reachUntil.set(bootclock.Now() + reachTimeout)
-		a.links.open()
+		a.reachUntil.Set(bootclock.Now() + reachTimeout)
+		a.links.Open()
 	}
-	for bootclock.Now() < a.reachUntil.get() {
-		if wanted, known := a.links.reach(); known && r.Reach() >= wanted {
+	for bootclock.Now() < a.reachUntil.Get() {
+		if wanted, known := a.links.Reach(); known && r.Reach() >= wanted {
 			return
 		}
 		_ = pause.For(context.Background(), reachPoll)
@@ -76,7 +77,7 @@
 		reply(verdictNotOwner)
 		return
 	}
-	r.step(func(now time.Duration) owner.Effects { return r.Shard.Cancel(now, id, reply) })
+	r.Step(func(now time.Duration) owner.Effects { return r.Shard.Cancel(now, id, reply) })
 }
 
 // Await implements peer.AgentHandler.
@@ -86,7 +87,7 @@
 		reply(verdictNotOwner)
 		return
 	}
-	r.step(func(time.Duration) owner.Effects { return r.Shard.Await(id, reply) })
+	r.Step(func(time.Duration) owner.Effects { return r.Shard.Await(id, reply) })
 }
 
 // Pending implements peer.AgentHandler.
--- a/daemon/core/serve.go
+++ b/daemon/agent/serve.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"maps"
@@ -49,7 +49,7 @@
 		return errSilent
 	}
 	// Before the orders of the frame: its sender knew as much when it sent them.
-	a.drains.told(f.GetDrains())
+	a.drains.Told(f.GetDrains())
 	for _, p := range f.GetClaims() {
 		a.takeClaim(c, p)
 	}
@@ -129,7 +129,7 @@
 		return out
 	}
 	for _, r := range a.owned() {
-		out.Claims = append(out.Claims, r.linkUp(node, session)...)
+		out.Claims = append(out.Claims, r.LinkUp(node, session)...)
 	}
 	return out
 }
@@ -141,27 +141,27 @@
 	a.mu.Unlock()
 	a.fleet.Lost(node)
 	for _, r := range a.owned() {
-		r.linkDown(node, session)
+		r.LinkDown(node, session)
 	}
 }
 
 // LinkFrame implements peer.LinkHandler.
 func (a *Agent) LinkFrame(node string, _ int64, f *corepb.FromAgent) {
-	a.drains.told(f.GetDrains())
+	a.drains.Told(f.GetDrains())
 	if l := f.GetLoad(); l != nil {
 		a.fleet.Update(bootclock.Now(), node, wire.LoadFromWire(l))
 	}
 	for _, p := range f.GetClaimed() {
 		if r := a.shard(int(p.GetShard())); r != nil {
-			r.takeClaimed(node, p)
+			r.TakeClaimed(node, p)
 		}
 	}
 	for _, p := range f.GetEvents() {
 		if r := a.shard(int(p.GetShard())); r != nil {
-			r.takeEvent(node, p)
+			r.TakeEvent(node, p)
 		}
 	}
 	for _, r := range a.owned() {
-		r.placeWaiting()
+		r.PlaceWaiting()
 	}
 }
--- a/daemon/core/shard.go
+++ b/daemon/agent/shard.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"context"
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
@@ -36,7 +37,7 @@
 
 // shardRunner drives a shard whose jobs are recorded.
 type shardRunner struct {
-	*steps
+	*core.Steps
 	agent     *Agent
 	partition store.Partition
 	producer  store.Producer
@@ -54,7 +55,7 @@
 func (a *Agent) openShard(ctx context.Context, id int, epoch int64) (*shardRunner, error) {
 	began := bootclock.Now()
 	r := &shardRunner{
-		agent: a, partition: shardSeries(a.settings).partition(id),
+		agent: a, partition: core.ShardSeries(a.settings).Partition(id),
 		producer: store.Producer{Name: producerName, Epoch: epoch},
 		done:     make(chan struct{}),
 	}
@@ -66,9 +67,9 @@
 		return nil, err
 	}
 	now := bootclock.Now()
-	r.steps = newSteps(owner.New(now, id, epoch, ownerBounds(a.settings), a.fleet, records, agents), a.links, a.metrics)
+	r.Steps = core.NewSteps(owner.New(now, id, epoch, core.OwnerBounds(a.settings), a.fleet, records, agents), a.links, a.metrics)
 	klog.InfoS("Took a shard over", "shard", id, "epoch", epoch, "jobs", len(records), "agents", agents, "took", now-began)
-	a.metrics.takeover.Observe((now - began).Seconds())
+	a.metrics.Takeover.Observe((now - began).Seconds())
 	ctx, r.stop = context.WithCancel(ctx)
 	go r.run(ctx)
 	return r, nil
@@ -76,7 +77,7 @@
 
 // fence sets the epoch at the store: from here on no earlier owner writes.
 func (r *shardRunner) fence(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, core.StoreTimeout)
 	defer cancel()
 	_, err := r.agent.store.Append(ctx, r.partition, &r.producer, nil)
 	return errors.Wrap(err, "fence")
@@ -85,16 +86,16 @@
 // run writes what is due, one call at a time.
 func (r *shardRunner) run(ctx context.Context) {
 	defer close(r.done)
-	tick := time.NewTicker(tickEvery)
+	tick := time.NewTicker(core.TickEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-r.wake:
+		case <-r.Wake:
 		case <-tick.C:
 			r.Confirm(r.agent.confirmedOwner())
-			r.step(r.Shard.Tick)
+			r.Step(r.Shard.Tick)
 		}
 		for r.writeNext(ctx) {
 		}
@@ -123,22 +124,22 @@
 		// Its refusal has the shard take no new jobs until a write succeeds, and none
 		// may follow: the next call finds out that the store is well.
 		r.stale.Store(true)
-		r.step(func(now time.Duration) owner.Effects { return r.Rejected(now, b, "encoding") })
+		r.Step(func(now time.Duration) owner.Effects { return r.Rejected(now, b, "encoding") })
 		return false
 	}
 	err = r.append(ctx, records)
 	switch {
 	case err == nil:
 		r.stale.Store(false)
-		r.step(func(now time.Duration) owner.Effects { return r.Written(now, b) })
+		r.Step(func(now time.Duration) owner.Effects { return r.Written(now, b) })
 		return true
 	case errors.Is(err, store.ErrRejected):
 		r.stale.Store(true)
-		r.step(func(now time.Duration) owner.Effects { return r.Rejected(now, b, "store_rejected") })
+		r.Step(func(now time.Duration) owner.Effects { return r.Rejected(now, b, "store_rejected") })
 		_ = pause.For(ctx, probePause)
 	default:
 		klog.InfoS("Gave a shard up", "shard", r.ID, "epoch", r.Epoch, "err", err)
-		r.step(func(time.Duration) owner.Effects { return r.Close() })
+		r.Step(func(time.Duration) owner.Effects { return r.Close() })
 	}
 	return false
 }
@@ -150,7 +151,7 @@
 		return
 	}
 	r.stale.Store(false)
-	r.step(func(now time.Duration) owner.Effects { return r.Written(now, owner.Batch{}) })
+	r.Step(func(now time.Duration) owner.Effects { return r.Written(now, owner.Batch{}) })
 }
 
 // allowance spaces calls so that all owners together stay below what the store
@@ -213,7 +214,7 @@
 		took := bootclock.Now() - began
 		switch {
 		case err == nil:
-			r.agent.metrics.append.Observe(took.Seconds())
+			r.agent.metrics.Append.Observe(took.Seconds())
 			return nil
 		case errors.Is(err, store.ErrFenced):
 			return err
@@ -224,7 +225,7 @@
 			return err
 		}
 		unknown = unknown || !errors.Is(err, store.ErrRejected)
-		r.agent.metrics.repeats.Inc()
+		r.agent.metrics.Repeats.Inc()
 		if took > badAfter {
 			r.stale.Store(true)
 			r.StoreBad()
@@ -241,5 +242,5 @@
 func (r *shardRunner) close() {
 	r.stop()
 	<-r.done
-	r.step(func(time.Duration) owner.Effects { return r.Close() })
+	r.Step(func(time.Duration) owner.Effects { return r.Close() })
 }
--- a/daemon/core/shard_test.go
+++ b/daemon/agent/shard_test.go
@@ -1,4 +1,4 @@
-package core
+package agent
 
 import (
 	"context"
@@ -9,6 +9,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/daemon/coretest"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/settings"
@@ -26,13 +27,13 @@
 // newTestRunner returns the runner of a shard with one agent, whose writes the test makes.
 func newTestRunner(st store.Store) *shardRunner {
 	s := &settings.Settings{Role: settings.RoleAgent, Name: "a", Store: settings.Store{Topics: 1, Partitions: coretest.Shards, WritesPerSecond: 1e6}}
-	a := NewAgent(s, st, DrainSource{}, nil)
+	a := New(s, st, core.DrainSource{}, nil)
 	a.links, _ = fakeLinks(a, a.fleet)
 	now := bootclock.Now()
-	r := &shardRunner{agent: a, partition: store.Partition{Topic: "jobs"}, steps: newSteps(owner.New(now, 1, 1, ownerBounds(s), a.fleet, nil, nil), a.links, a.metrics)}
+	r := &shardRunner{agent: a, partition: store.Partition{Topic: "jobs"}, Steps: core.NewSteps(owner.New(now, 1, 1, core.OwnerBounds(s), a.fleet, nil, nil), a.links, a.metrics)}
 	a.fleet.Linked("b")
 	a.fleet.Update(now, "b", owner.AgentLoad{Service: "desk", Accepts: true, Capacity: job.Demand{CPUMillis: 1000}, Free: job.Demand{CPUMillis: 1000}})
-	r.step(func(now time.Duration) owner.Effects {
+	r.Step(func(now time.Duration) owner.Effects {
 		claim, _, fx := r.Linked(now, "b", 1)
 		r.Claimed(now, "b", worker.Claimed{Claim: claim})
 		return fx
@@ -45,7 +46,7 @@
 func (r *shardRunner) submit(id job.ID, payload string) owner.Verdict {
 	var got owner.Verdict
 	spec := job.Spec{Payload: payload, Steps: []job.Step{{Count: 1, Demand: job.Demand{CPUMillis: 100}}}}
-	r.step(func(now time.Duration) owner.Effects {
+	r.Step(func(now time.Duration) owner.Effects {
 		return r.Submit(now, id, spec, job.Policy{Service: "desk", Slack: 2, Target: time.Minute}, func(v owner.Verdict) { got = v })
 	})
 	for r.writeNext(context.Background()) {
--- a/daemon/core/atomic.go
+++ b/daemon/core/atomic.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// atomicDuration is a duration that several goroutines share.
-type atomicDuration struct{ v atomic.Int64 }
+// AtomicDuration is a duration that several goroutines share.
+type AtomicDuration struct{ v atomic.Int64 }
 
-func (d *atomicDuration) set(t time.Duration) { d.v.Store(int64(t)) }
-func (d *atomicDuration) get() time.Duration  { return time.Duration(d.v.Load()) }
+func (d *AtomicDuration) Set(t time.Duration) { d.v.Store(int64(t)) }
+func (d *AtomicDuration) Get() time.Duration  { return time.Duration(d.v.Load()) }
--- a/daemon/core/drains.go
+++ b/daemon/core/drains.go
@@ -30,53 +30,53 @@
 	Decode func(store.Record) (drains.Change, bool, error)
 }
 
-// drainWatch is what a process knows of drains, and acts on a change.
-type drainWatch struct {
-	source  DrainSource
-	book    drains.Book
+// DrainWatch is what a process knows of drains, and acts on a change.
+type DrainWatch struct {
+	Source  DrainSource
+	Book    drains.Book
 	changed func(drains.State)
 	// acting keeps changes in their order: an older state that went into force after a newer
 	// one would stay.
 	acting sync.Mutex
-	// looking is set while this process looks into the store because what it was told is
+	// Looking is set while this process looks into the store because what it was told is
 	// old, and lookedAt is when it did last.
-	looking  atomic.Bool
-	lookedAt atomicDuration
+	Looking  atomic.Bool
+	LookedAt AtomicDuration
 }
 
-func newDrainWatch(source DrainSource, changed func(drains.State)) *drainWatch {
-	return &drainWatch{source: source, changed: changed}
+func NewDrainWatch(source DrainSource, changed func(drains.State)) *DrainWatch {
+	return &DrainWatch{Source: source, changed: changed}
 }
 
-// frame is what a frame tells.
-func (w *drainWatch) frame() *corepb.Drains {
-	state, age := w.book.Latest(bootclock.Now())
+// Frame is what a frame tells.
+func (w *DrainWatch) Frame() *corepb.Drains {
+	state, age := w.Book.Latest(bootclock.Now())
 	return wire.DrainsToWire(state, age)
 }
 
-// told takes in what a frame says.
-func (w *drainWatch) told(p *corepb.Drains) {
+// Told takes in what a frame says.
+func (w *DrainWatch) Told(p *corepb.Drains) {
 	if p == nil {
 		return
 	}
 	state, age := wire.DrainsFromWire(p)
-	if w.book.Told(bootclock.Now(), state, age) {
+	if w.Book.Told(bootclock.Now(), state, age) {
 		w.act("told")
 	}
 }
 
 // act has the newest state go into force.
-func (w *drainWatch) act(by string) {
+func (w *DrainWatch) act(by string) {
 	w.acting.Lock()
 	defer w.acting.Unlock()
-	state := w.book.State()
+	state := w.Book.State()
 	klog.InfoS("Drains of failure domains have changed", "domains", state.Domains, "position", state.Position, "by", by)
 	w.changed(state)
 }
 
-// apply hands a record to a reader, if it is one of a drain.
-func (w *drainWatch) apply(to *drains.Reader, r store.Record) {
-	change, ok, err := w.source.Decode(r)
+// Apply hands a record to a reader, if it is one of a drain.
+func (w *DrainWatch) Apply(to *drains.Reader, r store.Record) {
+	change, ok, err := w.Source.Decode(r)
 	if err != nil {
 		metrics.Malformed(metrics.KindDrain)
 		klog.ErrorS(err, "A drain can't be read and is left out")
@@ -87,37 +87,37 @@
 	}
 }
 
-// reached notes how far the records were read.
-func (w *drainWatch) reached(r *drains.Reader, position int64) {
+// Reached notes how far the records were read.
+func (w *DrainWatch) Reached(r *drains.Reader, position int64) {
 	if r.Reached(bootclock.Now(), position) {
 		w.act("store")
 	}
 }
 
-// look reads what has come to the store since the newest state that is known.
-func (w *drainWatch) look(ctx context.Context, st store.Store) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+// Look reads what has come to the store since the newest state that is known.
+func (w *DrainWatch) Look(ctx context.Context, st store.Store) error {
+	ctx, cancel := context.WithTimeout(ctx, StoreTimeout)
 	defer cancel()
-	reader := drains.NewReader(&w.book)
-	records, next, err := w.since(ctx, st, w.book.State().Position)
+	reader := drains.NewReader(&w.Book)
+	records, next, err := w.since(ctx, st, w.Book.State().Position)
 	if errors.Is(err, store.ErrTrimmed) {
 		reader.Begin()
-		records, next, err = st.Newest(ctx, w.source.Partition)
+		records, next, err = st.Newest(ctx, w.Source.Partition)
 	}
 	if err != nil {
 		return err
 	}
 	for _, r := range records {
-		w.apply(reader, r)
+		w.Apply(reader, r)
 	}
-	w.reached(reader, next)
+	w.Reached(reader, next)
 	return nil
 }
 
 // since reads the records from a position on.
-func (w *drainWatch) since(ctx context.Context, st store.Store, position int64) ([]store.Record, int64, error) {
+func (w *DrainWatch) since(ctx context.Context, st store.Store, position int64) ([]store.Record, int64, error) {
 	if position == 0 {
 		return nil, 0, store.ErrTrimmed // all there are have to be read
 	}
-	return st.Follow(ctx, w.source.Partition, position, 0)
+	return st.Follow(ctx, w.Source.Partition, position, 0)
 }
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -1,3 +1,5 @@
+// Package core has what entries and agents share: their links to agents, their readers of the
+// store, what they know of drains, and the driver of a shard's machine.
 package core
 
 import (
@@ -41,8 +43,8 @@
 	Occupied(node string) bool
 }
 
-// workPlacer places the user's work on the linked agents. It is an owner.Fleet.
-type workPlacer interface {
+// WorkPlacer places the user's work on the linked agents. It is an owner.Fleet.
+type WorkPlacer interface {
 	// Retire says whether an agent gets no new work: its link is about to end, or is there
 	// because it is required.
 	Retire(node string, yes bool)
@@ -50,20 +52,20 @@
 	FreeShare(nodes []string) float64
 }
 
-// agentLink is a link to an agent.
-type agentLink interface {
+// AgentLink is a link to an agent.
+type AgentLink interface {
 	Close()
 	// Up reports whether frames go both ways.
 	Up() bool
 }
 
-// linkSet knows the registered agents and, while it is open, keeps links to a subset of
+// LinkSet knows the registered agents and, while it is open, keeps links to a subset of
 // them, to those that its user requires, and to those that can run what is asked for.
-type linkSet struct {
-	dial    func(node string, reg registration) agentLink
+type LinkSet struct {
+	dial    func(node string, reg Registration) AgentLink
 	user    linkUser
-	placer  workPlacer
-	metrics *coreMetrics
+	placer  WorkPlacer
+	metrics *CoreMetrics
 	// size is the number of links to agents that are there.
 	size int
 
@@ -75,7 +77,7 @@
 	// All fields below are guarded by mu.
 
 	links map[string]*keptLink
-	known map[string]registration
+	known map[string]Registration
 	// order is that in which agents are preferred; nil: to be found anew. It was found
 	// for the share.
 	order []string
@@ -95,7 +97,7 @@
 
 // keptLink is a link and what is known of it. Guarded by linkSet.mu.
 type keptLink struct {
-	agentLink
+	AgentLink
 	addr string
 	// downSince is since when it was seen down; zero: it is up, or was not looked at.
 	downSince time.Duration
@@ -105,45 +107,45 @@
 	works bool
 }
 
-// newLinkSet returns a set that is not open. The size is that of the subset; zero takes
+// NewLinkSet returns a set that is not open. The size is that of the subset; zero takes
 // all agents.
-func newLinkSet(size int, user linkUser, placer workPlacer, m *coreMetrics, dial func(node string, reg registration) agentLink) *linkSet {
-	return &linkSet{
+func NewLinkSet(size int, user linkUser, placer WorkPlacer, m *CoreMetrics, dial func(node string, reg Registration) AgentLink) *LinkSet {
+	return &LinkSet{
 		dial: dial, user: user, placer: placer, metrics: m, size: size,
-		links: make(map[string]*keptLink), known: make(map[string]registration),
+		links: make(map[string]*keptLink), known: make(map[string]Registration),
 		stretch: subset.NewStretch(size), needs: make(needs),
 	}
 }
 
-// follow learns of agents by the registry until the context ends.
-func (l *linkSet) follow(ctx context.Context, st store.Store) {
-	f := &follower{
-		store: st, partition: registryPartition, wait: registryWait, rest: registryPause, name: "registry",
-		apply: l.learn, applied: func() {
+// Follow learns of agents by the registry until the context ends.
+func (l *LinkSet) Follow(ctx context.Context, st store.Store) {
+	f := &Follower{
+		Store: st, Partition: RegistryPartition, Wait: registryWait, rest: registryPause, Name: "registry",
+		Apply: l.learn, applied: func() {
 			l.mu.Lock()
 			l.wasRead = true
 			l.mu.Unlock()
-			l.reconcile(bootclock.Now())
+			l.Reconcile(bootclock.Now())
 		},
 	}
-	f.run(ctx)
+	f.Run(ctx)
 }
 
-// maintain keeps the links as they are wanted until the context ends.
-func (l *linkSet) maintain(ctx context.Context) {
+// Maintain keeps the links as they are wanted until the context ends.
+func (l *LinkSet) Maintain(ctx context.Context) {
 	for pause.For(ctx, linksEvery) == nil {
-		l.reconcile(bootclock.Now())
+		l.Reconcile(bootclock.Now())
 	}
 }
 
-// apply takes in a record of the registry and links its agent, if it is wanted.
-func (l *linkSet) apply(r store.Record) {
+// Apply takes in a record of the registry and links its agent, if it is wanted.
+func (l *LinkSet) Apply(r store.Record) {
 	l.learn(r)
-	l.reconcile(bootclock.Now())
+	l.Reconcile(bootclock.Now())
 }
 
 // learn takes in a record of the registry.
-func (l *linkSet) learn(r store.Record) {
+func (l *LinkSet) learn(r store.Record) {
 	if r.Value == nil {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -166,15 +168,15 @@
 	l.orphans = l.orphans || reg.Orphans
 }
 
-// needed reports whether agents have ends that wait for owners.
-func (l *linkSet) needed() bool {
+// Needed reports whether agents have ends that wait for owners.
+func (l *LinkSet) Needed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.orphans
 }
 
-// withOrphans names the agents that have ends which wait for owners.
-func (l *linkSet) withOrphans() []string {
+// WithOrphans names the agents that have ends which wait for owners.
+func (l *LinkSet) WithOrphans() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []string
@@ -189,15 +191,15 @@
 	return out
 }
 
-// opened reports whether the set is open.
-func (l *linkSet) opened() bool {
+// Opened reports whether the set is open.
+func (l *LinkSet) Opened() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.isOpen
 }
 
-// reach is how many agents the set is to link; false before the registry was read.
-func (l *linkSet) reach() (int, bool) {
+// Reach is how many agents the set is to link; false before the registry was read.
+func (l *LinkSet) Reach() (int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	wanted := 0
@@ -209,8 +211,8 @@
 	return wanted, l.wasRead
 }
 
-// settled reports whether all links that are wanted are up.
-func (l *linkSet) settled() bool {
+// Settled reports whether all links that are wanted are up.
+func (l *LinkSet) Settled() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, k := range l.links {
@@ -221,26 +223,26 @@
 	return true
 }
 
-func (l *linkSet) sizeLocked() int {
+func (l *LinkSet) sizeLocked() int {
 	if l.size <= 0 {
 		return len(l.known)
 	}
 	return l.size
 }
 
-// open links the agents that are wanted, now and as they come.
-func (l *linkSet) open() {
+// Open links the agents that are wanted, now and as they come.
+func (l *LinkSet) Open() {
 	l.mu.Lock()
 	wasOpen := l.isOpen
 	l.isOpen = true
 	l.mu.Unlock()
 	if !wasOpen {
-		l.reconcile(bootclock.Now())
+		l.Reconcile(bootclock.Now())
 	}
 }
 
-// close ends all links. The agents stay known.
-func (l *linkSet) close() {
+// Close ends all links. The agents stay known.
+func (l *LinkSet) Close() {
 	l.changing.Lock()
 	defer l.changing.Unlock()
 	l.mu.Lock()
@@ -248,28 +250,28 @@
 	links := slices.Collect(maps.Keys(l.links))
 	l.mu.Unlock()
 	for _, node := range links {
-		l.drop(node)
+		l.Drop(node)
 	}
 }
 
 // full takes in that a job found no room.
-func (l *linkSet) full(now time.Duration) {
+func (l *LinkSet) full(now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stretch.Refused(now)
 }
 
-// drain takes in which failure domains are drained. Their agents stay linked, since what
+// Drain takes in which failure domains are drained. Their agents stay linked, since what
 // runs there runs on, and others are linked beside them.
-func (l *linkSet) drain(s drains.State) {
+func (l *LinkSet) Drain(s drains.State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.drained = s
 }
 
-// domains counts the known agents of each failure domain; false before the registry was
+// Domains counts the known agents of each failure domain; false before the registry was
 // read.
-func (l *linkSet) domains() (map[string]int, bool) {
+func (l *LinkSet) Domains() (map[string]int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make(map[string]int)
@@ -279,26 +281,26 @@
 	return out, l.wasRead
 }
 
-// nudge has a frame sent to each linked agent.
-func (l *linkSet) nudge() {
+// Nudge has a frame sent to each linked agent.
+func (l *LinkSet) Nudge() {
 	l.mu.Lock()
 	nodes := slices.Collect(maps.Keys(l.links))
 	l.mu.Unlock()
 	for _, node := range nodes {
-		l.send(node, func(*corepb.ToAgent) {})
+		l.Send(node, func(*corepb.ToAgent) {})
 	}
 }
 
 // replace dials an agent at its address, in place of a link to an older one.
-func (l *linkSet) replace(node string, reg registration, works bool) {
-	l.drop(node)
+func (l *LinkSet) replace(node string, reg Registration, works bool) {
+	l.Drop(node)
 	link := l.dial(node, reg)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.links[node] = &keptLink{agentLink: link, addr: reg.Links, works: works}
+	l.links[node] = &keptLink{AgentLink: link, addr: reg.Links, works: works}
 }
 
-func (l *linkSet) drop(node string) {
+func (l *LinkSet) Drop(node string) {
 	l.mu.Lock()
 	link := l.links[node]
 	delete(l.links, node)
@@ -308,20 +310,20 @@
 	}
 }
 
-// get returns the link to an agent, or nil.
-func (l *linkSet) get(node string) *peer.Link {
+// Get returns the link to an agent, or nil.
+func (l *LinkSet) Get(node string) *peer.Link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := l.links[node]
 	if k == nil {
 		return nil
 	}
-	link, _ := k.agentLink.(*peer.Link)
+	link, _ := k.AgentLink.(*peer.Link)
 	return link
 }
 
-// anyUp reports whether a link is up.
-func (l *linkSet) anyUp() bool {
+// AnyUp reports whether a link is up.
+func (l *LinkSet) AnyUp() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, k := range l.links {
@@ -333,22 +335,22 @@
 }
 
 // renew has the link to an agent made anew.
-func (l *linkSet) renew(node string) {
-	if link := l.get(node); link != nil {
+func (l *LinkSet) renew(node string) {
+	if link := l.Get(node); link != nil {
 		link.Renew()
 	}
 }
 
-// send adds to the next frame for an agent, if its link is up.
-func (l *linkSet) send(node string, fill func(*corepb.ToAgent)) {
-	if link := l.get(node); link != nil {
+// Send adds to the next frame for an agent, if its link is up.
+func (l *LinkSet) Send(node string, fill func(*corepb.ToAgent)) {
+	if link := l.Get(node); link != nil {
 		link.Send(fill)
 	}
 }
 
 // sendQuietly is send for what may wait for a frame that goes out anyway.
-func (l *linkSet) sendQuietly(node string, fill func(*corepb.ToAgent)) {
-	if link := l.get(node); link != nil {
+func (l *LinkSet) sendQuietly(node string, fill func(*corepb.ToAgent)) {
+	if link := l.Get(node); link != nil {
 		link.SendQuietly(fill)
 	}
 }
--- a/daemon/core/links_test.go
+++ b/daemon/core/links_test.go
@@ -47,9 +47,9 @@
 }
 
 // newFakeLinks returns a set of so many links; zero: of all.
-func newFakeLinks(size int, user linkUser, placer workPlacer) (*linkSet, dialled) {
+func newFakeLinks(size int, user linkUser, placer WorkPlacer) (*LinkSet, dialled) {
 	all := dialled{}
-	return newLinkSet(size, user, placer, newCoreMetrics(), func(node string, reg registration) agentLink {
+	return NewLinkSet(size, user, placer, NewCoreMetrics(), func(node string, reg Registration) AgentLink {
 		all[node] = reg.Links
 		return &fakeLink{node: node, all: all}
 	}), all
@@ -65,20 +65,20 @@
 	is := is.New(t)
 	user := newFakeUser()
 	links, all := newFakeLinks(0, user, user)
-	links.apply(registered("b", "10.0.0.4:7"))
-	links.apply(registered("c", "10.0.0.3:7"))
-	links.open()
-	links.close()
-	links.apply(registered("b", "10.0.0.5:7"))
-	links.apply(store.Record{Key: "c"})
-	links.open()
+	links.Apply(registered("b", "10.0.0.4:7"))
+	links.Apply(registered("c", "10.0.0.3:7"))
+	links.Open()
+	links.Close()
+	links.Apply(registered("b", "10.0.0.5:7"))
+	links.Apply(store.Record{Key: "c"})
+	links.Open()
 	is.Equal(all, dialled{"b": "10.0.0.5:7"})
-	links.apply(registered("b", "10.0.0.6:7"))
+	links.Apply(registered("b", "10.0.0.6:7"))
 	is.Equal(all, dialled{"b": "10.0.0.6:7"})
 }
 
 // registerFleet makes agents known, in five failure domains, with a label on each tenth.
-func registerFleet(l *linkSet, agents int) {
+func registerFleet(l *LinkSet, agents int) {
 	for i := range agents {
 		label := "plain"
 		if i%10 == 0 {
@@ -90,11 +90,11 @@
 }
 
 // newLinkedFleet returns a set that has linked its part of 160 agents, and when it did.
-func newLinkedFleet(size int, user *fakeUser) (*linkSet, dialled, time.Duration) {
+func newLinkedFleet(size int, user *fakeUser) (*LinkSet, dialled, time.Duration) {
 	links, all := newFakeLinks(size, user, user)
-	links.open()
+	links.Open()
 	registerFleet(links, 160)
-	links.reconcile(time.Hour)
+	links.Reconcile(time.Hour)
 	return links, all, time.Hour
 }
 
@@ -115,22 +115,22 @@
 	links, all, now := newLinkedFleet(16, user)
 	dark := slices.Sorted(maps.Keys(all))[:8]
 	for _, node := range dark {
-		links.links[node].agentLink.(*fakeLink).down = true
+		links.links[node].AgentLink.(*fakeLink).down = true
 	}
-	links.reconcile(now)
-	links.reconcile(now + darkAfter - 1)
+	links.Reconcile(now)
+	links.Reconcile(now + darkAfter - 1)
 	is.Equal(len(all), 16)
 	now += darkAfter
-	links.reconcile(now)
+	links.Reconcile(now)
 	is.Equal(len(all), 24)
 
 	var busy string
 	for node := range all {
 		if slices.Contains(dark, node) {
-			links.links[node].agentLink.(*fakeLink).down = false
+			links.links[node].AgentLink.(*fakeLink).down = false
 		}
 	}
-	links.reconcile(now + 1)
+	links.Reconcile(now + 1)
 	standIns := 0
 	for node, yes := range user.retired {
 		if yes {
@@ -141,10 +141,10 @@
 	}
 	is.Equal(standIns, 8)
 	user.occupied[busy] = true
-	links.reconcile(now + 1 + retireAfter)
+	links.Reconcile(now + 1 + retireAfter)
 	is.Equal(len(all), 17)
 	delete(user.occupied, busy)
-	links.reconcile(now + 2 + retireAfter)
+	links.Reconcile(now + 2 + retireAfter)
 	is.Equal(len(all), 16)
 }
 
@@ -155,8 +155,8 @@
 	user := newFakeUser()
 	links, all, now := newLinkedFleet(20, user)
 	before := maps.Clone(all)
-	links.drain(drains.State{Position: 1, Domains: []string{"zone-2"}})
-	links.reconcile(now)
+	links.Drain(drains.State{Position: 1, Domains: []string{"zone-2"}})
+	links.Reconcile(now)
 	serving := 0
 	for node := range all {
 		if links.known[node].Zone != "zone-2" {
@@ -167,9 +167,9 @@
 	for node := range before {
 		is.True(all[node] != "")
 	}
-	links.drain(drains.State{Position: 2})
-	links.reconcile(now)
-	links.reconcile(now + retireAfter)
+	links.Drain(drains.State{Position: 2})
+	links.Reconcile(now)
+	links.Reconcile(now + retireAfter)
 	is.Equal(all, before)
 }
 
@@ -177,21 +177,21 @@
 func TestNeedsCountNoDrainedAgents(t *testing.T) {
 	is := is.New(t)
 	links, all, now := newLinkedFleet(16, newFakeUser())
-	links.drain(drains.State{Position: 1, Domains: []string{"zone-0"}})
+	links.Drain(drains.State{Position: 1, Domains: []string{"zone-0"}})
 	spec := &job.Spec{Steps: []job.Step{{Count: 1, Label: "wide", Demand: job.Demand{CPUMillis: 1000}}}}
-	links.need(now, spec, &job.Policy{Service: "desk"})
-	links.reconcile(now)
+	links.Need(now, spec, &job.Policy{Service: "desk"})
+	links.Reconcile(now)
 	is.True(len(all) <= 2*16) // all that have the label are in zone-0, and none is linked in vain
-	links.drain(drains.State{Position: 2})
-	is.True(links.need(now+needMemory+1, spec, &job.Policy{Service: "desk"}))
+	links.Drain(drains.State{Position: 2})
+	is.True(links.Need(now+needMemory+1, spec, &job.Policy{Service: "desk"}))
 }
 
 // Guards against links of all agents, or a loop without end, when every domain is drained.
 func TestAllDomainsDrainedLinksNoMore(t *testing.T) {
 	is := is.New(t)
 	links, all, now := newLinkedFleet(16, newFakeUser())
-	links.drain(drains.State{Position: 1, Domains: []string{"zone-0", "zone-1", "zone-2", "zone-3", "zone-4"}})
-	links.reconcile(now)
+	links.Drain(drains.State{Position: 1, Domains: []string{"zone-0", "zone-1", "zone-2", "zone-3", "zone-4"}})
+	links.Reconcile(now)
 	is.Equal(len(all), 32)
 }
 
@@ -201,8 +201,8 @@
 	is := is.New(t)
 	links, all, now := newLinkedFleet(16, newFakeUser())
 	spec := &job.Spec{Steps: []job.Step{{Count: 1, Label: "wide", Demand: job.Demand{CPUMillis: 1000}}}}
-	is.True(links.need(now, spec, &job.Policy{Service: "desk"}))
-	links.reconcile(now)
+	is.True(links.Need(now, spec, &job.Policy{Service: "desk"}))
+	links.Reconcile(now)
 	wide := 0
 	for node := range all {
 		if slices.Contains(links.known[node].Offer.Labels, "wide") {
@@ -210,14 +210,14 @@
 		}
 	}
 	is.Equal(wide, leastOffering)
-	is.True(!links.need(now, spec, &job.Policy{Service: "desk"}))
+	is.True(!links.Need(now, spec, &job.Policy{Service: "desk"}))
 
 	spec = &job.Spec{Steps: []job.Step{{Count: 1000, Demand: job.Demand{CPUMillis: 1000}}}}
-	is.True(links.need(now, spec, &job.Policy{Service: "desk"}))
-	links.reconcile(now)
+	is.True(links.Need(now, spec, &job.Policy{Service: "desk"}))
+	links.Reconcile(now)
 	is.True(len(all) >= 63) // 1,000 tasks of a core on workers of 16
-	links.reconcile(now + needMemory + 1)
-	links.reconcile(now + needMemory + 1 + retireAfter)
+	links.Reconcile(now + needMemory + 1)
+	links.Reconcile(now + needMemory + 1 + retireAfter)
 	is.Equal(len(all), 16)
 }
 
@@ -227,8 +227,8 @@
 	is := is.New(t)
 	links, all, now := newLinkedFleet(16, newFakeUser())
 	spec := &job.Spec{Steps: []job.Step{{Count: 1, Label: "unheard of", Demand: job.Demand{CPUMillis: 1000}}}}
-	is.True(!links.need(now, spec, &job.Policy{Service: "desk"}))
-	links.reconcile(now)
+	is.True(!links.Need(now, spec, &job.Policy{Service: "desk"}))
+	links.Reconcile(now)
 	is.Equal(len(all), 16)
 }
 
@@ -242,7 +242,7 @@
 		user.required = append(user.required, fmt.Sprintf("side-%d", i))
 	}
 	user.required = append(user.required, "gone")
-	links.reconcile(now)
+	links.Reconcile(now)
 	is.Equal(len(all), 160)
 
 	// Those that are required only get no work: counting the jobs of a queue asks every
--- a/daemon/core/needs.go
+++ b/daemon/core/needs.go
@@ -12,7 +12,7 @@
 // different things.
 type needKey struct{ service, label string }
 
-// need is how many agents a step has use for, what a task of it takes, and when one was
+// Need is how many agents a step has use for, what a task of it takes, and when one was
 // submitted last.
 type need struct {
 	least  int
@@ -59,7 +59,7 @@
 
 // fill adds to the wanted agents what the needs lack of those that are known to serve, in the
 // order of preference.
-func (n needs) fill(now time.Duration, order []string, known map[string]registration, wanted map[string]bool) {
+func (n needs) fill(now time.Duration, order []string, known map[string]Registration, wanted map[string]bool) {
 	for key, of := range n {
 		if now-of.usedAt > needMemory {
 			delete(n, key)
@@ -83,9 +83,9 @@
 	}
 }
 
-// offers reports whether an agent may run what a need is for. One that has not said what
+// Offers reports whether an agent may run what a need is for. One that has not said what
 // it offers is taken to.
-func offers(reg registration, key needKey, demand job.Demand) bool {
+func offers(reg Registration, key needKey, demand job.Demand) bool {
 	o := reg.Offer
 	if o == nil {
 		return true
@@ -106,8 +106,8 @@
 	return least
 }
 
-// offers are the capacities that agents with backend servers of a service have registered.
-func (l *linkSet) offers(service string) map[string]job.Demand {
+// Offers are the capacities that agents with backend servers of a service have registered.
+func (l *LinkSet) Offers(service string) map[string]job.Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := make(map[string]job.Demand)
@@ -119,9 +119,9 @@
 	return out
 }
 
-// need takes in what a job's steps ask for, and reports whether links have to be made
+// Need takes in what a job's steps ask for, and reports whether links have to be made
 // for it.
-func (l *linkSet) need(now time.Duration, spec *job.Spec, p *job.Policy) bool {
+func (l *LinkSet) Need(now time.Duration, spec *job.Spec, p *job.Policy) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	more := false
@@ -137,11 +137,11 @@
 }
 
 // openLocked are the known agents whose failure domains are not drained.
-func (l *linkSet) openLocked() map[string]registration {
+func (l *LinkSet) openLocked() map[string]Registration {
 	if len(l.drained.Domains) == 0 {
 		return l.known
 	}
-	out := make(map[string]registration, len(l.known))
+	out := make(map[string]Registration, len(l.known))
 	for node, reg := range l.known {
 		if !l.drained.Has(reg.Zone) {
 			out[node] = reg
@@ -152,7 +152,7 @@
 
 // capacityLocked is what an agent with a need's offer has, in thousandths of a core; zero
 // if no such agent is known.
-func (l *linkSet) capacityLocked(key needKey, demand job.Demand) int64 {
+func (l *LinkSet) capacityLocked(key needKey, demand job.Demand) int64 {
 	for _, node := range l.order {
 		if reg := l.known[node]; reg.Offer != nil && offers(reg, key, demand) {
 			return reg.Offer.Capacity.CPUMillis
@@ -163,7 +163,7 @@
 
 // lacksLocked reports whether too few agents are linked that may run what a need is for,
 // and others are known. Where none is, a job has nothing to wait for.
-func (l *linkSet) lacksLocked(key needKey, least int, demand job.Demand) bool {
+func (l *LinkSet) lacksLocked(key needKey, least int, demand job.Demand) bool {
 	linked, others := 0, 0
 	for node, reg := range l.openLocked() {
 		switch {
--- a/daemon/core/partitions.go
+++ b/daemon/core/partitions.go
@@ -8,41 +8,41 @@
 	"github.com/shallotstep/shallotstep/state/store"
 )
 
-// series is partitions of several topics that are numbered through: those of the first
+// Series is partitions of several topics that are numbered through: those of the first
 // topic, then those of the second, and so on.
-type series struct {
-	prefix string
-	// topics of parts partitions each.
-	topics, parts int
+type Series struct {
+	Prefix string
+	// Topics of parts partitions each.
+	Topics, Parts int
 }
 
-// shardSeries has the shards of the recorded jobs.
-func shardSeries(s *settings.Settings) series {
-	return series{prefix: "keyed.jobs", topics: s.Store.Topics, parts: s.Store.Partitions}
+// ShardSeries has the shards of the recorded jobs.
+func ShardSeries(s *settings.Settings) Series {
+	return Series{Prefix: "keyed.jobs", Topics: s.Store.Topics, Parts: s.Store.Partitions}
 }
 
-func (s series) size() int { return s.topics * s.parts }
+func (s Series) Size() int { return s.Topics * s.Parts }
 
-func (s series) names() []string {
-	out := make([]string, s.topics)
+func (s Series) Names() []string {
+	out := make([]string, s.Topics)
 	for i := range out {
 		out[i] = s.topic(i)
 	}
 	return out
 }
 
-func (s series) topic(i int) string { return s.prefix + strconv.Itoa(i) }
+func (s Series) topic(i int) string { return s.Prefix + strconv.Itoa(i) }
 
-// partition returns that of a number.
-func (s series) partition(number int) store.Partition {
-	return store.Partition{Topic: s.topic(number / s.parts), Part: number % s.parts}
+// Partition returns that of a number.
+func (s Series) Partition(number int) store.Partition {
+	return store.Partition{Topic: s.topic(number / s.Parts), Part: number % s.Parts}
 }
 
-// number returns that of a partition, or false if it is none of the series.
-func (s series) number(p store.Partition) (int, bool) {
-	i := slices.Index(s.names(), p.Topic)
-	if i < 0 || p.Part < 0 || p.Part >= s.parts {
+// Number returns that of a partition, or false if it is none of the series.
+func (s Series) Number(p store.Partition) (int, bool) {
+	i := slices.Index(s.Names(), p.Topic)
+	if i < 0 || p.Part < 0 || p.Part >= s.Parts {
 		return 0, false
 	}
-	return i*s.parts + p.Part, true
+	return i*s.Parts + p.Part, true
 }
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -19,30 +19,30 @@
 
 // The registry is a keyed topic in which each agent announces its address. It
 // serves discovery only: nothing that must hold rests on it.
-var registryPartition = store.Partition{Topic: "keyed.agents"}
+var RegistryPartition = store.Partition{Topic: "keyed.agents"}
 
-// registration is an agent's announcement, under its name as key. It is written when
+// Registration is an agent's announcement, under its name as key. It is written when
 // what it says has changed: a life that comes back at the same address beside the same
 // kind of backend server writes none.
-type registration struct {
+type Registration struct {
 	Links string `json:"links"`
 	Zone  string `json:"zone"`
 	// Offer is what the backend server beside the agent can run.
-	Offer *offer `json:"offer,omitempty"`
+	Offer *Offer `json:"offer,omitempty"`
 	// Orphans is set while ends stand at the agent that only the owners of their shards
 	// can settle, and none does: owners without jobs link nobody.
 	Orphans bool `json:"orphans,omitempty"`
 }
 
-// offer is what tasks an agent can take.
-type offer struct {
+// Offer is what tasks an agent can take.
+type Offer struct {
 	Service  string     `json:"service"`
 	Labels   []string   `json:"labels"`
 	Capacity job.Demand `json:"capacity"`
 }
 
-// same reports whether two registrations say the same.
-func (r *registration) same(o *registration) bool {
+// Same reports whether two registrations say the same.
+func (r *Registration) Same(o *Registration) bool {
 	if r.Links != o.Links || r.Zone != o.Zone || r.Orphans != o.Orphans || (r.Offer == nil) != (o.Offer == nil) {
 		return false
 	}
@@ -50,9 +50,9 @@
 }
 
 const (
-	// storeTimeout bounds a call to the store that may wait for a slow one:
+	// StoreTimeout bounds a call to the store that may wait for a slow one:
 	// its answers took up to a quarter of a second in an outage.
-	storeTimeout = 1500 * time.Millisecond
+	StoreTimeout = 1500 * time.Millisecond
 	// retryPause is the pause before a failed call to the store is repeated, and
 	// maxRetryPause the longest: all processes are back within that after the store is.
 	retryPause    = 80 * time.Millisecond
@@ -67,9 +67,9 @@
 	registryPause = 30 * time.Millisecond
 )
 
-// untilDone repeats a call to the store, with pauses that grow, until it succeeds or the
+// UntilDone repeats a call to the store, with pauses that grow, until it succeeds or the
 // context ends. What it says of a failure is for the log.
-func untilDone(ctx context.Context, failed string, call func() error) {
+func UntilDone(ctx context.Context, failed string, call func() error) {
 	failures := pause.Backoff{Least: retryPause, Most: maxRetryPause}
 	for ctx.Err() == nil {
 		began := bootclock.Now()
@@ -82,33 +82,33 @@
 	}
 }
 
-// follower keeps a copy of a keyed partition up to date.
-type follower struct {
-	store     store.Store
-	partition store.Partition
-	wait      time.Duration
+// Follower keeps a copy of a keyed partition up to date.
+type Follower struct {
+	Store     store.Store
+	Partition store.Partition
+	Wait      time.Duration
 	// rest is the pause after records came, to read the next ones together.
 	rest time.Duration
-	// apply gets each newest record, also repeatedly, and applied is called after those
+	// Apply gets each newest record, also repeatedly, and applied is called after those
 	// that came together, if it is set.
-	apply   func(store.Record)
+	Apply   func(store.Record)
 	applied func()
-	// begin is called before the newest record of each key is applied, and reached once
+	// Begin is called before the newest record of each key is applied, and reached once
 	// all records before a position were, also when none came; both if they are set.
-	begin   func()
-	reached func(position int64)
-	// name is for the log.
-	name string
+	Begin   func()
+	Reached func(position int64)
+	// Name is for the log.
+	Name string
 }
 
 // Follow hands each newest record of a partition to apply, also repeatedly, until
 // the context ends. The name is for the log.
 func Follow(ctx context.Context, st store.Store, p store.Partition, name string, apply func(store.Record)) {
-	(&follower{store: st, partition: p, wait: configWait, apply: apply, name: name}).run(ctx)
+	(&Follower{Store: st, Partition: p, Wait: ConfigWait, Apply: apply, Name: name}).Run(ctx)
 }
 
-// run follows until the context ends.
-func (f *follower) run(ctx context.Context) {
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) {
 	lost := false
 	failures := pause.Backoff{Least: retryPause, Most: maxRetryPause}
 	for ctx.Err() == nil {
@@ -119,13 +119,13 @@
 		}
 		if !lost && !errors.Is(err, store.ErrTrimmed) {
 			lost = true
-			klog.InfoS("Lost the store", "reader", f.name, "err", err)
+			klog.InfoS("Lost the store", "reader", f.Name, "err", err)
 		}
 		_ = failures.Wait(ctx, bootclock.Now()-began)
 	}
 }
 
-func (f *follower) readAll(ctx context.Context, lost *bool, failures *pause.Backoff) error {
+func (f *Follower) readAll(ctx context.Context, lost *bool, failures *pause.Backoff) error {
 	records, next, err := f.newest(ctx)
 	if err != nil {
 		return err
@@ -133,20 +133,20 @@
 	failures.Reset()
 	if *lost {
 		*lost = false
-		klog.InfoS("The store is back", "reader", f.name)
+		klog.InfoS("The store is back", "reader", f.Name)
 	}
-	if f.begin != nil {
-		f.begin()
+	if f.Begin != nil {
+		f.Begin()
 	}
 	for {
 		for _, r := range records {
-			f.apply(r)
+			f.Apply(r)
 		}
 		if f.applied != nil {
 			f.applied()
 		}
-		if f.reached != nil {
-			f.reached(next)
+		if f.Reached != nil {
+			f.Reached(next)
 		}
 		if len(records) > 0 {
 			_ = pause.For(ctx, f.rest)
@@ -158,35 +158,35 @@
 	}
 }
 
-func (f *follower) newest(ctx context.Context) ([]store.Record, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+func (f *Follower) newest(ctx context.Context) ([]store.Record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, StoreTimeout)
 	defer cancel()
-	return f.store.Newest(ctx, f.partition)
+	return f.Store.Newest(ctx, f.Partition)
 }
 
 // followSlack is the time beyond its wait after which a read counts as lost.
 const followSlack = 600 * time.Millisecond
 
-func (f *follower) follow(ctx context.Context, from int64) ([]store.Record, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+followSlack)
+func (f *Follower) follow(ctx context.Context, from int64) ([]store.Record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+followSlack)
 	defer cancel()
-	return f.store.Follow(ctx, f.partition, from, f.wait)
+	return f.Store.Follow(ctx, f.Partition, from, f.Wait)
 }
 
-// announce writes a registration.
-func announce(ctx context.Context, st store.Store, name string, reg *registration) error {
+// Announce writes a registration.
+func Announce(ctx context.Context, st store.Store, name string, reg *Registration) error {
 	b, err := json.Marshal(reg)
 	if err != nil {
 		return errors.Wrap(err, "registration")
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, StoreTimeout)
 	defer cancel()
-	_, err = st.Append(ctx, registryPartition, nil, []store.Record{{Key: name, Value: b}})
+	_, err = st.Append(ctx, RegistryPartition, nil, []store.Record{{Key: name, Value: b}})
 	return err
 }
 
-func decodeRegistration(r store.Record) (registration, error) {
-	var reg registration
+func decodeRegistration(r store.Record) (Registration, error) {
+	var reg Registration
 	if err := json.Unmarshal(r.Value, &reg); err != nil {
 		return reg, errors.Wrapf(err, "registration of %s", r.Key)
 	}
@@ -199,5 +199,5 @@
 	return reg, nil
 }
 
-// memberName names one life of an agent in the group.
-func memberName(name string, tag string) string { return strings.Join([]string{name, tag}, "/") }
+// MemberName names one life of an agent in the group.
+func MemberName(name string, tag string) string { return strings.Join([]string{name, tag}, "/") }
--- a/daemon/core/steps.go
+++ b/daemon/core/steps.go
@@ -13,25 +13,25 @@
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 )
 
-// steps drives the machine of one shard: it runs its steps one at a time and
+// Steps drives the machine of one shard: it runs its steps one at a time and
 // carries out what they ask for.
-type steps struct {
+type Steps struct {
 	*owner.Shard
-	links   *linkSet
-	metrics *coreMetrics
-	wake    chan struct{}
+	links   *LinkSet
+	metrics *CoreMetrics
+	Wake    chan struct{}
 
 	// order keeps the effects of the steps in their order: a stop that overtook
 	// its order would be lost.
 	order sync.Mutex
 }
 
-func newSteps(s *owner.Shard, links *linkSet, m *coreMetrics) *steps {
-	return &steps{Shard: s, links: links, metrics: m, wake: make(chan struct{}, 1)}
+func NewSteps(s *owner.Shard, links *LinkSet, m *CoreMetrics) *Steps {
+	return &Steps{Shard: s, links: links, metrics: m, Wake: make(chan struct{}, 1)}
 }
 
-// step runs a step of the machine and carries out its effects.
-func (r *steps) step(f func(now time.Duration) owner.Effects) {
+// Step runs a step of the machine and carries out its effects.
+func (r *Steps) Step(f func(now time.Duration) owner.Effects) {
 	r.order.Lock()
 	defer r.order.Unlock()
 	now := bootclock.Now()
@@ -39,14 +39,14 @@
 	r.apply(now, &fx)
 }
 
-func (r *steps) apply(now time.Duration, fx *owner.Effects) {
+func (r *Steps) apply(now time.Duration, fx *owner.Effects) {
 	for i := range fx.Orders {
 		o := wire.OrderToWire(now, &fx.Orders[i].What)
-		r.links.send(fx.Orders[i].Node, func(f *corepb.ToAgent) { f.Orders = append(f.Orders, o) })
+		r.links.Send(fx.Orders[i].Node, func(f *corepb.ToAgent) { f.Orders = append(f.Orders, o) })
 	}
 	for _, s := range fx.Stops {
 		stop := &corepb.Stop{Shard: int32(r.ID), Epoch: r.Epoch, Run: wire.RunToWire(s.What)}
-		r.links.send(s.Node, func(f *corepb.ToAgent) { f.Stops = append(f.Stops, stop) })
+		r.links.Send(s.Node, func(f *corepb.ToAgent) { f.Stops = append(f.Stops, stop) })
 	}
 	for _, s := range fx.Settled {
 		settled := &corepb.Settled{Shard: int32(r.ID), Run: wire.RunToWire(s.What.Run), Void: s.What.Void}
@@ -56,7 +56,7 @@
 		r.links.renew(node)
 	}
 	for _, reply := range fx.Replies {
-		r.metrics.verdict(reply.Verdict)
+		r.metrics.Verdict(reply.Verdict)
 		reply.To(reply.Verdict)
 	}
 	for i := range fx.Log {
@@ -66,23 +66,23 @@
 		r.log(&fx.Log[i])
 	}
 	if fx.Write {
-		r.signal()
+		r.Signal()
 	}
 }
 
 // settle tells an agent what became of an end. It may wait for the next frame:
 // the agent acknowledges the end a little later, which frees nothing. A void end
 // must stop the acknowledgements at once.
-func (r *steps) settle(node string, settled *corepb.Settled) {
+func (r *Steps) settle(node string, settled *corepb.Settled) {
 	add := func(f *corepb.ToAgent) { f.Settled = append(f.Settled, settled) }
 	if settled.GetVoid() {
-		r.links.send(node, add)
+		r.links.Send(node, add)
 		return
 	}
 	r.links.sendQuietly(node, add)
 }
 
-func (r *steps) log(d *owner.Decision) {
+func (r *Steps) log(d *owner.Decision) {
 	r.metrics.decisions.WithLabelValues(d.What).Inc()
 	if d.Refusal != nil {
 		logRefusal(d)
@@ -99,26 +99,26 @@
 		"free", int(r.Free), "cores", int(r.Cores), "news", r.News.Milliseconds())
 }
 
-// placeWaiting has tasks that wait here sent to agents that may have room by now.
-func (r *steps) placeWaiting() {
+// PlaceWaiting has tasks that wait here sent to agents that may have room by now.
+func (r *Steps) PlaceWaiting() {
 	if r.Waiting() {
-		r.step(r.News)
+		r.Step(r.News)
 	}
 }
 
-func (r *steps) signal() {
+func (r *Steps) Signal() {
 	select {
-	case r.wake <- struct{}{}:
+	case r.Wake <- struct{}{}:
 	default:
 	}
 }
 
-// linkUp has the shard note a link and returns the claims to send on it: one, or none if
+// LinkUp has the shard note a link and returns the claims to send on it: one, or none if
 // the link is claimed.
-func (r *steps) linkUp(node string, session int64) []*corepb.Claim {
+func (r *Steps) LinkUp(node string, session int64) []*corepb.Claim {
 	var claim worker.Claim
 	var ok bool
-	r.step(func(now time.Duration) owner.Effects {
+	r.Step(func(now time.Duration) owner.Effects {
 		var fx owner.Effects
 		claim, ok, fx = r.Linked(now, node, session)
 		return fx
@@ -129,18 +129,18 @@
 	return []*corepb.Claim{{Shard: int32(claim.Shard), Epoch: claim.Epoch, Session: claim.Session}}
 }
 
-func (r *steps) linkDown(node string, session int64) {
-	r.step(func(now time.Duration) owner.Effects {
+func (r *Steps) LinkDown(node string, session int64) {
+	r.Step(func(now time.Duration) owner.Effects {
 		r.LinkLost(now, node, session)
 		return owner.Effects{}
 	})
 }
 
-func (r *steps) takeClaimed(node string, p *corepb.Claimed) {
-	r.step(func(now time.Duration) owner.Effects { return r.Claimed(now, node, wire.ClaimedFromWire(p)) })
+func (r *Steps) TakeClaimed(node string, p *corepb.Claimed) {
+	r.Step(func(now time.Duration) owner.Effects { return r.Claimed(now, node, wire.ClaimedFromWire(p)) })
 }
 
-func (r *steps) takeEvent(node string, p *corepb.Event) {
+func (r *Steps) TakeEvent(node string, p *corepb.Event) {
 	e := worker.Event{Shard: int(p.GetShard()), Epoch: p.GetEpoch(), State: wire.RunStateFromWire(p.GetRun())}
-	r.step(func(now time.Duration) owner.Effects { return r.Event(now, node, e) })
+	r.Step(func(now time.Duration) owner.Effects { return r.Event(now, node, e) })
 }
--- a/daemon/core/wanted.go
+++ b/daemon/core/wanted.go
@@ -9,12 +9,12 @@
 	"github.com/shallotstep/shallotstep/coordination/subset"
 )
 
-// reconcile dials what is wanted and not linked, and ends links that are not wanted any
+// Reconcile dials what is wanted and not linked, and ends links that are not wanted any
 // more once nothing of the user is behind them.
-func (l *linkSet) reconcile(now time.Duration) {
+func (l *LinkSet) Reconcile(now time.Duration) {
 	l.changing.Lock()
 	defer l.changing.Unlock()
-	if !l.opened() {
+	if !l.Opened() {
 		return
 	}
 	share, required := l.user.Share(), l.user.Required()
@@ -36,7 +36,7 @@
 }
 
 // tell leaves a trace of a change.
-func (l *linkSet) tell(dialled, retired, wanted int) {
+func (l *LinkSet) tell(dialled, retired, wanted int) {
 	if dialled+retired == 0 {
 		return
 	}
@@ -55,7 +55,7 @@
 }
 
 // watchLocked notes which links are down.
-func (l *linkSet) watchLocked(now time.Duration) {
+func (l *LinkSet) watchLocked(now time.Duration) {
 	for _, k := range l.links {
 		switch {
 		case k.Up():
@@ -66,7 +66,7 @@
 	}
 }
 
-func (l *linkSet) orderLocked(share subset.Share) {
+func (l *LinkSet) orderLocked(share subset.Share) {
 	if l.order != nil && share.Of == l.share.Of && slices.Equal(share.Numbers, l.share.Numbers) {
 		return
 	}
@@ -78,14 +78,14 @@
 }
 
 // darkLocked reports whether an agent's link has been down for long.
-func (l *linkSet) darkLocked(now time.Duration, node string) bool {
+func (l *LinkSet) darkLocked(now time.Duration, node string) bool {
 	k := l.links[node]
 	return k != nil && k.downSince > 0 && now-k.downSince >= darkAfter
 }
 
 // servesLocked reports whether an agent can be given work: it is not dark, and its failure
 // domain not drained.
-func (l *linkSet) servesLocked(now time.Duration, node string) bool {
+func (l *LinkSet) servesLocked(now time.Duration, node string) bool {
 	return !l.drained.Has(l.known[node].Zone) && !l.darkLocked(now, node)
 }
 
@@ -94,7 +94,7 @@
 // by and what the jobs' needs lack get work. What the user requires is linked for something
 // else: with work for all of them a question to each owner would make a subset twice as
 // large, and the decisions worse.
-func (l *linkSet) wantedLocked(now time.Duration, required []string) map[string]bool {
+func (l *LinkSet) wantedLocked(now time.Duration, required []string) map[string]bool {
 	size := l.sizeLocked()
 	wanted := make(map[string]bool, 2*size)
 	rest := l.takeLocked(now, wanted, l.order, size)
@@ -112,7 +112,7 @@
 
 // takeLocked adds agents in order until so many are there that can serve, or twice as
 // many in all. It returns those that are left.
-func (l *linkSet) takeLocked(now time.Duration, wanted map[string]bool, order []string, count int) []string {
+func (l *LinkSet) takeLocked(now time.Duration, wanted map[string]bool, order []string, count int) []string {
 	serving := 0
 	for i, node := range order {
 		if serving == count || i == 2*count {
@@ -127,8 +127,8 @@
 }
 
 // retireLocked returns what has to be dialled, and how many links have ceased to be wanted.
-func (l *linkSet) retireLocked(now time.Duration, wanted map[string]bool) (dial map[string]registration, retired int) {
-	dial = make(map[string]registration)
+func (l *LinkSet) retireLocked(now time.Duration, wanted map[string]bool) (dial map[string]Registration, retired int) {
+	dial = make(map[string]Registration)
 	for node := range wanted {
 		reg := l.known[node]
 		if k := l.links[node]; k == nil || k.addr != reg.Links {
@@ -147,7 +147,7 @@
 }
 
 // worksLocked returns the agents for which it has changed whether new work goes there.
-func (l *linkSet) worksLocked(wanted map[string]bool) map[string]bool {
+func (l *LinkSet) worksLocked(wanted map[string]bool) map[string]bool {
 	changed := make(map[string]bool)
 	for node, k := range l.links {
 		if k.works != wanted[node] {
@@ -165,7 +165,7 @@
 
 // dropRetired ends links that are not wanted once nothing is behind them, and those to
 // agents that were taken from the registry.
-func (l *linkSet) dropRetired(now time.Duration) {
+func (l *LinkSet) dropRetired(now time.Duration) {
 	var idle, gone []string
 	l.mu.Lock()
 	for node, k := range l.links {
@@ -178,7 +178,7 @@
 	l.mu.Unlock()
 	idle = slices.DeleteFunc(idle, l.user.Occupied)
 	for _, node := range slices.Concat(gone, idle) {
-		l.drop(node)
+		l.Drop(node)
 		// A link that is made anew says for itself whether it gets work.
 		l.placer.Retire(node, false)
 	}
--- a/daemon/dev/agent.go
+++ b/daemon/dev/agent.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/shallotstep/shallotstep/daemon/agent"
 	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/platform"
 	"github.com/shallotstep/shallotstep/state/settings"
@@ -24,7 +25,7 @@
 
 	mu sync.Mutex
 	// agent is nil while it is down. Guarded by mu, as what follows.
-	agent  *core.Agent
+	agent  *agent.Agent
 	cancel context.CancelFunc
 	ended  chan struct{}
 }
@@ -58,17 +59,17 @@
 
 // Start runs the agent until Kill.
 func (a *Agent) Start() {
-	agent := core.NewAgent(a.settings, platform.NewStore(a.settings.Store.Address), a.drains, func(fence int64) core.Executor {
+	running := agent.New(a.settings, platform.NewStore(a.settings.Store.Address), a.drains, func(fence int64) agent.Executor {
 		return platform.NewExecutor(a.settings.Server.Address, fence)
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	a.mu.Lock()
-	a.agent, a.cancel, a.ended = agent, cancel, ended
+	a.agent, a.cancel, a.ended = running, cancel, ended
 	a.mu.Unlock()
 	go func() {
 		defer close(ended)
-		if err := agent.Run(ctx); err != nil {
+		if err := running.Run(ctx); err != nil {
 			a.failed(err)
 		}
 	}()
--- a/daemon/dev/entry.go
+++ b/daemon/dev/entry.go
@@ -8,7 +8,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/shallotstep/shallotstep/daemon/clients"
-	"github.com/shallotstep/shallotstep/daemon/core"
+	"github.com/shallotstep/shallotstep/daemon/entry"
 	"github.com/shallotstep/shallotstep/platform"
 	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/transport/httpapi"
@@ -32,12 +32,12 @@
 	st := platform.NewStore(set.Store.Address)
 	declarations := clients.NewDeclarations(st, name)
 	drains := clients.NewDrains(st, name)
-	entry := core.NewEntry(set, st, clients.DeclarationsPartition, declarations.Decode, drains.Source())
-	e := &Entry{clients: clients.New(entry, declarations, drains, name, s.opts.Software, 1), addr: l.Addr().String()}
+	running := entry.New(set, st, clients.DeclarationsPartition, declarations.Decode, drains.Source())
+	e := &Entry{clients: clients.New(running, declarations, drains, name, s.opts.Software, 1), addr: l.Addr().String()}
 	e.http = httpapi.NewServer(e.clients.Handler(), nil)
 	var ctx context.Context
 	ctx, e.cancel = context.WithCancel(context.Background())
-	e.done.Go(func() { _ = entry.Run(ctx) })
+	e.done.Go(func() { _ = running.Run(ctx) })
 	e.done.Go(func() { _ = e.http.Serve(l) })
 	s.entries = append(s.entries, e)
 	return e, nil
--- a/daemon/core/asking.go
+++ b/daemon/entry/asking.go
@@ -1,4 +1,4 @@
-package core
+package entry
 
 import (
 	"context"
@@ -37,7 +37,7 @@
 			if v.Outcome != owner.NotOwner && v.Outcome != owner.Unknown {
 				return v
 			}
-			e.metrics.retries.WithLabelValues(v.Reason).Inc()
+			e.metrics.Retries.WithLabelValues(v.Reason).Inc()
 			sent = sent || v.Outcome == owner.Unknown
 			e.owners.forget(shard, node)
 			_ = pause.For(ctx, ownerPoll)
@@ -48,7 +48,7 @@
 			return timedOut()
 		}
 		code := status.Code(err)
-		e.metrics.retries.WithLabelValues("link_" + code.String()).Inc()
+		e.metrics.Retries.WithLabelValues("link_" + code.String()).Inc()
 		klog.InfoS("A question got no answer", "shard", shard, "agent", node, "code", code.String())
 		sent = true
 		e.owners.forget(shard, node)
@@ -83,8 +83,8 @@
 		})
 	}
 	took := time.Since(began)
-	e.metrics.submit.Observe(took.Seconds())
-	e.metrics.verdict(v)
+	e.metrics.Submit.Observe(took.Seconds())
+	e.metrics.Verdict(v)
 	klog.InfoS("Submit", "id", id, "queue", p.Queue, "version", p.Version, "shard", shard, "best_effort", spec.BestEffort,
 		"patience", patienceLeft(ctx, began).Milliseconds(), "outcome", v.Outcome, "reason", v.Reason, "retry_after", v.RetryAfter.Milliseconds(), "took", took.Milliseconds())
 	return v
@@ -113,7 +113,7 @@
 	v := e.ask(ctx, shard, ownerWait, func(ctx context.Context, c corepb.CoreClient) (*corepb.Verdict, error) {
 		return c.Lookup(ctx, &corepb.Question{Shard: int32(shard), Id: string(id)})
 	})
-	e.metrics.lookup.Observe(time.Since(began).Seconds())
+	e.metrics.Lookup.Observe(time.Since(began).Seconds())
 	if v.Outcome != owner.OK {
 		klog.InfoS("Lookup", "id", id, "shard", shard, "outcome", v.Outcome, "reason", v.Reason)
 	}
@@ -159,7 +159,7 @@
 // passed, and whether all are.
 func (e *Entry) linkedOwners(ctx context.Context) (map[string]corepb.CoreClient, bool) {
 	e.owners.useAll(bootclock.Now())
-	e.links.reconcile(bootclock.Now())
+	e.links.Reconcile(bootclock.Now())
 	for began := time.Now(); ; {
 		out := make(map[string]corepb.CoreClient)
 		complete := true
--- a/daemon/core/capacities_test.go
+++ b/daemon/entry/capacities_test.go
@@ -1,4 +1,4 @@
-package core
+package entry
 
 import (
 	"fmt"
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/daemon/coretest"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/store"
@@ -19,10 +20,10 @@
 // linked one says now goes before what it has registered.
 func TestCapacitiesAreThoseOfAllKnownAgents(t *testing.T) {
 	is := is.New(t)
-	e := NewEntry(coretest.Settings(), coretest.NoStore{}, store.Partition{Topic: "config"}, nil, DrainSource{})
+	e := New(coretest.Settings(), coretest.NoStore{}, store.Partition{Topic: "config"}, nil, core.DrainSource{})
 	offer := `{"links":"10.0.0.%d:7","offer":{"service":"desk","capacity":{"CPUMillis":%d}}}`
-	e.links.apply(store.Record{Key: "linked", Value: fmt.Appendf(nil, offer, 1, 8000)})
-	e.links.apply(store.Record{Key: "other", Value: fmt.Appendf(nil, offer, 2, 32000)})
+	e.links.Apply(store.Record{Key: "linked", Value: fmt.Appendf(nil, offer, 1, 8000)})
+	e.links.Apply(store.Record{Key: "other", Value: fmt.Appendf(nil, offer, 2, 32000)})
 	e.fleet.Linked("linked")
 	e.fleet.Update(time.Hour, "linked", owner.AgentLoad{Service: "desk", Capacity: job.Demand{CPUMillis: 4000}})
 	got := e.Capacities("desk")
--- a/daemon/core/entrydrains.go
+++ b/daemon/entry/drains.go
@@ -1,41 +1,42 @@
-package core
+package entry
 
 import (
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/store"
 )
 
 // followers keep the configuration and the drains up to date. Where both stand in one
 // partition one reader does for both.
-func (e *Entry) followers() []*follower {
-	reader := drains.NewReader(&e.drains.book)
-	drained := &follower{
-		store: e.store, partition: e.drains.source.Partition, wait: configWait, name: "drains",
-		begin: reader.Begin, reached: func(position int64) { e.drains.reached(reader, position) },
-		apply: func(r store.Record) { e.drains.apply(reader, r) },
+func (e *Entry) followers() []*core.Follower {
+	reader := drains.NewReader(&e.drains.Book)
+	drained := &core.Follower{
+		Store: e.store, Partition: e.drains.Source.Partition, Wait: core.ConfigWait, Name: "drains",
+		Begin: reader.Begin, Reached: func(position int64) { e.drains.Reached(reader, position) },
+		Apply: func(r store.Record) { e.drains.Apply(reader, r) },
 	}
-	if e.drains.source.Partition == e.config {
-		drained.name = "configuration"
-		drained.apply = func(r store.Record) {
+	if e.drains.Source.Partition == e.config {
+		drained.Name = "configuration"
+		drained.Apply = func(r store.Record) {
 			e.applyConfig(r)
-			e.drains.apply(reader, r)
+			e.drains.Apply(reader, r)
 		}
-		return []*follower{drained}
+		return []*core.Follower{drained}
 	}
-	config := &follower{store: e.store, partition: e.config, wait: configWait, name: "configuration", apply: e.applyConfig}
-	return []*follower{config, drained}
+	config := &core.Follower{Store: e.store, Partition: e.config, Wait: core.ConfigWait, Name: "configuration", Apply: e.applyConfig}
+	return []*core.Follower{config, drained}
 }
 
 // drainsChanged has nothing more placed in the drained failure domains, and tells all
 // linked agents.
 func (e *Entry) drainsChanged(s drains.State) {
 	e.fleet.Drain(s)
-	e.links.drain(s)
-	e.links.nudge()
-	known, read := e.links.domains()
+	e.links.Drain(s)
+	e.links.Nudge()
+	known, read := e.links.Domains()
 	for _, domain := range s.Domains {
 		if read && known[domain] == 0 {
 			klog.InfoS("A drained failure domain has no agents", "domain", domain)
@@ -44,13 +45,13 @@
 }
 
 // Drains returns the drains in force, as far as they are known here.
-func (e *Entry) Drains() drains.State { return e.drains.book.State() }
+func (e *Entry) Drains() drains.State { return e.drains.Book.State() }
 
 // Domains counts the agents of each known failure domain.
 func (e *Entry) Domains() map[string]int {
-	known, _ := e.links.domains()
+	known, _ := e.links.Domains()
 	return known
 }
 
 // LinkComplete implements peer.LinkHandler.
-func (e *Entry) LinkComplete(f *corepb.ToAgent) { f.Drains = e.drains.frame() }
+func (e *Entry) LinkComplete(f *corepb.ToAgent) { f.Drains = e.drains.Frame() }
--- a/daemon/core/effort.go
+++ b/daemon/entry/effort.go
@@ -1,4 +1,4 @@
-package core
+package entry
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/pause"
@@ -23,21 +24,21 @@
 func privateShard(shards int) int { return shards + 1 + rand.IntN(1<<30) }
 
 // newEffort returns the shard for best-effort jobs of an entry's life.
-func (e *Entry) newEffort() *steps {
-	s := owner.NewPrivate(bootclock.Now(), privateShard(e.settings.Shards()), ownerBounds(e.settings), e.fleet)
-	return newSteps(s, e.links, e.metrics)
+func (e *Entry) newEffort() *core.Steps {
+	s := owner.NewPrivate(bootclock.Now(), privateShard(e.settings.Shards()), core.OwnerBounds(e.settings), e.fleet)
+	return core.NewSteps(s, e.links, e.metrics)
 }
 
 // tickLoop lets time pass in the entry's shard.
 func (e *Entry) tickLoop(ctx context.Context) {
-	t := time.NewTicker(tickEvery)
+	t := time.NewTicker(core.TickEvery)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			e.effort.step(e.effort.Tick)
+			e.effort.Step(e.effort.Tick)
 		}
 	}
 }
@@ -48,7 +49,7 @@
 	what := *spec
 	what.Patience = patienceLeft(ctx, time.Now())
 	got := make(chan owner.Verdict, 1)
-	e.effort.step(func(now time.Duration) owner.Effects {
+	e.effort.Step(func(now time.Duration) owner.Effects {
 		return e.effort.Submit(now, id, what, *p, func(v owner.Verdict) {
 			select {
 			case got <- v:
@@ -60,7 +61,7 @@
 	case v := <-got:
 		return v
 	case <-ctx.Done():
-		e.effort.step(func(now time.Duration) owner.Effects { return e.effort.Abandon(now, id) })
+		e.effort.Step(func(now time.Duration) owner.Effects { return e.effort.Abandon(now, id) })
 		klog.V(1).InfoS("The client of a best-effort job waits no more", "id", id, "why", context.Cause(ctx))
 		return timedOut()
 	}
@@ -73,11 +74,11 @@
 // backend server with its label stands idle.
 func (e *Entry) cover(ctx context.Context, spec *job.Spec, p *job.Policy) {
 	now := bootclock.Now()
-	if !e.links.need(now, spec, p) {
+	if !e.links.Need(now, spec, p) {
 		return
 	}
-	e.links.reconcile(now)
-	for end := now + coverWait; !(e.links.settled() && e.offered(spec, p)) && bootclock.Now() < end && ctx.Err() == nil; {
+	e.links.Reconcile(now)
+	for end := now + core.CoverWait; !(e.links.Settled() && e.offered(spec, p)) && bootclock.Now() < end && ctx.Err() == nil; {
 		_ = pause.For(ctx, coverPoll)
 	}
 }
--- a/daemon/core/entry.go
+++ b/daemon/entry/entry.go
@@ -1,4 +1,6 @@
-package core
+// Package entry is the process that takes clients' requests: it takes recorded jobs to their
+// owners, and runs best-effort jobs itself.
+package entry
 
 import (
 	"context"
@@ -15,6 +17,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/subset"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/job"
@@ -44,57 +47,57 @@
 type Entry struct {
 	settings *settings.Settings
 	store    store.Store
-	metrics  *coreMetrics
-	links    *linkSet
+	metrics  *core.CoreMetrics
+	links    *core.LinkSet
 	// decode reads a version of the configuration from a record.
 	decode func(store.Record) (*routing.Table, error)
 	config store.Partition
 	table  atomic.Pointer[routing.Table]
 	fleet  *owner.Fleet
 	// effort has the best-effort jobs of this life.
-	effort  *steps
+	effort  *core.Steps
 	owners  *ownerBook
 	numbers *numbers
-	drains  *drainWatch
+	drains  *core.DrainWatch
 }
 
-// NewEntry returns an entry that does nothing yet.
-func NewEntry(s *settings.Settings, st store.Store, config store.Partition, decode func(store.Record) (*routing.Table, error), drains DrainSource) *Entry {
+// New returns an entry that does nothing yet.
+func New(s *settings.Settings, st store.Store, config store.Partition, decode func(store.Record) (*routing.Table, error), drains core.DrainSource) *Entry {
 	e := &Entry{
-		settings: s, store: st, metrics: newCoreMetrics(),
+		settings: s, store: st, metrics: core.NewCoreMetrics(),
 		config: config, decode: decode, owners: newOwnerBook(s, st), numbers: newNumbers(s, st),
 		fleet: owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams()),
 	}
-	e.drains = newDrainWatch(drains, e.drainsChanged)
-	e.metrics.watchDrains(&e.drains.book)
+	e.drains = core.NewDrainWatch(drains, e.drainsChanged)
+	e.metrics.WatchDrains(&e.drains.Book)
 	// The name is that of this life: agents tell its runs from a later one's.
-	dialer := peer.NewDialer(memberName(s.Name, xid.New().String()), e)
-	e.links = newLinkSet(s.Links, e, e.fleet, e.metrics, func(node string, reg registration) agentLink {
+	dialer := peer.NewDialer(core.MemberName(s.Name, xid.New().String()), e)
+	e.links = core.NewLinkSet(s.Links, e, e.fleet, e.metrics, func(node string, reg core.Registration) core.AgentLink {
 		return dialer.Dial(context.Background(), node, reg.Links)
 	})
 	e.effort = e.newEffort()
-	e.metrics.watchFleet(e.fleet)
+	e.metrics.WatchFleet(e.fleet)
 	return e
 }
 
 // Run follows the configuration and the agents until the context ends.
 func (e *Entry) Run(ctx context.Context) error {
-	defer e.links.close()
+	defer e.links.Close()
 	var wg conc.WaitGroup
 	wg.Go(func() { e.tickLoop(ctx) })
 	for _, f := range e.followers() {
-		wg.Go(func() { f.run(ctx) })
+		wg.Go(func() { f.Run(ctx) })
 	}
 	dealt := make(chan struct{})
 	wg.Go(func() { e.numbers.run(ctx, sync.OnceFunc(func() { close(dealt) })) })
-	wg.Go(func() { e.links.follow(ctx, e.store) })
+	wg.Go(func() { e.links.Follow(ctx, e.store) })
 	wg.Go(func() {
 		select {
 		case <-dealt:
 		case <-time.After(numbersWait):
 		}
-		e.links.open()
-		e.links.maintain(ctx)
+		e.links.Open()
+		e.links.Maintain(ctx)
 	})
 	wg.Wait()
 	return nil
@@ -146,7 +149,7 @@
 // Capacities are what the known backend servers of a service have: those that the entry
 // links by their last news, the others by the registry.
 func (e *Entry) Capacities(service string) []job.Demand {
-	offers := e.links.offers(service)
+	offers := e.links.Offers(service)
 	for _, a := range e.fleet.Agents() {
 		delete(offers, a.Node)
 		if a.Load.Service == service {
@@ -157,48 +160,48 @@
 }
 
 // Linked reports whether there is a link to an agent.
-func (e *Entry) Linked() bool { return e.links.anyUp() }
+func (e *Entry) Linked() bool { return e.links.AnyUp() }
 
 // LinkUp implements peer.LinkHandler.
 func (e *Entry) LinkUp(node string, session int64) *corepb.ToAgent {
 	e.fleet.Linked(node)
-	return &corepb.ToAgent{Claims: e.effort.linkUp(node, session)}
+	return &corepb.ToAgent{Claims: e.effort.LinkUp(node, session)}
 }
 
 // LinkDown implements peer.LinkHandler.
 func (e *Entry) LinkDown(node string, session int64) {
 	e.fleet.Lost(node)
-	e.effort.linkDown(node, session)
+	e.effort.LinkDown(node, session)
 	e.owners.lost(node)
 }
 
 // LinkFrame implements peer.LinkHandler.
 func (e *Entry) LinkFrame(node string, _ int64, f *corepb.FromAgent) {
-	e.drains.told(f.GetDrains())
+	e.drains.Told(f.GetDrains())
 	if l := f.GetLoad(); l != nil {
 		e.fleet.Update(bootclock.Now(), node, wire.LoadFromWire(l))
 	}
 	for _, p := range f.GetClaimed() {
-		e.effort.takeClaimed(node, p)
+		e.effort.TakeClaimed(node, p)
 	}
 	for _, p := range f.GetEvents() {
-		e.effort.takeEvent(node, p)
+		e.effort.TakeEvent(node, p)
 	}
 	e.owners.note(node, f)
-	e.effort.placeWaiting()
+	e.effort.PlaceWaiting()
 }
 
 // owner returns a shard's owner and its client; nil while it is not known or not linked.
 func (e *Entry) owner(ctx context.Context, shard int) (string, corepb.CoreClient) {
 	node, fresh := e.owners.use(bootclock.Now(), shard)
-	if link := e.links.get(node); link != nil && link.Up() {
+	if link := e.links.Get(node); link != nil && link.Up() {
 		return node, link.Client()
 	}
 	if e.owners.look(ctx) || fresh {
-		e.links.reconcile(bootclock.Now())
+		e.links.Reconcile(bootclock.Now())
 	}
 	return "", nil
 }
 
 // Metrics serves the entry's metrics.
-func (e *Entry) Metrics() http.Handler { return e.metrics.handler() }
+func (e *Entry) Metrics() http.Handler { return e.metrics.Handler() }
--- a/daemon/core/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -1,4 +1,4 @@
-package core
+package entry
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/daemon/coretest"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
@@ -100,7 +101,7 @@
 func (a *fakeAgent) keepBooks() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.books = worker.New(worker.Bounds{Lease: time.Second, OwnerSilence: ownerSilence, Relink: relink, Adoption: adoption, Shards: coretest.Shards})
+	a.books = worker.New(worker.Bounds{Lease: time.Second, OwnerSilence: core.OwnerSilence, Relink: core.Relink, Adoption: core.Adoption, Shards: coretest.Shards})
 }
 
 // breakLink ends the link on which the next frame comes.
@@ -157,14 +158,14 @@
 // newTestEntry returns an entry with a link to each agent, all up.
 func newTestEntry(t *testing.T, agents ...*fakeAgent) *Entry {
 	t.Helper()
-	e := NewEntry(coretest.Settings(), coretest.NoStore{}, store.Partition{Topic: "config"}, nil, DrainSource{})
-	t.Cleanup(e.links.close)
-	e.links.open()
+	e := New(coretest.Settings(), coretest.NoStore{}, store.Partition{Topic: "config"}, nil, core.DrainSource{})
+	t.Cleanup(e.links.Close)
+	e.links.Open()
 	for _, a := range agents {
-		e.links.apply(store.Record{Key: a.addr, Value: []byte(`{"links":"` + a.addr + `"}`)})
+		e.links.Apply(store.Record{Key: a.addr, Value: []byte(`{"links":"` + a.addr + `"}`)})
 	}
 	for _, a := range agents {
-		coretest.Await(t, func() bool { return e.links.get(a.addr).Up() })
+		coretest.Await(t, func() bool { return e.links.Get(a.addr).Up() })
 	}
 	return e
 }
@@ -227,7 +228,7 @@
 // was dropped and read anew: it must not come into force again.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	is := is.New(t)
-	e := NewEntry(coretest.Settings(), coretest.NoStore{}, store.Partition{}, decodeVersion, DrainSource{})
+	e := New(coretest.Settings(), coretest.NoStore{}, store.Partition{}, decodeVersion, core.DrainSource{})
 	for _, v := range []string{"3", "5", "4"} {
 		e.applyConfig(store.Record{Value: []byte(v)})
 	}
--- a/daemon/core/numbers.go
+++ b/daemon/entry/numbers.go
@@ -1,4 +1,4 @@
-package core
+package entry
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/subset"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/pause"
@@ -88,16 +89,16 @@
 }
 
 func (n *numbers) join(ctx context.Context, generation int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, core.StoreTimeout)
 	defer cancel()
-	all := series{prefix: "entries", topics: numberTopics, parts: n.settings.Store.Partitions}
-	m, err := n.store.Join(ctx, EntriesGroup, n.settings.Name, all.names(), max(numbersTTL, n.settings.Store.MinTTL), generation)
+	all := core.Series{Prefix: "entries", Topics: numberTopics, Parts: n.settings.Store.Partitions}
+	m, err := n.store.Join(ctx, EntriesGroup, n.settings.Name, all.Names(), max(numbersTTL, n.settings.Store.MinTTL), generation)
 	if err != nil {
 		return generation, err
 	}
-	share := subset.Share{Of: all.size()}
+	share := subset.Share{Of: all.Size()}
 	for _, p := range m.Parts {
-		if number, ok := all.number(p); ok {
+		if number, ok := all.Number(p); ok {
 			share.Numbers = append(share.Numbers, number)
 		}
 	}
--- a/daemon/core/owners.go
+++ b/daemon/entry/owners.go
@@ -1,4 +1,4 @@
-package core
+package entry
 
 import (
 	"context"
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
@@ -142,9 +143,9 @@
 	if !b.begin(bootclock.Now()) {
 		return false
 	}
-	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), storeTimeout)
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), core.StoreTimeout)
 	defer cancel()
-	owners, err := b.store.Owners(call, OwnersGroup)
+	owners, err := b.store.Owners(call, core.OwnersGroup)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.looking = false
@@ -175,7 +176,7 @@
 // takeLocked takes in what the group says of a shard. What an agent has said of itself
 // stays until its link ends or it says otherwise: it is newer, or will be corrected.
 func (b *ownerBook) takeLocked(p store.Partition, node string) {
-	id, ok := shardSeries(b.settings).number(p)
+	id, ok := core.ShardSeries(b.settings).Number(p)
 	if !ok {
 		return
 	}
--- a/daemon/core/relink_test.go
+++ b/daemon/entry/relink_test.go
@@ -1,4 +1,4 @@
-package core
+package entry
 
 import (
 	"context"
@@ -29,9 +29,9 @@
 	coretest.Await(t, func() bool { return a.linked() == 2 })
 	coretest.Await(t, func() bool { return e.effort.Reach() == 1 })
 
-	e.links.drop(a.addr)
-	e.effort.step(func(now time.Duration) owner.Effects { return e.effort.Tick(now + time.Minute) }) // it is waited out
-	e.links.reconcile(time.Hour)
+	e.links.Drop(a.addr)
+	e.effort.Step(func(now time.Duration) owner.Effects { return e.effort.Tick(now + time.Minute) }) // it is waited out
+	e.links.Reconcile(time.Hour)
 	coretest.Await(t, func() bool { return a.linked() == 3 })
 
 	e.table.Store(&routing.Table{})
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -18,8 +18,10 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/daemon/agent"
 	"github.com/shallotstep/shallotstep/daemon/clients"
 	"github.com/shallotstep/shallotstep/daemon/core"
+	"github.com/shallotstep/shallotstep/daemon/entry"
 	"github.com/shallotstep/shallotstep/daemon/memlimit"
 	"github.com/shallotstep/shallotstep/platform"
 	"github.com/shallotstep/shallotstep/state/settings"
@@ -93,7 +95,7 @@
 var operatorDrains = core.DrainSource{Partition: platform.ConfigPartition, Decode: platform.DecodeDrain}
 
 func runEntry(ctx context.Context, cancel context.CancelFunc, s *settings.Settings, stop <-chan os.Signal) error {
-	e := core.NewEntry(s, platform.NewStore(s.Store.Address), platform.ConfigPartition, platform.DecodeConfig, operatorDrains)
+	e := entry.New(s, platform.NewStore(s.Store.Address), platform.ConfigPartition, platform.DecodeConfig, operatorDrains)
 	var stopping, closing atomic.Bool
 	front, err := serveHTTP(s.Listen.Clients, platform.NewFront(e, closing.Load))
 	if err != nil {
@@ -132,7 +134,7 @@
 
 // newAPI returns the project's own interface at an entry of the platform. Its
 // declarations stand beside the platform's configuration.
-func newAPI(ctx context.Context, e *core.Entry, s *settings.Settings) http.Handler {
+func newAPI(ctx context.Context, e *entry.Entry, s *settings.Settings) http.Handler {
 	st := platform.NewStore(s.Store.Address)
 	d := clients.NewDeclarations(st, s.Name)
 	go core.Follow(ctx, st, clients.DeclarationsPartition, "declarations", func(r store.Record) {
@@ -144,7 +146,7 @@
 }
 
 func runAgent(ctx context.Context, cancel context.CancelFunc, s *settings.Settings, stop <-chan os.Signal) error {
-	a := core.NewAgent(s, platform.NewStore(s.Store.Address), operatorDrains, func(fence int64) core.Executor {
+	a := agent.New(s, platform.NewStore(s.Store.Address), operatorDrains, func(fence int64) agent.Executor {
 		return platform.NewExecutor(s.Server.Address, fence)
 	})
 	if _, err := serveHTTP(s.Listen.Reports, platform.NewReports(a)); err != nil {
