--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -58,8 +58,8 @@
 	if u.tokens <= 0 {
 		return time.Duration((1 - u.tokens) / rate * float64(time.Second)), false
 	}
-	// A job that is larger than a second's tasks is accepted whole, by itself.
-	if most := max(int(rate)-tasks, 0); u.recent.Sum(now) > most {
+	// A job that is larger than a second's tasks fits into none, and is paid off.
+	if most := int(rate) - tasks; most >= 0 && u.recent.Sum(now) > most {
 		return u.recent.Wait(now, most), false
 	}
 	if room := float64(l.InFlight) / float64(t.entries); float64(u.inFlight+tasks) > room {
