--- /dev/null
+++ b/daemon/agent/drains_test.go
@@ -0,0 +1,65 @@
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination/drains"
+	"github.com/shallotstep/shallotstep/daemon/core"
+	"github.com/shallotstep/shallotstep/daemon/coretest"
+	"github.com/shallotstep/shallotstep/state/store"
+	"github.com/shallotstep/shallotstep/transport/peer"
+)
+
+// drainStore has one drain, and counts how often all of it is read.
+type drainStore struct {
+	coretest.NoStore
+	reads atomic.Int32
+}
+
+func (s *drainStore) Newest(context.Context, store.Partition) ([]store.Record, int64, error) {
+	s.reads.Add(1)
+	return []store.Record{{Key: "iksan"}}, 7, nil
+}
+
+// newDrainAgent returns an agent in iksan with a caller.
+func newDrainAgent(st store.Store) *Agent {
+	set := coretest.Settings()
+	set.Zone = "iksan"
+	decode := func(r store.Record) (drains.Change, bool, error) {
+		return drains.Change{Domain: r.Key, Drained: true}, true, nil
+	}
+	a := New(set, st, core.DrainSource{Partition: store.Partition{Topic: "drains"}, Decode: decode}, nil)
+	a.links, _ = fakeLinks(a, a.fleet)
+	a.all[&peer.Caller{}] = &news{}
+	return a
+}
+
+// Guards against a read of the whole partition by each agent when all power is back, since
+// the entries that started beside them have not been answered yet; and against an agent
+// that never looks.
+func TestAgentThatHasJustStartedLeavesItsCallersTime(t *testing.T) {
+	is := is.New(t)
+	st := &drainStore{}
+	a := newDrainAgent(st)
+	a.checkDrains(t.Context(), a.started+drainsStale-time.Millisecond)
+	is.Equal(st.reads.Load(), int32(0))
+	a.checkDrains(t.Context(), a.started+drainsStale)
+	coretest.Await(t, func() bool { return a.worker.Load(a.started).Drained })
+	is.Equal(st.reads.Load(), int32(1))
+}
+
+// Guards against reads of agents at which nobody places work.
+func TestAgentWithoutCallersReadsNoDrains(t *testing.T) {
+	is := is.New(t)
+	st := &drainStore{}
+	a := newDrainAgent(st)
+	clear(a.all)
+	a.checkDrains(t.Context(), a.started+time.Hour)
+	is.Equal(st.reads.Load(), int32(0))
+	is.True(!a.drains.Looking.Load())
+}
