--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -61,6 +61,10 @@
 	reachUntil core.AtomicDuration
 	// drains is what is known of drained failure domains.
 	drains *core.DrainWatch
+	// looking is set while the agent looks for drains in the store, and lookedAt is when it
+	// began to last.
+	looking  atomic.Bool
+	lookedAt core.AtomicDuration
 	// placers is the number of callers that place work here.
 	placers atomic.Int32
 	// orders counts the orders that came from all of them.
@@ -115,7 +119,7 @@
 	}
 	a.offerNews, a.owns = make(chan struct{}, 1), make(chan struct{})
 	a.drains = core.NewDrainWatch(drains, a.drainsChanged)
-	a.metrics.WatchDrains(&a.drains.Book)
+	a.metrics.WatchDrains(a.drains)
 	a.server = peer.NewServer(a)
 	watchWorker(a.metrics, a.worker)
 	a.metrics.WatchFleet(a.fleet)
--- a/daemon/agent/drains.go
+++ b/daemon/agent/drains.go
@@ -34,18 +34,16 @@
 // checkDrains looks into the store if the callers have not heard from it for long. Those of a
 // process that has just started may only have started too.
 func (a *Agent) checkDrains(ctx context.Context, now time.Duration) {
-	w := a.drains
-	_, age := w.Book.Latest(now)
-	if min(age, now-a.started) < drainsStale || now-w.LookedAt.Get() < drainsRetry || len(a.everyCaller()) == 0 {
+	if min(a.drains.Age(now), now-a.started) < drainsStale || now-a.lookedAt.Get() < drainsRetry || len(a.everyCaller()) == 0 {
 		return
 	}
-	if w.Looking.Swap(true) {
+	if a.looking.Swap(true) {
 		return
 	}
-	w.LookedAt.Set(now)
+	a.lookedAt.Set(now)
 	go func() {
-		defer w.Looking.Store(false)
-		err := w.Look(ctx, a.store)
+		defer a.looking.Store(false)
+		err := a.drains.Look(ctx, a.store)
 		klog.InfoS("Looked for drains in the store, since those who place work here have not lately", "err", err)
 	}()
 }
--- a/daemon/agent/drains_test.go
+++ b/daemon/agent/drains_test.go
@@ -35,7 +35,7 @@
 	}
 	a := New(set, st, core.DrainSource{Partition: store.Partition{Topic: "drains"}, Decode: decode}, nil)
 	a.links, _ = fakeLinks(a, a.fleet)
-	a.all[&peer.Caller{}] = &news{}
+	a.all[peer.NewCaller("entry")] = &news{}
 	return a
 }
 
@@ -61,5 +61,5 @@
 	clear(a.all)
 	a.checkDrains(t.Context(), a.started+time.Hour)
 	is.Equal(st.reads.Load(), int32(0))
-	is.True(!a.drains.Looking.Load())
+	is.True(!a.looking.Load())
 }
--- a/daemon/core/atomic.go
+++ b/daemon/core/atomic.go
@@ -8,5 +8,8 @@
 // AtomicDuration is a duration that several goroutines share.
 type AtomicDuration struct{ v atomic.Int64 }
 
+// Set sets it.
 func (d *AtomicDuration) Set(t time.Duration) { d.v.Store(int64(t)) }
-func (d *AtomicDuration) Get() time.Duration  { return time.Duration(d.v.Load()) }
+
+// Get returns it.
+func (d *AtomicDuration) Get() time.Duration { return time.Duration(d.v.Load()) }
--- a/daemon/core/drains.go
+++ b/daemon/core/drains.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
@@ -32,25 +32,32 @@
 
 // DrainWatch is what a process knows of drains, and acts on a change.
 type DrainWatch struct {
-	Source  DrainSource
-	Book    drains.Book
+	source  DrainSource
+	book    drains.Book
 	changed func(drains.State)
 	// acting keeps changes in their order: an older state that went into force after a newer
 	// one would stay.
 	acting sync.Mutex
-	// Looking is set while this process looks into the store because what it was told is
-	// old, and lookedAt is when it did last.
-	Looking  atomic.Bool
-	LookedAt AtomicDuration
 }
 
+// NewDrainWatch returns a watch that knows nothing yet. The function has a changed state go
+// into force; it is called with one state at a time.
 func NewDrainWatch(source DrainSource, changed func(drains.State)) *DrainWatch {
-	return &DrainWatch{Source: source, changed: changed}
+	return &DrainWatch{source: source, changed: changed}
+}
+
+// State is what is in force.
+func (w *DrainWatch) State() drains.State { return w.book.State() }
+
+// Age is how long ago the store confirmed what is known.
+func (w *DrainWatch) Age(now time.Duration) time.Duration {
+	_, age := w.book.Latest(now)
+	return age
 }
 
 // Frame is what a frame tells.
 func (w *DrainWatch) Frame() *corepb.Drains {
-	state, age := w.Book.Latest(bootclock.Now())
+	state, age := w.book.Latest(bootclock.Now())
 	return wire.DrainsToWire(state, age)
 }
 
@@ -60,7 +67,7 @@
 		return
 	}
 	state, age := wire.DrainsFromWire(p)
-	if w.Book.Told(bootclock.Now(), state, age) {
+	if w.book.Told(bootclock.Now(), state, age) {
 		w.act("told")
 	}
 }
@@ -69,14 +76,33 @@
 func (w *DrainWatch) act(by string) {
 	w.acting.Lock()
 	defer w.acting.Unlock()
-	state := w.Book.State()
+	state := w.book.State()
 	klog.InfoS("Drains of failure domains have changed", "domains", state.Domains, "position", state.Position, "by", by)
 	w.changed(state)
 }
 
-// Apply hands a record to a reader, if it is one of a drain.
-func (w *DrainWatch) Apply(to *drains.Reader, r store.Record) {
-	change, ok, err := w.Source.Decode(r)
+// Follower returns a reader of the store that keeps the watch up to date. Other, if it is
+// set, gets each record of the partition as well.
+func (w *DrainWatch) Follower(st store.Store, name string, other func(store.Record)) *Follower {
+	reader := drains.NewReader(&w.book)
+	return &Follower{
+		Store: st, Partition: w.source.Partition, Wait: ConfigWait, Name: name,
+		Begin: reader.Begin, Reached: func(position int64) { w.reached(reader, position) },
+		Apply: func(r store.Record) {
+			if other != nil {
+				other(r)
+			}
+			w.apply(reader, r)
+		},
+	}
+}
+
+// Partition is where the records stand.
+func (w *DrainWatch) Partition() store.Partition { return w.source.Partition }
+
+// apply hands a record to a reader, if it is one of a drain.
+func (w *DrainWatch) apply(to *drains.Reader, r store.Record) {
+	change, ok, err := w.source.Decode(r)
 	if err != nil {
 		metrics.Malformed(metrics.KindDrain)
 		klog.ErrorS(err, "A drain can't be read and is left out")
@@ -87,8 +113,8 @@
 	}
 }
 
-// Reached notes how far the records were read.
-func (w *DrainWatch) Reached(r *drains.Reader, position int64) {
+// reached notes how far the records were read.
+func (w *DrainWatch) reached(r *drains.Reader, position int64) {
 	if r.Reached(bootclock.Now(), position) {
 		w.act("store")
 	}
@@ -98,19 +124,19 @@
 func (w *DrainWatch) Look(ctx context.Context, st store.Store) error {
 	ctx, cancel := context.WithTimeout(ctx, StoreTimeout)
 	defer cancel()
-	reader := drains.NewReader(&w.Book)
-	records, next, err := w.since(ctx, st, w.Book.State().Position)
+	reader := drains.NewReader(&w.book)
+	records, next, err := w.since(ctx, st, w.book.State().Position)
 	if errors.Is(err, store.ErrTrimmed) {
 		reader.Begin()
-		records, next, err = st.Newest(ctx, w.Source.Partition)
+		records, next, err = st.Newest(ctx, w.source.Partition)
 	}
 	if err != nil {
 		return err
 	}
 	for _, r := range records {
-		w.Apply(reader, r)
+		w.apply(reader, r)
 	}
-	w.Reached(reader, next)
+	w.reached(reader, next)
 	return nil
 }
 
@@ -119,5 +145,5 @@
 	if position == 0 {
 		return nil, 0, store.ErrTrimmed // all there are have to be read
 	}
-	return st.Follow(ctx, w.Source.Partition, position, 0)
+	return st.Follow(ctx, w.source.Partition, position, 0)
 }
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -9,14 +9,11 @@
 	"sync"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
-	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/pause"
 	"github.com/shallotstep/shallotstep/transport/peer"
 )
@@ -117,20 +114,6 @@
 	}
 }
 
-// Follow learns of agents by the registry until the context ends.
-func (l *LinkSet) Follow(ctx context.Context, st store.Store) {
-	f := &Follower{
-		Store: st, Partition: RegistryPartition, Wait: registryWait, rest: registryPause, Name: "registry",
-		Apply: l.learn, applied: func() {
-			l.mu.Lock()
-			l.wasRead = true
-			l.mu.Unlock()
-			l.Reconcile(bootclock.Now())
-		},
-	}
-	f.Run(ctx)
-}
-
 // Maintain keeps the links as they are wanted until the context ends.
 func (l *LinkSet) Maintain(ctx context.Context) {
 	for pause.For(ctx, linksEvery) == nil {
@@ -144,53 +127,6 @@
 	l.Reconcile(bootclock.Now())
 }
 
-// learn takes in a record of the registry.
-func (l *LinkSet) learn(r store.Record) {
-	if r.Value == nil {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		delete(l.known, r.Key)
-		l.order = nil
-		return
-	}
-	reg, err := decodeRegistration(r)
-	if err != nil {
-		metrics.Malformed(metrics.KindRegistration)
-		klog.ErrorS(err, "A record of the registry is malformed")
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if old, ok := l.known[r.Key]; !ok || old.Zone != reg.Zone {
-		l.order = nil
-	}
-	l.known[r.Key] = reg
-	l.orphans = l.orphans || reg.Orphans
-}
-
-// Needed reports whether agents have ends that wait for owners.
-func (l *LinkSet) Needed() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.orphans
-}
-
-// WithOrphans names the agents that have ends which wait for owners.
-func (l *LinkSet) WithOrphans() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var out []string
-	if !l.orphans {
-		return out
-	}
-	for node, reg := range l.known {
-		if reg.Orphans {
-			out = append(out, node)
-		}
-	}
-	return out
-}
-
 // Opened reports whether the set is open.
 func (l *LinkSet) Opened() bool {
 	l.mu.Lock()
@@ -269,18 +205,6 @@
 	l.drained = s
 }
 
-// Domains counts the known agents of each failure domain; false before the registry was
-// read.
-func (l *LinkSet) Domains() (map[string]int, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	out := make(map[string]int)
-	for _, reg := range l.known {
-		out[reg.Zone]++
-	}
-	return out, l.wasRead
-}
-
 // Nudge has a frame sent to each linked agent.
 func (l *LinkSet) Nudge() {
 	l.mu.Lock()
@@ -300,6 +224,7 @@
 	l.links[node] = &keptLink{AgentLink: link, addr: reg.Links, works: works}
 }
 
+// Drop ends the link to an agent, if there is one.
 func (l *LinkSet) Drop(node string) {
 	l.mu.Lock()
 	link := l.links[node]
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -7,7 +7,6 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
@@ -38,6 +37,7 @@
 	Lookup   prometheus.Histogram
 }
 
+// NewCoreMetrics returns metrics in a registry of their own.
 func NewCoreMetrics() *CoreMetrics {
 	m := &CoreMetrics{
 		Registry:      prometheus.NewRegistry(),
@@ -91,15 +91,14 @@
 }
 
 // WatchDrains registers what is known of drained failure domains.
-func (m *CoreMetrics) WatchDrains(b *drains.Book) {
+func (m *CoreMetrics) WatchDrains(w *DrainWatch) {
 	m.Registry.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: Namespace, Name: "drained_domains", Help: "Failure domains in which nothing is newly started.",
-		}, func() float64 { return float64(len(b.State().Domains)) }),
+		}, func() float64 { return float64(len(w.State().Domains)) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: Namespace, Name: "drains_age_seconds", Help: "How long ago the store confirmed the drains that are known here.",
 		}, func() float64 {
-			_, age := b.Latest(bootclock.Now())
-			return age.Seconds()
+			return w.Age(bootclock.Now()).Seconds()
 		}))
 }
--- a/daemon/core/partitions.go
+++ b/daemon/core/partitions.go
@@ -21,8 +21,10 @@
 	return Series{Prefix: "keyed.jobs", Topics: s.Store.Topics, Parts: s.Store.Partitions}
 }
 
+// Size is the number of partitions.
 func (s Series) Size() int { return s.Topics * s.Parts }
 
+// Names are those of the topics.
 func (s Series) Names() []string {
 	out := make([]string, s.Topics)
 	for i := range out {
--- a/daemon/core/steps.go
+++ b/daemon/core/steps.go
@@ -26,6 +26,7 @@
 	order sync.Mutex
 }
 
+// NewSteps returns the driver of a machine that sends by these links.
 func NewSteps(s *owner.Shard, links *LinkSet, m *CoreMetrics) *Steps {
 	return &Steps{Shard: s, links: links, metrics: m, Wake: make(chan struct{}, 1)}
 }
@@ -106,6 +107,7 @@
 	}
 }
 
+// Signal wakes whoever writes for the shard.
 func (r *Steps) Signal() {
 	select {
 	case r.Wake <- struct{}{}:
@@ -129,6 +131,7 @@
 	return []*corepb.Claim{{Shard: int32(claim.Shard), Epoch: claim.Epoch, Session: claim.Session}}
 }
 
+// LinkDown has the shard note that a link is lost.
 func (r *Steps) LinkDown(node string, session int64) {
 	r.Step(func(now time.Duration) owner.Effects {
 		r.LinkLost(now, node, session)
@@ -136,10 +139,12 @@
 	})
 }
 
+// TakeClaimed takes in an agent's answer to a claim.
 func (r *Steps) TakeClaimed(node string, p *corepb.Claimed) {
 	r.Step(func(now time.Duration) owner.Effects { return r.Claimed(now, node, wire.ClaimedFromWire(p)) })
 }
 
+// TakeEvent takes in news of a run.
 func (r *Steps) TakeEvent(node string, p *corepb.Event) {
 	e := worker.Event{Shard: int(p.GetShard()), Epoch: p.GetEpoch(), State: wire.RunStateFromWire(p.GetRun())}
 	r.Step(func(now time.Duration) owner.Effects { return r.Event(now, node, e) })
--- a/daemon/entry/drains.go
+++ b/daemon/entry/drains.go
@@ -6,28 +6,16 @@
 	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
-	"github.com/shallotstep/shallotstep/state/store"
 )
 
 // followers keep the configuration and the drains up to date. Where both stand in one
 // partition one reader does for both.
 func (e *Entry) followers() []*core.Follower {
-	reader := drains.NewReader(&e.drains.Book)
-	drained := &core.Follower{
-		Store: e.store, Partition: e.drains.Source.Partition, Wait: core.ConfigWait, Name: "drains",
-		Begin: reader.Begin, Reached: func(position int64) { e.drains.Reached(reader, position) },
-		Apply: func(r store.Record) { e.drains.Apply(reader, r) },
-	}
-	if e.drains.Source.Partition == e.config {
-		drained.Name = "configuration"
-		drained.Apply = func(r store.Record) {
-			e.applyConfig(r)
-			e.drains.Apply(reader, r)
-		}
-		return []*core.Follower{drained}
+	if e.drains.Partition() == e.config {
+		return []*core.Follower{e.drains.Follower(e.store, "configuration", e.applyConfig)}
 	}
 	config := &core.Follower{Store: e.store, Partition: e.config, Wait: core.ConfigWait, Name: "configuration", Apply: e.applyConfig}
-	return []*core.Follower{config, drained}
+	return []*core.Follower{config, e.drains.Follower(e.store, "drains", nil)}
 }
 
 // drainsChanged has nothing more placed in the drained failure domains, and tells all
@@ -45,7 +33,7 @@
 }
 
 // Drains returns the drains in force, as far as they are known here.
-func (e *Entry) Drains() drains.State { return e.drains.Book.State() }
+func (e *Entry) Drains() drains.State { return e.drains.State() }
 
 // Domains counts the agents of each known failure domain.
 func (e *Entry) Domains() map[string]int {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -69,7 +69,7 @@
 		fleet: owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams()),
 	}
 	e.drains = core.NewDrainWatch(drains, e.drainsChanged)
-	e.metrics.WatchDrains(&e.drains.Book)
+	e.metrics.WatchDrains(e.drains)
 	// The name is that of this life: agents tell its runs from a later one's.
 	dialer := peer.NewDialer(core.MemberName(s.Name, xid.New().String()), e)
 	e.links = core.NewLinkSet(s.Links, e, e.fleet, e.metrics, func(node string, reg core.Registration) core.AgentLink {
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -49,6 +49,9 @@
 	out   *outbox[corepb.FromAgent]
 }
 
+// NewCaller returns a caller of that name to which nothing is written yet.
+func NewCaller(node string) *Caller { return &Caller{Node: node, out: newOutbox[corepb.FromAgent]()} }
+
 // Send lets fill extend the next frame and has it sent at once.
 func (c *Caller) Send(fill func(*corepb.FromAgent)) { c.out.add(fill) }
 
@@ -84,7 +87,7 @@
 	if !s.handler.Ready() {
 		return status.Error(codes.Unavailable, "the agent does not know yet what runs on its backend server")
 	}
-	c := &Caller{Node: first.GetNode(), out: newOutbox[corepb.FromAgent]()}
+	c := NewCaller(first.GetNode())
 	if err := stream.Send(&corepb.FromAgent{}); err != nil {
 		return err
 	}
