--- a/coordination/load/drain_test.go
+++ b/coordination/load/drain_test.go
@@ -119,8 +119,8 @@
 
 const drainSeeds = 2
 
-// drainFleet is the fleet on which drains are judged, and drainLoads are the loads; a small
-// one is enough for races.
+// drainFleet is the fleet on which drains are judged, and the loads; a small one is enough
+// for races.
 func drainFleet() (setup, []float64) {
 	if judged {
 		return large, []float64{.7, .9}
--- a/coordination/model/model_test.go
+++ b/coordination/model/model_test.go
@@ -18,10 +18,11 @@
 // Owners die, freeze and go on without knowing that they were replaced; agents
 // restart and freeze; executors crash, take calls late and lose answers; links
 // are cut; the store rejects writes and loses answers; clocks differ; tasks crash
-// the executors that start them, capacities shrink, and failure domains are drained. Whatever happens: no task
-// runs twice at a time or after its acknowledged end, nothing accepted is lost, no
-// shown end changes, nothing refused runs, no executor gets more than fits, nothing starts
-// in a drained domain, and no task is started on and on that takes executors down.
+// the executors that start them, capacities shrink, and failure domains are drained.
+// Whatever happens: no task runs twice at a time or after its acknowledged end, nothing
+// accepted is lost, no shown end changes, nothing refused runs, no executor gets more than
+// fits, nothing starts in a drained domain, and no task is started on and on that takes
+// executors down.
 func TestWorlds(t *testing.T) {
 	steps, worlds := 0, *seeds
 	if raced {
--- a/daemon/agent/drains.go
+++ b/daemon/agent/drains.go
@@ -28,7 +28,7 @@
 	for c := range a.everyCaller() {
 		c.Send(nothing)
 	}
-	a.links.Nudge()
+	a.links.SendAll(func(*corepb.ToAgent) {})
 }
 
 // checkDrains looks into the store if the callers have not heard from it for long. Those of a
--- a/daemon/agent/membership.go
+++ b/daemon/agent/membership.go
@@ -137,7 +137,7 @@
 	a.mu.Unlock()
 	for _, r := range gone {
 		r.close()
-		a.sendAll(func(f *corepb.ToAgent) { f.Releases = append(f.Releases, int32(r.ID)) })
+		a.links.SendAll(func(f *corepb.ToAgent) { f.Releases = append(f.Releases, int32(r.ID)) })
 		klog.InfoS("Released a shard", "shard", r.ID, "epoch", r.Epoch)
 	}
 	if len(gone) > 0 {
@@ -145,13 +145,6 @@
 	}
 }
 
-// sendAll adds to the next frame for each linked agent.
-func (a *Agent) sendAll(fill func(*corepb.ToAgent)) {
-	for node := range a.linked() {
-		a.links.Send(node, fill)
-	}
-}
-
 // linked returns the sessions of the links to agents that are up.
 func (a *Agent) linked() map[string]int64 {
 	a.mu.Lock()
--- a/daemon/clients/drains.go
+++ b/daemon/clients/drains.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -102,13 +101,6 @@
 	return nil
 }
 
-// Known names the failure domains that ever were drained.
-func (d *Drains) Known() []string {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return slices.Sorted(maps.Keys(d.records))
-}
-
 // Set drains a failure domain, or ends its drain. What is so already stays as it is, and
 // counts as done: a repeat whose first reply was lost does no harm.
 func (d *Drains) Set(ctx context.Context, domain string, drained bool) state.Applied {
--- a/daemon/core/drains.go
+++ b/daemon/core/drains.go
@@ -81,20 +81,21 @@
 	w.changed(state)
 }
 
-// Follower returns a reader of the store that keeps the watch up to date. Other, if it is
-// set, gets each record of the partition as well.
-func (w *DrainWatch) Follower(st store.Store, name string, other func(store.Record)) *Follower {
+// Follow keeps the watch up to date from the store until the context ends. Other gets each
+// record of the partition as well, if it is set.
+func (w *DrainWatch) Follow(ctx context.Context, st store.Store, name string, other func(store.Record)) {
 	reader := drains.NewReader(&w.book)
-	return &Follower{
-		Store: st, Partition: w.source.Partition, Wait: ConfigWait, Name: name,
-		Begin: reader.Begin, Reached: func(position int64) { w.reached(reader, position) },
-		Apply: func(r store.Record) {
+	f := &follower{
+		store: st, partition: w.source.Partition, wait: ConfigWait, name: name,
+		begin: reader.Begin, reached: func(position int64) { w.reached(reader, position) },
+		apply: func(r store.Record) {
 			if other != nil {
 				other(r)
 			}
 			w.apply(reader, r)
 		},
 	}
+	f.run(ctx)
 }
 
 // Partition is where the records stand.
--- a/daemon/core/known.go
+++ b/daemon/core/known.go
@@ -12,16 +12,16 @@
 
 // Follow learns of agents by the registry until the context ends.
 func (l *LinkSet) Follow(ctx context.Context, st store.Store) {
-	f := &Follower{
-		Store: st, Partition: RegistryPartition, Wait: registryWait, rest: registryPause, Name: "registry",
-		Apply: l.learn, applied: func() {
+	f := &follower{
+		store: st, partition: RegistryPartition, wait: registryWait, rest: registryPause, name: "registry",
+		apply: l.learn, applied: func() {
 			l.mu.Lock()
 			l.wasRead = true
 			l.mu.Unlock()
 			l.Reconcile(bootclock.Now())
 		},
 	}
-	f.Run(ctx)
+	f.run(ctx)
 }
 
 // learn takes in a record of the registry.
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -205,13 +205,13 @@
 	l.drained = s
 }
 
-// Nudge has a frame sent to each linked agent.
-func (l *LinkSet) Nudge() {
+// SendAll adds to the next frame for each linked agent.
+func (l *LinkSet) SendAll(fill func(*corepb.ToAgent)) {
 	l.mu.Lock()
 	nodes := slices.Collect(maps.Keys(l.links))
 	l.mu.Unlock()
 	for _, node := range nodes {
-		l.Send(node, func(*corepb.ToAgent) {})
+		l.Send(node, fill)
 	}
 }
 
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -82,33 +82,33 @@
 	}
 }
 
-// Follower keeps a copy of a keyed partition up to date.
-type Follower struct {
-	Store     store.Store
-	Partition store.Partition
-	Wait      time.Duration
+// follower keeps a copy of a keyed partition up to date.
+type follower struct {
+	store     store.Store
+	partition store.Partition
+	wait      time.Duration
 	// rest is the pause after records came, to read the next ones together.
 	rest time.Duration
-	// Apply gets each newest record, also repeatedly, and applied is called after those
+	// apply gets each newest record, also repeatedly, and applied is called after those
 	// that came together, if it is set.
-	Apply   func(store.Record)
+	apply   func(store.Record)
 	applied func()
-	// Begin is called before the newest record of each key is applied, and reached once
+	// begin is called before the newest record of each key is applied, and reached once
 	// all records before a position were, also when none came; both if they are set.
-	Begin   func()
-	Reached func(position int64)
-	// Name is for the log.
-	Name string
+	begin   func()
+	reached func(position int64)
+	// name is for the log.
+	name string
 }
 
 // Follow hands each newest record of a partition to apply, also repeatedly, until
 // the context ends. The name is for the log.
 func Follow(ctx context.Context, st store.Store, p store.Partition, name string, apply func(store.Record)) {
-	(&Follower{Store: st, Partition: p, Wait: ConfigWait, Apply: apply, Name: name}).Run(ctx)
+	(&follower{store: st, partition: p, wait: ConfigWait, apply: apply, name: name}).run(ctx)
 }
 
-// Run follows until the context ends.
-func (f *Follower) Run(ctx context.Context) {
+// run follows until the context ends.
+func (f *follower) run(ctx context.Context) {
 	lost := false
 	failures := pause.Backoff{Least: retryPause, Most: maxRetryPause}
 	for ctx.Err() == nil {
@@ -119,13 +119,13 @@
 		}
 		if !lost && !errors.Is(err, store.ErrTrimmed) {
 			lost = true
-			klog.InfoS("Lost the store", "reader", f.Name, "err", err)
+			klog.InfoS("Lost the store", "reader", f.name, "err", err)
 		}
 		_ = failures.Wait(ctx, bootclock.Now()-began)
 	}
 }
 
-func (f *Follower) readAll(ctx context.Context, lost *bool, failures *pause.Backoff) error {
+func (f *follower) readAll(ctx context.Context, lost *bool, failures *pause.Backoff) error {
 	records, next, err := f.newest(ctx)
 	if err != nil {
 		return err
@@ -133,20 +133,20 @@
 	failures.Reset()
 	if *lost {
 		*lost = false
-		klog.InfoS("The store is back", "reader", f.Name)
+		klog.InfoS("The store is back", "reader", f.name)
 	}
-	if f.Begin != nil {
-		f.Begin()
+	if f.begin != nil {
+		f.begin()
 	}
 	for {
 		for _, r := range records {
-			f.Apply(r)
+			f.apply(r)
 		}
 		if f.applied != nil {
 			f.applied()
 		}
-		if f.Reached != nil {
-			f.Reached(next)
+		if f.reached != nil {
+			f.reached(next)
 		}
 		if len(records) > 0 {
 			_ = pause.For(ctx, f.rest)
@@ -158,19 +158,19 @@
 	}
 }
 
-func (f *Follower) newest(ctx context.Context) ([]store.Record, int64, error) {
+func (f *follower) newest(ctx context.Context) ([]store.Record, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, StoreTimeout)
 	defer cancel()
-	return f.Store.Newest(ctx, f.Partition)
+	return f.store.Newest(ctx, f.partition)
 }
 
 // followSlack is the time beyond its wait after which a read counts as lost.
 const followSlack = 600 * time.Millisecond
 
-func (f *Follower) follow(ctx context.Context, from int64) ([]store.Record, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+followSlack)
+func (f *follower) follow(ctx context.Context, from int64) ([]store.Record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.wait+followSlack)
 	defer cancel()
-	return f.Store.Follow(ctx, f.Partition, from, f.Wait)
+	return f.store.Follow(ctx, f.partition, from, f.wait)
 }
 
 // Announce writes a registration.
--- a/daemon/entry/drains.go
+++ b/daemon/entry/drains.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
@@ -8,14 +10,18 @@
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 )
 
-// followers keep the configuration and the drains up to date. Where both stand in one
-// partition one reader does for both.
-func (e *Entry) followers() []*core.Follower {
+// followers keep the configuration and the drains up to date until the context ends. Where
+// both stand in one partition one reader does for both.
+func (e *Entry) followers() []func(context.Context) {
 	if e.drains.Partition() == e.config {
-		return []*core.Follower{e.drains.Follower(e.store, "configuration", e.applyConfig)}
+		return []func(context.Context){
+			func(ctx context.Context) { e.drains.Follow(ctx, e.store, "configuration", e.applyConfig) },
+		}
+	}
+	return []func(context.Context){
+		func(ctx context.Context) { core.Follow(ctx, e.store, e.config, "configuration", e.applyConfig) },
+		func(ctx context.Context) { e.drains.Follow(ctx, e.store, "drains", nil) },
 	}
-	config := &core.Follower{Store: e.store, Partition: e.config, Wait: core.ConfigWait, Name: "configuration", Apply: e.applyConfig}
-	return []*core.Follower{config, e.drains.Follower(e.store, "drains", nil)}
 }
 
 // drainsChanged has nothing more placed in the drained failure domains, and tells all
@@ -23,7 +29,7 @@
 func (e *Entry) drainsChanged(s drains.State) {
 	e.fleet.Drain(s)
 	e.links.Drain(s)
-	e.links.Nudge()
+	e.links.SendAll(func(*corepb.ToAgent) {})
 	known, read := e.links.Domains()
 	for _, domain := range s.Domains {
 		if read && known[domain] == 0 {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -85,8 +85,8 @@
 	defer e.links.Close()
 	var wg conc.WaitGroup
 	wg.Go(func() { e.tickLoop(ctx) })
-	for _, f := range e.followers() {
-		wg.Go(func() { f.Run(ctx) })
+	for _, follow := range e.followers() {
+		wg.Go(func() { follow(ctx) })
 	}
 	dealt := make(chan struct{})
 	wg.Go(func() { e.numbers.run(ctx, sync.OnceFunc(func() { close(dealt) })) })
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -201,12 +201,12 @@
 	w.store.Put("keyed.op", "evacuate/"+domain, value)
 	for _, a := range w.agents {
 		if a.domain == domain {
-			a.serverDo(func(e *standin.Executor) { a.drainServer(e, is) })
+			a.serverDo(func(e *standin.Executor) { drainServer(e, is) })
 		}
 	}
 }
 
-func (a *agent) drainServer(e *standin.Executor, yes bool) {
+func drainServer(e *standin.Executor, yes bool) {
 	if yes {
 		e.Drain(drainHeard)
 		return
