Make the decisions the same for the same inputs

Cause: owner and worker walked over maps where the order decides: in which order ends, stops and replies go out, which of two waiting orders is returned first, which of several equally good agents a task goes to. Two plays of one seed of coordination/load and coordination/model differed, and the bounds of two tests near their results failed in some plays only.

Placement draws among equal agents from a seed that NewFleet gets: random in a process, from the world's seed in tests.

The sorted walk of agents is also faster than that of a map; not measured.

--- a/coordination/load/faults_test.go
+++ b/coordination/load/faults_test.go
@@ -1,6 +1,8 @@
 package load
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/state/job"
@@ -30,7 +32,7 @@
 		a.tasksHang = true
 		w.after(faultDuration, func() {
 			a.tasksHang = false
-			for run := range a.running {
+			for _, run := range a.sortedRuns() {
 				a.end(run, job.Done)
 			}
 		})
@@ -96,7 +98,8 @@
 
 // resendCutOff resends the jobs whose clients lost their connection in a restart.
 func (w *world) resendCutOff() {
-	for _, r := range w.jobs {
+	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
+		r := w.jobs[id]
 		if r.ended || r.entry == nil {
 			continue
 		}
--- a/coordination/load/mix_test.go
+++ b/coordination/load/mix_test.go
@@ -208,6 +208,7 @@
 	}
 	elapsed := w.now - r.submittedAt
 	r.ended = true
+	w.trace("job %s outcome %v state %v reason %q retry after %v", r.id, v.Outcome, v.State, v.Reason, v.RetryAfter)
 	if r.entry == w.entries[0] {
 		w.busyEntry.submitted++
 		if v.Outcome == owner.OK && v.State == job.Completed && elapsed <= r.objective {
--- a/coordination/load/race_on_test.go
+++ b/coordination/load/race_on_test.go
@@ -7,5 +7,6 @@
 // without the race detector.
 const (
 	seeds       = 1
+	sizeSeeds   = 2
 	checkBounds = false
 )
--- a/coordination/load/size_test.go
+++ b/coordination/load/size_test.go
@@ -33,13 +33,22 @@
 
 // runShares runs a mix at a share of the agents' capacity, runs times with different seeds.
 func (s setup) runShares(mix []class, share float64, runs int) outcomeShares {
+	worlds := make([]*world, runs)
+	var wg sync.WaitGroup
+	for seed := range worlds {
+		s.seed = uint64(seed)
+		w := newWorld(s)
+		worlds[seed] = w
+		wg.Go(func() {
+			w.runUntil(w.now + time.Second)
+			w.run(mix, share, 3*time.Second)
+			w.runUntil(w.now + 4*time.Second)
+		})
+	}
+	wg.Wait()
 	var sum tally
 	var out outcomeShares
-	for s.seed = range uint64(runs) {
-		w := newWorld(s)
-		w.runUntil(w.now + time.Second)
-		w.run(mix, share, 3*time.Second)
-		w.runUntil(w.now + 4*time.Second)
+	for _, w := range worlds {
 		out.served += w.servedValue(mix) / float64(runs)
 		for _, t := range w.tallies {
 			sum = sum.plus(t)
@@ -111,6 +120,3 @@
 		is.True(!checkBounds || got.inTime > few.inTime-0.03)
 	}
 }
-
-// sizeSeeds is the number of seeds over which the results for each size are averaged.
-const sizeSeeds = 2
--- a/coordination/load/world_test.go
+++ b/coordination/load/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -91,6 +92,15 @@
 	// that were reported as failed although they crash no server. maxStartsAfterThird is the
 	// maximum number of starts of a task after it had crashed three servers.
 	serversLost, wronglyGivenUp, maxStartsAfterThird int
+	// traceLines has what happened if traced is set.
+	traced     bool
+	traceLines []string
+}
+
+func (w *world) trace(format string, args ...any) {
+	if w.traced {
+		w.traceLines = append(w.traceLines, fmt.Sprintf("%v ", w.now)+fmt.Sprintf(format, args...))
+	}
 }
 
 // setup has the size and the parameters of a world.
@@ -205,7 +215,7 @@
 func (e *entry) start() {
 	e.incarnation++
 	e.down = false
-	e.fleet = owner.NewFleet(1, e.w.params)
+	e.fleet = owner.NewFleet(1, e.w.params, e.w.rand.Uint64())
 	e.Shard = owner.NewPrivate(e.w.now, shards+1+e.number+shardsPerIncarnation*e.incarnation, ownerBounds, e.fleet)
 	for _, a := range e.w.subsets[e.number] {
 		e.w.after(frameDelay, func() { e.link(a, e.incarnation) })
@@ -363,6 +373,7 @@
 	}
 	a.apply(a.Order(a.w.now, o))
 	a.orders++
+	a.w.trace("%s order %v", a.name, o.Run)
 	for _, c := range a.links {
 		if c.entry == e {
 			c.ordersSeen++
@@ -419,12 +430,18 @@
 	if !a.running[run] {
 		return
 	}
+	a.w.trace("%s end %v %v", a.name, run, kind)
 	delete(a.running, run)
 	a.lastEndSeq++
 	a.ends = append(a.ends, worker.ListedEnd{Seq: a.lastEndSeq, Run: run, Kind: kind})
 	a.hold()
 }
 
+// sortedRuns returns the active runs of the backend server in a fixed order.
+func (a *agent) sortedRuns() []job.RunID {
+	return slices.SortedFunc(maps.Keys(a.running), job.RunID.Compare)
+}
+
 // hold sends a hold to the backend server, one call at a time.
 func (a *agent) hold() {
 	if a.holding || a.down {
@@ -446,7 +463,7 @@
 			return
 		}
 		h := worker.HoldResult{ClockMS: a.w.now.Milliseconds()}
-		for run := range a.running {
+		for _, run := range a.sortedRuns() {
 			h.Active = append(h.Active, worker.ListedRun{Run: run})
 		}
 		for len(a.ends) > 0 && a.ends[0].Seq <= c.Acked {
--- a/coordination/model/owner_test.go
+++ b/coordination/model/owner_test.go
@@ -45,7 +45,7 @@
 }
 
 func newOwner(w *world, name string, epoch int64) *ownerModel {
-	o := &ownerModel{w: w, name: name, fleet: owner.NewFleet(1, acceptAllParams()), links: make(map[*agentModel]*link), drains: drainView{tracker: &drains.Tracker{}}}
+	o := &ownerModel{w: w, name: name, fleet: owner.NewFleet(1, acceptAllParams(), w.rand.Uint64()), links: make(map[*agentModel]*link), drains: drainView{tracker: &drains.Tracker{}}}
 	var mayRun []string
 	if w.mutant != formerAgentsNotRead {
 		mayRun = slices.Clone(w.store.agents)
@@ -82,8 +82,10 @@
 
 func (o *ownerModel) kill() {
 	o.dead = true
-	for _, l := range o.links {
-		l.down(o.w.randUpTo(50 * time.Millisecond))
+	for _, a := range o.w.agents {
+		if l := o.links[a]; l != nil {
+			l.down(o.w.randUpTo(50 * time.Millisecond))
+		}
 	}
 }
 
--- a/coordination/model/server_test.go
+++ b/coordination/model/server_test.go
@@ -1,6 +1,8 @@
 package model
 
 import (
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -152,7 +154,7 @@
 	if e.clock() <= e.leaseDeadline {
 		return
 	}
-	for task := range e.runs {
+	for _, task := range e.sortedTasks() {
 		e.end(task, job.Lapsed)
 	}
 	for i := range e.ends {
@@ -160,6 +162,11 @@
 	}
 }
 
+// sortedTasks returns the tasks with an active run in a fixed order.
+func (e *serverModel) sortedTasks() []job.TaskID {
+	return slices.SortedFunc(maps.Keys(e.runs), job.TaskID.Compare)
+}
+
 // fenced reports whether a call of an incarnation of the agent must be rejected, because a later
 // incarnation has called already.
 func (e *serverModel) fenced(incarnation int64) bool {
@@ -311,8 +318,8 @@
 		e.ends = e.ends[1:]
 	}
 	h.ClockMS = e.clock()
-	for task, number := range e.runs {
-		h.Active = append(h.Active, worker.ListedRun{Run: runOf(task, number)})
+	for _, task := range e.sortedTasks() {
+		h.Active = append(h.Active, worker.ListedRun{Run: runOf(task, e.runs[task])})
 	}
 	for _, end := range e.ends {
 		h.Ends = append(h.Ends, end.ListedEnd)
--- a/coordination/model/trace_test.go
+++ b/coordination/model/trace_test.go
@@ -10,15 +10,18 @@
 // many are.
 const maxTraceLines = 20_000
 
-// traceLine is one line of a world's trace. The state machines iterate over maps, so a seed does
-// not reproduce a run. The trace is kept to show what led to a violation.
+// traceLine is one line of a world's trace, which shows what led to a violation.
 type traceLine struct {
 	at   time.Duration
 	text string
 }
 
 func (w *world) trace(format string, args ...any) {
-	w.traceLines = append(w.traceLines, traceLine{w.now - time.Hour, fmt.Sprintf(format, args...)})
+	line := traceLine{w.now - time.Hour, fmt.Sprintf(format, args...)}
+	w.traceLines = append(w.traceLines, line)
+	if w.onTrace != nil {
+		w.onTrace(fmt.Sprint(line.at, " ", line.text))
+	}
 	if len(w.traceLines) > 2*maxTraceLines {
 		w.traceLines = append([]traceLine{}, w.traceLines[maxTraceLines:]...)
 	}
--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
@@ -92,6 +94,8 @@
 	seq        int
 	steps      int
 	traceLines []traceLine
+	// onTrace, if set, is called with each trace line.
+	onTrace func(string)
 
 	store      storeModel
 	owners     []*ownerModel
@@ -300,8 +304,8 @@
 
 func (w *world) records() []*job.Record {
 	var out []*job.Record
-	for id, raw := range w.store.records {
-		r, err := wire.DecodeRecord(id, raw)
+	for _, id := range slices.Sorted(maps.Keys(w.store.records)) {
+		r, err := wire.DecodeRecord(id, w.store.records[id])
 		if err != nil {
 			panic(err)
 		}
--- a/coordination/owner/admission_test.go
+++ b/coordination/owner/admission_test.go
@@ -19,7 +19,7 @@
 }
 
 func newBestEffortFixture(t *testing.T) *bestEffortFixture {
-	f := &fixture{is: is.New(t), fleet: NewFleet(1, DefaultParams()), now: time.Hour}
+	f := &fixture{is: is.New(t), fleet: NewFleet(1, DefaultParams(), 1), now: time.Hour}
 	f.Shard = NewPrivate(f.now, 99, testBounds, f.fleet)
 	f.link("a", 1)
 	f.now += f.fleet.params.StartupGrace
@@ -364,7 +364,7 @@
 func TestWideJobIsPredictedByTheTurnoverOfAll(t *testing.T) {
 	is := is.New(t)
 	const turnover = 58 * time.Millisecond
-	f := NewFleet(1, DefaultParams())
+	f := NewFleet(1, DefaultParams(), 1)
 	need := PlacementRequest{Service: "desk", Demand: job.Demand{CPUMillis: 2500}, Estimate: 60 * time.Millisecond, Slack: 50 * time.Millisecond, Now: time.Hour}
 	for i := range 32 {
 		node := strconv.Itoa(i)
--- a/coordination/owner/bench_test.go
+++ b/coordination/owner/bench_test.go
@@ -15,7 +15,7 @@
 // of them full, and the given number of waiting jobs of eight tasks each.
 func fullFleet(agents, jobs int) (*Shard, *Fleet, time.Duration) {
 	now := time.Hour
-	f := NewFleet(1, DefaultParams())
+	f := NewFleet(1, DefaultParams(), 1)
 	s := NewPrivate(now-time.Hour, 99, testBounds, f)
 	capacity := job.Demand{CPUMillis: 16000, MemoryMB: 65536}
 	load := AgentLoad{Service: "desk", Capacity: capacity, Accepts: true, Placers: 8, Turnover: 30 * time.Millisecond, Backlog: time.Second}
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -88,6 +90,10 @@
 
 	mu     sync.Mutex
 	agents map[string]*agentView // guarded by mu
+	// ordered has the values of agents, sorted by node. Guarded by mu.
+	ordered []*agentView
+	// rand chooses among agents that are equally good. Guarded by mu.
+	rand *rand.Rand
 	// retired has the agents that get no new work, whether linked or not. Guarded by mu.
 	retired map[string]bool
 	// drained has the failure domains in which nothing new is started. Guarded by mu.
@@ -103,6 +109,7 @@
 
 // agentView is the last load of an agent and the orders sent to it since. Guarded by Fleet.mu.
 type agentView struct {
+	node      string
 	load      AgentLoad
 	updatedAt time.Duration
 	sent      int64
@@ -135,9 +142,11 @@
 	suspect bool
 }
 
-// NewFleet returns a Fleet without agents.
-func NewFleet(remoteFactor float64, p Params) *Fleet {
+// NewFleet returns a Fleet without agents. Processes need different seeds: with the same one they
+// would choose the same of several equally good agents.
+func NewFleet(remoteFactor float64, p Params, seed uint64) *Fleet {
 	return &Fleet{
+		rand:          rand.New(rand.NewPCG(seed, 0)),
 		remoteFactor:  max(1, remoteFactor),
 		params:        p,
 		agents:        make(map[string]*agentView),
@@ -158,7 +167,12 @@
 func (f *Fleet) Linked(node string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.agents[node] = &agentView{retired: f.retired[node]}
+	f.agents[node] = &agentView{node: node, retired: f.retired[node]}
+	f.sortAgentsLocked()
+}
+
+func (f *Fleet) sortAgentsLocked() {
+	f.ordered = slices.SortedFunc(maps.Values(f.agents), func(a, b *agentView) int { return strings.Compare(a.node, b.node) })
 }
 
 // LinkLost removes an agent whose link is gone.
@@ -166,6 +180,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.agents, node)
+	f.sortAgentsLocked()
 }
 
 // SetRetired sets whether an agent gets no new work, because its link is about to end or its server
@@ -188,7 +203,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.drained = s
-	for _, v := range f.agents {
+	for _, v := range f.ordered {
 		v.drained = s.Has(v.load.Domain)
 	}
 }
@@ -212,7 +227,7 @@
 func (f *Fleet) Offers(service, label string, demand job.Demand) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, v := range f.agents {
+	for _, v := range f.ordered {
 		if v.acceptsWork() && v.load.Service == service && demand.Fits(v.load.Capacity) && (label == "" || slices.Contains(v.load.Labels, label)) {
 			return true
 		}
@@ -251,12 +266,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make([]AgentView, 0, len(f.agents))
-	for node, v := range f.agents {
+	for _, v := range f.ordered {
 		if v.updatedAt > 0 {
-			out = append(out, AgentView{Node: node, Load: v.load, UpdatedAt: v.updatedAt})
+			out = append(out, AgentView{Node: v.node, Load: v.load, UpdatedAt: v.updatedAt})
 		}
 	}
-	slices.SortFunc(out, func(a, b AgentView) int { return strings.Compare(a.Node, b.Node) })
 	return out
 }
 
--- a/coordination/owner/link.go
+++ b/coordination/owner/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -38,7 +39,8 @@
 // answered. The claim may have been lost between the link and its first frame, and without an
 // answer nothing would ever be placed on that agent.
 func (s *Shard) renewUnansweredLinksLocked(now time.Duration, fx *Effects) {
-	for node, l := range s.links {
+	for _, node := range slices.Sorted(maps.Keys(s.links)) {
+		l := s.links[node]
 		if l.claimed || l.lost || now-l.claimSentAt < claimTimeout {
 			continue
 		}
@@ -120,7 +122,9 @@
 		return
 	}
 	s.closed = true
-	for _, j := range s.jobs {
+	jobs := slices.Collect(maps.Values(s.jobs))
+	sortJobs(jobs)
+	for _, j := range jobs {
 		for _, w := range slices.Concat(j.waiters, j.cancelWaiters, j.watchers) {
 			fx.reply(w, Response{Outcome: Unknown, Reason: ReasonOwnerChanged})
 		}
--- a/coordination/owner/lost_agents.go
+++ b/coordination/owner/lost_agents.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/state/job"
@@ -8,7 +10,8 @@
 
 // resetLostTasksLocked makes tasks startable again whose runs are certain to be gone.
 func (s *Shard) resetLostTasksLocked(now time.Duration, fx *Effects, lost func(job.TaskID, *task) bool) {
-	for id, j := range s.jobs {
+	for _, j := range s.openJobsLocked() {
+		id := j.rec.ID
 		n := 0
 		for i := range j.rec.Spec.Steps {
 			for k := 0; k < j.rec.Spec.Steps[i].Count; k++ {
@@ -38,8 +41,8 @@
 	if s.ownershipUnconfirmed {
 		return
 	}
-	for node, l := range s.links {
-		if !l.lost || now < l.lostAt+s.bounds.LostLinkTimeout {
+	for _, node := range slices.Sorted(maps.Keys(s.links)) {
+		if l := s.links[node]; !l.lost || now < l.lostAt+s.bounds.LostLinkTimeout {
 			continue
 		}
 		delete(s.links, node)
@@ -49,8 +52,8 @@
 		s.resetLostTasksLocked(now, fx, func(_ job.TaskID, t *task) bool { return t.node == node })
 	}
 	before := len(s.unreconciled)
-	for node, until := range s.unreconciled {
-		if now >= until {
+	for _, node := range slices.Sorted(maps.Keys(s.unreconciled)) {
+		if now >= s.unreconciled[node] {
 			delete(s.unreconciled, node)
 			s.agentUnreached = true
 			if s.links[node] == nil {
@@ -77,7 +80,7 @@
 	if len(s.unreconciled) > 0 {
 		return
 	}
-	for _, j := range s.jobs {
+	for _, j := range s.openJobsLocked() {
 		startable := false
 		for i := range j.tasks {
 			t := &j.tasks[i]
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -8,6 +8,8 @@
 package owner
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -305,6 +307,22 @@
 	s.queued[r.Policy.Queue]++
 }
 
+// openJobsLocked returns the jobs with tasks that are not finished, sorted by ID.
+func (s *Shard) openJobsLocked() []*jobState {
+	var out []*jobState
+	for _, j := range s.jobs {
+		if slices.ContainsFunc(j.tasks, func(t task) bool { return t.phase != finished }) {
+			out = append(out, j)
+		}
+	}
+	sortJobs(out)
+	return out
+}
+
+func sortJobs(jobs []*jobState) {
+	slices.SortFunc(jobs, func(a, b *jobState) int { return cmp.Compare(a.rec.ID, b.rec.ID) })
+}
+
 // scheduleExpiryLocked schedules the removal of an ended job.
 func (s *Shard) scheduleExpiryLocked(now time.Duration, j *jobState) {
 	if j.rec.Spec.BestEffort {
--- a/coordination/owner/owner_test.go
+++ b/coordination/owner/owner_test.go
@@ -31,7 +31,7 @@
 
 func newFixture(t *testing.T, records []*job.Record, mayRun []string, agents ...string) *fixture {
 	t.Helper()
-	f := &fixture{is: is.New(t), fleet: NewFleet(1.5, DefaultParams()), now: time.Hour}
+	f := &fixture{is: is.New(t), fleet: NewFleet(1.5, DefaultParams(), 1), now: time.Hour}
 	f.Shard = New(f.now, 1, 3, testBounds, f.fleet, records, mayRun)
 	for _, node := range agents {
 		f.link(node, 1)
@@ -510,7 +510,7 @@
 // ended.
 func TestOwnerWithoutJobsLinksNoAgent(t *testing.T) {
 	is := is.New(t)
-	fleet := NewFleet(1, DefaultParams())
+	fleet := NewFleet(1, DefaultParams(), 1)
 	is.True(!New(time.Hour, 1, 3, testBounds, fleet, nil, nil).MayHaveRuns())
 	is.True(New(time.Hour, 1, 3, testBounds, fleet, nil, []string{"a"}).MayHaveRuns())
 	spec := steps(1)
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -49,8 +49,8 @@
 	defer f.mu.Unlock()
 	f.examined += int64(len(f.agents))
 	placers, sum, agents := 0, 0, 0
-	for node, v := range f.agents {
-		if v.canTake(n) && allowed(node) {
+	for _, v := range f.ordered {
+		if v.canTake(n) && allowed(v.node) {
 			cores += float64(v.load.Capacity.CPUMillis) / 1000
 			placers = max(placers, v.load.Placers)
 			sum += v.load.Placers
@@ -68,8 +68,8 @@
 func (f *Fleet) estimatedCapacity(now time.Duration, n PlacementRequest, allowed func(node string) bool) (free, cores float64, loadAge time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for node, v := range f.agents {
-		if !v.canTake(n) || !allowed(node) {
+	for _, v := range f.ordered {
+		if !v.canTake(n) || !allowed(v.node) {
 			continue
 		}
 		pending, _ := v.pendingDemand(now, f.params.OrderOverlap*f.orderRatio.estimate(v.load.Placers))
@@ -125,8 +125,8 @@
 func (f *Fleet) coreReleaseRateLocked(n PlacementRequest, allowed func(node string) bool) (rate float64, ahead time.Duration) {
 	var before time.Duration
 	var cores int64
-	for node, v := range f.agents {
-		if !v.canTake(n) || !allowed(node) {
+	for _, v := range f.ordered {
+		if !v.canTake(n) || !allowed(v.node) {
 			continue
 		}
 		before += v.load.backlogBefore(n.Slack)
@@ -141,27 +141,36 @@
 	return rate, before * 1000 / time.Duration(max(cores, 1))
 }
 
+// chooseLocked returns the best placement of a task, chosen at random among equal ones. If every
+// process chose the same one, their tasks would wait for each other there.
 func (f *Fleet) chooseLocked(n PlacementRequest, allowed func(node string) bool) (placement, bool) {
 	f.examined += int64(len(f.agents))
 	var best placement
-	found := false
-	for node, v := range f.agents {
-		if !v.canTake(n) || !allowed(node) {
+	equal := 0
+	for _, v := range f.ordered {
+		if !v.canTake(n) || !allowed(v.node) {
 			continue
 		}
-		p := f.predictLocked(node, v, n)
+		p := f.predictLocked(v, n)
 		p.rank = p.finish
-		if slices.Contains(n.Avoid, node) || n.Now-v.updatedAt > f.params.StaleLoadAge {
+		if slices.Contains(n.Avoid, v.node) || n.Now-v.updatedAt > f.params.StaleLoadAge {
 			p.rank += lastResortPenalty
 		}
 		if n.Isolation != worker.NoIsolation {
 			p.rank += v.isolationPenalty(p)
 		}
-		if !found || p.rank < best.rank {
-			best, found = p, true
+		switch {
+		case equal == 0 || p.rank < best.rank:
+			best, equal = p, 1
+		case p.rank == best.rank:
+			// Each of the equal agents is chosen with the same probability.
+			equal++
+			if f.rand.IntN(equal) == 0 {
+				best = p
+			}
 		}
 	}
-	return best, found
+	return best, equal > 0
 }
 
 // fullAgentPenalty ranks an agent whose worker is full behind an empty one, for a suspect. It is
@@ -197,8 +206,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	found := false
-	for node, v := range f.agents {
-		if v.canTake(n) && allowed(node) {
+	for _, v := range f.ordered {
+		if v.canTake(n) && allowed(v.node) {
 			return false
 		}
 		found = found || v.isDrained() && v.load.eligible(n)
@@ -220,14 +229,14 @@
 const lastResortPenalty = time.Minute
 
 // predictLocked estimates how long a task would wait at an agent and when it would end.
-func (f *Fleet) predictLocked(node string, v *agentView, n PlacementRequest) placement {
+func (f *Fleet) predictLocked(v *agentView, n PlacementRequest) placement {
 	taken, work := v.pendingDemand(n.Now, f.params.OrderOverlap*f.orderRatio.estimate(v.load.Placers))
 	free := v.load.Free.Minus(taken)
 	run := time.Duration(float64(n.Estimate) * max(1, v.load.Slowdown))
 	if n.Rack != "" && !slices.Contains(v.load.Labels, n.Rack) {
 		run = time.Duration(float64(run) * f.remoteFactor)
 	}
-	p := placement{node: node}
+	p := placement{node: v.node}
 	cores := max(v.load.Capacity.CPUMillis, 1)
 	before := v.load.backlogBefore(n.Slack)
 	if before > 0 || !n.Demand.Fits(free) {
--- a/coordination/owner/restart.go
+++ b/coordination/owner/restart.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -93,7 +94,7 @@
 // clearNeighboursLocked removes the servers that a task has crashed from the crashes of the other
 // suspects.
 func (s *Shard) clearNeighboursLocked(now time.Duration, fx *Effects, crashed []job.Crash) {
-	for id := range s.suspects {
+	for _, id := range s.sortedSuspectsLocked() {
 		j := s.jobs[id.Job]
 		if j == nil || j.rec.State.Final() {
 			delete(s.suspects, id)
@@ -128,9 +129,13 @@
 	fx.log(Decision{Kind: "crash_acquitted", Job: run.Task.Job, Run: run, Node: node, Reason: "ended"})
 }
 
+func (s *Shard) sortedSuspectsLocked() []job.TaskID {
+	return slices.SortedFunc(maps.Keys(s.suspects), job.TaskID.Compare)
+}
+
 // retrySuspectsLocked tries again to start suspects that wait for reports about a server.
 func (s *Shard) retrySuspectsLocked(now time.Duration, fx *Effects) {
-	for id := range s.suspects {
+	for _, id := range s.sortedSuspectsLocked() {
 		j := s.jobs[id.Job]
 		if j == nil || j.rec.State.Final() {
 			delete(s.suspects, id)
--- a/coordination/owner/status.go
+++ b/coordination/owner/status.go
@@ -1,5 +1,10 @@
 package owner
 
+import (
+	"maps"
+	"slices"
+)
+
 // MayHaveRuns reports whether any agent may have runs of this shard.
 func (s *Shard) MayHaveRuns() bool {
 	s.mu.Lock()
@@ -38,11 +43,7 @@
 func (s *Shard) UnreconciledAgents() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]string, 0, len(s.unreconciled))
-	for node := range s.unreconciled {
-		out = append(out, node)
-	}
-	return out
+	return slices.Sorted(maps.Keys(s.unreconciled))
 }
 
 // ReachableAgents returns the number of agents to which orders may go.
--- a/coordination/worker/capacity.go
+++ b/coordination/worker/capacity.go
@@ -60,17 +60,14 @@
 // returnUnfitLocked returns the waiting orders that no longer fit, or can't start in time, after
 // the capacity has shrunk.
 func (w *Worker) returnUnfitLocked(now time.Duration, fx *Effects) {
-	for id, r := range w.runs {
-		if r.phase != waiting {
-			continue
-		}
+	for _, r := range w.waitingLocked() {
 		if !r.order.Demand.Fits(w.server.Capacity) {
-			w.dropLocked(fx, id, r, job.NeverRan, reasonTooLarge)
+			w.dropLocked(fx, r, job.NeverRan, reasonTooLarge)
 			continue
 		}
 		if w.shouldReturnLocked(now, r) {
 			w.stats.Returned++
-			w.dropLocked(fx, id, r, job.NeverRan, ReasonNoRoom)
+			w.dropLocked(fx, r, job.NeverRan, ReasonNoRoom)
 		}
 	}
 }
--- a/coordination/worker/claims.go
+++ b/coordination/worker/claims.go
@@ -44,7 +44,7 @@
 	if c.Shard >= w.bounds.Shards {
 		w.ownerReplacedLocked(now, &out.Effects, c.Owner)
 	}
-	for _, r := range w.runs {
+	for _, r := range w.sortedRunsLocked() {
 		if r.order.Shard == c.Shard {
 			r.order.Epoch = c.Epoch
 		} else if r.orderKnown || c.Shard < w.bounds.Shards {
--- a/coordination/worker/crash.go
+++ b/coordination/worker/crash.go
@@ -77,15 +77,15 @@
 
 // endLostLocked ends a run that was lost with its server. suspects is the number of runs on the
 // server, any of which may be the cause. With NotLost the run lapses without a loss being reported.
-func (w *Worker) endLostLocked(now time.Duration, fx *Effects, id job.RunID, r *run, loss Loss, suspects int, reason string) {
+func (w *Worker) endLostLocked(now time.Duration, fx *Effects, r *run, loss Loss, suspects int, reason string) {
 	if loss == NotLost || !r.occupies() {
-		w.dropLocked(fx, id, r, job.Lapsed, reason)
+		w.dropLocked(fx, r, job.Lapsed, reason)
 		return
 	}
 	lost := w.lostServerLocked(now, loss)
-	lost.runs = append(lost.runs, lostRun{shard: r.order.Shard, epoch: r.order.Epoch, run: id, suspects: suspects})
+	lost.runs = append(lost.runs, lostRun{shard: r.order.Shard, epoch: r.order.Epoch, run: r.order.Run, suspects: suspects})
 	r.loss, r.suspects = loss, suspects
-	w.dropLocked(fx, id, r, job.Lapsed, reason)
+	w.dropLocked(fx, r, job.Lapsed, reason)
 }
 
 // lostServerLocked returns the record of the present instance as lost at now, and creates it if
--- a/coordination/worker/health.go
+++ b/coordination/worker/health.go
@@ -127,7 +127,8 @@
 		return
 	}
 	var overdue float64
-	for _, r := range w.runs {
+	runs := w.sortedRunsLocked()
+	for _, r := range runs {
 		if r.phase == running && !r.stopWanted {
 			overdue += r.overdue(now)
 		}
@@ -138,7 +139,7 @@
 	w.stats.Stalled++
 	w.health.suspend(now)
 	w.returnWaitingLocked(fx, "stalled")
-	for _, r := range w.runs {
+	for _, r := range runs {
 		// A run that must not be repeated is left to end: stopping it would fail its job for
 		// certain.
 		if r.phase == running && !r.stopWanted && !r.order.AtMostOnce && r.overdue(now) > 0 {
--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -244,8 +244,8 @@
 // was never answered can't start once a stop was answered, or once its deadline has passed on the
 // backend server's own clock.
 func (w *Worker) dropMissingLocked(fx *Effects, c HoldCall, clockMS int64, listed map[job.RunID]bool) {
-	for id, r := range w.runs {
-		if listed[id] || r.phase == waiting || r.phase == ended {
+	for _, r := range w.sortedRunsLocked() {
+		if listed[r.order.Run] || r.phase == waiting || r.phase == ended {
 			continue
 		}
 		kind, reason := job.Lapsed, "not_listed"
@@ -266,7 +266,7 @@
 				continue
 			}
 		}
-		w.dropLocked(fx, id, r, kind, reason)
+		w.dropLocked(fx, r, kind, reason)
 	}
 }
 
--- a/coordination/worker/run.go
+++ b/coordination/worker/run.go
@@ -1,6 +1,8 @@
 package worker
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/state/job"
@@ -50,6 +52,13 @@
 	suspects int
 }
 
+// sortedRunsLocked returns all runs in a fixed order, for walks whose effects depend on the order.
+func (w *Worker) sortedRunsLocked() []*run {
+	out := slices.Collect(maps.Values(w.runs))
+	slices.SortFunc(out, func(a, b *run) int { return a.order.Run.Compare(b.order.Run) })
+	return out
+}
+
 type endState struct {
 	// seq is the backend server's sequence number of the end. It is zero if the server doesn't list
 	// the end, or no longer does.
@@ -93,9 +102,9 @@
 // resetLocked ends all runs of an instance that is gone and reports them with the given loss.
 func (w *Worker) resetLocked(now time.Duration, fx *Effects, loss Loss) {
 	suspects := w.occupancyLocked(now).runs
-	for id, r := range w.runs {
+	for _, r := range w.sortedRunsLocked() {
 		if r.phase != ended {
-			w.endLostLocked(now, fx, id, r, loss, suspects, "instance_gone")
+			w.endLostLocked(now, fx, r, loss, suspects, "instance_gone")
 			continue
 		}
 		if r.order.AtMostOnce && !r.end.settled {
@@ -103,7 +112,7 @@
 			r.end.seq = 0
 			continue
 		}
-		delete(w.runs, id)
+		delete(w.runs, r.order.Run)
 	}
 	w.unackedEnds = make(map[int64]*run)
 	w.clock = clock{}
@@ -130,13 +139,13 @@
 // dropLocked reports the end of a run that the backend server doesn't list, and forgets the run.
 // The loss of a run that must not be repeated is kept until its owner has settled it. Otherwise an
 // owner that takes over before would find nothing and start the task again.
-func (w *Worker) dropLocked(fx *Effects, id job.RunID, r *run, kind job.EndKind, reason string) {
+func (w *Worker) dropLocked(fx *Effects, r *run, kind job.EndKind, reason string) {
 	w.reportEndLocked(fx, r, kind, reason)
-	delete(w.runs, id)
 	if r.order.AtMostOnce && kind == job.Lapsed && r.phase != waiting {
 		r.phase, r.end = ended, endState{kind: kind}
-		w.runs[id] = r
+		return
 	}
+	delete(w.runs, r.order.Run)
 }
 
 func (w *Worker) emitLocked(fx *Effects, r *run, s RunState) {
@@ -145,10 +154,7 @@
 
 // returnWaitingLocked returns the waiting orders to their owners.
 func (w *Worker) returnWaitingLocked(fx *Effects, reason string) {
-	for id, r := range w.runs {
-		if r.phase != waiting {
-			continue
-		}
-		w.dropLocked(fx, id, r, job.NeverRan, reason)
+	for _, r := range w.waitingLocked() {
+		w.dropLocked(fx, r, job.NeverRan, reason)
 	}
 }
--- a/coordination/worker/settle.go
+++ b/coordination/worker/settle.go
@@ -11,7 +11,7 @@
 	if r == nil || r.phase != ended {
 		return
 	}
-	if w.settleLocked(id, r); r.end.seq == 0 {
+	if w.settleLocked(r); r.end.seq == 0 {
 		return
 	}
 	if void && !r.end.void {
@@ -24,10 +24,10 @@
 
 // settleLocked notes that no owner needs an end any more. An end that the backend server never
 // listed, or whose sequence number is acknowledged already, is forgotten at once.
-func (w *Worker) settleLocked(id job.RunID, r *run) {
+func (w *Worker) settleLocked(r *run) {
 	r.end.settled = true
 	if r.end.seq == 0 {
-		delete(w.runs, id)
+		delete(w.runs, r.order.Run)
 	}
 }
 
--- a/coordination/worker/stops.go
+++ b/coordination/worker/stops.go
@@ -26,7 +26,7 @@
 func (w *Worker) stopLocked(now time.Duration, fx *Effects, r *run, reason string) {
 	switch r.phase {
 	case waiting:
-		w.dropLocked(fx, r.order.Run, r, job.NeverRan, reason)
+		w.dropLocked(fx, r, job.NeverRan, reason)
 	case ended:
 	default:
 		r.stopWanted = true
--- a/coordination/worker/tick.go
+++ b/coordination/worker/tick.go
@@ -22,7 +22,7 @@
 	w.forgetLostLocked(now)
 	w.enforceOwnerTimeoutLocked(now, fx)
 	w.acknowledgeLocked()
-	for _, r := range w.runs {
+	for _, r := range w.sortedRunsLocked() {
 		if r.stopWanted && r.phase != ended && !w.unresponsive {
 			w.sendStopLocked(now, fx, r)
 		}
@@ -42,9 +42,9 @@
 		loss = NotLost
 	}
 	suspects := w.occupancyLocked(now).runs
-	for id, r := range w.runs {
+	for _, r := range w.sortedRunsLocked() {
 		if r.phase == waiting {
-			w.dropLocked(fx, id, r, job.NeverRan, "server_silent")
+			w.dropLocked(fx, r, job.NeverRan, "server_silent")
 			continue
 		}
 		if r.phase == ended {
@@ -52,7 +52,7 @@
 			continue
 		}
 		w.stats.Lapsed++
-		w.endLostLocked(now, fx, id, r, loss, suspects, "lease_expired")
+		w.endLostLocked(now, fx, r, loss, suspects, "lease_expired")
 	}
 }
 
@@ -60,17 +60,17 @@
 // timeout. A new owner that can't reach this agent relies on that before it starts the tasks
 // elsewhere.
 func (w *Worker) enforceOwnerTimeoutLocked(now time.Duration, fx *Effects) {
-	for id, r := range w.runs {
+	for _, r := range w.sortedRunsLocked() {
 		if now-w.lastHeardLocked(r) < w.ownerTimeout(r) || r.stopWanted && r.phase != ended {
 			continue
 		}
 		if r.phase == ended {
-			w.settleOrphanLocked(id, r)
+			w.settleOrphanLocked(r)
 			continue
 		}
 		w.stats.OwnerTimedOut++
 		if r.phase == waiting {
-			delete(w.runs, id)
+			delete(w.runs, r.order.Run)
 			continue
 		}
 		w.stopLocked(now, fx, r, "owner_silent")
@@ -80,9 +80,9 @@
 // settleOrphanLocked settles an end of a best-effort job whose owner is gone. Such a job is not
 // recorded, so no other owner would settle the end, and the backend server's list would fill up
 // with ends that can't be acknowledged behind it.
-func (w *Worker) settleOrphanLocked(id job.RunID, r *run) {
+func (w *Worker) settleOrphanLocked(r *run) {
 	if w.bestEffortLocked(r) {
-		w.settleLocked(id, r)
+		w.settleLocked(r)
 	}
 }
 
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -69,7 +70,7 @@
 	e := &Entry{
 		settings: s, store: st, metrics: core.NewMetrics(),
 		config: config, decode: decode, owners: newOwnerCache(s, st), buckets: newBuckets(s, st),
-		fleet: owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams()),
+		fleet: owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams(), rand.Uint64()),
 	}
 	e.drains = core.NewDrainWatch(drains, e.applyDrains)
 	e.metrics.WatchDrains(e.drains)
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -5,6 +5,7 @@
 package job
 
 import (
+	"cmp"
 	"hash/fnv"
 	"strconv"
 	"time"
@@ -177,6 +178,16 @@
 	Number int64
 }
 
+// Compare orders tasks by job, step and index.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
+// Compare orders runs by task and number.
+func (r RunID) Compare(o RunID) int {
+	return cmp.Or(r.Task.Compare(o.Task), cmp.Compare(r.Number, o.Number))
+}
+
 // EndKind is the way in which a run ended.
 type EndKind uint8
 
