Tell the incarnations of a backend server under one ID apart

Cause: a server may start again under its ID; it then holds nothing, and its clock, its report numbers and the numbers of its ends start anew. The worker knew a server by its ID alone. It dropped the reports of one that was back until their numbers had passed those of before, took its ends for known ones, held room for runs that were gone, and gave it lease deadlines of another clock.

Change: job.Instance is the ID and the start time, decoded once in platform/ (born). It stands wherever an instance is compared or kept: reports, lists, starts and stops under way, lost servers and crash records, the notes for the agent's next incarnation. The load frame no longer carries the instance, which no owner used. - A lower start time is an earlier incarnation's late word and changes nothing. - Lists of a new incarnation end the earlier one; nothing starts before it has reported what it is. - A call names an instance only by the ID. Servers that never state it go on as before.

Ruled out: the start time in the registry: it compares no instances, and each start of a server would be read by every follower.

Assumption: a call that a server has received ends with it; one that waits for a connection (80 ms) may reach the next incarnation.

--- a/coordination/load/world_test.go
+++ b/coordination/load/world_test.go
@@ -356,7 +356,7 @@
 func (a *agent) report() {
 	instance := fmt.Sprintf("i-%s-%d", a.name, a.serverInstance)
 	a.lastReportSeq++
-	a.apply(a.Report(a.w.now, worker.Server{Instance: instance, Service: service, Capacity: a.capacity, ColdRemaining: a.coldRemaining, Seq: a.lastReportSeq}, a.w.now.Milliseconds()))
+	a.apply(a.Report(a.w.now, worker.Server{Instance: job.Instance{ID: instance}, Service: service, Capacity: a.capacity, ColdRemaining: a.coldRemaining, Seq: a.lastReportSeq}, a.w.now.Milliseconds()))
 }
 
 func (w *world) agent(name string) *agent {
--- a/coordination/model/agent_test.go
+++ b/coordination/model/agent_test.go
@@ -166,7 +166,9 @@
 	incarnation := a.incarnation
 	for _, s := range fx.Starts {
 		a.checkDrains()
-		a.call(func() bool { return a.server.runStart(incarnation, s) }, func(answered, ok bool) {
+		call := s
+		call.Instance = a.server.calledInstance(s.Instance)
+		a.call(func() bool { return a.server.runStart(incarnation, call) }, func(answered, ok bool) {
 			outcome := worker.StartRefused
 			a.w.trace("%s start %v answered %v ok %v", a.name, s.Run, answered, ok)
 			switch {
@@ -179,7 +181,9 @@
 		})
 	}
 	for _, s := range fx.Stops {
-		a.call(func() bool { return a.server.runStop(incarnation, s) }, func(answered, ok bool) {
+		call := s
+		call.Instance = a.server.calledInstance(s.Instance)
+		a.call(func() bool { return a.server.runStop(incarnation, call) }, func(answered, ok bool) {
 			a.apply(a.worker.StopAnswered(a.w.now, s.Instance, s.Run, answered && ok))
 		})
 	}
@@ -197,6 +201,9 @@
 	}
 }
 
+// maxConnectTime is how long a call may wait for a connection.
+const maxConnectTime = 80 * time.Millisecond
+
 // call carries out a call at the backend server and passes the response to the agent. While the
 // backend server is unreliable, the call may be late or its response lost; the agent then gets a
 // timeout.
@@ -220,8 +227,12 @@
 	if late || lost {
 		w.after(timeout, func() { respond(false, false) })
 	}
+	sentTo, sentAt := a.server.instance, w.now
 	w.after(delay, func() {
-		ok := do()
+		// A call that waits in the server ends with it. One that waits for a connection reaches the
+		// next incarnation.
+		received := a.server.instance == sentTo || w.now-sentAt <= maxConnectTime
+		ok := received && do()
 		if !late && !lost {
 			respond(true, ok)
 		}
@@ -241,11 +252,13 @@
 			return
 		}
 		var h worker.HoldResult
-		a.call(func() bool { return a.server.hold(incarnation, c, &h) }, func(answered, ok bool) {
+		call := c
+		call.Instance = a.server.calledInstance(c.Instance)
+		a.call(func() bool { return a.server.hold(incarnation, call, &h) }, func(answered, ok bool) {
 			if answered && ok {
 				a.apply(a.worker.HoldAnswered(a.w.now, c, h))
 			} else {
-				a.apply(a.worker.HoldFailed(a.w.now, c, a.server.holdFailure(c, answered)))
+				a.apply(a.worker.HoldFailed(a.w.now, c, a.server.holdFailure(call, answered)))
 			}
 			a.w.after(40*time.Millisecond, func() { a.hold(incarnation) })
 		})
--- a/coordination/model/model_test.go
+++ b/coordination/model/model_test.go
@@ -16,7 +16,8 @@
 const raceDetectorWorlds = 5
 
 // TestWorlds injects random faults: owners are killed, freeze, and continue without knowing that
-// they were replaced; agents restart and freeze; backend servers crash, carry out calls late and
+// they were replaced; agents restart and freeze; backend servers crash and start again, with another ID
+// or under the one that they had, carry out calls late and
 // lose responses; links are cut; the store rejects writes and loses responses; clocks differ; tasks
 // crash the backend servers that start them; capacities shrink; failure domains are drained.
 //
@@ -44,7 +45,7 @@
 var mutants = []mutant{
 	noStoreFence, claimsWithoutRuns, formerAgentsNotRead, agentsNotWritten, noTakeoverWait, noLostLinkWait,
 	acceptedBeforeWrite, settledBeforeWrite, noOrderFence, voidEndsAcked, lossesNotReported, capacityNotUpdated,
-	drainsIgnored, drainsNotRead, olderDrainsAccepted,
+	drainsIgnored, drainsNotRead, olderDrainsAccepted, startTimesNotTold, restartsUnderNewIDs,
 }
 
 // rareMutants are detected only if several faults coincide within milliseconds, or if clocks differ
--- a/coordination/model/server_test.go
+++ b/coordination/model/server_test.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
@@ -19,8 +20,12 @@
 	// clockRate and clockOffset map the world's time to the server's clock.
 	clockRate   float64
 	clockOffset time.Duration
-	instance    int
-	up          bool
+	// instance identifies the present incarnation, and bootedAt is when it started. ids counts the
+	// IDs that the server has had.
+	instance job.Instance
+	bootedAt time.Duration
+	ids      int
+	up       bool
 	// unreliableUntil is the time until which calls may be late and responses lost.
 	unreliableUntil time.Duration
 
@@ -57,13 +62,18 @@
 		maxDrift = 0.15
 	}
 	e.clockRate = 1 + maxDrift*(2*w.rand.Float64()-1)
-	e.boot()
+	e.boot(true)
 	e.tick()
 	return e
 }
 
-func (e *serverModel) boot() {
-	e.instance++
+// boot starts an incarnation. It holds nothing, and its clock and numbers start anew.
+func (e *serverModel) boot(newID bool) {
+	if newID {
+		e.ids++
+	}
+	e.instance = job.Instance{ID: e.agent.name + "-" + strconv.Itoa(e.ids), StartedMS: e.w.now.Milliseconds()}
+	e.bootedAt, e.lastReportSeq = e.w.now, 0
 	e.up = true
 	e.w.trace("- %s is up", e.name())
 	e.fencingToken, e.leaseDeadline, e.lastEndSeq, e.ends = 0, 0, 0, nil
@@ -72,23 +82,50 @@
 	e.report()
 }
 
-func (e *serverModel) name() string { return e.agent.name + "-" + strconv.Itoa(e.instance) }
+func (e *serverModel) name() string { return e.instance.String() }
 
 func (e *serverModel) clock() int64 {
-	return (time.Duration(float64(e.w.now-time.Hour)*e.clockRate) + e.clockOffset).Milliseconds()
+	return (time.Duration(float64(e.w.now-e.bootedAt)*e.clockRate) + e.clockOffset).Milliseconds()
+}
+
+// accepts reports whether a call for an instance is served. A call names only the ID.
+func (e *serverModel) accepts(i job.Instance) bool { return e.up && i.ID == e.instance.ID }
+
+// toldInstance returns an instance as the agent learns of it.
+func (e *serverModel) toldInstance() job.Instance {
+	i := e.instance
+	switch e.w.mutant {
+	case startTimesNotTold:
+		i.StartedMS = 0
+	case restartsUnderNewIDs:
+		i = job.Instance{ID: i.String()}
+	}
+	return i
+}
+
+// calledInstance is the inverse of toldInstance, as far as calls name an instance.
+func (e *serverModel) calledInstance(i job.Instance) job.Instance {
+	i.ID, _, _ = strings.Cut(i.ID, "@")
+	return i
 }
 
 // report sends the server's instance and capacity to its agent.
 func (e *serverModel) report() {
 	e.lastReportSeq++
-	s := worker.Server{Instance: e.name(), Service: "desk", Capacity: e.capacity, Seq: e.lastReportSeq}
+	s := worker.Server{Instance: e.toldInstance(), Service: "desk", Capacity: e.capacity, Seq: e.lastReportSeq}
+	sent := e.instance
 	if e.w.mutant == capacityNotUpdated {
 		s.Capacity = capacity
 	}
 	at := e.clock()
-	e.w.after(e.w.randUpTo(3*time.Millisecond), func() {
+	delay := e.w.randUpTo(3 * time.Millisecond)
+	if e.w.chance(0.02) {
+		delay = e.w.randUpTo(2 * time.Second)
+	}
+	e.w.after(delay, func() {
 		e.agent.run(func() {
-			if e.agent.worker != nil && s.Instance == e.name() && e.up {
+			// The agent asks the server whether an instance with another ID runs.
+			if e.agent.worker != nil && (sent.Precedes(e.instance) || sent == e.instance && e.up) {
 				e.agent.apply(e.agent.worker.Report(e.w.now, s, at))
 			}
 		})
@@ -108,7 +145,8 @@
 	})
 	e.runs = nil
 	e.up = false
-	e.w.after(downtime, e.boot)
+	newID := e.w.chance(0.5)
+	e.w.after(downtime, func() { e.boot(newID) })
 }
 
 // capacityGrace is how long after the capacity has changed starts may still be based on the former
@@ -149,6 +187,11 @@
 	e.w.after(10*time.Millisecond, e.tick)
 }
 
+// extendLease extends the lease, which is shortened to the longest that the server grants.
+func (e *serverModel) extendLease(deadline int64) {
+	e.leaseDeadline = max(e.leaseDeadline, min(deadline, e.clock()+lease.Milliseconds()))
+}
+
 // expireLease ends all runs if the lease has expired.
 func (e *serverModel) expireLease() {
 	if e.clock() <= e.leaseDeadline {
@@ -179,14 +222,14 @@
 
 func (e *serverModel) runStart(incarnation int64, c worker.StartCall) bool {
 	e.w.trace("%s start %v incarnation %d fencing token %d clock %d deadline %d up %v for %s", e.name(), c.Run, incarnation, e.fencingToken, e.clock(), c.Deadline, e.up, c.Instance)
-	if !e.up || c.Instance != e.name() || e.fenced(incarnation) {
+	if !e.accepts(c.Instance) || e.fenced(incarnation) {
 		return false
 	}
 	if c.Deadline <= e.clock() && e.w.mutant != noStartDeadline {
 		return false
 	}
 	e.expireLease()
-	e.leaseDeadline = max(e.leaseDeadline, c.Deadline)
+	e.extendLease(c.Deadline)
 	task := c.Run.Task
 	number, active := e.runs[task]
 	if active && number == c.Run.Number {
@@ -256,7 +299,7 @@
 )
 
 // crashByTask crashes the server if the given run is still active on the given instance.
-func (e *serverModel) crashByTask(task job.TaskID, number int64, instance int) {
+func (e *serverModel) crashByTask(task job.TaskID, number int64, instance job.Instance) {
 	if !e.up || e.instance != instance || e.runs[task] != number {
 		return
 	}
@@ -293,7 +336,7 @@
 }
 
 func (e *serverModel) runStop(incarnation int64, c worker.StopCall) bool {
-	if !e.up || c.Instance != e.name() || e.fenced(incarnation) {
+	if !e.accepts(c.Instance) || e.fenced(incarnation) {
 		return false
 	}
 	e.w.trace("%s stop %v", e.name(), c.Run)
@@ -306,18 +349,18 @@
 }
 
 func (e *serverModel) hold(incarnation int64, c worker.HoldCall, h *worker.HoldResult) bool {
-	if !e.up || c.Instance != e.name() || e.fenced(incarnation) {
+	if !e.accepts(c.Instance) || e.fenced(incarnation) {
 		return false
 	}
 	e.expireLease()
-	e.leaseDeadline = max(e.leaseDeadline, c.Deadline)
+	e.extendLease(c.Deadline)
 	for len(e.ends) > 0 && e.ends[0].Seq <= c.Acked {
 		if end := e.ends[0]; end.Kind == job.Done && !end.lapsed {
 			e.endAcknowledged(end.Run.Task)
 		}
 		e.ends = e.ends[1:]
 	}
-	h.ClockMS = e.clock()
+	h.StartedMS, h.ClockMS = e.toldInstance().StartedMS, e.clock()
 	for _, task := range e.sortedTasks() {
 		h.Active = append(h.Active, worker.ListedRun{Run: runOf(task, e.runs[task])})
 	}
@@ -345,7 +388,7 @@
 		return worker.NoAnswer
 	case !e.up:
 		return worker.NotSent
-	case c.Instance != e.name():
+	case !e.accepts(c.Instance):
 		return worker.OtherInstance
 	}
 	return worker.NoAnswer
--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -66,6 +66,11 @@
 	drainsNotRead mutant = "drains not looked for"
 	// Agents accept a drain state that is older than the one they have.
 	olderDrainsAccepted mutant = "older drains taken for newer"
+	// Backend servers don't tell their incarnations under one ID apart.
+	startTimesNotTold mutant = "start times not told"
+	// Agents take each incarnation under one ID for a server with another ID, which no call for the
+	// earlier one reaches.
+	restartsUnderNewIDs mutant = "restarts taken for other IDs"
 	// Owners that were replaced in the group never stop.
 	noRenewLimit mutant = "dropped owners go on for ever"
 )
--- a/coordination/owner/crash.go
+++ b/coordination/owner/crash.go
@@ -49,8 +49,9 @@
 
 // serverLoss is the loss of a backend server that had runs of this shard.
 type serverLoss struct {
-	node, instance string
-	at             time.Duration
+	node     string
+	instance job.Instance
+	at       time.Duration
 }
 
 // runLostWithServerLocked handles the end of a run that was lost with its backend server.
@@ -94,7 +95,7 @@
 	s.recordServerLossLocked(now, c.Node, c.Instance)
 	t.lostAt = now
 	s.suspects[r.Run.Task] = true
-	fx.log(Decision{Kind: "crash_suspected", Job: j.rec.ID, Run: r.Run, Node: c.Node, Reason: c.Instance, Count: r.Suspects})
+	fx.log(Decision{Kind: "crash_suspected", Job: j.rec.ID, Run: r.Run, Node: c.Node, Reason: c.Instance.String(), Count: r.Suspects})
 	by := now + s.bounds.MaxWriteDelay
 	if len(rec.Crashes) >= minCrashesToRecord {
 		// The task has few starts left, and an owner that takes over has to know that.
@@ -126,7 +127,7 @@
 		rec.Crashes[i].Confirmed = true
 	default:
 		rec.Crashes = slices.Delete(slices.Clone(rec.Crashes), i, i+1)
-		fx.log(Decision{Kind: "crash_cleared", Job: j.rec.ID, Run: r.Run, Node: node, Reason: r.Instance})
+		fx.log(Decision{Kind: "crash_cleared", Job: j.rec.ID, Run: r.Run, Node: node, Reason: r.Instance.String()})
 	}
 	s.scheduleWriteLocked(fx, j, now+s.bounds.MaxWriteDelay)
 	if t.phase == idle {
@@ -135,7 +136,7 @@
 }
 
 // recordServerLossLocked remembers the loss of a server, once for each instance.
-func (s *Shard) recordServerLossLocked(now time.Duration, node, instance string) {
+func (s *Shard) recordServerLossLocked(now time.Duration, node string, instance job.Instance) {
 	if slices.ContainsFunc(s.serverLosses, func(l serverLoss) bool { return l.node == node && l.instance == instance }) {
 		return
 	}
--- a/coordination/owner/crash_test.go
+++ b/coordination/owner/crash_test.go
@@ -24,7 +24,7 @@
 // its backend server while the given number of runs was on that server.
 func lostRunState(o Addressed[worker.Order], suspects int, what worker.Loss) worker.RunState {
 	return worker.RunState{
-		Run: o.Value.Run, Status: worker.Ended, End: job.Lapsed, Loss: what, Instance: "i-" + o.Node, Suspects: suspects,
+		Run: o.Value.Run, Status: worker.Ended, End: job.Lapsed, Loss: what, Instance: job.Instance{ID: "i-" + o.Node}, Suspects: suspects,
 	}
 }
 
@@ -42,7 +42,7 @@
 
 // reportLossOutcome reports what became of the lost server.
 func (f *fixture) reportLossOutcome(o Addressed[worker.Order], what worker.Loss) {
-	f.deliver(o, worker.RunState{Run: o.Value.Run, Status: worker.LossUpdate, Loss: what, Instance: "i-" + o.Node})
+	f.deliver(o, worker.RunState{Run: o.Value.Run, Status: worker.LossUpdate, Loss: what, Instance: job.Instance{ID: "i-" + o.Node}})
 }
 
 // advance advances the clock in ticks of 50 ms and writes the pending records.
@@ -154,7 +154,7 @@
 	f := newCrashFixture(t)
 	f.reportLoss(f.submitSingle(), 4, worker.LossConfirmed)
 	for i := range minCorrelatedLosses {
-		f.recordServerLossLocked(f.now, "rack-"+strconv.Itoa(i), "i")
+		f.recordServerLossLocked(f.now, "rack-"+strconv.Itoa(i), job.Instance{ID: "i"})
 	}
 	f.reportLoss(f.lastOrder(), 1, worker.LossConfirmed)
 	f.is.True(!f.Lookup(testID).State.Final())
@@ -267,7 +267,7 @@
 	first := f.submitSingle()
 	f.reportLoss(first, 3, worker.LossConfirmed)
 	second := f.lastOrder()
-	culprit := []job.Crash{{Node: first.Node, Instance: "i-" + first.Node}}
+	culprit := []job.Crash{{Node: first.Node, Instance: job.Instance{ID: "i-" + first.Node}}}
 	var fx Effects
 	f.clearNeighboursLocked(f.now, &fx, culprit)
 	f.collect(fx)
@@ -335,7 +335,7 @@
 	f.is.Equal(len(f.orders), 2)
 	var fx Effects
 	f.clearNeighboursLocked(f.now, &fx, []job.Crash{
-		{Node: first.Node, Instance: "i-" + first.Node}, {Node: second.Node, Instance: "i-" + second.Node},
+		{Node: first.Node, Instance: job.Instance{ID: "i-" + first.Node}}, {Node: second.Node, Instance: job.Instance{ID: "i-" + second.Node}},
 	})
 	f.collect(fx)
 	f.advance(100 * time.Millisecond)
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -15,9 +15,8 @@
 
 // AgentLoad is the load that an agent reports of the backend server beside it.
 type AgentLoad struct {
-	Service  string
-	Instance string
-	Labels   []string
+	Service string
+	Labels  []string
 	// Domain is the failure domain of the agent's host.
 	Domain   string
 	Capacity job.Demand
--- a/coordination/worker/capacity_test.go
+++ b/coordination/worker/capacity_test.go
@@ -18,7 +18,7 @@
 
 func (f *fixture) reportCapacityAt(seq, cpuMillis, clock int64) {
 	f.confirmStarts(f.collect(f.Report(f.now, Server{
-		Instance: "i-1", Service: "desk", Labels: []string{"a", "r1"}, Seq: seq,
+		Instance: job.Instance{ID: "i-1"}, Service: "desk", Labels: []string{"a", "r1"}, Seq: seq,
 		Capacity: job.Demand{CPUMillis: cpuMillis, MemoryMB: 1000},
 	}, clock)))
 }
@@ -121,7 +121,7 @@
 	f.send(f.order(0))
 	f.collect(f.Stop(f.now, bestEffortShard, 1, f.order(0).Run))
 	fx := f.collect(f.Order(f.now, f.order(1)))
-	f.collect(f.StartAnswered(f.now, "i-1", fx.Starts[0].Run, StartUnknown, ""))
+	f.collect(f.StartAnswered(f.now, job.Instance{ID: "i-1"}, fx.Starts[0].Run, StartUnknown, ""))
 	f.reportCapacity(2, 1600)
 	f.is.Equal(f.freeCPU(), int64(-1600))
 	f.is.Equal(len(f.send(f.order(2)).Starts), 0)
--- a/coordination/worker/crash.go
+++ b/coordination/worker/crash.go
@@ -54,7 +54,7 @@
 // lostServer is an instance that was lost, with the runs that were lost with it and what is known
 // about the loss. An instance that was only cut off and answers again may be lost once more.
 type lostServer struct {
-	instance string
+	instance job.Instance
 	at       time.Duration
 	loss     Loss
 	runs     []lostRun
@@ -82,10 +82,18 @@
 		w.dropLocked(fx, r, job.Lapsed, reason)
 		return
 	}
+	w.recordLossLocked(now, r, loss, suspects)
+	w.dropLocked(fx, r, job.Lapsed, reason)
+}
+
+// recordLossLocked records that a run may have been lost with the present instance.
+func (w *Worker) recordLossLocked(now time.Duration, r *run, loss Loss, suspects int) {
+	if loss == NotLost {
+		return
+	}
 	lost := w.lostServerLocked(now, loss)
 	lost.runs = append(lost.runs, lostRun{shard: r.order.Shard, epoch: r.order.Epoch, run: r.order.Run, suspects: suspects})
-	r.loss, r.suspects = loss, suspects
-	w.dropLocked(fx, r, job.Lapsed, reason)
+	r.loss, r.lostInstance, r.suspects = loss, w.server.Instance, suspects
 }
 
 // lostServerLocked returns the record of the present instance as lost at now, and creates it if
--- a/coordination/worker/crash_test.go
+++ b/coordination/worker/crash_test.go
@@ -46,7 +46,7 @@
 	for _, s := range lost {
 		f.is.Equal(s.Loss, LossSuspected)
 		f.is.Equal(s.Suspects, 2)
-		f.is.Equal(s.Instance, "i-1")
+		f.is.Equal(s.Instance, job.Instance{ID: "i-1"})
 	}
 	f.advance(2 * time.Second)
 	f.report("i-2", 1, false)
@@ -85,7 +85,7 @@
 	for name, end := range map[string]func(*fixture){
 		"draining": func(f *fixture) { f.report("i-1", 2, true); f.crashServer(); f.report("i-2", 1, false) },
 		"replaced": func(f *fixture) { f.report("i-1", 2, true); f.report("i-2", 1, false) },
-		"left":     func(f *fixture) { f.collect(f.Deregistered("i-1")); f.report("i-2", 1, false) },
+		"left":     func(f *fixture) { f.collect(f.Deregistered(job.Instance{ID: "i-1"})); f.report("i-2", 1, false) },
 		"stopping": func(f *fixture) { f.Drain(); f.crashServer(); f.report("i-2", 1, false) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -11,7 +11,7 @@
 
 // HoldCall asks the driver to extend the lease and to list the runs.
 type HoldCall struct {
-	Instance string
+	Instance job.Instance
 	// Seq numbers the calls. The driver passes the call back with the answer.
 	Seq   int64
 	Acked int64
@@ -81,6 +81,8 @@
 
 // HoldResult is the result of a hold.
 type HoldResult struct {
+	// StartedMS is the start time of the instance that answered; zero if it didn't say.
+	StartedMS int64
 	// ClockMS is the reading of the backend server's clock in milliseconds.
 	ClockMS int64
 	Active  []ListedRun
@@ -141,6 +143,9 @@
 	if c.Instance != w.server.Instance {
 		return fx
 	}
+	if !w.answeredByLocked(now, &fx, job.Instance{ID: c.Instance.ID, StartedMS: h.StartedMS}) {
+		return fx
+	}
 	w.listsSeen = true
 	w.lastHoldAnswer = now
 	w.resolveLossLocked(&fx, LossCleared)
@@ -171,18 +176,39 @@
 	return fx
 }
 
+// answeredByLocked reports whether lists come from the known instance. The lists of a new
+// incarnation may arrive before its first report. They end the earlier one, but the service and
+// capacity of the new one are not known, so nothing is started before the report. A server whose
+// lists name an earlier start than its reports did is another one than reported, and the next report
+// counts as the first.
+func (w *Worker) answeredByLocked(now time.Duration, fx *Effects, answered job.Instance) bool {
+	w.learnStartLocked(answered)
+	if answered.StartedMS == 0 || answered == w.server.Instance {
+		return true
+	}
+	w.replacedServerLocked(now, fx, answered)
+	w.reported = false
+	known := w.server.Instance
+	w.server = Server{}
+	if known.Precedes(answered) {
+		w.server.Instance = answered
+	}
+	return false
+}
+
 func (w *Worker) applyListedRunLocked(now time.Duration, fx *Effects, a ListedRun) {
 	r := w.runs[a.Run]
 	if r == nil {
 		// The run was started by an earlier incarnation of this agent, or it was reported as lapsed
 		// and hasn't ended yet.
 		shard := a.Run.Task.Job.Shard(w.bounds.Shards)
-		w.runs[a.Run] = &run{order: Order{Shard: shard, Run: a.Run}, phase: running, startedAt: now}
+		w.runs[a.Run] = &run{order: Order{Shard: shard, Run: a.Run}, phase: running, startedAt: now, listed: true}
 		return
 	}
 	if r.phase == starting || r.phase == unconfirmed {
 		w.confirmLocked(fx, r)
 	}
+	r.listed = true
 }
 
 func (w *Worker) applyListedEndLocked(now time.Duration, fx *Effects, e ListedEnd) {
@@ -260,7 +286,9 @@
 				r.stopWanted = r.stopWanted || c.Seq > r.confirmedAtHold
 				continue
 			}
-			kind, reason = job.NeverRan, "barred"
+			if !r.inDoubt {
+				kind, reason = job.NeverRan, "barred"
+			}
 		case running:
 			if c.Seq <= r.confirmedAtHold {
 				continue
--- a/coordination/worker/hold_failure.go
+++ b/coordination/worker/hold_failure.go
@@ -1,6 +1,10 @@
 package worker
 
-import "time"
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/state/job"
+)
 
 // maxMissedHolds is the number of consecutive holds without an answer after which the backend
 // server gets no more starts. Some faults lose three answers in ten: with a limit of two, orders
@@ -26,7 +30,7 @@
 		return fx
 	}
 	if why == OtherInstance {
-		w.replacedServerLocked(now, &fx)
+		w.replacedServerLocked(now, &fx, job.Instance{})
 		w.reported = false
 		return fx
 	}
--- a/coordination/worker/run.go
+++ b/coordination/worker/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -47,9 +48,16 @@
 	end          endState
 	// queueSeq numbers the orders as they arrive.
 	queueSeq int64
-	// loss and suspects are reported to the owner of a run that was lost with its server.
-	loss     Loss
-	suspects int
+	// listed is set once the run was in a list of active runs of the present instance.
+	listed bool
+	// inDoubt is set while it is unknown whether the run was lost with an earlier incarnation of
+	// the server or was started by the present one.
+	inDoubt bool
+	// loss and suspects are reported to the owner of a run that was lost with its server, which
+	// was lostInstance.
+	loss         Loss
+	lostInstance job.Instance
+	suspects     int
 }
 
 // sortedRunsLocked returns all runs in a fixed order, for walks whose effects depend on the order.
@@ -86,8 +94,9 @@
 
 func (c *clock) at(now time.Duration) int64 { return int64((now + c.offset) / time.Millisecond) }
 
-// replacedServerLocked ends all runs of an instance that another one has replaced.
-func (w *Worker) replacedServerLocked(now time.Duration, fx *Effects) {
+// replacedServerLocked ends all runs of an instance that another one has replaced. successor is
+// zero if only that is known.
+func (w *Worker) replacedServerLocked(now time.Duration, fx *Effects, successor job.Instance) {
 	loss := LossConfirmed
 	if w.plannedShutdown() {
 		loss = LossCleared
@@ -96,13 +105,22 @@
 	if loss == LossCleared {
 		loss = NotLost
 	}
-	w.resetLocked(now, fx, loss)
+	sameID := w.server.Instance.Precedes(successor)
+	if sameID {
+		w.stats.Restarted++
+	}
+	w.resetLocked(now, fx, loss, sameID)
 }
 
 // resetLocked ends all runs of an instance that is gone and reports them with the given loss.
-func (w *Worker) resetLocked(now time.Duration, fx *Effects, loss Loss) {
+// sameID is set if the server has started again under its ID.
+func (w *Worker) resetLocked(now time.Duration, fx *Effects, loss Loss, sameID bool) {
 	suspects := w.occupancyLocked(now).runs
 	for _, r := range w.sortedRunsLocked() {
+		if sameID && r.occupies() && !r.listed {
+			w.keepInDoubtLocked(now, r, loss, suspects)
+			continue
+		}
 		if r.phase != ended {
 			w.endLostLocked(now, fx, r, loss, suspects, "instance_gone")
 			continue
@@ -120,6 +138,18 @@
 	w.awaitLeaseExpiry, w.leaseExpired = false, false
 }
 
+// keepInDoubtLocked keeps a start that the next incarnation of the server under its ID may have
+// carried out, or may still carry out. A call names its instance only by the ID, so one that is
+// under way reaches whichever incarnation runs when it arrives. If the run counted as lost, its task
+// would be started elsewhere while it runs here. The lists of the new incarnation, or a stop there,
+// resolve it. A run that the earlier incarnation has listed is gone with that.
+func (w *Worker) keepInDoubtLocked(now time.Duration, r *run, loss Loss, suspects int) {
+	w.recordLossLocked(now, r, loss, suspects)
+	r.phase, r.inDoubt = unconfirmed, true
+	r.confirmedAtHold, r.deadline = w.holds, math.MaxInt64
+	r.stopInFlight, r.stopAnswered, r.nextStop = false, false, 0
+}
+
 // reportEndLocked reports the end of a run that the backend server doesn't list, unless the end is
 // known already.
 func (w *Worker) reportEndLocked(fx *Effects, r *run, kind job.EndKind, reason string) {
@@ -131,7 +161,7 @@
 	}
 	s := RunState{Run: r.order.Run, Status: Ended, End: kind, Reason: reason}
 	if r.loss != NotLost {
-		s.Loss, s.Instance, s.Suspects = r.loss, w.server.Instance, r.suspects
+		s.Loss, s.Instance, s.Suspects = r.loss, r.lostInstance, r.suspects
 	}
 	w.emitLocked(fx, r, s)
 }
--- a/coordination/worker/starts.go
+++ b/coordination/worker/starts.go
@@ -149,7 +149,7 @@
 )
 
 // StartAnswered applies the outcome of a StartCall.
-func (w *Worker) StartAnswered(now time.Duration, instance string, id job.RunID, outcome StartOutcome, reason string) Effects {
+func (w *Worker) StartAnswered(now time.Duration, instance job.Instance, id job.RunID, outcome StartOutcome, reason string) Effects {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var fx Effects
@@ -187,6 +187,6 @@
 	if r.phase == starting {
 		w.emitLocked(fx, r, RunState{Run: r.order.Run, Status: Running})
 	}
-	r.phase = running
+	r.phase, r.inDoubt, r.loss = running, false, NotLost
 	r.confirmedAtHold = w.holds
 }
--- a/coordination/worker/stops.go
+++ b/coordination/worker/stops.go
@@ -48,7 +48,7 @@
 }
 
 // StopAnswered applies the outcome of a StopCall. answered is false if no answer came.
-func (w *Worker) StopAnswered(now time.Duration, instance string, id job.RunID, answered bool) Effects {
+func (w *Worker) StopAnswered(now time.Duration, instance job.Instance, id job.RunID, answered bool) Effects {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var fx Effects
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -43,7 +43,7 @@
 
 // Server is the last report of a backend server.
 type Server struct {
-	Instance string
+	Instance job.Instance
 	Service  string
 	Labels   []string
 	Capacity job.Demand
@@ -94,7 +94,7 @@
 	// Loss is set if the run was lost with its backend server. Instance is then that instance, and
 	// Suspects the number of runs on it, including this one.
 	Loss     Loss
-	Instance string
+	Instance job.Instance
 	Suspects int
 }
 
@@ -122,7 +122,7 @@
 
 // StartCall asks the driver to start a run. The driver passes the outcome to StartAnswered.
 type StartCall struct {
-	Instance   string
+	Instance   job.Instance
 	Run        job.RunID
 	Payload    string
 	Checkpoint string
@@ -134,7 +134,7 @@
 
 // StopCall asks the driver to stop a run. The driver passes the outcome to StopAnswered.
 type StopCall struct {
-	Instance string
+	Instance job.Instance
 	Run      job.RunID
 }
 
@@ -232,6 +232,8 @@
 	Returned int64
 	// Resized counts the changes of the backend server's capacity.
 	Resized int64
+	// Restarted counts the starts of the backend server under the ID that it had.
+	Restarted int64
 	// Drained counts the orders that were refused or returned because the failure domain is
 	// drained.
 	Drained int64
@@ -248,18 +250,22 @@
 }
 
 // Report applies a report of the backend server. A new instance means that all runs of the previous
-// one are gone.
+// one are gone. A report of an earlier incarnation that arrives late changes nothing.
 func (w *Worker) Report(now time.Duration, s Server, clockMS int64) Effects {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var fx Effects
+	if s.Instance.Precedes(w.server.Instance) {
+		return fx
+	}
+	w.learnStartLocked(s.Instance)
 	if w.reported && s.Instance == w.server.Instance && s.Seq <= w.server.Seq {
 		// A report that arrives late would revert a drain, and one that repeats a sequence number
 		// is a duplicate.
 		return fx
 	}
 	if w.reported && s.Instance != w.server.Instance {
-		w.replacedServerLocked(now, &fx)
+		w.replacedServerLocked(now, &fx, s.Instance)
 	}
 	if !w.reported || s.Instance != w.server.Instance {
 		w.acked = 0
@@ -318,14 +324,28 @@
 	return w.server, w.reported
 }
 
-// Deregistered notes that an instance of the backend server has deregistered.
-func (w *Worker) Deregistered(instance string) Effects {
+// learnStartLocked completes the known instance with its start time. Without that, a server of
+// which an earlier version of the agent, or a report of another writer, has left only the ID would
+// count as replaced.
+func (w *Worker) learnStartLocked(i job.Instance) {
+	if w.server.Instance.StartedMS == 0 && w.server.Instance.Precedes(i) {
+		w.server.Instance = i
+		w.server.Seq = beforeAnyReport
+	}
+}
+
+// Deregistered notes that an instance of the backend server has deregistered. Without a start time
+// it counts as the known incarnation only if that is draining, as a server is before it
+// deregisters: otherwise it may be a late word of an earlier one.
+func (w *Worker) Deregistered(instance job.Instance) Effects {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var fx Effects
-	if w.reported && w.server.Instance == instance {
+	known := w.server.Instance
+	unstated := instance.ID == known.ID && instance.StartedMS == 0 && w.server.Draining
+	if w.reported && (instance == known || unstated) {
 		w.resolveLossLocked(&fx, LossCleared)
-		w.resetLocked(0, &fx, NotLost)
+		w.resetLocked(0, &fx, NotLost, false)
 		w.reported = false
 	}
 	return fx
--- a/coordination/worker/worker_test.go
+++ b/coordination/worker/worker_test.go
@@ -44,7 +44,7 @@
 
 func (f *fixture) report(instance string, seq int64, draining bool) {
 	f.collect(f.Report(f.now, Server{
-		Instance: instance, Service: "desk", Labels: []string{"a", "r1"},
+		Instance: job.Instance{ID: instance}, Service: "desk", Labels: []string{"a", "r1"},
 		Capacity: job.Demand{CPUMillis: 3200, MemoryMB: 1000}, Draining: draining, Seq: seq,
 	}, f.clock))
 }
@@ -187,14 +187,14 @@
 	first := f.order(0)
 	fx := f.collect(f.Order(f.now, first))
 	f.is.Equal(len(fx.Starts), 1)
-	f.collect(f.StartAnswered(f.now, "i-1", first.Run, StartUnknown, "time-out"))
+	f.collect(f.StartAnswered(f.now, job.Instance{ID: "i-1"}, first.Run, StartUnknown, "time-out"))
 	f.send(f.order(1))
 	f.send(f.order(2))
 	f.is.Equal(f.Load(f.now).Waiting, 1) // the capacity of the first run is still reserved
 	f.hold()
 	f.is.Equal(len(f.stops), 1)   // the run is not listed, so a stop bars it permanently
 	f.is.Equal(len(f.ended()), 0) // nothing is certain yet
-	f.collect(f.StopAnswered(f.now, "i-1", first.Run, true))
+	f.collect(f.StopAnswered(f.now, job.Instance{ID: "i-1"}, first.Run, true))
 	f.hold()
 	f.is.Equal(f.ended()[0].End, job.NeverRan)
 	f.is.Equal(f.Load(f.now).Waiting, 0)
@@ -206,9 +206,9 @@
 	f := newFixture(t)
 	o := f.order(0)
 	fx := f.Order(f.now, o)
-	f.collect(f.StartAnswered(f.now, "i-1", o.Run, StartUnknown, "time-out"))
+	f.collect(f.StartAnswered(f.now, job.Instance{ID: "i-1"}, o.Run, StartUnknown, "time-out"))
 	f.hold()
-	f.collect(f.StopAnswered(f.now, "i-1", o.Run, false))
+	f.collect(f.StopAnswered(f.now, job.Instance{ID: "i-1"}, o.Run, false))
 	f.clock = fx.Starts[0].Deadline
 	f.hold()
 	f.is.Equal(len(f.ended()), 0)
@@ -223,7 +223,7 @@
 	f := newFixture(t)
 	o := f.order(0)
 	f.collect(f.Order(f.now, o))
-	f.collect(f.StartAnswered(f.now, "i-1", o.Run, StartUnknown, "time-out"))
+	f.collect(f.StartAnswered(f.now, job.Instance{ID: "i-1"}, o.Run, StartUnknown, "time-out"))
 	f.active[o.Run] = true
 	f.hold()
 	f.is.Equal(len(f.stops), 0)
--- a/daemon/agent/backend_test.go
+++ b/daemon/agent/backend_test.go
@@ -41,7 +41,7 @@
 	a := New(coretest.Settings(), coretest.RejectingStore{}, core.DrainSource{}, nil)
 	server := &resettingServer{}
 	a.backend = server
-	a.worker.Report(bootclock.Now(), worker.Server{Instance: "i", Service: "desk", Capacity: job.Demand{CPUMillis: 1000}}, 1)
+	a.worker.Report(bootclock.Now(), worker.Server{Instance: job.Instance{ID: "i"}, Service: "desk", Capacity: job.Demand{CPUMillis: 1000}}, 1)
 	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
 	defer cancel()
 	a.holdLoop(ctx)
--- a/daemon/agent/notes.go
+++ b/daemon/agent/notes.go
@@ -54,20 +54,26 @@
 
 // storedServer is what an agent stores about its backend server.
 type storedServer struct {
-	Instance string     `json:"instance"`
-	Service  string     `json:"service"`
-	Labels   []string   `json:"labels"`
-	Capacity job.Demand `json:"capacity"`
-	Draining bool       `json:"draining"`
+	ID string `json:"instance"`
+	// StartedMS is the start time of the instance; zero if it is unknown.
+	StartedMS int64      `json:"started_ms,omitempty"`
+	Service   string     `json:"service"`
+	Labels    []string   `json:"labels"`
+	Capacity  job.Demand `json:"capacity"`
+	Draining  bool       `json:"draining"`
 	// CapacityChanged is set once the instance has changed its capacity.
 	CapacityChanged bool `json:"varies,omitempty"`
 }
 
+func (s *storedServer) instance() job.Instance {
+	return job.Instance{ID: s.ID, StartedMS: s.StartedMS}
+}
+
 // usable reports whether an agent can continue with a stored backend server before its next
 // report. A server that has changed its capacity is not usable: the capacity may have shrunk
 // again since it was stored, and runs started according to it would not fit.
 func (s *storedServer) usable() bool {
-	return s != nil && !s.CapacityChanged && s.Instance != "" && s.Service != "" && s.Capacity.CPUMillis > 0
+	return s != nil && !s.CapacityChanged && s.ID != "" && s.Service != "" && s.Capacity.CPUMillis > 0
 }
 
 // incarnationKey returns the key of the record whose offset numbers an incarnation. The record is
--- a/daemon/agent/registration.go
+++ b/daemon/agent/registration.go
@@ -9,6 +9,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/daemon/core"
+	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/pause"
@@ -127,19 +128,27 @@
 	}
 	call, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
-	h, err := a.backend.Hold(call, worker.HoldCall{Instance: s.Instance}, 0)
+	h, err := a.backend.Hold(call, worker.HoldCall{Instance: s.instance()}, 0)
 	if err != nil {
-		klog.InfoS("The backend server of the earlier incarnation does not answer", "instance", s.Instance, "err", err)
+		klog.InfoS("The backend server of the earlier incarnation does not answer", "instance", s.instance(), "err", err)
 		return
 	}
-	klog.InfoS("Resuming the backend server of the earlier incarnation", "instance", s.Instance)
+	instance := job.Instance{ID: s.ID, StartedMS: h.StartedMS}
+	if s.StartedMS != 0 && instance != s.instance() {
+		klog.InfoS("The backend server of the earlier incarnation has started again", "instance", instance, "known", s.instance())
+		return
+	}
+	klog.InfoS("Resuming the backend server of the earlier incarnation", "instance", instance)
 	a.apply(a.worker.Resume(bootclock.Now(), worker.Server{
-		Instance: s.Instance, Service: s.Service, Labels: s.Labels, Capacity: s.Capacity, Draining: s.Draining,
+		Instance: instance, Service: s.Service, Labels: s.Labels, Capacity: s.Capacity, Draining: s.Draining,
 	}, h.ClockMS))
 }
 
 func newStoredServer(s worker.Server, capacityChanged bool) *storedServer {
-	return &storedServer{Instance: s.Instance, Service: s.Service, Labels: s.Labels, Capacity: s.Capacity, Draining: s.Draining, CapacityChanged: capacityChanged}
+	return &storedServer{
+		ID: s.Instance.ID, StartedMS: s.Instance.StartedMS, Service: s.Service, Labels: s.Labels,
+		Capacity: s.Capacity, Draining: s.Draining, CapacityChanged: capacityChanged,
+	}
 }
 
 // Report handles a report of the backend server.
@@ -161,29 +170,47 @@
 // acceptsReport reports whether s may be a report of the backend server beside this agent. It may
 // also come from another writer, or be a delayed report of an earlier instance. If that were
 // taken for a new instance, the runs of the present instance would count as lost and their tasks
-// would run twice. So a report of another instance is checked with a hold for that instance. If
-// the backend server doesn't answer the hold, the report is accepted: such a server can't start
-// anything either.
+// would run twice. So a report of another instance is checked with a hold.
 func (a *Agent) acceptsReport(s worker.Server) bool {
-	known, ok := a.worker.Server()
-	if !ok || !a.serving.Load() {
+	known, reported := a.worker.Server()
+	switch {
+	case !a.serving.Load():
 		return true
-	}
-	if known.Instance == s.Instance {
-		if known.Service != s.Service {
+	case s.Instance == known.Instance:
+		if reported && known.Service != s.Service {
 			klog.InfoS("Ignoring a report that names another service for the same instance", "instance", s.Instance, "service", s.Service, "known", known.Service)
+			return false
 		}
-		return known.Service == s.Service
+		return true
+	case s.Instance.Precedes(known.Instance):
+		klog.InfoS("Ignoring a report of an earlier incarnation", "instance", s.Instance, "known", known.Instance)
+		return s.Instance.StartedMS != 0 // the worker ignores it
+	case !reported && s.Instance.ID != known.Instance.ID:
+		return true
 	}
+	return a.isRunning(s.Instance, known.Instance)
+}
+
+// isRunning asks the backend server with a hold whether an instance is the one that runs. If it
+// doesn't answer, an instance with another ID is assumed to run: such a server can't start anything
+// either, and the calls for the known ID would tell. An incarnation under the known ID is not: its
+// lists will tell.
+func (a *Agent) isRunning(instance, known job.Instance) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	_, err := a.backend.Hold(ctx, worker.HoldCall{Instance: s.Instance}, 0)
-	if errors.Is(err, worker.ErrOtherInstance) {
-		klog.InfoS("Ignoring a report of an instance that is not running", "instance", s.Instance, "known", known.Instance)
-		return false
-	}
-	return true
+	h, err := a.backend.Hold(ctx, worker.HoldCall{Instance: instance}, 0)
+	running := false
+	switch {
+	case err == nil:
+		running = h.StartedMS == 0 || h.StartedMS == instance.StartedMS
+	case !errors.Is(err, worker.ErrOtherInstance):
+		running = instance.ID != known.ID
+	}
+	if !running {
+		klog.InfoS("Ignoring a report of an instance that is not running", "instance", instance, "known", known, "answered_start", h.StartedMS, "err", err)
+	}
+	return running
 }
 
 // Deregistered handles the deregistration of an instance of the backend server.
-func (a *Agent) Deregistered(instance string) { a.apply(a.worker.Deregistered(instance)) }
+func (a *Agent) Deregistered(instance job.Instance) { a.apply(a.worker.Deregistered(instance)) }
--- a/daemon/agent/registration_test.go
+++ b/daemon/agent/registration_test.go
@@ -52,7 +52,7 @@
 		const reports = 50
 		for i := range reports {
 			a.apply(a.worker.Report(time.Hour, worker.Server{
-				Instance: "i", Service: "desk", Seq: int64(i), Capacity: job.Demand{CPUMillis: int64(1000 * (i % 2))},
+				Instance: job.Instance{ID: "i"}, Service: "desk", Seq: int64(i), Capacity: job.Demand{CPUMillis: int64(1000 * (i % 2))},
 			}, int64(i)))
 			a.offerChanged()
 			synctest.Wait()
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -54,7 +54,7 @@
 	return &corepb.RunState{
 		Run: RunToWire(s.Run), Status: int32(s.Status), End: int32(s.End),
 		Checkpoint: s.Checkpoint, WorkUs: s.Work.Microseconds(), Reason: s.Reason, Result: s.Result,
-		Loss: int32(s.Loss), Instance: s.Instance, Suspects: int32(s.Suspects),
+		Loss: int32(s.Loss), Instance: s.Instance.ID, InstanceStartedMs: s.Instance.StartedMS, Suspects: int32(s.Suspects),
 	}
 }
 
@@ -63,7 +63,7 @@
 	return worker.RunState{
 		Run: RunFromWire(p.GetRun()), Status: worker.Status(p.GetStatus()), End: job.EndKind(p.GetEnd()),
 		Checkpoint: p.GetCheckpoint(), Work: time.Duration(p.GetWorkUs()) * time.Microsecond, Reason: p.GetReason(), Result: p.GetResult(),
-		Loss: worker.Loss(p.GetLoss()), Instance: p.GetInstance(), Suspects: int(p.GetSuspects()),
+		Loss: worker.Loss(p.GetLoss()), Instance: job.Instance{ID: p.GetInstance(), StartedMS: p.GetInstanceStartedMs()}, Suspects: int(p.GetSuspects()),
 	}
 }
 
@@ -98,7 +98,7 @@
 // there is no backlog.
 func LoadToWire(l *worker.Load) *corepb.Load {
 	out := &corepb.Load{
-		Service: l.Server.Service, Instance: l.Server.Instance, Labels: l.Server.Labels,
+		Service: l.Server.Service, Labels: l.Server.Labels,
 		CapacityCpu: l.Server.Capacity.CPUMillis, CapacityMemory: l.Server.Capacity.MemoryMB, CapacityGpus: l.Server.Capacity.GPUs,
 		FreeCpu: l.Free.CPUMillis, FreeMemory: l.Free.MemoryMB, FreeGpus: l.Free.GPUs,
 		BacklogUs: l.Backlog.Microseconds(), TurnoverUs: l.Turnover.Microseconds(), Accepts: l.Accepts,
@@ -115,7 +115,7 @@
 // LoadFromWire returns an agent's load in the form that owners use.
 func LoadFromWire(p *corepb.Load) owner.AgentLoad {
 	out := owner.AgentLoad{
-		Service: p.GetService(), Instance: p.GetInstance(), Labels: p.GetLabels(),
+		Service: p.GetService(), Labels: p.GetLabels(),
 		Capacity: job.Demand{CPUMillis: p.GetCapacityCpu(), MemoryMB: p.GetCapacityMemory(), GPUs: p.GetCapacityGpus()},
 		Free:     job.Demand{CPUMillis: p.GetFreeCpu(), MemoryMB: p.GetFreeMemory(), GPUs: p.GetFreeGpus()},
 		Backlog:  time.Duration(p.GetBacklogUs()) * time.Microsecond,
--- a/protocol/core/record.go
+++ b/protocol/core/record.go
@@ -87,7 +87,10 @@
 func crashesToWire(in []job.Crash) []*corepb.Crash {
 	var out []*corepb.Crash
 	for _, c := range in {
-		out = append(out, &corepb.Crash{Run: c.Run, Node: c.Node, Instance: c.Instance, Alone: c.Alone, Confirmed: c.Confirmed})
+		out = append(out, &corepb.Crash{
+			Run: c.Run, Node: c.Node, Instance: c.Instance.ID, InstanceStartedMs: c.Instance.StartedMS,
+			Alone: c.Alone, Confirmed: c.Confirmed,
+		})
 	}
 	return out
 }
@@ -95,7 +98,10 @@
 func crashesFromWire(in []*corepb.Crash) []job.Crash {
 	var out []job.Crash
 	for _, c := range in {
-		out = append(out, job.Crash{Run: c.GetRun(), Node: c.GetNode(), Instance: c.GetInstance(), Alone: c.GetAlone(), Confirmed: c.GetConfirmed()})
+		out = append(out, job.Crash{
+			Run: c.GetRun(), Node: c.GetNode(), Instance: job.Instance{ID: c.GetInstance(), StartedMS: c.GetInstanceStartedMs()},
+			Alone: c.GetAlone(), Confirmed: c.GetConfirmed(),
+		})
 	}
 	return out
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -112,6 +112,13 @@
 		pick(random, w.agents).replaceServer()
 		wait(50, 500)
 	}},
+	{"server restarts", func(w *world, random *rand.Rand, wait func(int, int)) {
+		a := pick(random, w.agents)
+		for range 1 + random.IntN(3) {
+			a.withServer(func(e *standin.BackendServer) { e.Crash(time.Duration(random.IntN(1500)) * time.Millisecond) })
+			wait(50, 2000)
+		}
+	}},
 	{"server shrinks", func(w *world, random *rand.Rand, wait func(int, int)) {
 		a := pick(random, w.agents)
 		for range 1 + random.IntN(3) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -228,6 +228,7 @@
 	a.serverInstances++
 	e, err := standin.NewBackendServer(standin.BackendServerConfig{
 		Instance: fmt.Sprintf("i-%s-%d", a.name, a.serverInstances), Service: "desk", Labels: []string{"a"}, CPUMillis: serverCPU, MemoryMB: 4096, CapacityGrace: capacityGrace,
+		StatesStart: a.serverInstances%2 == 1, MaxLease: time.Second,
 	}, a.w.ledger)
 	if err != nil {
 		a.w.t.Error(err)
