Wait for the dialled links before the first recorded jobs are placed

Cause: the first job of an owner opens its links. Between that moment and the dials, and before, while the registry had been read and no link stood, the set said that no link was wanted; every further job took that for a fleet without agents and was refused with no_worker.

Change: the number of wanted links counts as known only after the agents of the registry have been dialled since the set was opened.

Ruled out: a longer wait; the jobs did not wait at all.

--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -97,6 +97,9 @@
 	// registryRead is set once the registry has been read.
 	registryRead bool
 	isOpen       bool
+	// dialled is set once the links that the registry asks for were dialled after the set was
+	// opened.
+	dialled bool
 }
 
 // managedLink is a link and its state. Guarded by LinkSet.mu.
@@ -142,7 +145,8 @@
 	return l.isOpen
 }
 
-// NumWanted returns the number of wanted links, and whether the registry has been read.
+// NumWanted returns the number of wanted links. It returns false until they are known: the registry
+// has been read, and its agents were dialled since the set was opened.
 func (l *LinkSet) NumWanted() (int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -152,7 +156,7 @@
 			wanted++
 		}
 	}
-	return wanted, l.registryRead
+	return wanted, l.dialled
 }
 
 // AllWantedUp reports whether all wanted links are up.
@@ -191,7 +195,7 @@
 	l.changeMu.Lock()
 	defer l.changeMu.Unlock()
 	l.mu.Lock()
-	l.isOpen = false
+	l.isOpen, l.dialled = false, false
 	links := slices.Collect(maps.Keys(l.links))
 	l.mu.Unlock()
 	for _, node := range links {
--- a/daemon/core/links_test.go
+++ b/daemon/core/links_test.go
@@ -258,3 +258,32 @@
 	}
 	is.Equal(idle, 144)
 }
+
+// Several first jobs arrive at an owner at once. The first opens the links, and the others must wait
+// until these are dialled. Guards against taking the moment between for a fleet without agents: the
+// others were refused for lack of a worker.
+func TestWantedLinksAreUnknownUntilTheyAreDialled(t *testing.T) {
+	is := is.New(t)
+	user := newFakeUser()
+	var duringDial []bool
+	var l *LinkSet
+	l = NewLinkSet(0, user, user, NewMetrics(), func(string, Registration) AgentLink {
+		_, known := l.NumWanted()
+		duringDial = append(duringDial, known)
+		return &fakeLink{}
+	})
+	l.applyRecord(registered("a", "10.0.0.1:1"))
+	l.applyRecord(registered("b", "10.0.0.2:1"))
+	l.Open()
+	_, known := l.NumWanted()
+	is.True(!known) // more agents may be registered
+	l.mu.Lock()
+	l.registryRead = true
+	l.mu.Unlock()
+	l.Close()
+	l.Open()
+	is.Equal(duringDial, []bool{false, false, false, false})
+	wanted, known := l.NumWanted()
+	is.True(known)
+	is.Equal(wanted, 2)
+}
--- a/daemon/core/reconcile.go
+++ b/daemon/core/reconcile.go
@@ -25,6 +25,7 @@
 	wanted := l.wantedLocked(now, required)
 	dial, retired := l.updateRetiredLocked(now, wanted)
 	assignable := l.updateAssignableLocked(wanted)
+	registryRead := l.registryRead
 	l.mu.Unlock()
 	for node, canAssign := range assignable {
 		l.placer.SetRetired(node, !canAssign)
@@ -32,6 +33,9 @@
 	for node, reg := range dial {
 		l.replace(node, reg, wanted[node])
 	}
+	l.mu.Lock()
+	l.dialled = registryRead
+	l.mu.Unlock()
 	l.reportChange(len(dial), retired, len(wanted))
 	l.dropRetired(now)
 }
