Count the calls to the store by verb and purpose

shallotstep_store_calls_total has the topic or group without its number as the purpose, so that its labels are bounded.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -113,7 +113,7 @@
 // New returns an agent that is not running; see Run.
 func New(s *settings.Settings, st store.Store, drains core.DrainSource, newBackendClient func(fencingToken int64) BackendClient) *Agent {
 	a := &Agent{
-		settings: s, store: st, newBackendClient: newBackendClient, metrics: core.NewMetrics(),
+		settings: s, newBackendClient: newBackendClient, metrics: core.NewMetrics(),
 		member: core.MemberName(s.Name, xid.New().String()), started: bootclock.Now(),
 		worker:        worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerTimeout: core.OwnerTimeout, ReconnectTimeout: core.ReconnectTimeout, AdoptionTimeout: core.AdoptionTimeout, Shards: s.Shards()}),
 		recentPlacers: newRecentPlacers(),
@@ -124,6 +124,7 @@
 		callerStates:  make(map[*peer.Caller]*callerState),
 		linkSessions:  make(map[string]int64),
 	}
+	a.store = a.metrics.CountCalls(st)
 	a.offerUpdates, a.firstShard = make(chan struct{}, 1), make(chan struct{})
 	a.drains = core.NewDrainWatch(drains, a.applyDrains)
 	a.metrics.WatchDrains(a.drains)
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -28,6 +28,8 @@
 	decisions     *prometheus.CounterVec
 	StartRefusals *prometheus.CounterVec
 	StoreRepeats  prometheus.Counter
+	// storeCalls is labelled by verb and purpose.
+	storeCalls *prometheus.CounterVec
 	// linkChanges counts dialled and retired links, linksWanted is the number of wanted ones.
 	linkChanges *prometheus.CounterVec
 	linksWanted prometheus.Gauge
@@ -47,6 +49,7 @@
 		Retries:       counter("retries_total", "Questions sent to another owner, by reason.", "reason"),
 		decisions:     counter("decisions_total", "Decisions on jobs, by kind.", "kind"),
 		StartRefusals: counter("start_refusals_total", "Starts that the backend server has not confirmed, by reason.", "reason"),
+		storeCalls:    counter("store_calls_total", "Calls to the store, by verb and purpose.", "verb", "purpose"),
 		StoreRepeats: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: Namespace, Name: "store_repeats_total", Help: "Writes repeated under the same number.",
 		}),
@@ -61,13 +64,13 @@
 		Lookup:   histogram("lookup_seconds", "Questions for a job's state at the entry."),
 	}
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.refusals, m.Retries, m.decisions, m.StartRefusals, m.StoreRepeats, m.linkChanges, m.linksWanted, m.Append, m.Start, m.Takeover, m.Submit, m.Lookup,
+		m.refusals, m.Retries, m.decisions, m.StartRefusals, m.StoreRepeats, m.storeCalls, m.linkChanges, m.linksWanted, m.Append, m.Start, m.Takeover, m.Submit, m.Lookup,
 		metrics.MalformedCollector())
 	return m
 }
 
-func counter(name, help, label string) *prometheus.CounterVec {
-	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}, []string{label})
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}, labels)
 }
 
 func histogram(name, help string) prometheus.Histogram {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -67,8 +67,10 @@
 // New returns an entry. It has no effect until Run is called. config is the partition of
 // the configuration, and decode reads its records.
 func New(s *settings.Settings, st store.Store, config store.Partition, decode func(store.Record) (*routing.Table, error), drains core.DrainSource) *Entry {
+	m := core.NewMetrics()
+	st = m.CountCalls(st)
 	e := &Entry{
-		settings: s, store: st, metrics: core.NewMetrics(),
+		settings: s, store: st, metrics: m,
 		config: config, decode: decode, owners: newOwnerCache(s, st), buckets: newBuckets(s, st),
 		fleet: owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams(), rand.Uint64()),
 	}
