Choose the lease instead of taking the longest that servers grant

Cause: the template filled bounds.lease with the longest lease that the platform grants. The runs of a server or host that is gone are in doubt for a lease and more, so an owner waited 16.6 s for a lost link and 22.6 s at a takeover, longer than any client waits: a bound was taken for a choice.

Change: bounds.max_lease has the platform's bound; the lease is the product's, 1 s or the bound if that is less, and a longer one than the bound is refused with field and value.

Ruled out: a shorter lease. Renewals follow each other in 60 ms whatever it is, and 1 s tolerates the 0.6 s without answers after which renewing ends.

--- a/state/settings/settings.go
+++ b/state/settings/settings.go
@@ -33,6 +33,7 @@
 	Listen Listen `json:"listen"`
 	Store  Store  `json:"store"`
 	Server Server `json:"server"`
+	Owners Owners `json:"owners"`
 	Bounds Bounds `json:"bounds"`
 	Limits Limits `json:"limits"`
 }
@@ -86,11 +87,24 @@
 	Address string `json:"address"`
 }
 
-// Bounds holds the timing parameters that the platform defines.
+// Owners holds the settings of the agents as owners of recorded jobs.
+type Owners struct {
+	// StartSpread is the time over which the agents of a system that starts for the
+	// first time offer themselves as owners. Zero means at once.
+	StartSpread time.Duration `json:"start_spread"`
+}
+
+// Bounds holds the timing parameters that the platform defines, and the lease.
 type Bounds struct {
-	// Lease is the longest lease that a backend server grants for its runs. A run
-	// whose lease is not renewed in time is killed.
+	// Lease is for how long the leases of runs are extended. A run whose lease is not
+	// renewed in time is killed, and a run on a lost host is in doubt for that long.
+	// It is at most MaxLease; zero means the smaller of MaxLease and defaultLease.
 	Lease time.Duration `json:"lease"`
+	// MaxLease is the longest lease that a backend server grants. Zero means unknown.
+	MaxLease time.Duration `json:"max_lease"`
+	// ConfigApply is the time within which a new configuration has to be in force.
+	// Zero means unknown.
+	ConfigApply time.Duration `json:"config_apply"`
 	// Grace is how long a process may take to shut down after a signal.
 	Grace time.Duration `json:"grace"`
 	// Retention is how long the result of an ended job has to be available at
@@ -124,9 +138,24 @@
 	if err := strictjson.Decode(name, b, s); err != nil {
 		return nil, err
 	}
+	s.setDefaults()
 	return s, s.check()
 }
 
+// defaultLease tolerates a few lost renewals, which follow each other within 0.1 s.
+const defaultLease = time.Second
+
+func (s *Settings) setDefaults() {
+	b := &s.Bounds
+	if b.Lease != 0 {
+		return
+	}
+	b.Lease = defaultLease
+	if b.MaxLease > 0 {
+		b.Lease = min(b.Lease, b.MaxLease)
+	}
+}
+
 func (s *Settings) check() error {
 	required := map[string]string{"name": s.Name, "store.address": s.Store.Address}
 	switch s.Role {
@@ -151,9 +180,22 @@
 	if s.Store.Topics < 1 || s.Store.Partitions < 1 {
 		return errors.New("settings: store.topics and store.partitions must be at least 1")
 	}
-	if s.Bounds.Lease <= 0 || s.Bounds.Grace <= 0 || s.Bounds.Retention <= 0 {
+	return s.checkBounds()
+}
+
+func (s *Settings) checkBounds() error {
+	b := &s.Bounds
+	if b.Lease <= 0 || b.Grace <= 0 || b.Retention <= 0 {
 		return errors.New("settings: bounds.lease, bounds.grace and bounds.retention must be above zero")
 	}
+	if b.MaxLease > 0 && b.Lease > b.MaxLease {
+		return errors.Errorf("settings: bounds.lease %v is above bounds.max_lease %v", b.Lease, b.MaxLease)
+	}
+	for key, value := range map[string]time.Duration{"bounds.max_lease": b.MaxLease, "bounds.config_apply": b.ConfigApply, "owners.start_spread": s.Owners.StartSpread} {
+		if value < 0 {
+			return errors.Errorf("settings: %s %v must not be negative", key, value)
+		}
+	}
 	return nil
 }
 
--- a/state/settings/settings_test.go
+++ b/state/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -29,7 +30,10 @@
 		{`"api": "127.0.0.1:3"`, `"api": "0.0.0.0:3"`, "listen.api"},
 		{`"api": "127.0.0.1:3"`, `"api": "nowhere"`, "listen.api"},
 		{`"partitions": 4`, `"partitions": 0`, "store.partitions"},
-		{`"lease": "1s"`, `"lease": "0s"`, "bounds.lease"},
+		{`"lease": "1s"`, `"lease": "-1s"`, "bounds.lease"},
+		{`"lease": "1s"`, `"lease": "1s", "max_lease": "999ms"`, "bounds.lease 1s"},
+		{`"lease": "1s"`, `"lease": "1s", "config_apply": "-1s"`, "bounds.config_apply"},
+		{`"bounds"`, `"owners": {"start_spread": "-1s"}, "bounds"`, "owners.start_spread"},
 		{`"grace": "8s"`, `"grace": 8`, "bounds.grace"},
 		{`"zone"`, `"zoen"`, "zoen"},
 	} {
@@ -39,6 +43,21 @@
 	}
 }
 
+// The longest lease that the platform grants is a bound, not a choice: with a lease of 15 s, the runs
+// of a lost host are in doubt for longer than their clients wait.
+func TestLeaseIsNoLongerThanNeeded(t *testing.T) {
+	is := is.New(t)
+	for bounds, want := range map[string]time.Duration{
+		`"max_lease": "15s"`:                   defaultLease,
+		`"max_lease": "400ms"`:                 400 * time.Millisecond,
+		`"lease": "700ms", "max_lease": "15s"`: 700 * time.Millisecond,
+	} {
+		s, err := Parse("entry.json", []byte(strings.Replace(entrySettings, `"lease": "1s"`, bounds, 1)))
+		is.NoErr(err)
+		is.Equal(s.Bounds.Lease, want)
+	}
+}
+
 // Guards against a setting that is missing from the settings page.
 func TestEveryKeyIsDocumented(t *testing.T) {
 	is := is.New(t)
@@ -47,7 +66,7 @@
 	for _, key := range []string{
 		"role", "name", "zone", "listen.clients", "listen.ready", "listen.api", "listen.reports", "listen.links", "listen.metrics",
 		"store.address", "store.writes_per_second", "store.topics", "store.partitions", "store.min_ttl", "server.address",
-		"bounds.lease", "bounds.grace", "bounds.retention", "bounds.remote_factor", "limits.memory_mb",
+		"bounds.lease", "bounds.max_lease", "bounds.config_apply", "owners.start_spread", "bounds.grace", "bounds.retention", "bounds.remote_factor", "limits.memory_mb",
 	} {
 		is.True(strings.Contains(string(page), "`"+key+"`")) // documented
 	}
