Wait longer in reads of the configuration where its bound allows

Cause: each entry read the configuration anew every .6 s and the registry every 2 s, whether anything had changed or not: constants that fit the strictest deployment, where a configuration has to be in force within 2 s. 183 entries made 400 such calls a second.

Change: a read of the configuration waits for half of the time within which a configuration has to be in force, less .4 s (.6, 1.1 and 2.1 s for 2, 3 and 5 s; .6 s if the time is not known). A connection that falls silent is found .6 s later, and the newest records are read at once. The age from which agents look for drains themselves grows by as much. Reads of the registry, on which nothing that must hold depends, wait for 5 s.

Ruled out: reads of 30 s with keep-alive probes that find silent connections. A store that answers probes and not the read would be found after 30 s only, and a configuration would be in force late.

--- a/daemon/agent/drains.go
+++ b/daemon/agent/drains.go
@@ -7,14 +7,12 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 )
 
 const (
-	// maxDrainsAge is the age of the known drains from which on an agent reads them in the store
-	// itself. Entries hear from the store every 0.6 s.
-	maxDrainsAge = 2 * time.Second
 	// drainsReadInterval is the least time between the beginnings of two reads of an agent.
 	drainsReadInterval = time.Second
 )
@@ -33,10 +31,10 @@
 }
 
 // checkDrains reads the drains in the store if there are callers and none has confirmed the drains
-// for maxDrainsAge. The age counts from the start of the process at the earliest, because the
+// for core.MaxDrainsAge. The age counts from the start of the process at the earliest, because the
 // callers may have just started as well.
 func (a *Agent) checkDrains(ctx context.Context, now time.Duration) {
-	if min(a.drains.Age(now), now-a.started) < maxDrainsAge || now-a.drainsReadAt.Get() < drainsReadInterval || len(a.snapshotCallers()) == 0 {
+	if min(a.drains.Age(now), now-a.started) < core.MaxDrainsAge(a.settings) || now-a.drainsReadAt.Get() < drainsReadInterval || len(a.snapshotCallers()) == 0 {
 		return
 	}
 	if a.readingDrains.Swap(true) {
--- a/daemon/agent/drains_test.go
+++ b/daemon/agent/drains_test.go
@@ -46,9 +46,9 @@
 	is := is.New(t)
 	st := &drainStore{}
 	a := newDrainAgent(st)
-	a.checkDrains(t.Context(), a.started+maxDrainsAge-time.Millisecond)
+	a.checkDrains(t.Context(), a.started+core.MaxDrainsAge(a.settings)-time.Millisecond)
 	is.Equal(st.reads.Load(), int32(0))
-	a.checkDrains(t.Context(), a.started+maxDrainsAge)
+	a.checkDrains(t.Context(), a.started+core.MaxDrainsAge(a.settings))
 	coretest.Await(t, func() bool { return a.worker.Load(a.started).Drained })
 	is.Equal(st.reads.Load(), int32(1))
 }
--- a/daemon/core/bounds.go
+++ b/daemon/core/bounds.go
@@ -37,14 +37,32 @@
 	// NeedLinksTimeout is how long a job waits for new links when too few of the linked agents
 	// offer what it needs; see LinkSet.RecordNeed. A dial and the first load report take 30 ms.
 	NeedLinksTimeout = 200 * time.Millisecond
-	// ConfigWait is how long a read of the configuration waits for new records. With
-	// followSlack added, a silent connection is detected within the platform's limit of 2 s.
-	ConfigWait = 600 * time.Millisecond
+	// minConfigWait is the least time for which a read of the configuration waits for new
+	// records.
+	minConfigWait = 600 * time.Millisecond
+	// configWaitMargin is the part of half the time for applying a configuration that is left
+	// for the detection of a silent connection.
+	configWaitMargin = 400 * time.Millisecond
 	// OwnersGroup is the group among whose members, the agents, the store distributes the
 	// shards.
 	OwnersGroup = "owners"
 )
 
+// ConfigWait returns how long a read of the configuration waits for new records. A connection that
+// has fallen silent is found followSlack later, and then the newest records are read. All of that
+// has to fit into the time within which a configuration must be in force; within that, longer reads
+// are fewer calls.
+func ConfigWait(s *settings.Settings) time.Duration {
+	return max(minConfigWait, s.Bounds.ConfigApply/2-configWaitMargin)
+}
+
+// MaxDrainsAge returns the age of the known drains from which on an agent reads them in the store
+// itself. It is longer than the interval at which the entries hear from the store.
+func MaxDrainsAge(s *settings.Settings) time.Duration { return ConfigWait(s) + drainsAgeMargin }
+
+// drainsAgeMargin covers the answer of the store and the frame from the entry to the agent.
+const drainsAgeMargin = 1400 * time.Millisecond
+
 // OwnerBounds returns the time limits of an owner. They hold for recorded jobs and for the
 // best-effort jobs of an entry.
 func OwnerBounds(s *settings.Settings) owner.Bounds {
--- a/daemon/core/drains.go
+++ b/daemon/core/drains.go
@@ -87,11 +87,12 @@
 }
 
 // Follow updates the state from the store until the context ends. If other is not nil, it is
-// called with each record of the partition as well. name identifies the reader in log lines.
-func (w *DrainWatch) Follow(ctx context.Context, st store.Store, name string, other func(store.Record)) {
+// called with each record of the partition as well. A read waits for new records for wait. name
+// identifies the reader in log lines.
+func (w *DrainWatch) Follow(ctx context.Context, st store.Store, wait time.Duration, name string, other func(store.Record)) {
 	replayer := drains.NewReplayer(&w.tracker)
 	f := &follower{
-		store: st, partition: w.source.Partition, wait: ConfigWait, name: name,
+		store: st, partition: w.source.Partition, wait: wait, name: name,
 		onReset: replayer.Reset, onPosition: func(position int64) { w.publish(replayer, position) },
 		apply: func(r store.Record) {
 			if other != nil {
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -61,7 +61,7 @@
 	maxRetryDelay = 400 * time.Millisecond
 	// registryWait is how long a read of the registry waits for new records. A silent
 	// connection is detected followSlack later.
-	registryWait = 2 * time.Second
+	registryWait = 5 * time.Second
 	// registryBatchDelay is the pause after new records of the registry, so that the next read
 	// returns several. When a system starts for the first time, 70 agents register within
 	// 0.3 s, and without the pause each of 83 readers reads each record separately. It delays
@@ -107,9 +107,10 @@
 }
 
 // Follow calls apply with the newest record of each key of a partition, possibly more than once,
-// and then with each new record, until the context ends. name identifies the reader in log lines.
-func Follow(ctx context.Context, st store.Store, p store.Partition, name string, apply func(store.Record)) {
-	(&follower{store: st, partition: p, wait: ConfigWait, apply: apply, name: name}).run(ctx)
+// and then with each new record, until the context ends. A read waits for new records for wait. name
+// identifies the reader in log lines.
+func Follow(ctx context.Context, st store.Store, p store.Partition, wait time.Duration, name string, apply func(store.Record)) {
+	(&follower{store: st, partition: p, wait: wait, apply: apply, name: name}).run(ctx)
 }
 
 // run follows the partition until the context ends.
--- a/daemon/entry/drains.go
+++ b/daemon/entry/drains.go
@@ -13,14 +13,15 @@
 // followers returns the functions that keep the configuration and the drains up to date,
 // each until its context ends. If both are in one partition, a single reader follows it.
 func (e *Entry) followers() []func(context.Context) {
+	wait := core.ConfigWait(e.settings)
 	if e.drains.Partition() == e.config {
 		return []func(context.Context){
-			func(ctx context.Context) { e.drains.Follow(ctx, e.store, "configuration", e.applyConfig) },
+			func(ctx context.Context) { e.drains.Follow(ctx, e.store, wait, "configuration", e.applyConfig) },
 		}
 	}
 	return []func(context.Context){
-		func(ctx context.Context) { core.Follow(ctx, e.store, e.config, "configuration", e.applyConfig) },
-		func(ctx context.Context) { e.drains.Follow(ctx, e.store, "drains", nil) },
+		func(ctx context.Context) { core.Follow(ctx, e.store, e.config, wait, "configuration", e.applyConfig) },
+		func(ctx context.Context) { e.drains.Follow(ctx, e.store, wait, "drains", nil) },
 	}
 }
 
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -140,7 +140,7 @@
 func newAPI(ctx context.Context, e *entry.Entry, s *settings.Settings) http.Handler {
 	st := platform.NewStore(s.Store.Address)
 	d := clients.NewDeclarations(st, s.Name)
-	go core.Follow(ctx, st, clients.DeclarationsPartition, "declarations", func(r store.Record) {
+	go core.Follow(ctx, st, clients.DeclarationsPartition, core.ConfigWait(s), "declarations", func(r store.Record) {
 		if _, err := d.Decode(r); err != nil {
 			klog.ErrorS(err, "Skipped a malformed declaration")
 		}
