Let agents that own no shard stand by outside the owners' group

Cause: every agent joined the owners' group four times a second for the sake of at most 32 shards. The calls grow with the fleet: 320 of the store's 4,000 writes a second at 800 agents. While a fleet starts, each join moves shards, and every agent that ever had one followed the registry from then on.

Change: an agent joins only while shards have fewer distinct owners than there are shards. It looks once within owners.start_spread (5 s in the template, so that the agents of a first start don't all find no owners) and then every 30 s on average; with many standbys one of them looks soon. Former members join at once after a restart. Spare members stay, so a dead owner is replaced as quickly as before. The registry is followed only while shards are owned.

Ruled out: candidates by rank in the registry: each of 800 agents would read 800 records, which costs more at the store than it saves. A longer membership for members without a shard: a shard that such a member gets after it has died would have no owner for as long. Voluntary leaving of spares: each change of the group may deal all shards anew.

Tests: in coordination with real membership code in simulated time, calls an agent makes a minute fall with the fleet (100, 200, 400 agents: 5.6, 3.8, 2.9; 24 before at any size); all members lost at once, owners are back within 3 s and all shards have one each within 30 s.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -83,10 +83,11 @@
 	registered atomic.Pointer[core.Registration]
 	// offerUpdates is signalled when the registration of this agent may have changed.
 	offerUpdates chan struct{}
-	// firstShard is closed when the agent gets its first shard. Before that it needs no links
-	// to other agents.
-	firstShard     chan struct{}
-	firstShardOnce sync.Once
+	// isMember is set once the agent has offered to own shards.
+	isMember atomic.Bool
+	// shardAcquired is signalled when the agent gets a shard. Without shards it needs no links to
+	// other agents.
+	shardAcquired chan struct{}
 	// markerMu is held while the marker for recorded jobs is being stored.
 	markerMu sync.Mutex
 
@@ -104,6 +105,8 @@
 	// linkSessions has the session of each link to another agent that is up.
 	linkSessions map[string]int64
 	drainStarted bool
+	// cancelFollowing ends the reading of the registry; nil while it is not read.
+	cancelFollowing context.CancelFunc
 	// ownedAt is when the agent last owned a shard or was opening one.
 	ownedAt time.Duration
 	// epochs assigns the epochs under which shards are opened.
@@ -125,7 +128,7 @@
 		linkSessions:  make(map[string]int64),
 	}
 	a.store = a.metrics.CountCalls(st)
-	a.offerUpdates, a.firstShard = make(chan struct{}, 1), make(chan struct{})
+	a.offerUpdates, a.shardAcquired = make(chan struct{}, 1), make(chan struct{}, 1)
 	a.drains = core.NewDrainWatch(drains, a.applyDrains)
 	a.metrics.WatchDrains(a.drains)
 	a.server = peer.NewServer(a)
@@ -175,18 +178,7 @@
 	wg.Go(func() { a.holdLoop(ctx) })
 	wg.Go(func() { a.maintainRegistration(ctx) })
 	wg.Go(func() { a.tickLoop(ctx) })
-	// Only owners link other agents and need the registry, and there are at most as many owners
-	// as shards. If all of a hundred agents followed the registry, each of its records would be
-	// read a hundred times.
-	wg.Go(func() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-a.firstShard:
-		}
-		wg.Go(func() { a.links.Maintain(ctx) })
-		a.links.FollowRegistry(ctx, a.store)
-	})
+	wg.Go(func() { a.followRegistry(ctx) })
 	wg.Go(func() { a.membershipLoop(ctx, stored.Member) })
 	<-ctx.Done()
 	a.links.Close()
@@ -194,6 +186,47 @@
 	return nil
 }
 
+// followRegistry follows the registry and maintains the links to other agents while this agent owns
+// shards. If all of a hundred agents followed the registry, each of its records would be read a
+// hundred times.
+func (a *Agent) followRegistry(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.shardAcquired:
+		}
+		owning, cancel := context.WithCancel(ctx)
+		a.mu.Lock()
+		a.cancelFollowing = cancel
+		a.mu.Unlock()
+		var wg conc.WaitGroup
+		wg.Go(func() { a.links.Maintain(owning) })
+		a.links.FollowRegistry(owning, a.store)
+		wg.Wait()
+		cancel()
+	}
+}
+
+// signalShard makes followRegistry follow the registry.
+func (a *Agent) signalShard() {
+	select {
+	case a.shardAcquired <- struct{}{}:
+	default:
+	}
+}
+
+// stopFollowing ends the reading of the registry until the next signalShard.
+func (a *Agent) stopFollowing() {
+	a.mu.Lock()
+	cancel := a.cancelFollowing
+	a.cancelFollowing = nil
+	a.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+}
+
 // apply carries out the effects of the worker's state machine.
 func (a *Agent) apply(fx worker.Effects) {
 	for i := range fx.Starts {
--- a/daemon/agent/membership.go
+++ b/daemon/agent/membership.go
@@ -26,9 +26,15 @@
 // agent from the owners' group.
 func (a *Agent) membershipTTL() time.Duration { return max(core.GroupTTL, a.settings.Store.MinTTL) }
 
-// membershipLoop keeps the agent in the owners' group, and opens and releases shards as
-// the group assigns them. previous is the member name of the earlier incarnation, if known.
+// membershipLoop keeps the agent in the owners' group once it is needed there, and opens and
+// releases shards as the group assigns them. previous is the member name of the earlier
+// incarnation, if that was a member and is known.
 func (a *Agent) membershipLoop(ctx context.Context, previous string) {
+	if previous == "" && !a.awaitNeeded(ctx) {
+		return
+	}
+	a.isMember.Store(true)
+	a.recentPlacers.markDirty()
 	if previous != "" {
 		// Otherwise the shards of the earlier incarnation would stay assigned to it until
 		// its membership expires.
@@ -89,6 +95,7 @@
 	switch {
 	case idle > idleLinkTimeout:
 		a.links.Close()
+		a.stopFollowing()
 	case idle == 0 && a.links.HasOrphans():
 		a.links.Open()
 	}
@@ -166,7 +173,7 @@
 		return
 	}
 	a.opening[id] = true
-	a.firstShardOnce.Do(func() { close(a.firstShard) })
+	a.signalShard()
 	epoch := a.epochs.next(id, generation)
 	go func() {
 		r, err := a.openShard(ctx, id, epoch)
@@ -207,6 +214,9 @@
 // leave releases all shards and leaves the group. Before that it waits, within bounds,
 // for the records that clients wait for.
 func (a *Agent) leave(ctx context.Context) {
+	if !a.isMember.Load() {
+		return
+	}
 	for _, r := range a.ownedShards() {
 		// Accepted jobs are in the store already. This waits for the writes in progress.
 		for i := 0; i < drainAttempts && ctx.Err() == nil && r.HasRecordWaiters(); i++ {
--- a/daemon/agent/notes.go
+++ b/daemon/agent/notes.go
@@ -43,7 +43,7 @@
 	// Owners are the owners whose orders the agent has received; see Worker.SetFormerOwners in
 	// coordination/worker.
 	Owners []string `json:"owners"`
-	// Member is the name of the incarnation in the owners' group.
+	// Member is the name of the incarnation in the owners' group; empty if it was no member.
 	Member string `json:"member,omitempty"`
 	// Server is the last known backend server. If the same instance answers, the next
 	// incarnation continues with it at once instead of waiting for its next report.
@@ -131,7 +131,10 @@
 
 // writeNotes writes the notes for the next incarnation.
 func (a *Agent) writeNotes(ctx context.Context) {
-	n := notes{Owners: a.recentPlacers.owners(), Member: a.member, Registered: a.registered.Load()}
+	n := notes{Owners: a.recentPlacers.owners(), Registered: a.registered.Load()}
+	if a.isMember.Load() {
+		n.Member = a.member
+	}
 	if s, ok := a.worker.Server(); ok {
 		n.Server = newStoredServer(s, a.worker.CapacityChanged())
 	}
--- /dev/null
+++ b/daemon/agent/standby.go
@@ -0,0 +1,58 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/shallotstep/shallotstep/daemon/core"
+	"github.com/shallotstep/shallotstep/state/store"
+	"github.com/shallotstep/shallotstep/transport/pause"
+)
+
+// Only as many agents own shards as there are shards, however large the fleet is. The others stand
+// by outside the owners' group: a member joins several times a second, and when every agent was a
+// member, that was a tenth of the store's write calls at 800 agents. Members without a shard, left
+// over from a start or a failure, take over at once as before. A standby joins when shards have
+// too few owners. One of many standbys finds that out soon although each looks seldom.
+
+// standbyInterval is the mean interval at which a standby looks at the owners.
+const standbyInterval = 30 * time.Second
+
+// awaitNeeded blocks until the agent is needed as an owner, and returns false if ctx ends before.
+// The first look is within the start spread: the agents of a system that starts for the first time
+// would otherwise all find no owners and all join.
+func (a *Agent) awaitNeeded(ctx context.Context) bool {
+	wait := time.Duration(rand.Float64() * float64(a.settings.Owners.StartSpread))
+	for pause.For(ctx, wait) == nil {
+		wait = time.Duration((0.5 + rand.Float64()) * float64(standbyInterval))
+		if a.draining() {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, core.StoreTimeout)
+		owners, err := a.store.Owners(call, core.OwnersGroup)
+		cancel()
+		if err != nil {
+			klog.InfoS("A standby could not read the owners of the shards", "err", err)
+			continue
+		}
+		if n := numOwners(owners, core.ShardSeries(a.settings)); n < a.settings.Shards() {
+			klog.InfoS("Offering to own shards", "owners", n, "shards", a.settings.Shards())
+			return true
+		}
+	}
+	return false
+}
+
+// numOwners returns the number of members that own shards of the series.
+func numOwners(owners map[store.Partition]string, shards core.PartitionSeries) int {
+	members := make(map[string]bool)
+	for p, member := range owners {
+		if _, ok := shards.Number(p); ok {
+			members[member] = true
+		}
+	}
+	return len(members)
+}
--- /dev/null
+++ b/daemon/agent/standby_test.go
@@ -0,0 +1,222 @@
+package agent
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/daemon/core"
+	"github.com/shallotstep/shallotstep/daemon/coretest"
+	"github.com/shallotstep/shallotstep/state/settings"
+	"github.com/shallotstep/shallotstep/state/store"
+)
+
+// groupStore is a store with one group, which distributes the partitions evenly, and counts its calls.
+type groupStore struct {
+	coretest.RejectingStore
+	mu sync.Mutex
+	// All fields below are guarded by mu.
+
+	expiry     map[string]time.Time
+	owners     map[store.Partition]string
+	generation int64
+	joins      map[string]int
+	looks      int
+}
+
+func newGroupStore(shards core.PartitionSeries) *groupStore {
+	s := &groupStore{expiry: make(map[string]time.Time), owners: make(map[store.Partition]string), joins: make(map[string]int)}
+	for i := range shards.Size() {
+		s.owners[shards.Partition(i)] = ""
+	}
+	return s
+}
+
+func (s *groupStore) Append(context.Context, store.Partition, *store.Producer, []store.Record) (int64, error) {
+	return 0, nil
+}
+
+func (s *groupStore) Newest(context.Context, store.Partition) ([]store.Record, int64, error) {
+	return nil, 0, nil
+}
+
+func (s *groupStore) Follow(ctx context.Context, _ store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return nil, from, ctx.Err()
+}
+
+func (s *groupStore) Join(_ context.Context, _, member string, _ []string, ttl time.Duration, _ int64) (store.Membership, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.joins[member]++
+	if _, known := s.expiry[member]; !known {
+		s.generation++
+	}
+	s.expiry[member] = time.Now().Add(ttl)
+	s.distributeLocked()
+	m := store.Membership{Generation: s.generation}
+	for p, owner := range s.owners {
+		if owner == member {
+			m.Partitions = append(m.Partitions, p)
+		}
+	}
+	return m, nil
+}
+
+func (s *groupStore) Owners(context.Context, string) (map[store.Partition]string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.looks++
+	s.distributeLocked()
+	out := maps.Clone(s.owners)
+	maps.DeleteFunc(out, func(_ store.Partition, member string) bool { return member == "" })
+	return out, nil
+}
+
+// distributeLocked removes expired members and gives each partition without an owner, or whose owner
+// has more than its part, to the member that has the fewest.
+func (s *groupStore) distributeLocked() {
+	maps.DeleteFunc(s.expiry, func(_ string, at time.Time) bool { return time.Now().After(at) })
+	if len(s.expiry) == 0 {
+		clear(s.expiry)
+		return
+	}
+	held := make(map[string]int)
+	most := (len(s.owners) + len(s.expiry) - 1) / len(s.expiry)
+	for p, owner := range s.owners {
+		if _, alive := s.expiry[owner]; !alive || held[owner] == most {
+			s.owners[p] = ""
+			continue
+		}
+		held[owner]++
+	}
+	members := slices.Sorted(maps.Keys(s.expiry))
+	for p, owner := range s.owners {
+		if owner == "" {
+			fewest := slices.MinFunc(members, func(a, b string) int { return cmp.Compare(held[a], held[b]) })
+			s.owners[p] = fewest
+			held[fewest]++
+		}
+	}
+}
+
+// fleetShards is the number of shards of a standbyFleet.
+const fleetShards = 16
+
+// standbyFleet runs the membership of many agents.
+type standbyFleet struct {
+	store  *groupStore
+	agents map[string]*Agent
+	cancel map[string]context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func startFleet(ctx context.Context, agents int) *standbyFleet {
+	set := settings.Settings{
+		Role: settings.RoleAgent, Store: settings.Store{Topics: 1, Partitions: fleetShards, WritesPerSecond: 1000},
+		Owners: settings.Owners{StartSpread: 5 * time.Second},
+	}
+	f := &standbyFleet{store: newGroupStore(core.ShardSeries(&set)), agents: make(map[string]*Agent), cancel: make(map[string]context.CancelFunc)}
+	for i := range agents {
+		s := set
+		s.Name = fmt.Sprintf("agent-%04d", i)
+		a := New(&s, f.store, core.DrainSource{}, nil)
+		a.links, _ = fakeLinks(a, a.fleet)
+		ctx, cancel := context.WithCancel(ctx)
+		f.agents[s.Name], f.cancel[s.Name] = a, cancel
+		f.done.Go(func() {
+			a.membershipLoop(ctx, "")
+			a.release(nil)
+		})
+	}
+	return f
+}
+
+func (f *standbyFleet) numOwners() int {
+	owners, _ := f.store.Owners(context.Background(), core.OwnersGroup)
+	return numOwners(owners, core.PartitionSeries{Prefix: "keyed.jobs", Topics: 1, PartitionsPerTopic: fleetShards})
+}
+
+func (f *standbyFleet) stop() {
+	for _, cancel := range f.cancel {
+		cancel()
+	}
+	f.done.Wait()
+}
+
+// callsPerAgent returns the calls of a fleet's membership in its second minute, per agent and
+// weighted as the store counts them.
+func callsPerAgent(t *testing.T, agents int) (calls float64) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t.Context(), agents)
+		time.Sleep(time.Minute)
+		before := f.calls()
+		time.Sleep(time.Minute)
+		calls = (f.calls() - before) / float64(agents)
+		if n := f.numOwners(); n != min(agents, fleetShards) {
+			t.Errorf("%d of %d agents own the %d shards", n, agents, fleetShards)
+		}
+		f.stop()
+	})
+	return calls
+}
+
+// calls returns the calls so far. A join counts as a tenth.
+func (f *standbyFleet) calls() float64 {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	joins := 0
+	for _, n := range f.store.joins {
+		joins += n
+	}
+	return float64(joins)/10 + float64(f.store.looks)
+}
+
+// Every agent joined the owners' group four times a second for the sake of a few shards: with 800
+// agents that alone was a tenth of what the store takes. With twice the agents, each may make no
+// more calls, and all shards need an owner each.
+func TestMembershipCallsOfAnAgentDoNotGrowWithTheFleet(t *testing.T) {
+	is := is.New(t)
+	last := callsPerAgent(t, 50)
+	for _, agents := range []int{100, 200, 400} {
+		calls := callsPerAgent(t, agents)
+		t.Logf("%d agents: %.1f calls a minute each", agents, calls)
+		is.True(calls < last)
+		last = calls
+	}
+}
+
+// All owners are lost at once, and with them whoever could have taken over within their group. The
+// standbys must notice although each looks seldom, or jobs would be refused for lack of an owner.
+func TestStandbysReplaceLostOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := startFleet(t.Context(), 200)
+		time.Sleep(time.Minute)
+		f.store.mu.Lock()
+		members := slices.Collect(maps.Keys(f.store.expiry))
+		f.store.mu.Unlock()
+		is.True(len(members) >= fleetShards && len(members) < 100)
+		for _, member := range members {
+			name, _, _ := strings.Cut(member, "/")
+			f.cancel[name]()
+		}
+		time.Sleep(3 * time.Second) // the memberships last 1.2 s
+		is.True(f.numOwners() > 0)
+		time.Sleep(standbyInterval)
+		is.Equal(f.numOwners(), fleetShards)
+		f.stop()
+	})
+}
--- a/daemon/core/known_agents.go
+++ b/daemon/core/known_agents.go
@@ -11,8 +11,13 @@
 )
 
 // FollowRegistry updates the known agents from the registry, and reconciles the links, until the
-// context ends.
+// context ends. From then on the registry counts as not read.
 func (l *LinkSet) FollowRegistry(ctx context.Context, st store.Store) {
+	defer func() {
+		l.mu.Lock()
+		l.registryRead = false
+		l.mu.Unlock()
+	}()
 	f := &follower{
 		store: st, partition: RegistryPartition, wait: registryWait, batchDelay: registryBatchDelay, name: "registry",
 		apply: l.applyRecord, afterBatch: func() {
