--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
@@ -64,6 +66,11 @@
 	drainsNotRead mutant = "drains not looked for"
 	// Agents accept a drain state that is older than the one they have.
 	olderDrainsAccepted mutant = "older drains taken for newer"
+	// Backend servers don't tell their incarnations under one ID apart.
+	startTimesNotTold mutant = "start times not told"
+	// Agents take each incarnation under one ID for a server with another ID, which no call for the
+	// earlier one reaches.
+	restartsUnderNewIDs mutant = "restarts taken for other IDs"
 	// Owners that were replaced in the group never stop.
 	noRenewLimit mutant = "dropped owners go on for ever"
 )
@@ -92,6 +99,8 @@
 	seq        int
 	steps      int
 	traceLines []traceLine
+	// onTrace, if set, is called with each trace line.
+	onTrace func(string)
 
 	store      storeModel
 	owners     []*ownerModel
@@ -300,8 +309,8 @@
 
 func (w *world) records() []*job.Record {
 	var out []*job.Record
-	for id, raw := range w.store.records {
-		r, err := wire.DecodeRecord(id, raw)
+	for _, id := range slices.Sorted(maps.Keys(w.store.records)) {
+		r, err := wire.DecodeRecord(id, w.store.records[id])
 		if err != nil {
 			panic(err)
 		}
--- a/coordination/worker/crash.go
+++ b/coordination/worker/crash.go
@@ -54,7 +54,7 @@
 // lostServer is an instance that was lost, with the runs that were lost with it and what is known
 // about the loss. An instance that was only cut off and answers again may be lost once more.
 type lostServer struct {
-	instance string
+	instance job.Instance
 	at       time.Duration
 	loss     Loss
 	runs     []lostRun
@@ -77,15 +77,23 @@
 
 // endLostLocked ends a run that was lost with its server. suspects is the number of runs on the
 // server, any of which may be the cause. With NotLost the run lapses without a loss being reported.
-func (w *Worker) endLostLocked(now time.Duration, fx *Effects, id job.RunID, r *run, loss Loss, suspects int, reason string) {
+func (w *Worker) endLostLocked(now time.Duration, fx *Effects, r *run, loss Loss, suspects int, reason string) {
 	if loss == NotLost || !r.occupies() {
-		w.dropLocked(fx, id, r, job.Lapsed, reason)
+		w.dropLocked(fx, r, job.Lapsed, reason)
+		return
+	}
+	w.recordLossLocked(now, r, loss, suspects)
+	w.dropLocked(fx, r, job.Lapsed, reason)
+}
+
+// recordLossLocked records that a run may have been lost with the present instance.
+func (w *Worker) recordLossLocked(now time.Duration, r *run, loss Loss, suspects int) {
+	if loss == NotLost {
 		return
 	}
 	lost := w.lostServerLocked(now, loss)
-	lost.runs = append(lost.runs, lostRun{shard: r.order.Shard, epoch: r.order.Epoch, run: id, suspects: suspects})
-	r.loss, r.suspects = loss, suspects
-	w.dropLocked(fx, id, r, job.Lapsed, reason)
+	lost.runs = append(lost.runs, lostRun{shard: r.order.Shard, epoch: r.order.Epoch, run: r.order.Run, suspects: suspects})
+	r.loss, r.lostInstance, r.suspects = loss, w.server.Instance, suspects
 }
 
 // lostServerLocked returns the record of the present instance as lost at now, and creates it if
--- a/coordination/worker/stops.go
+++ b/coordination/worker/stops.go
@@ -26,7 +26,7 @@
 func (w *Worker) stopLocked(now time.Duration, fx *Effects, r *run, reason string) {
 	switch r.phase {
 	case waiting:
-		w.dropLocked(fx, r.order.Run, r, job.NeverRan, reason)
+		w.dropLocked(fx, r, job.NeverRan, reason)
 	case ended:
 	default:
 		r.stopWanted = true
@@ -48,7 +48,7 @@
 }
 
 // StopAnswered applies the outcome of a StopCall. answered is false if no answer came.
-func (w *Worker) StopAnswered(now time.Duration, instance string, id job.RunID, answered bool) Effects {
+func (w *Worker) StopAnswered(now time.Duration, instance job.Instance, id job.RunID, answered bool) Effects {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var fx Effects
--- a/daemon/agent/notes.go
+++ b/daemon/agent/notes.go
@@ -43,7 +43,7 @@
 	// Owners are the owners whose orders the agent has received; see Worker.SetFormerOwners in
 	// coordination/worker.
 	Owners []string `json:"owners"`
-	// Member is the name of the incarnation in the owners' group.
+	// Member is the name of the incarnation in the owners' group; empty if it was no member.
 	Member string `json:"member,omitempty"`
 	// Server is the last known backend server. If the same instance answers, the next
 	// incarnation continues with it at once instead of waiting for its next report.
@@ -54,20 +54,26 @@
 
 // storedServer is what an agent stores about its backend server.
 type storedServer struct {
-	Instance string     `json:"instance"`
-	Service  string     `json:"service"`
-	Labels   []string   `json:"labels"`
-	Capacity job.Demand `json:"capacity"`
-	Draining bool       `json:"draining"`
+	ID string `json:"instance"`
+	// StartedMS is the start time of the instance; zero if it is unknown.
+	StartedMS int64      `json:"started_ms,omitempty"`
+	Service   string     `json:"service"`
+	Labels    []string   `json:"labels"`
+	Capacity  job.Demand `json:"capacity"`
+	Draining  bool       `json:"draining"`
 	// CapacityChanged is set once the instance has changed its capacity.
 	CapacityChanged bool `json:"varies,omitempty"`
 }
 
+func (s *storedServer) instance() job.Instance {
+	return job.Instance{ID: s.ID, StartedMS: s.StartedMS}
+}
+
 // usable reports whether an agent can continue with a stored backend server before its next
 // report. A server that has changed its capacity is not usable: the capacity may have shrunk
 // again since it was stored, and runs started according to it would not fit.
 func (s *storedServer) usable() bool {
-	return s != nil && !s.CapacityChanged && s.Instance != "" && s.Service != "" && s.Capacity.CPUMillis > 0
+	return s != nil && !s.CapacityChanged && s.ID != "" && s.Service != "" && s.Capacity.CPUMillis > 0
 }
 
 // incarnationKey returns the key of the record whose offset numbers an incarnation. The record is
@@ -125,7 +131,10 @@
 
 // writeNotes writes the notes for the next incarnation.
 func (a *Agent) writeNotes(ctx context.Context) {
-	n := notes{Owners: a.recentPlacers.owners(), Member: a.member, Registered: a.registered.Load()}
+	n := notes{Owners: a.recentPlacers.owners(), Registered: a.registered.Load()}
+	if a.isMember.Load() {
+		n.Member = a.member
+	}
 	if s, ok := a.worker.Server(); ok {
 		n.Server = newStoredServer(s, a.worker.CapacityChanged())
 	}
