--- a/daemon/agent/registration.go
+++ b/daemon/agent/registration.go
@@ -153,6 +153,10 @@
 
 // Report handles a report of the backend server.
 func (a *Agent) Report(s worker.Server, clockMS int64) {
+	if known, _ := a.worker.Server(); s.Instance.StartedMS != 0 && s.Instance.Precedes(known.Instance) {
+		klog.InfoS("Ignoring a late report of an earlier incarnation", "instance", s.Instance, "known", known.Instance)
+		return
+	}
 	if !a.acceptsReport(s) {
 		metrics.Malformed(metrics.KindReport)
 		return
@@ -183,8 +187,8 @@
 		}
 		return true
 	case s.Instance.Precedes(known.Instance):
-		klog.InfoS("Ignoring a report of an earlier incarnation", "instance", s.Instance, "known", known.Instance)
-		return s.Instance.StartedMS != 0 // the worker ignores it
+		klog.InfoS("Ignoring a report without the start time that earlier ones had", "instance", s.Instance, "known", known.Instance)
+		return false
 	case !reported && s.Instance.ID != known.Instance.ID:
 		return true
 	}
