Read a registry that fills up in fewer calls

The rest comes from the start: 800 registrations are appended to one partition, 4 ms each, and each of 183 entries read them with a pause of 30 ms, some 30 calls a second for as long as that took. The pause fitted a start of 70 agents in 0.3 s.

Change: the pause doubles up to 1 s while records keep coming, and starts anew once a read had to wait. A single registration is known at once, as before.

Ruled out: a longer constant pause, which would delay every single record.

--- a/daemon/core/known_agents.go
+++ b/daemon/core/known_agents.go
@@ -8,6 +8,7 @@
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
+	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
 // FollowRegistry updates the known agents from the registry, and reconciles the links, until the
@@ -19,7 +20,7 @@
 		l.mu.Unlock()
 	}()
 	f := &follower{
-		store: st, partition: RegistryPartition, wait: registryWait, batchDelay: registryBatchDelay, name: "registry",
+		store: st, partition: RegistryPartition, wait: registryWait, batchPause: pause.Backoff{Min: minRegistryPause, Max: maxRegistryPause}, name: "registry",
 		apply: l.applyRecord, afterBatch: func() {
 			l.mu.Lock()
 			l.registryRead = true
--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -62,11 +62,13 @@
 	// registryWait is how long a read of the registry waits for new records. A silent
 	// connection is detected followSlack later.
 	registryWait = 5 * time.Second
-	// registryBatchDelay is the pause after new records of the registry, so that the next read
-	// returns several. When a system starts for the first time, 70 agents register within
-	// 0.3 s, and without the pause each of 83 readers reads each record separately. It delays
-	// no restarted agent: one that returns at its old address is already known.
-	registryBatchDelay = 30 * time.Millisecond
+	// minRegistryPause is the pause after new records of the registry, so that the next read
+	// returns several. It doubles up to maxRegistryPause while records keep coming: when 800
+	// agents register, their records arrive for seconds, and with a constant pause each of 183
+	// readers made 30 calls a second. It delays no restarted agent: one that returns at its old
+	// address is already known.
+	minRegistryPause = 30 * time.Millisecond
+	maxRegistryPause = time.Second
 )
 
 // Retry repeats a call to the store, with exponential backoff, until it succeeds or the context
@@ -90,9 +92,10 @@
 	partition store.Partition
 	// wait is how long a read waits for new records.
 	wait time.Duration
-	// batchDelay is the pause after each read that returned records, so that the next read
-	// returns several.
-	batchDelay time.Duration
+	// batchPause is the pause after a read that returned records, so that the next read
+	// returns several. It starts anew once a read had to wait for longer than the last pause.
+	// Without a maximum there is no pause.
+	batchPause pause.Backoff
 	// apply is called with the newest record of each key and then with each new record, possibly
 	// more than once. afterBatch, if set, is called after all records of a read.
 	apply      func(store.Record)
@@ -156,13 +159,19 @@
 		if f.onPosition != nil {
 			f.onPosition(next)
 		}
-		if len(records) > 0 {
-			_ = pause.For(ctx, f.batchDelay)
+		var paused time.Duration
+		if len(records) > 0 && f.batchPause.Max > 0 {
+			paused = f.batchPause.Next(0)
+			_ = pause.For(ctx, paused)
 		}
+		began := time.Now()
 		records, next, err = f.follow(ctx, next)
 		if err != nil {
 			return err
 		}
+		if time.Since(began) > paused {
+			f.batchPause.Reset()
+		}
 	}
 }
 
