--- a/daemon/agent/metrics.go
+++ b/daemon/agent/metrics.go
@@ -22,6 +22,7 @@
 		{"runs_silenced_total", "Runs stopped because their owner was silent.", func(s worker.Stats) int64 { return s.OwnerTimedOut }},
 		{"orders_drained_total", "Orders refused or handed back because the failure domain is drained.", func(s worker.Stats) int64 { return s.Drained }},
 		{"capacity_changes_total", "Changes of the backend server's capacity.", func(s worker.Stats) int64 { return s.Resized }},
+		{"server_restarts_total", "Starts of the backend server under the ID that it had.", func(s worker.Stats) int64 { return s.Restarted }},
 		{"stalls_total", "Times the backend server stood still.", func(s worker.Stats) int64 { return s.Stalled }},
 	} {
 		opts := prometheus.CounterOpts{Namespace: core.Namespace, Subsystem: "agent", Name: c.name, Help: c.help}
--- a/daemon/core/store_calls.go
+++ b/daemon/core/store_calls.go
@@ -2,27 +2,49 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/state/store"
+	"github.com/shallotstep/shallotstep/transport/bootclock"
 )
 
 // CountCalls returns st with a counter of its calls by verb and purpose. The purpose is the topic or
 // the group of a call, without the number of the topic.
 func (m *Metrics) CountCalls(st store.Store) store.Store {
-	return &countedStore{store: st, calls: m.storeCalls}
+	return &countedStore{store: st, calls: m.storeCalls, totals: make(map[string]int), loggedAt: bootclock.Now()}
 }
 
 type countedStore struct {
 	store store.Store
 	calls *prometheus.CounterVec
+
+	mu sync.Mutex
+	// totals counts the calls since the start, and loggedAt is when they were last logged. Both are
+	// guarded by mu.
+	totals   map[string]int
+	loggedAt time.Duration
 }
 
+// storeCallsLogInterval is the least time between two log lines with the calls of a process.
+const storeCallsLogInterval = 30 * time.Second
+
 func (s *countedStore) count(verb, name string) {
-	s.calls.WithLabelValues(verb, purposeOf(name)).Inc()
+	purpose := purposeOf(name)
+	s.calls.WithLabelValues(verb, purpose).Inc()
+	now := bootclock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.totals[verb+" "+purpose]++
+	if now-s.loggedAt >= storeCallsLogInterval {
+		s.loggedAt = now
+		klog.InfoS("Calls to the store since the start", "calls", maps.Clone(s.totals))
+	}
 }
 
 // purposeOf returns the name of a topic or group without what numbers it among others.
