--- a/daemon/agent/standby.go
+++ b/daemon/agent/standby.go
@@ -12,11 +12,11 @@
 	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
-// Only as many agents own shards as there are shards, however large the fleet is. The others stand
-// by outside the owners' group: a member joins several times a second, and when every agent was a
-// member, that was a tenth of the store's write calls at 800 agents. Members without a shard, left
-// over from a start or a failure, take over at once as before. A standby joins when shards have
-// too few owners. One of many standbys finds that out soon although each looks seldom.
+// At most as many agents own shards as there are shards, however large the fleet is. If all agents
+// were members of the owners' group, their joins, several a second each, would use up the store's
+// calls as the fleet grows. So an agent stands by outside the group while the shards have enough
+// owners. Members without a shard, left over from a start or a failure, take over from lost owners at
+// once. If those are lost too, a standby joins: each looks seldom, but one of many looks soon.
 
 // standbyInterval is the mean interval at which a standby looks at the owners.
 const standbyInterval = 30 * time.Second
