--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -63,10 +63,10 @@
 	// connection is detected followSlack later.
 	registryWait = 5 * time.Second
 	// minRegistryPause is the pause after new records of the registry, so that the next read
-	// returns several. It doubles up to maxRegistryPause while records keep coming: when 800
-	// agents register, their records arrive for seconds, and with a constant pause each of 183
-	// readers made 30 calls a second. It delays no restarted agent: one that returns at its old
-	// address is already known.
+	// returns several. It doubles up to maxRegistryPause while records keep coming: at the first
+	// start of a large system they arrive for seconds, and with a constant pause each reader
+	// would read as often as it can. A restarted agent is not delayed: one that returns at its
+	// old address is already known.
 	minRegistryPause = 30 * time.Millisecond
 	maxRegistryPause = time.Second
 )
