Let standbys stand by although the group deals shards unevenly

The platform's group gives two of 32 shards to one member and none to another, so there were never more than 31 distinct owners, and a standby joined below 32.

Change: a standby joins while fewer than three quarters of the shards have distinct owners.

--- a/daemon/agent/standby.go
+++ b/daemon/agent/standby.go
@@ -38,14 +38,19 @@
 			klog.InfoS("A standby could not read the owners of the shards", "err", err)
 			continue
 		}
-		if n := numOwners(owners, core.ShardSeries(a.settings)); n < a.settings.Shards() {
-			klog.InfoS("Offering to own shards", "owners", n, "shards", a.settings.Shards())
+		if n := numOwners(owners, core.ShardSeries(a.settings)); n < enoughOwners(a.settings.Shards()) {
+			klog.InfoS("Offering to own shards", "owners", n, "enough", enoughOwners(a.settings.Shards()))
 			return true
 		}
 	}
 	return false
 }
 
+// enoughOwners returns the number of owners below which more agents are needed. A group may give two
+// shards to one member while others have none. If each shard had to have an owner of its own, all
+// agents would join such a group.
+func enoughOwners(shards int) int { return max(1, shards*3/4) }
+
 // numOwners returns the number of members that own shards of the series.
 func numOwners(owners map[store.Partition]string, shards core.PartitionSeries) int {
 	members := make(map[string]bool)
