Make the uneven group of the membership test uneven from the first member on

The test added with the bound of three quarters passed with the old bound too: its group became uneven only with more members than shards, and the standbys stopped before that. With the old bound it fails now.

--- a/daemon/agent/standby_test.go
+++ b/daemon/agent/standby_test.go
@@ -112,7 +112,7 @@
 			held[fewest]++
 		}
 	}
-	if s.uneven && len(members) > len(s.owners) {
+	if s.uneven {
 		s.moveOneLocked()
 	}
 }
