--- a/daemon/core/follower_test.go
+++ b/daemon/core/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -20,12 +21,12 @@
 	coretest.RejectingStore
 	began    time.Time
 	interval time.Duration
-	records  int64
+	records  atomic.Int64
 	reads    atomic.Int64
 }
 
 func (s *growingStore) end() int64 {
-	return min(s.records, int64(time.Since(s.began)/s.interval))
+	return min(s.records.Load(), int64(time.Since(s.began)/s.interval))
 }
 
 func (s *growingStore) Newest(context.Context, store.Partition) ([]store.Record, int64, error) {
@@ -50,7 +51,8 @@
 // each 4 ms, and how long after it a later registration is known.
 func readsWhileRegistering(t *testing.T, agents int64) (reads int64, delay time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
-		st := &growingStore{began: time.Now(), interval: 4 * time.Millisecond, records: agents}
+		st := &growingStore{began: time.Now(), interval: 4 * time.Millisecond}
+		st.records.Store(agents)
 		ctx, cancel := context.WithCancel(t.Context())
 		var known atomic.Int64
 		var lastAt atomic.Pointer[time.Time]
@@ -70,7 +72,7 @@
 			t.Errorf("%d of %d registrations are known", known.Load(), agents)
 		}
 		time.Sleep(registryWait)
-		st.records++
+		st.records.Add(1)
 		registered := time.Now()
 		time.Sleep(registryWait)
 		delay = lastAt.Load().Sub(registered)
@@ -82,16 +84,17 @@
 
 // All agents of a fleet register within seconds. Guards against readers that read as often as the
 // store has something new: each of 183 entries made 30 calls a second for as long as 800 records
-// took. A reader may need one more for each 250 further agents, as many as register within the
-// longest pause. A single registration later is known at once.
+// took. While the pause grows, a reader may need one for each doubling, and from then on one for each
+// of the longest pauses, which jitter makes a quarter shorter. A single registration later is known at
+// once.
 func TestReadsOfARegistryThatFillsUp(t *testing.T) {
 	is := is.New(t)
-	var last int64
+	doublings := int64(math.Ceil(math.Log2(float64(maxRegistryPause) / float64(minRegistryPause))))
 	for _, agents := range []int64{100, 200, 400, 800, 1600} {
 		reads, delay := readsWhileRegistering(t, agents)
 		t.Logf("%d agents: %d reads", agents, reads)
-		is.True(last == 0 || reads <= last+agents/250+1)
+		longest := time.Duration(agents) * 4 * time.Millisecond / (maxRegistryPause * 3 / 4)
+		is.True(reads <= doublings+int64(longest)+3) // the first, the last and one that waits
 		is.True(delay < 2*minRegistryPause)
-		last = reads
 	}
 }
