--- a/coordination/worker/restarted_server_test.go
+++ b/coordination/worker/restarted_server_test.go
@@ -121,9 +121,9 @@
 	f.is.Equal(len(f.send(f.order(2)).Starts), 1)
 }
 
-// Words of an earlier incarnation arrive after the first report of the new one: a report, the answer
+// Messages of an earlier incarnation arrive after the first report of the new one: a report, the answer
 // to a hold, and a deregistration. They must not bring back what is gone, nor end what runs now.
-func TestLateWordsOfEarlierIncarnationChangeNothing(t *testing.T) {
+func TestLateMessagesOfEarlierIncarnationChangeNothing(t *testing.T) {
 	f := newServerFixture(t)
 	earlier := f.instance
 	c, _ := f.Hold(f.now)
@@ -144,7 +144,7 @@
 }
 
 // A server deregisters without saying when it started. If it is draining, its end is planned and no
-// run is lost with it. Otherwise the word may be an earlier incarnation's, and what runs goes on.
+// run is lost with it. Otherwise the message may be an earlier incarnation's, and what runs goes on.
 func TestDeregistrationWithoutStartTime(t *testing.T) {
 	f := newServerFixture(t)
 	f.send(f.order(0))
@@ -249,6 +249,7 @@
 func TestStartTimeThatBecomesKnownEndsNothing(t *testing.T) {
 	f := newFixture(t)
 	f.send(f.order(0))
+	f.hold() // a run that was listed would count as lost with an earlier incarnation
 	g := &serverFixture{fixture: f, instance: job.Instance{ID: "i-1", StartedMS: 1000}}
 	g.report()
 	f.is.Equal(len(f.ended()), 0)
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -336,7 +336,7 @@
 
 // Deregistered notes that an instance of the backend server has deregistered. Without a start time
 // it counts as the known incarnation only if that is draining, as a server is before it
-// deregisters: otherwise it may be a late word of an earlier one.
+// deregisters: otherwise it may be a late message of an earlier one.
 func (w *Worker) Deregistered(instance job.Instance) Effects {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/daemon/agent/registration.go
+++ b/daemon/agent/registration.go
@@ -197,8 +197,8 @@
 
 // isRunning asks the backend server with a hold whether an instance is the one that runs. If it
 // doesn't answer, an instance with another ID is assumed to run: such a server can't start anything
-// either, and the calls for the known ID would tell. An incarnation under the known ID is not: its
-// lists will tell.
+// either. An incarnation under the known ID is not, since the lists show a restart as soon as the
+// server answers.
 func (a *Agent) isRunning(instance, known job.Instance) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
--- a/daemon/agent/reports_test.go
+++ b/daemon/agent/reports_test.go
@@ -51,11 +51,11 @@
 	is.Equal(reportAs(present), present)
 	later := job.Instance{ID: "i", StartedMS: 9000}
 	is.Equal(reportAs(later), present)                                  // the server denies it
-	is.Equal(reportAs(job.Instance{ID: "i", StartedMS: 1000}), present) // a late word
+	is.Equal(reportAs(job.Instance{ID: "i", StartedMS: 1000}), present) // late
 	is.Equal(reportAs(job.Instance{ID: "i"}), present)                  // no start time
 	is.Equal(reportAs(job.Instance{ID: "j", StartedMS: 9000}), present) // no such server
 	server.silent = true
-	is.Equal(reportAs(later), present) // its lists will tell
+	is.Equal(reportAs(later), present) // its lists show it once it answers
 	server.silent, server.instance = false, later
 	is.Equal(reportAs(later), later)
 }
--- a/daemon/agent/standby_test.go
+++ b/daemon/agent/standby_test.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -237,3 +239,68 @@
 		f.stop()
 	})
 }
+
+// followedStore counts the readers that follow the registry, and keeps the last notes written.
+type followedStore struct {
+	groupStore
+	following atomic.Int64
+	last      atomic.Pointer[notes]
+}
+
+func (s *followedStore) Follow(ctx context.Context, _ store.Partition, from int64, _ time.Duration) ([]store.Record, int64, error) {
+	s.following.Add(1)
+	defer s.following.Add(-1)
+	<-ctx.Done()
+	return nil, from, ctx.Err()
+}
+
+func (s *followedStore) Append(_ context.Context, _ store.Partition, _ *store.Producer, records []store.Record) (int64, error) {
+	var n notes
+	if err := json.Unmarshal(records[0].Value, &n); err != nil {
+		return 0, err
+	}
+	s.last.Store(&n)
+	return 0, nil
+}
+
+// An agent owned a shard for a moment while the fleet started. Guards against following the registry
+// from then on: each of its records would be read by every agent that ever had a shard.
+func TestRegistryIsFollowedOnlyWhileShardsAreOwned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		st := &followedStore{}
+		a := New(coretest.Settings(), st, core.DrainSource{}, nil)
+		a.links, _ = fakeLinks(a, a.fleet)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			a.followRegistry(ctx)
+		}()
+		synctest.Wait()
+		is.Equal(st.following.Load(), int64(0))
+		for range 2 {
+			a.signalShard()
+			synctest.Wait()
+			is.Equal(st.following.Load(), int64(1))
+			a.manageLinks(a.ownedAt + idleLinkTimeout + 1)
+			time.Sleep(time.Second) // the maintenance of the links ends with its next step
+			is.Equal(st.following.Load(), int64(0))
+		}
+		cancel()
+		<-done
+	})
+}
+
+// An agent that was no member of the owners' group restarts. Guards against taking it for a former
+// member, which joins at once: after a restart of the fleet all agents would join.
+func TestNotesNameOnlyMembers(t *testing.T) {
+	is := is.New(t)
+	st := &followedStore{}
+	a := New(coretest.Settings(), st, core.DrainSource{}, nil)
+	a.writeNotes(t.Context())
+	is.Equal(st.last.Load().Member, "")
+	a.isMember.Store(true)
+	a.writeNotes(t.Context())
+	is.Equal(st.last.Load().Member, a.member)
+}
