Add the settings and the interfaces of the parts for hard load

Cause: two deployments have servers of unequal speed and callers who compete for too little capacity; neither can be asked for in the settings.

Change: a section scheduling, each part off when absent, checked with field and value, and a list of seeds. owner.Params carries the switches.

--- a/coordination/owner/params.go
+++ b/coordination/owner/params.go
@@ -62,6 +62,12 @@
 	// RunTimeWeight is the weight of a new measurement in the moving average of a queue's run
 	// times; about the last fifty measurements count.
 	RunTimeWeight float64
+
+	// ServerSpeeds makes placement and admission go by the speeds of backend servers.
+	ServerSpeeds bool
+	// Shedding gives up accepted work that can't be in time once capacity is lost, and spreads the
+	// return of refused clients.
+	Shedding bool
 }
 
 // DefaultParams returns the parameters that are used in production.
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -120,7 +120,7 @@
 		member: core.MemberName(s.Name, xid.New().String()), started: bootclock.Now(),
 		worker:        worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerTimeout: core.OwnerTimeout, ReconnectTimeout: core.ReconnectTimeout, AdoptionTimeout: core.AdoptionTimeout, Shards: s.Shards()}),
 		recentPlacers: newRecentPlacers(),
-		fleet:         owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams(), rand.Uint64()),
+		fleet:         owner.NewFleet(s.Bounds.RemoteFactor, core.OwnerParams(s), rand.Uint64()),
 		shards:        make(map[int]*shardRunner),
 		opening:       make(map[int]bool),
 		shardCallers:  make(map[int]*peer.Caller),
--- a/daemon/core/bounds.go
+++ b/daemon/core/bounds.go
@@ -74,3 +74,12 @@
 		MaxWriteDelay:   maxWriteDelay,
 	}
 }
+
+// OwnerParams returns the parameters of an owner, with the parts of scheduling that the settings
+// switch on.
+func OwnerParams(s *settings.Settings) owner.Params {
+	p := owner.DefaultParams()
+	p.ServerSpeeds = s.Scheduling.ServerSpeeds
+	p.Shedding = s.Scheduling.Shedding
+	return p
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -72,7 +72,7 @@
 	e := &Entry{
 		settings: s, store: st, metrics: m,
 		config: config, decode: decode, owners: newOwnerCache(s, st), buckets: newBuckets(s, st),
-		fleet: owner.NewFleet(s.Bounds.RemoteFactor, owner.DefaultParams(), rand.Uint64()),
+		fleet: owner.NewFleet(s.Bounds.RemoteFactor, core.OwnerParams(s), rand.Uint64()),
 	}
 	e.drains = core.NewDrainWatch(drains, e.applyDrains)
 	e.metrics.WatchDrains(e.drains)
--- a/state/settings/settings.go
+++ b/state/settings/settings.go
@@ -3,6 +3,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"os"
 	"time"
 
@@ -29,6 +30,9 @@
 	// Links is the number of agents that the process keeps connections to. Zero means
 	// all. If a job needs other agents, the process connects to them on demand.
 	Links int `json:"links"`
+	// Seeds are addresses, as IP and port, of hosts with agents. A process that starts without
+	// the store asks the agents there for what other processes know. They may be stale.
+	Seeds []string `json:"seeds"`
 
 	Listen Listen `json:"listen"`
 	Store  Store  `json:"store"`
@@ -36,6 +40,28 @@
 	Owners Owners `json:"owners"`
 	Bounds Bounds `json:"bounds"`
 	Limits Limits `json:"limits"`
+
+	Scheduling Scheduling `json:"scheduling"`
+}
+
+// Scheduling switches on the parts of scheduling that a deployment asks for. A part that is absent
+// is off.
+type Scheduling struct {
+	// ServerSpeeds makes agents measure how fast their backend servers are, and owners place
+	// tasks by it.
+	ServerSpeeds bool `json:"server_speeds"`
+	// Shares divides contended capacity between queues; nil: off.
+	Shares *Shares `json:"shares"`
+	// Shedding gives up accepted work that can't be in time once capacity is lost, and spreads
+	// the return of refused clients.
+	Shedding bool `json:"shedding"`
+}
+
+// Shares holds the settings of the division of contended capacity.
+type Shares struct {
+	// Floor is the share of the capacity that is divided evenly between all queues that ask for
+	// it, before the rest is divided by priority; between 0 and 1.
+	Floor float64 `json:"floor"`
 }
 
 // Listen holds the addresses that a process listens on, as IP and port. An empty
@@ -180,9 +206,24 @@
 	if s.Store.Topics < 1 || s.Store.Partitions < 1 {
 		return errors.New("settings: store.topics and store.partitions must be at least 1")
 	}
+	if err := s.checkScheduling(); err != nil {
+		return err
+	}
 	return s.checkBounds()
 }
 
+func (s *Settings) checkScheduling() error {
+	for _, seed := range s.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			return errors.Errorf("settings: seeds: %q is not an IP address with a port", seed)
+		}
+	}
+	if shares := s.Scheduling.Shares; shares != nil && (shares.Floor < 0 || shares.Floor > 1) {
+		return errors.Errorf("settings: scheduling.shares.floor %v is not between 0 and 1", shares.Floor)
+	}
+	return nil
+}
+
 func (s *Settings) checkBounds() error {
 	b := &s.Bounds
 	if b.Lease <= 0 || b.Grace <= 0 || b.Retention <= 0 {
--- a/state/settings/settings_test.go
+++ b/state/settings/settings_test.go
@@ -36,6 +36,12 @@
 		{`"bounds"`, `"owners": {"start_spread": "-1s"}, "bounds"`, "owners.start_spread"},
 		{`"grace": "8s"`, `"grace": 8`, "bounds.grace"},
 		{`"zone"`, `"zoen"`, "zoen"},
+		{`"bounds"`, `"seeds": ["host:1"], "bounds"`, "seeds"},
+		{`"bounds"`, `"seeds": ["127.0.0.1"], "bounds"`, "seeds"},
+		{`"bounds"`, `"scheduling": {"shares": {"floor": -0.1}}, "bounds"`, "scheduling.shares.floor -0.1"},
+		{`"bounds"`, `"scheduling": {"shares": {"floor": 1.1}}, "bounds"`, "scheduling.shares.floor 1.1"},
+		{`"bounds"`, `"scheduling": {"server_speeds": 1}, "bounds"`, "scheduling.server_speeds"},
+		{`"bounds"`, `"scheduling": {"speed": true}, "bounds"`, "speed"},
 	} {
 		_, err := Parse("entry.json", []byte(strings.Replace(entrySettings, c.from, c.to, 1)))
 		is.True(err != nil)
