--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/daemon/clients"
@@ -63,7 +62,6 @@
 	backendServers []*standin.BackendServer
 	agents         []*Agent
 	entries        []*Entry
-	done           conc.WaitGroup
 }
 
 // Start starts the system and applies the example declaration. It returns once the
@@ -232,5 +230,4 @@
 		b.Close()
 	}
 	s.store.Close()
-	s.done.Wait()
 }
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -1,5 +1,5 @@
 // Package routing defines the routing table: which requests go to which queue,
-// the policy of each queue, and the limits on requests.
+// the policy of each queue, and the limit on request bodies.
 package routing
 
 import (
@@ -21,20 +21,12 @@
 	Timeout time.Duration
 }
 
-// Limits holds the limits on the size of a request and on the time that a
-// connection may take to send its header or be idle.
-type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
-}
-
 // Table is one version of the configuration. It is immutable.
 type Table struct {
 	Version int64
 	Routes  []Route
-	Limits  Limits
+	// MaxBodyBytes is the limit on the size of a request body; zero or less: none is set.
+	MaxBodyBytes int64
 }
 
 // Match returns the route of a host whose prefix is the longest that matches the
--- a/transport/loadgen/config.go
+++ b/transport/loadgen/config.go
@@ -27,7 +27,6 @@
 	DefaultPatience = 60 * time.Second
 	DefaultTasks    = "mix"
 	DefaultMix      = "haneul"
-	DefaultWork     = 200 * time.Millisecond
 )
 
 // maxJobs is the maximum number of jobs in a run. It bounds the memory used.
