Add the interface of the speeds

A load carries how fast the backend server is and how many runs that rests on. Nothing sets a speed yet.

--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -25,8 +25,12 @@
 	// each of worker.SlackBuckets.
 	Backlog time.Duration
 	Ahead   [len(worker.SlackBuckets)]time.Duration
-	// Slowdown is the ratio of measured to expected run times.
+	// Slowdown is the ratio of measured to expected run times, relative to the server's own speed.
 	Slowdown float64
+	// Speed is how fast the server is: 2 is twice as fast as expected run times say, 0 is unknown.
+	Speed float64
+	// SpeedRuns is the number of runs that Speed rests on.
+	SpeedRuns int
 	// Turnover is the mean time until the next running task ends.
 	Turnover time.Duration
 	Accepts  bool
--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -20,8 +20,13 @@
 	Backlog time.Duration
 	// Ahead is the part of Backlog that has to start within each of the SlackBuckets.
 	Ahead [len(SlackBuckets)]time.Duration
-	// Slowdown is the ratio of actual to expected run time here; 1 is normal.
+	// Slowdown is the ratio of actual to expected run time here; 1 is normal. It is relative to the
+	// server's own speed.
 	Slowdown float64
+	// Speed is how fast the server is: 2 is twice as fast as expected run times say, 0 is unknown.
+	Speed float64
+	// SpeedRuns is the number of runs that Speed rests on.
+	SpeedRuns int
 	// Turnover is the mean time until one more task fits. If the active runs occupy
 	// more than the capacity, several of them have to end first.
 	Turnover time.Duration
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -19,7 +19,6 @@
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/daemon/core"
-	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/routing"
@@ -189,7 +188,7 @@
 func (e *Entry) LinkFrame(node string, _ int64, f *corepb.FromAgent) {
 	e.drains.Merge(f.GetDrains())
 	if l := f.GetLoad(); l != nil {
-		e.fleet.Update(bootclock.Now(), node, wire.LoadFromWire(l))
+		e.fleet.Update(bootclock.Now(), node, core.LoadOfAgent(node, l))
 	}
 	for _, p := range f.GetClaimed() {
 		e.bestEffort.HandleClaimed(node, p)
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -102,7 +103,7 @@
 		CapacityCpu: l.Server.Capacity.CPUMillis, CapacityMemory: l.Server.Capacity.MemoryMB, CapacityGpus: l.Server.Capacity.GPUs,
 		FreeCpu: l.Free.CPUMillis, FreeMemory: l.Free.MemoryMB, FreeGpus: l.Free.GPUs,
 		BacklogUs: l.Backlog.Microseconds(), TurnoverUs: l.Turnover.Microseconds(), Accepts: l.Accepts,
-		Slowdown: l.Slowdown, Suspects: int32(l.Suspects), Drained: l.Drained,
+		Slowdown: l.Slowdown, Speed: l.Speed, SpeedRuns: int32(l.SpeedRuns), Suspects: int32(l.Suspects), Drained: l.Drained,
 	}
 	if l.Backlog > 0 {
 		for _, a := range l.Ahead {
@@ -124,6 +125,9 @@
 		Accepts: p.GetAccepts(), OrdersSeen: p.GetOrdersSeen(), Placers: int(p.GetPlacers()), Suspects: int(p.GetSuspects()),
 		Orders: p.GetOrders(),
 	}
+	if SpeedIsValid(p) && p.GetSpeedRuns() > 0 {
+		out.Speed, out.SpeedRuns = p.GetSpeed(), int(p.GetSpeedRuns())
+	}
 	for i, us := range p.GetAheadUs() {
 		if i < len(out.Ahead) {
 			out.Ahead[i] = time.Duration(us) * time.Microsecond
@@ -132,6 +136,12 @@
 	return out
 }
 
+// SpeedIsValid reports whether a load's speed can be one. A speed that can't counts as unknown.
+func SpeedIsValid(p *corepb.Load) bool {
+	s := p.GetSpeed()
+	return s >= 0 && !math.IsInf(s, 1) && p.GetSpeedRuns() >= 0
+}
+
 // DrainsToWire returns the wire form of the known drains, or nil if none have been
 // read yet. age is the time since the store confirmed them.
 func DrainsToWire(s drains.State, age time.Duration) *corepb.Drains {
