Learn the speed of the backend server and use it for local durations

With scheduling.server_speeds an agent learns from the ends of runs whose start and end were both seen, on a warm server, without a checkpoint. Turnover, backlog, latest start, expected wait, overdue runs, exclusive runs and the slowdown go by the server's own speed, unless it doesn't differ significantly from 1. A new instance drops it; the next incarnation of the agent takes it over from the notes for the same instance, counted as half of its runs.

Response timeouts go by answers and not by run times, and evidence of crashes counts runs: neither depends on the speed, apart from how long an exclusive run has the server to itself.

With the switch off the factor is 1 and no speed is sent.

--- a/coordination/worker/health.go
+++ b/coordination/worker/health.go
@@ -25,12 +25,14 @@
 	suspended           bool
 	suspendedUntil      time.Duration
 	backoff             time.Duration
-	// runTimeRatio is the moving average of actual over expected run time; zero before the first
-	// run.
+	// runTimeRatio is the moving average of actual over expected run time at the server's own speed;
+	// zero before the first run.
 	runTimeRatio float64
 	ratioAt      time.Duration
 	// coldUntil is when the server stops being cold, according to its last report.
 	coldUntil time.Duration
+	// warmFrom is when the server was last cold, or will be.
+	warmFrom time.Duration
 }
 
 func (h *health) failed(now time.Duration) {
@@ -50,7 +52,7 @@
 
 // done resets the failure count and the suspension after a successful run.
 func (h *health) done() {
-	*h = health{runTimeRatio: h.runTimeRatio, ratioAt: h.ratioAt, coldUntil: h.coldUntil}
+	*h = health{runTimeRatio: h.runTimeRatio, ratioAt: h.ratioAt, coldUntil: h.coldUntil, warmFrom: h.warmFrom}
 }
 
 // ratioWeight is the weight of one run in the moving average. About the last ten runs count, which
@@ -101,6 +103,9 @@
 func (h *health) setCold(now, cold time.Duration) {
 	wasCold := now < h.coldUntil
 	h.coldUntil = now + cold
+	if cold > 0 || h.warmFrom > now {
+		h.warmFrom = now + cold
+	}
 	switch {
 	case cold > 0 && !wasCold:
 		h.runTimeRatio, h.ratioAt = max(h.runTimeRatio, coldSlowdown), now
@@ -130,7 +135,7 @@
 	runs := w.sortedRunsLocked()
 	for _, r := range runs {
 		if r.phase == running && !r.stopWanted {
-			overdue += r.overdue(now)
+			overdue += r.overdue(now, w.local)
 		}
 	}
 	if overdue < stallOverdue {
@@ -142,19 +147,20 @@
 	for _, r := range runs {
 		// A run that must not be repeated is left to end: stopping it would fail its job for
 		// certain.
-		if r.phase == running && !r.stopWanted && !r.order.AtMostOnce && r.overdue(now) > 0 {
+		if r.phase == running && !r.stopWanted && !r.order.AtMostOnce && r.overdue(now, w.local) > 0 {
 			w.stopLocked(now, fx, r, "stalled")
 		}
 	}
 }
 
-// overdue returns by how much the run exceeds its expected run time, in units of that time, between
-// 0 and 1.
-func (r *run) overdue(now time.Duration) float64 {
-	if r.order.Estimate <= 0 {
+// overdue returns by how much the run exceeds its expected run time here, in units of that time,
+// between 0 and 1.
+func (r *run) overdue(now time.Duration, local localTime) float64 {
+	expected := local.of(r.order.Estimate)
+	if expected <= 0 {
 		return 0
 	}
-	return min(1, max(0, float64(now-r.startedAt)/float64(r.order.Estimate)-1))
+	return min(1, max(0, float64(now-r.startedAt)/float64(expected)-1))
 }
 
 // probing reports whether the server may get only one run, which shows whether it works again.
--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -44,7 +44,7 @@
 }
 
 // Load returns the present load. Backlog is the waiting work in core time: the time that one core
-// needs for it.
+// needs for it here.
 func (w *Worker) Load(now time.Duration) Load {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -58,15 +58,16 @@
 		l.Free = job.Demand{}
 	}
 	l.Suspects = w.suspectsLocked()
+	l.Speed, l.SpeedRuns = w.speed.Speed(now)
 	var running time.Duration
 	for _, r := range w.runs {
 		switch r.phase {
 		case waiting:
-			l.addWaiting(now, r)
+			l.addWaiting(now, w.local, &r.order)
 		case ended:
 		default:
 			l.Running++
-			running += r.order.Estimate
+			running += w.local.of(r.order.Estimate)
 		}
 	}
 	l.Turnover = turnover(l.Running, running) * time.Duration(1+taken.excess(w.server.Capacity))
@@ -83,11 +84,11 @@
 	return sum / (n * (n + 1))
 }
 
-func (l *Load) addWaiting(now time.Duration, r *run) {
-	work := r.order.Estimate * time.Duration(r.order.Demand.CPUMillis) / 1000
+func (l *Load) addWaiting(now time.Duration, local localTime, o *Order) {
+	work := local.of(o.Estimate) * time.Duration(o.Demand.CPUMillis) / 1000
 	l.Waiting++
 	l.Backlog += work
-	slack := r.order.latestStart() - now
+	slack := local.latestStart(o) - now
 	for i, edge := range SlackBuckets {
 		if slack <= edge {
 			l.Ahead[i] += work
--- a/coordination/worker/run.go
+++ b/coordination/worker/run.go
@@ -45,7 +45,10 @@
 	stopAnswered bool
 	nextStop     time.Duration
 	startedAt    time.Duration
-	end          endState
+	// startSeen is set if the backend server answered the start, so that startedAt is when the run
+	// began.
+	startSeen bool
+	end       endState
 	// queueSeq numbers the orders as they arrive.
 	queueSeq int64
 	// listed is set once the run was in a list of active runs of the present instance.
--- a/coordination/worker/starts.go
+++ b/coordination/worker/starts.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		o.demandKnown = o.demandKnown && r.orderKnown
-		o.exclusive = o.exclusive || r.runsExclusively(now)
+		o.exclusive = o.exclusive || r.runsExclusively(now, w.local)
 		o.add(&r.order)
 	}
 	return o
@@ -90,7 +90,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *run) int {
-		if x, y := a.order.latestStart(), b.order.latestStart(); x != y {
+		if x, y := w.local.latestStart(&a.order), w.local.latestStart(&b.order); x != y {
 			return int(x - y)
 		}
 		return int(a.queueSeq - b.queueSeq)
@@ -98,8 +98,6 @@
 	return out
 }
 
-func (o *Order) latestStart() time.Duration { return o.Due - o.Estimate }
-
 func (w *Worker) startLocked(now time.Duration, fx *Effects, r *run) {
 	r.phase = starting
 	r.deadline = w.extendLeaseLocked(now)
@@ -161,7 +159,7 @@
 	case StartOK:
 		w.responses.observe(now - r.startedAt)
 		w.confirmLocked(&fx, r)
-		r.startedAt = now
+		r.startedAt, r.startSeen = now, true
 	case StartRefused, StartUnhealthy:
 		w.stats.Refused++
 		if outcome == StartUnhealthy {
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/speed"
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
@@ -27,6 +28,9 @@
 	// owner to repeat the order. The owner may be that incarnation itself: clients resubmit its
 	// best-effort jobs, and the first runs of these must have ended by then.
 	AdoptionTimeout time.Duration
+	// LearnSpeed makes the worker learn how fast the backend server is. Otherwise expected run times
+	// are taken for those of this server.
+	LearnSpeed bool
 	// Shards is the number of shards that job IDs are mapped to. Higher shard numbers are private
 	// shards of best-effort jobs.
 	Shards int
@@ -64,7 +68,7 @@
 	Service string
 	Label   string
 	Demand  job.Demand
-	// Estimate is the run time that the owner expects.
+	// Estimate is the run time that the owner expects on a server of speed 1.
 	Estimate time.Duration
 	// Due is when the run should have ended, on the clock that now is read from.
 	Due          time.Duration
@@ -208,6 +212,11 @@
 
 	health    health
 	responses responseTimes
+	speed     speed.Estimator
+	// local is by the speed, as of its last change or tick.
+	local localTime
+	// formerSpeed is the stored speed until the backend server has reported.
+	formerSpeed Speed
 	// lastDone is when a run last completed successfully.
 	lastDone time.Duration
 	stats    Stats
@@ -267,9 +276,12 @@
 	if w.reported && s.Instance != w.server.Instance {
 		w.replacedServerLocked(now, &fx, s.Instance)
 	}
-	if !w.reported || s.Instance != w.server.Instance {
+	isNew := !w.reported || s.Instance != w.server.Instance
+	if isNew {
 		w.acked = 0
 		w.health = health{}
+		// A new instance may be of another kind.
+		w.speed, w.local = speed.Estimator{}, localTime{}
 		w.capacityAtMS, w.capacityChanged = 0, false
 		w.server.Capacity = s.Capacity
 		w.lastHoldAnswer, w.unresponsive, w.missedHolds, w.lastMissedHold = now, false, 0, 0
@@ -279,6 +291,9 @@
 	resized := w.updateCapacityLocked(s.Capacity, clockMS)
 	s.Capacity = w.server.Capacity
 	w.server = s
+	if isNew {
+		w.restoreSpeedLocked(now)
+	}
 	w.clock.update(now, clockMS)
 	w.health.setCold(now, s.ColdRemaining)
 	if draining {
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -74,6 +74,8 @@
 	orders atomic.Int64
 	// recentPlacers records the owners whose orders this agent has received.
 	recentPlacers *recentPlacers
+	// speeds watches the speed of the backend server.
+	speeds speedWatch
 	// claimsPending is set when a link came up on which the owned shards were not claimed.
 	claimsPending atomic.Bool
 	// markerStored is set once the marker for recorded jobs is stored; see storeMarker.
@@ -118,7 +120,7 @@
 	a := &Agent{
 		settings: s, newBackendClient: newBackendClient, metrics: core.NewMetrics(),
 		member: core.MemberName(s.Name, xid.New().String()), started: bootclock.Now(),
-		worker:        worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerTimeout: core.OwnerTimeout, ReconnectTimeout: core.ReconnectTimeout, AdoptionTimeout: core.AdoptionTimeout, Shards: s.Shards()}),
+		worker:        worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerTimeout: core.OwnerTimeout, ReconnectTimeout: core.ReconnectTimeout, AdoptionTimeout: core.AdoptionTimeout, Shards: s.Shards(), LearnSpeed: s.Scheduling.ServerSpeeds}),
 		recentPlacers: newRecentPlacers(),
 		fleet:         owner.NewFleet(s.Bounds.RemoteFactor, core.OwnerParams(s), rand.Uint64()),
 		shards:        make(map[int]*shardRunner),
@@ -133,6 +135,7 @@
 	a.metrics.WatchDrains(a.drains)
 	a.server = peer.NewServer(a)
 	registerWorkerMetrics(a.metrics, a.worker)
+	registerSpeedMetrics(a.metrics, a.serverSpeed)
 	a.metrics.WatchFleet(a.fleet)
 	return a
 }
--- a/daemon/agent/metrics.go
+++ b/daemon/agent/metrics.go
@@ -29,3 +29,17 @@
 		m.Registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(c.value(w.Stats())) }))
 	}
 }
+
+// registerSpeedMetrics registers the speed of the backend server.
+func registerSpeedMetrics(m *core.Metrics, speed func() worker.Speed) {
+	for _, g := range []struct {
+		name, help string
+		value      func(worker.Speed) float64
+	}{
+		{"server_speed", "How fast the backend server is: 2 is twice as fast as expected, 0 is unknown.", func(s worker.Speed) float64 { return s.Speed }},
+		{"server_speed_runs", "Runs that the speed of the backend server rests on.", func(s worker.Speed) float64 { return float64(s.Runs) }},
+	} {
+		opts := prometheus.GaugeOpts{Namespace: core.Namespace, Subsystem: "agent", Name: g.name, Help: g.help}
+		m.Registry.MustRegister(prometheus.NewGaugeFunc(opts, func() float64 { return g.value(speed()) }))
+	}
+}
--- a/daemon/agent/notes.go
+++ b/daemon/agent/notes.go
@@ -12,6 +12,7 @@
 	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/store"
+	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 )
 
@@ -63,6 +64,9 @@
 	Draining  bool       `json:"draining"`
 	// CapacityChanged is set once the instance has changed its capacity.
 	CapacityChanged bool `json:"varies,omitempty"`
+	// Speed is the speed of the instance, which rests on SpeedRuns runs; zero if it is unknown.
+	Speed     float64 `json:"speed,omitempty"`
+	SpeedRuns int     `json:"speed_runs,omitempty"`
 }
 
 func (s *storedServer) instance() job.Instance {
@@ -136,7 +140,7 @@
 		n.Member = a.member
 	}
 	if s, ok := a.worker.Server(); ok {
-		n.Server = newStoredServer(s, a.worker.CapacityChanged())
+		n.Server = newStoredServer(s, a.worker.CapacityChanged(), a.worker.Speed(bootclock.Now()))
 	}
 	b, err := json.Marshal(&n)
 	if err != nil {
--- a/daemon/agent/registration.go
+++ b/daemon/agent/registration.go
@@ -123,6 +123,7 @@
 // resume continues with the backend server that an earlier incarnation has stored, if that
 // instance answers.
 func (a *Agent) resume(ctx context.Context, s *storedServer) {
+	a.restoreSpeed(bootclock.Now(), s)
 	if !s.usable() {
 		return
 	}
@@ -144,11 +145,15 @@
 	}, h.ClockMS))
 }
 
-func newStoredServer(s worker.Server, capacityChanged bool) *storedServer {
-	return &storedServer{
+func newStoredServer(s worker.Server, capacityChanged bool, speed worker.Speed) *storedServer {
+	out := &storedServer{
 		ID: s.Instance.ID, StartedMS: s.Instance.StartedMS, Service: s.Service, Labels: s.Labels,
 		Capacity: s.Capacity, Draining: s.Draining, CapacityChanged: capacityChanged,
 	}
+	if speed.Instance == s.Instance {
+		out.Speed, out.SpeedRuns = speed.Speed, speed.Runs
+	}
+	return out
 }
 
 // Report handles a report of the backend server.
