--- a/coordination/worker/speed_test.go
+++ b/coordination/worker/speed_test.go
@@ -292,3 +292,18 @@
 	}
 	f.is.True(f.Load(f.now).SpeedRuns >= 24)
 }
+
+// Load pattern: an exclusive run and an order that waits, on a server of speed .5. Guards against
+// a neighbour that is started while the run has its server to itself and is lost with it.
+func TestExclusiveRunHasASlowServerForAsLongAsItTakes(t *testing.T) {
+	f := fixtureOfSpeed(t, 0.5)
+	o := f.order(0)
+	o.Estimate, o.Isolation = 300*time.Millisecond, Exclusive
+	f.send(o)
+	f.advance(400 * time.Millisecond)
+	f.Heard(f.now, "owner-"+strconv.Itoa(bestEffortShard))
+	f.is.Equal(len(f.send(f.order(1)).Starts), 0)
+	f.advance(300 * time.Millisecond)
+	f.hold()
+	f.is.Equal(len(f.active), 2)
+}
