--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -74,6 +74,8 @@
 	orders atomic.Int64
 	// recentPlacers records the owners whose orders this agent has received.
 	recentPlacers *recentPlacers
+	// loads reads the loads of other agents.
+	loads core.LoadReader
 	// speeds watches the speed of the backend server.
 	speeds speedWatch
 	// claimsPending is set when a link came up on which the owned shards were not claimed.
--- a/daemon/agent/serve.go
+++ b/daemon/agent/serve.go
@@ -8,7 +8,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
-	"github.com/shallotstep/shallotstep/daemon/core"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
@@ -152,7 +151,8 @@
 func (a *Agent) LinkFrame(node string, _ int64, f *corepb.FromAgent) {
 	a.drains.Merge(f.GetDrains())
 	if l := f.GetLoad(); l != nil {
-		a.fleet.Update(bootclock.Now(), node, core.LoadOfAgent(node, l))
+		now := bootclock.Now()
+		a.fleet.Update(now, node, a.loads.Read(now, node, l))
 	}
 	for _, p := range f.GetClaimed() {
 		if r := a.shard(int(p.GetShard())); r != nil {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -61,6 +61,8 @@
 	owners     *ownerCache
 	buckets    *buckets
 	drains     *core.DrainWatch
+	// loads reads the agents' loads.
+	loads core.LoadReader
 }
 
 // New returns an entry. It has no effect until Run is called. config is the partition of
@@ -188,7 +190,8 @@
 func (e *Entry) LinkFrame(node string, _ int64, f *corepb.FromAgent) {
 	e.drains.Merge(f.GetDrains())
 	if l := f.GetLoad(); l != nil {
-		e.fleet.Update(bootclock.Now(), node, core.LoadOfAgent(node, l))
+		now := bootclock.Now()
+		e.fleet.Update(now, node, e.loads.Read(now, node, l))
 	}
 	for _, p := range f.GetClaimed() {
 		e.bestEffort.HandleClaimed(node, p)
