--- a/coordination/speed/average.go
+++ b/coordination/speed/average.go
@@ -14,7 +14,7 @@
 	// startEqualRuns is the least number of equal runs that these have to count as: most of them may
 	// be short ones, which count little.
 	startEqualRuns = 12
-	// memoryRuns is the number of the latest runs that count. Their average is off by a fiftieth,
+	// memoryRuns is the number of the latest equal runs that count. Their average is off by a fiftieth,
 	// and a busy server is through with them in half a minute.
 	memoryRuns = 600
 	// memoryTime is the time constant with which runs are forgotten at a server that gets few. It
@@ -49,11 +49,19 @@
 		return
 	}
 	a.decay(now)
-	a.weight = (1-1.0/memoryRuns)*a.weight + s.weight
-	a.squares = (1-1.0/memoryRuns)*a.squares + s.weight*s.weight
+	if a.squares == 0 {
+		return
+	}
+	// Many short runs, which say little, must not replace the long ones.
+	keep := 1 - a.relative(s)/memoryRuns
+	a.weight = keep*a.weight + s.weight
+	a.squares = keep*a.squares + s.weight*s.weight
 	a.log += s.weight / a.weight * bound(s.log-a.log, maxDeviation)
 }
 
+// relative returns how much a sample counts compared with those that the average rests on, at most 1.
+func (a *average) relative(s sample) float64 { return min(1, s.weight*a.weight/a.squares) }
+
 // collect keeps a sample until there are enough for the median.
 func (a *average) collect(now time.Duration, s sample) {
 	a.first = append(a.first, s)
--- a/coordination/speed/deviation.go
+++ b/coordination/speed/deviation.go
@@ -39,7 +39,7 @@
 // observe adds a run and reports whether the server deviates from its known speed. A run that counts
 // less than most counts less here too.
 func (d *deviation) observe(now time.Duration, s sample, known *average) bool {
-	weight := deviationWeight * min(1, s.weight*known.weight/known.squares)
+	weight := deviationWeight * known.relative(s)
 	d.short += weight * (bound(s.log-known.log, maxShortDeviation) - d.short)
 	if math.Abs(d.short) < deviating+uncertainty(known.runs(now)) {
 		*d = deviation{short: d.short}
--- a/coordination/speed/estimator_test.go
+++ b/coordination/speed/estimator_test.go
@@ -294,3 +294,17 @@
 	is.True(!e.Restore(0, 2, 0))
 	is.True(!e.Restore(0, 2, -5))
 }
+
+// Load pattern: long tasks, then very many short ones for some seconds. Guards against short runs,
+// which say little, that replace what the long ones have said.
+func TestShortRunsDontReplaceLongOnes(t *testing.T) {
+	is := is.New(t)
+	s := newServer(1, 1.6, 800*time.Millisecond)
+	s.run(300)
+	_, before := s.Speed(s.now)
+	s.work, s.interval, s.maxDelay = []time.Duration{5 * time.Millisecond}, 5*time.Millisecond, 50*time.Millisecond
+	s.run(900)
+	_, after := s.Speed(s.now)
+	is.True(after >= before*3/4)
+	is.True(s.off(1.6) < 1.1)
+}
--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -172,5 +172,5 @@
 func (a *Agent) logLoad() {
 	l := a.worker.Load(bootclock.Now())
 	klog.InfoS("Load", "instance", l.Server.Instance, "accepts", l.Accepts, "free", l.Free.CPUMillis, "of", l.Server.Capacity.CPUMillis,
-		"running", l.Running, "waiting", l.Waiting, "backlog", l.Backlog.Milliseconds(), "unsettled", l.Unsettled, "holds", l.Holds, "speed", l.Speed, "speed_runs", l.SpeedRuns)
+		"running", l.Running, "waiting", l.Waiting, "backlog", l.Backlog.Milliseconds(), "unsettled", l.Unsettled, "holds", l.Holds, "speed", roundSpeed(l.Speed), "speed_runs", l.SpeedRuns)
 }
--- a/daemon/agent/speed.go
+++ b/daemon/agent/speed.go
@@ -59,7 +59,7 @@
 	if before.Instance != v.Instance {
 		before = worker.Speed{}
 	}
-	klog.InfoS("The speed of the backend server", "instance", v.Instance, "speed", v.Speed, "runs", v.Runs, "before", before.Speed)
+	klog.InfoS("The speed of the backend server", "instance", v.Instance, "speed", roundSpeed(v.Speed), "runs", v.Runs, "before", roundSpeed(before.Speed))
 }
 
 // restoreSpeed passes the speed in the notes of an earlier incarnation to the worker, which takes it
@@ -78,3 +78,6 @@
 
 // serverSpeed returns the speed of the backend server for the metrics.
 func (a *Agent) serverSpeed() worker.Speed { return a.worker.Speed(bootclock.Now()) }
+
+// roundSpeed returns a speed as precisely as log lines have it.
+func roundSpeed(speed float64) float64 { return math.Round(100*speed) / 100 }
