--- a/coordination/speed/estimator_test.go
+++ b/coordination/speed/estimator_test.go
@@ -302,7 +302,7 @@
 	s := newServer(1, 1.6, 800*time.Millisecond)
 	s.run(300)
 	_, before := s.Speed(s.now)
-	s.work, s.interval, s.maxDelay = []time.Duration{5 * time.Millisecond}, 5*time.Millisecond, 50*time.Millisecond
+	s.work, s.interval = []time.Duration{50 * time.Millisecond}, 5*time.Millisecond
 	s.run(900)
 	_, after := s.Speed(s.now)
 	is.True(after >= before*3/4)
