--- a/coordination/load/mix_test.go
+++ b/coordination/load/mix_test.go
@@ -127,6 +127,7 @@
 	r := &request{class: c, submittedAt: w.now, patient: w.patient, id: job.ID(fmt.Sprintf("%016x", len(w.jobs)+1))}
 	for range n {
 		r.taskWork = append(r.taskWork, time.Duration(w.logNormal(mean, workSpreadInJob)))
+		w.lengthenSome(r)
 	}
 	r.objective = time.Duration(slackFactor*float64(slices.Max(r.taskWork))) + targetLatency
 	r.step = job.Step{
@@ -209,6 +210,9 @@
 	elapsed := w.now - r.submittedAt
 	r.ended = true
 	w.trace("job %s outcome %v state %v reason %q retry after %v", r.id, v.Outcome, v.State, v.Reason, v.RetryAfter)
+	if v.Outcome == owner.Refused && w.hasAdequateRoom(r) {
+		w.refusedBesideRoom++
+	}
 	if r.entry == w.entries[0] {
 		w.busyEntry.submitted++
 		if v.Outcome == owner.OK && v.State == job.Completed && elapsed <= r.objective {
--- a/coordination/load/world_test.go
+++ b/coordination/load/world_test.go
@@ -84,6 +84,13 @@
 	busyEntry tally
 	// hideTotalOrders makes agents omit from their loads how many orders they got from all entries.
 	hideTotalOrders bool
+	// updateDelay is added to the delay of all agents' loads and events.
+	updateDelay time.Duration
+	// heavyTails makes a few tasks of each class much longer than the others of their job.
+	heavyTails bool
+	// refusedBesideRoom counts the jobs that were refused while servers on which they would have
+	// been in time had room for all their tasks.
+	refusedBesideRoom int
 	// drains are the drains in force.
 	drains drains.State
 	// patient makes clients wait for patientTimeout.
@@ -488,7 +495,7 @@
 	if !a.w.hideTotalOrders {
 		p.Orders = a.orders
 	}
-	delay := frameDelay
+	delay := frameDelay + a.w.updateDelay
 	if a.slowUpdates {
 		delay = slowUpdateDelay
 	}
@@ -496,7 +503,16 @@
 		if c.entry.down || c.entry.incarnation != c.incarnation {
 			return
 		}
-		c.entry.fleet.Update(a.w.now, a.name, wire.LoadFromWire(p))
+		up := wire.LoadFromWire(p)
+		if a.w.params.ServerSpeeds && hackSpeeds {
+			up.Speed, up.SpeedRuns, up.Slowdown = 1/a.durationFactor, 1000, 1
+			up.Turnover = time.Duration(float64(up.Turnover) * a.durationFactor)
+			up.Backlog = time.Duration(float64(up.Backlog) * a.durationFactor)
+			for i := range up.Ahead {
+				up.Ahead[i] = time.Duration(float64(up.Ahead[i]) * a.durationFactor)
+			}
+		}
+		c.entry.fleet.Update(a.w.now, a.name, up)
 		if ev != nil {
 			c.entry.apply(c.entry.Event(a.w.now, a.name, *ev))
 		}
--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -53,6 +53,9 @@
 	for i := range spec.Steps {
 		n := s.placementRequest(p, &spec.Steps[i])
 		n.Now, n.Slack = now, objective-criticalPath
+		if s.fleet.unevenSpeeds() {
+			n.Slack = shareOf(objective-criticalPath-clientWaited, n.Estimate, criticalPath)
+		}
 		wait, localWait, ok := s.predictWaitLocked(n, placementKeyOf(p, &spec.Steps[i]), spec.Steps[i].Count)
 		if !ok && !s.inStartupGrace(now, spec) {
 			return admission{reason: s.noWorkerReason(n), retryAfter: time.Second}
@@ -87,7 +90,7 @@
 	if !ok {
 		return 0, 0, false
 	}
-	if workAhead := s.waiting.workAhead(key, false, n.Now+n.Slack); workAhead > 0 {
+	if workAhead := s.workBeforeLocked(n, key, finish <= n.Estimate); workAhead > 0 {
 		cores, ratio := s.fleet.EligibleCapacity(n, s.mayOrderLocked)
 		localWait = time.Duration(float64(workAhead) * ratio / max(cores, 1))
 	}
--- a/coordination/owner/backlog.go
+++ b/coordination/owner/backlog.go
@@ -35,6 +35,8 @@
 	latestStart time.Duration
 	// work is the expected run time times the cores that it takes.
 	work time.Duration
+	// run is the expected run time.
+	run time.Duration
 }
 
 func (b *backlog) add(t waitingTask) {
--- /dev/null
+++ b/coordination/owner/choice.go
@@ -0,0 +1,148 @@
+package owner
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/worker"
+)
+
+// tier ranks the agents for a task while the servers' speeds differ. An agent of a lower tier is
+// chosen before all of higher ones.
+type tier uint8
+
+const (
+	// roomTier: there is room now and the task ends in time, with a margin for a wrong estimate.
+	roomTier tier = iota
+	// reservedTier is the same on a server that waiting tasks need, which are in time on no slower
+	// one.
+	reservedTier
+	// shortWaitTier: the task waits at most MaxPlacementWait and ends in time with the margin.
+	shortWaitTier
+	// noMarginTier: the same without the margin.
+	noMarginTier
+	// lateTier: all others.
+	lateTier
+	numTiers
+)
+
+// tierNames are the labels of the tiers in metrics.
+var tierNames = [numTiers]string{"room", "reserved", "short_wait", "no_margin", "late"}
+
+const (
+	// estimateMargin is the share of a task's run time by which it has to be predicted to end
+	// before it is due.
+	estimateMargin = 0.1
+	// widthMargin is added to it for each doubling of the job's tasks, because a job ends with its
+	// last task.
+	widthMargin = 0.02
+)
+
+// candidate is an agent of the best tier, with the sum of the weights up to it.
+type candidate struct {
+	placement
+	sum float64
+}
+
+// chooseBySpeedLocked returns the placement of a task in the lowest tier. With room now, the agent is
+// drawn at random with weights by free room: other processes draw at the same time by loads that are
+// as old, and would collide on the fastest server. Otherwise the one where it ends first is chosen.
+func (f *Fleet) chooseBySpeedLocked(n PlacementRequest, allowed func(node string) bool) (placement, bool) {
+	f.examined += int64(len(f.agents))
+	f.candidates = f.candidates[:0]
+	var best placement
+	found := false
+	for _, v := range f.ordered {
+		if !v.canTake(n) || !allowed(v.node) {
+			continue
+		}
+		p := f.predictLocked(v, n)
+		p.rank = p.finish
+		p.tier = f.tierLocked(v, n, p)
+		if slices.Contains(n.Avoid, v.node) || n.Now-v.updatedAt > f.params.StaleLoadAge {
+			p.rank += lastResortPenalty
+			p.tier = lateTier
+		}
+		if p.tier == roomTier {
+			f.addCandidateLocked(v, n, p)
+			continue
+		}
+		if !found || p.tier < best.tier || p.tier == best.tier && p.rank < best.rank {
+			best, found = p, true
+		}
+	}
+	if len(f.candidates) > 0 {
+		return f.drawLocked(), true
+	}
+	return best, found
+}
+
+// tierLocked returns the tier of an agent for a task.
+func (f *Fleet) tierLocked(v *agentView, n PlacementRequest, p placement) tier {
+	left := n.Slack + n.Estimate
+	run := p.finish - p.wait
+	longest := f.params.MaxPlacementWait
+	if n.Late {
+		longest = 0
+	}
+	switch {
+	case p.finish > left || p.wait > longest && f.params.MaxPlacementWait > 0 || n.Late && p.freeShare < f.params.LateReserve:
+		return lateTier
+	case p.finish+time.Duration(n.margin()*float64(run)) > left:
+		return noMarginTier
+	case p.wait > 0:
+		return shortWaitTier
+	case n.ReservedSpeed > 0 && v.speed >= n.ReservedSpeed:
+		return reservedTier
+	}
+	return roomTier
+}
+
+// margin returns the share of a task's run time by which it should end before it is due.
+func (n *PlacementRequest) margin() float64 {
+	return estimateMargin + widthMargin*math.Log2(float64(max(n.Tasks, 1)))
+}
+
+// addCandidateLocked adds an agent with a weight by the number of tasks that still fit.
+func (f *Fleet) addCandidateLocked(v *agentView, n PlacementRequest, p placement) {
+	weight := 1 + p.freeShare*float64(v.load.Capacity.CPUMillis)/float64(max(n.Demand.CPUMillis, 1))
+	if k := len(f.candidates); k > 0 {
+		weight += f.candidates[k-1].sum
+	}
+	f.candidates = append(f.candidates, candidate{placement: p, sum: weight})
+}
+
+func (f *Fleet) drawLocked() placement {
+	x := f.rand.Float64() * f.candidates[len(f.candidates)-1].sum
+	for i := range f.candidates {
+		if x < f.candidates[i].sum {
+			return f.candidates[i].placement
+		}
+	}
+	return f.candidates[len(f.candidates)-1].placement
+}
+
+// byTiers reports whether a task is placed by tiers. A suspect goes where it endangers the fewest
+// others.
+func (f *Fleet) byTiersLocked(n PlacementRequest) bool {
+	return f.speeds.uneven && n.Isolation == worker.NoIsolation
+}
+
+// mayWaitForFasterLocked reports whether a task that is in time on no server with room now can still
+// be in time on the fastest one.
+func (f *Fleet) mayWaitForFasterLocked(n PlacementRequest, p placement) bool {
+	if !f.byTiersLocked(n) || p.tier != lateTier || n.Late {
+		return false
+	}
+	return time.Duration(float64(n.Estimate)/f.bestSpeedLocked(n.Service)) <= n.Slack+n.Estimate
+}
+
+// admissionFinish returns when a task ends as admission sees it. Extra run time on a slow server
+// counts as a wait only if the task is late by it.
+func (f *Fleet) admissionFinishLocked(n PlacementRequest, p placement) time.Duration {
+	if !f.byTiersLocked(n) || p.finish > n.Slack+n.Estimate {
+		return p.finish
+	}
+	return p.wait + n.Estimate
+}
--- a/coordination/owner/events.go
+++ b/coordination/owner/events.go
@@ -94,7 +94,7 @@
 		if !j.started {
 			s.runStartedLocked(j, t)
 		}
-		s.fleet.ObserveRunTime(j.rec.Policy.Queue, j.rec.Spec.Steps[r.Run.Task.Step].Estimate, r.Work)
+		s.fleet.ObserveRunTime(j.rec.Policy.Queue, node, j.rec.Spec.Steps[r.Run.Task.Step].Estimate, r.Work)
 		s.taskDoneLocked(now, fx, j, t, rec, node, r.Run)
 	case job.FailedRun:
 		if !j.started {
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -70,6 +70,11 @@
 	Estimate time.Duration
 	// Slack is how long the task may wait and still be in time.
 	Slack time.Duration
+	// Tasks is the number of tasks of the step.
+	Tasks int
+	// ReservedSpeed is the speed from which on servers are left to waiting tasks, if others do as
+	// well for this one; zero: none are.
+	ReservedSpeed float64
 	// Late is set for a task whose job can't be in time. It is placed only where there is free
 	// capacity now.
 	Late bool
@@ -106,6 +111,12 @@
 	runTimeRatios map[string]float64
 	// orderRatio estimates how many orders other processes send. Guarded by mu.
 	orderRatio orderRatio
+	// speeds relates the speeds of the servers. Guarded by mu.
+	speeds serverSpeeds
+	// candidates is reused by each choice. Guarded by mu.
+	candidates []candidate
+	// placed counts the placements by tier. Guarded by mu.
+	placed [numTiers]int64
 	// examined is the number of agents that were examined to place tasks. Guarded by mu.
 	examined int64
 }
@@ -121,6 +132,8 @@
 	retired bool
 	// drained is set while this process knows that the agent's failure domain is drained.
 	drained bool
+	// speed is the server's speed relative to the others'; 1 unless it differs significantly.
+	speed float64
 }
 
 func (v *agentView) addPending(n PlacementRequest) {
@@ -170,7 +183,7 @@
 func (f *Fleet) Linked(node string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.agents[node] = &agentView{node: node, retired: f.retired[node]}
+	f.agents[node] = &agentView{node: node, speed: 1, retired: f.retired[node]}
 	f.sortAgentsLocked()
 }
 
@@ -251,6 +264,7 @@
 	}
 	v.load, v.updatedAt = l, now
 	v.drained = f.drained.Has(l.Domain)
+	f.updateSpeedLocked(now, v)
 	for len(v.pending) > 0 && v.pending[0].number <= l.OrdersSeen {
 		v.pending = v.pending[1:]
 	}
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -17,6 +17,8 @@
 	freeShare float64
 	// rank is finish plus the penalties of agents that are to be chosen after others.
 	rank time.Duration
+	// tier is set while the servers' speeds differ.
+	tier tier
 }
 
 // Place chooses the agent on which a task ends first, among those that may have it, and adds the
@@ -29,6 +31,9 @@
 	if !ok || !f.withinWaitLimitLocked(n, p) {
 		return "", false
 	}
+	if f.byTiersLocked(n) {
+		f.placed[p.tier]++
+	}
 	f.agents[p.node].addPending(n)
 	return p.node, true
 }
@@ -36,6 +41,9 @@
 // withinWaitLimitLocked reports whether a task may be sent to an agent with the predicted wait. A
 // late task is sent only where there is free capacity now.
 func (f *Fleet) withinWaitLimitLocked(n PlacementRequest, p placement) bool {
+	if f.mayWaitForFasterLocked(n, p) {
+		return false
+	}
 	if n.Late {
 		return p.wait == 0 && p.freeShare >= f.params.LateReserve
 	}
@@ -51,7 +59,7 @@
 	placers, sum, agents := 0, 0, 0
 	for _, v := range f.ordered {
 		if v.canTake(n) && allowed(v.node) {
-			cores += float64(v.load.Capacity.CPUMillis) / 1000
+			cores += v.speed * float64(v.load.Capacity.CPUMillis) / 1000
 			placers = max(placers, v.load.Placers)
 			sum += v.load.Placers
 			agents++
@@ -109,9 +117,11 @@
 		if p.wait > 0 && rate > 0 {
 			queued += n.Demand.CPUMillis
 			pooled := ahead + time.Duration(f.params.PooledWaitFactor*float64(queued)/rate*float64(time.Second))
-			p.finish -= max(0, p.wait-pooled)
+			excess := max(0, p.wait-pooled)
+			p.finish -= excess
+			p.wait -= excess
 		}
-		finish = max(finish, p.finish)
+		finish = max(finish, f.admissionFinishLocked(n, p))
 		v := f.agents[p.node]
 		v.addPending(n)
 		placed = append(placed, v)
@@ -129,6 +139,9 @@
 		if !v.canTake(n) || !allowed(v.node) {
 			continue
 		}
+		if f.byTiersLocked(n) && v.runTime(n.Estimate) > n.Slack+n.Estimate {
+			continue // the tasks don't wait for a server on which they are late
+		}
 		before += v.load.backlogBefore(n.Slack)
 		cores += v.load.Capacity.CPUMillis
 		if v.load.Turnover <= 0 {
@@ -144,6 +157,9 @@
 // chooseLocked returns the best placement of a task, chosen at random among equal ones. If every
 // process chose the same one, their tasks would wait for each other there.
 func (f *Fleet) chooseLocked(n PlacementRequest, allowed func(node string) bool) (placement, bool) {
+	if f.byTiersLocked(n) {
+		return f.chooseBySpeedLocked(n, allowed)
+	}
 	f.examined += int64(len(f.agents))
 	var best placement
 	equal := 0
@@ -232,7 +248,7 @@
 func (f *Fleet) predictLocked(v *agentView, n PlacementRequest) placement {
 	taken, work := v.pendingDemand(n.Now, f.params.OrderOverlap*f.orderRatio.estimate(v.load.Placers))
 	free := v.load.Free.Minus(taken)
-	run := time.Duration(float64(n.Estimate) * max(1, v.load.Slowdown))
+	run := v.runTime(time.Duration(float64(n.Estimate) * max(1, v.load.Slowdown)))
 	if n.Rack != "" && !slices.Contains(v.load.Labels, n.Rack) {
 		run = time.Duration(float64(run) * f.remoteFactor)
 	}
--- a/coordination/owner/run_time.go
+++ b/coordination/owner/run_time.go
@@ -2,14 +2,19 @@
 
 import "time"
 
-// ObserveRunTime updates a queue's ratio of measured run times to the client's estimates.
-func (f *Fleet) ObserveRunTime(queue string, estimate, work time.Duration) {
+// ObserveRunTime updates a queue's ratio of measured run times to the client's estimates. It is that
+// of a server of speed 1, so that objectives don't move with the servers that the work goes to.
+func (f *Fleet) ObserveRunTime(queue, node string, estimate, work time.Duration) {
 	if estimate <= 0 || work <= 0 {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	ratio := min(float64(work)/float64(estimate), 10)
+	speed := 1.0
+	if v := f.agents[node]; v != nil {
+		speed = v.speed
+	}
+	ratio := min(speed*float64(work)/float64(estimate), 10)
 	old, ok := f.runTimeRatios[queue]
 	if !ok {
 		old = 1
--- /dev/null
+++ b/coordination/owner/speeds.go
@@ -0,0 +1,127 @@
+package owner
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// serverSpeeds relates the speeds that agents report to their median. The speeds may share a factor,
+// because they are measured against estimates that may all be off. Guarded by Fleet.mu.
+type serverSpeeds struct {
+	// reference is the moving median of the reported speeds; zero: none is known.
+	reference float64
+	updatedAt time.Duration
+	// uneven is set while the speed of a server differs significantly from the others'.
+	uneven bool
+	// best has the highest speed of each service.
+	best map[string]float64
+	// reported is reused by each update.
+	reported []float64
+}
+
+const (
+	// speedUpdateInterval is how often the median is taken. Loads arrive some hundred times a
+	// second, and the speeds in them change over seconds.
+	speedUpdateInterval = 100 * time.Millisecond
+	// referenceWindow is the time constant with which the reference follows the median. The
+	// queues' run times are learned over some fifty runs and have to follow it.
+	referenceWindow = 2 * time.Second
+	// minSpeedDifference is the difference from the reference, as a ratio, below which placement
+	// by speed gains less than the predictions are off.
+	minSpeedDifference = 1.1
+	// runTimeSpread is the standard deviation of the logarithm of a run's measured over its
+	// expected run time.
+	runTimeSpread = 0.5
+	// significantErrors is the number of standard errors from which on a difference is significant.
+	// With 160 servers of equal speed, fewer would take some of them for slow ones.
+	significantErrors = 4
+)
+
+// relative returns the speed of a server relative to the reference, or 1 unless it differs
+// significantly.
+func (s *serverSpeeds) relative(l *AgentLoad) float64 {
+	if l.Speed <= 0 || l.SpeedRuns <= 0 || s.reference <= 0 {
+		return 1
+	}
+	speed := l.Speed / s.reference
+	standardError := runTimeSpread / math.Sqrt(float64(l.SpeedRuns))
+	if math.Abs(math.Log(speed)) <= max(math.Log(minSpeedDifference), significantErrors*standardError) {
+		return 1
+	}
+	return speed
+}
+
+// updateSpeedLocked updates an agent's speed after a load, and now and then the reference and the
+// speeds of all agents.
+func (f *Fleet) updateSpeedLocked(now time.Duration, v *agentView) {
+	if !f.params.ServerSpeeds {
+		return
+	}
+	v.speed = f.speeds.relative(&v.load)
+	if f.speeds.reference > 0 && now-f.speeds.updatedAt < speedUpdateInterval {
+		f.speeds.uneven = f.speeds.uneven || v.speed != 1
+		return
+	}
+	f.speeds.moveReference(now, f.ordered)
+	f.speeds.uneven = false
+	f.speeds.best = make(map[string]float64)
+	for _, o := range f.ordered {
+		o.speed = f.speeds.relative(&o.load)
+		f.speeds.uneven = f.speeds.uneven || o.speed != 1
+		if o.acceptsWork() && !o.retired {
+			f.speeds.best[o.load.Service] = max(f.speeds.best[o.load.Service], o.speed)
+		}
+	}
+}
+
+// moveReference moves the reference towards the median of the reported speeds.
+func (s *serverSpeeds) moveReference(now time.Duration, agents []*agentView) {
+	s.reported = s.reported[:0]
+	for _, v := range agents {
+		if v.load.Speed > 0 && v.load.SpeedRuns > 0 {
+			s.reported = append(s.reported, v.load.Speed)
+		}
+	}
+	if len(s.reported) == 0 {
+		return
+	}
+	slices.Sort(s.reported)
+	n := len(s.reported)
+	median := math.Sqrt(s.reported[(n-1)/2] * s.reported[n/2])
+	if s.reference <= 0 {
+		s.reference = median
+	}
+	weight := 1 - math.Exp(-float64(now-s.updatedAt)/float64(referenceWindow))
+	s.reference *= math.Pow(median/s.reference, weight)
+	s.updatedAt = now
+}
+
+// bestSpeed returns the highest speed of the servers of a service; 1 if speeds don't differ.
+func (f *Fleet) bestSpeed(service string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.bestSpeedLocked(service)
+}
+
+func (f *Fleet) bestSpeedLocked(service string) float64 {
+	if best := f.speeds.best[service]; f.speeds.uneven && best > 0 {
+		return best
+	}
+	return 1
+}
+
+// unevenSpeeds reports whether the servers' speeds differ significantly.
+func (f *Fleet) unevenSpeeds() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.speeds.uneven
+}
+
+// runTime returns how long a task runs on a server with an expected run time of run at speed 1.
+func (v *agentView) runTime(run time.Duration) time.Duration {
+	if v.speed == 1 {
+		return run
+	}
+	return time.Duration(float64(run) / v.speed)
+}
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -139,7 +139,7 @@
 func (s *Shard) placementRequest(p *job.Policy, st *job.Step) PlacementRequest {
 	return PlacementRequest{
 		Service: p.Service, Label: st.Label, Rack: st.Rack, Domains: st.Domains, Demand: st.Demand,
-		Estimate: s.fleet.ExpectedRunTime(p.Queue, st.Estimate),
+		Estimate: s.fleet.ExpectedRunTime(p.Queue, st.Estimate), Tasks: st.Count,
 	}
 }
 
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -16,18 +16,26 @@
 		return
 	}
 	w := s.newWaitingTask(j, id)
-	if s.waiting.workAhead(w.key, w.late, w.latestStart) > 0 || !s.placeLocked(now, fx, j, id, t) {
+	if s.workAheadLocked(now, &w) > 0 || !s.placeLocked(now, fx, j, id, t) {
 		s.waiting.add(w)
 		t.waiting = true
 	}
 }
 
+// workAheadLocked returns the waiting work that is placed before a task.
+func (s *Shard) workAheadLocked(now time.Duration, w *waitingTask) time.Duration {
+	if !s.fleet.unevenSpeeds() {
+		return s.waiting.workAhead(w.key, w.late, w.latestStart)
+	}
+	return s.waiting.competingWork(now, w.key, w.late, w.latestStart, w.requiredSpeed(now))
+}
+
 func (s *Shard) newWaitingTask(j *jobState, id job.TaskID) waitingTask {
 	st := &j.rec.Spec.Steps[id.Step]
 	n := s.placementRequest(&j.rec.Policy, st)
 	key := placementKeyOf(&j.rec.Policy, st)
 	key.suspect = s.isolation(j.rec.Task(id)) != worker.NoIsolation
-	return waitingTask{id: id, key: key, late: j.late, latestStart: j.due - n.Estimate, work: coreTime(n)}
+	return waitingTask{id: id, key: key, late: j.late, latestStart: j.due - n.Estimate, work: coreTime(n), run: n.Estimate}
 }
 
 // placeLocked sends a task to an agent, if one will have free capacity soon.
@@ -35,6 +43,10 @@
 	rec := j.rec.Task(id)
 	need := s.placementRequest(&j.rec.Policy, &j.rec.Spec.Steps[id.Step])
 	need.Now, need.Slack, need.Late = now, j.due-now-need.Estimate, j.late
+	if s.fleet.unevenSpeeds() {
+		need.Slack = s.ownSlack(&j.rec.Spec, &j.rec.Policy, id.Step, need.Estimate, j.due-now)
+		need.ReservedSpeed = s.waiting.reservedSpeed(now, placementKeyOf(&j.rec.Policy, &j.rec.Spec.Steps[id.Step]), requiredSpeed(need.Estimate, j.due-now))
+	}
 	need.Avoid, need.Isolation = avoidedAgents(t, rec), s.isolation(rec)
 	node, ok := s.fleet.Place(need, s.mayOrderLocked)
 	if !ok {
@@ -68,22 +80,28 @@
 
 // placeWaitingLocked sends waiting tasks to agents that have free capacity now.
 //
-// For each placement key it tries only the tasks up to the first that can't be placed. Loads arrive
+// For each placement key it tries only the tasks up to the first that can't be placed, and while the
+// servers' speeds differ those that are in time on slower servers than that one. Loads arrive
 // some hundred times a second, most of them while agents are full. When all waiting tasks were
 // tried each time, an entry with a hundred jobs waiting spent more than its processor on that, fell
 // behind with handling its frames, and had even more jobs waiting.
 func (s *Shard) placeWaitingLocked(now time.Duration, fx *Effects) {
 	s.waiting.updateLateRate(now, s.fleet.params.LateRateWindow)
-	full := make(map[placementKey]bool)
+	uneven := s.fleet.unevenSpeeds()
+	blocked := make(blockedKeys)
 	s.waiting.filter(func(w *waitingTask) filterAction {
-		if len(full) == len(s.waiting.counts) {
+		if blocked.all(len(s.waiting.counts)) {
 			return stopFilter
 		}
 		j, t := s.stillWaitingLocked(w)
 		if t == nil {
 			return removeTask
 		}
-		if full[w.key] {
+		required := int8(noSpeed)
+		if uneven {
+			required = w.requiredSpeed(now)
+		}
+		if blocked.has(w.key, required) {
 			// Smaller tasks behind it must not overtake it, or a task with a large demand would
 			// starve.
 			return keepTask
@@ -94,7 +112,7 @@
 			return removeTask
 		}
 		if !s.placeLocked(now, fx, j, w.id, t) {
-			full[w.key] = true
+			blocked[w.key] = required
 			return keepTask
 		}
 		t.waiting = false
@@ -174,7 +192,16 @@
 	if j.usefulUntil == 0 || j.ordered {
 		return false
 	}
-	return now > j.usefulUntil-s.fleet.ExpectedRunTime(j.rec.Policy.Queue, j.rec.Spec.Steps[w.id.Step].Estimate)
+	return now > j.usefulUntil-s.shortestRunTime(&j.rec.Policy, &j.rec.Spec.Steps[w.id.Step])
+}
+
+// shortestRunTime returns the expected run time of a step's tasks on the fastest server.
+func (s *Shard) shortestRunTime(p *job.Policy, st *job.Step) time.Duration {
+	run := s.fleet.ExpectedRunTime(p.Queue, st.Estimate)
+	if best := s.fleet.bestSpeed(p.Service); best != 1 {
+		return time.Duration(float64(run) / best)
+	}
+	return run
 }
 
 // giveUpLocked refuses a job that was accepted and of which nothing has started. Its client is told
