--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -163,7 +163,10 @@
 		PredictedWait: a.wait, LocalWait: a.localWait, WaitLimit: a.waitLimit, LateEnd: a.lateEnd, Objective: a.objective, ClientWaited: a.clientWaited,
 	}
 	if len(spec.Steps) > 0 {
-		r.FreeCores, r.TotalCores, r.LoadAge = s.fleet.estimatedCapacity(now, s.placementRequest(p, &spec.Steps[0]), s.mayOrderLocked)
+		n := s.placementRequest(p, &spec.Steps[0])
+		n.Now, n.Slack = now, a.objective-a.clientWaited-s.criticalPath(spec, p)
+		r.FreeCores, r.TotalCores, r.LoadAge = s.fleet.estimatedCapacity(now, n, s.mayOrderLocked)
+		r.BesideRoom = s.fleet.hasRoomInTime(n, s.mayOrderLocked)
 	}
 	return r
 }
--- a/coordination/owner/choice.go
+++ b/coordination/owner/choice.go
@@ -106,7 +106,7 @@
 
 // addCandidateLocked adds an agent with a weight by the number of tasks that still fit.
 func (f *Fleet) addCandidateLocked(v *agentView, n PlacementRequest, p placement) {
-	weight := 1 + p.freeShare*float64(v.load.Capacity.CPUMillis)/float64(max(n.Demand.CPUMillis, 1))
+	weight := v.tasksThatFit(n, p)
 	if k := len(f.candidates); k > 0 {
 		weight += f.candidates[k-1].sum
 	}
@@ -123,7 +123,44 @@
 	return f.candidates[len(f.candidates)-1].placement
 }
 
-// byTiers reports whether a task is placed by tiers. A suspect goes where it endangers the fewest
+// hasRoomInTime reports whether the agents on which a step's tasks would be in time have room for all
+// of them now.
+func (f *Fleet) hasRoomInTime(n PlacementRequest, allowed func(node string) bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.byTiersLocked(n) {
+		return false
+	}
+	fit := 0.0
+	for _, v := range f.ordered {
+		if !v.canTake(n) || !allowed(v.node) {
+			continue
+		}
+		if p := f.predictLocked(v, n); p.wait == 0 && f.tierLocked(v, n, p) < lateTier {
+			fit += math.Floor(v.tasksThatFit(n, p))
+		}
+	}
+	return fit >= float64(n.Tasks)
+}
+
+// tasksThatFit returns how many tasks fit at an agent, including the one that is placed.
+func (v *agentView) tasksThatFit(n PlacementRequest, p placement) float64 {
+	return 1 + p.freeShare*float64(v.load.Capacity.CPUMillis)/float64(max(n.Demand.CPUMillis, 1))
+}
+
+// PlacementsByTier returns how many tasks were placed in each tier while the servers' speeds
+// differed.
+func (f *Fleet) PlacementsByTier() map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]int64, numTiers)
+	for i, n := range f.placed {
+		out[tierNames[i]] = n
+	}
+	return out
+}
+
+// byTiersLocked reports whether a task is placed by tiers. A suspect goes where it endangers the fewest
 // others.
 func (f *Fleet) byTiersLocked(n PlacementRequest) bool {
 	return f.speeds.uneven && n.Isolation == worker.NoIsolation
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -93,6 +93,9 @@
 	// the job, and LoadAge is the age of the oldest load among them.
 	FreeCores, TotalCores float64
 	LoadAge               time.Duration
+	// BesideRoom is set if servers on which the tasks of the first step would be in time were
+	// estimated to have room for all of them. It is only known while the servers' speeds differ.
+	BesideRoom bool
 }
 
 // LacksCapacity reports whether the linked agents had too little capacity for a job to run in time.
--- a/coordination/owner/speeds.go
+++ b/coordination/owner/speeds.go
@@ -16,6 +16,8 @@
 	uneven bool
 	// best has the highest speed of each service.
 	best map[string]float64
+	// known is the number of servers whose speeds were known at the last update.
+	known int
 	// reported is reused by each update.
 	reported []float64
 }
@@ -92,9 +94,11 @@
 	if s.reference <= 0 {
 		s.reference = median
 	}
-	weight := 1 - math.Exp(-float64(now-s.updatedAt)/float64(referenceWindow))
+	// Servers whose speed has become known count at once, or the first ones would decide for long.
+	changed := math.Abs(float64(n-s.known)) / float64(n)
+	weight := max(1-math.Exp(-float64(now-s.updatedAt)/float64(referenceWindow)), min(changed, 1))
 	s.reference *= math.Pow(median/s.reference, weight)
-	s.updatedAt = now
+	s.updatedAt, s.known = now, n
 }
 
 // bestSpeed returns the highest speed of the servers of a service; 1 if speeds don't differ.
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -28,6 +28,8 @@
 	decisions     *prometheus.CounterVec
 	StartRefusals *prometheus.CounterVec
 	StoreRepeats  prometheus.Counter
+	// refusedBesideRoom is labelled by reason.
+	refusedBesideRoom *prometheus.CounterVec
 	// storeCalls is labelled by verb and purpose.
 	storeCalls *prometheus.CounterVec
 	// linkChanges counts dialled and retired links, linksWanted is the number of wanted ones.
@@ -50,6 +52,8 @@
 		decisions:     counter("decisions_total", "Decisions on jobs, by kind.", "kind"),
 		StartRefusals: counter("start_refusals_total", "Starts that the backend server has not confirmed, by reason.", "reason"),
 		storeCalls:    counter("store_calls_total", "Calls to the store, by verb and purpose.", "verb", "purpose"),
+		refusedBesideRoom: counter("refusals_beside_room_total",
+			"Jobs refused while servers on which they would be in time were estimated to have room, by reason. Only counted while speeds differ.", "reason"),
 		StoreRepeats: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: Namespace, Name: "store_repeats_total", Help: "Writes repeated under the same number.",
 		}),
@@ -64,7 +68,7 @@
 		Lookup:   histogram("lookup_seconds", "Questions for a job's state at the entry."),
 	}
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.refusals, m.Retries, m.decisions, m.StartRefusals, m.StoreRepeats, m.storeCalls, m.linkChanges, m.linksWanted, m.Append, m.Start, m.Takeover, m.Submit, m.Lookup,
+		m.refusals, m.Retries, m.decisions, m.StartRefusals, m.StoreRepeats, m.refusedBesideRoom, m.storeCalls, m.linkChanges, m.linksWanted, m.Append, m.Start, m.Takeover, m.Submit, m.Lookup,
 		metrics.MalformedCollector())
 	return m
 }
@@ -89,10 +93,17 @@
 	return promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{})
 }
 
-// WatchFleet registers the number of agents that were examined to place tasks.
+// WatchFleet registers the number of agents that were examined to place tasks, and the placements by
+// tier.
 func (m *Metrics) WatchFleet(f *owner.Fleet) {
 	opts := prometheus.CounterOpts{Namespace: Namespace, Name: "placement_looks_total", Help: "Agents looked at to place tasks."}
 	m.Registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(f.AgentsExamined()) }))
+	for tier := range f.PlacementsByTier() {
+		m.Registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: Namespace, Name: "speed_placements_total", Help: "Tasks placed while the servers' speeds differ, by tier.",
+			ConstLabels: prometheus.Labels{"tier": tier},
+		}, func() float64 { return float64(f.PlacementsByTier()[tier]) }))
+	}
 }
 
 // WatchDrains registers the number of drained failure domains and the age of the drain state.
--- a/daemon/core/shard_driver.go
+++ b/daemon/core/shard_driver.go
@@ -89,6 +89,9 @@
 func (r *ShardDriver) logDecision(d *owner.Decision) {
 	r.metrics.decisions.WithLabelValues(d.Kind).Inc()
 	if d.Refusal != nil {
+		if d.Refusal.BesideRoom {
+			r.metrics.refusedBesideRoom.WithLabelValues(d.Reason).Inc()
+		}
 		logRefusal(d)
 	}
 	klog.InfoS("Job", "what", d.Kind, "id", d.Job, "shard", r.ID, "epoch", r.Epoch, "step", d.Run.Task.Step, "task", d.Run.Task.Index,
@@ -100,7 +103,7 @@
 	r := d.Refusal
 	klog.InfoS("Refusal", "id", d.Job, "reason", d.Reason, "predicted", r.PredictedWait.Milliseconds(), "here", r.LocalWait.Milliseconds(),
 		"limit", r.WaitLimit.Milliseconds(), "late", r.LateEnd.Milliseconds(), "objective", r.Objective.Milliseconds(), "waited", r.ClientWaited.Milliseconds(),
-		"free", int(r.FreeCores), "cores", int(r.TotalCores), "news", r.LoadAge.Milliseconds())
+		"free", int(r.FreeCores), "cores", int(r.TotalCores), "news", r.LoadAge.Milliseconds(), "beside_room", r.BesideRoom)
 }
 
 // PlaceWaiting tries to place the waiting tasks, after an agent may have reported free capacity.
