--- a/coordination/load/speeds_table_test.go
+++ b/coordination/load/speeds_table_test.go
@@ -20,9 +20,9 @@
 )
 
 var (
-	farApart = []float64{.6, 1, 1.6}
-	close3   = []float64{1, 1, 1.3}
-	equal    = []float64{1}
+	farApart      = []float64{.6, 1, 1.6}
+	closeTogether = []float64{1, 1, 1.3}
+	equal         = []float64{1}
 )
 
 // wideAmongSmallMix has jobs of many tasks among jobs of one or two.
@@ -42,7 +42,7 @@
 	for _, p := range []struct {
 		name    string
 		pattern []float64
-	}{{"equal", equal}, {"close", close3}, {"far", farApart}} {
+	}{{"equal", equal}, {"close", closeTogether}, {"far", farApart}} {
 		for _, share := range []float64{.5, .75, .9, 1.15} {
 			for _, s := range sizes {
 				rows = append(rows, speedRow{fmt.Sprintf("%s %dx%d %.2f", p.name, s.entries, s.agents, share), unevenRun{setup: s, pattern: p.pattern, mix: grownMix, share: share}})
--- a/coordination/load/speeds_world_test.go
+++ b/coordination/load/speeds_world_test.go
@@ -73,6 +73,8 @@
 	share       float64
 	updateDelay time.Duration
 	heavyTails  bool
+	// fault starts a fault a second after outcomes begin to count.
+	fault func(*world)
 }
 
 // unevenOutcome has the outcomes of a load as shares of all jobs.
@@ -129,6 +131,9 @@
 	w.runUntil(w.now + time.Second)
 	w.run(u.mix, min(u.share, 0.6)*capacity, warmUp)
 	w.tallies, w.refusedBesideRoom = make(map[string]*tally), 0
+	if u.fault != nil {
+		w.after(time.Second, func() { u.fault(w) })
+	}
 	w.run(u.mix, u.share*capacity, length)
 	w.runUntil(w.now + 4*time.Second)
 }
--- a/coordination/owner/choice.go
+++ b/coordination/owner/choice.go
@@ -172,13 +172,19 @@
 	if !f.byTiersLocked(n) || p.tier != lateTier || n.Late {
 		return false
 	}
+	return f.inTimeOnFastestLocked(n)
+}
+
+// inTimeOnFastestLocked reports whether a task would be in time if it started now on the fastest
+// server.
+func (f *Fleet) inTimeOnFastestLocked(n PlacementRequest) bool {
 	return time.Duration(float64(n.Estimate)/f.bestSpeedLocked(n.Service)) <= n.Slack+n.Estimate
 }
 
-// admissionFinish returns when a task ends as admission sees it. Extra run time on a slow server
-// counts as a wait only if the task is late by it.
+// admissionFinishLocked returns when a task ends as admission sees it. Extra run time on a slow server
+// counts as a wait only if it makes the task late.
 func (f *Fleet) admissionFinishLocked(n PlacementRequest, p placement) time.Duration {
-	if !f.byTiersLocked(n) || p.finish > n.Slack+n.Estimate {
+	if !f.byTiersLocked(n) || p.finish > n.Slack+n.Estimate && f.inTimeOnFastestLocked(n) {
 		return p.finish
 	}
 	return p.wait + n.Estimate
--- a/coordination/owner/speed_waiting.go
+++ b/coordination/owner/speed_waiting.go
@@ -83,9 +83,9 @@
 // one, for a task that requires less; zero: no task waits for one.
 func (b *backlog) reservedSpeed(now time.Duration, key placementKey, required int8) float64 {
 	lowest := int8(anySpeed)
-	for i := range b.tasks {
+	for i := range min(len(b.tasks), maxReservingTasks) {
 		t := &b.tasks[i]
-		if t.late {
+		if t.late || lowest == required+1 {
 			break
 		}
 		if step := t.requiredSpeed(now); t.key == key && step > required {
@@ -98,6 +98,10 @@
 	return speedOfStep(lowest)
 }
 
+// maxReservingTasks is the number of waiting tasks for which servers are reserved: the first ones get
+// the next room, and the others wait in any case.
+const maxReservingTasks = 64
+
 // runTimeAfter returns the expected run time of the longest chain of steps after a step.
 func (s *Shard) runTimeAfter(spec *job.Spec, p *job.Policy, step int) time.Duration {
 	after := make([]time.Duration, len(spec.Steps))
