--- a/coordination/load/speeds_world_test.go
+++ b/coordination/load/speeds_world_test.go
@@ -33,7 +33,7 @@
 	}
 	var fit, free, all int64
 	for _, a := range w.subsets[r.entry.number] {
-		if a.down || a.serverDown || time.Duration(float64(longest)*a.durationFactor) > r.objective {
+		if a.down || a.serverDown || w.now-r.submittedAt+time.Duration(float64(longest)*a.durationFactor) > r.objective {
 			continue
 		}
 		room := max(0, a.freeMillis())
--- a/coordination/owner/speeds.go
+++ b/coordination/owner/speeds.go
@@ -29,6 +29,9 @@
 	// referenceWindow is the time constant with which the reference follows the median. The
 	// queues' run times are learned over some fifty runs and have to follow it.
 	referenceWindow = 2 * time.Second
+	// minKnownShare is the share of the servers whose speeds have to be known. The first ones known
+	// are those that get the most work, and not usual ones.
+	minKnownShare = 0.5
 	// minSpeedDifference is the difference from the reference, as a ratio, below which placement
 	// by speed gains less than the predictions are off.
 	minSpeedDifference = 1.1
@@ -61,11 +64,12 @@
 		return
 	}
 	v.speed = f.speeds.relative(&v.load)
-	if f.speeds.reference > 0 && now-f.speeds.updatedAt < speedUpdateInterval {
+	if now-f.speeds.updatedAt < speedUpdateInterval {
 		f.speeds.uneven = f.speeds.uneven || v.speed != 1
 		return
 	}
 	f.speeds.moveReference(now, f.ordered)
+	f.speeds.updatedAt = now
 	f.speeds.uneven = false
 	f.speeds.best = make(map[string]float64)
 	for _, o := range f.ordered {
@@ -85,7 +89,8 @@
 			s.reported = append(s.reported, v.load.Speed)
 		}
 	}
-	if len(s.reported) == 0 {
+	if len(s.reported) == 0 || float64(len(s.reported)) < minKnownShare*float64(len(agents)) {
+		s.reference, s.known = 0, 0
 		return
 	}
 	slices.Sort(s.reported)
@@ -98,7 +103,7 @@
 	changed := math.Abs(float64(n-s.known)) / float64(n)
 	weight := max(1-math.Exp(-float64(now-s.updatedAt)/float64(referenceWindow)), min(changed, 1))
 	s.reference *= math.Pow(median/s.reference, weight)
-	s.updatedAt, s.known = now, n
+	s.known = n
 }
 
 // bestSpeed returns the highest speed of the servers of a service; 1 if speeds don't differ.
