--- a/coordination/owner/choice.go
+++ b/coordination/owner/choice.go
@@ -52,11 +52,12 @@
 	f.examined += int64(len(f.agents))
 	f.candidates = f.candidates[:0]
 	var best placement
-	found := false
+	found, fastest := false, 0.0
 	for _, v := range f.ordered {
 		if !v.canTake(n) || !allowed(v.node) {
 			continue
 		}
+		fastest = max(fastest, v.speed)
 		p := f.predictLocked(v, n)
 		p.rank = p.finish
 		p.tier = f.tierLocked(v, n, p)
@@ -73,8 +74,9 @@
 		}
 	}
 	if len(f.candidates) > 0 {
-		return f.drawLocked(), true
+		best, found = f.drawLocked(), true
 	}
+	best.fastest = fastest
 	return best, found
 }
 
@@ -169,22 +171,21 @@
 // mayWaitForFasterLocked reports whether a task that is in time on no server with room now can still
 // be in time on the fastest one.
 func (f *Fleet) mayWaitForFasterLocked(n PlacementRequest, p placement) bool {
-	if !f.byTiersLocked(n) || p.tier != lateTier || n.Late {
-		return false
-	}
-	return f.inTimeOnFastestLocked(n)
+	return f.byTiersLocked(n) && !n.Late && n.isLateAfter(p.finish) && !n.isLateAfter(n.onFastest(p))
 }
 
-// inTimeOnFastestLocked reports whether a task would be in time if it started now on the fastest
-// server.
-func (f *Fleet) inTimeOnFastestLocked(n PlacementRequest) bool {
-	return time.Duration(float64(n.Estimate)/f.bestSpeedLocked(n.Service)) <= n.Slack+n.Estimate
+// isLateAfter reports whether a task is late if it ends after a time from now.
+func (n *PlacementRequest) isLateAfter(finish time.Duration) bool { return finish > n.Slack+n.Estimate }
+
+// onFastest returns when a task would end if it started now on the fastest server that may have it.
+func (n *PlacementRequest) onFastest(p placement) time.Duration {
+	return time.Duration(float64(n.Estimate) / p.fastest)
 }
 
 // admissionFinishLocked returns when a task ends as admission sees it. Extra run time on a slow server
 // counts as a wait only if it makes the task late.
 func (f *Fleet) admissionFinishLocked(n PlacementRequest, p placement) time.Duration {
-	if !f.byTiersLocked(n) || p.finish > n.Slack+n.Estimate && f.inTimeOnFastestLocked(n) {
+	if !f.byTiersLocked(n) || n.isLateAfter(p.finish) && !n.isLateAfter(n.onFastest(p)) {
 		return p.finish
 	}
 	return p.wait + n.Estimate
--- a/coordination/owner/speeds.go
+++ b/coordination/owner/speeds.go
@@ -110,10 +110,6 @@
 func (f *Fleet) bestSpeed(service string) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.bestSpeedLocked(service)
-}
-
-func (f *Fleet) bestSpeedLocked(service string) float64 {
 	if best := f.speeds.best[service]; f.speeds.uneven && best > 0 {
 		return best
 	}
--- a/coordination/owner/speeds_test.go
+++ b/coordination/owner/speeds_test.go
@@ -269,6 +269,26 @@
 	is.Equal(f.s.tooLateLocked(f.now+40*time.Millisecond, j, w), true)
 }
 
+// TestTasksDoNotWaitForServersThatTheyMayNotHave guards against tasks that wait for a fast server
+// without their label, or because all loads are old.
+func TestTasksDoNotWaitForServersThatTheyMayNotHave(t *testing.T) {
+	is := is.New(t)
+	f := newSpeedFleet(.6, 1, 1, 1.6)
+	l := speedLoad(.6, 16000)
+	l.Labels = []string{"gpu"}
+	f.report(0, l)
+	n := f.request(1200*time.Millisecond, 1700*time.Millisecond)
+	n.Label = "gpu"
+	node, ok := f.Place(n, anyAgent)
+	is.True(ok)
+	is.Equal(node, "agent-0")
+
+	n.Label = ""
+	n.Now += time.Second
+	_, ok = f.Place(n, anyAgent)
+	is.True(ok)
+}
+
 // TestFrameCostIsBoundedWhileSpeedsDiffer guards against an entry that examines all agents for each
 // waiting task with each frame.
 func TestFrameCostIsBoundedWhileSpeedsDiffer(t *testing.T) {
