--- a/coordination/owner/speeds_test.go
+++ b/coordination/owner/speeds_test.go
@@ -208,9 +208,9 @@
 // longer run time there counts as a wait.
 func TestExtraRunTimeIsNoWait(t *testing.T) {
 	is := is.New(t)
-	f := newSpeedFleet(.8, 1, 1, 1.6)
+	f := newSpeedFleet(.6, 1, 1, 1.6)
 	for _, i := range []int{1, 2, 3} {
-		f.report(i, speedLoad([]float64{.8, 1, 1, 1.6}[i], 0))
+		f.report(i, speedLoad([]float64{.6, 1, 1, 1.6}[i], 0))
 	}
 	fx, responses := f.submit("a", 4, 100*time.Millisecond)
 	is.Equal(len(*responses), 0)
@@ -256,6 +256,56 @@
 	is.Equal(fx.Orders[0].Node, "agent-3")
 }
 
+// TestShortTasksPassLongOnesThatWait guards against short tasks that wait behind a more urgent long
+// one, both when they come and when a slow server becomes free.
+func TestShortTasksPassLongOnesThatWait(t *testing.T) {
+	is := is.New(t)
+	speeds := []float64{.6, 1, 1, 1.6}
+	f := newSpeedFleet(speeds...)
+	report := func(i int, freeMillis int64) {
+		l := speedLoad(speeds[i], freeMillis)
+		l.Turnover = 100 * time.Millisecond
+		f.report(i, l)
+	}
+	for i := range speeds {
+		report(i, 0)
+	}
+	long, _ := f.submit("long", 1, 1200*time.Millisecond)
+	is.Equal(len(long.Orders), 0)
+	f.now += 750 * time.Millisecond
+	for i := range speeds {
+		report(i, 0)
+	}
+	spec := job.Spec{BestEffort: true, Steps: []job.Step{{Count: 1, Demand: job.Demand{CPUMillis: 1000, MemoryMB: 64}, Estimate: 60 * time.Millisecond}}}
+	fx := f.s.Submit(f.now, "waits", spec, job.Policy{Queue: "s", Service: "desk", Slack: 10}, func(Response) {})
+	is.Equal(len(fx.Orders), 0)
+
+	report(0, 16000)
+	fx = f.s.AgentsUpdated(f.now)
+	is.Equal(len(fx.Orders), 1)
+	is.Equal(fx.Orders[0].Value.Run.Task.Job, job.ID("waits"))
+	short, _ := f.submit("short", 1, 60*time.Millisecond)
+	is.Equal(len(short.Orders), 1)
+	is.True(f.s.HasWaitingTasks())
+}
+
+// TestTasksWaitForServersOnWhichTheyAreInTime guards against tasks on a slow server where they are
+// late, although a fast one may become free in time, and against tasks that wait in vain.
+func TestTasksWaitForServersOnWhichTheyAreInTime(t *testing.T) {
+	is := is.New(t)
+	f := newSpeedFleet(.6, 1, 1, 1.6)
+	for _, i := range []int{1, 2, 3} {
+		l := speedLoad([]float64{.6, 1, 1, 1.6}[i], 0)
+		l.Turnover = 1300 * time.Millisecond
+		f.report(i, l)
+	}
+	_, ok := f.Place(f.request(1200*time.Millisecond, 1980*time.Millisecond), anyAgent)
+	is.Equal(ok, false)
+	node, ok := f.Place(f.request(1200*time.Millisecond, 700*time.Millisecond), anyAgent)
+	is.True(ok)
+	is.Equal(node, "agent-0")
+}
+
 // TestWaitingTasksAreNotGivenUpThatAFastServerServes guards against jobs that are given up as late
 // by the run time of a usual server, although a fast one still serves them in time.
 func TestWaitingTasksAreNotGivenUpThatAFastServerServes(t *testing.T) {
@@ -308,3 +358,15 @@
 	f.s.AgentsUpdated(f.now)
 	is.True(f.AgentsExamined()-before <= int64(len(speeds)*(2*maxSpeedStep+1)))
 }
+
+// TestFirstKnownSpeedsAreNotTheUsual guards against usual servers that count as slow, because the
+// first servers whose speeds are known are the fast ones, which end the most runs.
+func TestFirstKnownSpeedsAreNotTheUsual(t *testing.T) {
+	is := is.New(t)
+	f := newSpeedFleet(1.6, 0, 0, 0)
+	is.Equal(f.unevenSpeeds(), false)
+	is.Equal(f.speed(0), 1.0)
+	f.settle([]float64{1.6, 1, 1, 0})
+	is.Equal(f.speed(0), 1.6)
+	is.Equal(f.speed(1), 1.0)
+}
