--- a/coordination/load/speeds_table_test.go
+++ b/coordination/load/speeds_table_test.go
@@ -59,6 +59,11 @@
 		rows = append(rows, speedRow{fmt.Sprintf("loads 60 ms late %.2f", share), late60}, speedRow{fmt.Sprintf("loads 150 ms late %.2f", share), late150},
 			speedRow{fmt.Sprintf("heavy tails %.2f", share), tails}, speedRow{fmt.Sprintf("wide jobs %.2f", share), wide})
 	}
+	for _, s := range []setup{fleet(35, 32, 0), fleet(64, 160, linksPerEntry), fleet(183, 480, linksPerEntry)} {
+		for _, share := range []float64{.75, .9} {
+			rows = append(rows, speedRow{fmt.Sprintf("many entries %dx%d %.2f", s.entries, s.agents, share), unevenRun{setup: s, pattern: farApart, mix: grownMix, share: share}})
+		}
+	}
 	return rows
 }
 
