--- a/coordination/load/speeds_test.go
+++ b/coordination/load/speeds_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -18,7 +19,10 @@
 	if !checkBounds {
 		runs = 1
 	}
-	off, on = u.play(false, runs, 2*time.Second), u.play(true, runs, 2*time.Second)
+	var wg sync.WaitGroup
+	wg.Go(func() { off = u.play(false, runs, 2*time.Second) })
+	wg.Go(func() { on = u.play(true, runs, 2*time.Second) })
+	wg.Wait()
 	t.Logf("%s: not considered: %v; considered: %v", name, off, on)
 	is := is.NewRelaxed(t)
 	is.True(!checkBounds || on.served >= off.served)
--- a/coordination/owner/choice.go
+++ b/coordination/owner/choice.go
@@ -39,6 +39,19 @@
 	widthMargin = 0.02
 )
 
+// drawnOverlap is Params.OrderOverlap while agents are drawn: others draw too, so that few of their
+// orders go where those of this process went.
+const drawnOverlap = 0.1
+
+// orderOverlapLocked returns the share of other processes' orders that is assumed to have gone where
+// own ones went.
+func (f *Fleet) orderOverlapLocked() float64 {
+	if f.speeds.uneven {
+		return min(f.params.OrderOverlap, drawnOverlap)
+	}
+	return f.params.OrderOverlap
+}
+
 // candidate is an agent of the best tier, with the sum of the weights up to it.
 type candidate struct {
 	placement
