--- a/coordination/load/speeds_table_test.go
+++ b/coordination/load/speeds_table_test.go
@@ -64,7 +64,8 @@
 			rows = append(rows, speedRow{fmt.Sprintf("many entries %dx%d %.2f", s.entries, s.agents, share), unevenRun{setup: s, pattern: farApart, mix: grownMix, share: share}})
 		}
 	}
-	return rows
+	changed := unevenRun{setup: s, pattern: farApart, mix: grownMix, share: .75, fault: func(w *world) { w.setSpeeds([]float64{1.6, 1, .6}) }}
+	return append(rows, speedRow{"speeds change for good .75", changed})
 }
 
 func TestUnequalServers(t *testing.T) {
--- a/coordination/load/speeds_test.go
+++ b/coordination/load/speeds_test.go
@@ -63,7 +63,7 @@
 
 // TestUnequalServersWithFaults guards against speeds that make a fault worse: updates of three agents
 // that are late, servers that crash and are unknown when they start again, and entries and agents
-// that start anew.
+// that start anew, and servers that are slow for good from then on.
 func TestUnequalServersWithFaults(t *testing.T) {
 	for _, f := range []struct {
 		name  string
@@ -72,6 +72,7 @@
 		{"late updates", func(w *world) { w.delayUpdates(3) }},
 		{"crash", func(w *world) { w.crash(3) }},
 		{"restart", (*world).restart},
+		{"two fast servers turn slow", func(w *world) { w.agents[2].durationFactor, w.agents[5].durationFactor = 1/.6, 1/.6 }},
 	} {
 		unevenRun{setup: unevenSize, pattern: farApart, mix: grownMix, share: .7, fault: f.fault}.compare(t, f.name)
 	}
