Hold tasks only for faster servers that answer and aren't slowed down

A task that is late on all servers with room was held at its owner while the highest speed of any server that may have it would do. The shortest predicted run time of the servers that aren't the last resort decides now. Admission counts an end that is late as it is, whether a faster server would do or not: with all servers slowed down, the run time there is a wait as it is with equal servers.

TestTasksDoNotWaitForAFastServerThatIsSlowOrLost failed in all three cases before.

--- a/coordination/owner/choice.go
+++ b/coordination/owner/choice.go
@@ -65,18 +65,19 @@
 	f.examined += int64(len(f.agents))
 	f.candidates = f.candidates[:0]
 	var best placement
-	found, fastest := false, 0.0
+	found, shortest := false, time.Duration(math.MaxInt64)
 	for _, v := range f.ordered {
 		if !v.canTake(n) || !allowed(v.node) {
 			continue
 		}
-		fastest = max(fastest, v.speed)
 		p := f.predictLocked(v, n)
 		p.rank = p.finish
-		p.tier = f.tierLocked(v, n, p)
 		if slices.Contains(n.Avoid, v.node) || n.Now-v.updatedAt > f.params.StaleLoadAge {
 			p.rank += lastResortPenalty
 			p.tier = lateTier
+		} else {
+			shortest = min(shortest, p.finish-p.wait)
+			p.tier = f.tierLocked(v, n, p)
 		}
 		if p.tier == roomTier {
 			f.addCandidateLocked(v, n, p)
@@ -89,7 +90,7 @@
 	if len(f.candidates) > 0 {
 		best, found = f.drawLocked(), true
 	}
-	best.fastest = fastest
+	best.shortest = shortest
 	return best, found
 }
 
@@ -182,23 +183,18 @@
 }
 
 // mayWaitForFasterLocked reports whether a task that is in time on no server with room now can still
-// be in time on the fastest one.
+// be in time on another one.
 func (f *Fleet) mayWaitForFasterLocked(n PlacementRequest, p placement) bool {
-	return f.byTiersLocked(n) && !n.Late && n.isLateAfter(p.finish) && !n.isLateAfter(n.onFastest(p))
+	return f.byTiersLocked(n) && !n.Late && n.isLateAfter(p.finish) && !n.isLateAfter(p.shortest)
 }
 
 // isLateAfter reports whether a task is late if it ends after a time from now.
 func (n *PlacementRequest) isLateAfter(finish time.Duration) bool { return finish > n.Slack+n.Estimate }
 
-// onFastest returns when a task would end if it started now on the fastest server that may have it.
-func (n *PlacementRequest) onFastest(p placement) time.Duration {
-	return time.Duration(float64(n.Estimate) / p.fastest)
-}
-
 // admissionFinishLocked returns when a task ends as admission sees it. Extra run time on a slow server
 // counts as a wait only if it makes the task late.
 func (f *Fleet) admissionFinishLocked(n PlacementRequest, p placement) time.Duration {
-	if !f.byTiersLocked(n) || n.isLateAfter(p.finish) && !n.isLateAfter(n.onFastest(p)) {
+	if !f.byTiersLocked(n) || n.isLateAfter(p.finish) {
 		return p.finish
 	}
 	return p.wait + n.Estimate
--- /dev/null
+++ b/coordination/owner/choice_test.go
@@ -0,0 +1,48 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// full reports that an agent of a speed has no room, and for how long.
+func (f *speedFleet) full(agent int, speed float64, turnover time.Duration) {
+	l := speedLoad(speed, 0)
+	l.Turnover = turnover
+	f.report(agent, l)
+}
+
+// TestTasksDoNotWaitForAFastServerThatIsSlowOrLost guards against tasks that are held beside a free
+// server for a faster one that doesn't answer, is avoided, or is slowed down.
+func TestTasksDoNotWaitForAFastServerThatIsSlowOrLost(t *testing.T) {
+	for name, fault := range map[string]func(*speedFleet, *PlacementRequest){
+		"old load": func(f *speedFleet, n *PlacementRequest) {
+			f.now += time.Second
+			n.Now = f.now
+			f.report(0, speedLoad(.6, 16000))
+			f.full(1, 1, time.Second)
+			f.full(2, 1, time.Second)
+		},
+		"avoided": func(f *speedFleet, n *PlacementRequest) { n.Avoid = []string{"agent-3"} },
+		"slowed down": func(f *speedFleet, _ *PlacementRequest) {
+			l := speedLoad(1.6, 0)
+			l.Slowdown, l.Turnover = 4, time.Second
+			f.report(3, l)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newSpeedFleet(.6, 1, 1, 1.6)
+			f.full(1, 1, time.Second)
+			f.full(2, 1, time.Second)
+			f.full(3, 1.6, 100*time.Millisecond)
+			n := f.request(1200*time.Millisecond, 1100*time.Millisecond)
+			fault(f, &n)
+			node, ok := f.Place(n, anyAgent)
+			is.True(ok)
+			is.Equal(node, "agent-0")
+		})
+	}
+}
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -17,10 +17,10 @@
 	freeShare float64
 	// rank is finish plus the penalties of agents that are to be chosen after others.
 	rank time.Duration
-	// tier and fastest are set while the servers' speeds differ. fastest is the highest speed of the
-	// agents that may have the task.
-	tier    tier
-	fastest float64
+	// tier and shortest are set while the servers' speeds differ. shortest is the shortest run time at
+	// the agents that may have the task, other than those of the last resort.
+	tier     tier
+	shortest time.Duration
 }
 
 // Place chooses the agent on which a task ends first, among those that may have it, and adds the
