Send tasks that are late everywhere where there is room

A task that could be in time on no server any more went only where it ends first. If that was a fast server that is full, the task stayed at its owner until it was given up, beside a slow server with room: with equal servers one with room is always the one where a task ends first. Servers where it waits longer than MaxPlacementWait and is late come after all others now, as do those that are a last resort.

--- a/coordination/owner/choice.go
+++ b/coordination/owner/choice.go
@@ -22,13 +22,15 @@
 	shortWaitTier
 	// noMarginTier: the same without the margin.
 	noMarginTier
-	// lateTier: all others.
+	// lateTier: the task is late, or it waits longer and ends in time.
 	lateTier
+	// lastResortTier: the task waits longer and is late, or the agent is to be chosen after all others.
+	lastResortTier
 	numTiers
 )
 
 // tierNames are the labels of the tiers in metrics.
-var tierNames = [numTiers]string{"room", "reserved", "short_wait", "no_margin", "late"}
+var tierNames = [numTiers]string{"room", "reserved", "short_wait", "no_margin", "late", "last_resort"}
 
 const (
 	// estimateMargin is the share of a task's run time by which it has to be predicted to end
@@ -74,7 +76,7 @@
 		p.rank = p.finish
 		if slices.Contains(n.Avoid, v.node) || n.Now-v.updatedAt > f.params.StaleLoadAge {
 			p.rank += lastResortPenalty
-			p.tier = lateTier
+			p.tier = lastResortTier
 		} else {
 			shortest = min(shortest, p.finish-p.wait)
 			p.tier = f.tierLocked(v, n, p)
@@ -102,8 +104,11 @@
 	if n.Late {
 		longest = 0
 	}
+	waitsLonger := p.wait > longest && f.params.MaxPlacementWait > 0 || n.Late && p.freeShare < f.params.LateReserve
 	switch {
-	case p.finish > left || p.wait > longest && f.params.MaxPlacementWait > 0 || n.Late && p.freeShare < f.params.LateReserve:
+	case p.finish > left && waitsLonger:
+		return lastResortTier
+	case p.finish > left || waitsLonger:
 		return lateTier
 	case p.finish+time.Duration(n.margin()*float64(run)) > left:
 		return noMarginTier
--- a/coordination/owner/choice_test.go
+++ b/coordination/owner/choice_test.go
@@ -46,3 +46,16 @@
 		})
 	}
 }
+
+// TestTasksThatAreLateEverywhereTakeTheFreeServer guards against tasks that wait, until they are
+// given up, for a full server where they would end first, beside a free one.
+func TestTasksThatAreLateEverywhereTakeTheFreeServer(t *testing.T) {
+	is := is.New(t)
+	f := newSpeedFleet(.6, 1, 1, 1.6)
+	for i, speed := range []float64{1, 1, 1.6} {
+		f.full(i+1, speed, 300*time.Millisecond)
+	}
+	node, ok := f.Place(f.request(1200*time.Millisecond, 700*time.Millisecond), anyAgent)
+	is.True(ok)
+	is.Equal(node, "agent-0")
+}
