Draw among the agents where a task ends at the same time

While speeds differ, servers that don't differ significantly have exactly speed 1, so idle ones tie. In all tiers but the first, the one with the first name got the task, from every entry. Equal ends are drawn now, as with equal servers.

TestEqualEndsAreDrawn failed before.

--- a/coordination/owner/choice.go
+++ b/coordination/owner/choice.go
@@ -67,7 +67,7 @@
 	f.examined += int64(len(f.agents))
 	f.candidates = f.candidates[:0]
 	var best placement
-	found, shortest := false, time.Duration(math.MaxInt64)
+	equal, shortest := 0, time.Duration(math.MaxInt64)
 	for _, v := range f.ordered {
 		if !v.canTake(n) || !allowed(v.node) {
 			continue
@@ -85,10 +85,18 @@
 			f.addCandidateLocked(v, n, p)
 			continue
 		}
-		if !found || p.tier < best.tier || p.tier == best.tier && p.rank < best.rank {
-			best, found = p, true
+		switch {
+		case equal == 0 || p.isBetter(&best):
+			best, equal = p, 1
+		case !best.isBetter(&p):
+			// Each of the equal agents is chosen with the same probability.
+			equal++
+			if f.rand.IntN(equal) == 0 {
+				best = p
+			}
 		}
 	}
+	found := equal > 0
 	if len(f.candidates) > 0 {
 		best, found = f.drawLocked(), true
 	}
@@ -96,6 +104,12 @@
 	return best, found
 }
 
+// isBetter reports whether a placement is in a lower tier than another one, or ends first in the
+// same tier.
+func (p *placement) isBetter(other *placement) bool {
+	return p.tier < other.tier || p.tier == other.tier && p.rank < other.rank
+}
+
 // tierLocked returns the tier of an agent for a task.
 func (f *Fleet) tierLocked(v *agentView, n PlacementRequest, p placement) tier {
 	left := n.Slack + n.Estimate
--- a/coordination/owner/choice_test.go
+++ b/coordination/owner/choice_test.go
@@ -59,3 +59,20 @@
 	is.True(ok)
 	is.Equal(node, "agent-0")
 }
+
+// TestEqualEndsAreDrawn guards against entries that all send to the first of the servers on which a
+// task without a margin ends at the same time.
+func TestEqualEndsAreDrawn(t *testing.T) {
+	is := is.New(t)
+	f := newSpeedFleet(.6, 1, 1, 1)
+	placed := make(map[string]int)
+	for range 90 {
+		p, ok := f.chooseLocked(f.request(200*time.Millisecond, 210*time.Millisecond), anyAgent)
+		is.True(ok)
+		is.Equal(p.tier, noMarginTier)
+		placed[p.node]++
+	}
+	for _, node := range f.nodes[1:] {
+		is.True(placed[node] >= 10)
+	}
+}
