Don't let tasks that wait for a fast server block those late everywhere

In a pass over the backlog, tasks that require no lower speed than one that can't be placed aren't tried. A task that can be in time on no server any more counted as one that requires the highest speed. It may have any server, but was kept back, beside a free slow one, as long as another waited for a fast one. Such tasks are blocked by their own kind only now, which is one more look a frame and placement key.

TestTasksThatAreLateEverywhereAreNotBlocked failed before.

--- a/coordination/owner/speed_waiting.go
+++ b/coordination/owner/speed_waiting.go
@@ -38,13 +38,21 @@
 	return requiredSpeed(t.run, t.latestStart+t.run-now)
 }
 
-// blockedKeys has, for each placement key, the lowest required speed of the tasks that could not be
-// placed in a pass. Tasks that need no less are not tried: a server that is free for them would have
-// been free for the first one.
-type blockedKeys map[placementKey]int8
+// blockedKey is a placement key of tasks that wait alike for room.
+type blockedKey struct {
+	placementKey
+	// lateEverywhere tasks go to any server with room, also while those that can be in time wait for
+	// a fast one.
+	lateEverywhere bool
+}
+
+// blockedKeys has, for each key, the lowest required speed of the tasks that could not be placed in a
+// pass. Tasks that need no less are not tried: a server that is free for them would have been free
+// for the first one.
+type blockedKeys map[blockedKey]int8
 
 // has reports whether a task of the required speed need not be tried.
-func (b blockedKeys) has(key placementKey, required int8) bool {
+func (b blockedKeys) has(key blockedKey, required int8) bool {
 	lowest, ok := b[key]
 	return ok && required >= lowest
 }
@@ -62,6 +70,21 @@
 	return true
 }
 
+// blockedKeyLocked returns the key by which a waiting task is blocked, and the speed that it requires:
+// the least one if it is late everywhere.
+func (s *Shard) blockedKeyLocked(now time.Duration, w *waitingTask) (key blockedKey, required int8) {
+	key = blockedKey{placementKey: w.key}
+	if !s.fleet.unevenSpeeds() {
+		return key, noSpeed
+	}
+	left := w.latestStart + w.run - now
+	if float64(w.run) > float64(left)*s.fleet.bestSpeed(w.key.service) {
+		key.lateEverywhere = true
+		return key, -maxSpeedStep
+	}
+	return key, w.requiredSpeed(now)
+}
+
 // competingWork returns the waiting work with the same key that is placed before a task that must
 // start by latestStart, less the tasks that require more than the given speed: they wait for servers
 // that the task can do without.
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -81,13 +81,12 @@
 // placeWaitingLocked sends waiting tasks to agents that have free capacity now.
 //
 // For each placement key it tries only the tasks up to the first that can't be placed, and while the
-// servers' speeds differ those that are in time on slower servers than that one. Loads arrive
+// servers' speeds differ those that are in time on slower servers than that one, or on none. Loads arrive
 // some hundred times a second, most of them while agents are full. When all waiting tasks were
 // tried each time, an entry with a hundred jobs waiting spent more than its processor on that, fell
 // behind with handling its frames, and had even more jobs waiting.
 func (s *Shard) placeWaitingLocked(now time.Duration, fx *Effects) {
 	s.waiting.updateLateRate(now, s.fleet.params.LateRateWindow)
-	uneven := s.fleet.unevenSpeeds()
 	blocked := make(blockedKeys)
 	s.waiting.filter(func(w *waitingTask) filterAction {
 		if blocked.all(len(s.waiting.counts)) {
@@ -97,11 +96,8 @@
 		if t == nil {
 			return removeTask
 		}
-		required := int8(noSpeed)
-		if uneven {
-			required = w.requiredSpeed(now)
-		}
-		if blocked.has(w.key, required) {
+		key, required := s.blockedKeyLocked(now, w)
+		if blocked.has(key, required) {
 			// Smaller tasks behind it must not overtake it, or a task with a large demand would
 			// starve.
 			return keepTask
@@ -112,7 +108,7 @@
 			return removeTask
 		}
 		if !s.placeLocked(now, fx, j, w.id, t) {
-			blocked[w.key] = required
+			blocked[key] = required
 			return keepTask
 		}
 		t.waiting = false
