Take the reference of the speeds by service

The median and the switch to placing by speed were over all agents that an owner links. A service whose servers differ changed the decisions of another with equal ones, and one whose servers are all slower than another's, or whose estimates are off by another factor, counted as uneven. Tasks never move between services, so their speeds needn't be compared.

The existing tests pass the service to unevenSpeeds; nothing else changes in them.

--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -53,7 +53,7 @@
 	for i := range spec.Steps {
 		n := s.placementRequest(p, &spec.Steps[i])
 		n.Now, n.Slack = now, objective-criticalPath
-		if slack := objective - criticalPath - clientWaited; slack > 0 && s.fleet.unevenSpeeds() {
+		if slack := objective - criticalPath - clientWaited; slack > 0 && s.fleet.unevenSpeeds(n.Service) {
 			n.Slack = shareOf(slack, n.Estimate, criticalPath)
 		}
 		wait, localWait, ok := s.predictWaitLocked(n, placementKeyOf(p, &spec.Steps[i]), spec.Steps[i].Count)
--- a/coordination/owner/choice.go
+++ b/coordination/owner/choice.go
@@ -46,9 +46,9 @@
 const drawnOverlap = 0.1
 
 // orderOverlapLocked returns the share of other processes' orders that is assumed to have gone where
-// own ones went.
-func (f *Fleet) orderOverlapLocked() float64 {
-	if f.speeds.uneven {
+// own ones went, among the agents of a service.
+func (f *Fleet) orderOverlapLocked(service string) float64 {
+	if f.unevenSpeedsLocked(service) {
 		return min(f.params.OrderOverlap, drawnOverlap)
 	}
 	return f.params.OrderOverlap
@@ -198,7 +198,7 @@
 // byTiersLocked reports whether a task is placed by tiers. A suspect goes where it endangers the fewest
 // others.
 func (f *Fleet) byTiersLocked(n PlacementRequest) bool {
-	return f.speeds.uneven && n.Isolation == worker.NoIsolation
+	return f.unevenSpeedsLocked(n.Service) && n.Isolation == worker.NoIsolation
 }
 
 // mayWaitForFasterLocked reports whether a task that is in time on no server with room now can still
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -111,8 +111,8 @@
 	runTimeRatios map[string]float64
 	// orderRatio estimates how many orders other processes send. Guarded by mu.
 	orderRatio orderRatio
-	// speeds relates the speeds of the servers. Guarded by mu.
-	speeds serverSpeeds
+	// speeds relates the speeds of the servers of each service. Guarded by mu.
+	speeds map[string]*serverSpeeds
 	// candidates is reused by each choice. Guarded by mu.
 	candidates []candidate
 	// placed counts the placements by tier. Guarded by mu.
@@ -166,6 +166,7 @@
 		remoteFactor:  max(1, remoteFactor),
 		params:        p,
 		agents:        make(map[string]*agentView),
+		speeds:        make(map[string]*serverSpeeds),
 		retired:       make(map[string]bool),
 		runTimeRatios: make(map[string]float64),
 	}
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -82,7 +82,7 @@
 		if !v.canTake(n) || !allowed(v.node) {
 			continue
 		}
-		pending, _ := v.pendingDemand(now, f.orderOverlapLocked()*f.orderRatio.estimate(v.load.Placers))
+		pending, _ := v.pendingDemand(now, f.orderOverlapLocked(n.Service)*f.orderRatio.estimate(v.load.Placers))
 		free += float64(max(v.load.Free.CPUMillis-pending.CPUMillis, 0)) / 1000
 		cores += float64(v.load.Capacity.CPUMillis) / 1000
 		loadAge = max(loadAge, now-v.updatedAt)
@@ -248,7 +248,7 @@
 
 // predictLocked estimates how long a task would wait at an agent and when it would end.
 func (f *Fleet) predictLocked(v *agentView, n PlacementRequest) placement {
-	taken, work := v.pendingDemand(n.Now, f.orderOverlapLocked()*f.orderRatio.estimate(v.load.Placers))
+	taken, work := v.pendingDemand(n.Now, f.orderOverlapLocked(n.Service)*f.orderRatio.estimate(v.load.Placers))
 	free := v.load.Free.Minus(taken)
 	run := v.runTime(time.Duration(float64(n.Estimate) * max(1, v.load.Slowdown)))
 	if n.Rack != "" && !slices.Contains(v.load.Labels, n.Rack) {
--- a/coordination/owner/speed_waiting.go
+++ b/coordination/owner/speed_waiting.go
@@ -74,7 +74,7 @@
 // the least one if it is late everywhere.
 func (s *Shard) blockedKeyLocked(now time.Duration, w *waitingTask) (key blockedKey, required int8) {
 	key = blockedKey{placementKey: w.key}
-	if !s.fleet.unevenSpeeds() {
+	if !s.fleet.unevenSpeeds(w.key.service) {
 		return key, noSpeed
 	}
 	left := w.latestStart + w.run - now
@@ -158,7 +158,7 @@
 // workBeforeLocked returns the waiting work that is placed before a new task. hasRoom is set if all
 // tasks of its step find room now. They don't wait then for those that need a faster server.
 func (s *Shard) workBeforeLocked(n PlacementRequest, key placementKey, hasRoom bool) time.Duration {
-	if !s.fleet.unevenSpeeds() {
+	if !s.fleet.unevenSpeeds(n.Service) {
 		return s.waiting.workAhead(key, false, n.Now+n.Slack)
 	}
 	required := int8(anySpeed)
--- a/coordination/owner/speeds.go
+++ b/coordination/owner/speeds.go
@@ -6,16 +6,17 @@
 	"time"
 )
 
-// serverSpeeds relates the speeds that agents report to their median. The speeds may share a factor,
-// because they are measured against estimates that may all be off. Guarded by Fleet.mu.
+// serverSpeeds relates the speeds that the agents of one service report to their median. The speeds
+// may share a factor, because they are measured against estimates that may all be off. Guarded by
+// Fleet.mu.
 type serverSpeeds struct {
 	// reference is the moving median of the reported speeds; zero: none is known.
 	reference float64
 	updatedAt time.Duration
 	// uneven is set while the speed of a server differs significantly from the others'.
 	uneven bool
-	// best has the highest speed of each service.
-	best map[string]float64
+	// best is the highest speed of a server that accepts work; zero: there is none.
+	best float64
 	// known is the number of servers whose speeds were known at the last update.
 	known int
 	// reported is reused by each update.
@@ -58,38 +59,51 @@
 }
 
 // updateSpeedLocked updates an agent's speed after a load, and now and then the reference and the
-// speeds of all agents.
+// speeds of all agents of the service.
 func (f *Fleet) updateSpeedLocked(now time.Duration, v *agentView) {
 	if !f.params.ServerSpeeds {
 		return
 	}
-	v.speed = f.speeds.relative(&v.load)
-	if now-f.speeds.updatedAt < speedUpdateInterval {
-		f.speeds.uneven = f.speeds.uneven || v.speed != 1
+	service := v.load.Service
+	s := f.speeds[service]
+	if s == nil {
+		s = &serverSpeeds{}
+		f.speeds[service] = s
+	}
+	v.speed = s.relative(&v.load)
+	if now-s.updatedAt < speedUpdateInterval {
+		s.uneven = s.uneven || v.speed != 1
 		return
 	}
-	f.speeds.moveReference(now, f.ordered)
-	f.speeds.updatedAt = now
-	f.speeds.uneven = false
-	f.speeds.best = make(map[string]float64)
+	s.moveReference(now, service, f.ordered)
+	s.updatedAt = now
+	s.uneven, s.best = false, 0
 	for _, o := range f.ordered {
-		o.speed = f.speeds.relative(&o.load)
-		f.speeds.uneven = f.speeds.uneven || o.speed != 1
+		if o.load.Service != service {
+			continue
+		}
+		o.speed = s.relative(&o.load)
+		s.uneven = s.uneven || o.speed != 1
 		if o.acceptsWork() && !o.retired {
-			f.speeds.best[o.load.Service] = max(f.speeds.best[o.load.Service], o.speed)
+			s.best = max(s.best, o.speed)
 		}
 	}
 }
 
-// moveReference moves the reference towards the median of the reported speeds.
-func (s *serverSpeeds) moveReference(now time.Duration, agents []*agentView) {
+// moveReference moves the reference towards the median of the reported speeds of a service.
+func (s *serverSpeeds) moveReference(now time.Duration, service string, agents []*agentView) {
 	s.reported = s.reported[:0]
+	servers := 0
 	for _, v := range agents {
+		if v.load.Service != service {
+			continue
+		}
+		servers++
 		if v.load.Speed > 0 && v.load.SpeedRuns > 0 {
 			s.reported = append(s.reported, v.load.Speed)
 		}
 	}
-	if len(s.reported) == 0 || float64(len(s.reported)) < minKnownShare*float64(len(agents)) {
+	if len(s.reported) == 0 || float64(len(s.reported)) < minKnownShare*float64(servers) {
 		s.reference, s.known = 0, 0
 		return
 	}
@@ -110,17 +124,22 @@
 func (f *Fleet) bestSpeed(service string) float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if best := f.speeds.best[service]; f.speeds.uneven && best > 0 {
-		return best
+	if s := f.speeds[service]; s != nil && s.uneven && s.best > 0 {
+		return s.best
 	}
 	return 1
 }
 
-// unevenSpeeds reports whether the servers' speeds differ significantly.
-func (f *Fleet) unevenSpeeds() bool {
+// unevenSpeeds reports whether the speeds of the servers of a service differ significantly.
+func (f *Fleet) unevenSpeeds(service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.speeds.uneven
+	return f.unevenSpeedsLocked(service)
+}
+
+func (f *Fleet) unevenSpeedsLocked(service string) bool {
+	s := f.speeds[service]
+	return s != nil && s.uneven
 }
 
 // runTime returns how long a task runs on a server with an expected run time of run at speed 1.
--- a/coordination/owner/speeds_test.go
+++ b/coordination/owner/speeds_test.go
@@ -91,14 +91,14 @@
 	is.Equal(f.speed(1), 1.0)
 	is.True(math.Abs(f.speed(0)-.6) < .001)
 	is.True(math.Abs(f.speed(3)-1.6) < .001)
-	is.Equal(newSpeedFleet(.5, .5, .5).unevenSpeeds(), false)
+	is.Equal(newSpeedFleet(.5, .5, .5).unevenSpeeds("desk"), false)
 }
 
 // TestInsignificantDifferencesOfSpeedChangeNothing guards against equal servers that count as
 // unequal because their speeds rest on few runs.
 func TestInsignificantDifferencesOfSpeedChangeNothing(t *testing.T) {
 	is := is.New(t)
-	is.Equal(newSpeedFleet(.95, 1, 1.08).unevenSpeeds(), false)
+	is.Equal(newSpeedFleet(.95, 1, 1.08).unevenSpeeds("desk"), false)
 	f := newSpeedFleet(1, 1, 1)
 	l := speedLoad(1.5, 16000)
 	l.SpeedRuns = 20
@@ -114,11 +114,11 @@
 func TestNextIncarnationHasUnknownSpeed(t *testing.T) {
 	is := is.New(t)
 	f := newSpeedFleet(1, 1, 1.6)
-	is.True(f.unevenSpeeds())
+	is.True(f.unevenSpeeds("desk"))
 	is.Equal(f.bestSpeed("desk"), 1.6)
 	f.settle([]float64{1, 1, 0})
 	is.Equal(f.speed(2), 1.0)
-	is.Equal(f.unevenSpeeds(), false)
+	is.Equal(f.unevenSpeeds("desk"), false)
 	is.Equal(f.bestSpeed("desk"), 1.0)
 }
 
@@ -364,9 +364,32 @@
 func TestFirstKnownSpeedsAreNotTheUsual(t *testing.T) {
 	is := is.New(t)
 	f := newSpeedFleet(1.6, 0, 0, 0)
-	is.Equal(f.unevenSpeeds(), false)
+	is.Equal(f.unevenSpeeds("desk"), false)
 	is.Equal(f.speed(0), 1.0)
 	f.settle([]float64{1.6, 1, 1, 0})
 	is.Equal(f.speed(0), 1.6)
 	is.Equal(f.speed(1), 1.0)
 }
+
+// TestServicesHaveTheirOwnReference guards against a service whose servers are all slower than
+// another's, which would count as uneven, and against one that is placed by the other's speeds.
+func TestServicesHaveTheirOwnReference(t *testing.T) {
+	is := is.New(t)
+	f := newSpeedFleet(1, 1, .6, .6, .6)
+	other := speedLoad(1, 16000)
+	other.Service = "other"
+	for range 20 {
+		f.now += referenceWindow
+		for i, speed := range []float64{1, 1.6} {
+			other.Speed = speed
+			f.report(i, other)
+		}
+		for i := 2; i < 5; i++ {
+			f.report(i, speedLoad(.6, 16000))
+		}
+	}
+	is.Equal(f.speed(2), 1.0)
+	is.Equal(f.unevenSpeeds("desk"), false)
+	is.True(f.unevenSpeeds("other"))
+	is.Equal(f.byTiersLocked(f.request(time.Second, time.Second)), false)
+}
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -24,7 +24,7 @@
 
 // workAheadLocked returns the waiting work that is placed before a task.
 func (s *Shard) workAheadLocked(now time.Duration, w *waitingTask) time.Duration {
-	if !s.fleet.unevenSpeeds() {
+	if !s.fleet.unevenSpeeds(w.key.service) {
 		return s.waiting.workAhead(w.key, w.late, w.latestStart)
 	}
 	return s.waiting.competingWork(now, w.key, w.late, w.latestStart, w.requiredSpeed(now))
@@ -43,7 +43,7 @@
 	rec := j.rec.Task(id)
 	need := s.placementRequest(&j.rec.Policy, &j.rec.Spec.Steps[id.Step])
 	need.Now, need.Slack, need.Late = now, j.due-now-need.Estimate, j.late
-	if s.fleet.unevenSpeeds() {
+	if s.fleet.unevenSpeeds(need.Service) {
 		need.Slack = s.ownSlack(&j.rec.Spec, &j.rec.Policy, id.Step, need.Estimate, j.due-now)
 		need.ReservedSpeed = s.waiting.reservedSpeed(now, placementKeyOf(&j.rec.Policy, &j.rec.Spec.Steps[id.Step]), requiredSpeed(need.Estimate, j.due-now))
 	}
