Take no speed that an agent can't have found

A load's speed was taken for valid unless it was negative, infinite or not a number.

TestSpeedThatCannotBeOneCountsAsUnknown has two cases more, which failed before; TestEverySpeedIsInRange fails without the bound in Estimator.sample.

--- a/coordination/speed/estimator.go
+++ b/coordination/speed/estimator.go
@@ -138,5 +138,8 @@
 // Valid reports whether a speed and the number of its runs can be those of a server whose speed is
 // known.
 func Valid(speed float64, runs int) bool {
-	return speed >= 1.0/maxSpeed && speed <= maxSpeed && runs > 0
+	return InRange(speed) && runs > 0
 }
+
+// InRange reports whether a speed is one that an Estimator can find.
+func InRange(speed float64) bool { return speed >= 1.0/maxSpeed && speed <= maxSpeed }
--- a/coordination/speed/estimator_test.go
+++ b/coordination/speed/estimator_test.go
@@ -308,3 +308,17 @@
 	is.True(after >= before*3/4)
 	is.True(s.off(1.6) < 1.1)
 }
+
+// Guards against estimates that are far off, whose speeds no owner would take for valid ones.
+func TestEverySpeedIsInRange(t *testing.T) {
+	is := is.New(t)
+	for _, measured := range []time.Duration{time.Microsecond, time.Hour} {
+		var e Estimator
+		for range 50 {
+			e.Observe(time.Hour, time.Second, measured)
+		}
+		v, runs := e.Speed(time.Hour)
+		is.True(runs > 0)
+		is.True(InRange(v))
+	}
+}
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -1,12 +1,12 @@
 package core
 
 import (
-	"math"
 	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/speed"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/job"
@@ -139,7 +139,7 @@
 // SpeedIsValid reports whether a load's speed can be one. A speed that can't counts as unknown.
 func SpeedIsValid(p *corepb.Load) bool {
 	s := p.GetSpeed()
-	return s >= 0 && !math.IsInf(s, 1) && p.GetSpeedRuns() >= 0
+	return (s == 0 || speed.InRange(s)) && p.GetSpeedRuns() >= 0
 }
 
 // DrainsToWire returns the wire form of the known drains, or nil if none have been
--- a/protocol/core/speed_test.go
+++ b/protocol/core/speed_test.go
@@ -28,6 +28,8 @@
 		"minus infinite": {Speed: math.Inf(-1), SpeedRuns: 50},
 		"not a number":   {Speed: math.NaN(), SpeedRuns: 50},
 		"negative runs":  {Speed: 2, SpeedRuns: -3},
+		"too low":        {Speed: 1e-300, SpeedRuns: 50},
+		"too high":       {Speed: 1e300, SpeedRuns: 50},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
