Reserve the servers that are just fast enough for a waiting task

The speed from which on servers are left to tasks that wait was rounded up to a step of the square root of two. For a task that requires 1.5, servers of 2 were reserved and one of 1.6 wasn't: short tasks took it beside slower servers with room. The required speed isn't rounded for that now, and tasks that can be in time on no server reserve none.

TestServersAreReservedThatAreJustFastEnough failed before, in both parts.

--- a/coordination/owner/speed_waiting.go
+++ b/coordination/owner/speed_waiting.go
@@ -30,9 +30,6 @@
 	maxSpeedStep = 4
 )
 
-// speedOfStep returns the speed of a step of requiredSpeed.
-func speedOfStep(step int8) float64 { return math.Exp2(float64(step) / speedSteps) }
-
 // requiredSpeed returns the step of the speed that a waiting task requires.
 func (t *waitingTask) requiredSpeed(now time.Duration) int8 {
 	return requiredSpeed(t.run, t.latestStart+t.run-now)
@@ -102,23 +99,25 @@
 	return work
 }
 
-// reservedSpeed returns the speed from which on servers are left to the tasks that wait for a fast
-// one, for a task that requires less; zero: no task waits for one.
+// reservedSpeed returns the least speed with which a task that waits for a fast server is in time, for
+// a task that requires less; zero: no task waits for one. It isn't rounded to a step, or the slowest
+// server that is fast enough would not be reserved.
 func (b *backlog) reservedSpeed(now time.Duration, key placementKey, required int8) float64 {
-	lowest := int8(anySpeed)
+	lowest := math.Inf(1)
 	for i := range min(len(b.tasks), maxReservingTasks) {
 		t := &b.tasks[i]
-		if t.late || lowest == required+1 {
+		if t.late {
 			break
 		}
-		if step := t.requiredSpeed(now); t.key == key && step > required {
-			lowest = min(lowest, step)
+		left := t.latestStart + t.run - now
+		if t.key == key && left > 0 && t.requiredSpeed(now) > required {
+			lowest = min(lowest, float64(t.run)/float64(left))
 		}
 	}
-	if lowest == anySpeed {
+	if math.IsInf(lowest, 1) {
 		return 0
 	}
-	return speedOfStep(lowest)
+	return lowest
 }
 
 // maxReservingTasks is the number of waiting tasks for which servers are reserved: the first ones get
--- a/coordination/owner/speed_waiting_test.go
+++ b/coordination/owner/speed_waiting_test.go
@@ -38,3 +38,21 @@
 	is.Equal(len(fx.Orders), 1)
 	is.Equal(fx.Orders[0].Value.Run.Task.Job, job.ID("short"))
 }
+
+// TestServersAreReservedThatAreJustFastEnough guards against short tasks that take, beside slower
+// servers, the only one that is fast enough for a task that waits.
+func TestServersAreReservedThatAreJustFastEnough(t *testing.T) {
+	is := is.New(t)
+	var b backlog
+	now, key := time.Hour, placementKey{service: "desk"}
+	add := func(run, left time.Duration) {
+		b.add(waitingTask{key: key, latestStart: now + left - run, run: run})
+	}
+	reserved := func() float64 { return b.reservedSpeed(now, key, -maxSpeedStep) }
+	is.Equal(reserved(), 0.0)
+	add(60*time.Millisecond, -time.Millisecond) // late everywhere
+	is.Equal(reserved(), 0.0)
+	add(1200*time.Millisecond, 800*time.Millisecond)
+	is.True(reserved() > 1.45)
+	is.True(reserved() < 1.6)
+}
