Let orders say the speed by which agents convert run times

With equal servers decisions were not as without the setting: an agent divided its local times by the speed that it has measured, and that shares a factor of 1.05 to 1.23 with all others (owners correct estimates by the mean of run times, the agent's average is one of logarithms). Turnover, backlog, latest start, overdue runs and the threshold of the slowdown were off by it. The test of equal servers didn't see it, because agents learned in both of its plays: with agents that learn in one of them only it failed, from 2.9 s on.

An owner knows the speed relative to the others, and that is 1 for equal servers. Each order says it now, and the agent converts that order's run time by it. Estimator.Factor, localTime and their state go. An owner without the setting, or of an earlier version, says nothing, which counts as 1.

Changes to existing tests: TestEqualServersAreServedAsBefore compares the part off, with agents that don't learn, with the part on, and passes; learnSpeeds of the simulator goes with that. Two assertions on Estimator.Factor go with it: owners judge significance, as TestInsignificantDifferencesOfSpeedChangeNothing and TestOrdersSayTheSpeedOfTheirServer check. The worker's tests of local time take the speed from the order; their bounds are as they were.

--- a/coordination/load/speeds_repeat_test.go
+++ b/coordination/load/speeds_repeat_test.go
@@ -11,7 +11,7 @@
 func playWithSpeeds(seed uint64, pattern []float64, considered bool) []string {
 	s := small
 	s.seed = seed
-	s.params.ServerSpeeds, s.learnSpeeds = considered, true
+	s.params.ServerSpeeds = considered
 	w := newWorld(s)
 	w.traced = true
 	w.setSpeeds(pattern)
@@ -24,7 +24,7 @@
 }
 
 // TestEqualServersAreServedAsBefore guards against entries that decide otherwise where no speeds
-// differ: one seed must give the same trace whether they go by speeds or not.
+// differ, and against agents that do: one seed must give the same trace with the part on and off.
 func TestEqualServersAreServedAsBefore(t *testing.T) {
 	compareTraces(t, playWithSpeeds(1, equal, false), playWithSpeeds(1, equal, true))
 }
--- a/coordination/load/world_test.go
+++ b/coordination/load/world_test.go
@@ -75,8 +75,6 @@
 	// shortest time between two of the agent's load updates.
 	loadIntervalPerPlacer time.Duration
 	params                owner.Params
-	// learnSpeeds makes agents learn the speeds of their servers.
-	learnSpeeds bool
 	// burstFactor is multiplied with the rate of jobs.
 	burstFactor float64
 	// subsets has the agents that each entry links.
@@ -124,15 +122,12 @@
 	// fallbackBuckets gives each entry the bucket that its name hashes to instead of an even part
 	// of all buckets.
 	fallbackBuckets bool
-	// learnSpeeds makes agents learn the speeds of their servers also if entries don't go by them.
-	learnSpeeds bool
 }
 
 func newWorld(s setup) *world {
 	w := &world{
 		now: time.Hour, rand: rand.New(rand.NewPCG(s.seed, 1)), loadIntervalPerPlacer: s.loadIntervalPerPlacer, params: s.params, burstFactor: 1,
-		learnSpeeds: s.learnSpeeds || s.params.ServerSpeeds,
-		jobs:        make(map[job.ID]*request), tallies: make(map[string]*tally),
+		jobs: make(map[job.ID]*request), tallies: make(map[string]*tally),
 	}
 	for i := range s.agents {
 		w.agents = append(w.agents, newAgent(w, i))
@@ -359,7 +354,7 @@
 	}
 	a.links = nil
 	a.holding = false
-	a.Worker = worker.New(worker.Bounds{Lease: time.Second, OwnerTimeout: 1300 * time.Millisecond, ReconnectTimeout: 700 * time.Millisecond, AdoptionTimeout: 400 * time.Millisecond, Shards: shards, LearnSpeed: a.w.learnSpeeds})
+	a.Worker = worker.New(worker.Bounds{Lease: time.Second, OwnerTimeout: 1300 * time.Millisecond, ReconnectTimeout: 700 * time.Millisecond, AdoptionTimeout: 400 * time.Millisecond, Shards: shards, LearnSpeed: a.w.params.ServerSpeeds})
 	a.SetFormerOwners(former)
 	a.report()
 	a.hold()
--- a/coordination/owner/dispatch.go
+++ b/coordination/owner/dispatch.go
@@ -51,6 +51,7 @@
 		Label:        st.Label,
 		Demand:       st.Demand,
 		Estimate:     estimate,
+		Speed:        s.fleet.speedOf(t.node),
 		Due:          j.due,
 		Checkpoint:   j.rec.Task(id).Checkpoint,
 		MaxPerWorker: st.MaxPerWorker,
--- a/coordination/owner/speeds.go
+++ b/coordination/owner/speeds.go
@@ -142,6 +142,18 @@
 	return s != nil && s.uneven
 }
 
+// speedOf returns the speed of the server beside an agent relative to the others', or zero if speeds
+// aren't considered.
+func (f *Fleet) speedOf(node string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.agents[node]
+	if v == nil || !f.params.ServerSpeeds {
+		return 0
+	}
+	return v.speed
+}
+
 // runTime returns how long a task runs on a server with an expected run time of run at speed 1.
 func (v *agentView) runTime(run time.Duration) time.Duration {
 	if v.speed == 1 {
--- a/coordination/owner/speeds_test.go
+++ b/coordination/owner/speeds_test.go
@@ -393,3 +393,19 @@
 	is.True(f.unevenSpeeds("other"))
 	is.Equal(f.byTiersLocked(f.request(time.Second, time.Second)), false)
 }
+
+// TestOrdersSayTheSpeedOfTheirServer guards against agents whose local times go by another speed than
+// their owners': by a factor that all measured speeds share, or by that of an earlier server.
+func TestOrdersSayTheSpeedOfTheirServer(t *testing.T) {
+	is := is.New(t)
+	f := newSpeedFleet(.9, 1.5, 1.5, 2.4)
+	is.True(math.Abs(f.speedOf("agent-0")-.6) < .001)
+	is.Equal(f.speedOf("agent-1"), 1.0)
+	fx, _ := f.submit("a", 1, 100*time.Millisecond)
+	is.Equal(len(fx.Orders), 1)
+	is.Equal(fx.Orders[0].Value.Speed, f.speedOf(fx.Orders[0].Node))
+	f.report(0, speedLoad(0, 16000))
+	is.Equal(f.speedOf("agent-0"), 1.0)
+	f.params.ServerSpeeds = false
+	is.Equal(f.speedOf("agent-1"), 0.0)
+}
--- a/coordination/speed/estimator.go
+++ b/coordination/speed/estimator.go
@@ -95,9 +95,6 @@
 }
 
 const (
-	// minDifference is the least logarithm of a speed that counts as a difference. Run times vary
-	// more than that from one task to the next.
-	minDifference = 0.1
 	// runNoise is the standard deviation of what one run says. Client estimates are off by a
 	// third.
 	runNoise = 0.4
@@ -105,16 +102,6 @@
 	significance = 3
 )
 
-// Factor returns the factor by which expected run times are divided for local durations. It is 1
-// while the speed is unknown or doesn't differ significantly from 1.
-func (e *Estimator) Factor(now time.Duration) float64 {
-	s, runs := e.Speed(now)
-	if runs == 0 || math.Abs(e.average.log) < max(minDifference, uncertainty(float64(runs))) {
-		return 1
-	}
-	return s
-}
-
 // uncertainty returns by how much the average of some runs may be off, as a logarithm.
 func uncertainty(runs float64) float64 { return significance * runNoise / math.Sqrt(runs) }
 
--- a/coordination/speed/estimator_test.go
+++ b/coordination/speed/estimator_test.go
@@ -86,7 +86,6 @@
 	v, runs := s.Speed(s.now)
 	is.Equal(v, 0.0)
 	is.Equal(runs, 0)
-	is.Equal(s.Factor(s.now), 1.0)
 }
 
 // Load pattern: uneven servers, heavy tail, estimates that are off by a third. Guards against a tail
@@ -159,7 +158,6 @@
 			s.run(600)
 			v, _ := s.Speed(s.now)
 			low, high = min(low, v), max(high, v)
-			is.Equal(s.Factor(s.now), 1.0)
 		}
 		is.True(high/low < 1.15) // a few percent to either side of the mean of eight
 	})
--- a/coordination/worker/crash.go
+++ b/coordination/worker/crash.go
@@ -155,7 +155,7 @@
 // either active or waiting for the others to end.
 func (w *Worker) reservedLocked(now time.Duration) bool {
 	for _, r := range w.runs {
-		if r.order.Isolation == Exclusive && (r.phase == waiting || r.occupies() && r.runsExclusively(now, w.local)) {
+		if r.order.Isolation == Exclusive && (r.phase == waiting || r.occupies() && r.runsExclusively(now)) {
 			return true
 		}
 	}
@@ -164,8 +164,8 @@
 
 // runsExclusively reports whether the run still has the server to itself. It does so for its
 // expected run time only: a task that takes much longer would otherwise block its server.
-func (r *run) runsExclusively(now time.Duration, local localTime) bool {
-	return r.order.Isolation == Exclusive && now-r.startedAt < max(local.of(r.order.Estimate), minExclusive)
+func (r *run) runsExclusively(now time.Duration) bool {
+	return r.order.Isolation == Exclusive && now-r.startedAt < max(r.order.localEstimate(), minExclusive)
 }
 
 // minExclusive is the minimum time for which an exclusive run has the server to itself. Estimates
--- a/coordination/worker/health.go
+++ b/coordination/worker/health.go
@@ -135,7 +135,7 @@
 	runs := w.sortedRunsLocked()
 	for _, r := range runs {
 		if r.phase == running && !r.stopWanted {
-			overdue += r.overdue(now, w.local)
+			overdue += r.overdue(now)
 		}
 	}
 	if overdue < stallOverdue {
@@ -147,7 +147,7 @@
 	for _, r := range runs {
 		// A run that must not be repeated is left to end: stopping it would fail its job for
 		// certain.
-		if r.phase == running && !r.stopWanted && !r.order.AtMostOnce && r.overdue(now, w.local) > 0 {
+		if r.phase == running && !r.stopWanted && !r.order.AtMostOnce && r.overdue(now) > 0 {
 			w.stopLocked(now, fx, r, "stalled")
 		}
 	}
@@ -155,8 +155,8 @@
 
 // overdue returns by how much the run exceeds its expected run time here, in units of that time,
 // between 0 and 1.
-func (r *run) overdue(now time.Duration, local localTime) float64 {
-	expected := local.of(r.order.Estimate)
+func (r *run) overdue(now time.Duration) float64 {
+	expected := r.order.localEstimate()
 	if expected <= 0 {
 		return 0
 	}
--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -257,7 +257,7 @@
 	case job.Done:
 		w.health.done()
 		if !w.afterMissedHold {
-			w.health.observe(now, r.end.work, w.local.of(r.order.Estimate))
+			w.health.observe(now, r.end.work, r.order.localEstimate())
 		}
 		w.learnSpeedLocked(now, r)
 		w.lastDone = now
--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -63,11 +63,11 @@
 	for _, r := range w.runs {
 		switch r.phase {
 		case waiting:
-			l.addWaiting(now, w.local, &r.order)
+			l.addWaiting(now, &r.order)
 		case ended:
 		default:
 			l.Running++
-			running += w.local.of(r.order.Estimate)
+			running += r.order.localEstimate()
 		}
 	}
 	l.Turnover = turnover(l.Running, running) * time.Duration(1+taken.excess(w.server.Capacity))
@@ -84,11 +84,11 @@
 	return sum / (n * (n + 1))
 }
 
-func (l *Load) addWaiting(now time.Duration, local localTime, o *Order) {
-	work := local.of(o.Estimate) * time.Duration(o.Demand.CPUMillis) / 1000
+func (l *Load) addWaiting(now time.Duration, o *Order) {
+	work := o.localEstimate() * time.Duration(o.Demand.CPUMillis) / 1000
 	l.Waiting++
 	l.Backlog += work
-	slack := local.latestStart(o) - now
+	slack := o.latestStart() - now
 	for i, edge := range SlackBuckets {
 		if slack <= edge {
 			l.Ahead[i] += work
--- a/coordination/worker/orders.go
+++ b/coordination/worker/orders.go
@@ -68,7 +68,7 @@
 // and send their orders there at once. All but the first would wait until a task ends, some 60 ms
 // on a worker that fits six, while other workers have free capacity.
 func (w *Worker) shouldReturnLocked(now time.Duration, r *run) bool {
-	slack := w.local.latestStart(&r.order) - now
+	slack := r.order.latestStart() - now
 	ahead, overcommitted := w.expectedWaitLocked(now, r)
 	if slack > returnMargin {
 		return ahead > time.Duration(maxWaitShare*float64(slack))
@@ -88,8 +88,8 @@
 		case o.phase == ended:
 		case o.phase != waiting:
 			running++
-			sum += w.local.of(o.order.Estimate)
-		case w.local.latestStart(&o.order) <= w.local.latestStart(&r.order):
+			sum += o.order.localEstimate()
+		case o.order.latestStart() <= r.order.latestStart():
 			ahead++
 		}
 	}
--- a/coordination/worker/speed.go
+++ b/coordination/worker/speed.go
@@ -8,7 +8,8 @@
 )
 
 // Expected run times are those of a server of speed 1. Everything that is about the time on this
-// server divides them by its speed.
+// server divides them by its speed as the owner that sent the order knows it: relative to the other
+// servers, and 1 unless it differs significantly. The measured speed may share a factor with these.
 
 // Speed is how fast one instance of a backend server is.
 type Speed struct {
@@ -45,7 +46,6 @@
 	}
 	if _, runs := w.speed.Speed(now); runs == 0 {
 		w.speed.Restore(now, former.Speed, former.Runs)
-		w.updateLocalTimeLocked(now)
 	}
 }
 
@@ -68,25 +68,16 @@
 	// A run that goes on from a checkpoint takes less than its whole task.
 	if r.order.Checkpoint == "" {
 		w.speed.Observe(now, r.order.Estimate, r.end.work)
-		w.updateLocalTimeLocked(now)
 	}
 }
 
-// localTime converts expected run times to the time on this server. The zero value leaves them as
-// they are.
-type localTime struct{ factor float64 }
-
-func (w *Worker) updateLocalTimeLocked(now time.Duration) {
-	w.local = localTime{factor: w.speed.Factor(now)}
-}
-
-// of returns how long something takes here that takes d at speed 1.
-func (l localTime) of(d time.Duration) time.Duration {
-	if l.factor == 0 || l.factor == 1 {
-		return d
+// localEstimate returns how long the task is expected to run on this server.
+func (o *Order) localEstimate() time.Duration {
+	if o.Speed <= 0 || o.Speed == 1 {
+		return o.Estimate
 	}
-	return time.Duration(float64(d) / l.factor)
+	return time.Duration(float64(o.Estimate) / o.Speed)
 }
 
-// latestStart returns when an order has to start here to end when it is due.
-func (l localTime) latestStart(o *Order) time.Duration { return o.Due - l.of(o.Estimate) }
+// latestStart returns when the task has to start here to end when it is due.
+func (o *Order) latestStart() time.Duration { return o.Due - o.localEstimate() }
--- a/coordination/worker/speed_test.go
+++ b/coordination/worker/speed_test.go
@@ -19,11 +19,12 @@
 	return f
 }
 
-// fixtureOfSpeed is a fixture whose backend server has a known speed.
+// fixtureOfSpeed is a fixture whose backend server has a speed that its worker and the owner know.
 func fixtureOfSpeed(t *testing.T, speed float64) *fixture {
 	t.Helper()
 	f := speedFixture(t)
 	f.is.True(f.RestoreSpeed(f.now, Speed{Instance: job.Instance{ID: "i-1"}, Speed: speed, Runs: 600}))
+	f.speed = speed
 	return f
 }
 
@@ -181,6 +182,7 @@
 	f.is.Equal(f.Load(f.now).Speed, 0.5)
 	f.report("i-2", 1, false)
 	f.is.Equal(f.Load(f.now).Speed, 0.0)
+	f.speed = 1
 	f.send(f.order(0))
 	f.is.Equal(f.Load(f.now).Turnover, 50*time.Millisecond)
 }
--- a/coordination/worker/starts.go
+++ b/coordination/worker/starts.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		o.demandKnown = o.demandKnown && r.orderKnown
-		o.exclusive = o.exclusive || r.runsExclusively(now, w.local)
+		o.exclusive = o.exclusive || r.runsExclusively(now)
 		o.add(&r.order)
 	}
 	return o
@@ -90,7 +90,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *run) int {
-		if x, y := w.local.latestStart(&a.order), w.local.latestStart(&b.order); x != y {
+		if x, y := a.order.latestStart(), b.order.latestStart(); x != y {
 			return int(x - y)
 		}
 		return int(a.queueSeq - b.queueSeq)
--- a/coordination/worker/tick.go
+++ b/coordination/worker/tick.go
@@ -17,7 +17,6 @@
 
 func (w *Worker) tickLocked(now time.Duration, fx *Effects) {
 	w.health.tick(now)
-	w.updateLocalTimeLocked(now)
 	w.detectStallLocked(now, fx)
 	w.expireLeaseLocked(now, fx)
 	w.forgetLostLocked(now)
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -70,6 +70,8 @@
 	Demand  job.Demand
 	// Estimate is the run time that the owner expects on a server of speed 1.
 	Estimate time.Duration
+	// Speed is that of this server as the owner knows it; zero: the owner doesn't go by speeds.
+	Speed float64
 	// Due is when the run should have ended, on the clock that now is read from.
 	Due          time.Duration
 	Checkpoint   string
@@ -213,8 +215,6 @@
 	health    health
 	responses responseTimes
 	speed     speed.Estimator
-	// local is by the speed, as of its last change or tick.
-	local localTime
 	// formerSpeed is the stored speed until the backend server has reported.
 	formerSpeed Speed
 	// lastDone is when a run last completed successfully.
@@ -281,7 +281,7 @@
 		w.acked = 0
 		w.health = health{}
 		// A new instance may be of another kind.
-		w.speed, w.local = speed.Estimator{}, localTime{}
+		w.speed = speed.Estimator{}
 		w.capacityAtMS, w.capacityChanged = 0, false
 		w.server.Capacity = s.Capacity
 		w.lastHoldAnswer, w.unresponsive, w.missedHolds, w.lastMissedHold = now, false, 0, 0
--- a/coordination/worker/worker_test.go
+++ b/coordination/worker/worker_test.go
@@ -32,6 +32,8 @@
 	active map[job.RunID]bool
 	events []Event
 	stops  []StopCall
+	// speed is the speed in orders.
+	speed float64
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -69,7 +71,7 @@
 func (f *fixture) order(number int) Order {
 	return Order{
 		Shard: bestEffortShard, Epoch: 1, Session: 1, Service: "desk", Demand: job.Demand{CPUMillis: 1600, MemoryMB: 64},
-		Estimate: 100 * time.Millisecond, Due: f.now + time.Second,
+		Estimate: 100 * time.Millisecond, Due: f.now + time.Second, Speed: f.speed,
 		Run: job.RunID{Task: job.TaskID{Job: "00000000000000aa", Index: number}, Number: 1},
 	}
 }
--- a/daemon/agent/serve.go
+++ b/daemon/agent/serve.go
@@ -11,6 +11,7 @@
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
+	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/peer"
 )
 
@@ -59,6 +60,9 @@
 		a.worker.Release(int(shard), c.Node)
 	}
 	for _, p := range f.GetOrders() {
+		if !wire.OrderSpeedIsValid(p) {
+			metrics.Malformed(metrics.KindSpeed)
+		}
 		a.apply(a.worker.Order(now, wire.OrderFromWire(now, p)))
 		c.Orders.Add(1)
 		a.orders.Add(1)
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -32,7 +32,7 @@
 		Shard: int32(o.Shard), Epoch: o.Epoch, Session: o.Session, Run: RunToWire(o.Run),
 		Payload: o.Payload, Service: o.Service, Label: o.Label,
 		CpuMillis: o.Demand.CPUMillis, MemoryMb: o.Demand.MemoryMB, Gpus: o.Demand.GPUs,
-		EstimateUs: o.Estimate.Microseconds(), DueUs: (o.Due - now).Microseconds(),
+		EstimateUs: o.Estimate.Microseconds(), Speed: o.Speed, DueUs: (o.Due - now).Microseconds(),
 		Once: o.AtMostOnce, Repeat: o.Repeat, Checkpoint: o.Checkpoint, MaxPerWorker: int32(o.MaxPerWorker), Caution: int32(o.Isolation),
 	}
 }
@@ -45,11 +45,22 @@
 		Demand:     job.Demand{CPUMillis: p.GetCpuMillis(), MemoryMB: p.GetMemoryMb(), GPUs: p.GetGpus()},
 		Estimate:   time.Duration(p.GetEstimateUs()) * time.Microsecond,
 		Due:        now + time.Duration(p.GetDueUs())*time.Microsecond,
+		Speed:      orderSpeed(p),
 		AtMostOnce: p.GetOnce(), Repeat: p.GetRepeat(), Checkpoint: p.GetCheckpoint(), MaxPerWorker: int(p.GetMaxPerWorker()),
 		Isolation: worker.Isolation(p.GetCaution()),
 	}
 }
 
+// OrderSpeedIsValid reports whether an order's speed can be one. A speed that can't counts as absent.
+func OrderSpeedIsValid(p *corepb.Order) bool { return p.GetSpeed() == 0 || speed.InRange(p.GetSpeed()) }
+
+func orderSpeed(p *corepb.Order) float64 {
+	if !OrderSpeedIsValid(p) {
+		return 0
+	}
+	return p.GetSpeed()
+}
+
 // RunStateToWire returns the wire form of a run's state.
 func RunStateToWire(s *worker.RunState) *corepb.RunState {
 	return &corepb.RunState{
--- a/protocol/core/speed_test.go
+++ b/protocol/core/speed_test.go
@@ -47,3 +47,18 @@
 	is.True(SpeedIsValid(&corepb.Load{}))
 	is.Equal(LoadFromWire(&corepb.Load{Speed: 2}).Speed, 0.0)
 }
+
+// Guards against an order's speed that is lost, or one that can't be one and makes an agent expect a
+// run to take no time or for ever.
+func TestSpeedOfOrderIsTranslatedBothWays(t *testing.T) {
+	is := is.New(t)
+	p := OrderToWire(0, &worker.Order{Speed: 1.6})
+	is.True(OrderSpeedIsValid(p))
+	is.Equal(OrderFromWire(0, p).Speed, 1.6)
+	for _, v := range []float64{-1, 1e-300, 1e300, math.Inf(1), math.NaN()} {
+		p := &corepb.Order{Speed: v}
+		is.True(!OrderSpeedIsValid(p))
+		is.Equal(OrderFromWire(0, p).Speed, 0.0)
+	}
+	is.True(OrderSpeedIsValid(&corepb.Order{}))
+}
