--- a/coordination/owner/choice.go
+++ b/coordination/owner/choice.go
@@ -22,13 +22,15 @@
 	shortWaitTier
 	// noMarginTier: the same without the margin.
 	noMarginTier
-	// lateTier: all others.
+	// lateTier: the task is late, or it waits longer and ends in time.
 	lateTier
+	// lastResortTier: the task waits longer and is late, or the agent is to be chosen after all others.
+	lastResortTier
 	numTiers
 )
 
 // tierNames are the labels of the tiers in metrics.
-var tierNames = [numTiers]string{"room", "reserved", "short_wait", "no_margin", "late"}
+var tierNames = [numTiers]string{"room", "reserved", "short_wait", "no_margin", "late", "last_resort"}
 
 const (
 	// estimateMargin is the share of a task's run time by which it has to be predicted to end
@@ -44,9 +46,9 @@
 const drawnOverlap = 0.1
 
 // orderOverlapLocked returns the share of other processes' orders that is assumed to have gone where
-// own ones went.
-func (f *Fleet) orderOverlapLocked() float64 {
-	if f.speeds.uneven {
+// own ones went, among the agents of a service.
+func (f *Fleet) orderOverlapLocked(service string) float64 {
+	if f.unevenSpeedsLocked(service) {
 		return min(f.params.OrderOverlap, drawnOverlap)
 	}
 	return f.params.OrderOverlap
@@ -65,34 +67,49 @@
 	f.examined += int64(len(f.agents))
 	f.candidates = f.candidates[:0]
 	var best placement
-	found, fastest := false, 0.0
+	equal, shortest := 0, time.Duration(math.MaxInt64)
 	for _, v := range f.ordered {
 		if !v.canTake(n) || !allowed(v.node) {
 			continue
 		}
-		fastest = max(fastest, v.speed)
 		p := f.predictLocked(v, n)
 		p.rank = p.finish
-		p.tier = f.tierLocked(v, n, p)
 		if slices.Contains(n.Avoid, v.node) || n.Now-v.updatedAt > f.params.StaleLoadAge {
 			p.rank += lastResortPenalty
-			p.tier = lateTier
+			p.tier = lastResortTier
+		} else {
+			shortest = min(shortest, p.finish-p.wait)
+			p.tier = f.tierLocked(v, n, p)
 		}
 		if p.tier == roomTier {
 			f.addCandidateLocked(v, n, p)
 			continue
 		}
-		if !found || p.tier < best.tier || p.tier == best.tier && p.rank < best.rank {
-			best, found = p, true
+		switch {
+		case equal == 0 || p.isBetter(&best):
+			best, equal = p, 1
+		case !best.isBetter(&p):
+			// Each of the equal agents is chosen with the same probability.
+			equal++
+			if f.rand.IntN(equal) == 0 {
+				best = p
+			}
 		}
 	}
+	found := equal > 0
 	if len(f.candidates) > 0 {
 		best, found = f.drawLocked(), true
 	}
-	best.fastest = fastest
+	best.shortest = shortest
 	return best, found
 }
 
+// isBetter reports whether a placement is in a lower tier than another one, or ends first in the
+// same tier.
+func (p *placement) isBetter(other *placement) bool {
+	return p.tier < other.tier || p.tier == other.tier && p.rank < other.rank
+}
+
 // tierLocked returns the tier of an agent for a task.
 func (f *Fleet) tierLocked(v *agentView, n PlacementRequest, p placement) tier {
 	left := n.Slack + n.Estimate
@@ -101,8 +118,11 @@
 	if n.Late {
 		longest = 0
 	}
+	waitsLonger := p.wait > longest && f.params.MaxPlacementWait > 0 || n.Late && p.freeShare < f.params.LateReserve
 	switch {
-	case p.finish > left || p.wait > longest && f.params.MaxPlacementWait > 0 || n.Late && p.freeShare < f.params.LateReserve:
+	case p.finish > left && waitsLonger:
+		return lastResortTier
+	case p.finish > left || waitsLonger:
 		return lateTier
 	case p.finish+time.Duration(n.margin()*float64(run)) > left:
 		return noMarginTier
@@ -178,27 +198,22 @@
 // byTiersLocked reports whether a task is placed by tiers. A suspect goes where it endangers the fewest
 // others.
 func (f *Fleet) byTiersLocked(n PlacementRequest) bool {
-	return f.speeds.uneven && n.Isolation == worker.NoIsolation
+	return f.unevenSpeedsLocked(n.Service) && n.Isolation == worker.NoIsolation
 }
 
 // mayWaitForFasterLocked reports whether a task that is in time on no server with room now can still
-// be in time on the fastest one.
+// be in time on another one.
 func (f *Fleet) mayWaitForFasterLocked(n PlacementRequest, p placement) bool {
-	return f.byTiersLocked(n) && !n.Late && n.isLateAfter(p.finish) && !n.isLateAfter(n.onFastest(p))
+	return f.byTiersLocked(n) && !n.Late && n.isLateAfter(p.finish) && !n.isLateAfter(p.shortest)
 }
 
 // isLateAfter reports whether a task is late if it ends after a time from now.
 func (n *PlacementRequest) isLateAfter(finish time.Duration) bool { return finish > n.Slack+n.Estimate }
 
-// onFastest returns when a task would end if it started now on the fastest server that may have it.
-func (n *PlacementRequest) onFastest(p placement) time.Duration {
-	return time.Duration(float64(n.Estimate) / p.fastest)
-}
-
 // admissionFinishLocked returns when a task ends as admission sees it. Extra run time on a slow server
 // counts as a wait only if it makes the task late.
 func (f *Fleet) admissionFinishLocked(n PlacementRequest, p placement) time.Duration {
-	if !f.byTiersLocked(n) || n.isLateAfter(p.finish) && !n.isLateAfter(n.onFastest(p)) {
+	if !f.byTiersLocked(n) || n.isLateAfter(p.finish) {
 		return p.finish
 	}
 	return p.wait + n.Estimate
--- a/coordination/owner/speed_waiting.go
+++ b/coordination/owner/speed_waiting.go
@@ -30,21 +30,26 @@
 	maxSpeedStep = 4
 )
 
-// speedOfStep returns the speed of a step of requiredSpeed.
-func speedOfStep(step int8) float64 { return math.Exp2(float64(step) / speedSteps) }
-
 // requiredSpeed returns the step of the speed that a waiting task requires.
 func (t *waitingTask) requiredSpeed(now time.Duration) int8 {
 	return requiredSpeed(t.run, t.latestStart+t.run-now)
 }
 
-// blockedKeys has, for each placement key, the lowest required speed of the tasks that could not be
-// placed in a pass. Tasks that need no less are not tried: a server that is free for them would have
-// been free for the first one.
-type blockedKeys map[placementKey]int8
+// blockedKey is a placement key of tasks that wait alike for room.
+type blockedKey struct {
+	placementKey
+	// lateEverywhere tasks go to any server with room, also while those that can be in time wait for
+	// a fast one.
+	lateEverywhere bool
+}
+
+// blockedKeys has, for each key, the lowest required speed of the tasks that could not be placed in a
+// pass. Tasks that need no less are not tried: a server that is free for them would have been free
+// for the first one.
+type blockedKeys map[blockedKey]int8
 
 // has reports whether a task of the required speed need not be tried.
-func (b blockedKeys) has(key placementKey, required int8) bool {
+func (b blockedKeys) has(key blockedKey, required int8) bool {
 	lowest, ok := b[key]
 	return ok && required >= lowest
 }
@@ -62,6 +67,21 @@
 	return true
 }
 
+// blockedKeyLocked returns the key by which a waiting task is blocked, and the speed that it requires:
+// the least one if it is late everywhere.
+func (s *Shard) blockedKeyLocked(now time.Duration, w *waitingTask) (key blockedKey, required int8) {
+	key = blockedKey{placementKey: w.key}
+	if !s.fleet.unevenSpeeds(w.key.service) {
+		return key, noSpeed
+	}
+	left := w.latestStart + w.run - now
+	if float64(w.run) > float64(left)*s.fleet.bestSpeed(w.key.service) {
+		key.lateEverywhere = true
+		return key, -maxSpeedStep
+	}
+	return key, w.requiredSpeed(now)
+}
+
 // competingWork returns the waiting work with the same key that is placed before a task that must
 // start by latestStart, less the tasks that require more than the given speed: they wait for servers
 // that the task can do without.
@@ -79,23 +99,25 @@
 	return work
 }
 
-// reservedSpeed returns the speed from which on servers are left to the tasks that wait for a fast
-// one, for a task that requires less; zero: no task waits for one.
+// reservedSpeed returns the least speed with which a task that waits for a fast server is in time, for
+// a task that requires less; zero: no task waits for one. It isn't rounded to a step, or the slowest
+// server that is fast enough would not be reserved.
 func (b *backlog) reservedSpeed(now time.Duration, key placementKey, required int8) float64 {
-	lowest := int8(anySpeed)
+	lowest := math.Inf(1)
 	for i := range min(len(b.tasks), maxReservingTasks) {
 		t := &b.tasks[i]
-		if t.late || lowest == required+1 {
+		if t.late {
 			break
 		}
-		if step := t.requiredSpeed(now); t.key == key && step > required {
-			lowest = min(lowest, step)
+		left := t.latestStart + t.run - now
+		if t.key == key && left > 0 && t.requiredSpeed(now) > required {
+			lowest = min(lowest, float64(t.run)/float64(left))
 		}
 	}
-	if lowest == anySpeed {
+	if math.IsInf(lowest, 1) {
 		return 0
 	}
-	return speedOfStep(lowest)
+	return lowest
 }
 
 // maxReservingTasks is the number of waiting tasks for which servers are reserved: the first ones get
@@ -135,7 +157,7 @@
 // workBeforeLocked returns the waiting work that is placed before a new task. hasRoom is set if all
 // tasks of its step find room now. They don't wait then for those that need a faster server.
 func (s *Shard) workBeforeLocked(n PlacementRequest, key placementKey, hasRoom bool) time.Duration {
-	if !s.fleet.unevenSpeeds() {
+	if !s.fleet.unevenSpeeds(n.Service) {
 		return s.waiting.workAhead(key, false, n.Now+n.Slack)
 	}
 	required := int8(anySpeed)
