--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -53,6 +53,9 @@
 	for i := range spec.Steps {
 		n := s.placementRequest(p, &spec.Steps[i])
 		n.Now, n.Slack = now, objective-criticalPath
+		if slack := objective - criticalPath - clientWaited; slack > 0 && s.fleet.unevenSpeeds(n.Service) {
+			n.Slack = shareOf(slack, n.Estimate, criticalPath)
+		}
 		wait, localWait, ok := s.predictWaitLocked(n, placementKeyOf(p, &spec.Steps[i]), spec.Steps[i].Count)
 		if !ok && !s.inStartupGrace(now, spec) {
 			return admission{reason: s.noWorkerReason(n), retryAfter: time.Second}
@@ -87,7 +90,7 @@
 	if !ok {
 		return 0, 0, false
 	}
-	if workAhead := s.waiting.workAhead(key, false, n.Now+n.Slack); workAhead > 0 {
+	if workAhead := s.workBeforeLocked(n, key, finish <= n.Estimate); workAhead > 0 {
 		cores, ratio := s.fleet.EligibleCapacity(n, s.mayOrderLocked)
 		localWait = time.Duration(float64(workAhead) * ratio / max(cores, 1))
 	}
@@ -160,7 +163,10 @@
 		PredictedWait: a.wait, LocalWait: a.localWait, WaitLimit: a.waitLimit, LateEnd: a.lateEnd, Objective: a.objective, ClientWaited: a.clientWaited,
 	}
 	if len(spec.Steps) > 0 {
-		r.FreeCores, r.TotalCores, r.LoadAge = s.fleet.estimatedCapacity(now, s.placementRequest(p, &spec.Steps[0]), s.mayOrderLocked)
+		n := s.placementRequest(p, &spec.Steps[0])
+		n.Now, n.Slack = now, a.objective-a.clientWaited-s.criticalPath(spec, p)
+		r.FreeCores, r.TotalCores, r.LoadAge = s.fleet.estimatedCapacity(now, n, s.mayOrderLocked)
+		r.BesideRoom = s.fleet.hasRoomInTime(n, s.mayOrderLocked)
 	}
 	return r
 }
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -25,8 +25,12 @@
 	// each of worker.SlackBuckets.
 	Backlog time.Duration
 	Ahead   [len(worker.SlackBuckets)]time.Duration
-	// Slowdown is the ratio of measured to expected run times.
+	// Slowdown is the ratio of measured to expected run times, relative to the server's own speed.
 	Slowdown float64
+	// Speed is how fast the server is: 2 is twice as fast as expected run times say, 0 is unknown.
+	Speed float64
+	// SpeedRuns is the number of runs that Speed rests on.
+	SpeedRuns int
 	// Turnover is the mean time until the next running task ends.
 	Turnover time.Duration
 	Accepts  bool
@@ -66,6 +70,11 @@
 	Estimate time.Duration
 	// Slack is how long the task may wait and still be in time.
 	Slack time.Duration
+	// Tasks is the number of tasks of the step.
+	Tasks int
+	// ReservedSpeed is the speed from which on servers are left to waiting tasks, if others do as
+	// well for this one; zero: none are.
+	ReservedSpeed float64
 	// Late is set for a task whose job can't be in time. It is placed only where there is free
 	// capacity now.
 	Late bool
@@ -102,6 +111,12 @@
 	runTimeRatios map[string]float64
 	// orderRatio estimates how many orders other processes send. Guarded by mu.
 	orderRatio orderRatio
+	// speeds relates the speeds of the servers of each service. Guarded by mu.
+	speeds map[string]*serverSpeeds
+	// candidates is reused by each choice. Guarded by mu.
+	candidates []candidate
+	// placed counts the placements by tier. Guarded by mu.
+	placed [numTiers]int64
 	// examined is the number of agents that were examined to place tasks. Guarded by mu.
 	examined int64
 }
@@ -117,6 +132,8 @@
 	retired bool
 	// drained is set while this process knows that the agent's failure domain is drained.
 	drained bool
+	// speed is the server's speed relative to the others'; 1 unless it differs significantly.
+	speed float64
 }
 
 func (v *agentView) addPending(n PlacementRequest) {
@@ -149,6 +166,7 @@
 		remoteFactor:  max(1, remoteFactor),
 		params:        p,
 		agents:        make(map[string]*agentView),
+		speeds:        make(map[string]*serverSpeeds),
 		retired:       make(map[string]bool),
 		runTimeRatios: make(map[string]float64),
 	}
@@ -166,7 +184,7 @@
 func (f *Fleet) Linked(node string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.agents[node] = &agentView{node: node, retired: f.retired[node]}
+	f.agents[node] = &agentView{node: node, speed: 1, retired: f.retired[node]}
 	f.sortAgentsLocked()
 }
 
@@ -247,6 +265,7 @@
 	}
 	v.load, v.updatedAt = l, now
 	v.drained = f.drained.Has(l.Domain)
+	f.updateSpeedLocked(now, v)
 	for len(v.pending) > 0 && v.pending[0].number <= l.OrdersSeen {
 		v.pending = v.pending[1:]
 	}
--- a/coordination/worker/crash.go
+++ b/coordination/worker/crash.go
@@ -165,7 +165,7 @@
 // runsExclusively reports whether the run still has the server to itself. It does so for its
 // expected run time only: a task that takes much longer would otherwise block its server.
 func (r *run) runsExclusively(now time.Duration) bool {
-	return r.order.Isolation == Exclusive && now-r.startedAt < max(r.order.Estimate, minExclusive)
+	return r.order.Isolation == Exclusive && now-r.startedAt < max(r.order.localEstimate(), minExclusive)
 }
 
 // minExclusive is the minimum time for which an exclusive run has the server to itself. Estimates
--- a/coordination/worker/orders.go
+++ b/coordination/worker/orders.go
@@ -88,7 +88,7 @@
 		case o.phase == ended:
 		case o.phase != waiting:
 			running++
-			sum += o.order.Estimate
+			sum += o.order.localEstimate()
 		case o.order.latestStart() <= r.order.latestStart():
 			ahead++
 		}
--- a/coordination/worker/starts.go
+++ b/coordination/worker/starts.go
@@ -98,8 +98,6 @@
 	return out
 }
 
-func (o *Order) latestStart() time.Duration { return o.Due - o.Estimate }
-
 func (w *Worker) startLocked(now time.Duration, fx *Effects, r *run) {
 	r.phase = starting
 	r.deadline = w.extendLeaseLocked(now)
@@ -161,7 +159,7 @@
 	case StartOK:
 		w.responses.observe(now - r.startedAt)
 		w.confirmLocked(&fx, r)
-		r.startedAt = now
+		r.startedAt, r.startSeen = now, true
 	case StartRefused, StartUnhealthy:
 		w.stats.Refused++
 		if outcome == StartUnhealthy {
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -6,6 +6,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/speed"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/job"
@@ -31,7 +32,7 @@
 		Shard: int32(o.Shard), Epoch: o.Epoch, Session: o.Session, Run: RunToWire(o.Run),
 		Payload: o.Payload, Service: o.Service, Label: o.Label,
 		CpuMillis: o.Demand.CPUMillis, MemoryMb: o.Demand.MemoryMB, Gpus: o.Demand.GPUs,
-		EstimateUs: o.Estimate.Microseconds(), DueUs: (o.Due - now).Microseconds(),
+		EstimateUs: o.Estimate.Microseconds(), Speed: o.Speed, DueUs: (o.Due - now).Microseconds(),
 		Once: o.AtMostOnce, Repeat: o.Repeat, Checkpoint: o.Checkpoint, MaxPerWorker: int32(o.MaxPerWorker), Caution: int32(o.Isolation),
 	}
 }
@@ -44,11 +45,22 @@
 		Demand:     job.Demand{CPUMillis: p.GetCpuMillis(), MemoryMB: p.GetMemoryMb(), GPUs: p.GetGpus()},
 		Estimate:   time.Duration(p.GetEstimateUs()) * time.Microsecond,
 		Due:        now + time.Duration(p.GetDueUs())*time.Microsecond,
+		Speed:      orderSpeed(p),
 		AtMostOnce: p.GetOnce(), Repeat: p.GetRepeat(), Checkpoint: p.GetCheckpoint(), MaxPerWorker: int(p.GetMaxPerWorker()),
 		Isolation: worker.Isolation(p.GetCaution()),
 	}
 }
 
+// OrderSpeedIsValid reports whether an order's speed can be one. A speed that can't counts as absent.
+func OrderSpeedIsValid(p *corepb.Order) bool { return p.GetSpeed() == 0 || speed.InRange(p.GetSpeed()) }
+
+func orderSpeed(p *corepb.Order) float64 {
+	if !OrderSpeedIsValid(p) {
+		return 0
+	}
+	return p.GetSpeed()
+}
+
 // RunStateToWire returns the wire form of a run's state.
 func RunStateToWire(s *worker.RunState) *corepb.RunState {
 	return &corepb.RunState{
@@ -102,7 +114,7 @@
 		CapacityCpu: l.Server.Capacity.CPUMillis, CapacityMemory: l.Server.Capacity.MemoryMB, CapacityGpus: l.Server.Capacity.GPUs,
 		FreeCpu: l.Free.CPUMillis, FreeMemory: l.Free.MemoryMB, FreeGpus: l.Free.GPUs,
 		BacklogUs: l.Backlog.Microseconds(), TurnoverUs: l.Turnover.Microseconds(), Accepts: l.Accepts,
-		Slowdown: l.Slowdown, Suspects: int32(l.Suspects), Drained: l.Drained,
+		Slowdown: l.Slowdown, Speed: l.Speed, SpeedRuns: int32(l.SpeedRuns), Suspects: int32(l.Suspects), Drained: l.Drained,
 	}
 	if l.Backlog > 0 {
 		for _, a := range l.Ahead {
@@ -124,6 +136,9 @@
 		Accepts: p.GetAccepts(), OrdersSeen: p.GetOrdersSeen(), Placers: int(p.GetPlacers()), Suspects: int(p.GetSuspects()),
 		Orders: p.GetOrders(),
 	}
+	if SpeedIsValid(p) && p.GetSpeedRuns() > 0 {
+		out.Speed, out.SpeedRuns = p.GetSpeed(), int(p.GetSpeedRuns())
+	}
 	for i, us := range p.GetAheadUs() {
 		if i < len(out.Ahead) {
 			out.Ahead[i] = time.Duration(us) * time.Microsecond
@@ -132,6 +147,12 @@
 	return out
 }
 
+// SpeedIsValid reports whether a load's speed can be one. A speed that can't counts as unknown.
+func SpeedIsValid(p *corepb.Load) bool {
+	s := p.GetSpeed()
+	return (s == 0 || speed.InRange(s)) && p.GetSpeedRuns() >= 0
+}
+
 // DrainsToWire returns the wire form of the known drains, or nil if none have been
 // read yet. age is the time since the store confirmed them.
 func DrainsToWire(s drains.State, age time.Duration) *corepb.Drains {
