Give up at once what can't be in time once capacity is lost

Cause: while capacity was short, jobs that could not be in time any more kept their place before those that could, and jobs accepted as late waited until their answers were of no use before they were refused.

Change: package coordination/shedding decides on waiting jobs, owners ask it at each tick and load while capacity is short. Refused clients are told to return spread over the capacity that is left. Off unless scheduling.shedding is set.

--- a/coordination/load/mix_test.go
+++ b/coordination/load/mix_test.go
@@ -67,8 +67,11 @@
 	class       *class
 	step        job.Step
 	submittedAt time.Duration
-	taskWork    []time.Duration
-	objective   time.Duration
+	// sentAt is when the job was last sent, which is later than submittedAt if its client lost its
+	// connection.
+	sentAt    time.Duration
+	taskWork  []time.Duration
+	objective time.Duration
 	// entry got the last submission. ended is set once the client has a response or has stopped
 	// waiting.
 	entry *entry
@@ -129,12 +132,31 @@
 		r.taskWork = append(r.taskWork, time.Duration(w.logNormal(mean, workSpreadInJob)))
 	}
 	r.objective = time.Duration(slackFactor*float64(slices.Max(r.taskWork))) + targetLatency
+	if w.heavyTails {
+		w.stretch(r)
+	}
 	r.step = job.Step{
 		Count: n, Demand: job.Demand{CPUMillis: c.cpuMillis, MemoryMB: 64}, Estimate: time.Duration(w.logNormal(mean, estimateSpread)),
 	}
 	return r
 }
 
+const (
+	// tailShare is the share of tasks that take tailFactor times as long with heavy tails, which
+	// their objectives and estimates don't know.
+	tailShare  = 0.03
+	tailFactor = 7
+)
+
+// stretch makes a few tasks of a job take much longer.
+func (w *world) stretch(r *request) {
+	for i := range r.taskWork {
+		if w.rand.Float64() < tailShare {
+			r.taskWork[i] *= tailFactor
+		}
+	}
+}
+
 // submit sends a job to an entry. If there is no response within the job's timeout, the client
 // abandons the job.
 func (w *world) submit(r *request) {
@@ -183,7 +205,7 @@
 	c := r.class
 	spec := job.Spec{BestEffort: true, ClientTimeout: left, Steps: []job.Step{r.step}}
 	policy := job.Policy{Queue: c.queue, Service: service, Priority: c.priority, MaxAttempts: 3, Slack: slackFactor, Target: targetLatency, RequestTimeout: minTimeout}
-	r.entry = e
+	r.entry, r.sentAt = e, w.now
 	incarnation := e.incarnation
 	e.apply(e.Submit(w.now, r.id, spec, policy, func(v owner.Response) {
 		if !r.ended && e.incarnation == incarnation {
@@ -194,6 +216,9 @@
 
 // record counts the outcome of a job.
 func (w *world) record(r *request, v owner.Response) {
+	if w.onOutcome != nil {
+		w.onOutcome(r, v)
+	}
 	if r.crashes {
 		r.ended = true
 		return // jobs that crash their servers can't complete and are not counted
--- a/coordination/load/world_test.go
+++ b/coordination/load/world_test.go
@@ -92,6 +92,12 @@
 	// that were reported as failed although they crash no server. maxStartsAfterThird is the
 	// maximum number of starts of a task after it had crashed three servers.
 	serversLost, wronglyGivenUp, maxStartsAfterThird int
+	// onOutcome, if set, is called with each response that a client gets.
+	onOutcome func(*request, owner.Response)
+	// startedJobs, if not nil, has the jobs of which a backend server has accepted a task.
+	startedJobs map[job.ID]bool
+	// heavyTails makes a few tasks take many times as long as the others.
+	heavyTails bool
 	// traceLines has what happened if traced is set.
 	traced     bool
 	traceLines []string
@@ -401,6 +407,9 @@
 				return
 			}
 			a.running[s.Run] = true
+			if a.w.startedJobs != nil {
+				a.w.startedJobs[s.Run.Task.Job] = true
+			}
 			a.apply(a.StartAnswered(a.w.now, s.Instance, s.Run, worker.StartOK, ""))
 			if a.w.crashes(s.Run) {
 				a.w.after(crashDelay, func() { a.crashedBy(s.Run, instance) })
--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -142,13 +142,12 @@
 	if useful == 0 {
 		return 0
 	}
-	prior := s.fleet.params.LatePriorShare
 	s.waiting.updateLateRate(now, s.fleet.params.LateRateWindow)
 	for i := range spec.Steps {
 		st := &spec.Steps[i]
 		n := s.placementRequest(p, st)
 		cores, ratio := s.fleet.EligibleCapacity(n, s.mayOrderLocked)
-		s.waiting.setLatePrior(prior * cores / ratio)
+		s.waiting.setLatePrior(s.latePriorShareLocked(now) * cores / ratio)
 		end += s.waiting.lateWait(s.waiting.lateWork() + coreTime(n)*time.Duration(st.Count))
 	}
 	return end
--- a/coordination/owner/dispatch.go
+++ b/coordination/owner/dispatch.go
@@ -88,6 +88,8 @@
 	s.expireLostAgentsLocked(now, &fx)
 	s.renewUnansweredLinksLocked(now, &fx)
 	s.retrySuspectsLocked(now, &fx)
+	s.observeCapacityLocked(now, &fx)
+	s.shedLocked(now, &fx)
 	s.giveUpUselessLocked(now, &fx)
 	s.placeWaitingLocked(now, &fx)
 	s.expireJobsLocked(now)
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -221,6 +221,26 @@
 	return float64(free) / float64(max(all, 1))
 }
 
+// acceptingCores returns the cores of all linked agents at which new work may be started.
+func (f *Fleet) acceptingCores() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var millis int64
+	for _, v := range f.ordered {
+		if v.acceptsWork() && !v.retired {
+			millis += v.load.Capacity.CPUMillis
+		}
+	}
+	return float64(millis) / 1000
+}
+
+// random returns a random number, to seed what must differ between processes.
+func (f *Fleet) random() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rand.Uint64()
+}
+
 // Offers reports whether a linked agent of the service, with the label if one is given, has the
 // capacity for a demand.
 func (f *Fleet) Offers(service, label string, demand job.Demand) bool {
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -166,8 +166,14 @@
 	usefulUntil time.Duration
 	// late is set for a job that can't be in time.
 	late bool
-	// ordered is set once an order for a task was sent.
-	ordered bool
+	// ordered is set once an order for a task was sent. ordersOpen counts the orders that are not
+	// known never to have run.
+	ordered    bool
+	ordersOpen int
+	// clientWaited is how long the client had waited before the job was accepted.
+	clientWaited time.Duration
+	// postponed is set once a job that can't be in time was put behind others.
+	postponed bool
 	// waiters get a reply when the job is recorded or, if it is a best-effort job, when it ends.
 	// cancelWaiters get one when the cancellation is recorded.
 	waiters       []func(Response)
@@ -205,7 +211,9 @@
 	clientTimeouts map[string]*clientTimeoutLog
 	// waiting has the tasks for which no agent has free capacity.
 	waiting backlog
-	links   map[string]*linkState
+	// shed is the state of shedding and return.
+	shed  shedState
+	links map[string]*linkState
 	// unreconciled has the agents of earlier owners that have not answered a claim yet, with the
 	// time after which the owner no longer waits for them.
 	unreconciled map[string]time.Duration
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -49,7 +49,12 @@
 		return fx
 	}
 	a := s.admitLocked(now, &spec, &p)
+	if a.clientWaited > 0 {
+		s.shed.capacity.ClientReturned(now)
+	}
+	a = s.admitReturningLocked(now, &fx, id, &spec, &p, a)
 	if a.reason != "" {
+		a.retryAfter = s.retryAfterLocked(now, &fx, id, &spec, &p, a.retryAfter)
 		fx.reply(reply, Response{Outcome: Refused, Reason: a.reason, RetryAfter: a.retryAfter})
 		fx.log(Decision{Kind: "refused", Job: id, Reason: a.reason, Wait: a.retryAfter, Refusal: s.refusalLocked(now, &spec, &p, &a)})
 		return fx
@@ -61,6 +66,8 @@
 		acceptedAt: now,
 		due:        now + a.due,
 		late:       a.late,
+
+		clientWaited: a.clientWaited,
 	}
 	j.setUsefulPeriod(now, a.useful)
 	s.jobs[id] = j
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -27,14 +27,14 @@
 	n := s.placementRequest(&j.rec.Policy, st)
 	key := placementKeyOf(&j.rec.Policy, st)
 	key.suspect = s.isolation(j.rec.Task(id)) != worker.NoIsolation
-	return waitingTask{id: id, key: key, late: j.late, latestStart: j.due - n.Estimate, work: coreTime(n)}
+	return waitingTask{id: id, key: key, late: j.late && !j.postponed, latestStart: j.due - n.Estimate, work: coreTime(n)}
 }
 
 // placeLocked sends a task to an agent, if one will have free capacity soon.
 func (s *Shard) placeLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task) bool {
 	rec := j.rec.Task(id)
 	need := s.placementRequest(&j.rec.Policy, &j.rec.Spec.Steps[id.Step])
-	need.Now, need.Slack, need.Late = now, j.due-now-need.Estimate, j.late
+	need.Now, need.Slack, need.Late = now, j.due-now-need.Estimate, j.late && !j.postponed
 	need.Avoid, need.Isolation = avoidedAgents(t, rec), s.isolation(rec)
 	node, ok := s.fleet.Place(need, s.mayOrderLocked)
 	if !ok {
@@ -43,6 +43,7 @@
 	t.number = max(t.number+1, (s.Epoch-j.rec.FirstEpoch)*runsPerEpoch+1)
 	t.phase, t.node = ordered, node
 	j.ordered = true
+	j.ordersOpen++
 	fx.log(Decision{Kind: "ordered", Job: id.Job, Run: job.RunID{Task: id, Number: t.number}, Node: node, Age: now - j.acceptedAt, Wait: need.Slack})
 	fx.Orders = append(fx.Orders, Addressed[worker.Order]{Node: node, Value: s.newOrder(j, id, t, need.Estimate)})
 	return true
@@ -61,6 +62,7 @@
 	defer s.mu.Unlock()
 	var fx Effects
 	if !s.closed {
+		s.shedOnUpdateLocked(now, &fx)
 		s.placeWaitingLocked(now, &fx)
 	}
 	return fx
@@ -145,7 +147,7 @@
 // any more, or "". reachable has, for each placement key, a demand for which an agent is eligible,
 // so that the agents are examined only once for all tasks that need no more.
 func (s *Shard) uselessReasonLocked(now time.Duration, j *jobState, w *waitingTask, reachable map[placementKey]job.Demand) string {
-	if j.usefulUntil == 0 || j.ordered {
+	if j.usefulUntil == 0 || s.mayHaveRunLocked(now, j) {
 		return ""
 	}
 	if s.tooLateLocked(now, j, w) {
@@ -171,7 +173,7 @@
 // tooLateLocked reports whether a job of which nothing has started would end too late to be of use
 // even if it started now.
 func (s *Shard) tooLateLocked(now time.Duration, j *jobState, w *waitingTask) bool {
-	if j.usefulUntil == 0 || j.ordered {
+	if j.usefulUntil == 0 || s.mayHaveRunLocked(now, j) {
 		return false
 	}
 	return now > j.usefulUntil-s.fleet.ExpectedRunTime(j.rec.Policy.Queue, j.rec.Spec.Steps[w.id.Step].Estimate)
@@ -181,8 +183,9 @@
 // at once and can submit the job elsewhere.
 func (s *Shard) giveUpLocked(now time.Duration, fx *Effects, j *jobState, reason string) {
 	fx.log(Decision{Kind: "given_up", Job: j.rec.ID, Reason: reason, Age: now - j.acceptedAt})
+	retryAfter := s.retryAfterLocked(now, fx, j.rec.ID, &j.rec.Spec, &j.rec.Policy, time.Second)
 	for _, w := range j.waiters {
-		fx.reply(w, Response{Outcome: Refused, Reason: reason, RetryAfter: time.Second})
+		fx.reply(w, Response{Outcome: Refused, Reason: reason, RetryAfter: retryAfter})
 	}
 	for _, w := range slices.Concat(j.cancelWaiters, j.watchers) {
 		fx.reply(w, Response{Outcome: Absent})
