--- a/coordination/owner/shedding.go
+++ b/coordination/owner/shedding.go
@@ -46,9 +46,14 @@
 	return fallen
 }
 
+// startPeriod is how long an owner takes capacity for short after its start. It may have started
+// because everything has, and it has not measured yet how much capacity is left to late jobs, which
+// takes two times Params.LateRateWindow.
+const startPeriod = time.Second
+
 // capacityShortLocked reports whether work is shed and returns are spread.
 func (s *Shard) capacityShortLocked(now time.Duration) bool {
-	return s.fleet.params.Shedding && s.shed.capacity.Short(now)
+	return s.fleet.params.Shedding && (s.shed.capacity.Short(now) || now-s.openedAt < startPeriod)
 }
 
 // shortLatePriorShare is Params.LatePriorShare while capacity is short: a job that is accepted as late
