Count as never run only what the agent has not passed on, or the server has refused

Cause: a start without an answer that was barred later counted as never run, and an end reported twice could bring the count of open orders below the truth. A client that is told "not run" submits its job elsewhere.

Tests: coordination/owner, shedding_test.go, each with the failure it guards against.

--- a/coordination/owner/events.go
+++ b/coordination/owner/events.go
@@ -110,9 +110,7 @@
 		}
 		fx.log(Decision{Kind: "run_over", Job: j.rec.ID, Run: r.Run, Node: node, Reason: r.Reason + "/" + r.End.String(), Age: now - j.acceptedAt})
 		fx.settle(node, Settlement{Run: r.Run})
-		if r.End == job.NeverRan {
-			j.ordersOpen--
-		}
+		s.closeOrderLocked(j, t, r)
 		if r.Loss != worker.NotLost {
 			s.runLostWithServerLocked(now, fx, j, t, rec, node, r)
 			return
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -124,6 +124,8 @@
 	phase taskPhase
 	// number is the number of the task's newest run, and node the agent it was ordered at.
 	number int64
+	// openRun is the number of the last run that may have run; zero: none.
+	openRun int64
 	// waiting is set while the task is in the shard's backlog.
 	waiting bool
 	node    string
--- a/coordination/owner/shedding.go
+++ b/coordination/owner/shedding.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/shedding"
+	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
@@ -212,6 +213,17 @@
 	return j.ordered
 }
 
+// closeOrderLocked notes that an order is known never to have run. The agent says so of an order that
+// it has not passed on, or that the backend server has refused. A start without an answer counts as
+// possibly run even once it is barred: a client that is told "not run" submits its job elsewhere.
+func (s *Shard) closeOrderLocked(j *jobState, t *task, r worker.RunState) {
+	if r.End != job.NeverRan || r.Reason == worker.ReasonBarred || t.openRun != r.Run.Number {
+		return
+	}
+	t.openRun = 0
+	j.ordersOpen--
+}
+
 // retryAfterLocked returns when a refused client is to come back: after wait, and while capacity is
 // short in turn with the others that were refused.
 func (s *Shard) retryAfterLocked(now time.Duration, fx *Effects, id job.ID, spec *job.Spec, p *job.Policy, wait time.Duration) time.Duration {
--- /dev/null
+++ b/coordination/owner/shedding_test.go
@@ -0,0 +1,137 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+// newShedFixture returns a shard with shedding on, past its start, with two agents, the second of
+// which is full.
+func newShedFixture(t *testing.T) *bestEffortFixture {
+	e := newBestEffortFixture(t)
+	e.fleet.params.Shedding = true
+	e.link("b", 1)
+	e.now += startPeriod
+	e.setServer("b", true)
+	e.setLoad(4, 0)
+	return e
+}
+
+// setServer reports that the server of an agent is full, and whether it accepts work at all.
+func (e *bestEffortFixture) setServer(node string, accepts bool) {
+	e.fleet.Update(e.now, node, AgentLoad{
+		Service: "desk", Capacity: job.Demand{CPUMillis: 16000, MemoryMB: 65536}, Accepts: accepts, Placers: 1, Turnover: 40 * time.Millisecond,
+	})
+	e.collect(e.AgentsUpdated(e.now))
+}
+
+// returnOrder makes the agent of an order report that its run ended.
+func (e *bestEffortFixture) returnOrder(o Addressed[worker.Order], end job.EndKind, reason string) {
+	e.collect(e.Event(e.now, o.Node, worker.Event{Shard: e.ID, Epoch: e.Epoch, State: worker.RunState{
+		Run: o.Value.Run, Status: worker.Ended, End: end, Reason: reason,
+	}}))
+}
+
+// Guards against jobs that wait in vain behind others once half of the servers are gone, and against
+// giving up the ones that can still be in time.
+func TestJobsThatCannotBeInTimeAreGivenUpAtOnce(t *testing.T) {
+	e := newShedFixture(t)
+	e.setLoad(0, 0)
+	responses := make([]*Response, 0, 40)
+	for i := range 40 {
+		responses = append(responses, e.submitTasks(job.ID([]byte{'a' + byte(i/26), 'a' + byte(i%26)}), 1, 1500*time.Millisecond))
+	}
+	e.now += 10 * time.Millisecond
+	e.setServer("b", false)
+	refused, open := 0, 0
+	for _, r := range responses {
+		switch r.Outcome {
+		case Refused:
+			refused++
+			e.is.True(r.RetryAfter > 0)
+		case Unknown:
+			open++
+		}
+	}
+	e.is.True(refused > 0)
+	e.is.True(open >= 16) // 16 cores start that many within the slack of 120 ms
+}
+
+// Guards against "not run" for work that may have run: an order that came back before it was started
+// doesn't count, but one whose start was never answered does.
+func TestOnlyWorkThatNeverRanIsGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		end     job.EndKind
+		reason  string
+		refused bool
+	}{
+		{job.NeverRan, worker.ReasonNoRoom, true},
+		{job.NeverRan, worker.ReasonBarred, false},
+		{job.Lapsed, "not_listed", false},
+	} {
+		e := newShedFixture(t)
+		got := e.submitTasks("job", 1, 1500*time.Millisecond)
+		e.is.Equal(e.orderCount("job"), 1)
+		first := e.orders[len(e.orders)-1]
+		e.setLoad(0, 0)
+		e.setServer("b", false)
+		e.returnOrder(first, c.end, c.reason)
+		e.is.Equal(e.orderCount("job"), 1)
+		e.now += 600 * time.Millisecond // the answer is of use until 660 ms, and the run takes 100 ms
+		e.collect(e.Tick(e.now))
+		e.is.Equal(got.Outcome == Refused, c.refused)
+	}
+}
+
+// Guards against a count of open orders that an end reported twice brings below the truth.
+func TestOrderIsClosedOnce(t *testing.T) {
+	e := newShedFixture(t)
+	e.submitTasks("job", 2, 1500*time.Millisecond)
+	e.is.Equal(e.orderCount("job"), 2)
+	first := e.orders[len(e.orders)-1]
+	e.setLoad(0, 0)
+	for range 3 {
+		e.returnOrder(first, job.NeverRan, worker.ReasonNoRoom)
+	}
+	e.is.Equal(e.jobs["job"].ordersOpen, 1)
+}
+
+// Guards against a client that comes back when it was told to and is refused behind new ones.
+func TestReturningClientGoesFirst(t *testing.T) {
+	e := newShedFixture(t)
+	e.setLoad(0, 0)
+	e.setServer("b", false)
+	e.setLoad(0, 3200*time.Millisecond)
+	got := e.submitTasks("back", 1, 1500*time.Millisecond)
+	e.is.Equal(got.Outcome, Refused)
+	e.now += got.RetryAfter
+	e.setLoad(0, time.Second) // 62 ms, and 40 until a core is free: within the slack, beyond the limit for new jobs
+	e.is.Equal(e.submitTasks("new", 1, 1500*time.Millisecond).Outcome, Refused)
+	e.is.Equal(e.submitTasks("back", 1, 1500*time.Millisecond).Outcome, Unknown)
+}
+
+// Guards against shedding of recorded jobs, which are carried out however late they are.
+func TestRecordedJobsAreNotShed(t *testing.T) {
+	f := newFixture(t, nil, nil, "a", "b")
+	f.fleet.params.Shedding = true
+	f.now += startPeriod
+	f.collect(f.Tick(f.now))
+	f.fleet.LinkLost("b")
+	f.fleet.Update(f.now, "a", AgentLoad{Service: "desk", Capacity: job.Demand{CPUMillis: 16000, MemoryMB: 65536}, Accepts: true, Turnover: 30 * time.Millisecond})
+	f.collect(f.Tick(f.now))
+	f.is.True(f.capacityShortLocked(f.now))
+	got := f.submit("recorded", job.Spec{Steps: []job.Step{{Count: 4, Demand: job.Demand{CPUMillis: 1000}, Estimate: 100 * time.Millisecond}}})
+	f.write()
+	f.is.True(f.HasWaitingTasks())
+	for range 40 {
+		f.now += 100 * time.Millisecond
+		f.collect(f.Tick(f.now))
+	}
+	f.is.True(f.jobs["recorded"] != nil)
+	for _, r := range *got {
+		f.is.True(r.Outcome != Refused)
+	}
+}
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -44,6 +44,7 @@
 	t.phase, t.node = ordered, node
 	j.ordered = true
 	j.ordersOpen++
+	t.openRun = t.number
 	fx.log(Decision{Kind: "ordered", Job: id.Job, Run: job.RunID{Task: id, Number: t.number}, Node: node, Age: now - j.acceptedAt, Wait: need.Slack})
 	fx.Orders = append(fx.Orders, Addressed[worker.Order]{Node: node, Value: s.newOrder(j, id, t, need.Estimate)})
 	return true
--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -287,7 +287,7 @@
 				continue
 			}
 			if !r.inDoubt {
-				kind, reason = job.NeverRan, "barred"
+				kind, reason = job.NeverRan, ReasonBarred
 			}
 		case running:
 			if c.Seq <= r.confirmedAtHold {
--- a/coordination/worker/orders.go
+++ b/coordination/worker/orders.go
@@ -55,6 +55,10 @@
 // ReasonNoRoom is the reason for returning an order that would start too late here.
 const ReasonNoRoom = "no_room"
 
+// ReasonBarred is the reason for the end of a run whose start was never answered and can't be carried
+// out any more.
+const ReasonBarred = "barred"
+
 // returnMargin is the slack at or below which an order is no longer returned: the way back and to
 // another worker takes as long.
 const returnMargin = 10 * time.Millisecond
