Keep shedding cheap beside jobs that it doesn't decide on

Cause: an overdue job that is postponed or recorded can stand first for long; each load then walked the whole backlog. A promise renewed for a job that had come back could be forgotten with its first one. A job submitted again after it was abandoned kept its postponement.

--- a/coordination/owner/shedding.go
+++ b/coordination/owner/shedding.go
@@ -76,11 +76,18 @@
 	if len(s.waiting.tasks) == 0 {
 		return
 	}
-	if first := &s.waiting.tasks[0]; fallen || !first.late && now > first.latestStart {
+	first := &s.waiting.tasks[0]
+	if fallen || !first.late && now > first.latestStart && s.mayShedLocked(s.jobs[first.id.Job]) {
 		s.shedLocked(now, fx)
 	}
 }
 
+// mayShedLocked reports whether shedding decides on a job. Recorded jobs are carried out however late
+// they are, and those that were postponed have their place.
+func (s *Shard) mayShedLocked(j *jobState) bool {
+	return j != nil && j.usefulUntil != 0 && !j.postponed && !j.rec.State.Final()
+}
+
 // shedLocked decides again on the jobs that wait, if capacity is short. Jobs that can't be in time
 // any more are given up at once or let others pass, so that they don't make these late in turn.
 func (s *Shard) shedLocked(now time.Duration, fx *Effects) {
@@ -145,8 +152,7 @@
 }
 
 // waitingJobsLocked returns the waiting jobs, late ones or those that are to be in time, by the
-// agents that they wait for. Recorded jobs are carried out however late they are, and those that
-// were postponed have their place, so both are left out.
+// agents that they wait for.
 func (s *Shard) waitingJobsLocked(now time.Duration, late bool) []*jobGroup {
 	var groups []*jobGroup
 	byKey := make(map[placementKey]*jobGroup)
@@ -158,7 +164,7 @@
 	for i := range s.waiting.tasks {
 		w := &s.waiting.tasks[i]
 		j := s.jobs[w.id.Job]
-		if w.late != late || j == nil || j.usefulUntil == 0 || j.postponed || j.rec.State.Final() {
+		if w.late != late || !s.mayShedLocked(j) {
 			continue
 		}
 		g := byKey[w.key]
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -130,6 +130,7 @@
 	j.rec.State, j.reportedState = job.Queued, job.Queued
 	objective := s.objective(&j.rec.Spec, &j.rec.Policy)
 	j.acceptedAt, j.due, j.late = now, now+objective, false
+	j.clientWaited, j.postponed = 0, false
 	j.setUsefulPeriod(now, s.usefulPeriod(&j.rec.Spec, objective))
 	for i := range j.tasks {
 		if j.tasks[i].phase == finished && !j.rec.Tasks[i].Done {
--- a/coordination/shedding/capacity.go
+++ b/coordination/shedding/capacity.go
@@ -24,7 +24,8 @@
 type Capacity struct {
 	// samples has the largest capacity of each sampleInterval within memory, oldest first.
 	samples []sample
-	cores   float64
+	// former is the largest capacity in samples, and cores the last one.
+	former, cores float64
 	// returnSeen is when a client last returned that had waited before; returnKnown is false if
 	// none has.
 	returnSeen  time.Duration
@@ -50,20 +51,18 @@
 	} else {
 		c.samples = append(c.samples, sample{at: now, cores: cores})
 	}
+	c.former = 0
+	for _, s := range c.samples {
+		c.former = max(c.former, s.cores)
+	}
 	return c.Fallen() && !before
 }
 
 // Fallen reports whether the servers have lost capacity within memory.
-func (c *Capacity) Fallen() bool { return c.cores < fallShare*c.Former() }
+func (c *Capacity) Fallen() bool { return c.cores < fallShare*c.former }
 
 // Former returns the largest capacity within memory, in cores.
-func (c *Capacity) Former() float64 {
-	var cores float64
-	for _, s := range c.samples {
-		cores = max(cores, s.cores)
-	}
-	return cores
-}
+func (c *Capacity) Former() float64 { return c.former }
 
 // ClientReturned notes that a client has come back which had waited before it lost its connection.
 func (c *Capacity) ClientReturned(now time.Duration) { c.returnSeen, c.returnKnown = now, true }
--- a/coordination/shedding/returns.go
+++ b/coordination/shedding/returns.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -67,7 +68,7 @@
 	if !ok {
 		return false
 	}
-	delete(r.jobs, id)
+	r.forget(id)
 	return now >= at-early && now <= at+keptFor
 }
 
@@ -82,6 +83,13 @@
 	}
 }
 
+// forget removes a job that has come back. A job that returns often must not stand in order more
+// than once, or its first place would end its newest promise.
+func (r *Returns) forget(id string) {
+	delete(r.jobs, id)
+	r.order = slices.DeleteFunc(r.order, func(known string) bool { return known == id })
+}
+
 // advance drops the slots that have passed.
 func (r *Returns) advance(now time.Duration) {
 	current := slotOf(now)
