Give up nothing while links come up; accept late work only if it isn't shed again

Change: in its first second an owner gives up no job that is to be in time, and while capacity is short a late job has to be predicted to end within the share within which it isn't shed again.

Tests: TestOwnerThatStartsGivesNothingUp.

--- a/coordination/owner/shedding.go
+++ b/coordination/owner/shedding.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/shedding"
@@ -54,9 +55,11 @@
 
 // capacityShortLocked reports whether work is shed and returns are spread.
 func (s *Shard) capacityShortLocked(now time.Duration) bool {
-	return s.fleet.params.Shedding && (s.shed.capacity.Short(now) || now-s.openedAt < startPeriod)
+	return s.fleet.params.Shedding && (s.shed.capacity.Short(now) || s.startingLocked(now))
 }
 
+func (s *Shard) startingLocked(now time.Duration) bool { return now-s.openedAt < startPeriod }
+
 // shortLatePriorShare is Params.LatePriorShare while capacity is short: a job that is accepted as late
 // for capacity that isn't there holds its client in vain. It is not zero, so that late jobs find out
 // when some is left over.
@@ -69,6 +72,15 @@
 	return s.fleet.params.LatePriorShare
 }
 
+// lateShareLocked is Params.LateShare, or while capacity is short the share within which a late job
+// isn't shed again.
+func (s *Shard) lateShareLocked(now time.Duration) float64 {
+	if s.capacityShortLocked(now) {
+		return min(s.fleet.params.LateShare, shedding.MaxLateWaitShare)
+	}
+	return s.fleet.params.LateShare
+}
+
 // shedOnUpdateLocked sheds between two ticks if capacity has just fallen, or if the most urgent task
 // can't be in time: it would be placed before tasks that can.
 func (s *Shard) shedOnUpdateLocked(now time.Duration, fx *Effects) {
@@ -172,6 +184,9 @@
 			n := s.placementRequest(&j.rec.Policy, &j.rec.Spec.Steps[w.id.Step])
 			cores, ratio := s.fleet.EligibleCapacity(n, s.mayOrderLocked)
 			g = &jobGroup{cores: cores / ratio}
+			if s.startingLocked(now) {
+				g.cores = math.Inf(1) // links are still coming up
+			}
 			byKey[w.key] = g
 			groups = append(groups, g)
 		}
--- a/coordination/owner/shedding_test.go
+++ b/coordination/owner/shedding_test.go
@@ -135,3 +135,32 @@
 		f.is.True(r.Outcome != Refused)
 	}
 }
+
+// Guards against an owner that has just started, knows the first of its agents only, and gives up
+// what it accepted a moment ago.
+func TestOwnerThatStartsGivesNothingUp(t *testing.T) {
+	e := newBestEffortFixture(t)
+	e.fleet.params.Shedding = true
+	e.now = e.openedAt + startPeriod/2
+	e.setLoad(0, 0)
+	responses := make([]*Response, 0, 10)
+	for i := range 10 {
+		responses = append(responses, e.submitTasks(job.ID([]byte{'a' + byte(i)}), 4, 1500*time.Millisecond))
+	}
+	accepted := 0
+	for _, r := range responses {
+		if r.Outcome == Unknown {
+			accepted++
+		}
+	}
+	e.is.True(accepted > 0)
+	e.fleet.LinkLost("a")
+	e.now += 10 * time.Millisecond
+	e.collect(e.Tick(e.now))
+	for _, r := range responses {
+		if r.Outcome == Unknown {
+			accepted--
+		}
+	}
+	e.is.Equal(accepted, 0)
+}
--- a/coordination/shedding/plan.go
+++ b/coordination/shedding/plan.go
@@ -24,10 +24,16 @@
 	return now-j.Since > time.Duration(maxHeldShare*float64(j.Objective))
 }
 
+// MaxLateWaitShare is the share of the time in which a late job may start that it is expected to wait
+// at most.
+const MaxLateWaitShare = 0.5
+
 // half returns when half of the time has passed in which the job may start. A late job is kept only
 // if it is predicted to start by then, because later it isn't refused at once any more. A client that
 // waits on in vain after that could at most be refused with nothing left of its time.
-func (j *Job) half() time.Duration { return j.Since + (j.LatestStart-j.Since)/2 }
+func (j *Job) half() time.Duration {
+	return j.Since + time.Duration(MaxLateWaitShare*float64(j.LatestStart-j.Since))
+}
 
 // Verdict is the decision on a waiting job.
 type Verdict uint8
