Make three tests of shedding notice that their safeguard is gone

Each safeguard was taken out in turn: TestOwnerThatStartsGivesNothingUp, TestOrderIsClosedOnce and TestRecordedJobsAreNotShed passed all the same, because too few jobs waited, and because another check handled the repeated end.

--- a/coordination/owner/shedding_test.go
+++ b/coordination/owner/shedding_test.go
@@ -97,6 +97,8 @@
 		e.returnOrder(first, job.NeverRan, worker.ReasonNoRoom)
 	}
 	e.is.Equal(e.jobs["job"].ordersOpen, 1)
+	e.link(first.Node, 2, worker.RunState{Run: first.Value.Run, Status: worker.Ended, End: job.NeverRan, Reason: worker.ReasonNoRoom})
+	e.is.Equal(e.jobs["job"].ordersOpen-e.orderCount("job")+2, 1) // new orders are open beside it
 }
 
 // Guards against a client that comes back when it was told to and is refused behind new ones.
@@ -119,20 +121,29 @@
 	f.fleet.params.Shedding = true
 	f.now += startPeriod
 	f.collect(f.Tick(f.now))
-	f.fleet.LinkLost("b")
 	f.fleet.Update(f.now, "a", AgentLoad{Service: "desk", Capacity: job.Demand{CPUMillis: 16000, MemoryMB: 65536}, Accepts: true, Turnover: 30 * time.Millisecond})
-	f.collect(f.Tick(f.now))
-	f.is.True(f.capacityShortLocked(f.now))
-	got := f.submit("recorded", job.Spec{Steps: []job.Step{{Count: 4, Demand: job.Demand{CPUMillis: 1000}, Estimate: 100 * time.Millisecond}}})
-	f.write()
+	f.fleet.Update(f.now, "b", AgentLoad{Service: "desk", Capacity: job.Demand{CPUMillis: 16000, MemoryMB: 65536}, Accepts: true, Turnover: 30 * time.Millisecond})
+	spec := job.Spec{Steps: []job.Step{{Count: 4, Demand: job.Demand{CPUMillis: 1000}, Estimate: 100 * time.Millisecond}}}
+	var accepted []job.ID
+	for i := range 20 {
+		id := job.ID([]byte{'a' + byte(i)})
+		f.submit(id, spec)
+		f.write()
+		if f.jobs[id] != nil {
+			accepted = append(accepted, id)
+		}
+	}
+	f.is.True(len(accepted) > 2)
 	f.is.True(f.HasWaitingTasks())
+	f.fleet.LinkLost("b")
+	f.fleet.Update(f.now, "a", AgentLoad{Service: "desk", Capacity: job.Demand{CPUMillis: 500, MemoryMB: 65536}, Accepts: true, Turnover: time.Second})
 	for range 40 {
-		f.now += 100 * time.Millisecond
+		f.now += 10 * time.Millisecond
 		f.collect(f.Tick(f.now))
 	}
-	f.is.True(f.jobs["recorded"] != nil)
-	for _, r := range *got {
-		f.is.True(r.Outcome != Refused)
+	f.is.True(f.capacityShortLocked(f.now))
+	for _, id := range accepted {
+		f.is.True(f.jobs[id] != nil)
 	}
 }
 
@@ -145,7 +156,7 @@
 	e.setLoad(0, 0)
 	responses := make([]*Response, 0, 10)
 	for i := range 10 {
-		responses = append(responses, e.submitTasks(job.ID([]byte{'a' + byte(i)}), 4, 1500*time.Millisecond))
+		responses = append(responses, e.submitTasks(job.ID([]byte{'a' + byte(i)}), 1, 1500*time.Millisecond))
 	}
 	accepted := 0
 	for _, r := range responses {
@@ -153,7 +164,7 @@
 			accepted++
 		}
 	}
-	e.is.True(accepted > 0)
+	e.is.True(accepted > 2)
 	e.fleet.LinkLost("a")
 	e.now += 10 * time.Millisecond
 	e.collect(e.Tick(e.now))
