--- a/coordination/load/mix_test.go
+++ b/coordination/load/mix_test.go
@@ -130,9 +130,10 @@
 	r := &request{class: c, submittedAt: w.now, patient: w.patient, id: job.ID(fmt.Sprintf("%016x", len(w.jobs)+1))}
 	for range n {
 		r.taskWork = append(r.taskWork, time.Duration(w.logNormal(mean, workSpreadInJob)))
+		w.lengthenSome(r)
 	}
 	r.objective = time.Duration(slackFactor*float64(slices.Max(r.taskWork))) + targetLatency
-	if w.heavyTails {
+	if w.stretchTasks {
 		w.stretch(r)
 	}
 	r.step = job.Step{
@@ -141,14 +142,7 @@
 	return r
 }
 
-const (
-	// tailShare is the share of tasks that take tailFactor times as long with heavy tails, which
-	// their objectives and estimates don't know.
-	tailShare  = 0.03
-	tailFactor = 7
-)
-
-// stretch makes a few tasks of a job take much longer.
+// stretch makes a few tasks of a job take much longer than their objective and estimate say.
 func (w *world) stretch(r *request) {
 	for i := range r.taskWork {
 		if w.rand.Float64() < tailShare {
@@ -234,6 +228,9 @@
 	elapsed := w.now - r.submittedAt
 	r.ended = true
 	w.trace("job %s outcome %v state %v reason %q retry after %v", r.id, v.Outcome, v.State, v.Reason, v.RetryAfter)
+	if v.Outcome == owner.Refused && w.hasAdequateRoom(r) {
+		w.refusedBesideRoom++
+	}
 	if r.entry == w.entries[0] {
 		w.busyEntry.submitted++
 		if v.Outcome == owner.OK && v.State == job.Completed && elapsed <= r.objective {
--- a/coordination/load/shedding_test.go
+++ b/coordination/load/shedding_test.go
@@ -91,7 +91,7 @@
 		s.params.Shedding = on
 		w := newWorld(s)
 		w.startedJobs = make(map[job.ID]bool)
-		w.heavyTails = heavyTails
+		w.stretchTasks = heavyTails
 		w.assignThirds()
 		w.runUntil(w.now + time.Second)
 		begin := w.now + time.Second
