Shed nothing that the fastest server still serves in time

With unequal speeds the latest start was that on a server of speed 1: a job was given up or postponed that a fast server could still take. The latest start of shedding is that on the fastest server that accepts work now. With equal speeds bestSpeed is 1 and nothing changes. TestFastServerCountsBeforeWorkIsShed failed before (postponed after 140 ms of 220, with 50 ms of work on the fastest server).

--- a/coordination/owner/shedding.go
+++ b/coordination/owner/shedding.go
@@ -89,11 +89,21 @@
 		return
 	}
 	first := &s.waiting.tasks[0]
-	if fallen || !first.late && now > first.latestStart && s.mayShedLocked(s.jobs[first.id.Job]) {
+	j := s.jobs[first.id.Job]
+	if fallen || !first.late && s.mayShedLocked(j) && now > s.latestStartLocked(j, first) {
 		s.shedLocked(now, fx)
 	}
 }
 
+// latestStartLocked returns the latest start of a waiting task on the fastest server.
+func (s *Shard) latestStartLocked(j *jobState, w *waitingTask) time.Duration {
+	best := s.fleet.bestSpeed(j.rec.Policy.Service)
+	if best == 1 {
+		return w.latestStart
+	}
+	return w.latestStart + w.run - time.Duration(float64(w.run)/best)
+}
+
 // mayShedLocked reports whether shedding decides on a job. Recorded jobs are carried out however late
 // they are, and those that were postponed have their place.
 func (s *Shard) mayShedLocked(j *jobState) bool {
@@ -198,7 +208,7 @@
 		g.states = append(g.states, j)
 		g.jobs = append(g.jobs, shedding.Job{
 			Work: w.work, Since: j.acceptedAt - j.clientWaited, Objective: s.objective(&j.rec.Spec, &j.rec.Policy),
-			LatestStart: w.latestStart, MayHaveRun: s.mayHaveRunLocked(now, j),
+			LatestStart: s.latestStartLocked(j, w), MayHaveRun: s.mayHaveRunLocked(now, j),
 		})
 	}
 	return groups
--- a/coordination/owner/shedding_test.go
+++ b/coordination/owner/shedding_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
 )
@@ -175,3 +177,32 @@
 	}
 	e.is.Equal(accepted, 0)
 }
+
+// Guards against giving up or postponing work that the fastest server still serves in time.
+func TestFastServerCountsBeforeWorkIsShed(t *testing.T) {
+	is := is.New(t)
+	f := newSpeedFleet(1, 1, 2)
+	f.params.Shedding = true
+	f.now += startPeriod
+	full := func(agent int, speed float64, accepts bool) {
+		l := speedLoad(speed, 0)
+		l.Accepts, l.Turnover = accepts, 40*time.Millisecond
+		f.report(agent, l)
+	}
+	full(0, 1, true)
+	full(1, 1, true)
+	full(2, 2, true)
+	f.s.AgentsUpdated(f.now)
+	_, responses := f.submit("job", 1, 100*time.Millisecond)
+	is.True(f.s.HasWaitingTasks())
+	f.now += 140 * time.Millisecond // it is due after 220 ms, and takes 50 ms on the fastest server
+	full(0, 1, false)
+	f.s.AgentsUpdated(f.now)
+	f.s.Tick(f.now)
+	is.True(f.s.capacityShortLocked(f.now))
+	is.Equal(len(*responses), 0)
+	is.True(!f.s.jobs["job"].postponed)
+	f.now += 35 * time.Millisecond
+	f.s.Tick(f.now)
+	is.True(f.s.jobs["job"].postponed)
+}
