Don't use the run numbers of a job that was given up again

Since jobs are given up whose orders came back, a client that submits the same ID again got the same run numbers. A late or repeated report of the earlier run then closed the new order: the owner took it for never run while a server could carry it out. Run numbers of new best-effort jobs go on from the highest one of the jobs that were given up. TestRunNumbersGoOnAfterAJobIsGivenUp failed before (number 1 twice).

--- a/coordination/owner/shedding.go
+++ b/coordination/owner/shedding.go
@@ -31,6 +31,9 @@
 	capacity shedding.Capacity
 	// returns is nil until the first refusal while capacity is short.
 	returns *shedding.Returns
+	// lastRun is the highest run number of the jobs that were given up. New jobs go on from there:
+	// one of them may have the ID of a job that was given up, of whose runs late reports may come.
+	lastRun int64
 }
 
 // observeCapacityLocked takes in how much capacity accepts work now, and reports whether some was
--- a/coordination/owner/shedding_test.go
+++ b/coordination/owner/shedding_test.go
@@ -206,3 +206,23 @@
 	f.s.Tick(f.now)
 	is.True(f.s.jobs["job"].postponed)
 }
+
+// Guards against a run number that is used twice: a late report of the run that never ran would end
+// the new one at the owner while a server carries it out.
+func TestRunNumbersGoOnAfterAJobIsGivenUp(t *testing.T) {
+	e := newShedFixture(t)
+	got := e.submitTasks("job", 1, 1500*time.Millisecond)
+	first := e.orders[len(e.orders)-1]
+	e.setLoad(0, 0)
+	e.setServer("b", false)
+	e.returnOrder(first, job.NeverRan, worker.ReasonNoRoom)
+	e.now += 600 * time.Millisecond
+	e.collect(e.Tick(e.now))
+	e.is.Equal(got.Outcome, Refused)
+	e.setLoad(4, 0)
+	e.submitTasks("job", 1, 1500*time.Millisecond)
+	e.is.Equal(e.orderCount("job"), 2)
+	e.is.True(e.orders[len(e.orders)-1].Value.Run.Number > first.Value.Run.Number)
+	e.returnOrder(first, job.NeverRan, worker.ReasonNoRoom)
+	e.is.Equal(e.jobs["job"].ordersOpen, 1)
+}
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -73,6 +73,9 @@
 	s.jobs[id] = j
 	j.waiters = append(j.waiters, reply)
 	if spec.BestEffort {
+		for i := range j.tasks {
+			j.tasks[i].number = s.shed.lastRun
+		}
 		j.durable = true
 		fx.log(Decision{Kind: a.kind(), Job: id, Wait: j.due - now, Age: a.clientWaited})
 		s.dispatchLocked(now, &fx, j)
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -218,5 +218,8 @@
 	for _, w := range slices.Concat(j.cancelWaiters, j.watchers) {
 		fx.reply(w, Response{Outcome: Absent})
 	}
+	for i := range j.tasks {
+		s.shed.lastRun = max(s.shed.lastRun, j.tasks[i].number)
+	}
 	delete(s.jobs, j.rec.ID)
 }
