Decide only once on a job that can't be postponed

A job that can neither be in time nor be postponed, because less than 20 ms of use are left, stayed first in the backlog, and each load frame until its end walked all waiting jobs. It counts as decided now; a late one is left as it is, because it is only looked at in ticks. TestJobThatCannotBePostponedIsDecidedOnOnce failed before (4 agents examined for a frame and not 2).

--- a/coordination/owner/bench_test.go
+++ b/coordination/owner/bench_test.go
@@ -79,3 +79,22 @@
 		})
 	}
 }
+
+// BenchmarkTickWhileShort measures the cost of deciding again on all waiting jobs.
+func BenchmarkTickWhileShort(b *testing.B) {
+	for _, jobs := range []int{30, 125, 1000} {
+		b.Run(fmt.Sprintf("%d jobs wait", jobs), func(b *testing.B) {
+			s, f, now := fullFleet(38, jobs)
+			f.params.Shedding = true
+			now += startPeriod + time.Second
+			s.shed.capacity.Observe(now, 10000)
+			b.ReportAllocs()
+			for b.Loop() {
+				var fx Effects
+				s.observeCapacityLocked(now, &fx)
+				s.shedLocked(now, &fx)
+			}
+			b.ReportMetric(float64(len(s.waiting.tasks)), "waiting")
+		})
+	}
+}
--- a/coordination/owner/shedding.go
+++ b/coordination/owner/shedding.go
@@ -151,6 +151,8 @@
 	usefulStart := s.lateJobStart(j)
 	start, ok := shedding.PostponedStart(now, usefulStart)
 	if !ok {
+		// Nothing is left to decide. A late job stays one until it is placed.
+		j.postponed = !j.late
 		return
 	}
 	j.postponed = true
--- a/coordination/owner/shedding_test.go
+++ b/coordination/owner/shedding_test.go
@@ -226,3 +226,22 @@
 	e.returnOrder(first, job.NeverRan, worker.ReasonNoRoom)
 	e.is.Equal(e.jobs["job"].ordersOpen, 1)
 }
+
+// Guards against a frame that costs a walk over all waiting jobs, for as long as the first one can
+// neither be in time nor be postponed.
+func TestJobThatCannotBePostponedIsDecidedOnOnce(t *testing.T) {
+	e := newShedFixture(t)
+	e.setLoad(1, 0)
+	e.submitTasks("job", 2, 1500*time.Millisecond)
+	e.setLoad(0, 0)
+	e.is.True(e.orderCount("job") == 1 && e.HasWaitingTasks())
+	e.now += 550 * time.Millisecond // the answer is of use until 660 ms, and the run takes 100 ms
+	e.setServer("b", false)
+	frame := func() int64 {
+		before := e.fleet.AgentsExamined()
+		e.collect(e.AgentsUpdated(e.now))
+		return e.fleet.AgentsExamined() - before
+	}
+	frame()
+	e.is.Equal(frame(), int64(2)) // the pass that places waiting tasks
+}
