Forget promised returns without a search

Each return of a refused client searched the list of up to 4,096 promises under the shard's lock: 57 us for a return with a new promise. The list keeps promises that were kept until they are the oldest, and a number tells whether the oldest is still a job's newest: 0.7 us (BenchmarkReturn, on a shared machine). TestNewestPromiseOutlivesOlderOnes fails if the number isn't looked at.

--- a/coordination/shedding/returns.go
+++ b/coordination/shedding/returns.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -30,15 +29,25 @@
 	promised [slots]time.Duration
 	// first is the number of the earliest slot in promised.
 	first int64
-	// jobs has when each refused job was told to come back, and order the jobs by age.
-	jobs  map[string]time.Duration
-	order []string
+	// jobs has the newest promise to each refused job that has not come back. order has all promises
+	// by age, also those that were kept: to look for these would cost more than their memory.
+	jobs  map[string]promise
+	order []promise
+	// made counts the promises.
+	made int64
+}
+
+// promise is the time at which a job was told to come back.
+type promise struct {
+	id     string
+	number int64
+	at     time.Duration
 }
 
 // NewReturns returns a registry without promises. Processes need different seeds, or the clients of
 // all of them come back at the same time.
 func NewReturns(seed uint64) *Returns {
-	return &Returns{rand: rand.New(rand.NewPCG(seed, 1)), jobs: make(map[string]time.Duration)}
+	return &Returns{rand: rand.New(rand.NewPCG(seed, 1)), jobs: make(map[string]promise)}
 }
 
 // Promise returns after which time a refused job is to come back: at least after wait, in a slot in
@@ -64,32 +73,30 @@
 
 // Due reports whether a job comes back about when it was told to, and forgets the promise.
 func (r *Returns) Due(now time.Duration, id string) bool {
-	at, ok := r.jobs[id]
+	p, ok := r.jobs[id]
 	if !ok {
 		return false
 	}
-	r.forget(id)
-	return now >= at-early && now <= at+keptFor
+	delete(r.jobs, id)
+	return now >= p.at-early && now <= p.at+keptFor
 }
 
+// remember adds a promise and forgets the oldest one if there are too many.
 func (r *Returns) remember(id string, at time.Duration) {
-	if _, known := r.jobs[id]; !known {
-		r.order = append(r.order, id)
+	r.made++
+	p := promise{id: id, number: r.made, at: at}
+	r.jobs[id] = p
+	r.order = append(r.order, p)
+	if len(r.order) <= maxReturns {
+		return
 	}
-	r.jobs[id] = at
-	for len(r.order) > maxReturns {
-		delete(r.jobs, r.order[0])
-		r.order = r.order[1:]
+	oldest := r.order[0]
+	r.order = r.order[1:]
+	if r.jobs[oldest.id].number == oldest.number {
+		delete(r.jobs, oldest.id)
 	}
 }
 
-// forget removes a job that has come back. A job that returns often must not stand in order more
-// than once, or its first place would end its newest promise.
-func (r *Returns) forget(id string) {
-	delete(r.jobs, id)
-	r.order = slices.DeleteFunc(r.order, func(known string) bool { return known == id })
-}
-
 // advance drops the slots that have passed.
 func (r *Returns) advance(now time.Duration) {
 	current := slotOf(now)
--- a/coordination/shedding/returns_test.go
+++ b/coordination/shedding/returns_test.go
@@ -67,3 +67,35 @@
 	is.True(r.Promise(time.Hour, "x", 50*ms, time.Second, 1) <= time.Second+slotLength)
 	is.True(r.Promise(time.Hour+2*time.Second, "y", 50*ms, time.Second, 1) <= time.Second+slotLength)
 }
+
+// Guards against a job that comes back often and loses its newest promise with its oldest one.
+func TestNewestPromiseOutlivesOlderOnes(t *testing.T) {
+	is := is.New(t)
+	r := NewReturns(1)
+	r.Promise(0, "a", 50*ms, time.Second, 4)
+	is.True(r.Due(time.Second, "a"))
+	after := r.Promise(0, "a", 50*ms, time.Second, 4)
+	for i := range maxReturns - 1 {
+		r.Promise(0, fmt.Sprint(i), time.Second, time.Second, 4)
+	}
+	is.True(r.Due(after, "a"))
+	is.True(len(r.jobs) <= maxReturns && len(r.order) <= maxReturns)
+}
+
+// BenchmarkReturn measures the cost of a job that comes back and is refused again, which holds up
+// its shard, while as many promises as possible are remembered.
+func BenchmarkReturn(b *testing.B) {
+	r := NewReturns(1)
+	ids := make([]string, maxReturns)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%016x", i)
+		r.Promise(0, ids[i], time.Second, time.Second, 10)
+	}
+	i := 0
+	for b.Loop() {
+		id := ids[i%maxReturns]
+		r.Due(time.Second, id)
+		r.Promise(0, id, time.Second, time.Second, 10)
+		i++
+	}
+}
