Take capacity for short for each service by itself

The cores of all services were one sum: the loss of one service's servers shed and spread the work of others, and the loss of a small service's went unseen beside a large one's. Each service has its own capacity now; one that is gone is forgotten. With one service nothing changes. TestCapacityIsShortForItsServiceOnly fails if all services get one sum.

--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -74,7 +74,7 @@
 		// there is free capacity.
 		a.useful = spec.ClientTimeout
 	}
-	if a.lateEnd = s.predictLateEndLocked(now, spec, p, a.wait+criticalPath, a.useful); !s.usefulWhenLate(now, a.lateEnd, a.useful) {
+	if a.lateEnd = s.predictLateEndLocked(now, spec, p, a.wait+criticalPath, a.useful); !s.usefulWhenLate(now, p.Service, a.lateEnd, a.useful) {
 		a.reason, a.retryAfter = ReasonOverload, a.wait-max(a.waitLimit, 0)
 		return a
 	}
@@ -135,8 +135,8 @@
 
 // usefulWhenLate reports whether a late job is predicted to end early enough for its answer to be
 // of use. A job accepted in vain would hold its client, which could have sent it to another entry.
-func (s *Shard) usefulWhenLate(now, end, useful time.Duration) bool {
-	return useful != 0 && end <= time.Duration(s.lateShareLocked(now)*float64(useful))
+func (s *Shard) usefulWhenLate(now time.Duration, service string, end, useful time.Duration) bool {
+	return useful != 0 && end <= time.Duration(s.lateShareLocked(now, service)*float64(useful))
 }
 
 // predictLateEndLocked predicts when a job would end that runs only in the capacity that jobs in
@@ -150,7 +150,7 @@
 		st := &spec.Steps[i]
 		n := s.placementRequest(p, st)
 		cores, ratio := s.fleet.EligibleCapacity(n, s.mayOrderLocked)
-		s.waiting.setLatePrior(s.latePriorShareLocked(now) * cores / ratio)
+		s.waiting.setLatePrior(s.latePriorShareLocked(now, p.Service) * cores / ratio)
 		end += s.waiting.lateWait(s.waiting.lateWork() + coreTime(n)*time.Duration(st.Count))
 	}
 	return end
--- a/coordination/owner/bench_test.go
+++ b/coordination/owner/bench_test.go
@@ -87,7 +87,9 @@
 			s, f, now := fullFleet(38, jobs)
 			f.params.Shedding = true
 			now += startPeriod + time.Second
-			s.shed.capacity.Observe(now, 10000)
+			var fx Effects
+			s.observeCapacityLocked(now, &fx)
+			s.shed.capacity["desk"].Observe(now, 10000)
 			b.ReportAllocs()
 			for b.Loop() {
 				var fx Effects
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -238,17 +238,17 @@
 	return float64(free) / float64(max(all, 1))
 }
 
-// acceptingCores returns the cores of all linked agents at which new work may be started.
-func (f *Fleet) acceptingCores() float64 {
+// acceptingMillis sets into to the thousandths of a core, for each service, of all linked agents at
+// which new work may be started.
+func (f *Fleet) acceptingMillis(into map[string]int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var millis int64
+	clear(into)
 	for _, v := range f.ordered {
 		if v.acceptsWork() && !v.retired {
-			millis += v.load.Capacity.CPUMillis
+			into[v.load.Service] += v.load.Capacity.CPUMillis
 		}
 	}
-	return float64(millis) / 1000
 }
 
 // random returns a random number, to seed what must differ between processes.
--- a/coordination/owner/shedding.go
+++ b/coordination/owner/shedding.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"fmt"
 	"math"
 	"time"
 
@@ -28,7 +27,10 @@
 
 // shedState is the state of shedding and return. Guarded by Shard.mu.
 type shedState struct {
-	capacity shedding.Capacity
+	// capacity has the capacity of each service.
+	capacity map[string]*shedding.Capacity
+	// accepting is reused by each observation, in thousandths of a core.
+	accepting map[string]int64
 	// returns is nil until the first refusal while capacity is short.
 	returns *shedding.Returns
 	// lastRun is the highest run number of the jobs that were given up. New jobs go on from there:
@@ -36,54 +38,6 @@
 	lastRun int64
 }
 
-// observeCapacityLocked takes in how much capacity accepts work now, and reports whether some was
-// just lost.
-func (s *Shard) observeCapacityLocked(now time.Duration, fx *Effects) bool {
-	if !s.fleet.params.Shedding {
-		return false
-	}
-	cores := s.fleet.acceptingCores()
-	fallen := s.shed.capacity.Observe(now, cores)
-	if fallen {
-		reason := fmt.Sprintf("%.0f of %.0f cores", cores, s.shed.capacity.Former())
-		fx.log(Decision{Kind: kindCapacityFallen, Reason: reason, Count: len(s.waiting.tasks)})
-	}
-	return fallen
-}
-
-// startPeriod is how long an owner takes capacity for short after its start. It may have started
-// because everything has, and it has not measured yet how much capacity is left to late jobs, which
-// takes two times Params.LateRateWindow.
-const startPeriod = time.Second
-
-// capacityShortLocked reports whether work is shed and returns are spread.
-func (s *Shard) capacityShortLocked(now time.Duration) bool {
-	return s.fleet.params.Shedding && (s.shed.capacity.Short(now) || s.startingLocked(now))
-}
-
-func (s *Shard) startingLocked(now time.Duration) bool { return now-s.openedAt < startPeriod }
-
-// shortLatePriorShare is Params.LatePriorShare while capacity is short: a job that is accepted as late
-// for capacity that isn't there holds its client in vain. It is not zero, so that late jobs find out
-// when some is left over.
-const shortLatePriorShare = 0.01
-
-func (s *Shard) latePriorShareLocked(now time.Duration) float64 {
-	if s.capacityShortLocked(now) {
-		return shortLatePriorShare
-	}
-	return s.fleet.params.LatePriorShare
-}
-
-// lateShareLocked is Params.LateShare, or while capacity is short the share within which a late job
-// isn't shed again.
-func (s *Shard) lateShareLocked(now time.Duration) float64 {
-	if s.capacityShortLocked(now) {
-		return min(s.fleet.params.LateShare, shedding.MaxLateWaitShare)
-	}
-	return s.fleet.params.LateShare
-}
-
 // shedOnUpdateLocked sheds between two ticks if capacity has just fallen, or if the most urgent task
 // can't be in time: it would be placed before tasks that can.
 func (s *Shard) shedOnUpdateLocked(now time.Duration, fx *Effects) {
@@ -113,10 +67,10 @@
 	return j != nil && j.usefulUntil != 0 && !j.postponed && !j.rec.State.Final()
 }
 
-// shedLocked decides again on the jobs that wait, if capacity is short. Jobs that can't be in time
+// shedLocked decides again on the jobs that wait for services of which capacity is short. Jobs that can't be in time
 // any more are given up at once or let others pass, so that they don't make these late in turn.
 func (s *Shard) shedLocked(now time.Duration, fx *Effects) {
-	if !s.capacityShortLocked(now) || len(s.waiting.tasks) == 0 {
+	if len(s.waiting.tasks) == 0 || !s.anyCapacityShortLocked(now) {
 		return
 	}
 	changed := make(map[job.ID]bool)
@@ -178,47 +132,61 @@
 	cores  float64
 }
 
-// waitingJobsLocked returns the waiting jobs, late ones or those that are to be in time, by the
-// agents that they wait for.
+// waitingJobsLocked returns the waiting jobs of the services of which capacity is short, late ones or
+// those that are to be in time, by the agents that they wait for.
 func (s *Shard) waitingJobsLocked(now time.Duration, late bool) []*jobGroup {
 	var groups []*jobGroup
 	byKey := make(map[placementKey]*jobGroup)
+	// places has the group of each known job and its place there.
 	type place struct {
 		group *jobGroup
 		at    int
 	}
-	known := make(map[*jobState]place)
+	places := make(map[*jobState]place)
 	for i := range s.waiting.tasks {
 		w := &s.waiting.tasks[i]
 		j := s.jobs[w.id.Job]
 		if w.late != late || !s.mayShedLocked(j) {
 			continue
 		}
+		if p, ok := places[j]; ok {
+			p.group.jobs[p.at].Work += w.work
+			continue
+		}
+		if !s.capacityShortLocked(now, w.key.service) {
+			continue
+		}
 		g := byKey[w.key]
 		if g == nil {
-			n := s.placementRequest(&j.rec.Policy, &j.rec.Spec.Steps[w.id.Step])
-			cores, ratio := s.fleet.EligibleCapacity(n, s.mayOrderLocked)
-			g = &jobGroup{cores: cores / ratio}
-			if s.startingLocked(now) {
-				g.cores = math.Inf(1) // links are still coming up
-			}
+			g = &jobGroup{cores: s.ownCoresLocked(now, j, w)}
 			byKey[w.key] = g
 			groups = append(groups, g)
 		}
-		if p, ok := known[j]; ok {
-			p.group.jobs[p.at].Work += w.work
-			continue
-		}
-		known[j] = place{group: g, at: len(g.jobs)}
+		places[j] = place{group: g, at: len(g.jobs)}
 		g.states = append(g.states, j)
-		g.jobs = append(g.jobs, shedding.Job{
-			Work: w.work, Since: j.acceptedAt - j.clientWaited, Objective: s.objective(&j.rec.Spec, &j.rec.Policy),
-			LatestStart: s.latestStartLocked(j, w), MayHaveRun: s.mayHaveRunLocked(now, j),
-		})
+		g.jobs = append(g.jobs, s.shedJobLocked(now, j, w))
 	}
 	return groups
 }
 
+// ownCoresLocked returns this process's part of the cores that a waiting task may be placed on.
+func (s *Shard) ownCoresLocked(now time.Duration, j *jobState, w *waitingTask) float64 {
+	if s.startingLocked(now) {
+		return math.Inf(1) // links are still coming up
+	}
+	n := s.placementRequest(&j.rec.Policy, &j.rec.Spec.Steps[w.id.Step])
+	cores, ratio := s.fleet.EligibleCapacity(n, s.mayOrderLocked)
+	return cores / ratio
+}
+
+// shedJobLocked returns what decides on a job, with the work of its first waiting task.
+func (s *Shard) shedJobLocked(now time.Duration, j *jobState, w *waitingTask) shedding.Job {
+	return shedding.Job{
+		Work: w.work, Since: j.acceptedAt - j.clientWaited, Objective: s.objective(&j.rec.Spec, &j.rec.Policy),
+		LatestStart: s.latestStartLocked(j, w), MayHaveRun: s.mayHaveRunLocked(now, j),
+	}
+}
+
 // requeueLocked takes the tasks of changed jobs out of the backlog and adds those of jobs that were
 // not given up again.
 func (s *Shard) requeueLocked(changed map[job.ID]bool) {
@@ -243,7 +211,7 @@
 // mayHaveRunLocked reports whether something of a job may have run. Outside of a shortage every
 // order counts, also one that is known never to have run.
 func (s *Shard) mayHaveRunLocked(now time.Duration, j *jobState) bool {
-	if s.capacityShortLocked(now) {
+	if s.capacityShortLocked(now, j.rec.Policy.Service) {
 		return j.ordersOpen > 0
 	}
 	return j.ordered
@@ -263,7 +231,7 @@
 // retryAfterLocked returns when a refused client is to come back: after wait, and while capacity is
 // short in turn with the others that were refused.
 func (s *Shard) retryAfterLocked(now time.Duration, fx *Effects, id job.ID, spec *job.Spec, p *job.Policy, wait time.Duration) time.Duration {
-	if wait <= 0 || !s.capacityShortLocked(now) || len(spec.Steps) == 0 {
+	if wait <= 0 || !s.capacityShortLocked(now, p.Service) || len(spec.Steps) == 0 {
 		return wait
 	}
 	if s.shed.returns == nil {
--- a/coordination/owner/shedding_test.go
+++ b/coordination/owner/shedding_test.go
@@ -143,7 +143,7 @@
 		f.now += 10 * time.Millisecond
 		f.collect(f.Tick(f.now))
 	}
-	f.is.True(f.capacityShortLocked(f.now))
+	f.is.True(f.capacityShortLocked(f.now, "desk"))
 	for _, id := range accepted {
 		f.is.True(f.jobs[id] != nil)
 	}
@@ -199,7 +199,7 @@
 	full(0, 1, false)
 	f.s.AgentsUpdated(f.now)
 	f.s.Tick(f.now)
-	is.True(f.s.capacityShortLocked(f.now))
+	is.True(f.s.capacityShortLocked(f.now, "desk"))
 	is.Equal(len(*responses), 0)
 	is.True(!f.s.jobs["job"].postponed)
 	f.now += 35 * time.Millisecond
@@ -245,3 +245,35 @@
 	frame()
 	e.is.Equal(frame(), int64(2)) // the pass that places waiting tasks
 }
+
+// Guards against the loss of one service's servers that sheds work of another, and against one that
+// isn't seen because other services have many more.
+func TestCapacityIsShortForItsServiceOnly(t *testing.T) {
+	e := newShedFixture(t)
+	set := func(node, service string, cores int64, accepts bool) {
+		e.fleet.Update(e.now, node, AgentLoad{Service: service, Capacity: job.Demand{CPUMillis: cores * 1000, MemoryMB: 65536}, Accepts: accepts, Placers: 1})
+	}
+	report := func(node, service string, cores int64, accepts bool) {
+		set(node, service, cores, accepts)
+		e.collect(e.AgentsUpdated(e.now))
+	}
+	for _, node := range []string{"c", "d", "e", "f"} {
+		e.link(node, 1) // as an agent of "desk"
+	}
+	set("c", "large", 600, true)
+	set("d", "large", 600, true)
+	set("e", "small", 4, true)
+	report("f", "small", 4, true)
+	report("f", "small", 4, false)
+	e.is.True(e.capacityShortLocked(e.now, "small"))
+	e.is.True(!e.capacityShortLocked(e.now, "large"))
+	report("d", "large", 600, false)
+	e.is.True(e.capacityShortLocked(e.now, "large"))
+	e.is.True(!e.capacityShortLocked(e.now, "desk"))
+	e.now += 2 * time.Minute
+	e.fleet.LinkLost("e")
+	e.collect(e.Tick(e.now))
+	e.now += 2 * time.Minute
+	e.collect(e.Tick(e.now))
+	e.is.True(e.shed.capacity["small"] == nil) // services that are gone aren't remembered
+}
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -50,7 +50,7 @@
 	}
 	a := s.admitLocked(now, &spec, &p)
 	if a.clientWaited > 0 {
-		s.shed.capacity.ClientReturned(now)
+		s.clientReturnedLocked(now, p.Service)
 	}
 	a = s.admitReturningLocked(now, &fx, id, &spec, &p, a)
 	if a.reason != "" {
