Take a tenth of the submissions, not one, for the return of clients

One client that states a shorter timeout than its route's limit counted as returned, and each of them made capacity short for two seconds: a few such clients among thousands kept an owner shedding for good. More than a tenth of the submissions of the last two seconds have to be returns now, the share that capacity may fall by. TestSingleReturnsShowNoShortage fails if any return counts. TestReturningClientsShowAShortage calls Submitted(at, true) where it called ClientReturned(at); its checks are as before.

--- a/coordination/owner/shortage.go
+++ b/coordination/owner/shortage.go
@@ -47,11 +47,11 @@
 	return c
 }
 
-// clientReturnedLocked notes that a client has come back which had waited for a service before it lost
-// its connection.
-func (s *Shard) clientReturnedLocked(now time.Duration, service string) {
+// countSubmissionLocked counts a submission for a service, which is a return if its client had waited
+// before it lost its connection.
+func (s *Shard) countSubmissionLocked(now time.Duration, service string, returned bool) {
 	if s.shed.capacity != nil {
-		s.capacityOfLocked(service).ClientReturned(now)
+		s.capacityOfLocked(service).Submitted(now, returned)
 	}
 }
 
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -49,9 +49,7 @@
 		return fx
 	}
 	a := s.admitLocked(now, &spec, &p)
-	if a.clientWaited > 0 {
-		s.clientReturnedLocked(now, p.Service)
-	}
+	s.countSubmissionLocked(now, p.Service, a.clientWaited > 0)
 	a = s.admitReturningLocked(now, &fx, id, &spec, &p, a)
 	if a.reason != "" {
 		a.retryAfter = s.retryAfterLocked(now, &fx, id, &spec, &p, a.retryAfter)
--- a/coordination/shedding/capacity.go
+++ b/coordination/shedding/capacity.go
@@ -26,12 +26,18 @@
 	samples []sample
 	// former is the largest capacity in samples, and cores the last one.
 	former, cores float64
-	// returnSeen is when a client last returned that had waited before; returnKnown is false if
-	// none has.
+	// returnSeen is when more than 1-fallShare of the submissions were last returns; returnKnown is
+	// false if they never were.
 	returnSeen  time.Duration
 	returnKnown bool
+	// current counts the submissions since countedSince, and earlier those of the time before. Each
+	// is half a recoveryPeriod.
+	current, earlier submissions
+	countedSince     time.Duration
 }
 
+type submissions struct{ all, returned int }
+
 type sample struct {
 	at    time.Duration
 	cores float64
@@ -64,8 +70,26 @@
 // Former returns the largest capacity within memory, in cores.
 func (c *Capacity) Former() float64 { return c.former }
 
-// ClientReturned notes that a client has come back which had waited before it lost its connection.
-func (c *Capacity) ClientReturned(now time.Duration) { c.returnSeen, c.returnKnown = now, true }
+// Submitted counts a submission, which is a return if its client had waited before it lost its
+// connection. Single returns show nothing: clients lose connections, and some wait less than others.
+func (c *Capacity) Submitted(now time.Duration, returned bool) {
+	if now-c.countedSince >= recoveryPeriod/2 {
+		c.earlier = c.current
+		if now-c.countedSince >= recoveryPeriod {
+			c.earlier = submissions{}
+		}
+		c.current, c.countedSince = submissions{}, now
+	}
+	c.current.all++
+	if !returned {
+		return
+	}
+	c.current.returned++
+	all, back := c.earlier.all+c.current.all, c.earlier.returned+c.current.returned
+	if float64(back) > (1-fallShare)*float64(all) {
+		c.returnSeen, c.returnKnown = now, true
+	}
+}
 
 // Short reports whether there is less capacity than callers could expect: some was lost, or it has
 // just returned and with it the clients that were cut off.
