Check that each job of a loss has an answer

shedOutcome.add left out the jobs without an answer, so the three losses of TestLostCapacityIsShed showed none whatever happened.

--- a/coordination/load/shedding_test.go
+++ b/coordination/load/shedding_test.go
@@ -132,6 +132,7 @@
 			t.Logf("off %+v", off)
 			t.Logf("on  %+v", on)
 			checkShed(is, &off, &on)
+			is.Equal(on.open, 0)
 		})
 	}
 }
@@ -182,6 +183,7 @@
 	o.heldLong += b.heldLong
 	o.heldHalf += b.heldHalf
 	o.ranAndRefused += b.ranAndRefused
+	o.open += b.open
 }
 
 // TestLossWithFailures guards against shedding that says "not run" of work that has run, or leaves a
