--- a/coordination/load/speeds_world_test.go
+++ b/coordination/load/speeds_world_test.go
@@ -54,7 +54,7 @@
 }
 
 const (
-	// tailShare is the share of tasks that take tailFactor times as long with heavyTails.
+	// tailShare is the share of tasks that take tailFactor times as long with heavyTails or stretchTasks.
 	tailShare, tailFactor = 0.03, 7
 )
 
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -239,6 +239,26 @@
 	return float64(free) / float64(max(all, 1))
 }
 
+// acceptingMillis sets into to the thousandths of a core, for each service, of all linked agents at
+// which new work may be started.
+func (f *Fleet) acceptingMillis(into map[string]int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(into)
+	for _, v := range f.ordered {
+		if v.acceptsWork() && !v.retired {
+			into[v.load.Service] += v.load.Capacity.CPUMillis
+		}
+	}
+}
+
+// random returns a random number, to seed what must differ between processes.
+func (f *Fleet) random() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rand.Uint64()
+}
+
 // Offers reports whether a linked agent of the service, with the label if one is given, has the
 // capacity for a demand.
 func (f *Fleet) Offers(service, label string, demand job.Demand) bool {
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -49,7 +49,10 @@
 		return fx
 	}
 	a := s.admitLocked(now, &spec, &p)
+	s.countSubmissionLocked(now, p.Service, a.clientWaited > 0)
+	a = s.admitReturningLocked(now, &fx, id, &spec, &p, a)
 	if a.reason != "" {
+		a.retryAfter = s.retryAfterLocked(now, &fx, id, &spec, &p, a.retryAfter)
 		fx.reply(reply, Response{Outcome: Refused, Reason: a.reason, RetryAfter: a.retryAfter})
 		fx.log(Decision{Kind: "refused", Job: id, Reason: a.reason, Wait: a.retryAfter, Refusal: s.refusalLocked(now, &spec, &p, &a)})
 		return fx
@@ -61,11 +64,16 @@
 		acceptedAt: now,
 		due:        now + a.due,
 		late:       a.late,
+
+		clientWaited: a.clientWaited,
 	}
 	j.setUsefulPeriod(now, a.useful)
 	s.jobs[id] = j
 	j.waiters = append(j.waiters, reply)
 	if spec.BestEffort {
+		for i := range j.tasks {
+			j.tasks[i].number = s.shed.lastRun
+		}
 		j.durable = true
 		fx.log(Decision{Kind: a.kind(), Job: id, Wait: j.due - now, Age: a.clientWaited})
 		s.dispatchLocked(now, &fx, j)
@@ -123,6 +131,7 @@
 	j.rec.State, j.reportedState = job.Queued, job.Queued
 	objective := s.objective(&j.rec.Spec, &j.rec.Policy)
 	j.acceptedAt, j.due, j.late = now, now+objective, false
+	j.clientWaited, j.postponed = 0, false
 	j.setUsefulPeriod(now, s.usefulPeriod(&j.rec.Spec, objective))
 	for i := range j.tasks {
 		if j.tasks[i].phase == finished && !j.rec.Tasks[i].Done {
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -35,14 +35,14 @@
 	n := s.placementRequest(&j.rec.Policy, st)
 	key := placementKeyOf(&j.rec.Policy, st)
 	key.suspect = s.isolation(j.rec.Task(id)) != worker.NoIsolation
-	return waitingTask{id: id, key: key, late: j.late, latestStart: j.due - n.Estimate, work: coreTime(n), run: n.Estimate}
+	return waitingTask{id: id, key: key, late: j.late && !j.postponed, latestStart: j.due - n.Estimate, work: coreTime(n), run: n.Estimate}
 }
 
 // placeLocked sends a task to an agent, if one will have free capacity soon.
 func (s *Shard) placeLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task) bool {
 	rec := j.rec.Task(id)
 	need := s.placementRequest(&j.rec.Policy, &j.rec.Spec.Steps[id.Step])
-	need.Now, need.Slack, need.Late = now, j.due-now-need.Estimate, j.late
+	need.Now, need.Slack, need.Late = now, j.due-now-need.Estimate, j.late && !j.postponed
 	if s.fleet.unevenSpeeds(need.Service) {
 		need.Slack = s.ownSlack(&j.rec.Spec, &j.rec.Policy, id.Step, need.Estimate, j.due-now)
 		need.ReservedSpeed = s.waiting.reservedSpeed(now, placementKeyOf(&j.rec.Policy, &j.rec.Spec.Steps[id.Step]), requiredSpeed(need.Estimate, j.due-now))
@@ -55,6 +55,8 @@
 	t.number = max(t.number+1, (s.Epoch-j.rec.FirstEpoch)*runsPerEpoch+1)
 	t.phase, t.node = ordered, node
 	j.ordered = true
+	j.ordersOpen++
+	t.openRun = t.number
 	fx.log(Decision{Kind: "ordered", Job: id.Job, Run: job.RunID{Task: id, Number: t.number}, Node: node, Age: now - j.acceptedAt, Wait: need.Slack})
 	fx.Orders = append(fx.Orders, Addressed[worker.Order]{Node: node, Value: s.newOrder(j, id, t, need.Estimate)})
 	return true
@@ -73,6 +75,7 @@
 	defer s.mu.Unlock()
 	var fx Effects
 	if !s.closed {
+		s.shedOnUpdateLocked(now, &fx)
 		s.placeWaitingLocked(now, &fx)
 	}
 	return fx
@@ -159,7 +162,7 @@
 // any more, or "". reachable has, for each placement key, a demand for which an agent is eligible,
 // so that the agents are examined only once for all tasks that need no more.
 func (s *Shard) uselessReasonLocked(now time.Duration, j *jobState, w *waitingTask, reachable map[placementKey]job.Demand) string {
-	if j.usefulUntil == 0 || j.ordered {
+	if j.usefulUntil == 0 || s.mayHaveRunLocked(now, j) {
 		return ""
 	}
 	if s.tooLateLocked(now, j, w) {
@@ -185,7 +188,7 @@
 // tooLateLocked reports whether a job of which nothing has started would end too late to be of use
 // even if it started now.
 func (s *Shard) tooLateLocked(now time.Duration, j *jobState, w *waitingTask) bool {
-	if j.usefulUntil == 0 || j.ordered {
+	if j.usefulUntil == 0 || s.mayHaveRunLocked(now, j) {
 		return false
 	}
 	return now > j.usefulUntil-s.shortestRunTime(&j.rec.Policy, &j.rec.Spec.Steps[w.id.Step])
@@ -204,11 +207,15 @@
 // at once and can submit the job elsewhere.
 func (s *Shard) giveUpLocked(now time.Duration, fx *Effects, j *jobState, reason string) {
 	fx.log(Decision{Kind: "given_up", Job: j.rec.ID, Reason: reason, Age: now - j.acceptedAt})
+	retryAfter := s.retryAfterLocked(now, fx, j.rec.ID, &j.rec.Spec, &j.rec.Policy, time.Second)
 	for _, w := range j.waiters {
-		fx.reply(w, Response{Outcome: Refused, Reason: reason, RetryAfter: time.Second})
+		fx.reply(w, Response{Outcome: Refused, Reason: reason, RetryAfter: retryAfter})
 	}
 	for _, w := range slices.Concat(j.cancelWaiters, j.watchers) {
 		fx.reply(w, Response{Outcome: Absent})
 	}
+	for i := range j.tasks {
+		s.shed.lastRun = max(s.shed.lastRun, j.tasks[i].number)
+	}
 	delete(s.jobs, j.rec.ID)
 }
