--- a/coordination/load/mix_test.go
+++ b/coordination/load/mix_test.go
@@ -19,6 +19,8 @@
 	cpuMillis     int64
 	value         float64
 	priority      int
+	// spread replaces workSpread and taskCountSpread if it isn't zero.
+	spread float64
 }
 
 // grownMix is the mix of a site that has grown to 922 jobs per second on 59 agents. The rates of
@@ -122,8 +124,12 @@
 
 // draw returns a random job of a class.
 func (w *world) draw(c *class) *request {
-	mean := w.logNormal(float64(c.meanWork), workSpread)
-	n := max(1, int(math.Round(w.logNormal(c.meanTasks, taskCountSpread))))
+	spreadOfWork, spreadOfCount := workSpread, taskCountSpread
+	if c.spread > 0 {
+		spreadOfWork, spreadOfCount = c.spread, c.spread
+	}
+	mean := w.logNormal(float64(c.meanWork), spreadOfWork)
+	n := max(1, int(math.Round(w.logNormal(c.meanTasks, spreadOfCount))))
 	r := &request{class: c, submittedAt: w.now, patient: w.patient, id: job.ID(fmt.Sprintf("%016x", len(w.jobs)+1))}
 	for range n {
 		r.taskWork = append(r.taskWork, time.Duration(w.logNormal(mean, workSpreadInJob)))
@@ -176,13 +182,15 @@
 	if w.unevenTraffic && w.rand.Float64() < busyShare {
 		e = w.entries[0]
 	}
+	if w.entryOf != nil {
+		e = w.entryOf(r)
+	}
 	if e.down {
 		w.after(resendDelay, func() { w.send(r) })
 		return
 	}
-	c := r.class
 	spec := job.Spec{BestEffort: true, ClientTimeout: left, Steps: []job.Step{r.step}}
-	policy := job.Policy{Queue: c.queue, Service: service, Priority: c.priority, MaxAttempts: 3, Slack: slackFactor, Target: targetLatency, RequestTimeout: minTimeout}
+	policy := r.policy()
 	r.entry = e
 	incarnation := e.incarnation
 	e.apply(e.Submit(w.now, r.id, spec, policy, func(v owner.Response) {
@@ -192,6 +200,11 @@
 	}))
 }
 
+func (r *request) policy() job.Policy {
+	c := r.class
+	return job.Policy{Queue: c.queue, Service: service, Priority: c.priority, MaxAttempts: 3, Slack: slackFactor, Target: targetLatency, RequestTimeout: minTimeout}
+}
+
 // record counts the outcome of a job.
 func (w *world) record(r *request, v owner.Response) {
 	if r.crashes {
@@ -216,6 +229,9 @@
 		}
 	}
 	t.submitted++
+	if w.recorded != nil {
+		w.recorded(r, v)
+	}
 	switch {
 	case v.Outcome == owner.Refused:
 		t.refused++
@@ -247,7 +263,7 @@
 				return
 			}
 			w.arrive(c)
-			w.after(time.Duration(w.rand.ExpFloat64()/(c.jobsPerSecond*scale*w.burstFactor)*float64(time.Second)), next)
+			w.after(time.Duration(w.rand.ExpFloat64()/(c.jobsPerSecond*scale*w.burstFactor*w.classFactor(c))*float64(time.Second)), next)
 		}
 		w.after(0, next)
 	}
--- a/coordination/load/world_test.go
+++ b/coordination/load/world_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/shares"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
@@ -92,6 +93,14 @@
 	// that were reported as failed although they crash no server. maxStartsAfterThird is the
 	// maximum number of starts of a task after it had crashed three servers.
 	serversLost, wronglyGivenUp, maxStartsAfterThird int
+	// demandLost is set while no news of demand gets through.
+	demandLost bool
+	// classFactors is multiplied with the rate of a queue's jobs, where it has one.
+	classFactors map[string]float64
+	// entryOf chooses the entry that a client sends its job to; nil: any.
+	entryOf func(*request) *entry
+	// recorded is called with each job that is counted; nil: nothing.
+	recorded func(*request, owner.Response)
 	// traceLines has what happened if traced is set.
 	traced     bool
 	traceLines []string
@@ -195,6 +204,9 @@
 	incarnation int
 	down        bool
 	fleet       *owner.Fleet
+	// demandSent is what the agents were last told that the entry asks for, at demandAt.
+	demandSent []shares.Demand
+	demandAt   time.Duration
 }
 
 func newEntry(w *world, number int) *entry {
@@ -203,6 +215,7 @@
 	w.every(tickInterval, func() {
 		if !e.down {
 			e.apply(e.Tick(w.now))
+			e.sendDemand()
 		}
 	})
 	return e
@@ -215,7 +228,7 @@
 func (e *entry) start() {
 	e.incarnation++
 	e.down = false
-	e.fleet = owner.NewFleet(1, e.w.params, e.w.rand.Uint64())
+	e.fleet = owner.NewFleet(1, e.w.paramsOf(e), e.w.rand.Uint64())
 	e.Shard = owner.NewPrivate(e.w.now, shards+1+e.number+shardsPerIncarnation*e.incarnation, ownerBounds, e.fleet)
 	for _, a := range e.w.subsets[e.number] {
 		e.w.after(frameDelay, func() { e.link(a, e.incarnation) })
@@ -269,6 +282,9 @@
 	lastSent    loadLevel
 	lastSentAt  time.Duration
 	lastOrderAt time.Duration
+	// demandSent is what the entry was last told that the others ask for, at demandAt.
+	demandSent []shares.Demand
+	demandAt   time.Duration
 }
 
 // loadLevel is the part of a load whose changes are sent before the next heartbeat.
@@ -305,10 +321,12 @@
 	lastReportSeq int64
 	// domain is the failure domain; empty unless the test uses domains.
 	domain string
+	// sums has what the entries ask for.
+	sums *shares.Sums
 }
 
 func newAgent(w *world, number int) *agent {
-	a := &agent{w: w, name: fmt.Sprintf("agent-%02d", number), durationFactor: 1, running: make(map[job.RunID]bool)}
+	a := &agent{w: w, name: fmt.Sprintf("agent-%02d", number), durationFactor: 1, running: make(map[job.RunID]bool), sums: shares.NewSums()}
 	a.capacity = job.Demand{CPUMillis: 16000, MemoryMB: 65536}
 	if number%3 == 2 {
 		a.capacity.CPUMillis = 24000
@@ -488,6 +506,7 @@
 	if !a.w.hideTotalOrders {
 		p.Orders = a.orders
 	}
+	demand := a.demandOfOthers(c)
 	delay := frameDelay
 	if a.slowUpdates {
 		delay = slowUpdateDelay
@@ -497,6 +516,7 @@
 			return
 		}
 		c.entry.fleet.Update(a.w.now, a.name, wire.LoadFromWire(p))
+		c.entry.hearDemand(a, demand)
 		if ev != nil {
 			c.entry.apply(c.entry.Event(a.w.now, a.name, *ev))
 		}
--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -62,6 +62,10 @@
 		}
 	}
 	a.waitLimit = s.waitLimit(objective, criticalPath, p.Priority) - clientWaited
+	if v := s.fleet.askShare(now, spec, p, clientWaited > 0); v.Refused {
+		a.reason, a.retryAfter = ReasonOverShare, v.RetryAfter
+		return a
+	}
 	if a.wait <= a.waitLimit {
 		return a
 	}
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
+	"github.com/shallotstep/shallotstep/coordination/shares"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
 )
@@ -102,6 +103,9 @@
 	runTimeRatios map[string]float64
 	// orderRatio estimates how many orders other processes send. Guarded by mu.
 	orderRatio orderRatio
+	// shares is nil if contended capacity isn't divided. It has a lock of its own and may be called
+	// only without mu.
+	shares *shares.Book
 	// examined is the number of agents that were examined to place tasks. Guarded by mu.
 	examined int64
 }
@@ -144,7 +148,7 @@
 // NewFleet returns a Fleet without agents. Processes need different seeds: with the same one they
 // would choose the same of several equally good agents.
 func NewFleet(remoteFactor float64, p Params, seed uint64) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		rand:          rand.New(rand.NewPCG(seed, 0)),
 		remoteFactor:  max(1, remoteFactor),
 		params:        p,
@@ -152,6 +156,10 @@
 		retired:       make(map[string]bool),
 		runTimeRatios: make(map[string]float64),
 	}
+	if p.Shares != nil {
+		f.shares = shares.NewBook(*p.Shares)
+	}
+	return f
 }
 
 // AgentsExamined returns how many agents were examined to place tasks, as a measure of what
@@ -180,6 +188,9 @@
 	defer f.mu.Unlock()
 	delete(f.agents, node)
 	f.sortAgentsLocked()
+	if f.shares != nil {
+		f.shares.Forget(node)
+	}
 }
 
 // SetRetired sets whether an agent gets no new work, because its link is about to end or its server
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -97,7 +97,7 @@
 
 // LacksCapacity reports whether the linked agents had too little capacity for a job to run in time.
 func (d *Decision) LacksCapacity() bool {
-	return d.Reason == ReasonOverload || d.Reason == ReasonNoWorker || d.Reason == ReasonDomainDrained || d.Kind == kindAcceptedLate
+	return d.Reason == ReasonOverload || d.Reason == ReasonOverShare || d.Reason == ReasonNoWorker || d.Reason == ReasonDomainDrained || d.Kind == kindAcceptedLate
 }
 
 // taskPhase is the state of a task at its owner.
--- a/coordination/owner/params.go
+++ b/coordination/owner/params.go
@@ -1,6 +1,10 @@
 package owner
 
-import "time"
+import (
+	"time"
+
+	"github.com/shallotstep/shallotstep/coordination/shares"
+)
 
 // Params are the parameters of admission, placement and queueing.
 type Params struct {
@@ -65,6 +69,8 @@
 
 	// ServerSpeeds makes placement and admission go by the speeds of backend servers.
 	ServerSpeeds bool
+	// Shares divides contended capacity between queues; nil: off.
+	Shares *shares.Params
 	// Shedding gives up accepted work that can't be in time once capacity is lost, and spreads the
 	// return of refused clients.
 	Shedding bool
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -11,6 +11,8 @@
 const (
 	// ReasonOverload: the job would end too late because of the work that waits.
 	ReasonOverload = "overload"
+	// ReasonOverShare: capacity is contended, and the job's queue has taken its share.
+	ReasonOverShare = "over_share"
 	// ReasonNoWorker: no backend server can run the job now.
 	ReasonNoWorker = "no_worker"
 	// ReasonDomainDrained: all agents that may have a task are in drained failure domains.
@@ -54,6 +56,7 @@
 		fx.log(Decision{Kind: "refused", Job: id, Reason: a.reason, Wait: a.retryAfter, Refusal: s.refusalLocked(now, &spec, &p, &a)})
 		return fx
 	}
+	s.fleet.grantShare(now, &spec, &p)
 	j := &jobState{
 		rec:        job.NewRecord(id, spec, p, s.Epoch),
 		tasks:      make([]task, spec.Tasks()),
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/shares"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/daemon/core"
@@ -72,6 +73,9 @@
 	placers atomic.Int32
 	// orders counts the orders received from all callers.
 	orders atomic.Int64
+	// sums has what the callers ask for, and demand tells other agents what the owners here ask for.
+	sums   *shares.Sums
+	demand *core.DemandReporter
 	// recentPlacers records the owners whose orders this agent has received.
 	recentPlacers *recentPlacers
 	// claimsPending is set when a link came up on which the owned shards were not claimed.
@@ -126,6 +130,7 @@
 		shardCallers:  make(map[int]*peer.Caller),
 		callerStates:  make(map[*peer.Caller]*callerState),
 		linkSessions:  make(map[string]int64),
+		sums:          shares.NewSums(),
 	}
 	a.store = a.metrics.CountCalls(st)
 	a.offerUpdates, a.shardAcquired = make(chan struct{}, 1), make(chan struct{}, 1)
@@ -134,6 +139,7 @@
 	a.server = peer.NewServer(a)
 	registerWorkerMetrics(a.metrics, a.worker)
 	a.metrics.WatchFleet(a.fleet)
+	a.metrics.WatchShares(a.fleet.Shares())
 	return a
 }
 
@@ -172,6 +178,7 @@
 	a.links = core.NewLinkSet(a.settings.Links, a, a.fleet, a.metrics, func(node string, reg core.Registration) core.AgentLink {
 		return dialer.Dial(ctx, node, reg.LinkAddr)
 	})
+	a.demand = core.NewDemandReporter(a.fleet, a.links)
 	// From here on other processes can link this agent.
 	a.serving.Store(true)
 	klog.InfoS("The agent is serving", "name", a.settings.Name, "life", incarnation, "member", a.member)
--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -154,6 +154,7 @@
 			now := bootclock.Now()
 			a.apply(a.worker.Tick(now))
 			a.sendChangedLoad(now)
+			a.demand.Tick(now)
 			a.maintainNotes(ctx, now)
 			a.checkDrains(ctx, now)
 			if now-loggedAt >= loadLogInterval {
--- a/daemon/agent/callers.go
+++ b/daemon/agent/callers.go
@@ -5,7 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/shares"
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/job"
@@ -52,6 +54,9 @@
 	ownershipSentAt time.Duration
 	// lastOrderAt is when the last order of the caller came; zero if none has.
 	lastOrderAt time.Duration
+	// demand is what the caller was last told that the others ask for, at demandAt.
+	demand   []shares.Demand
+	demandAt time.Duration
 }
 
 func (s *callerState) recordOrder(now time.Duration) {
@@ -88,6 +93,19 @@
 	return true
 }
 
+// demandDue records what the others ask for and reports whether the caller is to be told: it places
+// work here, and that has changed or is due again.
+func (s *callerState) demandDue(now time.Duration, rows []shares.Demand) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	placer := s.lastOrderAt > 0 && now-s.lastOrderAt < placerTimeout
+	if !placer || s.demandAt > 0 && now-s.demandAt < core.DemandInterval && !shares.Changed(s.demand, rows) {
+		return false
+	}
+	s.demand, s.demandAt = rows, now
+	return true
+}
+
 // resetOwnership makes the next frame carry which shards are owned here.
 func (s *callerState) resetOwnership() {
 	s.mu.Lock()
@@ -108,9 +126,16 @@
 	f.Load.Placers = a.placers.Load()
 	f.Load.Orders = a.orders.Load()
 	f.Drains = a.drains.ToWire()
-	if s := a.stateOf(c); s != nil && s.recordFrame(now, summarizeLoad(&l)) {
+	s := a.stateOf(c)
+	if s == nil {
+		return
+	}
+	if s.recordFrame(now, summarizeLoad(&l)) {
 		f.Owned, f.OwnedValid = a.ownership(), true
 	}
+	if rows, ok := a.sums.Others(now, c.Node); ok && s.demandDue(now, rows) {
+		f.Demand = wire.DemandToWire(rows)
+	}
 }
 
 // sendChangedLoad sends a changed load to the callers that place work here.
--- a/daemon/agent/serve.go
+++ b/daemon/agent/serve.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
@@ -33,6 +34,7 @@
 // CallerDown implements peer.AgentHandler.
 func (a *Agent) CallerDown(c *peer.Caller) {
 	a.worker.LinkLost(bootclock.Now(), c.Node)
+	a.sums.Forget(c.Node)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.callerStates, c)
@@ -67,6 +69,9 @@
 		s.recordOrder(now)
 		a.recentPlacers.record(now, c.Node)
 	}
+	if p := f.GetDemand(); p != nil {
+		core.CountInvalidDemand(a.sums.Update(now, c.Node, wire.DemandFromWire(p)))
+	}
 	for _, p := range f.GetStops() {
 		a.apply(a.worker.Stop(now, int(p.GetShard()), p.GetEpoch(), wire.RunFromWire(p.GetRun())))
 	}
@@ -153,6 +158,7 @@
 	if l := f.GetLoad(); l != nil {
 		a.fleet.Update(bootclock.Now(), node, wire.LoadFromWire(l))
 	}
+	a.demand.Hear(bootclock.Now(), node, f.GetDemand())
 	for _, p := range f.GetClaimed() {
 		if r := a.shard(int(p.GetShard())); r != nil {
 			r.HandleClaimed(node, p)
--- a/daemon/clients/answer.go
+++ b/daemon/clients/answer.go
@@ -12,6 +12,7 @@
 // of the HTTP interface.
 var responseReasons = map[string]state.Reason{
 	owner.ReasonOverload:         state.ReasonOverload,
+	owner.ReasonOverShare:        state.ReasonOverShare,
 	owner.ReasonNoWorker:         state.ReasonNoBackend,
 	owner.ReasonDomainDrained:    state.ReasonDomainDrained,
 	owner.ReasonStoreUnavailable: state.ReasonStoreUnavailable,
--- a/daemon/core/bounds.go
+++ b/daemon/core/bounds.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/shares"
 	"github.com/shallotstep/shallotstep/state/settings"
 )
 
@@ -81,5 +82,13 @@
 	p := owner.DefaultParams()
 	p.ServerSpeeds = s.Scheduling.ServerSpeeds
 	p.Shedding = s.Scheduling.Shedding
+	if sh := s.Scheduling.Shares; sh != nil {
+		p.Shares = &shares.Params{Floor: sh.Floor}
+		if s.Role == settings.RoleEntry {
+			// An entry's clients are those of its own failure domain. The owner of a recorded job
+			// may be in any.
+			p.Shares.Domain = s.Domain
+		}
+	}
 	return p
 }
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/shares"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 )
@@ -95,6 +96,14 @@
 	m.Registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(f.AgentsExamined()) }))
 }
 
+// WatchShares registers the jobs of each queue that asked for capacity, were granted it, and were
+// refused over the queue's share. A nil book registers nothing.
+func (m *Metrics) WatchShares(b *shares.Book) {
+	if b != nil {
+		m.Registry.MustRegister(newShareCollector(b))
+	}
+}
+
 // WatchDrains registers the number of drained failure domains and the age of the drain state.
 func (m *Metrics) WatchDrains(w *DrainWatch) {
 	m.Registry.MustRegister(
--- a/daemon/entry/best_effort.go
+++ b/daemon/entry/best_effort.go
@@ -40,6 +40,7 @@
 			return
 		case <-t.C:
 			e.bestEffort.Step(e.bestEffort.Tick)
+			e.demand.Tick(bootclock.Now())
 		}
 	}
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -62,6 +62,7 @@
 	owners     *ownerCache
 	buckets    *buckets
 	drains     *core.DrainWatch
+	demand     *core.DemandReporter
 }
 
 // New returns an entry. It has no effect until Run is called. config is the partition of
@@ -82,8 +83,10 @@
 	e.links = core.NewLinkSet(s.Links, e, e.fleet, e.metrics, func(node string, reg core.Registration) core.AgentLink {
 		return dialer.Dial(context.Background(), node, reg.LinkAddr)
 	})
+	e.demand = core.NewDemandReporter(e.fleet, e.links)
 	e.bestEffort = e.newBestEffort()
 	e.metrics.WatchFleet(e.fleet)
+	e.metrics.WatchShares(e.fleet.Shares())
 	return e
 }
 
@@ -191,6 +194,7 @@
 	if l := f.GetLoad(); l != nil {
 		e.fleet.Update(bootclock.Now(), node, wire.LoadFromWire(l))
 	}
+	e.demand.Hear(bootclock.Now(), node, f.GetDemand())
 	for _, p := range f.GetClaimed() {
 		e.bestEffort.HandleClaimed(node, p)
 	}
--- a/protocol/api/title.go
+++ b/protocol/api/title.go
@@ -16,6 +16,7 @@
 	state.ReasonNeverRunnable:    "No known worker is large enough for this",
 	state.ReasonQuota:            "The operator's quota is used up",
 	state.ReasonOverload:         "The system is overloaded",
+	state.ReasonOverShare:        "The queue has taken its share of the capacity",
 	state.ReasonBusy:             "The entry holds too many submissions",
 	state.ReasonDeadline:         "The deadline has passed",
 	state.ReasonCancelled:        "The job was cancelled",
--- a/state/outcome.go
+++ b/state/outcome.go
@@ -53,6 +53,8 @@
 	// Limits that were reached.
 	ReasonQuota    Reason = "quota"
 	ReasonOverload Reason = "overload"
+	// ReasonOverShare: capacity is contended, and the job's queue has taken its share.
+	ReasonOverShare Reason = "over_share"
 	ReasonBusy     Reason = "busy"
 
 	// The end of the wait for a job.
@@ -112,6 +114,7 @@
 	ReasonNeverRunnable:    http.StatusUnprocessableEntity,
 	ReasonQuota:            http.StatusTooManyRequests,
 	ReasonOverload:         http.StatusServiceUnavailable,
+	ReasonOverShare:        http.StatusTooManyRequests,
 	ReasonBusy:             http.StatusServiceUnavailable,
 	ReasonDeadline:         http.StatusGatewayTimeout,
 	ReasonCancelled:        http.StatusConflict,
