--- a/coordination/load/mix_test.go
+++ b/coordination/load/mix_test.go
@@ -189,6 +189,9 @@
 		w.after(resendDelay, func() { w.send(r) })
 		return
 	}
+	if w.equalTimeouts {
+		left = min(left, minTimeout)
+	}
 	spec := job.Spec{BestEffort: true, ClientTimeout: left, Steps: []job.Step{r.step}}
 	policy := r.policy()
 	r.entry = e
--- a/coordination/load/world_test.go
+++ b/coordination/load/world_test.go
@@ -99,6 +99,8 @@
 	classFactors map[string]float64
 	// entryOf chooses the entry that a client sends its job to; nil: any.
 	entryOf func(*request) *entry
+	// equalTimeouts makes clients state minTimeout at their first attempt.
+	equalTimeouts bool
 	// recorded is called with each job that is counted; nil: nothing.
 	recorded func(*request, owner.Response)
 	// traceLines has what happened if traced is set.
--- a/coordination/shares/book.go
+++ b/coordination/shares/book.go
@@ -105,11 +105,11 @@
 	contended bool
 	// capacity is what is divided, in cores, and scale its ratio to the capacity of the agents.
 	capacity, scale float64
-	// queues has the demand by queue, sorted by name, claims the same as claims to the capacity,
-	// and domains the demand of each queue by domain.
-	queues  []Demand
-	claims  []Claim
-	domains map[string][]Demand
+	// queues has the demand by queue, sorted by name, division the division of the capacity between
+	// them, and domains the demand of each queue by domain.
+	queues   []Demand
+	division *division
+	domains  map[string][]Demand
 }
 
 // NewBook returns an empty Book.
@@ -243,10 +243,11 @@
 	s.contended = isContended(was, asked, capacity, freeShare)
 	s.rescale(was, freeShare)
 	s.capacity = s.scale * capacity
-	s.claims = make([]Claim, len(s.queues))
+	claims := make([]Claim, len(s.queues))
 	for i, w := range weights(b.params.Floor, s.queues) {
-		s.claims[i] = Claim{Weight: w, Asked: s.queues[i].Asked}
+		claims[i] = Claim{Weight: w, Asked: s.queues[i].Asked}
 	}
+	s.division = newDivision(s.capacity, claims)
 	if s.contended != was && len(b.events) < maxEvents {
 		b.events = append(b.events, Event{Service: name, Contended: s.contended, Asked: asked, Capacity: capacity, Shares: s.shares()})
 	}
@@ -322,13 +323,13 @@
 	if !ok {
 		return s.capacity
 	}
-	queue := entitlement(s.capacity, s.claims, i)
+	queue := s.division.entitlement(i)
 	list := s.domains[a.queue]
 	own := slices.IndexFunc(list, func(d Demand) bool { return d.Domain == b.params.Domain })
 	if own < 0 {
 		return queue
 	}
-	domain := entitlement(queue, evenClaims(list), own)
+	domain := newDivision(queue, evenClaims(list)).entitlement(own)
 	return domain * min(a.asked.value/max(list[own].Asked, minAsked), 1)
 }
 
@@ -344,7 +345,7 @@
 // shares returns the present division by queue and domain.
 func (s *service) shares() []Share {
 	var out []Share
-	for i, granted := range Divide(s.capacity, s.claims) {
+	for i, granted := range Divide(s.capacity, s.division.claims) {
 		list := s.domains[s.queues[i].Queue]
 		for k, part := range Divide(granted, evenClaims(list)) {
 			out = append(out, Share{Queue: list[k].Queue, Domain: list[k].Domain, Asked: list[k].Asked, Granted: part})
--- a/coordination/shares/divide.go
+++ b/coordination/shares/divide.go
@@ -11,7 +11,8 @@
 // Divide returns the weighted max-min fair division of a capacity: nobody gets more than it asks
 // for, and what one leaves over goes to the others by their weights. All weights must be positive.
 func Divide(capacity float64, claims []Claim) []float64 {
-	level := waterLevel(capacity, claims)
+	d := newDivision(capacity, claims)
+	level := d.level(-1)
 	out := make([]float64, len(claims))
 	for i, c := range claims {
 		out[i] = min(c.Asked, c.Weight*level)
@@ -19,38 +20,69 @@
 	return out
 }
 
-// waterLevel returns the capacity for each unit of weight that a claim gets unless it asks for less.
-// If all claims fit, it is the level at which the largest of them is satisfied.
-func waterLevel(capacity float64, claims []Claim) float64 {
-	order := make([]int, len(claims))
-	var weights float64
-	for i := range claims {
-		order[i] = i
-		weights += claims[i].Weight
+// division is a capacity with the claims to it, ordered by how much they ask for each unit of
+// weight, so that an entitlement costs only a binary search.
+type division struct {
+	capacity float64
+	claims   []Claim
+	// order has the indices of the claims, and position the place of each in it.
+	order, position []int
+	// asked and weight have the sums over the first claims of the order.
+	asked, weight []float64
+}
+
+func newDivision(capacity float64, claims []Claim) *division {
+	n := len(claims)
+	d := &division{
+		capacity: max(capacity, 0), claims: claims,
+		order: make([]int, n), position: make([]int, n), asked: make([]float64, n+1), weight: make([]float64, n+1),
+	}
+	for i := range d.order {
+		d.order[i] = i
+	}
+	slices.SortStableFunc(d.order, func(a, b int) int { return compareFloat(d.ratio(a), d.ratio(b)) })
+	for k, i := range d.order {
+		d.position[i] = k
+		d.asked[k+1] = d.asked[k] + claims[i].Asked
+		d.weight[k+1] = d.weight[k] + claims[i].Weight
 	}
-	slices.SortStableFunc(order, func(a, b int) int {
-		return compareFloat(claims[a].Asked/claims[a].Weight, claims[b].Asked/claims[b].Weight)
+	return d
+}
+
+func (d *division) ratio(i int) float64 { return d.claims[i].Asked / d.claims[i].Weight }
+
+// level returns the capacity for each unit of weight that a claim gets unless it asks for less. The
+// claim with the index greedy, if there is one, asks for everything.
+func (d *division) level(greedy int) float64 {
+	k, _ := slices.BinarySearchFunc(d.order, 0, func(i, _ int) int {
+		if d.ratio(i) < d.levelWithSatisfied(d.position[i], greedy) {
+			return -1
+		}
+		return 1
 	})
-	left := max(capacity, 0)
-	var level float64
-	for _, i := range order {
-		c := &claims[i]
-		if level = c.Asked / c.Weight; level*weights >= left {
-			return left / weights
+	if greedy < 0 && k == len(d.order) {
+		if k == 0 {
+			return 0
 		}
-		left -= c.Asked
-		weights -= c.Weight
+		return d.ratio(d.order[k-1])
+	}
+	return d.levelWithSatisfied(k, greedy)
+}
+
+// levelWithSatisfied returns the level if the first k claims of the order, except for greedy, get
+// all that they ask for.
+func (d *division) levelWithSatisfied(k, greedy int) float64 {
+	left, weight := d.capacity-d.asked[k], d.weight[len(d.order)]-d.weight[k]
+	if greedy >= 0 && d.position[greedy] < k {
+		left += d.claims[greedy].Asked
+		weight += d.claims[greedy].Weight
 	}
-	return level
+	return left / weight
 }
 
 // entitlement returns how much a claim could have if it asked for everything, which is what it may
 // take without being over its share.
-func entitlement(capacity float64, claims []Claim, index int) float64 {
-	all := slices.Clone(claims)
-	all[index].Asked = max(capacity, 0)
-	return all[index].Weight * waterLevel(capacity, all)
-}
+func (d *division) entitlement(i int) float64 { return d.claims[i].Weight * d.level(i) }
 
 func compareFloat(a, b float64) int {
 	switch {
--- a/coordination/shares/sums.go
+++ b/coordination/shares/sums.go
@@ -43,11 +43,12 @@
 }
 
 // Others returns the sum of what all callers but one ask for. It returns false for a caller that has
-// never told what it asks for itself, and has no use for it.
+// not told lately what it asks for itself: the others don't hear of it either, so it must keep to its
+// own part.
 func (s *Sums) Others(now time.Duration, caller string) ([]Demand, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.callers[caller]; !ok {
+	if own, ok := s.callers[caller]; !ok || now-own.at >= NewsTimeout {
 		return nil, false
 	}
 	var rows []Demand
