--- a/coordination/shares/account.go
+++ b/coordination/shares/account.go
@@ -44,84 +44,64 @@
 	r.value += float64(work) / float64(rateWindow)
 }
 
-const (
-	// largeFactor is the work of a large job, as a multiple of the mean of its queue.
-	largeFactor = 2
-	// largePart is the part of a queue's large work that is accepted for each part of all its work.
-	// Small jobs are more for the same work, so large ones get a little less than in proportion, and
-	// still well over half of what the queue's mean job gets.
-	largePart = 0.65
-	// meanWeight is the weight of a new job in the mean work of a queue.
-	meanWeight = 0.02
-)
-
 // account is what this process asks for in one queue, and what it may take. Guarded by Book.mu.
 type account struct {
 	queue          string
 	priority       int
 	asked, granted rate
-	// askedLarge is the part of asked that comes from large jobs, and meanWork the mean work of a
-	// job.
-	askedLarge rate
-	meanWork   float64
+	// meanWork is the mean work of a job.
+	meanWork float64
 	// share is the rate, in cores, that jobs of this process may take, underShare is set if they ask
 	// for less, and sharedAt is the division that both belong to.
 	share      float64
 	underShare bool
 	sharedAt   time.Duration
-	// small and large have the work that jobs of either size may still take.
-	small, large bucket
-	stats        QueueStats
+	sizes      [numSizes]sizeClass
+	stats      QueueStats
 }
 
-// noteAsked counts a job's demand and reports whether the job is large.
-func (a *account) noteAsked(now, work time.Duration) (large bool) {
+// noteAsked counts a job's demand and returns its size class.
+func (a *account) noteAsked(now, work time.Duration) int {
 	if a.meanWork == 0 {
 		a.meanWork = float64(work)
 	}
-	large = a.isLarge(work)
+	size := a.sizeOf(work)
 	a.meanWork += meanWeight * (float64(work) - a.meanWork)
 	a.asked.add(now, work)
-	if large {
-		a.askedLarge.add(now, work)
-	}
+	a.sizes[size].work.add(now, work)
+	a.sizes[size].jobs.add(now, time.Second)
 	a.stats.Asked++
-	return large
+	return size
 }
 
-func (a *account) isLarge(work time.Duration) bool { return float64(work) > largeFactor*a.meanWork }
-
-// setShare sets the share and divides it between large and small jobs. Either gets at least what the
-// other leaves over.
+// setShare sets the share and divides it between the size classes.
 func (a *account) setShare(now time.Duration, share float64) {
 	a.share = share
-	asked := a.asked.decay(now)
-	large := min(a.askedLarge.decay(now), asked)
-	part := 0.
-	if asked > 0 {
-		part = largePart * large / asked
+	a.underShare = a.asked.decay(now) <= share
+	var work, jobs [numSizes]float64
+	for i := range a.sizes {
+		work[i], jobs[i] = a.sizes[i].work.decay(now), a.sizes[i].jobs.decay(now)
 	}
-	a.underShare = asked <= share
-	a.large.rate = max(share*part, share-(asked-large))
-	a.small.rate = max(share*(1-part), share-large)
-}
-
-// mayPass reports whether a job may have contended capacity. Clients that come back go before new
-// jobs. A queue under its share may take more ahead: what it asks for is uneven, above all if its
-// jobs are few and long, and it pays it back.
-func (a *account) mayPass(large, returned bool) bool {
-	b := a.bucket(large)
-	if returned || a.underShare {
-		return b.balance >= -b.ahead(aheadWindow)-time.Duration(a.meanWork)
+	for i, part := range divideSizes(share, work, jobs) {
+		c := &a.sizes[i]
+		c.unlimited = part >= 1
+		c.rate = part * work[i]
+		if a.underShare {
+			// What the other classes leave over.
+			c.rate = share - a.asked.value + work[i]
+		}
 	}
-	return b.balance >= 0
 }
 
-func (a *account) bucket(large bool) *bucket {
-	if large {
-		return &a.large
+// mayPass reports whether a job may have contended capacity. Clients that come back go before new
+// jobs. A queue under its share, or a size class that gets all it asks for, may take more ahead:
+// what it asks for is uneven, above all if its jobs are few and long, and it pays it back.
+func (a *account) mayPass(size int, returned bool) bool {
+	c := &a.sizes[size]
+	if returned || a.underShare || c.unlimited {
+		return c.balance >= -c.ahead(aheadWindow)-time.Duration(a.meanWork)
 	}
-	return &a.small
+	return c.balance >= 0
 }
 
 // bucket holds the work that may still be accepted. Only the sign of its balance decides, whatever
--- a/coordination/shares/book.go
+++ b/coordination/shares/book.go
@@ -146,7 +146,7 @@
 	if a == nil {
 		return Verdict{}
 	}
-	large := a.noteAsked(now, j.Work)
+	size := a.noteAsked(now, j.Work)
 	if now-s.dividedAt >= divideInterval {
 		b.divideLocked(now, j.Service, s, agents(j.Service))
 	}
@@ -154,9 +154,9 @@
 		a.sharedAt = s.dividedAt
 		a.setShare(now, b.shareLocked(s, a))
 	}
-	bucket := a.bucket(large)
+	bucket := &a.sizes[size].bucket
 	bucket.refill(now)
-	if !s.contended || a.mayPass(large, j.Returned) {
+	if !s.contended || a.mayPass(size, j.Returned) {
 		return Verdict{}
 	}
 	a.stats.Refused++
@@ -173,7 +173,7 @@
 	}
 	a.granted.add(now, j.Work)
 	a.stats.Granted++
-	a.bucket(a.isLarge(j.Work)).charge(j.Work, s.contended)
+	a.sizes[a.sizeOf(j.Work)].charge(j.Work, s.contended)
 }
 
 // accountLocked returns the account of a job's queue, or nil if there are too many.
