--- a/coordination/shares/book.go
+++ b/coordination/shares/book.go
@@ -21,8 +21,9 @@
 	// whose slack may be shorter than the next running task takes to end.
 	targetFree = 0.06
 	// scaleGain is how fast the part of the capacity that is divided follows what is free, for each
-	// division: a tenth more is free than targetFree for half a second, and a fifth more is divided.
-	scaleGain = 0.2
+	// division: after a tenth more than targetFree was free for half a second, four tenths more are
+	// divided. Estimates are made up for within a second, about as long as the longest tasks take.
+	scaleGain = 0.35
 	// minScale and maxScale bound that part: estimates of work are off by less than a factor of 2.
 	minScale, maxScale = 0.5, 2
 	// maxQueues bounds the queues of a service that a Book keeps. Those beyond it aren't limited.
@@ -283,9 +284,12 @@
 }
 
 // rescale makes up for estimates that are off: if more than targetFree stays free, more is divided.
+// What was learned is kept until the next contention.
 func (s *service) rescale(wasContended bool, freeShare float64) {
-	if !wasContended || !s.contended {
+	if s.scale == 0 {
 		s.scale = 1
+	}
+	if !wasContended || !s.contended {
 		return
 	}
 	s.scale = min(max(s.scale*(1+scaleGain*(freeShare-targetFree)), minScale), maxScale)
--- a/state/outcome.go
+++ b/state/outcome.go
@@ -55,7 +55,7 @@
 	ReasonOverload Reason = "overload"
 	// ReasonOverShare: capacity is contended, and the job's queue has taken its share.
 	ReasonOverShare Reason = "over_share"
-	ReasonBusy     Reason = "busy"
+	ReasonBusy      Reason = "busy"
 
 	// The end of the wait for a job.
 	ReasonDeadline  Reason = "deadline"
