--- a/coordination/load/demand_test.go
+++ b/coordination/load/demand_test.go
@@ -53,6 +53,9 @@
 		return nil
 	}
 	rows, ok := a.sums.Others(a.w.now, c.entry.name())
+	if l := a.Load(a.w.now); shares.HasRoom(float64(l.Free.CPUMillis) / float64(a.capacity.CPUMillis)) {
+		rows = nil
+	}
 	if !ok || a.w.now-c.demandAt < demandInterval && !shares.Changed(c.demandSent, rows) {
 		return nil
 	}
--- /dev/null
+++ b/coordination/shares/service.go
@@ -0,0 +1,181 @@
+package shares
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// divideInterval is the interval between two divisions of a service's capacity. It is shorter
+	// than demand takes to pass between two processes.
+	divideInterval = 50 * time.Millisecond
+	// Capacity is contended from a demand of contendedShare of it on, while less than contendedFree
+	// of it is free, and until the demand is below uncontendedShare or uncontendedFree is free.
+	// Demand rests on estimates, so what is free decides too.
+	contendedShare, uncontendedShare = 0.9, 0.8
+	contendedFree, uncontendedFree   = 0.2, 0.3
+	// targetFree is the part of contended capacity that is kept free for jobs under their share,
+	// whose slack may be shorter than the next running task takes to end.
+	targetFree = 0.06
+	// scaleGain is how fast the part of the capacity that is divided follows what is free, for each
+	// division: after a tenth more than targetFree was free for half a second, four tenths more are
+	// divided. Estimates are made up for within a second, about as long as the longest tasks take.
+	scaleGain = 0.35
+	// minScale and maxScale bound that part: estimates of work are off by less than a factor of 2.
+	minScale, maxScale = 0.5, 2
+)
+
+// service is the division of one service's capacity. Guarded by Book.mu.
+type service struct {
+	accounts  map[string]*account
+	dividedAt time.Duration
+	contended bool
+	// capacity is what is divided, in cores, scale its ratio to the capacity of the agents, and
+	// freeShare the part of that which is free.
+	capacity, scale, freeShare float64
+	// queues has the demand by queue, sorted by name, division the division of the capacity between
+	// them, and domains the demand of each queue by domain.
+	queues   []Demand
+	division *division
+	domains  map[string][]Demand
+}
+
+func (b *Book) ownRowsLocked(now time.Duration, s *service) []Demand {
+	rows := make([]Demand, 0, len(s.accounts))
+	for _, a := range s.accounts {
+		rows = append(rows, Demand{Queue: a.queue, Domain: b.params.Domain, Priority: a.priority, Queues: 1, Asked: a.asked.decay(now), Granted: a.granted.decay(now)})
+	}
+	return rows
+}
+
+// divideLocked divides the capacity of a service between all demand that is known.
+func (b *Book) divideLocked(now time.Duration, name string, s *service, agents []Agent) {
+	s.dividedAt = now
+	rows, capacity, freeShare := b.knownLocked(now, s, agents)
+	s.freeShare = freeShare
+	s.collect(rows)
+	var asked float64
+	for i := range s.queues {
+		asked += s.queues[i].Asked
+	}
+	was := s.contended
+	s.contended = isContended(was, asked, capacity, freeShare)
+	s.rescale(was, freeShare)
+	s.capacity = s.scale * capacity
+	claims := make([]Claim, len(s.queues))
+	for i, w := range weights(b.params.Floor, s.queues) {
+		claims[i] = Claim{Weight: w, Asked: s.queues[i].Asked}
+	}
+	s.division = newDivision(s.capacity, claims)
+	if s.contended != was && len(b.events) < maxEvents {
+		b.events = append(b.events, Event{Service: name, Contended: s.contended, Asked: asked, Capacity: capacity, Shares: s.shares()})
+	}
+}
+
+// knownLocked returns the demand that is known, the capacity that it competes for, and the part of
+// it that is free. Of an agent without news, this process counts on its own part only.
+func (b *Book) knownLocked(now time.Duration, s *service, agents []Agent) (rows []Demand, capacity, freeShare float64) {
+	rows = b.ownRowsLocked(now, s)
+	var cores, free float64
+	for _, a := range agents {
+		cores += a.Cores
+		free += a.Free
+		n, ok := b.agents[a.Node]
+		if !ok || now-n.at >= NewsTimeout {
+			capacity += a.Cores / float64(max(a.Placers, 1))
+			continue
+		}
+		capacity += a.Cores
+		rows = append(rows, n.rows...)
+	}
+	if cores > 0 {
+		freeShare = free / cores
+	}
+	return rows, capacity, freeShare
+}
+
+// HasRoom reports whether so much of a capacity is free that demand for it needn't be told.
+func HasRoom(freeShare float64) bool { return freeShare >= uncontendedFree }
+
+func isContended(was bool, asked, capacity, freeShare float64) bool {
+	if was {
+		return asked >= uncontendedShare*capacity && freeShare < uncontendedFree
+	}
+	return capacity > 0 && asked >= contendedShare*capacity && freeShare < contendedFree
+}
+
+// rescale makes up for estimates that are off: if more than targetFree stays free, more is divided.
+// What was learned is kept until the next contention.
+func (s *service) rescale(wasContended bool, freeShare float64) {
+	if s.scale == 0 {
+		s.scale = 1
+	}
+	if !wasContended || !s.contended {
+		return
+	}
+	s.scale = min(max(s.scale*(1+scaleGain*(freeShare-targetFree)), minScale), maxScale)
+}
+
+// collect sums rows by queue and by domain. It drops queues that ask for nothing.
+func (s *service) collect(rows []Demand) {
+	slices.SortFunc(rows, compareDemands)
+	s.queues, s.domains = nil, make(map[string][]Demand)
+	for _, d := range rows {
+		if d.Asked < minAsked {
+			continue
+		}
+		if n := len(s.queues); n > 0 && s.queues[n-1].Queue == d.Queue {
+			q := &s.queues[n-1]
+			q.Asked, q.Granted = q.Asked+d.Asked, q.Granted+d.Granted
+			q.Priority, q.Queues = min(q.Priority, d.Priority), max(q.Queues, d.Queues)
+		} else {
+			s.queues = append(s.queues, d)
+		}
+		list := s.domains[d.Queue]
+		if n := len(list); n > 0 && list[n-1].Domain == d.Domain {
+			list[n-1].Asked += d.Asked
+			list[n-1].Granted += d.Granted
+		} else {
+			s.domains[d.Queue] = append(list, d)
+		}
+	}
+}
+
+// shareLocked returns what this process may take in a queue: of what the queue and then the domain
+// of its clients may have, the part that it asks for.
+func (b *Book) shareLocked(s *service, a *account) float64 {
+	i, ok := slices.BinarySearchFunc(s.queues, a.queue, func(d Demand, name string) int { return strings.Compare(d.Queue, name) })
+	if !ok {
+		return s.capacity
+	}
+	queue := s.division.entitlement(i)
+	list := s.domains[a.queue]
+	own := slices.IndexFunc(list, func(d Demand) bool { return d.Domain == b.params.Domain })
+	if own < 0 {
+		return queue
+	}
+	domain := newDivision(queue, evenClaims(list)).entitlement(own)
+	return domain * min(a.asked.value/max(list[own].Asked, minAsked), 1)
+}
+
+// evenClaims returns the claims of domains, which all have the same weight.
+func evenClaims(domains []Demand) []Claim {
+	claims := make([]Claim, len(domains))
+	for i := range domains {
+		claims[i] = Claim{Weight: 1, Asked: domains[i].Asked}
+	}
+	return claims
+}
+
+// shares returns the present division by queue and domain.
+func (s *service) shares() []Share {
+	var out []Share
+	for i, granted := range Divide(s.capacity, s.division.claims) {
+		list := s.domains[s.queues[i].Queue]
+		for k, part := range Divide(granted, evenClaims(list)) {
+			out = append(out, Share{Queue: list[k].Queue, Domain: list[k].Domain, Asked: list[k].Asked, Granted: part})
+		}
+	}
+	return out
+}
--- a/daemon/agent/callers.go
+++ b/daemon/agent/callers.go
@@ -133,8 +133,13 @@
 	if s.recordFrame(now, summarizeLoad(&l)) {
 		f.Owned, f.OwnedValid = a.ownership(), true
 	}
-	if rows, ok := a.sums.Others(now, c.Node); ok && s.demandDue(now, rows) {
-		f.Demand = wire.DemandToWire(rows)
+	if rows, ok := a.sums.Others(now, c.Node); ok {
+		if shares.HasRoom(float64(l.Free.CPUMillis) / float64(max(l.Server.Capacity.CPUMillis, 1))) {
+			rows = nil
+		}
+		if s.demandDue(now, rows) {
+			f.Demand = wire.DemandToWire(rows)
+		}
 	}
 }
 
