--- a/coordination/load/world_test.go
+++ b/coordination/load/world_test.go
@@ -15,6 +15,7 @@
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
+	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
@@ -75,6 +76,8 @@
 	// shortest time between two of the agent's load updates.
 	loadIntervalPerPlacer time.Duration
 	params                owner.Params
+	// learnSpeeds makes agents learn the speeds of their servers.
+	learnSpeeds bool
 	// burstFactor is multiplied with the rate of jobs.
 	burstFactor float64
 	// subsets has the agents that each entry links.
@@ -85,6 +88,13 @@
 	busyEntry tally
 	// hideTotalOrders makes agents omit from their loads how many orders they got from all entries.
 	hideTotalOrders bool
+	// updateDelay is added to the delay of all agents' loads, but not to that of events.
+	updateDelay time.Duration
+	// heavyTails makes a few tasks of each class much longer than the others of their job.
+	heavyTails bool
+	// refusedBesideRoom counts the jobs that were refused while servers on which they would have
+	// been in time had room for all their tasks.
+	refusedBesideRoom int
 	// drains are the drains in force.
 	drains drains.State
 	// patient makes clients wait for patientTimeout.
@@ -123,12 +133,15 @@
 	// fallbackBuckets gives each entry the bucket that its name hashes to instead of an even part
 	// of all buckets.
 	fallbackBuckets bool
+	// learnSpeeds makes agents learn the speeds of their servers also if entries don't go by them.
+	learnSpeeds bool
 }
 
 func newWorld(s setup) *world {
 	w := &world{
 		now: time.Hour, rand: rand.New(rand.NewPCG(s.seed, 1)), loadIntervalPerPlacer: s.loadIntervalPerPlacer, params: s.params, burstFactor: 1,
-		jobs: make(map[job.ID]*request), tallies: make(map[string]*tally),
+		learnSpeeds: s.learnSpeeds || s.params.ServerSpeeds,
+		jobs:        make(map[job.ID]*request), tallies: make(map[string]*tally),
 	}
 	for i := range s.agents {
 		w.agents = append(w.agents, newAgent(w, i))
@@ -364,7 +377,7 @@
 	}
 	a.links = nil
 	a.holding = false
-	a.Worker = worker.New(worker.Bounds{Lease: time.Second, OwnerTimeout: 1300 * time.Millisecond, ReconnectTimeout: 700 * time.Millisecond, AdoptionTimeout: 400 * time.Millisecond, Shards: shards})
+	a.Worker = worker.New(worker.Bounds{Lease: time.Second, OwnerTimeout: 1300 * time.Millisecond, ReconnectTimeout: 700 * time.Millisecond, AdoptionTimeout: 400 * time.Millisecond, Shards: shards, LearnSpeed: a.w.learnSpeeds})
 	a.SetFormerOwners(former)
 	a.report()
 	a.hold()
@@ -511,19 +524,32 @@
 	if a.slowUpdates {
 		delay = slowUpdateDelay
 	}
-	a.w.after(delay, func() {
-		if c.entry.down || c.entry.incarnation != c.incarnation {
-			return
-		}
-		c.entry.fleet.Update(a.w.now, a.name, wire.LoadFromWire(p))
-		c.entry.hearDemand(a, demand)
+	if a.w.updateDelay > 0 {
+		a.w.after(delay+a.w.updateDelay, func() { a.deliverLoad(c, p, demand, nil) })
 		if ev != nil {
-			c.entry.apply(c.entry.Event(a.w.now, a.name, *ev))
+			a.w.after(delay, func() { a.deliverLoad(c, nil, nil, ev) })
 		}
-		if c.entry.HasWaitingTasks() {
-			c.entry.apply(c.entry.AgentsUpdated(a.w.now))
-		}
-	})
+		return
+	}
+	a.w.after(delay, func() { a.deliverLoad(c, p, demand, ev) })
+}
+
+// deliverLoad delivers an agent's load, the demand of others and an event to an entry, each if there
+// is one.
+func (a *agent) deliverLoad(c *entryLink, l *corepb.Load, demand []shares.Demand, ev *worker.Event) {
+	if c.entry.down || c.entry.incarnation != c.incarnation {
+		return
+	}
+	if l != nil {
+		c.entry.fleet.Update(a.w.now, a.name, wire.LoadFromWire(l))
+	}
+	c.entry.hearDemand(a, demand)
+	if ev != nil {
+		c.entry.apply(c.entry.Event(a.w.now, a.name, *ev))
+	}
+	if c.entry.HasWaitingTasks() {
+		c.entry.apply(c.entry.AgentsUpdated(a.w.now))
+	}
 }
 
 // slowUpdateDelay is the delay of frames from an agent whose slowUpdates is set.
--- a/daemon/agent/serve.go
+++ b/daemon/agent/serve.go
@@ -156,7 +156,8 @@
 func (a *Agent) LinkFrame(node string, _ int64, f *corepb.FromAgent) {
 	a.drains.Merge(f.GetDrains())
 	if l := f.GetLoad(); l != nil {
-		a.fleet.Update(bootclock.Now(), node, wire.LoadFromWire(l))
+		now := bootclock.Now()
+		a.fleet.Update(now, node, a.loads.Read(now, node, l))
 	}
 	a.demand.Hear(bootclock.Now(), node, f.GetDemand())
 	for _, p := range f.GetClaimed() {
--- a/transport/metrics/malformed.go
+++ b/transport/metrics/malformed.go
@@ -15,6 +15,7 @@
 	KindMember        = "member"
 	KindDrain         = "drain"
 	KindDemand        = "demand"
+	KindSpeed         = "speed"
 )
 
 // malformed counts input that could not be decoded and was ignored. It is a global variable
@@ -25,7 +26,7 @@
 	c := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "malformed_total", Help: "Reports and records that could not be read and were left out, by kind.",
 	}, []string{"kind"})
-	for _, kind := range []string{KindReport, KindConfiguration, KindRoute, KindRegistration, KindStoreRecord, KindJobRecord, KindAgents, KindNotes, KindMember, KindDrain, KindDemand} {
+	for _, kind := range []string{KindReport, KindConfiguration, KindRoute, KindRegistration, KindStoreRecord, KindJobRecord, KindAgents, KindNotes, KindMember, KindDrain, KindDemand, KindSpeed} {
 		c.WithLabelValues(kind)
 	}
 	return c
