Take the locks of the fleet and of the shares in one order

LinkLost called Book.Forget under the fleet's lock, and Book.Ask asks the fleet for its agents under the book's lock: a link lost while a job asks could block a process for good. Forget is now called without the fleet's lock, as the field's comment demands. TestLostLinkWhileAJobAsks reports a deadlock on the code before.

--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -112,8 +112,8 @@
 	runTimeRatios map[string]float64
 	// orderRatio estimates how many orders other processes send. Guarded by mu.
 	orderRatio orderRatio
-	// shares is nil if contended capacity isn't divided. It has a lock of its own and may be called
-	// only without mu.
+	// shares is nil if contended capacity isn't divided. It has a lock of its own, under which it
+	// takes mu, so it may be called only without mu.
 	shares *shares.Book
 	// speeds relates the speeds of the servers. Guarded by mu.
 	speeds serverSpeeds
@@ -201,13 +201,17 @@
 
 // LinkLost removes an agent whose link is gone.
 func (f *Fleet) LinkLost(node string) {
+	f.removeAgent(node)
+	if f.shares != nil {
+		f.shares.Forget(node)
+	}
+}
+
+func (f *Fleet) removeAgent(node string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.agents, node)
 	f.sortAgentsLocked()
-	if f.shares != nil {
-		f.shares.Forget(node)
-	}
 }
 
 // SetRetired sets whether an agent gets no new work, because its link is about to end or its server
--- a/coordination/owner/shares_test.go
+++ b/coordination/owner/shares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -56,3 +57,29 @@
 	e.now += 100 * time.Millisecond
 	e.is.True(e.submitTasks("after", 1, 2*time.Second).Reason != ReasonOverShare)
 }
+
+// A link is lost while a job asks for capacity: both need the lock of the fleet and that of the
+// shares. Taken in opposite orders, they would block the process for good.
+func TestLostLinkWhileAJobAsks(t *testing.T) {
+	e := newContendedFixture(t)
+	e.now += time.Second
+	e.setLoad(3, 0)
+	lost := make(chan struct{})
+	ask := func(service string) []shares.Agent {
+		agents := e.fleet.serviceCapacity(service)
+		go func() {
+			e.fleet.LinkLost("a")
+			close(lost)
+		}()
+		for len(e.fleet.serviceCapacity(service)) > 0 {
+			runtime.Gosched()
+		}
+		return agents
+	}
+	go e.fleet.Shares().Ask(e.now, shares.Job{Service: "desk", Queue: "quotes", Work: time.Second}, ask)
+	select {
+	case <-lost:
+	case <-time.After(10 * time.Second):
+		t.Fatal("deadlock")
+	}
+}
