Let rare sizes of jobs have their part; bound what refused clients are promised

Each division now refills all classes at their old rates first. Each class got all that a queue under its share leaves over, four times in total; it is divided evenly now, while each may still take all of it ahead (TestLargeJobsUnderTheShareMayComeTogether).

Retry-After: each refusal promised more work without bound, so that after a long burst everybody was told the maximum of 5 s, although the share was free again (TestRetryAfterFollowsTheShareAfterALongBurst).

Contention stayed when the last agent went, and refused over share (TestContentionEndsWithoutCapacity).

--- a/coordination/shares/account.go
+++ b/coordination/shares/account.go
@@ -74,8 +74,12 @@
 	return size
 }
 
-// setShare sets the share and divides it between the size classes.
+// setShare sets the share and divides it between the size classes. Until now they have got what the
+// last division gave them: a class whose jobs are rare asks for little between two of them.
 func (a *account) setShare(now time.Duration, share float64) {
+	for i := range a.sizes {
+		a.sizes[i].refill(now)
+	}
 	a.share = share
 	a.underShare = a.asked.decay(now) <= share
 	var work, jobs [numSizes]float64
@@ -87,8 +91,13 @@
 		c.unlimited = part >= 1
 		c.rate = part * work[i]
 		if a.underShare {
-			// What the other classes leave over.
-			c.rate = share - a.asked.value + work[i]
+			// What is left over is divided evenly: the classes together get the share and no more.
+			c.rate = work[i] + (share-a.asked.value)/float64(numSizes)
+		}
+		c.mostAhead = c.ahead(aheadWindow)
+		if a.underShare {
+			// Any class may take all of it ahead.
+			c.mostAhead = time.Duration((work[i] + share - a.asked.value) * float64(aheadWindow))
 		}
 	}
 }
@@ -99,7 +108,7 @@
 func (a *account) mayPass(size int, returned bool) bool {
 	c := &a.sizes[size]
 	if returned || a.underShare || c.unlimited {
-		return c.balance >= -c.ahead(aheadWindow)-time.Duration(a.meanWork)
+		return c.balance >= -c.mostAhead-time.Duration(a.meanWork)
 	}
 	return c.balance >= 0
 }
@@ -128,10 +137,11 @@
 	return time.Duration(b.rate * float64(max(d, 0)))
 }
 
-// refuse returns when a refused job will be accepted if it comes back then.
+// refuse returns when a refused job will be accepted if it comes back then. Nobody waits for longer
+// than maxRetryAfter, so no more than the work of that time is promised.
 func (b *bucket) refuse(work time.Duration) time.Duration {
 	ahead := b.promised - b.balance
-	b.promised += work
+	b.promised = min(b.promised+work, b.ahead(maxRetryAfter))
 	if b.rate <= 0 {
 		return maxRetryAfter
 	}
--- a/coordination/shares/service.go
+++ b/coordination/shares/service.go
@@ -99,10 +99,13 @@
 func HasRoom(freeShare float64) bool { return freeShare >= uncontendedFree }
 
 func isContended(was bool, asked, capacity, freeShare float64) bool {
+	if capacity <= 0 {
+		return false
+	}
 	if was {
 		return asked >= uncontendedShare*capacity && freeShare < uncontendedFree
 	}
-	return capacity > 0 && asked >= contendedShare*capacity && freeShare < contendedFree
+	return asked >= contendedShare*capacity && freeShare < contendedFree
 }
 
 // rescale makes up for estimates that are off: if more than targetFree stays free, more is divided.
--- a/coordination/shares/shares_test.go
+++ b/coordination/shares/shares_test.go
@@ -378,3 +378,74 @@
 		book.Ask(now, Job{Service: "s", Queue: names[i%len(names)], Work: 100 * time.Millisecond}, func(string) []Agent { return agents })
 	}
 }
+
+// TestRareLargeJobsGetTheirPart guards against a size of jobs that starves because its jobs are rare:
+// between two of them, what it asks for has decayed, and the time that has passed must still count
+// for it.
+func TestRareLargeJobsGetTheirPart(t *testing.T) {
+	is := is.New(t)
+	b := NewBook(Params{})
+	agents := func(string) []Agent { return []Agent{{Node: "n", Cores: 10, Free: 10 * targetFree, Placers: 1}} }
+	var asked, granted [2]int
+	now := time.Hour
+	for i := range 200000 {
+		now += time.Millisecond
+		j, kind := Job{Service: "s", Queue: "q", Work: 20 * time.Millisecond}, 0
+		if i%2999 == 0 {
+			j.Work, kind = 2*time.Second, 1
+		}
+		asked[kind]++
+		if v := b.Ask(now, j, agents); !v.Refused {
+			granted[kind]++
+			b.Granted(now, j)
+		}
+	}
+	mean := float64(granted[0]+granted[1]) / float64(asked[0]+asked[1])
+	large := float64(granted[1]) / float64(asked[1])
+	t.Logf("mean %.2f, large %.2f of %d", mean, large, asked[1])
+	is.True(mean < 0.9)
+	is.True(large > mean/2)
+}
+
+// TestRetryAfterFollowsTheShareAfterALongBurst guards against clients that are told to wait for the
+// work of all who were refused during a long burst. They wait for at most maxRetryAfter, so what was
+// refused before doesn't come back.
+func TestRetryAfterFollowsTheShareAfterALongBurst(t *testing.T) {
+	is := is.New(t)
+	s := newSite(1, 0.5)
+	s.run(20*time.Second, map[string]float64{"a": 1000})
+	s.run(maxRetryAfter, map[string]float64{"a": 60, "b": 60})
+	s.run(time.Second, map[string]float64{"a": 105})
+	is.True(s.refused["a"] > 0)
+	t.Logf("retry after %v", s.retryAfter)
+	is.True(s.retryAfter < maxRetryAfter)
+}
+
+// TestContentionEndsWithoutCapacity guards against refusals over share after the last agent is gone:
+// what is missing then is a server, and the client must be told so.
+func TestContentionEndsWithoutCapacity(t *testing.T) {
+	is := is.New(t)
+	s := newSite(1, 0.5)
+	s.run(time.Second, map[string]float64{"a": 200})
+	is.True(s.refused["a"] > 0)
+	j := Job{Service: "s", Queue: "a", Work: 100 * time.Millisecond}
+	s.now += 2 * divideInterval
+	for range 10 {
+		is.True(!s.books[0].Ask(s.now, j, noAgents).Refused)
+		s.books[0].Granted(s.now, j)
+	}
+}
+
+// TestLargeJobsUnderTheShareMayComeTogether guards against a queue under its share whose few large
+// jobs are refused because they come close together: all that its other sizes leave is theirs.
+func TestLargeJobsUnderTheShareMayComeTogether(t *testing.T) {
+	is := is.New(t)
+	s := newSite(1, 1)
+	s.free = 100 * targetFree
+	s.run(2*time.Second, map[string]float64{"over": 200, "under": 10})
+	j := Job{Service: "s", Queue: "under", Work: 5 * time.Second}
+	for range 3 {
+		is.True(!s.books[0].Ask(s.now, j, s.agents).Refused)
+		s.books[0].Granted(s.now, j)
+	}
+}
--- a/coordination/shares/sizes.go
+++ b/coordination/shares/sizes.go
@@ -22,6 +22,8 @@
 	bucket
 	// work and jobs are what is asked for, in cores and in jobs a second.
 	work, jobs rate
+	// mostAhead is the work that the class may take ahead while it or the queue is under its share.
+	mostAhead time.Duration
 	// unlimited is set if the class gets all that it asks for.
 	unlimited bool
 }
