Count cores by the speed of their server in the shares

The expected work of a job is that of a server of speed 1, and the other estimates of capacity count by speed already (EligibleCapacity). The shares counted all cores alike. TestSharesCountCoresByTheirSpeed fails before.

--- a/coordination/owner/shares.go
+++ b/coordination/owner/shares.go
@@ -37,7 +37,8 @@
 	return j
 }
 
-// serviceCapacity returns the agents of a service that take work.
+// serviceCapacity returns the agents of a service that take work. A core counts by the speed of its
+// server, because work is estimated for a server of speed 1.
 func (f *Fleet) serviceCapacity(service string) []shares.Agent {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -46,7 +47,7 @@
 		if v.acceptsWork() && !v.retired && v.load.Service == service {
 			out = append(out, shares.Agent{
 				Node: v.node, Placers: v.load.Placers,
-				Cores: float64(v.load.Capacity.CPUMillis) / 1000, Free: float64(max(v.load.Free.CPUMillis, 0)) / 1000,
+				Cores: v.speed * float64(v.load.Capacity.CPUMillis) / 1000, Free: v.speed * float64(max(v.load.Free.CPUMillis, 0)) / 1000,
 			})
 		}
 	}
--- a/coordination/owner/shares_test.go
+++ b/coordination/owner/shares_test.go
@@ -83,3 +83,14 @@
 		t.Fatal("deadlock")
 	}
 }
+
+// Cores of slow servers do less of the estimated work: counted in full, they would be given away
+// twice, and those of fast servers would stay idle.
+func TestSharesCountCoresByTheirSpeed(t *testing.T) {
+	e := newContendedFixture(t)
+	e.fleet.agents["a"].speed = 0.5
+	agents := e.fleet.serviceCapacity("desk")
+	e.is.Equal(len(agents), 1)
+	e.is.Equal(agents[0].Cores, 8.0)
+	e.is.Equal(agents[0].Free, 1.5)
+}
