--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
+	"github.com/shallotstep/shallotstep/coordination/shares"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
 )
@@ -113,6 +114,9 @@
 	orderRatio orderRatio
 	// speeds relates the speeds of the servers of each service. Guarded by mu.
 	speeds map[string]*serverSpeeds
+	// shares is nil if contended capacity isn't divided. It has a lock of its own, under which it
+	// takes mu, so it may be called only without mu.
+	shares *shares.Book
 	// candidates is reused by each choice. Guarded by mu.
 	candidates []candidate
 	// placed counts the placements by tier. Guarded by mu.
@@ -161,7 +165,7 @@
 // NewFleet returns a Fleet without agents. Processes need different seeds: with the same one they
 // would choose the same of several equally good agents.
 func NewFleet(remoteFactor float64, p Params, seed uint64) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		rand:          rand.New(rand.NewPCG(seed, 0)),
 		remoteFactor:  max(1, remoteFactor),
 		params:        p,
@@ -170,6 +174,10 @@
 		retired:       make(map[string]bool),
 		runTimeRatios: make(map[string]float64),
 	}
+	if p.Shares != nil {
+		f.shares = shares.NewBook(*p.Shares)
+	}
+	return f
 }
 
 // AgentsExamined returns how many agents were examined to place tasks, as a measure of what
@@ -194,6 +202,13 @@
 
 // LinkLost removes an agent whose link is gone.
 func (f *Fleet) LinkLost(node string) {
+	f.removeAgent(node)
+	if f.shares != nil {
+		f.shares.Forget(node)
+	}
+}
+
+func (f *Fleet) removeAgent(node string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.agents, node)
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -61,6 +61,7 @@
 	owners     *ownerCache
 	buckets    *buckets
 	drains     *core.DrainWatch
+	demand     *core.DemandReporter
 	// loads reads the agents' loads.
 	loads core.LoadReader
 }
@@ -83,8 +84,10 @@
 	e.links = core.NewLinkSet(s.Links, e, e.fleet, e.metrics, func(node string, reg core.Registration) core.AgentLink {
 		return dialer.Dial(context.Background(), node, reg.LinkAddr)
 	})
+	e.demand = core.NewDemandReporter(e.fleet, e.links)
 	e.bestEffort = e.newBestEffort()
 	e.metrics.WatchFleet(e.fleet)
+	e.metrics.WatchShares(e.fleet.Shares())
 	return e
 }
 
@@ -193,6 +196,7 @@
 		now := bootclock.Now()
 		e.fleet.Update(now, node, e.loads.Read(now, node, l))
 	}
+	e.demand.Hear(bootclock.Now(), node, f.GetDemand())
 	for _, p := range f.GetClaimed() {
 		e.bestEffort.HandleClaimed(node, p)
 	}
