Start entries from a peer while the store is out of reach

Cause: all processes are killed at once while a failure domain can't reach the store. Its entries got neither configuration nor registry until the store let them in and refused every job, though agents of other domains can read it.

One call in entry_test.go has the new name of applyConfig for records of the store.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -68,6 +68,8 @@
 	// the last read began.
 	readingDrains atomic.Bool
 	drainsReadAt  core.AtomicDuration
+	// snapshots answers entries that start without the store.
+	snapshots *snapshots
 	// placers is the number of callers that currently place work here.
 	placers atomic.Int32
 	// orders counts the orders received from all callers.
@@ -120,6 +122,7 @@
 		member: core.MemberName(s.Name, xid.New().String()), started: bootclock.Now(),
 		worker:        worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerTimeout: core.OwnerTimeout, ReconnectTimeout: core.ReconnectTimeout, AdoptionTimeout: core.AdoptionTimeout, Shards: s.Shards()}),
 		recentPlacers: newRecentPlacers(),
+		snapshots:     newSnapshots(),
 		fleet:         owner.NewFleet(s.Bounds.RemoteFactor, core.OwnerParams(s), rand.Uint64()),
 		shards:        make(map[int]*shardRunner),
 		opening:       make(map[int]bool),
--- a/daemon/agent/callers.go
+++ b/daemon/agent/callers.go
@@ -52,6 +52,8 @@
 	ownershipSentAt time.Duration
 	// lastOrderAt is when the last order of the caller came; zero if none has.
 	lastOrderAt time.Duration
+	// entry is set once the caller has claimed a private shard, as only entries do.
+	entry bool
 }
 
 func (s *callerState) recordOrder(now time.Duration) {
--- a/daemon/agent/serve.go
+++ b/daemon/agent/serve.go
@@ -52,7 +52,11 @@
 	// The drains apply before the orders of the frame, because the sender knew them when it sent
 	// the orders.
 	a.drains.Merge(f.GetDrains())
+	if answer := f.GetSnapshot(); answer != nil {
+		a.snapshots.tell(answer)
+	}
 	for _, p := range f.GetClaims() {
+		a.noteClaim(c, int(p.GetShard()))
 		a.handleClaim(c, p)
 	}
 	for _, shard := range f.GetReleases() {
--- a/daemon/core/drains.go
+++ b/daemon/core/drains.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -76,8 +77,37 @@
 	}
 }
 
+// MergeRecords merges the drains among the newest records of the partition, which another process
+// has read up to a position and the store has confirmed age ago.
+func (w *DrainWatch) MergeRecords(records []store.Record, position int64, age time.Duration) {
+	state := drains.State{Position: position}
+	for _, r := range records {
+		change, ok, err := w.source.Decode(r)
+		if err != nil {
+			metrics.Malformed(metrics.KindDrain)
+			klog.ErrorS(err, "Skipped a malformed drain record")
+			continue
+		}
+		if ok && change.Drained {
+			state.Domains = append(state.Domains, change.Domain)
+		}
+	}
+	slices.Sort(state.Domains)
+	if w.tracker.Update(bootclock.Now(), state, age) {
+		w.notify("peer")
+	}
+}
+
+// Confirm records that the store confirmed the state at a position age ago. It does nothing if
+// another state is known.
+func (w *DrainWatch) Confirm(position int64, age time.Duration) {
+	if state := w.tracker.State(); state.Position == position {
+		w.tracker.Update(bootclock.Now(), state, age)
+	}
+}
+
 // notify calls onChange with the newest state. origin is logged: "told" for a state from a
-// frame, "store" for one that was read.
+// frame, "store" for one that was read, "peer" for one that another process has read.
 func (w *DrainWatch) notify(origin string) {
 	w.notifyMu.Lock()
 	defer w.notifyMu.Unlock()
--- a/daemon/core/known_agents.go
+++ b/daemon/core/known_agents.go
@@ -23,6 +23,7 @@
 		store: st, partition: RegistryPartition, wait: registryWait, batchPause: pause.Backoff{Min: minRegistryPause, Max: maxRegistryPause}, name: "registry",
 		apply: l.applyRecord, afterBatch: func() {
 			l.mu.Lock()
+			l.forgetToldLocked()
 			l.registryRead = true
 			l.mu.Unlock()
 			l.Reconcile(bootclock.Now())
@@ -31,6 +32,48 @@
 	f.run(ctx)
 }
 
+// ApplyTold updates the known agents with the newest records of the registry, as another process
+// has read them, and reconciles the links. It does nothing once the registry has been read here,
+// and the first read forgets what was told and is not in the store.
+func (l *LinkSet) ApplyTold(records []store.Record) {
+	l.applyTold(records)
+	l.Reconcile(bootclock.Now())
+}
+
+func (l *LinkSet) applyTold(records []store.Record) {
+	registered := make(map[string]Registration, len(records))
+	for _, r := range records {
+		reg, err := decodeRegistration(r)
+		if err != nil {
+			skipRegistration(err)
+			continue
+		}
+		registered[r.Key] = reg
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.registryRead {
+		return
+	}
+	l.forgetToldLocked()
+	for node, reg := range registered {
+		if _, ok := l.known[node]; ok {
+			continue // the store has named it in a read that is not complete yet
+		}
+		l.setKnownLocked(node, reg)
+		l.told[node] = true
+	}
+}
+
+// forgetToldLocked removes the agents that only another process has named.
+func (l *LinkSet) forgetToldLocked() {
+	for node := range l.told {
+		delete(l.known, node)
+		l.order = nil
+	}
+	clear(l.told)
+}
+
 // applyRecord updates the known agents with a record of the registry. A record without a value
 // removes the agent. Malformed records are counted and skipped.
 func (l *LinkSet) applyRecord(r store.Record) {
@@ -38,21 +81,32 @@
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		delete(l.known, r.Key)
+		delete(l.told, r.Key)
 		l.order = nil
 		return
 	}
 	reg, err := decodeRegistration(r)
 	if err != nil {
-		metrics.Malformed(metrics.KindRegistration)
-		klog.ErrorS(err, "Skipped a malformed record of the registry")
+		skipRegistration(err)
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if old, ok := l.known[r.Key]; !ok || old.Domain != reg.Domain {
+	l.setKnownLocked(r.Key, reg)
+	delete(l.told, r.Key)
+}
+
+// skipRegistration counts and logs a malformed record of the registry.
+func skipRegistration(err error) {
+	metrics.Malformed(metrics.KindRegistration)
+	klog.ErrorS(err, "Skipped a malformed record of the registry")
+}
+
+func (l *LinkSet) setKnownLocked(node string, reg Registration) {
+	if old, ok := l.known[node]; !ok || old.Domain != reg.Domain {
 		l.order = nil
 	}
-	l.known[r.Key] = reg
+	l.known[node] = reg
 	l.orphansSeen = l.orphansSeen || reg.Orphans
 }
 
--- a/daemon/core/links.go
+++ b/daemon/core/links.go
@@ -96,7 +96,9 @@
 	orphansSeen bool
 	// registryRead is set once the registry has been read.
 	registryRead bool
-	isOpen       bool
+	// told has the known agents that only another process has named.
+	told   map[string]bool
+	isOpen bool
 	// dialled is set once the links that the registry asks for were dialled after the set was
 	// opened.
 	dialled bool
@@ -121,6 +123,7 @@
 	return &LinkSet{
 		dial: dial, user: user, placer: placer, metrics: m, size: size,
 		links: make(map[string]*managedLink), known: make(map[string]Registration),
+		told:     make(map[string]bool),
 		expander: subset.NewExpander(size), needs: make(needs),
 	}
 }
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -33,6 +34,10 @@
 	// linkChanges counts dialled and retired links, linksWanted is the number of wanted ones.
 	linkChanges *prometheus.CounterVec
 	linksWanted prometheus.Gauge
+	// peerAnswers is labelled by what became of the answer, firstJob by where the configuration
+	// came from.
+	peerAnswers *prometheus.CounterVec
+	firstJob    *prometheus.GaugeVec
 	Append      prometheus.Histogram
 	Start       prometheus.Histogram
 	Takeover    prometheus.Histogram
@@ -57,6 +62,10 @@
 		linksWanted: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: Namespace, Name: "links_wanted", Help: "Agents that this process keeps links to.",
 		}),
+		peerAnswers: counter("peer_answers_total", "Answers of peers to an entry that starts without the store, by what became of them.", "result"),
+		firstJob: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: Namespace, Name: "first_job_seconds", Help: "From the start of the process to the first job that was served, by where the configuration came from.",
+		}, []string{"configuration"}),
 		Append:   histogram("store_append_seconds", "From the first attempt of a write to its confirmation."),
 		Start:    histogram("start_seconds", "Starts at the backend server."),
 		Takeover: histogram("takeover_seconds", "From the start of a takeover to its end."),
@@ -64,7 +73,7 @@
 		Lookup:   histogram("lookup_seconds", "Questions for a job's state at the entry."),
 	}
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.refusals, m.Retries, m.decisions, m.StartRefusals, m.StoreRepeats, m.storeCalls, m.linkChanges, m.linksWanted, m.Append, m.Start, m.Takeover, m.Submit, m.Lookup,
+		m.refusals, m.Retries, m.decisions, m.StartRefusals, m.StoreRepeats, m.storeCalls, m.linkChanges, m.linksWanted, m.peerAnswers, m.firstJob, m.Append, m.Start, m.Takeover, m.Submit, m.Lookup,
 		metrics.MalformedCollector())
 	return m
 }
@@ -84,6 +93,15 @@
 	}
 }
 
+// CountPeerAnswer counts what became of the answer of a peer that was asked in place of the store.
+func (m *Metrics) CountPeerAnswer(result string) { m.peerAnswers.WithLabelValues(result).Inc() }
+
+// RecordFirstJob records how long after the start of the process the first job was served, and
+// where the configuration came from.
+func (m *Metrics) RecordFirstJob(configuration string, d time.Duration) {
+	m.firstJob.WithLabelValues(configuration).Set(d.Seconds())
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{})
--- a/daemon/entry/drains.go
+++ b/daemon/entry/drains.go
@@ -16,11 +16,13 @@
 	wait := core.ConfigWait(e.settings)
 	if e.drains.Partition() == e.config {
 		return []func(context.Context){
-			func(ctx context.Context) { e.drains.Follow(ctx, e.store, wait, "configuration", e.applyConfig) },
+			func(ctx context.Context) { e.drains.Follow(ctx, e.store, wait, "configuration", e.applyStoredConfig) },
 		}
 	}
 	return []func(context.Context){
-		func(ctx context.Context) { core.Follow(ctx, e.store, e.config, wait, "configuration", e.applyConfig) },
+		func(ctx context.Context) {
+			core.Follow(ctx, e.store, e.config, wait, "configuration", e.applyStoredConfig)
+		},
 		func(ctx context.Context) { e.drains.Follow(ctx, e.store, wait, "drains", nil) },
 	}
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/snapshot"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/daemon/core"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
@@ -56,7 +57,17 @@
 	decode func(store.Record) (*routing.Table, error)
 	config store.Partition
 	table  atomic.Pointer[routing.Table]
-	fleet  *owner.Fleet
+	// tableTold is set while table came from a peer and the store has not confirmed it here.
+	tableTold atomic.Bool
+	// copies are what this entry has read in the store, or was told of it.
+	copies copies
+	// toldMu serializes the answers of peers.
+	toldMu sync.Mutex
+	// started is the time of New on the boot clock. firstServed is done with the first job that is
+	// served.
+	started     time.Duration
+	firstServed sync.Once
+	fleet       *owner.Fleet
 	// bestEffort is the private shard with the best-effort jobs of this incarnation.
 	bestEffort *core.ShardDriver
 	owners     *ownerCache
@@ -70,10 +81,11 @@
 	m := core.NewMetrics()
 	st = m.CountCalls(st)
 	e := &Entry{
-		settings: s, store: st, metrics: m,
+		settings: s, metrics: m, started: bootclock.Now(),
 		config: config, decode: decode, owners: newOwnerCache(s, st), buckets: newBuckets(s, st),
 		fleet: owner.NewFleet(s.Bounds.RemoteFactor, core.OwnerParams(s), rand.Uint64()),
 	}
+	e.store = core.KeepCopies(st, map[store.Partition]*snapshot.Copy{config: &e.copies.config, core.RegistryPartition: &e.copies.registry})
 	e.drains = core.NewDrainWatch(drains, e.applyDrains)
 	e.metrics.WatchDrains(e.drains)
 	// The name contains the incarnation, by which agents tell the entry's runs from those
@@ -98,6 +110,7 @@
 	joinAttempted := make(chan struct{})
 	wg.Go(func() { e.buckets.run(ctx, sync.OnceFunc(func() { close(joinAttempted) })) })
 	wg.Go(func() { e.links.FollowRegistry(ctx, e.store) })
+	wg.Go(func() { e.startFromPeers(ctx) })
 	wg.Go(func() {
 		select {
 		case <-joinAttempted:
@@ -121,36 +134,51 @@
 // that is not settled.
 func (e *Entry) MayHaveRunsAt(node string) bool { return e.bestEffort.MayHaveRunsAt(node) }
 
+// applyStoredConfig applies a configuration that was read in the store.
+func (e *Entry) applyStoredConfig(r store.Record) { e.applyConfig(r, sourceStore) }
+
 // applyConfig puts a version of the configuration into force unless it or a newer one
-// already is: a reader that starts over may read older versions again.
-func (e *Entry) applyConfig(r store.Record) {
+// already is: a reader that starts over may read older versions again, and a peer may know
+// less. The store's word on the version in force makes it hold without a limit.
+func (e *Entry) applyConfig(r store.Record, source string) {
 	if r.Value == nil {
 		return
 	}
 	t, err := e.decode(r)
 	if err != nil {
-		klog.ErrorS(err, "Ignored a configuration that can't be read")
+		klog.ErrorS(err, "Ignored a configuration that can't be read", "source", source)
 		return
 	}
 	if t == nil {
 		return
 	}
-	if old := e.table.Load(); old != nil && old.Version >= t.Version {
+	old := e.table.Load()
+	if old != nil && old.Version == t.Version && source == sourceStore {
+		e.tableTold.Store(false)
+	}
+	if old != nil && old.Version >= t.Version {
 		return
 	}
 	e.table.Store(t)
-	klog.InfoS("A configuration is in force", "version", t.Version, "routes", len(t.Routes))
+	e.tableTold.Store(source == sourcePeer)
+	klog.InfoS("A configuration is in force", "version", t.Version, "routes", len(t.Routes), "source", source, "since_start", bootclock.Now()-e.started)
 }
 
-// Table returns the configuration in force, or nil if there is none yet.
-func (e *Entry) Table() *routing.Table { return e.table.Load() }
+// Table returns the configuration in force, or nil if there is none: none is known yet, or it came
+// from a peer and the store has confirmed it to nobody for too long.
+func (e *Entry) Table() *routing.Table {
+	if e.tableTold.Load() && !e.copies.config.InForce(bootclock.Now(), toldBound(e.settings)) {
+		return nil
+	}
+	return e.table.Load()
+}
 
 // Ready reports whether the entry can serve clients: it has a configuration, and an agent
 // accepts its orders. A link alone is not enough. With links whose claims are refused, an
 // entry refuses every job; if it were ready, it would keep its share of the clients, whom
 // other entries could serve.
 func (e *Entry) Ready() bool {
-	return e.table.Load() != nil && e.bestEffort.ReachableAgents() > 0
+	return e.Table() != nil && e.bestEffort.ReachableAgents() > 0
 }
 
 // Agents returns the last load of each agent that has reported one.
@@ -188,6 +216,9 @@
 // LinkFrame implements peer.LinkHandler.
 func (e *Entry) LinkFrame(node string, _ int64, f *corepb.FromAgent) {
 	e.drains.Merge(f.GetDrains())
+	if f.GetAskSnapshot() {
+		e.answerSnapshot(node)
+	}
 	if l := f.GetLoad(); l != nil {
 		e.fleet.Update(bootclock.Now(), node, wire.LoadFromWire(l))
 	}
--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -231,7 +231,7 @@
 	is := is.New(t)
 	e := New(coretest.Settings(), coretest.RejectingStore{}, store.Partition{}, decodeVersion, core.DrainSource{})
 	for _, v := range []string{"3", "5", "4"} {
-		e.applyConfig(store.Record{Value: []byte(v)})
+		e.applyStoredConfig(store.Record{Value: []byte(v)})
 	}
 	is.Equal(e.Table().Version, int64(5))
 }
--- a/daemon/entry/requests.go
+++ b/daemon/entry/requests.go
@@ -88,11 +88,26 @@
 	took := time.Since(began)
 	e.metrics.Submit.Observe(took.Seconds())
 	e.metrics.CountResponse(v)
+	if v.Outcome == owner.OK {
+		e.firstServed.Do(e.recordFirstJob)
+	}
 	klog.InfoS("Submit", "id", id, "queue", p.Queue, "version", p.Version, "shard", shard, "best_effort", spec.BestEffort,
 		"patience", clientTimeout(ctx, began).Milliseconds(), "outcome", v.Outcome, "reason", v.Reason, "retry_after", v.RetryAfter.Milliseconds(), "took", took.Milliseconds())
 	return v
 }
 
+// recordFirstJob records how long this process took until it served a job, and whose configuration
+// that was.
+func (e *Entry) recordFirstJob() {
+	source := sourceStore
+	if e.tableTold.Load() {
+		source = sourcePeer
+	}
+	took := bootclock.Now() - e.started
+	e.metrics.RecordFirstJob(source, took)
+	klog.InfoS("Served the first job", "since_start", took, "configuration", source)
+}
+
 // clientTimeout returns the time from at until the client stops waiting. Zero means that it
 // has no time limit.
 func clientTimeout(ctx context.Context, at time.Time) time.Duration {
--- a/transport/metrics/malformed.go
+++ b/transport/metrics/malformed.go
@@ -14,6 +14,7 @@
 	KindNotes         = "notes"
 	KindMember        = "member"
 	KindDrain         = "drain"
+	KindSnapshot      = "snapshot"
 )
 
 // malformed counts input that could not be decoded and was ignored. It is a global variable
@@ -24,7 +25,7 @@
 	c := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "malformed_total", Help: "Reports and records that could not be read and were left out, by kind.",
 	}, []string{"kind"})
-	for _, kind := range []string{KindReport, KindConfiguration, KindRoute, KindRegistration, KindStoreRecord, KindJobRecord, KindAgents, KindNotes, KindMember, KindDrain} {
+	for _, kind := range []string{KindReport, KindConfiguration, KindRoute, KindRegistration, KindStoreRecord, KindJobRecord, KindAgents, KindNotes, KindMember, KindDrain, KindSnapshot} {
 		c.WithLabelValues(kind)
 	}
 	return c
