--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -92,6 +92,19 @@
 			w.store.SetFault(p.name, standin.NoFault)
 		}
 	}},
+	{"all restart while the store turns an entry away", func(w *world, random *rand.Rand, wait func(int, int)) {
+		e := pick(random, w.entries)
+		w.store.SetFault(e.name, pick(random, []standin.Fault{standin.Unavailable, standin.DropCalls}))
+		for _, p := range w.processes() {
+			p.kill()
+		}
+		wait(50, 500)
+		for _, p := range w.processes() {
+			p.start()
+		}
+		wait(500, 4000)
+		w.store.SetFault(e.name, standin.NoFault)
+	}},
 	{"history trimmed", func(w *world, random *rand.Rand, wait func(int, int)) {
 		for _, topic := range []string{"keyed.jobs0", "keyed.agents", "keyed.notes0", "keyed.op"} {
 			w.store.TrimHistory(topic)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -53,6 +53,8 @@
 	w           *world
 	domain      string
 	reportsAddr string
+	// linksAddr is where the agent accepts links, without a relay.
+	linksAddr string
 	// serverRelay leads to the backend server, and linkRelay to the agent's links.
 	serverRelay, linkRelay *relay
 
@@ -160,7 +162,7 @@
 func (w *world) newAgent(name, domain string) *agent {
 	a := &agent{w: w, domain: domain, reportsAddr: address(w.t)}
 	links := address(w.t)
-	a.linkRelay = w.relayTo(links)
+	a.linksAddr, a.linkRelay = links, w.relayTo(links)
 	a.serverRelay = w.relayTo("127.0.0.1:1") // replaceServer sets the real target
 	listen := fmt.Sprintf(`"reports": %q, "links": %q, "links_announced": %q`, a.reportsAddr, links, a.linkRelay.addr())
 	a.process = newProcess(w.t, w.dir, name, w.settings("agent", name, domain, listen, a.serverRelay.addr()))
@@ -248,8 +250,11 @@
 
 func (w *world) newEntry(name string) {
 	clientAddr := address(w.t)
-	listen := fmt.Sprintf(`"clients": %q, "ready": %q`, clientAddr, address(w.t))
-	w.entries = append(w.entries, newProcess(w.t, w.dir, name, w.settings("entry", name, domains[0], listen, "")))
+	// An entry that starts without the store asks the first agent.
+	seed := w.agents[0].linksAddr
+	listen := fmt.Sprintf(`"clients": %q, "ready": %q, "links": %q`, clientAddr, address(w.t), seed)
+	settings := strings.Replace(w.settings("entry", name, domains[0], listen, ""), "{", fmt.Sprintf(`{"seeds": [%q],`, seed), 1)
+	w.entries = append(w.entries, newProcess(w.t, w.dir, name, settings))
 	w.clientAddrs = append(w.clientAddrs, clientAddr)
 }
 
