--- a/daemon/run.go
+++ b/daemon/run.go
@@ -28,7 +28,6 @@
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/asynclog"
 	"github.com/shallotstep/shallotstep/transport/metrics"
-	"github.com/shallotstep/shallotstep/transport/pause"
 )
 
 const (
@@ -100,15 +99,10 @@
 func runEntry(ctx context.Context, cancel context.CancelFunc, s *settings.Settings, stop <-chan os.Signal) error {
 	e := entry.New(s, platform.NewStore(s.Store.Address), platform.ConfigPartition, platform.DecodeConfig, operatorDrains)
 	var stopping, closing atomic.Bool
-	front := newHTTPServer(platform.NewClientHandler(e, closing.Load))
-	frontFailed := make(chan error, 1)
-	go func() {
-		awaitReady(ctx, e.Ready)
-		if err := listenAndServe(front, s.Listen.Clients); err != nil {
-			frontFailed <- err
-			cancel()
-		}
-	}()
+	front, err := serveHTTP(s.Listen.Clients, platform.NewClientHandler(e, closing.Load))
+	if err != nil {
+		return err
+	}
 	ready, err := serveHTTP(s.Listen.Ready, platform.NewReadinessHandler(func() bool { return !stopping.Load() && e.Ready() }))
 	if err != nil {
 		return err
@@ -134,36 +128,12 @@
 		cancel()
 	}()
 	err = e.Run(ctx)
-	select {
-	case err = <-frontFailed:
-	default:
-	}
 	if closeErr := ready.Close(); closeErr != nil {
 		klog.V(1).InfoS("The readiness listener could not be closed", "err", closeErr)
 	}
 	return err
 }
 
-const (
-	// acceptDelay is how long a starting entry that can't serve accepts no connections of clients. A
-	// client that finds no connection tries another entry, but takes a 503 as the answer. Afterwards
-	// the load balancer has removed the entry, and who still comes is told why it can't serve.
-	acceptDelay = preStopDelay
-	// acceptPollInterval is the interval between two looks whether the entry can serve.
-	acceptPollInterval = 5 * time.Millisecond
-)
-
-// awaitReady returns once ready holds, at the latest after acceptDelay or when ctx ends.
-func awaitReady(ctx context.Context, ready func() bool) {
-	ctx, cancel := context.WithTimeout(ctx, acceptDelay)
-	defer cancel()
-	for !ready() {
-		if pause.For(ctx, acceptPollInterval) != nil {
-			return
-		}
-	}
-}
-
 // newAPI returns the handler of the project's own HTTP API for an entry of the platform, and follows
 // the declarations until ctx ends. The declarations have a partition of their own, apart from the
 // platform's configuration.
@@ -203,26 +173,17 @@
 
 // serveHTTP listens at addr and serves h in the background. It returns an error if it can't listen.
 func serveHTTP(addr string, h http.Handler) (*http.Server, error) {
-	srv := newHTTPServer(h)
-	return srv, listenAndServe(srv, addr)
-}
-
-func newHTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-}
-
-// listenAndServe listens at addr and serves in the background. It returns an error if it can't listen.
-func listenAndServe(srv *http.Server, addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return errors.Wrap(err, "listen")
+		return nil, errors.Wrap(err, "listen")
 	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 	go func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			klog.ErrorS(err, "An HTTP server stopped serving", "addr", addr)
 		}
 	}()
-	return nil
+	return srv, nil
 }
 
 // serveMetrics serves the metrics, if their address is set, and profiles, if they are enabled. An error
--- a/state/settings/settings_test.go
+++ b/state/settings/settings_test.go
@@ -38,6 +38,7 @@
 		{`"zone"`, `"zoen"`, "zoen"},
 		{`"bounds"`, `"seeds": ["host:1"], "bounds"`, "seeds"},
 		{`"bounds"`, `"seeds": ["127.0.0.1"], "bounds"`, "seeds"},
+		{`"bounds"`, `"seeds": ["127.0.0.1:9"], "bounds"`, "listen.links"},
 		{`"bounds"`, `"scheduling": {"shares": {"floor": -0.1}}, "bounds"`, "scheduling.shares.floor -0.1"},
 		{`"bounds"`, `"scheduling": {"shares": {"floor": 1.1}}, "bounds"`, "scheduling.shares.floor 1.1"},
 		{`"bounds"`, `"scheduling": {"server_speeds": 1}, "bounds"`, "scheduling.server_speeds"},
