--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -20,8 +20,13 @@
 	Backlog time.Duration
 	// Ahead is the part of Backlog that has to start within each of the SlackBuckets.
 	Ahead [len(SlackBuckets)]time.Duration
-	// Slowdown is the ratio of actual to expected run time here; 1 is normal.
+	// Slowdown is the ratio of actual to expected run time here; 1 is normal. It is relative to the
+	// server's own speed.
 	Slowdown float64
+	// Speed is how fast the server is: 2 is twice as fast as expected run times say, 0 is unknown.
+	Speed float64
+	// SpeedRuns is the number of runs that Speed rests on.
+	SpeedRuns int
 	// Turnover is the mean time until one more task fits. If the active runs occupy
 	// more than the capacity, several of them have to end first.
 	Turnover time.Duration
@@ -39,7 +44,7 @@
 }
 
 // Load returns the present load. Backlog is the waiting work in core time: the time that one core
-// needs for it.
+// needs for it here.
 func (w *Worker) Load(now time.Duration) Load {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -53,15 +58,16 @@
 		l.Free = job.Demand{}
 	}
 	l.Suspects = w.suspectsLocked()
+	l.Speed, l.SpeedRuns = w.speed.Speed(now)
 	var running time.Duration
 	for _, r := range w.runs {
 		switch r.phase {
 		case waiting:
-			l.addWaiting(now, r)
+			l.addWaiting(now, w.local, &r.order)
 		case ended:
 		default:
 			l.Running++
-			running += r.order.Estimate
+			running += w.local.of(r.order.Estimate)
 		}
 	}
 	l.Turnover = turnover(l.Running, running) * time.Duration(1+taken.excess(w.server.Capacity))
@@ -78,11 +84,11 @@
 	return sum / (n * (n + 1))
 }
 
-func (l *Load) addWaiting(now time.Duration, r *run) {
-	work := r.order.Estimate * time.Duration(r.order.Demand.CPUMillis) / 1000
+func (l *Load) addWaiting(now time.Duration, local localTime, o *Order) {
+	work := local.of(o.Estimate) * time.Duration(o.Demand.CPUMillis) / 1000
 	l.Waiting++
 	l.Backlog += work
-	slack := r.order.latestStart() - now
+	slack := local.latestStart(o) - now
 	for i, edge := range SlackBuckets {
 		if slack <= edge {
 			l.Ahead[i] += work
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -76,6 +76,10 @@
 	orders atomic.Int64
 	// recentPlacers records the owners whose orders this agent has received.
 	recentPlacers *recentPlacers
+	// loads reads the loads of other agents.
+	loads core.LoadReader
+	// speeds watches the speed of the backend server.
+	speeds speedWatch
 	// claimsPending is set when a link came up on which the owned shards were not claimed.
 	claimsPending atomic.Bool
 	// markerStored is set once the marker for recorded jobs is stored; see storeMarker.
@@ -120,7 +124,7 @@
 	a := &Agent{
 		settings: s, newBackendClient: newBackendClient, metrics: core.NewMetrics(),
 		member: core.MemberName(s.Name, xid.New().String()), started: bootclock.Now(),
-		worker:        worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerTimeout: core.OwnerTimeout, ReconnectTimeout: core.ReconnectTimeout, AdoptionTimeout: core.AdoptionTimeout, Shards: s.Shards()}),
+		worker:        worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerTimeout: core.OwnerTimeout, ReconnectTimeout: core.ReconnectTimeout, AdoptionTimeout: core.AdoptionTimeout, Shards: s.Shards(), LearnSpeed: s.Scheduling.ServerSpeeds}),
 		recentPlacers: newRecentPlacers(),
 		snapshots:     newSnapshots(),
 		fleet:         owner.NewFleet(s.Bounds.RemoteFactor, core.OwnerParams(s), rand.Uint64()),
@@ -136,6 +140,7 @@
 	a.metrics.WatchDrains(a.drains)
 	a.server = peer.NewServer(a)
 	registerWorkerMetrics(a.metrics, a.worker)
+	registerSpeedMetrics(a.metrics, a.serverSpeed)
 	a.metrics.WatchFleet(a.fleet)
 	return a
 }
--- a/daemon/agent/serve.go
+++ b/daemon/agent/serve.go
@@ -155,7 +155,8 @@
 func (a *Agent) LinkFrame(node string, _ int64, f *corepb.FromAgent) {
 	a.drains.Merge(f.GetDrains())
 	if l := f.GetLoad(); l != nil {
-		a.fleet.Update(bootclock.Now(), node, wire.LoadFromWire(l))
+		now := bootclock.Now()
+		a.fleet.Update(now, node, a.loads.Read(now, node, l))
 	}
 	for _, p := range f.GetClaimed() {
 		if r := a.shard(int(p.GetShard())); r != nil {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -20,7 +20,6 @@
 	"github.com/shallotstep/shallotstep/coordination/snapshot"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/daemon/core"
-	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/state/routing"
@@ -73,6 +72,8 @@
 	owners     *ownerCache
 	buckets    *buckets
 	drains     *core.DrainWatch
+	// loads reads the agents' loads.
+	loads core.LoadReader
 }
 
 // New returns an entry. It has no effect until Run is called. config is the partition of
@@ -220,7 +221,8 @@
 		e.answerSnapshot(node)
 	}
 	if l := f.GetLoad(); l != nil {
-		e.fleet.Update(bootclock.Now(), node, wire.LoadFromWire(l))
+		now := bootclock.Now()
+		e.fleet.Update(now, node, e.loads.Read(now, node, l))
 	}
 	for _, p := range f.GetClaimed() {
 		e.bestEffort.HandleClaimed(node, p)
