Put configurations into force one at a time; keep a lapsed one out

The store's follower and the answers of peers each compared a version with the one in force and then stored it, without a lock: a peer's older version could replace the store's newer one, and stayed until the next version. And a peer's configuration that had lapsed came back into force when the store answered, until the newer one was decoded, because the copy counted as read by then. The time until which a told configuration holds is now a field of its own beside the configuration, both changed under a lock. Only a configuration record of the store ends it.

Assertions of two existing tests on tableTold now ask the field that replaces it.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -55,9 +55,12 @@
 	// records of other kinds.
 	decode func(store.Record) (*routing.Table, error)
 	config store.Partition
-	table  atomic.Pointer[routing.Table]
-	// tableTold is set while table came from a peer and the store has not confirmed it here.
-	tableTold atomic.Bool
+	// configMu serializes changes of table and toldUntil, which the store and peers bring at once.
+	configMu sync.Mutex
+	table    atomic.Pointer[routing.Table]
+	// toldUntil is until when table, which came from a peer, holds on the boot clock; zero once the
+	// store has told a configuration here.
+	toldUntil core.AtomicDuration
 	// copies are what this entry has read in the store, or was told of it.
 	copies copies
 	// toldMu serializes the answers of peers.
@@ -136,39 +139,41 @@
 func (e *Entry) MayHaveRunsAt(node string) bool { return e.bestEffort.MayHaveRunsAt(node) }
 
 // applyStoredConfig applies a configuration that was read in the store.
-func (e *Entry) applyStoredConfig(r store.Record) { e.applyConfig(r, sourceStore) }
+func (e *Entry) applyStoredConfig(r store.Record) { e.applyConfig(r, 0) }
 
 // applyConfig puts a version of the configuration into force unless it or a newer one
 // already is: a reader that starts over may read older versions again, and a peer may know
-// less. The store's word on the version in force makes it hold without a limit.
-func (e *Entry) applyConfig(r store.Record, source string) {
+// less. toldUntil is until when a peer's configuration holds; zero if it was read in the store,
+// whose word makes the version in force hold without a limit.
+func (e *Entry) applyConfig(r store.Record, toldUntil time.Duration) {
 	if r.Value == nil {
 		return
 	}
 	t, err := e.decode(r)
 	if err != nil {
-		klog.ErrorS(err, "Ignored a configuration that can't be read", "source", source)
+		klog.ErrorS(err, "Ignored a configuration that can't be read", "source", sourceOf(toldUntil))
 		return
 	}
 	if t == nil {
 		return
 	}
-	old := e.table.Load()
-	if old != nil && old.Version == t.Version && source == sourceStore {
-		e.tableTold.Store(false)
-	}
-	if old != nil && old.Version >= t.Version {
+	e.configMu.Lock()
+	defer e.configMu.Unlock()
+	if old := e.table.Load(); old != nil && old.Version >= t.Version {
+		if toldUntil == 0 {
+			e.toldUntil.Set(0)
+		}
 		return
 	}
 	e.table.Store(t)
-	e.tableTold.Store(source == sourcePeer)
-	klog.InfoS("A configuration is in force", "version", t.Version, "routes", len(t.Routes), "source", source, "since_start", bootclock.Now()-e.started)
+	e.toldUntil.Set(toldUntil)
+	klog.InfoS("A configuration is in force", "version", t.Version, "routes", len(t.Routes), "source", sourceOf(toldUntil), "since_start", bootclock.Now()-e.started)
 }
 
 // Table returns the configuration in force, or nil if there is none: none is known yet, or it came
 // from a peer and the store has confirmed it to nobody for too long.
 func (e *Entry) Table() *routing.Table {
-	if e.tableTold.Load() && !e.copies.config.InForce(bootclock.Now(), toldBound(e.settings)) {
+	if until := e.toldUntil.Get(); until > 0 && bootclock.Now() >= until {
 		return nil
 	}
 	return e.table.Load()
--- a/daemon/entry/peer_start.go
+++ b/daemon/entry/peer_start.go
@@ -153,16 +153,19 @@
 	if p.GetUnchanged() && s.Position != e.copies.config.Position() {
 		return errors.New("the answer refers to records that were replaced meanwhile")
 	}
+	until := bootclock.Now() - s.Age + toldBound(e.settings)
 	decision := e.offer(&e.copies.config, &s, toldBound(e.settings))
 	switch decision {
 	case snapshot.Applied:
 		e.drains.MergeRecords(s.Records, s.Position, s.Age)
 		for _, r := range s.Records {
-			e.applyConfig(r, sourcePeer)
+			e.applyConfig(r, until)
 		}
+		e.extendTold(until)
 		klog.InfoS("Took the configuration from a peer", "position", s.Position, "age", s.Age)
 	case snapshot.Confirmed:
 		e.drains.Confirm(s.Position, s.Age)
+		e.extendTold(until)
 	case snapshot.Older, snapshot.Expired, snapshot.Malformed:
 		return errors.Errorf("the configuration of the peer is %s: position %d, age %v", decision, s.Position, s.Age)
 	case snapshot.Superseded:
@@ -170,6 +173,16 @@
 	return nil
 }
 
+// extendTold lets a configuration from a peer hold until a later time. It does nothing once the
+// store has told one here.
+func (e *Entry) extendTold(until time.Duration) {
+	e.configMu.Lock()
+	defer e.configMu.Unlock()
+	if old := e.toldUntil.Get(); old > 0 {
+		e.toldUntil.Set(max(old, until))
+	}
+}
+
 // applyToldRegistry applies the registry that a peer has told. It holds until the store answers: it
 // serves to find agents only, and nothing that must be true depends on it.
 func (e *Entry) applyToldRegistry(p *corepb.StoredPartition, transit time.Duration) error {
@@ -238,3 +251,11 @@
 	sourceStore = "store"
 	sourcePeer  = "peer"
 )
+
+// sourceOf returns the source of a configuration that holds until a time, or without a limit.
+func sourceOf(toldUntil time.Duration) string {
+	if toldUntil == 0 {
+		return sourceStore
+	}
+	return sourcePeer
+}
--- a/daemon/entry/peer_start_test.go
+++ b/daemon/entry/peer_start_test.go
@@ -315,7 +315,7 @@
 	coretest.Await(t, func() bool { return version(e) == 5 && len(e.Domains()) == 1 })
 	st.switchOn(6)
 	coretest.Await(t, func() bool { return version(e) == 6 && len(e.Domains()) == 0 })
-	is.True(!e.tableTold.Load())
+	is.Equal(e.toldUntil.Get(), time.Duration(0))
 	answer, err := tells(9, 200, 0)(context.Background())
 	is.NoErr(err)
 	is.NoErr(e.applyToldConfig(answer.GetConfig(), 0)) // one that was under way
@@ -329,9 +329,9 @@
 	st := &switchedStore{}
 	e := startWithoutStore(t, st, port, longBound, "127.0.0.1")
 	coretest.Await(t, func() bool { return version(e) == 5 })
-	is.True(e.tableTold.Load())
+	is.True(e.toldUntil.Get() > 0)
 	st.switchOn(5)
-	coretest.Await(t, func() bool { return !e.tableTold.Load() })
+	coretest.Await(t, func() bool { return e.toldUntil.Get() == 0 })
 	is.Equal(version(e), int64(5))
 }
 
--- a/daemon/entry/requests.go
+++ b/daemon/entry/requests.go
@@ -99,10 +99,7 @@
 // recordFirstJob records how long this process took until it served a job, and whose configuration
 // that was.
 func (e *Entry) recordFirstJob() {
-	source := sourceStore
-	if e.tableTold.Load() {
-		source = sourcePeer
-	}
+	source := sourceOf(e.toldUntil.Get())
 	took := bootclock.Now() - e.started
 	e.metrics.RecordFirstJob(source, took)
 	klog.InfoS("Served the first job", "since_start", took, "configuration", source)
