Keep copies of the partitions only in entries that have seeds

An entry kept a copy of the configuration's partition and of the registry all its life, also in a deployment without seeds, where nobody asks for them. TestNoCopiesWithoutSeeds failed before.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -89,7 +89,10 @@
 		config: config, decode: decode, owners: newOwnerCache(s, st), buckets: newBuckets(s, st),
 		fleet: owner.NewFleet(s.Bounds.RemoteFactor, core.OwnerParams(s), rand.Uint64()),
 	}
-	e.store = core.KeepCopies(st, map[store.Partition]*snapshot.Copy{config: &e.copies.config, core.RegistryPartition: &e.copies.registry})
+	e.store = st
+	if len(s.Seeds) > 0 {
+		e.store = core.KeepCopies(st, map[store.Partition]*snapshot.Copy{config: &e.copies.config, core.RegistryPartition: &e.copies.registry})
+	}
 	e.drains = core.NewDrainWatch(drains, e.applyDrains)
 	e.metrics.WatchDrains(e.drains)
 	// The name contains the incarnation, by which agents tell the entry's runs from those
--- a/daemon/entry/peer_order_test.go
+++ b/daemon/entry/peer_order_test.go
@@ -77,3 +77,14 @@
 	e.applyStoredConfig(store.Record{Key: "config", Value: fmt.Append(nil, 4)})
 	is.Equal(version(e), int64(5))
 }
+
+// Guards against an entry without seeds that keeps copies which nothing asks for.
+func TestNoCopiesWithoutSeeds(t *testing.T) {
+	is := is.New(t)
+	st := &switchedStore{}
+	st.switchOn(3)
+	e := New(coretest.Settings(), st, operatorRecords, decodeOperatorConfig, core.DrainSource{Partition: operatorRecords, Decode: decodeOperatorDrain})
+	_, _, err := e.store.Newest(context.Background(), operatorRecords)
+	is.NoErr(err)
+	is.Equal(e.copies.config.Position(), int64(0))
+}
