Refuse listen.links without a port where seeds are asked at it

The error of an entry with seeds and no listen.links named the field without its value, and one without a port was found only in a log line when the entry already ran.

--- a/state/settings/settings.go
+++ b/state/settings/settings.go
@@ -218,8 +218,8 @@
 			return errors.Errorf("settings: seeds: %q is not an IP address with a port", seed)
 		}
 	}
-	if len(s.Seeds) > 0 && s.Listen.Links == "" {
-		return errors.New("settings: seeds are asked at the port of listen.links, which is missing")
+	if _, _, err := net.SplitHostPort(s.Listen.Links); len(s.Seeds) > 0 && err != nil {
+		return errors.Errorf("settings: listen.links %q has no port at which to ask the seeds", s.Listen.Links)
 	}
 	if shares := s.Scheduling.Shares; shares != nil && (shares.Floor < 0 || shares.Floor > 1) {
 		return errors.Errorf("settings: scheduling.shares.floor %v is not between 0 and 1", shares.Floor)
