Count the whole time that a told configuration was under way

And a read of the store that ended after its own wait, in a process that was suspended meanwhile, counted as the store's word of that moment.

--- a/daemon/agent/snapshots.go
+++ b/daemon/agent/snapshots.go
@@ -203,20 +203,37 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, snapshotAnswerTimeout)
 	defer cancel()
-	var best *snapshot.State
-	for range asked {
+	return newestAnswer(collect(ctx, answers, asked), p, began)
+}
+
+// collect returns the answers that come before ctx ends, at most n.
+func collect(ctx context.Context, answers <-chan *corepb.StoreSnapshot, n int) []*corepb.StoreSnapshot {
+	var out []*corepb.StoreSnapshot
+	for len(out) < n {
 		select {
 		case answer := <-answers:
-			part := answer.GetConfig()
-			if p == core.RegistryPartition {
-				part = answer.GetRegistry()
-			}
-			s := wire.StateFromWire(part, bootclock.Now()-began)
-			if s.Check() == nil && (best == nil || s.NewerThan(best)) {
-				best = &s
-			}
+			out = append(out, answer)
 		case <-ctx.Done():
-			return best
+			return out
+		}
+	}
+	return out
+}
+
+// newestAnswer returns the newest state of a partition in the answers to a question of a time, or
+// nil if there is none. All the time since then counts as the way of an answer, also that for
+// which it has waited here for others.
+func newestAnswer(all []*corepb.StoreSnapshot, p store.Partition, asked time.Duration) *snapshot.State {
+	transit := bootclock.Now() - asked
+	var best *snapshot.State
+	for _, answer := range all {
+		part := answer.GetConfig()
+		if p == core.RegistryPartition {
+			part = answer.GetRegistry()
+		}
+		s := wire.StateFromWire(part, transit)
+		if s.Check() == nil && (best == nil || s.NewerThan(best)) {
+			best = &s
 		}
 	}
 	return best
--- a/daemon/agent/snapshots_test.go
+++ b/daemon/agent/snapshots_test.go
@@ -1,13 +1,16 @@
 package agent
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/store"
+	"github.com/shallotstep/shallotstep/transport/bootclock"
 )
 
 var operatorRecords = store.Partition{Topic: "operators"}
@@ -51,3 +54,17 @@
 	is.Equal(len(config), 1)
 	is.Equal(len(registry), 1)
 }
+
+// One entry answers at once, another never. Guards against an answer whose age leaves out the time
+// for which it waited for the other.
+func TestAgeCountsTheWaitForOtherEntries(t *testing.T) {
+	is := is.New(t)
+	s := newSnapshots()
+	asked := bootclock.Now()
+	answers, question := s.listen(operatorRecords)
+	s.tell(&corepb.StoreSnapshot{Question: question, Config: &corepb.StoredPartition{Position: 7, AgeMs: 100}})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	state := newestAnswer(collect(ctx, answers, 2), operatorRecords, asked)
+	is.True(state.Age >= 120*time.Millisecond)
+}
--- a/daemon/core/copies.go
+++ b/daemon/core/copies.go
@@ -32,9 +32,12 @@
 
 // Follow implements store.Store.
 func (s *copyingStore) Follow(ctx context.Context, p store.Partition, from int64, wait time.Duration) ([]store.Record, int64, error) {
+	began := bootclock.Now()
 	records, next, err := s.Store.Follow(ctx, p, from, wait)
 	if c := s.copies[p]; c != nil && err == nil {
-		c.Extend(bootclock.Now(), records, from, next)
+		// An answer that comes later than the read could wait was sent before that: the process
+		// may have been suspended meanwhile.
+		c.Extend(min(bootclock.Now(), began+wait), records, from, next)
 	}
 	return records, next, err
 }
