--- a/protocol/core/snapshot_test.go
+++ b/protocol/core/snapshot_test.go
@@ -72,7 +72,7 @@
 		if decision == snapshot.Applied && (s.Position <= 0 || s.Age < time.Second || s.Age >= time.Minute) {
 			t.Errorf("applied position %d, age %v", s.Position, s.Age)
 		}
-		if decision == snapshot.Malformed && c.InForce(time.Hour, time.Minute) {
+		if decision == snapshot.Malformed && c.ConfirmedWithin(time.Hour, time.Minute) {
 			t.Error("a malformed state is in force")
 		}
 	})
