--- a/daemon/agent/callers.go
+++ b/daemon/agent/callers.go
@@ -57,6 +57,8 @@
 	// demand is what the caller was last told that the others ask for, at demandAt.
 	demand   []shares.Demand
 	demandAt time.Duration
+	// entry is set once the caller has claimed a private shard, as only entries do.
+	entry bool
 }
 
 func (s *callerState) recordOrder(now time.Duration) {
