Show the speeds of servers in shallotstep status

Cause: an operator who looks for idle servers beside refused callers could see speeds in the agents' metrics only, one by one.

Change: status has the speed by which an entry places tasks, where speeds are considered; otherwise the output is as before.

--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -312,6 +312,9 @@
 	Load AgentLoad
 	// UpdatedAt is when the load arrived, on the boot clock.
 	UpdatedAt time.Duration
+	// Speed is the server's speed relative to the others' of its service, by which tasks are placed;
+	// zero if speeds aren't considered.
+	Speed float64
 }
 
 // Agents returns the last load of each agent that has reported one, sorted by name.
@@ -321,7 +324,7 @@
 	out := make([]AgentView, 0, len(f.agents))
 	for _, v := range f.ordered {
 		if v.updatedAt > 0 {
-			out = append(out, AgentView{Node: v.node, Load: v.load, UpdatedAt: v.updatedAt})
+			out = append(out, AgentView{Node: v.node, Load: v.load, UpdatedAt: v.updatedAt, Speed: f.speedLocked(v)})
 		}
 	}
 	return out
--- a/coordination/owner/speeds.go
+++ b/coordination/owner/speeds.go
@@ -148,7 +148,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	v := f.agents[node]
-	if v == nil || !f.params.ServerSpeeds {
+	if v == nil {
+		return 0
+	}
+	return f.speedLocked(v)
+}
+
+func (f *Fleet) speedLocked(v *agentView) float64 {
+	if !f.params.ServerSpeeds {
 		return 0
 	}
 	return v.speed
--- a/daemon/clients/clients.go
+++ b/daemon/clients/clients.go
@@ -164,7 +164,7 @@
 			Cores: cores(a.Load.Capacity), FreeCores: cores(a.Load.Free),
 			MemoryMB: a.Load.Capacity.MemoryMB, Accelerators: a.Load.Capacity.GPUs,
 			Accepts: a.Load.Accepts, Drained: drained.Has(a.Load.Domain), WaitingMS: a.Load.Backlog.Milliseconds(),
-			AgeMS: (now - a.UpdatedAt).Milliseconds(),
+			Speed: a.Speed, AgeMS: (now - a.UpdatedAt).Milliseconds(),
 		})
 	}
 	return out
--- a/protocol/api/document.go
+++ b/protocol/api/document.go
@@ -114,7 +114,10 @@
 	Drained bool `json:"drained"`
 	// WaitingMS is the queued work, in milliseconds of one core.
 	WaitingMS int64 `json:"waiting_ms"`
-	AgeMS     int64 `json:"age_ms"`
+	// Speed is the server's speed relative to the others' of its service, by which tasks are
+	// placed; absent if speeds aren't considered.
+	Speed float64 `json:"speed,omitempty"`
+	AgeMS int64   `json:"age_ms"`
 }
 
 // ETag returns a version as an entity tag.
--- a/transport/cli/status.go
+++ b/transport/cli/status.go
@@ -32,8 +32,8 @@
 	w := tabwriter.NewWriter(v.Stdout, 0, 0, columnGap, ' ', 0)
 	fmt.Fprintf(w, "agents: %d\n", len(s.Agents))
 	for _, a := range s.Agents {
-		fmt.Fprintf(w, "  %s\t%s\t%s\t%.1f of %.1f cores free\t%d ms waiting\t%s\t%d ms old\n",
-			a.Name, a.Domain, a.Service, a.FreeCores, a.Cores, a.WaitingMS, agentState(a), a.AgeMS)
+		fmt.Fprintf(w, "  %s\t%s\t%s\t%.1f of %.1f cores free\t%d ms waiting\t%s\t%d ms old%s\n",
+			a.Name, a.Domain, a.Service, a.FreeCores, a.Cores, a.WaitingMS, agentState(a), a.AgeMS, agentSpeed(a))
 	}
 	fmt.Fprintf(w, "declarations: %d\n", len(s.Declarations))
 	for _, d := range s.Declarations {
@@ -54,6 +54,14 @@
 	return "takes no work"
 }
 
+// agentSpeed returns a further column for an agent whose server's speed is considered.
+func agentSpeed(a api.Agent) string {
+	if a.Speed == 0 {
+		return ""
+	}
+	return fmt.Sprintf("\tspeed %.2f", a.Speed)
+}
+
 func runVersion(_ context.Context, v *invocation) int {
 	return v.print(versionDoc{Version: v.Version}, func() { v.printf("shallotstep %s\n", v.Version) })
 }
