--- a/coordination/load/world_test.go
+++ b/coordination/load/world_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/shares"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
@@ -100,6 +101,21 @@
 	// that were reported as failed although they crash no server. maxStartsAfterThird is the
 	// maximum number of starts of a task after it had crashed three servers.
 	serversLost, wronglyGivenUp, maxStartsAfterThird int
+	// onOutcome, if set, is called with each response that a client gets.
+	onOutcome func(*request, owner.Response)
+	// startedJobs, if not nil, has the jobs of which a backend server has accepted a task.
+	startedJobs map[job.ID]bool
+	// stretchTasks makes a few tasks take tailFactor times as long, where heavyTails does so with
+	// the last task of a few jobs.
+	stretchTasks bool
+	// classFactors is multiplied with the rate of a queue's jobs, where it has one.
+	classFactors map[string]float64
+	// entryOf chooses the entry that a client sends its job to; nil: any.
+	entryOf func(*request) *entry
+	// equalTimeouts makes clients state minTimeout at their first attempt.
+	equalTimeouts bool
+	// recorded is called with each job that is counted; nil: nothing.
+	recorded func(*request, owner.Response)
 	// traceLines has what happened if traced is set.
 	traced     bool
 	traceLines []string
@@ -203,6 +219,9 @@
 	incarnation int
 	down        bool
 	fleet       *owner.Fleet
+	// demandSent is what the agents were last told that the entry asks for, at demandAt.
+	demandSent []shares.Demand
+	demandAt   time.Duration
 }
 
 func newEntry(w *world, number int) *entry {
@@ -211,6 +230,7 @@
 	w.every(tickInterval, func() {
 		if !e.down {
 			e.apply(e.Tick(w.now))
+			e.sendDemand()
 		}
 	})
 	return e
@@ -223,7 +243,7 @@
 func (e *entry) start() {
 	e.incarnation++
 	e.down = false
-	e.fleet = owner.NewFleet(1, e.w.params, e.w.rand.Uint64())
+	e.fleet = owner.NewFleet(1, e.w.paramsOf(e), e.w.rand.Uint64())
 	e.Shard = owner.NewPrivate(e.w.now, shards+1+e.number+shardsPerIncarnation*e.incarnation, ownerBounds, e.fleet)
 	for _, a := range e.w.subsets[e.number] {
 		e.w.after(frameDelay, func() { e.link(a, e.incarnation) })
@@ -277,6 +297,9 @@
 	lastSent    loadLevel
 	lastSentAt  time.Duration
 	lastOrderAt time.Duration
+	// demandSent is what the entry was last told that the others ask for, at demandAt.
+	demandSent []shares.Demand
+	demandAt   time.Duration
 }
 
 // loadLevel is the part of a load whose changes are sent before the next heartbeat.
@@ -313,10 +336,12 @@
 	lastReportSeq int64
 	// domain is the failure domain; empty unless the test uses domains.
 	domain string
+	// sums has what the entries ask for.
+	sums *shares.Sums
 }
 
 func newAgent(w *world, number int) *agent {
-	a := &agent{w: w, name: fmt.Sprintf("agent-%02d", number), durationFactor: 1, running: make(map[job.RunID]bool)}
+	a := &agent{w: w, name: fmt.Sprintf("agent-%02d", number), durationFactor: 1, running: make(map[job.RunID]bool), sums: shares.NewSums()}
 	a.capacity = job.Demand{CPUMillis: 16000, MemoryMB: 65536}
 	if number%3 == 2 {
 		a.capacity.CPUMillis = 24000
@@ -409,6 +434,9 @@
 				return
 			}
 			a.running[s.Run] = true
+			if a.w.startedJobs != nil {
+				a.w.startedJobs[s.Run.Task.Job] = true
+			}
 			a.apply(a.StartAnswered(a.w.now, s.Instance, s.Run, worker.StartOK, ""))
 			if a.w.crashes(s.Run) {
 				a.w.after(crashDelay, func() { a.crashedBy(s.Run, instance) })
@@ -496,28 +524,31 @@
 	if !a.w.hideTotalOrders {
 		p.Orders = a.orders
 	}
+	demand := a.demandOfOthers(c)
 	delay := frameDelay
 	if a.slowUpdates {
 		delay = slowUpdateDelay
 	}
 	if a.w.updateDelay > 0 {
-		a.w.after(delay+a.w.updateDelay, func() { a.deliverLoad(c, p, nil) })
+		a.w.after(delay+a.w.updateDelay, func() { a.deliverLoad(c, p, demand, nil) })
 		if ev != nil {
-			a.w.after(delay, func() { a.deliverLoad(c, nil, ev) })
+			a.w.after(delay, func() { a.deliverLoad(c, nil, nil, ev) })
 		}
 		return
 	}
-	a.w.after(delay, func() { a.deliverLoad(c, p, ev) })
+	a.w.after(delay, func() { a.deliverLoad(c, p, demand, ev) })
 }
 
-// deliverLoad delivers an agent's load and an event to an entry, each if there is one.
-func (a *agent) deliverLoad(c *entryLink, l *corepb.Load, ev *worker.Event) {
+// deliverLoad delivers an agent's load, the demand of others and an event to an entry, each if there
+// is one.
+func (a *agent) deliverLoad(c *entryLink, l *corepb.Load, demand []shares.Demand, ev *worker.Event) {
 	if c.entry.down || c.entry.incarnation != c.incarnation {
 		return
 	}
 	if l != nil {
 		c.entry.fleet.Update(a.w.now, a.name, wire.LoadFromWire(l))
 	}
+	c.entry.hearDemand(a, demand)
 	if ev != nil {
 		c.entry.apply(c.entry.Event(a.w.now, a.name, *ev))
 	}
--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -65,6 +65,10 @@
 		}
 	}
 	a.waitLimit = s.waitLimit(objective, criticalPath, p.Priority) - clientWaited
+	if v := s.fleet.askShare(now, spec, p, clientWaited > 0); v.Refused {
+		a.reason, a.retryAfter = ReasonOverShare, v.RetryAfter
+		return a
+	}
 	if a.wait <= a.waitLimit {
 		return a
 	}
@@ -74,7 +78,7 @@
 		// there is free capacity.
 		a.useful = spec.ClientTimeout
 	}
-	if a.lateEnd = s.predictLateEndLocked(now, spec, p, a.wait+criticalPath, a.useful); !s.usefulWhenLate(a.lateEnd, a.useful) {
+	if a.lateEnd = s.predictLateEndLocked(now, spec, p, a.wait+criticalPath, a.useful); !s.usefulWhenLate(now, p.Service, a.lateEnd, a.useful) {
 		a.reason, a.retryAfter = ReasonOverload, a.wait-max(a.waitLimit, 0)
 		return a
 	}
@@ -135,8 +139,8 @@
 
 // usefulWhenLate reports whether a late job is predicted to end early enough for its answer to be
 // of use. A job accepted in vain would hold its client, which could have sent it to another entry.
-func (s *Shard) usefulWhenLate(end, useful time.Duration) bool {
-	return useful != 0 && end <= time.Duration(s.fleet.params.LateShare*float64(useful))
+func (s *Shard) usefulWhenLate(now time.Duration, service string, end, useful time.Duration) bool {
+	return useful != 0 && end <= time.Duration(s.lateShareLocked(now, service)*float64(useful))
 }
 
 // predictLateEndLocked predicts when a job would end that runs only in the capacity that jobs in
@@ -145,13 +149,12 @@
 	if useful == 0 {
 		return 0
 	}
-	prior := s.fleet.params.LatePriorShare
 	s.waiting.updateLateRate(now, s.fleet.params.LateRateWindow)
 	for i := range spec.Steps {
 		st := &spec.Steps[i]
 		n := s.placementRequest(p, st)
 		cores, ratio := s.fleet.EligibleCapacity(n, s.mayOrderLocked)
-		s.waiting.setLatePrior(prior * cores / ratio)
+		s.waiting.setLatePrior(s.latePriorShareLocked(now, p.Service) * cores / ratio)
 		end += s.waiting.lateWait(s.waiting.lateWork() + coreTime(n)*time.Duration(st.Count))
 	}
 	return end
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
+	"github.com/shallotstep/shallotstep/coordination/shares"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
 )
@@ -113,6 +114,9 @@
 	orderRatio orderRatio
 	// speeds relates the speeds of the servers of each service. Guarded by mu.
 	speeds map[string]*serverSpeeds
+	// shares is nil if contended capacity isn't divided. It has a lock of its own, under which it
+	// takes mu, so it may be called only without mu.
+	shares *shares.Book
 	// candidates is reused by each choice. Guarded by mu.
 	candidates []candidate
 	// placed counts the placements by tier. Guarded by mu.
@@ -161,7 +165,7 @@
 // NewFleet returns a Fleet without agents. Processes need different seeds: with the same one they
 // would choose the same of several equally good agents.
 func NewFleet(remoteFactor float64, p Params, seed uint64) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		rand:          rand.New(rand.NewPCG(seed, 0)),
 		remoteFactor:  max(1, remoteFactor),
 		params:        p,
@@ -170,6 +174,10 @@
 		retired:       make(map[string]bool),
 		runTimeRatios: make(map[string]float64),
 	}
+	if p.Shares != nil {
+		f.shares = shares.NewBook(*p.Shares)
+	}
+	return f
 }
 
 // AgentsExamined returns how many agents were examined to place tasks, as a measure of what
@@ -194,6 +202,13 @@
 
 // LinkLost removes an agent whose link is gone.
 func (f *Fleet) LinkLost(node string) {
+	f.removeAgent(node)
+	if f.shares != nil {
+		f.shares.Forget(node)
+	}
+}
+
+func (f *Fleet) removeAgent(node string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.agents, node)
@@ -239,6 +254,26 @@
 	return float64(free) / float64(max(all, 1))
 }
 
+// acceptingMillis sets into to the thousandths of a core, for each service, of all linked agents at
+// which new work may be started.
+func (f *Fleet) acceptingMillis(into map[string]int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(into)
+	for _, v := range f.ordered {
+		if v.acceptsWork() && !v.retired {
+			into[v.load.Service] += v.load.Capacity.CPUMillis
+		}
+	}
+}
+
+// random returns a random number, to seed what must differ between processes.
+func (f *Fleet) random() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rand.Uint64()
+}
+
 // Offers reports whether a linked agent of the service, with the label if one is given, has the
 // capacity for a demand.
 func (f *Fleet) Offers(service, label string, demand job.Demand) bool {
@@ -277,6 +312,9 @@
 	Load AgentLoad
 	// UpdatedAt is when the load arrived, on the boot clock.
 	UpdatedAt time.Duration
+	// Speed is the server's speed relative to the others' of its service, by which tasks are placed;
+	// zero if speeds aren't considered.
+	Speed float64
 }
 
 // Agents returns the last load of each agent that has reported one, sorted by name.
@@ -286,7 +324,7 @@
 	out := make([]AgentView, 0, len(f.agents))
 	for _, v := range f.ordered {
 		if v.updatedAt > 0 {
-			out = append(out, AgentView{Node: v.node, Load: v.load, UpdatedAt: v.updatedAt})
+			out = append(out, AgentView{Node: v.node, Load: v.load, UpdatedAt: v.updatedAt, Speed: f.speedLocked(v)})
 		}
 	}
 	return out
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/shares"
 	"github.com/shallotstep/shallotstep/coordination/subset"
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/daemon/core"
@@ -68,10 +69,15 @@
 	// the last read began.
 	readingDrains atomic.Bool
 	drainsReadAt  core.AtomicDuration
+	// snapshots answers entries that start without the store.
+	snapshots *snapshots
 	// placers is the number of callers that currently place work here.
 	placers atomic.Int32
 	// orders counts the orders received from all callers.
 	orders atomic.Int64
+	// sums has what the callers ask for, and demand tells other agents what the owners here ask for.
+	sums   *shares.Sums
+	demand *core.DemandReporter
 	// recentPlacers records the owners whose orders this agent has received.
 	recentPlacers *recentPlacers
 	// loads reads the loads of other agents.
@@ -124,12 +130,14 @@
 		member: core.MemberName(s.Name, xid.New().String()), started: bootclock.Now(),
 		worker:        worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerTimeout: core.OwnerTimeout, ReconnectTimeout: core.ReconnectTimeout, AdoptionTimeout: core.AdoptionTimeout, Shards: s.Shards(), LearnSpeed: s.Scheduling.ServerSpeeds}),
 		recentPlacers: newRecentPlacers(),
+		snapshots:     newSnapshots(),
 		fleet:         owner.NewFleet(s.Bounds.RemoteFactor, core.OwnerParams(s), rand.Uint64()),
 		shards:        make(map[int]*shardRunner),
 		opening:       make(map[int]bool),
 		shardCallers:  make(map[int]*peer.Caller),
 		callerStates:  make(map[*peer.Caller]*callerState),
 		linkSessions:  make(map[string]int64),
+		sums:          shares.NewSums(),
 	}
 	a.store = a.metrics.CountCalls(st)
 	a.offerUpdates, a.shardAcquired = make(chan struct{}, 1), make(chan struct{}, 1)
@@ -139,6 +147,7 @@
 	registerWorkerMetrics(a.metrics, a.worker)
 	registerSpeedMetrics(a.metrics, a.serverSpeed)
 	a.metrics.WatchFleet(a.fleet)
+	a.metrics.WatchShares(a.fleet.Shares())
 	return a
 }
 
@@ -177,6 +186,7 @@
 	a.links = core.NewLinkSet(a.settings.Links, a, a.fleet, a.metrics, func(node string, reg core.Registration) core.AgentLink {
 		return dialer.Dial(ctx, node, reg.LinkAddr)
 	})
+	a.demand = core.NewDemandReporter(a.fleet, a.links)
 	// From here on other processes can link this agent.
 	a.serving.Store(true)
 	klog.InfoS("The agent is serving", "name", a.settings.Name, "life", incarnation, "member", a.member)
--- a/daemon/agent/serve.go
+++ b/daemon/agent/serve.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
+	"github.com/shallotstep/shallotstep/daemon/core"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
@@ -34,6 +35,7 @@
 // CallerDown implements peer.AgentHandler.
 func (a *Agent) CallerDown(c *peer.Caller) {
 	a.worker.LinkLost(bootclock.Now(), c.Node)
+	a.sums.Forget(c.Node)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.callerStates, c)
@@ -53,7 +55,11 @@
 	// The drains apply before the orders of the frame, because the sender knew them when it sent
 	// the orders.
 	a.drains.Merge(f.GetDrains())
+	if answer := f.GetSnapshot(); answer != nil {
+		a.snapshots.tell(answer)
+	}
 	for _, p := range f.GetClaims() {
+		a.noteClaim(c, int(p.GetShard()))
 		a.handleClaim(c, p)
 	}
 	for _, shard := range f.GetReleases() {
@@ -71,6 +77,9 @@
 		s.recordOrder(now)
 		a.recentPlacers.record(now, c.Node)
 	}
+	if p := f.GetDemand(); p != nil {
+		core.CountInvalidDemand(a.sums.Update(now, c.Node, wire.DemandFromWire(p)))
+	}
 	for _, p := range f.GetStops() {
 		a.apply(a.worker.Stop(now, int(p.GetShard()), p.GetEpoch(), wire.RunFromWire(p.GetRun())))
 	}
@@ -158,6 +167,7 @@
 		now := bootclock.Now()
 		a.fleet.Update(now, node, a.loads.Read(now, node, l))
 	}
+	a.demand.Hear(bootclock.Now(), node, f.GetDemand())
 	for _, p := range f.GetClaimed() {
 		if r := a.shard(int(p.GetShard())); r != nil {
 			r.HandleClaimed(node, p)
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/coordination/shares"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 )
@@ -35,6 +37,10 @@
 	// linkChanges counts dialled and retired links, linksWanted is the number of wanted ones.
 	linkChanges *prometheus.CounterVec
 	linksWanted prometheus.Gauge
+	// peerAnswers is labelled by what became of the answer, firstJob by where the configuration
+	// came from.
+	peerAnswers *prometheus.CounterVec
+	firstJob    *prometheus.GaugeVec
 	Append      prometheus.Histogram
 	Start       prometheus.Histogram
 	Takeover    prometheus.Histogram
@@ -61,6 +67,10 @@
 		linksWanted: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: Namespace, Name: "links_wanted", Help: "Agents that this process keeps links to.",
 		}),
+		peerAnswers: counter("peer_answers_total", "Answers of peers to an entry that starts without the store, by what became of them.", "result"),
+		firstJob: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: Namespace, Name: "first_job_seconds", Help: "From the start of the process to the first job that was served, by where the configuration came from.",
+		}, []string{"configuration"}),
 		Append:   histogram("store_append_seconds", "From the first attempt of a write to its confirmation."),
 		Start:    histogram("start_seconds", "Starts at the backend server."),
 		Takeover: histogram("takeover_seconds", "From the start of a takeover to its end."),
@@ -68,7 +78,7 @@
 		Lookup:   histogram("lookup_seconds", "Questions for a job's state at the entry."),
 	}
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.refusals, m.Retries, m.decisions, m.StartRefusals, m.StoreRepeats, m.refusedBesideRoom, m.storeCalls, m.linkChanges, m.linksWanted, m.Append, m.Start, m.Takeover, m.Submit, m.Lookup,
+		m.refusals, m.Retries, m.decisions, m.StartRefusals, m.StoreRepeats, m.refusedBesideRoom, m.storeCalls, m.linkChanges, m.linksWanted, m.peerAnswers, m.firstJob, m.Append, m.Start, m.Takeover, m.Submit, m.Lookup,
 		metrics.MalformedCollector())
 	return m
 }
@@ -88,6 +98,15 @@
 	}
 }
 
+// CountPeerAnswer counts what became of the answer of a peer that was asked in place of the store.
+func (m *Metrics) CountPeerAnswer(result string) { m.peerAnswers.WithLabelValues(result).Inc() }
+
+// RecordFirstJob records how long after the start of the process the first job was served, and
+// where the configuration came from.
+func (m *Metrics) RecordFirstJob(configuration string, d time.Duration) {
+	m.firstJob.WithLabelValues(configuration).Set(d.Seconds())
+}
+
 // Handler serves the metrics in the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.Registry, promhttp.HandlerOpts{})
@@ -106,6 +125,14 @@
 	}
 }
 
+// WatchShares registers the jobs of each queue that asked for capacity, were granted it, and were
+// refused over the queue's share. A nil book registers nothing.
+func (m *Metrics) WatchShares(b *shares.Book) {
+	if b != nil {
+		m.Registry.MustRegister(newShareCollector(b))
+	}
+}
+
 // WatchDrains registers the number of drained failure domains and the age of the drain state.
 func (m *Metrics) WatchDrains(w *DrainWatch) {
 	m.Registry.MustRegister(
--- a/state/outcome.go
+++ b/state/outcome.go
@@ -53,7 +53,9 @@
 	// Limits that were reached.
 	ReasonQuota    Reason = "quota"
 	ReasonOverload Reason = "overload"
-	ReasonBusy     Reason = "busy"
+	// ReasonOverShare: capacity is contended, and the job's queue has taken its share.
+	ReasonOverShare Reason = "over_share"
+	ReasonBusy      Reason = "busy"
 
 	// The end of the wait for a job.
 	ReasonDeadline  Reason = "deadline"
@@ -112,6 +114,7 @@
 	ReasonNeverRunnable:    http.StatusUnprocessableEntity,
 	ReasonQuota:            http.StatusTooManyRequests,
 	ReasonOverload:         http.StatusServiceUnavailable,
+	ReasonOverShare:        http.StatusTooManyRequests,
 	ReasonBusy:             http.StatusServiceUnavailable,
 	ReasonDeadline:         http.StatusGatewayTimeout,
 	ReasonCancelled:        http.StatusConflict,
--- a/transport/metrics/malformed.go
+++ b/transport/metrics/malformed.go
@@ -14,6 +14,8 @@
 	KindNotes         = "notes"
 	KindMember        = "member"
 	KindDrain         = "drain"
+	KindDemand        = "demand"
+	KindSnapshot      = "snapshot"
 	KindSpeed         = "speed"
 )
 
@@ -25,7 +27,7 @@
 	c := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: namespace, Name: "malformed_total", Help: "Reports and records that could not be read and were left out, by kind.",
 	}, []string{"kind"})
-	for _, kind := range []string{KindReport, KindConfiguration, KindRoute, KindRegistration, KindStoreRecord, KindJobRecord, KindAgents, KindNotes, KindMember, KindDrain, KindSpeed} {
+	for _, kind := range []string{KindReport, KindConfiguration, KindRoute, KindRegistration, KindStoreRecord, KindJobRecord, KindAgents, KindNotes, KindMember, KindDrain, KindDemand, KindSnapshot, KindSpeed} {
 		c.WithLabelValues(kind)
 	}
 	return c
