Send early lists of demand from entries less often

A process now sends its own early at a change of a fifth; agents keep a tenth for their sums.

TestSmallChangesOfDemandWaitUntilDue fails with a tenth. go test ./coordination/load -run 'Burst|Shares|RetryAfterOver' -v passes.

--- a/coordination/load/demand_test.go
+++ b/coordination/load/demand_test.go
@@ -32,7 +32,7 @@
 	}
 	agents := e.fleet.AgentsOfService(service)
 	rows := book.Rows(e.w.now, service, len(agents))
-	if e.w.now-e.demandAt < demandInterval && !shares.Changed(e.demandSent, rows) {
+	if e.w.now-e.demandAt < demandInterval && !shares.Changed(e.demandSent, rows, shares.OwnChange) {
 		return
 	}
 	e.demandSent, e.demandAt = rows, e.w.now
@@ -56,7 +56,7 @@
 	if l := a.Load(a.w.now); shares.HasRoom(float64(l.Free.CPUMillis) / float64(a.capacity.CPUMillis)) {
 		rows = nil
 	}
-	if !ok || a.w.now-c.demandAt < demandInterval && !shares.Changed(c.demandSent, rows) {
+	if !ok || a.w.now-c.demandAt < demandInterval && !shares.Changed(c.demandSent, rows, shares.OthersChange) {
 		return nil
 	}
 	c.demandSent, c.demandAt = rows, a.w.now
--- a/coordination/shares/demand.go
+++ b/coordination/shares/demand.go
@@ -103,9 +103,9 @@
 		cmp.Compare(a.Granted, b.Granted), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Queues, b.Queues))
 }
 
-// Changed reports whether demand has changed enough to be sent before the next heartbeat: the total
-// or a row by more than changedShare of the total.
-func Changed(sent, now []Demand) bool {
+// Changed reports whether demand has changed enough to be sent before it is due again: a row by more
+// than a share of the total.
+func Changed(sent, now []Demand, share float64) bool {
 	before := make(map[demandKey]float64, len(sent))
 	var total float64
 	for _, d := range sent {
@@ -114,7 +114,7 @@
 	for _, d := range now {
 		total += d.Asked
 	}
-	limit := changedShare * total
+	limit := share * total
 	for _, d := range now {
 		if math.Abs(d.Asked-before[d.key()]) > limit {
 			return true
@@ -129,6 +129,7 @@
 	return false
 }
 
-// changedShare is the change of a row, as a share of all demand, that is sent at once. A smaller
-// one moves a queue's share by less than the rates are precise.
-const changedShare = 0.1
+// OwnChange and OthersChange are the changes of a row, as a share of all demand, that a process sends
+// of its own demand and an agent of the sum of its callers. A smaller one moves a queue's share by
+// less than the rates are precise. A sum of many callers is more precise, and goes over fewer links.
+const OwnChange, OthersChange = 0.2, 0.1
--- a/daemon/agent/callers.go
+++ b/daemon/agent/callers.go
@@ -101,7 +101,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	placer := s.lastOrderAt > 0 && now-s.lastOrderAt < placerTimeout
-	if !placer || s.demandAt > 0 && now-s.demandAt < core.DemandInterval && !shares.Changed(s.demand, rows) {
+	if !placer || s.demandAt > 0 && now-s.demandAt < core.DemandInterval && !shares.Changed(s.demand, rows, shares.OthersChange) {
 		return false
 	}
 	s.demand, s.demandAt = rows, now
--- a/daemon/core/demand.go
+++ b/daemon/core/demand.go
@@ -69,7 +69,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	last := r.sent[service]
-	if last.at > 0 && now-last.at < DemandInterval && !shares.Changed(last.rows, rows) {
+	if last.at > 0 && now-last.at < DemandInterval && !shares.Changed(last.rows, rows, shares.OwnChange) {
 		return false
 	}
 	r.sent[service] = sentDemand{rows: rows, at: now}
--- a/daemon/core/demand_test.go
+++ b/daemon/core/demand_test.go
@@ -56,6 +56,23 @@
 	is.Equal(len(frames), 1) // due again
 }
 
+// An entry has many links, and changes within the noise of its own rates would go over all of them.
+func TestSmallChangesOfDemandWaitUntilDue(t *testing.T) {
+	is := is.New(t)
+	p := owner.DefaultParams()
+	p.Shares = &shares.Params{Floor: 0.5, Domain: "north"}
+	r, f, frames := newReporter(p)
+	now := time.Hour
+	ask(f, now, time.Second)
+	r.Tick(now)
+	clear(frames)
+	ask(f, now, 200*time.Millisecond) // a sixth of the total
+	r.Tick(now + time.Millisecond)
+	is.Equal(len(frames), 0)
+	r.Tick(now + DemandInterval)
+	is.Equal(len(frames), 1)
+}
+
 // With the switch off nothing is sent, and what others send has no effect.
 func TestWithoutSharesNoDemandIsSent(t *testing.T) {
 	is := is.New(t)
