Drop the granted rate from rows of demand

No decision reads it: only sums, the order of rows and the check of their range did. The counters of accepted jobs and the shares in the "Contention" lines stay; they come from the process's own book and division.

--- a/coordination/shares/account.go
+++ b/coordination/shares/account.go
@@ -46,9 +46,9 @@
 
 // account is what this process asks for in one queue, and what it may take. Guarded by Book.mu.
 type account struct {
-	queue          string
-	priority       int
-	asked, granted rate
+	queue    string
+	priority int
+	asked    rate
 	// meanWork is the mean work of a job.
 	meanWork float64
 	// share is the rate, in cores, that jobs of this process may take, underShare is set if they ask
--- a/coordination/shares/book.go
+++ b/coordination/shares/book.go
@@ -141,7 +141,6 @@
 	if a == nil {
 		return
 	}
-	a.granted.add(now, j.Work)
 	a.stats.Granted++
 	a.sizes[a.sizeOf(j.Work)].charge(j.Work, s.contended)
 }
@@ -188,7 +187,6 @@
 	rows := combine(b.ownRowsLocked(now, s))
 	for i := range rows {
 		rows[i].Asked /= float64(max(agents, 1))
-		rows[i].Granted /= float64(max(agents, 1))
 	}
 	return rows
 }
--- a/coordination/shares/demand.go
+++ b/coordination/shares/demand.go
@@ -31,13 +31,13 @@
 	Priority int
 	// Queues is the number of queues in the sum; 1 for a single queue.
 	Queues int
-	// Asked and Granted are the recent rates of work that was asked for and accepted, in cores.
-	Asked, Granted float64
+	// Asked is the recent rate of work that was asked for, in cores.
+	Asked float64
 }
 
 // Valid reports whether a row can be used. Other rows come from a faulty sender.
 func (d *Demand) Valid() bool {
-	return validRate(d.Asked) && validRate(d.Granted) && d.Priority >= 0 && d.Queues >= 1
+	return validRate(d.Asked) && d.Priority >= 0 && d.Queues >= 1
 }
 
 // maxRate bounds a rate, in cores, far above that of any site, so that sums stay finite.
@@ -69,7 +69,7 @@
 			continue
 		}
 		o := &out[i]
-		o.Asked, o.Granted = o.Asked+d.Asked, o.Granted+d.Granted
+		o.Asked += d.Asked
 		o.Priority, o.Queues = min(o.Priority, d.Priority), max(o.Queues, d.Queues)
 	}
 	return truncate(out)
@@ -90,7 +90,7 @@
 		}
 		rest.Priority = max(rest.Priority, d.Priority)
 		rest.Queues += d.Queues
-		rest.Asked, rest.Granted = rest.Asked+d.Asked, rest.Granted+d.Granted
+		rest.Asked += d.Asked
 	}
 	if rest.Queues > 0 {
 		kept = append(kept, rest)
@@ -100,7 +100,7 @@
 
 func compareDemands(a, b Demand) int {
 	return cmp.Or(cmp.Compare(a.Queue, b.Queue), cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Asked, b.Asked),
-		cmp.Compare(a.Granted, b.Granted), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Queues, b.Queues))
+		cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Queues, b.Queues))
 }
 
 // Changed reports whether demand has changed enough to be sent before it is due again: a row by more
--- a/coordination/shares/service.go
+++ b/coordination/shares/service.go
@@ -44,7 +44,7 @@
 func (b *Book) ownRowsLocked(now time.Duration, s *service) []Demand {
 	rows := make([]Demand, 0, len(s.accounts))
 	for _, a := range s.accounts {
-		rows = append(rows, Demand{Queue: a.queue, Domain: b.params.Domain, Priority: a.priority, Queues: 1, Asked: a.asked.decay(now), Granted: a.granted.decay(now)})
+		rows = append(rows, Demand{Queue: a.queue, Domain: b.params.Domain, Priority: a.priority, Queues: 1, Asked: a.asked.decay(now)})
 	}
 	return rows
 }
@@ -130,7 +130,7 @@
 		}
 		if n := len(s.queues); n > 0 && s.queues[n-1].Queue == d.Queue {
 			q := &s.queues[n-1]
-			q.Asked, q.Granted = q.Asked+d.Asked, q.Granted+d.Granted
+			q.Asked += d.Asked
 			q.Priority, q.Queues = min(q.Priority, d.Priority), max(q.Queues, d.Queues)
 		} else {
 			s.queues = append(s.queues, d)
@@ -138,7 +138,6 @@
 		list := s.domains[d.Queue]
 		if n := len(list); n > 0 && list[n-1].Domain == d.Domain {
 			list[n-1].Asked += d.Asked
-			list[n-1].Granted += d.Granted
 		} else {
 			s.domains[d.Queue] = append(list, d)
 		}
--- a/protocol/core/demand.go
+++ b/protocol/core/demand.go
@@ -10,7 +10,7 @@
 	out := &corepb.DemandList{Rows: make([]*corepb.Demand, 0, len(rows))}
 	for _, d := range rows {
 		out.Rows = append(out.Rows, &corepb.Demand{
-			Queue: d.Queue, Domain: d.Domain, Asked: float32(d.Asked), Granted: float32(d.Granted),
+			Queue: d.Queue, Domain: d.Domain, Asked: float32(d.Asked),
 			Priority: int32(d.Priority), Queues: int32(d.Queues),
 		})
 	}
@@ -22,7 +22,7 @@
 	out := make([]shares.Demand, 0, len(p.GetRows()))
 	for _, d := range p.GetRows() {
 		out = append(out, shares.Demand{
-			Queue: d.GetQueue(), Domain: d.GetDomain(), Asked: float64(d.GetAsked()), Granted: float64(d.GetGranted()),
+			Queue: d.GetQueue(), Domain: d.GetDomain(), Asked: float64(d.GetAsked()),
 			Priority: int(d.GetPriority()), Queues: int(d.GetQueues()),
 		})
 	}
