Take no run for a suspect that was started on a silent server

Change: a run whose start was sent after a hold without an answer is no suspect of the loss, unless anything is heard of the server after that start or between the two: a hold, start or stop that is answered, or a report. It still ends as lapsed, and a task that must not be repeated is not started again. It still counts among the suspects of the others. A start sent between the crash and the first missed hold stays a suspect.

--- a/coordination/worker/crash.go
+++ b/coordination/worker/crash.go
@@ -12,7 +12,9 @@
 // to retry it. The agent reports what it has observed: how many runs were on the server when it was
 // lost, and whether another instance came up while the agent kept running. An agent that is lost
 // together with its host reports nothing, so a power failure makes no task a suspect. Neither does
-// the loss of a server that was draining or had deregistered.
+// the loss of a server that was draining or had deregistered. A run whose start was sent after a
+// hold without an answer is no suspect while nothing is heard of the server: most likely the server
+// was lost before.
 
 // Loss is what an agent reports about the backend server of a run that was lost with it.
 type Loss uint8
@@ -88,7 +90,7 @@
 
 // recordLossLocked records that a run may have been lost with the present instance.
 func (w *Worker) recordLossLocked(now time.Duration, r *run, loss Loss, suspects int) {
-	if loss == NotLost {
+	if loss == NotLost || r.startedInSilence {
 		return
 	}
 	lost := w.lostServerLocked(now, loss)
--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -148,6 +148,7 @@
 	}
 	w.listsSeen = true
 	w.lastHoldAnswer = now
+	w.endSilenceLocked()
 	w.resolveLossLocked(&fx, LossCleared)
 	// After a hold without an answer it is unknown when the runs ended.
 	w.afterMissedHold, w.unresponsive, w.missedHolds = w.missedHolds > 0, false, 0
--- a/coordination/worker/hold_failure.go
+++ b/coordination/worker/hold_failure.go
@@ -21,6 +21,17 @@
 	return w.missedHolds > 0 || w.lastMissedHold > 0 && now-w.lastMissedHold < lossyPeriod
 }
 
+// endSilenceLocked notes that the backend server was heard.
+func (w *Worker) endSilenceLocked() {
+	if !w.silent {
+		return
+	}
+	w.silent = false
+	for _, r := range w.runs {
+		r.startedInSilence = false
+	}
+}
+
 // HoldFailed handles a hold that got no answer from the present instance.
 func (w *Worker) HoldFailed(now time.Duration, c HoldCall, why HoldFailure) Effects {
 	w.mu.Lock()
@@ -39,6 +50,7 @@
 	}
 	w.missedHolds++
 	w.lastMissedHold = now
+	w.silent = true
 	if why == NoAnswer {
 		w.responses.timedOut()
 	}
--- a/coordination/worker/run.go
+++ b/coordination/worker/run.go
@@ -61,6 +61,9 @@
 	loss         Loss
 	lostInstance job.Instance
 	suspects     int
+	// startedInSilence is set if the start was sent while the backend server was silent, and the
+	// server has been silent since.
+	startedInSilence bool
 }
 
 // sortedRunsLocked returns all runs in a fixed order, for walks whose effects depend on the order.
--- a/coordination/worker/starts.go
+++ b/coordination/worker/starts.go
@@ -102,6 +102,7 @@
 	r.phase = starting
 	r.deadline = w.extendLeaseLocked(now)
 	r.startedAt = now
+	r.startedInSilence = w.silent
 	w.stats.Started++
 	fx.Starts = append(fx.Starts, StartCall{
 		Instance:        w.server.Instance,
@@ -155,6 +156,9 @@
 	if r == nil || instance != w.server.Instance || r.phase != starting {
 		return fx
 	}
+	if outcome != StartUnknown {
+		w.endSilenceLocked()
+	}
 	switch outcome {
 	case StartOK:
 		w.responses.observe(now - r.startedAt)
--- a/coordination/worker/stops.go
+++ b/coordination/worker/stops.go
@@ -58,6 +58,7 @@
 	}
 	r.stopInFlight = false
 	if answered {
+		w.endSilenceLocked()
 		r.stopAnswered = true
 		r.confirmedAtHold = w.holds
 	}
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -198,6 +198,8 @@
 	missedHolds int
 	// lastMissedHold is when a hold last went without an answer; zero if none did.
 	lastMissedHold time.Duration
+	// silent is set from a hold without an answer until anything is heard of the backend server.
+	silent bool
 	// unresponsive is set while the backend server doesn't answer holds. Nothing is started then.
 	unresponsive bool
 	// afterMissedHold is set while the lists that follow a hold without an answer are applied.
@@ -287,6 +289,7 @@
 		w.lastHoldAnswer, w.unresponsive, w.missedHolds, w.lastMissedHold = now, false, 0, 0
 	}
 	w.reported = true
+	w.endSilenceLocked()
 	draining := s.Draining && !w.server.Draining
 	resized := w.updateCapacityLocked(s.Capacity, clockMS)
 	s.Capacity = w.server.Capacity
