--- a/coordination/owner/admission.go
+++ b/coordination/owner/admission.go
@@ -50,19 +50,8 @@
 	criticalPath := s.criticalPath(spec, p)
 	clientWaited := s.waitedLocked(p, spec.ClientTimeout)
 	a := admission{objective: objective, due: objective - clientWaited, useful: s.usefulPeriod(spec, objective) - clientWaited, clientWaited: clientWaited}
-	for i := range spec.Steps {
-		n := s.placementRequest(p, &spec.Steps[i])
-		n.Now, n.Slack = now, objective-criticalPath
-		if slack := objective - criticalPath - clientWaited; slack > 0 && s.fleet.unevenSpeeds(n.Service) {
-			n.Slack = shareOf(slack, n.Estimate, criticalPath)
-		}
-		wait, localWait, ok := s.predictWaitLocked(n, placementKeyOf(p, &spec.Steps[i]), spec.Steps[i].Count)
-		if !ok && !s.inStartupGrace(now, spec) {
-			return admission{reason: s.noWorkerReason(n), retryAfter: time.Second}
-		}
-		if wait >= a.wait {
-			a.wait, a.localWait = wait, localWait
-		}
+	if reason := s.predictStepsLocked(now, spec, p, criticalPath, &a); reason != "" {
+		return admission{reason: reason, retryAfter: time.Second}
 	}
 	a.waitLimit = s.waitLimit(objective, criticalPath, p.Priority) - clientWaited
 	if v := s.fleet.askShare(now, spec, p, clientWaited > 0); v.Refused {
@@ -86,6 +75,26 @@
 	return a
 }
 
+// predictStepsLocked sets the longest wait that is predicted for a step of a job. It returns why the
+// job is refused if no agent may have the tasks of a step, or "".
+func (s *Shard) predictStepsLocked(now time.Duration, spec *job.Spec, p *job.Policy, criticalPath time.Duration, a *admission) string {
+	for i := range spec.Steps {
+		n := s.placementRequest(p, &spec.Steps[i])
+		n.Now, n.Slack = now, a.objective-criticalPath
+		if slack := n.Slack - a.clientWaited; slack > 0 && s.fleet.unevenSpeeds(n.Service) {
+			n.Slack = shareOf(slack, n.Estimate, criticalPath)
+		}
+		wait, localWait, ok := s.predictWaitLocked(n, placementKeyOf(p, &spec.Steps[i]), spec.Steps[i].Count)
+		if !ok && !s.inStartupGrace(now, spec) {
+			return s.noWorkerReason(n)
+		}
+		if wait >= a.wait {
+			a.wait, a.localWait = wait, localWait
+		}
+	}
+	return ""
+}
+
 // predictWaitLocked predicts how long the last of a step's tasks would wait, at this owner and at
 // its worker, and returns the part at this owner too. It assumes that the other owners have as much
 // work waiting as this one. ok is false if no agent is eligible.
--- a/coordination/shares/divide.go
+++ b/coordination/shares/divide.go
@@ -1,6 +1,9 @@
 package shares
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Claim is what one queue or domain asks for when capacity is divided.
 type Claim struct {
@@ -40,7 +43,7 @@
 	for i := range d.order {
 		d.order[i] = i
 	}
-	slices.SortStableFunc(d.order, func(a, b int) int { return compareFloat(d.ratio(a), d.ratio(b)) })
+	slices.SortStableFunc(d.order, func(a, b int) int { return cmp.Compare(d.ratio(a), d.ratio(b)) })
 	for k, i := range d.order {
 		d.position[i] = k
 		d.asked[k+1] = d.asked[k] + claims[i].Asked
@@ -84,16 +87,6 @@
 // take without being over its share.
 func (d *division) entitlement(i int) float64 { return d.claims[i].Weight * d.level(i) }
 
-func compareFloat(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // weights returns the weights of queues with the given priorities. floor is the part of the capacity
 // that is divided evenly between the queues; the rest is divided by priorityWeight.
 func weights(floor float64, queues []Demand) []float64 {
