Choose among equal placements in one place

The walks with and without speeds drew among equal agents and asked for agents of last resort by the same lines.

--- a/coordination/owner/choice.go
+++ b/coordination/owner/choice.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
@@ -66,15 +65,15 @@
 func (f *Fleet) chooseBySpeedLocked(n PlacementRequest, allowed func(node string) bool) (placement, bool) {
 	f.examined += int64(len(f.agents))
 	f.candidates = f.candidates[:0]
-	var best placement
-	equal, shortest := 0, time.Duration(math.MaxInt64)
+	var best bestPlacement
+	shortest := time.Duration(math.MaxInt64)
 	for _, v := range f.ordered {
 		if !v.canTake(n) || !allowed(v.node) {
 			continue
 		}
 		p := f.predictLocked(v, n)
 		p.rank = p.finish
-		if slices.Contains(n.Avoid, v.node) || n.Now-v.updatedAt > f.params.StaleLoadAge {
+		if f.isLastResortLocked(v, n) {
 			p.rank += lastResortPenalty
 			p.tier = lastResortTier
 		} else {
@@ -85,29 +84,14 @@
 			f.addCandidateLocked(v, n, p)
 			continue
 		}
-		switch {
-		case equal == 0 || p.isBetter(&best):
-			best, equal = p, 1
-		case !best.isBetter(&p):
-			// Each of the equal agents is chosen with the same probability.
-			equal++
-			if f.rand.IntN(equal) == 0 {
-				best = p
-			}
-		}
+		best.offer(p, f.rand)
 	}
-	found := equal > 0
+	chosen, found := best.placement, best.equal > 0
 	if len(f.candidates) > 0 {
-		best, found = f.drawLocked(), true
+		chosen, found = f.drawLocked(), true
 	}
-	best.shortest = shortest
-	return best, found
-}
-
-// isBetter reports whether a placement is in a lower tier than another one, or ends first in the
-// same tier.
-func (p *placement) isBetter(other *placement) bool {
-	return p.tier < other.tier || p.tier == other.tier && p.rank < other.rank
+	chosen.shortest = shortest
+	return chosen, found
 }
 
 // tierLocked returns the tier of an agent for a task.
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -163,32 +164,54 @@
 		return f.chooseBySpeedLocked(n, allowed)
 	}
 	f.examined += int64(len(f.agents))
-	var best placement
-	equal := 0
+	var best bestPlacement
 	for _, v := range f.ordered {
 		if !v.canTake(n) || !allowed(v.node) {
 			continue
 		}
 		p := f.predictLocked(v, n)
 		p.rank = p.finish
-		if slices.Contains(n.Avoid, v.node) || n.Now-v.updatedAt > f.params.StaleLoadAge {
+		if f.isLastResortLocked(v, n) {
 			p.rank += lastResortPenalty
 		}
 		if n.Isolation != worker.NoIsolation {
 			p.rank += v.isolationPenalty(p)
 		}
-		switch {
-		case equal == 0 || p.rank < best.rank:
-			best, equal = p, 1
-		case p.rank == best.rank:
-			// Each of the equal agents is chosen with the same probability.
-			equal++
-			if f.rand.IntN(equal) == 0 {
-				best = p
-			}
+		best.offer(p, f.rand)
+	}
+	return best.placement, best.equal > 0
+}
+
+// bestPlacement is the best of the placements that were offered. Each of equal ones is chosen with
+// the same probability.
+type bestPlacement struct {
+	placement
+	// equal is the number of placements that are as good.
+	equal int
+}
+
+func (b *bestPlacement) offer(p placement, r *rand.Rand) {
+	switch {
+	case b.equal == 0 || p.isBetter(&b.placement):
+		b.placement, b.equal = p, 1
+	case !b.placement.isBetter(&p):
+		b.equal++
+		if r.IntN(b.equal) == 0 {
+			b.placement = p
 		}
 	}
-	return best, equal > 0
+}
+
+// isBetter reports whether a placement is in a lower tier than another one, or has the lower rank in
+// the same tier.
+func (p *placement) isBetter(other *placement) bool {
+	return p.tier < other.tier || p.tier == other.tier && p.rank < other.rank
+}
+
+// isLastResortLocked reports whether an agent is chosen for a task only if there is no other: the
+// task has failed there, or nothing has been heard of the agent for long.
+func (f *Fleet) isLastResortLocked(v *agentView, n PlacementRequest) bool {
+	return slices.Contains(n.Avoid, v.node) || n.Now-v.updatedAt > f.params.StaleLoadAge
 }
 
 // fullAgentPenalty ranks an agent whose worker is full behind an empty one, for a suspect. It is
