Ask for the lapsed configuration at the time of the boot clock in its test

The age was negative, so the copy counted as in force. The earlier runs were made in the first hour of the host.

Ruled out: load; the code, which is only ever called with readings of the one boot clock.

Change: the test asks as of now. That is stricter: the copy has to have lapsed by then, not an hour later. Other tests that use time.Hour give it to both sides.

--- a/daemon/entry/peer_start_test.go
+++ b/daemon/entry/peer_start_test.go
@@ -22,6 +22,7 @@
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/routing"
 	"github.com/shallotstep/shallotstep/state/store"
+	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 	"github.com/shallotstep/shallotstep/transport/peer"
 )
@@ -256,7 +257,7 @@
 	coretest.Await(t, func() bool { return version(e) == 0 })
 	is.True(!e.Ready())
 	coretest.Await(t, func() bool { return peerAnswers(e, "expired") > 0 })
-	is.Equal(e.copies.toWire(time.Hour, time.Second, &corepb.SnapshotQuestion{Config: true}).GetConfig(), nil) // it isn't passed on either
+	is.Equal(e.copies.toWire(bootclock.Now(), time.Second, &corepb.SnapshotQuestion{Config: true}).GetConfig(), nil) // it isn't passed on either
 	seeds[0].set(tells(5, 50, 0))
 	coretest.Await(t, func() bool { return version(e) == 5 })
 }
