--- a/coordination/owner/shedding.go
+++ b/coordination/owner/shedding.go
@@ -67,8 +67,9 @@
 	return j != nil && j.usefulUntil != 0 && !j.postponed && !j.rec.State.Final()
 }
 
-// shedLocked decides again on the jobs that wait for services of which capacity is short. Jobs that can't be in time
-// any more are given up at once or let others pass, so that they don't make these late in turn.
+// shedLocked decides again on the jobs that wait for services of which capacity is short. Jobs that
+// can't be in time any more are given up at once or let others pass, so that they don't make these
+// late in turn.
 func (s *Shard) shedLocked(now time.Duration, fx *Effects) {
 	if len(s.waiting.tasks) == 0 || !s.anyCapacityShortLocked(now) {
 		return
