Run the seeds of the soak that have failed before

Change: both always run, once each, and -soak.delay begins the faults of a seed later, so that they meet the traffic at other moments.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,13 +19,17 @@
 	firstSeed     = flag.Uint64("soak.first", 1, "first seed")
 	seeds         = flag.Uint64("soak.seeds", 1, "number of seeds")
 	faultDuration = flag.Duration("soak.length", 6*time.Second, "how long faults are injected for each seed")
+	faultDelay    = flag.Duration("soak.delay", 0, "how long jobs are submitted before faults are injected")
 	entries       = flag.Int("soak.entries", 2, "number of entries in each system")
 	agents        = flag.Int("soak.agents", 4, "number of agents in each system")
 )
 
 // regressions has the seeds that have failed before, each with a comment on what failed and why.
 // They are always run.
-var regressions = []uint64{}
+var regressions = []uint64{
+	702, // a task ran twice at a time: a link was claimed again, and a run ordered in between passed for lost
+	303, // most likely a job that failed after one lost server: a start that the server never got counted as a crash
+}
 
 func TestMain(m *testing.M) {
 	flag.Parse()
@@ -52,9 +56,11 @@
 // that clients got must agree with what the backend servers saw, and no later response may
 // contradict them.
 func TestSoak(t *testing.T) {
-	all := regressions
+	all := slices.Clone(regressions)
 	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
-		all = append(all, seed)
+		if !slices.Contains(all, seed) {
+			all = append(all, seed)
+		}
 	}
 	for _, seed := range all {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
@@ -80,6 +86,7 @@
 	for i := range numClients {
 		sending.Go(func() { c.run(i, stop) })
 	}
+	time.Sleep(*faultDelay)
 	for i := range concurrentFaults {
 		injecting.Go(func() { w.injectFaults(uint64(i), stop) })
 	}
