--- a/daemon/core/demand_bytes_test.go
+++ b/daemon/core/demand_bytes_test.go
@@ -47,3 +47,12 @@
 	is.True(demandBytesPerSecond(t, "entry", entryLinks, demandRows(3, 1, false)) <= demandBytesTarget)
 	is.True(demandBytesPerSecond(t, "agent", agentCallers, demandRows(3, 3, false)) <= demandBytesTarget)
 }
+
+// The same where all rows of a frame are used. Early lists come on top in both tests.
+func TestSteadyDemandBytesOfManyQueues(t *testing.T) {
+	is := is.New(t)
+	rows := demandRows(shares.MaxRows, 1, true)
+	entry, agent := demandBytesPerSecond(t, "entry", entryLinks, rows), demandBytesPerSecond(t, "agent", agentCallers, rows)
+	is.True(entry <= demandBytesTarget)
+	is.True(agent <= demandBytesTarget)
+}
