Start no task again that its agent may have forgotten

What callers saw: a task of a job that must not be repeated (the default of the project's own interface) was carried out twice. Its job's answer was right.

Cause: a new owner takes an agent's answer to its claim as complete and starts what no agent reports. An agent that has restarted knows earlier runs from the lists of its backend server only, and forgets them when that is lost.

Evidence: the model passed over just this case. Ruled out: a lost message (no owner had claimed the agent while it knew), a wait that was too short (all agents had answered).

Change: an answer to a claim names the agent's incarnation and its server. Before a task that must not be repeated is ordered at an agent, the store lists both, in the call that also writes the jobs. The next owner fails such jobs that nobody knows if another incarnation with another server answers. An incarnation leaves the list only with the records of the jobs that failed because of it. A loss that an agent reports with its claim now fails such a job too; before, the owner ignored it, and a run found on a server that left as planned was not reported. Shards without such jobs write what they wrote before.

Why it works: an agent's answer is complete if its process is the one that was claimed before the order, or if the server that it had then still answers, since that lists all runs and ends that are not acknowledged.

The exemption is gone from the model, and a rare mutant is added that does not write the list.

Tried first and dropped: a generation counted by the agent with each instance of its server needs a list to be written for each lost server, not each restart.

--- a/coordination/model/agent_test.go
+++ b/coordination/model/agent_test.go
@@ -1,7 +1,7 @@
 package model
 
 import (
-	"strings"
+	"fmt"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/drains"
@@ -42,11 +42,8 @@
 func (a *agentModel) start() {
 	a.incarnation++
 	a.down = false
-	a.w.markUnobserved(func(t *taskLedger) bool {
-		return strings.HasPrefix(t.lastServer, a.name+"-") && (t.lastServer != a.server.name() || !a.server.up)
-	})
 	a.w.trace("- %s incarnation %d starts", a.name, a.incarnation)
-	a.worker = worker.New(a.w.workerBounds())
+	a.worker = worker.New(a.bounds())
 	a.ownerLink = nil
 	a.drains = drainView{tracker: &drains.Tracker{}}
 	a.startedAt = a.w.now
@@ -60,6 +57,12 @@
 	a.hold(incarnation)
 }
 
+func (a *agentModel) bounds() worker.Bounds {
+	b := a.w.workerBounds()
+	b.Incarnation = fmt.Sprintf("%s/%d", a.name, a.incarnation)
+	return b
+}
+
 // loop calls do at an interval until the incarnation ends.
 func (a *agentModel) loop(incarnation int64, every time.Duration, do func()) {
 	a.run(func() {
--- a/coordination/model/client_test.go
+++ b/coordination/model/client_test.go
@@ -189,11 +189,10 @@
 	}
 }
 
-// checkStartedOnce checks that no task of a job that must not be repeated was started twice. Tasks
-// whose run nobody may have observed are exempt.
+// checkStartedOnce checks that no task of a job that must not be repeated was started twice.
 func (c *client) checkStartedOnce(id job.ID) {
 	for task, t := range c.w.ledger {
-		if task.Job == id && t.starts > 1 && !t.unobserved {
+		if task.Job == id && t.starts > 1 {
 			c.w.addViolation(string(task.Job), "task %v, which must not be repeated, was started %d times", task, t.starts)
 		}
 	}
--- a/coordination/model/owner_test.go
+++ b/coordination/model/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -50,7 +51,7 @@
 	if w.mutant != formerAgentsNotRead {
 		mayRun = slices.Clone(w.store.agents)
 	}
-	o.shard = owner.New(w.now, 0, epoch, w.ownerBounds(), o.fleet, w.records(), mayRun)
+	o.shard = owner.New(w.now, 0, epoch, w.ownerBounds(), o.fleet, w.records(), mayRun, maps.Clone(w.store.incarnations))
 	return o
 }
 
@@ -326,6 +327,9 @@
 	if b.Agents != nil && m != agentsNotWritten {
 		s.agents = slices.Clone(b.Agents)
 	}
+	if b.Incarnations != nil && m != incarnationsNotWritten {
+		s.incarnations = maps.Clone(b.Incarnations)
+	}
 }
 
 func (o *ownerModel) event(a *agentModel, e worker.Event) {
--- a/coordination/model/server_test.go
+++ b/coordination/model/server_test.go
@@ -140,9 +140,6 @@
 	for task := range e.runs {
 		e.w.task(task).running--
 	}
-	e.w.markUnobserved(func(t *taskLedger) bool {
-		return t.lastServer == e.name() && (t.lastIncarnation != e.agent.incarnation || e.agent.ownerLink == nil)
-	})
 	e.runs = nil
 	e.up = false
 	newID := e.w.chance(0.5)
@@ -269,7 +266,6 @@
 	t := e.w.task(task)
 	t.running++
 	t.starts++
-	t.lastServer, t.lastIncarnation = e.name(), e.agent.incarnation
 	if t.running > 1 {
 		e.w.addViolation(string(task.Job), "two concurrent runs of task %v", task)
 	}
--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -27,6 +27,8 @@
 	formerAgentsNotRead mutant = "agents of earlier owners not read"
 	// Orders are sent to an agent before the store lists the agent as one that may have runs.
 	agentsNotWritten mutant = "agents not written before orders"
+	// The incarnations of the agents are not written before orders of tasks that must not be repeated.
+	incarnationsNotWritten mutant = "incarnations of agents not written"
 	// A new owner doesn't wait for the agents of earlier owners that it can't reach.
 	noTakeoverWait mutant = "no wait for unreached agents"
 	// An owner doesn't wait after it has lost a link, and starts the tasks behind it elsewhere at
@@ -155,6 +157,8 @@
 	epoch   int64
 	records map[job.ID][]byte
 	agents  []string
+	// incarnations has the incarnations of these agents.
+	incarnations map[string][]worker.Incarnation
 	// rejectsUntil is the time until which writes are rejected.
 	rejectsUntil time.Duration
 }
@@ -163,15 +167,6 @@
 type taskLedger struct {
 	running int
 	starts  int
-	// unobserved is set when the task ran on a backend server that is gone, together with the
-	// incarnation of the agent that knew of the run. Only the task's owner may then know what
-	// became of the run. If the owner is lost as well, a task that must not be repeated may be
-	// started again.
-	unobserved bool
-	// lastServer is the instance of the backend server that the task was last started on, and
-	// lastIncarnation the incarnation of the agent that started it.
-	lastServer      string
-	lastIncarnation int64
 	// endAcked is set once a successful end that came within the lease was acknowledged.
 	endAcked bool
 	// crashes counts the backend servers that the task has crashed, and startsAfterCrashes its
@@ -188,14 +183,6 @@
 	return t
 }
 
-// markUnobserved marks the tasks whose last backend server is gone, together with the incarnation
-// of the agent that knew its runs.
-func (w *world) markUnobserved(gone func(*taskLedger) bool) {
-	for _, t := range w.ledger {
-		t.unobserved = t.unobserved || gone(t)
-	}
-}
-
 func newWorld(seed uint64, m mutant) *world {
 	w := &world{
 		rand: rand.New(rand.NewPCG(seed, 1)), mutant: m, now: time.Hour,
--- a/coordination/owner/crash.go
+++ b/coordination/owner/crash.go
@@ -67,16 +67,22 @@
 
 // reportedLossesLocked handles the lost runs that an agent lists in its answer to a claim. An
 // earlier report of them may have been lost with the previous link or the previous owner.
-func (s *Shard) reportedLossesLocked(now time.Duration, fx *Effects, node string, lost []worker.RunState) {
-	for _, r := range lost {
+func (s *Shard) reportedLossesLocked(now time.Duration, fx *Effects, node string, c worker.Claimed) {
+	for _, r := range c.Lost {
 		j := s.jobs[r.Run.Task.Job]
-		if j == nil || j.removing || j.rec.State.Final() || j.rec.Policy.AtMostOnce {
+		if j == nil || j.removing || j.rec.State.Final() {
 			continue
 		}
 		t := s.taskLocked(j, r.Run.Task)
 		if t == nil || t.phase == finished || r.Run.Number <= t.clearedRun {
 			continue
 		}
+		if j.rec.Policy.AtMostOnce {
+			if !slices.ContainsFunc(c.Runs, func(known worker.RunState) bool { return known.Run == r.Run }) {
+				s.reportedOnceLocked(now, fx, j, t, node, r)
+			}
+			continue
+		}
 		s.suspectCrashLocked(now, fx, j, t, j.rec.Task(r.Run.Task), node, r)
 	}
 }
--- a/coordination/owner/link.go
+++ b/coordination/owner/link.go
@@ -77,8 +77,10 @@
 		return fx
 	}
 	l.claimed = true
+	_, fromEarlierOwner := s.unreconciled[node]
 	delete(s.unreconciled, node)
-	s.reportedLossesLocked(now, &fx, node, c.Lost)
+	s.noteIncarnationLocked(&fx, node, l, c.Incarnation, fromEarlierOwner)
+	s.reportedLossesLocked(now, &fx, node, c)
 	lost := s.missingLocked(node, c.Runs)
 	// Of several runs of a task the newest counts, so it is handled first: an older run that failed
 	// would otherwise be repeated beside it.
--- a/coordination/owner/lost_agents.go
+++ b/coordination/owner/lost_agents.go
@@ -80,6 +80,7 @@
 	if len(s.unreconciled) > 0 {
 		return
 	}
+	s.requestIncarnationsLocked(fx)
 	for _, j := range s.openJobsLocked() {
 		startable := false
 		for i := range j.tasks {
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -226,6 +226,11 @@
 	// agentsDirty is set while that list has to be written.
 	storedAgents map[string]bool
 	agentsDirty  bool
+	// incarnations has, for each agent, the incarnations that may have runs of this shard, and
+	// storedIncarnations those that the store lists. They are kept up from the first job on whose
+	// tasks must not be repeated, which sets atMostOnce.
+	incarnations, storedIncarnations map[string][]worker.Incarnation
+	atMostOnce                       bool
 	// expiring has the recorded jobs that have ended, in the order in which they expire.
 	expiring []expiry
 	// expiringBestEffort is the same for best-effort jobs.
@@ -260,6 +265,8 @@
 	claimSentAt time.Duration
 	// claimed is set once the agent has answered this session's claim.
 	claimed bool
+	// incarnation is what answered the claim.
+	incarnation worker.Incarnation
 	// lostAt is when the link was lost. The owner waits until lostAt plus Bounds.LostLinkTimeout
 	// before it starts the tasks there elsewhere.
 	lost   bool
@@ -267,8 +274,8 @@
 }
 
 // New returns the shard with the records from the store. mayRun has the agents that earlier owners
-// have sent orders to.
-func New(now time.Duration, id int, epoch int64, b Bounds, f *Fleet, records []*job.Record, mayRun []string) *Shard {
+// have sent orders to, and incarnations those of their incarnations that are stored.
+func New(now time.Duration, id int, epoch int64, b Bounds, f *Fleet, records []*job.Record, mayRun []string, incarnations map[string][]worker.Incarnation) *Shard {
 	s := &Shard{
 		ID: id, Epoch: epoch, bounds: b, fleet: f, openedAt: now,
 		jobs:           make(map[job.ID]*jobState, len(records)),
@@ -278,6 +285,10 @@
 		queued:         make(map[string]int),
 		suspects:       make(map[job.TaskID]bool),
 		storedAgents:   make(map[string]bool, len(mayRun)),
+		incarnations:   make(map[string][]worker.Incarnation), storedIncarnations: incarnations,
+	}
+	for node, list := range incarnations {
+		s.incarnations[node] = slices.Clone(list)
 	}
 	for _, node := range mayRun {
 		s.unreconciled[node] = now + b.TakeoverTimeout
@@ -291,7 +302,7 @@
 
 // NewPrivate returns a shard for best-effort jobs. No other owner may use its number.
 func NewPrivate(now time.Duration, id int, b Bounds, f *Fleet) *Shard {
-	s := New(now, id, 1, b, f, nil, nil)
+	s := New(now, id, 1, b, f, nil, nil, nil)
 	s.private = true
 	return s
 }
@@ -303,6 +314,7 @@
 		s.scheduleExpiryLocked(now, j)
 		return
 	}
+	s.atMostOnce = s.atMostOnce || r.Policy.AtMostOnce
 	j.due = now + s.objective(&r.Spec, &r.Policy)
 	j.tasks = make([]task, r.Spec.Tasks())
 	for i := range j.tasks {
--- a/coordination/owner/owner_test.go
+++ b/coordination/owner/owner_test.go
@@ -32,7 +32,7 @@
 func newFixture(t *testing.T, records []*job.Record, mayRun []string, agents ...string) *fixture {
 	t.Helper()
 	f := &fixture{is: is.New(t), fleet: NewFleet(1.5, DefaultParams(), 1), now: time.Hour}
-	f.Shard = New(f.now, 1, 3, testBounds, f.fleet, records, mayRun)
+	f.Shard = New(f.now, 1, 3, testBounds, f.fleet, records, mayRun, nil)
 	for _, node := range agents {
 		f.link(node, 1)
 	}
@@ -511,11 +511,11 @@
 func TestOwnerWithoutJobsLinksNoAgent(t *testing.T) {
 	is := is.New(t)
 	fleet := NewFleet(1, DefaultParams(), 1)
-	is.True(!New(time.Hour, 1, 3, testBounds, fleet, nil, nil).MayHaveRuns())
-	is.True(New(time.Hour, 1, 3, testBounds, fleet, nil, []string{"a"}).MayHaveRuns())
+	is.True(!New(time.Hour, 1, 3, testBounds, fleet, nil, nil, nil).MayHaveRuns())
+	is.True(New(time.Hour, 1, 3, testBounds, fleet, nil, []string{"a"}, nil).MayHaveRuns())
 	spec := steps(1)
 	record := job.NewRecord(testID, spec, job.Policy{Queue: "quotes", Service: "desk"}, 1)
-	is.True(New(time.Hour, 1, 3, testBounds, fleet, []*job.Record{record}, nil).MayHaveRuns())
+	is.True(New(time.Hour, 1, 3, testBounds, fleet, []*job.Record{record}, nil, nil).MayHaveRuns())
 	record.State = job.Completed
-	is.True(!New(time.Hour, 1, 3, testBounds, fleet, []*job.Record{record}, nil).MayHaveRuns())
+	is.True(!New(time.Hour, 1, 3, testBounds, fleet, []*job.Record{record}, nil, nil).MayHaveRuns())
 }
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -83,6 +83,9 @@
 		return fx
 	}
 	s.queued[p.Queue]++
+	if p.AtMostOnce {
+		s.noteAtMostOnceLocked(&fx)
+	}
 	s.scheduleWriteLocked(&fx, j, now)
 	return fx
 }
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -48,7 +48,11 @@
 		need.ReservedSpeed = s.waiting.reservedSpeed(now, placementKeyOf(&j.rec.Policy, &j.rec.Spec.Steps[id.Step]), requiredSpeed(need.Estimate, j.due-now))
 	}
 	need.Avoid, need.Isolation = avoidedAgents(t, rec), s.isolation(rec)
-	node, ok := s.fleet.Place(need, s.mayOrderLocked)
+	mayOrder := s.mayOrderLocked
+	if j.rec.Policy.AtMostOnce && !j.rec.Spec.BestEffort {
+		mayOrder = s.mayOrderOnceLocked
+	}
+	node, ok := s.fleet.Place(need, mayOrder)
 	if !ok {
 		return false
 	}
--- a/coordination/owner/write.go
+++ b/coordination/owner/write.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
@@ -24,6 +25,9 @@
 	// Agents is the list of agents that may have runs of the shard; nil leaves the stored list
 	// unchanged.
 	Agents []string
+	// Incarnations has the incarnations of these agents. It is written with the list unless it is
+	// nil.
+	Incarnations map[string][]worker.Incarnation
 }
 
 // Empty reports whether there is nothing to write.
@@ -63,6 +67,7 @@
 	}
 	if s.agentsDirty {
 		b.Agents = s.agentsLocked()
+		b.Incarnations = s.incarnationsLocked(b.Agents)
 		s.agentsDirty = false
 	}
 	n := min(len(s.dirty), maxBatch)
@@ -144,6 +149,9 @@
 			s.storedAgents[node] = true
 		}
 	}
+	if b.Incarnations != nil {
+		s.incarnationsWrittenLocked(&fx, b.Incarnations)
+	}
 	for i := range b.Writes {
 		s.writtenLocked(now, &fx, &b.Writes[i])
 	}
--- a/coordination/worker/claims.go
+++ b/coordination/worker/claims.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/shallotstep/shallotstep/state/job"
 )
 
 // Claim is an owner's request to become the only owner of a shard whose orders this agent accepts.
@@ -25,6 +27,28 @@
 	Runs       []RunState
 	// Lost lists the runs of the shard that were recently lost with a backend server.
 	Lost []RunState
+	// Incarnation is what answers the claim.
+	Incarnation Incarnation
+}
+
+// Incarnation is an incarnation of an agent and the backend server that it had when it answered a
+// claim.
+type Incarnation struct {
+	// Agent names the incarnation; empty if that is unknown.
+	Agent string
+	// Server is zero if the incarnation has not seen the lists of a backend server.
+	Server job.Instance
+}
+
+// KnowsRunsOf reports whether an agent that now answers as i knows all runs that were ordered at it
+// since it answered a claim as earlier. A restarted agent knows them only from the lists of its
+// backend server, so that must still be the same instance. An earlier incarnation without a name
+// was stored by an owner that didn't ask for it.
+func (i Incarnation) KnowsRunsOf(earlier Incarnation) bool {
+	if earlier.Agent == "" || i.Agent == earlier.Agent {
+		return true
+	}
+	return i.Server != (job.Instance{}) && i.Server == earlier.Server
 }
 
 // Claim makes c.Owner the only owner of the shard, unless a newer one is known. From then on,
@@ -40,7 +64,10 @@
 	}
 	w.shards[c.Shard] = &shardState{owner: c.Owner, epoch: c.Epoch, session: c.Session, heard: now}
 	w.forgetOwnersLocked(now)
-	out := Claimed{Claim: c}
+	out := Claimed{Claim: c, Incarnation: Incarnation{Agent: w.bounds.Incarnation}}
+	if w.listsSeen {
+		out.Incarnation.Server = w.server.Instance
+	}
 	if c.Shard >= w.bounds.Shards {
 		w.ownerReplacedLocked(now, &out.Effects, c.Owner)
 	}
--- a/coordination/worker/crash.go
+++ b/coordination/worker/crash.go
@@ -80,6 +80,12 @@
 // endLostLocked ends a run that was lost with its server. suspects is the number of runs on the
 // server, any of which may be the cause. With NotLost the run lapses without a loss being reported.
 func (w *Worker) endLostLocked(now time.Duration, fx *Effects, r *run, loss Loss, suspects int, reason string) {
+	if loss == NotLost && r.occupies() && !r.orderKnown {
+		// Whether the run may be repeated is unknown. The next owner has to hear of it if this event
+		// is lost with the present one.
+		w.recordLossLocked(now, r, LossCleared, suspects)
+		r.loss = NotLost
+	}
 	if loss == NotLost || !r.occupies() {
 		w.dropLocked(fx, r, job.Lapsed, reason)
 		return
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -17,6 +17,8 @@
 
 // Bounds are the timeouts and sizes that the platform and the settings give.
 type Bounds struct {
+	// Incarnation names this incarnation of the agent; see Incarnation.
+	Incarnation string
 	// Lease is the longest lease that the backend server grants.
 	Lease time.Duration
 	// OwnerTimeout is how long an owner may be silent before its runs here are stopped.
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -125,10 +125,11 @@
 
 // New returns an agent that is not running; see Run.
 func New(s *settings.Settings, st store.Store, drains core.DrainSource, newBackendClient func(fencingToken int64) BackendClient) *Agent {
+	member := core.MemberName(s.Name, xid.New().String())
 	a := &Agent{
 		settings: s, newBackendClient: newBackendClient, metrics: core.NewMetrics(),
-		member: core.MemberName(s.Name, xid.New().String()), started: bootclock.Now(),
-		worker:        worker.New(worker.Bounds{Lease: s.Bounds.Lease, OwnerTimeout: core.OwnerTimeout, ReconnectTimeout: core.ReconnectTimeout, AdoptionTimeout: core.AdoptionTimeout, Shards: s.Shards(), LearnSpeed: s.Scheduling.ServerSpeeds}),
+		member: member, started: bootclock.Now(),
+		worker:        worker.New(worker.Bounds{Incarnation: member, Lease: s.Bounds.Lease, OwnerTimeout: core.OwnerTimeout, ReconnectTimeout: core.ReconnectTimeout, AdoptionTimeout: core.AdoptionTimeout, Shards: s.Shards(), LearnSpeed: s.Scheduling.ServerSpeeds}),
 		recentPlacers: newRecentPlacers(),
 		snapshots:     newSnapshots(),
 		fleet:         owner.NewFleet(s.Bounds.RemoteFactor, core.OwnerParams(s), rand.Uint64()),
--- a/daemon/agent/links_test.go
+++ b/daemon/agent/links_test.go
@@ -52,7 +52,7 @@
 	is.Equal(len(all), 0)
 
 	links.Open() // as the agent does when it gets a shard
-	a.shards[1] = &shardRunner{ShardDriver: core.NewShardDriver(owner.New(0, 1, 1, owner.Bounds{}, a.fleet, nil, nil), links, a.metrics)}
+	a.shards[1] = &shardRunner{ShardDriver: core.NewShardDriver(owner.New(0, 1, 1, owner.Bounds{}, a.fleet, nil, nil, nil), links, a.metrics)}
 	links.Apply(registeredAgent("c", "10.0.0.3:7"))
 	is.Equal(slices.Sorted(maps.Keys(all)), []string{"b", "c"})
 
--- a/daemon/agent/shard.go
+++ b/daemon/agent/shard.go
@@ -24,6 +24,8 @@
 	// agentsKey is the key of the list of agents that may have runs of a shard. No job
 	// ID begins with a zero byte.
 	agentsKey = "\x00agents"
+	// incarnationsKey is the key of the incarnations of these agents.
+	incarnationsKey = "\x00incarnations"
 	// firstAppendTimeout is the timeout of the first attempt of an append, which
 	// usually takes 5 ms. The timeout doubles with each attempt.
 	firstAppendTimeout = 60 * time.Millisecond
@@ -64,13 +66,13 @@
 	if err := r.fence(ctx); err != nil {
 		return nil, err
 	}
-	records, agents, err := r.readRecords(ctx)
+	stored, err := r.readRecords(ctx)
 	if err != nil {
 		return nil, err
 	}
 	now := bootclock.Now()
-	r.ShardDriver = core.NewShardDriver(owner.New(now, id, epoch, core.OwnerBounds(a.settings), a.fleet, records, agents), a.links, a.metrics)
-	klog.InfoS("Took a shard over", "shard", id, "epoch", epoch, "jobs", len(records), "agents", agents, "took", now-began)
+	r.ShardDriver = core.NewShardDriver(owner.New(now, id, epoch, core.OwnerBounds(a.settings), a.fleet, stored.jobs, stored.agents, stored.incarnations), a.links, a.metrics)
+	klog.InfoS("Took a shard over", "shard", id, "epoch", epoch, "jobs", len(stored.jobs), "agents", stored.agents, "took", now-began)
 	a.metrics.Takeover.Observe((now - began).Seconds())
 	ctx, r.stop = context.WithCancel(ctx)
 	go r.run(ctx)
@@ -202,6 +204,13 @@
 		}
 		out = append(out, store.Record{Key: agentsKey, Value: value})
 	}
+	if b.Incarnations != nil {
+		value, err := encodeIncarnations(b.Incarnations)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, store.Record{Key: incarnationsKey, Value: value})
+	}
 	return out, nil
 }
 
--- a/daemon/agent/shard_records.go
+++ b/daemon/agent/shard_records.go
@@ -7,43 +7,98 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/daemon/core"
 	wire "github.com/shallotstep/shallotstep/protocol/core"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 )
 
-// readRecords reads the records of a shard from the store. It returns the jobs and the agents that
-// may have runs of the shard. A job record that can't be decoded is skipped.
-func (r *shardRunner) readRecords(ctx context.Context) ([]*job.Record, []string, error) {
+// shardRecords is what the store has of a shard.
+type shardRecords struct {
+	jobs []*job.Record
+	// agents may have runs of the shard, and incarnations has those of their incarnations that may.
+	agents       []string
+	incarnations map[string][]worker.Incarnation
+}
+
+// readRecords reads the records of a shard from the store. A job record that can't be decoded is
+// skipped.
+func (r *shardRunner) readRecords(ctx context.Context) (shardRecords, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*core.StoreTimeout)
 	defer cancel()
 	raw, _, err := r.agent.store.Newest(ctx, r.partition)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "load the records of the shard")
+		return shardRecords{}, errors.Wrap(err, "load the records of the shard")
 	}
-	var records []*job.Record
-	var agents []string
+	var out shardRecords
 	for _, rec := range raw {
-		if rec.Key == agentsKey {
-			if err := json.Unmarshal(rec.Value, &agents); err != nil {
-				metrics.Malformed(metrics.KindAgents)
-				klog.ErrorS(err, "Can't decode the agents of a shard; using all agents that have ever registered", "shard", r.partition)
-				if agents, err = r.registeredAgents(ctx); err != nil {
-					return nil, nil, err
-				}
+		switch rec.Key {
+		case agentsKey:
+			if out.agents, err = r.decodeAgents(ctx, rec.Value); err != nil {
+				return shardRecords{}, err
 			}
-			continue
+		case incarnationsKey:
+			out.incarnations = r.decodeIncarnations(rec.Value)
+		default:
+			j, err := wire.DecodeRecord(job.ID(rec.Key), rec.Value)
+			if err != nil {
+				metrics.Malformed(metrics.KindJobRecord)
+				klog.ErrorS(err, "Skipping a job record that can't be decoded", "shard", r.partition)
+				continue
+			}
+			out.jobs = append(out.jobs, j)
+		}
+	}
+	return out, nil
+}
+
+// decodeAgents returns the listed agents, or all that have ever registered if the list can't be
+// decoded.
+func (r *shardRunner) decodeAgents(ctx context.Context, value []byte) ([]string, error) {
+	var agents []string
+	if err := json.Unmarshal(value, &agents); err != nil {
+		metrics.Malformed(metrics.KindAgents)
+		klog.ErrorS(err, "Can't decode the agents of a shard; using all agents that have ever registered", "shard", r.partition)
+		return r.registeredAgents(ctx)
+	}
+	return agents, nil
+}
+
+// storedIncarnation is an entry of the stored list of incarnations.
+type storedIncarnation struct {
+	Agent     string `json:"agent"`
+	Server    string `json:"server,omitempty"`
+	StartedMS int64  `json:"started_ms,omitempty"`
+}
+
+func encodeIncarnations(incarnations map[string][]worker.Incarnation) ([]byte, error) {
+	stored := make(map[string][]storedIncarnation, len(incarnations))
+	for node, list := range incarnations {
+		for _, i := range list {
+			stored[node] = append(stored[node], storedIncarnation{Agent: i.Agent, Server: i.Server.ID, StartedMS: i.Server.StartedMS})
 		}
-		j, err := wire.DecodeRecord(job.ID(rec.Key), rec.Value)
-		if err != nil {
-			metrics.Malformed(metrics.KindJobRecord)
-			klog.ErrorS(err, "Skipping a job record that can't be decoded", "shard", r.partition)
-			continue
+	}
+	value, err := json.Marshal(stored)
+	return value, errors.Wrap(err, "encode the incarnations of the shard's agents")
+}
+
+// decodeIncarnations decodes the list of incarnations. Without a list that can be decoded, agents
+// count as knowing all runs that earlier owners have ordered at them.
+func (r *shardRunner) decodeIncarnations(value []byte) map[string][]worker.Incarnation {
+	var stored map[string][]storedIncarnation
+	if err := json.Unmarshal(value, &stored); err != nil {
+		metrics.Malformed(metrics.KindAgents)
+		klog.ErrorS(err, "Can't decode the incarnations of a shard's agents", "shard", r.partition)
+		return nil
+	}
+	out := make(map[string][]worker.Incarnation, len(stored))
+	for node, list := range stored {
+		for _, i := range list {
+			out[node] = append(out[node], worker.Incarnation{Agent: i.Agent, Server: job.Instance{ID: i.Server, StartedMS: i.StartedMS}})
 		}
-		records = append(records, j)
 	}
-	return records, agents, nil
+	return out
 }
 
 // registeredAgents returns the names of all agents that have ever registered. No other agent can
--- a/daemon/agent/shard_test.go
+++ b/daemon/agent/shard_test.go
@@ -31,7 +31,7 @@
 	a := New(s, st, core.DrainSource{}, nil)
 	a.links, _ = fakeLinks(a, a.fleet)
 	now := bootclock.Now()
-	r := &shardRunner{agent: a, partition: store.Partition{Topic: "jobs"}, ShardDriver: core.NewShardDriver(owner.New(now, 1, 1, core.OwnerBounds(s), a.fleet, nil, nil), a.links, a.metrics)}
+	r := &shardRunner{agent: a, partition: store.Partition{Topic: "jobs"}, ShardDriver: core.NewShardDriver(owner.New(now, 1, 1, core.OwnerBounds(s), a.fleet, nil, nil, nil), a.links, a.metrics)}
 	a.fleet.Linked("b")
 	a.fleet.Update(now, "b", owner.AgentLoad{Service: "desk", Accepts: true, Capacity: job.Demand{CPUMillis: 1000}, Free: job.Demand{CPUMillis: 1000}})
 	r.Step(func(now time.Duration) owner.Effects {
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -81,7 +81,9 @@
 
 // ClaimedToWire returns the wire form of the response to a claim.
 func ClaimedToWire(c *worker.Claimed) *corepb.Claimed {
-	out := &corepb.Claimed{Shard: int32(c.Shard), Epoch: c.Epoch, Session: c.Session, Refused: c.Refused, KnownEpoch: c.KnownEpoch}
+	out := &corepb.Claimed{Shard: int32(c.Shard), Epoch: c.Epoch, Session: c.Session, Refused: c.Refused, KnownEpoch: c.KnownEpoch,
+		Incarnation: c.Incarnation.Agent, Server: c.Incarnation.Server.ID, ServerStartedMs: c.Incarnation.Server.StartedMS,
+	}
 	for i := range c.Runs {
 		out.Runs = append(out.Runs, RunStateToWire(&c.Runs[i]))
 	}
@@ -96,6 +98,7 @@
 	out := worker.Claimed{
 		Claim:   worker.Claim{Shard: int(p.GetShard()), Epoch: p.GetEpoch(), Session: p.GetSession()},
 		Refused: p.GetRefused(), KnownEpoch: p.GetKnownEpoch(),
+		Incarnation: worker.Incarnation{Agent: p.GetIncarnation(), Server: job.Instance{ID: p.GetServer(), StartedMS: p.GetServerStartedMs()}},
 	}
 	for _, r := range p.GetRuns() {
 		out.Runs = append(out.Runs, RunStateFromWire(r))
