--- a/daemon/agent/backend.go
+++ b/daemon/agent/backend.go
@@ -9,6 +9,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/daemon/core"
+	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
 	"github.com/shallotstep/shallotstep/transport/pause"
 )
@@ -49,6 +50,7 @@
 // ctx ends.
 func (a *Agent) holdLoop(ctx context.Context) {
 	lost := false
+	var lostInstance job.Instance
 	failures := pause.Backoff{Min: minHoldBackoff, Max: maxHoldBackoff}
 	for ctx.Err() == nil {
 		c, ok := a.worker.Hold(bootclock.Now())
@@ -61,8 +63,9 @@
 		}
 		began := bootclock.Now()
 		err := a.holdOnce(ctx, c)
-		if err != nil && !lost {
+		if err != nil && (!lost || c.Instance != lostInstance) {
 			klog.InfoS("Lost the backend server", "instance", c.Instance, "err", err)
+			lostInstance = c.Instance
 		}
 		if err == nil && lost {
 			klog.InfoS("The backend server answers again", "instance", c.Instance)
