Expire the lease again after a start that followed its expiry

Cause: once the lease of a silent server has expired, nothing is looked at until the server answers a hold. A run that was started after the expiry, as is allowed for a server that answers starts, was then never listed, never expired, and reported as running to each owner.

TestRunStartedAfterTheLeaseHasExpiredExpiresToo failed before: no end after two more leases. Ruled out: refusing starts after the expiry; TestRunStartedAfterTheLeaseHasRunOutIsReported and TestLaterCrashIsNotOfEarlierRuns show that a resumed agent starts runs before its first hold is answered.

Change: the expiry that was handled is remembered by its time. A start extends the lease, so the expiry comes again.

--- a/coordination/worker/run.go
+++ b/coordination/worker/run.go
@@ -140,7 +140,7 @@
 	}
 	w.unackedEnds = make(map[int64]*run)
 	w.clock = clock{}
-	w.leaseDeadline, w.leaseExpiry = 0, 0
+	w.leaseDeadline, w.leaseExpiry, w.handledExpiry = 0, 0, 0
 	w.awaitLeaseExpiry, w.leaseExpired = false, false
 }
 
--- a/coordination/worker/silent_server_test.go
+++ b/coordination/worker/silent_server_test.go
@@ -116,3 +116,26 @@
 	f.is.Equal(len(f.losses(Ended)), 1)
 	f.is.Equal(f.losses(Ended)[0].Instance, f.instance)
 }
+
+// A backend server answers starts but no holds. Its lease has expired once, and a run is started
+// after that. If the expiry didn't come again, nothing would ever end the run, and its job would be
+// shown as active for good.
+func TestRunStartedAfterTheLeaseHasExpiredExpiresToo(t *testing.T) {
+	f := newFixture(t)
+	f.hold()
+	f.missHold()
+	f.advance(2 * testBounds.Lease)
+	f.collect(f.Tick(f.now))
+	f.claim(bestEffortShard, 1, 1)
+	f.is.Equal(len(f.send(f.order(0)).Starts), 1)
+	f.missHold()
+	f.is.Equal(len(f.ended()), 0)
+	f.advance(2 * testBounds.Lease)
+	f.claim(bestEffortShard, 1, 1)
+	f.collect(f.Tick(f.now))
+	f.is.Equal(len(f.ended()), 1)
+	f.is.Equal(f.ended()[0].Reason, "lease_expired")
+	f.is.Equal(f.Load(f.now).Running, 0)
+	f.collect(f.Tick(f.now))
+	f.is.Equal(len(f.ended()), 1)
+}
--- a/coordination/worker/tick.go
+++ b/coordination/worker/tick.go
@@ -33,10 +33,10 @@
 // expireLeaseLocked drops all runs once the lease has expired for certain, because the backend
 // server could not be reached for longer than the lease.
 func (w *Worker) expireLeaseLocked(now time.Duration, fx *Effects) {
-	if w.leaseExpiry == 0 || now < w.leaseExpiry || w.leaseExpired || w.awaitLeaseExpiry {
+	if w.leaseExpiry == 0 || now < w.leaseExpiry || w.leaseExpiry <= w.handledExpiry || w.awaitLeaseExpiry {
 		return
 	}
-	w.leaseExpired = true
+	w.leaseExpired, w.handledExpiry = true, w.leaseExpiry
 	loss := LossSuspected
 	if w.plannedShutdown() {
 		loss = NotLost
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -189,6 +189,9 @@
 	// leaseExpired is set when the lease has expired while the backend server could not be reached.
 	// The runs whose ends are listed next were reported as lapsed already.
 	leaseExpired bool
+	// handledExpiry is the last leaseExpiry that has passed. A start sent after that extends the lease
+	// again.
+	handledExpiry time.Duration
 
 	// lastHoldAnswer is when the backend server last answered a hold.
 	lastHoldAnswer time.Duration
