Expire the lease of a server that falls silent while a replaced end is waited out

What callers would see: a job that is shown as active until its agent restarts.

Cause: while a void end waits for the lease to expire, no lease counted as expired, because the server ends and lists its runs itself. If it falls silent then, nobody does.

Change: that exception holds only while the server has answered a hold within the length of a lease. TestRunsExpireWhileAReplacedEndIsWaitedOut failed before (the run beside the replaced end had no end after 4.8 s). 150 worlds of the model: no violation.

--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -102,7 +102,7 @@
 func (w *Worker) Ready(sinceStart time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.listsSeen || sinceStart > time.Duration(float64(w.bounds.Lease)*clockDrift)+leaseExpiryMargin
+	return w.listsSeen || sinceStart > w.leaseDuration()
 }
 
 // Stats returns a copy of the counters.
--- a/coordination/worker/silent_server_test.go
+++ b/coordination/worker/silent_server_test.go
@@ -139,3 +139,27 @@
 	f.collect(f.Tick(f.now))
 	f.is.Equal(len(f.ended()), 1)
 }
+
+// An end was replaced, so the lease has to expire before other ends are acknowledged, and the backend
+// server falls silent. The runs beside it must expire like all others, or their jobs never end.
+func TestRunsExpireWhileAReplacedEndIsWaitedOut(t *testing.T) {
+	f := newFixture(t)
+	f.claim(recordedShard, 1, 1)
+	replaced, other := f.order(0), f.order(1)
+	replaced.Shard, other.Shard = recordedShard, recordedShard
+	f.send(replaced)
+	f.send(other)
+	f.hold()
+	f.endRun(replaced.Run, job.Done)
+	f.hold()
+	f.Settled(replaced.Run, true)
+	for range 40 {
+		f.missHold()
+		f.advance(100 * time.Millisecond)
+		f.claim(recordedShard, 1, 1)
+		f.collect(f.Tick(f.now))
+	}
+	ended := f.ended()
+	f.is.Equal(ended[len(ended)-1].Run, other.Run)
+	f.is.Equal(ended[len(ended)-1].Reason, "lease_expired")
+}
--- a/coordination/worker/starts.go
+++ b/coordination/worker/starts.go
@@ -129,10 +129,15 @@
 // in milliseconds.
 func (w *Worker) extendLeaseLocked(now time.Duration) int64 {
 	w.leaseDeadline = max(w.leaseDeadline, w.clock.at(now+w.bounds.Lease))
-	w.leaseExpiry = now + time.Duration(float64(w.bounds.Lease)*clockDrift) + leaseExpiryMargin
+	w.leaseExpiry = now + w.leaseDuration()
 	return w.leaseDeadline
 }
 
+// leaseDuration is how long after an extension the lease has expired for certain.
+func (w *Worker) leaseDuration() time.Duration {
+	return time.Duration(float64(w.bounds.Lease)*clockDrift) + leaseExpiryMargin
+}
+
 // StartOutcome is the outcome of a StartCall.
 type StartOutcome uint8
 
--- a/coordination/worker/tick.go
+++ b/coordination/worker/tick.go
@@ -33,7 +33,11 @@
 // expireLeaseLocked drops all runs once the lease has expired for certain, because the backend
 // server could not be reached for longer than the lease.
 func (w *Worker) expireLeaseLocked(now time.Duration, fx *Effects) {
-	if w.leaseExpiry == 0 || now < w.leaseExpiry || w.leaseExpiry <= w.handledExpiry || w.awaitLeaseExpiry {
+	if w.leaseExpiry == 0 || now < w.leaseExpiry || w.leaseExpiry <= w.handledExpiry {
+		return
+	}
+	if w.awaitLeaseExpiry && now-w.lastHoldAnswer < w.leaseDuration() {
+		// The server lets the lease expire by itself and lists the runs as lapsed.
 		return
 	}
 	w.leaseExpired, w.handledExpiry = true, w.leaseExpiry
