Count the demand of rare queues and of sums of queues right in shares

What callers saw: with shares on and many queues, entries accepted more work than there is capacity, and jobs were late (of 100 cores 128 granted with 100 queues, 179 with 400; TestManyQueuesGetNoMoreThanThereIs, listed red).

Cause, both from the printed divisions: demand was averaged over .5 s, decays between two jobs of a rare queue, and is counted when a job comes, so 70 to 118 of 200 cores asked for were counted and contention ended by turns; and each entry divided between its own small queues and the others' sum of the same queues, so that its shares added up to 47 to 65 cores where 33 are its part.

Ruled out: shares set just after a job (set with each division instead: 128 and 179 as before).

Change: demand is the larger of the averages over .5 s and over eight jobs; queues that the others name only in their sum are divided together with that sum.

--- a/coordination/shares/account.go
+++ b/coordination/shares/account.go
@@ -9,6 +9,13 @@
 	// rateWindow is the time constant of the rates of demand. A burst of a few times a queue's usual
 	// demand shows within a third of it, before the longest tasks of the time before have ended.
 	rateWindow = 500 * time.Millisecond
+	// jobsPerWindow is the least number of a queue's jobs in the time constant of its rates, up to
+	// maxRateWindow. Between two jobs of a rare queue a shorter one lets its demand decay, and other
+	// queues get what it is about to ask for.
+	jobsPerWindow = 8
+	maxRateWindow = 10 * time.Second
+	// gapWeight is the weight of the last interval between two jobs in their mean interval.
+	gapWeight = 0.25
 	// burstWindow is how much of its share a queue may take ahead, so that jobs that arrive close
 	// together by chance are not refused. It is about as long as a caller's shortest slack.
 	burstWindow = 100 * time.Millisecond
@@ -31,24 +38,30 @@
 	at    time.Duration
 }
 
-func (r *rate) decay(now time.Duration) float64 {
+// decay returns the rate at now. window is its time constant.
+func (r *rate) decay(now, window time.Duration) float64 {
 	if now > r.at {
-		r.value *= math.Exp(-float64(now-r.at) / float64(rateWindow))
+		r.value *= math.Exp(-float64(now-r.at) / float64(window))
 		r.at = now
 	}
 	return r.value
 }
 
-func (r *rate) add(now, work time.Duration) {
-	r.decay(now)
-	r.value += float64(work) / float64(rateWindow)
+func (r *rate) add(now, window, work time.Duration) {
+	r.decay(now, window)
+	r.value += float64(work) / float64(window)
 }
 
 // account is what this process asks for in one queue, and what it may take. Guarded by Book.mu.
 type account struct {
 	queue    string
 	priority int
-	asked    rate
+	// asked has the time constant window, and recent the shorter rateWindow.
+	asked, recent rate
+	// window is the time constant of the rates. askedSince is when the first job came after a pause,
+	// lastAskedAt when the last one came, and meanGap the mean interval between two jobs.
+	window                           time.Duration
+	askedSince, lastAskedAt, meanGap time.Duration
 	// meanWork is the mean work of a job.
 	meanWork float64
 	// share is the rate, in cores, that jobs of this process may take, underShare is set if they ask
@@ -67,13 +80,46 @@
 	}
 	size := a.sizeOf(work)
 	a.meanWork += meanWeight * (float64(work) - a.meanWork)
-	a.asked.add(now, work)
-	a.sizes[size].work.add(now, work)
-	a.sizes[size].jobs.add(now, time.Second)
+	a.updateWindow(now)
+	a.asked.add(now, a.window, work)
+	a.recent.add(now, rateWindow, work)
+	a.sizes[size].work.add(now, a.window, work)
+	a.sizes[size].jobs.add(now, a.window, time.Second)
 	a.stats.Asked++
 	return size
 }
 
+// updateWindow follows how rare the queue's jobs are.
+func (a *account) updateWindow(now time.Duration) {
+	gap := now - a.lastAskedAt
+	switch {
+	case a.lastAskedAt == 0 || gap > maxRateWindow:
+		a.askedSince = now
+	default:
+		gap = min(gap, maxRateWindow/jobsPerWindow)
+		a.meanGap += time.Duration(gapWeight * float64(gap-a.meanGap))
+	}
+	a.lastAskedAt = now
+	a.window = min(max(jobsPerWindow*a.meanGap, rateWindow), maxRateWindow)
+}
+
+// estimate returns the rate at now. A rate with a long time constant is scaled up for as long as the
+// queue hasn't asked for that time.
+func (a *account) estimate(now time.Duration, r *rate) float64 {
+	value := r.decay(now, a.window)
+	if a.window == rateWindow || now < a.askedSince {
+		return value
+	}
+	age := float64(now - a.askedSince + a.meanGap)
+	return value * math.Expm1(-age/float64(rateWindow)) / math.Expm1(-age/float64(a.window))
+}
+
+// demand returns what the queue asks for. A burst shows in the recent jobs first, and a rare queue
+// asks for as much between two jobs as with one.
+func (a *account) demand(now time.Duration) float64 {
+	return max(a.estimate(now, &a.asked), a.recent.decay(now, rateWindow))
+}
+
 // setShare sets the share and divides it between the size classes. Until now they have got what the
 // last division gave them: a class whose jobs are rare asks for little between two of them.
 func (a *account) setShare(now time.Duration, share float64) {
@@ -81,10 +127,12 @@
 		a.sizes[i].refill(now)
 	}
 	a.share = share
-	a.underShare = a.asked.decay(now) <= share
+	asked := a.demand(now)
+	a.underShare = asked <= share
 	var work, jobs [numSizes]float64
+	scale := asked / max(a.estimate(now, &a.asked), minAsked)
 	for i := range a.sizes {
-		work[i], jobs[i] = a.sizes[i].work.decay(now), a.sizes[i].jobs.decay(now)
+		work[i], jobs[i] = scale*a.estimate(now, &a.sizes[i].work), scale*a.estimate(now, &a.sizes[i].jobs)
 	}
 	for i, part := range divideSizes(share, work, jobs) {
 		c := &a.sizes[i]
@@ -92,12 +140,12 @@
 		c.rate = part * work[i]
 		if a.underShare {
 			// What is left over is divided evenly: the classes together get the share and no more.
-			c.rate = work[i] + (share-a.asked.value)/float64(numSizes)
+			c.rate = work[i] + (share-asked)/float64(numSizes)
 		}
 		c.mostAhead = c.ahead(aheadWindow)
 		if a.underShare {
 			// Any class may take all of it ahead.
-			c.mostAhead = time.Duration((work[i] + share - a.asked.value) * float64(aheadWindow))
+			c.mostAhead = time.Duration((work[i] + share - asked) * float64(aheadWindow))
 		}
 	}
 }
--- a/coordination/shares/book.go
+++ b/coordination/shares/book.go
@@ -160,7 +160,7 @@
 		if len(s.accounts) >= maxQueues {
 			return s, nil
 		}
-		a = &account{queue: j.Queue, stats: QueueStats{Queue: j.Queue}, sharedAt: -1}
+		a = &account{queue: j.Queue, stats: QueueStats{Queue: j.Queue}, sharedAt: -1, window: rateWindow}
 		s.accounts[j.Queue] = a
 	}
 	a.priority = max(j.Priority, 0)
--- a/coordination/shares/service.go
+++ b/coordination/shares/service.go
@@ -39,12 +39,28 @@
 	queues   []Demand
 	division *division
 	domains  map[string][]Demand
+	// rest has the claims of this process's queues that are divided together with the others' sum of
+	// all other queues; nil if there are none.
+	rest *restClaims
+}
+
+// restClaims are the claims of queues within this process's part of the sum of all other queues.
+// The others know these queues only as such a sum, and this process the same of theirs. If it divided
+// the capacity between its own queues and the others' sum, each process would count the part of the
+// same queues as its own.
+type restClaims struct {
+	claims []Claim
+	// place has the index of a queue's claim.
+	place map[string]int
+	asked float64
+	// division divides this process's part.
+	division *division
 }
 
 func (b *Book) ownRowsLocked(now time.Duration, s *service) []Demand {
 	rows := make([]Demand, 0, len(s.accounts))
 	for _, a := range s.accounts {
-		rows = append(rows, Demand{Queue: a.queue, Domain: b.params.Domain, Priority: a.priority, Queues: 1, Asked: a.asked.decay(now)})
+		rows = append(rows, Demand{Queue: a.queue, Domain: b.params.Domain, Priority: a.priority, Queues: 1, Asked: a.demand(now)})
 	}
 	return rows
 }
@@ -54,7 +70,7 @@
 	s.dividedAt = now
 	rows, capacity, freeShare := b.knownLocked(now, s, agents)
 	s.freeShare = freeShare
-	s.collect(rows)
+	s.collect(b.foldLocked(now, s, rows))
 	var asked float64
 	for i := range s.queues {
 		asked += s.queues[i].Asked
@@ -68,6 +84,7 @@
 		claims[i] = Claim{Weight: w, Asked: s.queues[i].Asked}
 	}
 	s.division = newDivision(s.capacity, claims)
+	s.divideRest()
 	if s.contended != was && len(b.events) < maxEvents {
 		b.events = append(b.events, Event{Service: name, Contended: s.contended, Asked: asked, Capacity: capacity, Shares: s.shares()})
 	}
@@ -76,7 +93,6 @@
 // knownLocked returns the demand that is known, the capacity that it competes for, and the part of
 // it that is free. Of an agent without news, this process counts on its own part only.
 func (b *Book) knownLocked(now time.Duration, s *service, agents []Agent) (rows []Demand, capacity, freeShare float64) {
-	rows = b.ownRowsLocked(now, s)
 	var cores, free float64
 	for _, a := range agents {
 		cores += a.Cores
@@ -95,6 +111,61 @@
 	return rows, capacity, freeShare
 }
 
+// foldLocked adds this process's demand to what the others ask for. Its queues that the others name
+// only in the sum of all other queues are added to that sum.
+func (b *Book) foldLocked(now time.Duration, s *service, others []Demand) []Demand {
+	own := b.ownRowsLocked(now, s)
+	s.rest = nil
+	named := make(map[string]bool, len(others))
+	for i := range others {
+		named[others[i].Queue] = true
+	}
+	if !named[""] {
+		return append(own, others...)
+	}
+	s.rest = &restClaims{place: make(map[string]int)}
+	sum := Demand{Domain: b.params.Domain}
+	rows := others
+	var folded []Demand
+	for _, d := range own {
+		if named[d.Queue] {
+			rows = append(rows, d)
+			continue
+		}
+		folded = append(folded, d)
+		sum.Priority, sum.Queues = max(sum.Priority, d.Priority), sum.Queues+1
+		sum.Asked += d.Asked
+	}
+	if len(folded) == 0 {
+		s.rest = nil
+		return rows
+	}
+	slices.SortFunc(folded, compareDemands)
+	for i, w := range weights(b.params.Floor, folded) {
+		s.rest.place[folded[i].Queue] = i
+		s.rest.claims = append(s.rest.claims, Claim{Weight: w, Asked: folded[i].Asked})
+	}
+	s.rest.asked = sum.Asked
+	return append(rows, sum)
+}
+
+// divideRest divides this process's part of the sum of all other queues.
+func (s *service) divideRest() {
+	if s.rest == nil {
+		return
+	}
+	part := s.capacity
+	if i, ok := s.find(""); ok {
+		part = s.division.entitlement(i) * min(s.rest.asked/max(s.queues[i].Asked, minAsked), 1)
+	}
+	s.rest.division = newDivision(part, s.rest.claims)
+}
+
+// find returns the index of a queue's demand.
+func (s *service) find(queue string) (int, bool) {
+	return slices.BinarySearchFunc(s.queues, queue, func(d Demand, name string) int { return strings.Compare(d.Queue, name) })
+}
+
 // HasRoom reports whether so much of a capacity is free that demand for it needn't be told.
 func HasRoom(freeShare float64) bool { return freeShare >= uncontendedFree }
 
@@ -147,7 +218,12 @@
 // shareLocked returns what this process may take in a queue: of what the queue and then the domain
 // of its clients may have, the part that it asks for.
 func (b *Book) shareLocked(s *service, a *account) float64 {
-	i, ok := slices.BinarySearchFunc(s.queues, a.queue, func(d Demand, name string) int { return strings.Compare(d.Queue, name) })
+	if s.rest != nil {
+		if i, ok := s.rest.place[a.queue]; ok {
+			return s.rest.division.entitlement(i)
+		}
+	}
+	i, ok := s.find(a.queue)
 	if !ok {
 		return s.capacity
 	}
@@ -158,7 +234,7 @@
 		return queue
 	}
 	domain := newDivision(queue, evenClaims(list)).entitlement(own)
-	return domain * min(a.asked.value/max(list[own].Asked, minAsked), 1)
+	return domain * min(a.demand(s.dividedAt)/max(list[own].Asked, minAsked), 1)
 }
 
 // evenClaims returns the claims of domains, which all have the same weight.
