Choose an agent last that doesn't see the orders sent to it

Cause: a link is given up a second after the agent stops acknowledging. Until then its loads arrive, say that there is room, and tasks are placed there. An agent is chosen last once its load is 320 ms old; that its load lacks orders sent long ago was not looked at.

Ruled out: a shorter timeout for acknowledgements; it would also end links to slow machines, and nothing here shows that they bear it.

Change: an agent whose load lacks an order that is older than StaleLoadAge is chosen last, too. A load goes with each frame, at least each 150 ms. Where no agent is better, nothing changes.

Left: the jobs whose orders are lost before that wait as they did: the owner can't know that the run is not under way until the link is given up and waited out.

--- a/coordination/owner/choice_test.go
+++ b/coordination/owner/choice_test.go
@@ -76,3 +76,40 @@
 		is.True(placed[node] >= 10)
 	}
 }
+
+// TestAgentThatSeesNoOrdersIsChosenLast guards against jobs on a link that passes frames one way only:
+// the agent's loads arrive, the orders to it are lost, and each waits until the link is given up, for
+// longer than its client does.
+func TestAgentThatSeesNoOrdersIsChosenLast(t *testing.T) {
+	for name, speeds := range map[string][]float64{"equal speeds": {1, 1, 1}, "unequal speeds": {.6, 1, 1.6}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newSpeedFleet(speeds...)
+			seen := make(map[string]int64)
+			var firstLost time.Duration
+			for range 200 {
+				f.now += 5 * time.Millisecond
+				n := f.request(10*time.Millisecond, time.Second)
+				n.Demand.CPUMillis = 50
+				node, ok := f.Place(n, anyAgent)
+				is.True(ok)
+				switch {
+				case node != "agent-2":
+					seen[node]++
+				case firstLost == 0:
+					firstLost = f.now
+				case f.now-firstLost > f.params.StaleLoadAge:
+					t.Fatalf("an order was sent there %v after the first lost one", f.now-firstLost)
+				}
+				for i, speed := range speeds {
+					l := speedLoad(speed, 4000)
+					if l.OrdersSeen = seen[f.nodes[i]]; i == 2 {
+						l.Free.CPUMillis = 16000
+					}
+					f.Update(f.now, f.nodes[i], l)
+				}
+			}
+			is.True(firstLost > 0)
+		})
+	}
+}
--- a/coordination/owner/placement.go
+++ b/coordination/owner/placement.go
@@ -209,9 +209,11 @@
 }
 
 // isLastResortLocked reports whether an agent is chosen for a task only if there is no other: the
-// task has failed there, or nothing has been heard of the agent for long.
+// task has failed there, nothing has been heard of the agent for long, or what is heard lacks an
+// order that was sent long ago, so that orders to it may be lost.
 func (f *Fleet) isLastResortLocked(v *agentView, n PlacementRequest) bool {
-	return slices.Contains(n.Avoid, v.node) || n.Now-v.updatedAt > f.params.StaleLoadAge
+	longAgo := n.Now - f.params.StaleLoadAge
+	return slices.Contains(n.Avoid, v.node) || v.updatedAt < longAgo || len(v.pending) > 0 && v.pending[0].at < longAgo
 }
 
 // fullAgentPenalty ranks an agent whose worker is full behind an empty one, for a suspect. It is
