Report the end that a restarted agent finds after its lease has expired

Cause: when the lease of a silent server expires, the agent marks that ends listed next were reported as lapsed, and settles those that it doesn't know. An agent that has just restarted knows none: if its first holds go unanswered for longer than the lease, it settles the ends of its earlier incarnations without a word, and its claim says that nothing ran.

Evidence: a1 restarts at 24.155 s, its server lists the end of run 7169, which no owner has heard of; the claim of 26.077 is answered with no runs, after lists of the same server, and the task is started at 26.104.

Change: the runs that were reported at the expiry are remembered until the next list, and only their ends count as reported. TestFoundEndAfterAnExpiredLeaseIsReported failed before.

--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -166,7 +166,7 @@
 		listed[e.Run] = true
 		w.applyListedEndLocked(now, &fx, e)
 	}
-	w.leaseExpired = false
+	w.leaseExpired, w.expiredRuns = false, nil
 	w.unsettled = len(h.Ends)
 	if len(h.Ends) < maxListedEnds {
 		w.dropMissingLocked(&fx, c, h.ClockMS, listed)
@@ -219,7 +219,7 @@
 	r := w.runs[e.Run]
 	// The owner was already told that the run lapsed, and the lease did expire after this end. That
 	// doesn't hold for a run that was started since.
-	alreadyReported := w.leaseExpired && (r == nil || r.phase == ended)
+	alreadyReported := w.expiredRuns[e.Run] && (r == nil || r.phase == ended)
 	if r == nil {
 		shard := e.Run.Task.Job.Shard(w.bounds.Shards)
 		r = &run{order: Order{Shard: shard, Run: e.Run}, startedAt: now}
--- a/coordination/worker/incarnation_test.go
+++ b/coordination/worker/incarnation_test.go
@@ -29,3 +29,21 @@
 	f.is.Equal(lost[0].Loss, LossCleared)
 	f.is.Equal(len(f.losses(Ended)), 0) // and nothing is suspected
 }
+
+// A restarted agent's first holds go unanswered for longer than the lease. The end that the server then
+// lists is of a run that this incarnation never knew, so nobody was told that it lapsed. If the end
+// were settled as such, its task would be started again.
+func TestFoundEndAfterAnExpiredLeaseIsReported(t *testing.T) {
+	f := newFixture(t)
+	f.claim(recordedShard, 1, 1)
+	f.missHold()
+	f.advance(2 * testBounds.Lease)
+	f.collect(f.Tick(f.now))
+	f.endRun(f.order(0).Run, job.Done)
+	f.hold()
+	f.is.Equal(len(f.ended()), 1)
+	f.is.Equal(f.ended()[0].End, job.Done)
+	shard := f.order(0).Run.Task.Job.Shard(testShards)
+	f.is.Equal(len(f.claim(shard, 1, 1).Runs), 1) // until its owner has settled it
+	f.is.Equal(f.hold().Acked, int64(0))
+}
--- a/coordination/worker/run.go
+++ b/coordination/worker/run.go
@@ -141,7 +141,7 @@
 	w.unackedEnds = make(map[int64]*run)
 	w.clock = clock{}
 	w.leaseDeadline, w.leaseExpiry, w.handledExpiry = 0, 0, 0
-	w.awaitLeaseExpiry, w.leaseExpired = false, false
+	w.awaitLeaseExpiry, w.leaseExpired, w.expiredRuns = false, false, nil
 }
 
 // keepInDoubtLocked keeps a start that the next incarnation of the server under its ID may have
--- a/coordination/worker/tick.go
+++ b/coordination/worker/tick.go
@@ -41,6 +41,9 @@
 		return
 	}
 	w.leaseExpired, w.handledExpiry = true, w.leaseExpiry
+	if w.expiredRuns == nil {
+		w.expiredRuns = make(map[job.RunID]bool)
+	}
 	loss := LossSuspected
 	if w.plannedShutdown() {
 		loss = NotLost
@@ -56,6 +59,7 @@
 			continue
 		}
 		w.stats.Lapsed++
+		w.expiredRuns[r.order.Run] = true
 		w.endLostLocked(now, fx, r, loss, suspects, "lease_expired")
 	}
 }
--- a/coordination/worker/worker.go
+++ b/coordination/worker/worker.go
@@ -187,8 +187,9 @@
 	// because an end that was voided must never count.
 	awaitLeaseExpiry bool
 	// leaseExpired is set when the lease has expired while the backend server could not be reached.
-	// The runs whose ends are listed next were reported as lapsed already.
+	// expiredRuns has the runs that were reported as lapsed then; their ends may be listed next.
 	leaseExpired bool
+	expiredRuns  map[job.RunID]bool
 	// handledExpiry is the last leaseExpiry that has passed. A start sent after that extends the lease
 	// again.
 	handledExpiry time.Duration
