Let no owner acknowledge the end of a run that was repeated before it

What callers saw: a task carried out twice, one run after the other, with both ends acknowledged; the job's answer is right.

Cause: the record of a done task has no run number and that of an ended job no tasks, so an owner that takes over can't tell a counted end from a replaced one and settles each as one that counts.

Change: a record names the newest run of each task that is done, or whose job has ended, unless it is number 1. An older one's end is void.

Ruled out: to void each end of a job that this owner didn't run; it would cost each such server a lease without starts at each takeover.

--- a/coordination/model/server_test.go
+++ b/coordination/model/server_test.go
@@ -236,6 +236,7 @@
 		return false
 	}
 	e.runs[task] = c.Run.Number
+	e.w.task(task).lastRun = max(e.w.task(task).lastRun, c.Run.Number)
 	e.checkStart(task)
 	instance := e.instance
 	if e.w.client.crashes(task) {
@@ -352,7 +353,7 @@
 	e.extendLease(c.Deadline)
 	for len(e.ends) > 0 && e.ends[0].Seq <= c.Acked {
 		if end := e.ends[0]; end.Kind == job.Done && !end.lapsed {
-			e.endAcknowledged(end.Run.Task)
+			e.endAcknowledged(end.Run)
 		}
 		e.ends = e.ends[1:]
 	}
@@ -368,9 +369,13 @@
 
 // endAcknowledged records that a successful end of a task was acknowledged. From then on the task
 // must not run again.
-func (e *serverModel) endAcknowledged(task job.TaskID) {
-	e.w.trace("%s end of %v acknowledged", e.name(), task)
+func (e *serverModel) endAcknowledged(run job.RunID) {
+	task := run.Task
+	e.w.trace("%s end of %v acknowledged", e.name(), run)
 	t := e.w.task(task)
+	if run.Number < t.lastRun {
+		e.w.addViolation(string(task.Job), "the end of run %d of task %v was acknowledged after run %d had started", run.Number, task, t.lastRun)
+	}
 	if t.running > 0 {
 		e.w.addViolation(string(task.Job), "a superseded end of task %v was acknowledged while another run is active", task)
 	}
--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -167,6 +167,8 @@
 type taskLedger struct {
 	running int
 	starts  int
+	// lastRun is the highest number of a run that has started.
+	lastRun int64
 	// endAcked is set once a successful end that came within the lease was acknowledged.
 	endAcked bool
 	// crashes counts the backend servers that the task has crashed, and startsAfterCrashes its
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -321,6 +321,7 @@
 		j.tasks[i].phase = inDoubt
 		if i < len(r.Tasks) && r.Tasks[i].Done {
 			j.tasks[i].phase = finished
+			j.tasks[i].number = r.NewestRun(r.TaskAt(r.ID, i))
 			continue
 		}
 		if i < len(r.Tasks) && len(r.Tasks[i].Crashes) > 0 {
--- a/coordination/owner/reconcile.go
+++ b/coordination/owner/reconcile.go
@@ -163,9 +163,9 @@
 	if j == nil || j.removing || r.End != job.Done && r.End != job.FailedRun {
 		return false
 	}
-	t := s.taskLocked(j, r.Run.Task)
-	if t == nil {
-		return false
+	newest := j.rec.NewestRun(r.Run.Task)
+	if t := s.taskLocked(j, r.Run.Task); t != nil {
+		newest = max(newest, t.number)
 	}
-	return t.number > r.Run.Number
+	return newest > r.Run.Number
 }
--- a/coordination/owner/write.go
+++ b/coordination/owner/write.go
@@ -121,6 +121,7 @@
 	}
 	r := *j.rec
 	r.Tasks = slices.Clone(j.rec.Tasks)
+	r.Repeated = j.repeatedRuns()
 	if r.State.Final() {
 		// Of an ended job only the results are needed.
 		r.Spec = job.Spec{Digest: r.Spec.Digest}
@@ -137,6 +138,20 @@
 	return w
 }
 
+// repeatedRuns returns what Record.Repeated has to hold.
+func (j *jobState) repeatedRuns() []job.RunID {
+	if j.tasks == nil {
+		return j.rec.Repeated // the job had ended before this owner took over
+	}
+	var out []job.RunID
+	for i := range j.tasks {
+		if n := j.tasks[i].number; n > 1 && (j.rec.Tasks[i].Done || j.rec.State.Final()) {
+			out = append(out, job.RunID{Task: j.rec.TaskAt(j.rec.ID, i), Number: n})
+		}
+	}
+	return out
+}
+
 // Written handles the confirmation that the store has a batch.
 func (s *Shard) Written(now time.Duration, b Batch) Effects {
 	s.mu.Lock()
--- a/protocol/core/record.go
+++ b/protocol/core/record.go
@@ -24,6 +24,9 @@
 		Digest:     []byte(r.Spec.Digest),
 		Tasks:      tasksToWire(r.Tasks),
 	}
+	for _, run := range r.Repeated {
+		p.Repeated = append(p.Repeated, &corepb.RepeatedTask{Step: int32(run.Task.Step), Index: int32(run.Task.Index), Run: run.Number})
+	}
 	if !r.State.Final() {
 		p.Spec = SpecToWire(&r.Spec)
 	}
@@ -67,6 +70,10 @@
 	}
 	r.Spec.Digest = string(p.GetDigest())
 	r.Tasks = tasksFromWire(p.GetTasks(), r.Spec.Tasks())
+	for _, t := range p.GetRepeated() {
+		task := job.TaskID{Job: id, Step: int(t.GetStep()), Index: int(t.GetIndex())}
+		r.Repeated = append(r.Repeated, job.RunID{Task: task, Number: t.GetRun()})
+	}
 	return r, nil
 }
 
--- a/state/job/record.go
+++ b/state/job/record.go
@@ -20,6 +20,19 @@
 	Failure string
 	// Elapsed is the time from the acceptance of the job to its end.
 	Elapsed time.Duration
+	// Repeated has the newest run of each task that is done, or whose job has ended, unless that was
+	// the task's first run. The ends of its earlier runs must never be acknowledged.
+	Repeated []RunID
+}
+
+// NewestRun returns the number of the newest run of a task in Repeated, or zero.
+func (r *Record) NewestRun(id TaskID) int64 {
+	for _, run := range r.Repeated {
+		if run.Task == id {
+			return run.Number
+		}
+	}
+	return 0
 }
 
 // TaskRecord is the recorded state of a task.
