--- a/coordination/owner/crash.go
+++ b/coordination/owner/crash.go
@@ -79,7 +79,7 @@
 		}
 		if j.rec.Policy.AtMostOnce {
 			if !slices.ContainsFunc(c.Runs, func(known worker.RunState) bool { return known.Run == r.Run }) {
-				s.reportedOnceLocked(now, fx, j, t, node, r)
+				s.failLostOnceLocked(now, fx, j, t, node, r)
 			}
 			continue
 		}
--- a/coordination/owner/incarnations.go
+++ b/coordination/owner/incarnations.go
@@ -34,8 +34,8 @@
 	s.requestIncarnationsLocked(fx)
 }
 
-// requestIncarnationsLocked has the list of incarnations written if it lacks one that is linked, or
-// has one that is over.
+// requestIncarnationsLocked schedules a write of the list of incarnations if it lacks one that is
+// linked, or has earlier ones that no job depends on any more.
 func (s *Shard) requestIncarnationsLocked(fx *Effects) {
 	if !s.atMostOnce || s.private || s.agentsDirty {
 		return
@@ -90,9 +90,9 @@
 	return s.mayOrderLocked(node) && (s.private || slices.Contains(s.storedIncarnations[node], s.links[node].incarnation))
 }
 
-// reportedOnceLocked handles the report that a run of a task that must not be repeated was lost with
-// its backend server, and that no agent has it any more.
-func (s *Shard) reportedOnceLocked(now time.Duration, fx *Effects, j *jobState, t *task, node string, r worker.RunState) {
+// failLostOnceLocked fails a job because a run of a task that must not be repeated was lost with its
+// backend server. Only the task's agent has reported the run: the earlier owner has not recorded it.
+func (s *Shard) failLostOnceLocked(now time.Duration, fx *Effects, j *jobState, t *task, node string, r worker.RunState) {
 	if t.phase != inDoubt {
 		return
 	}
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -227,8 +227,8 @@
 	storedAgents map[string]bool
 	agentsDirty  bool
 	// incarnations has, for each agent, the incarnations that may have runs of this shard, and
-	// storedIncarnations those that the store lists. They are kept up from the first job on whose
-	// tasks must not be repeated, which sets atMostOnce.
+	// storedIncarnations those that the store lists. The list is only written once the shard has had
+	// a job whose tasks must not be repeated, for which atMostOnce is set.
 	incarnations, storedIncarnations map[string][]worker.Incarnation
 	atMostOnce                       bool
 	// expiring has the recorded jobs that have ended, in the order in which they expire.
--- a/coordination/shares/service.go
+++ b/coordination/shares/service.go
@@ -123,30 +123,41 @@
 	if !named[""] {
 		return append(own, others...)
 	}
-	s.rest = &restClaims{place: make(map[string]int)}
-	sum := Demand{Domain: b.params.Domain}
 	rows := others
 	var folded []Demand
 	for _, d := range own {
 		if named[d.Queue] {
 			rows = append(rows, d)
-			continue
+		} else {
+			folded = append(folded, d)
 		}
-		folded = append(folded, d)
-		sum.Priority, sum.Queues = max(sum.Priority, d.Priority), sum.Queues+1
-		sum.Asked += d.Asked
 	}
 	if len(folded) == 0 {
-		s.rest = nil
 		return rows
 	}
-	slices.SortFunc(folded, compareDemands)
-	for i, w := range weights(b.params.Floor, folded) {
-		s.rest.place[folded[i].Queue] = i
-		s.rest.claims = append(s.rest.claims, Claim{Weight: w, Asked: folded[i].Asked})
+	s.rest = newRestClaims(b.params.Floor, folded)
+	return append(rows, sumOf(folded, b.params.Domain))
+}
+
+// sumOf returns the sum of the demand of some queues, as truncate does.
+func sumOf(queues []Demand, domain string) Demand {
+	sum := Demand{Domain: domain, Queues: len(queues)}
+	for _, d := range queues {
+		sum.Priority = max(sum.Priority, d.Priority)
+		sum.Asked += d.Asked
+	}
+	return sum
+}
+
+func newRestClaims(floor float64, queues []Demand) *restClaims {
+	slices.SortFunc(queues, compareDemands)
+	r := &restClaims{place: make(map[string]int, len(queues))}
+	for i, w := range weights(floor, queues) {
+		r.place[queues[i].Queue] = i
+		r.claims = append(r.claims, Claim{Weight: w, Asked: queues[i].Asked})
+		r.asked += queues[i].Asked
 	}
-	s.rest.asked = sum.Asked
-	return append(rows, sum)
+	return r
 }
 
 // divideRest divides this process's part of the sum of all other queues.
