--- a/coordination/load/shares_test.go
+++ b/coordination/load/shares_test.go
@@ -395,7 +395,7 @@
 
 // TestBurstsTable prints how near bursts come to the targets with all seeds.
 //
-//	go test ./coordination/load -run TestBurstsTable -load.shares
+//	go test ./coordination/load -run TestBurstsTable -load.shares -v
 func TestBurstsTable(t *testing.T) {
 	if !*sharesTable {
 		t.Skip("prints a table with -load.shares")
