--- a/coordination/model/owner_test.go
+++ b/coordination/model/owner_test.go
@@ -59,7 +59,7 @@
 // to another one: it learns of a rebalance with its next join.
 const unknownRebalance = 300 * time.Millisecond
 
-// confirmed reports whether the owner takes the shard for assigned to it by the group.
+// confirmed reports whether the owner believes that the group has assigned the shard to it.
 func (o *ownerModel) confirmed() bool { return !o.unconfirmed || o.w.mutant == claimsUnconfirmed }
 
 func (o *ownerModel) open() {
--- a/coordination/owner/incarnations_test.go
+++ b/coordination/owner/incarnations_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -111,6 +112,50 @@
 	f.is.Equal(len(f.orders), 2)
 }
 
+// The same for a task that becomes ready after the agent has restarted: nothing but the list holds its
+// order back, because its job is recorded already.
+func TestNextStepWaitsForTheRecordedIncarnation(t *testing.T) {
+	f := newFixture(t, nil, nil)
+	f.claimedBy("a", 1, beforeRestart)
+	f.write()
+	f.collect(f.Submit(f.now, testID, steps(1, 1), onceJob()[0].Policy, func(Response) {}))
+	f.write()
+	first := f.orders[0]
+	claim, _, fx := f.Linked(f.now, "a", 2)
+	f.collect(fx)
+	f.collect(f.Claimed(f.now, "a", worker.Claimed{
+		Claim: claim, Incarnation: worker.Incarnation{Agent: "a/2", Server: firstServer},
+		Runs: []worker.RunState{{Run: first.Value.Run, Status: worker.Running}},
+	}))
+	before := len(f.orders)
+	f.event(first, worker.Ended, job.Done)
+	f.is.Equal(len(f.orders), before)
+	f.write()
+	f.is.Equal(len(f.orders), before+1)
+	f.is.Equal(f.orders[before].Value.Run.Task.Step, 1)
+}
+
+// More jobs fail because of a forgotten run than one call to the store takes. The incarnation must stay
+// listed until the last of them is recorded: the next owner would start the tasks of the others again.
+func TestForgottenRunStaysListedBehindManyRecords(t *testing.T) {
+	var records []*job.Record
+	for i := range maxBatch + 1 {
+		r := onceJob()[0]
+		r.ID = job.ID(fmt.Sprintf("%016x", i+1))
+		records = append(records, r)
+	}
+	f := newOnceFixture(t, records, "a")
+	restarted := worker.Incarnation{Agent: "a/2", Server: secondServer}
+	f.claimedBy("a", 1, restarted)
+	b := f.write()
+	f.is.Equal(len(b.Writes), maxBatch)
+	f.is.Equal(b.Incarnations["a"], []worker.Incarnation{beforeRestart, restarted})
+	b = f.write()
+	f.is.Equal(len(b.Writes), 1)
+	f.is.Equal(b.Incarnations["a"], []worker.Incarnation{restarted})
+	f.is.True(!f.WriteDue(f.now))
+}
+
 // An agent that restarted knew a run only from the lists of its server, and lost it with the server
 // before the owner had repeated the order. Its answer to the next claim is the only trace.
 func TestLossOfAFoundRunFailsATaskThatMayNotBeRepeated(t *testing.T) {
--- a/coordination/owner/repeated_test.go
+++ b/coordination/owner/repeated_test.go
@@ -39,6 +39,13 @@
 			next.link(first.Node, 1, worker.RunState{Run: first.Value.Run, Status: worker.Ended, End: job.Done})
 			next.is.Equal(len(next.settled), 1)
 			next.is.True(next.settled[0].Value.Void)
+			if tasks > 1 {
+				// A later record keeps the run for the owner after this one.
+				next.cancel(testID)
+				writes := next.write().Writes
+				next.is.Equal(len(writes), 1)
+				next.is.Equal(writes[0].Record.NewestRun(second.Value.Run.Task), second.Value.Run.Number)
+			}
 		})
 	}
 }
