--- /dev/null
+++ b/review/rig/clients.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	resendDelay = 1300 * time.Millisecond
+	timeLimit   = 1500 * time.Millisecond
+	hostName    = "desk.example"
+)
+
+// job is a job as its client sees it. Guarded by clients.mu.
+type job struct {
+	id     string
+	body   string
+	effort bool
+	limit  time.Duration
+	// acceptedAt is when the first 2xx came; zero: none. open is set if an attempt has got no answer
+	// that tells whether the job was accepted.
+	acceptedAt time.Duration
+	open       bool
+	refused    bool
+	cancelled  time.Duration
+	state      string
+}
+
+// clients submits jobs and keeps what was answered.
+type clients struct {
+	w    *world
+	http *http.Client
+
+	mu   sync.Mutex
+	jobs []*job // guarded by mu
+}
+
+func newClients(w *world) *clients {
+	return &clients{w: w, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+}
+
+// step describes one step of a job.
+type step struct {
+	count     int
+	cpu       int64
+	estimate  time.Duration
+	dependsOn string
+}
+
+// add creates a job. Its tasks work for the given time.
+func (c *clients) add(random *rand.Rand, work time.Duration, effort bool, steps ...step) *job {
+	var parts []string
+	for _, s := range steps {
+		depends := ""
+		if s.dependsOn != "" {
+			depends = `,"depends_on":[` + s.dependsOn + `]`
+		}
+		parts = append(parts, fmt.Sprintf(`{"count":%d,"cpu_millis":%d,"mem_mb":64,"estimate_ms":%d%s}`, s.count, s.cpu, s.estimate.Milliseconds(), depends))
+	}
+	kind := ""
+	if effort {
+		kind = `"best_effort":true,`
+	}
+	j := &job{id: fmt.Sprintf("%016x", random.Uint64()), effort: effort, limit: timeLimit,
+		body: fmt.Sprintf(`{"spec":%q,%s"steps":[%s]}`, work.String(), kind, strings.Join(parts, ","))}
+	c.mu.Lock()
+	c.jobs = append(c.jobs, j)
+	c.mu.Unlock()
+	return j
+}
+
+// submit hands a job in, again after no answer, a broken channel, 502 or 504, each time to the next
+// of the entries.
+func (c *clients) submit(random *rand.Rand, j *job, tries int) {
+	at := random.IntN(len(c.w.entries))
+	for range tries {
+		status, state := c.call(at, http.MethodPost, j.id, j.body, j.limit)
+		c.mu.Lock()
+		switch {
+		case status/100 == 2:
+			j.acceptedAt, j.state = c.w.rec.now(), state
+			c.mu.Unlock()
+			return
+		case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusNotFound:
+			j.refused = true
+			c.mu.Unlock()
+			return
+		}
+		j.open = true
+		c.mu.Unlock()
+		time.Sleep(resendDelay)
+		at = (at + 1) % len(c.w.entries)
+	}
+}
+
+// query asks for a job's state and returns the status and the state.
+func (c *clients) query(at int, j *job) (int, string) {
+	status, state := c.call(at, http.MethodGet, j.id, "", timeLimit)
+	if status == http.StatusOK {
+		c.mu.Lock()
+		j.state = state
+		c.mu.Unlock()
+	}
+	return status, state
+}
+
+func (c *clients) cancel(at int, j *job) int {
+	status, _ := c.call(at, http.MethodDelete, j.id, "", timeLimit)
+	if status/100 == 2 {
+		c.mu.Lock()
+		j.cancelled = c.w.rec.now()
+		c.mu.Unlock()
+	}
+	return status
+}
+
+// pending asks an entry for the number of jobs that have not begun; -1 if it does not tell.
+func (c *clients) pending(at int) int {
+	status, body := c.request(at, http.MethodGet, "", "", timeLimit)
+	var out struct {
+		Pending *int `json:"pending_count"`
+	}
+	if status != http.StatusOK || json.Unmarshal(body, &out) != nil || out.Pending == nil {
+		return -1
+	}
+	return *out.Pending
+}
+
+func (c *clients) call(at int, method, id, body string, limit time.Duration) (int, string) {
+	status, b := c.request(at, method, id, body, limit)
+	var out struct {
+		State string `json:"state"`
+		Error string `json:"error"`
+	}
+	if status != 0 && json.Unmarshal(b, &out) != nil {
+		c.w.rec.sayf("%s %s: status %d with the body %q", method, id, status, b)
+	}
+	return status, out.State
+}
+
+// request sends a request to an entry. The status is 0 if no answer came.
+func (c *clients) request(at int, method, id, body string, limit time.Duration) (int, []byte) {
+	e := c.w.entries[at]
+	sent := c.w.rec.now()
+	req, err := http.NewRequest(method, "http://"+e.front+"/q/"+id, strings.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	req.Host = hostName
+	req.Header.Set("Shallotstep-Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
+	client := *c.http
+	client.Timeout = limit
+	resp, err := client.Do(req)
+	if err != nil {
+		c.w.rec.logf("%s /q/%s at %s, sent at %d: no answer", method, id, e.name, sent.Milliseconds())
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	c.w.rec.logf("%s /q/%s at %s, sent at %d: %d %s", method, id, e.name, sent.Milliseconds(), resp.StatusCode, b)
+	return resp.StatusCode, b
+}
+
+// kept returns whether a job has to be kept, by its ID.
+func (c *clients) kept() func(string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := make(map[string]bool, len(c.jobs))
+	for _, j := range c.jobs {
+		kept[j.id] = !j.effort
+	}
+	return func(id string) bool { return kept[id] }
+}
+
+// awaitService waits until a recorded job is accepted at each entry.
+func (w *world) awaitService(random *rand.Rand) error {
+	for at := range w.entries {
+		ok := false
+		for began := time.Now(); !ok && time.Since(began) < 25*time.Second; time.Sleep(100 * time.Millisecond) {
+			for _, effort := range []bool{true, false} {
+				j := w.clients.add(random, 5*time.Millisecond, effort, step{count: 1, cpu: 100, estimate: 10 * time.Millisecond})
+				status, _ := w.clients.call(at, http.MethodPost, j.id, j.body, timeLimit)
+				if ok = status == http.StatusOK; !ok {
+					break
+				}
+			}
+		}
+		if !ok {
+			return fmt.Errorf("%s accepted no job", w.entries[at].name)
+		}
+	}
+	return nil
+}
