--- a/review/rig/scenarios.go
+++ b/review/rig/scenarios.go
@@ -10,6 +10,8 @@
 
 var scenarios = map[string]scenario{
 	"pending":     {entries: 3, agents: 3, cpu: 4000, slack: 3, play: playPending},
+	"kill-both":   {entries: 2, agents: 4, cpu: 16000, slack: 2, play: playKillBoth},
+	"storm":       {entries: 2, agents: 5, cpu: 8000, slack: 1.6, play: playStorm},
 	"late-report": {entries: 1, agents: 4, cpu: 8000, slack: 2, play: playLateReport},
 }
 
@@ -102,3 +104,34 @@
 	time.Sleep(time.Until(stop) + 5*time.Second)
 	return w.ledger.twice(w.clients.kept(), 5*time.Millisecond)
 }
+
+// restartDelays are the delays after which the killed agents start again. All are short, and below
+// the lease of one second.
+var restartDelays = []time.Duration{860 * time.Millisecond, 890 * time.Millisecond, 840 * time.Millisecond, 880 * time.Millisecond, 910 * time.Millisecond}
+
+// playKillBoth kills an entry and an agent at once, several times. The agent starts again after a
+// short delay; the clients of the entry send their jobs again after retransmit_ms, to the other one.
+func playKillBoth(w *world, random *rand.Rand, trouble bool) []string {
+	stop := time.Now().Add(time.Duration(len(restartDelays)) * 8 * time.Second)
+	go func() {
+		for time.Now().Before(stop) {
+			j := w.clients.add(random, 2500*time.Millisecond, true, step{count: 4, cpu: 1600, estimate: 2500 * time.Millisecond})
+			j.limit = 5 * time.Second
+			go w.clients.submit(rand.New(rand.NewPCG(random.Uint64(), 3)), j, 3)
+			time.Sleep(400 * time.Millisecond)
+		}
+	}()
+	for i, delay := range restartDelays {
+		time.Sleep(4 * time.Second)
+		if !trouble {
+			continue
+		}
+		e, a := w.entries[i%len(w.entries)], w.agents[i%len(w.agents)]
+		e.signal(syscall.SIGKILL)
+		a.signal(syscall.SIGKILL)
+		w.restart(a.daemon, delay)
+		w.restart(e.daemon, 2500*time.Millisecond)
+	}
+	time.Sleep(time.Until(stop) + 5*time.Second)
+	return w.ledger.twice(w.clients.kept(), 5*time.Millisecond)
+}
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -359,6 +359,9 @@
 func (s *server) crash(down time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return
+	}
 	s.rec.logf("crash of %s for %d ms", s.idLocked(), down.Milliseconds())
 	for _, r := range s.active {
 		r.timer.Stop()
