--- a/review/rig/clients.go
+++ b/review/rig/clients.go
@@ -67,8 +67,12 @@
 	if effort {
 		kind = `"best_effort":true,`
 	}
+	spec := work.String()
+	if work < 0 {
+		spec = "crash:" + (-work).String()
+	}
 	j := &job{id: fmt.Sprintf("%016x", random.Uint64()), effort: effort, limit: timeLimit,
-		body: fmt.Sprintf(`{"spec":%q,%s"steps":[%s]}`, work.String(), kind, strings.Join(parts, ","))}
+		body: fmt.Sprintf(`{"spec":%q,%s"steps":[%s]}`, spec, kind, strings.Join(parts, ","))}
 	c.mu.Lock()
 	c.jobs = append(c.jobs, j)
 	c.mu.Unlock()
@@ -76,11 +80,16 @@
 }
 
 // submit hands a job in, again after no answer, a broken channel, 502 or 504, each time to the next
-// of the entries.
+// of the entries. Each attempt states how much longer the client waits.
 func (c *clients) submit(random *rand.Rand, j *job, tries int) {
 	at := random.IntN(len(c.w.entries))
+	began := c.w.rec.now()
 	for range tries {
-		status, state := c.call(at, http.MethodPost, j.id, j.body, j.limit)
+		left := j.limit - (c.w.rec.now() - began)
+		if left <= 0 {
+			return
+		}
+		status, state := c.call(at, http.MethodPost, j.id, j.body, left)
 		c.mu.Lock()
 		switch {
 		case status/100 == 2:
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -20,6 +20,7 @@
 	entries, agents int
 	cpu             int64
 	slack           float64
+	limit           time.Duration
 	play            func(w *world, random *rand.Rand, trouble bool) []string
 }
 
@@ -44,7 +45,7 @@
 	defer rec.flush()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.sayf("case %s, seed %d, disruption: %v", *name, *seed, trouble)
-	w, err := newWorld(rec, s.entries, s.agents, s.cpu, s.slack, *seed)
+	w, err := newWorld(rec, s.entries, s.agents, s.cpu, s.slack, s.limit, *seed)
 	if w != nil {
 		defer w.close(*keep)
 		if *keep {
--- a/review/rig/scenarios.go
+++ b/review/rig/scenarios.go
@@ -9,10 +9,10 @@
 )
 
 var scenarios = map[string]scenario{
-	"pending":     {entries: 3, agents: 3, cpu: 4000, slack: 3, play: playPending},
-	"kill-both":   {entries: 2, agents: 4, cpu: 16000, slack: 2, play: playKillBoth},
-	"storm":       {entries: 2, agents: 5, cpu: 8000, slack: 1.6, play: playStorm},
-	"late-report": {entries: 1, agents: 4, cpu: 8000, slack: 2, play: playLateReport},
+	"pending":     {entries: 3, agents: 3, cpu: 4000, slack: 3, limit: timeLimit, play: playPending},
+	"kill-both":   {entries: 2, agents: 4, cpu: 16000, slack: 2, limit: 5 * time.Second, play: playKillBoth},
+	"storm":       {entries: 2, agents: 5, cpu: 8000, slack: 1.6, limit: timeLimit, play: playStorm},
+	"late-report": {entries: 1, agents: 4, cpu: 8000, slack: 2, limit: timeLimit, play: playLateReport},
 }
 
 // playPending accepts long jobs, of which most have to wait, kills all agents, which start again,
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -201,7 +201,8 @@
 	if known != nil || in.Run <= s.barred[in.Task] {
 		return refused("old")
 	}
-	work, err := time.ParseDuration(in.Spec)
+	spec, crashes := strings.CutPrefix(in.Spec, "crash:")
+	work, err := time.ParseDuration(spec)
 	if err != nil {
 		return answer{status: http.StatusBadRequest}
 	}
@@ -214,6 +215,11 @@
 	r.timer = time.AfterFunc(work, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if crashes && s.active[r.task] == r {
+			s.rec.logf("CRASHER %s run %d crashes %s", r.task, r.number, r.server)
+			s.crashLocked(3 * time.Second)
+			return
+		}
 		s.endLocked(r, how)
 	})
 	return answer{status: http.StatusOK}
@@ -359,6 +365,10 @@
 func (s *server) crash(down time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.crashLocked(down)
+}
+
+func (s *server) crashLocked(down time.Duration) {
 	if s.down {
 		return
 	}
--- a/review/rig/storm.go
+++ b/review/rig/storm.go
@@ -195,6 +195,9 @@
 		if !effort && random.IntN(3) == 0 {
 			steps = append(steps, step{count: 1 + random.IntN(3), cpu: 500, estimate: work, dependsOn: "0"})
 		}
+		if !effort && random.IntN(30) == 0 {
+			steps, work = []step{{count: 1 + random.IntN(2), cpu: 500, estimate: work}}, -work
+		}
 		j := w.clients.add(random, work, effort, steps...)
 		w.clients.submit(random, j, 3)
 		if j.acceptedAt == 0 || effort {
@@ -267,7 +270,7 @@
 		if jobOf(task) != j.id {
 			continue
 		}
-		failed, crashed, ok := 0, 0, false
+		failed, crashed, after, ok := 0, 0, 0, false
 		var earliest time.Duration
 		for _, r := range runs {
 			if failed >= 3 {
@@ -276,6 +279,10 @@
 			if r.how == "failed" && r.acked > 0 && !r.lapsed {
 				failed++
 			}
+			if crashed >= 3 && strings.Contains(j.body, "crash:") {
+				after++
+				out = append(out, fmt.Sprintf("CRASHER start %d after three: %s run %d on %s at %d", after, task, r.number, r.server, r.start.Milliseconds()))
+			}
 			if r.how == "crashed" {
 				crashed++
 			}
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -40,19 +40,20 @@
 	storeWay     *relay
 }
 
-const routeFormat = `{"version":%d,"routes":[{"name":"quotes","host":"desk.example","path_prefix":"/q/","timeout_ms":1500,` +
+const routeFormat = `{"version":%d,"routes":[{"name":"quotes","host":"desk.example","path_prefix":"/q/","timeout_ms":%d,` +
 	`"target_latency_ms":60,"priority":0,"service":"desk","max_attempts":3,"slack_factor":%g}],` +
 	`"services":[{"name":"desk"}],"limits":{"max_body_bytes":262144}}`
 
-// newWorld starts a deployment. cpu is the capacity of each backend server in thousandths of a core.
-func newWorld(rec *record, entries, agents int, cpu int64, slack float64, seed uint64) (*world, error) {
+// newWorld starts a deployment. cpu is the capacity of each backend server in thousandths of a core,
+// slack and limit are the slack factor and the time limit of the route.
+func newWorld(rec *record, entries, agents int, cpu int64, slack float64, limit time.Duration, seed uint64) (*world, error) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
 	}
 	w := &world{rec: rec, dir: dir, store: standin.NewStore(), ledger: newLedger(rec)}
 	w.version++
-	w.store.Put("keyed.op", "config", fmt.Appendf(nil, routeFormat, w.version, slack))
+	w.store.Put("keyed.op", "config", fmt.Appendf(nil, routeFormat, w.version, limit.Milliseconds(), slack))
 	for i := range agents {
 		if err := w.addAgent(i, cpu, seed); err != nil {
 			return w, err
