--- a/review/rig/scenarios.go
+++ b/review/rig/scenarios.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -11,6 +14,7 @@
 var scenarios = map[string]scenario{
 	"pending":     {entries: 3, agents: 3, cpu: 4000, slack: 3, limit: timeLimit, play: playPending},
 	"kill-both":   {entries: 2, agents: 4, cpu: 16000, slack: 2, limit: 5 * time.Second, play: playKillBoth},
+	"cut-power":   {entries: 2, agents: 9, cpu: 8000, slack: 2, limit: timeLimit, play: playCutPower},
 	"storm":       {entries: 2, agents: 5, cpu: 8000, slack: 1.6, limit: timeLimit, play: playStorm},
 	"late-report": {entries: 1, agents: 4, cpu: 8000, slack: 2, limit: timeLimit, play: playLateReport},
 }
@@ -107,7 +111,7 @@
 
 // restartDelays are the delays after which the killed agents start again. All are short, and below
 // the lease of one second.
-var restartDelays = []time.Duration{860 * time.Millisecond, 890 * time.Millisecond, 840 * time.Millisecond, 880 * time.Millisecond, 910 * time.Millisecond}
+var restartDelays = []time.Duration{820 * time.Millisecond, 850 * time.Millisecond, 880 * time.Millisecond, 900 * time.Millisecond, 920 * time.Millisecond}
 
 // playKillBoth kills an entry and an agent at once, several times. The agent starts again after a
 // short delay; the clients of the entry send their jobs again after retransmit_ms, to the other one.
@@ -135,3 +139,68 @@
 	time.Sleep(time.Until(stop) + 5*time.Second)
 	return w.ledger.twice(w.clients.kept(), 5*time.Millisecond)
 }
+
+// playCutPower cuts one machine off, whose backend server runs on, and lets the other machines with
+// backend servers lose power just after they have begun to run its tasks again.
+func playCutPower(w *world, random *rand.Rand, trouble bool) []string {
+	stop := time.Now().Add(26 * time.Second)
+	go func() {
+		for time.Now().Before(stop) {
+			j := w.clients.add(random, 900*time.Millisecond, false, step{count: 4, cpu: 1600, estimate: 900 * time.Millisecond})
+			go w.clients.submit(rand.New(rand.NewPCG(random.Uint64(), 3)), j, 3)
+			time.Sleep(125 * time.Millisecond)
+		}
+	}()
+	for range 2 {
+		time.Sleep(3 * time.Second)
+		if !trouble {
+			continue
+		}
+		cut := w.standby()
+		w.rec.logf("%s is cut off", cut.name)
+		w.cuts.set(cut.name, true)
+		time.Sleep(3800 * time.Millisecond)
+		for _, a := range w.agents {
+			if a != cut {
+				a.signal(syscall.SIGKILL)
+				a.server.crash(time.Second)
+			}
+		}
+		time.Sleep(1200 * time.Millisecond)
+		for _, a := range w.agents {
+			if err := a.daemon.start(); err != nil {
+				w.rec.sayf("%v", err)
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		w.cuts.set(cut.name, false)
+		w.rec.logf("%s is no longer cut off", cut.name)
+		time.Sleep(4 * time.Second)
+	}
+	time.Sleep(time.Until(stop) + 14*time.Second)
+	return w.ledger.twice(w.clients.kept(), 5*time.Millisecond)
+}
+
+// standby returns an agent that owns no shard, or the last one if all do.
+func (w *world) standby() *agent {
+	addr, err := w.store.Listen("rig")
+	if err != nil {
+		w.rec.sayf("%v", err)
+	}
+	resp, err := http.Get("http://" + addr + "/v1/log-owners?group=owners")
+	if err != nil {
+		w.rec.sayf("%v", err)
+		return w.agents[len(w.agents)-1]
+	}
+	defer resp.Body.Close()
+	owners, err := io.ReadAll(resp.Body)
+	if err != nil {
+		w.rec.sayf("%v", err)
+	}
+	for _, a := range w.agents {
+		if !strings.Contains(string(owners), a.name+"/") {
+			return a
+		}
+	}
+	return w.agents[len(w.agents)-1]
+}
--- a/review/rig/storm.go
+++ b/review/rig/storm.go
@@ -86,9 +86,9 @@
 	}},
 	{"cut links of agent", func(w *world, random *rand.Rand) {
 		a := pick(random, w.agents)
-		a.links.setCut(true)
+		w.cuts.set(a.name, true)
 		time.Sleep(time.Duration(500+random.IntN(5000)) * time.Millisecond)
-		a.links.setCut(false)
+		w.cuts.set(a.name, false)
 	}},
 	{"reset links", func(w *world, random *rand.Rand) {
 		for _, a := range w.agents {
@@ -100,9 +100,9 @@
 	}},
 	{"cut agent from store", func(w *world, random *rand.Rand) {
 		a := pick(random, w.agents)
-		a.storeWay.setCut(true)
+		w.cuts.set(a.name, true)
 		time.Sleep(time.Duration(500+random.IntN(5000)) * time.Millisecond)
-		a.storeWay.setCut(false)
+		w.cuts.set(a.name, false)
 	}},
 	{"store down", func(w *world, random *rand.Rand) {
 		f := pick(random, []standin.Fault{standin.Unavailable, standin.DropCalls, standin.DropResponses})
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -22,6 +22,7 @@
 	entries []*entry
 	daemons []*daemon
 	clients *clients
+	cuts    *cuts
 	version int
 }
 
@@ -29,15 +30,14 @@
 type agent struct {
 	*daemon
 	server *server
-	// links leads to the agent's links, and storeWay to the store.
-	links, storeWay *relay
+	// links leads to the agent's links.
+	links *relay
 }
 
 // entry is a machine that clients reach.
 type entry struct {
 	*daemon
 	front, ready string
-	storeWay     *relay
 }
 
 const routeFormat = `{"version":%d,"routes":[{"name":"quotes","host":"desk.example","path_prefix":"/q/","timeout_ms":%d,` +
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{rec: rec, dir: dir, store: standin.NewStore(), ledger: newLedger(rec)}
+	w := &world{rec: rec, dir: dir, store: standin.NewStore(), ledger: newLedger(rec), cuts: &cuts{cut: make(map[string]bool)}}
 	w.version++
 	w.store.Put("keyed.op", "config", fmt.Appendf(nil, routeFormat, w.version, limit.Milliseconds(), slack))
 	for i := range agents {
@@ -98,14 +98,15 @@
 		return err
 	}
 	linkAddr := fmt.Sprintf("%s:%d", ip, link)
-	if a.links, err = newRelay(linkAddr); err != nil {
+	if a.links, err = newRelay(w.cuts, "", name, linkAddr); err != nil {
 		return err
 	}
-	if a.storeWay, err = w.wayToStore(name); err != nil {
+	storeWay, err := w.wayToStore(name)
+	if err != nil {
 		return err
 	}
 	listen := fmt.Sprintf(`"reports":%q,"links":%q,"links_announced":%q`, controlAddr, linkAddr, a.links.addr())
-	a.daemon, err = w.newDaemon(name, fmt.Sprintf(settingsFormat, "agent", name, zones[i%3], listen, a.storeWay.addr(), storePartitions, a.server.addr, 152))
+	a.daemon, err = w.newDaemon(name, fmt.Sprintf(settingsFormat, "agent", name, zones[i%3], listen, storeWay.addr(), storePartitions, a.server.addr, 152))
 	w.agents = append(w.agents, a)
 	return err
 }
@@ -121,11 +122,12 @@
 		return err
 	}
 	e := &entry{front: fmt.Sprintf("%s:%d", ip, front), ready: fmt.Sprintf("%s:%d", ip, ready)}
-	if e.storeWay, err = w.wayToStore(name); err != nil {
+	storeWay, err := w.wayToStore(name)
+	if err != nil {
 		return err
 	}
 	listen := fmt.Sprintf(`"clients":%q,"ready":%q,"links":"%s:%d"`, e.front, e.ready, ip, front)
-	e.daemon, err = w.newDaemon(name, fmt.Sprintf(settingsFormat, "entry", name, zones[i%3], listen, e.storeWay.addr(), storePartitions, "", 284))
+	e.daemon, err = w.newDaemon(name, fmt.Sprintf(settingsFormat, "entry", name, zones[i%3], listen, storeWay.addr(), storePartitions, "", 284))
 	w.entries = append(w.entries, e)
 	return err
 }
@@ -135,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newRelay(addr)
+	return newRelay(w.cuts, name, "store", addr)
 }
 
 // close ends everything that was started.
