--- a/review/rig/ledger.go
+++ b/review/rig/ledger.go
@@ -114,6 +114,21 @@
 	return n >= tasks
 }
 
+// countSince returns the number of runs that were active at some time since then.
+func (l *ledger) countSince(since time.Duration) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, runs := range l.runs {
+		for _, r := range runs {
+			if r.end == 0 || r.end > since {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // ran reports whether anything of a job has run since a time.
 func (l *ledger) ran(job string, since time.Duration) bool {
 	l.mu.Lock()
