--- a/review/rig/clients.go
+++ b/review/rig/clients.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -124,6 +123,19 @@
 	return resp.StatusCode, b
 }
 
+// accepted returns copies of the jobs that were accepted.
+func (c *clients) accepted() []job {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []job
+	for _, j := range c.jobs {
+		if j.acceptedAt > 0 {
+			out = append(out, *j)
+		}
+	}
+	return out
+}
+
 // kept returns whether a job has to be kept, by its ID.
 func (c *clients) kept() func(string) bool {
 	c.mu.Lock()
--- a/review/rig/scenarios.go
+++ b/review/rig/scenarios.go
@@ -172,10 +172,7 @@
 	from := w.rec.now()
 	var mu sync.Mutex
 	var asking sync.WaitGroup
-	for _, j := range w.clients.jobs {
-		if j.acceptedAt == 0 {
-			continue
-		}
+	for _, j := range w.clients.accepted() {
 		asking.Go(func() {
 			status := w.clients.call(0, http.MethodGet, j.id, "", timeLimit)
 			mu.Lock()
@@ -190,15 +187,15 @@
 	room := int64(len(w.agents)-len(gone)) * w.agents[0].server.cpu
 	used := int64(w.ledger.countSince(from)) * taskCPU
 	w.rec.sayf("%d of %d thousandths of a core were in use", used, room)
-	for _, j := range w.clients.jobs {
-		if j.acceptedAt > 0 && !w.ledger.done(j.id, tasks) && !w.ledger.ran(j.id, from) && 2*used < room && room-used >= 2*tasks*taskCPU {
+	for _, j := range w.clients.accepted() {
+		if !w.ledger.done(j.id, tasks) && !w.ledger.ran(j.id, from) && 2*used < room && room-used >= 2*tasks*taskCPU {
 			breaches = append(breaches, fmt.Sprintf("LOST: nothing of %s, accepted at %d ms, runs from %d to %d ms", j.id, j.acceptedAt.Milliseconds(), from.Milliseconds(), w.rec.now().Milliseconds()))
 		}
 	}
 	for w.rec.now() < end+65*time.Second && len(breaches) > 0 {
 		open := 0
-		for _, j := range w.clients.jobs {
-			if j.acceptedAt > 0 && !w.ledger.done(j.id, tasks) {
+		for _, j := range w.clients.accepted() {
+			if !w.ledger.done(j.id, tasks) {
 				open++
 			}
 		}
