--- a/review/rig/ledger.go
+++ b/review/rig/ledger.go
@@ -88,19 +88,6 @@
 	return r.end
 }
 
-// starts returns the number of starts of a job's tasks.
-func (l *ledger) starts(job string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	n := 0
-	for task, runs := range l.runs {
-		if jobOf(task) == job {
-			n += len(runs)
-		}
-	}
-	return n
-}
-
 // done reports whether as many tasks of a job have ended done.
 func (l *ledger) done(job string, tasks int) bool {
 	l.mu.Lock()
