--- a/review/rig/clients.go
+++ b/review/rig/clients.go
@@ -44,13 +44,19 @@
 	count    int
 	cpu      int64
 	estimate time.Duration
+	// after is set if the step depends on the first one.
+	after bool
 }
 
 // add creates a job. Its tasks work for the given time.
 func (c *clients) add(random *rand.Rand, work time.Duration, effort bool, steps ...step) *job {
 	var parts []string
 	for _, s := range steps {
-		parts = append(parts, fmt.Sprintf(`{"count":%d,"cpu_millis":%d,"mem_mb":64,"estimate_ms":%d}`, s.count, s.cpu, s.estimate.Milliseconds()))
+		depends := ""
+		if s.after {
+			depends = `,"depends_on":[0]`
+		}
+		parts = append(parts, fmt.Sprintf(`{"count":%d,"cpu_millis":%d,"mem_mb":64,"estimate_ms":%d%s}`, s.count, s.cpu, s.estimate.Milliseconds(), depends))
 	}
 	kind := ""
 	if effort {
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -40,6 +40,7 @@
 	life     int
 	born     time.Time
 	down     bool
+	draining bool
 	beats    int64
 	token    int64
 	deadline int64
@@ -87,6 +88,7 @@
 	s.life++
 	s.born, s.beats, s.token, s.deadline, s.lastEnd = time.Now(), 0, 0, 0, 0
 	s.active, s.barred, s.ends, s.changed = make(map[string]*activeRun), make(map[string]int64), nil, make(chan struct{})
+	s.draining = false
 }
 
 func (s *server) idLocked() string   { return fmt.Sprintf("i-%s-%d", s.name, s.life) }
@@ -305,8 +307,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.beats++
-	body = fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"capacity":{"cpu_millis":%d,"mem_mb":65536,"gpus":0},"labels":["a",%q],"clock_ms":%d,"seq_no":%d}`,
-		service, s.addr, s.cpu, s.rack, s.clockLocked(), s.beats)
+	state := `"ready"`
+	if s.draining {
+		state = `"draining","remaining_ms":0`
+	}
+	body = fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":8,"state":%s,"cold_remaining_ms":0,"capacity":{"cpu_millis":%d,"mem_mb":65536,"gpus":0},"labels":["a",%q],"clock_ms":%d,"seq_no":%d}`,
+		service, s.addr, state, s.cpu, s.rack, s.clockLocked(), s.beats)
 	return "/v1/instances/" + s.idLocked() + "/heartbeat", body, s.down
 }
 
@@ -347,6 +353,33 @@
 	})
 }
 
+const (
+	// drainTime is how long a server serves after the ack of its draining: drain_ms and a little.
+	drainTime = 2200 * time.Millisecond
+	// endTime is how long a server takes to end after the ack of its deregistration. It answers the
+	// calls that are under way.
+	endTime = 20 * time.Millisecond
+)
+
+// leave makes the server leave as planned. After a time another one answers at the same address.
+func (s *server) leave(away time.Duration) {
+	s.mu.Lock()
+	s.draining = true
+	id := s.idLocked()
+	s.mu.Unlock()
+	s.rec.logf("%s drains", id)
+	for path, body, _ := s.report(); !s.send(path, body); {
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(drainTime)
+	s.mu.Lock()
+	s.rec.logf("%s leaves with %d runs and %d ends", id, len(s.active), len(s.ends))
+	s.mu.Unlock()
+	s.send("/v1/instances/"+id+"/deregister", "{}")
+	time.Sleep(endTime)
+	s.crash(away)
+}
+
 func (s *server) close() {
 	close(s.closed)
 	if err := s.http.Close(); err != nil {
