--- a/review/rig/scenarios.go
+++ b/review/rig/scenarios.go
@@ -14,7 +14,7 @@
 
 var scenarios = map[string]scenario{
 	"owners-gone": {entries: 2, agents: 12, cpu: 8000, slack: 2, limit: timeLimit, from: 5300 * time.Millisecond, play: playOwnersGone},
-	"replace":     {entries: 2, agents: 8, cpu: 8000, slack: 2, limit: timeLimit, from: 7 * time.Second, play: playReplace},
+	"replace":     {entries: 2, agents: 9, cpu: 8000, slack: 2, limit: timeLimit, from: 7 * time.Second, play: playReplace},
 	"cut-power":   {entries: 2, agents: 9, cpu: 8000, slack: 2, limit: timeLimit, from: 8 * time.Second, play: playCutPower},
 }
 
@@ -177,13 +177,14 @@
 	return breaches
 }
 
-// playReplace replaces half of the backend servers, one after the other: each leaves as planned, and its
+// playReplace replaces four of the backend servers, one after the other: each leaves as planned, and its
 // successor answers at the same address soon after.
 func playReplace(w *world, random *rand.Rand, trouble bool) []string {
 	const (
 		work       = 2170 * time.Millisecond
 		successor  = 50 * time.Millisecond
 		replaceGap = time.Second
+		replaced   = 4
 	)
 	stop := time.Now().Add(40 * time.Second)
 	go func() {
@@ -197,7 +198,7 @@
 		}
 	}()
 	time.Sleep(4 * time.Second)
-	for _, a := range w.agents[:len(w.agents)/2] {
+	for _, a := range w.agents[:replaced] {
 		if trouble {
 			a.server.leave(successor)
 		}
