--- a/docs/links_test.go
+++ b/docs/links_test.go
@@ -48,7 +48,7 @@
 // rootDirectories are the directories at the root, sorted. A word that begins with none of them,
 // such as the reason `internal`, is not taken for a path.
 var rootDirectories = []string{
-	".ci", "cmd", "coordination", "daemon", "deploy", "docs", "examples", "journal", "platform", "protocol", "soak", "state", "tools", "transport",
+	".ci", "cmd", "coordination", "daemon", "deploy", "docs", "examples", "journal", "platform", "protocol", "review", "soak", "state", "tools", "transport",
 }
 
 // alternation returns a pattern that matches each of the names literally.
