Record that a task starts again before it does, if its earlier run's end is unknown

At 14.224 s the owner gives side-2 up ("run_lost") and orders run 2 on side-0. At 14.801 s the owner and side-0 lose power. The next owner opens the shard with a list of agents that lacks side-2, which the first had taken off, and with a record that knows of no second run. side-2 is back at 16.5 s, run 1's end is the only trace of the task, and the job is completed by it 20 ms later. That run 2 existed was known to its owner's memory and to the host that ran it, and both are gone.

Ruled out: the agent. It reported the end as often as asked and acknowledged it only once it was settled, and its lease never lapsed. Ruled out as the only cause: the wait for agents of earlier owners. It is over sooner because side-2 is off the list, but a cut that lasts longer than any wait ends the same way.

Change: a task whose run is given up without its end being known goes on only once the store has the number of its next run, in Record.Repeated, which so far named the newest runs of done tasks alone. Owners void the ends of runs before it, and stop such runs. It is needed in three places: links waited out; agents of earlier owners never reached; and the end that a new owner holds back for other agents when the agent that reported it is given up. The number is recorded when the run is given up, not when the task finds room: the agent leaves the list of agents in the same call, or in a later one if there are more records than a call takes, so that no owner fails to wait for an agent whose ends it would count. Runs that end in a known way need no record: an end that is lapsed, stopped or never begun can't be found done later, and one that failed counts again.

Why it suffices: a later run is ordered only if every earlier run's end is known to be none that counts, or is excluded by the store. The next owner reads the store before it decides anything. A run that is found before the task has started again still counts for the owner that gave it up.

Model: its faults never lost an owner and the second run's host together while the first host was cut off. It has that as a fault now, among the others and in a tenth of the worlds as the only one.

--- a/coordination/model/model_test.go
+++ b/coordination/model/model_test.go
@@ -19,7 +19,8 @@
 // they were replaced; agents restart and freeze; backend servers crash and start again, with another ID
 // or under the one that they had, carry out calls late and
 // lose responses; links are cut; the store rejects writes and loses responses; clocks differ; tasks
-// crash the backend servers that start them; capacities shrink; failure domains are drained.
+// crash the backend servers that start them; capacities shrink; failure domains are drained; an agent is
+// cut off while its owner and the other hosts lose power.
 //
 // It checks these invariants: no task has two concurrent runs or a run after its acknowledged end;
 // no accepted job is lost; no final state that a client was shown changes; no refused job runs; no
@@ -45,7 +46,7 @@
 var mutants = []mutant{
 	noStoreFence, claimsWithoutRuns, formerAgentsNotRead, agentsNotWritten, noTakeoverWait, noLostLinkWait,
 	acceptedBeforeWrite, settledBeforeWrite, noOrderFence, voidEndsAcked, lossesNotReported, capacityNotUpdated,
-	drainsIgnored, drainsNotRead, olderDrainsAccepted, startTimesNotTold, restartsUnderNewIDs,
+	drainsIgnored, drainsNotRead, olderDrainsAccepted, startTimesNotTold, restartsUnderNewIDs, restartsNotRecorded,
 }
 
 // rareMutants are detected only if several faults coincide within milliseconds, or if clocks differ
--- a/coordination/model/owner_test.go
+++ b/coordination/model/owner_test.go
@@ -322,7 +322,11 @@
 			delete(s.records, write.ID)
 			continue
 		}
-		raw, err := wire.EncodeRecord(write.Record)
+		record := *write.Record
+		if m == restartsNotRecorded && !record.State.Final() {
+			record.Repeated = slices.DeleteFunc(slices.Clone(record.Repeated), func(r job.RunID) bool { return !record.Task(r.Task).Done })
+		}
+		raw, err := wire.EncodeRecord(&record)
 		if err != nil {
 			panic(err)
 		}
--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -40,6 +40,8 @@
 	acceptedBeforeWrite mutant = "accepted before written"
 	// Ends are acknowledged to the backend server before the owner has written them.
 	settledBeforeWrite mutant = "ends settled before written"
+	// Tasks are started again before the store has a record that excludes their earlier runs.
+	restartsNotRecorded mutant = "restarts not written"
 	// Agents accept orders of earlier epochs and sessions.
 	noOrderFence mutant = "orders of any epoch and session"
 	// The backend server accepts calls of earlier incarnations of the agent.
@@ -219,8 +221,18 @@
 	}
 }
 
+// powerLossWorlds is the share of worlds whose only faults are losses of power beside an agent that is
+// cut off. Among others, a fault that comes in between mostly undoes what such a loss needs.
+const powerLossWorlds = 0.1
+
 // scheduleFaults schedules faults at random times before faultsEnd.
 func (w *world) scheduleFaults() {
+	if w.chance(powerLossWorlds) {
+		for at := w.randUpTo(3 * time.Second); at < faultsEnd; at += 6*time.Second + w.randUpTo(3*time.Second) {
+			w.after(at, func() { w.losePowerBeside(w.agents[w.rand.IntN(len(w.agents))]) })
+		}
+		return
+	}
 	for at := w.randUpTo(2 * time.Second); at < faultsEnd; at += w.randUpTo(3 * time.Second) {
 		w.after(at, w.injectFault)
 	}
@@ -228,7 +240,7 @@
 
 func (w *world) injectFault() {
 	a := w.agents[w.rand.IntN(len(w.agents))]
-	switch w.rand.IntN(15) {
+	switch w.rand.IntN(16) {
 	case 0:
 		w.newestOwner().kill()
 		w.after(w.randUpTo(2*time.Second), w.takeOver)
@@ -267,6 +279,8 @@
 		o := w.newestOwner()
 		o.drains.storeLostUntil = w.now + w.randUpTo(12*time.Second)
 		w.after(w.randUpTo(2*time.Second), func() { w.drain(a) })
+	case 15:
+		w.losePowerBeside(a)
 	case 10:
 		a.reachableBy, a.partitionedUntil = nil, w.now+w.randUpTo(6*time.Second)
 		for _, o := range w.owners {
@@ -275,6 +289,32 @@
 	}
 }
 
+// losePowerBeside cuts an agent off for so long that its owner, or the next one, starts its tasks again.
+// About then the owner and all other hosts lose power.
+func (w *world) losePowerBeside(cut *agentModel) {
+	givenUp := lostLinkTimeout
+	if w.chance(0.3) {
+		givenUp = w.ownerBounds().TakeoverTimeout
+		w.takeOver()
+	}
+	givenUp += w.randUpTo(1500 * time.Millisecond)
+	length := givenUp + w.randUpTo(4*time.Second)
+	cut.reachableBy, cut.partitionedUntil = nil, w.now+length
+	for _, o := range w.owners {
+		o.cutLink(cut, length)
+	}
+	w.after(givenUp, func() {
+		w.newestOwner().kill()
+		for _, a := range w.agents {
+			if a != cut {
+				a.server.crash(w.randUpTo(time.Second))
+				a.restart(w.randUpTo(time.Second))
+			}
+		}
+		w.after(w.randUpTo(2*time.Second), w.takeOver)
+	})
+}
+
 func (w *world) newestOwner() *ownerModel { return w.owners[len(w.owners)-1] }
 
 // takeOver starts a new owner of the shard. Earlier owners continue until they notice.
--- a/coordination/owner/link.go
+++ b/coordination/owner/link.go
@@ -24,6 +24,7 @@
 		return worker.Claim{}, false, fx
 	}
 	s.links[node] = &linkState{session: session, claimSentAt: now}
+	delete(s.givenUp, node)
 	if !s.storedAgents[node] && !s.private {
 		s.agentsDirty = true
 		fx.Write = true
@@ -90,7 +91,7 @@
 	}
 	// Only runs that were missing before the loop above are lost. It may have placed new orders at
 	// this agent, which are on their way.
-	s.resetLostTasksLocked(now, &fx, func(id job.TaskID, t *task) bool {
+	s.resetLostTasksLocked(now, &fx, false, func(id job.TaskID, t *task) bool {
 		return t.node == node && lost[job.RunID{Task: id, Number: t.number}]
 	})
 	s.resolveInDoubtLocked(now, &fx)
--- a/coordination/owner/lost_agents.go
+++ b/coordination/owner/lost_agents.go
@@ -8,8 +8,9 @@
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
-// resetLostTasksLocked makes tasks startable again whose runs are certain to be gone.
-func (s *Shard) resetLostTasksLocked(now time.Duration, fx *Effects, lost func(job.TaskID, *task) bool) {
+// resetLostTasksLocked makes tasks startable again whose runs are certain to be gone. endsUnknown is
+// set if those runs may have ended before.
+func (s *Shard) resetLostTasksLocked(now time.Duration, fx *Effects, endsUnknown bool, lost func(job.TaskID, *task) bool) {
 	for _, j := range s.openJobsLocked() {
 		id := j.rec.ID
 		n := 0
@@ -24,6 +25,9 @@
 					if j.rec.Policy.AtMostOnce && !j.rec.State.Final() {
 						s.failJobLocked(now, fx, j, FailureLost)
 					}
+					if endsUnknown {
+						s.excludeEarlierRunsLocked(now, fx, j, t)
+					}
 				}
 			}
 		}
@@ -49,7 +53,8 @@
 		if _, awaited := s.unreconciled[node]; !awaited {
 			s.removeStoredAgentLocked(node)
 		}
-		s.resetLostTasksLocked(now, fx, func(_ job.TaskID, t *task) bool { return t.node == node })
+		s.excludeDeferredEndsLocked(now, fx, node)
+		s.resetLostTasksLocked(now, fx, true, func(_ job.TaskID, t *task) bool { return t.node == node })
 	}
 	before := len(s.unreconciled)
 	for _, node := range slices.Sorted(maps.Keys(s.unreconciled)) {
@@ -70,7 +75,7 @@
 func (s *Shard) removeStoredAgentLocked(node string) {
 	if s.storedAgents[node] && !s.private {
 		delete(s.storedAgents, node)
-		s.agentsDirty = true
+		s.givenUp[node], s.agentsDirty = true, true
 	}
 }
 
@@ -95,6 +100,9 @@
 			}
 			t.phase = idle
 			startable = true
+			if s.agentUnreached {
+				s.excludeEarlierRunsLocked(now, fx, j, t)
+			}
 		}
 		if j.rec.State.Final() {
 			continue
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -127,6 +127,10 @@
 	phase taskPhase
 	// number is the number of the task's newest run, and node the agent it was ordered at.
 	number int64
+	// firstCounted is the number of the first run whose end may count; zero: any. It rises when the
+	// task is to be started again although an earlier run's end may still be found.
+	// storedFirstCounted is what the store has.
+	firstCounted, storedFirstCounted int64
 	// openRun is the number of the last run that may have run; zero: none.
 	openRun int64
 	// waiting is set while the task is in the shard's backlog.
@@ -226,6 +230,8 @@
 	// agentsDirty is set while that list has to be written.
 	storedAgents map[string]bool
 	agentsDirty  bool
+	// givenUp has the agents that are to leave that list.
+	givenUp map[string]bool
 	// incarnations has, for each agent, the incarnations that may have runs of this shard, and
 	// storedIncarnations those that the store lists. The list is only written once the shard has had
 	// a job whose tasks must not be repeated, for which atMostOnce is set.
@@ -285,6 +291,7 @@
 		queued:         make(map[string]int),
 		suspects:       make(map[job.TaskID]bool),
 		storedAgents:   make(map[string]bool, len(mayRun)),
+		givenUp:        make(map[string]bool),
 		incarnations:   make(map[string][]worker.Incarnation), storedIncarnations: incarnations,
 	}
 	for node, list := range incarnations {
@@ -321,7 +328,6 @@
 		j.tasks[i].phase = inDoubt
 		if i < len(r.Tasks) && r.Tasks[i].Done {
 			j.tasks[i].phase = finished
-			j.tasks[i].number = r.NewestRun(r.TaskAt(r.ID, i))
 			continue
 		}
 		if i < len(r.Tasks) && len(r.Tasks[i].Crashes) > 0 {
@@ -330,6 +336,7 @@
 		}
 		j.remaining++
 	}
+	s.loadRepeatedLocked(j)
 	s.queued[r.Policy.Queue]++
 }
 
--- a/coordination/owner/owner_test.go
+++ b/coordination/owner/owner_test.go
@@ -249,9 +249,10 @@
 	f.is.Equal(len(f.orders), 0)
 	f.now += time.Millisecond
 	f.collect(f.Tick(f.now))
+	f.is.Equal(len(f.orders), 0)                // the record of the restart is written first
+	f.is.Equal(f.write().Agents, []string{"a"}) // the next owner does not have to wait for the lost agent
 	f.is.Equal(len(f.orders), 1)
 	f.is.True(f.orders[0].Value.Run.Number > runsPerEpoch)
-	f.is.Equal(f.write().Agents, []string{"a"}) // the next owner does not have to wait for the lost agent
 }
 
 // An agent's link is lost while a run is active there, and stays lost. The task starts
@@ -269,6 +270,8 @@
 	f.is.Equal(len(f.orders), 1)
 	f.now += time.Millisecond
 	f.collect(f.Tick(f.now))
+	f.is.Equal(len(f.orders), 1) // the record of the restart is written first
+	f.write()
 	f.is.Equal(len(f.orders), 2)
 	f.is.True(f.orders[1].Node != first.Node)
 	f.link(first.Node, 2, worker.RunState{Run: first.Value.Run, Status: worker.Ended, End: job.Done})
--- a/coordination/owner/reconcile.go
+++ b/coordination/owner/reconcile.go
@@ -44,6 +44,10 @@
 		s.supersededLocked(fx, node, r, j)
 		return
 	}
+	if t.phase == inDoubt && r.Run.Number < t.firstCounted {
+		s.supersededLocked(fx, node, r, j)
+		return
+	}
 	if t.deferredEnd != nil && r.Run.Number < t.deferredEnd.Value.Run.Number {
 		if r.Status == worker.Ended {
 			fx.settleSuperseded(node, r)
--- a/coordination/owner/repeated_test.go
+++ b/coordination/owner/repeated_test.go
@@ -22,6 +22,7 @@
 			f.fleet.LinkLost(first.Node)
 			f.now += testBounds.LostLinkTimeout + time.Second
 			f.collect(f.Tick(f.now))
+			f.write()
 			var second Addressed[worker.Order]
 			for _, o := range f.orders {
 				if o.Value.Run.Task == first.Value.Run.Task {
@@ -49,3 +50,188 @@
 		})
 	}
 }
+
+// restart lets the owner give up the agent of the first order, and returns what it writes.
+func (f *fixture) restart() Batch {
+	first := f.orders[0]
+	f.LinkLost(f.now, first.Node, 1)
+	f.fleet.LinkLost(first.Node)
+	f.now += testBounds.LostLinkTimeout
+	f.collect(f.Tick(f.now))
+	return f.NextBatch(f.now)
+}
+
+// successor returns the owner that takes over with what the store has.
+func successor(t *testing.T, b Batch) *fixture {
+	t.Helper()
+	return newFixture(t, recordsOf(b), b.Agents)
+}
+
+func recordsOf(b Batch) []*job.Record {
+	var out []*job.Record
+	for i := range b.Writes {
+		out = append(out, b.Writes[i].Record)
+	}
+	return out
+}
+
+// A task is done at an agent that is cut off, and its owner starts it again elsewhere. The owner and
+// the host of the second run are lost together, so only the record can tell the next owner of that
+// run. If the next owner counted the first end, a task with an acknowledged end would have been
+// started again.
+func TestRestartIsRecordedBeforeItIsOrdered(t *testing.T) {
+	f := newFixture(t, nil, nil, "a", "b")
+	f.submit(testID, steps(1))
+	f.write()
+	first := f.orders[0]
+	b := f.restart()
+	f.is.Equal(len(f.orders), 1) // nothing tells the next owner of a second run yet
+	f.collect(f.Written(f.now, b))
+	f.is.Equal(len(f.orders), 2)
+	second := f.orders[1].Value.Run
+
+	next := successor(t, b)
+	next.link(f.orders[1].Node, 1)
+	next.link(first.Node, 1, worker.RunState{Run: first.Value.Run, Status: worker.Ended, End: job.Done})
+	next.is.Equal(len(next.settled), 1)
+	next.is.True(next.settled[0].Value.Void)
+	next.is.Equal(len(next.orders), 1)
+	next.is.True(next.orders[0].Value.Run.Number > second.Number)
+	next.is.Equal(next.Lookup(testID).State, job.Queued)
+}
+
+// As above, with a record of the job that is written later, for another reason. It must go on excluding
+// the first run.
+func TestLaterRecordsExcludeTheEarlierRun(t *testing.T) {
+	f := newFixture(t, nil, nil, "a", "b")
+	f.submit(testID, steps(2))
+	f.write()
+	first := f.orders[0]
+	b := f.restart()
+	f.collect(f.Written(f.now, b))
+	var other Addressed[worker.Order]
+	for _, o := range f.orders {
+		if o.Value.Run.Task != first.Value.Run.Task {
+			other = o
+		}
+	}
+	f.event(other, worker.Ended, job.Done)
+	f.now += testBounds.MaxWriteDelay
+	f.is.Equal(f.write().Writes[0].Record.NewestRun(first.Value.Run.Task), first.Value.Run.Number+1)
+
+	next := successor(t, b)
+	next.link("a", 1)
+	next.link("b", 1)
+	next.event(next.orders[len(next.orders)-1], worker.Ended, job.FailedRun)
+	next.now += testBounds.MaxWriteDelay
+	writes := next.write().Writes
+	next.is.Equal(len(writes), 1)
+	next.is.Equal(writes[0].Record.NewestRun(first.Value.Run.Task), first.Value.Run.Number+1)
+}
+
+// The first run of a restarted task is still active when the next owner finds it: its agent has not
+// noticed yet that its owner is gone. It is stopped, because its end could not count.
+func TestExcludedRunIsStopped(t *testing.T) {
+	f := newFixture(t, nil, nil, "a", "b")
+	f.submit(testID, steps(1))
+	f.write()
+	first := f.orders[0]
+	next := successor(t, f.restart())
+	next.link(first.Node, 1, worker.RunState{Run: first.Value.Run, Status: worker.Running})
+	next.is.Equal(len(next.stops), 1)
+	next.is.Equal(next.stops[0].Value, first.Value.Run)
+}
+
+// The agent that was given up is back before the task has started again. Its end counts: the work is
+// not repeated, and the record of the end excludes nothing.
+func TestEndFoundBeforeTheRestartCounts(t *testing.T) {
+	f := newFixture(t, nil, nil, "a", "b")
+	f.submit(testID, steps(1))
+	f.write()
+	first := f.orders[0]
+	b := f.restart()
+	f.link(first.Node, 2, worker.RunState{Run: first.Value.Run, Status: worker.Ended, End: job.Done})
+	f.collect(f.Written(f.now, b))
+	f.is.Equal(len(f.orders), 1)
+	done := f.write().Writes[0].Record
+	f.is.Equal(done.State, job.Completed)
+	f.is.Equal(len(done.Repeated), 0)
+	f.is.Equal(len(f.settled), 1)
+	f.is.True(!f.settled[0].Value.Void)
+}
+
+// An owner that has taken over could not reach an agent, starts the agent's task again, and is lost
+// with the host of that run. The owner after it does not wait for the agent any more. When the agent
+// is back with the end of the first run, that must not count.
+func TestRestartAfterATakeoverIsRecorded(t *testing.T) {
+	f := newFixture(t, recordedJobs(), []string{"a", "b"})
+	f.link("b", 1)
+	f.now += testBounds.TakeoverTimeout
+	f.collect(f.Tick(f.now))
+	b := f.NextBatch(f.now)
+	f.is.Equal(b.Agents, []string{"b"})
+	f.is.Equal(len(f.orders), 0)
+	f.collect(f.Written(f.now, b))
+	f.is.Equal(len(f.orders), 1)
+
+	next := successor(t, b)
+	next.link("a", 1, runState(1, worker.Ended, job.Done))
+	next.link("b", 1)
+	next.is.Equal(len(next.settled), 1)
+	next.is.True(next.settled[0].Value.Void)
+}
+
+// An agent answers the claim of a new owner with an end, which has to wait for another agent, and is
+// cut off. It leaves the list of agents with that. The owner after this one does not wait for it, so
+// it must not count the end once it has started the task again.
+func TestDeferredEndOfAnAgentThatIsGivenUpIsExcluded(t *testing.T) {
+	f := newFixture(t, recordedJobs(), []string{"a", "b"})
+	f.link("a", 1, runState(1, worker.Ended, job.Done))
+	f.LinkLost(f.now, "a", 1)
+	f.now += testBounds.LostLinkTimeout
+	f.collect(f.Tick(f.now))
+	b := f.NextBatch(f.now)
+	f.is.Equal(b.Agents, []string{"b"})
+	f.collect(f.Written(f.now, b))
+
+	next := successor(t, b)
+	next.link("b", 1)
+	next.is.Equal(len(next.orders), 1)
+	next.link("a", 1, runState(1, worker.Ended, job.Done))
+	next.is.Equal(len(next.settled), 1)
+	next.is.True(next.settled[0].Value.Void)
+
+	// The same owner excludes it, too, and a newer run counts.
+	f.link("a", 2, runState(1, worker.Ended, job.Done))
+	f.is.True(f.settled[0].Value.Void)
+	f.link("b", 1, runState(2, worker.Ended, job.Done))
+	f.write()
+	f.is.Equal(f.Lookup(testID).State, job.Completed)
+}
+
+// An agent with more tasks than one call to the store takes is given up. It must stay listed until all
+// of them are recorded as started again: an owner that takes over in between would not wait for it.
+func TestAgentStaysListedBehindManyRecords(t *testing.T) {
+	var records []*job.Record
+	for i := range 2*maxBatch + 2 {
+		r := recordedJobs()[0]
+		r.ID = job.ID(rune('a' + i))
+		records = append(records, r)
+	}
+	f := newFixture(t, records, []string{"a", "b"})
+	f.link("b", 1)
+	f.now += testBounds.TakeoverTimeout
+	f.collect(f.Tick(f.now))
+	for range 2 {
+		b := f.write()
+		f.is.Equal(len(b.Writes), maxBatch)
+		f.is.Equal(b.Agents, []string{"a", "b"})
+	}
+	b := f.write()
+	f.is.Equal(len(b.Writes), 2)
+	f.is.Equal(b.Agents, []string{"b"})
+	f.is.True(!f.WriteDue(f.now))
+	// Linked again, it is listed before it gets orders.
+	f.link("a", 1)
+	f.is.Equal(f.write().Agents, []string{"a", "b"})
+}
--- a/coordination/owner/takeover_test.go
+++ b/coordination/owner/takeover_test.go
@@ -132,8 +132,10 @@
 	f.now += testBounds.LostLinkTimeout + time.Second
 	f.collect(f.Tick(f.now))
 	f.is.Equal(len(f.orders), 1)
+	f.is.True(!f.WriteDue(f.now))
 	f.SetOwnershipConfirmed(true)
 	f.collect(f.Tick(f.now))
+	f.write()
 	f.is.Equal(len(f.orders), 2)
 }
 
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -12,7 +12,7 @@
 // in the backlog is skipped: each end of a run calls this for all idle tasks of the job, and a job
 // of a thousand tasks would add each of them a thousand times.
 func (s *Shard) placeOrQueueLocked(now time.Duration, fx *Effects, j *jobState, id job.TaskID, t *task) {
-	if t.waiting || !s.mayStartSuspectLocked(now, fx, j, id, t) {
+	if t.waiting || !t.restartRecorded() || !s.mayStartSuspectLocked(now, fx, j, id, t) {
 		return
 	}
 	w := s.newWaitingTask(j, id)
@@ -56,7 +56,7 @@
 	if !ok {
 		return false
 	}
-	t.number = max(t.number+1, (s.Epoch-j.rec.FirstEpoch)*runsPerEpoch+1)
+	t.number = s.nextRunLocked(j, t)
 	t.phase, t.node = ordered, node
 	j.ordered = true
 	j.ordersOpen++
@@ -137,7 +137,7 @@
 	if t == nil {
 		return nil, nil
 	}
-	if j.rec.State.Final() || t.phase != idle {
+	if j.rec.State.Final() || t.phase != idle || !t.restartRecorded() {
 		t.waiting = false
 		return nil, nil
 	}
--- a/coordination/owner/write.go
+++ b/coordination/owner/write.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -97,9 +98,13 @@
 	return false
 }
 
-// agentsLocked returns the agents that have, or may get, runs of this shard.
+// agentsLocked returns the agents that have, or may get, runs of this shard. An agent that was given up
+// stays listed until all records go with the list, because some of them exclude the ends of its runs.
 func (s *Shard) agentsLocked() []string {
 	out := make([]string, 0, len(s.links)+len(s.unreconciled))
+	if len(s.dirty) > maxBatch {
+		out = slices.AppendSeq(out, maps.Keys(s.givenUp))
+	}
 	for node := range s.links {
 		out = append(out, node)
 	}
@@ -145,7 +150,11 @@
 	}
 	var out []job.RunID
 	for i := range j.tasks {
-		if n := j.tasks[i].number; n > 1 && (j.rec.Tasks[i].Done || j.rec.State.Final()) {
+		n := j.tasks[i].firstCounted
+		if j.rec.Tasks[i].Done || j.rec.State.Final() {
+			n = j.tasks[i].number
+		}
+		if n > 1 {
 			out = append(out, job.RunID{Task: j.rec.TaskAt(j.rec.ID, i), Number: n})
 		}
 	}
@@ -163,6 +172,14 @@
 		for _, node := range b.Agents {
 			s.storedAgents[node] = true
 		}
+		for node := range s.givenUp {
+			if !s.storedAgents[node] {
+				delete(s.givenUp, node)
+				continue
+			}
+			delete(s.storedAgents, node)
+			s.agentsDirty = true
+		}
 	}
 	if b.Incarnations != nil {
 		s.incarnationsWrittenLocked(&fx, b.Incarnations)
@@ -195,6 +212,7 @@
 			j.tasks[i].recordedCrash = max(j.tasks[i].recordedCrash, newestCrash(&w.Record.Tasks[i]))
 		}
 	}
+	released := s.repeatedWrittenLocked(j, w.Record)
 	first := !j.durable
 	j.durable = true
 	for _, reply := range j.waiters {
@@ -207,6 +225,8 @@
 	}
 	if first {
 		fx.log(Decision{Kind: "accepted", Job: w.ID, Age: now - j.acceptedAt, Wait: j.due - now})
+	}
+	if first || released {
 		s.dispatchLocked(now, fx, j)
 	}
 }
--- a/state/job/record.go
+++ b/state/job/record.go
@@ -20,12 +20,13 @@
 	Failure string
 	// Elapsed is the time from the acceptance of the job to its end.
 	Elapsed time.Duration
-	// Repeated has the newest run of each task that is done, or whose job has ended, unless that was
-	// the task's first run. The ends of its earlier runs must never be acknowledged.
+	// Repeated has runs before which the ends of a task's earlier runs must never be acknowledged:
+	// the newest run of a task that is done, or whose job has ended, unless that was the first one,
+	// and otherwise the run with which the task goes on after a run of unknown end.
 	Repeated []RunID
 }
 
-// NewestRun returns the number of the newest run of a task in Repeated, or zero.
+// NewestRun returns the number of a task's run in Repeated, or zero.
 func (r *Record) NewestRun(id TaskID) int64 {
 	for _, run := range r.Repeated {
 		if run.Task == id {
