Worker: wait out the lease that an agent's own holds extend before it answers claims

What callers would see: two runs of a task at a time, after an agent restarted.

Cause: an agent answers claims once it has seen its server's lists, or one lease after its start, since the runs that it doesn't know are over by then. But its own holds extend that lease. If the server carries them out and their answers are lost, it goes on for up to .6 s (the cutoff of renewals) and a lease more, and the agent's answer lacks runs that are active. Their owner starts the tasks elsewhere.

Change: without lists the agent is ready once the last lease that it may have given out has expired, too. TestRestartedAgentWaitsForTheLeaseThatItExtends failed before. Cost: a restarted agent whose server's answers are lost, or which freezes just then, is linked up to .6 s later; one whose server refuses connections, or answers, at the same time as before.

--- a/coordination/model/agent_test.go
+++ b/coordination/model/agent_test.go
@@ -104,7 +104,7 @@
 	if a.w.now < a.partitionedUntil && a.reachableBy != o {
 		return false
 	}
-	return !a.down && a.w.now >= a.frozenUntil && a.worker.Ready(a.w.now-a.startedAt)
+	return !a.down && a.w.now >= a.frozenUntil && a.worker.Ready(a.w.now, a.w.now-a.startedAt)
 }
 
 // restart ends the agent's process and starts another after downtime. The backend server goes on.
--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -98,11 +98,12 @@
 
 // Ready reports whether this incarnation of the agent knows what runs on the backend server: it has
 // seen its lists once, or the leases of all runs that an earlier incarnation started have expired.
-// Before that, the answer to a claim would lack runs.
-func (w *Worker) Ready(sinceStart time.Duration) bool {
+// Before that, the answer to a claim would lack runs. A hold of this incarnation extends those leases,
+// even if its answer is lost.
+func (w *Worker) Ready(now, sinceStart time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.listsSeen || sinceStart > w.leaseDuration()
+	return w.listsSeen || sinceStart > w.leaseDuration() && now >= w.leaseExpiry
 }
 
 // Stats returns a copy of the counters.
--- a/coordination/worker/worker_test.go
+++ b/coordination/worker/worker_test.go
@@ -632,13 +632,29 @@
 // job is served until then, so its first hold must not wait for an end that may never come.
 func TestFirstHoldDoesNotWait(t *testing.T) {
 	f := newFixture(t)
-	f.is.True(!f.Ready(0))
+	f.is.True(!f.Ready(f.now, 0))
 	c := f.hold()
 	f.is.True(c.First)
-	f.is.True(f.Ready(0))
+	f.is.True(f.Ready(f.now, 0))
 	f.is.True(!f.hold().First)
 }
 
+// An agent restarts, and the answers of its server are lost while the server carries the calls out. Its
+// holds extend the lease of the runs that it doesn't know. If it answered claims before that lease has
+// expired, their owner would take the runs for lost and start their tasks elsewhere beside them.
+func TestRestartedAgentWaitsForTheLeaseThatItExtends(t *testing.T) {
+	f := newFixture(t)
+	began := f.now
+	for f.now < began+f.leaseDuration()+renewalCutoff-100*time.Millisecond {
+		f.is.True(!f.Ready(f.now, f.now-began))
+		f.advance(50 * time.Millisecond)
+		c, _ := f.Hold(f.now)
+		f.collect(f.HoldFailed(f.now, c, NoAnswer))
+	}
+	f.advance(200 * time.Millisecond)
+	f.is.True(f.Ready(f.now, f.now-began))
+}
+
 // The agent stops as planned. Waiting orders are returned and no new ones are accepted, not
 // even after the backend server's next report. Running tasks go on to their end.
 func TestDrainingAgentAcceptsNoOrders(t *testing.T) {
--- a/daemon/agent/serve.go
+++ b/daemon/agent/serve.go
@@ -21,7 +21,8 @@
 // Ready implements peer.AgentHandler. Links are refused until the agent knows what runs on its
 // backend server.
 func (a *Agent) Ready() bool {
-	return a.serving.Load() && a.worker.Ready(bootclock.Now()-a.started)
+	now := bootclock.Now()
+	return a.serving.Load() && a.worker.Ready(now, now-a.started)
 }
 
 // CallerUp implements peer.AgentHandler.
