Owner: keep the record of a job with excluded runs longer than its state is asked for

What callers would see: a task carried out twice, the first end acknowledged after the second run.

Cause: that a later run has started is known from the record alone once its owner has forgotten the job, and the record goes with the state that clients may ask for (status_s, 120 s here). A host that is cut off for longer, with its backend server and the lease that its agent renews, comes back with the end of the first run, and an end of an unknown job is acknowledged. Such ends can't be voided as a rule: those of best-effort jobs whose entry is gone look the same to the owner, and each void end costs its server the lease of everything that runs there.

Change: the record of a job with tasks that were started again after a run of unknown end is kept for an hour. TestExcludedEndOutlastsTheRetention failed before, at the same owner and at the next. An owner that loads an ended job can't tell such runs from failed ones and keeps the record of each job with repeated tasks for an hour.

Left: a host that is cut off for longer than an hour.

--- a/coordination/owner/dispatch.go
+++ b/coordination/owner/dispatch.go
@@ -127,12 +127,18 @@
 			delete(s.jobs, id)
 		}
 	}
-	for len(s.expiring) > 0 && s.expiring[0].at <= now {
-		id := s.expiring[0].id
-		s.expiring = s.expiring[1:]
-		if j := s.jobs[id]; j != nil {
+	s.expiring = s.removeExpiredLocked(now, s.expiring)
+	s.expiringRestarted = s.removeExpiredLocked(now, s.expiringRestarted)
+}
+
+// removeExpiredLocked schedules the removal of the records that have expired, and returns the others.
+func (s *Shard) removeExpiredLocked(now time.Duration, list []expiry) []expiry {
+	for len(list) > 0 && list[0].at <= now {
+		if j := s.jobs[list[0].id]; j != nil {
 			j.removing = true
 			s.markDirtyLocked(j, now+maxRemovalDelay)
 		}
+		list = list[1:]
 	}
+	return list
 }
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -239,6 +239,8 @@
 	atMostOnce                       bool
 	// expiring has the recorded jobs that have ended, in the order in which they expire.
 	expiring []expiry
+	// expiringRestarted is the same for jobs of which ends of excluded runs may still be found.
+	expiringRestarted []expiry
 	// expiringBestEffort is the same for best-effort jobs.
 	expiringBestEffort []expiry
 	// queued counts, for each queue, the jobs of which no task has started.
@@ -362,9 +364,18 @@
 		s.expiringBestEffort = append(s.expiringBestEffort, expiry{id: j.rec.ID, at: now + bestEffortRetention})
 		return
 	}
+	if j.hasExcludedRuns() {
+		s.expiringRestarted = append(s.expiringRestarted, expiry{id: j.rec.ID, at: now + max(restartedRetention, s.bounds.Retention)})
+		return
+	}
 	s.expiring = append(s.expiring, expiry{id: j.rec.ID, at: now + s.bounds.Retention})
 }
 
+// restartedRetention is how long the record of a job with excluded runs is kept. An agent may report the
+// end of such a run as long as it is cut off with its backend server; without the record the end would
+// be settled like any end of an unknown job.
+const restartedRetention = time.Hour
+
 // bestEffortRetention is how long the answer to a best-effort job is kept for a client that sends
 // the job again, which it does 1.3 s after it lost the first answer.
 const bestEffortRetention = 10 * time.Second
--- a/coordination/owner/repeated.go
+++ b/coordination/owner/repeated.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/state/job"
@@ -76,3 +77,12 @@
 	}
 	return released
 }
+
+// hasExcludedRuns reports whether runs of an ended job are excluded whose ends may still be found. Of a
+// job that had ended before this owner took over, it is not known how its tasks' earlier runs ended.
+func (j *jobState) hasExcludedRuns() bool {
+	if j.tasks == nil {
+		return len(j.rec.Repeated) > 0
+	}
+	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.firstCounted > 0 })
+}
--- a/coordination/owner/repeated_test.go
+++ b/coordination/owner/repeated_test.go
@@ -235,3 +235,47 @@
 	f.link("a", 1)
 	f.is.Equal(f.write().Agents, []string{"a", "b"})
 }
+
+// A host is cut off for longer than the state of an ended job is kept. One of the job's tasks was done
+// there, unknown to its owner, which started it again elsewhere. When the host is back, its end must not
+// pass for one of a job that nobody knows, which is acknowledged, neither at this owner nor at the next.
+func TestExcludedEndOutlastsTheRetention(t *testing.T) {
+	f := newFixture(t, nil, nil, "a", "b")
+	f.submit(testID, steps(1))
+	f.write()
+	first := f.orders[0]
+	f.collect(f.Written(f.now, f.restart()))
+	f.event(f.orders[1], worker.Ended, job.Done)
+	b := f.write()
+	next := successor(t, b)
+	for _, owner := range []*fixture{f, next} {
+		owner.now += testBounds.Retention + 2*maxRemovalDelay
+		owner.collect(owner.Tick(owner.now))
+		owner.write()
+		settled := len(owner.settled)
+		owner.link(first.Node, 2, worker.RunState{Run: first.Value.Run, Status: worker.Ended, End: job.Done})
+		owner.is.Equal(len(owner.settled), settled+1)
+		owner.is.True(owner.settled[settled].Value.Void)
+
+		owner.now += restartedRetention
+		owner.collect(owner.Tick(owner.now))
+		owner.now += maxRemovalDelay
+		owner.write()
+		owner.is.Equal(owner.Lookup(testID).Outcome, Absent)
+	}
+}
+
+// Tasks whose earlier runs ended in a known way keep no record longer.
+func TestFailedRunsDoNotProlongTheRetention(t *testing.T) {
+	f := newFixture(t, nil, nil, "a", "b")
+	f.submit(testID, steps(1))
+	f.write()
+	f.event(f.orders[0], worker.Ended, job.FailedRun)
+	f.event(f.orders[1], worker.Ended, job.Done)
+	f.write()
+	f.now += testBounds.Retention
+	f.collect(f.Tick(f.now))
+	f.now += maxRemovalDelay
+	f.write()
+	f.is.Equal(f.Lookup(testID).Outcome, Absent)
+}
