Owner: look for deferred ends only while there can be some

An owner that gives up an agent walked over all open jobs twice. No change of behaviour: an end is only deferred while agents of earlier owners are awaited.

--- a/coordination/owner/repeated.go
+++ b/coordination/owner/repeated.go
@@ -35,6 +35,9 @@
 // excludeDeferredEndsLocked drops the deferred ends of an agent that is given up. The next owner does
 // not wait for that agent, so it must not count these ends.
 func (s *Shard) excludeDeferredEndsLocked(now time.Duration, fx *Effects, node string) {
+	if len(s.unreconciled) == 0 {
+		return // no end is deferred
+	}
 	for _, j := range s.openJobsLocked() {
 		for i := range j.tasks {
 			t := &j.tasks[i]
@@ -48,7 +51,7 @@
 	}
 }
 
-// loadRepeatedLocked applies the newest runs that an earlier owner has recorded.
+// loadRepeatedLocked applies what earlier owners have recorded of a job's repeated tasks.
 func (s *Shard) loadRepeatedLocked(j *jobState) {
 	for _, run := range j.rec.Repeated {
 		t := s.taskLocked(j, run.Task)
