Model: replace the owner in the group, too, while hosts lose power beside a cut one

What only an owner's memory knows is gone as well when the group gives its shard away, or it stops as planned. A quarter of the power losses beside a cut host leave the owner alive, and the group replaces it.

--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -290,7 +290,8 @@
 }
 
 // losePowerBeside cuts an agent off for so long that its owner, or the next one, starts its tasks again.
-// About then the owner and all other hosts lose power.
+// About then all other hosts lose power. The owner is lost with them or, without that, replaced in the
+// group.
 func (w *world) losePowerBeside(cut *agentModel) {
 	givenUp := lostLinkTimeout
 	if w.chance(0.3) {
@@ -303,15 +304,20 @@
 	for _, o := range w.owners {
 		o.cutLink(cut, length)
 	}
+	rebalanced := w.chance(0.25)
 	w.after(givenUp, func() {
-		w.newestOwner().kill()
+		if rebalanced {
+			w.takeOver()
+		} else {
+			w.newestOwner().kill()
+			w.after(w.randUpTo(2*time.Second), w.takeOver)
+		}
 		for _, a := range w.agents {
 			if a != cut {
 				a.server.crash(w.randUpTo(time.Second))
 				a.restart(w.randUpTo(time.Second))
 			}
 		}
-		w.after(w.randUpTo(2*time.Second), w.takeOver)
 	})
 }
 
