Soak: keep the times between the faults of a series as they were

The pause before a fault that is injected alone had put a timer into every series, so that after the end of the faults one more could come. It is the least time between two of a series now, and such scenarios begin with a delay. An unknown kind fails the test instead of ending the process.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -239,21 +239,25 @@
 	}},
 }
 
-// injectFaults injects one random fault of the given kinds after the other until stop is closed. It
-// pauses before each of them.
-func (w *world) injectFaults(kinds []faultKind, series uint64, pause time.Duration, stop <-chan struct{}) {
+// maxPause is how much longer than the least pause between two faults of a series the longest one is,
+// in milliseconds.
+const maxPause = 750
+
+// injectFaults injects one random fault of the given kinds after the other until stop is closed. leastPause
+// is the least time between two of them, in milliseconds.
+func (w *world) injectFaults(kinds []faultKind, series uint64, leastPause int, stop <-chan struct{}) {
 	random := w.random(series)
 	wait := func(least, most int) { time.Sleep(time.Duration(least+random.IntN(most-least)) * time.Millisecond) }
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(pause):
+		default:
 		}
 		kind := pick(random, kinds)
 		began := time.Now()
 		kind.inject(w, random, wait)
 		w.t.Logf("%s %d: %s for %v", began.Format("15:04:05.000"), series, kind.name, time.Since(began).Round(time.Millisecond))
-		wait(50, 800)
+		wait(leastPause, leastPause+maxPause)
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,24 +75,28 @@
 }
 
 // faultSeries returns the number of faults injected at a time, and the least pause between those of a
-// series. A fault that is injected alone finds the system settled.
-func (s scenario) faultSeries() (number int, pause time.Duration) {
+// series, in milliseconds. A fault that is injected alone finds the system settled.
+func (s scenario) faultSeries() (number, leastPause int) {
 	if s.fault != "" {
-		return 1, 3 * time.Second
+		return 1, 3000
 	}
-	return 3, 0
+	return 3, 50
 }
 
+// settleTime is how long the owners of a system that has just started may need until all have offered
+// themselves and shared the jobs out.
+const settleTime = 3 * time.Second
+
 // regressions has the scenarios that have failed before, each with a comment on what failed and why.
 // They are always run.
 var regressions = []scenario{
-	{seed: 702, firstKinds: true}, // a task ran twice at a time: a link was claimed again, and a run ordered in between passed for lost
-	{seed: 303, firstKinds: true}, // a job failed after one lost server: a start that the server never got counted as a crash
+	{seed: 702, firstKinds: true},                                // a task ran twice at a time: a link was claimed again, and a run ordered in between passed for lost
+	{seed: 303, firstKinds: true},                                // a job failed after one lost server: a start that the server never got counted as a crash
 	{seed: 307, delay: 930 * time.Millisecond, firstKinds: true}, // an accepted job never ended: lists were rejected, and the lease expired only once
 	// A task was started again after an end that then counted: only the lost owner knew of the later run.
-	{seed: 20, fault: powerLostBesideCutHost},
-	{seed: 26, fault: powerLostBesideCutHost},
-	{seed: 27, fault: powerLostBesideCutHost},
+	{seed: 20, delay: settleTime, fault: powerLostBesideCutHost},
+	{seed: 26, delay: settleTime, fault: powerLostBesideCutHost},
+	{seed: 27, delay: settleTime, fault: powerLostBesideCutHost},
 }
 
 func TestMain(m *testing.M) {
@@ -139,6 +143,10 @@
 const numClients = 8
 
 func soak(t *testing.T, s scenario) {
+	kinds := s.kinds()
+	if len(kinds) == 0 {
+		t.Fatalf("no fault is named %q", s.fault)
+	}
 	w := newWorld(t, s.seed, *entries, *agents)
 	c := newClients(w, s.jobs())
 	w.awaitService(c)
@@ -148,9 +156,9 @@
 		sending.Go(func() { c.run(i, stop) })
 	}
 	time.Sleep(s.delay)
-	series, pause := s.faultSeries()
+	series, leastPause := s.faultSeries()
 	for i := range series {
-		injecting.Go(func() { w.injectFaults(s.kinds(), uint64(i), pause, stop) })
+		injecting.Go(func() { w.injectFaults(kinds, uint64(i), leastPause, stop) })
 	}
 	time.Sleep(s.length())
 	close(stop)
