--- a/coordination/owner/repeated_test.go
+++ b/coordination/owner/repeated_test.go
@@ -279,3 +279,22 @@
 	f.write()
 	f.is.Equal(f.Lookup(testID).Outcome, Absent)
 }
+
+// The store rejects the record of a restart. Until it has taken one, the task isn't started again and the
+// agent isn't off the list for the next owner.
+func TestRestartWaitsForARejectedRecord(t *testing.T) {
+	f := newFixture(t, nil, nil, "a", "b")
+	f.submit(testID, steps(1))
+	f.write()
+	first := f.orders[0]
+	rejected := f.restart()
+	f.collect(f.Rejected(f.now, rejected, "busy"))
+	f.now += time.Second
+	f.collect(f.Tick(f.now))
+	f.is.Equal(len(f.orders), 1)
+	b := f.NextBatch(f.now)
+	f.is.Equal(b.Agents, rejected.Agents)
+	f.is.Equal(b.Writes[0].Record.NewestRun(first.Value.Run.Task), first.Value.Run.Number+1)
+	f.collect(f.Written(f.now, b))
+	f.is.Equal(len(f.orders), 2)
+}
