--- a/coordination/owner/repeated.go
+++ b/coordination/owner/repeated.go
@@ -28,8 +28,7 @@
 	s.scheduleWriteLocked(fx, j, now)
 }
 
-// restartRecorded reports whether the store excludes the runs that a start of the task relies on being
-// excluded.
+// restartRecorded reports whether the store has all that must be there before the task is started again.
 func (t *task) restartRecorded() bool { return t.firstCounted <= t.storedFirstCounted }
 
 // excludeDeferredEndsLocked drops the deferred ends of an agent that is given up. The next owner does
--- a/coordination/owner/repeated_test.go
+++ b/coordination/owner/repeated_test.go
@@ -212,13 +212,7 @@
 // An agent with more tasks than one call to the store takes is given up. It must stay listed until all
 // of them are recorded as started again: an owner that takes over in between would not wait for it.
 func TestAgentStaysListedBehindManyRecords(t *testing.T) {
-	var records []*job.Record
-	for i := range 2*maxBatch + 2 {
-		r := recordedJobs()[0]
-		r.ID = job.ID(rune('a' + i))
-		records = append(records, r)
-	}
-	f := newFixture(t, records, []string{"a", "b"})
+	f := newFixture(t, manyRecords(2*maxBatch+2), []string{"a", "b"})
 	f.link("b", 1)
 	f.now += testBounds.TakeoverTimeout
 	f.collect(f.Tick(f.now))
@@ -298,3 +292,75 @@
 	f.collect(f.Written(f.now, b))
 	f.is.Equal(len(f.orders), 2)
 }
+
+// An agent is linked again before the list without it is written. It is listed once, and gets orders.
+func TestAgentLinkedAgainIsNoLongerGivenUp(t *testing.T) {
+	f := newFixture(t, manyRecords(maxBatch+1), []string{"a", "b"})
+	f.link("b", 1)
+	f.now += testBounds.TakeoverTimeout
+	f.collect(f.Tick(f.now))
+	f.link("a", 1)
+	f.is.Equal(f.write().Agents, []string{"a", "b"})
+	f.write()
+	f.is.True(f.mayOrderLocked("a"))
+}
+
+// An agent stays listed behind many records, and is linked again while the list without it is being
+// written. Without another write, it would get no order for good.
+func TestAgentLinkedDuringTheLastWriteIsListed(t *testing.T) {
+	f := newFixture(t, manyRecords(maxBatch+1), []string{"a", "b"})
+	f.link("b", 1)
+	f.now += testBounds.TakeoverTimeout
+	f.collect(f.Tick(f.now))
+	f.is.Equal(f.write().Agents, []string{"a", "b"})
+	last := f.NextBatch(f.now)
+	f.is.Equal(last.Agents, []string{"b"})
+	f.link("a", 1)
+	f.collect(f.Written(f.now, last))
+	f.is.True(!f.mayOrderLocked("a"))
+	f.is.Equal(f.write().Agents, []string{"a", "b"})
+	f.is.True(f.mayOrderLocked("a"))
+}
+
+// manyRecords returns the records of n jobs that earlier owners accepted.
+func manyRecords(n int) []*job.Record {
+	var out []*job.Record
+	for i := range n {
+		r := recordedJobs()[0]
+		r.ID = job.ID(rune('a' + i))
+		out = append(out, r)
+	}
+	return out
+}
+
+// A task waits in the backlog behind another one when its agent, which had not listed it before, reports a
+// run of it. The agent is lost again. The entry in the backlog must not start the task before its record.
+func TestWaitingTaskIsNotRestartedBeforeItsRecord(t *testing.T) {
+	f := newFixture(t, manyRecords(2), []string{"a", "b"})
+	full := AgentLoad{Service: "desk", Capacity: job.Demand{CPUMillis: 16000, MemoryMB: 65536}}
+	claim := func(node string, session int64, runs ...worker.RunState) {
+		f.fleet.Linked(node)
+		f.fleet.Update(f.now, node, full)
+		c, _, fx := f.Linked(f.now, node, session)
+		f.collect(fx)
+		f.collect(f.Claimed(f.now, node, worker.Claimed{Claim: c, Runs: runs}))
+	}
+	claim("a", 1)
+	claim("b", 1)
+	f.is.Equal(len(f.orders), 0)
+	run := job.RunID{Task: job.TaskID{Job: "b"}, Number: 1}
+	claim("a", 2, worker.RunState{Run: run, Status: worker.Running})
+	f.is.Equal(len(f.orders), 1) // the order of the existing run, repeated
+
+	f.LinkLost(f.now, "a", 2)
+	f.fleet.LinkLost("a")
+	f.now += testBounds.LostLinkTimeout
+	free := full
+	free.Free, free.Accepts = full.Capacity, true
+	f.fleet.Update(f.now, "b", free)
+	f.collect(f.Tick(f.now))
+	f.is.Equal(len(f.orders), 2) // that of the other job
+	f.write()
+	f.is.Equal(len(f.orders), 3)
+	f.is.Equal(f.orders[2].Value.Run.Task, run.Task)
+}
