--- a/review/rig2/executor.go
+++ b/review/rig2/executor.go
@@ -31,6 +31,7 @@
 type executor struct {
 	record  *record
 	history *history
+	name    string
 	addr    string
 	control string
 	labels  []string
@@ -53,6 +54,9 @@
 	changed chan struct{}
 	// mute makes the executor leave calls unanswered, and carry nothing out.
 	mute bool
+	// cut holds up the reports, and grey is the share of calls that get no answer.
+	cut  bool
+	grey float64
 	down bool
 }
 
@@ -82,7 +86,7 @@
 
 func newExecutor(r *record, h *history, name, addr, control string, labels []string) *executor {
 	return &executor{
-		record: r, history: h, addr: addr, control: control, labels: labels, cpu: 16000,
+		record: r, history: h, name: name, addr: addr, control: control, labels: labels, cpu: 16000,
 		id: name + "-1", lifetime: 1, bornAt: sinceStart(), runs: make(map[string]*activeRun), barred: make(map[string]int64), changed: make(chan struct{}),
 	}
 }
@@ -99,7 +103,7 @@
 	mux.HandleFunc("POST /v1/hold", e.handleHold)
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
-		id, mute, down := e.id, e.mute, e.down
+		id, mute, down := e.id, e.leavesUnansweredLocked(), e.down
 		e.mu.Unlock()
 		if down {
 			panic(http.ErrAbortHandler)
@@ -133,7 +137,7 @@
 // beat sends one report and returns whether it was acknowledged.
 func (e *executor) beat() bool {
 	e.mu.Lock()
-	down := e.down
+	down := e.down || e.cut
 	e.seq++
 	id, body := e.id, e.reportLocked()
 	e.mu.Unlock()
@@ -332,15 +336,6 @@
 	reply(w, http.StatusOK, out)
 }
 
-// setMute makes the executor leave all calls unanswered, without carrying them out, or serve them
-// again. What runs there goes on.
-func (e *executor) setMute(mute bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.mute = mute
-	e.record.add("%s leaves calls unanswered: %t", e.id, mute)
-}
-
 // crash ends everything here. The next lifetime, under a new ID, starts after a time.
 func (e *executor) crash(name string, downtime time.Duration) {
 	e.mu.Lock()
--- /dev/null
+++ b/review/rig2/late_report.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// greyFor is how long an executor leaves a share of its calls unanswered.
+	greyFor   = 5 * time.Second
+	greyShare = 0.4
+	// cutFor is how long the reports of the first lifetime are held up before it crashes.
+	cutFor = 4500 * time.Millisecond
+)
+
+// lateReport has reports of an executor's earlier lifetime, which a cut has held up, arrive while the
+// present lifetime runs tasks and leaves a share of its calls unanswered.
+func lateReport(r *record, trouble bool) error {
+	d, err := newDeployment(r, 2, 3)
+	if err != nil {
+		return err
+	}
+	defer d.end()
+	if err := d.startAll(); err != nil {
+		return err
+	}
+	c := newClient(r)
+	time.Sleep(6 * time.Second)
+	for range 16 {
+		c.submitUntilAccepted(d, newID())
+	}
+	e := d.executors[0]
+	for range 4 {
+		held := e.cutOffAndRestart(cutFor)
+		time.Sleep(2 * time.Second)
+		var wg sync.WaitGroup
+		for i := range 24 {
+			wg.Go(func() {
+				c.call(http.MethodPost, d.entries[i%2], "/survey/"+newID(), tasks(1, 1000, 6*time.Second, 6*time.Second, false), 1500*time.Millisecond)
+			})
+		}
+		wg.Wait()
+		time.Sleep(time.Second)
+		if trouble {
+			e.setGrey(greyShare)
+			for _, report := range held {
+				time.Sleep(100 * time.Millisecond)
+				r.add("a held-up report of %s arrives, acknowledged: %t", report.id, e.send(report.id, report.body))
+			}
+		}
+		time.Sleep(greyFor)
+		e.setGrey(0)
+		time.Sleep(8 * time.Second)
+	}
+	for _, pair := range d.history.overlapping(leastOverlap) {
+		a, b := pair[0], pair[1]
+		r.violation("TWICE: %s ran at %s from %v to %v (%s) and at %s from %v to %v (%s)", a.task, a.executor, a.start, a.end, a.how, b.executor, b.start, b.end, b.how)
+	}
+	return nil
+}
+
+// heldReport is a report that a cut holds up.
+type heldReport struct{ id, body string }
+
+// cutOffAndRestart cuts the executor off from its agent for a time, in which its reports and all calls
+// are held up. At the end it crashes, and its next lifetime starts and registers. It returns the
+// reports that were held up.
+func (e *executor) cutOffAndRestart(after time.Duration) []heldReport {
+	e.mu.Lock()
+	e.mute, e.cut = true, true
+	e.record.add("%s is cut off from its agent", e.id)
+	e.mu.Unlock()
+	var held []heldReport
+	for range after / heartbeatPeriod {
+		time.Sleep(heartbeatPeriod)
+		e.mu.Lock()
+		e.seq++
+		held = append(held, heldReport{id: e.id, body: e.reportLocked()})
+		e.mu.Unlock()
+	}
+	e.crash(e.name, 500*time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	e.mu.Lock()
+	e.mute, e.cut = false, false
+	e.record.add("%s is connected", e.id)
+	e.mu.Unlock()
+	for !e.beat() {
+		time.Sleep(firstBeatRetry)
+	}
+	return held
+}
+
+// setGrey makes the executor leave a share of its calls unanswered, without carrying them out.
+func (e *executor) setGrey(share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.grey = share
+	e.record.add("%s leaves a share of %v of its calls unanswered", e.id, share)
+}
+
+// leavesUnansweredLocked reports whether a call gets no answer.
+func (e *executor) leavesUnansweredLocked() bool {
+	return e.mute || rand.Float64() < e.grey
+}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -15,6 +15,8 @@
 // cases has the cases by number. A case returns an error if it could not run.
 var cases = map[string]func(r *record, trouble bool) error{
 	"4": staleOwner,
+	"5": lateReport,
+	"6": frozenEntry,
 }
 
 func main() {
