--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// retransmit is how long after a missing answer a job is sent again.
+const retransmit = 1300 * time.Millisecond
+
 // step is a step of a job as clients submit it.
 type step struct {
 	Count      int    `json:"count"`
@@ -18,6 +21,9 @@
 	MemMB      int64  `json:"mem_mb"`
 	EstimateMS int64  `json:"estimate_ms"`
 	Label      string `json:"required_label,omitempty"`
+	// MaxPerServer and DependsOn restrict where and when the tasks run.
+	MaxPerServer int   `json:"max_per_server,omitempty"`
+	DependsOn    []int `json:"depends_on,omitempty"`
 }
 
 type jobBody struct {
--- a/review/rig2/deployment.go
+++ b/review/rig2/deployment.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -54,6 +55,7 @@
 	agents    []*process
 	executors []*executor
 	next      int
+	relays    bool
 }
 
 // process is a process of the system under test.
@@ -63,19 +65,46 @@
 	settings string
 	log      string
 
-	mu  sync.Mutex
-	cmd *exec.Cmd // guarded by mu
+	// link relays the links of an agent; nil: they are direct.
+	link *linkRelay
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd // guarded by mu
+	alive bool      // guarded by mu
+}
+
+// running reports whether the process runs.
+func (p *process) running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.alive
+}
+
+// restart starts the process unless it runs.
+func (p *process) restart() {
+	if p.running() {
+		return
+	}
+	if err := p.start(); err != nil {
+		p.record.add("%s can't be started: %v", p.name, err)
+	}
 }
 
 // newDeployment prepares a deployment: entries and agents in turn in three zones, each agent with an
 // executor.
 func newDeployment(r *record, entries, agents int) (*deployment, error) {
+	return newRelayedDeployment(r, entries, agents, false)
+}
+
+// newRelayedDeployment is newDeployment with a relay in front of the links of each agent, if relays is
+// set.
+func newRelayedDeployment(r *record, entries, agents int, relays bool) (*deployment, error) {
 	dir, err := os.MkdirTemp("", "review-rig2-")
 	if err != nil {
 		return nil, err
 	}
 	h := newHistory(r)
-	d := &deployment{record: r, history: h, store: newStore(r), dir: dir}
+	d := &deployment{record: r, history: h, store: newStore(r), dir: dir, relays: relays}
 	d.store.put("keyed.op", "config", []byte(configuration))
 	zones := []string{"jeonju-hall", "iksan-hall", "gunsan-hall"}
 	var seeds string
@@ -147,11 +176,22 @@
 		front, ready, control, app, memory = "", "", address(ip, portControl), address(ip, portApp), 152
 	}
 	text := fmt.Sprintf(settingsFormat, role, name, zone, seeds, front, ready, control, address(ip, portLinks), address(ip, portMetrics), address(ip, portStore), app, memory)
+	var relay *linkRelay
+	if role == "agent" && d.relays {
+		behind, err := d.nextIP()
+		if err != nil {
+			return nil, err
+		}
+		if relay, err = newLinkRelay(address(behind, portLinks), address(ip, portLinks)); err != nil {
+			return nil, err
+		}
+		text = strings.Replace(text, `"metrics":`, fmt.Sprintf(`"links_announced": %q, "metrics":`, address(behind, portLinks)), 1)
+	}
 	path := filepath.Join(d.dir, name+".jsonc")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	return &process{record: d.record, name: name, ip: ip, settings: path, log: filepath.Join(d.dir, name+".log")}, nil
+	return &process{record: d.record, name: name, link: relay, ip: ip, settings: path, log: filepath.Join(d.dir, name+".log")}, nil
 }
 
 // startAll starts all processes and waits until the entries are ready and a job is served.
@@ -193,10 +233,13 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p.cmd = cmd
+	p.cmd, p.alive = cmd, true
 	p.record.add("started %s", p.name)
 	go func() {
 		err := cmd.Wait()
+		p.mu.Lock()
+		p.alive = false
+		p.mu.Unlock()
 		p.record.add("%s has ended: %v", p.name, err)
 	}()
 	return nil
--- a/review/rig2/executor.go
+++ b/review/rig2/executor.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -23,8 +26,10 @@
 
 // taskWork is the spec of a task: how long it runs. Fill makes the spec longer.
 type taskWork struct {
-	WorkMS int64  `json:"work_ms"`
-	Fill   string `json:"fill,omitempty"`
+	WorkMS int64 `json:"work_ms"`
+	// Fail is the probability with which a run fails.
+	Fail float64 `json:"fail,omitempty"`
+	Fill string  `json:"fill,omitempty"`
 }
 
 // executor is a stand-in for a backend server.
@@ -57,9 +62,38 @@
 	// cut holds up the reports, and grey is the share of calls that get no answer.
 	cut  bool
 	grey float64
+	// late is the share of calls that get no answer and are carried out 2 to 12 s later.
+	late float64
 	down bool
 }
 
+// setLate makes a share of the calls get no answer and be carried out late.
+func (e *executor) setLate(share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.late = share
+	e.record.add("%s carries a share of %v of its calls out late", e.id, share)
+}
+
+// deferCall carries a call out 2 to 12 s later, unless the executor has crashed meanwhile.
+func (e *executor) deferCall(h http.Handler, r *http.Request, lifetime int) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	again := r.Clone(context.Background())
+	again.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() {
+		e.mu.Lock()
+		alive := e.lifetime == lifetime && !e.down
+		e.mu.Unlock()
+		if alive {
+			h.ServeHTTP(discard{}, again)
+		}
+	})
+	<-r.Context().Done()
+}
+
 type activeRun struct {
 	number int64
 	timer  *time.Timer
@@ -103,7 +137,7 @@
 	mux.HandleFunc("POST /v1/hold", e.handleHold)
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
-		id, mute, down := e.id, e.leavesUnansweredLocked(), e.down
+		id, mute, down, late, lifetime := e.id, e.leavesUnansweredLocked(), e.down, rand.Float64() < e.late, e.lifetime
 		e.mu.Unlock()
 		if down {
 			panic(http.ErrAbortHandler)
@@ -116,6 +150,10 @@
 			reply(w, http.StatusMisdirectedRequest, map[string]int64{"clock_ms": e.clock()})
 			return
 		}
+		if late {
+			e.deferCall(mux, r, lifetime)
+			return
+		}
 		mux.ServeHTTP(w, r)
 	})}
 	go srv.Serve(l) //nolint:errcheck // it serves until the process ends
@@ -247,7 +285,11 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		if e.runs[in.Task] == run {
-			e.endLocked(in.Task, "done")
+			how := "done"
+			if rand.Float64() < work.Fail {
+				how = "failed"
+			}
+			e.endLocked(in.Task, how)
 		}
 	})
 	return ""
@@ -340,6 +382,9 @@
 func (e *executor) crash(name string, downtime time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.down {
+		return
+	}
 	e.record.add("%s crashes", e.id)
 	for _, run := range e.runs {
 		run.timer.Stop()
--- a/review/rig2/group.go
+++ b/review/rig2/group.go
@@ -15,6 +15,8 @@
 	members    map[string]*storeMember
 	// owners has the member that holds each partition.
 	owners map[groupPart]string
+	// shift moves the targets of all partitions.
+	shift int
 }
 
 type storeMember struct {
@@ -134,7 +136,7 @@
 	out := make(map[groupPart]string)
 	for i, topic := range slices.Sorted(maps.Keys(topics)) {
 		for part := range storePartitions {
-			out[groupPart{topic, part}] = names[(i*storePartitions+part)%len(names)]
+			out[groupPart{topic, part}] = names[(i*storePartitions+part+g.shift)%len(names)]
 		}
 	}
 	return out
--- a/review/rig2/history.go
+++ b/review/rig2/history.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// leastOverlap is the least time for which two runs count as running at the same time.
+const leastOverlap = 2 * time.Millisecond
+
 // history has all runs that the executors have started.
 type history struct {
 	record *record
--- a/review/rig2/late_report.go
+++ b/review/rig2/late_report.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -26,6 +27,8 @@
 	if err := d.startAll(); err != nil {
 		return err
 	}
+	// ONLY=report and ONLY=grey play one of the two disruptions alone.
+	only := os.Getenv("ONLY")
 	c := newClient(r)
 	time.Sleep(6 * time.Second)
 	for range 16 {
@@ -33,7 +36,10 @@
 	}
 	e := d.executors[0]
 	for range 4 {
-		held := e.cutOffAndRestart(cutFor)
+		var held []heldReport
+		if trouble {
+			held = e.cutOffAndRestart(cutFor)
+		}
 		time.Sleep(2 * time.Second)
 		var wg sync.WaitGroup
 		for i := range 24 {
@@ -43,12 +49,15 @@
 		}
 		wg.Wait()
 		time.Sleep(time.Second)
-		if trouble {
+		if trouble && only != "report" {
 			e.setGrey(greyShare)
-			for _, report := range held {
-				time.Sleep(100 * time.Millisecond)
-				r.add("a held-up report of %s arrives, acknowledged: %t", report.id, e.send(report.id, report.body))
-			}
+		}
+		if only == "grey" {
+			held = nil
+		}
+		for _, report := range held {
+			time.Sleep(100 * time.Millisecond)
+			r.add("a held-up report of %s arrives, acknowledged: %t", report.id, e.send(report.id, report.body))
 		}
 		time.Sleep(greyFor)
 		e.setGrey(0)
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 // Exit codes.
@@ -16,7 +17,15 @@
 var cases = map[string]func(r *record, trouble bool) error{
 	"4": staleOwner,
 	"5": lateReport,
-	"6": frozenEntry,
+	"6": cancelBestEffort,
+	"fuzz": func(r *record, _ bool) error {
+		d, err := newRelayedDeployment(r, 2, 4, true)
+		if err != nil {
+			return err
+		}
+		defer d.end()
+		return fuzz(r, uint64(number(os.Getenv("SEED"))), d, time.Duration(number(os.Getenv("SECONDS_"))+0)*time.Second)
+	},
 }
 
 func main() {
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -33,10 +36,89 @@
 	mu sync.Mutex
 	// All fields below are guarded by mu.
 
-	logs       map[string]*storeLog
-	groups     map[string]*storeGroup
-	turnedAway map[string]bool
-	changed    chan struct{}
+	logs    map[string]*storeLog
+	groups  map[string]*storeGroup
+	modes   map[string]callerMode
+	changed chan struct{}
+}
+
+// storeMode is how the store treats the calls of a caller.
+type storeMode int
+
+const (
+	storeServes storeMode = iota
+	// storeBusy answers with status 503.
+	storeBusy
+	// storeSilent neither carries calls out nor answers them.
+	storeSilent
+	// storeLost carries writing calls out and doesn't answer them.
+	storeLost
+	// storeLate carries writing calls out 1 to 6 s later and doesn't answer them.
+	storeLate
+)
+
+// callerMode is the mode for a share of the calls of a caller.
+type callerMode struct {
+	mode  storeMode
+	share float64
+}
+
+// discard is a response writer that discards the response.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
+
+// disturb treats a call in the caller's mode and reports whether that was all.
+func (s *store) disturb(caller string, h http.Handler, w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	m := s.modes[caller]
+	s.mu.Unlock()
+	if m.mode == storeServes || rand.Float64() >= m.share || r.Method == http.MethodGet && m.mode >= storeLost {
+		return false
+	}
+	switch m.mode {
+	case storeBusy:
+		reply(w, http.StatusServiceUnavailable, map[string]string{"error": "busy"})
+		return true
+	case storeLost, storeLate:
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return true
+		}
+		again := r.Clone(context.Background())
+		again.Body = io.NopCloser(bytes.NewReader(body))
+		if m.mode == storeLate {
+			time.AfterFunc(time.Second+rand.N(5*time.Second), func() { h.ServeHTTP(discard{}, again) })
+		} else {
+			h.ServeHTTP(discard{}, again)
+		}
+	}
+	<-r.Context().Done()
+	return true
+}
+
+// setMode sets how the store treats a share of the calls of a caller.
+func (s *store) setMode(caller string, mode storeMode, share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.modes[caller] = callerMode{mode, share}
+	s.record.add("the store's mode for %s: %d for a share of %v", caller, mode, share)
+}
+
+// rebalance deals all partitions of all groups anew at once.
+func (s *store) rebalance() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record.add("the store deals all partitions anew")
+	for _, g := range s.groups {
+		g.shift++
+		g.generation++
+		for p, target := range g.targets() {
+			g.owners[p] = target
+		}
+	}
 }
 
 // storeLog is one partition of a topic.
@@ -61,7 +143,7 @@
 func newStore(r *record) *store {
 	return &store{
 		record: r, logs: make(map[string]*storeLog), groups: make(map[string]*storeGroup),
-		turnedAway: make(map[string]bool), changed: make(chan struct{}),
+		modes: make(map[string]callerMode), changed: make(chan struct{}),
 	}
 }
 
@@ -81,14 +163,9 @@
 	mux.HandleFunc("POST /v1/log-trim", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, struct{}{}) })
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		time.Sleep(storeLatency)
-		s.mu.Lock()
-		away := s.turnedAway[caller]
-		s.mu.Unlock()
-		if away {
-			reply(w, http.StatusServiceUnavailable, map[string]string{"error": "busy"})
-			return
+		if !s.disturb(caller, mux, w, r) {
+			mux.ServeHTTP(w, r)
 		}
-		mux.ServeHTTP(w, r)
 	})}
 	go srv.Serve(l) //nolint:errcheck // it serves until the process ends
 	return nil
@@ -96,10 +173,11 @@
 
 // setTurnedAway makes the store answer all calls of a caller with status 503, or serve it again.
 func (s *store) setTurnedAway(caller string, away bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turnedAway[caller] = away
-	s.record.add("the store turns %s away: %t", caller, away)
+	mode := storeServes
+	if away {
+		mode = storeBusy
+	}
+	s.setMode(caller, mode, 1)
 }
 
 // put writes a record as the operator does.
