--- a/review/rig2/executor.go
+++ b/review/rig2/executor.go
@@ -63,8 +63,11 @@
 	cut  bool
 	grey float64
 	// late is the share of calls that get no answer and are carried out 2 to 12 s later.
-	late float64
-	down bool
+	late     float64
+	draining bool
+	// keepsID makes the executor start again under its ID, and state when it started.
+	keepsID bool
+	down    bool
 }
 
 // setLate makes a share of the calls get no answer and be carried out late.
@@ -85,7 +88,8 @@
 	again.Body = io.NopCloser(bytes.NewReader(body))
 	time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() {
 		e.mu.Lock()
-		alive := e.lifetime == lifetime && !e.down
+		// A call on its way names its lifetime only by the ID.
+		alive := (e.lifetime == lifetime || e.keepsID) && !e.down
 		e.mu.Unlock()
 		if alive {
 			h.ServeHTTP(discard{}, again)
@@ -187,8 +191,16 @@
 	if err != nil {
 		panic(err) // strings can always be encoded
 	}
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"jeonju-hall","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,"capacity":{"cpu_millis":%d,"mem_mb":65536,"gpus":0},"labels":%s,"clock_ms":%d,"seq_no":%d}`,
-		serviceName, e.addr, e.cpu, labels, e.clockLocked(), e.seq)
+	state := "ready"
+	if e.draining {
+		state = "draining"
+	}
+	born := ""
+	if e.keepsID {
+		born = fmt.Sprintf(`,"born":%d`, e.bornLocked())
+	}
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"jeonju-hall","version":"v1","slots":8,"state":%q,"cold_remaining_ms":0,"capacity":{"cpu_millis":%d,"mem_mb":65536,"gpus":0},"labels":%s,"clock_ms":%d,"seq_no":%d%s}`,
+		serviceName, e.addr, state, e.cpu, labels, e.clockLocked(), e.seq, born)
 }
 
 // send sends a report for a lifetime and returns whether it was acknowledged within a second.
@@ -374,10 +386,16 @@
 		ends = append(ends, []any{end.n, end.task, end.number, end.how, ""})
 	}
 	out := map[string]any{"clock_ms": e.clockLocked(), "active_runs": active, "ended_runs": ends}
+	if e.keepsID {
+		out["born"] = e.bornLocked()
+	}
 	e.mu.Unlock()
 	reply(w, http.StatusOK, out)
 }
 
+// bornLocked returns when the lifetime started, as a time in milliseconds that rises with each one.
+func (e *executor) bornLocked() int64 { return 1_700_000_000_000 + 1000*int64(e.lifetime) }
+
 // crash ends everything here. The next lifetime, under a new ID, starts after a time.
 func (e *executor) crash(name string, downtime time.Duration) {
 	e.mu.Lock()
@@ -394,9 +412,11 @@
 		e.ends[i].entry.lapsedAfter(e.history)
 	}
 	e.runs, e.barred, e.ends, e.lastEnd = make(map[string]*activeRun), make(map[string]int64), nil, 0
-	e.token, e.deadline, e.seq, e.down = 0, 0, 0, true
+	e.token, e.deadline, e.seq, e.down, e.draining = 0, 0, 0, true, false
 	e.lifetime++
-	e.id = fmt.Sprintf("%s-%d", name, e.lifetime)
+	if !e.keepsID {
+		e.id = fmt.Sprintf("%s-%d", name, e.lifetime)
+	}
 	time.AfterFunc(downtime, func() {
 		e.mu.Lock()
 		e.down, e.bornAt = false, sinceStart()
--- a/review/rig2/fuzz.go
+++ b/review/rig2/fuzz.go
@@ -150,7 +150,7 @@
 		wg.Add(1)
 		time.AfterFunc(t, func() { defer wg.Done(); fn() })
 	}
-	switch rnd.IntN(15) {
+	switch rnd.IntN(24) {
 	case 0:
 		proc.kill()
 		after(ms(300, 3500), func() { proc.restart() })
@@ -198,6 +198,57 @@
 		if agent.link != nil {
 			agent.link.reset()
 		}
+	case 15:
+		// Reports of a lifetime that has crashed arrive late.
+		held := ex.currentReport()
+		ex.crash(ex.name, ms(100, 800))
+		for range 3 {
+			after(ms(1500, 6000), func() { ex.send(held.id, held.body) })
+		}
+	case 16:
+		d.store.rebalance()
+		after(ms(50, 900), func() { d.store.rebalance() })
+	case 17:
+		// The store turns the agents away one after the other.
+		gap := ms(1000, 3000)
+		for i, p := range d.agents {
+			after(time.Duration(i)*gap, func() { d.store.setMode(p.name, storeBusy, 1) })
+			after(time.Duration(i)*gap+4500*time.Millisecond, func() { d.store.setMode(p.name, storeServes, 0) })
+		}
+	case 18:
+		for _, p := range append(append([]*process{}, d.agents...), d.entries...) {
+			if rnd.IntN(5) < 3 {
+				p.kill()
+				after(ms(500, 4000), func() { p.restart() })
+			}
+		}
+	case 19:
+		// A slow machine: it runs a fifth of the time.
+		wg.Go(func() {
+			for end := sinceStart() + dur; sinceStart() < end; {
+				proc.signal(syscall.SIGSTOP)
+				time.Sleep(80 * time.Millisecond)
+				proc.signal(syscall.SIGCONT)
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	case 20:
+		d.store.setLatency(240 * time.Millisecond)
+		after(dur, func() { d.store.setLatency(storeLatency) })
+	case 21:
+		wg.Go(func() { ex.leave(ms(500, 3000)) })
+	case 22:
+		// Two machines freeze and wake at different times.
+		for _, p := range []*process{agent, d.agents[rnd.IntN(len(d.agents))]} {
+			p.signal(syscall.SIGSTOP)
+			after(ms(300, 4500), func() { p.signal(syscall.SIGCONT) })
+		}
+	case 23:
+		// A machine loses the store and freezes.
+		agent.signal(syscall.SIGSTOP)
+		d.store.setMode(agent.name, storeLate, 0.6)
+		after(ms(500, 2000), func() { agent.signal(syscall.SIGCONT) })
+		after(ms(2000, 6000), func() { d.store.setMode(agent.name, storeServes, 0) })
 	}
 }
 
--- a/review/rig2/late_report.go
+++ b/review/rig2/late_report.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"time"
 )
@@ -101,6 +103,46 @@
 	return held
 }
 
+// currentReport returns a report of the present lifetime.
+func (e *executor) currentReport() heldReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.seq++
+	return heldReport{id: e.id, body: e.reportLocked()}
+}
+
+// leave makes the executor drain, deregister and end. Its next lifetime starts after a time.
+func (e *executor) leave(downtime time.Duration) {
+	e.mu.Lock()
+	if e.down || e.draining {
+		e.mu.Unlock()
+		return
+	}
+	e.draining = true
+	e.record.add("%s drains", e.id)
+	id, body := e.id, "{}"
+	if e.keepsID {
+		body = fmt.Sprintf(`{"born":%d}`, e.bornLocked())
+	}
+	e.mu.Unlock()
+	e.beat()
+	time.Sleep(drainTime)
+	e.mu.Lock()
+	gone := e.id != id || e.down
+	e.mu.Unlock()
+	if gone {
+		return
+	}
+	resp, err := http.Post("http://"+e.control+"/v1/instances/"+id+"/deregister", "application/json", strings.NewReader(body))
+	if err == nil {
+		resp.Body.Close() //nolint:errcheck // the body is not used
+	}
+	e.crash(e.name, downtime)
+}
+
+// drainTime is how long a draining executor goes on.
+const drainTime = 2500 * time.Millisecond
+
 // setGrey makes the executor leave a share of its calls unanswered, without carrying them out.
 func (e *executor) setGrey(share float64) {
 	e.mu.Lock()
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -19,12 +19,17 @@
 	"5": lateReport,
 	"6": cancelBestEffort,
 	"fuzz": func(r *record, _ bool) error {
-		d, err := newRelayedDeployment(r, 2, 4, true)
+		d, err := newRelayedDeployment(r, 2, int(max(2, number(os.Getenv("AGENTS")))), true)
 		if err != nil {
 			return err
 		}
 		defer d.end()
-		return fuzz(r, uint64(number(os.Getenv("SEED"))), d, time.Duration(number(os.Getenv("SECONDS_"))+0)*time.Second)
+		for _, e := range d.executors {
+			e.mu.Lock()
+			e.keepsID = os.Getenv("BORN") != ""
+			e.mu.Unlock()
+		}
+		return fuzz(r, uint64(number(os.Getenv("SEED"))), d, time.Duration(number(os.Getenv("SECONDS_")))*time.Second)
 	},
 }
 
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -39,6 +39,7 @@
 	logs    map[string]*storeLog
 	groups  map[string]*storeGroup
 	modes   map[string]callerMode
+	latency time.Duration
 	changed chan struct{}
 }
 
@@ -107,6 +108,14 @@
 	s.record.add("the store's mode for %s: %d for a share of %v", caller, mode, share)
 }
 
+// setLatency sets how long each call takes.
+func (s *store) setLatency(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latency = d
+	s.record.add("each call of the store takes %v", d)
+}
+
 // rebalance deals all partitions of all groups anew at once.
 func (s *store) rebalance() {
 	s.mu.Lock()
@@ -143,7 +152,7 @@
 func newStore(r *record) *store {
 	return &store{
 		record: r, logs: make(map[string]*storeLog), groups: make(map[string]*storeGroup),
-		modes: make(map[string]callerMode), changed: make(chan struct{}),
+		modes: make(map[string]callerMode), changed: make(chan struct{}), latency: storeLatency,
 	}
 }
 
@@ -162,7 +171,10 @@
 	mux.HandleFunc("GET /v1/log-owners", s.listOwners)
 	mux.HandleFunc("POST /v1/log-trim", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, struct{}{}) })
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(storeLatency)
+		s.mu.Lock()
+		latency := s.latency
+		s.mu.Unlock()
+		time.Sleep(latency)
 		if !s.disturb(caller, mux, w, r) {
 			mux.ServeHTTP(w, r)
 		}
--- /dev/null
+++ b/review/second/doc.go
@@ -0,0 +1,2 @@
+// Package second has the tests of the second review's cases.
+package second
