--- a/review/rig2/deployment.go
+++ b/review/rig2/deployment.go
@@ -42,7 +42,8 @@
 // configuration is the first version of the operator's configuration.
 const configuration = `{"version":3,"routes":[
 {"name":"quote","host":"haneul.example","path_prefix":"/quote/","timeout_ms":1500,"target_latency_ms":60,"priority":0,"service":"bench-desk","max_attempts":3,"slack_factor":1.6},
-{"name":"survey","host":"haneul.example","path_prefix":"/survey/","timeout_ms":4000,"target_latency_ms":2000,"priority":1,"service":"bench-desk","max_attempts":3,"slack_factor":2}],
+{"name":"survey","host":"haneul.example","path_prefix":"/survey/","timeout_ms":4000,"target_latency_ms":2000,"priority":1,"service":"bench-desk","max_attempts":3,"slack_factor":2},
+{"name":"batch","host":"haneul.example","path_prefix":"/batch/","timeout_ms":4000,"target_latency_ms":60000,"priority":2,"service":"bench-desk","max_attempts":3,"slack_factor":2}],
 "services":[{"name":"bench-desk","enforce_capacity":false}],"limits":{"max_body_bytes":262144}}`
 
 // deployment is a system under test and its stand-ins.
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -17,7 +17,9 @@
 var cases = map[string]func(r *record, trouble bool) error{
 	"4": staleOwner,
 	"5": lateReport,
-	"6": cancelBestEffort,
+	"6": suspects,
+	"7": starved,
+	"8": cancelBestEffort,
 	"fuzz": func(r *record, _ bool) error {
 		d, err := newRelayedDeployment(r, 2, int(max(2, number(os.Getenv("AGENTS")))), true)
 		if err != nil {
