--- a/review/rig2/executor.go
+++ b/review/rig2/executor.go
@@ -88,8 +88,7 @@
 	again.Body = io.NopCloser(bytes.NewReader(body))
 	time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() {
 		e.mu.Lock()
-		// A call on its way names its lifetime only by the ID.
-		alive := (e.lifetime == lifetime || e.keepsID) && !e.down
+		alive := e.lifetime == lifetime && !e.down
 		e.mu.Unlock()
 		if alive {
 			h.ServeHTTP(discard{}, again)
