--- a/review/rig2/fuzz.go
+++ b/review/rig2/fuzz.go
@@ -6,18 +6,35 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
+// playFuzz plays random disruptions. SEED, LENGTH (in seconds) and AGENTS set how, and with BORN set the
+// executors keep their IDs when they start again.
+func playFuzz(r *record) error {
+	d, err := newRelayedDeployment(r, 2, int(max(2, number(os.Getenv("AGENTS")))), true)
+	if err != nil {
+		return err
+	}
+	defer d.end()
+	for _, e := range d.executors {
+		e.mu.Lock()
+		e.keepsID = os.Getenv("BORN") != ""
+		e.mu.Unlock()
+	}
+	return fuzz(r, uint64(number(os.Getenv("SEED"))), d, time.Duration(number(os.Getenv("LENGTH")))*time.Second)
+}
+
 // fuzz plays random disruptions against recorded and best-effort jobs, and checks the rules that hold
 // for all machines, in touch or not.
 func fuzz(r *record, seed uint64, d *deployment, length time.Duration) error {
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	c := newClient(r)
-	f := &fuzzer{record: r, d: d, c: c, jobs: make(map[string]*fuzzJob), lastTrouble: sinceStart()}
+	f := &fuzzer{record: r, d: d, c: c, jobs: make(map[string]*fuzzJob)}
 	if err := d.startAll(); err != nil {
 		return err
 	}
@@ -48,16 +65,17 @@
 	return nil
 }
 
+// fuzzer is one play of fuzz.
 type fuzzer struct {
 	record *record
 	d      *deployment
 	c      *client
 
-	mu          sync.Mutex
-	jobs        map[string]*fuzzJob
-	lastTrouble time.Duration
+	mu   sync.Mutex
+	jobs map[string]*fuzzJob // guarded by mu until the clients have ended
 }
 
+// fuzzJob is a job and what its client has seen.
 type fuzzJob struct {
 	id, path    string
 	body        jobBody
@@ -67,9 +85,9 @@
 	attempts    int
 	cancelSent  bool
 	cancelAcked time.Duration
-	deps        bool
 }
 
+// clientLoop hands in one job after another until stop is closed.
 func (f *fuzzer) clientLoop(rnd *rand.Rand, stop chan struct{}) {
 	for {
 		select {
@@ -81,6 +99,7 @@
 	}
 }
 
+// oneJob hands in a random job, and perhaps cancels it or sends it again.
 func (f *fuzzer) oneJob(rnd *rand.Rand) {
 	j := &fuzzJob{id: newID(), path: "/survey/", recorded: rnd.IntN(4) > 0, allRejected: true}
 	work := time.Duration(20+rnd.IntN(600)) * time.Millisecond
@@ -92,7 +111,6 @@
 		j.body.Steps[0].MaxPerServer = 1
 	}
 	if rnd.IntN(3) == 0 {
-		j.deps = true
 		s := j.body.Steps[0]
 		s.DependsOn = []int{0}
 		j.body.Steps = append(j.body.Steps, s)
@@ -136,6 +154,7 @@
 	}
 }
 
+// trouble begins a random disruption.
 func (f *fuzzer) trouble(rnd *rand.Rand, wg *sync.WaitGroup) {
 	d := f.d
 	ms := func(a, b int) time.Duration { return time.Duration(a+rnd.IntN(b-a)) * time.Millisecond }
@@ -252,6 +271,7 @@
 	}
 }
 
+// check checks the rules after a quiet time.
 func (f *fuzzer) check() {
 	r, h := f.record, f.d.history
 	for _, pair := range h.overlapping(leastOverlap) {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"time"
 )
 
 // Exit codes.
@@ -20,19 +19,7 @@
 	"6": suspects,
 	"7": starved,
 	"8": cancelBestEffort,
-	"fuzz": func(r *record, _ bool) error {
-		d, err := newRelayedDeployment(r, 2, int(max(2, number(os.Getenv("AGENTS")))), true)
-		if err != nil {
-			return err
-		}
-		defer d.end()
-		for _, e := range d.executors {
-			e.mu.Lock()
-			e.keepsID = os.Getenv("BORN") != ""
-			e.mu.Unlock()
-		}
-		return fuzz(r, uint64(number(os.Getenv("SEED"))), d, time.Duration(number(os.Getenv("SECONDS_")))*time.Second)
-	},
+	"fuzz": func(r *record, _ bool) error { return playFuzz(r) },
 }
 
 func main() {
--- a/review/rig2/suspects.go
+++ b/review/rig2/suspects.go
@@ -11,14 +11,16 @@
 	// crashedFor is how long an executor is down after its crash.
 	crashedFor = 1500 * time.Millisecond
 	// suspectJobs is the number of jobs that run when it crashes.
-	suspectJobs = 60
-	// suspectMillis is what the task of each job demands, in thousandths of a core.
-	suspectMillis = 500
+	suspectJobs = 280
+	// suspectMillis is what the task of each job demands, in thousandths of a core, and suspectWork how
+	// long it runs.
+	suspectMillis = 250
+	suspectWork   = 8 * time.Second
 )
 
 // suspects crashes one executor while recorded jobs run, and checks that the others are carried out.
 func suspects(r *record, trouble bool) error {
-	d, err := newDeployment(r, 2, 3)
+	d, err := newDeployment(r, 2, 7)
 	if err != nil {
 		return err
 	}
@@ -38,13 +40,13 @@
 	for i := range suspectJobs {
 		wg.Go(func() {
 			path := "/survey/" + newID()
-			if a := c.call(http.MethodPost, d.entries[i%2], path, tasks(1, suspectMillis, 6*time.Second, 6*time.Second, false), 4*time.Second); a.status/100 == 2 {
+			if a := c.call(http.MethodPost, d.entries[i%2], path, tasks(1, suspectMillis, suspectWork, suspectWork, false), 4*time.Second); a.status/100 == 2 {
 				mu.Lock()
 				accepted = append(accepted, path)
 				mu.Unlock()
 			}
 		})
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(8 * time.Millisecond)
 	}
 	wg.Wait()
 	r.add("%d jobs accepted", len(accepted))
