--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -14,11 +14,11 @@
 
 // cases has the cases by number. A case returns an error if it could not run.
 var cases = map[string]func(r *record, trouble bool) error{
-	"4": staleOwner,
-	"5": lateReport,
-	"6": suspects,
-	"7": starved,
-	"8": cancelBestEffort,
+	"4":    staleOwner,
+	"5":    lateReport,
+	"6":    suspects,
+	"7":    starved,
+	"8":    cancelBestEffort,
 	"fuzz": func(r *record, _ bool) error { return playFuzz(r) },
 }
 
