--- a/review/rig2/deployment.go
+++ b/review/rig2/deployment.go
@@ -106,6 +106,9 @@
 	}
 	h := newHistory(r)
 	d := &deployment{record: r, history: h, store: newStore(r), dir: dir, relays: relays}
+	deploymentsMu.Lock()
+	deployments = append(deployments, d)
+	deploymentsMu.Unlock()
 	d.store.put("keyed.op", "config", []byte(configuration))
 	zones := []string{"jeonju-hall", "iksan-hall", "gunsan-hall"}
 	var seeds string
@@ -139,6 +142,21 @@
 	return d, nil
 }
 
+var (
+	deploymentsMu sync.Mutex
+	// deployments are the deployments whose processes may run. Guarded by deploymentsMu.
+	deployments []*deployment
+)
+
+// endDeployments ends all processes that were started, when the case itself is stopped.
+func endDeployments() {
+	deploymentsMu.Lock()
+	defer deploymentsMu.Unlock()
+	for _, d := range deployments {
+		d.end()
+	}
+}
+
 func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 
 // nextIP returns a loopback address on which none of the ports is in use.
--- a/review/rig2/fuzz.go
+++ b/review/rig2/fuzz.go
@@ -14,7 +14,7 @@
 )
 
 // playFuzz plays random disruptions. SEED, LENGTH (in seconds) and AGENTS set how, and with BORN set the
-// executors keep their IDs when they start again.
+// executors keep their IDs when they start again. With BEST set there are only best-effort jobs.
 func playFuzz(r *record) error {
 	d, err := newRelayedDeployment(r, 2, int(max(2, number(os.Getenv("AGENTS")))), true)
 	if err != nil {
@@ -41,7 +41,11 @@
 	time.Sleep(7 * time.Second)
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	for w := range 6 {
+	clients := 6
+	if os.Getenv("BEST") != "" {
+		clients = 60
+	}
+	for w := range clients {
 		wrnd := rand.New(rand.NewPCG(seed, uint64(100+w)))
 		wg.Go(func() { f.clientLoop(wrnd, stop) })
 	}
@@ -107,6 +111,12 @@
 		work = time.Duration(1000+rnd.IntN(4000)) * time.Millisecond
 	}
 	j.body = tasks(1+rnd.IntN(5), int64(200+rnd.IntN(1500)), work, work, !j.recorded)
+	if os.Getenv("BEST") != "" {
+		// Best-effort jobs, many of which take longer than their clients wait.
+		j.recorded = false
+		work = time.Duration(1000+rnd.IntN(6000)) * time.Millisecond
+		j.body = tasks(1+rnd.IntN(4), int64(50+rnd.IntN(300)), work, min(work, 2*time.Second), true)
+	}
 	if rnd.IntN(10) == 0 {
 		j.body.Steps[0].MaxPerServer = 1
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes.
@@ -12,17 +14,25 @@
 	exitNotRun = 2
 )
 
-// cases has the cases by number. A case returns an error if it could not run.
+// cases has the cases by name. A case returns an error if it could not run.
 var cases = map[string]func(r *record, trouble bool) error{
-	"4":    staleOwner,
-	"5":    lateReport,
-	"6":    suspects,
-	"7":    starved,
-	"8":    cancelBestEffort,
-	"fuzz": func(r *record, _ bool) error { return playFuzz(r) },
+	"stale-owner":  staleOwner,
+	"killed-twice": killedTwice,
+	"late-report":  lateReport,
+	"suspects":     suspects,
+	"starved":      starved,
+	"cancel":       cancelBestEffort,
+	"fuzz":         func(r *record, _ bool) error { return playFuzz(r) },
 }
 
 func main() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		endDeployments()
+		os.Exit(exitNotRun)
+	}()
 	os.Exit(run())
 }
 
