--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -111,7 +111,7 @@
 
 // tasks returns a job with one step.
 func tasks(count int, cpuMillis int64, work, estimate time.Duration, bestEffort bool) jobBody {
-	spec, err := json.Marshal(taskWork{WorkMS: work.Milliseconds()})
+	spec, err := json.Marshal(taskWork{WorkMS: work.Milliseconds(), CPU: cpuMillis})
 	if err != nil {
 		panic(err) // numbers can always be encoded
 	}
--- a/review/rig2/executor.go
+++ b/review/rig2/executor.go
@@ -27,6 +27,8 @@
 // taskWork is the spec of a task: how long it runs. Fill makes the spec longer.
 type taskWork struct {
 	WorkMS int64 `json:"work_ms"`
+	// CPU is what it demands, in thousandths of a core.
+	CPU int64 `json:"cpu,omitempty"`
 	// Fail is the probability with which a run fails.
 	Fail float64 `json:"fail,omitempty"`
 	Fill string  `json:"fill,omitempty"`
@@ -65,6 +67,8 @@
 	// late is the share of calls that get no answer and are carried out 2 to 12 s later.
 	late     float64
 	draining bool
+	// answerDelay is how long each call takes.
+	answerDelay time.Duration
 	// keepsID makes the executor start again under its ID, and state when it started.
 	keepsID bool
 	down    bool
@@ -99,6 +103,7 @@
 
 type activeRun struct {
 	number int64
+	cpu    int64
 	timer  *time.Timer
 	entry  *runEntry
 }
@@ -153,6 +158,10 @@
 			reply(w, http.StatusMisdirectedRequest, map[string]int64{"clock_ms": e.clock()})
 			return
 		}
+		e.mu.Lock()
+		delay := e.answerDelay
+		e.mu.Unlock()
+		time.Sleep(delay)
 		if late {
 			e.deferCall(mux, r, lifetime)
 			return
@@ -290,8 +299,11 @@
 	if json.Unmarshal([]byte(in.Spec), &work) != nil {
 		work.WorkMS = 100
 	}
-	run := &activeRun{number: in.Run, entry: e.history.started(in.Task, in.Run, e.id)}
+	run := &activeRun{number: in.Run, cpu: work.CPU, entry: e.history.started(in.Task, in.Run, e.id)}
 	e.runs[in.Task] = run
+	if used := e.usedLocked(); used > e.cpu {
+		e.record.violation("LIMIT: the start of %s brings %s to %d of %d", in.Task, e.id, used, e.cpu)
+	}
 	run.timer = time.AfterFunc(time.Duration(work.WorkMS)*time.Millisecond, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
@@ -306,6 +318,15 @@
 	return ""
 }
 
+// usedLocked returns what the active runs demand, in thousandths of a core.
+func (e *executor) usedLocked() int64 {
+	var used int64
+	for _, run := range e.runs {
+		used += run.cpu
+	}
+	return used
+}
+
 func (e *executor) endLocked(task, how string) {
 	run := e.runs[task]
 	run.timer.Stop()
--- a/review/rig2/fuzz.go
+++ b/review/rig2/fuzz.go
@@ -126,7 +126,7 @@
 		j.body.Steps = append(j.body.Steps, s)
 	}
 	if rnd.IntN(5) == 0 {
-		j.body.Spec = fmt.Sprintf(`{"work_ms":%d,"fail":%g}`, work.Milliseconds(), 0.4)
+		j.body.Spec = fmt.Sprintf(`{"work_ms":%d,"cpu":%d,"fail":%g}`, work.Milliseconds(), j.body.Steps[0].CPUMillis, 0.4)
 	}
 	f.mu.Lock()
 	f.jobs[j.id] = j
--- a/review/rig2/late_report.go
+++ b/review/rig2/late_report.go
@@ -137,9 +137,14 @@
 	if err == nil {
 		resp.Body.Close() //nolint:errcheck // the body is not used
 	}
+	time.Sleep(endTime)
 	e.crash(e.name, downtime)
 }
 
+// endTime is how long an executor takes to end after it has deregistered. It answers the calls that it
+// has received.
+const endTime = 30 * time.Millisecond
+
 // drainTime is how long a draining executor goes on.
 const drainTime = 2500 * time.Millisecond
 
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -16,13 +16,14 @@
 
 // cases has the cases by name. A case returns an error if it could not run.
 var cases = map[string]func(r *record, trouble bool) error{
-	"stale-owner":  staleOwner,
-	"killed-twice": killedTwice,
-	"late-report":  lateReport,
-	"suspects":     suspects,
-	"starved":      starved,
-	"cancel":       cancelBestEffort,
-	"fuzz":         func(r *record, _ bool) error { return playFuzz(r) },
+	"stale-owner":   staleOwner,
+	"killed-twice":  killedTwice,
+	"late-report":   lateReport,
+	"suspects":      suspects,
+	"starved":       starved,
+	"cancel":        cancelBestEffort,
+	"left-executor": leftExecutor,
+	"fuzz":          func(r *record, _ bool) error { return playFuzz(r) },
 }
 
 func main() {
