--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -23,6 +23,10 @@
 	"starved":       starved,
 	"cancel":        cancelBestEffort,
 	"left-executor": leftExecutor,
+	"killed-pair":   killedPair,
+	"estimates":     lowEstimates,
+	"counts":        overflowingCounts,
+	"pending":       pendingCounts,
 	"fuzz":          func(r *record, _ bool) error { return playFuzz(r) },
 }
 
