--- a/review/rig2/late_report.go
+++ b/review/rig2/late_report.go
@@ -21,7 +21,7 @@
 // lateReport has reports of an executor's earlier lifetime, which a cut has held up, arrive while the
 // present lifetime runs tasks and leaves a share of its calls unanswered.
 func lateReport(r *record, trouble bool) error {
-	d, err := newDeployment(r, 2, 7)
+	d, err := newDeployment(r, 2, 10)
 	if err != nil {
 		return err
 	}
@@ -44,7 +44,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		var wg sync.WaitGroup
-		for i := range 56 {
+		for i := range 80 {
 			wg.Go(func() {
 				c.call(http.MethodPost, d.entries[i%2], "/survey/"+newID(), tasks(1, 1000, 6*time.Second, 6*time.Second, false), 1500*time.Millisecond)
 			})
--- a/review/rig2/listed.go
+++ b/review/rig2/listed.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -69,14 +70,17 @@
 	}
 	c := newClient(r)
 	time.Sleep(6 * time.Second)
-	estimate := 1500 * time.Millisecond
+	estimate, work := 1500*time.Millisecond, 1500*time.Millisecond
+	if os.Getenv("LONG") != "" {
+		estimate, work = 8*time.Second, 8*time.Second
+	}
 	if trouble {
-		estimate = 300 * time.Millisecond
+		estimate /= 5
 	}
 	paths := make([]string, 0, 4)
 	for i := range 4 {
 		path := "/batch/" + newID()
-		if c.call(http.MethodPost, d.entries[i%2], path, tasks(12, smallCores, 1500*time.Millisecond, estimate, false), 4*time.Second).status/100 == 2 {
+		if c.call(http.MethodPost, d.entries[i%2], path, tasks(12, smallCores, work, estimate, false), 4*time.Second).status/100 == 2 {
 			paths = append(paths, path)
 		}
 	}
@@ -174,7 +178,7 @@
 	}
 	for until := sinceStart() + 15*time.Second; sinceStart() < until; time.Sleep(15 * time.Millisecond) {
 		for _, entry := range d.entries {
-			a := c.call(http.MethodGet, entry, "/batch", nil, 1500*time.Millisecond)
+			a := c.call(http.MethodGet, entry, "/batch/", nil, 1500*time.Millisecond)
 			var body struct {
 				PendingCount *int `json:"pending_count"`
 			}
--- a/review/rig2/suspects.go
+++ b/review/rig2/suspects.go
@@ -11,7 +11,7 @@
 	// crashedFor is how long an executor is down after its crash.
 	crashedFor = 1500 * time.Millisecond
 	// suspectJobs is the number of jobs that run when it crashes.
-	suspectJobs = 280
+	suspectJobs = 320
 	// suspectMillis is what the task of each job demands, in thousandths of a core, and suspectWork how
 	// long it runs.
 	suspectMillis = 250
@@ -20,7 +20,7 @@
 
 // suspects crashes one executor while recorded jobs run, and checks that the others are carried out.
 func suspects(r *record, trouble bool) error {
-	d, err := newDeployment(r, 2, 7)
+	d, err := newDeployment(r, 2, 8)
 	if err != nil {
 		return err
 	}
