Have the store confirm an owner before it answers that a job is unknown

Callers got 410 for a job that was accepted, and 200 for a repeated submission of one that was cancelled, from an owner that the group had replaced and that didn't know it yet.

Cause: an owner took itself for confirmed until its membership could have expired, 1.2 s after its last join. A group may deal all partitions anew at any time, though, and memberships may expire early while the store is down. Until its next join, the former owner answered from its memory.

Evidence: TestJobOfAnUnknownNewerOwnerIsNotAbsent. On the code before, with the Lookup of that code, it fails with "absent != not_owner".

Change: an answer that rests on there being no newer owner waits for a write that was sent after the request and that the store has accepted: "no such job" to a GET, a DELETE and a wait for the end, and a repeated submission of a recorded job. Where no write is due, it is an empty append under the owner's epoch, one for all requests that wait. The store refuses it once a newer owner has fenced the partition. If the store can't be asked, the answer is not_owner at once, and "unknown" for a known job, which may not be refused. New jobs, cancellations and ends wait for their records anyway.

Ruled out: a shorter time for which a join counts, which only narrows the window; a join per request, which says what the group assigns and not what another owner has written.

Costs: nothing for jobs that are known or best-effort; one writing call for the unknown IDs and repeated submissions of one shard that come within a call. TestSameIDIsOneJob and TestIDOfAnotherJobIsRefused now let the write happen before they look at the answer to a repeated submission; the first also checks that there is none before.

--- a/coordination/model/client_test.go
+++ b/coordination/model/client_test.go
@@ -84,7 +84,7 @@
 			answered = true
 			c.handleResponse(id, j, v)
 		})
-		if c.w.mutant == acceptedBeforeWrite && o.shard.Lookup(id).Outcome == owner.Absent && !o.shard.Closed() {
+		if c.w.mutant == acceptedBeforeWrite && o.shard.KnownState(id).Outcome == owner.Absent && !o.shard.Closed() {
 			c.handleResponse(id, j, owner.Response{Outcome: owner.OK})
 		}
 		o.apply(fx)
@@ -152,7 +152,7 @@
 func (c *client) checkStates() {
 	if o := c.w.newestOwner(); !o.dead && c.w.now >= o.frozenUntil && !o.shard.Closed() {
 		for _, id := range c.ids {
-			c.checkState(id, o.shard.Lookup(id))
+			c.checkState(id, o.shard.KnownState(id))
 		}
 	}
 	c.w.after(200*time.Millisecond, c.checkStates)
--- a/coordination/owner/admission_test.go
+++ b/coordination/owner/admission_test.go
@@ -116,7 +116,7 @@
 	e.collect(e.Tick(e.now))
 	e.is.Equal(got.Outcome, Refused)
 	e.is.Equal(len(e.orders), 0)
-	e.is.Equal(e.Lookup("late").Outcome, Absent)
+	e.is.Equal(e.KnownState("late").Outcome, Absent)
 }
 
 // One task of a job has been ordered when the others find no free capacity in time. A refusal
--- /dev/null
+++ b/coordination/owner/confirm.go
@@ -0,0 +1,62 @@
+package owner
+
+import "time"
+
+// confirmation is what waits until the store has accepted a write of this owner that was sent after it
+// began to wait. The store accepts no write of an owner that another one has replaced, so nothing was
+// written before it that this owner doesn't know.
+type confirmation struct {
+	// question numbers the confirmation.
+	question int64
+	// deny replies that the confirmation can't be had now. It is nil for one that waits until it can.
+	deny func(*Effects)
+	do   func(time.Duration, *Effects)
+}
+
+// confirmLocked calls do once the store has accepted a write that is sent from now on, or deny if the
+// store can't be asked. A private shard has no other owner.
+func (s *Shard) confirmLocked(now time.Duration, fx *Effects, deny func(*Effects), do func(time.Duration, *Effects)) {
+	switch {
+	case s.private:
+		do(now, fx)
+		return
+	case s.storeUnavailable && deny != nil:
+		deny(fx)
+		return
+	}
+	s.asked++
+	s.confirming = append(s.confirming, confirmation{question: s.asked, deny: deny, do: do})
+	fx.Write = true
+}
+
+// answeredLocked carries out what has waited for a batch that the store has accepted.
+func (s *Shard) answeredLocked(now time.Duration, fx *Effects, question int64) {
+	s.answered = max(s.answered, question)
+	n := 0
+	for n < len(s.confirming) && s.confirming[n].question <= s.answered {
+		n++
+	}
+	ready := s.confirming[:n]
+	s.confirming = s.confirming[n:]
+	for _, c := range ready {
+		c.do(now, fx)
+	}
+}
+
+// denyLocked replies to the requests that wait for a confirmation that can't be had now.
+func (s *Shard) denyLocked(fx *Effects) {
+	var kept []confirmation
+	for _, c := range s.confirming {
+		if c.deny == nil {
+			kept = append(kept, c)
+			continue
+		}
+		c.deny(fx)
+	}
+	s.confirming = kept
+}
+
+// replyNotOwner returns a function that replies that another process has to be asked.
+func replyNotOwner(reply func(Response)) func(*Effects) {
+	return func(fx *Effects) { fx.reply(reply, Response{Outcome: NotOwner, Reason: ReasonUnconfirmed}) }
+}
--- /dev/null
+++ b/coordination/owner/confirm_test.go
@@ -0,0 +1,71 @@
+package owner
+
+import (
+	"testing"
+
+	"github.com/shallotstep/shallotstep/state/job"
+)
+
+const unknownID job.ID = "00000000000000ee"
+
+// requests are the requests for a job that this owner doesn't know.
+var requests = map[string]func(*fixture, func(Response)) Effects{
+	"lookup": func(f *fixture, reply func(Response)) Effects { return f.Lookup(f.now, unknownID, reply) },
+	"await":  func(f *fixture, reply func(Response)) Effects { return f.Await(f.now, unknownID, reply) },
+	"cancel": func(f *fixture, reply func(Response)) Effects { return f.Cancel(f.now, unknownID, reply) },
+}
+
+// ask sends a request and returns where its responses go.
+func (f *fixture) ask(request func(*fixture, func(Response)) Effects) *[]Response {
+	got := &[]Response{}
+	f.collect(request(f, func(v Response) { *got = append(*got, v) }))
+	return got
+}
+
+// Guards against answering that there is no such job although a newer owner has accepted it.
+func TestAbsenceIsConfirmedByTheStore(t *testing.T) {
+	for name, request := range requests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, nil, nil, "a")
+			got := f.ask(request)
+			f.is.Equal(len(*got), 0)
+			f.write()
+			f.is.Equal((*got)[0].Outcome, Absent)
+
+			got = f.ask(request)
+			f.collect(f.Rejected(f.now, f.NextBatch(f.now), "busy"))
+			f.is.Equal((*got)[0].Outcome, NotOwner)
+			f.is.Equal((*f.ask(request))[0].Outcome, NotOwner) // at once while the store rejects
+			f.write()
+
+			got = f.ask(request)
+			f.collect(f.Close()) // the store has fenced the write
+			f.is.Equal((*got)[0].Outcome, NotOwner)
+		})
+	}
+}
+
+// Guards against an answer that rests on a write which was sent before the request came.
+func TestWriteSentBeforeTheRequestConfirmsNothing(t *testing.T) {
+	f := newFixture(t, nil, nil, "a")
+	f.submit(testID, steps(1))
+	b := f.NextBatch(f.now)
+	got := f.ask(requests["lookup"])
+	f.collect(f.Written(f.now, b))
+	f.is.Equal(len(*got), 0)
+	f.write()
+	f.is.Equal((*got)[0].Outcome, Absent)
+}
+
+// Guards against accepting a job again that a newer owner has cancelled, and against refusing it.
+func TestKnownJobIsAcceptedAgainOnceConfirmed(t *testing.T) {
+	f := newFixture(t, recordedJobs(), nil, "a")
+	got := f.submit(testID, steps(1))
+	f.collect(f.MarkStoreUnavailable())
+	f.is.Equal((*got)[0].Outcome, Unknown)
+	f.write()
+	got = f.submit(testID, steps(1))
+	f.is.Equal(len(*got), 0)
+	f.write()
+	f.is.Equal((*got)[0].Outcome, OK)
+}
--- a/coordination/owner/crash_test.go
+++ b/coordination/owner/crash_test.go
@@ -77,7 +77,7 @@
 		o = f.lastOrder()
 	}
 	f.is.Equal(len(f.orders), len(isolations))
-	v := f.Lookup(testID)
+	v := f.KnownState(testID)
 	f.is.Equal(v.State, job.Failed)
 	f.is.Equal(v.Failure, FailureCrashed)
 }
@@ -88,7 +88,7 @@
 	f := newCrashFixture(t)
 	f.reportLoss(f.submitSingle(), 9, worker.LossConfirmed)
 	f.reportLoss(f.lastOrder(), 1, worker.LossConfirmed)
-	f.is.Equal(f.Lookup(testID).State, job.Failed)
+	f.is.Equal(f.KnownState(testID).State, job.Failed)
 	f.is.Equal(len(f.orders), 2)
 }
 
@@ -107,7 +107,7 @@
 	}
 	f.event(o, worker.Ended, job.Done)
 	f.write()
-	f.is.Equal(f.Lookup(testID).State, job.Completed)
+	f.is.Equal(f.KnownState(testID).State, job.Completed)
 }
 
 // A task ran twice beside another one that crashed its servers, and its third run ends. The
@@ -121,10 +121,10 @@
 	f.write()
 	f.is.Equal(f.lastOrder().Value.Isolation, worker.NoIsolation)
 	f.reportLoss(f.lastOrder(), 1, worker.LossConfirmed)
-	f.is.Equal(f.Lookup(testID).State, job.Queued+1) // the job goes on
+	f.is.Equal(f.KnownState(testID).State, job.Queued+1) // the job goes on
 	f.event(f.lastOrder(), worker.Ended, job.Done)
 	f.write()
-	f.is.Equal(f.Lookup(testID).State, job.Completed)
+	f.is.Equal(f.KnownState(testID).State, job.Completed)
 }
 
 // Two tasks are lost with one server, and one of them then crashes another server on its own.
@@ -143,7 +143,7 @@
 	rerun := f.lastOrder()
 	f.is.Equal(rerun.Value.Isolation, worker.ApartFromSuspects)
 	f.reportLoss(second, 1, worker.LossConfirmed)
-	f.is.Equal(f.Lookup(testID).State, job.Failed)
+	f.is.Equal(f.KnownState(testID).State, job.Failed)
 	f.is.Equal(len(f.jobs["00000000000000bb"].rec.Tasks[0].Crashes), 0)
 }
 
@@ -157,7 +157,7 @@
 		f.recordServerLossLocked(f.now, "rack-"+strconv.Itoa(i), job.Instance{ID: "i"})
 	}
 	f.reportLoss(f.lastOrder(), 1, worker.LossConfirmed)
-	f.is.True(!f.Lookup(testID).State.Final())
+	f.is.True(!f.KnownState(testID).State.Final())
 	f.is.Equal(f.lastOrder().Value.Isolation, worker.Exclusive)
 }
 
@@ -176,7 +176,7 @@
 	next.is.Equal(len(next.orders), 1)
 	next.is.Equal(next.lastOrder().Value.Isolation, worker.Exclusive)
 	next.reportLoss(next.lastOrder(), 1, worker.LossConfirmed)
-	next.is.Equal(next.Lookup(testID).State, job.Failed)
+	next.is.Equal(next.KnownState(testID).State, job.Failed)
 	next.is.Equal(len(next.orders), 1)
 }
 
@@ -228,7 +228,7 @@
 	is.Equal(len(f.stops), 0)
 	f.advance(100 * time.Millisecond)
 	f.reportLoss(f.lastOrderOfTask(index), 1, worker.LossConfirmed)
-	is.Equal(f.Lookup(testID).State, job.Failed)
+	is.Equal(f.KnownState(testID).State, job.Failed)
 	is.True(len(f.stops) > 0)
 }
 
--- a/coordination/owner/incarnations_test.go
+++ b/coordination/owner/incarnations_test.go
@@ -62,7 +62,7 @@
 			f.write()
 			f.write()
 			f.is.Equal(len(f.orders) == 1, c.starts)
-			f.is.Equal(f.Lookup(testID).State == job.Failed, !c.starts)
+			f.is.Equal(f.KnownState(testID).State == job.Failed, !c.starts)
 		})
 	}
 }
@@ -165,5 +165,5 @@
 	f.claimedBy("a", 1, beforeRestart, lost)
 	f.write()
 	f.is.Equal(len(f.orders), 0)
-	f.is.Equal(f.Lookup(testID).State, job.Failed)
+	f.is.Equal(f.KnownState(testID).State, job.Failed)
 }
--- a/coordination/owner/link.go
+++ b/coordination/owner/link.go
@@ -125,6 +125,8 @@
 		return
 	}
 	s.closed = true
+	s.denyLocked(fx)
+	s.confirming = nil
 	jobs := slices.Collect(maps.Values(s.jobs))
 	sortJobs(jobs)
 	for _, j := range jobs {
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -256,6 +256,11 @@
 	agentUnreached bool
 	// ownershipUnconfirmed is set while the group may have assigned the shard to another owner.
 	ownershipUnconfirmed bool
+	// confirming has what waits for the store to accept a write, in the order of its questions. asked
+	// is the number of the last question, and answered that of the last one before a write that the
+	// store has accepted.
+	confirming      []confirmation
+	asked, answered int64
 	// closed is set once another owner has taken over.
 	closed bool
 }
--- a/coordination/owner/owner_test.go
+++ b/coordination/owner/owner_test.go
@@ -108,7 +108,7 @@
 	got := f.submit(testID, steps(1))
 	f.is.Equal(len(*got), 0)
 	f.is.Equal(len(f.orders), 0)
-	f.is.Equal(f.Lookup(testID).Outcome, Absent)
+	f.is.Equal(f.KnownState(testID).Outcome, Absent)
 	b := f.write()
 	f.is.Equal(b.Writes[0].ID, testID)
 	f.is.Equal((*got)[0].Outcome, OK)
@@ -138,7 +138,7 @@
 	f.is.Equal((*next)[0].Reason, ReasonStoreUnavailable) // refused at once while the store rejects
 	f.write()
 	f.is.Equal(len(f.orders), 0)
-	f.is.Equal(f.Lookup(testID).Outcome, Absent)
+	f.is.Equal(f.KnownState(testID).Outcome, Absent)
 }
 
 // A client submits the same job again after it was accepted. The tasks must start only once.
@@ -148,6 +148,8 @@
 	second := f.submit(testID, steps(2))
 	f.write()
 	third := f.submit(testID, steps(2))
+	f.is.Equal(len(*third), 0)
+	f.write()
 	f.is.Equal(len(*first), 1)
 	f.is.Equal(len(*second), 1)
 	f.is.Equal((*third)[0].Outcome, OK)
@@ -161,13 +163,13 @@
 	f.submit(testID, steps(1))
 	f.write()
 	f.event(f.orders[0], worker.Running, 0)
-	f.is.Equal(f.Lookup(testID).State, job.Active)
+	f.is.Equal(f.KnownState(testID).State, job.Active)
 	f.event(f.orders[0], worker.Ended, job.Done)
 	f.is.Equal(len(f.settled), 0)
-	f.is.Equal(f.Lookup(testID).State, job.Active)
+	f.is.Equal(f.KnownState(testID).State, job.Active)
 	f.write()
 	f.is.Equal(len(f.settled), 1)
-	f.is.Equal(f.Lookup(testID).State, job.Completed)
+	f.is.Equal(f.KnownState(testID).State, job.Completed)
 }
 
 func TestStepWaitsForTheStepsItDependsOn(t *testing.T) {
@@ -192,7 +194,7 @@
 	f.event(f.orders[1], worker.Ended, job.FailedRun)
 	f.is.Equal(len(f.orders), 2)
 	f.write()
-	f.is.Equal(f.Lookup(testID).State, job.Failed)
+	f.is.Equal(f.KnownState(testID).State, job.Failed)
 	f.is.Equal(len(f.settled), 2)
 }
 
@@ -233,7 +235,7 @@
 	f.is.Equal(f.orders[0].Value.Run, run)
 	f.event(f.orders[0], worker.Ended, job.Done)
 	f.write()
-	f.is.Equal(f.Lookup(testID).State, job.Completed)
+	f.is.Equal(f.KnownState(testID).State, job.Completed)
 }
 
 // The owner and an agent are lost together. The agent may only be cut off and still run tasks
@@ -278,7 +280,7 @@
 	f.is.True(f.settled[0].Value.Void)
 	f.event(f.orders[1], worker.Ended, job.Done)
 	f.write()
-	f.is.Equal(f.Lookup(testID).State, job.Completed)
+	f.is.Equal(f.KnownState(testID).State, job.Completed)
 }
 
 // An agent reconnects and does not know an order: it was lost on the way. The task is ordered
@@ -318,7 +320,7 @@
 	got := f.submit(testID, steps(1))
 	f.collect(f.Close())
 	f.is.Equal((*got)[0].Outcome, Unknown)
-	f.is.Equal(f.Lookup(testID).Outcome, NotOwner)
+	f.is.Equal(f.KnownState(testID).Outcome, NotOwner)
 }
 
 // The client of a best-effort job disconnects, and the runs of the job are stopped. When the
@@ -395,7 +397,7 @@
 
 func (f *fixture) await(id job.ID) *[]Response {
 	got := &[]Response{}
-	f.collect(f.Await(id, func(v Response) { *got = append(*got, v) }))
+	f.collect(f.Await(f.now, id, func(v Response) { *got = append(*got, v) }))
 	return got
 }
 
@@ -505,7 +507,9 @@
 	b := f.write()
 	next := newFixture(t, []*job.Record{b.Writes[0].Record}, nil, "a")
 	f.is.Equal((*next.submit(testID, second))[0].Reason, ReasonIDConflict)
-	f.is.Equal((*next.submit(testID, first))[0].State, job.Completed)
+	again := next.submit(testID, first)
+	next.write()
+	f.is.Equal((*again)[0].State, job.Completed)
 }
 
 // Most deployments submit only best-effort jobs, which need no owner. An owner links the agents
--- a/coordination/owner/repeated_test.go
+++ b/coordination/owner/repeated_test.go
@@ -97,7 +97,7 @@
 	next.is.True(next.settled[0].Value.Void)
 	next.is.Equal(len(next.orders), 1)
 	next.is.True(next.orders[0].Value.Run.Number > second.Number)
-	next.is.Equal(next.Lookup(testID).State, job.Queued)
+	next.is.Equal(next.KnownState(testID).State, job.Queued)
 }
 
 // As above, with a record of the job that is written later, for another reason. It must go on excluding
@@ -206,7 +206,7 @@
 	f.is.True(f.settled[0].Value.Void)
 	f.link("b", 1, runState(2, worker.Ended, job.Done))
 	f.write()
-	f.is.Equal(f.Lookup(testID).State, job.Completed)
+	f.is.Equal(f.KnownState(testID).State, job.Completed)
 }
 
 // An agent with more tasks than one call to the store takes is given up. It must stay listed until all
@@ -255,7 +255,7 @@
 		owner.collect(owner.Tick(owner.now))
 		owner.now += maxRemovalDelay
 		owner.write()
-		owner.is.Equal(owner.Lookup(testID).Outcome, Absent)
+		owner.is.Equal(owner.KnownState(testID).Outcome, Absent)
 	}
 }
 
@@ -271,7 +271,7 @@
 	f.collect(f.Tick(f.now))
 	f.now += maxRemovalDelay
 	f.write()
-	f.is.Equal(f.Lookup(testID).Outcome, Absent)
+	f.is.Equal(f.KnownState(testID).Outcome, Absent)
 }
 
 // The store rejects the record of a restart. Until it has taken one, the task isn't started again and the
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -29,35 +29,47 @@
 	ReasonTimeLimit = "time_limit"
 	// ReasonOwnerChanged: the shard has another owner now.
 	ReasonOwnerChanged = "owner_changed"
+	// ReasonUnconfirmed: the shard may have another owner, and the store can't be asked now.
+	ReasonUnconfirmed = "owner_unconfirmed"
 )
 
 // Submit accepts a job, or refuses it at once if it can't be served in time. An accepted job is
 // replied to once its record is in the store, or, for a best-effort job, once it has ended. A job
-// that is known already is accepted again.
+// that is known already is accepted again once the store confirms this owner.
 func (s *Shard) Submit(now time.Duration, id job.ID, spec job.Spec, p job.Policy, reply func(Response)) Effects {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var fx Effects
+	s.answerLocked(now, &fx, reply, func(now time.Duration, fx *Effects) { s.submitLocked(now, fx, id, spec, p, reply) })
+	return fx
+}
+
+// answerLocked answers a request with do, unless the shard is closed.
+func (s *Shard) answerLocked(now time.Duration, fx *Effects, reply func(Response), do func(time.Duration, *Effects)) {
 	if s.closed {
 		fx.reply(reply, Response{Outcome: NotOwner, Reason: ReasonOwnerChanged})
-		return fx
+		return
 	}
+	do(now, fx)
+}
+
+func (s *Shard) submitLocked(now time.Duration, fx *Effects, id job.ID, spec job.Spec, p job.Policy, reply func(Response)) {
 	if j := s.jobs[id]; j != nil {
 		if j.rec.Spec.Digest != spec.Digest {
 			fx.reply(reply, Response{Outcome: Refused, Reason: ReasonIDConflict})
-			return fx
+			return
 		}
-		s.resubmitLocked(now, &fx, j, reply)
-		return fx
+		s.resubmitLocked(now, fx, j, reply)
+		return
 	}
 	a := s.admitLocked(now, &spec, &p)
 	s.countSubmissionLocked(now, p.Service, a.clientWaited > 0)
-	a = s.admitReturningLocked(now, &fx, id, &spec, &p, a)
+	a = s.admitReturningLocked(now, fx, id, &spec, &p, a)
 	if a.reason != "" {
-		a.retryAfter = s.retryAfterLocked(now, &fx, id, &spec, &p, a.retryAfter)
+		a.retryAfter = s.retryAfterLocked(now, fx, id, &spec, &p, a.retryAfter)
 		fx.reply(reply, Response{Outcome: Refused, Reason: a.reason, RetryAfter: a.retryAfter})
 		fx.log(Decision{Kind: "refused", Job: id, Reason: a.reason, Wait: a.retryAfter, Refusal: s.refusalLocked(now, &spec, &p, &a)})
-		return fx
+		return
 	}
 	s.fleet.grantShare(now, &spec, &p)
 	j := &jobState{
@@ -79,15 +91,14 @@
 		}
 		j.durable = true
 		fx.log(Decision{Kind: a.kind(), Job: id, Wait: j.due - now, Age: a.clientWaited})
-		s.dispatchLocked(now, &fx, j)
-		return fx
+		s.dispatchLocked(now, fx, j)
+		return
 	}
 	s.queued[p.Queue]++
 	if p.AtMostOnce {
-		s.noteAtMostOnceLocked(&fx)
+		s.noteAtMostOnceLocked(fx)
 	}
-	s.scheduleWriteLocked(&fx, j, now)
-	return fx
+	s.scheduleWriteLocked(fx, j, now)
 }
 
 func (s *Shard) resubmitLocked(now time.Duration, fx *Effects, j *jobState, to func(Response)) {
@@ -101,10 +112,17 @@
 		s.resumeLocked(now, fx, j)
 		return
 	}
-	if j.durable && !bestEffort || bestEffort && j.reportedState.Final() {
+	if bestEffort && j.reportedState.Final() {
 		fx.reply(reply, Response{Outcome: OK, State: j.reportedState})
 		return
 	}
+	if j.durable && !bestEffort {
+		deny := func(fx *Effects) { fx.reply(reply, Response{Outcome: Unknown, Reason: ReasonUnconfirmed}) }
+		s.confirmLocked(now, fx, deny, func(_ time.Duration, fx *Effects) {
+			fx.reply(reply, Response{Outcome: OK, State: j.reportedState})
+		})
+		return
+	}
 	j.waiters = append(j.waiters, reply)
 }
 
@@ -158,13 +176,39 @@
 	}
 }
 
-// Lookup returns a job's recorded state, and its results or failure.
-func (s *Shard) Lookup(id job.ID) Response {
+// Lookup replies with a job's recorded state, and its results or failure. It replies that there is no
+// such job once the store confirms this owner.
+func (s *Shard) Lookup(now time.Duration, id job.ID, reply func(Response)) Effects {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var fx Effects
+	s.answerLocked(now, &fx, reply, func(now time.Duration, fx *Effects) {
+		if v := s.stateLocked(id); v.Outcome != Absent {
+			fx.reply(reply, v)
+			return
+		}
+		s.replyAbsentLocked(now, fx, id, reply)
+	})
+	return fx
+}
+
+// replyAbsentLocked replies with the state of a job that is not known here, once the store confirms this
+// owner.
+func (s *Shard) replyAbsentLocked(now time.Duration, fx *Effects, id job.ID, reply func(Response)) {
+	s.confirmLocked(now, fx, replyNotOwner(reply), func(_ time.Duration, fx *Effects) { fx.reply(reply, s.stateLocked(id)) })
+}
+
+// KnownState returns a job's state as it is known here. A newer owner may know the job better.
+func (s *Shard) KnownState(id job.ID) Response {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		return Response{Outcome: NotOwner, Reason: ReasonOwnerChanged}
 	}
+	return s.stateLocked(id)
+}
+
+func (s *Shard) stateLocked(id job.ID) Response {
 	j := s.jobs[id]
 	if j == nil || !j.durable {
 		return Response{Outcome: Absent}
@@ -175,22 +219,22 @@
 	return jobResponse(j)
 }
 
-// Await replies when the job's end is recorded.
-func (s *Shard) Await(id job.ID, reply func(Response)) Effects {
+// Await replies when the job's end is recorded, or, once the store confirms this owner, that there is no
+// such job.
+func (s *Shard) Await(now time.Duration, id job.ID, reply func(Response)) Effects {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var fx Effects
-	j := s.jobs[id]
-	switch {
-	case s.closed:
-		fx.reply(reply, Response{Outcome: NotOwner, Reason: ReasonOwnerChanged})
-	case j == nil || !j.durable:
-		fx.reply(reply, Response{Outcome: Absent})
-	case j.reportedState.Final():
-		fx.reply(reply, jobResponse(j))
-	default:
-		j.watchers = append(j.watchers, reply)
-	}
+	s.answerLocked(now, &fx, reply, func(now time.Duration, fx *Effects) {
+		switch j := s.jobs[id]; {
+		case j == nil || !j.durable:
+			s.replyAbsentLocked(now, fx, id, reply)
+		case j.reportedState.Final():
+			fx.reply(reply, jobResponse(j))
+		default:
+			j.watchers = append(j.watchers, reply)
+		}
+	})
 	return fx
 }
 
@@ -203,30 +247,38 @@
 	return v
 }
 
-// Cancel cancels a job and replies when that is recorded.
+// Cancel cancels a job and replies when that is recorded, or, once the store confirms this owner, that
+// there is no such job.
 func (s *Shard) Cancel(now time.Duration, id job.ID, reply func(Response)) Effects {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var fx Effects
-	if s.closed {
-		fx.reply(reply, Response{Outcome: NotOwner, Reason: ReasonOwnerChanged})
-		return fx
-	}
-	j := s.jobs[id]
-	if j == nil {
-		fx.reply(reply, Response{Outcome: Absent})
-		return fx
-	}
+	s.answerLocked(now, &fx, reply, func(now time.Duration, fx *Effects) {
+		if s.jobs[id] != nil {
+			s.cancelLocked(now, fx, s.jobs[id], reply)
+			return
+		}
+		s.confirmLocked(now, fx, replyNotOwner(reply), func(now time.Duration, fx *Effects) {
+			if j := s.jobs[id]; j != nil {
+				s.cancelLocked(now, fx, j, reply)
+				return
+			}
+			fx.reply(reply, Response{Outcome: Absent})
+		})
+	})
+	return fx
+}
+
+func (s *Shard) cancelLocked(now time.Duration, fx *Effects, j *jobState, reply func(Response)) {
 	if j.reportedState.Final() {
 		fx.reply(reply, jobResponse(j))
-		return fx
+		return
 	}
 	j.cancelWaiters = append(j.cancelWaiters, reply)
 	if !j.rec.State.Final() {
-		fx.log(Decision{Kind: "cancelled", Job: id, Age: now - j.acceptedAt})
-		s.finishJobLocked(now, &fx, j, job.Cancelled)
+		fx.log(Decision{Kind: "cancelled", Job: j.rec.ID, Age: now - j.acceptedAt})
+		s.finishJobLocked(now, fx, j, job.Cancelled)
 	}
-	return fx
 }
 
 // Pending returns the number of a queue's accepted jobs of which no task has started.
--- a/coordination/owner/write.go
+++ b/coordination/owner/write.go
@@ -29,10 +29,13 @@
 	// Incarnations has the incarnations of these agents. It is written with the list unless it is
 	// nil.
 	Incarnations map[string][]worker.Incarnation
+	// question is the last question that the batch answers; zero: none. A batch without records asks
+	// the store only whether this owner was replaced.
+	question int64
 }
 
-// Empty reports whether there is nothing to write.
-func (b *Batch) Empty() bool { return len(b.Writes) == 0 && b.Agents == nil }
+// Empty reports whether there is no reason to call the store.
+func (b *Batch) Empty() bool { return len(b.Writes) == 0 && b.Agents == nil && b.question == 0 }
 
 // scheduleWriteLocked schedules the write of a job's record by a time.
 func (s *Shard) scheduleWriteLocked(fx *Effects, j *jobState, by time.Duration) {
@@ -76,6 +79,9 @@
 		b.Writes = append(b.Writes, s.takeWriteLocked(id))
 	}
 	s.dirty = slices.Clone(s.dirty[n:])
+	if s.asked > s.answered {
+		b.question = s.asked
+	}
 	return b
 }
 
@@ -87,7 +93,7 @@
 }
 
 func (s *Shard) writeDueLocked(now time.Duration) bool {
-	if s.agentsDirty {
+	if s.agentsDirty || s.asked > s.answered {
 		return true
 	}
 	for _, id := range s.dirty {
@@ -187,6 +193,7 @@
 	for i := range b.Writes {
 		s.writtenLocked(now, &fx, &b.Writes[i])
 	}
+	s.answeredLocked(now, &fx, b.question)
 	s.retrySuspectsLocked(now, &fx)
 	s.placeWaitingLocked(now, &fx)
 	return fx
@@ -238,6 +245,7 @@
 	defer s.mu.Unlock()
 	var fx Effects
 	s.storeUnavailable = true
+	s.denyLocked(&fx)
 	if b.Agents != nil {
 		s.agentsDirty = true
 	}
@@ -275,10 +283,13 @@
 
 // MarkStoreUnavailable notes that the store does not answer. New jobs are then refused at once
 // instead of waiting with an unknown outcome.
-func (s *Shard) MarkStoreUnavailable() {
+func (s *Shard) MarkStoreUnavailable() Effects {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var fx Effects
 	s.storeUnavailable = true
+	s.denyLocked(&fx)
+	return fx
 }
 
 // HasRecordWaiters reports whether a client waits for a record to be written.
--- /dev/null
+++ b/daemon/agent/membership_test.go
@@ -0,0 +1,126 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/coordination/owner"
+	"github.com/shallotstep/shallotstep/daemon/core"
+	"github.com/shallotstep/shallotstep/daemon/coretest"
+	wire "github.com/shallotstep/shallotstep/protocol/core"
+	"github.com/shallotstep/shallotstep/state/job"
+	"github.com/shallotstep/shallotstep/state/settings"
+	"github.com/shallotstep/shallotstep/state/store"
+)
+
+const (
+	// groupShard is the shard that memberStore assigns.
+	groupShard = 1
+	// otherJob belongs to groupShard.
+	otherJob job.ID = "00000000000000a1"
+)
+
+// memberStore is a store whose group has the memberships that a test sets, with one shard.
+type memberStore struct {
+	coretest.RejectingStore
+
+	mu sync.Mutex
+	// All fields below are guarded by mu.
+
+	membership store.Membership
+	epoch      int64
+	records    []store.Record
+}
+
+// assign sets the generation of the group and whether the shard is the agent's.
+func (s *memberStore) assign(generation int64, mine bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.membership = store.Membership{Generation: generation}
+	if mine {
+		s.membership.Partitions = []store.Partition{core.ShardSeries(groupSettings()).Partition(groupShard)}
+	}
+}
+
+// holdElsewhere has another owner open the shard in a generation and accept a job.
+func (s *memberStore) holdElsewhere(t *testing.T, generation int64) {
+	t.Helper()
+	value, err := wire.EncodeRecord(job.NewRecord(otherJob, job.Spec{Steps: []job.Step{{Count: 1}}}, job.Policy{Service: "desk"}, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch = generation * epochsPerGeneration
+	s.records = append(s.records, store.Record{Key: string(otherJob), Value: value})
+}
+
+func (s *memberStore) Join(context.Context, string, string, []string, time.Duration, int64) (store.Membership, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.membership, nil
+}
+
+func (s *memberStore) Append(_ context.Context, _ store.Partition, by *store.Producer, _ []store.Record) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if by.Epoch < s.epoch {
+		return 0, store.ErrFenced
+	}
+	s.epoch = by.Epoch
+	return 0, nil
+}
+
+func (s *memberStore) Newest(context.Context, store.Partition) ([]store.Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.records, 0, nil
+}
+
+func groupSettings() *settings.Settings {
+	s := coretest.Settings()
+	s.Role, s.Name = settings.RoleAgent, "a"
+	return s
+}
+
+// newMember returns an agent that has joined the group of a store in generation 5.
+func newMember(t *testing.T, st *memberStore) *Agent {
+	t.Helper()
+	a := New(groupSettings(), st, core.DrainSource{}, nil)
+	a.links, _ = fakeLinks(a, a.fleet)
+	st.assign(5, true)
+	join(t, a)
+	t.Cleanup(func() { a.release(nil) })
+	return a
+}
+
+func join(t *testing.T, a *Agent) {
+	t.Helper()
+	if _, err := a.joinOnce(t.Context(), 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (a *Agent) owns(shard int) func() bool { return func() bool { return a.shard(shard) != nil } }
+
+// lookup returns the agent's response to a request for otherJob.
+func (a *Agent) lookup() owner.Response {
+	got := make(chan owner.Response, 1)
+	a.Lookup(groupShard, otherJob, func(v owner.Response) { got <- v })
+	return <-got
+}
+
+// Guards against an answer without regard to an owner of which no join has told yet.
+func TestJobOfAnUnknownNewerOwnerIsNotAbsent(t *testing.T) {
+	is := is.New(t)
+	st := &memberStore{}
+	a := newMember(t, st)
+	coretest.Await(t, a.owns(groupShard))
+	is.Equal(a.lookup().Outcome, owner.Absent)
+	st.holdElsewhere(t, 6)
+	is.Equal(a.lookup().Outcome, owner.NotOwner)
+}
--- a/daemon/agent/requests.go
+++ b/daemon/agent/requests.go
@@ -58,18 +58,15 @@
 	}
 }
 
-// Lookup implements peer.AgentHandler.
-func (a *Agent) Lookup(shard int, id job.ID) owner.Response {
+// Lookup implements peer.AgentHandler. While the ownership is not confirmed, a job that is not known
+// here may be known to a newer owner.
+func (a *Agent) Lookup(shard int, id job.ID, reply func(owner.Response)) {
 	r := a.shard(shard)
-	if r == nil {
-		return responseNotOwner
-	}
-	resp := r.Shard.Lookup(id)
-	if resp.Outcome == owner.Absent && !a.ownershipConfirmed() {
-		// A newer owner may know the job.
-		return responseNotOwner
+	if r == nil || !a.ownershipConfirmed() && r.KnownState(id).Outcome == owner.Absent {
+		reply(responseNotOwner)
+		return
 	}
-	return resp
+	r.Step(func(now time.Duration) owner.Effects { return r.Shard.Lookup(now, id, reply) })
 }
 
 // Cancel implements peer.AgentHandler.
@@ -89,7 +86,7 @@
 		reply(responseNotOwner)
 		return
 	}
-	r.Step(func(time.Duration) owner.Effects { return r.Shard.Await(id, reply) })
+	r.Step(func(now time.Duration) owner.Effects { return r.Shard.Await(now, id, reply) })
 }
 
 // Pending implements peer.AgentHandler.
--- a/daemon/agent/shard.go
+++ b/daemon/agent/shard.go
@@ -133,7 +133,11 @@
 		r.Step(func(now time.Duration) owner.Effects { return r.Rejected(now, b, "encoding") })
 		return false
 	}
-	err = r.append(ctx, records)
+	if len(records) == 0 {
+		err = r.confirm(ctx)
+	} else {
+		err = r.append(ctx, records)
+	}
 	switch {
 	case err == nil:
 		r.storeUnavailable.Store(false)
@@ -144,12 +148,31 @@
 		r.Step(func(now time.Duration) owner.Effects { return r.Rejected(now, b, "store_rejected") })
 		_ = pause.For(ctx, probeInterval)
 	default:
-		klog.InfoS("Gave up a shard", "shard", r.ID, "epoch", r.Epoch, "err", err)
-		r.Step(func(time.Duration) owner.Effects { return r.Close() })
+		r.giveUp(err)
 	}
 	return false
 }
 
+// giveUp closes the shard because the store no longer accepts writes of this owner. The next join opens
+// it anew if the group still assigns it to this agent.
+func (r *shardRunner) giveUp(err error) {
+	klog.InfoS("Gave up a shard", "shard", r.ID, "epoch", r.Epoch, "err", err)
+	r.Step(func(time.Duration) owner.Effects { return r.Close() })
+}
+
+// confirm asks the store whether the shard has a newer owner, without writing anything. Its errors are
+// store.ErrFenced if there is one, and store.ErrRejected if that remains unknown.
+func (r *shardRunner) confirm(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, maxAppendTimeout)
+	defer cancel()
+	err := r.fence(ctx)
+	if err == nil || errors.Is(err, store.ErrFenced) {
+		return err
+	}
+	klog.InfoS("Could not confirm the ownership of a shard", "shard", r.ID, "epoch", r.Epoch, "err", err)
+	return store.ErrRejected
+}
+
 // probe checks whether a store that rejected the last write accepts writes again. If so,
 // the shard accepts new jobs.
 func (r *shardRunner) probe(ctx context.Context) {
@@ -244,7 +267,7 @@
 		r.agent.metrics.StoreRepeats.Inc()
 		if took > unavailableAfter {
 			r.storeUnavailable.Store(true)
-			r.MarkStoreUnavailable()
+			r.Step(func(time.Duration) owner.Effects { return r.MarkStoreUnavailable() })
 		}
 		klog.V(1).InfoS("Repeating a write", "shard", r.ID, "after", took, "err", err)
 		if errors.Is(err, store.ErrRejected) {
--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -148,7 +148,7 @@
 func (a *fakeAgent) Submit(_ int, _ job.ID, _ job.Spec, _ job.Policy, reply func(owner.Response)) {
 	reply(notOwner)
 }
-func (a *fakeAgent) Lookup(int, job.ID) owner.Response { return notOwner }
+func (a *fakeAgent) Lookup(_ int, _ job.ID, reply func(owner.Response)) { reply(notOwner) }
 func (a *fakeAgent) Cancel(_ int, _ job.ID, reply func(owner.Response)) {
 	reply(notOwner)
 }
--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -33,7 +33,7 @@
 }
 func (a *fakeAgent) CallerDown(*peer.Caller)                                        {}
 func (a *fakeAgent) BeforeSend(_ *peer.Caller, _ *corepb.FromAgent)                 {}
-func (a *fakeAgent) Lookup(int, job.ID) owner.Response                              { return owner.Response{} }
+func (a *fakeAgent) Lookup(int, job.ID, func(owner.Response))                       {}
 func (a *fakeAgent) Cancel(int, job.ID, func(owner.Response))                       {}
 func (a *fakeAgent) Await(int, job.ID, func(owner.Response))                        {}
 func (a *fakeAgent) Pending(string) owner.Response                                  { return owner.Response{} }
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -32,7 +32,7 @@
 	BeforeSend(c *Caller, f *corepb.FromAgent)
 	// Submit, Lookup, Cancel and Pending are calls to an owner.
 	Submit(shard int, id job.ID, spec job.Spec, p job.Policy, reply func(owner.Response))
-	Lookup(shard int, id job.ID) owner.Response
+	Lookup(shard int, id job.ID, reply func(owner.Response))
 	Cancel(shard int, id job.ID, reply func(owner.Response))
 	Pending(queue string) owner.Response
 	// Await calls reply when the job has ended.
@@ -149,8 +149,10 @@
 }
 
 // Lookup implements corepb.CoreServer.
-func (s *Server) Lookup(_ context.Context, p *corepb.Question) (*corepb.Verdict, error) {
-	return core.ResponseToWire(s.handler.Lookup(int(p.GetShard()), job.ID(p.GetId()))), nil
+func (s *Server) Lookup(ctx context.Context, p *corepb.Question) (*corepb.Verdict, error) {
+	return awaitReply(ctx, func(reply func(owner.Response)) {
+		s.handler.Lookup(int(p.GetShard()), job.ID(p.GetId()), reply)
+	})
 }
 
 // Cancel implements corepb.CoreServer.
