Settle the end of an unknown job only for an owner that the store confirms

An agent could acknowledge the end of a run of an accepted job of which its owner had no record yet. That owner would start the task again.

Cause: an owner that finds an ended run of a job that it doesn't know settled it at once. A former owner, which hasn't heard yet that it was replaced, may claim an agent that has just restarted and knows no epochs, and finds there the ends of jobs that only its successor has accepted.

Evidence: TestEndOfAnUnknownJobIsSettledOnceConfirmed fails before: one settlement at once, none expected.

Change: such an end is settled after a write that the store has accepted from this owner, an empty one if none is due. While the store rejects writes it stays, and the agent goes on to report it.

--- a/coordination/owner/confirm_test.go
+++ b/coordination/owner/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/shallotstep/shallotstep/coordination/worker"
 	"github.com/shallotstep/shallotstep/state/job"
 )
 
@@ -69,3 +70,15 @@
 	f.write()
 	f.is.Equal((*got)[0].Outcome, OK)
 }
+
+// Guards against acknowledging the end of a job that a newer owner has accepted and not recorded yet.
+func TestEndOfAnUnknownJobIsSettledOnceConfirmed(t *testing.T) {
+	f := newFixture(t, nil, nil, "a")
+	ended := runState(1, worker.Ended, job.Done)
+	f.link("a", 2, ended)
+	f.is.Equal(len(f.settled), 0)
+	f.collect(f.Rejected(f.now, f.NextBatch(f.now), "busy"))
+	f.is.Equal(len(f.settled), 0)
+	f.write()
+	f.is.Equal(f.settled, []Addressed[Settlement]{{Node: "a", Value: Settlement{Run: ended.Run}}})
+}
--- a/coordination/owner/events.go
+++ b/coordination/owner/events.go
@@ -65,7 +65,7 @@
 		return
 	}
 	if t == nil || t.phase == finished || t.phase == idle || t.number != r.Run.Number || t.node != node {
-		s.supersededLocked(fx, node, r, j)
+		s.supersededLocked(now, fx, node, r, j)
 		return
 	}
 	if t.phase == stopping && j.rec.Policy.AtMostOnce && s.unrecordedEndLocked(j, r.Run) != nil {
--- a/coordination/owner/reconcile.go
+++ b/coordination/owner/reconcile.go
@@ -41,11 +41,11 @@
 		return
 	}
 	if t == nil || t.phase == finished || t.phase == stopping {
-		s.supersededLocked(fx, node, r, j)
+		s.supersededLocked(now, fx, node, r, j)
 		return
 	}
 	if t.phase == inDoubt && r.Run.Number < t.firstCounted {
-		s.supersededLocked(fx, node, r, j)
+		s.supersededLocked(now, fx, node, r, j)
 		return
 	}
 	if t.deferredEnd != nil && r.Run.Number < t.deferredEnd.Value.Run.Number {
@@ -69,7 +69,7 @@
 			s.stopRunLocked(fx, t.node, job.RunID{Task: r.Run.Task, Number: t.number})
 			adopt = true
 		} else {
-			s.supersededLocked(fx, node, r, j)
+			s.supersededLocked(now, fx, node, r, j)
 			return
 		}
 	}
@@ -127,12 +127,20 @@
 }
 
 // supersededLocked settles or stops a run that no longer counts.
-func (s *Shard) supersededLocked(fx *Effects, node string, r worker.RunState, j *jobState) {
+func (s *Shard) supersededLocked(now time.Duration, fx *Effects, node string, r worker.RunState, j *jobState) {
 	if j == nil && (s.private || r.Status != worker.Ended) {
 		// It may be a best-effort job of another owner, which knows it. If it has no owner, the
 		// agent stops it.
 		return
 	}
+	if j == nil {
+		// A newer owner may know the job. If its end were acknowledged without a record of it, that
+		// owner would start the task again.
+		s.confirmLocked(now, fx, nil, func(_ time.Duration, fx *Effects) {
+			fx.settle(node, Settlement{Run: r.Run, Void: s.mustVoidLocked(s.jobs[r.Run.Task.Job], r)})
+		})
+		return
+	}
 	if r.Status == worker.Ended {
 		settlement := Settlement{Run: r.Run, Void: s.mustVoidLocked(j, r)}
 		if t := s.unrecordedEndLocked(j, r.Run); t != nil {
