Ask the store about a shard that another agent may have owned in between

Cause, from the trace of a failing run, shard 3, seconds from the start of the first agent: 9.6 the store turns agent A away; 10.8 its membership expires; B opens the shard with epoch 196608. 11.5 B accepts the job. 14.1 the store serves A again, and B's membership has expired: A's join lists all shards in generation 5, where its last one had generation 2. A has no line "Took a shard over" for shard 3: it goes on with epoch 65536 and with the state from before. 16.5 B joins and releases the shard. 18.7 the run of the job is stopped, since no owner claims it. 22.8 A: "Lookup" outcome="absent". A kept each shard that was open and listed. The time for which it had been no member was below RenewLimit, 6 s, after which it would have closed them, and the join that brought the shard back confirmed it as well.

Ruled out by the trace: entries that ask the wrong owner (the group named A, and no other agent had the shard open); an incomplete read by a new owner (none opened the shard); a record that was never written (B's append was acknowledged, and a case that opens the shard anew finds the job). Ruled out as mends: closing shards once a membership may have expired, which opens shards anew after each short refusal and doesn't help if a group deals them away and back between two joins; opening anew whenever the generation has changed, which does so whenever an agent comes.

Change: the agent tracks the generation of its joins. A partition can only have been another member's in between if the group has changed at least twice, and each change increases the generation. In that case, and in no other, the open shard is suspected: an empty append under its epoch asks the store whether a newer owner has fenced it. If so, the shard is closed and opened anew by a join that follows at once; if not, it goes on as it is. Until the store has answered, the shard answers no request, is claimed at no agent and starts nothing again. The store tells, not a time.

TestShardThatNobodyElseHeldStaysOpen: no call more after one change of the group, one append and no read after two.

--- a/coordination/owner/confirm.go
+++ b/coordination/owner/confirm.go
@@ -29,6 +29,25 @@
 	fx.Write = true
 }
 
+// Suspect notes that another owner may have held the shard since it was opened here. Until the store
+// has accepted a write, no request is answered from its state.
+func (s *Shard) Suspect() Effects {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	s.suspectedAt = s.asked
+	return Effects{Write: true}
+}
+
+// Suspected reports whether another owner may have held the shard since it was opened here.
+func (s *Shard) Suspected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspectedLocked()
+}
+
+func (s *Shard) suspectedLocked() bool { return s.suspectedAt > s.answered }
+
 // answeredLocked carries out what has waited for a batch that the store has accepted.
 func (s *Shard) answeredLocked(now time.Duration, fx *Effects, question int64) {
 	s.answered = max(s.answered, question)
--- a/coordination/owner/confirm_test.go
+++ b/coordination/owner/confirm_test.go
@@ -71,6 +71,53 @@
 	f.is.Equal((*got)[0].Outcome, OK)
 }
 
+// Guards against serving the state from before another owner has held the shard.
+func TestSuspectedShardAnswersOnceConfirmed(t *testing.T) {
+	f := newFixture(t, recordedJobs(), nil, "a")
+	f.submit("00000000000000bb", steps(1))
+	earlier := f.NextBatch(f.now)
+	f.collect(f.Suspect())
+	responses := []*[]Response{
+		f.submit("00000000000000cc", steps(1)), f.submit(testID, steps(1)), f.cancel(testID),
+		f.ask(func(f *fixture, reply func(Response)) Effects { return f.Lookup(f.now, testID, reply) }),
+	}
+	f.collect(f.Written(f.now, earlier)) // it was sent before
+	f.is.True(f.Suspected())
+	for _, got := range responses {
+		f.is.Equal(len(*got), 0)
+	}
+	f.collect(f.Close())
+	for _, got := range responses {
+		f.is.Equal(len(*got), 1)
+		f.is.True((*got)[0].Outcome == NotOwner || (*got)[0].Outcome == Unknown)
+	}
+}
+
+// Guards against opening a shard anew that nobody else has held.
+func TestSuspicionEndsWithTheNextWrite(t *testing.T) {
+	f := newFixture(t, recordedJobs(), nil, "a")
+	f.collect(f.Suspect())
+	got := f.cancel(testID)
+	f.write()
+	f.is.True(!f.Suspected())
+	f.write()
+	f.is.Equal((*got)[0].Outcome, OK)
+	f.is.True(!f.WriteDue(f.now)) // nothing more is asked
+}
+
+// Guards against starting tasks of unreachable agents elsewhere that a newer owner has adopted.
+func TestSuspectedOwnerStartsNothingAgain(t *testing.T) {
+	f := newFixture(t, nil, nil, "a", "b")
+	f.submit(testID, steps(1))
+	f.write()
+	f.LinkLost(f.now, f.orders[0].Node, 1)
+	f.collect(f.Suspect())
+	f.now += testBounds.LostLinkTimeout
+	f.collect(f.Tick(f.now))
+	f.write()
+	f.is.Equal(len(f.orders), 1)
+}
+
 // Guards against acknowledging the end of a job that a newer owner has accepted and not recorded yet.
 func TestEndOfAnUnknownJobIsSettledOnceConfirmed(t *testing.T) {
 	f := newFixture(t, nil, nil, "a")
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -261,6 +261,8 @@
 	// store has accepted.
 	confirming      []confirmation
 	asked, answered int64
+	// suspectedAt is the question whose answer shows that no other owner has held the shard.
+	suspectedAt int64
 	// closed is set once another owner has taken over.
 	closed bool
 }
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -44,13 +44,17 @@
 	return fx
 }
 
-// answerLocked answers a request with do, unless the shard is closed.
+// answerLocked answers a request with do. If another owner may have held the shard, the store is asked
+// first.
 func (s *Shard) answerLocked(now time.Duration, fx *Effects, reply func(Response), do func(time.Duration, *Effects)) {
-	if s.closed {
+	switch {
+	case s.closed:
 		fx.reply(reply, Response{Outcome: NotOwner, Reason: ReasonOwnerChanged})
-		return
+	case s.suspectedLocked():
+		s.confirmLocked(now, fx, replyNotOwner(reply), do)
+	default:
+		do(now, fx)
 	}
-	do(now, fx)
 }
 
 func (s *Shard) submitLocked(now time.Duration, fx *Effects, id job.ID, spec job.Spec, p job.Policy, reply func(Response)) {
--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/coordination/assignment"
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/shares"
 	"github.com/shallotstep/shallotstep/coordination/subset"
@@ -93,6 +94,8 @@
 	registered atomic.Pointer[core.Registration]
 	// offerUpdates is signalled when the registration of this agent may have changed.
 	offerUpdates chan struct{}
+	// rejoin is signalled when the agent has given a shard up, which the group may still assign to it.
+	rejoin chan struct{}
 	// isMember is set once the agent has offered to own shards.
 	isMember atomic.Bool
 	// shardAcquired is signalled when the agent gets a shard. Without shards it needs no links to
@@ -107,6 +110,8 @@
 	shards map[int]*shardRunner
 	// opening has the shards that are being opened.
 	opening map[int]bool
+	// assigned has the shards that the group has assigned to this agent.
+	assigned assignment.Tracker
 	// shardCallers has, by shard, the caller whose claim was accepted last. Events of the
 	// shard's runs go to it.
 	shardCallers map[int]*peer.Caller
@@ -141,7 +146,7 @@
 		sums:          shares.NewSums(),
 	}
 	a.store = a.metrics.CountCalls(st)
-	a.offerUpdates, a.shardAcquired = make(chan struct{}, 1), make(chan struct{}, 1)
+	a.offerUpdates, a.shardAcquired, a.rejoin = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
 	a.drains = core.NewDrainWatch(drains, a.applyDrains)
 	a.metrics.WatchDrains(a.drains)
 	a.server = peer.NewServer(a)
--- a/daemon/agent/membership.go
+++ b/daemon/agent/membership.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/store"
@@ -46,11 +48,10 @@
 	}
 	tick := time.NewTicker(core.JoinInterval)
 	defer tick.Stop()
-	var generation int64
 	lost := false
 	for {
 		if !a.draining() {
-			next, err := a.joinOnce(ctx, generation)
+			err := a.joinOnce(ctx)
 			if err == nil && lost {
 				klog.InfoS("The group is reachable again")
 			}
@@ -58,9 +59,7 @@
 				klog.InfoS("Lost the group", "err", err)
 			}
 			lost = err != nil
-			if err == nil {
-				generation = next
-			} else if bootclock.Now()-a.joinedAt.Get() > core.RenewLimit {
+			if err != nil && bootclock.Now()-a.joinedAt.Get() > core.RenewLimit {
 				// An owner must not renew its runs for longer: the time for which
 				// the next owner waits for agents that it can't reach depends on it.
 				a.release(nil)
@@ -70,6 +69,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-a.rejoin:
 		case <-tick.C:
 		}
 	}
@@ -104,44 +104,82 @@
 // joinTimeout is the timeout of a join. It allows for the answer of a slow store.
 const joinTimeout = 700 * time.Millisecond
 
-func (a *Agent) joinOnce(ctx context.Context, generation int64) (int64, error) {
+// joinOnce joins the group or renews the membership, closes the shards that are not assigned to this
+// agent and opens those that are.
+func (a *Agent) joinOnce(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	sent := bootclock.Now()
 	shards := core.ShardSeries(a.settings)
+	generation := a.generation()
 	m, err := a.store.Join(call, core.OwnersGroup, a.member, shards.TopicNames(), a.membershipTTL(), generation)
 	if err != nil {
-		return generation, err
+		return err
 	}
-	a.joinedAt.Set(sent)
 	if m.Generation != generation {
 		klog.InfoS("The group has changed", "generation", m.Generation, "shards", len(m.Partitions))
 	}
-	mine := make(map[int]bool, len(m.Partitions))
+	var mine []int
 	for _, p := range m.Partitions {
 		if id, ok := shards.Number(p); ok {
-			mine[id] = true
+			mine = append(mine, id)
 		}
 	}
+	a.suspect(a.noteAssigned(m.Generation, mine))
+	// Shards that another owner may have held must not count as confirmed by this join.
+	a.joinedAt.Set(sent)
 	a.release(mine)
 	if a.claimsPending.Swap(false) {
 		for _, r := range a.ownedShards() {
 			a.claimEverywhere(r)
 		}
 	}
-	for id := range mine {
+	for _, id := range mine {
 		a.acquire(ctx, id, m.Generation)
 	}
-	return m.Generation, nil
+	return nil
+}
+
+// generation returns the generation of the group that the last join has returned.
+func (a *Agent) generation() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.assigned.Generation()
+}
+
+// noteAssigned notes the shards that a join has returned. It returns those that another owner may have
+// held since the join before.
+func (a *Agent) noteAssigned(generation int64, shards []int) []int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.assigned.Joined(generation, shards)
+}
+
+// suspect has the store asked whether shards that are open here have a newer owner. An agent whose
+// membership has expired may get a shard back that another one has written to.
+func (a *Agent) suspect(shards []int) {
+	var open []*shardRunner
+	a.mu.Lock()
+	for _, id := range shards {
+		if r := a.shards[id]; r != nil {
+			open = append(open, r)
+		}
+	}
+	a.mu.Unlock()
+	for _, r := range open {
+		klog.InfoS("Another agent may have owned a shard", "shard", r.ID, "epoch", r.Epoch)
+		r.Step(func(time.Duration) owner.Effects { return r.Suspect() })
+	}
+	a.metrics.SuspectedShards.Add(float64(len(open)))
 }
 
 // release closes the shards that are not in keep. The next join lets the group assign
 // them to their new owners.
-func (a *Agent) release(keep map[int]bool) {
+func (a *Agent) release(keep []int) {
 	var gone []*shardRunner
 	a.mu.Lock()
 	for id, r := range a.shards {
-		if !keep[id] || r.Closed() {
+		if !slices.Contains(keep, id) || r.Closed() {
 			gone = append(gone, r)
 			delete(a.shards, id)
 		}
@@ -204,13 +242,23 @@
 // claimEverywhere claims a shard at all linked agents.
 func (a *Agent) claimEverywhere(r *shardRunner) {
 	for node, session := range a.linkedAgents() {
-		claims := r.LinkUp(node, session)
+		claims := a.claim(r, node, session)
 		if len(claims) > 0 {
 			a.links.Send(node, func(f *corepb.ToAgent) { f.Claims = append(f.Claims, claims...) })
 		}
 	}
 }
 
+// claim returns the claims of a shard for a new link. A shard that another owner may have held is claimed
+// after a later join: its agents would settle ends that only that owner knows.
+func (a *Agent) claim(r *shardRunner, node string, session int64) []*corepb.Claim {
+	if r.Suspected() {
+		a.claimsPending.Store(true)
+		return nil
+	}
+	return r.LinkUp(node, session)
+}
+
 // leave releases all shards and leaves the group. Before that it waits, within bounds,
 // for the records that clients wait for.
 func (a *Agent) leave(ctx context.Context) {
--- a/daemon/agent/membership_test.go
+++ b/daemon/agent/membership_test.go
@@ -34,6 +34,9 @@
 	membership store.Membership
 	epoch      int64
 	records    []store.Record
+	// calls counts the calls by name, and rejects makes all appends fail.
+	calls   map[string]int
+	rejects bool
 }
 
 // assign sets the generation of the group and whether the shard is the agent's.
@@ -59,6 +62,18 @@
 	s.records = append(s.records, store.Record{Key: string(otherJob), Value: value})
 }
 
+func (s *memberStore) setRejects(rejects bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejects = rejects
+}
+
+func (s *memberStore) count(call string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[call]
+}
+
 func (s *memberStore) Join(context.Context, string, string, []string, time.Duration, int64) (store.Membership, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -68,7 +83,11 @@
 func (s *memberStore) Append(_ context.Context, _ store.Partition, by *store.Producer, _ []store.Record) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if by.Epoch < s.epoch {
+	s.calls["append"]++
+	switch {
+	case s.rejects:
+		return 0, store.ErrRejected
+	case by.Epoch < s.epoch:
 		return 0, store.ErrFenced
 	}
 	s.epoch = by.Epoch
@@ -78,6 +97,7 @@
 func (s *memberStore) Newest(context.Context, store.Partition) ([]store.Record, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls["newest"]++
 	return s.records, 0, nil
 }
 
@@ -90,6 +110,7 @@
 // newMember returns an agent that has joined the group of a store in generation 5.
 func newMember(t *testing.T, st *memberStore) *Agent {
 	t.Helper()
+	st.calls = make(map[string]int)
 	a := New(groupSettings(), st, core.DrainSource{}, nil)
 	a.links, _ = fakeLinks(a, a.fleet)
 	st.assign(5, true)
@@ -100,7 +121,7 @@
 
 func join(t *testing.T, a *Agent) {
 	t.Helper()
-	if _, err := a.joinOnce(t.Context(), 0); err != nil {
+	if err := a.joinOnce(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -114,6 +135,23 @@
 	return <-got
 }
 
+// Guards against serving a shard that came back with the state from before another agent has held it.
+func TestShardHeldElsewhereInBetweenIsOpenedAnew(t *testing.T) {
+	st := &memberStore{}
+	a := newMember(t, st)
+	coretest.Await(t, a.owns(groupShard))
+	st.holdElsewhere(t, 6)
+	st.assign(7, true)
+	coretest.Await(t, func() bool {
+		join(t, a)
+		v := a.lookup()
+		if v.Outcome == owner.Absent {
+			t.Fatal("a job that the other owner has accepted is said not to exist")
+		}
+		return v.Outcome == owner.OK
+	})
+}
+
 // Guards against an answer without regard to an owner of which no join has told yet.
 func TestJobOfAnUnknownNewerOwnerIsNotAbsent(t *testing.T) {
 	is := is.New(t)
@@ -124,3 +162,38 @@
 	st.holdElsewhere(t, 6)
 	is.Equal(a.lookup().Outcome, owner.NotOwner)
 }
+
+// Guards against opening a shard anew, or asking the store, without need.
+func TestShardThatNobodyElseHeldStaysOpen(t *testing.T) {
+	is := is.New(t)
+	st := &memberStore{}
+	a := newMember(t, st)
+	coretest.Await(t, a.owns(groupShard))
+	r := a.shard(groupShard)
+	st.assign(6, true)
+	join(t, a)
+	is.Equal(st.count("append"), 1) // of the opening
+	st.assign(8, true)
+	join(t, a)
+	coretest.Await(t, func() bool { return !r.Suspected() })
+	join(t, a)
+	is.Equal(st.count("append"), 2)
+	is.Equal(st.count("newest"), 1)
+	is.Equal(a.shard(groupShard), r)
+}
+
+// Guards against claiming runs for an owner that another one may have replaced.
+func TestSuspectedShardIsNotClaimed(t *testing.T) {
+	is := is.New(t)
+	st := &memberStore{}
+	a := newMember(t, st)
+	coretest.Await(t, a.owns(groupShard))
+	st.setRejects(true)
+	st.assign(7, true)
+	join(t, a)
+	is.Equal(len(a.LinkUp("b", 1).Claims), 0)
+	st.setRejects(false)
+	coretest.Await(t, func() bool { return !a.shard(groupShard).Suspected() })
+	join(t, a)
+	is.Equal(len(a.shard(groupShard).LinkUp("b", 1)), 0) // the join has claimed it
+}
--- a/daemon/agent/serve.go
+++ b/daemon/agent/serve.go
@@ -145,7 +145,7 @@
 		return out
 	}
 	for _, r := range a.ownedShards() {
-		out.Claims = append(out.Claims, r.LinkUp(node, session)...)
+		out.Claims = append(out.Claims, a.claim(r, node, session)...)
 	}
 	return out
 }
--- a/daemon/agent/shard.go
+++ b/daemon/agent/shard.go
@@ -158,6 +158,10 @@
 func (r *shardRunner) giveUp(err error) {
 	klog.InfoS("Gave up a shard", "shard", r.ID, "epoch", r.Epoch, "err", err)
 	r.Step(func(time.Duration) owner.Effects { return r.Close() })
+	select {
+	case r.agent.rejoin <- struct{}{}:
+	default:
+	}
 }
 
 // confirm asks the store whether the shard has a newer owner, without writing anything. Its errors are
