Don't serve a shard that was released while it was being opened

An owner could serve a shard that the group had assigned to another agent, or that a planned stop had given up, until its next join or its end: with an old state, and claiming its runs.

Cause: release closed the open shards only. One that was still being opened, which takes seconds with a slow store, was added to them once it was ready, whatever had happened meanwhile. After a drain no join came any more that would have closed it. A shard that another agent had held during the opening was kept in the same way.

Evidence: TestShardReleasedWhileItIsOpenedIsNotServed (a rebalance and a drain) and TestShardHeldElsewhereWhileItIsOpenedIsOpenedAnew fail before: "the shard is served", and no newer epoch within a minute.

Change: an opening notes that the shard was released or may have been held elsewhere since it began. In the first case the shard is closed when it is ready, in the second it is suspected.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -109,7 +109,7 @@
 
 	shards map[int]*shardRunner
 	// opening has the shards that are being opened.
-	opening map[int]bool
+	opening map[int]*opening
 	// assigned has the shards that the group has assigned to this agent.
 	assigned assignment.Tracker
 	// shardCallers has, by shard, the caller whose claim was accepted last. Events of the
@@ -139,7 +139,7 @@
 		snapshots:     newSnapshots(),
 		fleet:         owner.NewFleet(s.Bounds.RemoteFactor, core.OwnerParams(s), rand.Uint64()),
 		shards:        make(map[int]*shardRunner),
-		opening:       make(map[int]bool),
+		opening:       make(map[int]*opening),
 		shardCallers:  make(map[int]*peer.Caller),
 		callerStates:  make(map[*peer.Caller]*callerState),
 		linkSessions:  make(map[string]int64),
--- a/daemon/agent/membership.go
+++ b/daemon/agent/membership.go
@@ -155,14 +155,16 @@
 	return a.assigned.Joined(generation, shards)
 }
 
-// suspect has the store asked whether shards that are open here have a newer owner. An agent whose
-// membership has expired may get a shard back that another one has written to.
+// suspect has the store asked whether shards that are open here, or are being opened, have a newer owner.
+// An agent whose membership has expired may get a shard back that another one has written to.
 func (a *Agent) suspect(shards []int) {
 	var open []*shardRunner
 	a.mu.Lock()
 	for _, id := range shards {
 		if r := a.shards[id]; r != nil {
 			open = append(open, r)
+		} else if o := a.opening[id]; o != nil {
+			o.suspected = true
 		}
 	}
 	a.mu.Unlock()
@@ -173,8 +175,8 @@
 	a.metrics.SuspectedShards.Add(float64(len(open)))
 }
 
-// release closes the shards that are not in keep. The next join lets the group assign
-// them to their new owners.
+// release closes the shards that are not in keep, also those that are still being opened. The next join
+// lets the group assign them to their new owners.
 func (a *Agent) release(keep []int) {
 	var gone []*shardRunner
 	a.mu.Lock()
@@ -184,6 +186,9 @@
 			delete(a.shards, id)
 		}
 	}
+	for id, o := range a.opening {
+		o.released = o.released || !slices.Contains(keep, id)
+	}
 	a.mu.Unlock()
 	for _, r := range gone {
 		r.close()
@@ -202,35 +207,40 @@
 	return maps.Clone(a.linkSessions)
 }
 
+// opening is a shard that is being opened. Its fields are guarded by Agent.mu.
+type opening struct {
+	// released is set once the group no longer assigns the shard to this agent, and suspected once
+	// another owner may have held it since the opening began.
+	released, suspected bool
+}
+
 // acquire opens a shard in the background, unless it is open or being opened, or the agent
 // is draining.
 func (a *Agent) acquire(ctx context.Context, id int, generation int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.shards[id] != nil || a.opening[id] || a.drainStarted {
+	if a.shards[id] != nil || a.opening[id] != nil || a.drainStarted {
 		return
 	}
-	a.opening[id] = true
+	o := &opening{}
+	a.opening[id] = o
 	a.signalShard()
 	epoch := a.epochs.next(id, generation)
 	go func() {
 		r, err := a.openShard(ctx, id, epoch)
-		if err == nil && r.MayHaveRuns() {
-			a.links.Open()
-		}
-		a.mu.Lock()
-		delete(a.opening, id)
-		switch {
-		case err == nil:
-			a.shards[id] = r
-		case errors.Is(err, store.ErrFenced):
-			a.epochs.fenced(id)
-		}
-		a.mu.Unlock()
 		if err != nil {
+			a.openingFailed(id, err)
 			klog.InfoS("A shard can't be taken over yet", "shard", id, "epoch", epoch, "err", err)
 			return
 		}
+		if r.MayHaveRuns() {
+			a.links.Open()
+		}
+		if !a.opened(r, o) {
+			klog.InfoS("A shard was released while it was opened", "shard", id, "epoch", epoch)
+			r.close()
+			return
+		}
 		// The agents that may have runs of the shard are linked at once, because the
 		// shard's jobs wait for their answers.
 		a.links.Reconcile(bootclock.Now())
@@ -239,6 +249,32 @@
 	}()
 }
 
+func (a *Agent) openingFailed(id int, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.opening, id)
+	if errors.Is(err, store.ErrFenced) {
+		a.epochs.fenced(id)
+	}
+}
+
+// opened makes a shard one of those that are open here. It returns false if the shard was released
+// meanwhile: another agent may own it by now.
+func (a *Agent) opened(r *shardRunner, o *opening) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.opening, r.ID)
+	if o.released || a.drainStarted {
+		return false
+	}
+	if o.suspected {
+		r.Suspect()
+		r.Signal()
+	}
+	a.shards[r.ID] = r
+	return true
+}
+
 // claimEverywhere claims a shard at all linked agents.
 func (a *Agent) claimEverywhere(r *shardRunner) {
 	for node, session := range a.linkedAgents() {
--- a/daemon/agent/membership_test.go
+++ b/daemon/agent/membership_test.go
@@ -37,6 +37,8 @@
 	// calls counts the calls by name, and rejects makes all appends fail.
 	calls   map[string]int
 	rejects bool
+	// reading, if set, is received from before a read returns.
+	reading chan struct{}
 }
 
 // assign sets the generation of the group and whether the shard is the agent's.
@@ -96,8 +98,14 @@
 
 func (s *memberStore) Newest(context.Context, store.Partition) ([]store.Record, int64, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.calls["newest"]++
+	reading := s.reading
+	s.mu.Unlock()
+	if reading != nil {
+		<-reading
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.records, 0, nil
 }
 
@@ -197,3 +205,54 @@
 	join(t, a)
 	is.Equal(len(a.shard(groupShard).LinkUp("b", 1)), 0) // the join has claimed it
 }
+
+// Guards against serving a shard that was assigned to another agent while it was being opened here.
+func TestShardReleasedWhileItIsOpenedIsNotServed(t *testing.T) {
+	for name, release := range map[string]func(*testing.T, *Agent, *memberStore){
+		"rebalance": func(t *testing.T, a *Agent, st *memberStore) {
+			st.assign(6, false)
+			join(t, a)
+		},
+		"drain": func(t *testing.T, a *Agent, _ *memberStore) {
+			a.isMember.Store(true)
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			a.Drain(ctx)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			st := &memberStore{reading: make(chan struct{})}
+			a := newMember(t, st)
+			release(t, a, st)
+			close(st.reading)
+			coretest.Await(t, func() bool {
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				return a.opening[groupShard] == nil
+			})
+			if a.shard(groupShard) != nil {
+				t.Error("the shard is served")
+			}
+		})
+	}
+}
+
+// Guards against keeping a shard that another agent has held while it was being opened here.
+func TestShardHeldElsewhereWhileItIsOpenedIsOpenedAnew(t *testing.T) {
+	st := &memberStore{reading: make(chan struct{})}
+	a := newMember(t, st)
+	coretest.Await(t, func() bool { return st.count("newest") == 1 })
+	st.assign(7, true)
+	join(t, a)
+	st.mu.Lock()
+	reading := st.reading
+	st.reading = nil
+	st.epoch = 6 * epochsPerGeneration
+	st.mu.Unlock()
+	close(reading)
+	coretest.Await(t, func() bool {
+		join(t, a)
+		r := a.shard(groupShard)
+		return r != nil && r.Epoch >= 7*epochsPerGeneration
+	})
+}
