Give a shard up when a probe of the store shows a newer owner

An owner that was replaced while the store turned it away went on until a record had to be written: its agents' runs kept their leases, and its entries asked it.

Cause: after a rejected write the owner probes the store with an empty append. It took the answer that a newer epoch owns the partition for one more rejection.

Evidence: TestProbeEndsAReplacedOwner fails before: still open after a minute.

Change: that answer closes the shard, as it does for a write.

--- a/daemon/agent/membership_test.go
+++ b/daemon/agent/membership_test.go
@@ -256,3 +256,14 @@
 		return r != nil && r.Epoch >= 7*epochsPerGeneration
 	})
 }
+
+// Guards against an owner that goes on although a probe of the store shows that it was replaced.
+func TestProbeEndsAReplacedOwner(t *testing.T) {
+	st := &memberStore{}
+	a := newMember(t, st)
+	coretest.Await(t, a.owns(groupShard))
+	r := a.shard(groupShard)
+	r.storeUnavailable.Store(true)
+	st.holdElsewhere(t, 6)
+	coretest.Await(t, r.Closed)
+}
--- a/daemon/agent/shard.go
+++ b/daemon/agent/shard.go
@@ -178,14 +178,17 @@
 }
 
 // probe checks whether a store that rejected the last write accepts writes again. If so,
-// the shard accepts new jobs.
+// the shard accepts new jobs. It gives the shard up if that has a newer owner by now.
 func (r *shardRunner) probe(ctx context.Context) {
 	_ = pause.For(ctx, probeInterval)
-	if err := r.fence(ctx); err != nil {
-		return
+	err := r.fence(ctx)
+	switch {
+	case err == nil:
+		r.storeUnavailable.Store(false)
+		r.Step(func(now time.Duration) owner.Effects { return r.Written(now, owner.Batch{}) })
+	case errors.Is(err, store.ErrFenced):
+		r.giveUp(err)
 	}
-	r.storeUnavailable.Store(false)
-	r.Step(func(now time.Duration) owner.Effects { return r.Written(now, owner.Batch{}) })
 }
 
 // throttle delays a write so that all owners together stay below the store's limit of
