Model: owners turned away in turn, and shards that come back

Each takeover was by a new process, and a former owner only went on until it noticed. So nobody could serve an old state as the confirmed owner, and clients asked the newest owner alone for the states of jobs.

Now the group deals a shard back to an earlier owner that hasn't given it up, between two of its joins or after its membership has expired; the store turns owners away one after the other, among the other faults and, in a tenth of the worlds, alone; clients also ask, and cancel at, the owner that an entry takes for the newest one. In half of those worlds nobody asks after the last fault, so that an owner has to find out by itself.

--- a/coordination/model/client_test.go
+++ b/coordination/model/client_test.go
@@ -142,27 +142,56 @@
 }
 
 func (c *client) cancel(id job.ID) {
-	if o := c.w.newestOwner(); !o.dead {
-		o.run(func() { o.apply(o.shard.Cancel(c.w.now, id, func(owner.Response) {})) })
+	if o := c.pickOwner(); !o.dead {
+		o.run(func() {
+			o.apply(o.shard.Cancel(c.w.now, id, func(v owner.Response) {
+				if v.Outcome == owner.Absent {
+					c.w.addViolation(string(id), "job %s was accepted and %s says that there is none to cancel", id, o.name)
+				}
+			}))
+		})
 	}
 }
 
-// checkStates queries all jobs at the newest owner. It must know every accepted job, and no final
-// state that was shown may change.
+// checkStates queries all jobs at the newest owner, where no final state that was shown may change, and at
+// the owner that an entry takes for it. Neither may say that an accepted job is unknown.
 func (c *client) checkStates() {
-	if o := c.w.newestOwner(); !o.dead && c.w.now >= o.frozenUntil && !o.shard.Closed() {
-		for _, id := range c.ids {
-			c.checkState(id, o.shard.KnownState(id))
+	for _, o := range []*ownerModel{c.w.newestOwner(), c.pickOwner()} {
+		if !o.dead && c.w.now >= o.frozenUntil && !o.shard.Closed() {
+			c.query(o)
+		}
+	}
+	if !c.w.quiet || c.w.now < time.Hour+faultsEnd {
+		c.w.after(200*time.Millisecond, c.checkStates)
+	}
+}
+
+func (c *client) query(o *ownerModel) {
+	for _, id := range c.ids {
+		accepted := c.jobs[id].accepted
+		known := o.shard.KnownState(id)
+		if o == c.w.newestOwner() && known.Outcome == owner.OK && !o.shard.Suspected() {
+			c.checkState(id, known)
+		}
+		if !accepted {
+			continue
+		}
+		checkKnown := func(v owner.Response) {
+			if v.Outcome == owner.Absent {
+				c.w.addViolation(string(id), "job %s was accepted and %s says that it is unknown", id, o.name)
+			}
+		}
+		if !c.w.mutant.asksStore() {
+			checkKnown(known)
+			continue
 		}
+		o.apply(o.shard.Lookup(c.w.now, id, checkKnown))
 	}
-	c.w.after(200*time.Millisecond, c.checkStates)
 }
 
 func (c *client) checkState(id job.ID, v owner.Response) {
 	j := c.jobs[id]
 	switch {
-	case v.Outcome == owner.Absent && j.accepted:
-		c.w.addViolation(string(id), "job %s was accepted and is unknown now", id)
 	case v.Outcome != owner.OK:
 	case j.finalShown && v.State != j.final:
 		c.w.addViolation(string(id), "job %s was shown as %v and is %v now", id, j.final, v.State)
@@ -175,6 +204,9 @@
 func (c *client) checkAllEnded() {
 	for _, id := range c.ids {
 		j := c.jobs[id]
+		if c.w.quiet && !c.w.newestOwner().dead {
+			c.checkState(id, c.w.newestOwner().shard.KnownState(id))
+		}
 		switch {
 		case j.accepted && !j.finalShown:
 			c.w.addViolation(string(id), "job %s was accepted and has not ended", id)
--- a/coordination/model/model_test.go
+++ b/coordination/model/model_test.go
@@ -20,7 +20,8 @@
 // or under the one that they had, carry out calls late and
 // lose responses; links are cut; the store rejects writes and loses responses; clocks differ; tasks
 // crash the backend servers that start them; capacities shrink; failure domains are drained; an agent is
-// cut off while its owner and the other hosts lose power.
+// cut off while its owner and the other hosts lose power; the store turns owners away one after the other;
+// a shard comes back to an owner that another one has replaced in between.
 //
 // It checks these invariants: no task has two concurrent runs or a run after its acknowledged end;
 // no accepted job is lost; no final state that a client was shown changes; no refused job runs; no
@@ -47,6 +48,7 @@
 	noStoreFence, claimsWithoutRuns, formerAgentsNotRead, agentsNotWritten, noTakeoverWait, noLostLinkWait,
 	acceptedBeforeWrite, settledBeforeWrite, noOrderFence, voidEndsAcked, lossesNotReported, capacityNotUpdated,
 	drainsIgnored, drainsNotRead, olderDrainsAccepted, startTimesNotTold, restartsUnderNewIDs, restartsNotRecorded,
+	shardsKept, returnsTrusted, absenceUnconfirmed,
 }
 
 // rareMutants are detected only if several faults coincide within milliseconds, or if clocks differ
--- a/coordination/model/owner_test.go
+++ b/coordination/model/owner_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/shallotstep/shallotstep/coordination/assignment"
 	"github.com/shallotstep/shallotstep/coordination/drains"
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/worker"
@@ -22,9 +23,17 @@
 	links       map[*agentModel]*link
 	dead        bool
 	frozenUntil time.Duration
-	// replaced is set once another owner has taken over.
+	// replaced is set while another owner has the shard, and tenure counts how often the group has
+	// taken the shard away.
 	replaced bool
-	drains   drainView
+	tenure   int
+	// assigned follows what the group says in the owner's joins.
+	assigned assignment.Tracker
+	// turnedAwayUntil is the time until which the store rejects the writes of this owner alone.
+	turnedAwayUntil time.Duration
+	// reopening is set once the shard is to be opened anew because the store has refused this owner.
+	reopening bool
+	drains    drainView
 	// unconfirmed is set once the group may have assigned the shard to another owner.
 	unconfirmed bool
 	// writing is set while a batch is being written to the store.
@@ -52,6 +61,7 @@
 		mayRun = slices.Clone(w.store.agents)
 	}
 	o.shard = owner.New(w.now, 0, epoch, w.ownerBounds(), o.fleet, w.records(), mayRun, maps.Clone(w.store.incarnations))
+	o.assigned.Joined(w.generation, modelShards)
 	return o
 }
 
@@ -102,20 +112,61 @@
 		return
 	}
 	o.replaced = true
-	o.w.after(o.w.randUpTo(unknownRebalance), func() { o.unconfirmed = true })
+	o.tenure++
+	tenure := o.tenure
+	whileReplaced := func(do func()) func() {
+		return func() {
+			if o.replaced && o.tenure == tenure {
+				do()
+			}
+		}
+	}
+	o.w.after(o.w.randUpTo(unknownRebalance), whileReplaced(func() { o.unconfirmed = true }))
 	if o.w.mutant == noRenewLimit {
 		return
 	}
-	o.w.after(o.w.randUpTo(renewLimit), func() {
-		o.run(func() { o.apply(o.shard.Close()); o.kill() })
-	})
+	giveUp := whileReplaced(func() { o.apply(o.shard.Close()); o.kill() })
+	o.w.after(o.w.randUpTo(renewLimit), func() { o.run(giveUp) })
+}
+
+// modelShards are the shards of a world.
+var modelShards = []int{0}
+
+// regain is called when the group assigns the shard to this owner again. The owner learns of that with its
+// next join.
+func (o *ownerModel) regain() {
+	o.replaced = false
+	o.run(o.rejoin)
+}
+
+func (o *ownerModel) rejoin() {
+	o.unconfirmed = false
+	interrupted := o.assigned.Joined(o.w.generation, modelShards)
+	o.w.trace("- %s has its shard again, interrupted %v", o.name, interrupted)
+	if len(interrupted) > 0 && !o.w.mutant.keepsShards() {
+		o.apply(o.shard.Suspect())
+	}
+}
+
+// reopen opens the shard anew if the store has refused this owner, although the group assigns the shard to
+// it.
+func (o *ownerModel) reopen() {
+	if o.shard.Closed() && !o.replaced && !o.reopening && o.w.newestOwner() == o {
+		o.reopening = true
+		o.w.takeOver()
+	}
+}
+
+// storeRejects reports whether the store rejects the writes of this owner.
+func (o *ownerModel) storeRejects() bool {
+	return o.w.now < max(o.w.store.rejectsUntil, o.turnedAwayUntil)
 }
 
 func (o *ownerModel) tick() {
 	o.run(func() {
 		o.shard.SetOwnershipConfirmed(!o.unconfirmed || o.w.mutant == lostLinksUnconfirmed)
 		o.apply(o.shard.Tick(o.w.now))
-		if o.rejected && o.w.now >= o.w.store.rejectsUntil {
+		if o.rejected && !o.storeRejects() {
 			o.rejected = false
 			o.apply(o.shard.Written(o.w.now, owner.Batch{}))
 		}
@@ -131,6 +182,7 @@
 			}
 		}
 		o.write()
+		o.reopen()
 	})
 	if !o.killed() {
 		o.w.after(50*time.Millisecond, o.tick)
@@ -287,7 +339,7 @@
 		case w.store.epoch > o.shard.Epoch && w.mutant != noStoreFence:
 			o.run(func() { o.apply(o.shard.Close()) })
 			return
-		case w.now < w.store.rejectsUntil:
+		case o.storeRejects():
 			if unknown {
 				w.after(100*time.Millisecond, func() { o.append(b, true) })
 				return
--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -75,10 +75,22 @@
 	// Agents take each incarnation under one ID for a server with another ID, which no call for the
 	// earlier one reaches.
 	restartsUnderNewIDs mutant = "restarts taken for other IDs"
+	// Owners keep a shard that comes back as it was, and the store isn't asked about unknown jobs.
+	shardsKept mutant = "shards kept over changes of the group"
+	// Owners keep a shard that comes back as it was.
+	returnsTrusted mutant = "shards that come back not suspected"
+	// Owners answer that a job is unknown without asking the store.
+	absenceUnconfirmed mutant = "unknown jobs not confirmed"
 	// Owners that were replaced in the group never stop.
 	noRenewLimit mutant = "dropped owners go on for ever"
 )
 
+// keepsShards reports whether owners keep a shard that comes back as it was.
+func (m mutant) keepsShards() bool { return m == shardsKept || m == returnsTrusted }
+
+// asksStore reports whether owners ask the store before they answer that a job is unknown.
+func (m mutant) asksStore() bool { return m != shardsKept && m != absenceUnconfirmed }
+
 const (
 	numAgents = 2
 	// renewLimit is how long an owner that was replaced in the group may go on without noticing.
@@ -114,6 +126,10 @@
 	drains     drainLog
 	violations []string
 	session    int64
+	// generation counts the changes of the owners' group.
+	generation int64
+	// quiet is set if clients ask for no state after the last fault.
+	quiet bool
 }
 
 type event struct {
@@ -225,8 +241,20 @@
 // cut off. Among others, a fault that comes in between mostly undoes what such a loss needs.
 const powerLossWorlds = 0.1
 
+// turnedAwayWorlds is the share of worlds whose only faults are owners that the store turns away in turn.
+// In half of them clients ask for no state afterwards, so that nobody but the owner itself can find out
+// what it doesn't know.
+const turnedAwayWorlds = 0.1
+
 // scheduleFaults schedules faults at random times before faultsEnd.
 func (w *world) scheduleFaults() {
+	if w.chance(turnedAwayWorlds) {
+		w.quiet = w.chance(0.5)
+		for at := w.randUpTo(3 * time.Second); at < faultsEnd; at += 2*time.Second + w.randUpTo(5*time.Second) {
+			w.after(at, w.turnAwayInTurn)
+		}
+		return
+	}
 	if w.chance(powerLossWorlds) {
 		for at := w.randUpTo(3 * time.Second); at < faultsEnd; at += 6*time.Second + w.randUpTo(3*time.Second) {
 			w.after(at, func() { w.losePowerBeside(w.agents[w.rand.IntN(len(w.agents))]) })
@@ -240,7 +268,7 @@
 
 func (w *world) injectFault() {
 	a := w.agents[w.rand.IntN(len(w.agents))]
-	switch w.rand.IntN(16) {
+	switch w.rand.IntN(18) {
 	case 0:
 		w.newestOwner().kill()
 		w.after(w.randUpTo(2*time.Second), w.takeOver)
@@ -281,6 +309,12 @@
 		w.after(w.randUpTo(2*time.Second), func() { w.drain(a) })
 	case 15:
 		w.losePowerBeside(a)
+	case 16:
+		w.turnAwayInTurn()
+	case 17:
+		// The group deals the shard away and back between two joins of its owner.
+		w.takeOver()
+		w.after(w.randUpTo(time.Second), w.dealBack)
 	case 10:
 		a.reachableBy, a.partitionedUntil = nil, w.now+w.randUpTo(6*time.Second)
 		for _, o := range w.owners {
@@ -321,6 +355,37 @@
 	})
 }
 
+// turnAwayInTurn has the store turn the owner away, whose membership expires, and then the one that takes
+// over. The shard goes back to the first one, which has not given it up yet.
+func (w *world) turnAwayInTurn() {
+	first := w.newestOwner()
+	back := 1200*time.Millisecond + w.randUpTo(renewLimit-1200*time.Millisecond)
+	first.turnedAwayUntil = w.now + back
+	w.after(1200*time.Millisecond, func() {
+		w.takeOver()
+		second := w.newestOwner()
+		w.after(w.randUpTo(2*time.Second), func() { second.turnedAwayUntil = w.now + 4*time.Second })
+	})
+	w.after(back, w.dealBack)
+}
+
+// dealBack assigns the shard to the last owner before the present one that is alive and has not given it
+// up. Without one, a new owner takes over.
+func (w *world) dealBack() {
+	for i := len(w.owners) - 2; i >= 0; i-- {
+		o := w.owners[i]
+		if o.killed() || !o.replaced || o.shard.Closed() {
+			continue
+		}
+		w.newestOwner().loseOwnership()
+		w.generation++
+		w.owners = append(slices.Delete(w.owners, i, i+1), o)
+		o.regain()
+		return
+	}
+	w.takeOver()
+}
+
 func (w *world) newestOwner() *ownerModel { return w.owners[len(w.owners)-1] }
 
 // takeOver starts a new owner of the shard. Earlier owners continue until they notice.
@@ -332,6 +397,7 @@
 	for _, o := range w.owners {
 		o.loseOwnership()
 	}
+	w.generation++
 	w.store.epoch++
 	if len(w.owners) > 0 {
 		// Epochs need not be consecutive.
