Entry: a refusal is none once an owner may have accepted the job

A caller could be told that a job never runs (503 or 429) although it was accepted and runs.

Cause: an entry whose request got lost at one owner asks the next agent that it takes for the owner. If that is a former owner that doesn't know yet that it was replaced, it doesn't know the job and refuses it by its own load, and the entry passed that on.

Evidence: TestRefusalAfterALostRequestIsNoRefusal fails before ("refused != unknown").

Change: once an owner may have accepted the request, a refusal by another one is answered as an unknown outcome with owner_lost, as it is if no further owner is found: the caller sends the job again under its ID.

--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -225,6 +225,35 @@
 	is.Equal(v.Outcome, owner.Refused)
 }
 
+// Guards against a refusal by an owner that another one, which may have accepted the job, has replaced.
+func TestRefusalAfterALostRequestIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	a := startFakeAgent(t)
+	e := newTestEntry(t, a)
+	responses := []owner.Response{{Outcome: owner.Unknown}, {Outcome: owner.Refused, Reason: owner.ReasonOverload}}
+	got := make(chan owner.Response)
+	go func() {
+		got <- e.callOwner(t.Context(), 1, time.Minute, func(context.Context, corepb.CoreClient) (*corepb.Verdict, error) {
+			v := responses[0]
+			responses = responses[1:]
+			return wire.ResponseToWire(v), nil
+		})
+	}()
+	owned := &corepb.FromAgent{OwnedValid: true, Owned: []*corepb.Ownership{{Shard: 1, Epoch: 1}}}
+	var v owner.Response
+	coretest.Await(t, func() bool {
+		e.owners.update(a.addr, owned)
+		select {
+		case v = <-got:
+			return true
+		default:
+			return false
+		}
+	})
+	is.Equal(v.Outcome, owner.Unknown)
+	is.Equal(v.Reason, owner.ReasonOwnerLost)
+}
+
 // Guards against putting an older configuration into force after a newer one. It arrives when
 // the store's log is trimmed and the reader starts over.
 func TestConfigurationNeverGoesBack(t *testing.T) {
--- a/daemon/entry/requests.go
+++ b/daemon/entry/requests.go
@@ -35,6 +35,10 @@
 		p, err := call(ctx, client)
 		if err == nil {
 			v := wire.ResponseFromWire(p)
+			if v.Outcome == owner.Refused && sent {
+				// The owner that may have accepted the job may be newer than this one.
+				return noOwnerResponse(sent)
+			}
 			if v.Outcome != owner.NotOwner && v.Outcome != owner.Unknown {
 				return v
 			}
