Soak: agents turned away in turn, and partitions dealt away and back

Its store faults hit one process or all; clients submitted all the time, and an owner that has to write anything, one run's end or a list of linked agents, finds out at once that it was replaced; and clients asked for a job only within a second after it was accepted.

Now two clients ask all the time for jobs that were accepted earlier, and two faults come with the later ones. In the first, the store turns one agent away until its shards have other owners, and then all others until it has its shards again; clients submit only while the others own them. In the second, all partitions are dealt anew and back while one agent is refused or suspended, between two of its joins.

--- a/soak/clients_test.go
+++ b/soak/clients_test.go
@@ -46,8 +46,10 @@
 	http *http.Client
 	mix  jobMix
 
-	mu   sync.Mutex
-	jobs []*request // guarded by mu
+	mu sync.Mutex
+	// jobs has all jobs, and accepted the IDs of the accepted recorded ones. Both are guarded by mu.
+	jobs     []*request
+	accepted []string
 }
 
 // jobMix describes the jobs that clients submit.
@@ -81,17 +83,60 @@
 			return
 		case <-time.After(time.Duration(random.IntN(60)) * time.Millisecond):
 		}
+		for c.w.submissionsPaused.Load() > 0 {
+			time.Sleep(lookBackInterval)
+		}
 		r := newRequest(random, number, n, c.mix)
 		c.mu.Lock()
 		c.jobs = append(c.jobs, r)
 		c.mu.Unlock()
 		c.submit(random, r)
 		if r.accepted && !r.bestEffort {
+			c.mu.Lock()
+			c.accepted = append(c.accepted, r.id)
+			c.mu.Unlock()
 			c.follow(random, r)
 		}
 	}
 }
 
+// lookBackInterval is the interval at which lookBack asks.
+const lookBackInterval = 10 * time.Millisecond
+
+// lookBack asks for the states of jobs that were accepted at any time before, until stop is closed. None
+// may be unknown.
+func (c *clients) lookBack(number int, stop <-chan struct{}) {
+	random := c.w.random(uint64(2000 + number))
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(lookBackInterval):
+		}
+		if id := c.acceptedJob(random); id != "" {
+			if status, _ := c.call(random, http.MethodGet, id, ""); status == http.StatusGone {
+				c.w.addViolation("%s: accepted, but reported as unknown later", id)
+			}
+		}
+	}
+}
+
+// recentJobs is the number of accepted jobs that lookBack mostly asks for.
+const recentJobs = 40
+
+// acceptedJob returns the ID of a random accepted recorded job, mostly of a recent one, or "" if there is none.
+func (c *clients) acceptedJob(random *rand.Rand) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.accepted) == 0 {
+		return ""
+	}
+	if n := len(c.accepted) - recentJobs; n > 0 && random.IntN(4) > 0 {
+		return pick(random, c.accepted[n:])
+	}
+	return pick(random, c.accepted)
+}
+
 func newRequest(random *rand.Rand, client, n int, mix jobMix) *request {
 	r := &request{id: fmt.Sprintf("%016x", client<<32|n+1), bestEffort: random.IntN(2) == 0 && !mix.recordedOnly, refused: true}
 	if r.bestEffort {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -21,6 +21,13 @@
 // up; then all other hosts with agents lose power.
 const powerLostBesideCutHost = "power lost beside a cut host"
 
+// storeTurnsAgentsAway has the store turn one agent away until its shards have other owners, and then all
+// others until the first one has its shards again.
+const storeTurnsAgentsAway = "store turns agents away in turn"
+
+// partitionsDealtBack has the store deal all partitions anew and back while one agent can't join.
+const partitionsDealtBack = "partitions dealt away and back"
+
 // awaitRestarts waits until tasks of recorded jobs are started again, as owners do some seconds after they
 // have lost a host.
 func (w *world) awaitRestarts() {
@@ -41,6 +48,15 @@
 // maxRestartTime is longer than owners wait before they start the tasks of a lost host elsewhere.
 const maxRestartTime = 3 * time.Second
 
+// awaitIdle waits until no task runs, as is soon so while clients submit no jobs.
+func (w *world) awaitIdle() {
+	for end := time.Now().Add(maxIdleWait); len(w.ledger.Running()) > 0 && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	}
+}
+
+// maxIdleWait is longer than the tasks of accepted jobs take.
+const maxIdleWait = 6 * time.Second
+
 // faultKinds are the faults that are injected. wait sleeps for a random number of milliseconds
 // within bounds.
 var faultKinds = []faultKind{
@@ -237,6 +253,47 @@
 		cut.linkRelay.setMode(forward, 0)
 		cut.linkRelay.reset() // bytes that the relay dropped are missing in the streams
 	}},
+	{storeTurnsAgentsAway, func(w *world, random *rand.Rand, wait func(int, int)) {
+		// An agent that has to write finds out at once that it was replaced.
+		w.submissionsPaused.Add(1)
+		defer w.submissionsPaused.Add(-1)
+		w.awaitIdle()
+		wait(800, 1500) // the last ends are recorded
+		first := pick(random, w.agents)
+		w.store.SetFault(first.name, standin.Unavailable)
+		wait(1300, 1600) // the membership expires, and its shards get other owners
+		w.submissionsPaused.Add(-1)
+		wait(300, 1000)
+		w.submissionsPaused.Add(1)
+		for _, a := range w.agents {
+			if a != first {
+				w.store.SetFault(a.name, standin.Unavailable)
+				wait(1, 150)
+			}
+		}
+		wait(1300, 1600)
+		w.store.SetFault(first.name, standin.NoFault)
+		wait(300, 1000)
+		for _, a := range w.agents {
+			w.store.SetFault(a.name, standin.NoFault)
+			wait(1, 300)
+		}
+		wait(500, 1500) // the others release their shards, and the first agent answers
+	}},
+	{partitionsDealtBack, func(w *world, random *rand.Rand, wait func(int, int)) {
+		a := pick(random, w.agents)
+		if random.IntN(2) == 0 {
+			w.store.SetFault(a.name, standin.Unavailable)
+			defer w.store.SetFault(a.name, standin.NoFault)
+		} else {
+			a.signal(syscall.SIGSTOP)
+			defer a.signal(syscall.SIGCONT)
+		}
+		w.store.Rebalance()
+		wait(300, 900) // the other owners join, and clients submit jobs
+		w.store.RebalanceBack()
+		wait(1, 100)
+	}},
 }
 
 // maxPause is how much longer than the least pause between two faults of a series the longest one is,
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"net/http"
@@ -33,6 +34,8 @@
 	fault string
 	// firstKinds is set if there are no faults of laterFaultKinds.
 	firstKinds bool
+	// agents is the number of agents; zero: that of the flag.
+	agents int
 }
 
 func (s scenario) String() string {
@@ -97,6 +100,10 @@
 	{seed: 20, delay: settleTime, fault: powerLostBesideCutHost},
 	{seed: 26, delay: settleTime, fault: powerLostBesideCutHost},
 	{seed: 27, delay: settleTime, fault: powerLostBesideCutHost},
+	// Accepted jobs were unknown to an owner that had its shard again after another one. With more agents it
+	// writes new lists of linked ones, and finds out.
+	{seed: 901, delay: settleTime, fault: storeTurnsAgentsAway, agents: 2},
+	{seed: 901, delay: settleTime, fault: partitionsDealtBack},
 }
 
 func TestMain(m *testing.M) {
@@ -139,15 +146,19 @@
 	}
 }
 
-// numClients is the number of clients that submit jobs.
-const numClients = 8
+const (
+	// numClients is the number of clients that submit jobs, and numLookers that of those that ask for
+	// earlier ones.
+	numClients = 8
+	numLookers = 2
+)
 
 func soak(t *testing.T, s scenario) {
 	kinds := s.kinds()
 	if len(kinds) == 0 {
 		t.Fatalf("no fault is named %q", s.fault)
 	}
-	w := newWorld(t, s.seed, *entries, *agents)
+	w := newWorld(t, s.seed, *entries, cmp.Or(s.agents, *agents))
 	c := newClients(w, s.jobs())
 	w.awaitService(c)
 	stop := make(chan struct{})
@@ -155,6 +166,9 @@
 	for i := range numClients {
 		sending.Go(func() { c.run(i, stop) })
 	}
+	for i := range numLookers {
+		sending.Go(func() { c.lookBack(i, stop) })
+	}
 	time.Sleep(s.delay)
 	series, leastPause := s.faultSeries()
 	for i := range series {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -35,6 +35,8 @@
 	entries     []*process
 	clientAddrs []string
 	relays      []*relay
+	// submissionsPaused is above zero while clients submit no jobs.
+	submissionsPaused atomic.Int32
 
 	mu sync.Mutex
 	// All fields below are guarded by mu.
