Log an unanswered confirmation only with verbosity 1

While the store rejects calls, a shard whose confirmation is open asks it ten times a second, and each try wrote a line: the probes that it stands for write none, and the loss of the store has its own lines.

--- a/daemon/agent/shard.go
+++ b/daemon/agent/shard.go
@@ -173,7 +173,7 @@
 	if err == nil || errors.Is(err, store.ErrFenced) {
 		return err
 	}
-	klog.InfoS("Could not confirm the ownership of a shard", "shard", r.ID, "epoch", r.Epoch, "err", err)
+	klog.V(1).InfoS("Could not confirm the ownership of a shard", "shard", r.ID, "epoch", r.Epoch, "err", err)
 	return store.ErrRejected
 }
 
