Known red: a SIGHUP during the start of a process ends it

Not mended here: the window between the start of a program and its main function stays even if the handler comes first.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -104,6 +104,7 @@
 	// writes new lists of linked ones, and finds out.
 	{seed: 901, delay: settleTime, fault: storeTurnsAgentsAway, agents: 2},
 	{seed: 901, delay: settleTime, fault: partitionsDealtBack},
+	{seed: 129}, // a process that got a SIGHUP while it started was ended by it
 }
 
 func TestMain(m *testing.M) {
