Ask the store about suspected shards together

A suspected shard now waits .7 s for further suspicions, or for a write of its own that answers the question too, unless a request or a claim waits for the answer. Shards that are released meanwhile cost nothing. The delay is below the 1.3 s after which agents stop the runs of a silent owner.

TestSuspicionsAreAskedAboutTogether; the tests of suspicions stay as they are but for the signature of Suspect.

--- a/coordination/owner/confirm.go
+++ b/coordination/owner/confirm.go
@@ -29,14 +29,28 @@
 	fx.Write = true
 }
 
+// suspicionDelay is how long a suspected shard waits for a write of its own, or for further suspicions,
+// before the store is asked: members that join one after the other change the group many times. It is
+// shorter than the timeout after which agents stop the runs of another owner.
+const suspicionDelay = 700 * time.Millisecond
+
 // Suspect notes that another owner may have held the shard since it was opened here. Until the store
 // has accepted a write, no request is answered from its state.
-func (s *Shard) Suspect() Effects {
+func (s *Shard) Suspect(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.suspectedLocked() {
+		s.askAt = now + suspicionDelay
+	}
 	s.asked++
 	s.suspectedAt = s.asked
-	return Effects{Write: true}
+}
+
+// AskNow has the store asked at once whether a suspected shard has a newer owner.
+func (s *Shard) AskNow(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.askAt = min(s.askAt, now)
 }
 
 // Suspected reports whether another owner may have held the shard since it was opened here.
@@ -48,6 +62,11 @@
 
 func (s *Shard) suspectedLocked() bool { return s.suspectedAt > s.answered }
 
+// mustAskLocked reports whether the store has to be asked now.
+func (s *Shard) mustAskLocked(now time.Duration) bool {
+	return len(s.confirming) > 0 || s.suspectedLocked() && now >= s.askAt
+}
+
 // answeredLocked carries out what has waited for a batch that the store has accepted.
 func (s *Shard) answeredLocked(now time.Duration, fx *Effects, question int64) {
 	s.answered = max(s.answered, question)
--- a/coordination/owner/confirm_test.go
+++ b/coordination/owner/confirm_test.go
@@ -76,7 +76,7 @@
 	f := newFixture(t, recordedJobs(), nil, "a")
 	f.submit("00000000000000bb", steps(1))
 	earlier := f.NextBatch(f.now)
-	f.collect(f.Suspect())
+	f.Suspect(f.now)
 	responses := []*[]Response{
 		f.submit("00000000000000cc", steps(1)), f.submit(testID, steps(1)), f.cancel(testID),
 		f.ask(func(f *fixture, reply func(Response)) Effects { return f.Lookup(f.now, testID, reply) }),
@@ -96,13 +96,29 @@
 // Guards against opening a shard anew that nobody else has held.
 func TestSuspicionEndsWithTheNextWrite(t *testing.T) {
 	f := newFixture(t, recordedJobs(), nil, "a")
-	f.collect(f.Suspect())
+	f.Suspect(f.now)
 	got := f.cancel(testID)
 	f.write()
 	f.is.True(!f.Suspected())
 	f.write()
 	f.is.Equal((*got)[0].Outcome, OK)
-	f.is.True(!f.WriteDue(f.now)) // nothing more is asked
+	f.is.True(!f.WriteDue(f.now + suspicionDelay)) // nothing more is asked
+}
+
+// Guards against a call for each change of a group whose members join one after the other.
+func TestSuspicionsAreAskedAboutTogether(t *testing.T) {
+	f := newFixture(t, nil, nil, "a")
+	f.Suspect(f.now)
+	f.now += suspicionDelay / 2
+	f.Suspect(f.now)
+	f.is.True(!f.WriteDue(f.now))
+	f.now += suspicionDelay / 2
+	f.is.True(f.WriteDue(f.now))
+	f.write()
+	f.is.True(!f.Suspected())
+	f.Suspect(f.now)
+	f.AskNow(f.now)
+	f.is.True(f.WriteDue(f.now))
 }
 
 // Guards against starting tasks of unreachable agents elsewhere that a newer owner has adopted.
@@ -111,7 +127,7 @@
 	f.submit(testID, steps(1))
 	f.write()
 	f.LinkLost(f.now, f.orders[0].Node, 1)
-	f.collect(f.Suspect())
+	f.Suspect(f.now)
 	f.now += testBounds.LostLinkTimeout
 	f.collect(f.Tick(f.now))
 	f.write()
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -261,8 +261,10 @@
 	// store has accepted.
 	confirming      []confirmation
 	asked, answered int64
-	// suspectedAt is the question whose answer shows that no other owner has held the shard.
+	// suspectedAt is the question whose answer shows that no other owner has held the shard, and askAt
+	// is when that question is due.
 	suspectedAt int64
+	askAt       time.Duration
 	// closed is set once another owner has taken over.
 	closed bool
 }
--- a/coordination/owner/write.go
+++ b/coordination/owner/write.go
@@ -93,7 +93,7 @@
 }
 
 func (s *Shard) writeDueLocked(now time.Duration) bool {
-	if s.agentsDirty || s.asked > s.answered {
+	if s.agentsDirty || s.mustAskLocked(now) {
 		return true
 	}
 	for _, id := range s.dirty {
--- a/daemon/agent/membership.go
+++ b/daemon/agent/membership.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
-	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/store"
@@ -170,7 +169,7 @@
 	a.mu.Unlock()
 	for _, r := range open {
 		klog.InfoS("Another agent may have owned a shard", "shard", r.ID, "epoch", r.Epoch)
-		r.Step(func(time.Duration) owner.Effects { return r.Suspect() })
+		r.Suspect(bootclock.Now())
 	}
 	a.metrics.SuspectedShards.Add(float64(len(open)))
 }
@@ -268,8 +267,7 @@
 		return false
 	}
 	if o.suspected {
-		r.Suspect()
-		r.Signal()
+		r.Suspect(bootclock.Now())
 	}
 	a.shards[r.ID] = r
 	return true
@@ -290,6 +288,8 @@
 func (a *Agent) claim(r *shardRunner, node string, session int64) []*corepb.Claim {
 	if r.Suspected() {
 		a.claimsPending.Store(true)
+		r.AskNow(bootclock.Now())
+		r.Signal()
 		return nil
 	}
 	return r.LinkUp(node, session)
