--- a/daemon/agent/membership_test.go
+++ b/daemon/agent/membership_test.go
@@ -160,6 +160,20 @@
 	})
 }
 
+// Guards against jobs of another owner that stand still for as long as nobody asks for them.
+func TestShardHeldElsewhereIsOpenedAnewUnasked(t *testing.T) {
+	st := &memberStore{}
+	a := newMember(t, st)
+	coretest.Await(t, a.owns(groupShard))
+	st.holdElsewhere(t, 6)
+	st.assign(7, true)
+	coretest.Await(t, func() bool {
+		join(t, a)
+		r := a.shard(groupShard)
+		return r != nil && r.Epoch >= 7*epochsPerGeneration
+	})
+}
+
 // Guards against an answer without regard to an owner of which no join has told yet.
 func TestJobOfAnUnknownNewerOwnerIsNotAbsent(t *testing.T) {
 	is := is.New(t)
