Name shards unverified, not suspected; barriers, not questions

In this package a suspect is a task under which a backend server was lost, as the glossary has it, and a reader of owner.go met both. A write that others wait for is a barrier.

--- a/coordination/model/client_test.go
+++ b/coordination/model/client_test.go
@@ -170,7 +170,7 @@
 	for _, id := range c.ids {
 		accepted := c.jobs[id].accepted
 		known := o.shard.KnownState(id)
-		if o == c.w.newestOwner() && known.Outcome == owner.OK && !o.shard.Suspected() {
+		if o == c.w.newestOwner() && known.Outcome == owner.OK && !o.shard.Unverified() {
 			c.checkState(id, known)
 		}
 		if !accepted {
--- a/coordination/model/owner_test.go
+++ b/coordination/model/owner_test.go
@@ -144,7 +144,7 @@
 	interrupted := o.assigned.Joined(o.w.generation, modelShards)
 	o.w.trace("- %s has its shard again, interrupted %v", o.name, interrupted)
 	if len(interrupted) > 0 && !o.w.mutant.keepsShards() {
-		o.shard.Suspect(o.w.now)
+		o.shard.MarkUnverified(o.w.now)
 	}
 }
 
--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -78,7 +78,7 @@
 	// Owners keep a shard that comes back as it was, and the store isn't asked about unknown jobs.
 	shardsKept mutant = "shards kept over changes of the group"
 	// Owners keep a shard that comes back as it was.
-	returnsTrusted mutant = "shards that come back not suspected"
+	returnsTrusted mutant = "shards that come back not verified"
 	// Owners answer that a job is unknown without asking the store.
 	absenceUnconfirmed mutant = "unknown jobs not confirmed"
 	// Owners that were replaced in the group never stop.
--- a/coordination/owner/confirm.go
+++ b/coordination/owner/confirm.go
@@ -4,10 +4,10 @@
 
 // confirmation is what waits until the store has accepted a write of this owner that was sent after it
 // began to wait. The store accepts no write of an owner that another one has replaced, so nothing was
-// written before it that this owner doesn't know.
+// written before it that this owner doesn't know. Guarded by Shard.mu.
 type confirmation struct {
-	// question numbers the confirmation.
-	question int64
+	// barrier numbers the confirmation.
+	barrier int64
 	// deny replies that the confirmation can't be had now. It is nil for one that waits until it can.
 	deny func(*Effects)
 	do   func(time.Duration, *Effects)
@@ -24,54 +24,54 @@
 		deny(fx)
 		return
 	}
-	s.asked++
-	s.confirming = append(s.confirming, confirmation{question: s.asked, deny: deny, do: do})
+	s.lastBarrier++
+	s.confirming = append(s.confirming, confirmation{barrier: s.lastBarrier, deny: deny, do: do})
 	fx.Write = true
 }
 
-// suspicionDelay is how long a suspected shard waits for a write of its own, or for further suspicions,
+// verificationDelay is how long an unverified shard waits for a write of its own, or for further changes of the group,
 // before the store is asked: members that join one after the other change the group many times. It is
 // shorter than the timeout after which agents stop the runs of another owner.
-const suspicionDelay = 700 * time.Millisecond
+const verificationDelay = 700 * time.Millisecond
 
-// Suspect notes that another owner may have held the shard since it was opened here. Until the store
+// MarkUnverified notes that another owner may have held the shard since it was opened here. Until the store
 // has accepted a write, no request is answered from its state.
-func (s *Shard) Suspect(now time.Duration) {
+func (s *Shard) MarkUnverified(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.suspectedLocked() {
-		s.askAt = now + suspicionDelay
+	if !s.unverifiedLocked() {
+		s.verifyAt = now + verificationDelay
 	}
-	s.asked++
-	s.suspectedAt = s.asked
+	s.lastBarrier++
+	s.unverifiedAt = s.lastBarrier
 }
 
-// AskNow has the store asked at once whether a suspected shard has a newer owner.
-func (s *Shard) AskNow(now time.Duration) {
+// VerifyNow has the store asked at once whether an unverified shard has a newer owner.
+func (s *Shard) VerifyNow(now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.askAt = min(s.askAt, now)
+	s.verifyAt = min(s.verifyAt, now)
 }
 
-// Suspected reports whether another owner may have held the shard since it was opened here.
-func (s *Shard) Suspected() bool {
+// Unverified reports whether another owner may have held the shard since it was opened here.
+func (s *Shard) Unverified() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.suspectedLocked()
+	return s.unverifiedLocked()
 }
 
-func (s *Shard) suspectedLocked() bool { return s.suspectedAt > s.answered }
+func (s *Shard) unverifiedLocked() bool { return s.unverifiedAt > s.passedBarrier }
 
-// mustAskLocked reports whether the store has to be asked now.
-func (s *Shard) mustAskLocked(now time.Duration) bool {
-	return len(s.confirming) > 0 || s.suspectedLocked() && now >= s.askAt
+// verificationDueLocked reports whether the store has to be asked now.
+func (s *Shard) verificationDueLocked(now time.Duration) bool {
+	return len(s.confirming) > 0 || s.unverifiedLocked() && now >= s.verifyAt
 }
 
-// answeredLocked carries out what has waited for a batch that the store has accepted.
-func (s *Shard) answeredLocked(now time.Duration, fx *Effects, question int64) {
-	s.answered = max(s.answered, question)
+// passBarrierLocked carries out what has waited for a batch that the store has accepted.
+func (s *Shard) passBarrierLocked(now time.Duration, fx *Effects, barrier int64) {
+	s.passedBarrier = max(s.passedBarrier, barrier)
 	n := 0
-	for n < len(s.confirming) && s.confirming[n].question <= s.answered {
+	for n < len(s.confirming) && s.confirming[n].barrier <= s.passedBarrier {
 		n++
 	}
 	ready := s.confirming[:n]
--- a/coordination/owner/confirm_test.go
+++ b/coordination/owner/confirm_test.go
@@ -72,17 +72,17 @@
 }
 
 // Guards against serving the state from before another owner has held the shard.
-func TestSuspectedShardAnswersOnceConfirmed(t *testing.T) {
+func TestUnverifiedShardAnswersOnceConfirmed(t *testing.T) {
 	f := newFixture(t, recordedJobs(), nil, "a")
 	f.submit("00000000000000bb", steps(1))
 	earlier := f.NextBatch(f.now)
-	f.Suspect(f.now)
+	f.MarkUnverified(f.now)
 	responses := []*[]Response{
 		f.submit("00000000000000cc", steps(1)), f.submit(testID, steps(1)), f.cancel(testID),
 		f.ask(func(f *fixture, reply func(Response)) Effects { return f.Lookup(f.now, testID, reply) }),
 	}
 	f.collect(f.Written(f.now, earlier)) // it was sent before
-	f.is.True(f.Suspected())
+	f.is.True(f.Unverified())
 	for _, got := range responses {
 		f.is.Equal(len(*got), 0)
 	}
@@ -94,40 +94,40 @@
 }
 
 // Guards against opening a shard anew that nobody else has held.
-func TestSuspicionEndsWithTheNextWrite(t *testing.T) {
+func TestNextWriteVerifiesAShard(t *testing.T) {
 	f := newFixture(t, recordedJobs(), nil, "a")
-	f.Suspect(f.now)
+	f.MarkUnverified(f.now)
 	got := f.cancel(testID)
 	f.write()
-	f.is.True(!f.Suspected())
+	f.is.True(!f.Unverified())
 	f.write()
 	f.is.Equal((*got)[0].Outcome, OK)
-	f.is.True(!f.WriteDue(f.now + suspicionDelay)) // nothing more is asked
+	f.is.True(!f.WriteDue(f.now + verificationDelay)) // nothing more is asked
 }
 
 // Guards against a call for each change of a group whose members join one after the other.
-func TestSuspicionsAreAskedAboutTogether(t *testing.T) {
+func TestChangesOfTheGroupAreVerifiedTogether(t *testing.T) {
 	f := newFixture(t, nil, nil, "a")
-	f.Suspect(f.now)
-	f.now += suspicionDelay / 2
-	f.Suspect(f.now)
+	f.MarkUnverified(f.now)
+	f.now += verificationDelay / 2
+	f.MarkUnverified(f.now)
 	f.is.True(!f.WriteDue(f.now))
-	f.now += suspicionDelay / 2
+	f.now += verificationDelay / 2
 	f.is.True(f.WriteDue(f.now))
 	f.write()
-	f.is.True(!f.Suspected())
-	f.Suspect(f.now)
-	f.AskNow(f.now)
+	f.is.True(!f.Unverified())
+	f.MarkUnverified(f.now)
+	f.VerifyNow(f.now)
 	f.is.True(f.WriteDue(f.now))
 }
 
 // Guards against starting tasks of unreachable agents elsewhere that a newer owner has adopted.
-func TestSuspectedOwnerStartsNothingAgain(t *testing.T) {
+func TestUnverifiedOwnerStartsNothingAgain(t *testing.T) {
 	f := newFixture(t, nil, nil, "a", "b")
 	f.submit(testID, steps(1))
 	f.write()
 	f.LinkLost(f.now, f.orders[0].Node, 1)
-	f.Suspect(f.now)
+	f.MarkUnverified(f.now)
 	f.now += testBounds.LostLinkTimeout
 	f.collect(f.Tick(f.now))
 	f.write()
--- a/coordination/owner/lost_agents.go
+++ b/coordination/owner/lost_agents.go
@@ -42,7 +42,7 @@
 // that this one waits for and keep them active. If this owner started their tasks again, at an
 // agent that the next one can't reach, they would run twice.
 func (s *Shard) expireLostAgentsLocked(now time.Duration, fx *Effects) {
-	if s.ownershipUnconfirmed || s.suspectedLocked() {
+	if s.ownershipUnconfirmed || s.unverifiedLocked() {
 		return
 	}
 	for _, node := range slices.Sorted(maps.Keys(s.links)) {
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -256,15 +256,15 @@
 	agentUnreached bool
 	// ownershipUnconfirmed is set while the group may have assigned the shard to another owner.
 	ownershipUnconfirmed bool
-	// confirming has what waits for the store to accept a write, in the order of its questions. asked
-	// is the number of the last question, and answered that of the last one before a write that the
-	// store has accepted.
-	confirming      []confirmation
-	asked, answered int64
-	// suspectedAt is the question whose answer shows that no other owner has held the shard, and askAt
-	// is when that question is due.
-	suspectedAt int64
-	askAt       time.Duration
+	// confirming has what waits for the store to accept a write, in the order of its barriers.
+	// lastBarrier is the number of the last barrier, and passedBarrier that of the last one before a
+	// write that the store has accepted.
+	confirming                 []confirmation
+	lastBarrier, passedBarrier int64
+	// unverifiedAt is the barrier that shows, once it is passed, that no other owner has held the shard.
+	// verifyAt is when the store is to be asked at the latest.
+	unverifiedAt int64
+	verifyAt     time.Duration
 	// closed is set once another owner has taken over.
 	closed bool
 }
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -50,7 +50,7 @@
 	switch {
 	case s.closed:
 		fx.reply(reply, Response{Outcome: NotOwner, Reason: ReasonOwnerChanged})
-	case s.suspectedLocked():
+	case s.unverifiedLocked():
 		s.confirmLocked(now, fx, replyNotOwner(reply), do)
 	default:
 		do(now, fx)
--- a/coordination/owner/write.go
+++ b/coordination/owner/write.go
@@ -29,13 +29,13 @@
 	// Incarnations has the incarnations of these agents. It is written with the list unless it is
 	// nil.
 	Incarnations map[string][]worker.Incarnation
-	// question is the last question that the batch answers; zero: none. A batch without records asks
-	// the store only whether this owner was replaced.
-	question int64
+	// barrier is the last barrier that the batch passes; zero: none. A batch without records asks the
+	// store only whether this owner was replaced.
+	barrier int64
 }
 
 // Empty reports whether there is no reason to call the store.
-func (b *Batch) Empty() bool { return len(b.Writes) == 0 && b.Agents == nil && b.question == 0 }
+func (b *Batch) Empty() bool { return len(b.Writes) == 0 && b.Agents == nil && b.barrier == 0 }
 
 // scheduleWriteLocked schedules the write of a job's record by a time.
 func (s *Shard) scheduleWriteLocked(fx *Effects, j *jobState, by time.Duration) {
@@ -79,8 +79,8 @@
 		b.Writes = append(b.Writes, s.takeWriteLocked(id))
 	}
 	s.dirty = slices.Clone(s.dirty[n:])
-	if s.asked > s.answered {
-		b.question = s.asked
+	if s.lastBarrier > s.passedBarrier {
+		b.barrier = s.lastBarrier
 	}
 	return b
 }
@@ -93,7 +93,7 @@
 }
 
 func (s *Shard) writeDueLocked(now time.Duration) bool {
-	if s.agentsDirty || s.mustAskLocked(now) {
+	if s.agentsDirty || s.verificationDueLocked(now) {
 		return true
 	}
 	for _, id := range s.dirty {
@@ -193,7 +193,7 @@
 	for i := range b.Writes {
 		s.writtenLocked(now, &fx, &b.Writes[i])
 	}
-	s.answeredLocked(now, &fx, b.question)
+	s.passBarrierLocked(now, &fx, b.barrier)
 	s.retrySuspectsLocked(now, &fx)
 	s.placeWaitingLocked(now, &fx)
 	return fx
--- a/daemon/agent/membership.go
+++ b/daemon/agent/membership.go
@@ -124,7 +124,7 @@
 			mine = append(mine, id)
 		}
 	}
-	a.suspect(a.noteAssigned(m.Generation, mine))
+	a.markUnverified(a.noteAssigned(m.Generation, mine))
 	// Shards that another owner may have held must not count as confirmed by this join.
 	a.joinedAt.Set(sent)
 	a.release(mine)
@@ -154,24 +154,24 @@
 	return a.assigned.Joined(generation, shards)
 }
 
-// suspect has the store asked whether shards that are open here, or are being opened, have a newer owner.
+// markUnverified has the store asked whether shards that are open here, or are being opened, have a newer owner.
 // An agent whose membership has expired may get a shard back that another one has written to.
-func (a *Agent) suspect(shards []int) {
+func (a *Agent) markUnverified(shards []int) {
 	var open []*shardRunner
 	a.mu.Lock()
 	for _, id := range shards {
 		if r := a.shards[id]; r != nil {
 			open = append(open, r)
 		} else if o := a.opening[id]; o != nil {
-			o.suspected = true
+			o.unverified = true
 		}
 	}
 	a.mu.Unlock()
 	for _, r := range open {
 		klog.InfoS("Another agent may have owned a shard", "shard", r.ID, "epoch", r.Epoch)
-		r.Suspect(bootclock.Now())
+		r.MarkUnverified(bootclock.Now())
 	}
-	a.metrics.SuspectedShards.Add(float64(len(open)))
+	a.metrics.UnverifiedShards.Add(float64(len(open)))
 }
 
 // release closes the shards that are not in keep, also those that are still being opened. The next join
@@ -208,9 +208,9 @@
 
 // opening is a shard that is being opened. Its fields are guarded by Agent.mu.
 type opening struct {
-	// released is set once the group no longer assigns the shard to this agent, and suspected once
+	// released is set once the group no longer assigns the shard to this agent, and unverified once
 	// another owner may have held it since the opening began.
-	released, suspected bool
+	released, unverified bool
 }
 
 // acquire opens a shard in the background, unless it is open or being opened, or the agent
@@ -266,8 +266,8 @@
 	if o.released || a.drainStarted {
 		return false
 	}
-	if o.suspected {
-		r.Suspect(bootclock.Now())
+	if o.unverified {
+		r.MarkUnverified(bootclock.Now())
 	}
 	a.shards[r.ID] = r
 	return true
@@ -286,9 +286,9 @@
 // claim returns the claims of a shard for a new link. A shard that another owner may have held is claimed
 // after a later join: its agents would settle ends that only that owner knows.
 func (a *Agent) claim(r *shardRunner, node string, session int64) []*corepb.Claim {
-	if r.Suspected() {
+	if r.Unverified() {
 		a.claimsPending.Store(true)
-		r.AskNow(bootclock.Now())
+		r.VerifyNow(bootclock.Now())
 		r.Signal()
 		return nil
 	}
--- a/daemon/agent/membership_test.go
+++ b/daemon/agent/membership_test.go
@@ -197,7 +197,7 @@
 	is.Equal(st.count("append"), 1) // of the opening
 	st.assign(8, true)
 	join(t, a)
-	coretest.Await(t, func() bool { return !r.Suspected() })
+	coretest.Await(t, func() bool { return !r.Unverified() })
 	join(t, a)
 	is.Equal(st.count("append"), 2)
 	is.Equal(st.count("newest"), 1)
@@ -205,7 +205,7 @@
 }
 
 // Guards against claiming runs for an owner that another one may have replaced.
-func TestSuspectedShardIsNotClaimed(t *testing.T) {
+func TestUnverifiedShardIsNotClaimed(t *testing.T) {
 	is := is.New(t)
 	st := &memberStore{}
 	a := newMember(t, st)
@@ -215,7 +215,7 @@
 	join(t, a)
 	is.Equal(len(a.LinkUp("b", 1).Claims), 0)
 	st.setRejects(false)
-	coretest.Await(t, func() bool { return !a.shard(groupShard).Suspected() })
+	coretest.Await(t, func() bool { return !a.shard(groupShard).Unverified() })
 	join(t, a)
 	is.Equal(len(a.shard(groupShard).LinkUp("b", 1)), 0) // the join has claimed it
 }
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -30,8 +30,8 @@
 	decisions     *prometheus.CounterVec
 	StartRefusals *prometheus.CounterVec
 	StoreRepeats  prometheus.Counter
-	// SuspectedShards counts how often another agent may have owned a shard that is open here.
-	SuspectedShards prometheus.Counter
+	// UnverifiedShards counts how often another agent may have owned a shard that is open here.
+	UnverifiedShards prometheus.Counter
 	// refusedBesideRoom is labelled by reason.
 	refusedBesideRoom *prometheus.CounterVec
 	// storeCalls is labelled by verb and purpose.
@@ -65,8 +65,8 @@
 		StoreRepeats: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: Namespace, Name: "store_repeats_total", Help: "Writes repeated under the same number.",
 		}),
-		SuspectedShards: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: Namespace, Name: "suspected_shards_total", Help: "Open shards that another agent may have owned in between.",
+		UnverifiedShards: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: Namespace, Name: "unverified_shards_total", Help: "Open shards that another agent may have owned in between.",
 		}),
 		linkChanges: counter("link_changes_total", "Agents that were linked and links that were retired.", "change"),
 		linksWanted: prometheus.NewGauge(prometheus.GaugeOpts{
@@ -83,7 +83,7 @@
 		Lookup:   histogram("lookup_seconds", "Questions for a job's state at the entry."),
 	}
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
-		m.refusals, m.Retries, m.decisions, m.StartRefusals, m.StoreRepeats, m.SuspectedShards, m.refusedBesideRoom, m.storeCalls, m.linkChanges, m.linksWanted, m.peerAnswers, m.firstJob, m.Append, m.Start, m.Takeover, m.Submit, m.Lookup,
+		m.refusals, m.Retries, m.decisions, m.StartRefusals, m.StoreRepeats, m.UnverifiedShards, m.refusedBesideRoom, m.storeCalls, m.linkChanges, m.linksWanted, m.peerAnswers, m.firstJob, m.Append, m.Start, m.Takeover, m.Submit, m.Lookup,
 		metrics.MalformedCollector())
 	return m
 }
