Settings: the number of descriptors of a process

limits.max_fds, checked, in SETTINGS and in the template that the platform fills in. The platform states it beside memory_mb and nobody read it; a process can't keep within a limit that it doesn't know. Nothing uses it yet. The soak's worlds take their limits as a parameter, so that a test can lower them.

--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -35,6 +35,8 @@
 	entries     []*process
 	clientAddrs []string
 	relays      []*relay
+	// limits is the part of the processes' settings under "limits".
+	limits string
 	// submissionsPaused is above zero while clients submit no jobs.
 	submissionsPaused atomic.Int32
 
@@ -74,9 +76,18 @@
 	w.violations = append(w.violations, fmt.Sprintf(format, args...))
 }
 
+// defaultLimits are those of the users' hosts with an agent.
+const defaultLimits = `"memory_mb": 152, "max_fds": 4096`
+
 func newWorld(t *testing.T, seed uint64, entries, agents int) *world {
 	t.Helper()
-	w := &world{t: t, seed: seed, dir: logDir(t, seed), store: standin.NewStore(), ledger: standin.NewLedger(), drains: make(map[string]int)}
+	return newLimitedWorld(t, seed, entries, agents, defaultLimits)
+}
+
+// newLimitedWorld is newWorld with limits of the processes.
+func newLimitedWorld(t *testing.T, seed uint64, entries, agents int, limits string) *world {
+	t.Helper()
+	w := &world{t: t, seed: seed, limits: limits, dir: logDir(t, seed), store: standin.NewStore(), ledger: standin.NewLedger(), drains: make(map[string]int)}
 	t.Cleanup(w.end)
 	w.configure()
 	for i := range agents {
@@ -157,8 +168,8 @@
 "role": %q, "name": %q, "zone": %q, "links": 3, "listen": {%s}, "server": {"address": %q},
 "store": {"address": %q, "writes_per_second": 800, "topics": 1, "partitions": %d, "min_ttl": "1s"},
 "bounds": {"lease": "1s", "grace": "6s", "retention": "2m", "remote_factor": 1.5},
-"limits": {"memory_mb": 152},
-}`, role, name, domain, listen, server, w.relayTo(addr).addr(), partitions)
+"limits": {%s},
+}`, role, name, domain, listen, server, w.relayTo(addr).addr(), partitions, w.limits)
 }
 
 func (w *world) newAgent(name, domain string) *agent {
--- a/state/settings/settings.go
+++ b/state/settings/settings.go
@@ -146,6 +146,9 @@
 	// MemoryMB is the soft memory limit of the Go runtime in MiB. Zero means no
 	// limit.
 	MemoryMB int `json:"memory_mb"`
+	// MaxFDs is the number of file descriptors that the process may have open. Zero means
+	// not known.
+	MaxFDs int `json:"max_fds"`
 }
 
 // Load reads and checks the settings file at path.
@@ -209,9 +212,21 @@
 	if err := s.checkScheduling(); err != nil {
 		return err
 	}
+	if err := s.Limits.check(); err != nil {
+		return err
+	}
 	return s.checkBounds()
 }
 
+func (l *Limits) check() error {
+	for key, value := range map[string]int{"limits.memory_mb": l.MemoryMB, "limits.max_fds": l.MaxFDs} {
+		if value < 0 {
+			return errors.Errorf("settings: %s %d must not be negative", key, value)
+		}
+	}
+	return nil
+}
+
 func (s *Settings) checkScheduling() error {
 	for _, seed := range s.Seeds {
 		if _, err := netip.ParseAddrPort(seed); err != nil {
--- a/state/settings/settings_test.go
+++ b/state/settings/settings_test.go
@@ -44,6 +44,8 @@
 		{`"bounds"`, `"scheduling": {"shares": {"floor": 1.1}}, "bounds"`, "scheduling.shares.floor 1.1"},
 		{`"bounds"`, `"scheduling": {"server_speeds": 1}, "bounds"`, "scheduling.server_speeds"},
 		{`"bounds"`, `"scheduling": {"speed": true}, "bounds"`, "speed"},
+		{`"bounds"`, `"limits": {"memory_mb": -1}, "bounds"`, "limits.memory_mb -1"},
+		{`"bounds"`, `"limits": {"max_fds": -1}, "bounds"`, "limits.max_fds -1"},
 	} {
 		_, err := Parse("entry.json", []byte(strings.Replace(entrySettings, c.from, c.to, 1)))
 		is.True(err != nil)
@@ -74,7 +76,7 @@
 	for _, key := range []string{
 		"role", "name", "zone", "listen.clients", "listen.ready", "listen.api", "listen.reports", "listen.links", "listen.metrics",
 		"store.address", "store.writes_per_second", "store.topics", "store.partitions", "store.min_ttl", "server.address",
-		"bounds.lease", "bounds.max_lease", "bounds.config_apply", "owners.start_spread", "bounds.grace", "bounds.retention", "bounds.remote_factor", "limits.memory_mb",
+		"bounds.lease", "bounds.max_lease", "bounds.config_apply", "owners.start_spread", "bounds.grace", "bounds.retention", "bounds.remote_factor", "limits.memory_mb", "limits.max_fds",
 	} {
 		is.True(strings.Contains(string(page), "`"+key+"`")) // documented
 	}
