--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -92,6 +92,16 @@
 	close(exited)
 }
 
+// pid returns the ID of the running process, or zero if it isn't running.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // signal sends a signal to the process if it is running.
 func (p *process) signal(sig syscall.Signal) {
 	p.mu.Lock()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -34,6 +34,10 @@
 	// connect to.
 	entries     []*process
 	clientAddrs []string
+	// readyAddr, metricsAddr and apiAddr are where the last entry listens besides.
+	readyAddr, metricsAddr, apiAddr string
+	// apiDeclared is set once the service is declared at apiAddr.
+	apiDeclared bool
 	relays      []*relay
 	// limits is the part of the processes' settings under "limits".
 	limits string
@@ -265,7 +269,8 @@
 	clientAddr := address(w.t)
 	// An entry that starts without the store asks the first agent.
 	seed := w.agents[0].linksAddr
-	listen := fmt.Sprintf(`"clients": %q, "ready": %q, "links": %q`, clientAddr, address(w.t), seed)
+	w.readyAddr, w.metricsAddr, w.apiAddr = address(w.t), address(w.t), address(w.t)
+	listen := fmt.Sprintf(`"clients": %q, "ready": %q, "metrics": %q, "api": %q, "links": %q`, clientAddr, w.readyAddr, w.metricsAddr, w.apiAddr, seed)
 	settings := strings.Replace(w.settings("entry", name, domains[0], listen, ""), "{", fmt.Sprintf(`{"seeds": [%q],`, seed), 1)
 	w.entries = append(w.entries, newProcess(w.t, w.dir, name, settings))
 	w.clientAddrs = append(w.clientAddrs, clientAddr)
