--- a/soak/member_test.go
+++ b/soak/member_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -131,11 +132,26 @@
 
 	paddedBody = bodyOf(smallSteps, maxBodyBytes)
 	tinyBody   = bodyOf(tinySteps, maxBodyBytes)
+	// manySteps is a recorded job of as many steps as a job may have, which depend on many others.
+	manySteps = manyStepsBody()
 	// manyHeaderLines are distinct lines, so that none is merged with another.
 	manyHeaderLines = headerLines(200_000)
 	block           = strings.Repeat("x", 64<<10)
 )
 
+func manyStepsBody() string {
+	const maxSteps, mostDependencies = 1000, 45
+	steps := make([]string, maxSteps)
+	for i := range steps {
+		var depends []string
+		for j := range min(i, mostDependencies) {
+			depends = append(depends, strconv.Itoa(i-1-j))
+		}
+		steps[i] = fmt.Sprintf(`{"count":1,"cpu_millis":100,"estimate_ms":5,"depends_on":[%s]}`, strings.Join(depends, ","))
+	}
+	return `{"spec":"5","steps":[` + strings.Join(steps, ",") + `]}`
+}
+
 func headerLines(n int) string {
 	var b strings.Builder
 	for i := range n {
@@ -250,6 +266,13 @@
 		m.sendRepeatedly(block, 4<<20-1)
 	}},
 	{name: "silent_at_links", members: 1200, behave: func(*member) {}, target: func(w *world) string { return w.agents[0].linksAddr }},
+	{name: "ids_as_long_as_a_head", members: 40, behave: func(m *member) {
+		for range 40 {
+			m.send(fmt.Sprintf("GET /q/%s HTTP/1.1\r\nHost: desk.example\r\n\r\n", block[:15000]))
+			m.receive()
+		}
+	}},
+	{name: "whole_jobs_of_many_steps", members: 100, behave: func(m *member) { m.sendWhole(manySteps) }},
 	{name: "counts_that_overflow", members: 4, behave: func(m *member) {
 		const most = 1<<63 - 1
 		for _, bestEffort := range []bool{true, false} {
