Keep the connections of clients within the descriptors and the memory

Callers saw an entry end, or refuse connections, because of clients that hold on without giving anything. Cause: the listeners had a time for the head and nothing else. A head could have 1 MiB, decoded to ten times as much where it is of short lines; a connection could stay open without end; nobody counted connections; and an answer that nobody reads kept its connection. The platform publishes the limits (max_header_bytes, header_timeout_ms, idle_timeout_ms), and nobody read them.

Now each listener of a process (clients, readiness, reports, metrics, links, the project's own interface) counts its connections, and all share a budget for the memory of requests (transport/guard). A connection knows what it is doing: receiving a head or a body, being served, idle, or writing to a client that doesn't read. When the connections of a listener are used up, a newcomer takes the place of the one that has used most of the time that it may take for what it is doing; when the memory is, those end first that have held most of it for longest. Connections that are being served are never ended for room. So the crowd gives way to newcomers, not the newcomers to the crowd. Heads are charged as they arrive, with 160 bytes a line for their decoded form. daemon/budget is the one place that divides memory_mb and max_fds; limits.client_connections and limits.request_memory_mb override it. The runtime's soft limit leaves room for the program's text, which it doesn't count. A link's first byte makes it one that is served; silent ones give way to it.

The limits follow the configuration in force. Before the first one, and where it sets none: 16 KiB, 5 s, 2 minutes.

Unit tests in transport/guard and daemon/budget.

--- a/daemon/agent/agent.go
+++ b/daemon/agent/agent.go
@@ -163,6 +163,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for links")
 	}
+	return a.Serve(ctx, l)
+}
+
+// Serve is Run with the listener for links.
+func (a *Agent) Serve(ctx context.Context, l net.Listener) error {
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() {
--- a/daemon/core/metrics.go
+++ b/daemon/core/metrics.go
@@ -85,6 +85,7 @@
 	m.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		m.refusals, m.Retries, m.decisions, m.StartRefusals, m.StoreRepeats, m.UnverifiedShards, m.refusedBesideRoom, m.storeCalls, m.linkChanges, m.linksWanted, m.peerAnswers, m.firstJob, m.Append, m.Start, m.Takeover, m.Submit, m.Lookup,
 		metrics.MalformedCollector())
+	m.Registry.MustRegister(metrics.ClientCollectors()...)
 	return m
 }
 
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"os"
@@ -15,18 +14,20 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
-	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/shallotstep/shallotstep/daemon/agent"
+	"github.com/shallotstep/shallotstep/daemon/budget"
 	"github.com/shallotstep/shallotstep/daemon/clients"
 	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/daemon/entry"
 	"github.com/shallotstep/shallotstep/daemon/memlimit"
 	"github.com/shallotstep/shallotstep/platform"
+	"github.com/shallotstep/shallotstep/state/routing"
 	"github.com/shallotstep/shallotstep/state/settings"
 	"github.com/shallotstep/shallotstep/state/store"
 	"github.com/shallotstep/shallotstep/transport/asynclog"
+	"github.com/shallotstep/shallotstep/transport/guard"
 	"github.com/shallotstep/shallotstep/transport/metrics"
 )
 
@@ -37,7 +38,6 @@
 	// connCloseDelay is how long the entry then closes each connection with its response, before
 	// it shuts the listener down.
 	connCloseDelay = 1500 * time.Millisecond
-	mebibyte       = 1 << 20
 	// exitReserve is the part of the grace period that is kept for the exit of the process.
 	exitReserve = 500 * time.Millisecond
 )
@@ -68,7 +68,7 @@
 		return exitFailed
 	}
 	defer klog.Flush()
-	memory := memlimit.Set(int64(s.Limits.MemoryMB) * mebibyte)
+	memory := memlimit.Set(budget.Of(s.Limits).RuntimeBytes)
 	defer memory.Stop()
 	klog.InfoS("Starting", "role", s.Role, "name", s.Name, "zone", s.Domain, "version", Software)
 	if err := runRole(s, *path); err != nil {
@@ -99,17 +99,21 @@
 func runEntry(ctx context.Context, cancel context.CancelFunc, s *settings.Settings, stop <-chan os.Signal) error {
 	e := entry.New(s, platform.NewStore(s.Store.Address), platform.ConfigPartition, platform.DecodeConfig, operatorDrains)
 	var stopping, closing atomic.Bool
-	front, err := serveHTTP(s.Listen.Clients, platform.NewClientHandler(e, closing.Load))
+	b := budget.Of(s.Limits)
+	pool := guard.NewPool(b.RequestBytes)
+	go pool.Run(ctx)
+	clientListener, err := pool.Listen(s.Listen.Clients, guard.Options{Name: "clients", MaxConns: b.Clients, Limits: func() guard.Limits { return clientLimits(e.Table()) }})
 	if err != nil {
 		return err
 	}
-	ready, err := serveHTTP(s.Listen.Ready, platform.NewReadinessHandler(func() bool { return !stopping.Load() && e.Ready() }))
+	front := clientListener.Serve(platform.NewClientHandler(e, closing.Load))
+	ready, err := serveHTTP(pool, s.Listen.Ready, guard.Options{Name: "ready", MaxConns: b.Ready}, platform.NewReadinessHandler(func() bool { return !stopping.Load() && e.Ready() }))
 	if err != nil {
 		return err
 	}
-	serveMetrics(&s.Listen, e.Metrics())
+	serveMetrics(pool, b.Metrics, &s.Listen, e.Metrics())
 	if s.Listen.API != "" {
-		if _, err := serveHTTP(s.Listen.API, newAPI(ctx, e, s)); err != nil {
+		if _, err := serveHTTP(pool, s.Listen.API, guard.Options{Name: "api", MaxConns: b.API}, newAPI(ctx, e, s)); err != nil {
 			return err
 		}
 	}
@@ -134,6 +138,14 @@
 	return err
 }
 
+// clientLimits returns the limits on clients that the configuration sets; t is nil while there is none.
+func clientLimits(t *routing.Table) guard.Limits {
+	if t == nil {
+		return guard.Limits{}
+	}
+	return guard.Limits{HeaderBytes: t.MaxHeaderBytes, HeaderTimeout: t.HeaderTimeout, IdleTimeout: t.IdleTimeout}
+}
+
 // newAPI returns the handler of the project's own HTTP API for an entry of the platform, and follows
 // the declarations until ctx ends. The declarations have a partition of their own, apart from the
 // platform's configuration.
@@ -152,10 +164,17 @@
 	a := agent.New(s, platform.NewStore(s.Store.Address), operatorDrains, func(fencingToken int64) agent.BackendClient {
 		return platform.NewBackendClient(s.Server.Address, fencingToken)
 	})
-	if _, err := serveHTTP(s.Listen.Reports, platform.NewReportHandler(a)); err != nil {
+	b := budget.Of(s.Limits)
+	pool := guard.NewPool(b.RequestBytes)
+	go pool.Run(ctx)
+	if _, err := serveHTTP(pool, s.Listen.Reports, guard.Options{Name: "reports", MaxConns: b.Reports}, platform.NewReportHandler(a)); err != nil {
+		return err
+	}
+	links, err := pool.Listen(s.Listen.Links, guard.Options{Name: "links", MaxConns: b.Links, Streams: true})
+	if err != nil {
 		return err
 	}
-	serveMetrics(&s.Listen, a.Metrics())
+	serveMetrics(pool, b.Metrics, &s.Listen, a.Metrics())
 	go func() {
 		sig := <-stop
 		klog.InfoS("Received a signal, starting the planned stop", "signal", sig.String())
@@ -164,35 +183,25 @@
 		a.Drain(drainCtx)
 		cancel()
 	}()
-	return a.Run(ctx)
+	return a.Serve(ctx, links)
 }
 
-// headerTimeout is how long a client may take to send the headers of a request before its connection
-// is closed.
-const headerTimeout = 5 * time.Second
-
 // serveHTTP listens at addr and serves h in the background. It returns an error if it can't listen.
-func serveHTTP(addr string, h http.Handler) (*http.Server, error) {
-	l, err := net.Listen("tcp", addr)
+func serveHTTP(p *guard.Pool, addr string, o guard.Options, h http.Handler) (*http.Server, error) {
+	l, err := p.Listen(addr, o)
 	if err != nil {
-		return nil, errors.Wrap(err, "listen")
+		return nil, err
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	go func() {
-		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			klog.ErrorS(err, "An HTTP server stopped serving", "addr", addr)
-		}
-	}()
-	return srv, nil
+	return l.Serve(h), nil
 }
 
 // serveMetrics serves the metrics, if their address is set, and profiles, if they are enabled. An error
 // is only logged, since the process can work without them.
-func serveMetrics(l *settings.Listen, h http.Handler) {
+func serveMetrics(p *guard.Pool, conns int, l *settings.Listen, h http.Handler) {
 	if l.Metrics == "" {
 		return
 	}
-	if _, err := serveHTTP(l.Metrics, metricsHandler(l.Profiles, h)); err != nil {
+	if _, err := serveHTTP(p, l.Metrics, guard.Options{Name: "metrics", MaxConns: conns}, metricsHandler(l.Profiles, h)); err != nil {
 		klog.ErrorS(err, "The metrics are not served", "addr", l.Metrics)
 	}
 }
--- a/state/routing/routing.go
+++ b/state/routing/routing.go
@@ -1,5 +1,5 @@
 // Package routing defines the routing table: which requests go to which queue,
-// the policy of each queue, and the limit on request bodies.
+// the policy of each queue, and the limits on requests.
 package routing
 
 import (
@@ -27,6 +27,11 @@
 	Routes  []Route
 	// MaxBodyBytes is the limit on the size of a request body; zero or less: none is set.
 	MaxBodyBytes int64
+	// MaxHeaderBytes is the limit on the size of the request line and the header together, HeaderTimeout
+	// the time for them, and IdleTimeout how long a connection may stay open between two requests. Zero or
+	// less: none is set.
+	MaxHeaderBytes             int64
+	HeaderTimeout, IdleTimeout time.Duration
 }
 
 // Match returns the route of a host whose prefix is the longest that matches the
--- a/state/settings/settings.go
+++ b/state/settings/settings.go
@@ -147,10 +147,19 @@
 	// limit.
 	MemoryMB int `json:"memory_mb"`
 	// MaxFDs is the number of file descriptors that the process may have open. Zero means
-	// not known.
+	// that of the system.
 	MaxFDs int `json:"max_fds"`
+	// ClientConnections is the number of connections that an entry keeps to clients. Zero
+	// means as many as the other limits allow.
+	ClientConnections int `json:"client_connections"`
+	// RequestMemoryMB is the memory for requests in progress in MiB, beyond what each
+	// connection is allowed. Zero means a part of MemoryMB.
+	RequestMemoryMB int `json:"request_memory_mb"`
 }
 
+// minFDs is the least number of descriptors with which a process works.
+const minFDs = 400
+
 // Load reads and checks the settings file at path.
 func Load(path string) (*Settings, error) {
 	b, err := os.ReadFile(path)
@@ -219,11 +228,23 @@
 }
 
 func (l *Limits) check() error {
-	for key, value := range map[string]int{"limits.memory_mb": l.MemoryMB, "limits.max_fds": l.MaxFDs} {
+	for key, value := range map[string]int{
+		"limits.memory_mb": l.MemoryMB, "limits.max_fds": l.MaxFDs,
+		"limits.client_connections": l.ClientConnections, "limits.request_memory_mb": l.RequestMemoryMB,
+	} {
 		if value < 0 {
 			return errors.Errorf("settings: %s %d must not be negative", key, value)
 		}
 	}
+	if l.MaxFDs > 0 && l.MaxFDs < minFDs {
+		return errors.Errorf("settings: limits.max_fds %d is below %d", l.MaxFDs, minFDs)
+	}
+	if l.MaxFDs > 0 && l.ClientConnections >= l.MaxFDs {
+		return errors.Errorf("settings: limits.client_connections %d is not below limits.max_fds %d", l.ClientConnections, l.MaxFDs)
+	}
+	if l.MemoryMB > 0 && l.RequestMemoryMB >= l.MemoryMB {
+		return errors.Errorf("settings: limits.request_memory_mb %d is not below limits.memory_mb %d", l.RequestMemoryMB, l.MemoryMB)
+	}
 	return nil
 }
 
--- a/state/settings/settings_test.go
+++ b/state/settings/settings_test.go
@@ -46,6 +46,11 @@
 		{`"bounds"`, `"scheduling": {"speed": true}, "bounds"`, "speed"},
 		{`"bounds"`, `"limits": {"memory_mb": -1}, "bounds"`, "limits.memory_mb -1"},
 		{`"bounds"`, `"limits": {"max_fds": -1}, "bounds"`, "limits.max_fds -1"},
+		{`"bounds"`, `"limits": {"max_fds": 399}, "bounds"`, "limits.max_fds 399"},
+		{`"bounds"`, `"limits": {"max_fds": 400, "client_connections": 400}, "bounds"`, "limits.client_connections 400"},
+		{`"bounds"`, `"limits": {"client_connections": -1}, "bounds"`, "limits.client_connections -1"},
+		{`"bounds"`, `"limits": {"memory_mb": 64, "request_memory_mb": 64}, "bounds"`, "limits.request_memory_mb 64"},
+		{`"bounds"`, `"limits": {"request_memory_mb": -1}, "bounds"`, "limits.request_memory_mb -1"},
 	} {
 		_, err := Parse("entry.json", []byte(strings.Replace(entrySettings, c.from, c.to, 1)))
 		is.True(err != nil)
@@ -76,7 +81,7 @@
 	for _, key := range []string{
 		"role", "name", "zone", "listen.clients", "listen.ready", "listen.api", "listen.reports", "listen.links", "listen.metrics",
 		"store.address", "store.writes_per_second", "store.topics", "store.partitions", "store.min_ttl", "server.address",
-		"bounds.lease", "bounds.max_lease", "bounds.config_apply", "owners.start_spread", "bounds.grace", "bounds.retention", "bounds.remote_factor", "limits.memory_mb", "limits.max_fds",
+		"bounds.lease", "bounds.max_lease", "bounds.config_apply", "owners.start_spread", "bounds.grace", "bounds.retention", "bounds.remote_factor", "limits.memory_mb", "limits.max_fds", "limits.client_connections", "limits.request_memory_mb",
 	} {
 		is.True(strings.Contains(string(page), "`"+key+"`")) // documented
 	}
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
@@ -69,9 +71,19 @@
 	grpc    *grpc.Server
 }
 
+const (
+	// handshakeTimeout is the time for the start of a connection.
+	handshakeTimeout = 5 * time.Second
+	// maxConnIdle is how long a connection may stay open without a call. A link has one all the time.
+	maxConnIdle = 30 * time.Second
+)
+
 // NewServer returns a server that is not listening yet.
 func NewServer(h AgentHandler) *Server {
-	s := &Server{handler: h, grpc: grpc.NewServer(grpc.StaticStreamWindowSize(flowControlWindow), grpc.StaticConnWindowSize(flowControlWindow))}
+	s := &Server{handler: h, grpc: grpc.NewServer(
+		grpc.StaticStreamWindowSize(flowControlWindow), grpc.StaticConnWindowSize(flowControlWindow),
+		grpc.ConnectionTimeout(handshakeTimeout), grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: maxConnIdle}),
+	)}
 	corepb.RegisterCoreServer(s.grpc, s)
 	return s
 }
