Bound the memory of the jobs that an owner has accepted

100 clients that submit recorded jobs of 1,000 steps, each in a body of legal size, took the agents that own them to 426 and 391 MB of 64. Cause: a job is accepted by when it would end, not by what it takes, and such a job takes 1.5 MB for 240 KB of text: its lists of dependencies, its tasks and its record. It keeps them for as long as its state can be asked for, two minutes and more after its end.

The jobs of all shards of a process that have not ended now have a budget, a fifth of memory_mb. One that finds no room is refused with no_memory by its owner, which doesn't have it and so may say that it never runs. Large jobs, of more than 64 KB, get half of the budget, so that ordinary ones are accepted beside them. A large recorded job that has ended, with all ends recorded and settled, is forgotten down to what an owner loads that takes the shard over: its state. Small jobs are kept as before. Jobs that a takeover loads are counted and never refused.

Ruled out: counting ended jobs as well, with all that they keep: at 120 jobs a second an owner would refuse ordinary jobs for what has long ended. Forgetting small jobs too: it wins little.

--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -447,5 +447,6 @@
 func acceptAllParams() owner.Params {
 	p := owner.DefaultParams()
 	p.ObjectiveShare = 100
+	p.LargeJob = 0 // each job that has ended is forgotten as far as possible
 	return p
 }
--- a/coordination/owner/dispatch.go
+++ b/coordination/owner/dispatch.go
@@ -94,6 +94,7 @@
 	s.giveUpUselessLocked(now, &fx)
 	s.placeWaitingLocked(now, &fx)
 	s.expireJobsLocked(now)
+	s.forgetEndedLocked(now)
 	for _, id := range s.dirty {
 		if j := s.jobs[id]; j != nil && now >= j.writeBy {
 			fx.Write = true
@@ -124,6 +125,7 @@
 		id := s.expiringBestEffort[0].id
 		s.expiringBestEffort = s.expiringBestEffort[1:]
 		if j := s.jobs[id]; j != nil && j.rec.State.Final() && j.departed == 0 && len(j.waiters) == 0 {
+			s.releaseLocked(j)
 			delete(s.jobs, id)
 		}
 	}
--- a/coordination/owner/events.go
+++ b/coordination/owner/events.go
@@ -231,6 +231,7 @@
 	}
 	j.cancelWaiters, j.watchers = nil, nil
 	s.scheduleExpiryLocked(now, j)
+	s.endedLocked(j)
 	fx.log(Decision{Kind: "ended", Job: j.rec.ID, Reason: j.reportedState.String(), Age: now - j.acceptedAt, Wait: j.due - now})
 }
 
--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -96,6 +96,8 @@
 	// data.
 	remoteFactor float64
 	params       Params
+	// memory bounds the memory of the jobs. It needs no lock.
+	memory jobMemory
 
 	mu     sync.Mutex
 	agents map[string]*agentView // guarded by mu
@@ -174,6 +176,7 @@
 		retired:       make(map[string]bool),
 		runTimeRatios: make(map[string]float64),
 	}
+	f.memory.limit = p.JobMemory
 	if p.Shares != nil {
 		f.shares = shares.NewBook(*p.Shares)
 	}
--- a/coordination/owner/link.go
+++ b/coordination/owner/link.go
@@ -125,6 +125,7 @@
 		return
 	}
 	s.closed = true
+	s.releaseAllLocked()
 	s.denyLocked(fx)
 	s.confirming = nil
 	jobs := slices.Collect(maps.Values(s.jobs))
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -196,6 +196,8 @@
 	writeBy time.Duration
 	// removing is set when the record is to be removed from the store.
 	removing bool
+	// size is the memory in bytes that the job is counted with.
+	size int64
 }
 
 // Shard is the state machine of one shard.
@@ -267,6 +269,11 @@
 	verifyAt     time.Duration
 	// closed is set once another owner has taken over.
 	closed bool
+	// openBytes is the sum of the sizes of jobs. forgetting has the large jobs that have ended and are
+	// not forgotten yet, and forgetAt is when that is tried next.
+	openBytes  int64
+	forgetting []job.ID
+	forgetAt   time.Duration
 }
 
 type expiry struct {
@@ -332,6 +339,7 @@
 		s.scheduleExpiryLocked(now, j)
 		return
 	}
+	s.holdLocked(j)
 	s.atMostOnce = s.atMostOnce || r.Policy.AtMostOnce
 	j.due = now + s.objective(&r.Spec, &r.Policy)
 	j.tasks = make([]task, r.Spec.Tasks())
--- a/coordination/owner/params.go
+++ b/coordination/owner/params.go
@@ -8,6 +8,13 @@
 
 // Params are the parameters of admission, placement and queueing.
 type Params struct {
+	// JobMemory bounds the memory of the jobs of all shards of a process that have not ended, in bytes.
+	// Zero means no bound.
+	JobMemory int64
+	// LargeJob is the size in bytes above which a job is large: large jobs get half of JobMemory, and are
+	// forgotten as far as possible once they have ended.
+	LargeJob int64
+
 	// ObjectiveShare is the share of its latency objective within which a job must be predicted to
 	// end to be accepted as in time. The rest is headroom for more urgent jobs that come later and
 	// are placed first.
@@ -79,6 +86,7 @@
 // DefaultParams returns the parameters that are used in production.
 func DefaultParams() Params {
 	return Params{
+		LargeJob:            64 << 10,
 		ObjectiveShare:      0.75,
 		SlackShare:          0.35,
 		PriorityFactor:      0.95,
--- a/coordination/owner/submit.go
+++ b/coordination/owner/submit.go
@@ -69,6 +69,10 @@
 	a := s.admitLocked(now, &spec, &p)
 	s.countSubmissionLocked(now, p.Service, a.clientWaited > 0)
 	a = s.admitReturningLocked(now, fx, id, &spec, &p, a)
+	size := sizeOf(&spec)
+	if a.reason == "" && !s.fleet.memory.take(size, s.fleet.params.LargeJob) {
+		a.reason, a.retryAfter = ReasonNoMemory, time.Second
+	}
 	if a.reason != "" {
 		a.retryAfter = s.retryAfterLocked(now, fx, id, &spec, &p, a.retryAfter)
 		fx.reply(reply, Response{Outcome: Refused, Reason: a.reason, RetryAfter: a.retryAfter})
@@ -85,7 +89,9 @@
 		late:       a.late,
 
 		clientWaited: a.clientWaited,
+		size:         size,
 	}
+	s.openBytes += size
 	j.setUsefulPeriod(now, a.useful)
 	s.jobs[id] = j
 	j.waiters = append(j.waiters, reply)
@@ -157,6 +163,7 @@
 		return
 	}
 	j.rec.State, j.reportedState = job.Queued, job.Queued
+	s.holdLocked(j)
 	objective := s.objective(&j.rec.Spec, &j.rec.Policy)
 	j.acceptedAt, j.due, j.late = now, now+objective, false
 	j.clientWaited, j.postponed = 0, false
--- a/coordination/owner/waiting.go
+++ b/coordination/owner/waiting.go
@@ -221,5 +221,6 @@
 	for i := range j.tasks {
 		s.shed.lastRun = max(s.shed.lastRun, j.tasks[i].number)
 	}
+	s.releaseLocked(j)
 	delete(s.jobs, j.rec.ID)
 }
--- a/coordination/owner/write.go
+++ b/coordination/owner/write.go
@@ -205,6 +205,7 @@
 		return
 	}
 	if w.Record == nil {
+		s.releaseLocked(j)
 		delete(s.jobs, w.ID)
 		return
 	}
@@ -269,6 +270,7 @@
 		fx.reply(reply, Response{Outcome: Refused, Reason: ReasonStoreUnavailable, RetryAfter: time.Second})
 	}
 	s.unqueueLocked(j)
+	s.releaseLocked(j)
 	delete(s.jobs, j.rec.ID)
 	s.dirty = slices.DeleteFunc(s.dirty, func(id job.ID) bool { return id == j.rec.ID })
 	fx.log(Decision{Kind: "refused", Job: j.rec.ID, Reason: reason})
--- a/daemon/core/bounds.go
+++ b/daemon/core/bounds.go
@@ -5,6 +5,7 @@
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
 	"github.com/shallotstep/shallotstep/coordination/shares"
+	"github.com/shallotstep/shallotstep/daemon/budget"
 	"github.com/shallotstep/shallotstep/state/settings"
 )
 
@@ -82,6 +83,9 @@
 	p := owner.DefaultParams()
 	p.ServerSpeeds = s.Scheduling.ServerSpeeds
 	p.Shedding = s.Scheduling.Shedding
+	if s.Limits.MemoryMB > 0 {
+		p.JobMemory = budget.Of(s.Limits).JobBytes
+	}
 	if sh := s.Scheduling.Shares; sh != nil {
 		p.Shares = &shares.Params{Floor: sh.Floor}
 		if s.Role == settings.RoleEntry {
