API: charge bodies as they arrive

32 callers of the project's own interface that announced 8 MB and sent nothing turned everyone away for 30 s, since the announced length was reserved at once; 100 that stopped short of the end took the entry to 750 MB of 64. The budget of 256 MB was more than a small host has.

Bodies count towards the budget of the process as they arrive (guard.ReadBody), and those that hold most for longest are ended. The limit on buffered bodies counts whole ones, until they are answered. The development system serves through the same listener.

--- a/daemon/dev/entry.go
+++ b/daemon/dev/entry.go
@@ -11,9 +11,13 @@
 	"github.com/shallotstep/shallotstep/daemon/entry"
 	"github.com/shallotstep/shallotstep/platform"
 	"github.com/shallotstep/shallotstep/state/settings"
+	"github.com/shallotstep/shallotstep/transport/guard"
 	"github.com/shallotstep/shallotstep/transport/httpapi"
 )
 
+// maxConns is the number of connections of callers that an entry keeps.
+const maxConns = 4096
+
 // Entry is an entry with its HTTP server.
 type Entry struct {
 	clients *clients.Clients
@@ -35,10 +39,14 @@
 	running := entry.New(set, st, clients.DeclarationsPartition, declarations.Decode, drains.Source())
 	e := &Entry{clients: clients.New(running, declarations, drains, name, s.opts.Software, 1), addr: l.Addr().String()}
 	e.http = httpapi.NewServer(e.clients.Handler(), nil)
+	pool := guard.NewPool(httpapi.DefaultMaxBufferedBytes)
+	listener := pool.Wrap(l, guard.Options{Name: "api", MaxConns: maxConns})
+	listener.Configure(e.http)
 	var ctx context.Context
 	ctx, e.cancel = context.WithCancel(context.Background())
 	e.done.Go(func() { _ = running.Run(ctx) })
-	e.done.Go(func() { _ = e.http.Serve(l) })
+	e.done.Go(func() { pool.Run(ctx) })
+	e.done.Go(func() { _ = e.http.Serve(listener) })
 	s.entries = append(s.entries, e)
 	return e, nil
 }
--- a/transport/httpapi/jobs.go
+++ b/transport/httpapi/jobs.go
@@ -7,6 +7,7 @@
 
 	"github.com/shallotstep/shallotstep/protocol/api"
 	"github.com/shallotstep/shallotstep/state"
+	"github.com/shallotstep/shallotstep/transport/guard"
 )
 
 // statusClientClosedRequest is the status in the metrics for a caller that disconnected before its
@@ -36,7 +37,14 @@
 		return
 	}
 	defer release()
-	sub, p := api.Decode(kind, x.params.ByName("service"), key, body)
+	var sub api.Submission
+	if err := guard.Expand(x.req.Context(), x.req, int64(len(body)), func() int64 {
+		sub, p = api.Decode(kind, x.params.ByName("service"), key, body)
+		return int64(len(body))
+	}); err != nil {
+		x.refuse(x.overloaded())
+		return
+	}
 	if p != nil {
 		x.refuse(p)
 		return
