End unfinished requests in a planned stop

A planned stop waited for clients that never finish what they send, until its grace period was over, and then cut whoever was being served.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -123,6 +123,7 @@
 		stopping.Store(true)
 		time.Sleep(preStopDelay)
 		closing.Store(true)
+		clientListener.EndUnfinished()
 		time.Sleep(connCloseDelay)
 		shutdownCtx, cancelShutdown := context.WithTimeout(ctx, max(s.Bounds.Grace-preStopDelay-connCloseDelay-exitReserve, exitReserve))
 		defer cancelShutdown()
