--- a/daemon/clients/answer.go
+++ b/daemon/clients/answer.go
@@ -20,6 +20,7 @@
 	owner.ReasonNoOwner:          state.ReasonNoOwner,
 	owner.ReasonOwnerLost:        state.ReasonOwnerLost,
 	owner.ReasonTimeLimit:        state.ReasonDeadline,
+	owner.ReasonNoMemory:         state.ReasonBusy,
 }
 
 func reasonOf(v owner.Response) state.Reason {
