Guard: don't end a connection in the middle of an answer

Found by reading: while its answer was being written, a connection passed for one whose client doesn't read, for as short as that takes. If all others were being served, a newcomer could take its place, and the client lost an answer that was ready. TestAnswerBeingWrittenIsNotCut fails without this.

--- a/transport/guard/conn.go
+++ b/transport/guard/conn.go
@@ -246,7 +246,8 @@
 // for it.
 func (c *conn) age(now int64) (int64, bool) {
 	if w := c.writingSince.Load(); w > 0 {
-		return now - w + 1, true
+		age := now - w + 1
+		return age, age > 1 // most writes take no time
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -341,6 +341,18 @@
 	})
 }
 
+// Guards against an answer that is cut for a newcomer while it is being written.
+func TestAnswerBeingWrittenIsNotCut(t *testing.T) {
+	s := newServer(t, maxTestBody, 1)
+	c := s.dial()
+	c.sendBody("/wait", 1, 1)
+	<-s.waiting
+	s.listener.openConns()[0].writingSince.Store(s.pool.sweeps.Load() + 1)
+	s.is.Equal(s.dial().status(), 0)
+	s.open()
+	s.is.Equal(c.status(), http.StatusOK)
+}
+
 // Guards against unfinished requests that hold up a planned stop.
 func TestStopEndsUnfinishedRequests(t *testing.T) {
 	s := newServer(t, maxTestBody, 10)
