Guard: count what a decoded request keeps once

Found by reading: a request that keeps more than it was expected to take was counted with the difference twice, of which it paid one part. TestExpandedRequestCounts has both sides now and failed before (5,000 bytes for 3,000).

--- a/transport/guard/expand.go
+++ b/transport/guard/expand.go
@@ -28,10 +28,13 @@
 		return ErrNoMemory
 	}
 	kept := decode()
-	if kept > bytes && !c.charge(kept-bytes) {
+	if kept <= bytes {
+		c.refund(bytes - kept)
+		return nil
+	}
+	if !c.charge(kept - bytes) {
 		return ErrNoMemory
 	}
-	c.refund(bytes - kept)
 	return nil
 }
 
--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -378,12 +378,22 @@
 // Guards against large requests that are decoded all at once: their memory counts, and is refunded.
 func TestExpandedRequestCounts(t *testing.T) {
 	s := newServer(t, maxTestBody, 10)
-	errs := make(chan error, 1)
+	errs, kept := make(chan error, 1), make(chan int64, 2)
 	s.http.Handler = s.listener.handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		errs <- Expand(r.Context(), r, maxTestBody/2, func() int64 { return 0 })
+		before := connOf(r).heldNow()
+		_ = Expand(r.Context(), r, 1000, func() int64 { return 3000 })
+		kept <- connOf(r).heldNow() - before
 		errs <- Expand(r.Context(), r, 2*maxTestBody, func() int64 { panic("decoded without memory") })
 	}))
 	s.dial().send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
 	s.is.NoErr(<-errs)
+	s.is.Equal(<-kept, int64(3000))
 	s.is.True(errors.Is(<-errs, ErrNoMemory))
 }
+
+func (c *conn) heldNow() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.held
+}
