--- a/transport/guard/listener.go
+++ b/transport/guard/listener.go
@@ -107,7 +107,7 @@
 }
 
 // Accept implements net.Listener. A connection beyond the number that may be open takes the place of the
-// one that has made least of its time, or is closed at once if all others are being served.
+// one that has used most of its time, or is closed at once if all others are being served.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		inner, err := l.Listener.Accept()
--- a/transport/guard/pool.go
+++ b/transport/guard/pool.go
@@ -1,7 +1,7 @@
 // Package guard keeps clients from using up the descriptors and the memory of a process. Each listener has
 // a number of connections, and all of them share a budget for the memory of requests. When either is used
-// up, the connections that have made least of their time are ended, so that other clients are served.
-// Connections whose request is being served are never ended for lack of room.
+// up, connections are ended that don't finish what they send or read, longest first, so that other clients
+// are served. Connections whose request is being served are never ended for lack of room.
 package guard
 
 import (
--- a/transport/guard/request.go
+++ b/transport/guard/request.go
@@ -11,7 +11,7 @@
 	"github.com/shallotstep/shallotstep/transport/metrics"
 )
 
-// maxHeaderBytes is the HTTP server's own limit on a head. It is above the limits that an operator sets.
+// maxHeaderBytes is the HTTP server's own limit on a head, for the case that a larger one is configured.
 const maxHeaderBytes = 1 << 20
 
 // connKey is the key of the connection in the context of its requests.
