Guard: leave idle connections to the server in a planned stop

The server closes them when it shuts down, as before; only unfinished requests and unread answers are ended earlier. TestStopEndsUnfinishedRequests has such a client, and fails without this.

--- a/transport/guard/conn.go
+++ b/transport/guard/conn.go
@@ -285,7 +285,7 @@
 func (c *conn) endIfOverdue(now int64, l *Limits, stopping bool) {
 	age, endable := c.age(now)
 	reason, limit := c.timeLimit(l)
-	if stopping {
+	if stopping && reason != metrics.EndedIdle { // the server closes idle connections itself
 		reason, limit = metrics.EndedStopping, min(limit, sweepsOf(time.Second)-1)
 	}
 	if !endable || age <= limit {
--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -356,14 +356,19 @@
 // Guards against unfinished requests that hold up a planned stop.
 func TestStopEndsUnfinishedRequests(t *testing.T) {
 	s := newServer(t, maxTestBody, 10)
-	silent, head, body := s.dial(), s.dial(), s.dial()
+	silent, head, body, kept := s.dial(), s.dial(), s.dial(), s.dial()
+	kept.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	s.is.Equal(kept.status(), http.StatusOK)
+	s.awaitConns(1, inPhase(idle))
 	head.send("GET / HTTP/1.1\r\n")
 	body.sendBody("/", 10, 9)
 	s.awaitConns(1, inPhase(receivingBody))
 	s.awaitConns(1, func(c *conn) bool { return c.headBytesNow() > 0 && inPhase(receivingHead)(c) })
-	s.awaitConns(3, nil)
+	s.awaitConns(4, nil)
 	s.listener.EndUnfinished()
 	s.sweepTimes(2)
+	kept.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	s.is.Equal(kept.status(), http.StatusOK) // it may be used until the server shuts down
 	s.is.Equal(silent.status(), 0)
 	s.is.Equal(head.status(), 0)
 	s.is.Equal(body.status(), 0)
