Guard: large requests leave memory to small ones

Requests that are being served can't be ended for others, so a crowd of large ones in progress, jobs of 1,000 tasks with short texts or bodies that were whole, could hold all of the memory until its time limit was over, and an ordinary request beyond the allowance of its connection (some 20 tasks) got 504. Requests of over 64 KB now share three quarters of the budget. TestLargeRequestsLeaveRoomForSmallOnes fails without this.

--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -203,6 +203,26 @@
 	s.is.Equal(stalled.status(), 0)
 }
 
+// Guards against large requests in progress that leave no memory to small ones. They can't be ended.
+func TestLargeRequestsLeaveRoomForSmallOnes(t *testing.T) {
+	s := newServer(t, maxTestBody, 10)
+	large := make([]*client, 3)
+	for i := range large {
+		large[i] = s.dial()
+		large[i].sendBody("/wait", maxTestBody/4, maxTestBody/4)
+		if i < 2 {
+			<-s.waiting
+		}
+	}
+	s.is.True(large[2].status() != http.StatusOK) // refused or ended
+	small := s.dial()
+	small.sendBody("/", smallBytes/4, smallBytes/4)
+	s.is.Equal(small.status(), http.StatusOK)
+	s.open()
+	s.is.Equal(large[0].status(), http.StatusOK)
+	s.is.Equal(large[1].status(), http.StatusOK)
+}
+
 // Guards against memory that stays charged after its request.
 func TestMemoryIsReturned(t *testing.T) {
 	s := newServer(t, 2*maxTestBody, 10)
--- a/transport/guard/pool.go
+++ b/transport/guard/pool.go
@@ -102,7 +102,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for !c.ended {
-		if p.used+n <= p.memory {
+		if p.used+n <= p.limitFor(c.paid+n) {
 			p.used += n
 			c.paid += n
 			return true
@@ -120,6 +120,15 @@
 	return false
 }
 
+// limitFor returns how much may be in use with a request that holds n bytes. Large requests leave a quarter
+// of the budget to small ones: requests that are being served can't be ended for others.
+func (p *Pool) limitFor(n int64) int64 {
+	if n > smallBytes {
+		return p.memory - p.memory/4
+	}
+	return p.memory
+}
+
 // endLocked ends a connection for lack of memory. It returns the memory once its request has let go of it.
 func (p *Pool) endLocked(c *conn) {
 	p.dropLocked(c)
