--- a/transport/guard/conn.go
+++ b/transport/guard/conn.go
@@ -306,14 +306,11 @@
 	}
 	c.timedOut = true
 	c.enterLocked(receivingBody) // the answer has as much time again
-	if err := c.SetReadDeadline(longAgo); err != nil {
+	if err := c.SetReadDeadline(time.Now()); err != nil {
 		klog.V(1).InfoS("Could not end the reading of a body", "err", err)
 	}
 	return true
 }
 
-// longAgo makes reads fail at once.
-var longAgo = time.Unix(1, 0)
-
 // sweepsOf returns the number of sweeps in which at least d passes.
 func sweepsOf(d time.Duration) int64 { return int64((d + sweepInterval - 1) / sweepInterval) }
