--- a/coordination/owner/memory.go
+++ b/coordination/owner/memory.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// forgetInterval is the interval at which large jobs that have ended are tried to be forgotten.
+// forgetInterval is the least time between two attempts to forget large jobs that have ended.
 const forgetInterval = 500 * time.Millisecond
 
 // forgetEndedLocked forgets what is no longer needed of large jobs that have ended.
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -270,7 +270,7 @@
 	// closed is set once another owner has taken over.
 	closed bool
 	// openBytes is the sum of the sizes of jobs. forgetting has the large jobs that have ended and are
-	// not forgotten yet, and forgetAt is when that is tried next.
+	// not forgotten yet, and forgetAt is the earliest time of the next attempt.
 	openBytes  int64
 	forgetting []job.ID
 	forgetAt   time.Duration
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -92,8 +92,7 @@
 	}
 }
 
-// stopCrowds are the crowds beside which a planned stop is tried: one for each thing that a connection can
-// be doing.
+// stopCrowds are the crowds that TestStopBesideCrowd uses: at least one for each state of a connection.
 var stopCrowds = []string{
 	"heads_within_the_limit_without_end", "whole_bodies", "bodies_short_of_their_end", "bodies_for_no_queue", "silent_connections", "idle_connections", "answers_that_nobody_reads",
 }
