--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -422,3 +422,13 @@
 	defer c.mu.Unlock()
 	return c.held
 }
+
+// Guards against clients without limits before the first configuration, and limits that don't follow it.
+func TestLimitsFollowTheConfiguration(t *testing.T) {
+	is := is.New(t)
+	var configured Limits
+	l := NewPool(0).Wrap(nil, Options{Limits: func() Limits { return configured }})
+	is.Equal(l.limits(), DefaultLimits)
+	configured = Limits{HeaderBytes: 1}
+	is.Equal(l.limits(), Limits{HeaderBytes: 1, HeaderTimeout: DefaultLimits.HeaderTimeout, IdleTimeout: DefaultLimits.IdleTimeout})
+}
