Guard: tests keep the connections of their clients

TestManyHeaderLinesCount failed once, in a fresh clone beside the other packages' tests: "the connections did not get into the state". Cause: the test no longer used its client, so the collector closed the connection, and its memory was returned before the test looked. The same had shown in TestAnnouncedBodyTakesNoMemory before it landed. All connections of clients are kept until the end of a test now. No check or bound is changed.

--- a/transport/guard/guard_test.go
+++ b/transport/guard/guard_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -29,6 +28,8 @@
 	// gate holds requests to /wait back until open is called.
 	gate chan struct{}
 	open func()
+	// dialled has all connections of clients: one that is collected is closed.
+	dialled []net.Conn
 	// waiting receives a value when a request to /wait has begun.
 	waiting chan struct{}
 }
@@ -42,6 +43,9 @@
 	s.open = sync.OnceFunc(func() { close(s.gate) })
 	t.Cleanup(func() {
 		s.open()
+		for _, c := range s.dialled {
+			c.Close() //nolint:errcheck // it may have ended already
+		}
 		s.is.NoErr(s.http.Close())
 	})
 	return s
@@ -87,6 +91,7 @@
 func (s *server) dial() *client {
 	c, err := net.Dial("tcp", s.listener.Addr().String())
 	s.is.NoErr(err)
+	s.dialled = append(s.dialled, c)
 	return &client{is: s.is, Conn: c, in: bufio.NewReader(c)}
 }
 
@@ -242,17 +247,14 @@
 // Guards against announced bodies that keep others out before any of them has arrived.
 func TestAnnouncedBodyTakesNoMemory(t *testing.T) {
 	s := newServer(t, maxTestBody, 10)
-	announcing := make([]*client, 5)
-	for i := range announcing {
-		announcing[i] = s.dial()
-		announcing[i].sendBody("/", maxTestBody, 0)
+	for range 5 {
+		s.dial().sendBody("/", maxTestBody, 0)
 	}
 	s.awaitConns(5, inPhase(receivingBody))
 	c := s.dial()
 	c.sendBody("/", maxTestBody/2, maxTestBody/2)
 	s.is.Equal(c.status(), http.StatusOK)
 	s.awaitConns(5, inPhase(receivingBody))
-	runtime.KeepAlive(announcing) // a connection that is collected is closed
 }
 
 // Guards against a body that never ends; its client is told that its time is over.
