--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -16,7 +16,7 @@
 
 // cases has each case by its name. trouble is false for the run without the disruption.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
-	"outage": outageCase, "batch": batchCase, "moved": movedCase, "grey": greyCase,
+	"outage": outageCase, "batch": batchCase, "moved": movedCase, "grey": greyCase, "pending": pendingCase,
 }
 
 func main() { os.Exit(run()) }
