--- a/review/rig3/batch.go
+++ b/review/rig3/batch.go
@@ -18,12 +18,12 @@
 	specBytes  = 4000
 )
 
-// batchBody is a job of eight steps, one after the other, like those of PROTOCOL.
+// batchBody is a job of six steps, one after the other, like those of PROTOCOL.
 func batchBody() string {
 	spec := `{"work_ms":60,"note":"`
 	spec += strings.Repeat("n", specBytes-len(spec)-2) + `"}`
 	var steps []map[string]any
-	for i := range 8 {
+	for i := range 6 {
 		step := map[string]any{"count": 1, "cpu_millis": 1600, "mem_mb": 64, "estimate_ms": 60, "data_rack": "r1-3"}
 		if i > 0 {
 			step["depends_on"] = []int{i - 1}
@@ -129,7 +129,7 @@
 	}
 	open, last := ids, 0
 	var counts map[string]int
-	for w.log.since() < 90*time.Second && len(open) > 0 {
+	for w.log.since() < 95*time.Second && len(open) > 0 {
 		time.Sleep(5 * time.Second)
 		counts, open = states(w, open)
 		refused, largest := w.store.sizes()
