--- a/review/rig3/outage.go
+++ b/review/rig3/outage.go
@@ -7,7 +7,7 @@
 
 const (
 	outageHosts = 11
-	outageJobs  = 150
+	outageJobs  = 300
 	// outage is how long the store is down. The channels are reset in the middle of it.
 	outage     = 4700 * time.Millisecond
 	resetAfter = 1800 * time.Millisecond
--- a/review/rig3/pending.go
+++ b/review/rig3/pending.go
@@ -13,6 +13,8 @@
 	pendingJobs  = 10000
 	// pendingAge is visible_ms and 2 s more: only jobs that were accepted that long ago count.
 	pendingAge = 5 * time.Second
+	// askers is the number of clients of each edge machine that ask.
+	askers = 3
 )
 
 // pendingCase kills all agents while jobs wait, and asks for the number of those that haven't begun.
@@ -36,11 +38,12 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	asked, unanswered, wrong := 0, 0, 0
-	for i, e := range w.entries {
+	for n := range askers * len(w.entries) {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			c := newClient(e.front, w.log)
+			i := n % len(w.entries)
+			c := newClient(w.entries[i].front, w.log)
 			for {
 				select {
 				case <-stop:
