--- a/review/rig3/batch.go
+++ b/review/rig3/batch.go
@@ -13,18 +13,20 @@
 // What clients hand in: batchJobs jobs with a spec of nearly the largest size, batchRate of them a second.
 const (
 	batchJobs  = 14000
-	batchRate  = 900
+	batchRate  = 1000
 	batchHosts = 11
 	specBytes  = 4000
+	// batchFinish is how long after the last job the check begins: finish_s is 14 s.
+	batchFinish = 25 * time.Second
 )
 
 // batchBody is a job of six steps, one after the other, like those of PROTOCOL.
 func batchBody() string {
-	spec := `{"work_ms":80,"note":"`
+	spec := `{"work_ms":40,"note":"`
 	spec += strings.Repeat("n", specBytes-len(spec)-2) + `"}`
 	var steps []map[string]any
 	for i := range 6 {
-		step := map[string]any{"count": 1, "cpu_millis": 1600, "mem_mb": 64, "estimate_ms": 80, "data_rack": "r1-3"}
+		step := map[string]any{"count": 1, "cpu_millis": 1600, "mem_mb": 64, "estimate_ms": 40, "data_rack": "r1-3"}
 		if i > 0 {
 			step["depends_on"] = []int{i - 1}
 		}
@@ -129,21 +131,24 @@
 	}
 	open, last := ids, 0
 	var counts map[string]int
+	ended := w.log.since()
 	for w.log.since() < 95*time.Second && len(open) > 0 {
 		time.Sleep(5 * time.Second)
 		counts, open = states(w, open)
 		refused, largest := w.store.sizes()
 		w.log.say("states %v; runs since %d; calls of the store refused for their size %d; the largest had %d bytes", counts, w.log.runs()-last, refused, largest)
 		last = w.log.runs()
-	}
-	for _, id := range open {
-		w.log.add("job %s: accepted, has not ended, %d runs so far", id, w.log.startsOf(id))
+		if w.log.since() < ended+batchFinish || w.leftLying(open, 6*time.Second, 1600) == 0 {
+			continue
+		}
+		for _, id := range open {
+			w.log.add("job %s: accepted, has not ended, %d runs so far", id, w.log.startsOf(id))
+		}
+		w.log.say("%d of %d accepted jobs have not ended", len(open), len(ids))
+		return false, nil
 	}
 	w.log.say("%d of %d accepted jobs have not ended", len(open), len(ids))
-	if len(open) == 0 {
-		return true, nil
-	}
-	return w.leftLying(open, 6*time.Second, 1600) == 0, nil
+	return true, nil
 }
 
 // leftLying returns how many jobs had nothing running for a time in which under half of the capacity was in
