--- a/review/rig3/batch.go
+++ b/review/rig3/batch.go
@@ -22,11 +22,11 @@
 
 // batchBody is a job of eight steps, one after the other, like those of PROTOCOL.
 func batchBody() string {
-	spec := `{"work_ms":60,"note":"`
+	spec := `{"work_ms":35,"note":"`
 	spec += strings.Repeat("n", specBytes-len(spec)-2) + `"}`
 	var steps []map[string]any
 	for i := range 8 {
-		step := map[string]any{"count": 1, "cpu_millis": 1600, "mem_mb": 64, "estimate_ms": 60, "data_rack": "r1-3"}
+		step := map[string]any{"count": 1, "cpu_millis": 1600, "mem_mb": 64, "estimate_ms": 35, "data_rack": "r1-3"}
 		if i > 0 {
 			step["depends_on"] = []int{i - 1}
 		}
