Owner: an agent whose link is up again is not given up for its lost one

Cause: Agent.LinkUp told the shards nothing of a link that came up while the ownership was not confirmed, or while a shard was unverified. The shard went on counting from the loss of the earlier link, and the heartbeats on the new one kept the runs there active. After the outage the agent's first join confirmed it, the store verified the shard some 10 ms later, and the claims waited for the join after that, 0.25 s later. The tick in between gave the agent up.

Mend: the shard is told of each link at once. One that can't be claimed yet ends the count from the earlier link's loss; it is claimed with a later join as before, and if it is lost the count begins anew. An agent of an earlier owner with such a link isn't waited out before its claim is sent either.

No later than before: an agent whose link stays down is given up after the same time (TestAgentLostAfterAnOutageIsGivenUpInTime, TestLostLinkIsWaitedOut).

--- a/coordination/model/model_test.go
+++ b/coordination/model/model_test.go
@@ -21,7 +21,8 @@
 // lose responses; links are cut; the store rejects writes and loses responses; clocks differ; tasks
 // crash the backend servers that start them; capacities shrink; failure domains are drained; an agent is
 // cut off while its owner and the other hosts lose power; the store turns owners away one after the other;
-// a shard comes back to an owner that another one has replaced in between.
+// a shard comes back to an owner that another one has replaced in between; the store is down while links
+// are reset.
 //
 // It checks these invariants: no task has two concurrent runs or a run after its acknowledged end;
 // no accepted job is lost; no final state that a client was shown changes; no refused job runs; no
@@ -48,7 +49,7 @@
 	noStoreFence, claimsWithoutRuns, formerAgentsNotRead, agentsNotWritten, noTakeoverWait, noLostLinkWait,
 	acceptedBeforeWrite, settledBeforeWrite, noOrderFence, voidEndsAcked, lossesNotReported, capacityNotUpdated,
 	drainsIgnored, drainsNotRead, olderDrainsAccepted, startTimesNotTold, restartsUnderNewIDs, restartsNotRecorded,
-	shardsKept, returnsTrusted, absenceUnconfirmed,
+	shardsKept, returnsTrusted, absenceUnconfirmed, unclaimedLinksUnknown,
 }
 
 // rareMutants are detected only if several faults coincide within milliseconds, or if clocks differ
--- a/coordination/model/owner_test.go
+++ b/coordination/model/owner_test.go
@@ -36,6 +36,10 @@
 	drains    drainView
 	// unconfirmed is set once the group may have assigned the shard to another owner.
 	unconfirmed bool
+	// joinedAt is when the owner last joined the group.
+	joinedAt time.Duration
+	// claimsPending is set while there may be links on which the shard is not claimed yet.
+	claimsPending bool
 	// writing is set while a batch is being written to the store.
 	writing bool
 	// rejected is set from a rejected write until the store accepts writes again.
@@ -62,6 +66,7 @@
 	}
 	o.shard = owner.New(w.now, 0, epoch, w.ownerBounds(), o.fleet, w.records(), mayRun, maps.Clone(w.store.incarnations))
 	o.assigned.Joined(w.generation, modelShards)
+	o.joinedAt = w.now
 	return o
 }
 
@@ -76,6 +81,50 @@
 	o.w.trace("- %s opens the shard with epoch %d, agents %v", o.name, o.shard.Epoch, o.w.store.agents)
 	o.pollDrains()
 	o.tick()
+	o.join()
+}
+
+const (
+	// membershipTTL is how long after its last join an owner counts as confirmed.
+	membershipTTL = 1200 * time.Millisecond
+	joinInterval  = 250 * time.Millisecond
+)
+
+// join joins the group at intervals. An owner that can't is unconfirmed after membershipTTL.
+func (o *ownerModel) join() {
+	o.run(func() {
+		switch {
+		case o.replaced || o.shard.Closed():
+		case o.storeRejects():
+			o.unconfirmed = o.unconfirmed || o.w.now-o.joinedAt >= membershipTTL
+		case o.unconfirmed:
+			o.rejoin()
+		default:
+			o.joinedAt = o.w.now
+			o.claimPending()
+		}
+	})
+	if !o.killed() {
+		o.w.after(joinInterval, o.join)
+	}
+}
+
+// claimPending claims the shard on the links on which that had to wait.
+func (o *ownerModel) claimPending() {
+	if !o.claimsPending {
+		return
+	}
+	if o.shard.Unverified() {
+		o.shard.VerifyNow(o.w.now)
+		o.write()
+		return
+	}
+	o.claimsPending = false
+	for _, a := range o.w.agents {
+		if l := o.links[a]; l != nil && l.up {
+			l.claim()
+		}
+	}
 }
 
 // killed reports whether the process was killed.
@@ -140,12 +189,13 @@
 }
 
 func (o *ownerModel) rejoin() {
-	o.unconfirmed = false
+	o.unconfirmed, o.joinedAt = false, o.w.now
 	interrupted := o.assigned.Joined(o.w.generation, modelShards)
 	o.w.trace("- %s has its shard again, interrupted %v", o.name, interrupted)
 	if len(interrupted) > 0 && !o.w.mutant.keepsShards() {
 		o.shard.MarkUnverified(o.w.now)
 	}
+	o.claimPending()
 }
 
 // reopen opens the shard anew if the store has refused this owner, although the group assigns the shard to
@@ -191,20 +241,40 @@
 
 func (o *ownerModel) dial(a *agentModel) {
 	o.run(func() {
-		if o.shard.Closed() || !a.ready(o) || !o.confirmed() {
+		if !a.ready(o) {
 			return
 		}
 		o.w.session++
 		l := &link{owner: o, agent: a, session: o.w.session, up: true}
 		o.links[a] = l
 		o.fleet.Linked(a.name)
-		claim, _, fx := o.shard.Linked(o.w.now, a.name, l.session)
-		claim.Owner = o.name
-		o.apply(fx)
-		l.toAgent(func() { a.claim(l, claim) })
+		if o.mayClaim() {
+			l.claim()
+			return
+		}
+		o.claimsPending = true
+		if o.w.mutant != unclaimedLinksUnknown {
+			o.shard.LinkedUnclaimed(a.name, l.session)
+		}
 	})
 }
 
+func (o *ownerModel) mayClaim() bool {
+	return o.confirmed() && !o.shard.Closed() && !o.shard.Unverified()
+}
+
+// claim claims the shard on a link, unless that was done.
+func (l *link) claim() {
+	o := l.owner
+	claim, ok, fx := o.shard.Linked(o.w.now, l.agent.name, l.session)
+	if !ok || o.shard.Closed() {
+		return
+	}
+	claim.Owner = o.name
+	o.apply(fx)
+	l.toAgent(func() { l.agent.claim(l, claim) })
+}
+
 // cutLink ends the link to an agent and drops the messages in transit. The owner connects again
 // after the given time.
 func (o *ownerModel) cutLink(a *agentModel, redialDelay time.Duration) {
--- a/coordination/model/server_test.go
+++ b/coordination/model/server_test.go
@@ -247,6 +247,9 @@
 	if e.w.chance(0.1) {
 		duration = e.w.randUpTo(4 * time.Second)
 	}
+	if e.w.longTasks && e.w.chance(0.3) {
+		duration = e.w.randUpTo(longTask)
+	}
 	e.w.after(duration, func() {
 		if e.up && e.instance == instance && e.runs[task] == c.Run.Number {
 			e.expireLease()
--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -81,6 +81,8 @@
 	returnsTrusted mutant = "shards that come back not verified"
 	// Owners answer that a job is unknown without asking the store.
 	absenceUnconfirmed mutant = "unknown jobs not confirmed"
+	// Owners don't know of links that came up while they may not claim their shard.
+	unclaimedLinksUnknown mutant = "links without a claim not known"
 	// Owners that were replaced in the group never stop.
 	noRenewLimit mutant = "dropped owners go on for ever"
 )
@@ -130,6 +132,8 @@
 	generation int64
 	// quiet is set if clients ask for no state after the last fault.
 	quiet bool
+	// longTasks is set if three in ten runs take up to longTask.
+	longTasks bool
 }
 
 type event struct {
@@ -246,8 +250,22 @@
 // what it doesn't know.
 const turnedAwayWorlds = 0.1
 
+// outageWorlds is the share of worlds whose only faults are outages of the store beside resets of links, and
+// whose runs are long enough to outlast these.
+const outageWorlds = 0.1
+
+// longTask is the longest run in such a world.
+const longTask = 10 * time.Second
+
 // scheduleFaults schedules faults at random times before faultsEnd.
 func (w *world) scheduleFaults() {
+	if w.chance(outageWorlds) {
+		w.longTasks = true
+		for at := w.randUpTo(3 * time.Second); at < faultsEnd; at += 6*time.Second + w.randUpTo(3*time.Second) {
+			w.after(at, w.loseStoreBesideResets)
+		}
+		return
+	}
 	if w.chance(turnedAwayWorlds) {
 		w.quiet = w.chance(0.5)
 		for at := w.randUpTo(3 * time.Second); at < faultsEnd; at += 2*time.Second + w.randUpTo(5*time.Second) {
@@ -268,7 +286,7 @@
 
 func (w *world) injectFault() {
 	a := w.agents[w.rand.IntN(len(w.agents))]
-	switch w.rand.IntN(18) {
+	switch w.rand.IntN(19) {
 	case 0:
 		w.newestOwner().kill()
 		w.after(w.randUpTo(2*time.Second), w.takeOver)
@@ -315,6 +333,8 @@
 		// The group deals the shard away and back between two joins of its owner.
 		w.takeOver()
 		w.after(w.randUpTo(time.Second), w.dealBack)
+	case 18:
+		w.loseStoreBesideResets()
 	case 10:
 		a.reachableBy, a.partitionedUntil = nil, w.now+w.randUpTo(6*time.Second)
 		for _, o := range w.owners {
@@ -323,6 +343,26 @@
 	}
 }
 
+// loseStoreBesideResets has the store down for less than renewLimit, and resets links meanwhile. Memberships
+// of the group may expire in the outage.
+func (w *world) loseStoreBesideResets() {
+	length := 3500*time.Millisecond + w.randUpTo(2*time.Second)
+	w.store.rejectsUntil = w.now + length
+	for range 1 + w.rand.IntN(3) {
+		w.after(w.randUpTo(length/2), func() {
+			for _, a := range w.agents {
+				if w.chance(0.6) {
+					w.newestOwner().cutLink(a, w.randUpTo(150*time.Millisecond))
+				}
+			}
+		})
+	}
+	if w.chance(0.7) {
+		// The owner's membership has expired, and others have joined before it.
+		w.after(length, func() { w.generation += 2 })
+	}
+}
+
 // losePowerBeside cuts an agent off for so long that its owner, or the next one, starts its tasks again.
 // About then all other hosts lose power. The owner is lost with them or, without that, replaced in the
 // group.
--- a/coordination/owner/link.go
+++ b/coordination/owner/link.go
@@ -20,7 +20,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var fx Effects
-	if l := s.links[node]; l != nil && l.session >= session {
+	if l := s.links[node]; l != nil && (l.session > session || l.session == session && !l.claimDeferred) {
 		return worker.Claim{}, false, fx
 	}
 	s.links[node] = &linkState{session: session, claimSentAt: now}
@@ -32,6 +32,19 @@
 	return worker.Claim{Shard: s.ID, Epoch: s.Epoch, Session: session}, true, fx
 }
 
+// LinkedUnclaimed notes a new link to an agent on which the shard can't be claimed yet. Linked claims
+// it later. The heartbeats on the link keep the runs there active, so the agent must not be given up by
+// the time at which an earlier link was lost.
+func (s *Shard) LinkedUnclaimed(node string, session int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[node]
+	if _, awaited := s.unreconciled[node]; l == nil && !awaited || l != nil && l.session >= session {
+		return
+	}
+	s.links[node] = &linkState{session: session, claimDeferred: true}
+}
+
 // claimTimeout is how long an agent may take to answer a claim. It may first have to record that
 // recorded jobs run there, which takes a second with a slow store.
 const claimTimeout = 3 * time.Second
@@ -42,7 +55,7 @@
 func (s *Shard) renewUnansweredLinksLocked(now time.Duration, fx *Effects) {
 	for _, node := range slices.Sorted(maps.Keys(s.links)) {
 		l := s.links[node]
-		if l.claimed || l.lost || now-l.claimSentAt < claimTimeout {
+		if l.claimed || l.lost || l.claimDeferred || now-l.claimSentAt < claimTimeout {
 			continue
 		}
 		l.claimSentAt = now
--- a/coordination/owner/lost_agents.go
+++ b/coordination/owner/lost_agents.go
@@ -58,7 +58,7 @@
 	}
 	before := len(s.unreconciled)
 	for _, node := range slices.Sorted(maps.Keys(s.unreconciled)) {
-		if now >= s.unreconciled[node] {
+		if now >= s.unreconciled[node] && !s.claimDeferredLocked(node) {
 			delete(s.unreconciled, node)
 			s.agentUnreached = true
 			if s.links[node] == nil {
@@ -72,6 +72,12 @@
 	}
 }
 
+// claimDeferredLocked reports whether an agent has a link on which the claim is yet to be sent.
+func (s *Shard) claimDeferredLocked(node string) bool {
+	l := s.links[node]
+	return l != nil && l.claimDeferred && !l.lost
+}
+
 func (s *Shard) removeStoredAgentLocked(node string) {
 	if s.storedAgents[node] && !s.private {
 		delete(s.storedAgents, node)
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -287,6 +287,8 @@
 	// claimSentAt is when the claim was sent, or when a new link was last requested because the
 	// claim was not answered.
 	claimSentAt time.Duration
+	// claimDeferred is set while this session's claim may not be sent yet.
+	claimDeferred bool
 	// claimed is set once the agent has answered this session's claim.
 	claimed bool
 	// incarnation is what answered the claim.
--- a/daemon/agent/membership.go
+++ b/daemon/agent/membership.go
@@ -283,18 +283,26 @@
 	}
 }
 
-// claim returns the claims of a shard for a new link. A shard that another owner may have held is claimed
-// after a later join: its agents would settle ends that only that owner knows.
+// claim returns the claims of a shard for a link, or none if they have to wait.
 func (a *Agent) claim(r *shardRunner, node string, session int64) []*corepb.Claim {
-	if r.Unverified() {
-		a.claimsPending.Store(true)
-		r.VerifyNow(bootclock.Now())
-		r.Signal()
+	if a.claimMustWait(r) {
 		return nil
 	}
 	return r.LinkUp(node, session)
 }
 
+// claimMustWait reports whether another owner may have held a shard. Such a shard is claimed after a
+// later join: its agents would settle ends that only that owner knows.
+func (a *Agent) claimMustWait(r *shardRunner) bool {
+	if !r.Unverified() {
+		return false
+	}
+	a.claimsPending.Store(true)
+	r.VerifyNow(bootclock.Now())
+	r.Signal()
+	return true
+}
+
 // leave releases all shards and leaves the group. Before that it waits, within bounds,
 // for the records that clients wait for.
 func (a *Agent) leave(ctx context.Context) {
--- a/daemon/agent/serve.go
+++ b/daemon/agent/serve.go
@@ -129,23 +129,27 @@
 	return a.callerStates[c]
 }
 
-// LinkUp implements peer.LinkHandler. It returns the claims of the open shards.
+// LinkUp implements peer.LinkHandler. It returns the claims of the open shards that can be claimed now.
 func (a *Agent) LinkUp(node string, session int64) *corepb.ToAgent {
 	a.mu.Lock()
 	a.linkSessions[node] = session
 	a.mu.Unlock()
 	a.fleet.Linked(node)
 	out := &corepb.ToAgent{}
-	if !a.ownershipConfirmed() {
+	confirmed := a.ownershipConfirmed()
+	if !confirmed {
 		// An agent that has just started knows no epochs, so it would accept the claim
 		// of an owner that the group has replaced. That owner would settle ends and
 		// repeat orders that belong to its successor. The shards are claimed after the
 		// next successful join instead.
 		a.claimsPending.Store(true)
-		return out
 	}
 	for _, r := range a.ownedShards() {
-		out.Claims = append(out.Claims, a.claim(r, node, session)...)
+		if confirmed && !a.claimMustWait(r) {
+			out.Claims = append(out.Claims, r.LinkUp(node, session)...)
+			continue
+		}
+		r.LinkedUnclaimed(node, session)
 	}
 	return out
 }
