Links: a session begins with the shards that its sender has

What callers would see: tasks of accepted jobs that run twice.

Cause: an owner that gives a shard up tells the agents once. A link that is down then loses that release, and when it is up again the agent takes the process for the owner of all shards that it had claimed before. The heartbeats that the process sends for its other shards keep the runs of the released one active without end, though the next owner, if it can't reach the agent, starts them elsewhere after TakeoverTimeout. The same for a shard that the process has opened anew and not claimed yet.

Mend: the first frame of a session names the shards that its sender has and may not claim yet, with their epochs. What is neither in it nor claimed by it counts as released, and its runs are stopped after the usual timeout. A frame of an earlier session that arrives late releases nothing. What is sent while that frame is collected goes with it. An agent that doesn't know the field behaves as before, and so does one with an owner that doesn't send it.

The model has owners that give their shard up and live on, with resets, and the safeguard as the mutant "shards of a new session not told".

--- a/coordination/model/model_test.go
+++ b/coordination/model/model_test.go
@@ -56,7 +56,7 @@
 // for a long time. That takes hundreds or thousands of worlds, so they are tested only with
 // -model.rare.
 var rareMutants = []mutant{
-	noOwnerTimeout, noCallFence, noStartDeadline, excessClockDrift, noRenewLimit, incarnationsNotWritten, claimsUnconfirmed, lostLinksUnconfirmed, repeatsStartRuns,
+	noOwnerTimeout, noCallFence, noStartDeadline, excessClockDrift, noRenewLimit, incarnationsNotWritten, claimsUnconfirmed, lostLinksUnconfirmed, repeatsStartRuns, sessionsNotStarted,
 }
 
 // TestEachSafeguardIsNeeded disables each safeguard in turn. If no invariant is violated without a
--- a/coordination/model/owner_test.go
+++ b/coordination/model/owner_test.go
@@ -174,10 +174,31 @@
 	if o.w.mutant == noRenewLimit {
 		return
 	}
-	giveUp := whileReplaced(func() { o.apply(o.shard.Close()); o.kill() })
+	giveUp := whileReplaced(o.giveUp)
 	o.w.after(o.w.randUpTo(renewLimit), func() { o.run(giveUp) })
 }
 
+// giveUp releases the shard. The process ends, or goes on with the links that its other shards need. The
+// links may be reset then, so that the releases are lost.
+func (o *ownerModel) giveUp() {
+	o.apply(o.shard.Close())
+	if o.w.chance(0.5) {
+		o.kill()
+		return
+	}
+	reset := o.w.chance(0.5)
+	for _, a := range o.w.agents {
+		l := o.links[a]
+		if l == nil || !l.up {
+			continue
+		}
+		l.toAgent(func() { a.worker.Release(0, o.name) })
+		if reset {
+			o.cutLink(a, o.w.randUpTo(150*time.Millisecond))
+		}
+	}
+}
+
 // modelShards are the shards of a world.
 var modelShards = []int{0}
 
@@ -248,6 +269,13 @@
 		l := &link{owner: o, agent: a, session: o.w.session, up: true}
 		o.links[a] = l
 		o.fleet.Linked(a.name)
+		held := make(map[int]int64)
+		if !o.shard.Closed() {
+			held[0] = o.shard.Epoch
+		}
+		if o.w.mutant != sessionsNotStarted {
+			l.toAgent(func() { a.worker.SessionStarted(o.name, l.session, held) })
+		}
 		if o.mayClaim() {
 			l.claim()
 			return
--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -83,6 +83,8 @@
 	absenceUnconfirmed mutant = "unknown jobs not confirmed"
 	// Owners don't know of links that came up while they may not claim their shard.
 	unclaimedLinksUnknown mutant = "links without a claim not known"
+	// Agents aren't told which shards an owner still has when its link comes up again.
+	sessionsNotStarted mutant = "shards of a new session not told"
 	// Owners that were replaced in the group never stop.
 	noRenewLimit mutant = "dropped owners go on for ever"
 )
--- a/coordination/worker/claims.go
+++ b/coordination/worker/claims.go
@@ -122,6 +122,20 @@
 	}
 }
 
+// SessionStarted handles the first frame of a session of an owner, which has the epochs of the shards
+// that it has. The runs of its other shards here no longer count as those of a live owner: their release
+// may have been lost with an earlier session, and heartbeats would keep them active beside those of the
+// next owner.
+func (w *Worker) SessionStarted(owner string, session int64, held map[int]int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, s := range w.shards {
+		if epoch, ok := held[id]; s.owner == owner && s.session < session && !(ok && epoch == s.epoch) {
+			s.owner = ""
+		}
+	}
+}
+
 // LinkLost notes that an owner's link has ended. A live owner reconnects at once. The time allowed
 // for that is shorter than the timeout of a silent owner, because the client of a dead owner
 // resubmits its job to another one.
--- a/daemon/agent/lost_links_test.go
+++ b/daemon/agent/lost_links_test.go
@@ -62,6 +62,7 @@
 	a.LinkDown("b", 1)
 	first := a.LinkUp("b", 2)
 	is.Equal(len(first.GetClaims()), 0)
+	is.Equal(len(first.GetSessionStart().GetHeld()), 1)
 	st.setRejects(false)
 	coretest.Await(t, func() bool { return !r.Unverified() })
 	fx := r.Tick(bootclock.Now() + 2*core.OwnerBounds(a.settings).LostLinkTimeout)
--- a/daemon/agent/serve.go
+++ b/daemon/agent/serve.go
@@ -50,6 +50,9 @@
 // Frame implements peer.AgentHandler.
 func (a *Agent) Frame(c *peer.Caller, f *corepb.ToAgent) error {
 	now := bootclock.Now()
+	if start := f.GetSessionStart(); start != nil {
+		a.worker.SessionStarted(c.Node, start.GetSession(), heldShards(f))
+	}
 	if !a.worker.Heard(now, c.Node) && len(f.GetClaims()) == 0 {
 		return errSilent
 	}
@@ -90,6 +93,18 @@
 	return nil
 }
 
+// heldShards returns the epochs of the shards that the sender of a session's first frame has.
+func heldShards(f *corepb.ToAgent) map[int]int64 {
+	out := make(map[int]int64)
+	for _, p := range f.GetSessionStart().GetHeld() {
+		out[int(p.GetShard())] = p.GetEpoch()
+	}
+	for _, p := range f.GetClaims() {
+		out[int(p.GetShard())] = p.GetEpoch()
+	}
+	return out
+}
+
 // handleClaim answers a claim. A claim of a recorded shard is answered in the background once the
 // marker for recorded jobs is stored. Its owner sends no order before the answer.
 func (a *Agent) handleClaim(c *peer.Caller, p *corepb.Claim) {
@@ -129,13 +144,14 @@
 	return a.callerStates[c]
 }
 
-// LinkUp implements peer.LinkHandler. It returns the claims of the open shards that can be claimed now.
+// LinkUp implements peer.LinkHandler. The frame that it returns claims the open shards, or names those
+// that can't be claimed yet.
 func (a *Agent) LinkUp(node string, session int64) *corepb.ToAgent {
 	a.mu.Lock()
 	a.linkSessions[node] = session
 	a.mu.Unlock()
 	a.fleet.Linked(node)
-	out := &corepb.ToAgent{}
+	out := &corepb.ToAgent{SessionStart: &corepb.SessionStart{Session: session}}
 	confirmed := a.ownershipConfirmed()
 	if !confirmed {
 		// An agent that has just started knows no epochs, so it would accept the claim
@@ -149,7 +165,7 @@
 			out.Claims = append(out.Claims, r.LinkUp(node, session)...)
 			continue
 		}
-		r.LinkedUnclaimed(node, session)
+		out.SessionStart.Held = append(out.SessionStart.Held, r.LinkUpUnclaimed(node, session))
 	}
 	return out
 }
--- a/daemon/core/shard_driver.go
+++ b/daemon/core/shard_driver.go
@@ -137,6 +137,12 @@
 	return []*corepb.Claim{{Shard: int32(claim.Shard), Epoch: claim.Epoch, Session: claim.Session}}
 }
 
+// LinkUpUnclaimed tells the shard of a new link on which it can't be claimed yet.
+func (r *ShardDriver) LinkUpUnclaimed(node string, session int64) *corepb.Ownership {
+	r.LinkedUnclaimed(node, session)
+	return &corepb.Ownership{Shard: int32(r.ID), Epoch: r.Epoch}
+}
+
 // LinkDown tells the shard that a link is lost.
 func (r *ShardDriver) LinkDown(node string, session int64) {
 	r.Step(func(now time.Duration) owner.Effects {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -215,7 +215,7 @@
 // LinkUp implements peer.LinkHandler.
 func (e *Entry) LinkUp(node string, session int64) *corepb.ToAgent {
 	e.fleet.Linked(node)
-	return &corepb.ToAgent{Claims: e.bestEffort.LinkUp(node, session)}
+	return &corepb.ToAgent{SessionStart: &corepb.SessionStart{Session: session}, Claims: e.bestEffort.LinkUp(node, session)}
 }
 
 // LinkDown implements peer.LinkHandler.
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -45,7 +45,7 @@
 // LinkHandler handles the events of links. For each link its methods are called one at a
 // time, except LinkBeforeSend, which may be called concurrently with the others.
 type LinkHandler interface {
-	// LinkUp returns the claims to send in the first frame of a new session.
+	// LinkUp returns what the first frame of a new session claims, and its start.
 	LinkUp(node string, session int64) *corepb.ToAgent
 	// LinkFrame handles a received frame.
 	LinkFrame(node string, session int64, f *corepb.FromAgent)
@@ -202,11 +202,15 @@
 	session := l.session
 	w.reset(receiveTimeout)
 	out := newOutbox[corepb.ToAgent]()
-	first := l.dialer.handler.LinkUp(l.Node, session)
-	out.add(func(f *corepb.ToAgent) { f.Claims = first.GetClaims() })
+	// What is sent while LinkUp collects the first frame goes with that. A release would be lost
+	// otherwise after the frame has named the shard.
 	l.mu.Lock()
 	l.client, l.out, l.endSession = client, out, cancel
 	l.mu.Unlock()
+	first := l.dialer.handler.LinkUp(l.Node, session)
+	out.add(func(f *corepb.ToAgent) {
+		f.SessionStart, f.Claims = first.GetSessionStart(), append(f.Claims, first.GetClaims()...)
+	})
 	klog.InfoS("Linked to an agent", "agent", l.Node, "addr", l.Addr, "session", session)
 	var writer conc.WaitGroup
 	writer.Go(func() {
--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -253,3 +253,38 @@
 	}
 	return arrived, frames
 }
+
+// releasingHandler sends a release while a session begins.
+type releasingHandler struct {
+	linkRecorder
+	link atomic.Pointer[peer.Link]
+}
+
+func (h *releasingHandler) LinkUp(string, int64) *corepb.ToAgent {
+	if l := h.link.Load(); l != nil {
+		l.Send(func(f *corepb.ToAgent) { f.Releases = append(f.Releases, 7) })
+	}
+	h.up.Add(1)
+	return &corepb.ToAgent{SessionStart: &corepb.SessionStart{Held: []*corepb.Ownership{{Shard: 7}}}, Claims: []*corepb.Claim{{Shard: 8}}}
+}
+
+// Guards against losing the release of a shard that the first frame of a session has just named.
+func TestReleaseWhileASessionBeginsIsSent(t *testing.T) {
+	a, addr := startAgent(t)
+	var h releasingHandler
+	l := peer.NewDialer("owner", &h).Dial(context.Background(), "agent", addr)
+	defer l.Close()
+	h.link.Store(l)
+	await(t, func() bool { return h.up.Load() > 0 })
+	l.Reconnect()
+	received := func(has func(*corepb.ToAgent) bool) func() bool {
+		return func() bool {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return slices.ContainsFunc(a.frames, has)
+		}
+	}
+	await(t, received(func(f *corepb.ToAgent) bool {
+		return len(f.GetReleases()) == 1 && f.GetSessionStart() != nil && len(f.GetClaims()) == 1
+	}))
+}
