Owner: a failed run counts once, however often its end is reported

Cause: a failed run was counted by an event only. Its task, idle while it waited for capacity, kept the number of that run, and an agent lists an end on each new link until it has acknowledged it. reconcileRunLocked took the listed end for that of an unknown run, adopted it and counted it again. For a new owner the same end was always new: the record had the number of failures and not which runs they were. And once the task had been started again, the repeated end was voided, though it counted: the backend server's lease then had to run out, with all its runs.

Mend: the record of a task has the numbers of the runs that it counts as failed. An end of one of them changes nothing; it is settled once the store has the count, and never voided. The next owner also numbers later runs above them. Records of earlier versions have no numbers and count as before.

Related paths: an end that is done is known by its task (finished); losses are known by run and host in the record; ends that were settled before the owner changed are listed by agents until their turn to be acknowledged, and are recognised now too.

That failed tasks run again is as before: they are queued with the first report of the end.

--- a/coordination/model/client_test.go
+++ b/coordination/model/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/shallotstep/shallotstep/coordination/owner"
@@ -30,6 +31,14 @@
 	finalShown bool
 }
 
+// attempts returns how many runs of a task may fail.
+func (j *clientJob) attempts() int {
+	if j.atMostOnce {
+		return 1
+	}
+	return 3
+}
+
 func (c *client) start() {
 	for at := time.Duration(0); at < faultsEnd; at += c.w.randUpTo(600 * time.Millisecond) {
 		c.w.after(at, c.submit)
@@ -76,10 +85,7 @@
 	}
 	answered := false
 	o.run(func() {
-		p := job.Policy{Queue: "q", Service: "desk", MaxAttempts: 3, AtMostOnce: j.atMostOnce, Slack: 1, Target: time.Hour}
-		if j.atMostOnce {
-			p.MaxAttempts = 1
-		}
+		p := job.Policy{Queue: "q", Service: "desk", MaxAttempts: j.attempts(), AtMostOnce: j.atMostOnce, Slack: 1, Target: time.Hour}
 		fx := o.shard.Submit(c.w.now, id, j.spec, p, func(v owner.Response) {
 			answered = true
 			c.handleResponse(id, j, v)
@@ -197,7 +203,20 @@
 		c.w.addViolation(string(id), "job %s was shown as %v and is %v now", id, j.final, v.State)
 	case v.State.Final():
 		j.finalShown, j.final = true, v.State
+		if v.State == job.Failed && !c.hasFailed(id) && !slices.Contains([]string{owner.FailureCrashed, owner.FailureLost}, v.Failure) {
+			c.w.addViolation(string(id), "job %s has failed before a task had used up its attempts: %s", id, v.Failure)
+		}
+	}
+}
+
+// hasFailed reports whether a task of a job has used up its attempts.
+func (c *client) hasFailed(id job.ID) bool {
+	for task, t := range c.w.ledger {
+		if task.Job == id && t.failures >= c.jobs[id].attempts() {
+			return true
+		}
 	}
+	return false
 }
 
 // checkAllEnded checks, long after the last fault, that all jobs have ended.
--- a/coordination/model/model_test.go
+++ b/coordination/model/model_test.go
@@ -25,7 +25,8 @@
 // are reset.
 //
 // It checks these invariants: no task has two concurrent runs or a run after its acknowledged end;
-// no accepted job is lost; no final state that a client was shown changes; no refused job runs; no
+// no accepted job is lost, or fails before a task has used up its attempts; no task starts after that;
+// no final state that a client was shown changes; no refused job runs; no
 // backend server exceeds its capacity; nothing starts in a drained domain; and a task that crashes
 // backend servers is not started again without limit.
 func TestWorlds(t *testing.T) {
@@ -49,7 +50,7 @@
 	noStoreFence, claimsWithoutRuns, formerAgentsNotRead, agentsNotWritten, noTakeoverWait, noLostLinkWait,
 	acceptedBeforeWrite, settledBeforeWrite, noOrderFence, voidEndsAcked, lossesNotReported, capacityNotUpdated,
 	drainsIgnored, drainsNotRead, olderDrainsAccepted, startTimesNotTold, restartsUnderNewIDs, restartsNotRecorded,
-	shardsKept, returnsTrusted, absenceUnconfirmed, unclaimedLinksUnknown,
+	shardsKept, returnsTrusted, absenceUnconfirmed, unclaimedLinksUnknown, failedRunsNotWritten,
 }
 
 // rareMutants are detected only if several faults coincide within milliseconds, or if clocks differ
--- a/coordination/model/owner_test.go
+++ b/coordination/model/owner_test.go
@@ -476,6 +476,12 @@
 		if m == restartsNotRecorded && !record.State.Final() {
 			record.Repeated = slices.DeleteFunc(slices.Clone(record.Repeated), func(r job.RunID) bool { return !record.Task(r.Task).Done })
 		}
+		if m == failedRunsNotWritten {
+			record.Tasks = slices.Clone(record.Tasks)
+			for i := range record.Tasks {
+				record.Tasks[i].FailedRuns = nil
+			}
+		}
 		raw, err := wire.EncodeRecord(&record)
 		if err != nil {
 			panic(err)
--- a/coordination/model/server_test.go
+++ b/coordination/model/server_test.go
@@ -276,6 +276,9 @@
 	if t.endAcked {
 		e.w.addViolation(string(task.Job), "task %v was started after its acknowledged end", task)
 	}
+	if most := e.w.client.jobs[task.Job].attempts(); t.failuresAcked >= most {
+		e.w.addViolation(string(task.Job), "task %v was started after %d of %d attempts had failed", task, t.failuresAcked, most)
+	}
 	if t.crashes >= maxCrashes && e.agent.stable() {
 		t.startsAfterCrashes++
 	}
@@ -331,6 +334,9 @@
 	delete(e.runs, task)
 	e.barred[task] = number
 	e.w.task(task).running--
+	if kind == job.FailedRun {
+		e.w.task(task).failures++
+	}
 	e.lastEndSeq++
 	e.ends = append(e.ends, serverEnd{ListedEnd: worker.ListedEnd{Seq: e.lastEndSeq, Run: runOf(task, number), Kind: kind}})
 }
@@ -357,6 +363,8 @@
 	for len(e.ends) > 0 && e.ends[0].Seq <= c.Acked {
 		if end := e.ends[0]; end.Kind == job.Done && !end.lapsed {
 			e.endAcknowledged(end.Run)
+		} else if end.Kind == job.FailedRun && !end.lapsed {
+			e.w.task(end.Run.Task).failuresAcked++
 		}
 		e.ends = e.ends[1:]
 	}
--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -85,6 +85,8 @@
 	unclaimedLinksUnknown mutant = "links without a claim not known"
 	// Agents aren't told which shards an owner still has when its link comes up again.
 	sessionsNotStarted mutant = "shards of a new session not told"
+	// Records don't say which runs the failures of a task were.
+	failedRunsNotWritten mutant = "failed runs not written"
 	// Owners that were replaced in the group never stop.
 	noRenewLimit mutant = "dropped owners go on for ever"
 )
@@ -195,6 +197,8 @@
 	lastRun int64
 	// endAcked is set once a successful end that came within the lease was acknowledged.
 	endAcked bool
+	// failures counts its runs that have ended failed, and failuresAcked the acknowledged ends of these.
+	failures, failuresAcked int
 	// crashes counts the backend servers that the task has crashed, and startsAfterCrashes its
 	// starts after it has crashed maxCrashes of them.
 	crashes, startsAfterCrashes int
--- a/coordination/owner/events.go
+++ b/coordination/owner/events.go
@@ -60,6 +60,9 @@
 	if j != nil && !j.removing {
 		t = s.taskLocked(j, r.Run.Task)
 	}
+	if t != nil && s.failureCountedLocked(fx, node, r, j, t) {
+		return
+	}
 	if t != nil && t.phase == inDoubt {
 		s.reconcileRunLocked(now, fx, node, r)
 		return
@@ -152,9 +155,27 @@
 	}
 }
 
+// failureCountedLocked reports whether an end is that of a failed run that was counted before, by this owner
+// or an earlier one, and settles it once the store has the count. An agent reports an end anew on each link
+// until it has acknowledged it.
+func (s *Shard) failureCountedLocked(fx *Effects, node string, r worker.RunState, j *jobState, t *task) bool {
+	if r.Status != worker.Ended || r.End != job.FailedRun {
+		return false
+	}
+	n := slices.Index(j.rec.Task(r.Run.Task).FailedRuns, r.Run.Number)
+	if n < 0 {
+		return false
+	}
+	if n < t.storedFailures || j.rec.Spec.BestEffort || j.reportedState.Final() {
+		fx.settle(node, Settlement{Run: r.Run})
+	}
+	return true
+}
+
 // runFailedLocked counts a failed run, and fails the job after the last attempt.
 func (s *Shard) runFailedLocked(now time.Duration, fx *Effects, j *jobState, t *task, rec *job.TaskRecord, node string, run job.RunID) {
 	rec.Failures++
+	rec.FailedRuns = append(slices.Clip(rec.FailedRuns), run.Number)
 	t.failedNode = node
 	t.settleWhenRecorded(node, Settlement{Run: run})
 	fx.log(Decision{Kind: "run_failed", Job: j.rec.ID, Run: run, Node: node, Age: now - j.acceptedAt})
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -144,6 +144,8 @@
 	unrecordedRun int64
 	// unsettled has ends that are in no write to the store yet.
 	unsettled []Addressed[Settlement]
+	// storedFailures is how many of the counted failures the store has.
+	storedFailures int
 	// recordedCrash is the number of the newest run that the store has as lost with its server, and
 	// lostAt when the last run was lost.
 	recordedCrash int64
@@ -351,6 +353,12 @@
 			j.tasks[i].phase = finished
 			continue
 		}
+		if i < len(r.Tasks) {
+			for _, number := range r.Tasks[i].FailedRuns {
+				j.tasks[i].number = max(j.tasks[i].number, number)
+			}
+			j.tasks[i].storedFailures = len(r.Tasks[i].FailedRuns)
+		}
 		if i < len(r.Tasks) && len(r.Tasks[i].Crashes) > 0 {
 			j.tasks[i].recordedCrash, j.tasks[i].lostAt = newestCrash(&r.Tasks[i]), now
 			s.suspects[r.TaskAt(r.ID, i)] = true
--- a/coordination/owner/reconcile.go
+++ b/coordination/owner/reconcile.go
@@ -36,6 +36,9 @@
 	if j != nil && !j.removing {
 		t = s.taskLocked(j, r.Run.Task)
 	}
+	if t != nil && s.failureCountedLocked(fx, node, r, j, t) {
+		return
+	}
 	if t != nil && t.phase == stopping && t.node == node && t.number == r.Run.Number && r.Status == worker.Ended {
 		s.runEndedLocked(now, fx, node, r)
 		return
--- a/coordination/owner/repeated.go
+++ b/coordination/owner/repeated.go
@@ -57,7 +57,7 @@
 		if t == nil {
 			continue
 		}
-		t.number = run.Number
+		t.number = max(t.number, run.Number)
 		if t.phase != finished {
 			t.firstCounted, t.storedFirstCounted = run.Number, run.Number
 		}
--- a/coordination/owner/write.go
+++ b/coordination/owner/write.go
@@ -218,6 +218,7 @@
 	for i := range w.Record.Tasks {
 		if i < len(j.tasks) {
 			j.tasks[i].recordedCrash = max(j.tasks[i].recordedCrash, newestCrash(&w.Record.Tasks[i]))
+			j.tasks[i].storedFailures = max(j.tasks[i].storedFailures, len(w.Record.Tasks[i].FailedRuns))
 		}
 	}
 	released := s.repeatedWrittenLocked(j, w.Record)
--- a/protocol/core/record.go
+++ b/protocol/core/record.go
@@ -44,7 +44,7 @@
 		hasProgress = hasProgress || t.Done || t.Failures > 0 || t.Checkpoint != "" || t.Result != "" || len(t.Crashes) > 0
 		out[i] = &corepb.TaskRecord{
 			Done: t.Done, Failures: int32(t.Failures), Checkpoint: t.Checkpoint, Result: t.Result, WorkUs: t.Work.Microseconds(),
-			Crashes: crashesToWire(t.Crashes),
+			Crashes: crashesToWire(t.Crashes), FailedRuns: t.FailedRuns,
 		}
 	}
 	if !hasProgress {
@@ -85,7 +85,7 @@
 		out[i] = job.TaskRecord{
 			Done: t.GetDone(), Failures: int(t.GetFailures()), Checkpoint: t.GetCheckpoint(),
 			Result: t.GetResult(), Work: time.Duration(t.GetWorkUs()) * time.Microsecond,
-			Crashes: crashesFromWire(t.GetCrashes()),
+			Crashes: crashesFromWire(t.GetCrashes()), FailedRuns: t.GetFailedRuns(),
 		}
 	}
 	return out
--- a/protocol/core/record_test.go
+++ b/protocol/core/record_test.go
@@ -25,3 +25,15 @@
 		is.Equal(got.NewestRun(job.TaskID{Job: r.ID}), int64(0))
 	}
 }
+
+// Guards against an owner that counts the failed runs of an earlier one again.
+func TestFailedRunsSurviveTheStore(t *testing.T) {
+	is := is.New(t)
+	r := job.NewRecord("00000000000000aa", job.Spec{Steps: []job.Step{{Count: 2}}}, job.Policy{}, 1)
+	r.Tasks[1] = job.TaskRecord{Failures: 2, FailedRuns: []int64{1, 1025}}
+	b, err := EncodeRecord(r)
+	is.NoErr(err)
+	got, err := DecodeRecord(r.ID, b)
+	is.NoErr(err)
+	is.Equal(got.Tasks, r.Tasks)
+}
--- a/state/job/record.go
+++ b/state/job/record.go
@@ -39,8 +39,11 @@
 // TaskRecord is the recorded state of a task.
 type TaskRecord struct {
 	Done bool
-	// Failures is the number of runs that failed.
-	Failures int
+	// Failures is the number of runs that failed, and FailedRuns has their numbers, by which an end
+	// that is reported again is not counted again. Records of earlier versions lack the numbers.
+	// Copies of the record share the slice: a change replaces it.
+	Failures   int
+	FailedRuns []int64
 	// Checkpoint is the most recent checkpoint.
 	Checkpoint string
 	// Result is the result of the run that completed the task, and Work its
