Pending jobs: a count names the shards that it covers

Cause: the entry takes a shard's owner for known once the store's group names an agent for it and that agent is linked. The agent counted the shards that are open there and didn't say which. One that has just started, or still reads the records of its shards, left those out, and the entry took the sum of all agents for that of all shards.

Mend: the entry asks each owner for the shards that it takes for that agent's, and the agent names those that it has counted: open, and not in doubt since another agent may have held them, in which case it asks the store at once. The entry goes on, within the time that it has searched for owners all along, until each shard is counted once; otherwise the answer is 503 as before. It counts such answers (count_incomplete).

--- a/coordination/owner/response.go
+++ b/coordination/owner/response.go
@@ -46,7 +46,9 @@
 	Reason     string
 	State      job.State
 	RetryAfter time.Duration
-	Count      int
+	// Count is the number of jobs counted, and Counted has the shards that it covers.
+	Count   int
+	Counted []int
 	// Tasks has the results of a completed job in the order of its tasks, and Failure is the reason
 	// why a job failed.
 	Tasks   []job.TaskRecord
--- a/daemon/agent/requests.go
+++ b/daemon/agent/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -89,11 +90,21 @@
 	r.Step(func(now time.Duration) owner.Effects { return r.Shard.Await(now, id, reply) })
 }
 
-// Pending implements peer.AgentHandler.
-func (a *Agent) Pending(queue string) owner.Response {
+// Pending implements peer.AgentHandler. The response names the shards that it covers: a shard that is
+// still being opened, or that another agent may have held, has jobs that aren't known here.
+func (a *Agent) Pending(queue string, shards []int) owner.Response {
 	resp := owner.Response{}
 	for _, r := range a.ownedShards() {
+		if len(shards) > 0 && !slices.Contains(shards, r.ID) || r.Closed() {
+			continue
+		}
+		if r.Unverified() {
+			r.VerifyNow(bootclock.Now())
+			r.Signal()
+			continue
+		}
 		resp.Count += r.Shard.Pending(queue)
+		resp.Counted = append(resp.Counted, r.ID)
 	}
 	return resp
 }
--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -40,6 +40,10 @@
 	// on which a frame arrives. Guarded by mu.
 	links     int
 	breakNext bool
+	// pending has the pending jobs of each shard that is open here. Guarded by mu.
+	pending map[int]int
+	// asks counts the questions for pending jobs. Guarded by mu.
+	asks int
 }
 
 func startFakeAgent(t *testing.T) *fakeAgent {
@@ -154,7 +158,36 @@
 }
 func (a *fakeAgent) Await(int, job.ID, func(owner.Response)) {}
 
-func (a *fakeAgent) Pending(string) owner.Response { return owner.Response{} }
+func (a *fakeAgent) Pending(_ string, shards []int) owner.Response {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.asks++
+	var v owner.Response
+	for _, id := range shards {
+		if n, open := a.pending[id]; open {
+			v.Count += n
+			v.Counted = append(v.Counted, id)
+		}
+	}
+	return v
+}
+
+// asked returns how often the agent was asked for pending jobs.
+func (a *fakeAgent) asked() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.asks
+}
+
+// open opens a shard with some pending jobs.
+func (a *fakeAgent) open(shard, pending int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.pending == nil {
+		a.pending = make(map[int]int)
+	}
+	a.pending[shard] = pending
+}
 
 // newTestEntry returns an entry with a link to each agent. All links are up.
 func newTestEntry(t *testing.T, agents ...*fakeAgent) *Entry {
--- /dev/null
+++ b/daemon/entry/pending_test.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/shallotstep/shallotstep/daemon/core"
+	"github.com/shallotstep/shallotstep/daemon/coretest"
+)
+
+// assignShards has the store's group name two agents for the shards, half each.
+func assignShards(e *Entry, a, b *fakeAgent) {
+	e.owners.mu.Lock()
+	defer e.owners.mu.Unlock()
+	for shard := range coretest.Shards {
+		node := a.addr
+		if shard%2 == 1 {
+			node = b.addr
+		}
+		e.owners.updateFromGroupLocked(core.ShardSeries(e.settings).Partition(shard), node)
+	}
+}
+
+// Guards against a number of pending jobs that leaves out the shards which an agent has not opened yet after
+// its restart.
+func TestCountWithoutAShardIsNotWhole(t *testing.T) {
+	is := is.New(t)
+	a, b := startFakeAgent(t), startFakeAgent(t)
+	e := newTestEntry(t, a, b)
+	a.open(0, 5)
+	a.open(2, 6)
+	b.open(1, 7)
+	assignShards(e, a, b)
+	_, complete := e.Pending(t.Context(), "quotes")
+	is.True(!complete)
+}
+
+// Guards against counting a shard twice, or not at all, that is opened while a count waits for it.
+func TestCountWaitsForShardsThatAreBeingOpened(t *testing.T) {
+	is := is.New(t)
+	a, b := startFakeAgent(t), startFakeAgent(t)
+	e := newTestEntry(t, a, b)
+	a.open(0, 5)
+	a.open(2, 6)
+	b.open(1, 7)
+	assignShards(e, a, b)
+	type count struct {
+		n        int
+		complete bool
+	}
+	got := make(chan count, 1)
+	go func() {
+		n, complete := e.Pending(t.Context(), "quotes")
+		got <- count{n, complete}
+	}()
+	coretest.Await(t, func() bool {
+		assignShards(e, a, b)
+		return b.asked() > 0
+	})
+	b.open(3, 8)
+	coretest.Await(t, func() bool {
+		assignShards(e, a, b)
+		return len(got) == 1
+	})
+	is.Equal(<-got, count{5 + 6 + 7 + 8, true})
+}
--- a/daemon/entry/requests.go
+++ b/daemon/entry/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc/status"
@@ -161,43 +162,65 @@
 }
 
 // Pending returns the number of a queue's accepted jobs of which no task has started, over
-// all owners. It returns false if an owner is not linked or has not answered, so that the
-// number may be too low.
+// all shards. It returns false if the owner of a shard was not found within ownerSearchTimeout,
+// or has not counted the shard, so that the number may be too low.
 func (e *Entry) Pending(ctx context.Context, queue string) (int, bool) {
-	owners, complete := e.linkedOwners(ctx)
+	e.owners.useAll(bootclock.Now())
+	e.links.Reconcile(bootclock.Now())
+	uncounted := make(map[int]bool)
+	for shard := range e.settings.Shards() {
+		uncounted[shard] = true
+	}
 	total := 0
-	for node, client := range owners {
-		p, err := client.Pending(ctx, &corepb.Question{Queue: queue})
-		if err != nil {
-			klog.InfoS("An owner did not return its number of pending jobs", "agent", node, "err", err)
-			complete = false
-			continue
+	for began := time.Now(); ; {
+		total += e.countPending(ctx, queue, uncounted)
+		if len(uncounted) == 0 {
+			return total, true
 		}
-		total += int(p.GetCount())
+		if ctx.Err() != nil || time.Since(began) > ownerSearchTimeout {
+			e.metrics.Retries.WithLabelValues(reasonCountIncomplete).Inc()
+			return total, false
+		}
+		_ = pause.For(ctx, ownerPollInterval)
 	}
-	return total, complete
 }
 
-// linkedOwners returns clients for the owners of all shards, by the names of their agents.
-// It waits up to ownerSearchTimeout until all of them are linked, and reports whether they
-// are.
-func (e *Entry) linkedOwners(ctx context.Context) (map[string]corepb.CoreClient, bool) {
-	e.owners.useAll(bootclock.Now())
-	e.links.Reconcile(bootclock.Now())
-	for began := time.Now(); ; {
-		out := make(map[string]corepb.CoreClient)
-		complete := true
-		for shard := range e.settings.Shards() {
-			node, client := e.findOwner(ctx, shard)
-			if client == nil {
-				complete = false
+// reasonCountIncomplete is the reason for an answer without the number of pending jobs.
+const reasonCountIncomplete = "count_incomplete"
+
+// countPending asks the owners of shards that are not counted yet. It returns the jobs of those that
+// they have counted, and removes these shards.
+func (e *Entry) countPending(ctx context.Context, queue string, uncounted map[int]bool) int {
+	questions := make(map[string]*corepb.Question)
+	clients := make(map[string]corepb.CoreClient)
+	for shard := range uncounted {
+		node, client := e.findOwner(ctx, shard)
+		if client == nil {
+			continue
+		}
+		if questions[node] == nil {
+			questions[node], clients[node] = &corepb.Question{Queue: queue}, client
+		}
+		questions[node].Shards = append(questions[node].Shards, int32(shard))
+	}
+	total := 0
+	for node, q := range questions {
+		p, err := clients[node].Pending(ctx, q)
+		if err != nil {
+			klog.InfoS("An owner did not return its number of pending jobs", "agent", node, "err", err)
+		}
+		v := wire.ResponseFromWire(p)
+		if len(v.Counted) > 0 {
+			total += v.Count
+		}
+		for _, shard := range wire.ShardsFromWire(q.GetShards()) {
+			if slices.Contains(v.Counted, shard) {
+				delete(uncounted, shard)
 				continue
 			}
-			out[node] = client
-		}
-		if complete || ctx.Err() != nil || time.Since(began) > ownerSearchTimeout {
-			return out, complete
+			// It is still being opened there, or has another owner by now.
+			e.owners.forget(shard, node)
 		}
-		_ = pause.For(ctx, ownerPollInterval)
 	}
+	return total
 }
--- a/protocol/core/messages.go
+++ b/protocol/core/messages.go
@@ -177,16 +177,34 @@
 	return &corepb.Verdict{
 		Outcome: int32(r.Outcome), Reason: r.Reason, State: int32(r.State),
 		RetryAfterMs: r.RetryAfter.Milliseconds(), Count: int64(r.Count), Known: r.Known,
-		Tasks: tasksToWire(r.Tasks), Failure: r.Failure, ElapsedMs: r.Elapsed.Milliseconds(),
+		Tasks: tasksToWire(r.Tasks), Failure: r.Failure, ElapsedMs: r.Elapsed.Milliseconds(), Counted: ShardsToWire(r.Counted),
 	}
 }
 
+// ShardsToWire returns the wire form of a list of shards.
+func ShardsToWire(shards []int) []int32 {
+	var out []int32
+	for _, id := range shards {
+		out = append(out, int32(id))
+	}
+	return out
+}
+
+// ShardsFromWire is the inverse of ShardsToWire.
+func ShardsFromWire(in []int32) []int {
+	var out []int
+	for _, id := range in {
+		out = append(out, int(id))
+	}
+	return out
+}
+
 // ResponseFromWire is the inverse of ResponseToWire.
 func ResponseFromWire(p *corepb.Verdict) owner.Response {
 	return owner.Response{
 		Outcome: owner.Outcome(p.GetOutcome()), Reason: p.GetReason(), State: job.State(p.GetState()),
 		RetryAfter: time.Duration(p.GetRetryAfterMs()) * time.Millisecond, Count: int(p.GetCount()), Known: p.GetKnown(),
 		Tasks: tasksFromWire(p.GetTasks(), 0), Failure: p.GetFailure(),
-		Elapsed: time.Duration(p.GetElapsedMs()) * time.Millisecond,
+		Elapsed: time.Duration(p.GetElapsedMs()) * time.Millisecond, Counted: ShardsFromWire(p.GetCounted()),
 	}
 }
--- a/transport/peer/link_test.go
+++ b/transport/peer/link_test.go
@@ -36,7 +36,7 @@
 func (a *fakeAgent) Lookup(int, job.ID, func(owner.Response))                       {}
 func (a *fakeAgent) Cancel(int, job.ID, func(owner.Response))                       {}
 func (a *fakeAgent) Await(int, job.ID, func(owner.Response))                        {}
-func (a *fakeAgent) Pending(string) owner.Response                                  { return owner.Response{} }
+func (a *fakeAgent) Pending(string, []int) owner.Response                           { return owner.Response{} }
 func (a *fakeAgent) Submit(int, job.ID, job.Spec, job.Policy, func(owner.Response)) {}
 
 func (a *fakeAgent) Frame(_ *peer.Caller, f *corepb.ToAgent) error {
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -36,7 +36,9 @@
 	Submit(shard int, id job.ID, spec job.Spec, p job.Policy, reply func(owner.Response))
 	Lookup(shard int, id job.ID, reply func(owner.Response))
 	Cancel(shard int, id job.ID, reply func(owner.Response))
-	Pending(queue string) owner.Response
+	// Pending counts the pending jobs of a queue in the given shards, or in all that are open if none
+	// is given.
+	Pending(queue string, shards []int) owner.Response
 	// Await calls reply when the job has ended.
 	Await(shard int, id job.ID, reply func(owner.Response))
 }
@@ -176,7 +178,7 @@
 
 // Pending implements corepb.CoreServer.
 func (s *Server) Pending(_ context.Context, p *corepb.Question) (*corepb.Verdict, error) {
-	return core.ResponseToWire(s.handler.Pending(p.GetQueue())), nil
+	return core.ResponseToWire(s.handler.Pending(p.GetQueue(), core.ShardsFromWire(p.GetShards()))), nil
 }
 
 // Await implements corepb.CoreServer.
