Model: owners replaced while only they can reach an agent, with long runs

Worlds of their own have outages of the store beside resets, and owners that are replaced, that only they can reach an agent, and whose releases may be lost.

--- a/coordination/model/server_test.go
+++ b/coordination/model/server_test.go
@@ -247,7 +247,7 @@
 	if e.w.chance(0.1) {
 		duration = e.w.randUpTo(4 * time.Second)
 	}
-	if e.w.longTasks && e.w.chance(0.3) {
+	if e.w.longTasks && e.w.chance(0.15) {
 		duration = e.w.randUpTo(longTask)
 	}
 	e.w.after(duration, func() {
--- a/coordination/model/world_test.go
+++ b/coordination/model/world_test.go
@@ -104,10 +104,11 @@
 	lease           = time.Second
 	ownerTimeout    = 1300 * time.Millisecond
 	lostLinkTimeout = ownerTimeout + lease + 300*time.Millisecond
-	// faultsEnd is when the last fault begins, and worldLength when all jobs must have ended. Both
-	// are relative to the start of the world.
-	faultsEnd   = 25 * time.Second
-	worldLength = 110 * time.Second
+	// faultsEnd is when the last fault begins, and worldLength when all jobs must have ended, or
+	// longWorldLength in a world with long tasks. All are relative to the start of the world.
+	faultsEnd       = 25 * time.Second
+	worldLength     = 110 * time.Second
+	longWorldLength = 250 * time.Second
 )
 
 // world simulates a store, successive owners of one shard, agents with a backend server each, and a
@@ -136,7 +137,7 @@
 	generation int64
 	// quiet is set if clients ask for no state after the last fault.
 	quiet bool
-	// longTasks is set if three in ten runs take up to longTask.
+	// longTasks is set if one run in seven takes up to longTask.
 	longTasks bool
 }
 
@@ -230,9 +231,12 @@
 	return w
 }
 
-// run simulates the world until worldLength or the first violation.
+// run simulates the world until its end or the first violation.
 func (w *world) run() {
 	end := time.Hour + worldLength
+	if w.longTasks {
+		end = time.Hour + longWorldLength
+	}
 	for w.queue.Len() > 0 && len(w.violations) == 0 {
 		e := heap.Pop(&w.queue).(event)
 		if e.at > end {
@@ -257,18 +261,22 @@
 const turnedAwayWorlds = 0.1
 
 // outageWorlds is the share of worlds whose only faults are outages of the store beside resets of links, and
-// whose runs are long enough to outlast these.
-const outageWorlds = 0.1
+// owners that are replaced while only they can reach an agent. Their runs are long enough to outlast these.
+const outageWorlds = 0.15
 
 // longTask is the longest run in such a world.
-const longTask = 10 * time.Second
+const longTask = 20 * time.Second
 
 // scheduleFaults schedules faults at random times before faultsEnd.
 func (w *world) scheduleFaults() {
 	if w.chance(outageWorlds) {
 		w.longTasks = true
 		for at := w.randUpTo(3 * time.Second); at < faultsEnd; at += 6*time.Second + w.randUpTo(3*time.Second) {
-			w.after(at, w.loseStoreBesideResets)
+			if w.chance(0.5) {
+				w.after(at, w.loseStoreBesideResets)
+				continue
+			}
+			w.after(at, func() { w.replaceOwnerOf(w.agents[w.rand.IntN(len(w.agents))], 14*time.Second) })
 		}
 		return
 	}
@@ -315,9 +323,7 @@
 	case 8:
 		w.store.rejectsUntil = w.now + w.randUpTo(2*time.Second)
 	case 9:
-		// Only the replaced owner can reach this agent.
-		a.reachableBy, a.partitionedUntil = w.newestOwner(), w.now+w.randUpTo(14*time.Second)
-		w.takeOver()
+		w.replaceOwnerOf(a, w.randUpTo(14*time.Second))
 	case 11:
 		// Start calls are in transit when the agent's next incarnation starts.
 		a.server.unreliableUntil = w.now + time.Second
@@ -349,6 +355,12 @@
 	}
 }
 
+// replaceOwnerOf replaces the owner. For a time only the replaced one can reach an agent.
+func (w *world) replaceOwnerOf(a *agentModel, length time.Duration) {
+	a.reachableBy, a.partitionedUntil = w.newestOwner(), w.now+length
+	w.takeOver()
+}
+
 // loseStoreBesideResets has the store down for less than renewLimit, and resets links meanwhile. Memberships
 // of the group may expire in the outage.
 func (w *world) loseStoreBesideResets() {
