Records: an odd record of another writer doesn't end the owners of a shard

What callers would see: processes that end by themselves, one owner after the other, and no job of the shard served.

Cause: an owner that opens a shard loads every record that protobuf can decode. A step with fewer than no tasks, or with 2^31, panicked in making the list of tasks or took all memory; a dependency on a step that isn't there panicked in the first dispatch; numbers near the end of their range overflowed in run numbers and times.

Mend: DecodeRecord checks what an owner relies on. A record that fails is skipped, counted and logged like one that can't be decoded. One odd incarnation in the list of a shard no longer hides the others: it counts as one whose runs nobody knows, so that a task that must not be repeated isn't. Notes of an earlier incarnation with a capacity out of range aren't used. Work in core time is bounded, so that sums of it don't overflow.

--- a/coordination/owner/fleet.go
+++ b/coordination/owner/fleet.go
@@ -344,5 +344,5 @@
 }
 
 func coreTime(n PlacementRequest) time.Duration {
-	return n.Estimate * time.Duration(n.Demand.CPUMillis) / 1000
+	return n.Demand.Work(n.Estimate)
 }
--- a/coordination/worker/load.go
+++ b/coordination/worker/load.go
@@ -85,7 +85,7 @@
 }
 
 func (l *Load) addWaiting(now time.Duration, o *Order) {
-	work := o.localEstimate() * time.Duration(o.Demand.CPUMillis) / 1000
+	work := o.Demand.Work(o.localEstimate())
 	l.Waiting++
 	l.Backlog += work
 	slack := o.latestStart() - now
--- a/daemon/agent/notes.go
+++ b/daemon/agent/notes.go
@@ -77,7 +77,7 @@
 // report. A server that has changed its capacity is not usable: the capacity may have shrunk
 // again since it was stored, and runs started according to it would not fit.
 func (s *storedServer) usable() bool {
-	return s != nil && !s.CapacityChanged && s.ID != "" && s.Service != "" && s.Capacity.CPUMillis > 0
+	return s != nil && !s.CapacityChanged && s.ID != "" && s.Service != "" && s.Capacity.CPUMillis > 0 && s.Capacity.InRange()
 }
 
 // incarnationKey returns the key of the record whose offset numbers an incarnation. The record is
--- a/daemon/agent/shard_records.go
+++ b/daemon/agent/shard_records.go
@@ -83,10 +83,14 @@
 	return value, errors.Wrap(err, "encode the incarnations of the shard's agents")
 }
 
+// unreadableIncarnation stands for an incarnation that can't be decoded. No agent answers under it, so none
+// counts as knowing its runs.
+var unreadableIncarnation = worker.Incarnation{Agent: "\x00unreadable"}
+
 // decodeIncarnations decodes the list of incarnations. Without a list that can be decoded, agents
 // count as knowing all runs that earlier owners have ordered at them.
 func (r *shardRunner) decodeIncarnations(value []byte) map[string][]worker.Incarnation {
-	var stored map[string][]storedIncarnation
+	var stored map[string][]json.RawMessage
 	if err := json.Unmarshal(value, &stored); err != nil {
 		metrics.Malformed(metrics.KindAgents)
 		klog.ErrorS(err, "Can't decode the incarnations of a shard's agents", "shard", r.partition)
@@ -94,13 +98,23 @@
 	}
 	out := make(map[string][]worker.Incarnation, len(stored))
 	for node, list := range stored {
-		for _, i := range list {
-			out[node] = append(out[node], worker.Incarnation{Agent: i.Agent, Server: job.Instance{ID: i.Server, StartedMS: i.StartedMS}})
+		for _, raw := range list {
+			out[node] = append(out[node], r.decodeIncarnation(raw))
 		}
 	}
 	return out
 }
 
+func (r *shardRunner) decodeIncarnation(raw json.RawMessage) worker.Incarnation {
+	var i storedIncarnation
+	if err := json.Unmarshal(raw, &i); err != nil {
+		metrics.Malformed(metrics.KindAgents)
+		klog.ErrorS(err, "Can't decode an incarnation of a shard's agents", "shard", r.partition)
+		return unreadableIncarnation
+	}
+	return worker.Incarnation{Agent: i.Agent, Server: job.Instance{ID: i.Server, StartedMS: i.StartedMS}}
+}
+
 // registeredAgents returns the names of all agents that have ever registered. No other agent can
 // have runs of a shard.
 func (r *shardRunner) registeredAgents(ctx context.Context) ([]string, error) {
--- a/protocol/core/record.go
+++ b/protocol/core/record.go
@@ -53,12 +53,16 @@
 	return out
 }
 
-// DecodeRecord decodes the record of job id. It is the inverse of EncodeRecord.
+// DecodeRecord decodes the record of job id. It is the inverse of EncodeRecord, and returns an error for a
+// record with figures that no owner has written.
 func DecodeRecord(id job.ID, b []byte) (*job.Record, error) {
 	var p corepb.JobRecord
 	if err := proto.Unmarshal(b, &p); err != nil {
 		return nil, errors.Wrapf(err, "record of job %s", id)
 	}
+	if err := checkRecord(&p); err != nil {
+		return nil, errors.Wrapf(err, "record of job %.40q", id)
+	}
 	r := &job.Record{
 		ID:         id,
 		Spec:       SpecFromWire(p.GetSpec()),
--- a/state/job/job.go
+++ b/state/job/job.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"strconv"
 	"time"
 )
@@ -49,6 +50,24 @@
 	CPUMillis, MemoryMB, GPUs int64
 }
 
+// MaxFigure bounds the resources of a task and of a backend server. Sums over the tasks of a job, and over
+// all servers, don't overflow below it.
+const MaxFigure = 1 << 40
+
+// InRange reports whether no dimension is negative or above MaxFigure.
+func (d Demand) InRange() bool {
+	within := func(n int64) bool { return n >= 0 && n <= MaxFigure }
+	return within(d.CPUMillis) && within(d.MemoryMB) && within(d.GPUs)
+}
+
+// maxWork bounds what Work returns, so that sums over the tasks of dozens of jobs don't overflow.
+const maxWork = math.MaxInt64 >> 16
+
+// Work returns the time of one core that d occupies for a duration, at most maxWork.
+func (d Demand) Work(t time.Duration) time.Duration {
+	return time.Duration(min(float64(t)*float64(d.CPUMillis)/1000, maxWork))
+}
+
 // Plus returns d + o in each dimension.
 func (d Demand) Plus(o Demand) Demand {
 	return Demand{d.CPUMillis + o.CPUMillis, d.MemoryMB + o.MemoryMB, d.GPUs + o.GPUs}
