Registry: registrations without a port or with figures out of range are skipped

What callers would see: refusals by sums of capacities that overflow, and agents dialled at port 0 for ever.

TestOddRegistrationIsSkipped failed before for port 0 and for figures near the end of int64 or negative memory and accelerators. It held before for entries nested over 10,000 levels, ports above 65,535, and numbers past int64 or float64: they are skipped, and the rest is read, from the store and from a peer.

--- a/daemon/core/registry.go
+++ b/daemon/core/registry.go
@@ -207,11 +207,15 @@
 	if err := json.Unmarshal(r.Value, &reg); err != nil {
 		return reg, errors.Wrapf(err, "registration of %s", r.Key)
 	}
-	if _, err := netip.ParseAddrPort(reg.LinkAddr); err != nil {
+	addr, err := netip.ParseAddrPort(reg.LinkAddr)
+	if err != nil {
 		return reg, errors.Wrapf(err, "registration of %s", r.Key)
 	}
-	if o := reg.Offer; o != nil && (o.Service == "" || o.Capacity.CPUMillis < 0) {
-		return reg, errors.Errorf("registration of %s: offer without a service, or with a negative CPU capacity", r.Key)
+	if addr.Port() == 0 {
+		return reg, errors.Errorf("registration of %s: address %s has no port", r.Key, reg.LinkAddr)
+	}
+	if o := reg.Offer; o != nil && (o.Service == "" || !o.Capacity.InRange()) {
+		return reg, errors.Errorf("registration of %s: offer without a service, or with a capacity out of range", r.Key)
 	}
 	return reg, nil
 }
