Platform: one odd entry in a list doesn't hide the rest of it

A backend server's lists with a malformed row count as incomplete, like lists that are cut at 500 ends: their other rows count, and no run counts as gone for not being listed.

--- a/coordination/worker/hold.go
+++ b/coordination/worker/hold.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -87,6 +88,8 @@
 	ClockMS int64
 	Active  []ListedRun
 	Ends    []ListedEnd
+	// Incomplete is set if rows of the lists could not be read. What is missing may be active.
+	Incomplete bool
 	// Capacity is the capacity that the server reported with the answer; nil if it reported none.
 	Capacity *job.Demand
 }
@@ -161,14 +164,14 @@
 		listed[a.Run] = true
 		w.applyListedRunLocked(now, &fx, a)
 	}
-	slices.SortFunc(h.Ends, func(a, b ListedEnd) int { return int(a.Seq - b.Seq) })
+	slices.SortFunc(h.Ends, func(a, b ListedEnd) int { return cmp.Compare(a.Seq, b.Seq) })
 	for _, e := range h.Ends {
 		listed[e.Run] = true
 		w.applyListedEndLocked(now, &fx, e)
 	}
 	w.leaseExpired, w.expiredRuns = false, nil
 	w.unsettled = len(h.Ends)
-	if len(h.Ends) < maxListedEnds {
+	if len(h.Ends) < maxListedEnds && !h.Incomplete {
 		w.dropMissingLocked(&fx, c, h.ClockMS, listed)
 	}
 	w.completeLeaseExpiryLocked(h.ClockMS)
