Owner: a lost server that a task was cleared of stays cleared for the next owner

What callers would see: jobs shown as failed, as those of tasks that crash their servers, though the cause was known to be another.

Cause: an agent lists the runs that it has lost with its backend server in each answer to a claim. The owner knew in memory only which of them no longer counted, because the task had failed without its server since or another task was found to be the cause. The next owner counted them again.

Mend: the run up to which losses don't count is part of the task's record. TestClearedLossReportedToTheNextOwnerDoesNotCount failed before (1 suspect).

Log lines are cut after 8 KiB: an odd number of a megabyte, quoted in the error for it, came into the log whole with each read (TestLongLineIsCut).

--- a/coordination/owner/crash.go
+++ b/coordination/owner/crash.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		t := s.taskLocked(j, r.Run.Task)
-		if t == nil || t.phase == finished || r.Run.Number <= t.clearedRun {
+		if t == nil || t.phase == finished || r.Run.Number <= j.rec.Task(r.Run.Task).ClearedRun {
 			continue
 		}
 		if j.rec.Policy.AtMostOnce {
--- a/coordination/owner/events.go
+++ b/coordination/owner/events.go
@@ -89,7 +89,7 @@
 		rec.Checkpoint = r.Checkpoint
 	}
 	if r.End == job.Done || r.End == job.FailedRun {
-		s.clearSuspectLocked(fx, t, rec, r.Run, node)
+		s.clearSuspectLocked(fx, rec, r.Run, node)
 	}
 	switch r.End {
 	case job.Done:
@@ -103,6 +103,7 @@
 		if !j.started {
 			s.runStartedLocked(j, t)
 		}
+		rec.ClearedRun = r.Run.Number
 		s.runFailedLocked(now, fx, j, t, rec, node, r.Run)
 	default:
 		if j.rec.Policy.AtMostOnce && r.End != job.NeverRan && !j.rec.State.Final() {
--- a/coordination/owner/failures_test.go
+++ b/coordination/owner/failures_test.go
@@ -99,3 +99,21 @@
 	f.link("a", 2, worker.RunState{Run: f.orders[1].Value.Run, Status: worker.Ended, End: job.FailedRun})
 	f.is.Equal(len(f.settled), n+1)
 }
+
+// Guards against an owner that suspects a task again for a lost server that an earlier owner has found the
+// cause of: the agent goes on reporting the loss.
+func TestClearedLossReportedToTheNextOwnerDoesNotCount(t *testing.T) {
+	f := newCrashFixture(t)
+	o := f.submitSingle()
+	f.reportLoss(o, 2, worker.LossConfirmed)
+	f.event(f.lastOrder(), worker.Ended, job.FailedRun)
+	f.now += testBounds.MaxWriteDelay
+	record := f.write().Writes[0].Record
+	f.is.Equal(len(record.Tasks[0].Crashes), 0)
+	next := newFixture(t, []*job.Record{record}, []string{o.Node})
+	next.fleet.Linked(o.Node)
+	claim, _, fx := next.Linked(next.now, o.Node, 1)
+	next.collect(fx)
+	next.collect(next.Claimed(next.now, o.Node, worker.Claimed{Claim: claim, Lost: []worker.RunState{lostRunState(o, 2, worker.LossConfirmed)}}))
+	next.is.Equal(len(next.suspects), 0)
+}
--- a/coordination/owner/owner.go
+++ b/coordination/owner/owner.go
@@ -150,9 +150,6 @@
 	// lostAt when the last run was lost.
 	recordedCrash int64
 	lostAt        time.Duration
-	// clearedRun is the number of a run: losses of servers under it and under earlier runs are no
-	// evidence against the task.
-	clearedRun int64
 }
 
 // jobState is the owner's state of one job. Guarded by Shard.mu.
--- a/coordination/owner/restart.go
+++ b/coordination/owner/restart.go
@@ -101,11 +101,10 @@
 			continue
 		}
 		rec := j.rec.Task(id)
-		t := s.taskLocked(j, id)
 		kept := slices.DeleteFunc(slices.Clone(rec.Crashes), func(c job.Crash) bool {
 			cleared := slices.ContainsFunc(crashed, func(k job.Crash) bool { return k.Node == c.Node && k.Instance == c.Instance })
 			if cleared {
-				t.clearedRun = max(t.clearedRun, c.Run)
+				rec.ClearedRun = max(rec.ClearedRun, c.Run)
 			}
 			return cleared
 		})
@@ -119,8 +118,7 @@
 }
 
 // clearSuspectLocked clears a task of suspicion after a run of it has ended without its server.
-func (s *Shard) clearSuspectLocked(fx *Effects, t *task, rec *job.TaskRecord, run job.RunID, node string) {
-	t.clearedRun = run.Number
+func (s *Shard) clearSuspectLocked(fx *Effects, rec *job.TaskRecord, run job.RunID, node string) {
 	if len(rec.Crashes) == 0 {
 		return
 	}
--- a/protocol/core/record.go
+++ b/protocol/core/record.go
@@ -41,10 +41,10 @@
 	out := make([]*corepb.TaskRecord, len(tasks))
 	for i := range tasks {
 		t := &tasks[i]
-		hasProgress = hasProgress || t.Done || t.Failures > 0 || t.Checkpoint != "" || t.Result != "" || len(t.Crashes) > 0
+		hasProgress = hasProgress || t.Done || t.Failures > 0 || t.Checkpoint != "" || t.Result != "" || len(t.Crashes) > 0 || t.ClearedRun > 0
 		out[i] = &corepb.TaskRecord{
 			Done: t.Done, Failures: int32(t.Failures), Checkpoint: t.Checkpoint, Result: t.Result, WorkUs: t.Work.Microseconds(),
-			Crashes: crashesToWire(t.Crashes), FailedRuns: t.FailedRuns,
+			Crashes: crashesToWire(t.Crashes), FailedRuns: t.FailedRuns, ClearedRun: t.ClearedRun,
 		}
 	}
 	if !hasProgress {
@@ -89,7 +89,7 @@
 		out[i] = job.TaskRecord{
 			Done: t.GetDone(), Failures: int(t.GetFailures()), Checkpoint: t.GetCheckpoint(),
 			Result: t.GetResult(), Work: time.Duration(t.GetWorkUs()) * time.Microsecond,
-			Crashes: crashesFromWire(t.GetCrashes()), FailedRuns: t.GetFailedRuns(),
+			Crashes: crashesFromWire(t.GetCrashes()), FailedRuns: t.GetFailedRuns(), ClearedRun: t.GetClearedRun(),
 		}
 	}
 	return out
--- a/protocol/core/record_check.go
+++ b/protocol/core/record_check.go
@@ -89,7 +89,7 @@
 		if t.GetFailures() < 0 || t.GetWorkUs() < 0 || t.GetWorkUs() > math.MaxInt64/int64(time.Microsecond) {
 			return errors.Errorf("task %d has %d failures and %d µs of work", i, t.GetFailures(), t.GetWorkUs())
 		}
-		runs = append(runs, t.GetFailedRuns()...)
+		runs = append(append(runs, t.GetFailedRuns()...), t.GetClearedRun())
 		for _, c := range t.GetCrashes() {
 			runs = append(runs, c.GetRun())
 		}
--- a/state/job/record.go
+++ b/state/job/record.go
@@ -54,6 +54,9 @@
 	// those whose loss is known to have another cause. Copies of the record share
 	// the slice: a change replaces it and never writes to its elements.
 	Crashes []Crash
+	// ClearedRun is the number of a run: losses of servers under it and under earlier runs are no
+	// evidence against the task, also when an agent reports them again.
+	ClearedRun int64
 }
 
 // HasResults reports whether any task returned a result. If so, the task records
--- a/transport/asynclog/asynclog.go
+++ b/transport/asynclog/asynclog.go
@@ -18,6 +18,8 @@
 	// maxLinesPerSecond bounds the processor time of logging: at about 5 µs a line it is
 	// 1 % of a core.
 	maxLinesPerSecond = 2000
+	// maxLineBytes bounds a line, which may quote what others have sent.
+	maxLineBytes = 8 << 10
 	// batchDelay is how long a line waits for others, so that they are written in one
 	// call: at 900 lines a second, one call for each line takes 2 % of a core. A process
 	// that is killed loses the lines of the last batchDelay.
@@ -43,10 +45,15 @@
 }
 
 // Write queues a copy of line. It returns no error for a line that is dropped: dropped lines
-// are counted in a later log line, and a caller couldn't handle the error any better.
+// are counted in a later log line, and a caller couldn't handle the error any better. A line is cut after
+// maxLineBytes.
 func (w *Writer) Write(line []byte) (int, error) {
+	queued := append([]byte(nil), line[:min(len(line), maxLineBytes)]...)
+	if len(queued) < len(line) {
+		queued = append(queued, " [cut]\n"...)
+	}
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.lines <- queued:
 	default:
 		w.dropped.Add(1)
 	}
--- a/transport/asynclog/asynclog_test.go
+++ b/transport/asynclog/asynclog_test.go
@@ -111,3 +111,15 @@
 		is.True(i-from+1 <= maxLinesPerSecond)
 	}
 }
+
+// Guards against log lines that quote megabytes of what another writer has sent.
+func TestLongLineIsCut(t *testing.T) {
+	is := is.New(t)
+	var out countingOutput
+	w := New(&out)
+	_, err := w.Write(append(bytes.Repeat([]byte("x"), 1<<20), '\n'))
+	is.NoErr(err)
+	w.Close()
+	is.True(out.text.Len() < maxLineBytes+100)
+	is.True(strings.HasSuffix(out.text.String(), "[cut]\n"))
+}
