Pending jobs: a count that isn't whole forgets no owner that has reported

A count that lacked a shard made the entry forget the shard's owner, as a request does whose owner has none. While the store is away nobody names the owner again, and lookups would be refused with no_owner although the agent is linked and has said that it owns the shard: found in reading, not in a run. The agent says so itself when it gives the shard up; only owners that the group alone has named are forgotten (TestIncompleteCountKeepsOwnersThatHaveReported).

--- a/daemon/entry/owners.go
+++ b/daemon/entry/owners.go
@@ -140,6 +140,16 @@
 	}
 }
 
+// forgetAssigned is forget for an owner that only the store's group has named. An agent that has reported
+// the shard as its own reports when it gives that up, also while the store can't be asked.
+func (c *ownerCache) forgetAssigned(shard int, node string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.owners[shard] == (shardOwner{node: node}) {
+		delete(c.owners, shard)
+	}
+}
+
 // refresh reads the owners of the shards from the store and reports whether it did. It does
 // nothing while another call reads them or if they were read too recently; callers that
 // still lack an owner repeat the call.
--- a/daemon/entry/pending_test.go
+++ b/daemon/entry/pending_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shallotstep/shallotstep/daemon/core"
 	"github.com/shallotstep/shallotstep/daemon/coretest"
+	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 )
 
 // assignShards has the store's group name two agents for the shards, half each.
@@ -36,6 +37,19 @@
 	is.True(!complete)
 }
 
+// Guards against requests that find no owner while the store is away, because a count was not whole.
+func TestIncompleteCountKeepsOwnersThatHaveReported(t *testing.T) {
+	is := is.New(t)
+	a, b := startFakeAgent(t), startFakeAgent(t)
+	e := newTestEntry(t, a, b)
+	assignShards(e, a, b)
+	e.owners.update(a.addr, &corepb.FromAgent{OwnedValid: true, Owned: []*corepb.Ownership{{Shard: 2, Epoch: 7}}})
+	_, complete := e.Pending(t.Context(), "quotes")
+	is.True(!complete)
+	is.Equal(e.owners.owners[2], shardOwner{node: a.addr, epoch: 7})
+	is.Equal(len(e.owners.owners), 1) // the others were named by the group alone
+}
+
 // Guards against counting a shard twice, or not at all, that is opened while a count waits for it.
 func TestCountWaitsForShardsThatAreBeingOpened(t *testing.T) {
 	is := is.New(t)
--- a/daemon/entry/requests.go
+++ b/daemon/entry/requests.go
@@ -219,7 +219,7 @@
 				continue
 			}
 			// It is still being opened there, or has another owner by now.
-			e.owners.forget(shard, node)
+			e.owners.forgetAssigned(shard, node)
 		}
 	}
 	return total
