--- a/coordination/owner/failures_test.go
+++ b/coordination/owner/failures_test.go
@@ -117,3 +117,13 @@
 	next.collect(next.Claimed(next.now, o.Node, worker.Claimed{Claim: claim, Lost: []worker.RunState{lostRunState(o, 2, worker.LossConfirmed)}}))
 	next.is.Equal(len(next.suspects), 0)
 }
+
+// Guards against a run with the number of a failed one, whose end would not count.
+func TestRunsAreNumberedAboveFailedOnes(t *testing.T) {
+	records := recordedJobs()
+	records[0].FirstEpoch = 3 // that of the fixture
+	records[0].Tasks[0] = job.TaskRecord{Failures: 2, FailedRuns: []int64{4, 5}}
+	f := newFixture(t, records, nil, "a")
+	f.collect(f.Tick(f.now))
+	f.is.Equal(f.orders[0].Value.Run.Number, int64(6))
+}
--- a/coordination/owner/takeover_test.go
+++ b/coordination/owner/takeover_test.go
@@ -200,3 +200,17 @@
 	f.is.Equal(f.Tick(f.now).Reconnects, []string{"a"})
 	f.is.Equal(len(f.Tick(f.now).Reconnects), 0)
 }
+
+// Guards against starting tasks of an earlier owner a second time while the claim of their agent, whose link is
+// up, has to wait.
+func TestAgentWhoseClaimHasToWaitIsNotWaitedOut(t *testing.T) {
+	f := newFixture(t, recordedJobs(), []string{"a", "b"}, "b")
+	f.LinkedUnclaimed("a", 1)
+	fx := f.Tick(f.now + testBounds.TakeoverTimeout + time.Second)
+	f.is.Equal(len(fx.Reconnects), 0) // a claim that was not sent is not unanswered
+	f.is.Equal(f.UnreconciledAgents(), []string{"a"})
+	f.now += testBounds.TakeoverTimeout + time.Second
+	f.link("a", 1, runState(1, worker.Running, 0))
+	f.is.Equal(len(f.orders), 1) // the order of the existing run, repeated
+	f.is.Equal(f.orders[0].Value.Run.Number, int64(1))
+}
--- a/daemon/agent/lost_links_test.go
+++ b/daemon/agent/lost_links_test.go
@@ -12,6 +12,7 @@
 	"github.com/shallotstep/shallotstep/protocol/core/corepb"
 	"github.com/shallotstep/shallotstep/state/job"
 	"github.com/shallotstep/shallotstep/transport/bootclock"
+	"github.com/shallotstep/shallotstep/transport/peer"
 )
 
 // linkedWithRun links an agent on which a task of the owner's shard is then started.
@@ -48,8 +49,8 @@
 	is.Equal(runsLost(fx), 0)
 }
 
-// Guards against the same after the group has changed, while the store is asked whether the shard has a newer
-// owner.
+// Guards against starting tasks a second time, after the group has changed and while the store is asked whether
+// the shard has a newer owner, whose runs the heartbeats on a new link keep active.
 func TestAgentLinkedWhileAShardIsUnverifiedIsNotGivenUp(t *testing.T) {
 	is := is.New(t)
 	st := &memberStore{}
@@ -95,3 +96,21 @@
 	}
 	return n
 }
+
+// Guards against an agent that goes on taking a process for the owner of a shard that its new session doesn't
+// name.
+func TestFirstFrameOfASessionReleasesOtherShards(t *testing.T) {
+	for name, held := range map[string][]*corepb.Ownership{"released": nil, "held": {{Shard: groupShard, Epoch: 7}}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := New(groupSettings(), &memberStore{}, core.DrainSource{}, nil)
+			a.markerStored.Store(true)
+			c := peer.NewCaller("b/1")
+			is.NoErr(a.Frame(c, &corepb.ToAgent{Claims: []*corepb.Claim{{Shard: groupShard, Epoch: 7, Session: 1}}}))
+			is.NoErr(a.Frame(c, &corepb.ToAgent{SessionStart: &corepb.SessionStart{Session: 2, Held: held}}))
+			// Only the owner of a shard can have been silent for too long.
+			owns := !a.worker.Heard(bootclock.Now()+2*core.OwnerTimeout, c.Node)
+			is.Equal(owns, held != nil)
+		})
+	}
+}
--- a/protocol/core/record_check.go
+++ b/protocol/core/record_check.go
@@ -51,7 +51,7 @@
 }
 
 func checkPolicy(p *corepb.Policy) error {
-	if s := p.GetSlack(); !(s >= 0 && s <= maxStoredFactor) {
+	if s := p.GetSlack(); !(s >= 0 && s <= maxStoredFactor) { // also if it is no number
 		return errors.Errorf("slack %v is not between 0 and %v", s, maxStoredFactor)
 	}
 	return checkTime("target", p.GetTargetMs())
