--- a/daemon/entry/entry_test.go
+++ b/daemon/entry/entry_test.go
@@ -42,8 +42,9 @@
 	breakNext bool
 	// pending has the pending jobs of each shard that is open here. Guarded by mu.
 	pending map[int]int
-	// asks counts the questions for pending jobs. Guarded by mu.
-	asks int
+	// asks counts the questions for pending jobs, of which the first unnamed ones are answered without
+	// naming shards, as by an earlier version. Guarded by mu.
+	asks, unnamed int
 }
 
 func startFakeAgent(t *testing.T) *fakeAgent {
@@ -163,6 +164,10 @@
 	defer a.mu.Unlock()
 	a.asks++
 	var v owner.Response
+	if a.asks <= a.unnamed {
+		v.Count = 50
+		return v
+	}
 	for _, id := range shards {
 		if n, open := a.pending[id]; open {
 			v.Count += n
--- a/daemon/entry/pending_test.go
+++ b/daemon/entry/pending_test.go
@@ -50,6 +50,29 @@
 	is.Equal(len(e.owners.owners), 1) // the others were named by the group alone
 }
 
+// Guards against adding the count of an agent of an earlier version, which names no shards.
+func TestCountThatNamesNoShardsIsNotAdded(t *testing.T) {
+	is := is.New(t)
+	a, b := startFakeAgent(t), startFakeAgent(t)
+	e := newTestEntry(t, a, b)
+	b.unnamed = 1
+	for shard := range coretest.Shards {
+		a.open(shard, 1)
+		b.open(shard, 1)
+	}
+	assignShards(e, a, b)
+	got := make(chan int, 1)
+	go func() {
+		n, _ := e.Pending(t.Context(), "quotes")
+		got <- n
+	}()
+	coretest.Await(t, func() bool {
+		assignShards(e, a, b)
+		return len(got) == 1
+	})
+	is.Equal(<-got, coretest.Shards)
+}
+
 // Guards against counting a shard twice, or not at all, that is opened while a count waits for it.
 func TestCountWaitsForShardsThatAreBeingOpened(t *testing.T) {
 	is := is.New(t)
